--- /dev/null
+++ b/scripts/bundle.ts
@@ -0,0 +1,58 @@
+/** Bundles the program and the fakes into single files under `dist/`. */
+import { build } from "esbuild";
+
+const BANNER =
+  "import { createRequire as __createRequire } from 'node:module';" +
+  "const require = __createRequire(import.meta.url);";
+
+/** Optional native add-ons that the libraries do without. */
+const OPTIONAL_MODULES = [
+  "dtrace-provider",
+  "mv",
+  "source-map-support",
+  "unix-dgram",
+  "bufferutil",
+  "utf-8-validate",
+  "msgpackr-extract",
+];
+
+/**
+ * Bundles every program that tests, demo and benchmarks start.
+ *
+ * @example
+ * ```ts
+ * await bundlePrograms();
+ * ```
+ */
+export async function bundlePrograms(): Promise<void> {
+  await build({
+    entryPoints: {
+      nutmegreel: "src/main.ts",
+      fake: "fakes/main.ts",
+    },
+    outdir: "dist",
+    outExtension: { ".js": ".mjs" },
+    bundle: true,
+    platform: "node",
+    target: "node20",
+    format: "esm",
+    external: OPTIONAL_MODULES,
+    banner: { js: BANNER },
+    logLevel: "error",
+  });
+}
+
+/** Bundles the program as CommonJS, as a single executable needs it. */
+export async function bundleExecutable(): Promise<void> {
+  await build({
+    entryPoints: { "nutmegreel": "src/main.ts" },
+    outdir: "dist",
+    outExtension: { ".js": ".cjs" },
+    bundle: true,
+    platform: "node",
+    target: "node20",
+    format: "cjs",
+    external: OPTIONAL_MODULES,
+    logLevel: "error",
+  });
+}
--- /dev/null
+++ b/src/commands/serve.ts
@@ -0,0 +1,31 @@
+/** The command that runs an instance. */
+import { defineCommand } from "citty";
+import { loadSettings } from "../settings/mod.ts";
+import { Instance } from "../tasks/instance.ts";
+
+/** Runs an instance until it is told to stop. */
+export const serve = defineCommand({
+  meta: {
+    name: "serve",
+    description: "Run one instance. " +
+      "Example: nutmegreel serve --settings nl-1-a.json",
+  },
+  args: {
+    settings: {
+      type: "string",
+      required: true,
+      description: "Settings file of the instance",
+      valueHint: "FILE",
+    },
+  },
+  async run({ args }) {
+    const instance = new Instance(loadSettings(args.settings));
+    await instance.start();
+    await new Promise<void>((resolve) => {
+      const stop = () => resolve();
+      process.once("SIGTERM", stop);
+      process.once("SIGINT", stop);
+    });
+    await instance.drain();
+  },
+});
--- /dev/null
+++ b/src/core/configuration/document.ts
@@ -0,0 +1,120 @@
+/** The configuration document: one JSON object, a section for each matter. */
+import { z } from "zod";
+
+const MAX_NAME_LENGTH = 64;
+const HOUR_MS = 3_600_000;
+
+const name = z.string().regex(
+  /^[a-z0-9][a-z0-9-]*$/,
+  "Expected lower case letters, digits and hyphens",
+).max(MAX_NAME_LENGTH);
+const durationMs = z.number().int().min(1).max(HOUR_MS);
+
+const limitSet = z.strictObject({
+  requestsPerSecond: z.number().positive().optional(),
+  burst: z.number().int().positive().optional(),
+  tokensPerSecond: z.number().positive().optional(),
+  concurrency: z.number().int().positive().optional(),
+  queue: z.number().int().positive().optional(),
+});
+
+const workspace = z.strictObject({
+  /** Share of the targets against that of the other workspaces. */
+  weight: z.number().positive().max(1_000).default(1),
+  /** Data centre that must confirm every change of the workspace. */
+  home: name.optional(),
+});
+
+const route = z.strictObject({
+  kind: z.enum(["model", "service"]),
+  /** Model that a model route serves. */
+  model: name.optional(),
+  /** Whether requests need no key. */
+  open: z.boolean().default(false),
+  /** Whether a request may run more than once. */
+  idempotent: z.boolean().default(false),
+  /** Workspaces that may use the route; all where absent. */
+  workspaces: z.array(name).optional(),
+  timeoutMs: durationMs.default(120_000),
+  firstTokenTimeoutMs: durationMs.optional(),
+  maxAttempts: z.number().int().min(1).max(10).default(3),
+});
+
+const zone = z.strictObject({
+  dataCentre: name,
+  region: name,
+  /** False where the whole zone may vanish at short notice. */
+  lasting: z.boolean(),
+  pricePerHour: z.number().nonnegative(),
+  /** Whether the zone's targets refuse an order with an old number. */
+  checksFencing: z.boolean().default(false),
+});
+
+const staleness = z.strictObject({
+  /** Versions that a sample may lie behind the newest announced. */
+  maxVersionsBehind: z.number().int().nonnegative(),
+  /** Age of a sample at delivery, counted from its first token. */
+  maxAgeMs: z.number().int().positive().optional(),
+});
+
+const model = z.strictObject({
+  /** Share of the replicas that may be out for a weight swap at once. */
+  maxSwapShare: z.number().positive().max(1).default(0.3),
+});
+
+const capacity = z.strictObject({
+  minTargets: z.number().int().nonnegative(),
+  maxTargets: z.number().int().positive(),
+});
+
+const usage = z.strictObject({
+  windowMs: durationMs.default(60_000),
+  sealDelayMs: durationMs.default(5_000),
+});
+
+const team = z.strictObject({ sections: z.array(z.string()).min(1) });
+
+/** Schema of the configuration document. */
+export const configurationSchema = z.strictObject({
+  teams: z.record(name, team).default({}),
+  workspaces: z.record(name, workspace).default({}),
+  routes: z.record(name, route).default({}),
+  models: z.record(name, model).default({}),
+  zones: z.record(name, zone).default({}),
+  staleness: z.record(name, staleness).default({}),
+  limits: z.strictObject({
+    default: limitSet.default({}),
+    workspaces: z.record(name, limitSet).default({}),
+  }).default({ default: {}, workspaces: {} }),
+  capacity: z.record(name, capacity).default({}),
+  usage: usage.default({ windowMs: 60_000, sealDelayMs: 5_000 }),
+});
+
+/** A checked configuration document. */
+export type ConfigurationDocument = z.output<typeof configurationSchema>;
+/** Settings of one route. */
+export type RouteSettings = ConfigurationDocument["routes"][string];
+/** Settings of one zone. */
+export type ZoneSettings = ConfigurationDocument["zones"][string];
+/** Settings of one workspace. */
+export type WorkspaceSettings = ConfigurationDocument["workspaces"][string];
+/** Staleness bound of one model. */
+export type StalenessSettings = ConfigurationDocument["staleness"][string];
+/** Limits of one workspace. */
+export type LimitSettings = z.output<typeof limitSet>;
+
+/** Names of the sections of the document. */
+export const SECTION_NAMES = [
+  "teams",
+  "workspaces",
+  "routes",
+  "models",
+  "zones",
+  "staleness",
+  "limits",
+  "capacity",
+  "usage",
+] as const;
+
+/** Name of a section. */
+export type SectionName = typeof SECTION_NAMES[number];
--- /dev/null
+++ b/src/core/control/section_digest.ts
@@ -0,0 +1,29 @@
+/** Digests of sections and of whole changes. */
+import { createHash } from "node:crypto";
+
+/**
+ * Gets a digest that does not depend on the order of object members.
+ *
+ * @example
+ * ```ts
+ * digestOf({ a: 1, b: 2 }) === digestOf({ b: 2, a: 1 }); // true
+ * ```
+ */
+export function digestOf(value: unknown): string {
+  return createHash("sha256").update(canonicalJson(value)).digest("hex");
+}
+
+/** Gets JSON text with the members of each object in order of their names. */
+export function canonicalJson(value: unknown): string {
+  if (Array.isArray(value)) return `[${value.map(canonicalJson).join(",")}]`;
+  if (value === null || typeof value !== "object") {
+    return JSON.stringify(value) ?? "null";
+  }
+  const members = Object.entries(value)
+    .filter(([, member]) => member !== undefined)
+    .sort(([a], [b]) => (a < b ? -1 : a > b ? 1 : 0))
+    .map(([name, member]) =>
+      `${JSON.stringify(name)}:${canonicalJson(member)}`
+    );
+  return `{${members.join(",")}}`;
+}
--- /dev/null
+++ b/src/core/fairness/mod.ts
@@ -0,0 +1,2 @@
+/** Fair queueing. */
+export * from "./fair_queue.ts";
--- /dev/null
+++ b/src/core/invariants/mod.ts
@@ -0,0 +1,2 @@
+/** Promises asserted by the core. */
+export * from "./invariant.ts";
--- /dev/null
+++ b/src/core/keys/mod.ts
@@ -0,0 +1,3 @@
+/** Callers' keys. */
+export * from "./key_directory.ts";
+export * from "./key_record.ts";
--- /dev/null
+++ b/src/core/ledger/mod.ts
@@ -0,0 +1,6 @@
+/** The ledger of a data centre. */
+export * from "./call_ledger.ts";
+export * from "./ledger_record.ts";
+export * from "./ledger_state.ts";
+export * from "./step_ledger.ts";
+export * from "./usage_ledger.ts";
--- /dev/null
+++ b/src/core/limits/token_bucket.ts
@@ -0,0 +1,78 @@
+/** A token bucket on a clock that is passed in. */
+
+const MS_PER_SECOND = 1_000;
+
+/** Options of {@link TokenBucket}. */
+export interface TokenBucketOptions {
+  /** Units added each second. */
+  readonly ratePerSecond: number;
+  /** Units that the bucket holds at most. */
+  readonly burst: number;
+}
+
+/**
+ * Limits a rate; the level may go below zero by a correction.
+ *
+ * @example
+ * ```ts
+ * const bucket = new TokenBucket({ ratePerSecond: 10, burst: 20 });
+ * bucket.tryTake(1, Date.now()); // true
+ * ```
+ */
+export class TokenBucket {
+  #ratePerSecond: number;
+  #burst: number;
+  #level: number;
+  #updatedAt: number | undefined;
+
+  /** Creates a full bucket. */
+  constructor(options: TokenBucketOptions) {
+    this.#ratePerSecond = options.ratePerSecond;
+    this.#burst = options.burst;
+    this.#level = options.burst;
+  }
+
+  /** Changes rate and burst and keeps the level. */
+  configure(options: TokenBucketOptions): this {
+    this.#ratePerSecond = options.ratePerSecond;
+    this.#burst = options.burst;
+    this.#level = Math.min(this.#level, options.burst);
+    return this;
+  }
+
+  /** Gets the level at a time. */
+  levelAt(now: number): number {
+    this.#refill(now);
+    return this.#level;
+  }
+
+  /** Takes units where the level allows it; a full bucket allows any amount. */
+  tryTake(units: number, now: number): boolean {
+    this.#refill(now);
+    if (this.#level < Math.min(units, this.#burst)) return false;
+    this.#level -= units;
+    return true;
+  }
+
+  /** Gives units back, or takes more where negative. */
+  give(units: number, now: number): this {
+    this.#refill(now);
+    this.#level = Math.min(this.#burst, this.#level + units);
+    return this;
+  }
+
+  /** Gets the time until units can be taken, in milliseconds. */
+  waitMs(units: number, now: number): number {
+    this.#refill(now);
+    const missing = Math.min(units, this.#burst) - this.#level;
+    if (missing <= 0) return 0;
+    return (missing / this.#ratePerSecond) * MS_PER_SECOND;
+  }
+
+  #refill(now: number): void {
+    const since = Math.max(0, now - (this.#updatedAt ?? now));
+    this.#updatedAt = Math.max(now, this.#updatedAt ?? now);
+    const added = (since / MS_PER_SECOND) * this.#ratePerSecond;
+    this.#level = Math.min(this.#burst, this.#level + added);
+  }
+}
--- /dev/null
+++ b/src/core/limits/workspace_limits.ts
@@ -0,0 +1,114 @@
+/** Limits of one workspace on one instance. */
+import type { LimitSettings } from "../configuration/mod.ts";
+import { RefusalReason } from "../verdict/mod.ts";
+import { TokenBucket } from "./token_bucket.ts";
+
+/** A refusal by a limit. */
+export interface LimitRefusal {
+  /** Limit that refused. */
+  readonly reason: RefusalReason;
+  /** Time until the limit may admit the request, in milliseconds. */
+  readonly retryAfterMs: number;
+}
+
+/** Time after which a caller over its concurrency may ask again. */
+const CONCURRENCY_RETRY_MS = 250;
+/** Seconds of its rate that a workspace may use at once. */
+const DEFAULT_BURST_SECONDS = 1;
+
+/** Options of {@link WorkspaceLimits}. */
+export interface WorkspaceLimitsOptions {
+  /** Part of the whole limits that this instance may use, from 0 to 1. */
+  readonly share: number;
+}
+
+/**
+ * Applies request, token and concurrency limits.
+ *
+ * @example
+ * ```ts
+ * const limits = new WorkspaceLimits({ requestsPerSecond: 5 });
+ * limits.admit(120, Date.now()); // undefined: admitted
+ * ```
+ */
+export class WorkspaceLimits {
+  #requests: TokenBucket | undefined;
+  #tokens: TokenBucket | undefined;
+  #concurrency = Infinity;
+  #running = 0;
+
+  /** Creates the limits of a workspace. */
+  constructor(settings: LimitSettings, options?: WorkspaceLimitsOptions) {
+    this.configure(settings, options);
+  }
+
+  /** Gets the number of admitted and unfinished requests. */
+  get running(): number {
+    return this.#running;
+  }
+
+  /** Changes the limits and keeps what has been used. */
+  configure(settings: LimitSettings, options?: WorkspaceLimitsOptions): this {
+    const share = options?.share ?? 1;
+    this.#requests = configured(this.#requests, {
+      rate: settings.requestsPerSecond,
+      burst: settings.burst,
+      share,
+    });
+    this.#tokens = configured(this.#tokens, {
+      rate: settings.tokensPerSecond,
+      share,
+    });
+    this.#concurrency = settings.concurrency === undefined
+      ? Infinity
+      : Math.max(1, Math.floor(settings.concurrency * share));
+    return this;
+  }
+
+  /** Admits a request, or gets the refusal. */
+  admit(estimatedTokens: number, now: number): LimitRefusal | undefined {
+    if (this.#running >= this.#concurrency) {
+      return {
+        reason: RefusalReason.LimitConcurrency,
+        retryAfterMs: CONCURRENCY_RETRY_MS,
+      };
+    }
+    const requestWait = this.#requests?.waitMs(1, now) ?? 0;
+    if (requestWait > 0) {
+      return { reason: RefusalReason.LimitRequests, retryAfterMs: requestWait };
+    }
+    const tokenWait = this.#tokens?.waitMs(estimatedTokens, now) ?? 0;
+    if (tokenWait > 0) {
+      return { reason: RefusalReason.LimitTokens, retryAfterMs: tokenWait };
+    }
+    this.#requests?.tryTake(1, now);
+    this.#tokens?.tryTake(estimatedTokens, now);
+    this.#running += 1;
+    return undefined;
+  }
+
+  /** Ends an admitted request and corrects its tokens. */
+  release(estimatedTokens: number, actualTokens: number, now: number): this {
+    this.#running -= 1;
+    this.#tokens?.give(estimatedTokens - actualTokens, now);
+    return this;
+  }
+}
+
+interface BucketSettings {
+  readonly rate?: number;
+  readonly burst?: number;
+  readonly share: number;
+}
+
+function configured(
+  bucket: TokenBucket | undefined,
+  settings: BucketSettings,
+): TokenBucket | undefined {
+  if (settings.rate === undefined) return undefined;
+  const ratePerSecond = settings.rate * settings.share;
+  const whole = settings.burst ?? settings.rate * DEFAULT_BURST_SECONDS;
+  const burst = Math.max(1, whole * settings.share);
+  return bucket?.configure({ ratePerSecond, burst }) ??
+    new TokenBucket({ ratePerSecond, burst });
+}
--- /dev/null
+++ b/src/core/quarantine/mod.ts
@@ -0,0 +1,2 @@
+/** Quarantine of requests that crash targets. */
+export * from "./quarantine.ts";
--- /dev/null
+++ b/src/core/retry/mod.ts
@@ -0,0 +1,3 @@
+/** Retries and their budgets. */
+export * from "./retry_budget.ts";
+export * from "./retry_policy.ts";
--- /dev/null
+++ b/src/core/retry/retry_budget.ts
@@ -0,0 +1,47 @@
+/** A budget that keeps retries to a share of successes. */
+
+/** Options of {@link RetryBudget}. */
+export interface RetryBudgetOptions {
+  /** Retries earned by each success. */
+  readonly share?: number;
+  /** Retries saved at most. */
+  readonly max?: number;
+}
+
+const DEFAULT_SHARE = 0.1;
+const DEFAULT_MAX = 20;
+
+/**
+ * Allows a retry where enough successes have paid for it.
+ *
+ * @example
+ * ```ts
+ * const budget = new RetryBudget({ share: 0.1, max: 5 });
+ * budget.trySpend(); // true
+ * ```
+ */
+export class RetryBudget {
+  readonly #share: number;
+  readonly #max: number;
+  #saved: number;
+
+  /** Creates a full budget. */
+  constructor(options: RetryBudgetOptions = {}) {
+    this.#share = options.share ?? DEFAULT_SHARE;
+    this.#max = options.max ?? DEFAULT_MAX;
+    this.#saved = this.#max;
+  }
+
+  /** Counts a success. */
+  onSuccess(): this {
+    this.#saved = Math.min(this.#max, this.#saved + this.#share);
+    return this;
+  }
+
+  /** Spends one retry where the budget allows it. */
+  trySpend(): boolean {
+    if (this.#saved < 1) return false;
+    this.#saved -= 1;
+    return true;
+  }
+}
--- /dev/null
+++ b/src/core/retry/retry_policy_test.ts
@@ -0,0 +1,41 @@
+import { describe, expect, it } from "vitest";
+import { RetryBudget } from "./retry_budget.ts";
+import { decideRetry, type RetryQuestion } from "./retry_policy.ts";
+
+describe(decideRetry.name, () => {
+  const base: RetryQuestion = {
+    verdict: "notRun",
+    idempotent: false,
+    hasAnswered: false,
+    attempts: 1,
+    maxAttempts: 3,
+  };
+
+  function doTest(change: Partial<RetryQuestion>, expected: string) {
+    expect(decideRetry({ ...base, ...change })).toBe(expected);
+  }
+
+  it("repeats what has not run", () => doTest({}, "retryNotRun"));
+  it("never repeats a non-idempotent request that may have run", () =>
+    doTest({ verdict: "mayHaveRun" }, "stopMayHaveRun"));
+  it("never repeats a non-idempotent request that ran", () =>
+    doTest({ verdict: "ran" }, "stopMayHaveRun"));
+  it("repeats an idempotent request that may have run", () =>
+    doTest({ verdict: "mayHaveRun", idempotent: true }, "retryIdempotent"));
+  it("stops once a byte has reached the caller", () =>
+    doTest({ idempotent: true, hasAnswered: true }, "stopAnswered"));
+  it("stops after the allowed attempts", () =>
+    doTest({ attempts: 3 }, "stopAttempts"));
+});
+
+describe(RetryBudget.name, () => {
+  it("is paid by successes", () => {
+    const budget = new RetryBudget({ share: 0.5, max: 1 });
+    expect(budget.trySpend()).toBe(true);
+    expect(budget.trySpend()).toBe(false);
+    budget.onSuccess();
+    expect(budget.trySpend()).toBe(false);
+    budget.onSuccess();
+    expect(budget.trySpend()).toBe(true);
+  });
+});
--- /dev/null
+++ b/src/core/routing/target.ts
@@ -0,0 +1,253 @@
+/** A target as one instance sees it. */
+import { AdaptiveWindow } from "../limits/mod.ts";
+import {
+  TargetEvent,
+  TargetLifecycle,
+  TargetPhase,
+} from "./target_lifecycle.ts";
+
+/** What a target says of itself. */
+export interface TargetAnnouncement {
+  /** Identifier, unique in the system. */
+  readonly id: string;
+  /** Changes whenever the target's process starts again. */
+  readonly incarnation: string;
+  /** Base address, as `http://127.0.0.1:9000`. */
+  readonly url: string;
+  /** Models and services that it serves. */
+  readonly pools: readonly string[];
+  /** Zone in which it runs. */
+  readonly zone: string;
+  /** Version of the weights that it has loaded. */
+  readonly weightVersion?: number;
+}
+
+/** A load report, which lags behind the truth. */
+export interface LoadReport {
+  /** Requests that the target was running. */
+  readonly running: number;
+  /** Requests that waited inside the target. */
+  readonly waiting: number;
+  /** Time for which the report holds, in milliseconds. */
+  readonly at: number;
+}
+
+/** Measured figures of a finished attempt. */
+export interface AttemptFigures {
+  /** Tokens generated. */
+  readonly tokens: number;
+  /** Time from start to end, in milliseconds. */
+  readonly durationMs: number;
+}
+
+const EWMA_WEIGHT = 0.2;
+/** Generation time of a token before any was measured, in milliseconds. */
+const INITIAL_MS_PER_TOKEN = 10;
+/** Failures in a row that eject a target. */
+const EJECT_AFTER_FAILURES = 3;
+const FIRST_PAUSE_MS = 1_000;
+const MAX_PAUSE_MS = 60_000;
+/** Successes after which an ejected target is fully back. */
+const RECOVER_AFTER_SUCCESSES = 3;
+/** Age after which a load report is no longer believed. */
+const REPORT_TTL_MS = 10_000;
+
+/** Keeps the health, load and window of one target. */
+export class Target {
+  readonly #lifecycle = new TargetLifecycle();
+  readonly #window = new AdaptiveWindow();
+  /** Requests in flight from this instance: item id to fingerprint. */
+  readonly #inFlight = new Map<string, string>();
+  #announcement: TargetAnnouncement;
+  #msPerToken = INITIAL_MS_PER_TOKEN;
+  #failuresInRow = 0;
+  #successesInRow = 0;
+  #pauseMs = FIRST_PAUSE_MS;
+  #ejectedUntil = 0;
+  #othersRunning = 0;
+  #reportedAt = -Infinity;
+  #reservedFor: string | undefined;
+
+  /** Creates a target that serves. */
+  constructor(announcement: TargetAnnouncement) {
+    this.#announcement = announcement;
+  }
+
+  /** Gets the identifier. */
+  get id(): string {
+    return this.#announcement.id;
+  }
+
+  /** Gets the latest announcement. */
+  get announcement(): TargetAnnouncement {
+    return this.#announcement;
+  }
+
+  /** Gets the state of the lifecycle. */
+  get phase(): TargetPhase {
+    return this.#lifecycle.phase;
+  }
+
+  /** Gets the version of the loaded weights, where it has said one. */
+  get weightVersion(): number | undefined {
+    return this.#announcement.weightVersion;
+  }
+
+  /** Gets the number of requests in flight from this instance. */
+  get inFlight(): number {
+    return this.#inFlight.size;
+  }
+
+  /** Gets the fingerprints in flight from this instance. */
+  get fingerprints(): readonly string[] {
+    return [...this.#inFlight.values()];
+  }
+
+  /** Gets the current window. */
+  get windowSize(): number {
+    return this.phase === TargetPhase.Probing ? 1 : this.#window.size;
+  }
+
+  /** Gets the item for which the target is kept free. */
+  get reservedFor(): string | undefined {
+    return this.#reservedFor;
+  }
+
+  /** Takes in a newer announcement of the same process. */
+  update(announcement: TargetAnnouncement): this {
+    this.#announcement = announcement;
+    return this;
+  }
+
+  /** Sets the version of the loaded weights. */
+  setWeightVersion(version: number): this {
+    this.#announcement = { ...this.#announcement, weightVersion: version };
+    return this;
+  }
+
+  /** Gets whether a request may be placed now. */
+  hasRoom(now: number): boolean {
+    this.#endPause(now);
+    const isOpen = this.phase === TargetPhase.Serving ||
+      this.phase === TargetPhase.Probing;
+    if (!isOpen || this.#reservedFor !== undefined) return false;
+    return this.inFlight < this.windowSize;
+  }
+
+  /** Gets whether the target may serve at all, now or once it has room. */
+  isUsable(now: number): boolean {
+    this.#endPause(now);
+    return this.phase === TargetPhase.Serving ||
+      this.phase === TargetPhase.Probing;
+  }
+
+  /** Gets whether a target serves, or will again without a new announcement. */
+  isExpectedBack(): boolean {
+    return this.phase !== TargetPhase.Leaving &&
+      this.phase !== TargetPhase.Gone;
+  }
+
+  /** Gets the expected time of a request placed now, in milliseconds. */
+  expectedMs(tokens: number, now: number): number {
+    const others = now - this.#reportedAt < REPORT_TTL_MS
+      ? this.#othersRunning
+      : 0;
+    const load = (this.inFlight + others + 1) / Math.max(1, this.windowSize);
+    return tokens * this.#msPerToken * (1 + load) / 2;
+  }
+
+  /** Gets the requests of other instances, by the latest load report. */
+  get othersRunning(): number {
+    return this.#othersRunning;
+  }
+
+  /** Keeps the target free for one item. */
+  reserve(itemId: string): this {
+    this.#reservedFor = itemId;
+    return this;
+  }
+
+  /** Ends a reservation. */
+  unreserve(): this {
+    this.#reservedFor = undefined;
+    return this;
+  }
+
+  /** Records that a request was placed. */
+  onStart(itemId: string, fingerprint: string): this {
+    this.#inFlight.set(itemId, fingerprint);
+    return this;
+  }
+
+  /** Records that a request left the target, however it ended. */
+  onEnd(itemId: string): this {
+    this.#inFlight.delete(itemId);
+    return this;
+  }
+
+  /** Records a whole answer. Called before {@link Target.onEnd}. */
+  onSuccess(figures: AttemptFigures): this {
+    this.#failuresInRow = 0;
+    this.#successesInRow += 1;
+    this.#window.onSuccess(this.inFlight);
+    if (figures.tokens > 0) {
+      const measured = figures.durationMs / figures.tokens;
+      this.#msPerToken += EWMA_WEIGHT * (measured - this.#msPerToken);
+    }
+    if (this.phase !== TargetPhase.Probing) return this;
+    if (this.#successesInRow < RECOVER_AFTER_SUCCESSES) return this;
+    this.#pauseMs = FIRST_PAUSE_MS;
+    this.#lifecycle.send(TargetEvent.Recover);
+    return this;
+  }
+
+  /** Records a failed attempt; several in a row eject the target. */
+  onFailure(now: number): this {
+    this.#failuresInRow += 1;
+    this.#successesInRow = 0;
+    const isProbing = this.phase === TargetPhase.Probing;
+    if (!isProbing && this.#failuresInRow < EJECT_AFTER_FAILURES) return this;
+    return this.eject(now);
+  }
+
+  /** Stops work for a pause that doubles each time. */
+  eject(now: number): this {
+    this.#lifecycle.send(TargetEvent.Eject);
+    this.#ejectedUntil = now + this.#pauseMs;
+    this.#pauseMs = Math.min(MAX_PAUSE_MS, this.#pauseMs * 2);
+    this.#failuresInRow = 0;
+    return this;
+  }
+
+  /** Records an overload signal. */
+  onOverload(now: number): this {
+    this.#window.onOverload(now);
+    return this;
+  }
+
+  /** Takes in a load report; one older than the last is left out. */
+  onLoadReport(report: LoadReport, now: number): this {
+    if (report.at <= this.#reportedAt) return this;
+    this.#reportedAt = report.at;
+    const total = report.running + report.waiting;
+    this.#othersRunning = Math.max(0, total - this.inFlight);
+    if (report.waiting > 0) this.#window.onOverload(now);
+    return this;
+  }
+
+  /** Sends an event to the lifecycle. */
+  send(event: TargetEvent): this {
+    this.#lifecycle.send(event);
+    return this;
+  }
+
+  /** Gets when the pause of an ejected target ends, if it is ejected. */
+  get pauseEndsAt(): number | undefined {
+    return this.phase === TargetPhase.Ejected ? this.#ejectedUntil : undefined;
+  }
+
+  #endPause(now: number): void {
+    if (this.phase !== TargetPhase.Ejected) return;
+    if (now >= this.#ejectedUntil) this.#lifecycle.send(TargetEvent.Probe);
+  }
+}
--- /dev/null
+++ b/src/core/samples/hedge_policy.ts
@@ -0,0 +1,58 @@
+/** Decides which stragglers of a step are run a second time. */
+
+/** A running attempt, as the decision sees it. */
+export interface RunningAttempt {
+  /** Slot that it fills. */
+  readonly slot: number;
+  /** Time since it was placed, in milliseconds. */
+  readonly ageMs: number;
+  /** Whether the slot has been hedged already. */
+  readonly isHedged: boolean;
+}
+
+/** What the decision looks at. */
+export interface HedgeQuestion {
+  /** Samples of the step. */
+  readonly total: number;
+  /** Samples made or delivered. */
+  readonly made: number;
+  /** Samples that wait for a target. */
+  readonly waiting: number;
+  /** Hedges made so far. */
+  readonly hedges: number;
+  /** Durations of finished attempts, in milliseconds. */
+  readonly typicalMs: number | undefined;
+  /** Attempts that run now. */
+  readonly running: readonly RunningAttempt[];
+}
+
+/** Part of a step's samples that may be hedged. */
+const MAX_HEDGE_SHARE = 0.05;
+/** Hedges allowed for a small step. */
+const MIN_HEDGES = 1;
+/** Part of a step that must be made before hedging begins. */
+const MADE_SHARE = 0.8;
+/** Age of a straggler, in typical durations. */
+const STRAGGLER_FACTOR = 1.5;
+
+/**
+ * Gets the slots to hedge, oldest first.
+ *
+ * @example
+ * ```ts
+ * chooseHedges({ total: 10, made: 9, waiting: 0, hedges: 0, typicalMs: 100,
+ *   running: [{ slot: 9, ageMs: 400, isHedged: false }] }); // [9]
+ * ```
+ */
+export function chooseHedges(question: HedgeQuestion): number[] {
+  const { total, made, typicalMs } = question;
+  if (typicalMs === undefined || question.waiting > 0) return [];
+  if (made < total * MADE_SHARE) return [];
+  const budget = Math.max(MIN_HEDGES, Math.floor(total * MAX_HEDGE_SHARE));
+  return question.running
+    .filter((attempt) => !attempt.isHedged)
+    .filter((attempt) => attempt.ageMs >= typicalMs * STRAGGLER_FACTOR)
+    .sort((a, b) => b.ageMs - a.ageMs)
+    .slice(0, Math.max(0, budget - question.hedges))
+    .map((attempt) => attempt.slot);
+}
--- /dev/null
+++ b/src/core/samples/step_runner.ts
@@ -0,0 +1,410 @@
+/** Makes the samples of one step: what to run, what to keep, what to remake. */
+import { assertInvariant, Invariant } from "../invariants/mod.ts";
+import { type WorkItem, WorkKind } from "../dispatch/work_item.ts";
+import { chooseHedges, type RunningAttempt } from "./hedge_policy.ts";
+import type { MadeSample } from "./sample.ts";
+import type { StalenessGate } from "./staleness_gate.ts";
+import { type Slot, slotsOf, type StepSpec } from "./step_spec.ts";
+
+/** Options of {@link StepRunner}. */
+export interface StepRunnerOptions {
+  /** Newest version of the step's model. */
+  readonly gate: StalenessGate;
+  /** Slots that have been delivered, as after a takeover. */
+  readonly delivered?: Iterable<number>;
+  /** Slots that no target can fill. */
+  readonly failed?: Iterable<number>;
+  /** Gets the hash of a group's prompt. */
+  readonly hash: (text: string) => string;
+  /** Attempts allowed for each work item. */
+  readonly maxAttempts: number;
+  /** Whether stragglers are hedged. */
+  readonly hedges?: boolean;
+  /** Distinguishes the work items of two runners of the same step. */
+  readonly epoch?: string;
+}
+
+/** Why a made sample was not kept. */
+export const DiscardReason = {
+  /** The engine reported no version with some chunk. */
+  Unversioned: "unversioned",
+  /** The sample is over its staleness bound. */
+  Stale: "stale",
+  /** Another attempt has filled the slot. */
+  Duplicate: "duplicate",
+} as const;
+
+/** One of the values of {@link DiscardReason}. */
+export type DiscardReason = typeof DiscardReason[keyof typeof DiscardReason];
+
+/** What follows from a call. */
+export interface StepEffects {
+  /** Work to submit to the dispatcher. */
+  readonly submit: readonly WorkItem[];
+  /** Work to cancel. */
+  readonly cancel: readonly string[];
+  /** Samples that were thrown away. */
+  readonly discarded: readonly DiscardReason[];
+}
+
+interface SlotState {
+  readonly slot: Slot;
+  readonly prompt: GroupPrompt;
+  /** Work items of the slot: id to start time; undefined while it waits. */
+  readonly attempts: Map<string, number | undefined>;
+  /** Targets that run or ran the slot's current work. */
+  readonly targets: Set<string>;
+  made?: MadeSample;
+  isDelivered: boolean;
+  isFailed: boolean;
+  isHedged: boolean;
+  nextAttempt: number;
+}
+
+interface GroupPrompt {
+  readonly fingerprint: string;
+  readonly tokens: number;
+}
+
+/** Characters of a prompt that make one token, by estimate. */
+const CHARACTERS_PER_TOKEN = 4;
+/** Finished durations kept for the typical one. */
+const MAX_DURATIONS = 512;
+
+/**
+ * Keeps the slots of a step until each has been delivered.
+ *
+ * @example
+ * ```ts
+ * const runner = new StepRunner(step, options);
+ * for (const item of runner.start(Date.now()).submit) submit(item);
+ * ```
+ */
+export class StepRunner {
+  /** The step. */
+  readonly spec: StepSpec;
+  readonly #options: StepRunnerOptions;
+  readonly #slots: SlotState[];
+  readonly #durations: number[] = [];
+  #hedges = 0;
+  #wastedTokens = 0;
+  #deliveredCount = 0;
+  #failedCount = 0;
+
+  /** Creates a runner; delivered slots are not made again. */
+  constructor(spec: StepSpec, options: StepRunnerOptions) {
+    this.spec = spec;
+    this.#options = options;
+    const delivered = new Set(options.delivered ?? []);
+    const failed = new Set(options.failed ?? []);
+    this.#deliveredCount = delivered.size;
+    this.#failedCount = failed.size;
+    const prompts = new Map(
+      spec.groups.map((group) => [group.id, this.#promptOf(group.body)]),
+    );
+    this.#slots = slotsOf(spec).map((slot) => ({
+      slot,
+      prompt: prompts.get(slot.group.id) ?? this.#promptOf(slot.group.body),
+      attempts: new Map(),
+      targets: new Set(),
+      isDelivered: delivered.has(slot.index),
+      isFailed: failed.has(slot.index),
+      isHedged: false,
+      nextAttempt: 0,
+    }));
+  }
+
+  /** Gets the number of samples of the step. */
+  get total(): number {
+    return this.#slots.length;
+  }
+
+  /** Gets the number of delivered samples. */
+  get delivered(): number {
+    return this.#deliveredCount;
+  }
+
+  /** Gets the number of samples that are made and wait for delivery. */
+  get ready(): number {
+    return this.#slots.filter((s) => s.made !== undefined).length;
+  }
+
+  /** Gets the tokens of samples that were thrown away. */
+  get wastedTokens(): number {
+    return this.#wastedTokens;
+  }
+
+  /** Gets whether every slot is delivered or has failed for good. */
+  get isDone(): boolean {
+    return this.#deliveredCount + this.#failedCount === this.total;
+  }
+
+  /** Gets the group of a work item's slot. */
+  getSlotOf(itemId: string): Slot | undefined {
+    return this.#stateOf(itemId)?.slot;
+  }
+
+  /** Starts every slot that is not delivered. */
+  start(now: number): StepEffects {
+    const open = this.#slots.filter((s) => !isFilled(s));
+    return effects({ submit: open.map((state) => this.#makeItem(state, now)) });
+  }
+
+  /** Records that a work item was placed on a target. */
+  onPlaced(itemId: string, targetId: string, now: number): this {
+    const state = this.#stateOf(itemId);
+    if (state?.attempts.has(itemId)) {
+      state.attempts.set(itemId, now);
+      state.targets.add(targetId);
+    }
+    return this;
+  }
+
+  /** Takes in a whole answer: it is kept, or thrown away and made again. */
+  onMade(itemId: string, sample: MadeSample, now: number): StepEffects {
+    const state = this.#stateOf(itemId);
+    const startedAt = state?.attempts.get(itemId);
+    const isExpected = state?.attempts.delete(itemId) ?? false;
+    if (state === undefined || !isExpected || isFilled(state)) {
+      this.#wastedTokens += sample.tokens;
+      return effects({ discarded: [DiscardReason.Duplicate] });
+    }
+    if (startedAt !== undefined) this.#addDuration(now - startedAt);
+    const reason = this.#discardReasonOf(sample, now);
+    if (reason !== undefined) {
+      return this.#remake(state, { sample, reason, now });
+    }
+    state.made = sample;
+    const others = [...state.attempts.keys()];
+    state.attempts.clear();
+    return effects({ cancel: others });
+  }
+
+  /** Takes in the failure of a work item; the slot is tried again. */
+  onFailed(itemId: string, now: number): StepEffects {
+    const state = this.#stateOf(itemId);
+    const isExpected = state?.attempts.delete(itemId) ?? false;
+    if (state === undefined || !isExpected || isFilled(state)) {
+      return effects({});
+    }
+    if (state.attempts.size > 0) return effects({});
+    return effects({ submit: [this.#makeItem(state, now)] });
+  }
+
+  /**
+   * Gives a slot up, because no target can fill it.
+   * @returns The slot, or undefined where it is filled or given up already.
+   */
+  giveUp(itemId: string): Slot | undefined {
+    const state = this.#stateOf(itemId);
+    const isExpected = state?.attempts.delete(itemId) ?? false;
+    if (state === undefined || !isExpected || isFilled(state)) {
+      return undefined;
+    }
+    state.isFailed = true;
+    this.#failedCount += 1;
+    return state.slot;
+  }
+
+  /** Throws away what a new version has made too old. */
+  onAnnounced(now: number): StepEffects {
+    const submit: WorkItem[] = [];
+    const discarded: DiscardReason[] = [];
+    const cancel: string[] = [];
+    for (const state of this.#slots) {
+      if (state.made === undefined) {
+        if (!this.#isWaiting(state)) continue;
+        cancel.push(...state.attempts.keys());
+        state.attempts.clear();
+        submit.push(this.#makeItem(state, now));
+        continue;
+      }
+      if (this.#isFresh(state.made, now)) continue;
+      const remade = this.#remake(state, {
+        sample: state.made,
+        reason: DiscardReason.Stale,
+        now,
+      });
+      submit.push(...remade.submit);
+      discarded.push(...remade.discarded);
+    }
+    return { submit, cancel, discarded };
+  }
+
+  /**
+   * Takes fresh samples for delivery, in the order of their slots.
+   *
+   * They count as delivered only after {@link StepRunner.onDelivered}.
+   */
+  peekReady(max: number, now: number): MadeSample[] {
+    const ready: MadeSample[] = [];
+    for (const { made } of this.#slots) {
+      if (ready.length >= max) break;
+      if (made !== undefined && this.#isFresh(made, now)) ready.push(made);
+    }
+    return ready;
+  }
+
+  /** Records that samples have been given their numbers. */
+  onDelivered(samples: readonly MadeSample[]): this {
+    for (const sample of samples) {
+      const state = this.#slots[sample.slot];
+      assertInvariant(
+        !state.isDelivered,
+        Invariant.SampleOnce,
+        `Slot ${sample.slot} of step ${this.spec.id}`,
+      );
+      state.isDelivered = true;
+      state.made = undefined;
+      this.#deliveredCount += 1;
+    }
+    return this;
+  }
+
+  /** Throws away stale samples and hedges stragglers. */
+  tick(now: number): StepEffects {
+    const aged = this.spec.staleness.maxAgeMs === undefined
+      ? effects({})
+      : this.#discardAged(now);
+    if (this.#options.hedges === false) return aged;
+    const slots = chooseHedges({
+      total: this.total,
+      made: this.#deliveredCount + this.ready,
+      waiting: this.#slots.filter((s) => this.#isWaiting(s)).length,
+      hedges: this.#hedges,
+      typicalMs: this.#typicalMs(),
+      running: this.#runningAttempts(now),
+    });
+    const hedges = slots.map((index) => this.#hedge(this.#slots[index], now));
+    return { ...aged, submit: [...aged.submit, ...hedges] };
+  }
+
+  /** Gets every work item that waits or runs, to cancel the step. */
+  openItems(): string[] {
+    return this.#slots.flatMap((state) => [...state.attempts.keys()]);
+  }
+
+  #discardAged(now: number): StepEffects {
+    const submit: WorkItem[] = [];
+    const discarded: DiscardReason[] = [];
+    for (const state of this.#slots) {
+      if (state.made === undefined || this.#isFresh(state.made, now)) continue;
+      const reason = DiscardReason.Stale;
+      const remade = this.#remake(state, { sample: state.made, reason, now });
+      submit.push(...remade.submit);
+      discarded.push(...remade.discarded);
+    }
+    return effects({ submit, discarded });
+  }
+
+  #discardReasonOf(
+    sample: MadeSample,
+    now: number,
+  ): DiscardReason | undefined {
+    if (sample.versions.length === 0) return DiscardReason.Unversioned;
+    return this.#isFresh(sample, now) ? undefined : DiscardReason.Stale;
+  }
+
+  #isFresh(sample: MadeSample, now: number): boolean {
+    return this.#options.gate.isFresh(sample, this.spec.staleness, now);
+  }
+
+  #remake(
+    state: SlotState,
+    discard: { sample: MadeSample; reason: DiscardReason; now: number },
+  ): StepEffects {
+    this.#wastedTokens += discard.sample.tokens;
+    state.made = undefined;
+    const submit = state.attempts.size > 0
+      ? []
+      : [this.#makeItem(state, discard.now)];
+    return effects({ submit, discarded: [discard.reason] });
+  }
+
+  #hedge(state: SlotState, now: number): WorkItem {
+    state.isHedged = true;
+    this.#hedges += 1;
+    return { ...this.#makeItem(state, now), avoid: [...state.targets] };
+  }
+
+  #makeItem(state: SlotState, now: number): WorkItem {
+    const { spec } = this;
+    const { gate, epoch = "0" } = this.#options;
+    const attempt = state.nextAttempt;
+    state.nextAttempt += 1;
+    const id = `${spec.workspace}/${spec.id}/${state.slot.index}/` +
+      `${epoch}.${attempt}`;
+    state.attempts.set(id, undefined);
+    const expectedEnd = now + (this.#typicalMs() ?? 0);
+    return {
+      id,
+      kind: WorkKind.Sample,
+      workspace: spec.workspace,
+      route: spec.route,
+      pool: spec.model,
+      cost: spec.tokensPerSample,
+      tokens: spec.tokensPerSample,
+      prefix: state.prompt.fingerprint,
+      prefixTokens: state.prompt.tokens,
+      fingerprint: state.prompt.fingerprint,
+      idempotent: true,
+      maxAttempts: this.#options.maxAttempts,
+      deadline: Infinity,
+      minVersion: gate.requiredVersion(spec.staleness),
+      preferredVersion: gate.preferredVersion(spec.staleness, expectedEnd),
+    };
+  }
+
+  #promptOf(body: Readonly<Record<string, unknown>>): GroupPrompt {
+    const text = JSON.stringify(body);
+    return {
+      fingerprint: this.#options.hash(`${this.spec.route} ${text}`),
+      tokens: Math.ceil(text.length / CHARACTERS_PER_TOKEN),
+    };
+  }
+
+  #stateOf(itemId: string): SlotState | undefined {
+    const index = Number(itemId.split("/").at(-2));
+    return this.#slots[index];
+  }
+
+  #isWaiting(state: SlotState): boolean {
+    if (isFilled(state) || state.attempts.size === 0) return false;
+    return [...state.attempts.values()].every((at) => at === undefined);
+  }
+
+  #runningAttempts(now: number): RunningAttempt[] {
+    const running: RunningAttempt[] = [];
+    for (const state of this.#slots) {
+      if (isFilled(state)) continue;
+      for (const startedAt of state.attempts.values()) {
+        if (startedAt === undefined) continue;
+        running.push({
+          slot: state.slot.index,
+          ageMs: now - startedAt,
+          isHedged: state.isHedged,
+        });
+      }
+    }
+    return running;
+  }
+
+  #addDuration(durationMs: number): void {
+    this.#durations.push(durationMs);
+    if (this.#durations.length > MAX_DURATIONS) this.#durations.shift();
+  }
+
+  #typicalMs(): number | undefined {
+    if (this.#durations.length === 0) return undefined;
+    const sorted = [...this.#durations].sort((a, b) => a - b);
+    return sorted[Math.floor(sorted.length / 2)];
+  }
+}
+
+function isFilled(state: SlotState): boolean {
+  return state.isDelivered || state.isFailed || state.made !== undefined;
+}
+
+function effects(parts: Partial<StepEffects>): StepEffects {
+  return { submit: [], cancel: [], discarded: [], ...parts };
+}
--- /dev/null
+++ b/src/core/verdict/mod.ts
@@ -0,0 +1,4 @@
+/** Verdicts and refusals. */
+export * from "./verdict.ts";
+export * from "./refusal_reason.ts";
+export * from "./refusal_error.ts";
--- /dev/null
+++ b/src/core/verdict/refusal_error.ts
@@ -0,0 +1,72 @@
+/** The error that carries a refusal to a caller. */
+import { NutmegreelError } from "../errors/mod.ts";
+import { REFUSAL_STATUS, type RefusalReason } from "./refusal_reason.ts";
+import type { Verdict } from "./verdict.ts";
+
+/** Options of {@link RefusalError}. */
+export interface RefusalOptions {
+  /** Sentence case text for people. */
+  readonly message?: string;
+  /** Time after which the caller may ask again, in milliseconds. */
+  readonly retryAfterMs?: number;
+  /** Error that led to the refusal. */
+  readonly cause?: unknown;
+}
+
+/** JSON body of a refusal. */
+export interface RefusalBody {
+  /** The refusal. */
+  readonly error: {
+    readonly code: RefusalReason;
+    readonly message: string;
+    readonly verdict: Verdict;
+    readonly retryAfterMs?: number;
+  };
+}
+
+/** Represents a refused or failed request, with its verdict. */
+export class RefusalError extends NutmegreelError {
+  /** Reason of the refusal. */
+  readonly reason: RefusalReason;
+  /** Whether the request may have run. */
+  readonly verdict: Verdict;
+  /** Time after which the caller may ask again, in milliseconds. */
+  readonly retryAfterMs?: number;
+
+  /**
+   * Creates the error.
+   * @param reason - Reason of the refusal.
+   * @param verdict - Whether the request may have run.
+   */
+  constructor(
+    reason: RefusalReason,
+    verdict: Verdict,
+    options: RefusalOptions = {},
+  ) {
+    super(reason, options.message ?? `Request refused: ${reason}`, {
+      cause: options.cause,
+    });
+    this.reason = reason;
+    this.verdict = verdict;
+    this.retryAfterMs = options.retryAfterMs;
+  }
+
+  /** Gets the HTTP status of the refusal. */
+  get status(): number {
+    return REFUSAL_STATUS[this.reason];
+  }
+
+  /** Gets the JSON body of the refusal. */
+  toBody(): RefusalBody {
+    return {
+      error: {
+        code: this.reason,
+        message: this.message,
+        verdict: this.verdict,
+        ...(this.retryAfterMs === undefined
+          ? {}
+          : { retryAfterMs: Math.ceil(this.retryAfterMs) }),
+      },
+    };
+  }
+}
--- /dev/null
+++ b/src/logging/mod.ts
@@ -0,0 +1,3 @@
+/** Logs. */
+export * from "./event_catalogue.ts";
+export * from "./logger.ts";
--- /dev/null
+++ b/src/metrics/metric_catalogue.ts
@@ -0,0 +1,81 @@
+/** The metrics and what they count. */
+import { RefusalReason } from "../core/verdict/mod.ts";
+import { RetryDecision } from "../core/retry/mod.ts";
+
+/** Kind of a metric. */
+export type MetricKind = "counter" | "gauge" | "timing";
+
+/** Description of a metric. */
+export interface MetricDescription {
+  /** Kind. */
+  readonly kind: MetricKind;
+  /** What it counts, with its unit. */
+  readonly text: string;
+}
+
+const BASE = {
+  "requests.arrived": {
+    kind: "counter",
+    text: "Requests that arrived with a live key or on an open route",
+  },
+  "requests.completed": { kind: "counter", text: "Requests answered whole" },
+  "requests.queued": { kind: "gauge", text: "Requests that wait or run" },
+  "requests.duration": {
+    kind: "timing",
+    text: "Time from arrival to the whole answer, in milliseconds",
+  },
+  "tokens.generated": { kind: "counter", text: "Tokens of whole answers" },
+  "tokens.wasted": {
+    kind: "counter",
+    text: "Tokens generated and thrown away",
+  },
+  "samples.made": { kind: "counter", text: "Whole answers for samples" },
+  "samples.delivered": {
+    kind: "counter",
+    text: "Samples that were given their numbers",
+  },
+  "samples.discarded.unversioned": {
+    kind: "counter",
+    text: "Samples made again because a version was missing",
+  },
+  "samples.discarded.stale": {
+    kind: "counter",
+    text: "Samples made again because they were too old",
+  },
+  "samples.discarded.duplicate": {
+    kind: "counter",
+    text: "Answers for slots that were filled already",
+  },
+  "targets.serving": { kind: "gauge", text: "Targets that take work" },
+  "targets.died": { kind: "counter", text: "Deaths of targets' processes" },
+  "invariants.refused": {
+    kind: "counter",
+    text: "Actions refused because they would break a promise",
+  },
+} as const satisfies Readonly<Record<string, MetricDescription>>;
+
+/** Name of a refusal counter. */
+export type RefusalMetric = `refusals.${RefusalReason}`;
+/** Name of a retry counter. */
+export type RetryMetric = `retries.${RefusalReason}.${RetryDecision}`;
+/** Name of a metric. */
+export type MetricName = keyof typeof BASE | RefusalMetric | RetryMetric;
+
+/** Gets all metrics: the listed ones and a counter for each reason. */
+export function metricCatalogue(): ReadonlyMap<string, MetricDescription> {
+  const all = new Map<string, MetricDescription>(Object.entries(BASE));
+  for (const reason of Object.values(RefusalReason)) {
+    all.set(`refusals.${reason}`, {
+      kind: "counter",
+      text: `Requests refused or failed for ${reason}`,
+    });
+  }
+  for (const reason of Object.values(RefusalReason)) {
+    all.set(`retries.${reason}.*`, {
+      kind: "counter",
+      text: `Retries after ${reason}, by decision: ` +
+        `${RetryDecision.RetryNotRun} or ${RetryDecision.RetryIdempotent}`,
+    });
+  }
+  return all;
+}
--- /dev/null
+++ b/src/metrics/metrics.ts
@@ -0,0 +1,73 @@
+/** Metrics: kept in the process and sent to a StatsD receiver. */
+import { StatsD } from "hot-shots";
+import type { Address } from "../settings/mod.ts";
+import type { MetricName } from "./metric_catalogue.ts";
+
+/** Options of {@link Metrics}. */
+export interface MetricsOptions {
+  /** StatsD receiver; metrics stay in the process where absent. */
+  readonly receiver?: Address;
+  /** Tags of every metric. */
+  readonly tags: Readonly<Record<string, string>>;
+}
+
+/** Values of all metrics that were touched. */
+export type MetricValues = Readonly<Record<string, number>>;
+
+/**
+ * Counts and measures.
+ *
+ * @example
+ * ```ts
+ * metrics.count("refusals.queueFull");
+ * ```
+ */
+export class Metrics {
+  readonly #values = new Map<string, number>();
+  readonly #client: StatsD | undefined;
+
+  /** Creates metrics. */
+  constructor(options: MetricsOptions) {
+    if (options.receiver === undefined) return;
+    this.#client = new StatsD({
+      host: options.receiver.host,
+      port: options.receiver.port,
+      prefix: "nutmegreel.",
+      globalTags: { ...options.tags },
+      errorHandler: () => {},
+    });
+  }
+
+  /** Adds to a counter. */
+  count(name: MetricName, by = 1): this {
+    this.#values.set(name, (this.#values.get(name) ?? 0) + by);
+    this.#client?.increment(name, by);
+    return this;
+  }
+
+  /** Sets a gauge. */
+  gauge(name: MetricName, value: number): this {
+    this.#values.set(name, value);
+    this.#client?.gauge(name, value);
+    return this;
+  }
+
+  /** Records a duration in milliseconds. */
+  timing(name: MetricName, ms: number): this {
+    this.#values.set(name, ms);
+    this.#client?.timing(name, ms);
+    return this;
+  }
+
+  /** Gets the values, by name. */
+  values(): MetricValues {
+    return Object.fromEntries([...this.#values].sort());
+  }
+
+  /** Sends what waits and closes the socket. */
+  close(): Promise<void> {
+    const client = this.#client;
+    if (client === undefined) return Promise.resolve();
+    return new Promise((resolve) => client.close(() => resolve()));
+  }
+}
--- /dev/null
+++ b/src/metrics/mod.ts
@@ -0,0 +1,3 @@
+/** Metrics. */
+export * from "./metric_catalogue.ts";
+export * from "./metrics.ts";
--- /dev/null
+++ b/src/protocol/completion_chunk.ts
@@ -0,0 +1,20 @@
+/** The part of an engine's stream that the system reads. */
+import { z } from "zod";
+
+/** Schema of one event of an engine's stream. */
+export const completionChunkSchema = z.object({
+  choices: z.array(z.object({
+    delta: z.object({ content: z.string().nullish() }).nullish(),
+    text: z.string().nullish(),
+    finish_reason: z.string().nullish(),
+  })).default([]),
+  weight_version: z.number().int().nonnegative().nullish(),
+  usage: z.object({ completion_tokens: z.number().nullish() }).nullish(),
+  error: z.unknown().optional(),
+});
+
+/** One event of an engine's stream. */
+export type CompletionChunk = z.output<typeof completionChunkSchema>;
+
+/** Data of the event that ends a stream. */
+export const STREAM_END = "[DONE]";
--- /dev/null
+++ b/src/settings/mod.ts
@@ -0,0 +1,3 @@
+/** Settings of an instance. */
+export * from "./load.ts";
+export * from "./settings.ts";
--- /dev/null
+++ b/src/tasks/entry/operator_handlers.ts
@@ -0,0 +1,288 @@
+/** Handlers of operators' and targets' endpoints. */
+import { randomBytes, timingSafeEqual } from "node:crypto";
+import { createHash } from "node:crypto";
+import { z } from "zod";
+import { SECTION_NAMES } from "../../core/configuration/mod.ts";
+import type { CommandAnswer } from "../../core/control/mod.ts";
+import { createKeyRecord, formatKey } from "../../core/keys/mod.ts";
+import {
+  RefusalError,
+  RefusalReason,
+  Verdict,
+} from "../../core/verdict/mod.ts";
+import type { Metrics } from "../../metrics/mod.ts";
+import { announceRequestSchema } from "../../protocol/mod.ts";
+import type { Settings } from "../../settings/mod.ts";
+import type { ControlPort } from "../control/control_port.ts";
+import type { LedgerPort } from "../ledger/ledger_port.ts";
+import type { DispatchTask, ProbeTask } from "../targets/mod.ts";
+import { presentedKeyOf } from "./caller.ts";
+import { sendJson } from "./http_answer.ts";
+import {
+  checkBodyOrThrow,
+  malformed,
+  parseJsonOrThrow,
+  readBody,
+} from "./http_body.ts";
+import type { HttpContext } from "./route_handlers.ts";
+
+/** Tokens that operators and targets present. */
+export interface AccessTokens {
+  /** Token of operators; their endpoints are closed where absent. */
+  readonly operator?: string;
+  /** Token of announcing targets; open to all where absent. */
+  readonly target?: string;
+}
+
+/** Tells whether a change is in force everywhere. */
+export interface ForceStatus {
+  /** Whether each instance has it in force, or is fenced. */
+  readonly isInForce: boolean;
+  /** Data centres that are still awaited. */
+  readonly awaited: readonly string[];
+}
+
+/** Options of {@link OperatorHandlers}. */
+export interface OperatorHandlersOptions {
+  /** Settings of the instance. */
+  readonly settings: Settings;
+  /** Tokens. */
+  readonly tokens: AccessTokens;
+  /** Control log. */
+  readonly control: ControlPort;
+  /** Ledger. */
+  readonly ledger: LedgerPort;
+  /** Targets. */
+  readonly dispatch: DispatchTask;
+  /** Probes. */
+  readonly probes: ProbeTask;
+  /** Metrics. */
+  readonly metrics: Metrics;
+  /** Waits until what has been committed is in force everywhere. */
+  readonly awaitForce: () => Promise<ForceStatus>;
+  /** Gets further parts of the status. */
+  readonly status: () => Readonly<Record<string, unknown>>;
+}
+
+const SECRET_BYTES = 24;
+const SALT_BYTES = 16;
+
+const changeSchema = z.strictObject({
+  requestId: z.string().min(1).max(128),
+  team: z.string().optional(),
+  sections: z.partialRecord(z.enum(SECTION_NAMES), z.unknown()),
+  base: z.partialRecord(
+    z.enum(SECTION_NAMES),
+    z.number().int().nonnegative(),
+  ).default({}),
+});
+
+const createKeySchema = z.strictObject({
+  id: z.string().regex(/^[A-Za-z0-9-]{1,64}$/, "Expected a plain name"),
+  workspace: z.string(),
+});
+
+/** Answers operators and targets. */
+export class OperatorHandlers {
+  readonly #options: OperatorHandlersOptions;
+
+  /** Creates the handlers. */
+  constructor(options: OperatorHandlersOptions) {
+    this.#options = options;
+  }
+
+  /** Answers the balancer's question whether the instance serves. */
+  health(ctx: HttpContext): void {
+    sendJson(ctx.res, { status: "serving", id: this.#options.settings.id });
+  }
+
+  /** Gets the document with the revision of each section. */
+  showConfiguration(ctx: HttpContext): void {
+    this.#authorizeOrThrow(ctx);
+    const { configuration } = this.#options.control.state;
+    const sections = Object.fromEntries(
+      SECTION_NAMES.map((name) => [name, configuration.revisionOf(name)]),
+    );
+    const { revision, document } = configuration;
+    sendJson(ctx.res, { revision, sections, document });
+  }
+
+  /** Applies a change of the configuration. */
+  async changeConfiguration(ctx: HttpContext): Promise<void> {
+    this.#authorizeOrThrow(ctx);
+    const json = await this.#readJson(ctx);
+    const change = checkBodyOrThrow(changeSchema, json);
+    const answer = await this.#options.control.propose({
+      type: "changeConfiguration",
+      change,
+    });
+    await this.#sendCommandAnswer(ctx, answer);
+  }
+
+  /** Creates a key; its secret is in this answer and nowhere else. */
+  async createKey(ctx: HttpContext): Promise<void> {
+    this.#authorizeOrThrow(ctx);
+    const json = await this.#readJson(ctx);
+    const { id, workspace } = checkBodyOrThrow(createKeySchema, json);
+    const { state } = this.#options.control;
+    if (!(workspace in state.configuration.document.workspaces)) {
+      throw malformed("workspace: Unknown workspace");
+    }
+    if (state.keys.get(id) !== undefined) {
+      throw new RefusalError(
+        RefusalReason.ConfigurationConflict,
+        Verdict.NotRun,
+        { message: "A key with this identifier exists" },
+      );
+    }
+    const secret = randomBytes(SECRET_BYTES).toString("base64url");
+    const salt = randomBytes(SALT_BYTES).toString("hex");
+    const key = createKeyRecord({ id, workspace, secret, salt });
+    await this.#options.control.propose({ type: "putKey", key });
+    const force = await this.#options.awaitForce();
+    const body = { id, workspace, key: formatKey({ id, secret }), ...force };
+    sendJson(ctx.res, body, { status: 201 });
+  }
+
+  /** Lists the keys, without their digests. */
+  listKeys(ctx: HttpContext): void {
+    this.#authorizeOrThrow(ctx);
+    const keys = this.#options.control.state.keys.list()
+      .map(({ id, workspace, withdrawn }) => ({ id, workspace, withdrawn }));
+    sendJson(ctx.res, { keys });
+  }
+
+  /** Withdraws a key. */
+  async withdrawKey(ctx: HttpContext): Promise<void> {
+    this.#authorizeOrThrow(ctx);
+    const { id } = ctx.params;
+    if (this.#options.control.state.keys.get(id) === undefined) {
+      throw new RefusalError(RefusalReason.NotFound, Verdict.NotRun);
+    }
+    await this.#options.control.propose({ type: "withdrawKey", id });
+    const force = await this.#options.awaitForce();
+    const answer = force.isInForce ? "accepted" : "pending";
+    const status = force.isInForce ? 200 : 202;
+    sendJson(ctx.res, { id, answer, awaited: force.awaited }, { status });
+  }
+
+  /** Gets the state of the instance. */
+  status(ctx: HttpContext): void {
+    this.#authorizeOrThrow(ctx);
+    const { settings, control, ledger, dispatch, metrics } = this.#options;
+    const targets = dispatch.dispatcher.targets.list().map((target) => ({
+      id: target.id,
+      zone: target.announcement.zone,
+      phase: target.phase,
+      inFlight: target.inFlight,
+      window: target.windowSize,
+      weightVersion: target.weightVersion,
+    }));
+    sendJson(ctx.res, {
+      id: settings.id,
+      dataCentre: settings.dataCentre,
+      revision: control.state.configuration.revision,
+      isLedgerPrimary: ledger.isPrimary,
+      waitingOrRunning: dispatch.size,
+      targets,
+      metrics: metrics.values(),
+      ...this.#options.status(),
+    });
+  }
+
+  /** Lists the steps of all workspaces. */
+  listSteps(ctx: HttpContext): void {
+    this.#authorizeOrThrow(ctx);
+    const steps = this.#options.ledger.state.steps.map((step) => ({
+      workspace: step.spec.workspace,
+      step: step.spec.id,
+      status: step.status,
+      total: step.total,
+      delivered: step.delivered,
+      acked: step.acked,
+    }));
+    sendJson(ctx.res, { steps });
+  }
+
+  /** Gets the open window and the sealed ones. */
+  showUsage(ctx: HttpContext): void {
+    this.#authorizeOrThrow(ctx);
+    const { usage } = this.#options.ledger.state;
+    sendJson(ctx.res, {
+      open: usage.open,
+      openWindow: usage.openWindow,
+      sealed: usage.sealed,
+      committed: this.#options.control.state.usage,
+    });
+  }
+
+  /** Takes in the announcement of a target. */
+  async announceTarget(ctx: HttpContext): Promise<void> {
+    this.#authorizeTargetOrThrow(ctx);
+    const json = await this.#readJson(ctx);
+    const announcement = checkBodyOrThrow(announceRequestSchema, json);
+    this.#options.dispatch.announce(announcement);
+    this.#options.probes.onSeen(announcement.id);
+    sendJson(ctx.res, { id: announcement.id });
+  }
+
+  /** Takes in the word that a target leaves. */
+  leaveTarget(ctx: HttpContext): void {
+    this.#authorizeTargetOrThrow(ctx);
+    this.#options.dispatch.leave(ctx.params.id);
+    sendJson(ctx.res, { id: ctx.params.id });
+  }
+
+  async #sendCommandAnswer(
+    ctx: HttpContext,
+    answer: CommandAnswer,
+  ): Promise<void> {
+    if (answer.type === "applied") {
+      const force = await this.#options.awaitForce();
+      const type = force.isInForce ? "accepted" : "pending";
+      const { revision } = answer;
+      sendJson(
+        ctx.res,
+        { answer: type, revision, awaited: force.awaited },
+        { status: force.isInForce ? 200 : 202 },
+      );
+      return;
+    }
+    const status = answer.type === "conflict" ? 409 : 422;
+    const { type, ...rest } = answer;
+    const code = answer.type === "conflict"
+      ? RefusalReason.ConfigurationConflict
+      : RefusalReason.ConfigurationInvalid;
+    const verdict = Verdict.NotRun;
+    const message = `Change not applied: ${type}`;
+    const error = { code, message, verdict };
+    sendJson(ctx.res, { answer: type, error, ...rest }, { status });
+  }
+
+  async #readJson(ctx: HttpContext): Promise<Record<string, unknown>> {
+    const { maxBodyBytes, bodyTimeoutMs } = this.#options.settings.http;
+    const body = await readBody(ctx.req, {
+      maxBytes: maxBodyBytes,
+      timeoutMs: bodyTimeoutMs,
+    });
+    return parseJsonOrThrow(body);
+  }
+
+  #authorizeOrThrow(ctx: HttpContext): void {
+    const { operator } = this.#options.tokens;
+    const presented = presentedKeyOf(ctx.req);
+    if (operator !== undefined && isSame(presented, operator)) return;
+    throw new RefusalError(RefusalReason.OperatorTokenInvalid, Verdict.NotRun);
+  }
+
+  #authorizeTargetOrThrow(ctx: HttpContext): void {
+    const { target } = this.#options.tokens;
+    if (target === undefined || isSame(presentedKeyOf(ctx.req), target)) return;
+    throw new RefusalError(RefusalReason.OperatorTokenInvalid, Verdict.NotRun);
+  }
+}
+
+function isSame(presented: string | undefined, expected: string): boolean {
+  const digest = (text: string) => createHash("sha256").update(text).digest();
+  return timingSafeEqual(digest(presented ?? ""), digest(expected));
+}
--- /dev/null
+++ b/src/tasks/entry/route_handlers.ts
@@ -0,0 +1,342 @@
+/** Handlers of callers' endpoints. */
+import type { IncomingMessage, ServerResponse } from "node:http";
+import { ConfigurationView } from "../../core/configuration/mod.ts";
+import type { KeyRecord } from "../../core/keys/mod.ts";
+import type { StepSpec } from "../../core/samples/mod.ts";
+import {
+  RefusalError,
+  RefusalReason,
+  Verdict,
+} from "../../core/verdict/mod.ts";
+import {
+  ackRequestSchema,
+  stepRequestSchema,
+  weightsRequestSchema,
+} from "../../protocol/mod.ts";
+import type { Settings } from "../../settings/mod.ts";
+import type { ControlPort } from "../control/control_port.ts";
+import type { StepReading, StepTask } from "../steps/mod.ts";
+import type { CallTask } from "./call_task.ts";
+import {
+  authenticateOrThrow,
+  presentedKeyOf,
+  throwIfKeyElsewhere,
+} from "./caller.ts";
+import { sendJson } from "./http_answer.ts";
+import {
+  checkBodyOrThrow,
+  malformed,
+  parseJsonOrThrow,
+  readBody,
+} from "./http_body.ts";
+
+/** A request with what its path and query say. */
+export interface HttpContext {
+  /** Request. */
+  readonly req: IncomingMessage;
+  /** Response. */
+  readonly res: ServerResponse;
+  /** Named parts of the path. */
+  readonly params: Readonly<Record<string, string>>;
+  /** Query. */
+  readonly query: URLSearchParams;
+}
+
+/** Options of {@link RouteHandlers}. */
+export interface RouteHandlersOptions {
+  /** Settings of the instance. */
+  readonly settings: Settings;
+  /** Control log. */
+  readonly control: ControlPort;
+  /** Calls. */
+  readonly calls: CallTask;
+  /** Steps. */
+  readonly steps: StepTask;
+  /** Gets the time, in milliseconds since the epoch. */
+  readonly now: () => number;
+}
+
+const MAX_WAIT_MS = 30_000;
+const DEFAULT_WAIT_MS = 10_000;
+const MAX_READ = 1_024;
+const DEFAULT_STALENESS = { maxVersionsBehind: 1 };
+
+/** Answers requests for models, services, steps and weights. */
+export class RouteHandlers {
+  readonly #options: RouteHandlersOptions;
+
+  /** Creates the handlers. */
+  constructor(options: RouteHandlersOptions) {
+    this.#options = options;
+  }
+
+  /** Runs a model request. */
+  async complete(ctx: HttpContext): Promise<void> {
+    const { req, res } = ctx;
+    const view = this.#view();
+    const key = this.#authenticateIfPresented(req);
+    const raw = await this.#readBody(req);
+    const json = parseJsonOrThrow(raw);
+    const { model } = json;
+    if (typeof model !== "string") throw malformed("model: Expected a string");
+    const routeId = modelRouteOrThrow(view, model, key?.workspace);
+    const route = view.getRouteForOrThrow(routeId, key?.workspace);
+    const body = Buffer.from(JSON.stringify({ ...json, model: route.model }));
+    throwIfKeyElsewhere(req, body);
+    this.#throwIfWithdrawn(key);
+    const path = new URL(req.url ?? "/", "http://localhost").pathname;
+    await this.#options.calls.run({
+      req,
+      res,
+      key,
+      routeId,
+      route,
+      path,
+      body,
+      json,
+    });
+  }
+
+  /** Lists the models that the caller may use. */
+  listModels(ctx: HttpContext): void {
+    const view = this.#view();
+    const key = this.#authenticateIfPresented(ctx.req);
+    const data: { id: string; object: string }[] = [];
+    for (const [id, route] of Object.entries(view.document.routes)) {
+      if (route.kind !== "model" || !mayUse(view, id, key?.workspace)) continue;
+      data.push({ id, object: "model" });
+    }
+    sendJson(ctx.res, { object: "list", data });
+  }
+
+  /** Passes a request on to a plain service. */
+  async callService(ctx: HttpContext): Promise<void> {
+    const { req, res } = ctx;
+    const view = this.#view();
+    const routeId = ctx.params.route;
+    const key = this.#authenticateIfPresented(req);
+    const route = view.getRouteForOrThrow(routeId, key?.workspace);
+    if (route.kind !== "service") {
+      throw new RefusalError(RefusalReason.NotFound, Verdict.NotRun);
+    }
+    const body = await this.#readBody(req);
+    throwIfKeyElsewhere(req, body);
+    this.#throwIfWithdrawn(key);
+    const path = servicePathOf(req.url ?? "/", routeId);
+    await this.#options.calls.run({
+      req,
+      res,
+      key,
+      routeId,
+      route,
+      path,
+      body,
+    });
+  }
+
+  /** Submits a step. */
+  async submitStep(ctx: HttpContext): Promise<void> {
+    const key = authenticateOrThrow(ctx.req, this.#keys());
+    const json = parseJsonOrThrow(await this.#readBody(ctx.req));
+    const step = checkBodyOrThrow(stepRequestSchema, json);
+    const view = this.#view();
+    const route = view.getRouteForOrThrow(step.route, key.workspace);
+    if (route.model === undefined) throw malformed("route: Serves no model");
+    if (step.scoringRoute !== undefined) {
+      const scoring = view.getRouteForOrThrow(step.scoringRoute, key.workspace);
+      if (!scoring.idempotent || scoring.kind !== "service") {
+        throw malformed("scoringRoute: Expected an idempotent service");
+      }
+    }
+    const bound = view.getStaleness(route.model) ?? DEFAULT_STALENESS;
+    const spec: StepSpec = {
+      id: step.id,
+      workspace: key.workspace,
+      keyId: key.id,
+      route: step.route,
+      model: route.model,
+      groups: step.groups,
+      staleness: tighter(step.staleness ?? bound, bound),
+      deadline: this.#options.now() + step.deadlineMs,
+      tokensPerSample: step.tokensPerSample,
+      scoringRoute: step.scoringRoute,
+    };
+    this.#throwIfWithdrawn(key);
+    const reading = await this.#options.steps.submit(spec);
+    sendJson(ctx.res, { step: step.id, ...reading }, { status: 201 });
+  }
+
+  /** Reads the samples of a step after a number. */
+  async readSamples(ctx: HttpContext): Promise<void> {
+    const { key, step } = this.#stepKey(ctx);
+    const after = queryNumber(ctx.query, "after", { fallback: 0 });
+    const waitMs = queryNumber(ctx.query, "waitMs", {
+      fallback: DEFAULT_WAIT_MS,
+    });
+    const max = queryNumber(ctx.query, "max", { fallback: MAX_READ });
+    const reading = await this.#options.steps.read(
+      { workspace: key.workspace, step },
+      {
+        after,
+        waitMs: Math.min(waitMs, MAX_WAIT_MS),
+        max: Math.min(Math.max(1, max), MAX_READ),
+      },
+    );
+    this.#throwIfWithdrawn(key);
+    this.#sendReading(ctx, step, reading);
+  }
+
+  /** Gets the state of a step. */
+  showStep(ctx: HttpContext): void {
+    const { key, step } = this.#stepKey(ctx);
+    const found = this.#options.steps.getStepOrThrow({
+      workspace: key.workspace,
+      step,
+    });
+    const { status, total, delivered, acked, failures } = found;
+    sendJson(ctx.res, { step, status, total, delivered, acked, failures });
+  }
+
+  /** Acknowledges samples. */
+  async ackSamples(ctx: HttpContext): Promise<void> {
+    const { key, step } = this.#stepKey(ctx);
+    const json = parseJsonOrThrow(await this.#readBody(ctx.req));
+    const { through } = checkBodyOrThrow(ackRequestSchema, json);
+    const reading = await this.#options.steps.ack(
+      { workspace: key.workspace, step },
+      through,
+    );
+    sendJson(ctx.res, { step, ...reading });
+  }
+
+  /** Cancels a step. */
+  async cancelStep(ctx: HttpContext): Promise<void> {
+    const { key, step } = this.#stepKey(ctx);
+    const reading = await this.#options.steps.cancel({
+      workspace: key.workspace,
+      step,
+    });
+    sendJson(ctx.res, { step, ...reading });
+  }
+
+  /** Announces weights that a trainer has stored. */
+  async announceWeights(ctx: HttpContext): Promise<void> {
+    const key = authenticateOrThrow(ctx.req, this.#keys());
+    const json = parseJsonOrThrow(await this.#readBody(ctx.req));
+    const { model, version } = checkBodyOrThrow(weightsRequestSchema, json);
+    const view = this.#view();
+    const routeId = modelRouteOrThrow(view, model, key.workspace);
+    const served = view.getRouteForOrThrow(routeId, key.workspace).model;
+    if (served === undefined) throw malformed("model: Unknown model");
+    await this.#options.control.propose({
+      type: "announceWeights",
+      model: served,
+      version,
+      at: this.#options.now(),
+    });
+    const newest = this.#options.control.state.getWeights(served);
+    sendJson(ctx.res, { model: served, newest: newest?.version });
+  }
+
+  #view(): ConfigurationView {
+    const { document, revision } = this.#options.control.state.configuration;
+    return new ConfigurationView(document, revision);
+  }
+
+  #keys() {
+    return this.#options.control.state.keys;
+  }
+
+  #authenticateIfPresented(req: IncomingMessage): KeyRecord | undefined {
+    if (presentedKeyOf(req) === undefined) return undefined;
+    return authenticateOrThrow(req, this.#keys());
+  }
+
+  #throwIfWithdrawn(key: KeyRecord | undefined): void {
+    if (key === undefined || this.#keys().isLive(key.id)) return;
+    throw new RefusalError(RefusalReason.KeyWithdrawn, Verdict.NotRun);
+  }
+
+  #readBody(req: IncomingMessage): Promise<Buffer> {
+    const { maxBodyBytes, bodyTimeoutMs } = this.#options.settings.http;
+    return readBody(req, { maxBytes: maxBodyBytes, timeoutMs: bodyTimeoutMs });
+  }
+
+  #stepKey(ctx: HttpContext): { key: KeyRecord; step: string } {
+    const key = authenticateOrThrow(ctx.req, this.#keys());
+    return { key, step: ctx.params.step };
+  }
+
+  #sendReading(ctx: HttpContext, step: string, reading: StepReading): void {
+    const accept = ctx.req.headers.accept ?? "";
+    if (!accept.includes("application/x-ndjson")) {
+      sendJson(ctx.res, { step, ...reading });
+      return;
+    }
+    const lines = reading.samples.map((sample) => JSON.stringify(sample));
+    ctx.res.writeHead(200, {
+      "content-type": "application/x-ndjson",
+      "x-step-status": reading.status,
+    });
+    ctx.res.end(lines.map((line) => line + "\n").join(""));
+  }
+}
+
+function modelRouteOrThrow(
+  view: ConfigurationView,
+  model: string,
+  workspace: string | undefined,
+): string {
+  if (view.getRoute(model)?.kind === "model") return model;
+  const routes = Object.entries(view.document.routes)
+    .filter(([, route]) => route.model === model)
+    .map(([id]) => id);
+  const usable = routes.find((id) => mayUse(view, id, workspace));
+  return usable ?? routes[0] ?? model;
+}
+
+function mayUse(
+  view: ConfigurationView,
+  routeId: string,
+  workspace: string | undefined,
+): boolean {
+  try {
+    view.getRouteForOrThrow(routeId, workspace);
+    return true;
+  } catch {
+    return false;
+  }
+}
+
+function servicePathOf(url: string, routeId: string): string {
+  const prefix = `/services/${routeId}`;
+  const rest = url.slice(prefix.length);
+  return rest.startsWith("/") ? rest : `/${rest}`;
+}
+
+function queryNumber(
+  query: URLSearchParams,
+  name: string,
+  options: { fallback: number },
+): number {
+  const text = query.get(name);
+  if (text === null) return options.fallback;
+  const value = Number(text);
+  if (Number.isInteger(value) && value >= 0) return value;
+  throw malformed(`${name}: Expected a whole number`);
+}
+
+function tighter(
+  asked: StepSpec["staleness"],
+  bound: StepSpec["staleness"],
+): StepSpec["staleness"] {
+  const ages = [asked.maxAgeMs, bound.maxAgeMs]
+    .filter((age) => age !== undefined);
+  return {
+    maxVersionsBehind: Math.min(
+      asked.maxVersionsBehind,
+      bound.maxVersionsBehind,
+    ),
+    maxAgeMs: ages.length === 0 ? undefined : Math.min(...ages),
+  };
+}
--- /dev/null
+++ b/src/tasks/steps/mod.ts
@@ -0,0 +1,3 @@
+/** Steps of trainers. */
+export * from "./step_task.ts";
+export * from "./usage_meter.ts";
--- /dev/null
+++ b/src/tasks/targets/dispatch_task.ts
@@ -0,0 +1,363 @@
+/** Carries out what the dispatcher decides. */
+import type { Agent } from "undici";
+import {
+  type AttemptOutcome,
+  type DispatchEffect,
+  Dispatcher,
+  type DispatcherOptions,
+} from "../../core/dispatch/mod.ts";
+import {
+  type LoadReport,
+  type TargetAnnouncement,
+  TargetEvent,
+  TargetPhase,
+} from "../../core/routing/mod.ts";
+import { InvariantError } from "../../core/invariants/mod.ts";
+import { Suspicion, type SuspicionChange } from "../../core/quarantine/mod.ts";
+import { RefusalReason, Verdict } from "../../core/verdict/mod.ts";
+import type { Logger } from "../../logging/mod.ts";
+import type { Metrics, RetryMetric } from "../../metrics/mod.ts";
+import {
+  createTargetAgent,
+  Exchange,
+  type ExchangeResult,
+} from "./exchange.ts";
+import type { Job, JobResult, JobSink } from "./job.ts";
+import { type HealthAnswer, TargetProber } from "./target_prober.ts";
+
+/** Options of {@link DispatchTask}. */
+export interface DispatchTaskOptions extends DispatcherOptions {
+  /** Logs. */
+  readonly logger: Logger;
+  /** Metrics. */
+  readonly metrics: Metrics;
+  /** Gets the time, in milliseconds since the epoch. */
+  readonly now: () => number;
+  /** Credential presented to targets. */
+  readonly targetCredential?: string;
+  /** Time allowed for a probe, in milliseconds. */
+  readonly probeTimeoutMs: number;
+  /** Hears of suspicions found here, to share them. */
+  readonly onSuspicion?: (change: SuspicionChange) => void;
+}
+
+interface ActiveJob {
+  readonly job: Job;
+  sink: JobSink | undefined;
+  abort: AbortController | undefined;
+}
+
+/** Time between two looks at delayed and overdue work, in milliseconds. */
+const TICK_MS = 25;
+
+/** Owns the dispatcher and the connections to targets. */
+export class DispatchTask {
+  readonly #options: DispatchTaskOptions;
+  readonly #dispatcher: Dispatcher;
+  readonly #agent: Agent = createTargetAgent();
+  readonly #prober: TargetProber;
+  readonly #jobs = new Map<string, ActiveJob>();
+  readonly #timer: NodeJS.Timeout;
+
+  /** Creates the task and starts its timer. */
+  constructor(options: DispatchTaskOptions) {
+    this.#options = options;
+    this.#dispatcher = new Dispatcher(options);
+    this.#prober = new TargetProber({
+      agent: this.#agent,
+      timeoutMs: options.probeTimeoutMs,
+      credential: options.targetCredential,
+    });
+    this.#timer = setInterval(() => this.#tick(), TICK_MS);
+  }
+
+  /** Gets the dispatcher, to look at. */
+  get dispatcher(): Dispatcher {
+    return this.#dispatcher;
+  }
+
+  /** Gets the number of jobs that wait or run. */
+  get size(): number {
+    return this.#jobs.size;
+  }
+
+  /** Submits a job. */
+  submit(job: Job): this {
+    this.#jobs.set(job.item.id, { job, sink: undefined, abort: undefined });
+    this.#apply(this.#dispatcher.submit(job.item, this.#options.now()));
+    return this;
+  }
+
+  /** Takes a job back and ends its exchange. */
+  cancel(itemId: string): this {
+    const active = this.#jobs.get(itemId);
+    if (active === undefined) return this;
+    this.#dispatcher.cancel(itemId, this.#options.now());
+    active.abort?.abort();
+    this.#end(itemId, { type: "cancelled" });
+    this.#apply(this.#dispatcher.tick(this.#options.now()));
+    return this;
+  }
+
+  /** Takes in an announcement of a target. */
+  announce(announcement: TargetAnnouncement): this {
+    const known = this.#dispatcher.targets.get(announcement.id);
+    if (known?.announcement.incarnation !== announcement.incarnation) {
+      const { id, zone, incarnation } = announcement;
+      this.#options.logger.event("targetAnnounced", {
+        target: id,
+        zone,
+        incarnation,
+      });
+    }
+    this.#apply(this.#dispatcher.announce(announcement, this.#options.now()));
+    return this;
+  }
+
+  /** Marks a target as leaving. */
+  leave(targetId: string): this {
+    this.#options.logger.event("targetLeaving", { target: targetId });
+    this.#dispatcher.leave(targetId);
+    return this;
+  }
+
+  /** Removes a target. */
+  remove(targetId: string): this {
+    this.#options.logger.event("targetRemoved", { target: targetId });
+    this.#dispatcher.removeTarget(targetId);
+    return this;
+  }
+
+  /** Sends a lifecycle event to a target. */
+  sendTargetEvent(targetId: string, event: TargetEvent): this {
+    const now = this.#options.now();
+    this.#apply(this.#dispatcher.sendTargetEvent(targetId, event, now));
+    return this;
+  }
+
+  /** Takes in a load report. */
+  reportLoad(targetId: string, report: LoadReport): this {
+    const now = this.#options.now();
+    this.#apply(this.#dispatcher.reportLoad(targetId, report, now));
+    return this;
+  }
+
+  /** Takes in a suspicion found by another instance. */
+  mergeSuspicion(change: SuspicionChange): this {
+    this.#dispatcher.mergeSuspicion(change);
+    return this;
+  }
+
+  /** Applies changed limits. */
+  reconfigure(): this {
+    this.#dispatcher.reconfigure();
+    return this;
+  }
+
+  /**
+   * Asks a target for its health and takes the answer in.
+   * @returns Whether the target answered.
+   */
+  async probe(targetId: string): Promise<boolean> {
+    const target = this.#dispatcher.targets.get(targetId);
+    if (target === undefined) return false;
+    const health = await this.#prober.probe(target.announcement);
+    if (health.type !== "answered") {
+      if (health.type === "refused") this.#onDied(targetId);
+      return false;
+    }
+    this.#onHealth(target.announcement, health);
+    return true;
+  }
+
+  /** Refuses new jobs from now on. */
+  close(): this {
+    this.#dispatcher.close();
+    return this;
+  }
+
+  /** Ends the timer and all connections. */
+  async stop(): Promise<void> {
+    clearInterval(this.#timer);
+    for (const id of [...this.#jobs.keys()]) this.cancel(id);
+    await this.#agent.destroy();
+  }
+
+  #onHealth(announcement: TargetAnnouncement, health: HealthAnswer): void {
+    const current = this.#dispatcher.targets.get(announcement.id);
+    if (current === undefined) return;
+    if (current.announcement.incarnation !== announcement.incarnation) return;
+    this.announce({
+      ...announcement,
+      incarnation: health.incarnation,
+      weightVersion: health.weightVersion ?? announcement.weightVersion,
+    });
+    this.reportLoad(announcement.id, health.load);
+  }
+
+  #onDied(targetId: string): void {
+    const target = this.#dispatcher.targets.get(targetId);
+    if (target === undefined || target.phase === TargetPhase.Gone) return;
+    this.#options.metrics.count("targets.died");
+    this.#options.logger.event("targetDied", { target: targetId });
+    this.#apply(this.#dispatcher.targetDied(targetId));
+  }
+
+  #tick(): void {
+    const { metrics, logger, now } = this.#options;
+    try {
+      this.#apply(this.#dispatcher.tick(now()));
+      metrics.gauge("requests.queued", this.#dispatcher.size);
+    } catch (err) {
+      this.#onError(err, logger);
+    }
+  }
+
+  #onError(err: unknown, logger: Logger): void {
+    if (!(err instanceof InvariantError)) {
+      logger.error(err);
+      return;
+    }
+    this.#options.metrics.count("invariants.refused");
+    logger.event("invariantRefused", {
+      invariant: err.invariant,
+      detail: err.message,
+    });
+  }
+
+  #apply(effects: readonly DispatchEffect[]): void {
+    for (const effect of effects) this.#applyOne(effect);
+  }
+
+  #applyOne(effect: DispatchEffect): void {
+    if (effect.type === "start") {
+      this.#start(effect).catch((err) => this.#options.logger.error(err));
+      return;
+    }
+    if (effect.type === "refuse") {
+      const { reason, verdict, retryAfterMs } = effect;
+      this.#end(effect.item.id, {
+        type: "refused",
+        reason,
+        verdict,
+        retryAfterMs,
+      });
+      return;
+    }
+    if (effect.type === "retry") {
+      this.#countRetry(effect);
+      return;
+    }
+    this.#onSuspicion(effect.change);
+  }
+
+  #countRetry(effect: Extract<DispatchEffect, { type: "retry" }>): void {
+    const { item, reason, decision } = effect;
+    const name: RetryMetric = `retries.${reason}.${decision}`;
+    this.#options.metrics.count(name);
+    this.#options.logger.event("requestRetried", {
+      item: item.id,
+      reason,
+      decision,
+    });
+  }
+
+  #onSuspicion(change: SuspicionChange): void {
+    if (change.suspicion !== Suspicion.Clear) {
+      const isProven = change.suspicion === Suspicion.Proven;
+      this.#options.logger.event(
+        isProven ? "requestQuarantined" : "requestSuspected",
+        { fingerprint: change.fingerprint, deaths: change.deaths },
+      );
+    }
+    this.#options.onSuspicion?.(change);
+  }
+
+  async #start(
+    effect: Extract<DispatchEffect, { type: "start" }>,
+  ): Promise<void> {
+    const { item, targetId } = effect;
+    const active = this.#jobs.get(item.id);
+    const target = this.#dispatcher.targets.get(targetId);
+    if (active === undefined || target === undefined) return;
+    const { job } = active;
+    const sink = job.createSink(targetId);
+    const abort = new AbortController();
+    active.sink = sink;
+    active.abort = abort;
+    job.onPlaced?.(targetId, target.weightVersion);
+    const exchange = new Exchange({
+      url: target.announcement.url.replace(/\/$/, "") + job.request.path,
+      method: job.request.method,
+      headers: this.#headersFor(job),
+      body: job.request.body,
+      requestId: `${item.id}#${effect.attempt}`,
+      timeoutMs: job.request.timeoutMs,
+      firstTokenTimeoutMs: effect.firstTokenTimeoutMs,
+      signal: abort.signal,
+    }, sink);
+    const result = await exchange.run(this.#agent);
+    if (this.#jobs.get(item.id)?.abort !== abort) return;
+    if (result.type === "failed" && result.isBroken) {
+      await this.probe(targetId);
+      if (this.#jobs.get(item.id)?.abort !== abort) return;
+    }
+    this.#finish(item.id, sink, result);
+  }
+
+  #headersFor(job: Job): Record<string, string> {
+    const { targetCredential } = this.#options;
+    if (targetCredential === undefined) return { ...job.request.headers };
+    const authorization = `Bearer ${targetCredential}`;
+    return { ...job.request.headers, authorization };
+  }
+
+  #finish(itemId: string, sink: JobSink, result: ExchangeResult): void {
+    const now = this.#options.now();
+    const targetId = this.#targetOf(itemId);
+    const outcome = outcomeOf(result, sink);
+    if (outcome.type === "completed") {
+      this.#options.metrics.count("tokens.generated", sink.tokens);
+      this.#end(itemId, { type: "completed", targetId });
+    } else if (outcome.type === "cancelled") {
+      this.#end(itemId, { type: "cancelled" });
+    }
+    this.#apply(this.#dispatcher.finish(itemId, outcome, now));
+  }
+
+  #targetOf(itemId: string): string {
+    return this.#dispatcher.getTargetOf(itemId) ?? "";
+  }
+
+  #end(itemId: string, result: JobResult): void {
+    const active = this.#jobs.get(itemId);
+    if (active === undefined) return;
+    this.#jobs.delete(itemId);
+    if (result.type === "refused") {
+      this.#options.metrics.count(`refusals.${result.reason}`);
+      this.#options.logger.event("requestRefused", {
+        item: itemId,
+        reason: result.reason,
+        verdict: result.verdict,
+      });
+    }
+    active.job.onEnd(result, active.sink);
+  }
+}
+
+function outcomeOf(result: ExchangeResult, sink: JobSink): AttemptOutcome {
+  if (result.type === "whole") {
+    return { type: "completed", tokens: sink.tokens };
+  }
+  if (result.type === "aborted") return { type: "cancelled" };
+  const isRefused = result.reason === RefusalReason.TargetRefused;
+  return {
+    type: "failed",
+    reason: result.reason,
+    verdict: sink.hasAnswered ? Verdict.Ran : result.verdict,
+    hasAnswered: sink.hasAnswered,
+    isOverload: isRefused,
+    isTargetFault: !isRefused,
+    retryAfterMs: result.retryAfterMs,
+  };
+}
--- /dev/null
+++ b/src/tasks/targets/mod.ts
@@ -0,0 +1,8 @@
+/** Connections to targets. */
+export * from "./caller_sink.ts";
+export * from "./dispatch_task.ts";
+export * from "./exchange.ts";
+export * from "./job.ts";
+export * from "./probe_task.ts";
+export * from "./sample_sink.ts";
+export * from "./target_prober.ts";
