--- /dev/null
+++ b/src/core/consensus/consensus_node_test.ts
@@ -0,0 +1,358 @@
+import { describe, expect, it } from "vitest";
+import type { ConsensusEffect } from "./consensus_effect.ts";
+import type { ConsensusMessage } from "./consensus_message.ts";
+import {
+  ALL_GUARDS,
+  type ConsensusGuards,
+  ConsensusNode,
+  type StoredLog,
+} from "./consensus_node.ts";
+import { nextMembers } from "./membership_repair.ts";
+
+type Message = ConsensusMessage<string, string>;
+type Node = ConsensusNode<string, string>;
+
+/** Rounds after which messages that never end are left alone. */
+const MAX_ROUNDS = 200;
+const TIMES = { heartbeatMs: 100, electionMs: 1_000, clockRateError: 0.02 };
+
+function stored(voters: string[]): StoredLog<string, string> {
+  return {
+    hardState: { term: 0, votedFor: undefined },
+    snapshot: {
+      index: 0,
+      term: 0,
+      members: { voters, learners: [] },
+      state: "",
+    },
+    entries: [],
+  };
+}
+
+/** Runs nodes in one step after another; messages arrive at once. */
+class Cluster {
+  readonly nodes = new Map<string, Node>();
+  readonly disks = new Map<string, StoredLog<string, string>>();
+  readonly applied = new Map<string, string[]>();
+  readonly cut = new Set<string>();
+  /** Drops messages that it accepts. */
+  drops: (message: Message) => boolean = () => false;
+  /** Changes messages on their way, as a smaller batch would. */
+  edit: (message: Message) => Message = (message) => message;
+  now = 0;
+  readonly #guards: ConsensusGuards;
+
+  constructor(ids: string[], guards: Partial<ConsensusGuards> = {}) {
+    this.#guards = { ...ALL_GUARDS, ...guards };
+    for (const id of ids) {
+      this.disks.set(id, stored(ids));
+      this.start(id);
+    }
+  }
+
+  start(id: string): Node {
+    const disk = this.disks.get(id) ?? stored([]);
+    this.applied.set(id, []);
+    const node: Node = new ConsensusNode({
+      self: id,
+      stored: structuredClone(disk),
+      times: TIMES,
+      random: () => 0,
+      now: this.now,
+      guards: this.#guards,
+    });
+    this.nodes.set(id, node);
+    return node;
+  }
+
+  of(id: string): Node {
+    const node = this.nodes.get(id);
+    if (node === undefined) throw new Error(`No node ${id}`);
+    return node;
+  }
+
+  elect(id: string): Node {
+    this.now += 1_100;
+    this.of(id).tick(this.now);
+    this.settle();
+    return this.of(id);
+  }
+
+  propose(id: string, command: string): void {
+    this.of(id).propose(command, this.now);
+    this.settle();
+  }
+
+  settle(): void {
+    let isBusy = true;
+    for (let i = 0; isBusy && i < MAX_ROUNDS; i += 1) {
+      isBusy = false;
+      for (const [id, node] of this.nodes) {
+        for (const effect of node.takeEffects()) {
+          isBusy = true;
+          this.#carryOut(id, effect);
+        }
+      }
+    }
+  }
+
+  #carryOut(id: string, effect: ConsensusEffect<string, string>): void {
+    if (effect.type === "send") this.#send(effect.message);
+    if (effect.type === "write") this.#write(id, effect);
+    if (effect.type !== "apply") return;
+    for (const { content } of effect.entries) {
+      if (content.type === "command") {
+        this.applied.get(id)?.push(content.command);
+      }
+    }
+  }
+
+  #send(message: Message): void {
+    const { from, to } = message;
+    if (this.cut.has(from) || this.cut.has(to) || this.drops(message)) return;
+    this.nodes.get(to)?.receive(this.edit(message), this.now);
+  }
+
+  #write(
+    id: string,
+    effect: Extract<ConsensusEffect<string, string>, { type: "write" }>,
+  ): void {
+    const disk = this.disks.get(id) ?? stored([]);
+    const from = effect.truncateFrom ?? Infinity;
+    this.disks.set(id, {
+      hardState: effect.hardState ?? disk.hardState,
+      snapshot: effect.snapshot ?? disk.snapshot,
+      entries: [
+        ...disk.entries.filter((e) => e.index < from),
+        ...effect.entries ?? [],
+      ],
+    });
+    this.nodes.get(id)?.onWritten(effect, this.now);
+  }
+}
+
+describe(ConsensusNode.name, () => {
+  const create = (guards?: Partial<ConsensusGuards>) =>
+    new Cluster(["a", "b", "c"], guards);
+
+  it("elects one leader and commits on all", () => {
+    const cluster = create();
+    cluster.elect("a");
+    cluster.propose("a", "x");
+    cluster.now += 100;
+    cluster.of("a").tick(cluster.now);
+    cluster.settle();
+    for (const id of ["a", "b", "c"]) {
+      expect(cluster.applied.get(id)).toEqual(["x"]);
+    }
+  });
+
+  it("commits nothing without a quorum and steps down", () => {
+    const cluster = create();
+    const leader = cluster.elect("a");
+    cluster.cut.add("b").add("c");
+    cluster.propose("a", "x");
+    expect(cluster.applied.get("a")).toEqual([]);
+    cluster.now += 1_001;
+    expect(leader.hasLease(cluster.now)).toBe(false);
+    leader.tick(cluster.now);
+    expect(leader.role).toBe("follower");
+  });
+
+  it("raises no term by a node that was cut off", () => {
+    const cluster = create();
+    cluster.elect("a");
+    cluster.cut.add("c");
+    for (let i = 0; i < 5; i += 1) {
+      cluster.elect("c");
+      cluster.of("a").tick(cluster.now - 500);
+      cluster.settle();
+      cluster.of("a").tick(cluster.now);
+      cluster.settle();
+    }
+    expect(cluster.of("c").term).toBe(1);
+    cluster.cut.delete("c");
+    cluster.now += 100;
+    cluster.of("a").tick(cluster.now);
+    cluster.settle();
+    expect(cluster.of("a").role).toBe("leader");
+  });
+
+  it("gives no vote while it hears a leader", () => {
+    const cluster = create();
+    const leader = cluster.elect("a");
+    leader.tick(cluster.now + 100);
+    cluster.settle();
+    cluster.of("c").receive({
+      type: "voteRequest",
+      from: "b",
+      to: "c",
+      term: 9,
+      lastIndex: 99,
+      lastTerm: 9,
+      isTransfer: false,
+    }, cluster.now + 500);
+    expect(cluster.of("c").term).toBe(1);
+  });
+
+  it("gives one vote a term, over a restart", () => {
+    const doVote = (guards?: Partial<ConsensusGuards>) => {
+      const cluster = create(guards);
+      const ask = (from: string): Message => ({
+        type: "voteRequest",
+        from,
+        to: "c",
+        term: 5,
+        lastIndex: 0,
+        lastTerm: 0,
+        isTransfer: false,
+      });
+      const votes: boolean[] = [];
+      cluster.drops = (m) => {
+        if (m.type === "voteReply") votes.push(m.isGranted);
+        return true;
+      };
+      cluster.now = 2_000;
+      cluster.of("c").receive(ask("a"), cluster.now);
+      cluster.settle();
+      cluster.start("c");
+      cluster.now += 2_000;
+      cluster.of("c").receive(ask("b"), cluster.now);
+      cluster.settle();
+      return votes;
+    };
+    expect(doVote()).toEqual([true, false]);
+    expect(doVote({ voteStored: false })).toEqual([true, true]);
+  });
+
+  it("commits entries of former terms only with one of its own", () => {
+    const run = (guards?: Partial<ConsensusGuards>) => {
+      const cluster = new Cluster(["a", "b", "c", "d", "e"], guards);
+      const hasEntries = (m: Message) =>
+        m.type === "appendRequest" && m.entries.length > 0;
+      cluster.elect("a");
+      cluster.drops = (m) => hasEntries(m) && m.to !== "b";
+      cluster.propose("a", "old");
+      cluster.cut.add("a").add("b");
+      cluster.drops = hasEntries;
+      cluster.elect("e");
+      cluster.cut.clear();
+      cluster.cut.add("e");
+      cluster.drops = (m) => hasEntries(m) && m.to === "d";
+      cluster.edit = (m) =>
+        m.type === "appendRequest"
+          ? { ...m, entries: m.entries.filter((e) => e.term < 3) }
+          : m;
+      cluster.elect("a");
+      cluster.elect("a");
+      return cluster;
+    };
+    expect(run().applied.get("a")).not.toContain("old");
+    expect(run({ commitOwnTermOnly: false }).applied.get("a")).toContain("old");
+  });
+
+  it("replaces an uncommitted tail that a new leader lacks", () => {
+    const cluster = create();
+    cluster.elect("a");
+    cluster.cut.add("b").add("c");
+    for (let i = 0; i < 4; i += 1) cluster.propose("a", `lost ${i}`);
+    cluster.cut.clear();
+    cluster.cut.add("a");
+    cluster.elect("b");
+    cluster.propose("b", "kept");
+    cluster.cut.clear();
+    for (let i = 0; i < 4; i += 1) {
+      cluster.now += 100;
+      cluster.of("b").tick(cluster.now);
+      cluster.settle();
+    }
+    expect(cluster.applied.get("a")).toEqual(["kept"]);
+  });
+
+  it("brings a replica up by a snapshot", () => {
+    const cluster = create();
+    const leader = cluster.elect("a");
+    cluster.cut.add("c");
+    for (let i = 0; i < 10; i += 1) cluster.propose("a", `${i}`);
+    leader.compact("state at 10", 10);
+    cluster.settle();
+    expect(leader.logSize).toBe(1);
+    cluster.cut.clear();
+    for (let i = 0; i < 8; i += 1) {
+      cluster.now += 100;
+      leader.tick(cluster.now);
+      cluster.settle();
+    }
+    expect(cluster.disks.get("c")?.snapshot.state).toBe("state at 10");
+    expect(cluster.of("c").committed).toBe(11);
+  });
+
+  it("hands leadership over at once and gives its lease up", () => {
+    const cluster = create();
+    const leader = cluster.elect("a");
+    expect(leader.hasLease(cluster.now)).toBe(true);
+    cluster.drops = (m) => m.type === "transferRequest";
+    expect(leader.yieldLeadership(cluster.now)).toBe(true);
+    expect(leader.hasLease(cluster.now)).toBe(false);
+    expect(leader.propose("x", cluster.now)).toBeUndefined();
+    cluster.settle();
+    leader.tick(cluster.now + 1_001);
+    expect(leader.role).toBe("follower");
+    cluster.drops = () => false;
+    const next = cluster.elect("b");
+    next.yieldLeadership(cluster.now);
+    cluster.settle();
+    expect(next.role).toBe("follower");
+    expect([...cluster.nodes.values()].some((n) => n.role === "leader"))
+      .toBe(true);
+  });
+
+  it("makes no learner a voter that is not whole", () => {
+    const cluster = create();
+    const leader = cluster.elect("a");
+    const voters = ["a", "b", "c"];
+    leader.proposeMembers({ voters, learners: ["c2"] }, cluster.now);
+    cluster.settle();
+    const next = { voters: [...voters, "c2"], learners: [] };
+    expect(leader.proposeMembers(next, cluster.now)).toBeUndefined();
+    cluster.start("c2");
+    for (let i = 0; i < 3; i += 1) {
+      cluster.now += 600;
+      leader.tick(cluster.now);
+      cluster.settle();
+    }
+    expect(leader.proposeMembers(next, cluster.now)).toBeDefined();
+  });
+});
+
+describe(nextMembers.name, () => {
+  it("replaces a lost disk in three changes", () => {
+    let members = { voters: ["a#1", "b#1", "c#1"], learners: [] as string[] };
+    const steps = [];
+    for (let i = 0; i < 5; i += 1) {
+      const next = nextMembers({
+        members,
+        present: ["a#1", "b#1", "c#2"],
+        wantedVoters: 3,
+        isWhole: () => true,
+      });
+      if (next === undefined) break;
+      members = { voters: [...next.voters], learners: [...next.learners] };
+      steps.push(members);
+    }
+    expect(steps).toEqual([
+      { voters: ["a#1", "b#1", "c#1"], learners: ["c#2"] },
+      { voters: ["a#1", "b#1"], learners: ["c#2"] },
+      { voters: ["a#1", "b#1", "c#2"], learners: [] },
+    ]);
+  });
+
+  it("keeps a voter that is only away", () => {
+    expect(nextMembers({
+      members: { voters: ["a#1", "b#1", "c#1"], learners: [] },
+      present: ["a#1", "b#1"],
+      wantedVoters: 3,
+      isWhole: () => true,
+    })).toBeUndefined();
+  });
+});
--- /dev/null
+++ b/src/core/consensus/mod.ts
@@ -0,0 +1,10 @@
+/** The replicated control log. */
+export * from "./consensus_effect.ts";
+export * from "./consensus_message.ts";
+export * from "./consensus_node.ts";
+export * from "./log_entry.ts";
+export * from "./members.ts";
+export * from "./replica_id.ts";
+export * from "./replicated_log.ts";
+export * from "./role.ts";
+export * from "./membership_repair.ts";
--- a/src/core/control/configuration_store.ts
+++ b/src/core/control/configuration_store.ts
@@ -111,9 +111,7 @@
       if (known.digest === digest) return known.answer;
       return { type: "requestIdReused", requestId: change.requestId };
     }
-    const same = this.#byDigest.get(digest);
-    if (same !== undefined) return same.answer;
-    const answer = this.#decide(change);
+    const answer = this.#byDigest.get(digest)?.answer ?? this.#decide(change);
     if (answer.type === "applied") {
       this.#remember({ requestId: change.requestId, digest, answer });
     }
--- a/src/core/control/configuration_store_test.ts
+++ b/src/core/control/configuration_store_test.ts
@@ -35,6 +35,23 @@
     expect(store.revision).toBe(3);
   });
 
+  it("remembers an identifier that was answered for its content", () => {
+    const store = create();
+    const same = {
+      models,
+      teams: { core: { sections: ["models", "teams"] } },
+    };
+    const base = { models: 0, teams: 0 };
+    store.apply({ requestId: "twin", sections: same, base });
+    expect(
+      store.apply({
+        requestId: "twin",
+        sections: { models: {} },
+        base: { models: 1 },
+      }).type,
+    ).toBe("requestIdReused");
+  });
+
   it("refuses another content under a used identifier", () => {
     const store = create();
     expect(store.apply({
--- a/src/core/ledger/mod.ts
+++ b/src/core/ledger/mod.ts
@@ -4,3 +4,6 @@
 export * from "./ledger_state.ts";
 export * from "./step_ledger.ts";
 export * from "./usage_ledger.ts";
+export * from "./ledger_log.ts";
+export * from "./ledger_message.ts";
+export * from "./ledger_replica.ts";
--- a/src/core/ledger/step_ledger.ts
+++ b/src/core/ledger/step_ledger.ts
@@ -155,7 +155,7 @@
       spec: this.spec,
       status: this.#status,
       acked: this.#acked,
-      samples: this.#samples,
+      samples: [...this.#samples],
       deliveredSlots: [...this.#deliveredSlots],
       failures: this.failures,
     };
--- /dev/null
+++ b/src/core/orders/mod.ts
@@ -0,0 +1,2 @@
+/** Orders of the process in charge. */
+export * from "./order_sender.ts";
