--- /dev/null
+++ b/src/commands/init.ts
@@ -0,0 +1,39 @@
+/** The command that creates the control log's first members. */
+import { defineCommand } from "citty";
+import { NutmegreelError } from "../core/errors/mod.ts";
+import { loadSettings } from "../settings/mod.ts";
+import { ControlStore } from "../tasks/control/control_store.ts";
+
+/**
+ * Creates the store of one of the first members of the control log.
+ *
+ * It is run once on each control instance of a new system. An instance whose
+ * disk was lost later is started without it and joins as a new replica.
+ */
+export const init = defineCommand({
+  meta: {
+    name: "init",
+    description: "Create the control log's store on a control instance of a " +
+      "new system. Example: nutmegreel init --settings nl-1-a.json",
+  },
+  args: {
+    settings: {
+      type: "string",
+      required: true,
+      description: "Settings file of the instance",
+      valueHint: "FILE",
+    },
+  },
+  async run({ args }) {
+    const { id, dataFolder, peers } = loadSettings(args.settings);
+    const instances = peers.filter((peer) => peer.control).map((p) => p.id);
+    if (dataFolder === undefined || !instances.includes(id)) {
+      throw new NutmegreelError(
+        "notControl",
+        "This instance is not one of the control log",
+      );
+    }
+    const isCreated = await ControlStore.init(dataFolder, { id, instances });
+    console.log(isCreated ? "Created" : "Exists already; left as it is");
+  },
+});
--- a/src/commands/serve.ts
+++ b/src/commands/serve.ts
@@ -19,7 +19,7 @@
     },
   },
   async run({ args }) {
-    const instance = new Instance(loadSettings(args.settings));
+    const instance = await Instance.create(loadSettings(args.settings));
     await instance.start();
     await new Promise<void>((resolve) => {
       const stop = () => resolve();
--- a/src/core/consensus/consensus_node.ts
+++ b/src/core/consensus/consensus_node.ts
@@ -189,6 +189,15 @@
     return this.#log.last;
   }
 
+  /** Gets everything that must survive, for a whole rewrite of the store. */
+  get stored(): StoredLog<C, S> {
+    return {
+      hardState: { term: this.#term, votedFor: this.#votedFor },
+      snapshot: this.#log.snapshot,
+      entries: this.#log.from(this.#log.snapshot.index + 1, Infinity),
+    };
+  }
+
   /** Gets the number of entries held after the snapshot. */
   get logSize(): number {
     return this.#log.size;
--- /dev/null
+++ b/src/core/feed/mod.ts
@@ -0,0 +1,5 @@
+/** The feed of the control log and its leases. */
+export * from "./feed_message.ts";
+export * from "./feed_node.ts";
+export * from "./lease_book.ts";
+export * from "./home_authority.ts";
--- a/src/core/ledger/call_ledger.ts
+++ b/src/core/ledger/call_ledger.ts
@@ -78,6 +78,16 @@
     return this;
   }
 
+  /** Gets the calls that run, with their owners. */
+  running(): { readonly key: CallKey; readonly owner: string }[] {
+    const running: { key: CallKey; owner: string }[] = [];
+    for (const [name, call] of this.#calls) {
+      if (call.type !== "running") continue;
+      running.push({ key: keyOf(name), owner: call.owner });
+    }
+    return running;
+  }
+
   /** Gets the serializable state. */
   save(): CallLedgerState {
     return { calls: [...this.#calls] };
@@ -100,6 +110,11 @@
   }
 }
 
+function keyOf(name: string): CallKey {
+  const at = name.indexOf("/");
+  return { workspace: name.slice(0, at), key: name.slice(at + 1) };
+}
+
 function nameOf(key: CallKey): string {
   return `${key.workspace}/${key.key}`;
 }
--- a/src/core/ledger/ledger_replica.ts
+++ b/src/core/ledger/ledger_replica.ts
@@ -178,6 +178,11 @@
     return this.#committed;
   }
 
+  /** Gets whether a process has stored every record held here. */
+  isCaughtUp(process: string): boolean {
+    return (this.#acked.get(process) ?? -1) >= this.last.index;
+  }
+
   /** Takes the collected effects. */
   takeEffects(): LedgerEffect[] {
     const effects = this.#effects;
--- a/src/core/ledger/mod.ts
+++ b/src/core/ledger/mod.ts
@@ -7,3 +7,4 @@
 export * from "./ledger_log.ts";
 export * from "./ledger_message.ts";
 export * from "./ledger_replica.ts";
+export * from "./view_policy.ts";
--- a/src/logging/event_catalogue.ts
+++ b/src/logging/event_catalogue.ts
@@ -86,6 +86,72 @@
     text: "Configuration revision in force",
   }),
   keyWithdrawn: describe(1402, "info", { text: "Key withdrawn" }),
+  becameControlLeader: describe(1501, "info", {
+    text: "Leads the control log",
+  }),
+  lostControlLead: describe(1502, "info", {
+    text: "No longer leads the control log",
+  }),
+  controlStopped: describe(1503, "error", {
+    text: "The replica of the control log stopped",
+    action: "See the reason; it is set aside and comes back as a learner",
+  }),
+  controlStoreDamaged: describe(1504, "error", {
+    text: "The store of the control log is damaged and is set aside",
+    action: "Check the disk; the replica comes back as a learner",
+  }),
+  controlStoreFailed: describe(1505, "error", {
+    text: "The store of the control log cannot be written",
+    action: "Free or replace the disk; the replica tries again",
+  }),
+  controlMembers: describe(1506, "info", {
+    text: "Change of the control log's members proposed",
+  }),
+  controlRestored: describe(1507, "info", {
+    text: "Control log restored from its store",
+  }),
+  leaseLost: describe(1508, "warn", {
+    text: "Cut off from the control log: serves only what it may",
+    action: "Look at the links to the control instances",
+  }),
+  leaseHeld: describe(1509, "info", {
+    text: "In contact with the control log",
+  }),
+  ledgerPrimary: describe(1601, "info", {
+    text: "Primary of the data centre's ledger",
+  }),
+  ledgerBackup: describe(1602, "info", {
+    text: "No longer primary of the data centre's ledger",
+  }),
+  ledgerView: describe(1603, "info", { text: "View of the ledger" }),
+  ledgerStoreDamaged: describe(1604, "error", {
+    text: "The store of the ledger is damaged and is set aside",
+    action: "Check the disk; the replica joins anew",
+  }),
+  ledgerStopped: describe(1605, "error", {
+    text: "The replica of the ledger stopped",
+    action: "See the reason; restart the instance",
+  }),
+  peerUp: describe(1701, "info", { text: "Link to another instance is up" }),
+  peerDown: describe(1702, "warn", {
+    text: "Link to another instance is down",
+    action: "Look at the instance and its network",
+  }),
+  peerRefused: describe(1703, "warn", {
+    text: "Connection on the peers' port refused",
+    action: "Compare the peers' secrets and certificates",
+  }),
+  orderSent: describe(1801, "info", { text: "Order sent" }),
+  orderEnded: describe(1802, "info", { text: "Order ended" }),
+  orderFailed: describe(1803, "warn", {
+    text: "Order had no answer and will be sent again",
+    action: "Look at the receiver",
+  }),
+  usageReported: describe(1901, "info", { text: "Usage window reported" }),
+  usageInDoubt: describe(1902, "error", {
+    text: "Use may have been counted or not; it is not counted again",
+    action: "Look at the ledger's primary",
+  }),
   weightsAnnounced: describe(1403, "info", { text: "Weights announced" }),
 } as const satisfies Readonly<Record<string, EventDescription>>;
 
--- a/src/main.ts
+++ b/src/main.ts
@@ -1,10 +1,11 @@
 /** The command line of nutmegreel. */
 import { defineCommand, renderUsage, runCommand } from "citty";
 import { ExitCode } from "./commands/exit_code.ts";
+import { init } from "./commands/init.ts";
 import { serve } from "./commands/serve.ts";
 import { version } from "./commands/version.ts";
 
-const subCommands = { serve, version };
+const subCommands = { init, serve, version };
 
 const main = defineCommand({
   meta: {
--- a/src/metrics/metric_catalogue.ts
+++ b/src/metrics/metric_catalogue.ts
@@ -48,6 +48,15 @@
   },
   "targets.serving": { kind: "gauge", text: "Targets that take work" },
   "targets.died": { kind: "counter", text: "Deaths of targets' processes" },
+  "peers.sentBytes": {
+    kind: "counter",
+    text: "Bytes sent to other instances",
+  },
+  "peers.receivedBytes": {
+    kind: "counter",
+    text: "Bytes received from other instances",
+  },
+  "orders.sent": { kind: "counter", text: "Orders sent to receivers" },
   "invariants.refused": {
     kind: "counter",
     text: "Actions refused because they would break a promise",
--- /dev/null
+++ b/src/tasks/control/bootstrap.ts
@@ -0,0 +1,35 @@
+/** Writes the first configuration into an empty control log. */
+import { SECTION_NAMES } from "../../core/configuration/mod.ts";
+import type { KeyRecord } from "../../core/keys/mod.ts";
+import {
+  loadDocument,
+  readJsonOrThrow,
+  type Settings,
+} from "../../settings/mod.ts";
+import type { ControlPort } from "./control_port.ts";
+
+const REQUEST_ID = "bootstrap";
+
+/** Proposes document and keys of the settings, where the log has none yet. */
+export async function bootstrapControl(
+  control: ControlPort,
+  settings: Settings,
+): Promise<void> {
+  const { bootstrap } = settings;
+  if (bootstrap === undefined) return;
+  const { configuration, keys } = control.state;
+  if (configuration.revision === 0) {
+    const sections = loadDocument(bootstrap.configurationFile);
+    const base = Object.fromEntries(SECTION_NAMES.map((name) => [name, 0]));
+    await control.propose({
+      type: "changeConfiguration",
+      change: { requestId: REQUEST_ID, sections, base },
+    });
+  }
+  if (bootstrap.keysFile === undefined) return;
+  for (const key of readJsonOrThrow(bootstrap.keysFile) as KeyRecord[]) {
+    if (keys.get(key.id) === undefined) {
+      await control.propose({ type: "putKey", key });
+    }
+  }
+}
--- a/src/tasks/control/local_control.ts
+++ b/src/tasks/control/local_control.ts
@@ -3,7 +3,9 @@
   type CommandAnswer,
   type ControlCommand,
   ControlState,
+  type LedgerView,
 } from "../../core/control/mod.ts";
+import type { ForceAnswer } from "../../core/feed/mod.ts";
 import type { AppliedListener, ControlPort } from "./control_port.ts";
 
 /**
@@ -18,6 +20,8 @@
 export class LocalControl implements ControlPort {
   /** State of the log. */
   readonly state = new ControlState();
+  /** Undefined: the ledger is this instance's own. */
+  readonly view: LedgerView | undefined = undefined;
   readonly #listeners: AppliedListener[] = [];
 
   /** Applies a command. */
@@ -27,8 +31,21 @@
     return Promise.resolve(answer);
   }
 
-  /** Adds a listener. */
+  /** Gets that all is in force: there is no other instance. */
+  awaitForce(): Promise<ForceAnswer> {
+    return Promise.resolve({ isInForce: true, awaited: [] });
+  }
+
+  /** Gets that every workspace may be served. */
+  mayServe(): boolean {
+    return true;
+  }
+
+  /** Adds a listener for commands. */
   onApplied(listener: AppliedListener): void {
     this.#listeners.push(listener);
   }
+
+  /** Never calls the listener: the state is not replaced. */
+  onRestored(): void {}
 }
--- a/src/tasks/entry/call_once.ts
+++ b/src/tasks/entry/call_once.ts
@@ -1,24 +1,18 @@
 /** Runs calls with an idempotency key at most once. */
 import type { CallKey, StoredAnswer } from "../../core/ledger/mod.ts";
+import { InvariantError } from "../../core/invariants/mod.ts";
 import {
   RefusalError,
   RefusalReason,
   Verdict,
 } from "../../core/verdict/mod.ts";
-import { InvariantError } from "../../core/invariants/mod.ts";
 import type { LedgerPort } from "../ledger/ledger_port.ts";
-
-/** What a call under an idempotency key is to do. */
-export type CallAdmission =
-  | { readonly type: "run" }
-  | { readonly type: "answer"; readonly answer: StoredAnswer };
+import type { CallAdmission, CallGuard, CallStart } from "./call_guard.ts";
 
 /** Options of {@link CallOnce}. */
 export interface CallOnceOptions {
   /** Ledger of the data centre. */
   readonly ledger: LedgerPort;
-  /** This process. */
-  readonly owner: string;
   /** Gets the time, in milliseconds since the epoch. */
   readonly now: () => number;
 }
@@ -27,7 +21,7 @@
 const STILL_RUNNING_RETRY_MS = 1_000;
 
 /** Asks the ledger before a call runs, and tells it how it ended. */
-export class CallOnce {
+export class CallOnce implements CallGuard {
   readonly #options: CallOnceOptions;
 
   /** Creates the guard. */
@@ -39,9 +33,10 @@
    * Records the start of a call, or gets its first answer.
    * @throws RefusalError where it runs already, or has another content.
    */
-  async admit(key: CallKey, fingerprint: string): Promise<CallAdmission> {
-    const { ledger, owner, now } = this.#options;
-    const known = this.#known(key, fingerprint);
+  async admit(start: CallStart): Promise<CallAdmission> {
+    const { ledger, now } = this.#options;
+    const { key, fingerprint, owner } = start;
+    const known = this.#known(start);
     if (known !== undefined) return known;
     try {
       await ledger.append({
@@ -54,7 +49,7 @@
       return { type: "run" };
     } catch (err) {
       if (!(err instanceof InvariantError)) throw err;
-      return this.#known(key, fingerprint) ?? stillRunning();
+      return this.#known(start) ?? stillRunning();
     }
   }
 
@@ -73,10 +68,18 @@
     return this.#options.ledger.append({ type, ...key });
   }
 
-  #known(key: CallKey, fingerprint: string): CallAdmission | undefined {
-    const call = this.#options.ledger.state.calls.get(key);
+  /** Records that the calls of processes that are gone have no answer. */
+  async loseCallsOf(isGone: (owner: string) => boolean): Promise<void> {
+    const { ledger } = this.#options;
+    for (const { key, owner } of ledger.state.calls.running()) {
+      if (isGone(owner)) await ledger.append({ type: "callLost", ...key });
+    }
+  }
+
+  #known(start: CallStart): CallAdmission | undefined {
+    const call = this.#options.ledger.state.calls.get(start.key);
     if (call === undefined) return undefined;
-    if (call.fingerprint !== fingerprint) {
+    if (call.fingerprint !== start.fingerprint) {
       throw new RefusalError(
         RefusalReason.IdempotencyConflict,
         Verdict.NotRun,
--- a/src/tasks/entry/call_task.ts
+++ b/src/tasks/entry/call_task.ts
@@ -15,7 +15,7 @@
 import type { UsageMeter } from "../steps/mod.ts";
 import type { DispatchTask, JobResult, TargetRequest } from "../targets/mod.ts";
 import { CallJob } from "./call_job.ts";
-import type { CallOnce } from "./call_once.ts";
+import type { CallGuard } from "./call_guard.ts";
 import { passedHeaders } from "./caller.ts";
 import { malformed } from "./http_body.ts";
 import { sendRefusal } from "./http_answer.ts";
@@ -25,7 +25,9 @@
   /** Where work runs. */
   readonly dispatch: DispatchTask;
   /** Guard of calls with an idempotency key. */
-  readonly once: CallOnce;
+  readonly once: CallGuard;
+  /** This process, as the owner of its calls. */
+  readonly owner: string;
   /** Counts use. */
   readonly usage: UsageMeter;
   /** Metrics. */
@@ -91,10 +93,11 @@
   async run(call: Call): Promise<void> {
     const onceKey = onceKeyOf(call);
     if (onceKey === undefined) return await this.#runNow(call, undefined);
-    const admission = await this.#options.once.admit(
-      onceKey,
-      fingerprintOf(call),
-    );
+    const admission = await this.#options.once.admit({
+      key: onceKey,
+      fingerprint: fingerprintOf(call),
+      owner: this.#options.owner,
+    });
     if (admission.type === "run") return await this.#runNow(call, onceKey);
     sendStored(call.res, admission.answer);
   }
@@ -166,7 +169,9 @@
     }
     const refusal = this.#refusalOf(active, result);
     if (onceKey !== undefined) {
-      await this.#options.once.fail(onceKey, refusal.verdict);
+      await this.#options.once.fail(onceKey, refusal.verdict).catch(() => {
+        // The ledger hears of it once this process is gone.
+      });
     }
     sendRefusal(call.res, refusal);
   }
--- a/src/tasks/entry/mod.ts
+++ b/src/tasks/entry/mod.ts
@@ -1,4 +1,6 @@
 /** The HTTP entry of an instance. */
+export * from "./call_forwarder.ts";
+export * from "./call_guard.ts";
 export * from "./call_once.ts";
 export * from "./call_task.ts";
 export * from "./http_server.ts";
--- a/src/tasks/entry/operator_handlers.ts
+++ b/src/tasks/entry/operator_handlers.ts
@@ -4,6 +4,7 @@
 import { z } from "zod";
 import { SECTION_NAMES } from "../../core/configuration/mod.ts";
 import type { CommandAnswer } from "../../core/control/mod.ts";
+import type { ForceAnswer } from "../../core/feed/mod.ts";
 import { createKeyRecord, formatKey } from "../../core/keys/mod.ts";
 import {
   RefusalError,
@@ -34,14 +35,6 @@
   readonly target?: string;
 }
 
-/** Tells whether a change is in force everywhere. */
-export interface ForceStatus {
-  /** Whether each instance has it in force, or is fenced. */
-  readonly isInForce: boolean;
-  /** Data centres that are still awaited. */
-  readonly awaited: readonly string[];
-}
-
 /** Options of {@link OperatorHandlers}. */
 export interface OperatorHandlersOptions {
   /** Settings of the instance. */
@@ -58,8 +51,6 @@
   readonly probes: ProbeTask;
   /** Metrics. */
   readonly metrics: Metrics;
-  /** Waits until what has been committed is in force everywhere. */
-  readonly awaitForce: () => Promise<ForceStatus>;
   /** Gets further parts of the status. */
   readonly status: () => Readonly<Record<string, unknown>>;
 }
@@ -112,11 +103,12 @@
     this.#authorizeOrThrow(ctx);
     const json = await this.#readJson(ctx);
     const change = checkBodyOrThrow(changeSchema, json);
+    const former = this.#allHomes();
     const answer = await this.#options.control.propose({
       type: "changeConfiguration",
       change,
     });
-    await this.#sendCommandAnswer(ctx, answer);
+    await this.#sendCommandAnswer(ctx, answer, former);
   }
 
   /** Creates a key; its secret is in this answer and nowhere else. */
@@ -139,7 +131,7 @@
     const salt = randomBytes(SALT_BYTES).toString("hex");
     const key = createKeyRecord({ id, workspace, secret, salt });
     await this.#options.control.propose({ type: "putKey", key });
-    const force = await this.#options.awaitForce();
+    const force = await this.#awaitForce(this.#homesOf([workspace]));
     const body = { id, workspace, key: formatKey({ id, secret }), ...force };
     sendJson(ctx.res, body, { status: 201 });
   }
@@ -156,11 +148,12 @@
   async withdrawKey(ctx: HttpContext): Promise<void> {
     this.#authorizeOrThrow(ctx);
     const { id } = ctx.params;
-    if (this.#options.control.state.keys.get(id) === undefined) {
+    const known = this.#options.control.state.keys.get(id);
+    if (known === undefined) {
       throw new RefusalError(RefusalReason.NotFound, Verdict.NotRun);
     }
     await this.#options.control.propose({ type: "withdrawKey", id });
-    const force = await this.#options.awaitForce();
+    const force = await this.#awaitForce(this.#homesOf([known.workspace]));
     const answer = force.isInForce ? "accepted" : "pending";
     const status = force.isInForce ? 200 : 202;
     sendJson(ctx.res, { id, answer, awaited: force.awaited }, { status });
@@ -236,9 +229,11 @@
   async #sendCommandAnswer(
     ctx: HttpContext,
     answer: CommandAnswer,
+    homes: readonly string[],
   ): Promise<void> {
     if (answer.type === "applied") {
-      const force = await this.#options.awaitForce();
+      const all = new Set([...homes, ...this.#allHomes()]);
+      const force = await this.#awaitForce([...all]);
       const type = force.isInForce ? "accepted" : "pending";
       const { revision } = answer;
       sendJson(
@@ -259,6 +254,21 @@
     sendJson(ctx.res, { answer: type, error, ...rest }, { status });
   }
 
+  #awaitForce(homes: readonly string[]): Promise<ForceAnswer> {
+    return this.#options.control.awaitForce(homes);
+  }
+
+  #allHomes(): string[] {
+    const { document } = this.#options.control.state.configuration;
+    return this.#homesOf(Object.keys(document.workspaces));
+  }
+
+  #homesOf(workspaces: readonly string[]): string[] {
+    const { document } = this.#options.control.state.configuration;
+    const homes = workspaces.map((id) => document.workspaces[id]?.home);
+    return [...new Set(homes.filter((home) => home !== undefined))];
+  }
+
   async #readJson(ctx: HttpContext): Promise<Record<string, unknown>> {
     const { maxBodyBytes, bodyTimeoutMs } = this.#options.settings.http;
     const body = await readBody(ctx.req, {
--- a/src/tasks/entry/route_handlers.ts
+++ b/src/tasks/entry/route_handlers.ts
@@ -15,7 +15,7 @@
 } from "../../protocol/mod.ts";
 import type { Settings } from "../../settings/mod.ts";
 import type { ControlPort } from "../control/control_port.ts";
-import type { StepReading, StepTask } from "../steps/mod.ts";
+import type { StepPort, StepReading } from "../steps/mod.ts";
 import type { CallTask } from "./call_task.ts";
 import {
   authenticateOrThrow,
@@ -51,11 +51,12 @@
   /** Calls. */
   readonly calls: CallTask;
   /** Steps. */
-  readonly steps: StepTask;
+  readonly steps: StepPort;
   /** Gets the time, in milliseconds since the epoch. */
   readonly now: () => number;
 }
 
+const FENCED_RETRY_MS = 2_000;
 const MAX_WAIT_MS = 30_000;
 const DEFAULT_WAIT_MS = 10_000;
 const MAX_READ = 1_024;
@@ -81,6 +82,7 @@
     if (typeof model !== "string") throw malformed("model: Expected a string");
     const routeId = modelRouteOrThrow(view, model, key?.workspace);
     const route = view.getRouteForOrThrow(routeId, key?.workspace);
+    if (!route.open) this.#throwIfFenced(key?.workspace ?? "");
     const body = Buffer.from(JSON.stringify({ ...json, model: route.model }));
     throwIfKeyElsewhere(req, body);
     this.#throwIfWithdrawn(key);
@@ -116,6 +118,7 @@
     const routeId = ctx.params.route;
     const key = this.#authenticateIfPresented(req);
     const route = view.getRouteForOrThrow(routeId, key?.workspace);
+    if (!route.open) this.#throwIfFenced(key?.workspace ?? "");
     if (route.kind !== "service") {
       throw new RefusalError(RefusalReason.NotFound, Verdict.NotRun);
     }
@@ -136,7 +139,7 @@
 
   /** Submits a step. */
   async submitStep(ctx: HttpContext): Promise<void> {
-    const key = authenticateOrThrow(ctx.req, this.#keys());
+    const key = this.#authenticateOrThrow(ctx.req);
     const json = parseJsonOrThrow(await this.#readBody(ctx.req));
     const step = checkBodyOrThrow(stepRequestSchema, json);
     const view = this.#view();
@@ -187,13 +190,11 @@
   }
 
   /** Gets the state of a step. */
-  showStep(ctx: HttpContext): void {
+  async showStep(ctx: HttpContext): Promise<void> {
     const { key, step } = this.#stepKey(ctx);
-    const found = this.#options.steps.getStepOrThrow({
-      workspace: key.workspace,
-      step,
-    });
-    const { status, total, delivered, acked, failures } = found;
+    const { workspace } = key;
+    const reading = await this.#options.steps.show({ workspace, step });
+    const { status, total, delivered, acked, failures } = reading;
     sendJson(ctx.res, { step, status, total, delivered, acked, failures });
   }
 
@@ -221,7 +222,7 @@
 
   /** Announces weights that a trainer has stored. */
   async announceWeights(ctx: HttpContext): Promise<void> {
-    const key = authenticateOrThrow(ctx.req, this.#keys());
+    const key = this.#authenticateOrThrow(ctx.req);
     const json = parseJsonOrThrow(await this.#readBody(ctx.req));
     const { model, version } = checkBodyOrThrow(weightsRequestSchema, json);
     const view = this.#view();
@@ -252,18 +253,33 @@
     return authenticateOrThrow(req, this.#keys());
   }
 
+  #authenticateOrThrow(req: IncomingMessage): KeyRecord {
+    const key = authenticateOrThrow(req, this.#keys());
+    this.#throwIfFenced(key.workspace);
+    return key;
+  }
+
   #throwIfWithdrawn(key: KeyRecord | undefined): void {
     if (key === undefined || this.#keys().isLive(key.id)) return;
     throw new RefusalError(RefusalReason.KeyWithdrawn, Verdict.NotRun);
   }
 
+  /** An instance that is cut off serves only what cannot have changed. */
+  #throwIfFenced(workspace: string): void {
+    if (this.#options.control.mayServe(workspace)) return;
+    throw new RefusalError(RefusalReason.DataCentreFenced, Verdict.NotRun, {
+      message: "This data centre is cut off from the control log",
+      retryAfterMs: FENCED_RETRY_MS,
+    });
+  }
+
   #readBody(req: IncomingMessage): Promise<Buffer> {
     const { maxBodyBytes, bodyTimeoutMs } = this.#options.settings.http;
     return readBody(req, { maxBytes: maxBodyBytes, timeoutMs: bodyTimeoutMs });
   }
 
   #stepKey(ctx: HttpContext): { key: KeyRecord; step: string } {
-    const key = authenticateOrThrow(ctx.req, this.#keys());
+    const key = this.#authenticateOrThrow(ctx.req);
     return { key, step: ctx.params.step };
   }
 
--- a/src/tasks/instance.ts
+++ b/src/tasks/instance.ts
@@ -3,22 +3,22 @@
 import { readFileSync } from "node:fs";
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
 import { uniformFloat64 } from "pure-rand/distribution/uniformFloat64";
-import { ConfigurationView, SECTION_NAMES } from "../core/configuration/mod.ts";
+import { ConfigurationView } from "../core/configuration/mod.ts";
 import type { CommandAnswer, ControlCommand } from "../core/control/mod.ts";
-import type { KeyRecord } from "../core/keys/mod.ts";
+import type { LedgerRecord, UsageEntry } from "../core/ledger/mod.ts";
+import type { SuspicionChange } from "../core/quarantine/mod.ts";
 import { ExpectedTimePicker, TargetPhase } from "../core/routing/mod.ts";
 import { Logger } from "../logging/mod.ts";
 import { Metrics } from "../metrics/mod.ts";
-import {
-  loadDocument,
-  readJsonOrThrow,
-  readSecretOrThrow,
-  type Settings,
-} from "../settings/mod.ts";
+import { readSecretOrThrow, type Settings } from "../settings/mod.ts";
+import { Cluster } from "./cluster.ts";
+import { bootstrapControl } from "./control/bootstrap.ts";
 import type { ControlPort } from "./control/control_port.ts";
 import { LocalControl } from "./control/local_control.ts";
 import {
   type AccessTokens,
+  CallForwarder,
+  type CallGuard,
   CallOnce,
   CallTask,
   HttpServer,
@@ -27,18 +27,27 @@
 } from "./entry/mod.ts";
 import type { LedgerPort } from "./ledger/ledger_port.ts";
 import { LocalLedger } from "./ledger/local_ledger.ts";
-import { StepTask, UsageMeter } from "./steps/mod.ts";
+import {
+  StepForwarder,
+  type StepPort,
+  StepTask,
+  UsageMeter,
+} from "./steps/mod.ts";
 import { DispatchTask, ProbeTask } from "./targets/mod.ts";
 
 /** Time between two writes of usage to the ledger, in milliseconds. */
 const USAGE_INTERVAL_MS = 1_000;
+/** Time between two looks for calls whose process is gone. */
+const LOST_CALLS_INTERVAL_MS = 2_000;
+const BOOTSTRAP_RETRY_MS = 300;
+const NEIGHBOUR_TIMEOUT_MS = 2_000;
 
 /**
  * Runs one instance.
  *
  * @example
  * ```ts
- * const instance = new Instance(loadSettings("nl-1-a.json"));
+ * const instance = await Instance.create(loadSettings("nl-1-a.json"));
  * const port = await instance.start();
  * await instance.drain();
  * ```
@@ -47,28 +56,36 @@
   readonly #settings: Settings;
   readonly #logger: Logger;
   readonly #metrics: Metrics;
-  readonly #incarnation = randomUUID().slice(0, 8);
-  readonly #control: ControlPort = new LocalControl();
-  readonly #ledger: LedgerPort = new LocalLedger();
+  readonly #incarnation: string;
+  readonly #cluster: Cluster | undefined;
+  readonly #control: ControlPort;
+  readonly #ledger: LedgerPort;
   readonly #usage = new UsageMeter();
   readonly #dispatch: DispatchTask;
   readonly #probes: ProbeTask;
+  readonly #once: CallOnce;
   readonly #calls: CallTask;
   readonly #steps: StepTask;
+  readonly #stepPort: StepPort;
   readonly #server: HttpServer;
-  #usageTimer: NodeJS.Timeout | undefined;
+  readonly #timers: NodeJS.Timeout[] = [];
+  #isStopped = false;
 
-  /** Creates the tasks of an instance; none listens yet. */
-  constructor(settings: Settings) {
+  private constructor(parts: {
+    settings: Settings;
+    logger: Logger;
+    metrics: Metrics;
+    incarnation: string;
+    cluster: Cluster | undefined;
+  }) {
+    const { settings, cluster } = parts;
     this.#settings = settings;
-    this.#logger = new Logger({
-      instance: settings.id,
-      level: settings.logLevel,
-    });
-    this.#metrics = new Metrics({
-      receiver: settings.metrics,
-      tags: { instance: settings.id, dataCentre: settings.dataCentre },
-    });
+    this.#logger = parts.logger;
+    this.#metrics = parts.metrics;
+    this.#incarnation = parts.incarnation;
+    this.#cluster = cluster;
+    this.#control = cluster?.control ?? new LocalControl();
+    this.#ledger = cluster?.ledger ?? new LocalLedger();
     this.#dispatch = this.#createDispatch();
     this.#probes = new ProbeTask({
       dispatch: this.#dispatch,
@@ -78,17 +95,38 @@
       ttlMs: settings.targets.announceTtlMs,
     });
     this.#steps = this.#createSteps();
+    this.#stepPort = this.#createStepPort();
+    this.#once = new CallOnce({ ledger: this.#ledger, now: Date.now });
     this.#calls = this.#createCalls();
     this.#server = this.#createServer();
-    this.#control.onApplied((command, answer) =>
-      this.#onApplied(command, answer)
-    );
+    this.#listen();
+  }
+
+  /** Creates an instance; it does not run yet. */
+  static async create(settings: Settings): Promise<Instance> {
+    const incarnation = randomUUID().slice(0, 8);
+    const logger = new Logger({
+      instance: settings.id,
+      level: settings.logLevel,
+    });
+    const metrics = new Metrics({
+      receiver: settings.metrics,
+      tags: { instance: settings.id, dataCentre: settings.dataCentre },
+    });
+    const cluster = settings.peers.length === 0
+      ? undefined
+      : await Cluster.create({ settings, incarnation, logger, metrics });
+    return new Instance({ settings, logger, metrics, incarnation, cluster });
   }
 
   /** Starts to listen and gets the port of callers. */
   async start(): Promise<number> {
-    await this.#bootstrap();
-    this.#usageTimer = setInterval(() => this.#writeUsage(), USAGE_INTERVAL_MS);
+    await this.#cluster?.start();
+    if (this.#cluster === undefined) {
+      await bootstrapControl(this.#control, this.#settings);
+    }
+    this.#every(USAGE_INTERVAL_MS, () => this.#writeUsage());
+    this.#every(LOST_CALLS_INTERVAL_MS, () => this.#loseCalls());
     const port = await this.#server.listen();
     this.#logger.event("instanceStarted", { port });
     return port;
@@ -97,22 +135,61 @@
   /** Answers what has arrived, then stops. */
   async drain(): Promise<void> {
     this.#logger.event("instanceDraining");
+    await this.#cluster?.handOver();
     await this.#server.drain();
     await this.stop();
   }
 
   /** Stops at once. */
   async stop(): Promise<void> {
-    clearInterval(this.#usageTimer);
+    this.#isStopped = true;
+    for (const timer of this.#timers) clearInterval(timer);
     await this.#writeUsage();
     this.#probes.stop();
     this.#steps.stop();
     await this.#dispatch.stop();
     this.#server.stop();
+    await this.#cluster?.stop();
     await this.#metrics.close();
     this.#logger.event("instanceStopped");
   }
 
+  #every(intervalMs: number, run: () => Promise<void>): void {
+    this.#timers.push(setInterval(() => {
+      run().catch((err) => this.#logger.error(err));
+    }, intervalMs));
+  }
+
+  #listen(): void {
+    this.#control.onApplied((command, answer) =>
+      this.#onApplied(command, answer)
+    );
+    this.#control.onRestored((state) => {
+      for (const { id, withdrawn } of state.keys.list()) {
+        if (withdrawn) this.#onKeyWithdrawn(id);
+      }
+      this.#dispatch.reconfigure();
+    });
+    this.#ledger.onApplied((record) => {
+      if (record.type === "suspicion") {
+        this.#dispatch.mergeSuspicion(record.change);
+      }
+    });
+    const cluster = this.#cluster;
+    if (cluster === undefined) return;
+    cluster.control.onRole((isLeader) => {
+      if (isLeader) this.#bootstrapLater();
+    });
+    cluster.hub
+      .handle("suspicion", (params) => {
+        this.#dispatch.mergeSuspicion(params as SuspicionChange);
+      })
+      .handle(
+        "ledger.append",
+        (params) => this.#ledger.append(params as LedgerRecord),
+      );
+  }
+
   #createDispatch(): DispatchTask {
     const { targetCredentialFile, targets } = this.#settings;
     const random = xoroshiro128plus(Date.now() ^ process.pid);
@@ -128,17 +205,14 @@
       now: Date.now,
       targetCredential: secretOf(targetCredentialFile),
       probeTimeoutMs: targets.probeTimeoutMs,
-      onSuspicion: (change) => {
-        this.#ledger.append({ type: "suspicion", change })
-          .catch((err) => this.#logger.error(err));
-      },
+      onSuspicion: (change) => this.#shareSuspicion(change),
     });
   }
 
   #createSteps(): StepTask {
     return new StepTask({
       ledger: this.#ledger,
-      control: this.#control.state,
+      control: this.#control,
       dispatch: this.#dispatch,
       usage: this.#usage,
       logger: this.#logger,
@@ -148,14 +222,20 @@
     });
   }
 
+  #createStepPort(): StepPort {
+    if (this.#cluster === undefined) return this.#steps;
+    return new StepForwarder({
+      ledger: this.#ledger,
+      local: this.#steps,
+      hub: this.#cluster.hub,
+    });
+  }
+
   #createCalls(): CallTask {
     return new CallTask({
       dispatch: this.#dispatch,
-      once: new CallOnce({
-        ledger: this.#ledger,
-        owner: `${this.#settings.id}#${this.#incarnation}`,
-        now: Date.now,
-      }),
+      once: this.#createGuard(),
+      owner: `${this.#settings.id}#${this.#incarnation}`,
       usage: this.#usage,
       metrics: this.#metrics,
       now: Date.now,
@@ -163,6 +243,15 @@
     });
   }
 
+  #createGuard(): CallGuard {
+    if (this.#cluster === undefined) return this.#once;
+    return new CallForwarder({
+      ledger: this.#ledger,
+      local: this.#once,
+      hub: this.#cluster.hub,
+    });
+  }
+
   #createServer(): HttpServer {
     const settings = this.#settings;
     const { operatorTokenFile, targetTokenFile } = settings;
@@ -177,7 +266,7 @@
         settings,
         control: this.#control,
         calls: this.#calls,
-        steps: this.#steps,
+        steps: this.#stepPort,
         now: Date.now,
       }),
       operators: new OperatorHandlers({
@@ -188,8 +277,7 @@
         dispatch: this.#dispatch,
         probes: this.#probes,
         metrics: this.#metrics,
-        awaitForce: () => Promise.resolve({ isInForce: true, awaited: [] }),
-        status: () => ({ incarnation: this.#incarnation }),
+        status: () => this.#status(),
       }),
       logger: this.#logger,
       metrics: this.#metrics,
@@ -200,33 +288,58 @@
     });
   }
 
+  #status(): Record<string, unknown> {
+    const { incarnation } = { incarnation: this.#incarnation };
+    const cluster = this.#cluster;
+    if (cluster === undefined) return { incarnation };
+    const { control, hub, ledger } = cluster;
+    const { node } = control.driver ?? {};
+    return {
+      incarnation,
+      hasLease: control.feed.hasLease,
+      hasHomeLease: control.feed.hasHomeLease,
+      applied: control.feed.node.applied,
+      log: node === undefined ? undefined : {
+        role: node.role,
+        term: node.term,
+        leader: node.leader,
+        committed: node.committed,
+        members: node.members,
+      },
+      view: control.view,
+      ledger: {
+        committed: ledger.replica.committed,
+        last: ledger.replica.last.index,
+      },
+      instances: this.#settings.peers.map(({ id, dataCentre }) => ({
+        id,
+        dataCentre,
+        isPresent: id === this.#settings.id || hub.isPresent(id),
+      })),
+    };
+  }
+
   #view(): ConfigurationView {
     const { document, revision } = this.#control.state.configuration;
     return new ConfigurationView(document, revision);
   }
 
-  async #bootstrap(): Promise<void> {
-    const { bootstrap } = this.#settings;
-    const { configuration } = this.#control.state;
-    if (bootstrap === undefined || configuration.revision > 0) return;
-    const document = loadDocument(bootstrap.configurationFile);
-    const base = Object.fromEntries(SECTION_NAMES.map((name) => [name, 0]));
-    await this.#control.propose({
-      type: "changeConfiguration",
-      change: { requestId: "bootstrap", sections: document, base },
-    });
-    if (bootstrap.keysFile === undefined) return;
-    for (const key of readJsonOrThrow(bootstrap.keysFile) as KeyRecord[]) {
-      await this.#control.propose({ type: "putKey", key });
-    }
+  /** A new leader writes the first configuration once it can commit. */
+  #bootstrapLater(): void {
+    const control = this.#cluster?.control;
+    const timer = setInterval(() => {
+      if (this.#isStopped) clearInterval(timer);
+      if (!control?.driver?.isReady) return;
+      clearInterval(timer);
+      bootstrapControl(control, this.#settings)
+        .catch((err) => this.#logger.error(err));
+    }, BOOTSTRAP_RETRY_MS);
   }
 
   #onApplied(command: ControlCommand, answer: CommandAnswer): void {
     if (command.type === "withdrawKey") {
       this.#logger.event("keyWithdrawn", { key: command.id });
-      this.#calls.onKeyWithdrawn(command.id);
-      this.#steps.onKeyWithdrawn(command.id)
-        .catch((err) => this.#logger.error(err));
+      this.#onKeyWithdrawn(command.id);
     }
     if (command.type === "announceWeights" && answer.type === "done") {
       const { model, version } = command;
@@ -239,19 +352,68 @@
     }
   }
 
+  #onKeyWithdrawn(id: string): void {
+    this.#calls.onKeyWithdrawn(id);
+    this.#steps.onKeyWithdrawn(id).catch((err) => this.#logger.error(err));
+  }
+
+  #shareSuspicion(change: SuspicionChange): void {
+    this.#append({ type: "suspicion", change })
+      .catch((err) => this.#logger.error(err));
+    const hub = this.#cluster?.hub;
+    for (const { id } of hub?.neighbours ?? []) {
+      hub?.request(id, "suspicion", {
+        params: change,
+        timeoutMs: NEIGHBOUR_TIMEOUT_MS,
+      }).catch(() => {
+        // The ledger carries the suspicion to those that miss it here.
+      });
+    }
+  }
+
+  /** Appends here where this instance is primary, else at the primary. */
+  async #append(record: LedgerRecord): Promise<void> {
+    const { primaryInstance, isPrimary } = this.#ledger;
+    const hub = this.#cluster?.hub;
+    if (isPrimary || hub === undefined || primaryInstance === undefined) {
+      await this.#ledger.append(record);
+      return;
+    }
+    await hub.request(primaryInstance, "ledger.append", {
+      params: record,
+      timeoutMs: NEIGHBOUR_TIMEOUT_MS,
+    });
+  }
+
   async #writeUsage(): Promise<void> {
     const targets = this.#dispatch.dispatcher.targets.list();
     const serving = targets.filter((t) => t.phase === TargetPhase.Serving);
     this.#metrics.gauge("targets.serving", serving.length);
     const entries = this.#usage.take();
-    if (entries.length === 0) return;
+    if (entries.length > 0) await this.#writeEntries(entries);
+  }
+
+  /** Use whose writing is in doubt is not written again: never twice. */
+  async #writeEntries(entries: readonly UsageEntry[]): Promise<void> {
     try {
-      await this.#ledger.append({ type: "usage", entries });
+      await this.#append({ type: "usage", entries });
     } catch (err) {
-      this.#usage.putBack(entries);
-      this.#logger.error(err);
+      const isNotRun = (err as { verdict?: string }).verdict === "notRun";
+      if (isNotRun) this.#usage.putBack(entries);
+      else this.#logger.event("usageInDoubt", { entries: entries.length });
     }
   }
+
+  async #loseCalls(): Promise<void> {
+    const hub = this.#cluster?.hub;
+    if (!this.#ledger.isPrimary || hub === undefined) return;
+    await this.#once.loseCallsOf((owner) => {
+      const [id, incarnation] = owner.split("#");
+      if (id === this.#settings.id) return incarnation !== this.#incarnation;
+      const presence = hub.getPresence(id);
+      return presence !== undefined && presence.incarnation !== incarnation;
+    });
+  }
 }
 
 function secretOf(file: string | undefined): string | undefined {
--- a/src/tasks/ledger/ledger_port.ts
+++ b/src/tasks/ledger/ledger_port.ts
@@ -10,6 +10,8 @@
   readonly state: LedgerState;
   /** Whether this instance orders the records. */
   readonly isPrimary: boolean;
+  /** Instance that orders the records; undefined where it is not known. */
+  readonly primaryInstance: string | undefined;
   /**
    * Appends a record and waits until every member of the view holds it.
    * @throws RefusalError where this instance is not the primary.
--- a/src/tasks/ledger/local_ledger.ts
+++ b/src/tasks/ledger/local_ledger.ts
@@ -8,6 +8,8 @@
   readonly state = new LedgerState();
   /** Always true: there is no other member. */
   readonly isPrimary = true;
+  /** Undefined: there is no other member to ask. */
+  readonly primaryInstance: string | undefined = undefined;
   readonly #listeners: RecordListener[] = [];
 
   /** Applies a record. */
--- /dev/null
+++ b/src/tasks/peers/peer_envelope.ts
@@ -0,0 +1,89 @@
+/** What travels between instances. */
+import { Packr } from "msgpackr";
+import type {
+  ControlCommand,
+  ControlSnapshot,
+} from "../../core/control/mod.ts";
+import type { ConsensusMessage } from "../../core/consensus/mod.ts";
+import type { FeedMessage } from "../../core/feed/mod.ts";
+import type { LedgerMessage } from "../../core/ledger/mod.ts";
+
+/** A request of another instance, to be answered. */
+export interface PeerRequest {
+  /** Number of the request on its link. */
+  readonly id: number;
+  /** What is asked. */
+  readonly method: string;
+  /** Parameters. */
+  readonly params: unknown;
+}
+
+/** The answer to a {@link PeerRequest}. */
+export interface PeerReply {
+  /** Number of the request. */
+  readonly id: number;
+  /** Result, where it succeeded. */
+  readonly result?: unknown;
+  /** Refusal, where it did not. */
+  readonly refusal?: {
+    readonly reason: string;
+    readonly verdict: string;
+    readonly message: string;
+    readonly retryAfterMs?: number;
+  };
+}
+
+/** Sign of life and identities of an instance. */
+export interface Presence {
+  /** Identity in the control log; undefined for others. */
+  readonly replica?: string;
+  /** Identity in the ledger. */
+  readonly ledger: string;
+  /** One life of the process. */
+  readonly incarnation: string;
+  /** Whether it drains. */
+  readonly isDraining: boolean;
+}
+
+/** A message on a link, by channel. */
+export type PeerEnvelope =
+  | {
+    readonly channel: "consensus";
+    readonly body: ConsensusMessage<ControlCommand, ControlSnapshot>;
+  }
+  | { readonly channel: "ledger"; readonly body: LedgerMessage }
+  | { readonly channel: "feed"; readonly body: FeedMessage }
+  | { readonly channel: "presence"; readonly body: Presence }
+  | { readonly channel: "home"; readonly body: HomeMessage }
+  | { readonly channel: "request"; readonly body: PeerRequest }
+  | { readonly channel: "reply"; readonly body: PeerReply };
+
+/** Asks a backup for its promise, or gives it. */
+export interface HomeMessage {
+  readonly type: "ask" | "promise";
+  /** Process that gives the promise, as views name it. */
+  readonly process: string;
+  /** Number of the view. */
+  readonly view: number;
+  /** Sending time of the question; echoed. */
+  readonly at: number;
+}
+
+const packr = new Packr({ useRecords: false });
+
+/** Gets the bytes of an envelope. */
+export function encodeEnvelope(envelope: PeerEnvelope): Buffer {
+  return packr.pack(envelope);
+}
+
+/** Gets an envelope from its bytes, or undefined where it is malformed. */
+export function decodeEnvelope(bytes: Buffer): PeerEnvelope | undefined {
+  try {
+    const value = packr.unpack(bytes);
+    const isEnvelope = value !== null && typeof value === "object" &&
+      typeof value.channel === "string" && value.body !== undefined;
+    return isEnvelope ? value as PeerEnvelope : undefined;
+  } catch {
+    return undefined;
+  }
+}
--- /dev/null
+++ b/src/tasks/peers/peer_hub.ts
@@ -0,0 +1,314 @@
+/** All links of an instance: messages, requests and signs of life. */
+import { readFileSync } from "node:fs";
+import {
+  RefusalError,
+  RefusalReason,
+  Verdict,
+} from "../../core/verdict/mod.ts";
+import type { Logger } from "../../logging/mod.ts";
+import type { Metrics } from "../../metrics/mod.ts";
+import {
+  type PeerSettings,
+  readSecretOrThrow,
+  type Settings,
+} from "../../settings/mod.ts";
+import type { PeerEnvelope, PeerReply, Presence } from "./peer_envelope.ts";
+import { type LinkSecurity, PeerLink } from "./peer_link.ts";
+import { PeerListener } from "./peer_listener.ts";
+
+/** Channels that tasks listen to. */
+export type TaskChannel = "consensus" | "ledger" | "feed" | "home";
+
+/** Body of a channel's message. */
+export type BodyOf<C extends PeerEnvelope["channel"]> = Extract<
+  PeerEnvelope,
+  { channel: C }
+>["body"];
+
+/** Answers a request of another instance. */
+export type RequestHandler = (
+  params: unknown,
+  from: string,
+) => unknown | Promise<unknown>;
+
+/** Options of {@link PeerHub}. */
+export interface PeerHubOptions {
+  /** Settings of this instance. */
+  readonly settings: Settings;
+  /** Logs. */
+  readonly logger: Logger;
+  /** Metrics. */
+  readonly metrics: Metrics;
+  /** Gets what this instance tells of itself. */
+  readonly presence: () => Presence;
+}
+
+interface Waiting {
+  readonly peer: string;
+  readonly resolve: (result: unknown) => void;
+  readonly reject: (err: Error) => void;
+  readonly timer: NodeJS.Timeout;
+}
+
+interface Seen {
+  readonly presence: Presence;
+  readonly at: number;
+}
+
+const PRESENCE_INTERVAL_MS = 500;
+/** Time without a sign of life after which an instance counts as away. */
+const AWAY_AFTER_MS = 2_500;
+
+/**
+ * Owns the links of an instance.
+ *
+ * An instance keeps links to those of its own data centre and to the control
+ * instances; others are dialled when a message is to be sent to them.
+ */
+export class PeerHub {
+  readonly #options: PeerHubOptions;
+  readonly #secret: string;
+  readonly #security: LinkSecurity | undefined;
+  readonly #listener: PeerListener | undefined;
+  readonly #links = new Map<string, PeerLink>();
+  readonly #seen = new Map<string, Seen>();
+  readonly #waiting = new Map<number, Waiting>();
+  readonly #methods = new Map<string, RequestHandler>();
+  readonly #listeners = new Map<
+    TaskChannel,
+    (from: string, body: never) => void
+  >();
+  #timer: NodeJS.Timeout | undefined;
+  #nextRequest = 1;
+
+  /** Creates the hub; it does not listen or dial yet. */
+  constructor(options: PeerHubOptions) {
+    this.#options = options;
+    const { settings, metrics, logger } = options;
+    const { peerSecretFile, peerListen, tls } = settings;
+    this.#secret = peerSecretFile === undefined
+      ? ""
+      : readSecretOrThrow(peerSecretFile);
+    this.#security = tls.peers === undefined ? undefined : {
+      cert: readFileSync(tls.peers.certFile),
+      key: readFileSync(tls.peers.keyFile),
+      ca: tls.peers.caFile === undefined
+        ? undefined
+        : readFileSync(tls.peers.caFile),
+    };
+    if (peerListen === undefined) return;
+    this.#listener = new PeerListener({
+      self: settings.id,
+      address: peerListen,
+      secret: this.#secret,
+      security: this.#security,
+      isKnown: (id) => this.getPeer(id) !== undefined,
+      onMessage: (from, envelope) => this.#onMessage(from, envelope),
+      onReceived: (bytes) => metrics.count("peers.receivedBytes", bytes),
+      onRefused: (detail) => logger.event("peerRefused", { detail }),
+    });
+  }
+
+  /** Gets the settings of another instance. */
+  getPeer(id: string): PeerSettings | undefined {
+    return this.#options.settings.peers.find((peer) => peer.id === id);
+  }
+
+  /** Gets the other instances of this data centre. */
+  get neighbours(): readonly PeerSettings[] {
+    const { id, dataCentre, peers } = this.#options.settings;
+    return peers.filter((p) => p.id !== id && p.dataCentre === dataCentre);
+  }
+
+  /** Gets the other instances of the control log. */
+  get controls(): readonly PeerSettings[] {
+    const { id, peers } = this.#options.settings;
+    return peers.filter((peer) => peer.id !== id && peer.control);
+  }
+
+  /** Listens, and dials neighbours and control instances. */
+  async start(): Promise<void> {
+    await this.#listener?.listen();
+    for (const { id } of [...this.neighbours, ...this.controls]) {
+      this.#linkTo(id);
+    }
+    this.#timer = setInterval(() => this.#beat(), PRESENCE_INTERVAL_MS);
+  }
+
+  /** Takes the messages of a channel. */
+  on<C extends TaskChannel>(
+    channel: C,
+    listener: (from: string, body: BodyOf<C>) => void,
+  ): this {
+    this.#listeners.set(channel, listener as never);
+    return this;
+  }
+
+  /** Answers the requests of a method. */
+  handle(method: string, handler: RequestHandler): this {
+    this.#methods.set(method, handler);
+    return this;
+  }
+
+  /** Sends a message; it may be lost. */
+  send(to: string, envelope: PeerEnvelope): boolean {
+    return this.#linkTo(to)?.send(envelope) ?? false;
+  }
+
+  /**
+   * Asks another instance and waits for its answer.
+   * @throws RefusalError of the other side, or of a lost link.
+   */
+  request(
+    to: string,
+    method: string,
+    options: { params: unknown; timeoutMs: number },
+  ): Promise<unknown> {
+    const id = this.#nextRequest;
+    this.#nextRequest += 1;
+    return new Promise((resolve, reject) => {
+      const timer = setTimeout(() => {
+        this.#waiting.delete(id);
+        reject(unanswered(Verdict.MayHaveRun));
+      }, options.timeoutMs);
+      const { params } = options;
+      const body = { id, method, params };
+      if (!this.send(to, { channel: "request", body })) {
+        clearTimeout(timer);
+        reject(unanswered(Verdict.NotRun));
+        return;
+      }
+      this.#waiting.set(id, { peer: to, resolve, reject, timer });
+    });
+  }
+
+  /** Gets whether an instance gave a sign of life lately. */
+  isPresent(id: string): boolean {
+    const seen = this.#seen.get(id);
+    return seen !== undefined && Date.now() - seen.at < AWAY_AFTER_MS;
+  }
+
+  /** Gets what an instance told of itself, where it is present. */
+  getPresence(id: string): Presence | undefined {
+    return this.isPresent(id) ? this.#seen.get(id)?.presence : undefined;
+  }
+
+  /** Ends all links. */
+  stop(): void {
+    clearInterval(this.#timer);
+    for (const link of this.#links.values()) link.stop();
+    this.#listener?.stop();
+  }
+
+  #linkTo(id: string): PeerLink | undefined {
+    let link = this.#links.get(id);
+    if (link !== undefined) return link;
+    const peer = this.getPeer(id);
+    if (peer === undefined || id === this.#options.settings.id) {
+      return undefined;
+    }
+    const { metrics, logger } = this.#options;
+    link = new PeerLink({
+      self: this.#options.settings.id,
+      peer,
+      secret: this.#secret,
+      security: this.#security,
+      onChange: (isUp) => {
+        logger.event(isUp ? "peerUp" : "peerDown", { peer: id });
+        if (isUp) this.#sendPresence(id);
+        else this.#failWaiting(id);
+      },
+      onSent: (bytes) => metrics.count("peers.sentBytes", bytes),
+    });
+    this.#links.set(id, link);
+    return link;
+  }
+
+  #failWaiting(peer: string): void {
+    for (const [id, waiting] of this.#waiting) {
+      if (waiting.peer !== peer) continue;
+      this.#waiting.delete(id);
+      clearTimeout(waiting.timer);
+      waiting.reject(unanswered(Verdict.MayHaveRun));
+    }
+  }
+
+  #beat(): void {
+    for (const id of this.#links.keys()) this.#sendPresence(id);
+  }
+
+  #sendPresence(to: string): void {
+    const body = this.#options.presence();
+    this.#links.get(to)?.send({ channel: "presence", body });
+  }
+
+  #onMessage(from: string, envelope: PeerEnvelope): void {
+    const { logger } = this.#options;
+    try {
+      if (envelope.channel === "presence") {
+        this.#seen.set(from, { presence: envelope.body, at: Date.now() });
+      } else if (envelope.channel === "request") {
+        this.#answer(from, envelope).catch((err) => logger.error(err));
+      } else if (envelope.channel === "reply") {
+        this.#onReply(envelope.body);
+      } else {
+        this.#listeners.get(envelope.channel)?.(from, envelope.body as never);
+      }
+    } catch (err) {
+      logger.error(err, { peer: from, channel: envelope.channel });
+    }
+  }
+
+  async #answer(
+    from: string,
+    envelope: Extract<PeerEnvelope, { channel: "request" }>,
+  ): Promise<void> {
+    const { id, method, params } = envelope.body;
+    const handler = this.#methods.get(method);
+    try {
+      if (handler === undefined) throw unanswered(Verdict.NotRun);
+      const result = await handler(params, from);
+      this.send(from, { channel: "reply", body: { id, result } });
+    } catch (err) {
+      const refusal = refusalOf(err);
+      this.send(from, { channel: "reply", body: { id, refusal } });
+    }
+  }
+
+  #onReply(reply: PeerReply): void {
+    const waiting = this.#waiting.get(reply.id);
+    if (waiting === undefined) return;
+    this.#waiting.delete(reply.id);
+    clearTimeout(waiting.timer);
+    if (reply.refusal === undefined) {
+      waiting.resolve(reply.result);
+      return;
+    }
+    const { reason, verdict, message, retryAfterMs } = reply.refusal;
+    waiting.reject(
+      new RefusalError(reason as RefusalReason, verdict as Verdict, {
+        message,
+        retryAfterMs,
+      }),
+    );
+  }
+}
+
+function unanswered(verdict: Verdict): RefusalError {
+  return new RefusalError(RefusalReason.ControlUnavailable, verdict, {
+    message: "Another instance did not answer",
+    retryAfterMs: 1_000,
+  });
+}
+
+function refusalOf(err: unknown): PeerReply["refusal"] {
+  if (!(err instanceof RefusalError)) {
+    return {
+      reason: RefusalReason.Internal,
+      verdict: Verdict.MayHaveRun,
+      message: (err as Error).message,
+    };
+  }
+  const { reason, verdict, message, retryAfterMs } = err;
+  return { reason, verdict, message, retryAfterMs };
+}
--- /dev/null
+++ b/src/tasks/peers/peer_link.ts
@@ -0,0 +1,136 @@
+/** The outgoing connection to one other instance. */
+import { WebSocket } from "ws";
+import type { PeerSettings } from "../../settings/mod.ts";
+import { createNonce, createProof, isProofOf } from "./peer_handshake.ts";
+import { encodeEnvelope, type PeerEnvelope } from "./peer_envelope.ts";
+
+/** Certificates of a link. */
+export interface LinkSecurity {
+  readonly cert: Buffer;
+  readonly key: Buffer;
+  readonly ca?: Buffer;
+}
+
+/** Options of {@link PeerLink}. */
+export interface PeerLinkOptions {
+  /** This instance. */
+  readonly self: string;
+  /** The other instance. */
+  readonly peer: PeerSettings;
+  /** Secret that all instances share; empty where certificates prove. */
+  readonly secret: string;
+  /** Certificates; a plain connection where absent. */
+  readonly security?: LinkSecurity;
+  /** Hears that the link is up or down. */
+  readonly onChange: (isUp: boolean) => void;
+  /** Counts sent bytes. */
+  readonly onSent: (bytes: number) => void;
+}
+
+const FIRST_PAUSE_MS = 100;
+const MAX_PAUSE_MS = 2_000;
+const HANDSHAKE_TIMEOUT_MS = 3_000;
+/** Bytes that wait on a slow link before messages are dropped. */
+const MAX_BUFFERED_BYTES = 33_554_432;
+
+/** Dials one instance again and again, and sends to it. */
+export class PeerLink {
+  readonly #options: PeerLinkOptions;
+  #socket: WebSocket | undefined;
+  #isUp = false;
+  #isStopped = false;
+  #pauseMs = FIRST_PAUSE_MS;
+  #timer: NodeJS.Timeout | undefined;
+
+  /** Creates the link and dials. */
+  constructor(options: PeerLinkOptions) {
+    this.#options = options;
+    this.#dial();
+  }
+
+  /** Gets whether messages can be sent. */
+  get isUp(): boolean {
+    return this.#isUp;
+  }
+
+  /** Sends a message; it is lost where the link is down or too slow. */
+  send(envelope: PeerEnvelope): boolean {
+    const socket = this.#socket;
+    if (!this.#isUp || socket === undefined) return false;
+    if (socket.bufferedAmount > MAX_BUFFERED_BYTES) return false;
+    const bytes = encodeEnvelope(envelope);
+    this.#options.onSent(bytes.length);
+    socket.send(bytes);
+    return true;
+  }
+
+  /** Ends the connection, to dial anew. */
+  reset(): void {
+    this.#socket?.terminate();
+  }
+
+  /** Ends the link. */
+  stop(): void {
+    this.#isStopped = true;
+    clearTimeout(this.#timer);
+    this.#socket?.terminate();
+  }
+
+  #dial(): void {
+    const { peer, security } = this.#options;
+    const { host, port } = peer.address;
+    const name = host.includes(":") ? `[${host}]` : host;
+    const scheme = security === undefined ? "ws" : "wss";
+    const socket = new WebSocket(`${scheme}://${name}:${port}/peer`, {
+      handshakeTimeout: HANDSHAKE_TIMEOUT_MS,
+      perMessageDeflate: false,
+      cert: security?.cert,
+      key: security?.key,
+      ca: security?.ca,
+      checkServerIdentity: () => true,
+    });
+    this.#socket = socket;
+    const nonce = createNonce();
+    const { self, secret } = this.#options;
+    socket.on("open", () => socket.send(JSON.stringify({ id: self, nonce })));
+    socket.once("message", (data: Buffer) => {
+      const answer = parseAnswer(data);
+      const proof = { secret, id: peer.id, to: self, nonce };
+      if (answer === undefined || !isProofOf(proof, answer.proof)) {
+        socket.terminate();
+        return;
+      }
+      const own = { secret, id: self, to: peer.id, nonce: answer.nonce };
+      socket.send(JSON.stringify({ proof: createProof(own) }));
+      this.#pauseMs = FIRST_PAUSE_MS;
+      this.#setUp(true);
+    });
+    socket.on("error", () => {});
+    socket.on("close", () => this.#onClose());
+  }
+
+  #onClose(): void {
+    this.#setUp(false);
+    if (this.#isStopped) return;
+    this.#timer = setTimeout(() => this.#dial(), this.#pauseMs);
+    this.#pauseMs = Math.min(MAX_PAUSE_MS, this.#pauseMs * 2);
+  }
+
+  #setUp(isUp: boolean): void {
+    if (this.#isUp === isUp) return;
+    this.#isUp = isUp;
+    this.#options.onChange(isUp);
+  }
+}
+
+function parseAnswer(
+  data: Buffer,
+): { nonce: string; proof: string } | undefined {
+  try {
+    const { nonce, proof } = JSON.parse(data.toString());
+    const isAnswer = typeof nonce === "string" && typeof proof === "string";
+    return isAnswer ? { nonce, proof } : undefined;
+  } catch {
+    return undefined;
+  }
+}
--- a/src/tasks/steps/step_task.ts
+++ b/src/tasks/steps/step_task.ts
@@ -3,7 +3,6 @@
 import type { ControlState } from "../../core/control/mod.ts";
 import { InvariantError } from "../../core/invariants/mod.ts";
 import {
-  type SlotFailure,
   type StepKey,
   type StepLedger,
   StepStatus,
@@ -23,17 +22,19 @@
 } from "../../core/verdict/mod.ts";
 import type { Logger } from "../../logging/mod.ts";
 import type { Metrics } from "../../metrics/mod.ts";
+import type { ControlPort } from "../control/control_port.ts";
 import type { LedgerPort } from "../ledger/ledger_port.ts";
 import { type DispatchTask, type Job } from "../targets/mod.ts";
 import { type SampleFailure, SampleJob } from "./sample_job.ts";
+import type { ReadOptions, StepPort, StepReading } from "./step_port.ts";
 import type { UsageMeter } from "./usage_meter.ts";
 
 /** Options of {@link StepTask}. */
 export interface StepTaskOptions {
   /** Ledger of the data centre. */
   readonly ledger: LedgerPort;
-  /** State of the control log. */
-  readonly control: ControlState;
+  /** Control log. */
+  readonly control: ControlPort;
   /** Where work runs. */
   readonly dispatch: DispatchTask;
   /** Counts use. */
@@ -48,30 +49,6 @@
   readonly incarnation: string;
 }
 
-/** What a read of a step gives. */
-export interface StepReading {
-  /** State of the step. */
-  readonly status: StepStatus;
-  /** Samples of the step. */
-  readonly total: number;
-  /** Samples that have their numbers. */
-  readonly delivered: number;
-  /** Slots that no target can fill. */
-  readonly failures: readonly SlotFailure[];
-  /** Samples after the asked number, in order. */
-  readonly samples: readonly DeliveredSample[];
-}
-
-/** Options of {@link StepTask.read}. */
-export interface ReadOptions {
-  /** Last number that the reader has. */
-  readonly after: number;
-  /** Time to wait for a sample, in milliseconds. */
-  readonly waitMs: number;
-  /** Samples returned at most. */
-  readonly max: number;
-}
-
 interface ActiveStep {
   readonly key: StepKey;
   readonly runner: StepRunner;
@@ -88,7 +65,7 @@
 const MAX_DELIVERY = 256;
 
 /** Owns the running steps. */
-export class StepTask {
+export class StepTask implements StepPort {
   readonly #options: StepTaskOptions;
   readonly #active = new Map<string, ActiveStep>();
   readonly #gates = new Map<string, StalenessGate>();
@@ -97,9 +74,8 @@
   /** Creates the task; it runs steps while the ledger is primary here. */
   constructor(options: StepTaskOptions) {
     this.#options = options;
-    for (const [model, { version, at }] of options.control.weights) {
-      this.#gateOf(model).announce(version, at);
-    }
+    this.#onRestored(options.control.state);
+    options.control.onRestored((state) => this.#onRestored(state));
     options.ledger.onPrimary((isPrimary) =>
       isPrimary ? this.#resume() : this.#abandon()
     );
@@ -146,6 +122,11 @@
     });
   }
 
+  /** Gets the state of a step, without samples. */
+  show(key: StepKey): Promise<StepReading> {
+    return Promise.resolve(readingOf(this.getStepOrThrow(key), []));
+  }
+
   /** Gives ready samples their numbers and gets those after a number. */
   async read(key: StepKey, options: ReadOptions): Promise<StepReading> {
     const step = this.getStepOrThrow(key);
@@ -204,6 +185,12 @@
     this.#abandon();
   }
 
+  #onRestored(state: ControlState): void {
+    for (const [model, { version }] of state.weights) {
+      this.onWeights(model, version);
+    }
+  }
+
   #gateOf(model: string): StalenessGate {
     const gate = this.#gates.get(model) ?? new StalenessGate();
     this.#gates.set(model, gate);
@@ -273,7 +260,7 @@
   #createJob(active: ActiveStep, itemId: string, item: Job["item"]): Job {
     const slot = active.runner.getSlotOf(itemId);
     const { control, now } = this.#options;
-    const route = control.configuration.document.routes[item.route];
+    const route = control.state.configuration.document.routes[item.route];
     return new SampleJob({
       item,
       body: slot?.group.body ?? {},
@@ -416,8 +403,8 @@
   step: StepLedger,
   samples: readonly DeliveredSample[],
 ): StepReading {
-  const { status, total, delivered, failures } = step;
-  return { status, total, delivered, failures, samples };
+  const { status, total, delivered, acked, failures } = step;
+  return { status, total, delivered, acked, failures, samples };
 }
 
 function wake(active: ActiveStep): void {
--- /dev/null
+++ b/src/tasks/storage/frame_store_test.ts
@@ -0,0 +1,79 @@
+import { appendFileSync, mkdtempSync, readdirSync } from "node:fs";
+import { readFileSync, rmSync, writeFileSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { afterEach, beforeEach, describe, expect, it } from "vitest";
+import { DamagedFileError } from "./frame_codec.ts";
+import { FrameStore } from "./frame_store.ts";
+
+describe(FrameStore.name, () => {
+  let folder = "";
+  beforeEach(() => {
+    folder = mkdtempSync(join(tmpdir(), "frames-"));
+  });
+  afterEach(() => rmSync(folder, { recursive: true }));
+
+  const fileIn = () => join(folder, readdirSync(folder)[0]);
+
+  async function write(...frames: number[]) {
+    const store = await FrameStore.open<number>(folder);
+    for (const frame of frames) await store.append([frame]);
+    await store.close();
+  }
+
+  async function read() {
+    const store = await FrameStore.open<number>(folder);
+    await store.close();
+    return store.frames;
+  }
+
+  it("keeps frames in order", async () => {
+    await write(1, 2);
+    await write(3);
+    expect(await read()).toEqual([1, 2, 3]);
+  });
+
+  it("cuts a torn tail and goes on", async () => {
+    await write(1, 2, 3);
+    const bytes = readFileSync(fileIn());
+    for (let cut = 1; cut <= 8; cut += 1) {
+      writeFileSync(fileIn(), bytes.subarray(0, bytes.length - cut));
+      expect(await read()).toEqual([1, 2]);
+    }
+    await write(4);
+    expect(await read()).toEqual([1, 2, 4]);
+  });
+
+  it("cuts a tail of zeros", async () => {
+    await write(1);
+    appendFileSync(fileIn(), Buffer.alloc(100));
+    expect(await read()).toEqual([1]);
+  });
+
+  it("refuses a damaged frame anywhere", async () => {
+    await write(1, 2, 3);
+    const bytes = readFileSync(fileIn());
+    for (const position of [8, 17, 26]) {
+      const damaged = Buffer.from(bytes);
+      damaged[position] ^= 1;
+      writeFileSync(fileIn(), damaged);
+      await expect(read()).rejects.toThrow(DamagedFileError);
+    }
+  });
+
+  it("replaces all frames and leaves one file", async () => {
+    const store = await FrameStore.open<number>(folder);
+    await store.append([1, 2]);
+    await store.replace([9]);
+    await store.append([10]);
+    await store.close();
+    expect(await read()).toEqual([9, 10]);
+    expect(readdirSync(folder)).toHaveLength(1);
+  });
+
+  it("takes no half-written replacement", async () => {
+    await write(1);
+    writeFileSync(join(folder, "log-0000000002.new"), "half");
+    expect(await read()).toEqual([1]);
+  });
+});
--- /dev/null
+++ b/tests/cluster_steps_test.ts
@@ -0,0 +1,49 @@
+/** Several instances over real processes, files and links. */
+import { afterEach, describe, expect, it } from "vitest";
+import { FakeTrainer } from "../fakes/trainer.ts";
+import { keyOf } from "./support/deployment.ts";
+import { CHAT, ClusterCase } from "./support/cluster_case.ts";
+
+describe("several instances", () => {
+  const current = new ClusterCase();
+  afterEach(() => current.stop());
+
+  it("deliver a step once through the loss of its primary", async () => {
+    const on = await current.start();
+    const dc = ["a", "b"];
+    await current.startEngine(dc.map((id) => on.of(id).url));
+    const trainer = new FakeTrainer({
+      entries: dc.map((id) => on.of(id).url),
+      key: keyOf("artis"),
+    });
+    const { view } = await on.status("a");
+    const primary = view?.primary.split("#")[0] ?? "";
+    await on.until(async () => {
+      const status = await on.status("a");
+      return status.view?.backups.length === 1 || undefined;
+    });
+    let isKilled = false;
+    await trainer.run({
+      id: "s1",
+      route: "planner",
+      groups: Array.from({ length: 20 }, (_, i) => ({
+        id: `g${i}`,
+        samples: 10,
+        body: { messages: CHAT.messages, n: i },
+      })),
+    }, (delivered) => {
+      if (delivered < 40 || isKilled) return;
+      isKilled = true;
+      on.of(primary).child.kill("SIGKILL");
+    });
+    expect(isKilled).toBe(true);
+    expect(trainer.count).toEqual({
+      expected: 200,
+      delivered: 200,
+      duplicates: 0,
+      lost: 0,
+      unversioned: 0,
+      stale: 0,
+    });
+  });
+});
--- /dev/null
+++ b/tests/support/cluster.ts
@@ -0,0 +1,232 @@
+/** Several instances as real processes, with links that a test can cut. */
+import { execFileSync } from "node:child_process";
+import { mkdirSync, rmSync, writeFileSync } from "node:fs";
+import {
+  Deployment,
+  OPERATOR_TOKEN,
+  type StartedInstance,
+} from "./deployment.ts";
+import { LinkCutter } from "./link_cutter.ts";
+
+/** An instance of a test cluster. */
+export interface Member {
+  /** Identifier. */
+  readonly id: string;
+  /** Data centre. */
+  readonly dataCentre: string;
+  /** Whether it takes part in the control log. */
+  readonly control?: boolean;
+  /** Whether it has a disk; control instances always have one. */
+  readonly disk?: boolean;
+}
+
+/** Options of {@link TestCluster.start}. */
+export interface TestClusterOptions {
+  /** Instances. */
+  readonly members: readonly Member[];
+  /** Configuration document. */
+  readonly document?: Record<string, unknown>;
+}
+
+/** Status of an instance, as far as tests look at it. */
+export interface InstanceStatus {
+  readonly revision: number;
+  readonly hasLease: boolean;
+  readonly hasHomeLease: boolean;
+  readonly applied: number;
+  readonly isLedgerPrimary: boolean;
+  readonly log?: {
+    readonly role: string;
+    readonly term: number;
+    readonly leader?: string;
+    readonly members: { readonly voters: readonly string[] };
+  };
+  readonly view?: {
+    readonly number: number;
+    readonly primary: string;
+    readonly backups: readonly string[];
+  };
+  readonly targets: readonly { readonly id: string; readonly phase: string }[];
+  readonly metrics: Readonly<Record<string, number>>;
+}
+
+const FIRST_PORT = 20_000;
+const PORTS_PER_WORKER = 200;
+const POLL_MS = 50;
+const WAIT_MS = 25_000;
+
+let portsUsed = 0;
+
+/** Keeps the processes, ports and cuts of a cluster. */
+export class TestCluster {
+  /** Files and processes. */
+  readonly deployment: Deployment;
+  /** Links between the instances. */
+  readonly cutter = new LinkCutter();
+  readonly #members: readonly Member[];
+  readonly #ports = new Map<string, number>();
+  readonly #instances = new Map<string, StartedInstance>();
+
+  private constructor(options: TestClusterOptions) {
+    this.#members = options.members;
+    this.deployment = new Deployment({ document: options.document });
+    writeFileSync(this.deployment.path("peer.secret"), "secret-of-a-test");
+  }
+
+  /** Starts all instances and waits until they are in contact. */
+  static async start(options: TestClusterOptions): Promise<TestCluster> {
+    const cluster = new TestCluster(options);
+    for (const { id } of options.members) {
+      cluster.#ports.set(id, nextPort());
+    }
+    await cluster.cutter.open(cluster.#ports);
+    for (const member of options.members) {
+      if (member.control) cluster.#init(member);
+    }
+    await Promise.all(options.members.map(({ id }) => cluster.startOne(id)));
+    await cluster.until(async () => {
+      const all = await Promise.all(
+        options.members.map(({ id }) => cluster.status(id)),
+      );
+      return all.every((s) => s.hasLease && s.revision > 0 && s.view) ||
+        undefined;
+    });
+    return cluster;
+  }
+
+  /** Gets an instance. */
+  of(id: string): StartedInstance {
+    const instance = this.#instances.get(id);
+    if (instance === undefined) throw new Error(`No instance ${id}`);
+    return instance;
+  }
+
+  /** Gets the addresses of callers. */
+  get urls(): string[] {
+    return [...this.#instances.values()].map((instance) => instance.url);
+  }
+
+  /** Starts an instance, or starts it again. */
+  async startOne(id: string): Promise<StartedInstance> {
+    const instance = await this.deployment.startInstance(this.#settings(id));
+    this.#instances.set(id, instance);
+    return instance;
+  }
+
+  /** Removes the disk of an instance that does not run. */
+  loseDisk(id: string): void {
+    rmSync(this.#folder(id), { recursive: true, force: true });
+  }
+
+  /** Asks an operator's endpoint. */
+  async operator(
+    id: string,
+    path: string,
+    options: { method?: string; body?: unknown } = {},
+  ): Promise<Record<string, unknown>> {
+    const res = await fetch(`${this.of(id).url}/operator/${path}`, {
+      method: options.method ?? "GET",
+      headers: { authorization: `Bearer ${OPERATOR_TOKEN}` },
+      body: options.body === undefined
+        ? undefined
+        : JSON.stringify(options.body),
+    });
+    return await res.json() as Record<string, unknown>;
+  }
+
+  /** Gets the status of an instance. */
+  async status(id: string): Promise<InstanceStatus> {
+    return await this.operator(id, "status") as unknown as InstanceStatus;
+  }
+
+  /** Gets the instance that leads the control log. */
+  async leader(except: readonly string[] = []): Promise<string> {
+    const candidates = this.#members
+      .filter((m) => m.control && !except.includes(m.id));
+    return await this.until(async () => {
+      for (const { id } of candidates) {
+        const { log } = await this.status(id);
+        if (log?.role === "leader") return id;
+      }
+      return undefined;
+    });
+  }
+
+  /** Waits until a check gives a value; failures count as not yet. */
+  async until<T>(check: () => Promise<T | undefined>): Promise<T> {
+    const end = Date.now() + WAIT_MS;
+    let last: unknown;
+    while (Date.now() < end) {
+      try {
+        const value = await check();
+        if (value !== undefined) return value;
+      } catch (err) {
+        last = err;
+      }
+      await new Promise((resolve) => setTimeout(resolve, POLL_MS));
+    }
+    throw new Error("Not reached in time", { cause: last });
+  }
+
+  /** Ends all processes. */
+  async stop(): Promise<void> {
+    await this.deployment.stop();
+    this.cutter.close();
+  }
+
+  #folder(id: string): string {
+    return this.deployment.path(`data-${id}`);
+  }
+
+  #init(member: Member): void {
+    mkdirSync(this.#folder(member.id), { recursive: true });
+    const settings = this.#settings(member.id);
+    const file = this.deployment.write(`${member.id}.json`, settings);
+    execFileSync(process.execPath, [
+      "dist/nutmegreel.mjs",
+      "init",
+      "--settings",
+      file,
+    ]);
+  }
+
+  /** Each instance reaches the others through cutters of its own. */
+  #settings(id: string): Record<string, unknown> {
+    const own = this.#members.find((member) => member.id === id);
+    const peers = this.#members.map((member) => ({
+      id: member.id,
+      dataCentre: member.dataCentre,
+      control: member.control ?? false,
+      address: {
+        host: "127.0.0.1",
+        port: this.cutter.portOf(id, member.id) ??
+          this.#ports.get(member.id),
+      },
+    }));
+    return {
+      id,
+      dataCentre: own?.dataCentre,
+      listen: { host: "127.0.0.1", port: 0 },
+      peerListen: { host: "127.0.0.1", port: this.#ports.get(id) },
+      peers,
+      peerSecretFile: this.deployment.path("peer.secret"),
+      operatorTokenFile: this.deployment.path("operator.token"),
+      dataFolder: own?.control || own?.disk ? this.#folder(id) : undefined,
+      bootstrap: {
+        configurationFile: this.deployment.path("configuration.json"),
+        keysFile: this.deployment.path("keys.json"),
+      },
+      targets: { probeIntervalMs: 200 },
+    };
+  }
+}
+
+/**
+ * Gets a port that no other test uses: below the range from which the system
+ * picks ports, in a block of the test worker's own.
+ */
+function nextPort(): number {
+  portsUsed += 1;
+  const worker = Number(process.env.VITEST_POOL_ID ?? 0);
+  return FIRST_PORT + worker * PORTS_PER_WORKER + portsUsed;
+}
--- /dev/null
+++ b/tests/support/cluster_case.ts
@@ -0,0 +1,115 @@
+/** What the tests of several instances share. */
+import { FakeEngine } from "../../fakes/engine.ts";
+import { TestCluster } from "./cluster.ts";
+import { keyOf, PLANNER_DOCUMENT } from "./deployment.ts";
+
+/** Body of a request for a chat completion. */
+export const CHAT = {
+  model: "planner",
+  messages: [{ role: "user", content: "Who covers the night" }],
+};
+
+const MEMBERS = [
+  { id: "a", dataCentre: "nl-1", control: true },
+  { id: "b", dataCentre: "nl-1" },
+  { id: "c", dataCentre: "nl-2", control: true },
+  { id: "d", dataCentre: "nl-2", disk: true },
+  { id: "e", dataCentre: "nl-3", control: true },
+];
+
+/** Identifiers of all instances. */
+export const ALL: readonly string[] = MEMBERS.map((member) => member.id);
+
+const DOCUMENT = {
+  ...PLANNER_DOCUMENT,
+  workspaces: {
+    artis: { home: "nl-1" },
+    blijdorp: { home: "nl-2" },
+    burgers: {},
+  },
+  zones: Object.fromEntries(["nl-1", "nl-2", "nl-3"].map((dataCentre) => [
+    `${dataCentre}a`,
+    { dataCentre, region: "nl", lasting: true, pricePerHour: 1 },
+  ])),
+};
+
+/** Configuration document of the cluster. */
+export type ClusterDocument = typeof DOCUMENT;
+
+/** Answer to a request, as far as tests look at it. */
+export interface CallAnswer {
+  readonly status: number;
+  readonly code?: string;
+}
+
+/** Keeps the cluster and the engine of the test that runs. */
+export class ClusterCase {
+  #cluster: TestCluster | undefined;
+  #engine: FakeEngine | undefined;
+
+  /** Starts a cluster of five instances in three data centres. */
+  async start(): Promise<TestCluster> {
+    this.#cluster = await TestCluster.start({
+      members: MEMBERS,
+      document: DOCUMENT,
+    });
+    return this.#cluster;
+  }
+
+  /** Starts an engine that announces itself. */
+  async startEngine(urls: readonly string[]): Promise<FakeEngine> {
+    this.#engine = new FakeEngine({
+      id: "e1",
+      pools: ["planner"],
+      zone: "nl-1a",
+      announceTo: urls,
+      msPerToken: 2,
+    });
+    await this.#engine.start();
+    return this.#engine;
+  }
+
+  /** Sends a request of a workspace. */
+  async ask(url: string, workspace: string): Promise<CallAnswer> {
+    const res = await fetch(`${url}/v1/chat/completions`, {
+      method: "POST",
+      headers: { authorization: `Bearer ${keyOf(workspace)}` },
+      body: JSON.stringify(CHAT),
+    });
+    const body = await res.json() as { error?: { code: string } };
+    return { status: res.status, code: body.error?.code };
+  }
+
+  /** Gets a change of one weight. */
+  changeOf(revision: number, weight: number): Record<string, unknown> {
+    return {
+      requestId: `weight-${weight}`,
+      sections: {
+        workspaces: { ...DOCUMENT.workspaces, burgers: { weight } },
+      },
+      base: { workspaces: revision },
+    };
+  }
+
+  /** Sends a change again until it is accepted, as an operator does. */
+  async change(id: string, weight: number): Promise<Record<string, unknown>> {
+    const on = this.#cluster;
+    if (on === undefined) throw new Error("No cluster runs");
+    const { sections } = await on.operator(id, "config") as {
+      sections: Record<string, number>;
+    };
+    const body = this.changeOf(sections.workspaces, weight);
+    return await on.until(async () => {
+      const answer = await on.operator(id, "config", { method: "POST", body });
+      return answer.answer === "accepted" ? answer : undefined;
+    });
+  }
+
+  /** Ends engine and cluster. */
+  async stop(): Promise<void> {
+    this.#engine?.stop();
+    this.#engine = undefined;
+    await this.#cluster?.stop();
+    this.#cluster = undefined;
+  }
+}
