--- /dev/null
+++ b/bench/scenarios/mod.ts
@@ -0,0 +1,30 @@
+/** All scenarios, by name. */
+import type { Scenario } from "../scenario.ts";
+import {
+  laggingLoad,
+  noisyNeighbour,
+  overload,
+  prefixGroups,
+  steady,
+} from "./calls.ts";
+import {
+  engineCrash,
+  poison,
+  reclaim,
+  stragglers,
+  weightSwap,
+} from "./steps.ts";
+
+/** All scenarios, by name. */
+export const SCENARIOS: Readonly<Record<string, Scenario>> = {
+  steady,
+  overload,
+  "noisy-neighbour": noisyNeighbour,
+  stragglers,
+  "engine-crash": engineCrash,
+  poison,
+  "weight-swap": weightSwap,
+  reclaim,
+  "lagging-load": laggingLoad,
+  "prefix-groups": prefixGroups,
+};
--- a/soak/control_process.ts
+++ b/soak/control_process.ts
@@ -19,7 +19,7 @@
   ControlState,
 } from "../src/core/control/mod.ts";
 import { type OrderGuards, OrderSender } from "../src/core/orders/mod.ts";
-import type { Scheduler } from "./scheduler.ts";
+import type { Scheduler } from "../sim/scheduler.ts";
 
 type Effect = ConsensusEffect<ControlCommand, ControlSnapshot>;
 type Message = ConsensusMessage<ControlCommand, ControlSnapshot>;
--- a/soak/control_world.ts
+++ b/soak/control_world.ts
@@ -15,7 +15,7 @@
 import { ControlProcess, LONGEST_SEND_MS } from "./control_process.ts";
 import { countFault, type FaultCounts, Network } from "./network.ts";
 import { FaultKind, type RunResult, type ScheduledFault } from "./schedule.ts";
-import { Scheduler } from "./scheduler.ts";
+import { Scheduler } from "../sim/scheduler.ts";
 
 /** Options of {@link ControlWorld}. */
 export interface ControlWorldOptions {
--- a/soak/ledger_process.ts
+++ b/soak/ledger_process.ts
@@ -10,7 +10,7 @@
   LedgerState,
   type StoredLedger,
 } from "../src/core/ledger/mod.ts";
-import type { Scheduler } from "./scheduler.ts";
+import type { Scheduler } from "../sim/scheduler.ts";
 
 /** What a run hears from its processes. */
 export interface LedgerProcessPorts {
--- a/soak/ledger_world.ts
+++ b/soak/ledger_world.ts
@@ -10,7 +10,7 @@
 import { LedgerProcess } from "./ledger_process.ts";
 import { countFault, type FaultCounts, Network } from "./network.ts";
 import { FaultKind, type RunResult, type ScheduledFault } from "./schedule.ts";
-import { Scheduler } from "./scheduler.ts";
+import { Scheduler } from "../sim/scheduler.ts";
 
 /** Options of {@link LedgerWorld}. */
 export interface LedgerWorldOptions {
--- a/soak/network.ts
+++ b/soak/network.ts
@@ -1,5 +1,5 @@
 /** A network that loses, doubles, delays and cuts. */
-import type { Scheduler } from "./scheduler.ts";
+import type { Scheduler } from "../sim/scheduler.ts";
 
 /** Rates of faults of single messages, from 0 to 1. */
 export interface MessageFaults {
--- a/soak/schedule.ts
+++ b/soak/schedule.ts
@@ -1,5 +1,5 @@
 /** The faults of a run, drawn from its seed before it begins. */
-import { Scheduler } from "./scheduler.ts";
+import { Scheduler } from "../sim/scheduler.ts";
 
 /** Kinds of scheduled faults. */
 export const FaultKind = {
--- /dev/null
+++ b/src/core/capacity/mod.ts
@@ -0,0 +1,2 @@
+/** Capacity and cost. */
+export * from "./capacity_planner.ts";
--- a/src/core/dispatch/dispatcher.ts
+++ b/src/core/dispatch/dispatcher.ts
@@ -1,7 +1,8 @@
 /** Decides when and where each request runs, and when it is refused. */
+import TinyQueue from "tinyqueue";
 import type { LimitSettings } from "../configuration/mod.ts";
 import { assertInvariant, Invariant } from "../invariants/mod.ts";
-import { WorkspaceLimits } from "../limits/mod.ts";
+import { type AdaptiveWindowOptions, WorkspaceLimits } from "../limits/mod.ts";
 import {
   Quarantine,
   Suspicion,
@@ -36,6 +37,8 @@
   readonly getLimits: (workspace: string) => LimitSettings;
   /** Gets whether a target's zone lasts; others take repeatable work only. */
   readonly isLasting?: (target: Target) => boolean;
+  /** Windows of new targets. */
+  readonly window?: AdaptiveWindowOptions;
   /** Part of the limits that this instance may use, from 0 to 1. */
   readonly limitShare?: () => number;
 }
@@ -66,13 +69,17 @@
  */
 export class Dispatcher {
   /** Targets known to this instance. */
-  readonly targets = new TargetTable();
+  readonly targets: TargetTable;
   /** Requests known to crash targets. */
   readonly quarantine = new Quarantine();
   readonly #options: DispatcherOptions;
   readonly #pools = new Map<string, Pool>();
   readonly #flights = new Map<string, Flight>();
   readonly #delayed = new Set<Flight>();
+  readonly #deadlines = new TinyQueue<Flight>(
+    [],
+    (a, b) => a.item.deadline - b.item.deadline,
+  );
   readonly #limits = new Map<string, WorkspaceLimits>();
   readonly #workspaceBudgets = new Map<string, RetryBudget>();
   readonly #targetBudgets = new Map<string, RetryBudget>();
@@ -83,6 +90,7 @@
   /** Creates a dispatcher without targets. */
   constructor(options: DispatcherOptions) {
     this.#options = options;
+    this.targets = new TargetTable(options.window);
   }
 
   /** Gets the number of requests that wait or run. */
@@ -122,8 +130,10 @@
   submit(item: WorkItem, now: number): DispatchEffect[] {
     const refusal = this.#refusalOf(item, now);
     if (refusal !== undefined) return [refusal];
-    this.#flights.set(item.id, new Flight(item, now));
-    this.getPool(item.pool).add(item);
+    const flight = new Flight(item, now);
+    this.#flights.set(item.id, flight);
+    if (item.deadline !== Infinity) this.#deadlines.push(flight);
+    this.getPool(item.pool).add(item, now);
     return this.#pump(item.pool, now);
   }
 
@@ -153,7 +163,7 @@
     if (flight === undefined) return false;
     const isRunning = flight.targetId !== undefined;
     if (isRunning) this.#leaveTarget(flight, { isWhole: false });
-    this.getPool(flight.item.pool).remove(flight.item);
+    this.getPool(flight.item.pool).remove(flight.item, now);
     this.#end(flight, { tokens: 0, now });
     return isRunning;
   }
@@ -233,15 +243,13 @@
     for (const flight of [...this.#delayed]) {
       if (flight.notBefore > now) continue;
       this.#delayed.delete(flight);
-      this.getPool(flight.item.pool).add(flight.item, true);
+      this.getPool(flight.item.pool).add(flight.item, now, { isRetry: true });
     }
-    const effects: DispatchEffect[] = [];
-    for (const flight of [...this.#flights.values()]) {
-      if (flight.targetId !== undefined) continue;
-      const reason = this.#overdue(flight, now);
-      if (reason !== undefined) effects.push(this.#refuse(flight, reason, now));
-    }
-    return [...effects, ...this.#pumpAll([...this.#pools.keys()], now)];
+    return [
+      ...this.#refuseOverdue(now),
+      ...this.#refuseWithoutTarget(now),
+      ...this.#pumpAll([...this.#pools.keys()], now),
+    ];
   }
 
   #refusalOf(item: WorkItem, now: number): DispatchEffect | undefined {
@@ -262,36 +270,21 @@
   }
 
   #refusalByLoad(item: WorkItem, now: number): DispatchEffect | undefined {
-    const targets = [...this.targets.inPool(item.pool)];
-    if (!targets.some((target) => target.isExpectedBack())) {
+    if (!this.#hasTargetFor(item.pool)) {
       return refusal(item, RefusalReason.NoTarget, NO_TARGET_RETRY_MS);
     }
     const pool = this.getPool(item.pool);
     const limits = this.#options.getLimits(item.workspace);
     const queued = pool.queue.sizeOf(item.workspace);
-    const waitMs = this.#expectedWaitMs(item, pool);
+    const waitMs = pool.expectedWaitMs(item, now);
     const retryAfterMs = Math.min(MAX_RETRY_AFTER_MS, Math.max(100, waitMs));
     if (queued >= (limits.queue ?? DEFAULT_QUEUE_LENGTH)) {
       return refusal(item, RefusalReason.QueueFull, retryAfterMs);
     }
-    if (now + waitMs < item.deadline) return undefined;
+    if (waitMs <= pool.allowedWaitMs(item, now)) return undefined;
     return refusal(item, RefusalReason.DeadlineUnreachable, retryAfterMs);
   }
 
-  #expectedWaitMs(item: WorkItem, pool: Pool): number {
-    const weights = new Map<string, number>();
-    let ownTokens = item.tokens;
-    for (const queued of pool.queue.entries()) {
-      if (queued.workspace === item.workspace) ownTokens += queued.tokens;
-      weights.set(queued.workspace, this.#options.getWeight(queued.workspace));
-    }
-    const own = this.#options.getWeight(item.workspace);
-    weights.set(item.workspace, own);
-    let sum = 0;
-    for (const weight of weights.values()) sum += weight;
-    return pool.expectedWaitMs(own / sum, ownTokens);
-  }
-
   #refusalByLimit(item: WorkItem, now: number): DispatchEffect | undefined {
     const limits = this.#limitsOf(item.workspace);
     const found = limits.admit(item.tokens, now);
@@ -311,12 +304,11 @@
         .filter((target) => target.hasRoom(now));
       if (withRoom.length === 0 && this.#reservations.size === 0) break;
       const item = pool.take((entry) =>
-        this.#candidates(entry, withRoom).length > 0
-      );
+        this.#candidates(entry, withRoom).length > 0, now);
       if (item === undefined) break;
       const target = this.#pick(item, withRoom, now);
       if (target === undefined) {
-        pool.add(item, true);
+        pool.add(item, now, { isRetry: true });
         break;
       }
       effects.push(this.#start(item, target, now));
@@ -475,7 +467,8 @@
     const durationMs = now - flight.startedAt;
     target?.onSuccess({ tokens, durationMs });
     this.#leaveTarget(flight, { isWhole: true });
-    this.getPool(flight.item.pool).onTokens(tokens, now);
+    const pool = this.getPool(flight.item.pool).onTokens(tokens, now);
+    pool.times.add(durationMs);
     this.#budget(this.#workspaceBudgets, flight.item.workspace).onSuccess();
     if (target !== undefined) {
       this.#budget(this.#targetBudgets, target.id).onSuccess();
@@ -531,14 +524,38 @@
     return known;
   }
 
-  #overdue(flight: Flight, now: number): RefusalReason | undefined {
-    if (now >= flight.item.deadline) return RefusalReason.DeadlinePassed;
-    if (flight.item.kind === WorkKind.Sample) return undefined;
-    if (now - flight.arrivedAt < NO_TARGET_WAIT_MS) return undefined;
-    for (const target of this.targets.inPool(flight.item.pool)) {
-      if (target.isExpectedBack()) return undefined;
+  #refuseOverdue(now: number): DispatchEffect[] {
+    const effects: DispatchEffect[] = [];
+    while ((this.#deadlines.peek()?.item.deadline ?? Infinity) <= now) {
+      const flight = this.#deadlines.pop();
+      if (flight === undefined) break;
+      const isWaiting = this.#flights.get(flight.item.id) === flight &&
+        flight.targetId === undefined;
+      if (!isWaiting) continue;
+      effects.push(this.#refuse(flight, RefusalReason.DeadlinePassed, now));
+    }
+    return effects;
+  }
+
+  #refuseWithoutTarget(now: number): DispatchEffect[] {
+    const effects: DispatchEffect[] = [];
+    for (const [poolId, pool] of this.#pools) {
+      if (pool.queue.size === 0 || this.#hasTargetFor(poolId)) continue;
+      for (const item of [...pool.queue.entries()]) {
+        const flight = this.#flights.get(item.id);
+        if (flight === undefined || item.kind === WorkKind.Sample) continue;
+        if (now - flight.arrivedAt < NO_TARGET_WAIT_MS) continue;
+        effects.push(this.#refuse(flight, RefusalReason.NoTarget, now));
+      }
+    }
+    return effects;
+  }
+
+  #hasTargetFor(poolId: string): boolean {
+    for (const target of this.targets.inPool(poolId)) {
+      if (target.isExpectedBack()) return true;
     }
-    return RefusalReason.NoTarget;
+    return false;
   }
 
   #refuse(
@@ -546,7 +563,7 @@
     reason: RefusalReason,
     now: number,
   ): DispatchEffect {
-    this.getPool(flight.item.pool).remove(flight.item);
+    this.getPool(flight.item.pool).remove(flight.item, now);
     this.#end(flight, { tokens: 0, now });
     return {
       type: "refuse",
--- a/src/core/limits/adaptive_window.ts
+++ b/src/core/limits/adaptive_window.ts
@@ -21,7 +21,7 @@
 const DECREASE_INTERVAL_MS = 500;
 
 /**
- * Adapts a window by additive increase and multiplicative decrease.
+ * Adapts a window: it doubles until a limit is seen, then grows slowly.
  *
  * @example
  * ```ts
@@ -34,6 +34,7 @@
   readonly #max: number;
   #size: number;
   #decreasedAt = -Infinity;
+  #hasSeenLimit = false;
 
   /** Creates a window. */
   constructor(options: AdaptiveWindowOptions = {}) {
@@ -50,15 +51,35 @@
   /** Grows the window after an answer that came while it was in full use. */
   onSuccess(inFlight: number): this {
     if (inFlight < this.size) return this;
-    const growth = INCREASE_PER_WINDOW / Math.max(1, this.#size);
+    const growth = this.#hasSeenLimit
+      ? INCREASE_PER_WINDOW / Math.max(1, this.#size)
+      : 1;
     this.#size = Math.min(this.#max, this.#size + growth);
     return this;
   }
 
+  /**
+   * Shrinks the window to what the target runs, where more waits inside it.
+   * @param running - Requests of this instance that run there.
+   */
+  onFull(running: number, now: number): this {
+    this.#hasSeenLimit = true;
+    if (running >= this.#size) return this;
+    this.#decreasedAt = now;
+    this.#size = Math.max(this.#min, running);
+    return this;
+  }
+
+  /** Gets the time of the last decrease. */
+  get decreasedAt(): number {
+    return this.#decreasedAt;
+  }
+
   /** Shrinks the window after an overload signal. */
   onOverload(now: number): this {
     if (now - this.#decreasedAt < DECREASE_INTERVAL_MS) return this;
     this.#decreasedAt = now;
+    this.#hasSeenLimit = true;
     this.#size = Math.max(this.#min, this.#size * DECREASE_FACTOR);
     return this;
   }
--- a/src/core/routing/target.ts
+++ b/src/core/routing/target.ts
@@ -1,5 +1,5 @@
 /** A target as one instance sees it. */
-import { AdaptiveWindow } from "../limits/mod.ts";
+import { AdaptiveWindow, type AdaptiveWindowOptions } from "../limits/mod.ts";
 import {
   TargetEvent,
   TargetLifecycle,
@@ -55,7 +55,7 @@
 /** Keeps the health, load and window of one target. */
 export class Target {
   readonly #lifecycle = new TargetLifecycle();
-  readonly #window = new AdaptiveWindow();
+  readonly #window: AdaptiveWindow;
   /** Requests in flight from this instance: item id to fingerprint. */
   readonly #inFlight = new Map<string, string>();
   #announcement: TargetAnnouncement;
@@ -69,8 +69,12 @@
   #reservedFor: string | undefined;
 
   /** Creates a target that serves. */
-  constructor(announcement: TargetAnnouncement) {
+  constructor(
+    announcement: TargetAnnouncement,
+    window: AdaptiveWindowOptions = {},
+  ) {
     this.#announcement = announcement;
+    this.#window = new AdaptiveWindow(window);
   }
 
   /** Gets the identifier. */
@@ -231,7 +235,10 @@
     this.#reportedAt = report.at;
     const total = report.running + report.waiting;
     this.#othersRunning = Math.max(0, total - this.inFlight);
-    if (report.waiting > 0) this.#window.onOverload(now);
+    const isSeen = report.at <= this.#window.decreasedAt;
+    if (report.waiting === 0 || isSeen) return this;
+    const ownShare = Math.min(1, this.inFlight / total);
+    this.#window.onFull(Math.round(report.running * ownShare), now);
     return this;
   }
 
--- a/src/core/routing/target_table.ts
+++ b/src/core/routing/target_table.ts
@@ -1,12 +1,22 @@
 /** The targets that an instance knows, by pool. */
+import type { AdaptiveWindowOptions } from "../limits/mod.ts";
 import { Target, type TargetAnnouncement } from "./target.ts";
 import { TargetEvent, TargetPhase } from "./target_lifecycle.ts";
 
 /** Holds the targets and who serves which pool. */
 export class TargetTable {
+  readonly #window: AdaptiveWindowOptions;
   readonly #targets = new Map<string, Target>();
   readonly #pools = new Map<string, Set<string>>();
 
+  /**
+   * Creates an empty table.
+   * @param window - Windows of new targets.
+   */
+  constructor(window: AdaptiveWindowOptions = {}) {
+    this.#window = window;
+  }
+
   /** Gets a target by its identifier. */
   get(id: string): Target | undefined {
     return this.#targets.get(id);
@@ -39,7 +49,7 @@
       known.announcement.incarnation === announcement.incarnation;
     const target = isSame
       ? known.update(announcement)
-      : new Target(announcement);
+      : new Target(announcement, this.#window);
     this.remove(announcement.id);
     this.#targets.set(announcement.id, target);
     for (const pool of announcement.pools) {
--- /dev/null
+++ b/src/core/weights/mod.ts
@@ -0,0 +1,2 @@
+/** Weight versions. */
+export * from "./swap_planner.ts";
