Stragglers, poison and lagging load in the dispatcher

Cause, stragglers: work was placed on targets five times slower although a fast one would have been free in time, the speed of a target was known only from whole answers, and hedges went to the oldest work wherever it ran. Now the progress of streams is taken in, work waits for a faster target where that ends sooner, and hedges go to the slowest targets first. Cause, poison: requests that waited when their fingerprint was proven were still placed. They are refused at once now; the end of a leaving target accuses nobody. Cause, lagging load: a late report was compared with the present count of own requests; it is compared with the count at its own time now.

--- a/bench/caller_model.ts
+++ b/bench/caller_model.ts
@@ -30,7 +30,7 @@
   readonly sent: number;
   /** Tokens asked for. */
   readonly askedTokens: number;
-  /** Tokens of answers that came in time. */
+  /** Tokens of answers that came in time, by the time at which they came. */
   readonly usefulTokens: number;
   /** Answers that came in time. */
   readonly inTime: number;
@@ -108,16 +108,16 @@
       },
       tokens,
       onEnd: (end) => {
-        if (!isCounted) return;
         const tookMs = world.now - sentAt;
+        const isInTime = end.type === "whole" && tookMs <= deadlineMs;
+        if (isInTime && world.now >= countFrom) this.#usefulTokens += tokens;
+        if (!isCounted) return;
         if (end.type === "refused") {
           this.#refusals.push(tookMs);
           return;
         }
         this.#latencies.push(tookMs);
-        if (tookMs > deadlineMs) return;
-        this.#inTime += 1;
-        this.#usefulTokens += tokens;
+        if (isInTime) this.#inTime += 1;
       },
     });
   }
--- a/bench/engine_model.ts
+++ b/bench/engine_model.ts
@@ -120,6 +120,15 @@
     this.#plan();
   }
 
+  /** Gets the tokens that each running request has generated. */
+  progress(): { readonly id: string; readonly tokens: number }[] {
+    this.#advance();
+    return this.#running.map(({ request, left }) => ({
+      id: request.id,
+      tokens: Math.max(0, request.tokens - left),
+    }));
+  }
+
   /** Drops a request. */
   cancel(id: string): void {
     this.#advance();
--- a/bench/policies.ts
+++ b/bench/policies.ts
@@ -22,6 +22,8 @@
   readonly isFair: boolean;
   /** Whether requests without hope are refused early. */
   readonly refusesEarly: boolean;
+  /** Whether the progress of streams is taken in. */
+  readonly seesProgress: boolean;
   /** Whether cheap zones are used. */
   readonly usesCheapZones: boolean;
 }
@@ -78,6 +80,7 @@
   hedges: true,
   isFair: true,
   refusesEarly: true,
+  seesProgress: true,
   usesCheapZones: true,
 };
 
@@ -86,6 +89,7 @@
   hedges: false,
   isFair: false,
   refusesEarly: false,
+  seesProgress: false,
   usesCheapZones: true,
 };
 
--- a/bench/scenario.ts
+++ b/bench/scenario.ts
@@ -1,7 +1,7 @@
 /** A scenario: a world, what happens in it, and what it is to reach. */
 import type { Scheduler } from "../sim/scheduler.ts";
 import type { Figures, Goal } from "./figures.ts";
-import type { Policy, POLICIES } from "./policies.ts";
+import type { POLICIES, Policy } from "./policies.ts";
 
 /** Result of one run. */
 export interface ScenarioRun {
--- a/bench/trainer_model.ts
+++ b/bench/trainer_model.ts
@@ -120,6 +120,7 @@
       hash: (text) => text,
       maxAttempts: 1_000,
       hedges: world.policy.hedges,
+      slowdownOf: (id) => world.dispatcher.slowdownOf(id, world.now),
     });
     this.#apply(this.#runner, this.#runner.start(world.now));
   }
--- a/bench/world.ts
+++ b/bench/world.ts
@@ -99,7 +99,8 @@
 
   /** Creates a world without engines. */
   constructor(options: WorldOptions) {
-    const { seed, policy, weights = {}, limits = {}, cheapZones = [] } = options;
+    const { seed, policy, weights = {}, limits = {}, cheapZones = [] } =
+      options;
     this.#options = options;
     this.scheduler = new Scheduler(seed);
     this.dispatcher = new Dispatcher({
@@ -109,6 +110,7 @@
       getLimits: () => limits,
       isLasting: (target) => !cheapZones.includes(target.announcement.zone),
       window: policy.window,
+      waitsForFaster: policy.refusesEarly,
     });
     this.#every(TICK_MS, () => this.#apply(this.dispatcher.tick(this.now)));
     this.#every(REPORT_MS, () => this.#report());
@@ -179,7 +181,7 @@
   crash(engine: EngineModel, options: { restarts: boolean }): void {
     if (!engine.isUp) return;
     engine.isUp = false;
-    this.#apply(this.dispatcher.targetDied(engine.id));
+    this.#apply(this.dispatcher.targetDied(engine.id, this.now));
     engine.crash();
     if (!options.restarts) {
       this.dispatcher.removeTarget(engine.id);
@@ -234,6 +236,11 @@
     for (const engine of this.engines.values()) {
       if (!engine.isUp) continue;
       const report = { ...engine.load, at: this.now };
+      if (this.policy.seesProgress) {
+        for (const { id, tokens } of engine.progress()) {
+          this.dispatcher.onProgress(id, tokens, this.now);
+        }
+      }
       this.scheduler.after(lag, () =>
         this.#apply(
           this.dispatcher.reportLoad(engine.id, report, this.now),
--- a/fakes/engine.ts
+++ b/fakes/engine.ts
@@ -156,7 +156,6 @@
       running: this.#running,
       waiting: this.#waiting.length,
       weightVersion: this.#weightVersion,
-      at: Date.now(),
     }));
   }
 
--- a/src/core/dispatch/dispatcher.ts
+++ b/src/core/dispatch/dispatcher.ts
@@ -37,6 +37,8 @@
   readonly getLimits: (workspace: string) => LimitSettings;
   /** Gets whether a target's zone lasts; others take repeatable work only. */
   readonly isLasting?: (target: Target) => boolean;
+  /** Whether work waits for a faster target where that ends sooner. */
+  readonly waitsForFaster?: boolean;
   /** Windows of new targets. */
   readonly window?: AdaptiveWindowOptions;
   /** Part of the limits that this instance may use, from 0 to 1. */
@@ -52,6 +54,8 @@
 const MAX_RETRY_AFTER_MS = 30_000;
 /** Time that a call waits for a pool whose targets are all out. */
 const NO_TARGET_WAIT_MS = 2_000;
+/** How much later a slow target must end before work waits for a fast one. */
+const WAITING_FACTOR = 1.2;
 /** Suspects that may hold a target reserved at once. */
 const MAX_RESERVATIONS = 1;
 
@@ -162,7 +166,7 @@
     const flight = this.#flights.get(itemId);
     if (flight === undefined) return false;
     const isRunning = flight.targetId !== undefined;
-    if (isRunning) this.#leaveTarget(flight, { isWhole: false });
+    if (isRunning) this.#leaveTarget(flight, { isWhole: false, now });
     this.getPool(flight.item.pool).remove(flight.item, now);
     this.#end(flight, { tokens: 0, now });
     return isRunning;
@@ -173,11 +177,34 @@
     const known = this.targets.get(announcement.id);
     const isRestarted = known !== undefined &&
       known.announcement.incarnation !== announcement.incarnation;
-    const effects = isRestarted ? this.targetDied(announcement.id) : [];
+    const effects = isRestarted ? this.targetDied(announcement.id, now) : [];
     this.targets.announce(announcement);
     return [...effects, ...this.#pumpAll(announcement.pools, now)];
   }
 
+  /** Takes in how many tokens a running attempt has generated so far. */
+  onProgress(itemId: string, tokens: number, now: number): this {
+    const flight = this.#flights.get(itemId);
+    if (flight?.targetId === undefined) return this;
+    const durationMs = now - flight.startedAt;
+    this.targets.get(flight.targetId)?.onProgress({ tokens, durationMs });
+    return this;
+  }
+
+  /** Gets the time of a token at a target against that at the fastest one. */
+  slowdownOf(targetId: string, now: number): number {
+    const target = this.targets.get(targetId);
+    if (target === undefined) return 1;
+    let fastest = target.msPerToken;
+    for (const pool of target.announcement.pools) {
+      for (const other of this.targets.inPool(pool)) {
+        if (!other.isUsable(now)) continue;
+        fastest = Math.min(fastest, other.msPerToken);
+      }
+    }
+    return target.msPerToken / fastest;
+  }
+
   /** Marks a target as leaving. */
   leave(targetId: string): this {
     this.targets.leave(targetId);
@@ -212,16 +239,21 @@
    * Records that a target's process has died.
    *
    * Call it before the `finish` of the attempts that the death broke, so that
-   * none of them is placed again before it is under suspicion.
+   * none of them is placed again before it is under suspicion. The end of a
+   * target that was leaving accuses nobody.
    */
-  targetDied(targetId: string): DispatchEffect[] {
+  targetDied(targetId: string, now: number): DispatchEffect[] {
     const target = this.targets.get(targetId);
     if (target === undefined || target.phase === TargetPhase.Gone) return [];
+    const isExpected = target.phase === TargetPhase.Leaving;
     target.send(TargetEvent.Lose);
     this.#options.picker.forget(targetId);
+    if (isExpected) return [];
     const changes = this.quarantine.onTargetDied(target.fingerprints);
-    for (const { fingerprint } of changes) this.#spread.onSuspect(fingerprint);
-    return changes.map((change) => ({ type: "suspect", change }));
+    return changes.flatMap((change) => [
+      { type: "suspect" as const, change },
+      ...this.#onSuspicion(change, now),
+    ]);
   }
 
   /** Removes a target that is gone and will not answer. */
@@ -233,9 +265,25 @@
   }
 
   /** Takes in a suspicion found by another instance. */
-  mergeSuspicion(change: SuspicionChange): this {
+  mergeSuspicion(change: SuspicionChange, now: number): DispatchEffect[] {
     this.quarantine.merge(change);
-    return this;
+    return this.#onSuspicion(change, now);
+  }
+
+  /** What waits under a proven fingerprint must not be placed any more. */
+  #onSuspicion(change: SuspicionChange, now: number): DispatchEffect[] {
+    const { fingerprint } = change;
+    const suspicion = this.quarantine.suspicionOf(fingerprint);
+    if (suspicion === Suspicion.Clear) return [];
+    this.#spread.onSuspect(fingerprint);
+    if (suspicion !== Suspicion.Proven) return [];
+    const waiting = [...this.#flights.values()].filter((flight) =>
+      flight.targetId === undefined && flight.item.fingerprint === fingerprint
+    );
+    return waiting.map((flight) => {
+      flight.addVerdict(Verdict.Ran);
+      return this.#refuse(flight, RefusalReason.Quarantined, now);
+    });
   }
 
   /** Places delayed retries and refuses what has passed its deadline. */
@@ -303,11 +351,13 @@
       const withRoom = [...this.targets.inPool(poolId)]
         .filter((target) => target.hasRoom(now));
       if (withRoom.length === 0 && this.#reservations.size === 0) break;
-      const item = pool.take((entry) =>
-        this.#candidates(entry, withRoom).length > 0, now);
+      const item = pool.take(
+        (entry) => this.#candidates(entry, withRoom).length > 0,
+        now,
+      );
       if (item === undefined) break;
       const target = this.#pick(item, withRoom, now);
-      if (target === undefined) {
+      if (target === undefined || this.#isWorthWaiting(item, target, now)) {
         pool.add(item, now, { isRetry: true });
         break;
       }
@@ -317,9 +367,27 @@
     return effects;
   }
 
+  /** A slow target is left alone where a faster one will be free in time. */
+  #isWorthWaiting(item: WorkItem, target: Target, now: number): boolean {
+    if (this.#options.waitsForFaster === false) return false;
+    const pool = this.getPool(item.pool);
+    const waitMs = pool.drainMs;
+    if (waitMs === undefined) return false;
+    const hereMs = target.expectedMs(item.tokens, now);
+    let bestMs = Infinity;
+    for (const other of this.targets.inPool(item.pool)) {
+      if (!other.isUsable(now) || !this.#mayRun(item, other)) continue;
+      bestMs = Math.min(bestMs, other.expectedMs(item.tokens, now));
+    }
+    return hereMs > (bestMs + waitMs) * WAITING_FACTOR;
+  }
+
   #candidates(item: WorkItem, withRoom: readonly Target[]): Target[] {
     const suspicion = this.quarantine.suspicionOf(item.fingerprint);
-    if (suspicion !== Suspicion.Clear) return this.#idleTargets(item, withRoom);
+    if (suspicion !== Suspicion.Clear) {
+      const isRunning = this.#spread.isRunning(item.fingerprint);
+      return isRunning ? [] : this.#idleTargets(item, withRoom);
+    }
     return withRoom.filter((target) => this.#mayRun(item, target));
   }
 
@@ -389,7 +457,7 @@
     flight.targetId = target.id;
     flight.attempts += 1;
     flight.startedAt = now;
-    target.onStart(item.id, item.fingerprint);
+    target.onStart(item.id, item.fingerprint, now);
     if (this.quarantine.suspicionOf(item.fingerprint) !== Suspicion.Clear) {
       this.#reservations.set(item.id, target.id);
       target.reserve(item.id);
@@ -447,14 +515,14 @@
       return this.#complete(flight, outcome.tokens, context);
     }
     if (outcome.type === "cancelled") {
-      this.#leaveTarget(flight, { isWhole: false });
+      this.#leaveTarget(flight, { isWhole: false, now });
       this.#end(flight, { tokens: 0, now });
       return [];
     }
     if (outcome.isOverload) target?.onOverload(now);
     else if (outcome.isTargetFault) target?.onFailure(now);
     flight.failedTargets.add(flight.targetId ?? "");
-    this.#leaveTarget(flight, { isWhole: false });
+    this.#leaveTarget(flight, { isWhole: false, now });
     return this.#retryOrRefuse(flight, outcome, now);
   }
 
@@ -466,7 +534,7 @@
     const { target, now } = context;
     const durationMs = now - flight.startedAt;
     target?.onSuccess({ tokens, durationMs });
-    this.#leaveTarget(flight, { isWhole: true });
+    this.#leaveTarget(flight, { isWhole: true, now });
     const pool = this.getPool(flight.item.pool).onTokens(tokens, now);
     pool.times.add(durationMs);
     this.#budget(this.#workspaceBudgets, flight.item.workspace).onSuccess();
@@ -574,10 +642,13 @@
     };
   }
 
-  #leaveTarget(flight: Flight, options: { isWhole: boolean }): void {
+  #leaveTarget(
+    flight: Flight,
+    options: { isWhole: boolean; now: number },
+  ): void {
     const { item, targetId } = flight;
     if (targetId === undefined) return;
-    this.targets.get(targetId)?.onEnd(item.id);
+    this.targets.get(targetId)?.onEnd(item.id, options.now);
     this.#spread.onEnd(item.fingerprint, targetId, options.isWhole);
     this.#unreserve(item.id);
     flight.targetId = undefined;
--- a/src/core/dispatch/dispatcher_test.ts
+++ b/src/core/dispatch/dispatcher_test.ts
@@ -183,7 +183,7 @@
         if (effect.type !== "start") continue;
         if (effect.item.fingerprint !== "poison") continue;
         deaths += 1;
-        dispatcher.targetDied(effect.targetId);
+        dispatcher.targetDied(effect.targetId, now);
         onEffects(dispatcher.finish(effect.item.id, failed(), now));
       }
     };
@@ -199,6 +199,36 @@
       .toMatchObject([{ reason: "quarantined", verdict: "ran" }]);
   });
 
+  it("places nothing that waits under a proven fingerprint", () => {
+    const dispatcher = create();
+    dispatcher.announce(target("a"), 0);
+    const bad = item({ fingerprint: "poison" });
+    dispatcher.submit(bad, 0);
+    const twin = item({ fingerprint: "poison" });
+    dispatcher.submit(twin, 0);
+    dispatcher.targetDied("a", 1);
+    dispatcher.finish(bad.id, failed(), 1);
+    dispatcher.finish(twin.id, failed(), 1);
+    const proof = {
+      fingerprint: "poison",
+      suspicion: "proven" as const,
+      deaths: 2,
+    };
+    expect(typesOf(dispatcher.mergeSuspicion(proof, 3)))
+      .toEqual(["refuse", "refuse"]);
+    expect(dispatcher.announce(target("a", { incarnation: "2" }), 4))
+      .toEqual([]);
+    expect(targetsOf(dispatcher.tick(9_000))).toEqual([]);
+  });
+
+  it("accuses nobody of the end of a target that was leaving", () => {
+    const dispatcher = create();
+    dispatcher.announce(target("a"), 0);
+    dispatcher.submit(item(), 0);
+    dispatcher.leave("a");
+    expect(dispatcher.targetDied("a", 1)).toEqual([]);
+  });
+
   it("lets the neighbours of a crash finish", () => {
     const dispatcher = create();
     dispatcher.announce(target("a"), 0);
@@ -220,13 +250,13 @@
         const { id } = effect.item;
         started.add(id);
         const isBad = id === bad.id;
-        if (isBad) dispatcher.targetDied("a");
+        if (isBad) dispatcher.targetDied("a", now);
         const done: AttemptOutcome = { type: "completed", tokens: 1 };
         onEffects(dispatcher.finish(id, isBad ? failed() : done, now));
         if (isBad) revive();
       }
     };
-    dispatcher.targetDied("a");
+    dispatcher.targetDied("a", now);
     onEffects(dispatcher.finish(bad.id, failed(), 1));
     onEffects(dispatcher.finish(good.id, failed(), 1));
     revive();
--- a/src/core/dispatch/fingerprint_spread.ts
+++ b/src/core/dispatch/fingerprint_spread.ts
@@ -28,6 +28,11 @@
     return targets.size < MAX_TARGETS_UNPROVEN;
   }
 
+  /** Gets whether a fingerprint runs anywhere. */
+  isRunning(fingerprint: string): boolean {
+    return this.#running.has(fingerprint);
+  }
+
   /** Records a start. */
   onStart(fingerprint: string, targetId: string): this {
     const targets = this.#running.get(fingerprint) ?? new Map();
--- a/src/core/dispatch/pool.ts
+++ b/src/core/dispatch/pool.ts
@@ -49,6 +49,12 @@
     return this.#tokensPerMs * MS_PER_SECOND;
   }
 
+  /** Gets the time until what waits now has been placed, where it is known. */
+  get drainMs(): number | undefined {
+    if (this.#tokensPerMs === UNKNOWN_RATE) return undefined;
+    return this.#queuedTokens / this.#tokensPerMs;
+  }
+
   /** Adds an item at the end, or at the front for a retry. */
   add(item: WorkItem, now: number, options = { isRetry: false }): this {
     if (options.isRetry) this.queue.pushFront(item);
--- /dev/null
+++ b/src/core/routing/in_flight_history.ts
@@ -0,0 +1,42 @@
+/** How many requests of this instance a target held at recent times. */
+
+/** Time for which counts are kept, in milliseconds. */
+const KEPT_MS = 10_000;
+/** Counts kept at most. */
+const MAX_COUNTS = 1_024;
+
+interface Count {
+  readonly at: number;
+  readonly inFlight: number;
+}
+
+/**
+ * Remembers counts, so that a lagging report is compared with its own time.
+ *
+ * @example
+ * ```ts
+ * history.record(3, 1_000).record(5, 2_000).at(1_500); // 3
+ * ```
+ */
+export class InFlightHistory {
+  #counts: Count[] = [];
+
+  /** Records the count from a time on. */
+  record(inFlight: number, at: number): this {
+    this.#counts.push({ at, inFlight });
+    const isLong = this.#counts.length > MAX_COUNTS;
+    const isOld = this.#counts[0].at < at - 2 * KEPT_MS;
+    if (!isLong && !isOld) return this;
+    const kept = this.#counts.filter((count) => count.at >= at - KEPT_MS);
+    this.#counts = kept.slice(-MAX_COUNTS / 2);
+    return this;
+  }
+
+  /** Gets the count at a time; the first known one for earlier times. */
+  at(time: number): number {
+    for (let i = this.#counts.length - 1; i >= 0; i -= 1) {
+      if (this.#counts[i].at <= time) return this.#counts[i].inFlight;
+    }
+    return this.#counts[0]?.inFlight ?? 0;
+  }
+}
--- a/src/core/routing/mod.ts
+++ b/src/core/routing/mod.ts
@@ -1,6 +1,7 @@
 /** Routing: targets, their health and load, and the choice among them. */
 export * from "./picker.ts";
 export * from "./prefix_map.ts";
+export * from "./speed_model.ts";
 export * from "./target.ts";
 export * from "./target_lifecycle.ts";
 export * from "./target_table.ts";
--- a/src/core/routing/target.ts
+++ b/src/core/routing/target.ts
@@ -1,5 +1,7 @@
 /** A target as one instance sees it. */
 import { AdaptiveWindow, type AdaptiveWindowOptions } from "../limits/mod.ts";
+import { InFlightHistory } from "./in_flight_history.ts";
+import { SpeedModel } from "./speed_model.ts";
 import {
   TargetEvent,
   TargetLifecycle,
@@ -40,9 +42,8 @@
   readonly durationMs: number;
 }
 
-const EWMA_WEIGHT = 0.2;
-/** Generation time of a token before any was measured, in milliseconds. */
-const INITIAL_MS_PER_TOKEN = 10;
+/** Tokens from which progress tells something of the speed. */
+const MIN_PROGRESS_TOKENS = 4;
 /** Failures in a row that eject a target. */
 const EJECT_AFTER_FAILURES = 3;
 const FIRST_PAUSE_MS = 1_000;
@@ -59,7 +60,8 @@
   /** Requests in flight from this instance: item id to fingerprint. */
   readonly #inFlight = new Map<string, string>();
   #announcement: TargetAnnouncement;
-  #msPerToken = INITIAL_MS_PER_TOKEN;
+  readonly #speed = new SpeedModel();
+  readonly #history = new InFlightHistory();
   #failuresInRow = 0;
   #successesInRow = 0;
   #pauseMs = FIRST_PAUSE_MS;
@@ -153,11 +155,13 @@
 
   /** Gets the expected time of a request placed now, in milliseconds. */
   expectedMs(tokens: number, now: number): number {
-    const others = now - this.#reportedAt < REPORT_TTL_MS
-      ? this.#othersRunning
-      : 0;
-    const load = (this.inFlight + others + 1) / Math.max(1, this.windowSize);
-    return tokens * this.#msPerToken * (1 + load) / 2;
+    const isOld = now - this.#reportedAt >= REPORT_TTL_MS;
+    const load = isOld ? this.inFlight + 1 : this.#load(1);
+    return tokens * this.#speed.msPerTokenAt(load);
+  }
+
+  #load(added: number): number {
+    return this.inFlight + this.#othersRunning + added;
   }
 
   /** Gets the requests of other instances, by the latest load report. */
@@ -178,14 +182,16 @@
   }
 
   /** Records that a request was placed. */
-  onStart(itemId: string, fingerprint: string): this {
+  onStart(itemId: string, fingerprint: string, now: number): this {
     this.#inFlight.set(itemId, fingerprint);
+    this.#history.record(this.inFlight, now);
     return this;
   }
 
   /** Records that a request left the target, however it ended. */
-  onEnd(itemId: string): this {
+  onEnd(itemId: string, now: number): this {
     this.#inFlight.delete(itemId);
+    this.#history.record(this.inFlight, now);
     return this;
   }
 
@@ -195,8 +201,8 @@
     this.#successesInRow += 1;
     this.#window.onSuccess(this.inFlight);
     if (figures.tokens > 0) {
-      const measured = figures.durationMs / figures.tokens;
-      this.#msPerToken += EWMA_WEIGHT * (measured - this.#msPerToken);
+      const msPerToken = figures.durationMs / figures.tokens;
+      this.#speed.add({ load: this.#load(0), msPerToken });
     }
     if (this.phase !== TargetPhase.Probing) return this;
     if (this.#successesInRow < RECOVER_AFTER_SUCCESSES) return this;
@@ -205,6 +211,19 @@
     return this;
   }
 
+  /** Records how far a running attempt has come. */
+  onProgress(figures: AttemptFigures): this {
+    if (figures.tokens < MIN_PROGRESS_TOKENS) return this;
+    const msPerToken = figures.durationMs / figures.tokens;
+    this.#speed.addProgress({ load: this.#load(0), msPerToken });
+    return this;
+  }
+
+  /** Gets the measured time of a token, in milliseconds. */
+  get msPerToken(): number {
+    return this.#speed.msPerToken;
+  }
+
   /** Records a failed attempt; several in a row eject the target. */
   onFailure(now: number): this {
     this.#failuresInRow += 1;
@@ -234,10 +253,11 @@
     if (report.at <= this.#reportedAt) return this;
     this.#reportedAt = report.at;
     const total = report.running + report.waiting;
-    this.#othersRunning = Math.max(0, total - this.inFlight);
+    const own = this.#history.at(report.at);
+    this.#othersRunning = Math.max(0, total - own);
     const isSeen = report.at <= this.#window.decreasedAt;
     if (report.waiting === 0 || isSeen) return this;
-    const ownShare = Math.min(1, this.inFlight / total);
+    const ownShare = Math.min(1, own / total);
     this.#window.onFull(Math.round(report.running * ownShare), now);
     return this;
   }
--- a/src/core/samples/hedge_policy.ts
+++ b/src/core/samples/hedge_policy.ts
@@ -8,6 +8,8 @@
   readonly ageMs: number;
   /** Whether the slot has been hedged already. */
   readonly isHedged: boolean;
+  /** Time of a token at its target against that at the fastest one. */
+  readonly slowdown: number;
 }
 
 /** What the decision looks at. */
@@ -27,21 +29,25 @@
 }
 
 /** Part of a step's samples that may be hedged. */
-const MAX_HEDGE_SHARE = 0.05;
+const MAX_HEDGE_SHARE = 0.1;
 /** Hedges allowed for a small step. */
 const MIN_HEDGES = 1;
 /** Part of a step that must be made before hedging begins. */
 const MADE_SHARE = 0.8;
 /** Age of a straggler, in typical durations. */
 const STRAGGLER_FACTOR = 1.5;
+/** Slowdown of a target whose attempts are stragglers from the start. */
+const SLOW_TARGET_FACTOR = 2;
 
 /**
- * Gets the slots to hedge, oldest first.
+ * Gets the slots to hedge: those on the slowest targets first, then the
+ * oldest.
  *
  * @example
  * ```ts
  * chooseHedges({ total: 10, made: 9, waiting: 0, hedges: 0, typicalMs: 100,
- *   running: [{ slot: 9, ageMs: 400, isHedged: false }] }); // [9]
+ *   running: [{ slot: 9, ageMs: 400, isHedged: false,
+ *     slowdown: 1 }] }); // [9]
  * ```
  */
 export function chooseHedges(question: HedgeQuestion): number[] {
@@ -51,8 +57,11 @@
   const budget = Math.max(MIN_HEDGES, Math.floor(total * MAX_HEDGE_SHARE));
   return question.running
     .filter((attempt) => !attempt.isHedged)
-    .filter((attempt) => attempt.ageMs >= typicalMs * STRAGGLER_FACTOR)
-    .sort((a, b) => b.ageMs - a.ageMs)
+    .filter((attempt) =>
+      attempt.slowdown >= SLOW_TARGET_FACTOR ||
+      attempt.ageMs >= typicalMs * STRAGGLER_FACTOR
+    )
+    .sort((a, b) => b.slowdown - a.slowdown || b.ageMs - a.ageMs)
     .slice(0, Math.max(0, budget - question.hedges))
     .map((attempt) => attempt.slot);
 }
--- a/src/core/samples/step_runner.ts
+++ b/src/core/samples/step_runner.ts
@@ -20,6 +20,8 @@
   readonly maxAttempts: number;
   /** Whether stragglers are hedged. */
   readonly hedges?: boolean;
+  /** Gets the time of a token at a target against that at the fastest one. */
+  readonly slowdownOf?: (targetId: string) => number;
   /** Distinguishes the work items of two runners of the same step. */
   readonly epoch?: string;
 }
@@ -50,8 +52,8 @@
 interface SlotState {
   readonly slot: Slot;
   readonly prompt: GroupPrompt;
-  /** Work items of the slot: id to start time; undefined while it waits. */
-  readonly attempts: Map<string, number | undefined>;
+  /** Work items of the slot; undefined while one waits. */
+  readonly attempts: Map<string, Placement | undefined>;
   /** Targets that run or ran the slot's current work. */
   readonly targets: Set<string>;
   made?: MadeSample;
@@ -61,6 +63,11 @@
   nextAttempt: number;
 }
 
+interface Placement {
+  readonly at: number;
+  readonly targetId: string;
+}
+
 interface GroupPrompt {
   readonly fingerprint: string;
   readonly tokens: number;
@@ -154,7 +161,7 @@
   onPlaced(itemId: string, targetId: string, now: number): this {
     const state = this.#stateOf(itemId);
     if (state?.attempts.has(itemId)) {
-      state.attempts.set(itemId, now);
+      state.attempts.set(itemId, { at: now, targetId });
       state.targets.add(targetId);
     }
     return this;
@@ -163,7 +170,7 @@
   /** Takes in a whole answer: it is kept, or thrown away and made again. */
   onMade(itemId: string, sample: MadeSample, now: number): StepEffects {
     const state = this.#stateOf(itemId);
-    const startedAt = state?.attempts.get(itemId);
+    const startedAt = state?.attempts.get(itemId)?.at;
     const isExpected = state?.attempts.delete(itemId) ?? false;
     if (state === undefined || !isExpected || isFilled(state)) {
       this.#wastedTokens += sample.tokens;
@@ -377,12 +384,13 @@
     const running: RunningAttempt[] = [];
     for (const state of this.#slots) {
       if (isFilled(state)) continue;
-      for (const startedAt of state.attempts.values()) {
-        if (startedAt === undefined) continue;
+      for (const placement of state.attempts.values()) {
+        if (placement === undefined) continue;
         running.push({
           slot: state.slot.index,
-          ageMs: now - startedAt,
+          ageMs: now - placement.at,
           isHedged: state.isHedged,
+          slowdown: this.#options.slowdownOf?.(placement.targetId) ?? 1,
         });
       }
     }
--- a/src/core/samples/step_runner_test.ts
+++ b/src/core/samples/step_runner_test.ts
@@ -116,13 +116,24 @@
 });
 
 describe(chooseHedges.name, () => {
+  it("takes the slowest targets first", () => {
+    const running = [
+      { slot: 1, ageMs: 900, isHedged: false, slowdown: 1 },
+      { slot: 2, ageMs: 100, isHedged: false, slowdown: 4 },
+      { slot: 3, ageMs: 100, isHedged: false, slowdown: 1 },
+    ];
+    const question = { total: 40, made: 37, waiting: 0, hedges: 0, running };
+    expect(chooseHedges({ ...question, typicalMs: 200 })).toEqual([2, 1]);
+  });
+
   it("stays within its budget, oldest first", () => {
     const running = [1, 2, 3].map((slot) => ({
       slot,
       ageMs: 100 * slot,
       isHedged: false,
+      slowdown: 1,
     }));
-    const question = { total: 40, made: 37, waiting: 0, hedges: 0, running };
+    const question = { total: 20, made: 17, waiting: 0, hedges: 0, running };
     expect(chooseHedges({ ...question, typicalMs: 50 })).toEqual([3, 2]);
     expect(chooseHedges({ ...question, typicalMs: 50, hedges: 2 })).toEqual([]);
     expect(chooseHedges({ ...question, typicalMs: undefined })).toEqual([]);
--- a/src/protocol/step_request.ts
+++ b/src/protocol/step_request.ts
@@ -70,5 +70,4 @@
   running: z.number().int().nonnegative(),
   waiting: z.number().int().nonnegative(),
   weightVersion: z.number().int().nonnegative().optional(),
-  at: z.number().optional(),
 });
--- a/src/tasks/targets/dispatch_task.ts
+++ b/src/tasks/targets/dispatch_task.ts
@@ -144,7 +144,8 @@
 
   /** Takes in a suspicion found by another instance. */
   mergeSuspicion(change: SuspicionChange): this {
-    this.#dispatcher.mergeSuspicion(change);
+    const now = this.#options.now();
+    this.#apply(this.#dispatcher.mergeSuspicion(change, now));
     return this;
   }
 
@@ -200,7 +201,7 @@
     if (target === undefined || target.phase === TargetPhase.Gone) return;
     this.#options.metrics.count("targets.died");
     this.#options.logger.event("targetDied", { target: targetId });
-    this.#apply(this.#dispatcher.targetDied(targetId));
+    this.#apply(this.#dispatcher.targetDied(targetId, this.#options.now()));
   }
 
   #tick(): void {
--- a/src/tasks/targets/target_prober.ts
+++ b/src/tasks/targets/target_prober.ts
@@ -70,7 +70,7 @@
       const health = healthSchema.safeParse(await res.body.json());
       if (res.statusCode !== 200 || !health.success) return { type: "silent" };
       const { incarnation, running, waiting, weightVersion } = health.data;
-      const at = health.data.at ?? Date.now();
+      const at = Date.now();
       return {
         type: "answered",
         incarnation,
