One in charge: usage reports, orders and weight waves over real links

The control leader now sends orders and sealed usage windows inside its lease and looks an outcome up before it sends again; the ledger's primary, which alone holds the authority over its data centre, brings weights to the targets in waves.

Weighed for weights: an intent in the control log for each target (about 13 a second at the target size, carried to every instance) against orders by the data centre's primary under its view number. The second needs no commits and goes on while a data centre is cut off.

--- a/fakes/engine.ts
+++ b/fakes/engine.ts
@@ -101,6 +101,11 @@
     return `http://127.0.0.1:${port}`;
   }
 
+  /** Gets the version of the loaded weights. */
+  get weightVersion(): number {
+    return this.#weightVersion;
+  }
+
   /** Loads weights. */
   setWeightVersion(version: number): this {
     this.#weightVersion = version;
--- a/src/core/configuration/document.ts
+++ b/src/core/configuration/document.ts
@@ -60,6 +60,8 @@
 const model = z.strictObject({
   /** Share of the replicas that may be out for a weight swap at once. */
   maxSwapShare: z.number().positive().max(1).default(0.3),
+  /** Fetches that the weight store's rate allows at once. */
+  maxFetches: z.number().int().positive().default(8),
 });
 
 const capacity = z.strictObject({
--- a/src/logging/event_catalogue.ts
+++ b/src/logging/event_catalogue.ts
@@ -152,6 +152,13 @@
     text: "Use may have been counted or not; it is not counted again",
     action: "Look at the ledger's primary",
   }),
+  weightsLoaded: describe(1404, "info", {
+    text: "Target has loaded new weights",
+  }),
+  weightsFailed: describe(1405, "warn", {
+    text: "Target could not load new weights; it is ordered again",
+    action: "Look at the target and the weight store",
+  }),
   weightsAnnounced: describe(1403, "info", { text: "Weights announced" }),
 } as const satisfies Readonly<Record<string, EventDescription>>;
 
--- a/src/settings/settings.ts
+++ b/src/settings/settings.ts
@@ -58,6 +58,13 @@
     callers: tls.optional(),
     peers: tls.optional(),
   }).default({}),
+  /** Receivers of orders and of usage reports. */
+  platform: z.strictObject({
+    ordersUrl: z.url({ protocol: /^https?$/ }).optional(),
+    usageUrl: z.url({ protocol: /^https?$/ }).optional(),
+    /** File that holds the credential presented to them. */
+    credentialFile: z.string().optional(),
+  }).optional(),
   metrics: address.optional(),
   logLevel: z.enum(["debug", "info", "warn", "error"]).default("info"),
   http: z.strictObject({
--- a/src/tasks/control/feed_task.ts
+++ b/src/tasks/control/feed_task.ts
@@ -108,6 +108,12 @@
     return this.#node.hasLease(this.#options.now());
   }
 
+  /** Gets the time left of the authority over the home data centre. */
+  get homeLeftMs(): number {
+    const now = this.#options.now();
+    return Math.max(0, this.#home.until(now) - now);
+  }
+
   /** Gets whether settings of workspaces at home here are surely current. */
   get hasHomeLease(): boolean {
     return this.#node.hasHomeLease(this.#options.now());
--- a/src/tasks/entry/operator_handlers.ts
+++ b/src/tasks/entry/operator_handlers.ts
@@ -11,12 +11,13 @@
   RefusalReason,
   Verdict,
 } from "../../core/verdict/mod.ts";
+import type { TargetAnnouncement } from "../../core/routing/mod.ts";
 import type { Metrics } from "../../metrics/mod.ts";
 import { announceRequestSchema } from "../../protocol/mod.ts";
 import type { Settings } from "../../settings/mod.ts";
 import type { ControlPort } from "../control/control_port.ts";
 import type { LedgerPort } from "../ledger/ledger_port.ts";
-import type { DispatchTask, ProbeTask } from "../targets/mod.ts";
+import type { DispatchTask } from "../targets/mod.ts";
 import { presentedKeyOf } from "./caller.ts";
 import { sendJson } from "./http_answer.ts";
 import {
@@ -47,8 +48,10 @@
   readonly ledger: LedgerPort;
   /** Targets. */
   readonly dispatch: DispatchTask;
-  /** Probes. */
-  readonly probes: ProbeTask;
+  /** Takes the announcement of a target. */
+  readonly onAnnounced: (announcement: TargetAnnouncement) => void;
+  /** Takes the word that a target leaves. */
+  readonly onLeaving: (targetId: string) => void;
   /** Metrics. */
   readonly metrics: Metrics;
   /** Gets further parts of the status. */
@@ -214,15 +217,14 @@
     this.#authorizeTargetOrThrow(ctx);
     const json = await this.#readJson(ctx);
     const announcement = checkBodyOrThrow(announceRequestSchema, json);
-    this.#options.dispatch.announce(announcement);
-    this.#options.probes.onSeen(announcement.id);
+    this.#options.onAnnounced(announcement);
     sendJson(ctx.res, { id: announcement.id });
   }
 
   /** Takes in the word that a target leaves. */
   leaveTarget(ctx: HttpContext): void {
     this.#authorizeTargetOrThrow(ctx);
-    this.#options.dispatch.leave(ctx.params.id);
+    this.#options.onLeaving(ctx.params.id);
     sendJson(ctx.res, { id: ctx.params.id });
   }
 
--- a/src/tasks/instance.ts
+++ b/src/tasks/instance.ts
@@ -7,10 +7,20 @@
 import type { CommandAnswer, ControlCommand } from "../core/control/mod.ts";
 import type { LedgerRecord, UsageEntry } from "../core/ledger/mod.ts";
 import type { SuspicionChange } from "../core/quarantine/mod.ts";
-import { ExpectedTimePicker, TargetPhase } from "../core/routing/mod.ts";
+import {
+  ExpectedTimePicker,
+  type TargetAnnouncement,
+  TargetPhase,
+} from "../core/routing/mod.ts";
 import { Logger } from "../logging/mod.ts";
 import { Metrics } from "../metrics/mod.ts";
 import { readSecretOrThrow, type Settings } from "../settings/mod.ts";
+import {
+  ChargeTask,
+  type TargetAuthority,
+  UsageTask,
+  WeightsTask,
+} from "./charge/mod.ts";
 import { Cluster } from "./cluster.ts";
 import { bootstrapControl } from "./control/bootstrap.ts";
 import type { ControlPort } from "./control/control_port.ts";
@@ -39,6 +49,10 @@
 const USAGE_INTERVAL_MS = 1_000;
 /** Time between two looks for calls whose process is gone. */
 const LOST_CALLS_INTERVAL_MS = 2_000;
+/** Time between two looks at targets with old weights. */
+const WEIGHTS_INTERVAL_MS = 250;
+/** Time between two looks at usage windows. */
+const SEAL_INTERVAL_MS = 500;
 const BOOTSTRAP_RETRY_MS = 300;
 const NEIGHBOUR_TIMEOUT_MS = 2_000;
 
@@ -68,6 +82,9 @@
   readonly #steps: StepTask;
   readonly #stepPort: StepPort;
   readonly #server: HttpServer;
+  readonly #weights: WeightsTask;
+  readonly #sealing: UsageTask;
+  readonly #charge: ChargeTask | undefined;
   readonly #timers: NodeJS.Timeout[] = [];
   #isStopped = false;
 
@@ -99,6 +116,20 @@
     this.#once = new CallOnce({ ledger: this.#ledger, now: Date.now });
     this.#calls = this.#createCalls();
     this.#server = this.#createServer();
+    this.#weights = this.#createWeights();
+    this.#sealing = new UsageTask({
+      dataCentre: settings.dataCentre,
+      ledger: this.#ledger,
+      control: this.#control,
+      now: Date.now,
+    });
+    this.#charge = cluster === undefined ? undefined : new ChargeTask({
+      settings,
+      control: cluster.control,
+      logger: this.#logger,
+      metrics: this.#metrics,
+      now: () => performance.now(),
+    });
     this.#listen();
   }
 
@@ -127,6 +158,12 @@
     }
     this.#every(USAGE_INTERVAL_MS, () => this.#writeUsage());
     this.#every(LOST_CALLS_INTERVAL_MS, () => this.#loseCalls());
+    this.#every(
+      WEIGHTS_INTERVAL_MS,
+      () => Promise.resolve(this.#weights.run()),
+    );
+    this.#every(SEAL_INTERVAL_MS, () => this.#runUsage());
+    this.#charge?.start();
     const port = await this.#server.listen();
     this.#logger.event("instanceStarted", { port });
     return port;
@@ -147,6 +184,7 @@
     await this.#writeUsage();
     this.#probes.stop();
     this.#steps.stop();
+    await this.#charge?.stop();
     await this.#dispatch.stop();
     this.#server.stop();
     await this.#cluster?.stop();
@@ -181,6 +219,13 @@
       if (isLeader) this.#bootstrapLater();
     });
     cluster.hub
+      .handle(
+        "targets.announce",
+        (params) => this.#onAnnounced(params as TargetAnnouncement),
+      )
+      .handle("targets.leave", (params) => {
+        this.#dispatch.leave(params as string);
+      })
       .handle("suspicion", (params) => {
         this.#dispatch.mergeSuspicion(params as SuspicionChange);
       })
@@ -209,6 +254,39 @@
     });
   }
 
+  #createWeights(): WeightsTask {
+    const { targetCredentialFile } = this.#settings;
+    return new WeightsTask({
+      control: this.#control,
+      dispatch: this.#dispatch,
+      agent: this.#dispatch.agent,
+      credential: secretOf(targetCredentialFile),
+      authority: () => this.#targetAuthority(),
+      logger: this.#logger,
+      now: Date.now,
+    });
+  }
+
+  /** The ledger's primary orders the targets of its data centre. */
+  #targetAuthority(): TargetAuthority {
+    const cluster = this.#cluster;
+    if (cluster === undefined) return { leftMs: Infinity, epoch: 0, view: 1 };
+    const { view, feed } = cluster.control;
+    return {
+      leftMs: feed.homeLeftMs,
+      epoch: view?.epoch ?? 0,
+      view: view?.number ?? 0,
+    };
+  }
+
+  async #runUsage(): Promise<void> {
+    try {
+      await this.#sealing.run();
+    } catch {
+      // Sealing and handing over go on at the next look.
+    }
+  }
+
   #createSteps(): StepTask {
     return new StepTask({
       ledger: this.#ledger,
@@ -275,7 +353,14 @@
         control: this.#control,
         ledger: this.#ledger,
         dispatch: this.#dispatch,
-        probes: this.#probes,
+        onAnnounced: (announcement) => {
+          this.#onAnnounced(announcement);
+          this.#tellNeighbours("targets.announce", announcement);
+        },
+        onLeaving: (targetId) => {
+          this.#dispatch.leave(targetId);
+          this.#tellNeighbours("targets.leave", targetId);
+        },
         metrics: this.#metrics,
         status: () => this.#status(),
       }),
@@ -360,14 +445,20 @@
   #shareSuspicion(change: SuspicionChange): void {
     this.#append({ type: "suspicion", change })
       .catch((err) => this.#logger.error(err));
+    this.#tellNeighbours("suspicion", change);
+  }
+
+  #onAnnounced(announcement: TargetAnnouncement): void {
+    this.#dispatch.announce(announcement);
+    this.#probes.onSeen(announcement.id);
+  }
+
+  /** Tells what is soft state: those that miss it learn it in time. */
+  #tellNeighbours(method: string, params: unknown): void {
     const hub = this.#cluster?.hub;
     for (const { id } of hub?.neighbours ?? []) {
-      hub?.request(id, "suspicion", {
-        params: change,
-        timeoutMs: NEIGHBOUR_TIMEOUT_MS,
-      }).catch(() => {
-        // The ledger carries the suspicion to those that miss it here.
-      });
+      hub?.request(id, method, { params, timeoutMs: NEIGHBOUR_TIMEOUT_MS })
+        .catch(() => {});
     }
   }
 
--- a/src/tasks/targets/dispatch_task.ts
+++ b/src/tasks/targets/dispatch_task.ts
@@ -76,6 +76,11 @@
     return this.#dispatcher;
   }
 
+  /** Gets the connections to targets. */
+  get agent(): Agent {
+    return this.#agent;
+  }
+
   /** Gets the number of jobs that wait or run. */
   get size(): number {
     return this.#jobs.size;
--- a/tests/support/cluster.ts
+++ b/tests/support/cluster.ts
@@ -26,6 +26,8 @@
   readonly members: readonly Member[];
   /** Configuration document. */
   readonly document?: Record<string, unknown>;
+  /** Further settings of every instance. */
+  readonly settings?: Record<string, unknown>;
 }
 
 /** Status of an instance, as far as tests look at it. */
@@ -64,11 +66,13 @@
   /** Links between the instances. */
   readonly cutter = new LinkCutter();
   readonly #members: readonly Member[];
+  readonly #extra: Record<string, unknown>;
   readonly #ports = new Map<string, number>();
   readonly #instances = new Map<string, StartedInstance>();
 
   private constructor(options: TestClusterOptions) {
     this.#members = options.members;
+    this.#extra = options.settings ?? {};
     this.deployment = new Deployment({ document: options.document });
     writeFileSync(this.deployment.path("peer.secret"), "secret-of-a-test");
   }
@@ -217,6 +221,7 @@
         keysFile: this.deployment.path("keys.json"),
       },
       targets: { probeIntervalMs: 200 },
+      ...this.#extra,
     };
   }
 }
--- a/tests/support/cluster_case.ts
+++ b/tests/support/cluster_case.ts
@@ -42,16 +42,26 @@
   readonly code?: string;
 }
 
+/** What a test sets up otherwise. */
+export interface CaseOptions {
+  /** Section `usage` of the configuration. */
+  readonly usage?: Record<string, unknown>;
+  /** Receivers of orders and reports. */
+  readonly platform?: Record<string, unknown>;
+}
+
 /** Keeps the cluster and the engine of the test that runs. */
 export class ClusterCase {
   #cluster: TestCluster | undefined;
   #engine: FakeEngine | undefined;
 
   /** Starts a cluster of five instances in three data centres. */
-  async start(): Promise<TestCluster> {
+  async start(options: CaseOptions = {}): Promise<TestCluster> {
+    const { usage, platform } = options;
     this.#cluster = await TestCluster.start({
       members: MEMBERS,
-      document: DOCUMENT,
+      document: usage === undefined ? DOCUMENT : { ...DOCUMENT, usage },
+      settings: platform === undefined ? {} : { platform },
     });
     return this.#cluster;
   }
