Slopes of cost with size; commits told at once; fewer signs of life

Cause: a change was in force after 206 ms, one heartbeat, since a follower whose acknowledgement came after the commit heard of the commit only with the next heartbeat. Signs of life went from every instance to every neighbour, so they grew with the square of the instances.

Conclusion: the wait on the heartbeat is gone; instances that are not members of the ledger's view tell only its members that they are there.

--- /dev/null
+++ b/bench/slopes/main.ts
@@ -0,0 +1,103 @@
+/** `npm run slopes -- [--quick] [--only NAME]`: growth of cost with size. */
+import { existsSync, mkdirSync, readFileSync, writeFileSync } from "node:fs";
+import { arch, cpus, totalmem } from "node:os";
+import { defineCommand, runMain } from "citty";
+import { bundlePrograms } from "../../scripts/bundle.ts";
+import {
+  changeSeries,
+  dataCentreSeries,
+  forceSeries,
+  neighbourSeries,
+  restartSeries,
+} from "./cluster_series.ts";
+import {
+  requestSeries,
+  sampleSeries,
+  streamSeries,
+  targetSeries,
+  tokenSeries,
+} from "./instance_series.ts";
+import { measureSeries, type Series, type SeriesOptions } from "./series.ts";
+
+/** File of the committed results. */
+export const RESULTS_FILE = "bench/results/slopes.json";
+
+/** Results of all series. */
+export interface SlopeResults {
+  /** Machine on which they were measured. */
+  readonly machine: {
+    readonly cores: number;
+    readonly model: string;
+    readonly arch: string;
+    readonly memoryGibibytes: number;
+    readonly node: string;
+  };
+  /** Series, by name. */
+  readonly series: Readonly<Record<string, Series>>;
+}
+
+const MEASURE_MS = 5_000;
+const QUICK_MEASURE_MS = 1_000;
+const GIBIBYTE = 1_073_741_824;
+
+function allSeries(measureMs: number): SeriesOptions[] {
+  const options = { measureMs };
+  return [
+    targetSeries(options),
+    requestSeries(options),
+    tokenSeries(options),
+    streamSeries(options),
+    sampleSeries(),
+    neighbourSeries(options),
+    dataCentreSeries(options),
+    changeSeries(options),
+    forceSeries(),
+    restartSeries(),
+  ];
+}
+
+function machine(): SlopeResults["machine"] {
+  return {
+    cores: cpus().length,
+    model: cpus()[0]?.model ?? "unknown",
+    arch: arch(),
+    memoryGibibytes: Math.round(totalmem() / GIBIBYTE),
+    node: process.version,
+  };
+}
+
+function formerSeries(): Record<string, Series> {
+  if (!existsSync(RESULTS_FILE)) return {};
+  return (JSON.parse(readFileSync(RESULTS_FILE, "utf8")) as SlopeResults)
+    .series;
+}
+
+const main = defineCommand({
+  meta: { name: "slopes", description: "Measure growth of cost with size" },
+  args: {
+    quick: {
+      type: "boolean",
+      default: false,
+      description: "Short measures of two sizes each, not kept",
+    },
+    only: { type: "string", description: "Names of series, by comma" },
+  },
+  async run({ args }) {
+    await bundlePrograms();
+    const names = args.only?.split(",");
+    const measureMs = args.quick ? QUICK_MEASURE_MS : MEASURE_MS;
+    const chosen = allSeries(measureMs)
+      .filter((series) => names === undefined || names.includes(series.name));
+    const series: Record<string, Series> = args.quick ? {} : formerSeries();
+    for (const options of chosen) {
+      const sizes = args.quick ? options.sizes.slice(0, 2) : options.sizes;
+      series[options.name] = await measureSeries({ ...options, sizes });
+    }
+    if (args.quick) return;
+    mkdirSync("bench/results", { recursive: true });
+    const results: SlopeResults = { machine: machine(), series };
+    writeFileSync(RESULTS_FILE, JSON.stringify(results, null, 2) + "\n");
+  },
+});
+
+runMain(main).then(() => process.exit(0));
--- a/src/core/consensus/consensus_node.ts
+++ b/src/core/consensus/consensus_node.ts
@@ -529,6 +529,8 @@
     const entries = isPending ? [] : this.#log.from(progress.next, MAX_ENTRIES);
     if (entries.length === 0 && !options.isHeartbeat) return;
     if (entries.length > 0) progress.pendingSince = now;
+    const reach = prevIndex + entries.length;
+    progress.told = Math.max(progress.told, Math.min(this.committed, reach));
     this.#send({
       type: "appendRequest",
       ...this.#base(replica),
@@ -571,10 +573,20 @@
     const isOwnTerm = this.#log.termAt(index) === this.#term;
     if (!isOwnTerm && this.#guards.commitOwnTermOnly) return;
     this.#commitTo(index);
-    this.#broadcast(now, { isHeartbeat: true });
+    this.#tellCommitted(now);
     if (!this.#isVoter()) this.#becomeFollower(this.#term, undefined);
   }
 
+  /** Tells the commit to those that are known to hold the entry. */
+  #tellCommitted(now: number): void {
+    for (const replica of allMembers(this.members)) {
+      const progress = this.#tracker?.of(replica);
+      if (replica === this.self || progress === undefined) continue;
+      const isHeld = progress.match >= this.committed;
+      if (isHeld) this.#replicate(replica, now, { isHeartbeat: true });
+    }
+  }
+
   #commitTo(index: number): void {
     this.#log.commit(Math.min(index, this.last.index));
     const entries: LogEntry<C>[] = [];
@@ -718,7 +730,9 @@
     progress.match = Math.max(progress.match, message.matchIndex);
     progress.next = Math.max(progress.next, progress.match + 1);
     this.#advanceCommit(now);
-    this.#replicate(message.from, now, { isHeartbeat: false });
+    const reach = Math.min(this.committed, progress.match);
+    const isHeartbeat = progress.told < reach;
+    this.#replicate(message.from, now, { isHeartbeat });
   }
 
   #onSnapshotRequest(message: SnapshotRequest<S>, now: number): void {
--- a/src/core/consensus/replication_tracker.ts
+++ b/src/core/consensus/replication_tracker.ts
@@ -10,6 +10,8 @@
   next: number;
   /** Sending time of the latest message that it has answered. */
   answeredAt: number;
+  /** Greatest committed position that it has been told. */
+  told: number;
   /** Sending time of an unanswered message with entries or a snapshot. */
   pendingSince: number | undefined;
 }
@@ -46,6 +48,7 @@
       match: 0,
       next: this.#initialNext,
       answeredAt: -Infinity,
+      told: 0,
       pendingSince: undefined,
     };
     this.#progress.set(replica, progress);
--- a/src/tasks/cluster.ts
+++ b/src/tasks/cluster.ts
@@ -1,5 +1,6 @@
 /** The parts by which an instance takes part in a system of several. */
 import { randomBytes } from "node:crypto";
+import { instanceOfProcess } from "../core/ledger/mod.ts";
 import type { Logger } from "../logging/mod.ts";
 import type { Metrics } from "../metrics/mod.ts";
 import type { Settings } from "../settings/mod.ts";
@@ -51,6 +52,7 @@
         incarnation,
         isDraining: this.#isDraining,
       }),
+      audience: () => this.#audience(process),
     });
     this.control = new ControlTask({
       settings,
@@ -86,6 +88,19 @@
     return new Cluster(options, { process, store });
   }
 
+  /**
+   * Members of the ledger's view and control instances tell everyone that
+   * they are there; the others tell only the members, so that signs of life
+   * do not grow with the square of the instances.
+   */
+  #audience(process: string): readonly string[] | undefined {
+    const { view, driver } = this.control;
+    if (view === undefined || driver !== undefined) return undefined;
+    const members = [view.primary, ...view.backups];
+    if (members.includes(process)) return undefined;
+    return members.map((member) => instanceOfProcess(member));
+  }
+
   /** Listens, dials and runs. */
   async start(): Promise<void> {
     await this.hub.start();
--- a/src/tasks/instance.ts
+++ b/src/tasks/instance.ts
@@ -55,6 +55,8 @@
 const SEAL_INTERVAL_MS = 500;
 const BOOTSTRAP_RETRY_MS = 300;
 const NEIGHBOUR_TIMEOUT_MS = 2_000;
+/** Time after which an unchanged announcement is passed on again. */
+const TELL_INTERVAL_MS = 5_000;
 
 /**
  * Runs one instance.
@@ -86,6 +88,7 @@
   readonly #sealing: UsageTask;
   readonly #charge: ChargeTask | undefined;
   readonly #timers: NodeJS.Timeout[] = [];
+  readonly #toldAt = new Map<string, number>();
   #isStopped = false;
 
   private constructor(parts: {
@@ -354,8 +357,10 @@
         ledger: this.#ledger,
         dispatch: this.#dispatch,
         onAnnounced: (announcement) => {
+          if (this.#isNews(announcement)) {
+            this.#tellNeighbours("targets.announce", announcement);
+          }
           this.#onAnnounced(announcement);
-          this.#tellNeighbours("targets.announce", announcement);
         },
         onLeaving: (targetId) => {
           this.#dispatch.leave(targetId);
@@ -448,6 +453,19 @@
     this.#tellNeighbours("suspicion", change);
   }
 
+  /** Unchanged announcements are passed on only now and then. */
+  #isNews(announcement: TargetAnnouncement): boolean {
+    const { id } = announcement;
+    const known = this.#dispatch.dispatcher.targets.get(id)?.announcement;
+    const isSame = known?.incarnation === announcement.incarnation &&
+      known.weightVersion === announcement.weightVersion &&
+      known.url === announcement.url;
+    const toldAt = this.#toldAt.get(id) ?? 0;
+    if (isSame && Date.now() - toldAt < TELL_INTERVAL_MS) return false;
+    this.#toldAt.set(id, Date.now());
+    return true;
+  }
+
   #onAnnounced(announcement: TargetAnnouncement): void {
     this.#dispatch.announce(announcement);
     this.#probes.onSeen(announcement.id);
--- a/src/tasks/peers/peer_hub.ts
+++ b/src/tasks/peers/peer_hub.ts
@@ -41,6 +41,8 @@
   readonly metrics: Metrics;
   /** Gets what this instance tells of itself. */
   readonly presence: () => Presence;
+  /** Gets the instances to tell it; all linked ones where undefined. */
+  readonly audience: () => readonly string[] | undefined;
 }
 
 interface Waiting {
@@ -234,7 +236,8 @@
   }
 
   #beat(): void {
-    for (const id of this.#links.keys()) this.#sendPresence(id);
+    const audience = this.#options.audience() ?? [...this.#links.keys()];
+    for (const id of audience) this.#sendPresence(id);
   }
 
   #sendPresence(to: string): void {
--- a/tests/support/cluster.ts
+++ b/tests/support/cluster.ts
@@ -3,6 +3,7 @@
 import { mkdirSync, rmSync, writeFileSync } from "node:fs";
 import {
   Deployment,
+  keyOf,
   OPERATOR_TOKEN,
   type StartedInstance,
 } from "./deployment.ts";
@@ -26,6 +27,8 @@
   readonly members: readonly Member[];
   /** Configuration document. */
   readonly document?: Record<string, unknown>;
+  /** Whether links lead through relays that a test can cut. */
+  readonly hasRelays?: boolean;
   /** Further settings of every instance. */
   readonly settings?: Record<string, unknown>;
 }
@@ -83,7 +86,9 @@
     for (const { id } of options.members) {
       cluster.#ports.set(id, nextPort());
     }
-    await cluster.cutter.open(cluster.#ports);
+    if (options.hasRelays !== false) {
+      await cluster.cutter.open(cluster.#ports);
+    }
     for (const member of options.members) {
       if (member.control) cluster.#init(member);
     }
@@ -138,6 +143,16 @@
     return await res.json() as Record<string, unknown>;
   }
 
+  /** Sends a trainer's request. */
+  async trainer(url: string, path: string, body: unknown): Promise<void> {
+    const res = await fetch(`${url}/${path}`, {
+      method: "POST",
+      headers: { authorization: `Bearer ${keyOf("artis")}` },
+      body: JSON.stringify(body),
+    });
+    await res.arrayBuffer();
+  }
+
   /** Gets the status of an instance. */
   async status(id: string): Promise<InstanceStatus> {
     return await this.operator(id, "status") as unknown as InstanceStatus;
