--- a/bench/slopes/instance_series.ts
+++ b/bench/slopes/instance_series.ts
@@ -15,6 +15,8 @@
 const MEBIBYTE = 1_048_576;
 const SETTLE_MS = 1_500;
 const ENGINES = 8;
+/** Load before a measure, so that the code is compiled. */
+const WARM_UP_MS = 4_000;
 
 function sleep(ms: number): Promise<void> {
   return new Promise((resolve) => setTimeout(resolve, ms));
@@ -157,7 +159,7 @@
       withInstance({ targets: ENGINES, chunkMs: 0 }, async (bench) => {
         let through: number[] = [];
         const shape = { isStream: false, tokens: 1, rate, ...options };
-        await load(bench, { ...shape, rate: 100, measureMs: 1_000 });
+        await load(bench, { ...shape, rate: 400, measureMs: WARM_UP_MS });
         const { core, mebibytes } = await measure(bench, {
           ...options,
           during: async () => {
@@ -200,15 +202,11 @@
     measure: (tokens) =>
       withInstance({ targets: ENGINES, chunkMs: 10 }, async (bench) => {
         const rate = tokens / STREAM_TOKENS;
+        const shape = { isStream: true, tokens: STREAM_TOKENS };
+        await load(bench, { ...shape, rate: 40, measureMs: WARM_UP_MS });
         const { core, mebibytes } = await measure(bench, {
           ...options,
-          during: () =>
-            load(bench, {
-              isStream: true,
-              tokens: STREAM_TOKENS,
-              rate,
-              ...options,
-            }),
+          during: () => load(bench, { ...shape, rate, ...options }),
         });
         return { core, mebibytes };
       }),
--- /dev/null
+++ b/src/commands/config.ts
@@ -0,0 +1,230 @@
+/** The commands for the configuration document. */
+import { createHash } from "node:crypto";
+import { defineCommand } from "citty";
+import {
+  checkDocument,
+  type ConfigurationDocument,
+  SECTION_NAMES,
+  type SectionName,
+} from "../core/configuration/mod.ts";
+import { canonicalJson, digestOf } from "../core/control/mod.ts";
+import { NutmegreelError } from "../core/errors/mod.ts";
+import {
+  FaultyFileError,
+  loadDocument,
+  readJsonOrThrow,
+} from "../settings/mod.ts";
+import { print } from "./output.ts";
+import { REMOTE_ARGS, RemoteClient, RemoteError } from "./remote.ts";
+
+/** The configuration as an instance shows it. */
+interface LiveConfiguration {
+  readonly revision: number;
+  readonly sections: Readonly<Record<SectionName, number>>;
+  readonly document: ConfigurationDocument;
+}
+
+interface Change {
+  readonly requestId: string;
+  readonly team?: string;
+  readonly sections: Partial<Record<SectionName, unknown>>;
+  readonly base: Partial<Record<SectionName, number>>;
+}
+
+const FILE_ARG = {
+  type: "positional",
+  required: true,
+  description: "Configuration document",
+  valueHint: "FILE",
+} as const;
+
+const REQUEST_ID_DIGITS = 16;
+const RESEND_MS = 1_000;
+
+const check = defineCommand({
+  meta: {
+    name: "check",
+    description: "Check a document and name every fault. " +
+      "Example: nutmegreel config check configuration.json",
+  },
+  args: { file: FILE_ARG },
+  run({ args }) {
+    loadDocument(args.file);
+    console.log("No faults");
+  },
+});
+
+const show = defineCommand({
+  meta: {
+    name: "show",
+    description: "Print the document in force and the revision of each " +
+      "section. Example: nutmegreel config show --to http://127.0.0.1:7100",
+  },
+  args: REMOTE_ARGS,
+  async run({ args }) {
+    const live = await liveOf(new RemoteClient(args));
+    print(live, {
+      json: args.json,
+      lines: () => [JSON.stringify(live, null, 2)],
+    });
+  },
+});
+
+const diff = defineCommand({
+  meta: {
+    name: "diff",
+    description: "Name the sections and members that a document would " +
+      "change. Example: nutmegreel config diff configuration.json --to URL",
+  },
+  args: { file: FILE_ARG, ...REMOTE_ARGS },
+  async run({ args }) {
+    const live = await liveOf(new RemoteClient(args));
+    const wanted = loadDocument(args.file);
+    const changes = changedSections(live.document, wanted).map((section) => ({
+      section,
+      members: changedMembers(live.document[section], wanted[section]),
+    }));
+    print({ changes }, {
+      json: args.json,
+      lines: () =>
+        changes.length === 0
+          ? ["No changes"]
+          : changes.map((c) => `${c.section}: ${c.members.join(", ")}`),
+    });
+  },
+});
+
+const apply = defineCommand({
+  meta: {
+    name: "apply",
+    description: "Put the changed sections of a document in force. " +
+      "Example: nutmegreel config apply configuration.json --to URL --wait 30",
+  },
+  args: {
+    file: FILE_ARG,
+    ...REMOTE_ARGS,
+    team: { type: "string", description: "Team that owns the sections" },
+    base: {
+      type: "string",
+      description: "Output of `config show` on which the document is based",
+      valueHint: "FILE",
+    },
+    requestId: {
+      type: "string",
+      description: "Identifier of the change; its digest where absent",
+    },
+    wait: {
+      type: "string",
+      default: "10",
+      description: "Seconds to wait until it is in force everywhere",
+    },
+  },
+  async run({ args }) {
+    const client = new RemoteClient(args);
+    const live = args.base === undefined
+      ? await liveOf(client)
+      : readJsonOrThrow(args.base) as LiveConfiguration;
+    const change = changeOf(live, loadDocument(args.file), args);
+    if (Object.keys(change.sections).length === 0) {
+      print({ answer: "unchanged" }, {
+        json: args.json,
+        lines: () => ["No changes"],
+      });
+      return;
+    }
+    const until = Date.now() + Number(args.wait) * 1_000;
+    await applyUntil(client, change, { until, json: args.json });
+  },
+});
+
+/** The commands for the configuration document. */
+export const config = defineCommand({
+  meta: { name: "config", description: "Check, compare and change it" },
+  subCommands: { check, diff, apply, show },
+});
+
+/** Sends a change again, under the same identifier, until it is accepted. */
+async function applyUntil(
+  client: RemoteClient,
+  change: Change,
+  options: { until: number; json: boolean },
+): Promise<void> {
+  while (true) {
+    const answer = await client.ask("POST", "config", change);
+    const { body } = answer;
+    if (body.answer === "accepted") {
+      print(body, {
+        json: options.json,
+        lines: () => [`Accepted: revision ${body.revision} is in force`],
+      });
+      return;
+    }
+    if (body.answer !== "pending") throw refusalOf(answer.status, body);
+    if (Date.now() >= options.until) {
+      const awaited = (body.awaited as string[]).join(", ");
+      throw new NutmegreelError(
+        "pending",
+        `Pending: revision ${body.revision} is committed and awaits ${awaited}`,
+      );
+    }
+    await new Promise((resolve) => setTimeout(resolve, RESEND_MS));
+  }
+}
+
+function refusalOf(
+  status: number,
+  body: Readonly<Record<string, unknown>>,
+): Error {
+  if (body.answer === "invalid") {
+    return new FaultyFileError("the change", body.faults as []);
+  }
+  if (body.answer !== "conflict") return new RemoteError({ status, body });
+  const conflicts = body.conflicts as {
+    section: string;
+    fields: string[];
+    winner: string;
+  }[];
+  const lines = conflicts.map((c) =>
+    `${c.section} (${c.fields.join(", ")}) was changed by ${c.winner}`
+  );
+  return new NutmegreelError("conflict", `Conflict: ${lines.join("; ")}`);
+}
+
+async function liveOf(client: RemoteClient): Promise<LiveConfiguration> {
+  return await client.getOrThrow("config") as unknown as LiveConfiguration;
+}
+
+function changeOf(
+  live: LiveConfiguration,
+  wanted: ConfigurationDocument,
+  options: { team?: string; requestId?: string },
+): Change {
+  const names = changedSections(live.document, wanted);
+  const sections = Object.fromEntries(names.map((n) => [n, wanted[n]]));
+  const base = Object.fromEntries(names.map((n) => [n, live.sections[n]]));
+  const digest = createHash("sha256")
+    .update(canonicalJson({ sections, base }))
+    .digest("hex")
+    .slice(0, REQUEST_ID_DIGITS);
+  const requestId = options.requestId ?? `apply-${digest}`;
+  return { requestId, team: options.team, sections, base };
+}
+
+function changedSections(
+  live: ConfigurationDocument,
+  wanted: ConfigurationDocument,
+): SectionName[] {
+  const checked = checkDocument(live);
+  const current = checked.ok ? checked.value : live;
+  return SECTION_NAMES
+    .filter((name) => digestOf(current[name]) !== digestOf(wanted[name]));
+}
+
+function changedMembers(live: unknown, wanted: unknown): string[] {
+  const left = live as Record<string, unknown>;
+  const right = wanted as Record<string, unknown>;
+  const names = new Set([...Object.keys(left), ...Object.keys(right)]);
+  return [...names]
+    .filter((name) => digestOf(left[name]) !== digestOf(right[name]))
+    .sort();
+}
--- /dev/null
+++ b/src/core/routing/probe_share_test.ts
@@ -0,0 +1,25 @@
+import { describe, expect, it } from "vitest";
+import { proberOf } from "./probe_share.ts";
+
+describe(proberOf.name, () => {
+  const instances = ["a", "b", "c", "d"];
+  const targets = Array.from({ length: 400 }, (_, i) => `t${i}`);
+
+  it("shares the targets about evenly", () => {
+    for (const instance of instances) {
+      const own = targets.filter((t) => proberOf(t, instances) === instance);
+      expect(own.length).toBeGreaterThan(60);
+    }
+  });
+
+  it("moves only the targets of an instance that left", () => {
+    const left = instances.filter((instance) => instance !== "b");
+    for (const target of targets) {
+      const before = proberOf(target, instances);
+      if (before !== "b") expect(proberOf(target, left)).toBe(before);
+    }
+  });
+
+  it("knows nobody where there is nobody", () =>
+    expect(proberOf("t", [])).toBeUndefined());
+});
--- a/src/main.ts
+++ b/src/main.ts
@@ -1,18 +1,30 @@
 /** The command line of nutmegreel. */
-import { defineCommand, renderUsage, runCommand } from "citty";
+import { type CommandDef, defineCommand, renderUsage, runCommand } from "citty";
+import { config } from "./commands/config.ts";
 import { ExitCode } from "./commands/exit_code.ts";
 import { init } from "./commands/init.ts";
+import { status, steps, usage } from "./commands/inspect.ts";
+import { keys } from "./commands/keys.ts";
 import { serve } from "./commands/serve.ts";
 import { version } from "./commands/version.ts";
 
-const subCommands = { init, serve, version };
+type Commands = Readonly<Record<string, CommandDef>>;
 
 const main = defineCommand({
   meta: {
     name: "nutmegreel",
     description: "Rollout service for reinforcement learning",
   },
-  subCommands,
+  subCommands: {
+    serve,
+    init,
+    config,
+    keys,
+    status,
+    steps,
+    usage,
+    version,
+  } as unknown as Record<string, CommandDef>,
 });
 
 async function run(rawArgs: string[]): Promise<ExitCode> {
@@ -26,18 +38,21 @@
   }
 }
 
+/** Prints the help of the deepest named command. */
 async function showHelp(rawArgs: readonly string[]): Promise<ExitCode> {
-  const name = rawArgs.find((arg) => arg in subCommands);
-  const found = name === undefined
-    ? undefined
-    : subCommands[name as keyof typeof subCommands];
-  console.log(await renderUsage((found ?? main) as typeof main));
+  let command = main as CommandDef;
+  let parent: CommandDef | undefined;
+  for (const arg of rawArgs) {
+    const found = (command.subCommands as Commands | undefined)?.[arg];
+    if (found === undefined) break;
+    parent = command;
+    command = found;
+  }
+  console.log(await renderUsage(command, parent));
   return ExitCode.Done;
 }
 
 const rawArgs = process.argv.slice(2);
 const isHelp = rawArgs.includes("--help") || rawArgs.includes("-h");
-const exitCode = isHelp || rawArgs.length === 0
-  ? showHelp(rawArgs)
-  : run(rawArgs);
+const exitCode = isHelp ? showHelp(rawArgs) : run(rawArgs);
 exitCode.then((code) => process.exit(code));
--- a/src/tasks/instance.ts
+++ b/src/tasks/instance.ts
@@ -43,7 +43,7 @@
   StepTask,
   UsageMeter,
 } from "./steps/mod.ts";
-import { DispatchTask, ProbeTask } from "./targets/mod.ts";
+import { DispatchTask, ProbeTask, type SharedHealth } from "./targets/mod.ts";
 
 /** Time between two writes of usage to the ledger, in milliseconds. */
 const USAGE_INTERVAL_MS = 1_000;
@@ -108,6 +108,9 @@
     this.#ledger = cluster?.ledger ?? new LocalLedger();
     this.#dispatch = this.#createDispatch();
     this.#probes = new ProbeTask({
+      id: settings.id,
+      sharers: () => this.#sharers(),
+      share: (found) => this.#tellNeighbours("targets.health", found),
       dispatch: this.#dispatch,
       logger: this.#logger,
       now: Date.now,
@@ -226,6 +229,9 @@
         "targets.announce",
         (params) => this.#onAnnounced(params as TargetAnnouncement),
       )
+      .handle("targets.health", (params) => {
+        this.#probes.onShared(params as SharedHealth[]);
+      })
       .handle("targets.leave", (params) => {
         this.#dispatch.leave(params as string);
       })
@@ -453,6 +459,13 @@
     this.#tellNeighbours("suspicion", change);
   }
 
+  /** Instances of this data centre that the settings name. */
+  #sharers(): readonly string[] {
+    const { id } = this.#settings;
+    const neighbours = this.#cluster?.hub.neighbours ?? [];
+    return [id, ...neighbours.map((peer) => peer.id)];
+  }
+
   /** Unchanged announcements are passed on only now and then. */
   #isNews(announcement: TargetAnnouncement): boolean {
     const { id } = announcement;
--- a/src/tasks/targets/dispatch_task.ts
+++ b/src/tasks/targets/dispatch_task.ts
@@ -160,20 +160,24 @@
     return this;
   }
 
-  /**
-   * Asks a target for its health and takes the answer in.
-   * @returns Whether the target answered.
-   */
-  async probe(targetId: string): Promise<boolean> {
+  /** Asks a target for its health and takes the answer in. */
+  async probe(targetId: string): Promise<HealthAnswer | undefined> {
     const target = this.#dispatcher.targets.get(targetId);
-    if (target === undefined) return false;
+    if (target === undefined) return undefined;
     const health = await this.#prober.probe(target.announcement);
     if (health.type !== "answered") {
       if (health.type === "refused") this.#onDied(targetId);
-      return false;
+      return undefined;
     }
     this.#onHealth(target.announcement, health);
-    return true;
+    return health;
+  }
+
+  /** Takes in the health that another instance has found. */
+  takeHealth(targetId: string, health: HealthAnswer): this {
+    const target = this.#dispatcher.targets.get(targetId);
+    if (target !== undefined) this.#onHealth(target.announcement, health);
+    return this;
   }
 
   /** Refuses new jobs from now on. */
