Flow of a queue from enough answers; replay of traces begun

Cause: two answers of a burst gave a flow far under the true one, so callers were refused although their wait was short; and a closed pipe of the log ended the instance.

Conclusion: short bursts no longer refuse callers.

--- a/src/commands/serve.ts
+++ b/src/commands/serve.ts
@@ -19,6 +19,9 @@
     },
   },
   async run({ args }) {
+    process.stdout.on("error", () => {
+      // An instance goes on serving although nobody reads its log any more.
+    });
     const instance = await Instance.create(loadSettings(args.settings));
     await instance.start();
     await new Promise<void>((resolve) => {
--- a/src/core/dispatch/lane_flow.ts
+++ b/src/core/dispatch/lane_flow.ts
@@ -3,6 +3,8 @@
 const EWMA_WEIGHT = 0.3;
 /** Time over which the flow is counted, in milliseconds. */
 const INTERVAL_MS = 500;
+/** Items from which a flow is told; answers that come in bursts need some. */
+const MIN_TAKEN = 16;
 /** Time without an empty queue after which a queue counts as standing. */
 const STANDING_MS = 1_000;
 
@@ -18,6 +20,7 @@
 export class LaneFlow {
   #queued = 0;
   #taken = 0;
+  #takenItems = 0;
   #countedSince: number;
   #tokensPerMs: number | undefined;
   #standingSince: number;
@@ -53,13 +56,15 @@
   /** Records an item that was placed. */
   onTaken(tokens: number, now: number): this {
     this.#taken += tokens;
+    this.#takenItems += 1;
     this.onRemoved(tokens, now);
     const elapsed = now - this.#countedSince;
-    if (elapsed < INTERVAL_MS) return this;
+    if (elapsed < INTERVAL_MS || this.#takenItems < MIN_TAKEN) return this;
     const rate = this.#taken / elapsed;
     const former = this.#tokensPerMs ?? rate;
     this.#tokensPerMs = former + EWMA_WEIGHT * (rate - former);
     this.#taken = 0;
+    this.#takenItems = 0;
     this.#countedSince = now;
     return this;
   }
@@ -76,6 +81,7 @@
     this.#standingSince = now;
     this.#countedSince = now;
     this.#taken = 0;
+    this.#takenItems = 0;
     this.#tokensPerMs = undefined;
   }
 }
--- a/src/main.ts
+++ b/src/main.ts
@@ -5,6 +5,7 @@
 import { init } from "./commands/init.ts";
 import { status, steps, usage } from "./commands/inspect.ts";
 import { keys } from "./commands/keys.ts";
+import { replay } from "./commands/replay.ts";
 import { serve } from "./commands/serve.ts";
 import { version } from "./commands/version.ts";
 
@@ -23,6 +24,7 @@
     status,
     steps,
     usage,
+    replay,
     version,
   } as unknown as Record<string, CommandDef>,
 });
--- /dev/null
+++ b/src/replay/replayer.ts
@@ -0,0 +1,68 @@
+/** Replays a trace through the product's core and compares outcomes. */
+import { NutmegreelError } from "../core/errors/mod.ts";
+import { DispatchReplay } from "./dispatch_replay.ts";
+import { StateReplay } from "./state_replay.ts";
+import {
+  holds,
+  type TraceLine,
+  traceLineSchema,
+  type TraceOutcome,
+} from "./trace_line.ts";
+
+/**
+ * Runs the lines of one trace in order.
+ *
+ * @example
+ * ```ts
+ * const outcomes = new Replayer().run(readFileSync(file, "utf8"));
+ * ```
+ */
+export class Replayer {
+  readonly #handlers = {
+    ...new DispatchReplay().handlers,
+    ...new StateReplay().handlers,
+  };
+
+  /** Gets every stated outcome of a trace with what came. */
+  run(text: string): TraceOutcome[] {
+    const outcomes: TraceOutcome[] = [];
+    let now = 0;
+    text.split("\n").forEach((lineText, i) => {
+      if (lineText.trim() === "") return;
+      const line = parseLine(lineText, i + 1);
+      now = line.at ?? now;
+      const actual = this.#handle(line, { now, number: i + 1 });
+      if (line.expect === undefined) return;
+      outcomes.push({
+        line: i + 1,
+        action: line.do,
+        shows: line.shows,
+        isMet: holds(actual, line.expect),
+        expected: line.expect,
+        actual,
+      });
+    });
+    return outcomes;
+  }
+
+  #handle(line: TraceLine, place: { now: number; number: number }): unknown {
+    const handler = this.#handlers[line.do];
+    if (handler === undefined) {
+      throw new NutmegreelError(
+        "trace",
+        `Line ${place.number}: unknown action ${line.do}`,
+      );
+    }
+    const result = handler(line.with, place.now);
+    return JSON.parse(JSON.stringify(result ?? null));
+  }
+}
+
+function parseLine(text: string, number: number): TraceLine {
+  try {
+    return traceLineSchema.parse(JSON.parse(text));
+  } catch (err) {
+    const detail = (err as Error).message;
+    throw new NutmegreelError("trace", `Line ${number}: ${detail}`);
+  }
+}
--- /dev/null
+++ b/src/replay/state_replay.ts
@@ -0,0 +1,208 @@
+/** Replays what happens to control log, ledger, steps and leases. */
+import { type ControlCommand, ControlState } from "../core/control/mod.ts";
+import { FeedNode, type FeedRenew } from "../core/feed/mod.ts";
+import { createKeyRecord, formatKey } from "../core/keys/mod.ts";
+import {
+  type LedgerRecord,
+  LedgerState,
+  type StepKey,
+} from "../core/ledger/mod.ts";
+import { type OrderSend, OrderSender } from "../core/orders/mod.ts";
+import {
+  type MadeSample,
+  StalenessGate,
+  StepRunner,
+  type StepSpec,
+} from "../core/samples/mod.ts";
+import { RefusalError } from "../core/verdict/mod.ts";
+import type { ReplayHandler } from "./dispatch_replay.ts";
+
+const SECRET = "0123456789abcdef";
+const MODEL = "m";
+const FEED_TIMES = { leaseMs: 3_000, clockRateError: 0.02 };
+const ORDER_TIMES = {
+  leaseMs: 1_500,
+  longestSendMs: 1_000,
+  clockRateError: 0.02,
+};
+
+/** Keeps the states of a trace. */
+export class StateReplay {
+  #control = new ControlState();
+  #ledger = new LedgerState();
+  readonly #gate = new StalenessGate();
+  readonly #sender = new OrderSender({ times: ORDER_TIMES });
+  readonly #feeds = new Map<string, FeedNode>();
+  #runner: StepRunner | undefined;
+
+  /** Lines that it handles. */
+  readonly handlers: Readonly<Record<string, ReplayHandler>> = {
+    command: (parts) => this.#control.apply(parts as unknown as ControlCommand),
+    record: (parts) => {
+      const err = this.#ledger.apply(parts as unknown as LedgerRecord);
+      return err === undefined
+        ? { type: "applied" }
+        : { type: "rejected", invariant: err.invariant };
+    },
+    createKey: ({ id, workspace }) => {
+      const key = createKeyRecord({
+        id: String(id),
+        workspace: String(workspace),
+        secret: SECRET,
+        salt: "00",
+      });
+      return this.#control.apply({ type: "putKey", key });
+    },
+    present: ({ id, secret }) => this.#present(String(id), secret),
+    restart: () => {
+      const control = JSON.parse(JSON.stringify(this.#control.save()));
+      const ledger = JSON.parse(JSON.stringify(this.#ledger.save()));
+      this.#control = new ControlState().load(control);
+      this.#ledger = new LedgerState().load(ledger);
+      return { revision: this.#control.configuration.revision };
+    },
+    configuration: () => ({
+      revision: this.#control.configuration.revision,
+      document: this.#control.configuration.document,
+    }),
+    readSamples: (parts) => this.#read(parts),
+    usage: () => ({
+      open: this.#ledger.usage.open,
+      sealed: this.#ledger.usage.sealed,
+    }),
+    weights: ({ version }, now) => {
+      this.#gate.announce(Number(version), now);
+      return this.#runner?.onAnnounced(now) ?? {};
+    },
+    step: (parts, now) => this.#startStep(parts, now),
+    placed: ({ id, target }, now) => {
+      this.#runner?.onPlaced(String(id), String(target), now);
+      return {};
+    },
+    made: (parts, now) => this.#made(parts, now),
+    ready: (_parts, now) =>
+      this.#runner?.peekReady(1_000, now).map((sample) => sample.slot),
+    lead: ({ term, leaseEnd }, now) => this.#due(term, leaseEnd, now),
+    sendFailed: ({ id }, now) => {
+      this.#sender.onFailed(String(id), now);
+      return {};
+    },
+    feed: ({ id, dataCentre }) => {
+      this.#feedOf(String(id), String(dataCentre ?? "dc"));
+      return {};
+    },
+    feedApplied: ({ id, index }) => {
+      const feed = this.#feedOf(String(id));
+      const entries = [];
+      for (let i = feed.applied + 1; i <= Number(index); i += 1) {
+        entries.push({ index: i });
+      }
+      feed.onApplied(entries);
+      return { applied: feed.applied };
+    },
+    feedRoot: ({ id, hasLease, since }) => {
+      const root = { hasLease: Boolean(hasLease), since: Number(since) };
+      this.#feedOf(String(id)).setRoot(root);
+      return {};
+    },
+    feedRenew: ({ from, to }, now) => {
+      const below = this.#feedOf(String(from));
+      const renew: FeedRenew = below.renew(now);
+      const grant = this.#feedOf(String(to)).onRenew(renew, now);
+      below.onApplied(below.onGrant(grant).entries);
+      below.onLease(grant);
+      return { hasLease: below.hasLease(now), applied: below.applied };
+    },
+    feedLease: ({ id }, now) => ({
+      hasLease: this.#feedOf(String(id)).hasLease(now),
+    }),
+    feedForce: ({ id, index, homes }, now) =>
+      this.#feedOf(String(id))
+        .force(Number(index), (homes ?? []) as string[], now),
+  };
+
+  #present(id: string, secret: unknown): unknown {
+    try {
+      const key = formatKey({ id, secret: String(secret ?? SECRET) });
+      const record = this.#control.keys.authenticateOrThrow(key);
+      return { workspace: record.workspace };
+    } catch (err) {
+      if (!(err instanceof RefusalError)) throw err;
+      return { reason: err.reason, verdict: err.verdict };
+    }
+  }
+
+  #read(parts: Readonly<Record<string, unknown>>): unknown {
+    const step = this.#ledger.getStep(parts as unknown as StepKey);
+    return {
+      status: step?.status,
+      samples: step?.read(Number(parts.after ?? 0))
+        .map(({ number, slot, text }) => ({ number, slot, text })),
+    };
+  }
+
+  #startStep(parts: Readonly<Record<string, unknown>>, now: number): unknown {
+    const spec = {
+      id: "s",
+      workspace: "w",
+      keyId: "k",
+      route: "r",
+      model: MODEL,
+      staleness: { maxVersionsBehind: 1 },
+      deadline: 0,
+      tokensPerSample: 10,
+      ...parts,
+    } as unknown as StepSpec;
+    this.#runner = new StepRunner(spec, {
+      gate: this.#gate,
+      hash: (text) => text,
+      maxAttempts: 3,
+    });
+    const { submit } = this.#runner.start(now);
+    return submit.map(({ id, minVersion }) => ({ id, minVersion }));
+  }
+
+  #made(parts: Readonly<Record<string, unknown>>, now: number): unknown {
+    const { id, ...change } = parts;
+    const slot = this.#runner?.getSlotOf(String(id))?.index ?? 0;
+    const sample = {
+      slot,
+      text: "",
+      finishReason: "stop",
+      tokens: 1,
+      versions: [],
+      firstTokenAt: now,
+      targetId: "t",
+      ...change,
+    } as MadeSample;
+    return this.#runner?.onMade(String(id), sample, now);
+  }
+
+  #due(term: unknown, leaseEnd: unknown, now: number): unknown {
+    const standing = {
+      term: typeof term === "number" ? term : undefined,
+      leaseEnd: typeof leaseEnd === "number" ? leaseEnd : -Infinity,
+    };
+    const { openOrders } = this.#control;
+    return this.#sender.due(openOrders, standing, now)
+      .map(({ order, fencing, attempt, timeoutMs }: OrderSend) => ({
+        id: order.id,
+        ...fencing,
+        attempt,
+        timeoutMs,
+      }));
+  }
+
+  #feedOf(id: string, dataCentre = "dc"): FeedNode {
+    let feed = this.#feeds.get(id);
+    if (feed !== undefined) return feed;
+    feed = new FeedNode({
+      self: id,
+      dataCentre,
+      times: FEED_TIMES,
+      getSnapshot: () => new ControlState().save(),
+    });
+    this.#feeds.set(id, feed);
+    return feed;
+  }
+}
