Certificates read again without a restart

Cause: a changed certificate needed a restart.

Conclusion: certificates of callers and of peers can be replaced.

--- a/src/tasks/instance.ts
+++ b/src/tasks/instance.ts
@@ -1,6 +1,5 @@
 /** One instance: its tasks and their life. */
 import { randomUUID } from "node:crypto";
-import { readFileSync } from "node:fs";
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
 import { uniformFloat64 } from "pure-rand/distribution/uniformFloat64";
 import { ConfigurationView } from "../core/configuration/mod.ts";
@@ -21,6 +20,7 @@
   UsageTask,
   WeightsTask,
 } from "./charge/mod.ts";
+import { CertificateWatcher, readCertificatesOrThrow } from "./certificates.ts";
 import { Cluster } from "./cluster.ts";
 import { bootstrapControl } from "./control/bootstrap.ts";
 import type { ControlPort } from "./control/control_port.ts";
@@ -88,6 +88,7 @@
   readonly #sealing: UsageTask;
   readonly #charge: ChargeTask | undefined;
   readonly #timers: NodeJS.Timeout[] = [];
+  readonly #watchers: CertificateWatcher[] = [];
   readonly #toldAt = new Map<string, number>();
   #isStopped = false;
 
@@ -170,6 +171,7 @@
     );
     this.#every(SEAL_INTERVAL_MS, () => this.#runUsage());
     this.#charge?.start();
+    this.#watchCertificates();
     const port = await this.#server.listen();
     this.#logger.event("instanceStarted", { port });
     return port;
@@ -190,6 +192,7 @@
     await this.#writeUsage();
     this.#probes.stop();
     this.#steps.stop();
+    for (const watcher of this.#watchers) watcher.stop();
     await this.#charge?.stop();
     await this.#dispatch.stop();
     this.#server.stop();
@@ -263,6 +266,29 @@
     });
   }
 
+  #watchCertificates(): void {
+    const { callers, peers } = this.#settings.tls;
+    const logger = this.#logger;
+    if (callers !== undefined) {
+      this.#watchers.push(
+        new CertificateWatcher({
+          files: callers,
+          logger,
+          onChange: (changed) => this.#server.setSecureContext(changed),
+        }),
+      );
+    }
+    const hub = this.#cluster?.hub;
+    if (peers === undefined || hub === undefined) return;
+    this.#watchers.push(
+      new CertificateWatcher({
+        files: peers,
+        logger,
+        onChange: (changed) => hub.setSecurity(changed),
+      }),
+    );
+  }
+
   #createWeights(): WeightsTask {
     const { targetCredentialFile } = this.#settings;
     return new WeightsTask({
@@ -377,10 +403,9 @@
       }),
       logger: this.#logger,
       metrics: this.#metrics,
-      secure: callers === undefined ? undefined : {
-        cert: readFileSync(callers.certFile),
-        key: readFileSync(callers.keyFile),
-      },
+      secure: callers === undefined
+        ? undefined
+        : readCertificatesOrThrow(callers),
     });
   }
 
--- a/src/tasks/peers/peer_hub.ts
+++ b/src/tasks/peers/peer_hub.ts
@@ -1,5 +1,4 @@
 /** All links of an instance: messages, requests and signs of life. */
-import { readFileSync } from "node:fs";
 import {
   RefusalError,
   RefusalReason,
@@ -12,6 +11,7 @@
   readSecretOrThrow,
   type Settings,
 } from "../../settings/mod.ts";
+import { readCertificatesOrThrow } from "../certificates.ts";
 import type { PeerEnvelope, PeerReply, Presence } from "./peer_envelope.ts";
 import { type LinkSecurity, PeerLink } from "./peer_link.ts";
 import { PeerListener } from "./peer_listener.ts";
@@ -70,7 +70,7 @@
 export class PeerHub {
   readonly #options: PeerHubOptions;
   readonly #secret: string;
-  readonly #security: LinkSecurity | undefined;
+  #security: LinkSecurity | undefined;
   readonly #listener: PeerListener | undefined;
   readonly #links = new Map<string, PeerLink>();
   readonly #seen = new Map<string, Seen>();
@@ -91,13 +91,9 @@
     this.#secret = peerSecretFile === undefined
       ? ""
       : readSecretOrThrow(peerSecretFile);
-    this.#security = tls.peers === undefined ? undefined : {
-      cert: readFileSync(tls.peers.certFile),
-      key: readFileSync(tls.peers.keyFile),
-      ca: tls.peers.caFile === undefined
-        ? undefined
-        : readFileSync(tls.peers.caFile),
-    };
+    this.#security = tls.peers === undefined
+      ? undefined
+      : readCertificatesOrThrow(tls.peers);
     if (peerListen === undefined) return;
     this.#listener = new PeerListener({
       self: settings.id,
@@ -195,6 +191,13 @@
     return this.isPresent(id) ? this.#seen.get(id)?.presence : undefined;
   }
 
+  /** Uses other certificates for new connections. */
+  setSecurity(security: LinkSecurity): this {
+    this.#security = security;
+    this.#listener?.setSecureContext(security);
+    return this;
+  }
+
   /** Ends all links. */
   stop(): void {
     clearInterval(this.#timer);
@@ -214,7 +217,7 @@
       self: this.#options.settings.id,
       peer,
       secret: this.#secret,
-      security: this.#security,
+      security: () => this.#security,
       onChange: (isUp) => {
         logger.event(isUp ? "peerUp" : "peerDown", { peer: id });
         if (isUp) this.#sendPresence(id);
--- a/src/tasks/peers/peer_link.ts
+++ b/src/tasks/peers/peer_link.ts
@@ -19,8 +19,8 @@
   readonly peer: PeerSettings;
   /** Secret that all instances share; empty where certificates prove. */
   readonly secret: string;
-  /** Certificates; a plain connection where absent. */
-  readonly security?: LinkSecurity;
+  /** Gets the certificates; undefined for a plain connection. */
+  readonly security: () => LinkSecurity | undefined;
   /** Hears that the link is up or down. */
   readonly onChange: (isUp: boolean) => void;
   /** Counts sent bytes. */
@@ -77,7 +77,8 @@
   }
 
   #dial(): void {
-    const { peer, security } = this.#options;
+    const { peer } = this.#options;
+    const security = this.#options.security();
     const { host, port } = peer.address;
     const name = host.includes(":") ? `[${host}]` : host;
     const scheme = security === undefined ? "ws" : "wss";
