Dispatcher split; calls of absent processes given up

Cause: the dispatcher had 705 lines with placement, suspects and budgets in one class; a call whose process never came back stayed running for ever.

Conclusion: behaviour is as before, but that a call under an idempotency key is answered as lost once its process has been silent for 60 s.

--- a/src/core/dispatch/dispatcher.ts
+++ b/src/core/dispatch/dispatcher.ts
@@ -1,14 +1,13 @@
 /** Decides when and where each request runs, and when it is refused. */
 import TinyQueue from "tinyqueue";
 import type { LimitSettings } from "../configuration/mod.ts";
-import { assertInvariant, Invariant } from "../invariants/mod.ts";
 import { type AdaptiveWindowOptions, WorkspaceLimits } from "../limits/mod.ts";
 import {
   Quarantine,
   Suspicion,
   type SuspicionChange,
 } from "../quarantine/mod.ts";
-import { backoffMs, decideRetry, isRetry, RetryBudget } from "../retry/mod.ts";
+import { backoffMs, decideRetry, isRetry } from "../retry/mod.ts";
 import {
   type CacheEvent,
   type LoadReport,
@@ -21,9 +20,10 @@
 } from "../routing/mod.ts";
 import { RefusalReason, Verdict } from "../verdict/mod.ts";
 import type { AttemptOutcome, DispatchEffect } from "./attempt.ts";
-import { FingerprintSpread } from "./fingerprint_spread.ts";
 import { Flight } from "./flight.ts";
+import { Placement } from "./placement.ts";
 import { Pool } from "./pool.ts";
+import { RetryBudgets } from "./retry_budgets.ts";
 import { type WorkItem, WorkKind } from "./work_item.ts";
 
 /** Options of {@link Dispatcher}. */
@@ -55,10 +55,6 @@
 const MAX_RETRY_AFTER_MS = 30_000;
 /** Time that a call waits for a pool whose targets are all out. */
 const NO_TARGET_WAIT_MS = 2_000;
-/** How much later a slow target must end before work waits for a fast one. */
-const WAITING_FACTOR = 1.2;
-/** Suspects that may hold a target reserved at once. */
-const MAX_RESERVATIONS = 1;
 
 /**
  * Admits, queues, places and retries requests.
@@ -86,16 +82,19 @@
     (a, b) => a.item.deadline - b.item.deadline,
   );
   readonly #limits = new Map<string, WorkspaceLimits>();
-  readonly #workspaceBudgets = new Map<string, RetryBudget>();
-  readonly #targetBudgets = new Map<string, RetryBudget>();
-  readonly #spread = new FingerprintSpread();
-  readonly #reservations = new Map<string, string>();
+  readonly #budgets = new RetryBudgets();
+  readonly #placement: Placement;
   #isClosed = false;
 
   /** Creates a dispatcher without targets. */
   constructor(options: DispatcherOptions) {
     this.#options = options;
     this.targets = new TargetTable(options.window);
+    this.#placement = new Placement({
+      ...options,
+      targets: this.targets,
+      quarantine: this.quarantine,
+    });
   }
 
   /** Gets the number of requests that wait or run. */
@@ -167,7 +166,7 @@
     const flight = this.#flights.get(itemId);
     if (flight === undefined) return false;
     const isRunning = flight.targetId !== undefined;
-    if (isRunning) this.#leaveTarget(flight, { isWhole: false, now });
+    if (isRunning) this.#placement.onLeft(flight, { isWhole: false, now });
     this.getPool(flight.item.pool).remove(flight.item, now);
     this.#end(flight, { tokens: 0, now });
     return isRunning;
@@ -282,7 +281,7 @@
     const { fingerprint } = change;
     const suspicion = this.quarantine.suspicionOf(fingerprint);
     if (suspicion === Suspicion.Clear) return [];
-    this.#spread.onSuspect(fingerprint);
+    this.#placement.onSuspect(fingerprint);
     if (suspicion !== Suspicion.Proven) return [];
     const waiting = [...this.#flights.values()].filter((flight) =>
       flight.targetId === undefined && flight.item.fingerprint === fingerprint
@@ -357,123 +356,52 @@
     while (pool.queue.size > 0) {
       const withRoom = [...this.targets.inPool(poolId)]
         .filter((target) => target.hasRoom(now));
-      if (withRoom.length === 0 && this.#reservations.size === 0) break;
-      const item = pool.take(
-        (entry) => this.#candidates(entry, withRoom).length > 0,
-        now,
-      );
-      if (item === undefined) break;
-      const target = this.#pick(item, withRoom, now);
-      if (target === undefined || this.#isWorthWaiting(item, target, now)) {
-        pool.add(item, now, { isRetry: true });
-        break;
-      }
-      effects.push(this.#start(item, target, now));
+      if (withRoom.length === 0 && !this.#placement.hasReservations) break;
+      const effect = this.#placeNext(pool, withRoom, now);
+      if (effect === undefined) break;
+      effects.push(effect);
     }
-    this.#reserveForSuspect(pool, poolId, now);
+    this.#placement.reserveForSuspect(this.#waitingIn(pool), now);
     return effects;
   }
 
-  /** A slow target is left alone where a faster one will be free in time. */
-  #isWorthWaiting(item: WorkItem, target: Target, now: number): boolean {
-    if (this.#options.waitsForFaster === false) return false;
-    const pool = this.getPool(item.pool);
-    const waitMs = pool.drainMs;
-    if (waitMs === undefined) return false;
-    const hereMs = target.expectedMs(item.tokens, now);
-    let bestMs = Infinity;
-    for (const other of this.targets.inPool(item.pool)) {
-      if (!other.isUsable(now) || !this.#mayRun(item, other)) continue;
-      bestMs = Math.min(bestMs, other.expectedMs(item.tokens, now));
-    }
-    return hereMs > (bestMs + waitMs) * WAITING_FACTOR;
-  }
-
-  #candidates(item: WorkItem, withRoom: readonly Target[]): Target[] {
-    const suspicion = this.quarantine.suspicionOf(item.fingerprint);
-    if (suspicion !== Suspicion.Clear) {
-      const isRunning = this.#spread.isRunning(item.fingerprint);
-      return isRunning ? [] : this.#idleTargets(item, withRoom);
-    }
-    return withRoom.filter((target) => this.#mayRun(item, target));
-  }
-
-  #idleTargets(item: WorkItem, withRoom: readonly Target[]): Target[] {
-    const reserved = this.targets.get(this.#reservations.get(item.id) ?? "");
-    const all = reserved === undefined ? withRoom : [...withRoom, reserved];
-    return all.filter((target) =>
-      target.inFlight === 0 && target.othersRunning === 0 &&
-      this.#mayRun(item, target)
-    );
+  #placeNext(
+    pool: Pool,
+    withRoom: readonly Target[],
+    now: number,
+  ): DispatchEffect | undefined {
+    const item = pool.take((entry) => {
+      const flight = this.#flights.get(entry.id);
+      return flight !== undefined &&
+        this.#placement.candidates(flight, withRoom).length > 0;
+    }, now);
+    const flight = this.#flights.get(item?.id ?? "");
+    if (item === undefined || flight === undefined) return undefined;
+    const target = this.#placement.pick(flight, withRoom, now);
+    const wait = { waitMs: pool.drainMs, now };
+    const isPlaced = target !== undefined &&
+      !this.#placement.isWorthWaiting(flight, target, wait);
+    if (isPlaced) return this.#start(flight, target, now);
+    pool.add(item, now, { isRetry: true });
+    return undefined;
   }
 
-  #mayRun(item: WorkItem, target: Target): boolean {
-    const flight = this.#flights.get(item.id);
-    if (flight?.failedTargets.has(target.id)) {
-      return this.#hasFailedEverywhere(item, flight);
-    }
-    if (item.avoid?.includes(target.id)) return false;
-    if (!this.#spread.mayRunOn(item.fingerprint, target.id)) return false;
-    const isLasting = this.#options.isLasting?.(target) ?? true;
-    if (!item.idempotent && !isLasting) return false;
-    if (item.minVersion === undefined) return true;
-    return (target.weightVersion ?? -Infinity) >= item.minVersion;
-  }
-
-  #hasFailedEverywhere(item: WorkItem, flight: Flight): boolean {
-    for (const target of this.targets.inPool(item.pool)) {
-      if (target.phase !== TargetPhase.Serving) continue;
-      if (!flight.failedTargets.has(target.id)) return false;
+  *#waitingIn(pool: Pool): IterableIterator<Flight> {
+    for (const item of pool.queue.entries()) {
+      const flight = this.#flights.get(item.id);
+      if (flight !== undefined) yield flight;
     }
-    return true;
   }
 
-  #pick(
-    item: WorkItem,
-    withRoom: readonly Target[],
+  #start(
+    flight: Flight,
+    target: Target,
     now: number,
-  ): Target | undefined {
-    return this.#options.picker.pick({
-      candidates: this.#candidates(item, withRoom),
-      tokens: item.tokens,
-      prefixTokens: item.prefixTokens,
-      prefix: item.prefix,
-      preferredVersion: item.preferredVersion,
-      now,
-    });
-  }
-
-  #start(item: WorkItem, target: Target, now: number): DispatchEffect {
-    const flight = this.#flights.get(item.id);
-    assertInvariant(
-      flight !== undefined && flight.targetId === undefined,
-      Invariant.NonIdempotentAtMostOnce,
-      `Item ${item.id} is running already`,
-    );
-    assertInvariant(
-      flight.verdict === Verdict.NotRun || item.idempotent,
-      Invariant.NonIdempotentAtMostOnce,
-      `Item ${item.id} may have run`,
-    );
-    assertInvariant(
-      target.phase !== TargetPhase.Leaving && target.phase !== TargetPhase.Gone,
-      Invariant.LeavingTargetIdle,
-      `Target ${target.id} is ${target.phase}`,
-    );
-    this.#unreserve(item.id);
-    flight.targetId = target.id;
-    flight.attempts += 1;
-    flight.startedAt = now;
-    target.onStart(item.id, item.fingerprint, now);
-    if (this.quarantine.suspicionOf(item.fingerprint) !== Suspicion.Clear) {
-      this.#reservations.set(item.id, target.id);
-      target.reserve(item.id);
-    }
-    this.#spread.onStart(item.fingerprint, target.id);
-    this.#options.picker.onPlaced(item.prefix, target.id);
+  ): DispatchEffect {
+    this.#placement.onStart(flight, target, now);
     return {
       type: "start",
-      item,
+      item: flight.item,
       targetId: target.id,
       attempt: flight.attempts,
       firstTokenTimeoutMs: this.#firstTokenTimeout(flight, now),
@@ -490,28 +418,6 @@
     return undefined;
   }
 
-  #reserveForSuspect(pool: Pool, poolId: string, now: number): void {
-    if (this.#reservations.size >= MAX_RESERVATIONS) return;
-    for (const item of pool.queue.entries()) {
-      const suspicion = this.quarantine.suspicionOf(item.fingerprint);
-      if (suspicion === Suspicion.Clear) continue;
-      const target = [...this.targets.inPool(poolId)]
-        .filter((t) => t.isUsable(now) && this.#mayRun(item, t))
-        .sort((a, b) => a.inFlight - b.inFlight)[0];
-      if (target === undefined) continue;
-      target.reserve(item.id);
-      this.#reservations.set(item.id, target.id);
-      return;
-    }
-  }
-
-  #unreserve(itemId: string): void {
-    const targetId = this.#reservations.get(itemId);
-    if (targetId === undefined) return;
-    this.#reservations.delete(itemId);
-    this.targets.get(targetId)?.unreserve();
-  }
-
   #endAttempt(
     flight: Flight,
     outcome: AttemptOutcome,
@@ -522,14 +428,14 @@
       return this.#complete(flight, outcome.tokens, context);
     }
     if (outcome.type === "cancelled") {
-      this.#leaveTarget(flight, { isWhole: false, now });
+      this.#placement.onLeft(flight, { isWhole: false, now });
       this.#end(flight, { tokens: 0, now });
       return [];
     }
     if (outcome.isOverload) target?.onOverload(now);
     else if (outcome.isTargetFault) target?.onFailure(now);
     flight.failedTargets.add(flight.targetId ?? "");
-    this.#leaveTarget(flight, { isWhole: false, now });
+    this.#placement.onLeft(flight, { isWhole: false, now });
     return this.#retryOrRefuse(flight, outcome, now);
   }
 
@@ -541,13 +447,11 @@
     const { target, now } = context;
     const durationMs = now - flight.startedAt;
     target?.onSuccess({ tokens, durationMs });
-    this.#leaveTarget(flight, { isWhole: true, now });
+    this.#placement.onLeft(flight, { isWhole: true, now });
     const pool = this.getPool(flight.item.pool).onTokens(tokens, now);
     pool.times.add(durationMs);
-    this.#budget(this.#workspaceBudgets, flight.item.workspace).onSuccess();
-    if (target !== undefined) {
-      this.#budget(this.#targetBudgets, target.id).onSuccess();
-    }
+    const { workspace } = flight.item;
+    this.#budgets.onSuccess({ workspace, targetId: target?.id ?? "" });
     this.#end(flight, { tokens, now });
     const change = this.quarantine.onFinished(flight.item.fingerprint);
     return change === undefined ? [] : [{ type: "suspect", change }];
@@ -572,7 +476,10 @@
       maxAttempts: item.maxAttempts,
     });
     if (!isRetry(decision)) return [this.#refuse(flight, outcome.reason, now)];
-    if (!this.#trySpend(flight)) {
+    const isFree = item.kind === WorkKind.Sample;
+    const targetId = [...flight.failedTargets].at(-1) ?? "";
+    const owners = { workspace: item.workspace, targetId };
+    if (!isFree && !this.#budgets.trySpend(owners)) {
       const reason = RefusalReason.RetryBudgetSpent;
       return [this.#refuse(flight, reason, now)];
     }
@@ -582,23 +489,6 @@
     return [{ type: "retry", item, reason: outcome.reason, decision }];
   }
 
-  #trySpend(flight: Flight): boolean {
-    if (flight.item.kind === WorkKind.Sample) return true;
-    const failed = [...flight.failedTargets].at(-1) ?? "";
-    const workspace = this.#budget(
-      this.#workspaceBudgets,
-      flight.item.workspace,
-    );
-    const target = this.#budget(this.#targetBudgets, failed);
-    return target.trySpend() && workspace.trySpend();
-  }
-
-  #budget(budgets: Map<string, RetryBudget>, id: string): RetryBudget {
-    const known = budgets.get(id) ?? new RetryBudget();
-    budgets.set(id, known);
-    return known;
-  }
-
   #refuseOverdue(now: number): DispatchEffect[] {
     const effects: DispatchEffect[] = [];
     while ((this.#deadlines.peek()?.item.deadline ?? Infinity) <= now) {
@@ -649,21 +539,9 @@
     };
   }
 
-  #leaveTarget(
-    flight: Flight,
-    options: { isWhole: boolean; now: number },
-  ): void {
-    const { item, targetId } = flight;
-    if (targetId === undefined) return;
-    this.targets.get(targetId)?.onEnd(item.id, options.now);
-    this.#spread.onEnd(item.fingerprint, targetId, options.isWhole);
-    this.#unreserve(item.id);
-    flight.targetId = undefined;
-  }
-
   #end(flight: Flight, options: { tokens: number; now: number }): void {
     const { item } = flight;
-    this.#unreserve(item.id);
+    this.#placement.unreserve(item.id);
     this.#flights.delete(item.id);
     this.#delayed.delete(flight);
     this.getPool(item.pool).queue.correct(
--- a/src/tasks/instance.ts
+++ b/src/tasks/instance.ts
@@ -53,6 +53,8 @@
 const WEIGHTS_INTERVAL_MS = 250;
 /** Time between two looks at usage windows. */
 const SEAL_INTERVAL_MS = 500;
+/** Time without a sign of life after which a process's calls are given up. */
+const GONE_AFTER_MS = 60_000;
 const BOOTSTRAP_RETRY_MS = 300;
 const NEIGHBOUR_TIMEOUT_MS = 2_000;
 /** Time after which an unchanged announcement is passed on again. */
@@ -557,6 +559,7 @@
     await this.#once.loseCallsOf((owner) => {
       const [id, incarnation] = owner.split("#");
       if (id === this.#settings.id) return incarnation !== this.#incarnation;
+      if (hub.absentMs(id) > GONE_AFTER_MS) return true;
       const presence = hub.getPresence(id);
       return presence !== undefined && presence.incarnation !== incarnation;
     });
--- a/src/tasks/peers/peer_hub.ts
+++ b/src/tasks/peers/peer_hub.ts
@@ -81,6 +81,7 @@
     (from: string, body: never) => void
   >();
   #timer: NodeJS.Timeout | undefined;
+  readonly #createdAt = Date.now();
   #nextRequest = 1;
 
   /** Creates the hub; it does not listen or dial yet. */
@@ -186,6 +187,11 @@
     return seen !== undefined && Date.now() - seen.at < AWAY_AFTER_MS;
   }
 
+  /** Gets the time since the last sign of life of an instance. */
+  absentMs(id: string): number {
+    return Date.now() - (this.#seen.get(id)?.at ?? this.#createdAt);
+  }
+
   /** Gets what an instance told of itself, where it is present. */
   getPresence(id: string): Presence | undefined {
     return this.isPresent(id) ? this.#seen.get(id)?.presence : undefined;
