Peers by certificates: links come up, strangers are refused

Cause: the check of a peer's name gave true, which Node takes for an error, so no link over TLS ever came up; no test had tried one. A test cluster that did not come up also left its processes behind.

Figures: three instances that prove themselves by certificates elect a leader of three voters; a connection with a certificate of nobody's authority is refused.

Conclusion: TLS between instances works by settings, as towards callers.

--- a/src/tasks/peers/peer_link.ts
+++ b/src/tasks/peers/peer_link.ts
@@ -88,7 +88,7 @@
       cert: security?.cert,
       key: security?.key,
       ca: security?.ca,
-      checkServerIdentity: () => true,
+      checkServerIdentity: acceptsAnyName,
     });
     this.#socket = socket;
     const nonce = createNonce();
@@ -124,6 +124,13 @@
   }
 }
 
+/**
+ * Accepts a certificate of the authority whatever its name: addresses are IP
+ * numbers, and the instance proves its identity in the handshake. Node takes
+ * undefined for acceptance, where the type asks for a boolean.
+ */
+const acceptsAnyName = (() => undefined) as unknown as () => boolean;
+
 function parseAnswer(
   data: Buffer,
 ): { nonce: string; proof: string } | undefined {
--- a/tests/support/cluster.ts
+++ b/tests/support/cluster.ts
@@ -83,24 +83,33 @@
   /** Starts all instances and waits until they are in contact. */
   static async start(options: TestClusterOptions): Promise<TestCluster> {
     const cluster = new TestCluster(options);
+    try {
+      await cluster.#start(options);
+      return cluster;
+    } catch (err) {
+      await cluster.stop();
+      throw err;
+    }
+  }
+
+  async #start(options: TestClusterOptions): Promise<void> {
     for (const { id } of options.members) {
-      cluster.#ports.set(id, nextPort());
+      this.#ports.set(id, nextPort());
     }
     if (options.hasRelays !== false) {
-      await cluster.cutter.open(cluster.#ports);
+      await this.cutter.open(this.#ports);
     }
     for (const member of options.members) {
-      if (member.control) cluster.#init(member);
+      if (member.control) this.#init(member);
     }
-    await Promise.all(options.members.map(({ id }) => cluster.startOne(id)));
-    await cluster.until(async () => {
+    await Promise.all(options.members.map(({ id }) => this.startOne(id)));
+    await this.until(async () => {
       const all = await Promise.all(
-        options.members.map(({ id }) => cluster.status(id)),
+        options.members.map(({ id }) => this.status(id)),
       );
       return all.every((s) => s.hasLease && s.revision > 0 && s.view) ||
         undefined;
     });
-    return cluster;
   }
 
   /** Gets an instance. */
@@ -110,6 +119,11 @@
     return instance;
   }
 
+  /** Gets the port of an instance for its peers. */
+  portOf(id: string): number | undefined {
+    return this.#ports.get(id);
+  }
+
   /** Gets the addresses of callers. */
   get urls(): string[] {
     return [...this.#instances.values()].map((instance) => instance.url);
--- a/tests/tls_test.ts
+++ b/tests/tls_test.ts
@@ -1,9 +1,11 @@
 /** Certificates of callers and of peers over real connections. */
 import { execFileSync } from "node:child_process";
-import { copyFileSync } from "node:fs";
+import { copyFileSync, readFileSync } from "node:fs";
 import { join } from "node:path";
 import { connect } from "node:tls";
 import { afterEach, describe, expect, it } from "vitest";
+import { WebSocket } from "ws";
+import { TestCluster } from "./support/cluster.ts";
 import { Deployment } from "./support/deployment.ts";
 
 function createCertificate(folder: string, name: string): void {
@@ -43,7 +45,9 @@
 
 describe("TLS", () => {
   let deployment: Deployment | undefined;
+  let cluster: TestCluster | undefined;
   afterEach(async () => {
+    await cluster?.stop();
     await deployment?.stop();
   });
 
@@ -73,4 +77,45 @@
     await instance.waitForLine((line) => JSON.parse(line).event === 1006);
     expect(await subjectAt(instance.url)).toBe("second");
   });
+
+  it("links peers that prove themselves by certificates", async () => {
+    deployment = new Deployment();
+    const { folder } = deployment;
+    createCertificate(folder, "peers");
+    createCertificate(folder, "stranger");
+    const certFile = join(folder, "peers.crt");
+    const keyFile = join(folder, "peers.key");
+    cluster = await TestCluster.start({
+      members: ["a", "b", "c"].map((id) => ({
+        id,
+        dataCentre: "nl-1",
+        control: true,
+      })),
+      hasRelays: false,
+      settings: { tls: { peers: { certFile, keyFile, caFile: certFile } } },
+    });
+    const leader = await cluster.leader();
+    const { log } = await cluster.status(leader);
+    expect(log?.members.voters).toHaveLength(3);
+    const file = (name: string) => readFileSync(join(folder, name));
+    const stranger = new WebSocket(
+      `wss://127.0.0.1:${cluster.portOf("a")}/peer`,
+      {
+        cert: file("stranger.crt"),
+        key: file("stranger.key"),
+        ca: file("peers.crt"),
+        checkServerIdentity: (() => undefined) as unknown as () => boolean,
+      },
+    );
+    const end = await new Promise<string>((resolve) => {
+      stranger.on("error", () => resolve("refused"));
+      stranger.on("close", () => resolve("refused"));
+      stranger.on("message", () => resolve("answered"));
+      stranger.on(
+        "open",
+        () => stranger.send(JSON.stringify({ id: "b", nonce: "0" })),
+      );
+    });
+    expect(end).toBe("refused");
+  });
 });
