--- a/bench/capacity/estimates.ts
+++ b/bench/capacity/estimates.ts
@@ -31,14 +31,21 @@
 /** Reports of a target that are worth telling, a second, at the most. */
 const HEALTH_PER_SECOND = 1 / 3;
 
-function lineOf(series: SeriesByName, name: string, figure: string): Fit {
+interface Line extends Fit {
+  readonly greatest: number;
+}
+
+function lineOf(series: SeriesByName, name: string, figure: string): Line {
   const fit = series[name]?.fits[figure];
   if (fit === undefined) throw new Error(`No figure ${figure} in ${name}`);
-  return fit;
+  const values = series[name].rows.map((row) => row.figures[figure]);
+  return { ...fit, greatest: Math.max(...values) };
 }
 
-function at(fit: Fit, x: number): number {
-  return Math.max(0, fit.base + fit.slope * x);
+/** A figure that does not grow stays at the greatest that was measured. */
+function at(line: Line, x: number): number {
+  if (line.slope <= 0) return line.greatest;
+  return Math.max(0, line.base + line.slope * x);
 }
 
 /** Gets every figure of the page. */
--- a/src/tasks/charge/charge_task.ts
+++ b/src/tasks/charge/charge_task.ts
@@ -35,7 +35,7 @@
 /** Receiver of orders of targets. */
 export const PLATFORM_RECEIVER = "platform";
 
-const LOOK_MS = 50;
+const LOOK_MS = 200;
 const LONGEST_SEND_MS = 1_000;
 /** Sends that run at once. */
 const MAX_SENDING = 16;
--- a/src/tasks/instance.ts
+++ b/src/tasks/instance.ts
@@ -259,6 +259,7 @@
       getLimits: (workspace) => this.#view().getLimits(workspace),
       isLasting: (target) =>
         this.#view().getZone(target.announcement.zone)?.lasting ?? true,
+      limitShare: () => 1 / Math.max(1, this.#settings.peers.length),
       logger: this.#logger,
       metrics: this.#metrics,
       now: Date.now,
--- a/src/tasks/peers/peer_hub.ts
+++ b/src/tasks/peers/peer_hub.ts
@@ -57,9 +57,9 @@
   readonly at: number;
 }
 
-const PRESENCE_INTERVAL_MS = 500;
+const PRESENCE_INTERVAL_MS = 1_000;
 /** Time without a sign of life after which an instance counts as away. */
-const AWAY_AFTER_MS = 2_500;
+const AWAY_AFTER_MS = 3_500;
 
 /**
  * Owns the links of an instance.
--- a/src/tasks/targets/dispatch_task.ts
+++ b/src/tasks/targets/dispatch_task.ts
@@ -58,6 +58,7 @@
   readonly #prober: TargetProber;
   readonly #jobs = new Map<string, ActiveJob>();
   readonly #timer: NodeJS.Timeout;
+  #wasIdle = false;
 
   /** Creates the task and starts its timer. */
   constructor(options: DispatchTaskOptions) {
@@ -215,6 +216,9 @@
 
   #tick(): void {
     const { metrics, logger, now } = this.#options;
+    const isIdle = this.#dispatcher.size === 0;
+    if (isIdle && this.#wasIdle) return;
+    this.#wasIdle = isIdle;
     try {
       this.#apply(this.#dispatcher.tick(now()));
       metrics.gauge("requests.queued", this.#dispatcher.size);
