--- a/src/core/configuration/configuration_view.ts
+++ b/src/core/configuration/configuration_view.ts
@@ -37,13 +37,6 @@
     return own(this.#doc.routes, id);
   }
 
-  /** Gets the name of the first route that serves a model. */
-  getRouteOfModel(model: string): string | undefined {
-    const found = Object.entries(this.#doc.routes)
-      .find(([, route]) => route.model === model);
-    return found?.[0];
-  }
-
   /**
    * Gets a route that a workspace may use.
    * @param id - Name of the route.
--- a/src/core/consensus/consensus_node.ts
+++ b/src/core/consensus/consensus_node.ts
@@ -405,18 +405,20 @@
     this.#lifecycle.send(RoleEvent.Timeout);
     this.#leader = undefined;
     this.#resetElection(now);
+    this.#askVoters((ask) => ({ type: "preVoteRequest", ...ask }));
+    this.#countPreVotes(now);
+  }
+
+  /** Asks every other voter, with the end of the own log. */
+  #askVoters(
+    create: (ask: Omit<PreVoteRequest, "type">) => PreVoteRequest | VoteRequest,
+  ): void {
     this.#votes = new Set([this.self]);
-    const { index, term } = this.last;
+    const { index: lastIndex, term: lastTerm } = this.last;
     for (const voter of this.members.voters) {
       if (voter === this.self) continue;
-      this.#send({
-        type: "preVoteRequest",
-        ...this.#base(voter),
-        lastIndex: index,
-        lastTerm: term,
-      });
+      this.#send(create({ ...this.#base(voter), lastIndex, lastTerm }));
     }
-    this.#countPreVotes(now);
   }
 
   #countPreVotes(now: number): void {
@@ -430,18 +432,8 @@
     this.#votedFor = this.self;
     this.#writeHardState();
     this.#resetElection(now);
-    this.#votes = new Set([this.self]);
-    const { index, term } = this.last;
-    for (const voter of this.members.voters) {
-      if (voter === this.self) continue;
-      this.#send({
-        type: "voteRequest",
-        ...this.#base(voter),
-        lastIndex: index,
-        lastTerm: term,
-        isTransfer: options.isTransfer,
-      });
-    }
+    const { isTransfer } = options;
+    this.#askVoters((ask) => ({ type: "voteRequest", ...ask, isTransfer }));
     this.#countVotes(now);
   }
 
--- a/src/core/control/configuration_store.ts
+++ b/src/core/control/configuration_store.ts
@@ -3,7 +3,6 @@
   checkDocument,
   type ConfigurationDocument,
   type Fault,
-  SECTION_NAMES,
   type SectionName,
 } from "../configuration/mod.ts";
 import { assertInvariant, Invariant } from "../invariants/mod.ts";
@@ -211,11 +210,6 @@
   return checked.value;
 }
 
-/** Gets whether a name is that of a section. */
-export function isSectionName(name: string): name is SectionName {
-  return (SECTION_NAMES as readonly string[]).includes(name);
-}
-
 function differingFields(current: unknown, proposed: unknown): string[] {
   const left = asRecord(current);
   const right = asRecord(proposed);
--- a/src/core/errors/mod.ts
+++ b/src/core/errors/mod.ts
@@ -1,3 +1,2 @@
-/** Errors and guard helpers. */
+/** The base of typed errors. */
 export * from "./nutmegreel_error.ts";
-export * from "./throw_helpers.ts";
--- a/src/core/ledger/ledger_replica.ts
+++ b/src/core/ledger/ledger_replica.ts
@@ -211,14 +211,6 @@
     else this.hello();
   }
 
-  /** Gives a joiner up that has gone, by a view without it. */
-  abandonJoiner(): void {
-    const view = this.#view;
-    if (view === undefined || this.#proposed === undefined) return;
-    const number = view.number + 1;
-    this.#effects.push({ type: "proposeView", view: { ...view, number } });
-  }
-
   /**
    * Adds a record to the order.
    * @returns Its position, or undefined where this process is not primary.
--- a/src/core/retry/retry_policy.ts
+++ b/src/core/retry/retry_policy.ts
@@ -1,5 +1,4 @@
 /** Decides whether a failed attempt may be made again. */
-import type { RefusalReason } from "../verdict/mod.ts";
 import { Verdict } from "../verdict/mod.ts";
 
 /** What the decision looks at. */
@@ -68,11 +67,3 @@
   const ceiling = Math.min(MAX_DELAY_MS, FIRST_DELAY_MS * 2 ** attempts);
   return ceiling * random;
 }
-
-/** A retry, for the counter of its reason. */
-export interface RetryCount {
-  /** Why the attempt failed. */
-  readonly reason: RefusalReason;
-  /** The decision taken. */
-  readonly decision: RetryDecision;
-}
--- a/src/tasks/entry/call_forwarder.ts
+++ b/src/tasks/entry/call_forwarder.ts
@@ -6,6 +6,7 @@
   Verdict,
 } from "../../core/verdict/mod.ts";
 import type { LedgerPort } from "../ledger/ledger_port.ts";
+import { PrimaryCaller } from "../ledger/primary_caller.ts";
 import type { PeerHub } from "../peers/mod.ts";
 import type { CallAdmission, CallGuard, CallStart } from "./call_guard.ts";
 
@@ -37,10 +38,12 @@
 /** Uses the guard here where this instance is primary, else the primary's. */
 export class CallForwarder implements CallGuard {
   readonly #options: CallForwarderOptions;
+  readonly #primary: PrimaryCaller;
 
   /** Creates the forwarder and answers the other instances' requests. */
   constructor(options: CallForwarderOptions) {
     this.#options = options;
+    this.#primary = new PrimaryCaller(options);
     const { hub, local } = options;
     hub
       .handle("calls.admit", (p) => local.admit(p as CallStart))
@@ -66,7 +69,7 @@
         "calls.admit",
         start,
         (local) => local.admit(start),
-      ) as CallAdmission;
+      );
     } catch (err) {
       if (!isLost(err)) throw err;
       this.#tell(() => this.fail(start.key, Verdict.NotRun));
@@ -99,23 +102,16 @@
     attempt(MAX_END_TRIES);
   }
 
-  async #run(
+  #run<T>(
     method: string,
     params: unknown,
-    run: (local: CallGuard) => Promise<unknown>,
-  ): Promise<unknown> {
-    const { ledger, local, hub } = this.#options;
-    if (ledger.isPrimary) return await run(local);
-    const { primaryInstance } = ledger;
-    if (primaryInstance === undefined) {
-      throw new RefusalError(RefusalReason.LedgerUnavailable, Verdict.NotRun, {
-        message: "The data centre has no ledger primary yet",
-        retryAfterMs: RETRY_MS,
-      });
-    }
-    return await hub.request(primaryInstance, method, {
+    run: (local: CallGuard) => Promise<T>,
+  ): Promise<T> {
+    return this.#primary.call({
+      method,
       params,
       timeoutMs: REQUEST_TIMEOUT_MS,
+      run: () => run(this.#options.local),
     });
   }
 }
--- a/src/tasks/instance.ts
+++ b/src/tasks/instance.ts
@@ -37,6 +37,7 @@
 } from "./entry/mod.ts";
 import type { LedgerPort } from "./ledger/ledger_port.ts";
 import { LocalLedger } from "./ledger/local_ledger.ts";
+import { PrimaryCaller } from "./ledger/primary_caller.ts";
 import {
   StepForwarder,
   type StepPort,
@@ -413,7 +414,7 @@
   }
 
   #status(): Record<string, unknown> {
-    const { incarnation } = { incarnation: this.#incarnation };
+    const incarnation = this.#incarnation;
     const cluster = this.#cluster;
     if (cluster === undefined) return { incarnation };
     const { control, hub, ledger } = cluster;
@@ -523,15 +524,14 @@
 
   /** Appends here where this instance is primary, else at the primary. */
   async #append(record: LedgerRecord): Promise<void> {
-    const { primaryInstance, isPrimary } = this.#ledger;
     const hub = this.#cluster?.hub;
-    if (isPrimary || hub === undefined || primaryInstance === undefined) {
-      await this.#ledger.append(record);
-      return;
-    }
-    await hub.request(primaryInstance, "ledger.append", {
+    const ledger = this.#ledger;
+    if (hub === undefined) return await ledger.append(record);
+    await new PrimaryCaller({ ledger, hub }).call({
+      method: "ledger.append",
       params: record,
       timeoutMs: NEIGHBOUR_TIMEOUT_MS,
+      run: () => ledger.append(record),
     });
   }
 
--- a/src/tasks/peers/peer_link.ts
+++ b/src/tasks/peers/peer_link.ts
@@ -64,11 +64,6 @@
     return true;
   }
 
-  /** Ends the connection, to dial anew. */
-  reset(): void {
-    this.#socket?.terminate();
-  }
-
   /** Ends the link. */
   stop(): void {
     this.#isStopped = true;
--- a/src/tasks/steps/step_forwarder.ts
+++ b/src/tasks/steps/step_forwarder.ts
@@ -1,12 +1,8 @@
 /** Sends step requests on to the instance that runs the steps. */
 import type { StepKey } from "../../core/ledger/mod.ts";
 import type { StepSpec } from "../../core/samples/mod.ts";
-import {
-  RefusalError,
-  RefusalReason,
-  Verdict,
-} from "../../core/verdict/mod.ts";
 import type { LedgerPort } from "../ledger/ledger_port.ts";
+import { PrimaryCaller } from "../ledger/primary_caller.ts";
 import type { PeerHub } from "../peers/mod.ts";
 import type { ReadOptions, StepPort, StepReading } from "./step_port.ts";
 
@@ -31,15 +27,16 @@
 }
 
 const REQUEST_TIMEOUT_MS = 10_000;
-const RETRY_MS = 1_000;
 
 /** Runs requests here where this instance is primary, else at the primary. */
 export class StepForwarder implements StepPort {
   readonly #options: StepForwarderOptions;
+  readonly #primary: PrimaryCaller;
 
   /** Creates the forwarder and answers the other instances' requests. */
   constructor(options: StepForwarderOptions) {
     this.#options = options;
+    this.#primary = new PrimaryCaller(options);
     const { hub, local } = options;
     hub
       .handle("steps.submit", (p) => local.submit(p as StepSpec))
@@ -82,26 +79,17 @@
     return this.#run("steps.show", key, (local) => local.show(key));
   }
 
-  async #run(
+  #run(
     method: string,
     params: unknown,
     run: (local: StepPort) => Promise<StepReading>,
   ): Promise<StepReading> {
-    const { ledger, local, hub } = this.#options;
-    if (ledger.isPrimary) return await run(local);
-    const { primaryInstance } = ledger;
-    if (primaryInstance === undefined) {
-      throw new RefusalError(RefusalReason.LedgerUnavailable, Verdict.NotRun, {
-        message: "The data centre has no ledger primary yet",
-        retryAfterMs: RETRY_MS,
-      });
-    }
     const waitMs = (params as Partial<ReadParams>).options?.waitMs ?? 0;
-    const timeoutMs = REQUEST_TIMEOUT_MS + waitMs;
-    const reading = await hub.request(primaryInstance, method, {
+    return this.#primary.call({
+      method,
       params,
-      timeoutMs,
+      timeoutMs: REQUEST_TIMEOUT_MS + waitMs,
+      run: () => run(this.#options.local),
     });
-    return reading as StepReading;
   }
 }
