Randomised runs share their loop and their cuts

Cause: both worlds had their own copy of repeating, of running to the first violation and of cutting a process off.

Conclusion: Scheduler and Network hold what both worlds do.

--- a/sim/scheduler.ts
+++ b/sim/scheduler.ts
@@ -3,6 +3,9 @@
 import { uniformFloat64 } from "pure-rand/distribution/uniformFloat64";
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
 
+/** Time between two looks at the check of a run, in milliseconds. */
+const CHECK_EVERY_MS = 500;
+
 interface Event {
   readonly at: number;
   readonly order: number;
@@ -64,4 +67,20 @@
     }
     this.#now = until;
   }
+
+  /** Runs a function again and again, at gaps spread about a mean. */
+  everyAbout(meanGapMs: number, run: () => void): void {
+    this.after(this.between(meanGapMs / 2, meanGapMs * 1.5), () => {
+      run();
+      this.everyAbout(meanGapMs, run);
+    });
+  }
+
+  /** Runs events until a time, as long as a check holds. */
+  runWhile(isGoing: () => boolean, until: number): void {
+    for (let at = 0; at < until && isGoing();) {
+      at = Math.min(until, at + CHECK_EVERY_MS);
+      this.runUntil(at);
+    }
+  }
 }
--- a/soak/control_world.ts
+++ b/soak/control_world.ts
@@ -110,14 +110,11 @@
     for (const fault of this.#options.faults) {
       this.#scheduler.after(fault.at, () => this.#inject(fault));
     }
-    this.#every(COMMAND_GAP_MS, () => this.#command());
-    this.#every(REPAIR_GAP_MS, () => this.#repair());
-    this.#every(ORDER_GAP_MS, () => this.#sendOrders());
+    this.#scheduler.everyAbout(COMMAND_GAP_MS, () => this.#command());
+    this.#scheduler.everyAbout(REPAIR_GAP_MS, () => this.#repair());
+    this.#scheduler.everyAbout(ORDER_GAP_MS, () => this.#sendOrders());
     const { lengthMs } = this.#options;
-    for (let at = 0; at < lengthMs && this.#violation === undefined;) {
-      at = Math.min(lengthMs, at + 500);
-      this.#scheduler.runUntil(at);
-    }
+    this.#scheduler.runWhile(() => this.#violation === undefined, lengthMs);
     return {
       violation: this.#violation,
       steps: this.#scheduler.steps,
@@ -131,16 +128,6 @@
     };
   }
 
-  #every(gapMs: number, run: () => void): void {
-    this.#scheduler.after(
-      this.#scheduler.between(gapMs / 2, gapMs * 1.5),
-      () => {
-        run();
-        this.#every(gapMs, run);
-      },
-    );
-  }
-
   #fail(text: string): void {
     this.#violation ??= `${Math.round(this.#scheduler.now)} ms: ${text}`;
   }
@@ -447,17 +434,8 @@
     victim: ControlProcess,
     options: { isBoth: boolean; heal: (run: () => void) => void },
   ): void {
-    for (const other of this.#processes) {
-      if (other === victim) continue;
-      this.#network.cut(victim.id, other.id);
-      if (options.isBoth) this.#network.cut(other.id, victim.id);
-    }
-    options.heal(() => {
-      for (const other of this.#processes) {
-        this.#network.mend(victim.id, other.id);
-        this.#network.mend(other.id, victim.id);
-      }
-    });
+    const others = this.#processes.filter((p) => p !== victim).map((p) => p.id);
+    options.heal(this.#network.isolate(victim.id, others, options));
   }
 
   /** Disks are lost only as far as a quorum of the voters keeps its own. */
--- a/soak/ledger_world.ts
+++ b/soak/ledger_world.ts
@@ -81,13 +81,10 @@
     for (const fault of this.#options.faults) {
       this.#scheduler.after(fault.at, () => this.#inject(fault));
     }
-    this.#every(APPEND_GAP_MS, () => this.#append());
-    this.#every(DETECT_GAP_MS, () => this.#detect());
+    this.#scheduler.everyAbout(APPEND_GAP_MS, () => this.#append());
+    this.#scheduler.everyAbout(DETECT_GAP_MS, () => this.#detect());
     const { lengthMs } = this.#options;
-    for (let at = 0; at < lengthMs && this.#violation === undefined;) {
-      at = Math.min(lengthMs, at + 500);
-      this.#scheduler.runUntil(at);
-    }
+    this.#scheduler.runWhile(() => this.#violation === undefined, lengthMs);
     return {
       violation: this.#violation,
       steps: this.#scheduler.steps,
@@ -96,16 +93,6 @@
     };
   }
 
-  #every(gapMs: number, run: () => void): void {
-    this.#scheduler.after(
-      this.#scheduler.between(gapMs / 2, gapMs * 1.5),
-      () => {
-        run();
-        this.#every(gapMs, run);
-      },
-    );
-  }
-
   #fail(text: string): void {
     this.#violation ??= `${Math.round(this.#scheduler.now)} ms: ${text}`;
   }
@@ -327,17 +314,8 @@
     victim: LedgerProcess,
     options: { isBoth: boolean; heal: (run: () => void) => void },
   ): void {
-    for (const other of this.#processes) {
-      if (other === victim) continue;
-      this.#network.cut(victim.id, other.id);
-      if (options.isBoth) this.#network.cut(other.id, victim.id);
-    }
-    options.heal(() => {
-      for (const other of this.#processes) {
-        this.#network.mend(victim.id, other.id);
-        this.#network.mend(other.id, victim.id);
-      }
-    });
+    const others = this.#processes.filter((p) => p !== victim).map((p) => p.id);
+    options.heal(this.#network.isolate(victim.id, others, options));
   }
 }
 
--- a/soak/network.ts
+++ b/soak/network.ts
@@ -46,6 +46,27 @@
     this.#cuts.delete(`${from}>${to}`);
   }
 
+  /**
+   * Cuts a process off from others.
+   * @returns Mends the links again.
+   */
+  isolate(
+    id: string,
+    others: readonly string[],
+    options: { isBoth: boolean },
+  ): () => void {
+    for (const other of others) {
+      this.cut(id, other);
+      if (options.isBoth) this.cut(other, id);
+    }
+    return () => {
+      for (const other of others) {
+        this.mend(id, other);
+        this.mend(other, id);
+      }
+    };
+  }
+
   /** Gets whether messages pass from one process to another. */
   passes(from: string, to: string): boolean {
     return !this.#cuts.has(`${from}>${to}`);
