--- a/scripts/bundle.ts
+++ b/scripts/bundle.ts
@@ -56,3 +56,19 @@
     logLevel: "error",
   });
 }
+
+/** Bundles the program that runs on the users' platform. */
+export async function bundleFleet(): Promise<void> {
+  await build({
+    entryPoints: { "nutmegreel": "platform/main.ts" },
+    outdir: "target",
+    outExtension: { ".js": ".mjs" },
+    bundle: true,
+    platform: "node",
+    target: "node20",
+    format: "esm",
+    external: OPTIONAL_MODULES,
+    banner: { js: BANNER },
+    logLevel: "error",
+  });
+}
--- a/src/commands/init.ts
+++ b/src/commands/init.ts
@@ -2,7 +2,9 @@
 import { defineCommand } from "citty";
 import { NutmegreelError } from "../core/errors/mod.ts";
 import { loadSettings } from "../settings/mod.ts";
-import { ControlStore } from "../tasks/control/control_store.ts";
+import { ControlState } from "../core/control/mod.ts";
+import { CONTROL_LOG } from "../tasks/control/control_driver.ts";
+import { LogStore } from "../tasks/log/mod.ts";
 
 /**
  * Creates the store of one of the first members of the control log.
@@ -33,7 +35,12 @@
         "This instance is not one of the control log",
       );
     }
-    const isCreated = await ControlStore.init(dataFolder, { id, instances });
+    const isCreated = await LogStore.init({
+      dataFolder,
+      name: CONTROL_LOG,
+      emptyState: new ControlState().save(),
+      instances,
+    });
     console.log(isCreated ? "Created" : "Exists already; left as it is");
   },
 });
--- /dev/null
+++ b/src/core/batches/batch_command.ts
@@ -0,0 +1,21 @@
+/** Commands of the ledger's log, and their answers. */
+import type { BatchResult, BatchSpec } from "./batch.ts";
+
+/** A result and its batch. */
+export interface ResultRecord {
+  readonly batch: string;
+  readonly result: BatchResult;
+}
+
+/** A command. */
+export type BatchCommand =
+  | { readonly type: "accept"; readonly spec: BatchSpec }
+  | { readonly type: "list"; readonly records: readonly ResultRecord[] }
+  | { readonly type: "end"; readonly batch: string }
+  | { readonly type: "forget"; readonly batches: readonly string[] };
+
+/** How a command ended. */
+export interface BatchAnswer {
+  /** Whether the state holds what the command says, now or before. */
+  readonly isHeld: boolean;
+}
--- /dev/null
+++ b/src/core/batches/batch_record.ts
@@ -0,0 +1,93 @@
+/** A batch with what has been listed of it. */
+import {
+  type BatchItem,
+  type BatchResult,
+  type BatchSpec,
+  type ResultPage,
+  ResultState,
+} from "./batch.ts";
+
+/** Keeps one batch. */
+export class BatchRecord {
+  readonly spec: BatchSpec;
+  readonly #items: ReadonlyMap<string, BatchItem>;
+  readonly #results: BatchResult[] = [];
+  readonly #listed = new Map<string, BatchResult>();
+  #isEnded = false;
+
+  /** Creates the record of an accepted batch. */
+  constructor(spec: BatchSpec) {
+    this.spec = spec;
+    this.#items = new Map(spec.items.map((item) => [item.id, item]));
+  }
+
+  /** Gets whether its caller has ended it. */
+  get isEnded(): boolean {
+    return this.#isEnded;
+  }
+
+  /** Gets whether anything is left to run. */
+  get isOpen(): boolean {
+    return !this.#isEnded && this.#listed.size < this.#items.size;
+  }
+
+  /** Gets the results in their positions. */
+  get results(): readonly BatchResult[] {
+    return this.#results;
+  }
+
+  /** Gets an item. */
+  getItem(id: string): BatchItem | undefined {
+    return this.#items.get(id);
+  }
+
+  /** Gets the result of an item. */
+  getResult(id: string): BatchResult | undefined {
+    return this.#listed.get(id);
+  }
+
+  /** Gets the items without a result. */
+  get unlisted(): BatchItem[] {
+    return this.spec.items.filter((item) => !this.#listed.has(item.id));
+  }
+
+  /** Gets whether every item of a group has completed. */
+  isGroupComplete(group: string): boolean {
+    return this.spec.items.every((item) =>
+      item.group !== group ||
+      this.#listed.get(item.id)?.state === ResultState.Completed
+    );
+  }
+
+  /** Lists a result, unless the item has one. */
+  list(result: BatchResult): boolean {
+    if (!this.#items.has(result.id) || this.#listed.has(result.id)) {
+      return false;
+    }
+    this.#results.push(result);
+    this.#listed.set(result.id, result);
+    return true;
+  }
+
+  /** Ends the batch. */
+  end(): this {
+    this.#isEnded = true;
+    return this;
+  }
+
+  /**
+   * Gets results from a position on.
+   * @param maxBytes - Size of the texts after which a page ends.
+   */
+  page(after: number, maxBytes: number): ResultPage {
+    const results: BatchResult[] = [];
+    let bytes = 0;
+    for (const result of this.#results.slice(after)) {
+      bytes += Buffer.byteLength(result.text);
+      if (results.length > 0 && bytes > maxBytes) break;
+      results.push(result);
+    }
+    const next = after + results.length;
+    return { total: this.#items.size, next, results };
+  }
+}
--- /dev/null
+++ b/src/core/batches/mod.ts
@@ -0,0 +1,9 @@
+/** Batches of items. */
+export * from "./batch.ts";
+export * from "./batch_command.ts";
+export * from "./batch_record.ts";
+export * from "./batch_state.ts";
+export * from "./item_order.ts";
+export * from "./item_placement.ts";
+export * from "./run_text.ts";
+export * from "./target_pace.ts";
--- /dev/null
+++ b/src/core/clock/mod.ts
@@ -0,0 +1,2 @@
+/** Clocks. */
+export * from "./elapsed_clock.ts";
--- a/src/core/consensus/consensus_node.ts
+++ b/src/core/consensus/consensus_node.ts
@@ -231,6 +231,19 @@
     return contactAt + leaseMs;
   }
 
+  /** Gets the time since which a quorum is known to follow this leader. */
+  contactAt(now: number): number {
+    if (this.role !== Role.Leader || this.#hasYielded) return -Infinity;
+    return this.#tracker?.quorumContactAt(this.members, now) ?? -Infinity;
+  }
+
+  /** Asks all replicas at once whether they still follow this leader. */
+  probeQuorum(now: number): void {
+    if (this.role !== Role.Leader) return;
+    this.#heartbeatDueAt = now + this.#options.times.heartbeatMs;
+    this.#broadcast(now, { isHeartbeat: true });
+  }
+
   /** Gets whether this leader may act alone now. */
   hasLease(now: number): boolean {
     return now < this.leaseEnd(now);
--- a/src/core/consensus/membership_repair.ts
+++ b/src/core/consensus/membership_repair.ts
@@ -10,6 +10,10 @@
   readonly present: readonly ReplicaId[];
   /** Voters wanted. */
   readonly wantedVoters: number;
+  /** Learners wanted besides those that replace a voter; all where absent. */
+  readonly wantedLearners?: number;
+  /** Gets whether a replica is away for good; none where absent. */
+  readonly isGone?: (replica: ReplicaId) => boolean;
   /** Gets whether a replica holds everything that is committed. */
   readonly isWhole: (replica: ReplicaId) => boolean;
 }
@@ -31,12 +35,15 @@
   return withoutLostLearner(question) ??
     withNewLearner(question) ??
     withoutLostVoter(question) ??
+    withoutGoneVoter(question) ??
     withPromoted(question);
 }
 
 function withoutLostLearner(question: RepairQuestion): Members | undefined {
   const { members, present } = question;
-  const lost = members.learners.find((id) => isReplaced(id, present));
+  const { isGone } = question;
+  const lost = members.learners
+    .find((id) => isReplaced(id, present) || isGone?.(id) === true);
   if (lost === undefined) return undefined;
   const learners = members.learners.filter((id) => id !== lost);
   return { voters: members.voters, learners };
@@ -46,13 +53,23 @@
   const { members, present } = question;
   const known = [...members.voters, ...members.learners];
   const newcomer = present.find((id) => !known.includes(id));
-  if (newcomer === undefined) return undefined;
+  if (newcomer === undefined || !needsLearner(question)) return undefined;
   return {
     voters: members.voters,
     learners: [...members.learners, newcomer],
   };
 }
 
+/** A voter that is missing needs an heir, whatever else is wanted. */
+function needsLearner(question: RepairQuestion): boolean {
+  const { members, present, isGone, wantedVoters } = question;
+  const missing = members.voters
+    .filter((id) => isReplaced(id, present) || isGone?.(id) === true).length;
+  const needed = Math.max(0, wantedVoters - members.voters.length) + missing;
+  const wanted = Math.max(needed, question.wantedLearners ?? Infinity);
+  return members.learners.length < wanted;
+}
+
 function withoutLostVoter(question: RepairQuestion): Members | undefined {
   const { members, present, isWhole } = question;
   const lost = members.voters.find((id) => isReplaced(id, present));
@@ -64,6 +81,18 @@
   return { voters, learners: members.learners };
 }
 
+/** A voter that stays away gives its place to a whole learner elsewhere. */
+function withoutGoneVoter(question: RepairQuestion): Members | undefined {
+  const { members, present, isGone, isWhole } = question;
+  const gone = members.voters.find((id) => isGone?.(id) === true);
+  if (gone === undefined || members.voters.length <= 1) return undefined;
+  const hasHeir = members.learners
+    .some((id) => present.includes(id) && isWhole(id));
+  if (!hasHeir) return undefined;
+  const voters = members.voters.filter((id) => id !== gone);
+  return { voters, learners: members.learners };
+}
+
 function withPromoted(question: RepairQuestion): Members | undefined {
   const { members, present, wantedVoters, isWhole } = question;
   if (members.voters.length >= wantedVoters) return undefined;
--- /dev/null
+++ b/src/core/fleet/fleet_notice.ts
@@ -0,0 +1,30 @@
+/** What control instances push to the others. */
+import type { PolicyDocument } from "../policy/mod.ts";
+import type { TargetReport } from "../registry/mod.ts";
+import type { RosterEntry } from "./fleet_member.ts";
+
+/** A pushed message. */
+export type FleetNotice =
+  | { readonly type: "policy"; readonly document: PolicyDocument }
+  | {
+    readonly type: "targets";
+    /** Mark of the teller's latest change; empty between control instances. */
+    readonly mark: string;
+    /** Whether these are all targets that the teller knows. */
+    readonly isWhole: boolean;
+    readonly reports: readonly TargetReport[];
+  }
+  | {
+    /** A target has loaded weights; its own report comes later. */
+    readonly type: "loaded";
+    readonly target: string;
+    readonly incarnation: number;
+    readonly model: string;
+    readonly version: number;
+  }
+  | {
+    readonly type: "roster";
+    readonly members: readonly RosterEntry[];
+    /** Names of the instances that are emptied. */
+    readonly retiring: readonly string[];
+  };
--- /dev/null
+++ b/src/core/fleet/fleet_state.ts
@@ -0,0 +1,152 @@
+/** State of the fleet's control log. */
+import type { PolicyDocument } from "../policy/mod.ts";
+import type {
+  FleetAnswer,
+  FleetCommand,
+  UsageCounts,
+} from "./fleet_command.ts";
+
+/** Whole state, for snapshots. */
+export interface FleetSnapshot {
+  readonly policy?: { document: PolicyDocument; source: string };
+  readonly weights: readonly (readonly [string, number])[];
+  readonly ledgerVoters: readonly string[];
+  readonly sealed: readonly (readonly [number, UsageCounts])[];
+  readonly reported: number;
+  readonly retiring: readonly (readonly [string, boolean])[];
+}
+
+type Handlers = {
+  readonly [T in FleetCommand["type"]]: (
+    command: Extract<FleetCommand, { type: T }>,
+  ) => boolean;
+};
+
+/** Windows of usage that are kept although they have been reported. */
+const KEPT_WINDOWS = 4;
+
+/**
+ * Applies the commands of the fleet's control log.
+ *
+ * @example
+ * ```ts
+ * state.apply({ type: "announceWeights", model: "m", version: 2 });
+ * ```
+ */
+export class FleetState {
+  #policy: { document: PolicyDocument; source: string } | undefined;
+  #weights = new Map<string, number>();
+  #ledgerVoters: readonly string[] = [];
+  #sealed = new Map<number, UsageCounts>();
+  #reported = 0;
+  #retiring = new Map<string, boolean>();
+  readonly #handlers: Handlers = {
+    replacePolicy: ({ document, source }) => {
+      if (document.revision <= this.policyRevision) return false;
+      this.#policy = { document, source };
+      return true;
+    },
+    announceWeights: ({ model, version }) => {
+      if (version <= (this.#weights.get(model) ?? 0)) return false;
+      this.#weights.set(model, version);
+      return true;
+    },
+    formLedger: ({ voters }) => {
+      if (this.#ledgerVoters.length > 0) return false;
+      this.#ledgerVoters = voters;
+      return true;
+    },
+    sealUsage: ({ window, counts }) => {
+      if (this.#sealed.has(window) || window <= this.#reported) return false;
+      this.#sealed.set(window, counts);
+      return true;
+    },
+    usageReported: ({ window }) => {
+      this.#reported = Math.max(this.#reported, window);
+      for (const key of this.#sealed.keys()) {
+        if (key <= this.#reported - KEPT_WINDOWS) this.#sealed.delete(key);
+      }
+      return true;
+    },
+    retire: ({ name }) => {
+      if (this.#retiring.has(name)) return false;
+      this.#retiring.set(name, false);
+      return true;
+    },
+    retired: ({ name }) => {
+      this.#retiring.set(name, true);
+      return true;
+    },
+  };
+
+  /** Gets the policy in force; undefined before the first. */
+  get policy(): PolicyDocument | undefined {
+    return this.#policy?.document;
+  }
+
+  /** Gets the policy as the operator sent it. */
+  get policySource(): string | undefined {
+    return this.#policy?.source;
+  }
+
+  /** Gets the revision of the policy; 0 before the first. */
+  get policyRevision(): number {
+    return this.#policy?.document.revision ?? 0;
+  }
+
+  /** Gets the newest version of each model that was named. */
+  get weights(): ReadonlyMap<string, number> {
+    return this.#weights;
+  }
+
+  /** Gets the first members of the ledger's log; empty before they are fixed. */
+  get ledgerVoters(): readonly string[] {
+    return this.#ledgerVoters;
+  }
+
+  /** Gets the sealed windows that may still have to be reported. */
+  get sealed(): ReadonlyMap<number, UsageCounts> {
+    return this.#sealed;
+  }
+
+  /** Gets the last window whose report was accepted. */
+  get reportedWindow(): number {
+    return this.#reported;
+  }
+
+  /** Gets instances to be emptied, and whether each is empty. */
+  get retiring(): ReadonlyMap<string, boolean> {
+    return this.#retiring;
+  }
+
+  /** Applies a command. */
+  apply(command: FleetCommand): FleetAnswer {
+    const handler = this.#handlers[command.type] as (
+      command: FleetCommand,
+    ) => boolean;
+    return { type: handler(command) ? "done" : "unchanged" };
+  }
+
+  /** Gets the whole state. */
+  save(): FleetSnapshot {
+    return {
+      policy: this.#policy,
+      weights: [...this.#weights],
+      ledgerVoters: this.#ledgerVoters,
+      sealed: [...this.#sealed],
+      reported: this.#reported,
+      retiring: [...this.#retiring],
+    };
+  }
+
+  /** Replaces the whole state. */
+  load(snapshot: FleetSnapshot): this {
+    this.#policy = snapshot.policy;
+    this.#weights = new Map(snapshot.weights);
+    this.#ledgerVoters = snapshot.ledgerVoters;
+    this.#sealed = new Map(snapshot.sealed);
+    this.#reported = snapshot.reported;
+    this.#retiring = new Map(snapshot.retiring);
+    return this;
+  }
+}
--- /dev/null
+++ b/src/core/policy/mod.ts
@@ -0,0 +1,4 @@
+/** Policy of a deployment: routes, services, workspaces. */
+export * from "./policy_check.ts";
+export * from "./policy_document.ts";
+export * from "./policy_view.ts";
--- /dev/null
+++ b/src/core/policy/policy_check.ts
@@ -0,0 +1,64 @@
+/** Finds what makes a policy document unusable. */
+import type { PolicyDocument, RoutePolicy } from "./policy_document.ts";
+
+/**
+ * Gets every fault of a document; none where it may come into force.
+ *
+ * @example
+ * ```ts
+ * const faults = findPolicyFaults(document);
+ * if (faults.length > 0) return refuse(faults);
+ * ```
+ */
+export function findPolicyFaults(document: PolicyDocument): string[] {
+  const services = new Set(document.services.map((s) => s.name));
+  return [
+    ...document.routes.flatMap((route) => routeFaults(route, services)),
+    ...samePlaceFaults(document.routes),
+    ...sharedKeyFaults(document),
+  ];
+}
+
+function routeFaults(
+  route: RoutePolicy,
+  services: ReadonlySet<string>,
+): string[] {
+  const faults: string[] = [];
+  for (const { service } of route.shares) {
+    if (services.has(service)) continue;
+    faults.push(`Route ${route.name} names unknown service ${service}`);
+  }
+  const weight = route.shares.reduce((sum, share) => sum + share.weight, 0);
+  if (!(weight > 0)) faults.push(`Route ${route.name} has no weight`);
+  if (!(route.timeoutMs > 0)) faults.push(`Route ${route.name} has no time`);
+  return faults;
+}
+
+function samePlaceFaults(routes: readonly RoutePolicy[]): string[] {
+  const seen = new Map<string, string>();
+  const faults: string[] = [];
+  for (const { name, host, prefix } of routes) {
+    const place = `${host.toLowerCase()}${prefix}`;
+    const other = seen.get(place);
+    if (other !== undefined) {
+      faults.push(`Routes ${other} and ${name} share ${place}`);
+    }
+    seen.set(place, name);
+  }
+  return faults;
+}
+
+function sharedKeyFaults(document: PolicyDocument): string[] {
+  const owners = new Map<string, string>();
+  const faults: string[] = [];
+  for (const { name, keys } of document.workspaces) {
+    for (const key of keys) {
+      const owner = owners.get(key);
+      if (owner !== undefined && owner !== name) {
+        faults.push(`Workspaces ${owner} and ${name} share a key`);
+      }
+      owners.set(key, name);
+    }
+  }
+  return faults;
+}
--- /dev/null
+++ b/src/core/registry/target_registry_test.ts
@@ -0,0 +1,74 @@
+import { describe, expect, it } from "vitest";
+import { RegistryChange, TargetRegistry } from "./target_registry.ts";
+import { type TargetReport, TargetState } from "./target_report.ts";
+
+function report(fields: Partial<TargetReport>): TargetReport {
+  return {
+    id: "i-1",
+    service: "planner",
+    address: "127.0.0.1:9001",
+    dataCentre: "a",
+    incarnation: 1,
+    sequence: 1,
+    state: TargetState.Ready,
+    slots: 4,
+    versions: { m: 1 },
+    isSpot: false,
+    ...fields,
+  };
+}
+
+describe(TargetRegistry.name, () => {
+  function doTest(
+    reports: readonly Partial<TargetReport>[],
+    expected: Readonly<Record<string, TargetState>>,
+  ) {
+    const registry = new TargetRegistry();
+    reports.forEach((fields, i) => registry.merge(report(fields), i));
+    const states = registry.all
+      .map(({ report: r }) => [r.id, r.state] as const);
+    expect(Object.fromEntries(states)).toEqual(expected);
+  }
+
+  it("ignores a report that was overtaken", () => {
+    doTest(
+      [{ sequence: 2, state: TargetState.Draining }, { sequence: 1 }],
+      { "i-1": TargetState.Draining },
+    );
+  });
+
+  it("takes a new start although its numbers begin anew", () => {
+    doTest(
+      [
+        { sequence: 9, state: TargetState.Draining },
+        { incarnation: 2, sequence: 1 },
+      ],
+      { "i-1": TargetState.Ready },
+    );
+  });
+
+  it("gives an address to the target that started last", () => {
+    doTest(
+      [{}, { id: "i-2", incarnation: 5 }, { sequence: 2 }],
+      { "i-1": TargetState.Gone, "i-2": TargetState.Ready },
+    );
+  });
+
+  it("keeps a farewell against late reports", () => {
+    const registry = new TargetRegistry();
+    registry.merge(report({}), 0);
+    registry.remove("i-1", undefined, 1);
+    expect(registry.merge(report({ sequence: 7 }), 2))
+      .toBe(RegistryChange.None);
+    expect(registry.readyOf("planner")).toEqual([]);
+  });
+
+  it("tells a repeated report from a changed one", () => {
+    const registry = new TargetRegistry();
+    expect(registry.merge(report({}), 0)).toBe(RegistryChange.Changed);
+    expect(registry.merge(report({ sequence: 2 }), 1))
+      .toBe(RegistryChange.Heard);
+    expect(registry.merge(report({ sequence: 3, versions: { m: 2 } }), 2))
+      .toBe(RegistryChange.Changed);
+  });
+});
--- a/src/core/weights/mod.ts
+++ b/src/core/weights/mod.ts
@@ -1,2 +1,3 @@
 /** Weight versions. */
 export * from "./swap_planner.ts";
+export * from "./model_shares.ts";
--- /dev/null
+++ b/src/core/weights/model_shares_test.ts
@@ -0,0 +1,66 @@
+import { describe, expect, it } from "vitest";
+import { shareModels, type ShareTarget } from "./model_shares.ts";
+
+function target(
+  id: string,
+  versions: Readonly<Record<string, number>> = { a: 1, b: 1 },
+): ShareTarget {
+  return { id, dataCentre: id[0], versions };
+}
+
+describe(shareModels.name, () => {
+  function doTest(
+    targets: readonly ShareTarget[],
+    newest: Readonly<Record<string, number>>,
+    expected: Readonly<Record<string, readonly string[]>>,
+  ) {
+    const shares = shareModels(targets, new Map(Object.entries(newest)));
+    const sorted = [...shares].map(([m, ids]) => [m, [...ids].sort()]);
+    expect(Object.fromEntries(sorted)).toEqual(expected);
+  }
+
+  it("divides targets equally, over data centres", () => {
+    doTest(
+      [target("x1"), target("x2"), target("y1"), target("y2")],
+      { a: 2, b: 2 },
+      { a: ["x1", "y1"], b: ["x2", "y2"] },
+    );
+  });
+
+  it("leaves a target with the model that it follows", () => {
+    doTest(
+      [target("x1", { a: 1, b: 5 }), target("y1", { a: 4, b: 1 })],
+      { a: 4, b: 5 },
+      { a: ["x1"], b: ["y1"] },
+    );
+    doTest(
+      [
+        target("x1", { a: 1, b: 5 }),
+        target("x2", { a: 1, b: 4 }),
+        target("y1", { a: 4, b: 1 }),
+      ],
+      { a: 4, b: 5 },
+      { a: ["y1"], b: ["x1", "x2"] },
+    );
+  });
+
+  it("gives a model another target where its own are lost", () => {
+    doTest(
+      [
+        target("x1", { a: 1, b: 5 }),
+        target("x2", { a: 1, b: 5 }),
+        target("x3", { a: 1, b: 5 }),
+      ],
+      { a: 4, b: 5 },
+      { a: ["x3"], b: ["x1", "x2"] },
+    );
+  });
+
+  it("lets targets follow several models where there are few", () => {
+    doTest([target("x1")], { a: 2, b: 2 }, { a: ["x1"], b: ["x1"] });
+  });
+
+  it("gives no model a target where there is none", () => {
+    doTest([], { a: 2 }, { a: [] });
+  });
+});
--- a/src/logging/event_catalogue.ts
+++ b/src/logging/event_catalogue.ts
@@ -87,28 +87,28 @@
   }),
   keyWithdrawn: describe(1402, "info", { text: "Key withdrawn" }),
   becameControlLeader: describe(1501, "info", {
-    text: "Leads the control log",
+    text: "Leads a replicated log",
   }),
   lostControlLead: describe(1502, "info", {
-    text: "No longer leads the control log",
+    text: "No longer leads a replicated log",
   }),
   controlStopped: describe(1503, "error", {
-    text: "The replica of the control log stopped",
+    text: "The replica of a log stopped",
     action: "See the reason; it is set aside and comes back as a learner",
   }),
   controlStoreDamaged: describe(1504, "error", {
-    text: "The store of the control log is damaged and is set aside",
+    text: "The store of a log is damaged and is set aside",
     action: "Check the disk; the replica comes back as a learner",
   }),
   controlStoreFailed: describe(1505, "error", {
-    text: "The store of the control log cannot be written",
+    text: "The store of a log cannot be written",
     action: "Free or replace the disk; the replica tries again",
   }),
   controlMembers: describe(1506, "info", {
-    text: "Change of the control log's members proposed",
+    text: "Change of a log's members proposed",
   }),
   controlRestored: describe(1507, "info", {
-    text: "Control log restored from its store",
+    text: "Log restored from its store",
   }),
   leaseLost: describe(1508, "warn", {
     text: "Cut off from the control log: serves only what it may",
@@ -159,6 +159,91 @@
     text: "Target could not load new weights; it is ordered again",
     action: "Look at the target and the weight store",
   }),
+  fleetJoined: describe(2001, "info", {
+    text: "Instance of a fleet started; others are found by seeds",
+  }),
+  fleetSettingsFaulty: describe(2002, "error", {
+    text: "Changed settings cannot be used; the former ones stay",
+    action: "Correct the settings file",
+  }),
+  fleetSettingsRead: describe(2003, "info", { text: "Settings read again" }),
+  policyInForce: describe(2011, "info", {
+    text: "Revision of the policy in force here",
+  }),
+  policyRefused: describe(2012, "warn", {
+    text: "Policy refused; nothing has changed",
+    action: "Correct the document",
+  }),
+  policyAccepted: describe(2013, "info", {
+    text: "Policy stored by a quorum",
+  }),
+  policyLeaseHeld: describe(2014, "info", {
+    text: "Policy confirmed by the control log; keys are honoured",
+  }),
+  policyLeaseLost: describe(2015, "warn", {
+    text: "Policy not confirmed in time; keyed requests are refused",
+    action: "Look at the links to the control instances",
+  }),
+  policyUnconfirmed: describe(2016, "debug", {
+    text: "No leader of the control log confirmed the policy",
+  }),
+  targetChanged: describe(2021, "info", {
+    text: "Registered target changed",
+  }),
+  targetReportRefused: describe(2022, "warn", {
+    text: "Report of a target cannot be read and names no target",
+    action: "Look at the sender",
+  }),
+  callAnswered: describe(2101, "info", { text: "Request answered" }),
+  callRefused: describe(2102, "info", { text: "Request refused or failed" }),
+  callRetried: describe(2103, "info", {
+    text: "Request is tried at another target",
+  }),
+  batchAccepted: describe(2201, "info", { text: "Batch stored by a quorum" }),
+  batchRefused: describe(2202, "info", { text: "Call for a batch refused" }),
+  batchEnded: describe(2203, "info", { text: "Batch ended by its caller" }),
+  itemPlaced: describe(2211, "info", { text: "Item sent to a target" }),
+  itemListed: describe(2212, "info", { text: "Result of an item listed" }),
+  itemBroken: describe(2213, "info", {
+    text: "Run of an item ended without its whole output",
+  }),
+  itemMoved: describe(2214, "info", {
+    text: "Run of an item is moved off a slow or silent target",
+  }),
+  ledgerFormed: describe(2221, "info", {
+    text: "First members of the ledger's log are fixed",
+  }),
+  loadOrdered: describe(2301, "info", {
+    text: "Target ordered to load weights",
+  }),
+  loadEnded: describe(2302, "info", { text: "Order to load weights ended" }),
+  loadFailed: describe(2303, "warn", {
+    text: "Order to load weights failed; it is looked at again",
+    action: "Look at the target",
+  }),
+  usageSealed: describe(2311, "info", { text: "Usage window sealed" }),
+  usageFailed: describe(2312, "warn", {
+    text: "Usage report had no answer; it is sent again unchanged",
+    action: "Look at the receiver",
+  }),
+  capacityOrdered: describe(2321, "info", {
+    text: "Targets ordered for a data centre",
+  }),
+  capacityFailed: describe(2322, "warn", {
+    text: "Order for targets was refused or had no answer",
+    action: "Look at the receiver",
+  }),
+  weightsNamed: describe(2331, "info", {
+    text: "Version of a model named by its trainer",
+  }),
+  instanceRetiring: describe(2341, "info", {
+    text: "Instance is emptied before it is taken away",
+  }),
+  instanceRetired: describe(2342, "info", { text: "Instance is empty" }),
+  linesDropped: describe(2901, "warn", {
+    text: "Log lines were left out: too many, or nobody reads them",
+    action: "Look at the counts by event",
+  }),
   weightsAnnounced: describe(1403, "info", { text: "Weights announced" }),
 } as const satisfies Readonly<Record<string, EventDescription>>;
 
--- a/src/settings/load.ts
+++ b/src/settings/load.ts
@@ -8,6 +8,7 @@
   toFaults,
 } from "../core/configuration/mod.ts";
 import { NutmegreelError } from "../core/errors/mod.ts";
+import { type FleetSettings, fleetSettingsSchema } from "./fleet_settings.ts";
 import { type Settings, settingsSchema } from "./settings.ts";
 
 /** Represents a file that cannot be used, with all its faults. */
@@ -49,6 +50,16 @@
   return { ok: true, value: parsed.data };
 }
 
+/**
+ * Reads and checks the settings of an instance of a fleet.
+ * @throws FaultyFileError with every fault.
+ */
+export function loadFleetSettings(file: string): FleetSettings {
+  const parsed = fleetSettingsSchema.safeParse(readJsonOrThrow(file));
+  if (parsed.success) return parsed.data;
+  throw new FaultyFileError(file, toFaults(parsed.error));
+}
+
 /** Reads and checks a configuration document. */
 export function loadDocument(file: string): ConfigurationDocument {
   return orThrow(file, checkDocument(readJsonOrThrow(file)));
--- a/src/settings/mod.ts
+++ b/src/settings/mod.ts
@@ -1,3 +1,4 @@
 /** Settings of an instance. */
+export * from "./fleet_settings.ts";
 export * from "./load.ts";
 export * from "./settings.ts";
--- /dev/null
+++ b/src/tasks/batches/batch_runner.ts
@@ -0,0 +1,491 @@
+/** Runs the items of open batches at the targets, while this replica leads. */
+import {
+  type BatchItem,
+  type BatchRecord,
+  type BatchResult,
+  type BatchState,
+  type KeptText,
+  orderItems,
+  placeItem,
+  type PlacementTarget,
+  ResultState,
+  RunText,
+  TargetPace,
+  type WaitingItem,
+} from "../../core/batches/mod.ts";
+import {
+  type RegisteredTarget,
+  type TargetRegistry,
+  TargetState,
+} from "../../core/registry/mod.ts";
+import type { Logger } from "../../logging/mod.ts";
+import { type EnginePort, RunFailure } from "./engine_port.ts";
+import { ItemRun, type ItemRunListener } from "./item_run.ts";
+
+/** Options of {@link BatchRunner}. */
+export interface BatchRunnerOptions {
+  readonly state: () => BatchState;
+  readonly registry: TargetRegistry;
+  readonly engines: EnginePort;
+  readonly logger: Logger;
+  readonly dataCentre: string;
+  /** Gets the local clock in milliseconds. */
+  readonly now: () => number;
+  /** Gets whether this replica leads, has a lease and has the whole state. */
+  readonly mayRun: () => boolean;
+  /** Stores a result. */
+  readonly list: (batch: string, result: BatchResult) => void;
+}
+
+/** What is kept of an item between its runs. */
+interface Progress {
+  kept: KeptText | undefined;
+  failed: number;
+  broken: number;
+  notBefore: number;
+  readonly excluded: Set<string>;
+}
+
+const PUMP_INTERVAL_MS = 50;
+/** Silence after which a run before its first event is moved. */
+const FIRST_EVENT_MS = 1_000;
+/** Silence after which a run between two events is moved. */
+const SILENCE_MS = 600;
+/** Silence for which a target that loads weights is excused. */
+const LOAD_SILENCE_MS = 3_000;
+const BROKEN_PAUSE_MS = 20;
+const MAX_BROKEN_PAUSE_MS = 2_000;
+/** Pause after a target refused an item of a model. */
+const REFUSED_PAUSE_MS = 150;
+/** Items that may be sent to targets in one round. */
+const MAX_PLACED = 64;
+/** Ratio to the median pace from which a target counts as slow. */
+const SLOW_RATIO = 2;
+/** Known items from which those of forgotten batches are dropped. */
+const MAX_KNOWN_ITEMS = 20_000;
+/** Events of a run before its pace is judged. */
+const JUDGED_EVENTS = 3;
+
+/** Owns the runs of a ledger's leader. */
+export class BatchRunner implements ItemRunListener {
+  readonly #options: BatchRunnerOptions;
+  readonly #runs = new Map<string, ItemRun>();
+  readonly #progress = new Map<string, Progress>();
+  readonly #listing = new Set<string>();
+  readonly #firstBatch = new Map<string, string>();
+  #noted = 0;
+  readonly #pace = new TargetPace();
+  #timer: NodeJS.Timeout | undefined;
+  #isPumpDue = false;
+
+  /** Creates a runner that does not run yet. */
+  constructor(options: BatchRunnerOptions) {
+    this.#options = options;
+  }
+
+  /** Begins to run items. */
+  start(): this {
+    this.#timer ??= setInterval(() => this.#tick(), PUMP_INTERVAL_MS);
+    this.pump();
+    return this;
+  }
+
+  /** Ends all runs. */
+  stop(): this {
+    clearInterval(this.#timer);
+    this.#timer = undefined;
+    for (const run of this.#runs.values()) run.cancel();
+    this.#runs.clear();
+    this.#listing.clear();
+    this.#firstBatch.clear();
+    this.#noted = 0;
+    return this;
+  }
+
+  /** Gets the number of runs. */
+  get running(): number {
+    return this.#runs.size;
+  }
+
+  /** Looks for items to run, soon. */
+  pump(): void {
+    if (this.#isPumpDue || this.#timer === undefined) return;
+    this.#isPumpDue = true;
+    setImmediate(() => {
+      this.#isPumpDue = false;
+      if (this.#timer !== undefined) this.#place();
+    });
+  }
+
+  /** Ends the runs of a batch that has ended. */
+  onEnded(batch: string): this {
+    for (const [key, run] of this.#runs) {
+      if (run.record.spec.id !== batch) continue;
+      this.#keep(run);
+      run.cancel();
+      this.#runs.delete(key);
+    }
+    this.pump();
+    return this;
+  }
+
+  /** Records that a result has been listed. */
+  onListed(batch: string, item: string): this {
+    this.#listing.delete(keyOf(batch, item));
+    return this;
+  }
+
+  /** Moves runs off targets that are gone, and looks for new ones. */
+  onTargetsChanged(): this {
+    const { registry, engines } = this.#options;
+    const known = registry.all
+      .filter(({ report }) => report.state !== TargetState.Gone);
+    this.#pace.keepOnly(new Set(known.map(({ report }) => report.id)));
+    engines.keepOnly(new Set(known.map(({ report }) => report.address)));
+    this.pump();
+    return this;
+  }
+
+  /** Takes the time between two events. */
+  onGap(run: ItemRun, gapMs: number): void {
+    this.#pace.onGap(run.target.id, gapMs);
+  }
+
+  /** Takes the end of a whole run. */
+  onWhole(run: ItemRun): void {
+    this.#pace.onWhole(run.target.id);
+    this.#end(run);
+    this.#list(run.record, {
+      id: run.item.id,
+      state: ResultState.Completed,
+      text: run.text.text,
+      versions: run.text.versions,
+    });
+    this.pump();
+  }
+
+  /** Takes the end of a run without its whole output. */
+  onBroken(run: ItemRun, failure: RunFailure, detail: string): void {
+    const { logger, now } = this.#options;
+    this.#end(run);
+    this.#keep(run);
+    const progress = this.#progressOf(run.item);
+    logger.event("itemBroken", {
+      batch: run.record.spec.id,
+      item: run.item.id,
+      target: run.target.id,
+      failure,
+      detail,
+      events: run.events,
+      lastEvent: run.text.lastId,
+      ranMs: Math.round(now() - run.startedAt),
+    });
+    this.#onFailure[failure](run, progress);
+    this.pump();
+  }
+
+  readonly #onFailure: Readonly<
+    Record<RunFailure, (run: ItemRun, progress: Progress) => void>
+  > = {
+    refused: (run) => {
+      this.#pace.avoid(run.target.id, this.#options.now() + REFUSED_PAUSE_MS);
+    },
+    misdirected: (run) => {
+      this.#pace.onFailure(run.target.id, this.#options.now());
+    },
+    otherVersion: (run, progress) => {
+      progress.excluded.add(run.target.id);
+      this.#pause(progress);
+    },
+    failed: (run, progress) => {
+      progress.failed += 1;
+      progress.excluded.add(run.target.id);
+      if (progress.failed >= run.record.spec.maxAttempts) this.#abandon(run);
+    },
+    impossible: (run) => this.#abandon(run),
+    broken: (run, progress) => {
+      progress.excluded.add(run.target.id);
+      this.#pace.onFailure(run.target.id, this.#options.now());
+      this.#pause(progress);
+    },
+  };
+
+  #pause(progress: Progress): void {
+    progress.broken += 1;
+    const pauseMs = BROKEN_PAUSE_MS * 2 ** Math.min(progress.broken - 1, 8);
+    progress.notBefore = this.#options.now() +
+      Math.min(MAX_BROKEN_PAUSE_MS, pauseMs);
+  }
+
+  #abandon(run: ItemRun): void {
+    const { id } = run.item;
+    const { text, versions } = run.text;
+    this.#list(run.record, {
+      id,
+      state: ResultState.Abandoned,
+      text,
+      versions,
+    });
+  }
+
+  #list(record: BatchRecord, result: BatchResult): void {
+    this.#listing.add(keyOf(record.spec.id, result.id));
+    this.#options.list(record.spec.id, result);
+  }
+
+  #end(run: ItemRun): void {
+    this.#runs.delete(keyOf(run.record.spec.id, run.item.id));
+  }
+
+  /** Whatever has come is kept, for the item may come again. */
+  #keep(run: ItemRun): void {
+    if (run.text.size > 0) {
+      this.#progressOf(run.item).kept = run.text.kept;
+    }
+  }
+
+  #progressOf(item: BatchItem): Progress {
+    let progress = this.#progress.get(item.id);
+    if (progress !== undefined) return progress;
+    progress = {
+      kept: undefined,
+      failed: 0,
+      broken: 0,
+      notBefore: -Infinity,
+      excluded: new Set(),
+    };
+    this.#progress.set(item.id, progress);
+    return progress;
+  }
+
+  #tick(): void {
+    if (!this.#options.mayRun()) return;
+    this.#moveStalled();
+    this.#abandonOverdue();
+    this.#forgetProgress();
+    this.#place();
+  }
+
+  /** A silent target, or one that has turned slow, gives its runs away. */
+  #moveStalled(): void {
+    for (const run of [...this.#runs.values()]) {
+      const limitMs = this.#silenceLimitMs(run);
+      if (run.silentMs > limitMs) {
+        this.#move(run, `Silent for ${Math.round(run.silentMs)} ms`);
+        this.#pace.onFailure(run.target.id, this.#options.now());
+      }
+    }
+  }
+
+  #silenceLimitMs(run: ItemRun): number {
+    const isLoading = this.#pace.isAvoided(run.target.id, this.#options.now());
+    if (isLoading) return LOAD_SILENCE_MS;
+    if (run.events < JUDGED_EVENTS) return FIRST_EVENT_MS;
+    return Math.max(SILENCE_MS, this.#pace.medianMs * SLOW_RATIO * 4);
+  }
+
+  #move(run: ItemRun, reason: string): void {
+    run.cancel();
+    this.#end(run);
+    this.#keep(run);
+    this.#progressOf(run.item).excluded.add(run.target.id);
+    this.#options.logger.event("itemMoved", {
+      batch: run.record.spec.id,
+      item: run.item.id,
+      target: run.target.id,
+      reason,
+      events: run.events,
+    });
+  }
+
+  #abandonOverdue(): void {
+    const wall = Date.now();
+    for (const record of this.#options.state().all) {
+      const { spec } = record;
+      if (!record.isOpen || wall < spec.acceptedAt + spec.giveUpMs) continue;
+      for (const item of record.unlisted) {
+        const key = keyOf(spec.id, item.id);
+        if (this.#listing.has(key)) continue;
+        this.#runs.get(key)?.cancel();
+        this.#runs.delete(key);
+        this.#list(record, {
+          id: item.id,
+          state: ResultState.Abandoned,
+          text: "",
+          versions: [],
+        });
+      }
+    }
+  }
+
+  #forgetProgress(): void {
+    if (this.#firstBatch.size < MAX_KNOWN_ITEMS) return;
+    const live = new Set<string>();
+    for (const record of this.#options.state().all) {
+      for (const item of record.spec.items) live.add(item.id);
+    }
+    for (const id of this.#progress.keys()) {
+      if (!live.has(id)) this.#progress.delete(id);
+    }
+    this.#firstBatch.clear();
+    this.#noted = 0;
+  }
+
+  #place(): void {
+    const { mayRun, state } = this.#options;
+    if (!mayRun()) return;
+    const { all } = state();
+    this.#noteFirst(all);
+    const records = all.filter((record) => record.isOpen);
+    if (records.length === 0) return;
+    const now = this.#options.now();
+    const order = orderItems({
+      records,
+      now: Date.now(),
+      isWaiting: (record, item) => this.#isWaiting(record, item, now),
+      isCarried: (record, item) => this.#isCarried(record, item),
+    });
+    const loads = this.#loads();
+    let placed = 0;
+    for (const waiting of order) {
+      if (placed >= MAX_PLACED) break;
+      const { record, item } = waiting;
+      if (this.#isCarried(record, item) && this.#reuse(waiting)) continue;
+      if (this.#run(waiting, loads, now)) placed += 1;
+    }
+  }
+
+  /** Remembers in which batch each item came first. */
+  #noteFirst(records: readonly BatchRecord[]): void {
+    for (let i = this.#noted; i < records.length; i += 1) {
+      const { spec } = records[i];
+      for (const { id } of spec.items) {
+        if (!this.#firstBatch.has(id)) this.#firstBatch.set(id, spec.id);
+      }
+    }
+    this.#noted = records.length;
+  }
+
+  #isCarried(record: BatchRecord, item: BatchItem): boolean {
+    return this.#firstBatch.get(item.id) !== record.spec.id;
+  }
+
+  #isWaiting(record: BatchRecord, item: BatchItem, now: number): boolean {
+    const key = keyOf(record.spec.id, item.id);
+    if (record.getResult(item.id) !== undefined) return false;
+    if (this.#runs.has(key) || this.#listing.has(key)) return false;
+    return now >= (this.#progress.get(item.id)?.notBefore ?? -Infinity);
+  }
+
+  #loads(): Map<string, number> {
+    const loads = new Map<string, number>();
+    for (const run of this.#runs.values()) {
+      loads.set(run.target.id, (loads.get(run.target.id) ?? 0) + 1);
+    }
+    return loads;
+  }
+
+  /** An item that came again is listed with the text of its former batch. */
+  #reuse({ record, item }: WaitingItem): boolean {
+    const { minVersion, isSingleVersion, workspace } = record.spec;
+    for (const other of this.#options.state().all) {
+      if (other === record || other.spec.workspace !== workspace) continue;
+      const result = other.getResult(item.id);
+      if (result?.state !== ResultState.Completed) continue;
+      const isFresh = result.versions.every((v) => v >= minVersion);
+      const isSingle = !isSingleVersion || result.versions.length === 1;
+      if (!isFresh || !isSingle || result.versions.length === 0) continue;
+      this.#list(record, result);
+      return true;
+    }
+    return false;
+  }
+
+  #run(
+    { record, item }: WaitingItem,
+    loads: Map<string, number>,
+    now: number,
+  ): boolean {
+    const { registry, engines, dataCentre, logger } = this.#options;
+    const { minVersion, isSingleVersion, id: batch, service } = record.spec;
+    const text = this.#textOf(record, item);
+    const progress = this.#progress.get(item.id);
+    const ready = registry.readyOf(service);
+    const chosen = placeItem({
+      targets: ready.map((t) => this.#viewOf(t, item, loads, now)),
+      minVersion,
+      versions: text.versions,
+      isSingleVersion,
+      excluded: progress?.excluded ?? NONE,
+      warm: this.#warmTargets(record, item),
+      dataCentre,
+    });
+    const target = ready.find(({ report }) => report.id === chosen?.id)?.report;
+    if (target === undefined) return false;
+    loads.set(target.id, (loads.get(target.id) ?? 0) + 1);
+    logger.event("itemPlaced", {
+      batch,
+      item: item.id,
+      target: target.id,
+      resumeAfter: text.lastId,
+      version: target.versions[item.model],
+      minVersion,
+      inFlight: chosen?.inFlight,
+      paceMs: Math.round(chosen?.paceMs ?? 0),
+    });
+    const run = new ItemRun({
+      record,
+      item,
+      target,
+      text,
+      engines,
+      listener: this,
+      now: this.#options.now,
+    });
+    if (!run.isOver) this.#runs.set(keyOf(batch, item.id), run);
+    return true;
+  }
+
+  /** Kept text goes on only where all its versions fit this batch. */
+  #textOf(record: BatchRecord, item: BatchItem): RunText {
+    const { minVersion, isSingleVersion } = record.spec;
+    const kept = this.#progress.get(item.id)?.kept;
+    if (kept === undefined) return new RunText();
+    const isFresh = kept.versions.every((version) => version >= minVersion);
+    const isSingle = !isSingleVersion || kept.versions.length <= 1;
+    return isFresh && isSingle ? new RunText(kept) : new RunText();
+  }
+
+  #viewOf(
+    { report }: RegisteredTarget,
+    item: BatchItem,
+    loads: ReadonlyMap<string, number>,
+    now: number,
+  ): PlacementTarget {
+    return {
+      id: report.id,
+      dataCentre: report.dataCentre,
+      slots: report.slots,
+      inFlight: loads.get(report.id) ?? 0,
+      version: report.versions[item.model],
+      paceMs: this.#pace.paceMs(report.id),
+      isAvoided: this.#pace.isAvoided(report.id, now),
+    };
+  }
+
+  #warmTargets(record: BatchRecord, item: BatchItem): Set<string> {
+    const warm = new Set<string>();
+    for (const other of record.spec.items) {
+      if (other.group !== item.group) continue;
+      const run = this.#runs.get(keyOf(record.spec.id, other.id));
+      if (run !== undefined) warm.add(run.target.id);
+    }
+    return warm;
+  }
+}
+
+const NONE: ReadonlySet<string> = new Set();
+
+function keyOf(batch: string, item: string): string {
+  return `${batch}/${item}`;
+}
--- /dev/null
+++ b/src/tasks/batches/mod.ts
@@ -0,0 +1,4 @@
+/** Batches: the ledger, and the runs of its leader. */
+export * from "./batch_port.ts";
+export * from "./batch_task.ts";
+export * from "./engine_port.ts";
--- /dev/null
+++ b/src/tasks/calls/mod.ts
@@ -0,0 +1,5 @@
+/** Calls that are passed on to targets. */
+export * from "./call_gate.ts";
+export * from "./call_run.ts";
+export * from "./target_port.ts";
+export * from "./target_connections.ts";
--- /dev/null
+++ b/src/tasks/control/control_driver.ts
@@ -0,0 +1,40 @@
+/** The replica of the control log. */
+import {
+  type CommandAnswer,
+  type ControlCommand,
+  type ControlSnapshot,
+  ControlState,
+} from "../../core/control/mod.ts";
+import { LogDriver, type LogDriverOptions } from "../log/mod.ts";
+
+/** Name of the control log and of its folder. */
+export const CONTROL_LOG = "control";
+
+/** Runs a replica of the control log. */
+export type ControlDriver = LogDriver<
+  ControlCommand,
+  ControlSnapshot,
+  CommandAnswer,
+  ControlState
+>;
+
+type ControlDriverOptions = Omit<
+  LogDriverOptions<
+    ControlCommand,
+    ControlSnapshot,
+    CommandAnswer,
+    ControlState
+  >,
+  "name" | "createState"
+>;
+
+/** Creates the replica of the control log; it does not run yet. */
+export function createControlDriver(
+  options: ControlDriverOptions,
+): ControlDriver {
+  return new LogDriver({
+    ...options,
+    name: CONTROL_LOG,
+    createState: () => new ControlState(),
+  });
+}
--- a/src/tasks/control/control_task.ts
+++ b/src/tasks/control/control_task.ts
@@ -22,7 +22,7 @@
   RestoredListener,
 } from "./control_port.ts";
 import { FeedTask } from "./feed_task.ts";
-import { ReplicaDriver } from "./replica_driver.ts";
+import { type ControlDriver, createControlDriver } from "./control_driver.ts";
 
 /** Options of {@link ControlTask}. */
 export interface ControlTaskOptions {
@@ -78,7 +78,7 @@
 /** Owns replica and feed of an instance. */
 export class ControlTask implements ControlPort {
   readonly #options: ControlTaskOptions;
-  readonly #driver: ReplicaDriver | undefined;
+  readonly #driver: ControlDriver | undefined;
   readonly #feed: FeedTask;
   readonly #waiters = new Map<number, Waiter>();
   readonly #applied: AppliedListener[] = [];
@@ -127,7 +127,7 @@
   }
 
   /** Gets the replica of this instance, where it has one. */
-  get driver(): ReplicaDriver | undefined {
+  get driver(): ControlDriver | undefined {
     return this.#driver;
   }
 
@@ -191,17 +191,17 @@
     this.#roles.push(listener);
   }
 
-  #createDriver(): ReplicaDriver | undefined {
+  #createDriver(): ControlDriver | undefined {
     const { settings, hub, logger, now } = this.#options;
     const own = settings.peers.find((peer) => peer.id === settings.id);
     if (own?.control !== true || settings.dataFolder === undefined) {
       return undefined;
     }
     const controls = settings.peers.filter((peer) => peer.control);
-    const driver: ReplicaDriver = new ReplicaDriver({
+    const driver: ControlDriver = createControlDriver({
       id: settings.id,
       dataFolder: settings.dataFolder,
-      wantedVoters: controls.length,
+      wantedVoters: () => controls.length,
       times: CONSENSUS_TIMES,
       logger,
       now,
--- a/src/tasks/control/feed_task.ts
+++ b/src/tasks/control/feed_task.ts
@@ -17,7 +17,7 @@
 import { instanceOfProcess } from "../../core/ledger/mod.ts";
 import type { Logger } from "../../logging/mod.ts";
 import type { HomeMessage, PeerHub } from "../peers/mod.ts";
-import type { ReplicaDriver } from "./replica_driver.ts";
+import type { ControlDriver } from "./control_driver.ts";
 
 /** Options of {@link FeedTask}. */
 export interface FeedTaskOptions {
@@ -30,7 +30,7 @@
   /** Links. */
   readonly hub: PeerHub;
   /** Replica of the control log; undefined on other instances. */
-  readonly driver: ReplicaDriver | undefined;
+  readonly driver: ControlDriver | undefined;
   /** Times of leases. */
   readonly times: FeedTimes;
   /** Logs. */
--- a/src/tasks/control/replica_driver.ts
+++ b/src/tasks/log/log_driver.ts
@@ -1,4 +1,4 @@
-/** Runs one replica of the control log on its disk and its links. */
+/** Runs one replica of a replicated log on its disk and its links. */
 import {
   type ConsensusEffect,
   type ConsensusMessage,
@@ -10,28 +10,29 @@
   type LogPosition,
   type LogSnapshot,
   nextMembers,
+  type ReplicaId,
   Role,
 } from "../../core/consensus/mod.ts";
-import {
-  type CommandAnswer,
-  type ControlCommand,
-  type ControlSnapshot,
-  ControlState,
-} from "../../core/control/mod.ts";
 import type { Logger } from "../../logging/mod.ts";
-import { ControlStore } from "./control_store.ts";
+import { LogStore } from "./log_store.ts";
+import type { StateMachine } from "./state_machine.ts";
 
-type Effect = ConsensusEffect<ControlCommand, ControlSnapshot>;
-type Write = Extract<Effect, { type: "write" }>;
+type Write<C, S> = Extract<ConsensusEffect<C, S>, { type: "write" }>;
 
-/** Options of {@link ReplicaDriver}. */
-export interface ReplicaDriverOptions {
+/** Options of {@link LogDriver}. */
+export interface LogDriverOptions<C, S, A, M extends StateMachine<C, S, A>> {
   /** This instance. */
   readonly id: string;
   /** Data folder. */
   readonly dataFolder: string;
   /** Voters wanted. */
-  readonly wantedVoters: number;
+  readonly wantedVoters: () => number;
+  /** Name of the log, which is also the name of its folder. */
+  readonly name: string;
+  /** Creates the application in its first state. */
+  readonly createState: () => M;
+  /** Entries after which the log is compacted. */
+  readonly compactEntries?: number;
   /** Times of the protocol. */
   readonly times: ConsensusTimes;
   /** Logs. */
@@ -41,48 +42,64 @@
   /** Sends a message. */
   readonly send: (
     to: string,
-    message: ConsensusMessage<ControlCommand, ControlSnapshot>,
+    message: ConsensusMessage<C, S>,
   ) => void;
-  /** Gets the replicas of the control instances that are present. */
+  /** Gets the replicas that are present. */
   readonly present: () => readonly string[];
+  /** Learners wanted besides those that replace a voter; all where absent. */
+  readonly wantedLearners?: number;
+  /** Gets whether a replica is away for good; none where absent. */
+  readonly isGone?: (replica: ReplicaId) => boolean;
   /** Hears of applied entries. */
   readonly onApplied: (
-    entry: LogEntry<ControlCommand>,
-    answer: CommandAnswer | undefined,
+    entry: LogEntry<C>,
+    answer: A | undefined,
   ) => void;
   /** Hears of a restored state. */
-  readonly onRestored: (snapshot: LogSnapshot<ControlSnapshot>) => void;
+  readonly onRestored: (snapshot: LogSnapshot<S>) => void;
   /** Hears of a change of the role. */
   readonly onRole: (isLeader: boolean) => void;
 }
 
 /** Entries after which the log is compacted. */
 const COMPACT_ENTRIES = 512;
-const REPAIR_INTERVAL_MS = 500;
+const REPAIR_INTERVAL_MS = 300;
 const REOPEN_MS = 2_000;
 const MIN_TICK_MS = 5;
+/** Time for which questions about the lead are gathered. */
+const PROBE_DELAY_MS = 4;
+
+interface LeadWaiter {
+  readonly since: number;
+  readonly index: number;
+  readonly term: number;
+  readonly resolve: (isConfirmed: boolean) => void;
+}
 
 /** Owns the store and the node of one replica. */
-export class ReplicaDriver {
-  readonly #options: ReplicaDriverOptions;
-  #store: ControlStore | undefined;
-  #node: ConsensusNode<ControlCommand, ControlSnapshot> | undefined;
-  #state = new ControlState();
+export class LogDriver<C, S, A, M extends StateMachine<C, S, A>> {
+  readonly #options: LogDriverOptions<C, S, A, M>;
+  #store: LogStore<C, S> | undefined;
+  #node: ConsensusNode<C, S> | undefined;
+  #state: M;
   #applied = 0;
-  #queue: Effect[] = [];
+  #queue: ConsensusEffect<C, S>[] = [];
   #isBusy = false;
   #isStopped = false;
   #tickTimer: NodeJS.Timeout | undefined;
   #repairTimer: NodeJS.Timeout | undefined;
   #leaderSince = Infinity;
+  #probeTimer: NodeJS.Timeout | undefined;
+  readonly #leadWaiters = new Set<LeadWaiter>();
 
   /** Creates a driver that does not run yet. */
-  constructor(options: ReplicaDriverOptions) {
+  constructor(options: LogDriverOptions<C, S, A, M>) {
     this.#options = options;
+    this.#state = options.createState();
   }
 
   /** Gets the state as far as it has been applied. */
-  get state(): ControlState {
+  get state(): M {
     return this.#state;
   }
 
@@ -92,7 +109,7 @@
   }
 
   /** Gets the node while it runs. */
-  get node(): ConsensusNode<ControlCommand, ControlSnapshot> | undefined {
+  get node(): ConsensusNode<C, S> | undefined {
     return this.#node;
   }
 
@@ -124,12 +141,14 @@
   /** Opens the store and runs. */
   async start(): Promise<void> {
     const { dataFolder, logger, now } = this.#options;
-    this.#store = await ControlStore.open({
+    this.#store = await LogStore.open<C, S>({
       dataFolder,
-      onDamaged: (detail) => logger.event("controlStoreDamaged", { detail }),
+      name: this.#options.name,
+      emptyState: this.#options.createState().save(),
+      onDamaged: (detail) => logger.event("controlStoreDamaged", { log: this.#options.name, detail }),
     });
     const { stored } = this.#store;
-    this.#state = new ControlState().load(stored.snapshot.state);
+    this.#state = this.#options.createState().load(stored.snapshot.state);
     this.#applied = stored.snapshot.index;
     this.#queue = [];
     this.#isBusy = false;
@@ -141,6 +160,7 @@
       now: now(),
     });
     logger.event("controlRestored", {
+      log: this.#options.name,
       index: stored.snapshot.index,
       entries: stored.entries.length,
       replica: this.replica,
@@ -150,13 +170,41 @@
     this.#repairTimer = setInterval(() => this.#repair(), REPAIR_INTERVAL_MS);
   }
 
+  /**
+   * Makes this empty replica one of the first members of a new log.
+   * @returns Whether it has become a member; a log that has members stays.
+   */
+  async form(voters: readonly ReplicaId[]): Promise<boolean> {
+    const store = this.#store;
+    const node = this.#node;
+    if (store === undefined || node === undefined) return false;
+    const hasMembers = node.members.voters.length > 0 || node.term > 0;
+    if (hasMembers || !voters.includes(node.self)) return false;
+    const { stored } = node;
+    const snapshot = {
+      ...stored.snapshot,
+      members: { voters, learners: [] },
+    };
+    this.#halt();
+    const write: Write<C, S> = {
+      type: "write",
+      snapshot,
+      lastIndex: 0,
+      term: 0,
+    };
+    await store.write([write], () => ({ ...stored, snapshot }));
+    await store.close();
+    await this.start();
+    return true;
+  }
+
   /** Takes in a message. */
-  receive(message: ConsensusMessage<ControlCommand, ControlSnapshot>): void {
+  receive(message: ConsensusMessage<C, S>): void {
     this.#run((node) => node.receive(message, this.#options.now()));
   }
 
   /** Adds a command to the log, where this replica leads. */
-  propose(command: ControlCommand): LogPosition | undefined {
+  propose(command: C): LogPosition | undefined {
     let position: LogPosition | undefined;
     this.#run((node) => {
       position = node.propose(command, this.#options.now());
@@ -164,6 +212,42 @@
     return position;
   }
 
+  /**
+   * Waits until a quorum has followed this leader since the call.
+   *
+   * What has been applied by then holds everything that was committed before
+   * the call, whatever the clocks say.
+   * @returns Whether it leads; false also where no quorum answers in time.
+   */
+  confirmLead(timeoutMs: number): Promise<boolean> {
+    const { now } = this.#options;
+    const node = this.#node;
+    if (node === undefined || !node.isSettled) return Promise.resolve(false);
+    const barrier = { since: now(), index: node.committed, term: node.term };
+    return new Promise((resolve) => {
+      const waiter: LeadWaiter = {
+        ...barrier,
+        resolve: (isConfirmed) => {
+          clearTimeout(timer);
+          this.#leadWaiters.delete(waiter);
+          resolve(isConfirmed);
+        },
+      };
+      const timer = setTimeout(() => waiter.resolve(false), timeoutMs);
+      this.#leadWaiters.add(waiter);
+      this.#probeSoon();
+    });
+  }
+
+  /** Questions that come close together are answered by one round. */
+  #probeSoon(): void {
+    if (this.#probeTimer !== undefined) return;
+    this.#probeTimer = setTimeout(() => {
+      this.#probeTimer = undefined;
+      this.#run((n) => n.probeQuorum(this.#options.now()));
+    }, PROBE_DELAY_MS);
+  }
+
   /** Hands leadership over, as before a shutdown. */
   yieldLeadership(): boolean {
     let isYielded = false;
@@ -183,6 +267,9 @@
   #halt(): void {
     clearTimeout(this.#tickTimer);
     clearInterval(this.#repairTimer);
+    clearTimeout(this.#probeTimer);
+    this.#probeTimer = undefined;
+    for (const waiter of [...this.#leadWaiters]) waiter.resolve(false);
     this.#node = undefined;
     this.#queue = [];
     if (this.#leaderSince === Infinity) return;
@@ -191,7 +278,7 @@
   }
 
   #run(
-    step: (node: ConsensusNode<ControlCommand, ControlSnapshot>) => void,
+    step: (node: ConsensusNode<C, S>) => void,
   ): void {
     const node = this.#node;
     if (node === undefined) return;
@@ -204,6 +291,17 @@
     this.#queue.push(...node.takeEffects());
     this.#schedule();
     this.#pump();
+    if (this.#leadWaiters.size > 0) this.#settleLeadWaiters(node);
+  }
+
+  #settleLeadWaiters(node: ConsensusNode<C, S>): void {
+    const contactAt = node.contactAt(this.#options.now());
+    for (const waiter of [...this.#leadWaiters]) {
+      const isLost = !node.isSettled || node.term !== waiter.term;
+      if (isLost) waiter.resolve(false);
+      const isApplied = this.#applied >= waiter.index;
+      if (contactAt >= waiter.since && isApplied) waiter.resolve(true);
+    }
   }
 
   #schedule(): void {
@@ -234,7 +332,7 @@
     while (this.#queue.length > 0) {
       const round = this.#queue;
       this.#queue = [];
-      const writes = round.filter((e): e is Write => e.type === "write");
+      const writes = round.filter((e): e is Write<C, S> => e.type === "write");
       const node = this.#node;
       if (node === undefined) return;
       if (writes.length > 0) {
@@ -250,14 +348,14 @@
     }
   }
 
-  #carryOut(effect: Effect): void {
+  #carryOut(effect: ConsensusEffect<C, S>): void {
     if (effect.type === "send") {
       this.#options.send(instanceOf(effect.message.to), effect.message);
     } else if (effect.type === "apply") {
       for (const entry of effect.entries) this.#apply(entry);
       this.#compact();
     } else if (effect.type === "restore") {
-      this.#state = new ControlState().load(effect.snapshot.state);
+      this.#state = this.#options.createState().load(effect.snapshot.state);
       this.#applied = effect.snapshot.index;
       this.#options.onRestored(effect.snapshot);
     } else if (effect.type === "role") {
@@ -265,7 +363,7 @@
     }
   }
 
-  #apply(entry: LogEntry<ControlCommand>): void {
+  #apply(entry: LogEntry<C>): void {
     const { content } = entry;
     const answer = content.type === "command"
       ? this.#state.apply(content.command)
@@ -276,7 +374,7 @@
 
   #compact(): void {
     const node = this.#node;
-    if (node === undefined || node.logSize <= COMPACT_ENTRIES) return;
+    if (node === undefined || node.logSize <= (this.#options.compactEntries ?? COMPACT_ENTRIES)) return;
     node.compact(this.#state.save(), this.#applied);
     this.#queue.push(...node.takeEffects());
   }
@@ -287,7 +385,11 @@
     if (isLeader === wasLeader) return;
     this.#leaderSince = isLeader ? now() : Infinity;
     const name = isLeader ? "becameControlLeader" : "lostControlLead";
-    logger.event(name, { term, replica: this.replica });
+    logger.event(name, {
+      log: this.#options.name,
+      term,
+      replica: this.replica,
+    });
     onRole(isLeader);
   }
 
@@ -298,13 +400,16 @@
     const next = nextMembers({
       members: node.members,
       present: present(),
-      wantedVoters,
+      wantedVoters: wantedVoters(),
+      wantedLearners: this.#options.wantedLearners,
+      isGone: this.#options.isGone,
       isWhole: (replica) => node.isWhole(replica, now()),
     });
     if (next === undefined) return;
     this.#run((n) => {
       if (n.proposeMembers(next, now()) === undefined) return;
       logger.event("controlMembers", {
+        log: this.#options.name,
         voters: next.voters,
         learners: next.learners,
       });
@@ -317,7 +422,7 @@
     const isStore = (err as NodeJS.ErrnoException).code !== undefined &&
       (err as NodeJS.ErrnoException).syscall !== undefined;
     const name = isStore ? "controlStoreFailed" : "controlStopped";
-    logger.event(name, { detail: String(err) });
+    logger.event(name, { log: this.#options.name, detail: String(err) });
     this.#halt();
     const store = this.#store;
     this.#store = undefined;
@@ -325,7 +430,10 @@
     const retry = () => {
       if (this.#isStopped) return;
       this.start().catch((again) => {
-        logger.event("controlStoreFailed", { detail: String(again) });
+        logger.event("controlStoreFailed", {
+          log: this.#options.name,
+          detail: String(again),
+        });
         setTimeout(retry, REOPEN_MS);
       });
     };
--- a/src/tasks/control/control_store.ts
+++ b/src/tasks/log/log_store.ts
@@ -1,4 +1,4 @@
-/** The control log's part of the data folder. */
+/** A replicated log's part of the data folder. */
 import { randomBytes } from "node:crypto";
 import { rename } from "node:fs/promises";
 import { join } from "node:path";
@@ -8,53 +8,54 @@
   type Members,
   type StoredLog,
 } from "../../core/consensus/mod.ts";
-import {
-  type ControlCommand,
-  type ControlSnapshot,
-  ControlState,
-} from "../../core/control/mod.ts";
 import { DamagedFileError, FrameStore } from "../storage/mod.ts";
 
-/** Log of the control commands, as stored. */
-export type StoredControl = StoredLog<ControlCommand, ControlSnapshot>;
+type WriteEffect<C, S> = Extract<ConsensusEffect<C, S>, { type: "write" }>;
 
-type WriteEffect = Extract<
-  ConsensusEffect<ControlCommand, ControlSnapshot>,
-  { type: "write" }
->;
+/** A change of the log, as a frame of the file. */
+interface WriteFrame<C, S> {
+  readonly type: "write";
+  readonly hardState?: WriteEffect<C, S>["hardState"];
+  readonly truncateFrom?: number;
+  readonly entries?: WriteEffect<C, S>["entries"];
+  readonly snapshot?: WriteEffect<C, S>["snapshot"];
+}
 
-type ControlFrame =
+type LogFrame<C, S> =
   | { readonly type: "identity"; readonly incarnation: string }
-  | {
-    readonly type: "write";
-    readonly hardState?: WriteEffect["hardState"];
-    readonly truncateFrom?: number;
-    readonly entries?: WriteEffect["entries"];
-    readonly snapshot?: WriteEffect["snapshot"];
-  };
+  | WriteFrame<C, S>;
 
-const FOLDER = "control";
 const INCARNATION_BYTES = 4;
 const NOBODY: Members = { voters: [], learners: [] };
 
-/** Options of {@link ControlStore.open}. */
-export interface ControlStoreOptions {
+/** Options of {@link LogStore.open}. */
+export interface LogStoreOptions<S> {
   /** Data folder of the instance. */
   readonly dataFolder: string;
+  /** Name of the log, which is also the name of its folder. */
+  readonly name: string;
+  /** State of the application before the first entry. */
+  readonly emptyState: S;
   /** Hears that a damaged store has been set aside. */
   readonly onDamaged?: (detail: string) => void;
 }
 
-/** Stores one replica of the control log. */
-export class ControlStore {
-  readonly #frames: FrameStore<ControlFrame>;
+/** Options of {@link LogStore.init}. */
+export interface LogInitOptions<S> extends LogStoreOptions<S> {
+  /** Instances of the first members. */
+  readonly instances: readonly string[];
+}
+
+/** Stores one replica of a replicated log. */
+export class LogStore<C, S> {
+  readonly #frames: FrameStore<LogFrame<C, S>>;
   readonly #incarnation: string;
   /** What was found when the store was opened. */
-  readonly stored: StoredControl;
+  readonly stored: StoredLog<C, S>;
 
   private constructor(
-    frames: FrameStore<ControlFrame>,
-    options: { incarnation: string; stored: StoredControl },
+    frames: FrameStore<LogFrame<C, S>>,
+    options: { incarnation: string; stored: StoredLog<C, S> },
   ) {
     this.#frames = frames;
     this.#incarnation = options.incarnation;
@@ -76,15 +77,17 @@
    *
    * A damaged store is set aside, and a new replica takes its place.
    */
-  static async open(options: ControlStoreOptions): Promise<ControlStore> {
-    const folder = join(options.dataFolder, FOLDER);
+  static async open<C, S>(
+    options: LogStoreOptions<S>,
+  ): Promise<LogStore<C, S>> {
+    const folder = join(options.dataFolder, options.name);
     try {
-      return await ControlStore.#openFolder(folder);
+      return await LogStore.#openFolder(folder, options.emptyState);
     } catch (err) {
       if (!(err instanceof DamagedFileError)) throw err;
       await rename(folder, `${folder}.damaged-${Date.now()}`);
       options.onDamaged?.(err.message);
-      return await ControlStore.#openFolder(folder);
+      return await LogStore.#openFolder(folder, options.emptyState);
     }
   }
 
@@ -93,19 +96,19 @@
    * @param instances - Instances of the control log.
    * @returns Whether it was created; a store that exists stays as it is.
    */
-  static async init(
-    dataFolder: string,
-    options: { id: string; instances: readonly string[] },
-  ): Promise<boolean> {
-    const frames = await FrameStore.open<ControlFrame>(
-      join(dataFolder, FOLDER),
+  static async init<C, S>(options: LogInitOptions<S>): Promise<boolean> {
+    const frames = await FrameStore.open<LogFrame<C, S>>(
+      join(options.dataFolder, options.name),
     );
     try {
       if (frames.frames.length > 0) return false;
       const incarnation = "first";
       const voters = options.instances
         .map((id) => formatReplicaId(id, incarnation));
-      const snapshot = emptyStored({ voters, learners: [] }).snapshot;
+      const snapshot = emptyStored(
+        { voters, learners: [] },
+        options.emptyState,
+      ).snapshot;
       await frames.append([
         { type: "identity", incarnation },
         { type: "write", snapshot },
@@ -118,8 +121,8 @@
 
   /** Stores writes, in order; returns once they are synced. */
   async write(
-    writes: readonly WriteEffect[],
-    getWhole: () => StoredControl,
+    writes: readonly WriteEffect<C, S>[],
+    getWhole: () => StoredLog<C, S>,
   ): Promise<void> {
     if (writes.some((write) => write.snapshot !== undefined)) {
       await this.#replace(getWhole());
@@ -138,7 +141,7 @@
     await this.#frames.close();
   }
 
-  async #replace(whole: StoredControl): Promise<void> {
+  async #replace(whole: StoredLog<C, S>): Promise<void> {
     const { hardState, snapshot, entries } = whole;
     await this.#frames.replace([
       { type: "identity", incarnation: this.#incarnation },
@@ -146,10 +149,13 @@
     ]);
   }
 
-  static async #openFolder(folder: string): Promise<ControlStore> {
-    const frames = await FrameStore.open<ControlFrame>(folder);
+  static async #openFolder<C, S>(
+    folder: string,
+    emptyState: S,
+  ): Promise<LogStore<C, S>> {
+    const frames = await FrameStore.open<LogFrame<C, S>>(folder);
     let incarnation: string | undefined;
-    let stored = emptyStored(NOBODY);
+    let stored = emptyStored<C, S>(NOBODY, emptyState);
     for (const frame of frames.frames) {
       if (frame.type === "identity") incarnation = frame.incarnation;
       else stored = fold(stored, frame);
@@ -158,27 +164,27 @@
       incarnation = randomBytes(INCARNATION_BYTES).toString("hex");
       await frames.append([{ type: "identity", incarnation }]);
     }
-    return new ControlStore(frames, { incarnation, stored });
+    return new LogStore(frames, { incarnation, stored });
   }
 }
 
-function emptyStored(members: Members): StoredControl {
+function emptyStored<C, S>(members: Members, state: S): StoredLog<C, S> {
   return {
     hardState: { term: 0, votedFor: undefined },
     snapshot: {
       index: 0,
       term: 0,
       members,
-      state: new ControlState().save(),
+      state,
     },
     entries: [],
   };
 }
 
-function fold(
-  stored: StoredControl,
-  frame: Extract<ControlFrame, { type: "write" }>,
-): StoredControl {
+function fold<C, S>(
+  stored: StoredLog<C, S>,
+  frame: WriteFrame<C, S>,
+): StoredLog<C, S> {
   const snapshot = frame.snapshot ?? stored.snapshot;
   const added = frame.entries ?? [];
   const from = Math.min(
--- /dev/null
+++ b/src/tasks/log/mod.ts
@@ -0,0 +1,5 @@
+/** Replicated logs on disks and links. */
+export * from "./log_driver.ts";
+export * from "./log_store.ts";
+export * from "./state_machine.ts";
+export * from "./log_service.ts";
--- a/src/tasks/peers/peer_envelope.ts
+++ b/src/tasks/peers/peer_envelope.ts
@@ -5,6 +5,7 @@
   ControlSnapshot,
 } from "../../core/control/mod.ts";
 import type { ConsensusMessage } from "../../core/consensus/mod.ts";
+import type { FleetMember, FleetNotice } from "../../core/fleet/mod.ts";
 import type { FeedMessage } from "../../core/feed/mod.ts";
 import type { LedgerMessage } from "../../core/ledger/mod.ts";
 
@@ -43,6 +44,8 @@
   readonly incarnation: string;
   /** Whether it drains. */
   readonly isDraining: boolean;
+  /** What an instance of a fleet that finds itself by seeds adds. */
+  readonly member?: FleetMember;
 }
 
 /** A message on a link, by channel. */
@@ -53,11 +56,21 @@
   }
   | { readonly channel: "ledger"; readonly body: LedgerMessage }
   | { readonly channel: "feed"; readonly body: FeedMessage }
+  | { readonly channel: "log"; readonly body: LogEnvelope }
+  | { readonly channel: "notice"; readonly body: FleetNotice }
   | { readonly channel: "presence"; readonly body: Presence }
   | { readonly channel: "home"; readonly body: HomeMessage }
   | { readonly channel: "request"; readonly body: PeerRequest }
   | { readonly channel: "reply"; readonly body: PeerReply };
 
+/** A message of a replicated log, by the log's name. */
+export interface LogEnvelope {
+  /** Name of the log. */
+  readonly log: string;
+  /** Message; its commands are known to the log's owner alone. */
+  readonly message: ConsensusMessage<unknown, unknown>;
+}
+
 /** Asks a backup for its promise, or gives it. */
 export interface HomeMessage {
   readonly type: "ask" | "promise";
--- a/src/tasks/peers/peer_hub.ts
+++ b/src/tasks/peers/peer_hub.ts
@@ -17,7 +17,13 @@
 import { PeerListener } from "./peer_listener.ts";
 
 /** Channels that tasks listen to. */
-export type TaskChannel = "consensus" | "ledger" | "feed" | "home";
+export type TaskChannel =
+  | "consensus"
+  | "ledger"
+  | "feed"
+  | "home"
+  | "log"
+  | "notice";
 
 /** Body of a channel's message. */
 export type BodyOf<C extends PeerEnvelope["channel"]> = Extract<
@@ -34,7 +40,12 @@
 /** Options of {@link PeerHub}. */
 export interface PeerHubOptions {
   /** Settings of this instance. */
-  readonly settings: Settings;
+  readonly settings: Pick<
+    Settings,
+    "id" | "dataCentre" | "peers" | "peerSecretFile" | "peerListen" | "tls"
+  >;
+  /** Finds instances that the settings do not name; none where absent. */
+  readonly directory?: (id: string) => PeerSettings | undefined;
   /** Logs. */
   readonly logger: Logger;
   /** Metrics. */
@@ -57,6 +68,8 @@
   readonly at: number;
 }
 
+/** Time for which a request waits for the link to come up. */
+const LINK_WAIT_MS = 700;
 const PRESENCE_INTERVAL_MS = 1_000;
 /** Time without a sign of life after which an instance counts as away. */
 const AWAY_AFTER_MS = 3_500;
@@ -110,7 +123,8 @@
 
   /** Gets the settings of another instance. */
   getPeer(id: string): PeerSettings | undefined {
-    return this.#options.settings.peers.find((peer) => peer.id === id);
+    const { settings, directory } = this.#options;
+    return settings.peers.find((peer) => peer.id === id) ?? directory?.(id);
   }
 
   /** Gets the other instances of this data centre. */
@@ -149,6 +163,36 @@
     return this;
   }
 
+  /** Tells what this instance is to all that hear of it, now. */
+  announce(): this {
+    this.#beat();
+    return this;
+  }
+
+  /** Keeps a link to an instance from now on. */
+  keepLink(id: string): this {
+    this.#linkTo(id);
+    return this;
+  }
+
+  /** Ends the link to an instance. */
+  dropLink(id: string): this {
+    this.#links.get(id)?.stop();
+    this.#links.delete(id);
+    this.#failWaiting(id);
+    return this;
+  }
+
+  /** Gets whether messages to an instance can be sent now. */
+  isLinked(id: string): boolean {
+    return this.#links.get(id)?.isUp ?? false;
+  }
+
+  /** Gets the instances that gave a sign of life lately. */
+  get presentIds(): readonly string[] {
+    return [...this.#seen.keys()].filter((id) => this.isPresent(id));
+  }
+
   /** Sends a message; it may be lost. */
   send(to: string, envelope: PeerEnvelope): boolean {
     return this.#linkTo(to)?.send(envelope) ?? false;
@@ -158,7 +202,20 @@
    * Asks another instance and waits for its answer.
    * @throws RefusalError of the other side, or of a lost link.
    */
-  request(
+  async request(
+    to: string,
+    method: string,
+    options: { params: unknown; timeoutMs: number },
+  ): Promise<unknown> {
+    const link = this.#linkTo(to);
+    const linkMs = Math.min(LINK_WAIT_MS, options.timeoutMs);
+    if (link === undefined || !await link.whenUp(linkMs)) {
+      throw unanswered(Verdict.NotRun);
+    }
+    return await this.#ask(to, method, options);
+  }
+
+  #ask(
     to: string,
     method: string,
     options: { params: unknown; timeoutMs: number },
--- a/src/tasks/peers/peer_link.ts
+++ b/src/tasks/peers/peer_link.ts
@@ -27,9 +27,12 @@
   readonly onSent: (bytes: number) => void;
 }
 
+const PING_INTERVAL_MS = 500;
+/** Silence after which a link counts as dead although it is not closed. */
+const SILENCE_LIMIT_MS = 1_800;
 const FIRST_PAUSE_MS = 100;
-const MAX_PAUSE_MS = 2_000;
-const HANDSHAKE_TIMEOUT_MS = 3_000;
+const MAX_PAUSE_MS = 1_000;
+const HANDSHAKE_TIMEOUT_MS = 1_500;
 /** Bytes that wait on a slow link before messages are dropped. */
 const MAX_BUFFERED_BYTES = 33_554_432;
 
@@ -41,6 +44,9 @@
   #isStopped = false;
   #pauseMs = FIRST_PAUSE_MS;
   #timer: NodeJS.Timeout | undefined;
+  #pingTimer: NodeJS.Timeout | undefined;
+  #heardAt = 0;
+  readonly #waiters = new Set<(isUp: boolean) => void>();
 
   /** Creates the link and dials. */
   constructor(options: PeerLinkOptions) {
@@ -64,10 +70,25 @@
     return true;
   }
 
+  /** Waits until messages can be sent, at most for a time. */
+  whenUp(timeoutMs: number): Promise<boolean> {
+    if (this.#isUp) return Promise.resolve(true);
+    return new Promise((resolve) => {
+      const settle = (isUp: boolean) => {
+        clearTimeout(timer);
+        this.#waiters.delete(settle);
+        resolve(isUp);
+      };
+      const timer = setTimeout(() => settle(false), timeoutMs);
+      this.#waiters.add(settle);
+    });
+  }
+
   /** Ends the link. */
   stop(): void {
     this.#isStopped = true;
     clearTimeout(this.#timer);
+    clearInterval(this.#pingTimer);
     this.#socket?.terminate();
   }
 
@@ -99,13 +120,35 @@
       const own = { secret, id: self, to: peer.id, nonce: answer.nonce };
       socket.send(JSON.stringify({ proof: createProof(own) }));
       this.#pauseMs = FIRST_PAUSE_MS;
+      this.#watch(socket);
       this.#setUp(true);
     });
+    socket.on("pong", () => {
+      this.#heardAt = performance.now();
+    });
     socket.on("error", () => {});
-    socket.on("close", () => this.#onClose());
+    socket.on("close", () => this.#onClose(socket));
+  }
+
+  /** A connection can fall silent without an end; only pings show it. */
+  #watch(socket: WebSocket): void {
+    clearInterval(this.#pingTimer);
+    this.#heardAt = performance.now();
+    this.#pingTimer = setInterval(() => {
+      const silentMs = performance.now() - this.#heardAt;
+      if (silentMs > SILENCE_LIMIT_MS) {
+        socket.terminate();
+        this.#onClose(socket);
+        return;
+      }
+      socket.ping();
+    }, PING_INTERVAL_MS);
   }
 
-  #onClose(): void {
+  #onClose(socket: WebSocket): void {
+    if (socket !== this.#socket) return;
+    this.#socket = undefined;
+    clearInterval(this.#pingTimer);
     this.#setUp(false);
     if (this.#isStopped) return;
     this.#timer = setTimeout(() => this.#dial(), this.#pauseMs);
@@ -115,6 +158,7 @@
   #setUp(isUp: boolean): void {
     if (this.#isUp === isUp) return;
     this.#isUp = isUp;
+    if (isUp) { for (const settle of [...this.#waiters]) settle(true); }
     this.#options.onChange(isUp);
   }
 }
