--- a/src/core/fleet/fleet_notice.ts
+++ b/src/core/fleet/fleet_notice.ts
@@ -15,8 +15,8 @@
     readonly reports: readonly TargetReport[];
   }
   | {
-    /** A target has loaded weights; its own report comes later. */
-    readonly type: "loaded";
+    /** A target loads weights, or has; its own report comes later. */
+    readonly type: "loading" | "loaded";
     readonly target: string;
     readonly incarnation: number;
     readonly model: string;
--- a/src/tasks/batches/batch_runner.ts
+++ b/src/tasks/batches/batch_runner.ts
@@ -14,8 +14,10 @@
   type WaitingItem,
 } from "../../core/batches/mod.ts";
 import {
+  type LoadedVersion,
   type RegisteredTarget,
   type TargetRegistry,
+  type TargetReport,
   TargetState,
 } from "../../core/registry/mod.ts";
 import type { Logger } from "../../logging/mod.ts";
@@ -46,7 +48,16 @@
   readonly excluded: Set<string>;
 }
 
+/** A load of weights that was ordered. */
+interface OpenLoad {
+  readonly model: string;
+  readonly version: number;
+  readonly until: number;
+}
+
 const PUMP_INTERVAL_MS = 50;
+/** Time after which a load counts as ended although nobody said so. */
+const LOAD_MS = 2_500;
 /** Silence after which a run before its first event is moved. */
 const FIRST_EVENT_MS = 1_000;
 /** Silence after which a run between two events is moved. */
@@ -75,6 +86,7 @@
   readonly #firstBatch = new Map<string, string>();
   #noted = 0;
   readonly #pace = new TargetPace();
+  readonly #loads = new Map<string, OpenLoad>();
   #timer: NodeJS.Timeout | undefined;
   #isPumpDue = false;
 
@@ -146,6 +158,12 @@
     return this;
   }
 
+  /** Sends a target no items of a model while it loads the model's weights. */
+  onLoading({ target, model, version }: LoadedVersion): void {
+    const until = this.#options.now() + LOAD_MS;
+    this.#loads.set(target, { model, version, until });
+  }
+
   /** Takes the time between two events. */
   onGap(run: ItemRun, gapMs: number): void {
     this.#pace.onGap(run.target.id, gapMs);
@@ -278,8 +296,7 @@
   }
 
   #silenceLimitMs(run: ItemRun): number {
-    const isLoading = this.#pace.isAvoided(run.target.id, this.#options.now());
-    if (isLoading) return LOAD_SILENCE_MS;
+    if (this.#isLoading(run.target, run.item.model)) return LOAD_SILENCE_MS;
     if (run.events < JUDGED_EVENTS) return FIRST_EVENT_MS;
     return Math.max(SILENCE_MS, this.#pace.medianMs * SLOW_RATIO * 4);
   }
@@ -345,7 +362,7 @@
       isWaiting: (record, item) => this.#isWaiting(record, item, now),
       isCarried: (record, item) => this.#isCarried(record, item),
     });
-    const loads = this.#loads();
+    const loads = this.#runCounts();
     let placed = 0;
     for (const waiting of order) {
       if (placed >= MAX_PLACED) break;
@@ -377,7 +394,7 @@
     return now >= (this.#progress.get(item.id)?.notBefore ?? -Infinity);
   }
 
-  #loads(): Map<string, number> {
+  #runCounts(): Map<string, number> {
     const loads = new Map<string, number>();
     for (const run of this.#runs.values()) {
       loads.set(run.target.id, (loads.get(run.target.id) ?? 0) + 1);
@@ -469,10 +486,20 @@
       inFlight: loads.get(report.id) ?? 0,
       version: report.versions[item.model],
       paceMs: this.#pace.paceMs(report.id),
-      isAvoided: this.#pace.isAvoided(report.id, now),
+      isAvoided: this.#pace.isAvoided(report.id, now) ||
+        this.#isLoading(report, item.model),
     };
   }
 
+  #isLoading(report: TargetReport, model: string): boolean {
+    const load = this.#loads.get(report.id);
+    if (load === undefined || load.model !== model) return false;
+    const isOver = this.#options.now() > load.until ||
+      (report.versions[model] ?? 0) >= load.version;
+    if (isOver) this.#loads.delete(report.id);
+    return !isOver;
+  }
+
   #warmTargets(record: BatchRecord, item: BatchItem): Set<string> {
     const warm = new Set<string>();
     for (const other of record.spec.items) {
--- a/src/tasks/batches/batch_task.ts
+++ b/src/tasks/batches/batch_task.ts
@@ -11,7 +11,7 @@
 } from "../../core/batches/mod.ts";
 import { allMembers, instanceOf, type ReplicaId } from "../../core/consensus/mod.ts";
 import { FleetRole, wantedVoters } from "../../core/fleet/mod.ts";
-import { TargetRegistry } from "../../core/registry/mod.ts";
+import { type LoadedVersion, TargetRegistry } from "../../core/registry/mod.ts";
 import {
   RefusalError,
   RefusalReason,
@@ -130,6 +130,11 @@
     this.#runner.onTargetsChanged();
   }
 
+  /** Sends a target no items of a model while it loads the model's weights. */
+  onLoading(loading: LoadedVersion): void {
+    this.#runner.onLoading(loading);
+  }
+
   #createService(): Service {
     const { node, dataFolder, now } = this.#options;
     const { settings, logger } = node;
--- a/src/tasks/fleet/control_task.ts
+++ b/src/tasks/fleet/control_task.ts
@@ -202,6 +202,7 @@
       policy: () => control.state.policy,
       newest: () => control.state.weights,
       reportIntervalMs: node.settings.times.reportIntervalMs,
+      onLoading: (loading) => control.tellLoad("loading", loading),
       onLoaded: (loaded) => control.learnVersion(loaded),
     });
   }
--- a/src/tasks/fleet/fleet_control.ts
+++ b/src/tasks/fleet/fleet_control.ts
@@ -231,12 +231,17 @@
 
   /** Records that a target has loaded weights, and tells the others. */
   learnVersion(loaded: LoadedVersion): void {
-    const { node } = this.#options;
     this.registry.learnVersion(loaded);
+    this.tellLoad("loaded", loaded);
+  }
+
+  /** Tells that a target loads weights, or has. */
+  tellLoad(type: "loading" | "loaded", load: LoadedVersion): void {
+    const { node } = this.#options;
     for (const role of Object.values(FleetRole)) {
       if (role === FleetRole.Entry) continue;
       for (const { id } of node.present(role)) {
-        node.notify(id, { type: "loaded", ...loaded });
+        node.notify(id, { type, ...load });
       }
     }
   }
--- a/src/tasks/fleet/fleet_follower.ts
+++ b/src/tasks/fleet/fleet_follower.ts
@@ -4,7 +4,11 @@
 import type { ElapsedClock } from "../../core/clock/mod.ts";
 import { type FleetNotice, FleetRole } from "../../core/fleet/mod.ts";
 import { type PolicyDocument, PolicyView } from "../../core/policy/mod.ts";
-import { RegistryChange, type TargetRegistry } from "../../core/registry/mod.ts";
+import {
+  type LoadedVersion,
+  RegistryChange,
+  type TargetRegistry,
+} from "../../core/registry/mod.ts";
 import {
   FleetMethod,
   type PolicyConfirmation,
@@ -23,6 +27,8 @@
   readonly usage: () => UsageWindows;
   /** Hears that targets have changed. */
   readonly onTargetsChanged: () => void;
+  /** Hears that a target loads weights; nobody where absent. */
+  readonly onLoading?: (loading: LoadedVersion) => void;
 }
 
 /** Confirmations in the time of a lease. */
@@ -151,6 +157,7 @@
 
   #onNotice(notice: FleetNotice, from: string): void {
     if (notice.type === "policy") this.#adopt(notice.document);
+    if (notice.type === "loading") this.#options.onLoading?.(notice);
     if (notice.type === "loaded") {
       const { registry, onTargetsChanged } = this.#options;
       if (registry.learnVersion(notice)) onTargetsChanged();
--- a/src/tasks/fleet/weights_duty.ts
+++ b/src/tasks/fleet/weights_duty.ts
@@ -7,7 +7,7 @@
 } from "../../core/registry/mod.ts";
 import type { LoadedVersion } from "../../core/registry/mod.ts";
 import type { PolicyDocument, ServicePolicy } from "../../core/policy/mod.ts";
-import { shareModels } from "../../core/weights/mod.ts";
+import { FIRST_VERSION, shareModels } from "../../core/weights/mod.ts";
 import type { Logger } from "../../logging/mod.ts";
 import type { DutyLease } from "./duty_lease.ts";
 import {
@@ -29,6 +29,8 @@
   readonly newest: () => ReadonlyMap<string, number>;
   /** Time between two reports of a target. */
   readonly reportIntervalMs: number;
+  /** Tells that a target has been ordered to load. */
+  readonly onLoading: (loading: LoadedVersion) => void;
   /** Tells that a target has loaded. */
   readonly onLoaded: (loaded: LoadedVersion) => void;
 }
@@ -41,8 +43,6 @@
 }
 
 const TICK_MS = 150;
-/** Version with which targets begin. */
-const FIRST_VERSION = 1;
 /** Part of a service's targets that may load at once. */
 const LOADING_SHARE = 0.25;
 const STATUS_TIMEOUT_MS = 500;
@@ -57,6 +57,7 @@
   readonly #options: WeightsDutyOptions;
   readonly #loading = new Set<string>();
   readonly #notBefore = new Map<string, number>();
+  readonly #followed = new Map<string, string>();
   #timer: NodeJS.Timeout | undefined;
 
   /** Creates the duty; it does nothing yet. */
@@ -74,6 +75,7 @@
     clearInterval(this.#timer);
     this.#timer = undefined;
     this.#notBefore.clear();
+    this.#followed.clear();
   }
 
   /** Orders what is due. */
@@ -95,7 +97,14 @@
     const newest = new Map<string, number>();
     for (const model of service.models) newest.set(model, FIRST_VERSION);
     for (const [model, version] of named) newest.set(model, version);
-    const shares = shareModels(targets.map((t) => t.report), newest);
+    const shares = shareModels({
+      targets: targets.map((t) => t.report),
+      newest,
+      followed: this.#followed,
+    });
+    for (const [model, ids] of shares) {
+      for (const id of ids) this.#followed.set(id, model);
+    }
     const limit = Math.max(1, Math.floor(targets.length * LOADING_SHARE));
     for (const [model, version] of newest) {
       for (const id of shares.get(model) ?? []) {
@@ -154,6 +163,7 @@
       fence: grant.token.fence,
       orders: status.orders,
     });
+    this.#options.onLoading(loadedOf(load));
     const outcome = await orders.load(order, grant.token, grant.timeoutMs);
     await this.#onOutcome[outcome](load);
   }
@@ -193,12 +203,7 @@
     const { target, model, version } = load;
     const { logger, onLoaded } = this.#options;
     logger.event("loadEnded", { target: target.id, model, version });
-    onLoaded({
-      target: target.id,
-      incarnation: target.incarnation,
-      model,
-      version,
-    });
+    onLoaded(loadedOf(load));
   }
 
   #fail(load: Load, reason: string): void {
@@ -212,6 +217,11 @@
   }
 }
 
+function loadedOf({ target, model, version }: Load): LoadedVersion {
+  const { id, incarnation } = target;
+  return { target: id, incarnation, model, version };
+}
+
 /** Runs go on under new weights only where no route forbids a mixture. */
 function modeOf(service: ServicePolicy, policy: PolicyDocument): LoadMode {
   const isPure = policy.routes.some((route) =>
