--- a/src/tasks/calls/call_gate.ts
+++ b/src/tasks/calls/call_gate.ts
@@ -28,6 +28,8 @@
 }
 
 const RETRY_AFTER_MS = 1_000;
+/** Time in which an instance that has just started learns the policy. */
+const STARTING_RETRY_MS = 400;
 
 /** Lets calls in by the policy that is in force. */
 export class CallGate {
@@ -86,7 +88,7 @@
     if (policy !== undefined) return policy;
     throw new RefusalError(RefusalReason.ControlUnavailable, Verdict.NotRun, {
       message: "No policy is known yet",
-      retryAfterMs: RETRY_AFTER_MS,
+      retryAfterMs: STARTING_RETRY_MS,
     });
   }
 }
--- a/src/tasks/fleet/fleet_control.ts
+++ b/src/tasks/fleet/fleet_control.ts
@@ -70,6 +70,8 @@
 const CONFIRM_MS = 800;
 const ANSWER_MS = 900;
 const TELL_INTERVAL_MS = 200;
+/** Time between two tellings to an instance that knows nothing yet. */
+const TELL_NEW_MS = 300;
 /** Time in which signs of what an instance has taken in come back. */
 const TELL_AGAIN_MS = 1_500;
 const EPOCH_BYTES = 4;
@@ -93,7 +95,7 @@
   readonly #service: Service;
   readonly #epoch = randomBytes(EPOCH_BYTES).toString("hex");
   #change = 0;
-  #changedAt = 0;
+  #isTelling = false;
   readonly #toldAt = new Map<string, number>();
   #toldRoster = "";
   #rosterRound = 0;
@@ -316,7 +318,7 @@
       const isNew = answer.type === "done";
       const { logger } = this.#options.node;
       logger.event("policyAccepted", { revision, isNew });
-      if (isNew) this.#tellPolicy(command.document);
+      if (isNew) this.#tellPolicySoon();
     }
     if (command.type === "announceWeights" && answer.type === "done") {
       const { model, version } = command;
@@ -325,6 +327,17 @@
     this.#options.onChanged();
   }
 
+  /** Of revisions that are applied together only the last one is told. */
+  #tellPolicySoon(): void {
+    if (this.#isTelling) return;
+    this.#isTelling = true;
+    setImmediate(() => {
+      this.#isTelling = false;
+      const { policy } = this.state;
+      if (policy !== undefined) this.#tellPolicy(policy);
+    });
+  }
+
   #tellPolicy(document: PolicyDocument): void {
     const { node } = this.#options;
     const notice: FleetNotice = { type: "policy", document };
@@ -350,7 +363,6 @@
   #onTargetChanged(report: TargetReport): void {
     const { node, onChanged } = this.#options;
     this.#change += 1;
-    this.#changedAt = this.#options.now();
     node.logger.event("targetChanged", {
       target: report.id,
       service: report.service,
@@ -390,20 +402,18 @@
     if (policy !== undefined) this.#tellPolicy(policy);
     for (const role of TOLD_ROLES) {
       for (const { id, member } of node.present(role)) {
-        if (member.targetsSeen[node.settings.id] === this.#mark) continue;
-        this.#tellAllTargets(id);
+        const seen = member.targetsSeen[node.settings.id];
+        if (seen !== this.#mark) this.#tellAllTargets(id, seen === undefined);
       }
     }
     this.#tellRoster();
   }
 
-  /** What has just been told as a change is told whole only later. */
-  #tellAllTargets(id: string): void {
+  /** Signs of what an instance has taken in come back with a delay. */
+  #tellAllTargets(id: string, isNew: boolean): void {
     const now = this.#options.now();
-    const toldAt = this.#toldAt.get(id);
-    const isFirst = toldAt === undefined;
-    const isSoon = now - Math.max(toldAt ?? 0, this.#changedAt) < TELL_AGAIN_MS;
-    if (!isFirst && isSoon) return;
+    const pauseMs = isNew ? TELL_NEW_MS : TELL_AGAIN_MS;
+    if (now - (this.#toldAt.get(id) ?? -Infinity) < pauseMs) return;
     this.#toldAt.set(id, now);
     this.#options.node.notify(id, {
       type: "targets",
