Targets by demand, items by what callers wait for, slow targets emptied

A lost ledger leader makes long items begin anew (4 s without a result at 24 s to 28 s). Change: targets are ordered to meet the peak of items that run or wait; of the groups that are waited for the longest items start first, the longest groups last; runs leave targets of half the usual pace; texts of long runs are stored each second, so that a later leader goes on from them.

--- a/src/core/batches/batch_command.ts
+++ b/src/core/batches/batch_command.ts
@@ -7,10 +7,21 @@
   readonly result: BatchResult;
 }
 
+/** Text of an item whose run goes on. */
+export interface KeptRecord {
+  readonly batch: string;
+  readonly item: string;
+  /** Number of the event before the first piece. */
+  readonly after: number;
+  readonly pieces: readonly string[];
+  readonly versions: readonly number[];
+}
+
 /** A command. */
 export type BatchCommand =
   | { readonly type: "accept"; readonly spec: BatchSpec }
   | { readonly type: "list"; readonly records: readonly ResultRecord[] }
+  | { readonly type: "keep"; readonly records: readonly KeptRecord[] }
   | { readonly type: "end"; readonly batch: string }
   | { readonly type: "forget"; readonly batches: readonly string[] };
 
--- a/src/core/batches/batch_record.ts
+++ b/src/core/batches/batch_record.ts
@@ -6,6 +6,8 @@
   type ResultPage,
   ResultState,
 } from "./batch.ts";
+import type { KeptRecord } from "./batch_command.ts";
+import type { KeptText } from "./run_text.ts";
 
 /** Keeps one batch. */
 export class BatchRecord {
@@ -13,6 +15,7 @@
   readonly #items: ReadonlyMap<string, BatchItem>;
   readonly #results: BatchResult[] = [];
   readonly #listed = new Map<string, BatchResult>();
+  readonly #kept = new Map<string, KeptText>();
   #isEnded = false;
 
   /** Creates the record of an accepted batch. */
@@ -66,6 +69,37 @@
     }
     this.#results.push(result);
     this.#listed.set(result.id, result);
+    this.#kept.delete(result.id);
+    return true;
+  }
+
+  /** Gets the text of an item whose run has not ended. */
+  getKept(id: string): KeptText | undefined {
+    return this.#kept.get(id);
+  }
+
+  /** Gets the texts of all items whose runs have not ended. */
+  get kept(): ReadonlyMap<string, KeptText> {
+    return this.#kept;
+  }
+
+  /** Replaces the text of an item whose run has not ended. */
+  restoreKept(id: string, text: KeptText): this {
+    this.#kept.set(id, text);
+    return this;
+  }
+
+  /** Adds to the text of an item; what does not follow on is left out. */
+  keep(record: KeptRecord): boolean {
+    const { item, after, pieces, versions } = record;
+    if (!this.#items.has(item) || this.#listed.has(item)) return false;
+    const known = after === 0 ? undefined : this.#kept.get(item);
+    if (after !== (known?.lastId ?? 0)) return false;
+    this.#kept.set(item, {
+      lastId: after + pieces.length,
+      pieces: [...known?.pieces ?? [], ...pieces],
+      versions,
+    });
     return true;
   }
 
--- /dev/null
+++ b/src/core/batches/batch_record_test.ts
@@ -0,0 +1,85 @@
+import { describe, expect, it } from "vitest";
+import { type BatchSpec, ResultState } from "./batch.ts";
+import { BatchRecord } from "./batch_record.ts";
+
+const SPEC: BatchSpec = {
+  id: "b",
+  workspace: "w",
+  route: "r",
+  host: "h",
+  service: "s",
+  acceptedAt: 0,
+  objectiveMs: 1_000,
+  giveUpMs: 10_000,
+  maxAttempts: 3,
+  minVersion: 0,
+  isSingleVersion: false,
+  desiredGroups: 0,
+  items: ["i1", "i2", "i3"].map((id) => ({
+    id,
+    path: "/p/",
+    headers: {},
+    body: new Uint8Array(),
+    tokens: 0,
+    group: "g",
+    model: "m",
+    expectedTokens: undefined,
+  })),
+};
+
+function completed(id: string, text: string) {
+  return { id, state: ResultState.Completed, text, versions: [1] };
+}
+
+describe(BatchRecord.name, () => {
+  function doTest(
+    ids: readonly string[],
+    page: { after: number; maxBytes: number },
+    expected: readonly string[],
+  ) {
+    const record = new BatchRecord(SPEC);
+    for (const id of ids) record.list(completed(id, `text of ${id}`));
+    const { results, next, total } = record.page(page.after, page.maxBytes);
+    expect(results.map((result) => result.id)).toEqual(expected);
+    expect(next).toBe(page.after + expected.length);
+    expect(total).toBe(3);
+  }
+
+  it("lists results in the order in which they came", () => {
+    doTest(["i2", "i1"], { after: 0, maxBytes: 1_000 }, ["i2", "i1"]);
+    doTest(["i2", "i1"], { after: 1, maxBytes: 1_000 }, ["i1"]);
+  });
+
+  it("lists an item once and keeps its first result", () => {
+    const record = new BatchRecord(SPEC);
+    expect(record.list(completed("i1", "first"))).toBe(true);
+    expect(record.list(completed("i1", "second"))).toBe(false);
+    expect(record.results).toEqual([completed("i1", "first")]);
+  });
+
+  it("ends a page by size, after one result at least", () => {
+    doTest(["i1", "i2"], { after: 0, maxBytes: 1 }, ["i1"]);
+  });
+
+  it("lists no foreign items", () => {
+    expect(new BatchRecord(SPEC).list(completed("x", ""))).toBe(false);
+  });
+
+  it("keeps the text of a run that goes on, in order", () => {
+    const record = new BatchRecord(SPEC);
+    const keep = (after: number, pieces: string[]) =>
+      record.keep({ batch: "b", item: "i1", after, pieces, versions: [1] });
+    expect(keep(0, ["a", "b"])).toBe(true);
+    expect(keep(3, ["x"])).toBe(false);
+    expect(keep(2, ["c"])).toBe(true);
+    expect(record.getKept("i1")).toEqual({
+      lastId: 3,
+      pieces: ["a", "b", "c"],
+      versions: [1],
+    });
+    expect(keep(0, ["z"])).toBe(true);
+    expect(record.getKept("i1")?.pieces).toEqual(["z"]);
+    record.list(completed("i1", "z"));
+    expect(record.getKept("i1")).toBeUndefined();
+  });
+});
--- a/src/core/batches/batch_state.ts
+++ b/src/core/batches/batch_state.ts
@@ -2,11 +2,13 @@
 import type { BatchResult, BatchSpec } from "./batch.ts";
 import type { BatchAnswer, BatchCommand } from "./batch_command.ts";
 import { BatchRecord } from "./batch_record.ts";
+import type { KeptText } from "./run_text.ts";
 
 /** A batch in a snapshot. */
 export interface BatchSnapshot {
   readonly spec: BatchSpec;
   readonly results: readonly BatchResult[];
+  readonly kept: readonly (readonly [string, KeptText])[];
   readonly isEnded: boolean;
 }
 
@@ -44,6 +46,12 @@
       }
       return true;
     },
+    keep: ({ records }) => {
+      for (const record of records) {
+        this.#batches.get(record.batch)?.keep(record);
+      }
+      return true;
+    },
     end: ({ batch }) => {
       const record = this.#batches.get(batch);
       record?.end();
@@ -81,9 +89,10 @@
 
   /** Gets the whole state. */
   save(): LedgerSnapshot {
-    const batches = this.all.map(({ spec, results, isEnded }) => ({
+    const batches = this.all.map(({ spec, results, kept, isEnded }) => ({
       spec,
       results: [...results],
+      kept: [...kept],
       isEnded,
     }));
     return { batches };
@@ -92,9 +101,10 @@
   /** Replaces the whole state. */
   load(snapshot: LedgerSnapshot): this {
     this.#batches.clear();
-    for (const { spec, results, isEnded } of snapshot.batches) {
+    for (const { spec, results, kept, isEnded } of snapshot.batches) {
       const record = new BatchRecord(spec);
       for (const result of results) record.list(result);
+      for (const [id, text] of kept) record.restoreKept(id, text);
       if (isEnded) record.end();
       this.#batches.set(spec.id, record);
     }
--- a/src/core/batches/item_order.ts
+++ b/src/core/batches/item_order.ts
@@ -25,6 +25,7 @@
   longest: number;
   /** Items that are listed or run. */
   begun: number;
+  size: number;
   isCarried: boolean;
 }
 
@@ -34,10 +35,11 @@
 /**
  * Gets the waiting items, the one to be run next first.
  *
- * Batches come by their due time, those that are late already last. Callers
- * wait for whole groups and leave some out, so within a batch the groups that
- * must complete come first, then those that have begun, then the shorter ones.
- * The longest item of a group starts first.
+ * Batches come by their due time, those that are late already last. A caller
+ * waits for a number of whole groups: those that came again, and any others.
+ * So within a batch the groups that complete soonest are wanted, those that
+ * have begun before the rest; of the wanted items the longest start first, for
+ * the last of them decides when the caller goes on.
  *
  * @example
  * ```ts
@@ -61,18 +63,30 @@
   record: BatchRecord,
   question: OrderQuestion,
 ): WaitingItem[] {
-  return [...groupsOf(record, question).values()]
+  const groups = [...groupsOf(record, question).values()];
+  const complete = groups
+    .filter((g) => g.waiting.length === 0 && g.begun === g.size).length;
+  const open = groups
     .filter((group) => group.waiting.length > 0)
     .sort((a, b) =>
       Number(b.isCarried) - Number(a.isCarried) ||
       Number(b.begun > 0) - Number(a.begun > 0) ||
       a.longest - b.longest
-    )
-    .flatMap((group) =>
-      group.waiting
-        .sort((a, b) => lengthOf(b) - lengthOf(a))
-        .map((item) => ({ record, item }))
     );
+  const { desiredGroups } = record.spec;
+  const isBounded = desiredGroups > 0 && desiredGroups < groups.length;
+  const wanted = isBounded
+    ? Math.max(1, desiredGroups - complete)
+    : open.length;
+  const spare = open.slice(wanted).flatMap((g) => longestFirst(g.waiting));
+  return [
+    ...longestFirst(open.slice(0, wanted).flatMap((g) => g.waiting)),
+    ...spare,
+  ].map((item) => ({ record, item }));
+}
+
+function longestFirst(items: readonly BatchItem[]): BatchItem[] {
+  return [...items].sort((a, b) => lengthOf(b) - lengthOf(a));
 }
 
 function groupsOf(
@@ -83,9 +97,10 @@
   for (const item of record.spec.items) {
     let group = groups.get(item.group);
     if (group === undefined) {
-      group = { waiting: [], longest: 0, begun: 0, isCarried: false };
+      group = { waiting: [], longest: 0, begun: 0, size: 0, isCarried: false };
       groups.set(item.group, group);
     }
+    group.size += 1;
     group.isCarried ||= question.isCarried(record, item);
     if (!question.isWaiting(record, item)) {
       group.begun += 1;
--- /dev/null
+++ b/src/core/batches/item_order_test.ts
@@ -0,0 +1,102 @@
+import { describe, expect, it } from "vitest";
+import type { BatchItem, BatchSpec } from "./batch.ts";
+import { BatchRecord } from "./batch_record.ts";
+import { orderItems } from "./item_order.ts";
+
+function item(id: string, expectedTokens: number): BatchItem {
+  return {
+    id,
+    path: "/p/",
+    headers: {},
+    body: new Uint8Array(),
+    tokens: 0,
+    group: id[0],
+    model: "m",
+    expectedTokens,
+  };
+}
+
+function record(
+  items: readonly BatchItem[],
+  fields: Partial<BatchSpec> = {},
+): BatchRecord {
+  return new BatchRecord({
+    id: "b",
+    workspace: "w",
+    route: "r",
+    host: "h",
+    service: "s",
+    acceptedAt: 0,
+    objectiveMs: 1_000,
+    giveUpMs: 10_000,
+    maxAttempts: 3,
+    minVersion: 0,
+    isSingleVersion: false,
+    desiredGroups: 0,
+    items,
+    ...fields,
+  });
+}
+
+describe(orderItems.name, () => {
+  function doTest(
+    records: readonly BatchRecord[],
+    expected: readonly string[],
+    options: {
+      running?: readonly string[];
+      carried?: readonly string[];
+      now?: number;
+    } = {},
+  ) {
+    const order = orderItems({
+      records,
+      isWaiting: (_r, i) => options.running?.includes(i.id) !== true,
+      isCarried: (_r, i) => options.carried?.includes(i.id) === true,
+      now: options.now ?? 0,
+    });
+    expect(order.map((waiting) => waiting.item.id)).toEqual(expected);
+  }
+
+  const items = [
+    item("a1", 10),
+    item("a2", 90),
+    item("b1", 40),
+    item("b2", 50),
+    item("c1", 20),
+    item("c2", 30),
+  ];
+
+  it("starts the longest items first", () => {
+    doTest([record(items)], ["a2", "b2", "b1", "c2", "c1", "a1"]);
+  });
+
+  it("leaves the longest groups for last where some are not waited for", () => {
+    doTest(
+      [record(items, { desiredGroups: 2 })],
+      ["b2", "b1", "c2", "c1", "a2", "a1"],
+    );
+  });
+
+  it("wants groups that came again, whatever their length", () => {
+    doTest(
+      [record(items, { desiredGroups: 2 })],
+      ["a2", "c2", "c1", "a1", "b2", "b1"],
+      { carried: ["a1", "a2"] },
+    );
+  });
+
+  it("wants groups that have begun before shorter ones", () => {
+    doTest(
+      [record(items, { desiredGroups: 1 })],
+      ["b2", "c2", "c1", "a2", "a1"],
+      { running: ["b1"] },
+    );
+  });
+
+  it("takes batches by their due time, late ones last", () => {
+    const late = record([item("x1", 5)], { acceptedAt: -2_000 });
+    const soon = record([item("y1", 5)], { acceptedAt: -500 });
+    const later = record([item("z1", 5)]);
+    doTest([late, later, soon], ["y1", "z1", "x1"]);
+  });
+});
--- a/src/core/batches/item_placement.ts
+++ b/src/core/batches/item_placement.ts
@@ -12,6 +12,8 @@
   readonly version: number | undefined;
   /** Time between two events of a run, in milliseconds; lately. */
   readonly paceMs: number;
+  /** Whether it is much slower than most. */
+  readonly isSlow: boolean;
   /** Whether it is avoided, as after failures or while it loads weights. */
   readonly isAvoided: boolean;
 }
@@ -39,7 +41,7 @@
 
 /**
  * Gets the target with the shortest expected run, or undefined where none has
- * room and fits.
+ * room and fits; to wait for a slot is shorter than a run at a slow target.
  *
  * @example
  * ```ts
@@ -50,8 +52,9 @@
   question: PlacementQuestion,
 ): PlacementTarget | undefined {
   const fitting = question.targets.filter((t) => isFitting(t, question));
-  const untried = fitting.filter((t) => !question.excluded.has(t.id));
-  const candidates = untried.length > 0 ? untried : fitting;
+  const fast = fitting.filter((t) => !t.isSlow);
+  const untried = fast.filter((t) => !question.excluded.has(t.id));
+  const candidates = untried.length > 0 ? untried : fast;
   let best: PlacementTarget | undefined;
   let bestCost = Infinity;
   for (const target of candidates) {
--- a/src/core/batches/run_text.ts
+++ b/src/core/batches/run_text.ts
@@ -63,6 +63,11 @@
     return { lastId, versions, pieces: [...this.#pieces] };
   }
 
+  /** Gets the pieces after an event. */
+  piecesAfter(id: number): readonly string[] {
+    return this.#pieces.slice(id);
+  }
+
   /** Records the version that generates from now on. */
   setVersion(version: number): this {
     this.#version = version;
--- a/src/core/batches/target_pace.ts
+++ b/src/core/batches/target_pace.ts
@@ -3,6 +3,7 @@
 interface Seen {
   paceMs: number;
   samples: number;
+  seenAt: number;
   avoidedUntil: number;
   failures: number;
 }
@@ -11,6 +12,10 @@
 const NEWEST_WEIGHT = 0.2;
 /** Events after which a target's pace is known. */
 const KNOWN_SAMPLES = 5;
+/** Time after which a pace that was not seen again is forgotten. */
+const STALE_MS = 3_000;
+/** Ratio to the median pace from which a target counts as slow. */
+const SLOW_RATIO = 2;
 const FIRST_PAUSE_MS = 200;
 const MAX_PAUSE_MS = 2_000;
 
@@ -19,8 +24,10 @@
   readonly #seen = new Map<string, Seen>();
 
   /** Records the time between two events of a run. */
-  onGap(target: string, gapMs: number): this {
+  onGap(target: string, gapMs: number, now: number): this {
     const seen = this.#of(target);
+    if (now - seen.seenAt > STALE_MS) seen.samples = 0;
+    seen.seenAt = now;
     const weight = Math.max(NEWEST_WEIGHT, 1 / (seen.samples + 1));
     seen.paceMs += weight * (gapMs - seen.paceMs);
     seen.samples += 1;
@@ -54,16 +61,21 @@
   }
 
   /** Gets the mean time between two events, in milliseconds. */
-  paceMs(target: string): number {
+  paceMs(target: string, now: number): number {
     const seen = this.#seen.get(target);
-    const isKnown = seen !== undefined && seen.samples >= KNOWN_SAMPLES;
-    return isKnown ? seen.paceMs : this.medianMs;
+    const isKnown = seen !== undefined && isCurrent(seen, now);
+    return isKnown ? seen.paceMs : this.medianMs(now);
+  }
+
+  /** Gets whether a target is much slower than most. */
+  isSlow(target: string, now: number): boolean {
+    return this.paceMs(target, now) > SLOW_RATIO * this.medianMs(now);
   }
 
   /** Gets the median pace of the targets that have one. */
-  get medianMs(): number {
+  medianMs(now: number): number {
     const paces = [...this.#seen.values()]
-      .filter((seen) => seen.samples >= KNOWN_SAMPLES)
+      .filter((seen) => isCurrent(seen, now))
       .map((seen) => seen.paceMs)
       .sort((a, b) => a - b);
     return paces[Math.floor(paces.length / 2)] ?? UNSEEN_PACE_MS;
@@ -83,6 +95,7 @@
     seen = {
       paceMs: UNSEEN_PACE_MS,
       samples: 0,
+      seenAt: -Infinity,
       avoidedUntil: -Infinity,
       failures: 0,
     };
@@ -90,3 +103,7 @@
     return seen;
   }
 }
+
+function isCurrent(seen: Seen, now: number): boolean {
+  return seen.samples >= KNOWN_SAMPLES && now - seen.seenAt < STALE_MS;
+}
--- a/src/core/capacity/mod.ts
+++ b/src/core/capacity/mod.ts
@@ -1,2 +1,3 @@
 /** Capacity and cost. */
 export * from "./capacity_planner.ts";
+export * from "./slot_planner.ts";
--- /dev/null
+++ b/src/core/capacity/slot_planner.ts
@@ -0,0 +1,61 @@
+/** Decides how many targets each data centre is to run, by slots in demand. */
+
+/** A data centre, as the decision sees it. */
+export interface SlotZone {
+  readonly id: string;
+  /** Price of a target, a second. */
+  readonly price: number;
+  /** Targets that run there now. */
+  readonly present: number;
+  /** Whether more were refused there lately. */
+  readonly isDry: boolean;
+}
+
+/** What the decision looks at. */
+export interface SlotQuestion {
+  /** Greatest number of items lately that ran or waited at one time. */
+  readonly peakItems: number;
+  /** Items that a target runs at once. */
+  readonly slots: number;
+  readonly zones: readonly SlotZone[];
+  /** Fewest and most targets of a data centre. */
+  readonly min: number;
+  readonly max: number;
+}
+
+/** Slots that are kept free for moved runs and the loss of targets. */
+const HEADROOM = 1.2;
+/** Part of the price by which one more target in a data centre is dearer. */
+const CROWD_SHARE = 0.25;
+
+/**
+ * Gets the targets of each data centre.
+ *
+ * Every item that waits for a slot makes its whole group late, while a target
+ * costs little, so the peak of the demand is met. Targets are spread, for a
+ * data centre may be lost, and the cheaper ones get more.
+ *
+ * @example
+ * ```ts
+ * planSlots({ peakItems: 60, slots: 8, zones, min: 1, max: 6 }).get("a");
+ * ```
+ */
+export function planSlots(question: SlotQuestion): Map<string, number> {
+  const { peakItems, slots, zones, min, max } = question;
+  const counts = new Map(zones.map((zone) => [zone.id, min] as const));
+  const needed = Math.ceil((peakItems * HEADROOM) / Math.max(1, slots));
+  let left = needed - min * zones.length;
+  while (left > 0) {
+    const open = zones.filter((zone) => {
+      const limit = zone.isDry ? Math.min(max, zone.present) : max;
+      return (counts.get(zone.id) ?? 0) < limit;
+    });
+    if (open.length === 0) return counts;
+    const costOf = ({ id, price }: SlotZone) =>
+      price * (1 + CROWD_SHARE * (counts.get(id) ?? 0));
+    const cheapest = open.sort((a, b) => costOf(a) - costOf(b))[0];
+    counts.set(cheapest.id, (counts.get(cheapest.id) ?? 0) + 1);
+    left -= 1;
+  }
+  return counts;
+}
--- /dev/null
+++ b/src/core/capacity/slot_planner_test.ts
@@ -0,0 +1,45 @@
+import { describe, expect, it } from "vitest";
+import { planSlots, type SlotQuestion, type SlotZone } from "./slot_planner.ts";
+
+function zone(id: string, fields: Partial<SlotZone> = {}): SlotZone {
+  return { id, price: 1, present: 1, isDry: false, ...fields };
+}
+
+describe(planSlots.name, () => {
+  function doTest(
+    fields: Partial<SlotQuestion>,
+    expected: Readonly<Record<string, number>>,
+  ) {
+    const counts = planSlots({
+      peakItems: 0,
+      slots: 10,
+      zones: [zone("a"), zone("b")],
+      min: 1,
+      max: 4,
+      ...fields,
+    });
+    expect(Object.fromEntries(counts)).toEqual(expected);
+  }
+
+  it("keeps the fewest where nothing is asked for", () => {
+    doTest({}, { a: 1, b: 1 });
+  });
+
+  it("meets the peak, spread over data centres", () => {
+    doTest({ peakItems: 50 }, { a: 3, b: 3 });
+  });
+
+  it("orders more where it is cheaper", () => {
+    const zones = [zone("a", { price: 2 }), zone("b")];
+    doTest({ peakItems: 40, zones }, { a: 1, b: 4 });
+  });
+
+  it("never goes beyond the limits", () => {
+    doTest({ peakItems: 1_000 }, { a: 4, b: 4 });
+  });
+
+  it("asks nothing more of a data centre that has none", () => {
+    const zones = [zone("a", { isDry: true, present: 2 }), zone("b")];
+    doTest({ peakItems: 1_000, zones }, { a: 2, b: 4 });
+  });
+});
--- a/src/logging/event_catalogue.ts
+++ b/src/logging/event_catalogue.ts
@@ -210,6 +210,10 @@
   itemMoved: describe(2214, "info", {
     text: "Run of an item is moved off a slow or silent target",
   }),
+  recordsUnstored: describe(2215, "warn", {
+    text: "Results could not be stored; their items are run again",
+    action: "Look at the leader of the ledger's log",
+  }),
   ledgerFormed: describe(2221, "info", {
     text: "First members of the ledger's log are fixed",
   }),
--- a/src/tasks/batches/batch_port.ts
+++ b/src/tasks/batches/batch_port.ts
@@ -11,6 +11,9 @@
   Holders: "batches.holders",
 } as const;
 
+/** Tells the control log's leader how many items run and wait. */
+export const DEMAND_METHOD = "fleet.demand";
+
 /** Submits a batch. */
 export interface SubmitParams {
   readonly spec: BatchSpec;
--- a/src/tasks/batches/batch_runner.ts
+++ b/src/tasks/batches/batch_runner.ts
@@ -4,6 +4,7 @@
   type BatchRecord,
   type BatchResult,
   type BatchState,
+  type KeptRecord,
   type KeptText,
   orderItems,
   placeItem,
@@ -37,6 +38,8 @@
   readonly mayRun: () => boolean;
   /** Stores a result. */
   readonly list: (batch: string, result: BatchResult) => void;
+  /** Stores the texts of runs that go on. */
+  readonly keep: (records: readonly KeptRecord[]) => void;
 }
 
 /** What is kept of an item between its runs. */
@@ -68,10 +71,16 @@
 const MAX_BROKEN_PAUSE_MS = 2_000;
 /** Pause after a target refused an item of a model. */
 const REFUSED_PAUSE_MS = 150;
+/** Time between two stores of the texts of long runs. */
+const KEEP_INTERVAL_MS = 1_000;
+/** Time from which a run counts as long. */
+const LONG_RUN_MS = 1_200;
 /** Items that may be sent to targets in one round. */
 const MAX_PLACED = 64;
-/** Ratio to the median pace from which a target counts as slow. */
-const SLOW_RATIO = 2;
+/** Events of median pace for which a run may be silent. */
+const SILENT_EVENTS = 8;
+/** Runs that are moved off slow targets in one round. */
+const MAX_MOVED = 12;
 /** Known items from which those of forgotten batches are dropped. */
 const MAX_KNOWN_ITEMS = 20_000;
 /** Events of a run before its pace is judged. */
@@ -85,10 +94,12 @@
   readonly #listing = new Set<string>();
   readonly #firstBatch = new Map<string, string>();
   #noted = 0;
+  readonly #peaks = new Map<string, number>();
   readonly #pace = new TargetPace();
   readonly #loads = new Map<string, OpenLoad>();
   #timer: NodeJS.Timeout | undefined;
   #isPumpDue = false;
+  #keptAt = -Infinity;
 
   /** Creates a runner that does not run yet. */
   constructor(options: BatchRunnerOptions) {
@@ -111,6 +122,7 @@
     this.#listing.clear();
     this.#firstBatch.clear();
     this.#noted = 0;
+    this.#progress.clear();
     return this;
   }
 
@@ -119,6 +131,28 @@
     return this.#runs.size;
   }
 
+  /** Takes the peaks of demand since the last call, by service. */
+  takeDemand(): { service: string; peakItems: number }[] {
+    const demand = [...this.#peaks]
+      .map(([service, peakItems]) => ({ service, peakItems }));
+    this.#peaks.clear();
+    return demand;
+  }
+
+  #noteDemand(records: readonly BatchRecord[]): void {
+    const counts = new Map<string, number>();
+    for (const { spec, unlisted } of records) {
+      counts.set(
+        spec.service,
+        (counts.get(spec.service) ?? 0) + unlisted.length,
+      );
+    }
+    for (const [service, count] of counts) {
+      const peak = Math.max(this.#peaks.get(service) ?? 0, count);
+      this.#peaks.set(service, peak);
+    }
+  }
+
   /** Looks for items to run, soon. */
   pump(): void {
     if (this.#isPumpDue || this.#timer === undefined) return;
@@ -166,7 +200,7 @@
 
   /** Takes the time between two events. */
   onGap(run: ItemRun, gapMs: number): void {
-    this.#pace.onGap(run.target.id, gapMs);
+    this.#pace.onGap(run.target.id, gapMs, this.#options.now());
   }
 
   /** Takes the end of a whole run. */
@@ -266,7 +300,7 @@
     let progress = this.#progress.get(item.id);
     if (progress !== undefined) return progress;
     progress = {
-      kept: undefined,
+      kept: this.#storedText(item),
       failed: 0,
       broken: 0,
       notBefore: -Infinity,
@@ -276,9 +310,41 @@
     return progress;
   }
 
+  /** Gets the text that a former leader has stored. */
+  #storedText(item: BatchItem): KeptText | undefined {
+    let best: KeptText | undefined;
+    for (const record of this.#options.state().all) {
+      const kept = record.getKept(item.id);
+      if (kept !== undefined && kept.lastId > (best?.lastId ?? 0)) best = kept;
+    }
+    return best;
+  }
+
+  /** Long runs are stored as they go, so that a later leader goes on. */
+  #keepLong(): void {
+    const now = this.#options.now();
+    if (now - this.#keptAt < KEEP_INTERVAL_MS) return;
+    this.#keptAt = now;
+    const records: KeptRecord[] = [];
+    for (const run of this.#runs.values()) {
+      if (now - run.startedAt < LONG_RUN_MS) continue;
+      const { id } = run.item;
+      const after = run.keptId;
+      const pieces = run.text.piecesAfter(after);
+      if (pieces.length === 0) continue;
+      run.keptId = run.text.lastId;
+      const { versions } = run.text;
+      const batch = run.record.spec.id;
+      records.push({ batch, item: id, after, pieces, versions });
+    }
+    if (records.length > 0) this.#options.keep(records);
+  }
+
   #tick(): void {
     if (!this.#options.mayRun()) return;
     this.#moveStalled();
+    this.#moveSlow();
+    this.#keepLong();
     this.#abandonOverdue();
     this.#forgetProgress();
     this.#place();
@@ -295,10 +361,30 @@
     }
   }
 
+  /** Runs leave a target that has turned slow as far as others have room. */
+  #moveSlow(): void {
+    const now = this.#options.now();
+    const counts = this.#runCounts();
+    let moved = 0;
+    for (const run of [...this.#runs.values()]) {
+      const { id } = run.target;
+      const isJudged = run.events >= JUDGED_EVENTS;
+      if (!isJudged || !this.#pace.isSlow(id, now)) continue;
+      if (moved >= MAX_MOVED) return;
+      const waiting = { record: run.record, item: run.item };
+      const chosen = this.#choose(waiting, run.text, counts, now);
+      if (chosen === undefined || chosen.id === id) continue;
+      counts.set(chosen.id, (counts.get(chosen.id) ?? 0) + 1);
+      this.#move(run, `Pace ${Math.round(this.#pace.paceMs(id, now))} ms`);
+      moved += 1;
+    }
+  }
+
   #silenceLimitMs(run: ItemRun): number {
     if (this.#isLoading(run.target, run.item.model)) return LOAD_SILENCE_MS;
     if (run.events < JUDGED_EVENTS) return FIRST_EVENT_MS;
-    return Math.max(SILENCE_MS, this.#pace.medianMs * SLOW_RATIO * 4);
+    const medianMs = this.#pace.medianMs(this.#options.now());
+    return Math.max(SILENCE_MS, medianMs * SILENT_EVENTS);
   }
 
   #move(run: ItemRun, reason: string): void {
@@ -355,6 +441,7 @@
     this.#noteFirst(all);
     const records = all.filter((record) => record.isOpen);
     if (records.length === 0) return;
+    this.#noteDemand(records);
     const now = this.#options.now();
     const order = orderItems({
       records,
@@ -423,21 +510,12 @@
     loads: Map<string, number>,
     now: number,
   ): boolean {
-    const { registry, engines, dataCentre, logger } = this.#options;
-    const { minVersion, isSingleVersion, id: batch, service } = record.spec;
+    const { registry, engines, logger } = this.#options;
+    const { minVersion, id: batch } = record.spec;
     const text = this.#textOf(record, item);
-    const progress = this.#progress.get(item.id);
-    const ready = registry.readyOf(service);
-    const chosen = placeItem({
-      targets: ready.map((t) => this.#viewOf(t, item, loads, now)),
-      minVersion,
-      versions: text.versions,
-      isSingleVersion,
-      excluded: progress?.excluded ?? NONE,
-      warm: this.#warmTargets(record, item),
-      dataCentre,
-    });
-    const target = ready.find(({ report }) => report.id === chosen?.id)?.report;
+    const chosen = this.#choose({ record, item }, text, loads, now);
+    if (chosen === undefined) return false;
+    const target = registry.get(chosen.id)?.report;
     if (target === undefined) return false;
     loads.set(target.id, (loads.get(target.id) ?? 0) + 1);
     logger.event("itemPlaced", {
@@ -447,8 +525,8 @@
       resumeAfter: text.lastId,
       version: target.versions[item.model],
       minVersion,
-      inFlight: chosen?.inFlight,
-      paceMs: Math.round(chosen?.paceMs ?? 0),
+      inFlight: chosen.inFlight,
+      paceMs: Math.round(chosen.paceMs),
     });
     const run = new ItemRun({
       record,
@@ -463,10 +541,30 @@
     return true;
   }
 
+  #choose(
+    { record, item }: WaitingItem,
+    text: RunText,
+    counts: ReadonlyMap<string, number>,
+    now: number,
+  ): PlacementTarget | undefined {
+    const { registry, dataCentre } = this.#options;
+    const { minVersion, isSingleVersion, service } = record.spec;
+    return placeItem({
+      targets: registry.readyOf(service)
+        .map((target) => this.#viewOf(target, item, counts, now)),
+      minVersion,
+      versions: text.versions,
+      isSingleVersion,
+      excluded: this.#progress.get(item.id)?.excluded ?? NONE,
+      warm: this.#warmTargets(record, item),
+      dataCentre,
+    });
+  }
+
   /** Kept text goes on only where all its versions fit this batch. */
   #textOf(record: BatchRecord, item: BatchItem): RunText {
     const { minVersion, isSingleVersion } = record.spec;
-    const kept = this.#progress.get(item.id)?.kept;
+    const { kept } = this.#progressOf(item);
     if (kept === undefined) return new RunText();
     const isFresh = kept.versions.every((version) => version >= minVersion);
     const isSingle = !isSingleVersion || kept.versions.length <= 1;
@@ -485,7 +583,8 @@
       slots: report.slots,
       inFlight: loads.get(report.id) ?? 0,
       version: report.versions[item.model],
-      paceMs: this.#pace.paceMs(report.id),
+      paceMs: this.#pace.paceMs(report.id, now),
+      isSlow: this.#pace.isSlow(report.id, now),
       isAvoided: this.#pace.isAvoided(report.id, now) ||
         this.#isLoading(report, item.model),
     };
--- a/src/tasks/batches/batch_task.ts
+++ b/src/tasks/batches/batch_task.ts
@@ -24,6 +24,7 @@
   BatchMethod,
   type BatchParams,
   type BodyParams,
+  DEMAND_METHOD,
   type ReadParams,
   type SubmitParams,
 } from "./batch_port.ts";
@@ -46,6 +47,7 @@
 
 const COMPACT_ENTRIES = 8_192;
 const CONFIRM_MS = 800;
+const DEMAND_TIMEOUT_MS = 800;
 const MAX_PAGE_BYTES = 700_000;
 const UPKEEP_INTERVAL_MS = 1_000;
 /** Time after which results that were due to be kept are forgotten. */
@@ -113,6 +115,7 @@
     this.#upkeepTimer = setInterval(() => {
       this.#forget();
       this.#yieldIfRetiring();
+      this.#tellDemand();
     }, UPKEEP_INTERVAL_MS);
   }
 
@@ -173,6 +176,10 @@
         return driver.isReady && driver.node?.hasLease(now()) === true;
       },
       list: (batch, result) => this.#store({ batch, result }),
+      keep: (records) => {
+        this.#service.propose({ type: "keep", records })
+          .catch((err) => this.#notStored(err, records.length));
+      },
     });
   }
 
@@ -211,6 +218,21 @@
     this.#service.driver.yieldLeadership();
   }
 
+  #tellDemand(): void {
+    if (this.leadsTerm === undefined) return;
+    const { node } = this.#options;
+    for (const demand of this.#runner.takeDemand()) {
+      node.askLeader(FleetRole.Control, DEMAND_METHOD, {
+        params: demand,
+        timeoutMs: DEMAND_TIMEOUT_MS,
+      }).catch((err) =>
+        node.logger.event("policyUnconfirmed", {
+          reason: (err as Error).message,
+        })
+      );
+    }
+  }
+
   /** Gets the instances that hold the ledger. */
   async #holders(): Promise<string[]> {
     await this.#confirm();
@@ -304,10 +326,7 @@
     this.#isStoring = true;
     this.#service.propose({ type: "list", records })
       .catch((err) => {
-        this.#options.node.logger.event("requestRetried", {
-          reason: (err as Error).message,
-          results: records.length,
-        });
+        this.#notStored(err, records.length);
         for (const { batch, result } of records) {
           this.#runner.onListed(batch, result.id);
         }
@@ -318,6 +337,13 @@
       });
   }
 
+  #notStored(err: unknown, records: number): void {
+    this.#options.node.logger.event("recordsUnstored", {
+      reason: (err as Error).message,
+      records,
+    });
+  }
+
   #onApplied(command: BatchCommand): void {
     this.#listeners[command.type](command as never);
   }
@@ -339,6 +365,7 @@
     list: ({ records }) => {
       for (const { batch, result } of records) this.#onResult(batch, result);
     },
+    keep: () => {},
     end: ({ batch }) => {
       this.#event("batchEnded", { batch });
       this.#runner.onEnded(batch);
--- a/src/tasks/batches/item_run.ts
+++ b/src/tasks/batches/item_run.ts
@@ -39,6 +39,8 @@
   readonly target: TargetReport;
   readonly text: RunText;
   readonly startedAt: number;
+  /** Last event of this run's text that has been stored; 0 for none. */
+  keptId = 0;
   readonly #options: ItemRunOptions;
   readonly #open: OpenRun;
   #heardAt: number;
--- /dev/null
+++ b/src/tasks/fleet/capacity_duty.ts
@@ -0,0 +1,187 @@
+/** Orders targets by the demand that the ledger tells of. */
+import { planSlots } from "../../core/capacity/mod.ts";
+import type { PolicyDocument, ServicePolicy } from "../../core/policy/mod.ts";
+import { type TargetRegistry, TargetState } from "../../core/registry/mod.ts";
+import type { Logger } from "../../logging/mod.ts";
+import type { DutyLease } from "./duty_lease.ts";
+import { OrderOutcome, type ReceiverPort } from "./order_port.ts";
+
+/** Options of {@link CapacityDuty}. */
+export interface CapacityDutyOptions {
+  readonly lease: DutyLease;
+  readonly receiver: ReceiverPort;
+  readonly registry: TargetRegistry;
+  readonly logger: Logger;
+  readonly policy: () => PolicyDocument | undefined;
+  /** Gets a clock that counts time in which the machine stood still. */
+  readonly now: () => number;
+}
+
+/** Demand for a service, as the ledger saw it. */
+export interface ServiceDemand {
+  readonly service: string;
+  /** Greatest number of items that ran or waited at one time. */
+  readonly peakItems: number;
+}
+
+interface Observation extends ServiceDemand {
+  readonly at: number;
+}
+
+interface Placed {
+  readonly count: number;
+  readonly at: number;
+}
+
+const TICK_MS = 500;
+/** Time for which a peak counts. */
+const PEAK_MEMORY_MS = 30_000;
+/** Time for which a refused data centre is not asked again. */
+const DRY_MS = 3_000;
+/** Time beyond a target's start after which a missing one is ordered again. */
+const MISSING_MS = 6_000;
+
+/** Keeps as many targets as the demand needs. */
+export class CapacityDuty {
+  readonly #options: CapacityDutyOptions;
+  readonly #placed = new Map<string, Placed>();
+  readonly #dryUntil = new Map<string, number>();
+  #observations: Observation[] = [];
+  #observedSince = Infinity;
+  #isBusy = false;
+  #timer: NodeJS.Timeout | undefined;
+
+  /** Creates the duty; it does nothing yet. */
+  constructor(options: CapacityDutyOptions) {
+    this.#options = options;
+  }
+
+  /** Begins the duty. */
+  start(): void {
+    this.#timer ??= setInterval(() => this.#tick(), TICK_MS);
+  }
+
+  /** Ends the duty. */
+  stop(): void {
+    clearInterval(this.#timer);
+    this.#timer = undefined;
+    this.#placed.clear();
+    this.#dryUntil.clear();
+    this.#observations = [];
+  }
+
+  /** Records the demand of the last second. */
+  observe(demand: ServiceDemand): void {
+    const at = this.#options.now();
+    if (this.#observations.length === 0) this.#observedSince = at;
+    this.#observations = this.#observations
+      .filter((seen) => at - seen.at < PEAK_MEMORY_MS);
+    this.#observations.push({ ...demand, at });
+  }
+
+  #tick(): void {
+    if (this.#isBusy) return;
+    this.#isBusy = true;
+    this.#work()
+      .catch((err) => this.#options.logger.error(err))
+      .finally(() => {
+        this.#isBusy = false;
+      });
+  }
+
+  async #work(): Promise<void> {
+    if (this.#options.lease.get() === undefined) return;
+    for (const service of this.#options.policy()?.services ?? []) {
+      if (service.scaling !== undefined) await this.#plan(service);
+    }
+  }
+
+  async #plan(service: ServicePolicy): Promise<void> {
+    const { scaling } = service;
+    const seen = this.#observations.filter((o) => o.service === service.name);
+    if (scaling === undefined || seen.length === 0) return;
+    const present = this.#presentOf(service.name);
+    const now = this.#options.now();
+    const counts = planSlots({
+      peakItems: Math.max(...seen.map((o) => o.peakItems)),
+      slots: this.#slotsOf(service.name),
+      min: scaling.min,
+      max: scaling.max,
+      zones: Object.entries(scaling.prices).map(([id, price]) => ({
+        id,
+        price,
+        present: present.get(id) ?? 0,
+        isDry: now < (this.#dryUntil.get(keyOf(service.name, id)) ?? 0),
+      })),
+    });
+    for (const [dataCentre, count] of counts) {
+      const here = present.get(dataCentre) ?? 0;
+      if (!this.#isDue(service, { dataCentre, count, here })) continue;
+      await this.#order(service.name, dataCentre, count);
+    }
+  }
+
+  /** Targets that run are not given up while the peak may come again. */
+  #isDue(
+    service: ServicePolicy,
+    zone: { dataCentre: string; count: number; here: number },
+  ): boolean {
+    const { dataCentre, count, here } = zone;
+    const key = keyOf(service.name, dataCentre);
+    const placed = this.#placed.get(key);
+    const now = this.#options.now();
+    if (now < (this.#dryUntil.get(key) ?? 0)) return false;
+    if (count === here) return false;
+    if (count < here && now - this.#observedSince < PEAK_MEMORY_MS) return false;
+    if (placed === undefined || placed.count !== count) return true;
+    const startMs = service.scaling?.bootMs ?? 0;
+    return now - placed.at > startMs + MISSING_MS;
+  }
+
+  async #order(
+    service: string,
+    dataCentre: string,
+    count: number,
+  ): Promise<void> {
+    const { lease, receiver, logger, now } = this.#options;
+    const grant = lease.get();
+    if (grant === undefined) return;
+    const key = keyOf(service, dataCentre);
+    const outcome = await receiver.orderTargets(
+      { service, dataCentre, count, isSpot: false },
+      grant.token,
+      grant.timeoutMs,
+    );
+    const isPlaced = outcome === OrderOutcome.Accepted;
+    logger.event(isPlaced ? "capacityOrdered" : "capacityFailed", {
+      service,
+      dataCentre,
+      count,
+      outcome,
+      fence: grant.token.fence,
+    });
+    if (isPlaced) this.#placed.set(key, { count, at: now() });
+    else this.#dryUntil.set(key, now() + DRY_MS);
+  }
+
+  #presentOf(service: string): Map<string, number> {
+    const present = new Map<string, number>();
+    for (const { report } of this.#options.registry.all) {
+      if (report.service !== service || report.isSpot) continue;
+      if (report.state !== TargetState.Ready) continue;
+      const { dataCentre } = report;
+      present.set(dataCentre, (present.get(dataCentre) ?? 0) + 1);
+    }
+    return present;
+  }
+
+  #slotsOf(service: string): number {
+    const slots = this.#options.registry.readyOf(service)
+      .map(({ report }) => report.slots);
+    return slots.length === 0 ? 1 : Math.min(...slots);
+  }
+}
+
+function keyOf(service: string, dataCentre: string): string {
+  return `${service}/${dataCentre}`;
+}
--- a/src/tasks/fleet/control_task.ts
+++ b/src/tasks/fleet/control_task.ts
@@ -8,7 +8,8 @@
   RefusalReason,
   Verdict,
 } from "../../core/verdict/mod.ts";
-import { BatchMethod, FORM_METHOD } from "../batches/mod.ts";
+import { BatchMethod, DEMAND_METHOD, FORM_METHOD } from "../batches/mod.ts";
+import { CapacityDuty, type ServiceDemand } from "./capacity_duty.ts";
 import { DutyLease } from "./duty_lease.ts";
 import { FleetControl } from "./fleet_control.ts";
 import type { FleetNode } from "./fleet_node.ts";
@@ -28,6 +29,8 @@
 
 /** Name of the duty to report usage, in the settings. */
 const USAGE_DUTY = "usage";
+/** Name of the duty to order targets, in the settings. */
+const CAPACITY_DUTY = "autoscale";
 const FORM_INTERVAL_MS = 300;
 /** Ledger instances for which the first leader waits. */
 const FORM_WAIT_MS = 2_000;
@@ -40,6 +43,7 @@
   readonly #control: FleetControl;
   readonly #weights: WeightsDuty;
   readonly #usage: UsageDuty | undefined;
+  readonly #capacity: CapacityDuty | undefined;
   #formTimer: NodeJS.Timeout | undefined;
 
   /** Creates the task; it does not run yet. */
@@ -56,6 +60,11 @@
     const lease = this.#createLease();
     this.#weights = this.#createWeights(lease);
     this.#usage = this.#createUsage(lease);
+    this.#capacity = this.#createCapacity(lease);
+    node.hub.handle(DEMAND_METHOD, (params) => {
+      this.#capacity?.observe(params as ServiceDemand);
+      return true;
+    });
   }
 
   /** Gets the replica's identity. */
@@ -227,14 +236,31 @@
     });
   }
 
+  #createCapacity(lease: DutyLease): CapacityDuty | undefined {
+    const { node, receiver, clock } = this.#options;
+    const isAsked = node.settings.receiver?.duties.includes(CAPACITY_DUTY);
+    if (receiver === undefined || isAsked !== true) return undefined;
+    const control = this.#control;
+    return new CapacityDuty({
+      lease,
+      receiver,
+      registry: control.registry,
+      logger: node.logger,
+      policy: () => control.state.policy,
+      now: () => clock.now(),
+    });
+  }
+
   #onRole(isLeader: boolean): void {
     if (isLeader) {
       this.#weights.start();
       this.#usage?.start();
+      this.#capacity?.start();
       return;
     }
     this.#weights.stop();
     this.#usage?.stop();
+    this.#capacity?.stop();
   }
 
   /** The first members of the ledger are fixed once, by the control log. */
