--- a/src/core/capacity/slot_planner.ts
+++ b/src/core/capacity/slot_planner.ts
@@ -13,8 +13,8 @@
 
 /** What the decision looks at. */
 export interface SlotQuestion {
-  /** Greatest number of items lately that ran or waited at one time. */
-  readonly peakItems: number;
+  /** Items that ran or waited at a time, as a mean over some seconds. */
+  readonly meanItems: number;
   /** Items that a target runs at once. */
   readonly slots: number;
   readonly zones: readonly SlotZone[];
@@ -23,27 +23,28 @@
   readonly max: number;
 }
 
-/** Slots that are kept free for moved runs and the loss of targets. */
-const HEADROOM = 1.2;
+/** Slots for each item of the mean: batches come in waves. */
+const HEADROOM = 2;
 /** Part of the price by which one more target in a data centre is dearer. */
 const CROWD_SHARE = 0.25;
 
 /**
  * Gets the targets of each data centre.
  *
- * Every item that waits for a slot makes its whole group late, while a target
- * costs little, so the peak of the demand is met. Targets are spread, for a
- * data centre may be lost, and the cheaper ones get more.
+ * An item that waits for a slot makes its whole group late, so the slots are
+ * about half in use. More targets than that help little, for each must load
+ * every version of the weights. Targets are spread, for a data centre may be
+ * lost, and the cheaper data centres get more.
  *
  * @example
  * ```ts
- * planSlots({ peakItems: 60, slots: 8, zones, min: 1, max: 6 }).get("a");
+ * planSlots({ meanItems: 30, slots: 8, zones, min: 1, max: 6 }).get("a");
  * ```
  */
 export function planSlots(question: SlotQuestion): Map<string, number> {
-  const { peakItems, slots, zones, min, max } = question;
+  const { meanItems, slots, zones, min, max } = question;
   const counts = new Map(zones.map((zone) => [zone.id, min] as const));
-  const needed = Math.ceil((peakItems * HEADROOM) / Math.max(1, slots));
+  const needed = Math.ceil((meanItems * HEADROOM) / Math.max(1, slots));
   let left = needed - min * zones.length;
   while (left > 0) {
     const open = zones.filter((zone) => {
--- a/src/core/consensus/consensus_node.ts
+++ b/src/core/consensus/consensus_node.ts
@@ -95,6 +95,12 @@
   ) => void;
 };
 
+/**
+ * Spread of the first election after a start, as a share of its time.
+ *
+ * Voters that started together refuse until that time, so it is short.
+ */
+const FIRST_SPREAD = 0.5;
 /** Entries in one message. */
 const MAX_ENTRIES = 256;
 /** Time after which an unanswered message with entries is sent again. */
@@ -141,7 +147,9 @@
     this.#votedFor = stored.hardState.votedFor;
     this.#applied = stored.snapshot.index;
     this.#heardAt = options.now;
-    this.#resetElection(options.now);
+    const { electionMs } = options.times;
+    const spread = 1 + FIRST_SPREAD * options.random();
+    this.#electionDueAt = options.now + electionMs * spread;
     this.#handlers = {
       preVoteRequest: (m, now) => this.#onPreVoteRequest(m, now),
       preVoteReply: (m, now) => this.#onPreVoteReply(m, now),
--- /dev/null
+++ b/src/core/weights/due_loads.ts
@@ -0,0 +1,60 @@
+/** Decides which loads of weights come first. */
+import type { ModelShares } from "./model_shares.ts";
+
+/** What the decision looks at. */
+export interface LoadQuestion {
+  /** Newest version of each model. */
+  readonly newest: ReadonlyMap<string, number>;
+  /** Gets the version of a model at a target. */
+  readonly versionOf: (target: string, model: string) => number;
+}
+
+/** A load that is due. */
+export interface DueLoad {
+  readonly id: string;
+  readonly model: string;
+  readonly version: number;
+}
+
+/**
+ * Gets the loads that are due, the most urgent first.
+ *
+ * Targets can load only a few at a time. The model whose best targets are
+ * furthest behind comes first, then the one with the fewest targets at hand,
+ * so no model waits for the others; the target that is furthest behind goes
+ * first, as it may serve no more until then.
+ *
+ * @example
+ * ```ts
+ * for (const { id, model, version } of dueLoads(shares, question)) order(id);
+ * ```
+ */
+export function dueLoads(
+  shares: ModelShares,
+  question: LoadQuestion,
+): DueLoad[] {
+  const { newest, versionOf } = question;
+  const ranked: { load: DueLoad; rank: readonly number[] }[] = [];
+  for (const [model, ids] of shares) {
+    const version = newest.get(model);
+    if (version === undefined) continue;
+    const gaps = ids.map((id) => version - versionOf(id, model));
+    const best = Math.min(...gaps);
+    const upToDate = gaps.filter((gap) => gap <= 0).length;
+    ids.forEach((id, i) => {
+      if (gaps[i] <= 0) return;
+      ranked.push({
+        load: { id, model, version },
+        rank: [-best, upToDate, -gaps[i]],
+      });
+    });
+  }
+  return ranked.sort((a, b) => compare(a.rank, b.rank)).map((r) => r.load);
+}
+
+function compare(a: readonly number[], b: readonly number[]): number {
+  for (let i = 0; i < a.length; i += 1) {
+    if (a[i] !== b[i]) return a[i] - b[i];
+  }
+  return 0;
+}
--- /dev/null
+++ b/src/core/weights/due_loads_test.ts
@@ -0,0 +1,43 @@
+import { describe, expect, it } from "vitest";
+import { dueLoads } from "./due_loads.ts";
+
+describe(dueLoads.name, () => {
+  function doTest(
+    versions: Readonly<Record<string, Readonly<Record<string, number>>>>,
+    newest: Readonly<Record<string, number>>,
+    expected: readonly string[],
+  ) {
+    const shares = new Map(
+      Object.entries(versions).map(([m, ids]) => [m, Object.keys(ids)]),
+    );
+    const due = dueLoads(shares, {
+      newest: new Map(Object.entries(newest)),
+      versionOf: (id, model) => versions[model][id],
+    });
+    expect(due.map(({ id, model }) => `${model}:${id}`)).toEqual(expected);
+  }
+
+  it("asks for nothing where all are up to date", () => {
+    doTest({ a: { x: 3, y: 3 } }, { a: 3 }, []);
+  });
+
+  it("takes the target that is furthest behind first", () => {
+    doTest({ a: { x: 2, y: 1 } }, { a: 3 }, ["a:y", "a:x"]);
+  });
+
+  it("lets no model wait for the others", () => {
+    doTest(
+      { a: { x: 5, y: 4 }, b: { z: 2, w: 1 } },
+      { a: 5, b: 5 },
+      ["b:w", "b:z", "a:y"],
+    );
+  });
+
+  it("prefers the model with fewer targets at hand", () => {
+    doTest(
+      { a: { x: 3, y: 3, z: 2 }, b: { u: 3, v: 2 } },
+      { a: 3, b: 3 },
+      ["b:v", "a:z"],
+    );
+  });
+});
--- a/src/core/weights/mod.ts
+++ b/src/core/weights/mod.ts
@@ -1,3 +1,4 @@
 /** Weight versions. */
 export * from "./swap_planner.ts";
 export * from "./model_shares.ts";
+export * from "./due_loads.ts";
--- a/src/tasks/batches/batch_runner.ts
+++ b/src/tasks/batches/batch_runner.ts
@@ -94,7 +94,8 @@
   readonly #listing = new Set<string>();
   readonly #firstBatch = new Map<string, string>();
   #noted = 0;
-  readonly #peaks = new Map<string, number>();
+  readonly #demand = new Map<string, number>();
+  #samples = 0;
   readonly #pace = new TargetPace();
   readonly #loads = new Map<string, OpenLoad>();
   #timer: NodeJS.Timeout | undefined;
@@ -131,25 +132,22 @@
     return this.#runs.size;
   }
 
-  /** Takes the peaks of demand since the last call, by service. */
-  takeDemand(): { service: string; peakItems: number }[] {
-    const demand = [...this.#peaks]
-      .map(([service, peakItems]) => ({ service, peakItems }));
-    this.#peaks.clear();
+  /** Takes the means of demand since the last call, by service. */
+  takeDemand(): { service: string; meanItems: number }[] {
+    const samples = Math.max(1, this.#samples);
+    const demand = [...this.#demand]
+      .map(([service, sum]) => ({ service, meanItems: sum / samples }));
+    this.#demand.clear();
+    this.#samples = 0;
     return demand;
   }
 
-  #noteDemand(records: readonly BatchRecord[]): void {
-    const counts = new Map<string, number>();
-    for (const { spec, unlisted } of records) {
-      counts.set(
-        spec.service,
-        (counts.get(spec.service) ?? 0) + unlisted.length,
-      );
-    }
-    for (const [service, count] of counts) {
-      const peak = Math.max(this.#peaks.get(service) ?? 0, count);
-      this.#peaks.set(service, peak);
+  #sampleDemand(): void {
+    this.#samples += 1;
+    for (const { spec, unlisted, isOpen } of this.#options.state().all) {
+      if (!isOpen) continue;
+      const sum = this.#demand.get(spec.service) ?? 0;
+      this.#demand.set(spec.service, sum + unlisted.length);
     }
   }
 
@@ -342,6 +340,7 @@
 
   #tick(): void {
     if (!this.#options.mayRun()) return;
+    this.#sampleDemand();
     this.#moveStalled();
     this.#moveSlow();
     this.#keepLong();
@@ -441,7 +440,6 @@
     this.#noteFirst(all);
     const records = all.filter((record) => record.isOpen);
     if (records.length === 0) return;
-    this.#noteDemand(records);
     const now = this.#options.now();
     const order = orderItems({
       records,
--- a/src/tasks/fleet/capacity_duty.ts
+++ b/src/tasks/fleet/capacity_duty.ts
@@ -20,8 +20,8 @@
 /** Demand for a service, as the ledger saw it. */
 export interface ServiceDemand {
   readonly service: string;
-  /** Greatest number of items that ran or waited at one time. */
-  readonly peakItems: number;
+  /** Items that ran or waited at a time, as a mean over the last second. */
+  readonly meanItems: number;
 }
 
 interface Observation extends ServiceDemand {
@@ -34,8 +34,10 @@
 }
 
 const TICK_MS = 500;
-/** Time for which a peak counts. */
-const PEAK_MEMORY_MS = 30_000;
+/** Time for which the greatest mean counts. */
+const MEMORY_MS = 30_000;
+/** Time over which demand is averaged: waves of batches come and go. */
+const MEAN_MS = 8_000;
 /** Time for which a refused data centre is not asked again. */
 const DRY_MS = 3_000;
 /** Time beyond a target's start after which a missing one is ordered again. */
@@ -75,7 +77,7 @@
     const at = this.#options.now();
     if (this.#observations.length === 0) this.#observedSince = at;
     this.#observations = this.#observations
-      .filter((seen) => at - seen.at < PEAK_MEMORY_MS);
+      .filter((seen) => at - seen.at < MEMORY_MS);
     this.#observations.push({ ...demand, at });
   }
 
@@ -103,7 +105,7 @@
     const present = this.#presentOf(service.name);
     const now = this.#options.now();
     const counts = planSlots({
-      peakItems: Math.max(...seen.map((o) => o.peakItems)),
+      meanItems: greatestMean(seen),
       slots: this.#slotsOf(service.name),
       min: scaling.min,
       max: scaling.max,
@@ -132,7 +134,7 @@
     const now = this.#options.now();
     if (now < (this.#dryUntil.get(key) ?? 0)) return false;
     if (count === here) return false;
-    if (count < here && now - this.#observedSince < PEAK_MEMORY_MS) return false;
+    if (count < here && now - this.#observedSince < MEMORY_MS) return false;
     if (placed === undefined || placed.count !== count) return true;
     const startMs = service.scaling?.bootMs ?? 0;
     return now - placed.at > startMs + MISSING_MS;
@@ -182,6 +184,18 @@
   }
 }
 
+/** Gets the greatest mean over some seconds that ended lately. */
+function greatestMean(seen: readonly Observation[]): number {
+  let greatest = 0;
+  for (const { at } of seen) {
+    const window = seen.filter((o) => o.at <= at && at - o.at < MEAN_MS);
+    const sum = window.reduce((total, o) => total + o.meanItems, 0);
+    const isWhole = at - seen[0].at >= MEAN_MS;
+    if (isWhole) greatest = Math.max(greatest, sum / window.length);
+  }
+  return greatest;
+}
+
 function keyOf(service: string, dataCentre: string): string {
   return `${service}/${dataCentre}`;
 }
--- a/src/tasks/fleet/fleet_times.ts
+++ b/src/tasks/fleet/fleet_times.ts
@@ -3,7 +3,7 @@
 
 /** Times of the fleet's replicated logs. */
 export const FLEET_CONSENSUS_TIMES: ConsensusTimes = {
-  heartbeatMs: 120,
-  electionMs: 700,
+  heartbeatMs: 100,
+  electionMs: 500,
   clockRateError: 0.02,
 };
--- a/src/tasks/fleet/weights_duty.ts
+++ b/src/tasks/fleet/weights_duty.ts
@@ -7,7 +7,7 @@
 } from "../../core/registry/mod.ts";
 import type { LoadedVersion } from "../../core/registry/mod.ts";
 import type { PolicyDocument, ServicePolicy } from "../../core/policy/mod.ts";
-import { FIRST_VERSION, shareModels } from "../../core/weights/mod.ts";
+import { dueLoads, FIRST_VERSION, shareModels } from "../../core/weights/mod.ts";
 import type { Logger } from "../../logging/mod.ts";
 import type { DutyLease } from "./duty_lease.ts";
 import {
@@ -106,17 +106,18 @@
       for (const id of ids) this.#followed.set(id, model);
     }
     const limit = Math.max(1, Math.floor(targets.length * LOADING_SHARE));
-    for (const [model, version] of newest) {
-      for (const id of shares.get(model) ?? []) {
-        if (this.#loading.size >= limit) return;
-        const target = this.#options.registry.get(id)?.report;
-        if (target === undefined) continue;
-        if ((target.versions[model] ?? 0) >= version) continue;
-        if (this.#loading.has(id)) continue;
-        if (now() < (this.#notBefore.get(id) ?? -Infinity)) continue;
-        const mode = modeOf(service, policy);
-        this.#start({ target, model, version, mode });
-      }
+    const mode = modeOf(service, policy);
+    const due = dueLoads(shares, {
+      newest,
+      versionOf: (id, model) =>
+        this.#options.registry.get(id)?.report.versions[model] ?? 0,
+    });
+    for (const { id, model, version } of due) {
+      if (this.#loading.size >= limit) return;
+      const target = this.#options.registry.get(id)?.report;
+      if (target === undefined || this.#loading.has(id)) continue;
+      if (now() < (this.#notBefore.get(id) ?? -Infinity)) continue;
+      this.#start({ target, model, version, mode });
     }
   }
 
