--- a/src/core/batches/mod.ts
+++ b/src/core/batches/mod.ts
@@ -7,3 +7,4 @@
 export * from "./item_placement.ts";
 export * from "./run_text.ts";
 export * from "./target_pace.ts";
+export * from "./result_cache.ts";
--- a/src/core/fleet/fleet_member.ts
+++ b/src/core/fleet/fleet_member.ts
@@ -1,5 +1,7 @@
 /** An instance of a fleet that finds itself by seeds. */
 
+import type { ChangeMark } from "./fleet_notice.ts";
+
 /** What an instance does. */
 export const FleetRole = {
   Entry: "entry",
@@ -22,8 +24,8 @@
   readonly leadsTerm: number | undefined;
   /** Revision of the policy that it holds; 0 for none. */
   readonly policyRevision: number;
-  /** Mark of the targets that it has taken in whole, by their teller. */
-  readonly targetsSeen: Readonly<Record<string, string>>;
+  /** Last change of targets that it has taken in, by their teller. */
+  readonly targetsSeen: Readonly<Record<string, ChangeMark>>;
 }
 
 /** A member as others tell of it. */
--- a/src/core/fleet/fleet_notice.ts
+++ b/src/core/fleet/fleet_notice.ts
@@ -3,13 +3,19 @@
 import type { TargetReport } from "../registry/mod.ts";
 import type { RosterEntry } from "./fleet_member.ts";
 
+/** Number of a change, in one life of its teller. */
+export interface ChangeMark {
+  readonly life: string;
+  readonly change: number;
+}
+
 /** A pushed message. */
 export type FleetNotice =
   | { readonly type: "policy"; readonly document: PolicyDocument }
   | {
     readonly type: "targets";
-    /** Mark of the teller's latest change; empty between control instances. */
-    readonly mark: string;
+    /** Number of the teller's latest change; undefined where it keeps none. */
+    readonly mark: ChangeMark | undefined;
     /** Whether these are all targets that the teller knows. */
     readonly isWhole: boolean;
     readonly reports: readonly TargetReport[];
--- a/src/tasks/fleet/entry_task.ts
+++ b/src/tasks/fleet/entry_task.ts
@@ -1,5 +1,9 @@
 /** An entry instance: lets callers in, passes calls on, reaches the ledger. */
-import type { BatchSpec, ResultPage } from "../../core/batches/mod.ts";
+import {
+  type BatchSpec,
+  ResultCache,
+  type ResultPage,
+} from "../../core/batches/mod.ts";
 import {
   type CallAnswer,
   type CallRequest,
@@ -59,6 +63,9 @@
   headerTimeoutMs: 3_000,
   idleTimeoutMs: 15_000,
 };
+/** Texts of results that are kept in memory. */
+const CACHED_BYTES = 16_777_216;
+const MAX_PAGE_BYTES = 700_000;
 const SUBMIT_TIMEOUT_MS = 3_000;
 const LEDGER_TIMEOUT_MS = 1_300;
 /** Time for a question beyond the time that it is to wait. */
@@ -69,6 +76,7 @@
   readonly #options: EntryTaskOptions;
   readonly #gate: CallGate;
   readonly #book = new LatencyBook();
+  readonly #results = new ResultCache(CACHED_BYTES);
   readonly #usage: UsageCounter;
   #isDraining = false;
 
@@ -181,10 +189,15 @@
     await this.#ask(BatchMethod.Submit, { spec }, SUBMIT_TIMEOUT_MS);
   }
 
-  /** Reads results of a batch. */
+  /** Reads results of a batch; what was seen once is not asked again. */
   async readBatch(params: ReadParams): Promise<ResultPage> {
+    const held = this.#results.get(params, MAX_PAGE_BYTES);
+    if (held !== undefined) return held;
     const timeoutMs = params.waitMs + READ_SLACK_MS;
-    return await this.#ask(BatchMethod.Read, params, timeoutMs) as ResultPage;
+    const answer = await this.#ask(BatchMethod.Read, params, timeoutMs);
+    const page = answer as ResultPage;
+    this.#results.add(params, page);
+    return page;
   }
 
   /** Reads the body of an item. */
--- a/src/tasks/fleet/fleet_control.ts
+++ b/src/tasks/fleet/fleet_control.ts
@@ -3,6 +3,7 @@
 import { UsageBook, type UsageWindows } from "../../core/calls/mod.ts";
 import { instanceOf } from "../../core/consensus/mod.ts";
 import {
+  type ChangeMark,
   type FleetAnswer,
   type FleetCommand,
   type FleetNotice,
@@ -74,7 +75,7 @@
 const TELL_NEW_MS = 300;
 /** Time in which signs of what an instance has taken in come back. */
 const TELL_AGAIN_MS = 1_500;
-const EPOCH_BYTES = 4;
+const LIFE_BYTES = 4;
 /** Rounds after which the roster is told although it is the same. */
 const ROSTER_ROUNDS = 15;
 
@@ -93,7 +94,7 @@
   readonly usage = new UsageBook();
   readonly #options: FleetControlOptions;
   readonly #service: Service;
-  readonly #epoch = randomBytes(EPOCH_BYTES).toString("hex");
+  readonly #life = randomBytes(LIFE_BYTES).toString("hex");
   #change = 0;
   #isTelling = false;
   readonly #toldAt = new Map<string, number>();
@@ -205,7 +206,7 @@
     this.#merge(report);
     const notice: FleetNotice = {
       type: "targets",
-      mark: "",
+      mark: undefined,
       isWhole: false,
       reports: [report],
     };
@@ -224,7 +225,7 @@
     for (const { id: other } of this.#options.node.present(FleetRole.Control)) {
       this.#options.node.notify(other, {
         type: "targets",
-        mark: "",
+        mark: undefined,
         isWhole: false,
         reports: [gone],
       });
@@ -390,8 +391,8 @@
     }
   }
 
-  get #mark(): string {
-    return `${this.#epoch}:${this.#change}`;
+  get #mark(): ChangeMark {
+    return { life: this.#life, change: this.#change };
   }
 
   /** Whoever lacks something is told again, however it was lost. */
@@ -403,7 +404,9 @@
     for (const role of TOLD_ROLES) {
       for (const { id, member } of node.present(role)) {
         const seen = member.targetsSeen[node.settings.id];
-        if (seen !== this.#mark) this.#tellAllTargets(id, seen === undefined);
+        const isNew = seen?.life !== this.#life;
+        const isBehind = isNew || seen.change < this.#change;
+        if (isBehind) this.#tellAllTargets(id, isNew);
       }
     }
     this.#tellRoster();
--- a/src/tasks/fleet/fleet_follower.ts
+++ b/src/tasks/fleet/fleet_follower.ts
@@ -2,7 +2,11 @@
 import { randomUUID } from "node:crypto";
 import type { UsageWindows } from "../../core/calls/mod.ts";
 import type { ElapsedClock } from "../../core/clock/mod.ts";
-import { type FleetNotice, FleetRole } from "../../core/fleet/mod.ts";
+import {
+  type ChangeMark,
+  type FleetNotice,
+  FleetRole,
+} from "../../core/fleet/mod.ts";
 import { type PolicyDocument, PolicyView } from "../../core/policy/mod.ts";
 import {
   type LoadedVersion,
@@ -40,7 +44,7 @@
 /** Keeps what control instances tell. */
 export class FleetFollower {
   readonly #options: FleetFollowerOptions;
-  readonly #targetsSeen: Record<string, string> = {};
+  readonly #targetsSeen: Record<string, ChangeMark> = {};
   readonly #life = randomUUID();
   #policy: PolicyView | undefined;
   #leaseEnd = -Infinity;
@@ -65,8 +69,8 @@
     return this.#policy?.revision ?? 0;
   }
 
-  /** Gets the mark of the targets that were taken in, by their teller. */
-  get targetsSeen(): Readonly<Record<string, string>> {
+  /** Gets the last change of targets that was taken in, by its teller. */
+  get targetsSeen(): Readonly<Record<string, ChangeMark>> {
     return this.#targetsSeen;
   }
 
@@ -163,7 +167,7 @@
       if (registry.learnVersion(notice)) onTargetsChanged();
     }
     if (notice.type !== "targets") return;
-    if (notice.isWhole) this.#targetsSeen[from] = notice.mark;
+    this.#noteMark(from, notice);
     this.#onTargets(notice);
   }
 
@@ -176,6 +180,17 @@
     node.hub.announce();
   }
 
+  /** A change counts as taken in only with all before it. */
+  #noteMark(
+    from: string,
+    { mark, isWhole }: Extract<FleetNotice, { type: "targets" }>,
+  ): void {
+    if (mark === undefined) return;
+    const seen = this.#targetsSeen[from];
+    const isNext = seen?.life === mark.life && seen.change + 1 === mark.change;
+    if (isWhole || isNext) this.#targetsSeen[from] = mark;
+  }
+
   #onTargets(notice: Extract<FleetNotice, { type: "targets" }>): void {
     const { registry, clock, onTargetsChanged, node } = this.#options;
     let isChanged = false;
--- a/src/tasks/peers/peer_envelope.ts
+++ b/src/tasks/peers/peer_envelope.ts
@@ -1,4 +1,5 @@
 /** What travels between instances. */
+import { constants, deflateRawSync, inflateRawSync } from "node:zlib";
 import { Packr } from "msgpackr";
 import type {
   ControlCommand,
@@ -84,19 +85,45 @@
 
 const packr = new Packr({ useRecords: false });
 
+/** First byte of a message: whether the rest is compressed. */
+const Form = { Plain: 0, Compressed: 1 } as const;
+
+/** Size from which a message is compressed, in bytes. */
+const MIN_COMPRESSED_BYTES = 1_024;
+/** Greatest size of a message after it has been decompressed. */
+const MAX_MESSAGE_BYTES = 268_435_456;
+/** Prompts and texts repeat little; their letters are coded by frequency. */
+const COMPRESSION = {
+  level: 1,
+  strategy: constants.Z_HUFFMAN_ONLY,
+  memLevel: 5,
+  windowBits: 9,
+} as const;
+
 /** Gets the bytes of an envelope. */
 export function encodeEnvelope(envelope: PeerEnvelope): Buffer {
-  return packr.pack(envelope);
+  const bytes = packr.pack(envelope);
+  if (bytes.length < MIN_COMPRESSED_BYTES) {
+    return Buffer.concat([Buffer.of(Form.Plain), bytes]);
+  }
+  const compressed = deflateRawSync(bytes, COMPRESSION);
+  return Buffer.concat([Buffer.of(Form.Compressed), compressed]);
 }
 
 /** Gets an envelope from its bytes, or undefined where it is malformed. */
 export function decodeEnvelope(bytes: Buffer): PeerEnvelope | undefined {
   try {
-    const value = packr.unpack(bytes);
+    const content = bytes.subarray(1);
+    const value = packr.unpack(
+      bytes[0] === Form.Compressed
+        ? inflateRawSync(content, { maxOutputLength: MAX_MESSAGE_BYTES })
+        : content,
+    );
     const isEnvelope = value !== null && typeof value === "object" &&
       typeof value.channel === "string" && value.body !== undefined;
     return isEnvelope ? value as PeerEnvelope : undefined;
   } catch {
+    // The listener refuses the peer and logs that.
     return undefined;
   }
 }
