Kept texts go on wherever their versions fit, and are stored only once

Now the longest text that fits is taken; a result stores only what was not kept, so runs are kept from 0.5 s on.

--- a/src/core/batches/batch_command.ts
+++ b/src/core/batches/batch_command.ts
@@ -5,6 +5,8 @@
 export interface ResultRecord {
   readonly batch: string;
   readonly result: BatchResult;
+  /** Events of the text that are kept already; none where absent. */
+  readonly after?: number;
 }
 
 /** Text of an item whose run goes on. */
--- a/src/core/batches/batch_record.ts
+++ b/src/core/batches/batch_record.ts
@@ -62,17 +62,32 @@
     );
   }
 
-  /** Lists a result, unless the item has one. */
-  list(result: BatchResult): boolean {
+  /**
+   * Lists a result, unless the item has one.
+   * @param after - Events of the text that are kept already.
+   */
+  list(result: BatchResult, after = 0): boolean {
     if (!this.#items.has(result.id) || this.#listed.has(result.id)) {
       return false;
     }
-    this.#results.push(result);
-    this.#listed.set(result.id, result);
+    const whole = this.#whole(result, after);
+    if (whole === undefined) return false;
+    this.#results.push(whole);
+    this.#listed.set(result.id, whole);
     this.#kept.delete(result.id);
     return true;
   }
 
+  /** Joins a result with the text that is kept; undefined where it is not. */
+  #whole(result: BatchResult, after: number): BatchResult | undefined {
+    if (after === 0) return result;
+    const kept = this.#kept.get(result.id);
+    if (kept === undefined || kept.lastId < after) return undefined;
+    const pieces = kept.pieces.slice(0, after);
+    if (result.text.length > 0) pieces.push(result.text);
+    return { ...result, text: pieces.join("\n") };
+  }
+
   /** Gets the text of an item whose run has not ended. */
   getKept(id: string): KeptText | undefined {
     return this.#kept.get(id);
--- a/src/core/batches/batch_record_test.ts
+++ b/src/core/batches/batch_record_test.ts
@@ -82,4 +82,21 @@
     record.list(completed("i1", "z"));
     expect(record.getKept("i1")).toBeUndefined();
   });
+
+  it("joins a result with the text that is kept of its run", () => {
+    const record = new BatchRecord(SPEC);
+    const kept = { batch: "b", item: "i1", versions: [1] };
+    record.keep({ ...kept, after: 0, pieces: ["a", "b"] });
+    expect(record.list(completed("i1", "c"), 2)).toBe(true);
+    expect(record.getResult("i1")?.text).toBe("a\nb\nc");
+    record.keep({ ...kept, item: "i2", after: 0, pieces: ["x"] });
+    expect(record.list(completed("i2", ""), 1)).toBe(true);
+    expect(record.getResult("i2")?.text).toBe("x");
+  });
+
+  it("lists nothing whose beginning is missing", () => {
+    const record = new BatchRecord(SPEC);
+    expect(record.list(completed("i1", "c"), 2)).toBe(false);
+    expect(record.getResult("i1")).toBeUndefined();
+  });
 });
--- a/src/core/batches/batch_state.ts
+++ b/src/core/batches/batch_state.ts
@@ -41,8 +41,8 @@
       return true;
     },
     list: ({ records }) => {
-      for (const { batch, result } of records) {
-        this.#batches.get(batch)?.list(result);
+      for (const { batch, result, after } of records) {
+        this.#batches.get(batch)?.list(result, after);
       }
       return true;
     },
--- a/src/tasks/batches/batch_runner.ts
+++ b/src/tasks/batches/batch_runner.ts
@@ -9,6 +9,7 @@
   orderItems,
   placeItem,
   type PlacementTarget,
+  type ResultRecord,
   ResultState,
   RunText,
   TargetPace,
@@ -37,7 +38,7 @@
   /** Gets whether this replica leads, has a lease and has the whole state. */
   readonly mayRun: () => boolean;
   /** Stores a result. */
-  readonly list: (batch: string, result: BatchResult) => void;
+  readonly list: (record: ResultRecord) => void;
   /** Stores the texts of runs that go on. */
   readonly keep: (records: readonly KeptRecord[]) => void;
 }
@@ -72,9 +73,9 @@
 /** Pause after a target refused an item of a model. */
 const REFUSED_PAUSE_MS = 150;
 /** Time between two stores of the texts of long runs. */
-const KEEP_INTERVAL_MS = 1_000;
+const KEEP_INTERVAL_MS = 500;
 /** Time from which a run counts as long. */
-const LONG_RUN_MS = 1_200;
+const LONG_RUN_MS = 500;
 /** Items that may be sent to targets in one round. */
 const MAX_PLACED = 64;
 /** Events of median pace for which a run may be silent. */
@@ -205,12 +206,7 @@
   onWhole(run: ItemRun): void {
     this.#pace.onWhole(run.target.id);
     this.#end(run);
-    this.#list(run.record, {
-      id: run.item.id,
-      state: ResultState.Completed,
-      text: run.text.text,
-      versions: run.text.versions,
-    });
+    this.#listWhole(run);
     this.pump();
   }
 
@@ -279,8 +275,28 @@
   }
 
   #list(record: BatchRecord, result: BatchResult): void {
-    this.#listing.add(keyOf(record.spec.id, result.id));
-    this.#options.list(record.spec.id, result);
+    const batch = record.spec.id;
+    this.#listing.add(keyOf(batch, result.id));
+    this.#options.list({ batch, result });
+  }
+
+  /** Of a text that is stored in part only the rest is stored. */
+  #listWhole({ record, item, text, keptId }: ItemRun): void {
+    const { versions } = text;
+    const result = { id: item.id, state: ResultState.Completed, versions };
+    const rest = text.piecesAfter(keptId).join("\n");
+    const isWhole = keptId === 0 || (rest === "" && keptId < text.lastId);
+    if (isWhole) {
+      this.#list(record, { ...result, text: text.text });
+      return;
+    }
+    const batch = record.spec.id;
+    this.#listing.add(keyOf(batch, item.id));
+    this.#options.list({
+      batch,
+      result: { ...result, text: rest },
+      after: keptId,
+    });
   }
 
   #end(run: ItemRun): void {
@@ -298,7 +314,7 @@
     let progress = this.#progress.get(item.id);
     if (progress !== undefined) return progress;
     progress = {
-      kept: this.#storedText(item),
+      kept: undefined,
       failed: 0,
       broken: 0,
       notBefore: -Infinity,
@@ -308,16 +324,6 @@
     return progress;
   }
 
-  /** Gets the text that a former leader has stored. */
-  #storedText(item: BatchItem): KeptText | undefined {
-    let best: KeptText | undefined;
-    for (const record of this.#options.state().all) {
-      const kept = record.getKept(item.id);
-      if (kept !== undefined && kept.lastId > (best?.lastId ?? 0)) best = kept;
-    }
-    return best;
-  }
-
   /** Long runs are stored as they go, so that a later leader goes on. */
   #keepLong(): void {
     const now = this.#options.now();
@@ -559,14 +565,18 @@
     });
   }
 
-  /** Kept text goes on only where all its versions fit this batch. */
+  /** The longest text goes on whose versions all fit this batch. */
   #textOf(record: BatchRecord, item: BatchItem): RunText {
-    const { minVersion, isSingleVersion } = record.spec;
-    const { kept } = this.#progressOf(item);
-    if (kept === undefined) return new RunText();
-    const isFresh = kept.versions.every((version) => version >= minVersion);
-    const isSingle = !isSingleVersion || kept.versions.length <= 1;
-    return isFresh && isSingle ? new RunText(kept) : new RunText();
+    let best: KeptText | undefined;
+    const candidates = [
+      this.#progress.get(item.id)?.kept,
+      ...this.#options.state().all.map((other) => other.getKept(item.id)),
+    ];
+    for (const kept of candidates) {
+      if (kept === undefined || !isFitting(kept, record)) continue;
+      if (kept.lastId > (best?.lastId ?? 0)) best = kept;
+    }
+    return new RunText(best);
   }
 
   #viewOf(
@@ -608,6 +618,11 @@
   }
 }
 
+function isFitting({ versions }: KeptText, { spec }: BatchRecord): boolean {
+  const isFresh = versions.every((version) => version >= spec.minVersion);
+  return isFresh && (!spec.isSingleVersion || versions.length <= 1);
+}
+
 const NONE: ReadonlySet<string> = new Set();
 
 function keyOf(batch: string, item: string): string {
--- a/src/tasks/batches/batch_task.ts
+++ b/src/tasks/batches/batch_task.ts
@@ -175,7 +175,7 @@
         const { driver } = this.#service;
         return driver.isReady && driver.node?.hasLease(now()) === true;
       },
-      list: (batch, result) => this.#store({ batch, result }),
+      list: (record) => this.#store(record),
       keep: (records) => {
         this.#service.propose({ type: "keep", records })
           .catch((err) => this.#notStored(err, records.length));
