Decision log bounded, metrics served, nutmegreel explain

Lines of an event have a rate, a reader that stops reading costs lines and no time, and what was left out is counted; counters, gauges and latency summaries are served on the metrics address; explain gathers the lines of an id over all instances and names the deciding one.

--- /dev/null
+++ b/src/commands/explain.ts
@@ -0,0 +1,46 @@
+/** The command that gathers the log lines of one request. */
+import { createReadStream } from "node:fs";
+import { createInterface } from "node:readline";
+import { defineCommand } from "citty";
+import { NutmegreelError } from "../core/errors/mod.ts";
+import { type Explanation, explain as explainLines } from "../explain/mod.ts";
+
+/** Explains what became of a request, an item or a batch. */
+export const explain = defineCommand({
+  meta: {
+    name: "explain",
+    description: "Gather the log lines of an id over all instances, in " +
+      "order, and name the deciding one. " +
+      "Example: nutmegreel explain 47d04407 entry-1.log ledger-1.log",
+  },
+  args: {
+    id: {
+      type: "positional",
+      required: true,
+      description: "Identifier of a request, an item or a batch",
+      valueHint: "ID",
+    },
+  },
+  async run({ args }) {
+    const files = args._.slice(1);
+    const lines: string[] = [];
+    const sources = files.length === 0
+      ? [process.stdin]
+      : files.map((file) => createReadStream(file));
+    for (const input of sources) {
+      for await (const line of createInterface({ input })) lines.push(line);
+    }
+    const explanation = explainLines(args.id, lines);
+    if (explanation.steps.length === 0) {
+      throw new NutmegreelError("unknownId", `No line names ${args.id}`);
+    }
+    print(explanation);
+  },
+});
+
+function print({ steps, deciding, context }: Explanation): void {
+  for (const step of steps) console.log(step.text);
+  if (context.length > 0) console.log("Around the deciding line:");
+  for (const step of context) console.log(`  ${step.text}`);
+  if (deciding !== undefined) console.log(`Decided by: ${deciding.text}`);
+}
--- /dev/null
+++ b/src/explain/mod.ts
@@ -0,0 +1,2 @@
+/** Explaining what became of a request. */
+export * from "./explain.ts";
--- a/src/logging/mod.ts
+++ b/src/logging/mod.ts
@@ -1,3 +1,4 @@
 /** Logs. */
 export * from "./event_catalogue.ts";
+export * from "./log_budget.ts";
 export * from "./logger.ts";
--- a/src/main.ts
+++ b/src/main.ts
@@ -1,6 +1,7 @@
 /** The command line of nutmegreel. */
 import { type CommandDef, defineCommand, renderUsage, runCommand } from "citty";
 import { config } from "./commands/config.ts";
+import { explain } from "./commands/explain.ts";
 import { ExitCode } from "./commands/exit_code.ts";
 import { init } from "./commands/init.ts";
 import { status, steps, usage } from "./commands/inspect.ts";
@@ -25,6 +26,7 @@
     steps,
     usage,
     replay,
+    explain,
     version,
   } as unknown as Record<string, CommandDef>,
 });
--- a/src/metrics/metric_catalogue.ts
+++ b/src/metrics/metric_catalogue.ts
@@ -61,6 +61,61 @@
     kind: "counter",
     text: "Actions refused because they would break a promise",
   },
+  "calls.retried": {
+    kind: "counter",
+    text: "Calls that were tried at a further target",
+  },
+  "batches.accepted": { kind: "counter", text: "Batches stored by a quorum" },
+  "batches.duration": {
+    kind: "timing",
+    text: "Time from acceptance of a batch to its end, in milliseconds",
+  },
+  "items.running": { kind: "gauge", text: "Items that run at targets" },
+  "items.waiting": { kind: "gauge", text: "Items that wait for a slot" },
+  "items.placed": { kind: "counter", text: "Runs of items at targets" },
+  "items.completed": { kind: "counter", text: "Items listed as completed" },
+  "items.abandoned": { kind: "counter", text: "Items listed as abandoned" },
+  "items.broken": {
+    kind: "counter",
+    text: "Runs of items that ended without their whole output",
+  },
+  "items.moved": {
+    kind: "counter",
+    text: "Runs of items moved off slow or silent targets",
+  },
+  "items.duration": {
+    kind: "timing",
+    text: "Time of a whole run of an item, in milliseconds",
+  },
+  "log.applied": {
+    kind: "gauge",
+    text: "Position up to which the instance's log has been applied",
+  },
+  "log.leads": {
+    kind: "gauge",
+    text: "Term that the instance leads its log in; 0 where it does not",
+  },
+  "log.proposeDuration": {
+    kind: "timing",
+    text: "Time from a proposal until it is applied, in milliseconds",
+  },
+  "policy.revision": {
+    kind: "gauge",
+    text: "Revision of the policy in force at the instance",
+  },
+  "policy.leaseLeftMs": {
+    kind: "gauge",
+    text: "Time for which keys are honoured without a further confirmation",
+  },
+  "loads.ordered": {
+    kind: "counter",
+    text: "Orders to targets to load weights",
+  },
+  "loads.failed": {
+    kind: "counter",
+    text: "Orders to load weights that had no effect yet",
+  },
+  "log.linesDropped": { kind: "counter", text: "Log lines that were left out" },
 } as const satisfies Readonly<Record<string, MetricDescription>>;
 
 /** Name of a refusal counter. */
--- a/src/metrics/metrics.ts
+++ b/src/metrics/metrics.ts
@@ -1,8 +1,12 @@
 /** Metrics: kept in the process and sent to a StatsD receiver. */
+import { build, type Histogram } from "hdr-histogram-js";
 import { StatsD } from "hot-shots";
 import type { Address } from "../settings/mod.ts";
 import type { MetricName } from "./metric_catalogue.ts";
 
+/** Longest duration that is told from longer ones. */
+const LONGEST_MS = 3_600_000;
+
 /** Options of {@link Metrics}. */
 export interface MetricsOptions {
   /** StatsD receiver; metrics stay in the process where absent. */
@@ -24,6 +28,7 @@
  */
 export class Metrics {
   readonly #values = new Map<string, number>();
+  readonly #histograms = new Map<string, Histogram>();
   readonly #client: StatsD | undefined;
 
   /** Creates metrics. */
@@ -55,6 +60,7 @@
   /** Records a duration in milliseconds. */
   timing(name: MetricName, ms: number): this {
     this.#values.set(name, ms);
+    this.#histogramOf(name).recordValue(Math.max(0, Math.round(ms)));
     this.#client?.timing(name, ms);
     return this;
   }
@@ -64,6 +70,22 @@
     return Object.fromEntries([...this.#values].sort());
   }
 
+  /** Gets the distribution of each duration, by name. */
+  get histograms(): ReadonlyMap<string, Histogram> {
+    return this.#histograms;
+  }
+
+  #histogramOf(name: string): Histogram {
+    let histogram = this.#histograms.get(name);
+    if (histogram !== undefined) return histogram;
+    histogram = build({
+      highestTrackableValue: LONGEST_MS,
+      numberOfSignificantValueDigits: 2,
+    });
+    this.#histograms.set(name, histogram);
+    return histogram;
+  }
+
   /** Sends what waits and closes the socket. */
   close(): Promise<void> {
     const client = this.#client;
--- a/src/tasks/batches/batch_runner.ts
+++ b/src/tasks/batches/batch_runner.ts
@@ -23,6 +23,7 @@
   TargetState,
 } from "../../core/registry/mod.ts";
 import type { Logger } from "../../logging/mod.ts";
+import type { Metrics } from "../../metrics/mod.ts";
 import { type EnginePort, RunFailure } from "./engine_port.ts";
 import { ItemRun, type ItemRunListener } from "./item_run.ts";
 
@@ -32,6 +33,7 @@
   readonly registry: TargetRegistry;
   readonly engines: EnginePort;
   readonly logger: Logger;
+  readonly metrics: Metrics;
   readonly dataCentre: string;
   /** Gets the local clock in milliseconds. */
   readonly now: () => number;
@@ -145,11 +147,16 @@
 
   #sampleDemand(): void {
     this.#samples += 1;
+    let open = 0;
     for (const { spec, unlisted, isOpen } of this.#options.state().all) {
       if (!isOpen) continue;
+      open += unlisted.length;
       const sum = this.#demand.get(spec.service) ?? 0;
       this.#demand.set(spec.service, sum + unlisted.length);
     }
+    const { metrics } = this.#options;
+    metrics.gauge("items.running", this.#runs.size);
+    metrics.gauge("items.waiting", Math.max(0, open - this.#runs.size));
   }
 
   /** Looks for items to run, soon. */
@@ -204,6 +211,8 @@
 
   /** Takes the end of a whole run. */
   onWhole(run: ItemRun): void {
+    const { metrics, now } = this.#options;
+    metrics.timing("items.duration", now() - run.startedAt);
     this.#pace.onWhole(run.target.id);
     this.#end(run);
     this.#listWhole(run);
@@ -216,6 +225,7 @@
     this.#end(run);
     this.#keep(run);
     const progress = this.#progressOf(run.item);
+    this.#options.metrics.count("items.broken");
     logger.event("itemBroken", {
       batch: run.record.spec.id,
       item: run.item.id,
@@ -397,6 +407,7 @@
     this.#end(run);
     this.#keep(run);
     this.#progressOf(run.item).excluded.add(run.target.id);
+    this.#options.metrics.count("items.moved");
     this.#options.logger.event("itemMoved", {
       batch: run.record.spec.id,
       item: run.item.id,
@@ -522,6 +533,7 @@
     const target = registry.get(chosen.id)?.report;
     if (target === undefined) return false;
     loads.set(target.id, (loads.get(target.id) ?? 0) + 1);
+    this.#options.metrics.count("items.placed");
     logger.event("itemPlaced", {
       batch,
       item: item.id,
--- /dev/null
+++ b/src/tasks/batches/batch_runner_test.ts
@@ -0,0 +1,359 @@
+import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
+import {
+  type BatchSpec,
+  BatchState,
+  type KeptRecord,
+  ResultState,
+} from "../../core/batches/mod.ts";
+import {
+  TargetRegistry,
+  type TargetReport,
+  TargetState,
+} from "../../core/registry/mod.ts";
+import { Logger } from "../../logging/mod.ts";
+import { Metrics } from "../../metrics/mod.ts";
+import { BatchRunner } from "./batch_runner.ts";
+import {
+  type EnginePort,
+  RunFailure,
+  type RunRequest,
+  type RunSink,
+} from "./engine_port.ts";
+
+interface Opened {
+  readonly request: RunRequest;
+  readonly sink: RunSink;
+  isCancelled: boolean;
+}
+
+/** Records the runs that are opened and lets the test play the engines. */
+class ScriptedEngines implements EnginePort {
+  readonly runs: Opened[] = [];
+
+  open(request: RunRequest, sink: RunSink) {
+    const run: Opened = { request, sink, isCancelled: false };
+    this.runs.push(run);
+    sink.onVersion(5);
+    return { cancel: () => void (run.isCancelled = true) };
+  }
+
+  keepOnly(): void {}
+
+  /** Gets the runs that go on. */
+  get going(): Opened[] {
+    return this.runs.filter((run) => !run.isCancelled);
+  }
+}
+
+function target(id: string, fields: Partial<TargetReport> = {}): TargetReport {
+  return {
+    id,
+    service: "s",
+    address: `127.0.0.1:${id.length}`,
+    dataCentre: "a",
+    incarnation: 1,
+    sequence: 1,
+    state: TargetState.Ready,
+    slots: 4,
+    versions: { m: 5 },
+    isSpot: false,
+    ...fields,
+  };
+}
+
+function spec(ids: readonly string[], fields: Partial<BatchSpec> = {}) {
+  return {
+    id: "b1",
+    workspace: "w",
+    route: "r",
+    host: "h",
+    service: "s",
+    acceptedAt: Date.now(),
+    objectiveMs: 5_000,
+    giveUpMs: 60_000,
+    maxAttempts: 3,
+    minVersion: 5,
+    isSingleVersion: false,
+    desiredGroups: 0,
+    items: ids.map((id) => ({
+      id,
+      path: "/p/",
+      headers: {},
+      body: new Uint8Array(),
+      tokens: 0,
+      group: id[0],
+      model: "m",
+      expectedTokens: 100,
+    })),
+    ...fields,
+  };
+}
+
+describe(BatchRunner.name, () => {
+  beforeEach(() => vi.useFakeTimers());
+  afterEach(() => vi.useRealTimers());
+
+  function start(
+    targets: readonly TargetReport[],
+    specs: readonly BatchSpec[],
+    setUp: (state: BatchState) => void = () => {},
+  ) {
+    const state = new BatchState();
+    const engines = new ScriptedEngines();
+    const registry = new TargetRegistry();
+    const kept: KeptRecord[] = [];
+    targets.forEach((t, i) =>
+      registry.merge({ ...t, address: `127.0.0.1:${i + 1}` }, 0)
+    );
+    for (const batch of specs) state.apply({ type: "accept", spec: batch });
+    setUp(state);
+    const runner = new BatchRunner({
+      state: () => state,
+      registry,
+      engines,
+      logger: new Logger({ instance: "test", level: "error" }),
+      metrics: new Metrics({ tags: {} }),
+      dataCentre: "a",
+      now: () => Date.now(),
+      mayRun: () => true,
+      list: (record) => {
+        state.apply({ type: "list", records: [record] });
+        runner.onListed(record.batch, record.result.id);
+      },
+      keep: (records) => {
+        kept.push(...records);
+        state.apply({ type: "keep", records });
+      },
+    }).start();
+    const step = (ms: number) => vi.advanceTimersByTime(ms);
+    step(20);
+    return { state, engines, runner, registry, step, kept };
+  }
+
+  /** Lets an engine send events at a steady pace. */
+  function play(
+    run: Opened,
+    events: { from: number; to: number; gapMs: number },
+    step: (ms: number) => void,
+  ) {
+    for (let id = events.from; id <= events.to; id += 1) {
+      step(events.gapMs);
+      run.sink.onEvent({ id, data: `e${id}` });
+    }
+  }
+
+  function doTest(
+    end: (run: Opened) => void,
+    expected: { state: ResultState; text: string } | undefined,
+  ) {
+    const { state, engines } = start([target("t1")], [spec(["x1"])]);
+    const [run] = engines.runs;
+    run.sink.onEvent({ id: 1, data: "a" });
+    run.sink.onEvent({ id: 2, data: "b" });
+    end(run);
+    const result = state.get("b1")?.getResult("x1");
+    expect(result && { state: result.state, text: result.text })
+      .toEqual(expected);
+  }
+
+  it("lists the whole text of a run", () => {
+    doTest((run) => run.sink.onEnd(), {
+      state: ResultState.Completed,
+      text: "a\nb",
+    });
+  });
+
+  it("lists nothing of a run that breaks off", () => {
+    doTest((run) => run.sink.onFailure(RunFailure.Broken, "reset"), undefined);
+  });
+
+  it("gives an item up that can never be done", () => {
+    doTest((run) => run.sink.onFailure(RunFailure.Impossible, "422"), {
+      state: ResultState.Abandoned,
+      text: "a\nb",
+    });
+  });
+
+  it("goes on at another target after the last event", () => {
+    const { state, engines, step } = start(
+      [target("t1"), target("t2")],
+      [spec(["x1"])],
+    );
+    const [first] = engines.runs;
+    first.sink.onEvent({ id: 1, data: "a" });
+    first.sink.onFailure(RunFailure.Broken, "reset");
+    step(200);
+    const second = engines.runs[1];
+    expect(second.request.target.id).not.toBe(first.request.target.id);
+    expect(second.request.resumeAfter).toBe(1);
+    second.sink.onEvent({ id: 2, data: "b" });
+    second.sink.onEnd();
+    expect(state.get("b1")?.getResult("x1")?.text).toBe("a\nb");
+  });
+
+  it("takes no event twice and leaves none out", () => {
+    const { engines, step } = start([target("t1")], [spec(["x1"])]);
+    engines.runs[0].sink.onEvent({ id: 1, data: "a" });
+    engines.runs[0].sink.onEvent({ id: 3, data: "c" });
+    expect(engines.runs[0].isCancelled).toBe(true);
+    step(500);
+    expect(engines.runs[1].request.resumeAfter).toBe(1);
+  });
+
+  it("moves a run off a target that falls silent", () => {
+    const { engines, step } = start(
+      [target("t1"), target("t2")],
+      [spec(["x1"])],
+    );
+    play(engines.runs[0], { from: 1, to: 4, gapMs: 30 }, step);
+    step(700);
+    expect(engines.runs[0].isCancelled).toBe(true);
+    expect(engines.runs[1].request.resumeAfter).toBe(4);
+  });
+
+  it("moves runs off a target that has turned slow", () => {
+    const { engines, step } = start(
+      [target("t1"), target("t2"), target("t3")],
+      [spec(["x1", "x2", "y1"])],
+    );
+    const slow = engines.runs[0];
+    const others = engines.runs.slice(1);
+    const slowId = slow.request.target.id;
+    for (let id = 1; id <= 12; id += 1) {
+      for (let i = 0; i < 4; i += 1) {
+        step(30);
+        const event = 4 * (id - 1) + i + 1;
+        for (const run of others) run.sink.onEvent({ id: event, data: "e" });
+      }
+      if (!slow.isCancelled) slow.sink.onEvent({ id, data: "e" });
+    }
+    expect(slow.isCancelled).toBe(true);
+    const moved = engines.runs.find((run) =>
+      run !== slow && run.request.id === slow.request.id
+    );
+    expect(moved?.request.target.id).not.toBe(slowId);
+  });
+
+  it("sends nothing to a target whose weights are too old", () => {
+    const { engines, registry, step, runner } = start(
+      [target("t1", { versions: { m: 4 } })],
+      [spec(["x1"])],
+    );
+    step(500);
+    expect(engines.runs).toEqual([]);
+    registry.learnVersion({
+      target: "t1",
+      incarnation: 1,
+      model: "m",
+      version: 5,
+    });
+    runner.onTargetsChanged();
+    step(100);
+    expect(engines.runs).toHaveLength(1);
+  });
+
+  it("sends no items of a model to a target that loads it", () => {
+    const { engines, runner, state, registry, step } = start(
+      [target("t1")],
+      [],
+    );
+    const load = { target: "t1", incarnation: 1, model: "m", version: 6 };
+    runner.onLoading(load);
+    state.apply({ type: "accept", spec: spec(["x1"]) });
+    runner.pump();
+    step(500);
+    expect(engines.runs).toEqual([]);
+    registry.learnVersion(load);
+    runner.onTargetsChanged();
+    step(100);
+    expect(engines.runs).toHaveLength(1);
+  });
+
+  it("ends all runs of a batch that has ended", () => {
+    const { engines, state, runner, step } = start(
+      [target("t1")],
+      [spec(["x1", "x2"])],
+    );
+    state.apply({ type: "end", batch: "b1" });
+    runner.onEnded("b1");
+    expect(engines.going).toEqual([]);
+    step(1_000);
+    expect(engines.runs).toHaveLength(2);
+  });
+
+  it("lists an item that came again with its former text", () => {
+    const again = spec(["x1", "x2"], { id: "b2" });
+    const { state, engines } = start(
+      [target("t1")],
+      [spec(["x1", "x2"]), again],
+      (s) => {
+        const result = {
+          id: "x1",
+          state: ResultState.Completed,
+          text: "old",
+          versions: [5],
+        };
+        s.apply({ type: "list", records: [{ batch: "b1", result }] });
+        s.apply({ type: "end", batch: "b1" });
+      },
+    );
+    expect(state.get("b2")?.getResult("x1")?.text).toBe("old");
+    expect(engines.runs.map((run) => run.request.id)).toEqual(["x2"]);
+  });
+
+  it("uses no former text of weights that are too old", () => {
+    const again = spec(["x1"], { id: "b2", minVersion: 6 });
+    const { state } = start([target("t1")], [spec(["x1"]), again], (s) => {
+      const result = {
+        id: "x1",
+        state: ResultState.Completed,
+        text: "old",
+        versions: [5],
+      };
+      s.apply({ type: "list", records: [{ batch: "b1", result }] });
+    });
+    expect(state.get("b2")?.getResult("x1")).toBeUndefined();
+  });
+
+  it("stores long runs as they go", () => {
+    const { engines, step, kept } = start([target("t1")], [spec(["x1"])]);
+    play(engines.runs[0], { from: 1, to: 20, gapMs: 50 }, step);
+    step(600);
+    expect(kept.flatMap((record) => record.pieces).slice(0, 20))
+      .toEqual(Array.from({ length: 20 }, (_, i) => `e${i + 1}`));
+  });
+
+  it("goes on from the longest text that fits", () => {
+    const older = spec(["x1"], { id: "b0", minVersion: 3 });
+    const pieces = (n: number) => Array.from({ length: n }, (_, i) => `e${i}`);
+    const { engines } = start(
+      [target("t1")],
+      [older, spec(["x1"])],
+      (s) => {
+        const kept = { item: "x1", after: 0 };
+        s.apply({
+          type: "keep",
+          records: [
+            { ...kept, batch: "b0", pieces: pieces(9), versions: [3] },
+            { ...kept, batch: "b1", pieces: pieces(4), versions: [5] },
+          ],
+        });
+        s.apply({ type: "end", batch: "b0" });
+      },
+    );
+    expect(engines.runs[0].request.resumeAfter).toBe(4);
+  });
+
+  it("gives an item up after its failed attempts", () => {
+    const { state, engines, step } = start(
+      [target("t1"), target("t2")],
+      [spec(["x1"], { maxAttempts: 2 })],
+    );
+    engines.runs[0].sink.onFailure(RunFailure.Failed, "500");
+    step(500);
+    expect(state.get("b1")?.getResult("x1")).toBeUndefined();
+    engines.runs[1].sink.onFailure(RunFailure.Failed, "500");
+    expect(state.get("b1")?.getResult("x1")?.state)
+      .toBe(ResultState.Abandoned);
+  });
+});
--- a/src/tasks/batches/batch_task.ts
+++ b/src/tasks/batches/batch_task.ts
@@ -8,6 +8,7 @@
   type LedgerSnapshot,
   type ResultPage,
   type ResultRecord,
+  ResultState,
 } from "../../core/batches/mod.ts";
 import { allMembers, instanceOf, type ReplicaId } from "../../core/consensus/mod.ts";
 import { FleetRole, wantedVoters } from "../../core/fleet/mod.ts";
@@ -116,6 +117,7 @@
       this.#forget();
       this.#yieldIfRetiring();
       this.#tellDemand();
+      this.#service.measure();
     }, UPKEEP_INTERVAL_MS);
   }
 
@@ -151,6 +153,7 @@
       wantedLearners: 0,
       times: FLEET_CONSENSUS_TIMES,
       logger,
+      metrics: node.metrics,
       now,
       send: (to, message) =>
         node.sendLog(to, { log: BATCH_LOG, message: message as never }),
@@ -169,6 +172,7 @@
       registry: this.registry,
       engines,
       logger: node.logger,
+      metrics: node.metrics,
       dataCentre: node.settings.dataCentre,
       now: () => performance.now(),
       mayRun: () => {
@@ -354,6 +358,7 @@
     ) => void;
   } = {
     accept: ({ spec }) => {
+      this.#options.node.metrics.count("batches.accepted");
       this.#event("batchAccepted", {
         batch: spec.id,
         workspace: spec.workspace,
@@ -367,6 +372,7 @@
     },
     keep: () => {},
     end: ({ batch }) => {
+      this.#measureEnd(batch);
       this.#event("batchEnded", { batch });
       this.#runner.onEnded(batch);
       this.#wake(batch);
@@ -374,8 +380,16 @@
     forget: () => {},
   };
 
+  #measureEnd(batch: string): void {
+    const spec = this.#service.state.get(batch)?.spec;
+    if (spec === undefined) return;
+    const tookMs = Date.now() - spec.acceptedAt;
+    this.#options.node.metrics.timing("batches.duration", tookMs);
+  }
+
   #onResult(batch: string, result: BatchResult): void {
     this.#runner.onListed(batch, result.id);
+    this.#options.node.metrics.count(RESULT_METRICS[result.state]);
     this.#event("itemListed", {
       batch,
       item: result.id,
@@ -420,6 +434,11 @@
   }
 }
 
+const RESULT_METRICS = {
+  [ResultState.Completed]: "items.completed",
+  [ResultState.Abandoned]: "items.abandoned",
+} as const;
+
 /** Time for the new leader to take over before this replica stops. */
 const HANDOVER_MS = 300;
 
--- a/src/tasks/calls/call_run.ts
+++ b/src/tasks/calls/call_run.ts
@@ -17,6 +17,7 @@
   Verdict,
 } from "../../core/verdict/mod.ts";
 import type { Logger } from "../../logging/mod.ts";
+import type { Metrics } from "../../metrics/mod.ts";
 import type { Admission } from "./call_gate.ts";
 import type {
   AnswerStream,
@@ -31,6 +32,7 @@
   readonly registry: TargetRegistry;
   readonly book: LatencyBook;
   readonly logger: Logger;
+  readonly metrics: Metrics;
   readonly dataCentre: string;
   /** Hears that a target has begun to run the call. */
   readonly onRan: (workspace: string | undefined) => void;
@@ -237,6 +239,7 @@
   #note(target: string, detail: string): void {
     this.#detail = detail;
     if (this.#options.signal.aborted) return;
+    this.#parts.metrics.count("calls.retried");
     this.#parts.logger.event("callRetried", {
       request: this.#options.call.id,
       target,
--- a/src/tasks/fleet/control_task.ts
+++ b/src/tasks/fleet/control_task.ts
@@ -179,6 +179,7 @@
 
   /** Records why a call was refused. */
   onRefused(path: string, refusal: RefusalError): void {
+    this.#options.node.metrics.count(`refusals.${refusal.reason}`);
     this.#options.node.logger.event("callRefused", {
       request: path,
       reason: refusal.reason,
@@ -207,6 +208,7 @@
       orders,
       registry: control.registry,
       logger: node.logger,
+      metrics: node.metrics,
       now: () => clock.now(),
       policy: () => control.state.policy,
       newest: () => control.state.weights,
--- a/src/tasks/fleet/entry_task.ts
+++ b/src/tasks/fleet/entry_task.ts
@@ -150,6 +150,7 @@
       registry,
       book: this.#book,
       logger: node.logger,
+      metrics: node.metrics,
       dataCentre: node.settings.dataCentre,
       awaitLease: () => follower.awaitLease(),
       onRan: (workspace) => {
@@ -169,12 +170,15 @@
     });
     try {
       const answer = await run.run();
+      const tookMs = performance.now() - arrivedAt;
+      node.metrics.count("requests.completed");
+      node.metrics.timing("requests.duration", tookMs);
       node.logger.event("callAnswered", {
         request: call.id,
         route: admission.route.name,
         revision: admission.policy.revision,
         status: answer.status,
-        tookMs: Math.round(performance.now() - arrivedAt),
+        tookMs: Math.round(tookMs),
       });
       return { ...answer, isWhole: true };
     } catch (err) {
@@ -213,6 +217,7 @@
 
   /** Records why a request was refused. */
   onRefused(id: string, refusal: RefusalError): void {
+    this.#options.node.metrics.count(`refusals.${refusal.reason}`);
     this.#options.node.logger.event("callRefused", {
       request: id,
       reason: refusal.reason,
--- a/src/tasks/fleet/fleet_control.ts
+++ b/src/tasks/fleet/fleet_control.ts
@@ -275,6 +275,7 @@
       },
       times: FLEET_CONSENSUS_TIMES,
       logger,
+      metrics: node.metrics,
       now,
       send: (to, message) =>
         node.sendLog(to, { log: FLEET_LOG, message: message as never }),
@@ -399,6 +400,8 @@
   #tell(): void {
     const { node, now } = this.#options;
     this.registry.prune(now());
+    this.#service.measure();
+    node.metrics.gauge("policy.revision", this.state.policyRevision);
     const { policy } = this.state;
     if (policy !== undefined) this.#tellPolicy(policy);
     for (const role of TOLD_ROLES) {
--- a/src/tasks/fleet/fleet_follower.ts
+++ b/src/tasks/fleet/fleet_follower.ts
@@ -110,8 +110,16 @@
     return this.hasLease;
   }
 
+  #measure(): void {
+    const { node, clock } = this.#options;
+    const leftMs = Math.max(0, this.#leaseEnd - clock.now());
+    node.metrics.gauge("policy.revision", this.policyRevision);
+    node.metrics.gauge("policy.leaseLeftMs", Math.round(leftMs));
+  }
+
   #confirm(): void {
     this.#logLease();
+    this.#measure();
     if (this.#isConfirming) return;
     this.#isConfirming = true;
     const { node, clock } = this.#options;
--- a/src/tasks/fleet/fleet_instance.ts
+++ b/src/tasks/fleet/fleet_instance.ts
@@ -4,6 +4,7 @@
 import { Logger } from "../../logging/mod.ts";
 import { Metrics } from "../../metrics/mod.ts";
 import { type FleetSettings, loadFleetSettings } from "../../settings/mod.ts";
+import { MetricsServer } from "../metrics_server.ts";
 import { FleetNode } from "./fleet_node.ts";
 
 /** What a role adds to an instance. */
@@ -17,6 +18,8 @@
 /** Creates the role of an instance. */
 export type RoleFactory = (node: FleetNode) => RoleTask;
 
+/** Lines of each event; a step of many items comes at once. */
+const LOG_BUDGET = { linesPerS: 200, burst: 1_000 } as const;
 const WATCH_INTERVAL_MS = 2_000;
 
 /** Owns one instance from its start to its end. */
@@ -25,6 +28,7 @@
   readonly #node: FleetNode;
   readonly #role: RoleTask;
   readonly #logger: Logger;
+  readonly #metricsServer: MetricsServer;
   #readAt: number;
   #watch: NodeJS.Timeout | undefined;
 
@@ -33,14 +37,17 @@
     this.#file = file;
     const settings = loadFleetSettings(file);
     this.#readAt = modifiedAt(file);
+    const metrics = new Metrics({ tags: { instance: settings.name } });
+    this.#metricsServer = new MetricsServer(metrics);
     this.#logger = new Logger({
       instance: settings.name,
       level: settings.logLevel,
+      budget: LOG_BUDGET,
     });
     this.#node = new FleetNode({
       settings,
       logger: this.#logger,
-      metrics: new Metrics({ tags: { instance: settings.name } }),
+      metrics,
       describe: () => this.#role.describe(),
     });
     this.#role = roles[settings.role](this.#node);
@@ -62,6 +69,7 @@
     process.on("SIGHUP", () => this.#reload());
     this.#watch = setInterval(() => this.#reloadIfChanged(), WATCH_INTERVAL_MS);
     await this.#node.start();
+    if (settings.metrics) await this.#metricsServer.listen(settings.metrics);
     await this.#role.start();
     await stopped;
     this.#logger.event("instanceDraining");
@@ -69,6 +77,7 @@
     this.#node.drain();
     await this.#role.drain();
     this.#node.stop();
+    this.#metricsServer.close();
     this.#logger.event("instanceStopped");
   }
 
--- a/src/tasks/fleet/weights_duty.ts
+++ b/src/tasks/fleet/weights_duty.ts
@@ -9,6 +9,7 @@
 import type { PolicyDocument, ServicePolicy } from "../../core/policy/mod.ts";
 import { dueLoads, FIRST_VERSION, shareModels } from "../../core/weights/mod.ts";
 import type { Logger } from "../../logging/mod.ts";
+import type { Metrics } from "../../metrics/mod.ts";
 import type { DutyLease } from "./duty_lease.ts";
 import {
   LoadMode,
@@ -22,6 +23,7 @@
   readonly orders: OrderPort;
   readonly registry: TargetRegistry;
   readonly logger: Logger;
+  readonly metrics: Metrics;
   /** Gets a clock that counts time in which the machine stood still. */
   readonly now: () => number;
   readonly policy: () => PolicyDocument | undefined;
@@ -157,6 +159,7 @@
       mode,
       expectedOrders: status.orders,
     };
+    this.#options.metrics.count("loads.ordered");
     logger.event("loadOrdered", {
       target: target.id,
       model,
@@ -209,6 +212,7 @@
 
   #fail(load: Load, reason: string): void {
     const { target, model, version } = load;
+    this.#options.metrics.count("loads.failed");
     this.#options.logger.event("loadFailed", {
       target: target.id,
       model,
--- a/src/tasks/log/log_service.ts
+++ b/src/tasks/log/log_service.ts
@@ -5,6 +5,7 @@
   RefusalReason,
   Verdict,
 } from "../../core/verdict/mod.ts";
+import type { Metrics } from "../../metrics/mod.ts";
 import { LogDriver, type LogDriverOptions } from "./log_driver.ts";
 import type { StateMachine } from "./state_machine.ts";
 
@@ -21,6 +22,7 @@
     readonly onRestored: () => void;
     /** Hears of the begin and end of leading. */
     readonly onRole: (isLeader: boolean) => void;
+    readonly metrics: Metrics;
   };
 
 interface Waiter<A> {
@@ -77,6 +79,8 @@
       return Promise.reject(unavailable(Verdict.NotRun));
     }
     const { index, term } = position;
+    const proposedAt = performance.now();
+    const { metrics } = this.#options;
     return new Promise((resolve, reject) => {
       const timer = setTimeout(() => {
         this.#waiters.delete(index);
@@ -86,6 +90,7 @@
         term,
         resolve: (answer) => {
           clearTimeout(timer);
+          metrics.timing("log.proposeDuration", performance.now() - proposedAt);
           resolve(answer);
         },
         reject: (err) => {
@@ -105,6 +110,13 @@
     throw unavailable(Verdict.NotRun);
   }
 
+  /** Sets the gauges of the log. */
+  measure(): void {
+    const { metrics } = this.#options;
+    metrics.gauge("log.applied", this.driver.applied);
+    metrics.gauge("log.leads", this.leadsTerm ?? 0);
+  }
+
   #onEntry(entry: LogEntry<C>, answer: A | undefined): void {
     const { content, index, term } = entry;
     if (content.type === "command" && answer !== undefined) {
