A fleet of real processes with stand-ins of the platform, end to end

Stand-ins for targets, receiver, trainer and operator speak the platform's calls; twelve cases over loopback: keyed calls, batches through the loss of the ledger's leader and of an engine, named weights, drains, policies, usage.

--- a/scripts/bundle.ts
+++ b/scripts/bundle.ts
@@ -29,6 +29,7 @@
     entryPoints: {
       nutmegreel: "src/main.ts",
       fake: "fakes/main.ts",
+      fleet: "platform/main.ts",
     },
     outdir: "dist",
     outExtension: { ".js": ".mjs" },
--- a/src/settings/fleet_settings.ts
+++ b/src/settings/fleet_settings.ts
@@ -7,6 +7,7 @@
 const LEASE_SHARE = 0.6;
 
 const name = z.string().min(1).max(200);
+const port = z.number().int().min(1).max(65_535);
 const seconds = z.number().positive().transform((s) => s * MS_PER_S);
 const milliseconds = z.number().positive();
 
@@ -29,8 +30,10 @@
   name,
   dataCentre: name,
   role: z.enum(Object.values(FleetRole)),
-  /** Port on which every instance listens for the others. */
-  peerPort: z.number().int().min(1).max(65_535),
+  /** Port at which every instance is reached by the others. */
+  peerPort: port,
+  /** Port on which this one listens, where something forwards to it. */
+  peerListenPort: port.optional(),
   /** Addresses of a few control instances; their ports are left aside. */
   seeds: z.array(address.transform(({ host }) => host)),
   /** Whether the whole fleet starts for the first time. */
--- a/src/tasks/fleet/fleet_node.ts
+++ b/src/tasks/fleet/fleet_node.ts
@@ -69,7 +69,10 @@
         id: settings.id,
         dataCentre: settings.dataCentre,
         peers: [],
-        peerListen: { host: settings.id, port: settings.peerPort },
+        peerListen: {
+          host: settings.id,
+          port: settings.peerListenPort ?? settings.peerPort,
+        },
         tls: {},
       },
       directory: (id) => this.#find(id),
--- /dev/null
+++ b/tests/fleet_test.ts
@@ -0,0 +1,216 @@
+import { afterAll, beforeAll, describe, expect, it } from "vitest";
+import { FleetReceiver } from "../fakes/fleet_receiver.ts";
+import { FleetReplica } from "../fakes/fleet_replica.ts";
+import { textOf } from "../fakes/fleet_text.ts";
+import { FleetRole } from "../src/core/fleet/mod.ts";
+import { FleetDeployment, sleep } from "./support/fleet_deployment.ts";
+import { FLEET_NAMES, fleetPolicy } from "./support/fleet_policy.ts";
+import { FleetTrainer } from "./support/fleet_trainer.ts";
+
+const { host, plain, once, rollout, engines, apps, model } = FLEET_NAMES;
+const KEY = "key-of-the-park";
+const TIMEOUT_MS = 30_000;
+
+describe("fleet over real processes", () => {
+  const receiver = new FleetReceiver();
+  let fleet: FleetDeployment;
+  let trainer: FleetTrainer;
+  let replicas: FleetReplica[] = [];
+  let app: FleetReplica;
+
+  function replica(service: string, models: readonly string[]) {
+    return new FleetReplica({
+      service,
+      zone: "a",
+      models,
+      slots: 8,
+      controls: () => fleet.controls,
+      workMs: 15,
+      loadMs: 200,
+      isFencing: true,
+    });
+  }
+
+  beforeAll(async () => {
+    await receiver.start();
+    fleet = new FleetDeployment({
+      net: process.pid % 200,
+      controls: 3,
+      ledgers: 3,
+      entries: 2,
+      receiver: receiver.address,
+    });
+    await fleet.startAll(fleetPolicy({ version: 1, keys: [KEY] }));
+    replicas = [replica(engines, [model]), replica(engines, [model])];
+    app = replica(apps, []);
+    for (const each of [...replicas, app]) await each.start();
+    trainer = new FleetTrainer({
+      entries: fleet.entries,
+      host,
+      key: KEY,
+      prefix: rollout,
+    });
+    await sleep(500);
+  }, 60_000);
+
+  afterAll(async () => {
+    await fleet.stop();
+    for (const each of [...replicas, app]) each.crash();
+    receiver.stop();
+  });
+
+  async function doTest(
+    batch: string,
+    options: {
+      minVersion?: number;
+      items?: number;
+      during?: () => Promise<void>;
+    },
+  ) {
+    const items = Array.from(
+      { length: options.items ?? 12 },
+      (_, i) => `${batch}${Math.floor(i / 4)}-${i}`,
+    );
+    const minVersion = options.minVersion ?? 0;
+    const plan = { id: batch, model, minVersion, items };
+    await trainer.submit(plan, TIMEOUT_MS);
+    await options.during?.();
+    const results = await trainer.readAll(plan, TIMEOUT_MS);
+    expect(results.map((result) => result.id).sort())
+      .toEqual([...items].sort());
+    for (const { id, text, state, versions } of results) {
+      expect({ state, text }).toEqual({ state: "completed", text: textOf(id) });
+      expect(Math.min(...versions)).toBeGreaterThanOrEqual(minVersion);
+    }
+    const again = await trainer.readAll(plan, TIMEOUT_MS);
+    expect(again).toEqual(results);
+    await trainer.end(batch, TIMEOUT_MS);
+  }
+
+  it("passes a keyed call on, once and without the key", async () => {
+    const answer = await trainer.call(`${plain}x`, { id: "call-1" });
+    expect(answer.text).toBe("answer to call-1");
+    expect(answer.stamp).toBe(`${app.id}.call-1`);
+    const runs = app.runs.filter((run) => run.request === "call-1");
+    expect(runs.map((run) => run.workspace)).toEqual([FLEET_NAMES.workspace]);
+  });
+
+  it("refuses unknown keys and paths", async () => {
+    const unknown = { id: "call-2", key: "nobody's" };
+    expect((await trainer.call(`${plain}x`, unknown)).status).toBe(401);
+    expect((await trainer.call("/nowhere/x", { id: "call-3" })).status)
+      .toBe(404);
+    expect(app.runs.some((run) => run.request === "call-2")).toBe(false);
+  });
+
+  it("runs a call that may not be repeated once, although it is cut", async () => {
+    const pending = trainer.call(`${once}x`, { id: "call-4" });
+    while (!app.runs.some((run) => run.request === "call-4")) await sleep(2);
+    app.crash();
+    const answer = await pending;
+    expect([502, 504]).toContain(answer.status);
+    expect(app.runs.filter((run) => run.request === "call-4")).toHaveLength(1);
+    await app.start();
+    await sleep(700);
+  });
+
+  it("serves a batch whole", () => doTest("calm", {}));
+
+  it("serves a batch whole although the ledger's leader is killed", () =>
+    doTest("leader", {
+      items: 24,
+      during: async () => {
+        await sleep(150);
+        for (const machine of fleet.of(FleetRole.Ledger)) {
+          const lines = machine.process?.lines ?? [];
+          if (!lines.some((line) => line.includes('"event":2201'))) continue;
+          await fleet.kill(machine);
+          fleet.start(machine);
+          break;
+        }
+      },
+    }), TIMEOUT_MS);
+
+  it("serves a batch whole although an engine crashes", () =>
+    doTest("engine", {
+      items: 24,
+      during: async () => {
+        await sleep(150);
+        replicas[0].crash();
+        await sleep(300);
+        await replicas[0].start();
+      },
+    }), TIMEOUT_MS);
+
+  it("brings named weights to the engines and keeps the bound", async () => {
+    await fleet.ask("POST", "/-/version-put", {
+      body: { model, version: 2 },
+      timeoutMs: TIMEOUT_MS,
+    });
+    await doTest("fresh", { minVersion: 2 });
+    const fences = replicas.flatMap((each) => each.orders)
+      .map((order) => order.fence);
+    expect(Math.min(...fences)).toBeGreaterThan(0);
+  }, TIMEOUT_MS);
+
+  it("lists nothing more of a batch that has ended", async () => {
+    const items = Array.from({ length: 30 }, (_, i) => `ended${i}-0`);
+    const plan = { id: "ended", model, minVersion: 0, items };
+    await trainer.submit(plan, TIMEOUT_MS);
+    await trainer.end(plan.id, TIMEOUT_MS);
+    await sleep(1_000);
+    const begun = replicas.flatMap((each) => each.runs).length;
+    await sleep(500);
+    expect(replicas.flatMap((each) => each.runs)).toHaveLength(begun);
+  }, TIMEOUT_MS);
+
+  it("sends nothing to a target that drains", async () => {
+    const leaving = replicas[1];
+    expect(await leaving.drain()).toBe(true);
+    await sleep(300);
+    const before = leaving.runs.length;
+    await doTest("drained", { minVersion: 2 });
+    expect(leaving.runs).toHaveLength(before);
+    leaving.crash();
+    await leaving.start();
+  }, TIMEOUT_MS);
+
+  it("takes the highest revision and refuses invalid ones", async () => {
+    const policy = fleetPolicy({ version: 5, keys: [KEY] });
+    await fleet.putPolicy(policy, TIMEOUT_MS);
+    await fleet.putPolicy(fleetPolicy({ version: 3, keys: [] }), TIMEOUT_MS);
+    expect(await fleet.readPolicy(TIMEOUT_MS)).toEqual(policy);
+    const bad = { ...policy as object, version: 6, services: [] };
+    await expect(fleet.putPolicy(bad, TIMEOUT_MS)).rejects.toThrow("422");
+    await expect(fleet.putPolicy("no policy", TIMEOUT_MS)).rejects
+      .toThrow("400");
+    expect(await fleet.readPolicy(TIMEOUT_MS)).toEqual(policy);
+  }, TIMEOUT_MS);
+
+  it("honours a withdrawn key no more", async () => {
+    await fleet.putPolicy(
+      fleetPolicy({ version: 7, keys: [KEY, "second"] }),
+      TIMEOUT_MS,
+    );
+    await sleep(300);
+    const second = { id: "call-5", key: "second" };
+    expect((await trainer.call(`${plain}x`, second)).status).toBe(200);
+    await fleet.putPolicy(fleetPolicy({ version: 8, keys: [KEY] }), TIMEOUT_MS);
+    await sleep(300);
+    for (const id of ["call-6", "call-7"]) {
+      const answer = await trainer.call(`${plain}x`, { id, key: "second" });
+      expect(answer.status).toBe(401);
+    }
+  }, TIMEOUT_MS);
+
+  it("reports each window of usage once, by one holder at a time", () => {
+    const usage = receiver.accepted.filter((call) => call.path === "/usage");
+    expect(usage.length).toBeGreaterThan(0);
+    const figures = new Map<unknown, string>();
+    for (const { body } of usage) {
+      const counts = JSON.stringify(body.counts);
+      expect(figures.get(body.windowId) ?? counts).toBe(counts);
+      figures.set(body.windowId, counts);
+    }
+  });
+}, 120_000);
--- /dev/null
+++ b/tests/support/fleet_policy.ts
@@ -0,0 +1,81 @@
+/** The policy of the test fleets, as an operator of the platform sends it. */
+
+/** Options of {@link fleetPolicy}. */
+export interface FleetPolicyOptions {
+  readonly version: number;
+  readonly keys: readonly string[];
+}
+
+/** Names that the policy uses. */
+export const FLEET_NAMES = {
+  host: "fleet.example",
+  plain: "/plain/",
+  once: "/once/",
+  rollout: "/rollout/",
+  engines: "engines",
+  apps: "apps",
+  model: "m0",
+  workspace: "park",
+} as const;
+
+/** Gets a policy document. */
+export function fleetPolicy(options: FleetPolicyOptions): unknown {
+  const { host, plain, once, rollout, engines, apps, model } = FLEET_NAMES;
+  const route = {
+    host,
+    timeoutMs: 3_000,
+    sloMs: 300,
+    priority: 1,
+    maxAttempts: 3,
+    anonymous: false,
+  };
+  return {
+    version: options.version,
+    routes: [
+      {
+        ...route,
+        name: "plain",
+        pathPrefix: plain,
+        routeType: "idempotent",
+        service: apps,
+      },
+      {
+        ...route,
+        name: "once",
+        pathPrefix: once,
+        routeType: "non_idempotent",
+        service: apps,
+      },
+      {
+        ...route,
+        name: "rollout",
+        pathPrefix: rollout,
+        routeType: "rollout",
+        service: engines,
+        queueTtlS: 60,
+        resultSloMs: 5_000,
+        singleVersion: false,
+        sticky: true,
+        resumable: true,
+      },
+    ],
+    services: [
+      {
+        name: engines,
+        healthPath: "/healthz",
+        maxConns: 100,
+        engine: { slots: 8, models: [{ name: model }] },
+      },
+      { name: apps, healthPath: "/healthz", maxConns: 100 },
+    ],
+    limits: {
+      maxHeaderBytes: 16_384,
+      maxBodyBytes: 1_048_576,
+      headerTimeoutMs: 3_000,
+      idleTimeoutMs: 15_000,
+    },
+    tenants: [
+      { name: FLEET_NAMES.workspace, apiKeys: options.keys, priority: 1 },
+    ],
+  };
+}
--- a/tests/support/process_group.ts
+++ b/tests/support/process_group.ts
@@ -21,9 +21,14 @@
   readonly #children = new Set<ChildProcess>();
 
   /** Starts a bundled program of `dist/`. */
-  start(program: string, args: readonly string[]): StartedProcess {
+  start(
+    program: string,
+    args: readonly string[],
+    env: Readonly<Record<string, string>> = {},
+  ): StartedProcess {
     const child = spawn(process.execPath, [`dist/${program}.mjs`, ...args], {
       stdio: ["ignore", "pipe", "inherit"],
+      env: { ...process.env, ...env },
     });
     this.#children.add(child);
     const lines: string[] = [];
