Answers between instances come back on the connection of the question

Cause, from the end-to-end test: the first batch took 6.4 s, because the answer to a question was sent over a link in the other direction, which was not up yet the first time and dropped it; the asker waited for its whole timeout. This happens after every start, restart and cut. Ruled out: the election (0.9 s), the formation of the ledger (0.3 s).

--- a/src/tasks/peers/peer_hub.ts
+++ b/src/tasks/peers/peer_hub.ts
@@ -115,7 +115,8 @@
       secret: this.#secret,
       security: this.#security,
       isKnown: (id) => this.getPeer(id) !== undefined,
-      onMessage: (from, envelope) => this.#onMessage(from, envelope),
+      onMessage: (from, envelope, respond) =>
+        this.#onMessage(from, envelope, respond),
       onReceived: (bytes) => metrics.count("peers.receivedBytes", bytes),
       onRefused: (detail) => logger.event("peerRefused", { detail }),
     });
@@ -287,6 +288,9 @@
         else this.#failWaiting(id);
       },
       onSent: (bytes) => metrics.count("peers.sentBytes", bytes),
+      onAnswer: (envelope) => {
+        if (envelope.channel === "reply") this.#onReply(envelope.body);
+      },
     });
     this.#links.set(id, link);
     return link;
@@ -311,13 +315,18 @@
     this.#links.get(to)?.send({ channel: "presence", body });
   }
 
-  #onMessage(from: string, envelope: PeerEnvelope): void {
+  #onMessage(
+    from: string,
+    envelope: PeerEnvelope,
+    respond: (answer: PeerEnvelope) => void,
+  ): void {
     const { logger } = this.#options;
     try {
       if (envelope.channel === "presence") {
         this.#seen.set(from, { presence: envelope.body, at: Date.now() });
       } else if (envelope.channel === "request") {
-        this.#answer(from, envelope).catch((err) => logger.error(err));
+        this.#answer(from, envelope, respond)
+          .catch((err) => logger.error(err));
       } else if (envelope.channel === "reply") {
         this.#onReply(envelope.body);
       } else {
@@ -331,16 +340,17 @@
   async #answer(
     from: string,
     envelope: Extract<PeerEnvelope, { channel: "request" }>,
+    respond: (answer: PeerEnvelope) => void,
   ): Promise<void> {
     const { id, method, params } = envelope.body;
     const handler = this.#methods.get(method);
     try {
       if (handler === undefined) throw unanswered(Verdict.NotRun);
       const result = await handler(params, from);
-      this.send(from, { channel: "reply", body: { id, result } });
+      respond({ channel: "reply", body: { id, result } });
     } catch (err) {
       const refusal = refusalOf(err);
-      this.send(from, { channel: "reply", body: { id, refusal } });
+      respond({ channel: "reply", body: { id, refusal } });
     }
   }
 
--- a/src/tasks/peers/peer_link.ts
+++ b/src/tasks/peers/peer_link.ts
@@ -2,7 +2,11 @@
 import { WebSocket } from "ws";
 import type { PeerSettings } from "../../settings/mod.ts";
 import { createNonce, createProof, isProofOf } from "./peer_handshake.ts";
-import { encodeEnvelope, type PeerEnvelope } from "./peer_envelope.ts";
+import {
+  decodeEnvelope,
+  encodeEnvelope,
+  type PeerEnvelope,
+} from "./peer_envelope.ts";
 
 /** Certificates of a link. */
 export interface LinkSecurity {
@@ -25,6 +29,8 @@
   readonly onChange: (isUp: boolean) => void;
   /** Counts sent bytes. */
   readonly onSent: (bytes: number) => void;
+  /** Takes an answer that came on this connection. */
+  readonly onAnswer: (envelope: PeerEnvelope) => void;
 }
 
 const PING_INTERVAL_MS = 500;
@@ -120,6 +126,11 @@
       const own = { secret, id: self, to: peer.id, nonce: answer.nonce };
       socket.send(JSON.stringify({ proof: createProof(own) }));
       this.#pauseMs = FIRST_PAUSE_MS;
+      socket.on("message", (message: Buffer) => {
+        const envelope = decodeEnvelope(message);
+        if (envelope === undefined) socket.terminate();
+        else this.#options.onAnswer(envelope);
+      });
       this.#watch(socket);
       this.#setUp(true);
     });
--- a/src/tasks/peers/peer_listener.ts
+++ b/src/tasks/peers/peer_listener.ts
@@ -5,7 +5,11 @@
 import { type WebSocket, WebSocketServer } from "ws";
 import type { Address } from "../../settings/mod.ts";
 import { createNonce, createProof, isProofOf } from "./peer_handshake.ts";
-import { decodeEnvelope, type PeerEnvelope } from "./peer_envelope.ts";
+import {
+  decodeEnvelope,
+  encodeEnvelope,
+  type PeerEnvelope,
+} from "./peer_envelope.ts";
 import type { LinkSecurity } from "./peer_link.ts";
 
 /** Options of {@link PeerListener}. */
@@ -20,8 +24,12 @@
   readonly security?: LinkSecurity;
   /** Gets whether an instance is one of the system's. */
   readonly isKnown: (id: string) => boolean;
-  /** Takes a message. */
-  readonly onMessage: (from: string, envelope: PeerEnvelope) => void;
+  /** Takes a message, and how to answer it on the same connection. */
+  readonly onMessage: (
+    from: string,
+    envelope: PeerEnvelope,
+    respond: (answer: PeerEnvelope) => void,
+  ) => void;
   /** Counts received bytes. */
   readonly onReceived: (bytes: number) => void;
   /** Hears of a connection that could not prove itself. */
@@ -133,7 +141,11 @@
         socket.terminate();
         return;
       }
-      this.#options.onMessage(id, envelope);
+      this.#options.onMessage(id, envelope, (answer) => {
+        if (socket.readyState === socket.OPEN) {
+          socket.send(encodeEnvelope(answer));
+        }
+      });
     });
   }
 }
