--- /dev/null
+++ b/soak/fleet/main.ts
@@ -0,0 +1,60 @@
+/** `npm run soak:fleet -- --seed N --runs R`: faults over real processes. */
+import { appendFileSync } from "node:fs";
+import { defineCommand, runMain } from "citty";
+import { bundlePrograms } from "../../scripts/bundle.ts";
+import { FleetSoak } from "./fleet_soak.ts";
+
+const MS_PER_S = 1_000;
+
+const main = defineCommand({
+  meta: {
+    name: "soak:fleet",
+    description: "Run real processes under random faults, one seed a run",
+  },
+  args: {
+    seed: { type: "string", default: "1", description: "First seed" },
+    runs: { type: "string", default: "1", description: "Runs" },
+    seconds: { type: "string", default: "20", description: "Length of a run" },
+    controls: { type: "string", default: "3", description: "Control instances" },
+    ledgers: { type: "string", default: "4", description: "Ledger instances" },
+    entries: { type: "string", default: "3", description: "Entry instances" },
+    log: { type: "string", description: "File for what happens" },
+  },
+  async run({ args }) {
+    await bundlePrograms();
+    const first = Number(args.seed);
+    const totals = new Map<string, number>();
+    const violations: number[] = [];
+    for (let i = 0; i < Number(args.runs); i += 1) {
+      const seed = first + i;
+      const result = await FleetSoak.run({
+        seed,
+        lengthMs: Number(args.seconds) * MS_PER_S,
+        controls: Number(args.controls),
+        ledgers: Number(args.ledgers),
+        entries: Number(args.entries),
+        log: (line) => {
+          if (args.log) appendFileSync(`${args.log}.${seed}`, `${line}\n`);
+        },
+      });
+      for (const [name, count] of result.faults) add(totals, name, count);
+      add(totals, "batches", result.batches);
+      add(totals, "calls", result.calls);
+      add(totals, "policies", result.policies);
+      if (result.violation === undefined) continue;
+      violations.push(seed);
+      console.log(`seed ${seed}: ${result.violation}`);
+    }
+    for (const [name, count] of [...totals].sort()) {
+      console.log(`${name}: ${count}`);
+    }
+    console.log(`violations: ${violations.length}`);
+    process.exit(violations.length > 0 ? 1 : 0);
+  },
+});
+
+function add(totals: Map<string, number>, name: string, by: number): void {
+  totals.set(name, (totals.get(name) ?? 0) + by);
+}
+
+runMain(main);
