--- a/fakes/fleet_replica.ts
+++ b/fakes/fleet_replica.ts
@@ -74,7 +74,9 @@
   /** Creates a replica that does not run yet. */
   constructor(options: FleetReplicaOptions) {
     this.#options = options;
-    for (const model of options.models) this.#versions.set(model, FIRST_VERSION);
+    for (const model of options.models) {
+      this.#versions.set(model, FIRST_VERSION);
+    }
   }
 
   /** Gets its identifier; each start has another. */
@@ -110,7 +112,9 @@
       socket.on("error", () => {});
       socket.on("close", () => this.#sockets.delete(socket));
     });
-    await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+    await new Promise<void>((resolve) =>
+      server.listen(0, "127.0.0.1", resolve)
+    );
     this.#server = server;
     this.#address = `127.0.0.1:${(server.address() as AddressInfo).port}`;
     this.#beatTimer = setInterval(() => this.#beat(), BEAT_MS);
--- a/scripts/catalogues.ts
+++ b/scripts/catalogues.ts
@@ -4,7 +4,7 @@
 import { configurationSchema } from "../src/core/configuration/mod.ts";
 import { EVENT_CATALOGUE } from "../src/logging/mod.ts";
 import { metricCatalogue } from "../src/metrics/mod.ts";
-import { settingsSchema } from "../src/settings/mod.ts";
+import { fleetSettingsSchema, settingsSchema } from "../src/settings/mod.ts";
 
 /** A file made from the code. */
 export interface GeneratedFile {
@@ -20,6 +20,10 @@
     { path: "docs/EVENTS.md", content: eventsPage() },
     { path: "docs/METRICS.md", content: metricsPage() },
     { path: "schemas/settings.json", content: schemaOf(settingsSchema) },
+    {
+      path: "schemas/fleet_settings.json",
+      content: schemaOf(fleetSettingsSchema),
+    },
     {
       path: "schemas/configuration.json",
       content: schemaOf(configurationSchema),
--- a/soak/fleet/fault_proxy.ts
+++ b/soak/fleet/fault_proxy.ts
@@ -1,5 +1,10 @@
 /** A loopback proxy that harms the connections to one instance. */
-import { createConnection, createServer, type Server, type Socket } from "node:net";
+import {
+  createConnection,
+  createServer,
+  type Server,
+  type Socket,
+} from "node:net";
 
 /** How a proxy treats what passes. */
 export const LinkState = {
@@ -44,7 +49,9 @@
   /** Begins to listen. */
   async start(): Promise<this> {
     const { host, port } = this.#options;
-    await new Promise<void>((resolve) => this.#server.listen(port, host, resolve));
+    await new Promise<void>((resolve) =>
+      this.#server.listen(port, host, resolve)
+    );
     return this;
   }
 
--- a/soak/fleet/fleet_checks.ts
+++ b/soak/fleet/fleet_checks.ts
@@ -2,7 +2,10 @@
 import { textOf } from "../../fakes/fleet_text.ts";
 import type { FleetReceiver } from "../../fakes/fleet_receiver.ts";
 import type { FleetReplica, ReplicaRun } from "../../fakes/fleet_replica.ts";
-import type { BatchPlan, ReadResult } from "../../tests/support/fleet_trainer.ts";
+import type {
+  BatchPlan,
+  ReadResult,
+} from "../../tests/support/fleet_trainer.ts";
 
 /** Represents a promise that was broken. */
 export class BrokenPromiseError extends Error {
@@ -163,4 +166,3 @@
     }
   }
 }
-
--- a/soak/fleet/fleet_soak.ts
+++ b/soak/fleet/fleet_soak.ts
@@ -198,8 +198,10 @@
       };
       await this.#guard(`batch ${plan.id}`, async () => {
         await trainer.submit(plan, timeoutMs);
-        const check = (result: Parameters<FleetChecks["onResult"]>[1], at: number) =>
-          this.#checks.onResult(plan, result, at);
+        const check = (
+          result: Parameters<FleetChecks["onResult"]>[1],
+          at: number,
+        ) => this.#checks.onResult(plan, result, at);
         await trainer.readAll(plan, timeoutMs, check);
         await trainer.readAll(plan, timeoutMs, check);
         await trainer.end(plan.id, timeoutMs);
@@ -300,36 +302,41 @@
   }
 
   readonly #kinds: Readonly<Record<string, Fault>> = {
-    kill: () => this.#harm("kill", async (machine, forMs) => {
-      await this.#fleet.kill(machine);
-      await sleep(forMs);
-      this.#fleet.start(machine);
-    }),
-    wipe: () => this.#harm("wipe", async (machine, forMs) => {
-      await this.#fleet.kill(machine);
-      this.#fleet.wipe(machine);
-      await sleep(forMs);
-      this.#fleet.start(machine);
-      await sleep(CATCH_UP_MS);
-    }),
-    restart: () => this.#harm("restart", async (machine) => {
-      const { process } = machine;
-      this.#fleet.signal(machine, "SIGTERM");
-      await process?.ended();
-      this.#fleet.start(machine);
-    }),
-    pause: () => this.#harm("pause", async (machine, forMs) => {
-      this.#fleet.signal(machine, "SIGSTOP");
-      await sleep(forMs);
-      this.#fleet.signal(machine, "SIGCONT");
-    }),
+    kill: () =>
+      this.#harm("kill", async (machine, forMs) => {
+        await this.#fleet.kill(machine);
+        await sleep(forMs);
+        this.#fleet.start(machine);
+      }),
+    wipe: () =>
+      this.#harm("wipe", async (machine, forMs) => {
+        await this.#fleet.kill(machine);
+        this.#fleet.wipe(machine);
+        await sleep(forMs);
+        this.#fleet.start(machine);
+        await sleep(CATCH_UP_MS);
+      }),
+    restart: () =>
+      this.#harm("restart", async (machine) => {
+        const { process } = machine;
+        this.#fleet.signal(machine, "SIGTERM");
+        await process?.ended();
+        this.#fleet.start(machine);
+      }),
+    pause: () =>
+      this.#harm("pause", async (machine, forMs) => {
+        this.#fleet.signal(machine, "SIGSTOP");
+        await sleep(forMs);
+        this.#fleet.signal(machine, "SIGCONT");
+      }),
     cut: () => this.#link(LinkState.Silent),
     oneWay: () => this.#link(LinkState.OneWay),
     delay: () => this.#link(LinkState.Delayed),
-    reset: () => this.#harm("reset", (machine) => {
-      this.#proxies.get(machine)?.reset();
-      return Promise.resolve();
-    }),
+    reset: () =>
+      this.#harm("reset", (machine) => {
+        this.#proxies.get(machine)?.reset();
+        return Promise.resolve();
+      }),
     crashEngine: async () => {
       const replica = this.#pick(this.#replicas);
       replica.crash();
--- a/soak/fleet/main.ts
+++ b/soak/fleet/main.ts
@@ -15,7 +15,11 @@
     seed: { type: "string", default: "1", description: "First seed" },
     runs: { type: "string", default: "1", description: "Runs" },
     seconds: { type: "string", default: "20", description: "Length of a run" },
-    controls: { type: "string", default: "3", description: "Control instances" },
+    controls: {
+      type: "string",
+      default: "3",
+      description: "Control instances",
+    },
     ledgers: { type: "string", default: "4", description: "Ledger instances" },
     entries: { type: "string", default: "3", description: "Entry instances" },
     log: { type: "string", description: "File for what happens" },
--- a/src/commands/explain.ts
+++ b/src/commands/explain.ts
@@ -3,7 +3,7 @@
 import { createInterface } from "node:readline";
 import { defineCommand } from "citty";
 import { NutmegreelError } from "../core/errors/mod.ts";
-import { type Explanation, explain as explainLines } from "../explain/mod.ts";
+import { explain as explainLines, type Explanation } from "../explain/mod.ts";
 
 /** Explains what became of a request, an item or a batch. */
 export const explain = defineCommand({
--- a/src/core/batches/result_cache_test.ts
+++ b/src/core/batches/result_cache_test.ts
@@ -34,7 +34,10 @@
   });
 
   it("joins pages that overlap", () => {
-    const pages = [{ after: 0, ids: ["a", "b"] }, { after: 1, ids: ["b", "c"] }];
+    const pages = [{ after: 0, ids: ["a", "b"] }, {
+      after: 1,
+      ids: ["b", "c"],
+    }];
     doTest(pages, 0, ["a", "b", "c"]);
   });
 
--- a/src/core/weights/model_shares.ts
+++ b/src/core/weights/model_shares.ts
@@ -100,8 +100,7 @@
 
 /** Moves targets until no share is larger than another by two. */
 function level(shares: ReadonlyMap<string, ShareTarget[]>): void {
-  const bySize = () =>
-    [...shares.values()].sort((a, b) => a.length - b.length);
+  const bySize = () => [...shares.values()].sort((a, b) => a.length - b.length);
   for (let moves = 0; moves < MAX_MOVES; moves += 1) {
     const sorted = bySize();
     const smallest = sorted[0];
--- a/src/tasks/batches/batch_task.ts
+++ b/src/tasks/batches/batch_task.ts
@@ -10,7 +10,11 @@
   type ResultRecord,
   ResultState,
 } from "../../core/batches/mod.ts";
-import { allMembers, instanceOf, type ReplicaId } from "../../core/consensus/mod.ts";
+import {
+  allMembers,
+  instanceOf,
+  type ReplicaId,
+} from "../../core/consensus/mod.ts";
 import { FleetRole, wantedVoters } from "../../core/fleet/mod.ts";
 import { type LoadedVersion, TargetRegistry } from "../../core/registry/mod.ts";
 import {
--- a/src/tasks/calls/call_run.ts
+++ b/src/tasks/calls/call_run.ts
@@ -286,7 +286,9 @@
   const late = new Promise<Settled<T>>((resolve) => {
     timer = setTimeout(() => resolve({ isSettled: false }), timeoutMs);
   });
-  const settled = promise.then((value) => ({ isSettled: true, value }) as const);
+  const settled = promise.then((value) =>
+    ({ isSettled: true, value }) as const
+  );
   try {
     return await Promise.race([settled, late]);
   } finally {
--- a/src/tasks/fleet/control_task.ts
+++ b/src/tasks/fleet/control_task.ts
@@ -220,7 +220,10 @@
 
   #createUsage(lease: DutyLease): UsageDuty | undefined {
     const { node, receiver } = this.#options;
-    if (receiver === undefined || !node.settings.receiver?.duties.includes(USAGE_DUTY)) {
+    if (
+      receiver === undefined ||
+      !node.settings.receiver?.duties.includes(USAGE_DUTY)
+    ) {
       return undefined;
     }
     const control = this.#control;
--- a/src/tasks/fleet/fleet_control.ts
+++ b/src/tasks/fleet/fleet_control.ts
@@ -13,7 +13,10 @@
   type RosterEntry,
   wantedVoters,
 } from "../../core/fleet/mod.ts";
-import { findPolicyFaults, type PolicyDocument } from "../../core/policy/mod.ts";
+import {
+  findPolicyFaults,
+  type PolicyDocument,
+} from "../../core/policy/mod.ts";
 import {
   type LoadedVersion,
   RegistryChange,
--- a/src/tasks/fleet/weights_duty.ts
+++ b/src/tasks/fleet/weights_duty.ts
@@ -7,15 +7,15 @@
 } from "../../core/registry/mod.ts";
 import type { LoadedVersion } from "../../core/registry/mod.ts";
 import type { PolicyDocument, ServicePolicy } from "../../core/policy/mod.ts";
-import { dueLoads, FIRST_VERSION, shareModels } from "../../core/weights/mod.ts";
+import {
+  dueLoads,
+  FIRST_VERSION,
+  shareModels,
+} from "../../core/weights/mod.ts";
 import type { Logger } from "../../logging/mod.ts";
 import type { Metrics } from "../../metrics/mod.ts";
 import type { DutyLease } from "./duty_lease.ts";
-import {
-  LoadMode,
-  type OrderOutcome,
-  type OrderPort,
-} from "./order_port.ts";
+import { LoadMode, type OrderOutcome, type OrderPort } from "./order_port.ts";
 
 /** Options of {@link WeightsDuty}. */
 export interface WeightsDutyOptions {
--- a/src/tasks/log/log_driver.ts
+++ b/src/tasks/log/log_driver.ts
@@ -145,7 +145,11 @@
       dataFolder,
       name: this.#options.name,
       emptyState: this.#options.createState().save(),
-      onDamaged: (detail) => logger.event("controlStoreDamaged", { log: this.#options.name, detail }),
+      onDamaged: (detail) =>
+        logger.event("controlStoreDamaged", {
+          log: this.#options.name,
+          detail,
+        }),
     });
     const { stored } = this.#store;
     this.#state = this.#options.createState().load(stored.snapshot.state);
@@ -374,7 +378,10 @@
 
   #compact(): void {
     const node = this.#node;
-    if (node === undefined || node.logSize <= (this.#options.compactEntries ?? COMPACT_ENTRIES)) return;
+    if (
+      node === undefined ||
+      node.logSize <= (this.#options.compactEntries ?? COMPACT_ENTRIES)
+    ) return;
     node.compact(this.#state.save(), this.#applied);
     this.#queue.push(...node.takeEffects());
   }
--- a/tests/fleet_test.ts
+++ b/tests/fleet_test.ts
@@ -116,20 +116,24 @@
 
   it("serves a batch whole", () => doTest("calm", {}));
 
-  it("serves a batch whole although the ledger's leader is killed", () =>
-    doTest("leader", {
-      items: 24,
-      during: async () => {
-        await sleep(150);
-        for (const machine of fleet.of(FleetRole.Ledger)) {
-          const lines = machine.process?.lines ?? [];
-          if (!lines.some((line) => line.includes('"event":2201'))) continue;
-          await fleet.kill(machine);
-          fleet.start(machine);
-          break;
-        }
-      },
-    }), TIMEOUT_MS);
+  it(
+    "serves a batch whole although the ledger's leader is killed",
+    () =>
+      doTest("leader", {
+        items: 24,
+        during: async () => {
+          await sleep(150);
+          for (const machine of fleet.of(FleetRole.Ledger)) {
+            const lines = machine.process?.lines ?? [];
+            if (!lines.some((line) => line.includes('"event":2201'))) continue;
+            await fleet.kill(machine);
+            fleet.start(machine);
+            break;
+          }
+        },
+      }),
+    TIMEOUT_MS,
+  );
 
   it("serves a batch whole although an engine crashes", () =>
     doTest("engine", {
