--- /dev/null
+++ b/src/core/fleet/fleet_state_test.ts
@@ -0,0 +1,86 @@
+import { describe, expect, it } from "vitest";
+import type { PolicyDocument } from "../policy/mod.ts";
+import type { FleetCommand } from "./fleet_command.ts";
+import { FleetState } from "./fleet_state.ts";
+
+function policy(revision: number): FleetCommand {
+  const document = {
+    revision,
+    routes: [],
+    services: [],
+    limits: {
+      maxHeaderBytes: 1,
+      maxBodyBytes: 1,
+      headerTimeoutMs: 1,
+      idleTimeoutMs: 1,
+    },
+    workspaces: [],
+  } satisfies PolicyDocument;
+  return { type: "replacePolicy", document, source: `source ${revision}` };
+}
+
+describe(FleetState.name, () => {
+  function doTest(
+    commands: readonly FleetCommand[],
+    check: (state: FleetState) => void,
+  ) {
+    const state = new FleetState();
+    for (const command of commands) state.apply(command);
+    check(state);
+    check(new FleetState().load(structuredClone(state.save())));
+  }
+
+  it("keeps the highest revision, as it was sent", () => {
+    doTest([policy(5), policy(3), policy(5)], (state) => {
+      expect(state.policyRevision).toBe(5);
+      expect(state.policySource).toBe("source 5");
+    });
+  });
+
+  it("says whether a policy changed anything", () => {
+    const state = new FleetState();
+    expect(state.apply(policy(2))).toEqual({ type: "done" });
+    expect(state.apply(policy(2))).toEqual({ type: "unchanged" });
+  });
+
+  it("keeps the newest version of each model", () => {
+    const name = (model: string, version: number): FleetCommand =>
+      ({ type: "announceWeights", model, version });
+    doTest([name("a", 3), name("a", 2), name("b", 1)], (state) => {
+      expect([...state.weights]).toEqual([["a", 3], ["b", 1]]);
+    });
+  });
+
+  it("fixes the ledger's first members once", () => {
+    doTest([
+      { type: "formLedger", voters: ["x"] },
+      { type: "formLedger", voters: ["y"] },
+    ], (state) => expect(state.ledgerVoters).toEqual(["x"]));
+  });
+
+  it("seals a window of usage with one figure", () => {
+    doTest([
+      { type: "sealUsage", window: 7, counts: { a: 1 } },
+      { type: "sealUsage", window: 7, counts: { a: 2 } },
+    ], (state) => expect(state.sealed.get(7)).toEqual({ a: 1 }));
+  });
+
+  it("seals nothing that has been reported", () => {
+    doTest([
+      { type: "usageReported", window: 9 },
+      { type: "sealUsage", window: 8, counts: { a: 1 } },
+    ], (state) => {
+      expect(state.sealed.size).toBe(0);
+      expect(state.reportedWindow).toBe(9);
+    });
+  });
+
+  it("remembers which instances are emptied", () => {
+    doTest([
+      { type: "retire", name: "l1" },
+      { type: "retire", name: "l2" },
+      { type: "retired", name: "l1" },
+    ], (state) =>
+      expect([...state.retiring]).toEqual([["l1", true], ["l2", false]]));
+  });
+});
--- /dev/null
+++ b/src/tasks/calls/call_run_test.ts
@@ -0,0 +1,243 @@
+import { describe, expect, it } from "vitest";
+import {
+  type CallAnswer,
+  type CallRequest,
+  LatencyBook,
+} from "../../core/calls/mod.ts";
+import { PolicyView, RouteKind } from "../../core/policy/mod.ts";
+import { TargetRegistry, TargetState } from "../../core/registry/mod.ts";
+import type { RefusalError } from "../../core/verdict/mod.ts";
+import { Logger } from "../../logging/mod.ts";
+import { Metrics } from "../../metrics/mod.ts";
+import { CallRun } from "./call_run.ts";
+import type { AttemptOutcome, CallAttempt, TargetPort } from "./target_port.ts";
+
+const CALL: CallRequest = {
+  id: "c1",
+  host: "h",
+  method: "POST",
+  path: "/p/",
+  headers: [],
+  body: new Uint8Array(),
+  key: "k",
+  patienceMs: 2_000,
+  model: undefined,
+};
+
+function answered(
+  status: number,
+  fields: Partial<Extract<AttemptOutcome, { type: "answered" }>> = {},
+): AttemptOutcome {
+  const answer: CallAnswer = { status, headers: [], body: new Uint8Array() };
+  return {
+    type: "answered",
+    answer,
+    isNotRun: false,
+    isMisdirected: false,
+    ...fields,
+  };
+}
+
+function failed(mayHaveRun: boolean): AttemptOutcome {
+  return { type: "failed", mayHaveRun, detail: "reset" };
+}
+
+/** Plays outcomes in turn; the last one is played again and again. */
+class ScriptedTargets implements TargetPort {
+  readonly attempts: CallAttempt[] = [];
+  readonly #outcomes: readonly (AttemptOutcome | "silent")[];
+
+  constructor(outcomes: readonly (AttemptOutcome | "silent")[]) {
+    this.#outcomes = outcomes;
+  }
+
+  send(attempt: CallAttempt): Promise<AttemptOutcome> {
+    const i = Math.min(this.attempts.length, this.#outcomes.length - 1);
+    this.attempts.push(attempt);
+    const outcome = this.#outcomes[i];
+    if (outcome !== "silent") return Promise.resolve(outcome);
+    return new Promise((resolve) => {
+      attempt.signal.addEventListener("abort", () => resolve(failed(true)));
+      setTimeout(() => resolve(failed(true)), attempt.timeoutMs);
+    });
+  }
+
+  stream(attempt: CallAttempt): Promise<AttemptOutcome> {
+    return this.send(attempt);
+  }
+
+  keepOnly(): void {}
+}
+
+interface Ended {
+  readonly status?: number;
+  readonly reason?: string;
+  readonly verdict?: string;
+  readonly attempts: number;
+}
+
+async function play(
+  outcomes: readonly (AttemptOutcome | "silent")[],
+  options: {
+    kind?: RouteKind;
+    targets?: number;
+    maxAttempts?: number;
+    timeoutMs?: number;
+    hasLease?: boolean;
+  } = {},
+): Promise<Ended & { ids: string[]; ran: number }> {
+  const registry = new TargetRegistry();
+  for (let i = 0; i < (options.targets ?? 3); i += 1) {
+    registry.merge({
+      id: `t${i}`,
+      service: "s",
+      address: `127.0.0.1:${i + 1}`,
+      dataCentre: "a",
+      incarnation: 1,
+      sequence: 1,
+      state: TargetState.Ready,
+      slots: 4,
+      versions: {},
+      isSpot: false,
+    }, 0);
+  }
+  const route = {
+    name: "r",
+    host: "h",
+    prefix: "/p/",
+    kind: options.kind ?? RouteKind.Idempotent,
+    timeoutMs: options.timeoutMs ?? 1_000,
+    objectiveMs: 60,
+    priority: 1,
+    shares: [{ service: "s", weight: 1 }],
+    maxAttempts: options.maxAttempts ?? 3,
+    isAnonymous: false,
+    isResumable: false,
+    isSingleVersion: false,
+    giveUpMs: 0,
+    resultObjectiveMs: 0,
+  };
+  const workspace = { name: "w", keys: ["k"], priority: 1 };
+  const policy = new PolicyView({
+    revision: 1,
+    routes: [route],
+    services: [],
+    limits: {
+      maxHeaderBytes: 1,
+      maxBodyBytes: 1,
+      headerTimeoutMs: 1,
+      idleTimeoutMs: 1,
+    },
+    workspaces: [workspace],
+  });
+  const targets = new ScriptedTargets(outcomes);
+  let ran = 0;
+  const run = new CallRun({
+    targets,
+    registry,
+    book: new LatencyBook(),
+    logger: new Logger({ instance: "test", level: "error" }),
+    metrics: new Metrics({ tags: {} }),
+    dataCentre: "a",
+    onRan: () => void (ran += 1),
+    awaitLease: () => Promise.resolve(options.hasLease ?? true),
+  }, {
+    call: CALL,
+    admission: { route, workspace, policy },
+    signal: new AbortController().signal,
+    stream: undefined,
+  });
+  const ids = () => targets.attempts.map((attempt) => attempt.target.id);
+  try {
+    const { status } = await run.run();
+    return { status, attempts: targets.attempts.length, ids: ids(), ran };
+  } catch (err) {
+    const { reason, verdict } = err as RefusalError;
+    const attempts = targets.attempts.length;
+    return { reason, verdict, attempts, ids: ids(), ran };
+  }
+}
+
+describe(CallRun.name, () => {
+  async function doTest(
+    outcomes: readonly (AttemptOutcome | "silent")[],
+    options: Parameters<typeof play>[1],
+    expected: Ended,
+  ) {
+    expect(await play(outcomes, options)).toMatchObject(expected);
+  }
+
+  it("gives the answer of the first target", () =>
+    doTest([answered(200)], {}, { status: 200, attempts: 1 }));
+
+  it("tries another target after a refusal, whatever the route", () =>
+    doTest(
+      [answered(503, { isNotRun: true }), answered(200)],
+      { kind: RouteKind.NonIdempotent },
+      { status: 200, attempts: 2 },
+    ));
+
+  it("tries another target after one that is not there", () =>
+    doTest(
+      [failed(false), answered(200)],
+      { kind: RouteKind.NonIdempotent },
+      { status: 200, attempts: 2 },
+    ));
+
+  it("repeats what may be repeated", () =>
+    doTest([failed(true), answered(200)], {}, { status: 200, attempts: 2 }));
+
+  it("never repeats what may have run", () =>
+    doTest(
+      [failed(true), answered(200)],
+      { kind: RouteKind.NonIdempotent },
+      { reason: "targetFailed", verdict: "mayHaveRun", attempts: 1 },
+    ));
+
+  it("says not run where every target refused", () =>
+    doTest(
+      [answered(503, { isNotRun: true })],
+      { targets: 2 },
+      { reason: "noTarget", verdict: "notRun", attempts: 2 },
+    ));
+
+  it("says so at once where there is no target", () =>
+    doTest([], { targets: 0 }, {
+      reason: "noTarget",
+      verdict: "notRun",
+      attempts: 0,
+    }));
+
+  it("returns a target's own failure where all fail", () =>
+    doTest([answered(500)], { maxAttempts: 2 }, { status: 500, attempts: 2 }));
+
+  it("runs at no more targets than the route allows", () =>
+    doTest([failed(true)], { targets: 5, maxAttempts: 2 }, {
+      reason: "targetFailed",
+      verdict: "mayHaveRun",
+      attempts: 2,
+    }));
+
+  it("asks a second target where the first one is late", () =>
+    doTest(["silent", answered(200)], {}, { status: 200, attempts: 2 }));
+
+  it("answers when the route's time is up", () =>
+    doTest(["silent"], { targets: 1, timeoutMs: 150 }, {
+      reason: "targetTimeout",
+      verdict: "mayHaveRun",
+      attempts: 1,
+    }));
+
+  it("tries no further target under a policy that is not confirmed", () =>
+    doTest([failed(true), answered(200)], { hasLease: false }, {
+      reason: "targetFailed",
+      verdict: "mayHaveRun",
+      attempts: 1,
+    }));
+
+  it("sends each attempt to another target, and counts the call once", async () => {
+    const { ids, ran } = await play([failed(true), failed(true), answered(200)]);
+    expect(new Set(ids).size).toBe(3);
+    expect(ran).toBe(1);
+  });
+});
