A torn last write is left out whole; it is no damage

Cause, by reading: what is appended at once was several frames with a checksum each, and a wrong checksum was damage. A loss of power may leave any part of an unsynced write, so a replica could set its store aside and come back as a new one; of two at once the quorum would be gone. What is appended at once now has one checksum, and a wrong one with nothing sound after it is the torn write.

--- a/src/tasks/storage/frame_codec.ts
+++ b/src/tasks/storage/frame_codec.ts
@@ -5,6 +5,7 @@
 
 /** Bytes before the content of a frame: length and checksum. */
 const HEADER_BYTES = 8;
+const CHECKSUM_OFFSET = 4;
 
 /** Represents a file that is damaged other than by a torn last write. */
 export class DamagedFileError extends NutmegreelError {
@@ -35,28 +36,31 @@
     const content = this.#packr.pack(frame);
     const header = Buffer.alloc(HEADER_BYTES);
     header.writeUInt32LE(content.length, 0);
-    header.writeUInt32LE(crc32(content), 4);
+    header.writeUInt32LE(crc32(content), CHECKSUM_OFFSET);
     return Buffer.concat([header, content]);
   }
 
   /**
    * Gets the frames of a file.
    *
-   * A frame that the file is too short for is a torn write and is left out;
-   * a whole frame with a wrong checksum is damage.
-   * @throws DamagedFileError where a whole frame is damaged.
+   * A frame that the file is too short for is a torn write and is left out, and
+   * so is a last frame with a wrong checksum: a write that was not synced may
+   * be missing in any part. Before another frame, a wrong checksum is damage.
+   * @throws DamagedFileError where a frame is damaged that was synced.
    */
   decode(bytes: Buffer, file: string): DecodedFrames<F> {
     const frames: F[] = [];
     let offset = 0;
-    while (offset + HEADER_BYTES <= bytes.length) {
-      const length = bytes.readUInt32LE(offset);
-      const start = offset + HEADER_BYTES;
-      const end = start + length;
-      if (length === 0 || end > bytes.length) break;
-      const content = bytes.subarray(start, end);
-      if (crc32(content) !== bytes.readUInt32LE(offset + 4)) {
-        throw new DamagedFileError(file, offset);
+    for (;;) {
+      const content = readContent(bytes, offset);
+      if (content === undefined) break;
+      const end = offset + HEADER_BYTES + content.length;
+      if (!isSound(bytes, offset, content)) {
+        const next = readContent(bytes, end);
+        if (next !== undefined && isSound(bytes, end, next)) {
+          throw new DamagedFileError(file, offset);
+        }
+        break;
       }
       frames.push(this.#packr.unpack(content) as F);
       offset = end;
@@ -64,3 +68,16 @@
     return { frames, length: offset };
   }
 }
+
+/** Gets the content of a frame; undefined where the file is too short. */
+function readContent(bytes: Buffer, offset: number): Buffer | undefined {
+  if (offset + HEADER_BYTES > bytes.length) return undefined;
+  const length = bytes.readUInt32LE(offset);
+  const start = offset + HEADER_BYTES;
+  if (length === 0 || start + length > bytes.length) return undefined;
+  return bytes.subarray(start, start + length);
+}
+
+function isSound(bytes: Buffer, offset: number, content: Buffer): boolean {
+  return crc32(content) === bytes.readUInt32LE(offset + CHECKSUM_OFFSET);
+}
--- a/src/tasks/storage/frame_store.ts
+++ b/src/tasks/storage/frame_store.ts
@@ -17,6 +17,9 @@
 /**
  * Appends frames and replaces them all at once.
  *
+ * What is appended at once has one checksum, so a write that was torn by a
+ * loss of power is left out as a whole, and is always the last one.
+ *
  * Both return only once the frames are synced. A replacement is written to a
  * new file that takes the place of the former one by a rename, so a crash
  * leaves the one or the other.
@@ -29,7 +32,7 @@
  */
 export class FrameStore<F> {
   readonly #folder: string;
-  readonly #codec: FrameCodec<F>;
+  readonly #codec: FrameCodec<readonly F[]>;
   readonly #frames: readonly F[];
   #generation: number;
   #handle: FileHandle;
@@ -37,7 +40,7 @@
 
   private constructor(parts: {
     folder: string;
-    codec: FrameCodec<F>;
+    codec: FrameCodec<readonly F[]>;
     frames: readonly F[];
     generation: number;
     handle: FileHandle;
@@ -70,11 +73,13 @@
     const generations = await generationsIn(folder);
     const generation = generations.at(-1) ?? 1;
     const file = fileOf(folder, generation);
-    const codec = new FrameCodec<F>();
+    const codec = new FrameCodec<readonly F[]>();
     const bytes = generations.length === 0
       ? Buffer.alloc(0)
       : await readFile(file);
-    const { frames, length } = codec.decode(bytes, file);
+    const decoded = codec.decode(bytes, file);
+    const { length } = decoded;
+    const frames = decoded.frames.flat() as F[];
     const handle = await open(file, generations.length === 0 ? "w" : "r+");
     await handle.truncate(length);
     await handle.sync();
@@ -90,9 +95,9 @@
     });
   }
 
-  /** Appends frames and syncs them. */
+  /** Appends frames under one checksum and syncs them. */
   async append(frames: readonly F[]): Promise<void> {
-    const bytes = Buffer.concat(frames.map((f) => this.#codec.encode(f)));
+    const bytes = this.#codec.encode(frames);
     await this.#handle.write(bytes, 0, bytes.length, this.#length);
     await this.#handle.datasync();
     this.#length += bytes.length;
@@ -102,7 +107,7 @@
   async replace(frames: readonly F[]): Promise<void> {
     const generation = this.#generation + 1;
     const file = fileOf(this.#folder, generation);
-    const bytes = Buffer.concat(frames.map((f) => this.#codec.encode(f)));
+    const bytes = this.#codec.encode(frames);
     const handle = await open(`${file}.new`, "w");
     await handle.write(bytes, 0, bytes.length, 0);
     await handle.sync();
