--- a/soak/fuzz/main.ts
+++ b/soak/fuzz/main.ts
@@ -27,7 +27,9 @@
       }
       seed += 1;
     }
-    console.log(`cases: ${cases}, failed: 0, seeds: ${args.seed} to ${seed - 1}`);
+    console.log(
+      `cases: ${cases}, failed: 0, seeds: ${args.seed} to ${seed - 1}`,
+    );
   },
 });
 
--- a/soak/fuzz/properties.ts
+++ b/soak/fuzz/properties.ts
@@ -99,25 +99,32 @@
     },
     {
       name: "reports of targets",
-      property: fc.property(fc.string(), bodies(SOUND_REPORT), (id, body) =>
-        decodes(() => {
-          const registry = new TargetRegistry();
-          registry.merge(decodeReport(id, body), 0);
-          registry.prune(1e9);
-        }) && decodes(() => decodeFarewell(body))),
+      property: fc.property(
+        fc.string(),
+        bodies(SOUND_REPORT),
+        (id, body) =>
+          decodes(() => {
+            const registry = new TargetRegistry();
+            registry.merge(decodeReport(id, body), 0);
+            registry.prune(1e9);
+          }) && decodes(() => decodeFarewell(body)),
+      ),
     },
     {
       name: "batches",
-      property: fc.property(bodies(SOUND_BATCH), (body) =>
-        decodes(() =>
-          decodeSubmission(Buffer.from(body), {
-            id: "b",
-            host: "h",
-            workspace: "w",
-            route: ROUTE,
-            acceptedAt: 0,
-          })
-        )),
+      property: fc.property(
+        bodies(SOUND_BATCH),
+        (body) =>
+          decodes(() =>
+            decodeSubmission(Buffer.from(body), {
+              id: "b",
+              host: "h",
+              workspace: "w",
+              route: ROUTE,
+              acceptedAt: 0,
+            })
+          ),
+      ),
     },
     {
       name: "headers",
--- a/src/core/batches/mod.ts
+++ b/src/core/batches/mod.ts
@@ -8,3 +8,6 @@
 export * from "./run_text.ts";
 export * from "./target_pace.ts";
 export * from "./result_cache.ts";
+export * from "./demand_meter.ts";
+export * from "./item_book.ts";
+export * from "./load_book.ts";
--- a/src/core/fleet/fleet_state_test.ts
+++ b/src/core/fleet/fleet_state_test.ts
@@ -44,8 +44,11 @@
   });
 
   it("keeps the newest version of each model", () => {
-    const name = (model: string, version: number): FleetCommand =>
-      ({ type: "announceWeights", model, version });
+    const name = (model: string, version: number): FleetCommand => ({
+      type: "announceWeights",
+      model,
+      version,
+    });
     doTest([name("a", 3), name("a", 2), name("b", 1)], (state) => {
       expect([...state.weights]).toEqual([["a", 3], ["b", 1]]);
     });
@@ -76,11 +79,14 @@
   });
 
   it("remembers which instances are emptied", () => {
-    doTest([
-      { type: "retire", name: "l1" },
-      { type: "retire", name: "l2" },
-      { type: "retired", name: "l1" },
-    ], (state) =>
-      expect([...state.retiring]).toEqual([["l1", true], ["l2", false]]));
+    doTest(
+      [
+        { type: "retire", name: "l1" },
+        { type: "retire", name: "l2" },
+        { type: "retired", name: "l1" },
+      ],
+      (state) =>
+        expect([...state.retiring]).toEqual([["l1", true], ["l2", false]]),
+    );
   });
 });
--- a/src/tasks/batches/batch_runner.ts
+++ b/src/tasks/batches/batch_runner.ts
@@ -4,14 +4,18 @@
   type BatchRecord,
   type BatchResult,
   type BatchState,
+  DemandMeter,
+  ItemBook,
+  type ItemProgress,
   type KeptRecord,
-  type KeptText,
+  LoadBook,
   orderItems,
   placeItem,
   type PlacementTarget,
   type ResultRecord,
   ResultState,
-  RunText,
+  type RunText,
+  type ServiceDemand,
   TargetPace,
   type WaitingItem,
 } from "../../core/batches/mod.ts";
@@ -19,7 +23,6 @@
   type LoadedVersion,
   type RegisteredTarget,
   type TargetRegistry,
-  type TargetReport,
   TargetState,
 } from "../../core/registry/mod.ts";
 import type { Logger } from "../../logging/mod.ts";
@@ -45,33 +48,13 @@
   readonly keep: (records: readonly KeptRecord[]) => void;
 }
 
-/** What is kept of an item between its runs. */
-interface Progress {
-  kept: KeptText | undefined;
-  failed: number;
-  broken: number;
-  notBefore: number;
-  readonly excluded: Set<string>;
-}
-
-/** A load of weights that was ordered. */
-interface OpenLoad {
-  readonly model: string;
-  readonly version: number;
-  readonly until: number;
-}
-
 const PUMP_INTERVAL_MS = 50;
-/** Time after which a load counts as ended although nobody said so. */
-const LOAD_MS = 2_500;
 /** Silence after which a run before its first event is moved. */
 const FIRST_EVENT_MS = 1_000;
 /** Silence after which a run between two events is moved. */
 const SILENCE_MS = 600;
 /** Silence for which a target that loads weights is excused. */
 const LOAD_SILENCE_MS = 3_000;
-const BROKEN_PAUSE_MS = 20;
-const MAX_BROKEN_PAUSE_MS = 2_000;
 /** Pause after a target refused an item of a model. */
 const REFUSED_PAUSE_MS = 150;
 /** Time between two stores of the texts of long runs. */
@@ -84,8 +67,6 @@
 const SILENT_EVENTS = 8;
 /** Runs that are moved off slow targets in one round. */
 const MAX_MOVED = 12;
-/** Known items from which those of forgotten batches are dropped. */
-const MAX_KNOWN_ITEMS = 20_000;
 /** Events of a run before its pace is judged. */
 const JUDGED_EVENTS = 3;
 
@@ -93,14 +74,11 @@
 export class BatchRunner implements ItemRunListener {
   readonly #options: BatchRunnerOptions;
   readonly #runs = new Map<string, ItemRun>();
-  readonly #progress = new Map<string, Progress>();
   readonly #listing = new Set<string>();
-  readonly #firstBatch = new Map<string, string>();
-  #noted = 0;
-  readonly #demand = new Map<string, number>();
-  #samples = 0;
+  readonly #book = new ItemBook();
+  readonly #demand = new DemandMeter();
   readonly #pace = new TargetPace();
-  readonly #loads = new Map<string, OpenLoad>();
+  readonly #loads = new LoadBook();
   #timer: NodeJS.Timeout | undefined;
   #isPumpDue = false;
   #keptAt = -Infinity;
@@ -124,9 +102,7 @@
     for (const run of this.#runs.values()) run.cancel();
     this.#runs.clear();
     this.#listing.clear();
-    this.#firstBatch.clear();
-    this.#noted = 0;
-    this.#progress.clear();
+    this.#book.clear();
     return this;
   }
 
@@ -136,25 +112,13 @@
   }
 
   /** Takes the means of demand since the last call, by service. */
-  takeDemand(): { service: string; meanItems: number }[] {
-    const samples = Math.max(1, this.#samples);
-    const demand = [...this.#demand]
-      .map(([service, sum]) => ({ service, meanItems: sum / samples }));
-    this.#demand.clear();
-    this.#samples = 0;
-    return demand;
+  takeDemand(): ServiceDemand[] {
+    return this.#demand.take();
   }
 
   #sampleDemand(): void {
-    this.#samples += 1;
-    let open = 0;
-    for (const { spec, unlisted, isOpen } of this.#options.state().all) {
-      if (!isOpen) continue;
-      open += unlisted.length;
-      const sum = this.#demand.get(spec.service) ?? 0;
-      this.#demand.set(spec.service, sum + unlisted.length);
-    }
-    const { metrics } = this.#options;
+    const { metrics, state } = this.#options;
+    const open = this.#demand.sample(state().all);
     metrics.gauge("items.running", this.#runs.size);
     metrics.gauge("items.waiting", Math.max(0, open - this.#runs.size));
   }
@@ -173,7 +137,7 @@
   onEnded(batch: string): this {
     for (const [key, run] of this.#runs) {
       if (run.record.spec.id !== batch) continue;
-      this.#keep(run);
+      this.#book.keep(run.item, run.text);
       run.cancel();
       this.#runs.delete(key);
     }
@@ -199,9 +163,8 @@
   }
 
   /** Sends a target no items of a model while it loads the model's weights. */
-  onLoading({ target, model, version }: LoadedVersion): void {
-    const until = this.#options.now() + LOAD_MS;
-    this.#loads.set(target, { model, version, until });
+  onLoading(loading: LoadedVersion): void {
+    this.#loads.begin(loading, this.#options.now());
   }
 
   /** Takes the time between two events. */
@@ -223,8 +186,8 @@
   onBroken(run: ItemRun, failure: RunFailure, detail: string): void {
     const { logger, now } = this.#options;
     this.#end(run);
-    this.#keep(run);
-    const progress = this.#progressOf(run.item);
+    this.#book.keep(run.item, run.text);
+    const progress = this.#book.of(run.item);
     this.#options.metrics.count("items.broken");
     logger.event("itemBroken", {
       batch: run.record.spec.id,
@@ -241,7 +204,7 @@
   }
 
   readonly #onFailure: Readonly<
-    Record<RunFailure, (run: ItemRun, progress: Progress) => void>
+    Record<RunFailure, (run: ItemRun, progress: ItemProgress) => void>
   > = {
     refused: (run) => {
       this.#pace.avoid(run.target.id, this.#options.now() + REFUSED_PAUSE_MS);
@@ -251,7 +214,7 @@
     },
     otherVersion: (run, progress) => {
       progress.excluded.add(run.target.id);
-      this.#pause(progress);
+      this.#book.pause(run.item, this.#options.now());
     },
     failed: (run, progress) => {
       progress.failed += 1;
@@ -262,17 +225,10 @@
     broken: (run, progress) => {
       progress.excluded.add(run.target.id);
       this.#pace.onFailure(run.target.id, this.#options.now());
-      this.#pause(progress);
+      this.#book.pause(run.item, this.#options.now());
     },
   };
 
-  #pause(progress: Progress): void {
-    progress.broken += 1;
-    const pauseMs = BROKEN_PAUSE_MS * 2 ** Math.min(progress.broken - 1, 8);
-    progress.notBefore = this.#options.now() +
-      Math.min(MAX_BROKEN_PAUSE_MS, pauseMs);
-  }
-
   #abandon(run: ItemRun): void {
     const { id } = run.item;
     const { text, versions } = run.text;
@@ -313,27 +269,6 @@
     this.#runs.delete(keyOf(run.record.spec.id, run.item.id));
   }
 
-  /** Whatever has come is kept, for the item may come again. */
-  #keep(run: ItemRun): void {
-    if (run.text.size > 0) {
-      this.#progressOf(run.item).kept = run.text.kept;
-    }
-  }
-
-  #progressOf(item: BatchItem): Progress {
-    let progress = this.#progress.get(item.id);
-    if (progress !== undefined) return progress;
-    progress = {
-      kept: undefined,
-      failed: 0,
-      broken: 0,
-      notBefore: -Infinity,
-      excluded: new Set(),
-    };
-    this.#progress.set(item.id, progress);
-    return progress;
-  }
-
   /** Long runs are stored as they go, so that a later leader goes on. */
   #keepLong(): void {
     const now = this.#options.now();
@@ -361,7 +296,7 @@
     this.#moveSlow();
     this.#keepLong();
     this.#abandonOverdue();
-    this.#forgetProgress();
+    this.#book.forget(this.#options.state().all);
     this.#place();
   }
 
@@ -396,17 +331,19 @@
   }
 
   #silenceLimitMs(run: ItemRun): number {
-    if (this.#isLoading(run.target, run.item.model)) return LOAD_SILENCE_MS;
+    const now = this.#options.now();
+    const { model } = run.item;
+    if (this.#loads.isLoading(run.target, model, now)) return LOAD_SILENCE_MS;
     if (run.events < JUDGED_EVENTS) return FIRST_EVENT_MS;
-    const medianMs = this.#pace.medianMs(this.#options.now());
+    const medianMs = this.#pace.medianMs(now);
     return Math.max(SILENCE_MS, medianMs * SILENT_EVENTS);
   }
 
   #move(run: ItemRun, reason: string): void {
     run.cancel();
     this.#end(run);
-    this.#keep(run);
-    this.#progressOf(run.item).excluded.add(run.target.id);
+    this.#book.keep(run.item, run.text);
+    this.#book.of(run.item).excluded.add(run.target.id);
     this.#options.metrics.count("items.moved");
     this.#options.logger.event("itemMoved", {
       batch: run.record.spec.id,
@@ -437,24 +374,11 @@
     }
   }
 
-  #forgetProgress(): void {
-    if (this.#firstBatch.size < MAX_KNOWN_ITEMS) return;
-    const live = new Set<string>();
-    for (const record of this.#options.state().all) {
-      for (const item of record.spec.items) live.add(item.id);
-    }
-    for (const id of this.#progress.keys()) {
-      if (!live.has(id)) this.#progress.delete(id);
-    }
-    this.#firstBatch.clear();
-    this.#noted = 0;
-  }
-
   #place(): void {
     const { mayRun, state } = this.#options;
     if (!mayRun()) return;
     const { all } = state();
-    this.#noteFirst(all);
+    this.#book.note(all);
     const records = all.filter((record) => record.isOpen);
     if (records.length === 0) return;
     const now = this.#options.now();
@@ -462,38 +386,24 @@
       records,
       now: Date.now(),
       isWaiting: (record, item) => this.#isWaiting(record, item, now),
-      isCarried: (record, item) => this.#isCarried(record, item),
+      isCarried: (record, item) => this.#book.isCarried(record, item),
     });
     const loads = this.#runCounts();
     let placed = 0;
     for (const waiting of order) {
       if (placed >= MAX_PLACED) break;
       const { record, item } = waiting;
-      if (this.#isCarried(record, item) && this.#reuse(waiting)) continue;
+      const isCarried = this.#book.isCarried(record, item);
+      if (isCarried && this.#reuse(waiting)) continue;
       if (this.#run(waiting, loads, now)) placed += 1;
     }
   }
 
-  /** Remembers in which batch each item came first. */
-  #noteFirst(records: readonly BatchRecord[]): void {
-    for (let i = this.#noted; i < records.length; i += 1) {
-      const { spec } = records[i];
-      for (const { id } of spec.items) {
-        if (!this.#firstBatch.has(id)) this.#firstBatch.set(id, spec.id);
-      }
-    }
-    this.#noted = records.length;
-  }
-
-  #isCarried(record: BatchRecord, item: BatchItem): boolean {
-    return this.#firstBatch.get(item.id) !== record.spec.id;
-  }
-
   #isWaiting(record: BatchRecord, item: BatchItem, now: number): boolean {
     const key = keyOf(record.spec.id, item.id);
     if (record.getResult(item.id) !== undefined) return false;
     if (this.#runs.has(key) || this.#listing.has(key)) return false;
-    return now >= (this.#progress.get(item.id)?.notBefore ?? -Infinity);
+    return !this.#book.isPaused(item, now);
   }
 
   #runCounts(): Map<string, number> {
@@ -527,7 +437,8 @@
   ): boolean {
     const { registry, engines, logger } = this.#options;
     const { minVersion, id: batch } = record.spec;
-    const text = this.#textOf(record, item);
+    const { all } = this.#options.state();
+    const text = this.#book.textOf(record, item, all);
     const chosen = this.#choose({ record, item }, text, loads, now);
     if (chosen === undefined) return false;
     const target = registry.get(chosen.id)?.report;
@@ -571,26 +482,12 @@
       minVersion,
       versions: text.versions,
       isSingleVersion,
-      excluded: this.#progress.get(item.id)?.excluded ?? NONE,
+      excluded: this.#book.excludedOf(item),
       warm: this.#warmTargets(record, item),
       dataCentre,
     });
   }
 
-  /** The longest text goes on whose versions all fit this batch. */
-  #textOf(record: BatchRecord, item: BatchItem): RunText {
-    let best: KeptText | undefined;
-    const candidates = [
-      this.#progress.get(item.id)?.kept,
-      ...this.#options.state().all.map((other) => other.getKept(item.id)),
-    ];
-    for (const kept of candidates) {
-      if (kept === undefined || !isFitting(kept, record)) continue;
-      if (kept.lastId > (best?.lastId ?? 0)) best = kept;
-    }
-    return new RunText(best);
-  }
-
   #viewOf(
     { report }: RegisteredTarget,
     item: BatchItem,
@@ -606,19 +503,10 @@
       paceMs: this.#pace.paceMs(report.id, now),
       isSlow: this.#pace.isSlow(report.id, now),
       isAvoided: this.#pace.isAvoided(report.id, now) ||
-        this.#isLoading(report, item.model),
+        this.#loads.isLoading(report, item.model, now),
     };
   }
 
-  #isLoading(report: TargetReport, model: string): boolean {
-    const load = this.#loads.get(report.id);
-    if (load === undefined || load.model !== model) return false;
-    const isOver = this.#options.now() > load.until ||
-      (report.versions[model] ?? 0) >= load.version;
-    if (isOver) this.#loads.delete(report.id);
-    return !isOver;
-  }
-
   #warmTargets(record: BatchRecord, item: BatchItem): Set<string> {
     const warm = new Set<string>();
     for (const other of record.spec.items) {
@@ -630,13 +518,6 @@
   }
 }
 
-function isFitting({ versions }: KeptText, { spec }: BatchRecord): boolean {
-  const isFresh = versions.every((version) => version >= spec.minVersion);
-  return isFresh && (!spec.isSingleVersion || versions.length <= 1);
-}
-
-const NONE: ReadonlySet<string> = new Set();
-
 function keyOf(batch: string, item: string): string {
   return `${batch}/${item}`;
 }
--- a/src/tasks/calls/call_run_test.ts
+++ b/src/tasks/calls/call_run_test.ts
@@ -236,7 +236,11 @@
     }));
 
   it("sends each attempt to another target, and counts the call once", async () => {
-    const { ids, ran } = await play([failed(true), failed(true), answered(200)]);
+    const { ids, ran } = await play([
+      failed(true),
+      failed(true),
+      answered(200),
+    ]);
     expect(new Set(ids).size).toBe(3);
     expect(ran).toBe(1);
   });
--- a/src/tasks/fleet/capacity_duty.ts
+++ b/src/tasks/fleet/capacity_duty.ts
@@ -1,4 +1,5 @@
 /** Orders targets by the demand that the ledger tells of. */
+import type { ServiceDemand } from "../../core/batches/mod.ts";
 import { planSlots } from "../../core/capacity/mod.ts";
 import type { PolicyDocument, ServicePolicy } from "../../core/policy/mod.ts";
 import { type TargetRegistry, TargetState } from "../../core/registry/mod.ts";
@@ -17,13 +18,6 @@
   readonly now: () => number;
 }
 
-/** Demand for a service, as the ledger saw it. */
-export interface ServiceDemand {
-  readonly service: string;
-  /** Items that ran or waited at a time, as a mean over the last second. */
-  readonly meanItems: number;
-}
-
 interface Observation extends ServiceDemand {
   readonly at: number;
 }
--- a/src/tasks/fleet/control_task.ts
+++ b/src/tasks/fleet/control_task.ts
@@ -1,4 +1,5 @@
 /** A control instance: policy, targets, duties of the leader. */
+import type { ServiceDemand } from "../../core/batches/mod.ts";
 import type { ElapsedClock } from "../../core/clock/mod.ts";
 import { FleetRole } from "../../core/fleet/mod.ts";
 import type { PolicyDocument } from "../../core/policy/mod.ts";
@@ -9,7 +10,7 @@
   Verdict,
 } from "../../core/verdict/mod.ts";
 import { BatchMethod, DEMAND_METHOD, FORM_METHOD } from "../batches/mod.ts";
-import { CapacityDuty, type ServiceDemand } from "./capacity_duty.ts";
+import { CapacityDuty } from "./capacity_duty.ts";
 import { DutyLease } from "./duty_lease.ts";
 import { FleetControl } from "./fleet_control.ts";
 import type { FleetNode } from "./fleet_node.ts";
@@ -213,7 +214,7 @@
       policy: () => control.state.policy,
       newest: () => control.state.weights,
       reportIntervalMs: node.settings.times.reportIntervalMs,
-      onLoading: (loading) => control.tellLoad("loading", loading),
+      onLoading: (loading) => control.tellLoading(loading),
       onLoaded: (loaded) => control.learnVersion(loaded),
     });
   }
--- a/src/tasks/fleet/fleet_control.ts
+++ b/src/tasks/fleet/fleet_control.ts
@@ -1,16 +1,13 @@
 /** The control log of a fleet, and what its instances tell the others. */
-import { randomBytes } from "node:crypto";
 import { UsageBook, type UsageWindows } from "../../core/calls/mod.ts";
 import { instanceOf } from "../../core/consensus/mod.ts";
 import {
-  type ChangeMark,
   type FleetAnswer,
   type FleetCommand,
   type FleetNotice,
   FleetRole,
   type FleetSnapshot,
   FleetState,
-  type RosterEntry,
   wantedVoters,
 } from "../../core/fleet/mod.ts";
 import {
@@ -30,6 +27,7 @@
 } from "../../core/verdict/mod.ts";
 import { LogService, LogStore } from "../log/mod.ts";
 import type { FleetNode } from "./fleet_node.ts";
+import { FleetTeller } from "./fleet_teller.ts";
 import { FLEET_CONSENSUS_TIMES } from "./fleet_times.ts";
 
 /** Options of {@link FleetControl}. */
@@ -74,13 +72,6 @@
 const CONFIRM_MS = 800;
 const ANSWER_MS = 900;
 const TELL_INTERVAL_MS = 200;
-/** Time between two tellings to an instance that knows nothing yet. */
-const TELL_NEW_MS = 300;
-/** Time in which signs of what an instance has taken in come back. */
-const TELL_AGAIN_MS = 1_500;
-const LIFE_BYTES = 4;
-/** Rounds after which the roster is told although it is the same. */
-const ROSTER_ROUNDS = 15;
 
 type Service = LogService<
   FleetCommand,
@@ -97,12 +88,7 @@
   readonly usage = new UsageBook();
   readonly #options: FleetControlOptions;
   readonly #service: Service;
-  readonly #life = randomBytes(LIFE_BYTES).toString("hex");
-  #change = 0;
-  #isTelling = false;
-  readonly #toldAt = new Map<string, number>();
-  #toldRoster = "";
-  #rosterRound = 0;
+  readonly #teller: FleetTeller;
   #timer: NodeJS.Timeout | undefined;
 
   /** Creates the task; it does not run yet. */
@@ -110,6 +96,13 @@
     this.#options = options;
     this.#service = this.#createService();
     const { node } = options;
+    this.#teller = new FleetTeller({
+      node,
+      registry: this.registry,
+      state: () => this.state,
+      leadsTerm: () => this.leadsTerm,
+      now: options.now,
+    });
     node
       .onLog(FLEET_LOG, (message) => this.#service.receive(message as never));
     node.hub
@@ -164,7 +157,7 @@
       });
     }
     await this.#service.driver.start();
-    this.#timer = setInterval(() => this.#tell(), TELL_INTERVAL_MS);
+    this.#timer = setInterval(() => this.#upkeep(), TELL_INTERVAL_MS);
   }
 
   /** Hands the lead over and stops. */
@@ -207,15 +200,7 @@
   /** Takes in a report of a target and tells the others. */
   report(report: TargetReport): void {
     this.#merge(report);
-    const notice: FleetNotice = {
-      type: "targets",
-      mark: undefined,
-      isWhole: false,
-      reports: [report],
-    };
-    for (const { id } of this.#options.node.present(FleetRole.Control)) {
-      this.#options.node.notify(id, notice);
-    }
+    this.#teller.shareReport(report);
   }
 
   /** Records that a target has left, and tells the others. */
@@ -225,31 +210,18 @@
     const gone = this.registry.get(id)?.report;
     if (gone === undefined) return;
     this.#onTargetChanged(gone);
-    for (const { id: other } of this.#options.node.present(FleetRole.Control)) {
-      this.#options.node.notify(other, {
-        type: "targets",
-        mark: undefined,
-        isWhole: false,
-        reports: [gone],
-      });
-    }
+    this.#teller.shareReport(gone);
   }
 
   /** Records that a target has loaded weights, and tells the others. */
   learnVersion(loaded: LoadedVersion): void {
     this.registry.learnVersion(loaded);
-    this.tellLoad("loaded", loaded);
+    this.#teller.onLoad("loaded", loaded);
   }
 
-  /** Tells that a target loads weights, or has. */
-  tellLoad(type: "loading" | "loaded", load: LoadedVersion): void {
-    const { node } = this.#options;
-    for (const role of Object.values(FleetRole)) {
-      if (role === FleetRole.Entry) continue;
-      for (const { id } of node.present(role)) {
-        node.notify(id, { type, ...load });
-      }
-    }
+  /** Tells that a target has been ordered to load weights. */
+  tellLoading(loading: LoadedVersion): void {
+    this.#teller.onLoad("loading", loading);
   }
 
   /** Proposes a command here or at the leader. */
@@ -323,7 +295,7 @@
       const isNew = answer.type === "done";
       const { logger } = this.#options.node;
       logger.event("policyAccepted", { revision, isNew });
-      if (isNew) this.#tellPolicySoon();
+      if (isNew) this.#teller.onPolicy();
     }
     if (command.type === "announceWeights" && answer.type === "done") {
       const { model, version } = command;
@@ -332,28 +304,6 @@
     this.#options.onChanged();
   }
 
-  /** Of revisions that are applied together only the last one is told. */
-  #tellPolicySoon(): void {
-    if (this.#isTelling) return;
-    this.#isTelling = true;
-    setImmediate(() => {
-      this.#isTelling = false;
-      const { policy } = this.state;
-      if (policy !== undefined) this.#tellPolicy(policy);
-    });
-  }
-
-  #tellPolicy(document: PolicyDocument): void {
-    const { node } = this.#options;
-    const notice: FleetNotice = { type: "policy", document };
-    for (const role of TOLD_ROLES) {
-      for (const { id, member } of node.present(role)) {
-        if (member.policyRevision >= document.revision) continue;
-        node.notify(id, notice);
-      }
-    }
-  }
-
   #onNotice(notice: FleetNotice): void {
     if (notice.type === "loaded") this.registry.learnVersion(notice);
     if (notice.type !== "targets") return;
@@ -367,7 +317,6 @@
 
   #onTargetChanged(report: TargetReport): void {
     const { node, onChanged } = this.#options;
-    this.#change += 1;
     node.logger.event("targetChanged", {
       target: report.id,
       service: report.service,
@@ -377,94 +326,19 @@
       sequence: report.sequence,
       versions: JSON.stringify(report.versions),
     });
-    this.#tellTargets([report]);
+    this.#teller.onTarget(report);
     onChanged();
   }
 
-  #tellTargets(reports: readonly TargetReport[]): void {
-    const { node } = this.#options;
-    for (const role of TOLD_ROLES) {
-      for (const { id } of node.present(role)) {
-        node.notify(id, {
-          type: "targets",
-          mark: this.#mark,
-          isWhole: false,
-          reports,
-        });
-      }
-    }
-  }
-
-  get #mark(): ChangeMark {
-    return { life: this.#life, change: this.#change };
-  }
-
-  /** Whoever lacks something is told again, however it was lost. */
-  #tell(): void {
+  #upkeep(): void {
     const { node, now } = this.#options;
     this.registry.prune(now());
     this.#service.measure();
     node.metrics.gauge("policy.revision", this.state.policyRevision);
-    const { policy } = this.state;
-    if (policy !== undefined) this.#tellPolicy(policy);
-    for (const role of TOLD_ROLES) {
-      for (const { id, member } of node.present(role)) {
-        const seen = member.targetsSeen[node.settings.id];
-        const isNew = seen?.life !== this.#life;
-        const isBehind = isNew || seen.change < this.#change;
-        if (isBehind) this.#tellAllTargets(id, isNew);
-      }
-    }
-    this.#tellRoster();
-  }
-
-  /** Signs of what an instance has taken in come back with a delay. */
-  #tellAllTargets(id: string, isNew: boolean): void {
-    const now = this.#options.now();
-    const pauseMs = isNew ? TELL_NEW_MS : TELL_AGAIN_MS;
-    if (now - (this.#toldAt.get(id) ?? -Infinity) < pauseMs) return;
-    this.#toldAt.set(id, now);
-    this.#options.node.notify(id, {
-      type: "targets",
-      mark: this.#mark,
-      isWhole: true,
-      reports: this.registry.all.map((target) => target.report),
-    });
-  }
-
-  #tellRoster(): void {
-    const { node } = this.#options;
-    const { id, dataCentre } = node.settings;
-    const { leadsTerm } = this;
-    const members: RosterEntry[] = [
-      { id, role: FleetRole.Control, dataCentre, leadsTerm },
-      ...LOG_HOLDERS.flatMap((role) =>
-        node.present(role).map(({ id: other, member }) => ({
-          id: other,
-          role,
-          dataCentre: member.dataCentre,
-          leadsTerm: member.leadsTerm,
-        }))
-      ),
-    ].sort((a, b) => a.id < b.id ? -1 : 1);
-    this.#rosterRound += 1;
-    const retiring = [...this.state.retiring.keys()];
-    const roster = JSON.stringify({ members, retiring });
-    const isDue = this.#rosterRound % ROSTER_ROUNDS === 0;
-    if (roster === this.#toldRoster && !isDue) return;
-    this.#toldRoster = roster;
-    for (const role of Object.values(FleetRole)) {
-      for (const member of node.present(role)) {
-        node.notify(member.id, { type: "roster", members, retiring });
-      }
-    }
+    this.#teller.tellAll();
   }
 }
 
-/** Roles that follow policy and targets. */
-const TOLD_ROLES: readonly FleetRole[] = [FleetRole.Entry, FleetRole.Ledger];
-/** Roles that hold a log. */
-const LOG_HOLDERS: readonly FleetRole[] = [FleetRole.Control, FleetRole.Ledger];
 /** Time for the new leader to take over before this replica stops. */
 const HANDOVER_MS = 300;
 
--- /dev/null
+++ b/src/tasks/fleet/fleet_teller.ts
@@ -0,0 +1,186 @@
+/** What a control instance tells the others: policy, targets, members. */
+import { randomBytes } from "node:crypto";
+import {
+  type ChangeMark,
+  type FleetNotice,
+  FleetRole,
+  type FleetState,
+  type RosterEntry,
+} from "../../core/fleet/mod.ts";
+import type { PolicyDocument } from "../../core/policy/mod.ts";
+import type {
+  LoadedVersion,
+  TargetRegistry,
+  TargetReport,
+} from "../../core/registry/mod.ts";
+import type { FleetNode } from "./fleet_node.ts";
+
+/** Options of {@link FleetTeller}. */
+export interface FleetTellerOptions {
+  readonly node: FleetNode;
+  readonly registry: TargetRegistry;
+  readonly state: () => FleetState;
+  /** Gets the term that this instance leads. */
+  readonly leadsTerm: () => number | undefined;
+  readonly now: () => number;
+}
+
+const LIFE_BYTES = 4;
+/** Time between two tellings to an instance that knows nothing yet. */
+const TELL_NEW_MS = 300;
+/** Time in which signs of what an instance has taken in come back. */
+const TELL_AGAIN_MS = 1_500;
+/** Rounds after which the roster is told although it is the same. */
+const ROSTER_ROUNDS = 15;
+/** Roles that follow policy and targets. */
+const TOLD_ROLES: readonly FleetRole[] = [FleetRole.Entry, FleetRole.Ledger];
+/** Roles that hold a log. */
+const LOG_HOLDERS: readonly FleetRole[] = [FleetRole.Control, FleetRole.Ledger];
+
+/** Pushes changes at once, and tells again whoever lacks something. */
+export class FleetTeller {
+  readonly #options: FleetTellerOptions;
+  readonly #life = randomBytes(LIFE_BYTES).toString("hex");
+  readonly #toldAt = new Map<string, number>();
+  #change = 0;
+  #isTelling = false;
+  #toldRoster = "";
+  #rosterRound = 0;
+
+  /** Creates a teller. */
+  constructor(options: FleetTellerOptions) {
+    this.#options = options;
+  }
+
+  /** Tells the policy soon; of several applied together only the last one. */
+  onPolicy(): void {
+    if (this.#isTelling) return;
+    this.#isTelling = true;
+    setImmediate(() => {
+      this.#isTelling = false;
+      this.#tellPolicy(this.#options.state().policy);
+    });
+  }
+
+  /** Tells a change of a target to those who send it work. */
+  onTarget(report: TargetReport): void {
+    const { node } = this.#options;
+    this.#change += 1;
+    for (const role of TOLD_ROLES) {
+      for (const { id } of node.present(role)) {
+        node.notify(id, {
+          type: "targets",
+          mark: this.#mark,
+          isWhole: false,
+          reports: [report],
+        });
+      }
+    }
+  }
+
+  /** Tells the other control instances of a report that came here. */
+  shareReport(report: TargetReport): void {
+    const { node } = this.#options;
+    const notice: FleetNotice = {
+      type: "targets",
+      mark: undefined,
+      isWhole: false,
+      reports: [report],
+    };
+    for (const { id } of node.present(FleetRole.Control)) {
+      node.notify(id, notice);
+    }
+  }
+
+  /** Tells that a target loads weights, or has. */
+  onLoad(type: "loading" | "loaded", load: LoadedVersion): void {
+    const { node } = this.#options;
+    for (const role of LOG_HOLDERS) {
+      for (const { id } of node.present(role)) {
+        node.notify(id, { type, ...load });
+      }
+    }
+  }
+
+  /** Whoever lacks something is told again, however it was lost. */
+  tellAll(): void {
+    const { node, state } = this.#options;
+    this.#tellPolicy(state().policy);
+    for (const role of TOLD_ROLES) {
+      for (const { id, member } of node.present(role)) {
+        const seen = member.targetsSeen[node.settings.id];
+        const isNew = seen?.life !== this.#life;
+        const isBehind = isNew || seen.change < this.#change;
+        if (isBehind) this.#tellTargets(id, isNew);
+      }
+    }
+    this.#tellRoster();
+  }
+
+  get #mark(): ChangeMark {
+    return { life: this.#life, change: this.#change };
+  }
+
+  #tellPolicy(document: PolicyDocument | undefined): void {
+    if (document === undefined) return;
+    const { node } = this.#options;
+    const notice: FleetNotice = { type: "policy", document };
+    for (const role of TOLD_ROLES) {
+      for (const { id, member } of node.present(role)) {
+        if (member.policyRevision >= document.revision) continue;
+        node.notify(id, notice);
+      }
+    }
+  }
+
+  /** Signs of what an instance has taken in come back with a delay. */
+  #tellTargets(id: string, isNew: boolean): void {
+    const { node, registry, now } = this.#options;
+    const at = now();
+    const pauseMs = isNew ? TELL_NEW_MS : TELL_AGAIN_MS;
+    if (at - (this.#toldAt.get(id) ?? -Infinity) < pauseMs) return;
+    this.#toldAt.set(id, at);
+    node.notify(id, {
+      type: "targets",
+      mark: this.#mark,
+      isWhole: true,
+      reports: registry.all.map((target) => target.report),
+    });
+  }
+
+  #tellRoster(): void {
+    const { node, state } = this.#options;
+    const members = this.#members();
+    const retiring = [...state().retiring.keys()];
+    this.#rosterRound += 1;
+    const roster = JSON.stringify({ members, retiring });
+    const isDue = this.#rosterRound % ROSTER_ROUNDS === 0;
+    if (roster === this.#toldRoster && !isDue) return;
+    this.#toldRoster = roster;
+    for (const role of Object.values(FleetRole)) {
+      for (const { id } of node.present(role)) {
+        node.notify(id, { type: "roster", members, retiring });
+      }
+    }
+  }
+
+  #members(): RosterEntry[] {
+    const { node, leadsTerm } = this.#options;
+    const { id, dataCentre } = node.settings;
+    const own: RosterEntry = {
+      id,
+      role: FleetRole.Control,
+      dataCentre,
+      leadsTerm: leadsTerm(),
+    };
+    const others = LOG_HOLDERS.flatMap((role) =>
+      node.present(role).map(({ id: other, member }) => ({
+        id: other,
+        role,
+        dataCentre: member.dataCentre,
+        leadsTerm: member.leadsTerm,
+      }))
+    );
+    return [own, ...others].sort((a, b) => a.id < b.id ? -1 : 1);
+  }
+}
--- a/src/tasks/metrics_server.ts
+++ b/src/tasks/metrics_server.ts
@@ -1,6 +1,7 @@
 /** Serves the metrics of an instance. */
 import { createServer, type Server } from "node:http";
 import polka from "polka";
+import { listenOn } from "./http_listener.ts";
 import { type Metrics, renderMetrics } from "../metrics/mod.ts";
 
 /** Owns the listener for collectors. */
@@ -19,10 +20,7 @@
 
   /** Begins to listen. */
   listen(address: { host: string; port: number }): Promise<void> {
-    return new Promise((resolve, reject) => {
-      this.#server.once("error", reject);
-      this.#server.listen(address.port, address.host, () => resolve());
-    });
+    return listenOn(this.#server, address);
   }
 
   /** Takes no more connections. */
