--- /dev/null
+++ b/src/core/batches/item_book_test.ts
@@ -0,0 +1,122 @@
+import { describe, expect, it } from "vitest";
+import type { BatchItem } from "./batch.ts";
+import { BatchRecord } from "./batch_record.ts";
+import { DemandMeter } from "./demand_meter.ts";
+import { ItemBook } from "./item_book.ts";
+import { LoadBook } from "./load_book.ts";
+import { RunText } from "./run_text.ts";
+import { TargetState } from "../registry/mod.ts";
+
+function record(id: string, items: readonly string[], minVersion = 0) {
+  return new BatchRecord({
+    id,
+    workspace: "w",
+    route: "r",
+    host: "h",
+    service: "s",
+    acceptedAt: 0,
+    objectiveMs: 1,
+    giveUpMs: 1,
+    maxAttempts: 1,
+    minVersion,
+    isSingleVersion: false,
+    desiredGroups: 0,
+    items: items.map((item) => ({
+      id: item,
+      path: "/",
+      headers: {},
+      body: new Uint8Array(),
+      tokens: 0,
+      group: item,
+      model: "m",
+      expectedTokens: undefined,
+    })),
+  });
+}
+
+function itemOf(batch: BatchRecord, id: string): BatchItem {
+  const item = batch.getItem(id);
+  if (item === undefined) throw new Error(`No item ${id}`);
+  return item;
+}
+
+describe(ItemBook.name, () => {
+  function doTest(ids: readonly string[], expected: readonly string[]) {
+    const first = record("b1", ["i1", "i2"]);
+    const second = record("b2", ids);
+    const book = new ItemBook().note([first, second]);
+    const carried = ids
+      .filter((id) => book.isCarried(second, itemOf(second, id)));
+    expect(carried).toEqual(expected);
+  }
+
+  it("knows the items that came in an earlier batch", () =>
+    doTest(["i2", "i3"], ["i2"]));
+
+  it("lets an item wait longer each time", () => {
+    const batch = record("b1", ["i1"]);
+    const item = itemOf(batch, "i1");
+    const book = new ItemBook().pause(item, 0).pause(item, 0);
+    expect(book.isPaused(item, 30)).toBe(true);
+    expect(book.isPaused(item, 41)).toBe(false);
+  });
+
+  it("goes on only from text that is fresh enough", () => {
+    const batch = record("b1", ["i1"], 4);
+    const item = itemOf(batch, "i1");
+    const text = new RunText().setVersion(3);
+    text.add({ id: 1, data: "a" });
+    const book = new ItemBook().keep(item, text);
+    expect(book.textOf(batch, item, [batch]).lastId).toBe(0);
+    const older = record("b0", ["i1"], 3);
+    expect(book.textOf(older, item, [older]).lastId).toBe(1);
+  });
+});
+
+describe(DemandMeter.name, () => {
+  it("averages the open items", () => {
+    const meter = new DemandMeter();
+    const batch = record("b1", ["i1", "i2"]);
+    expect(meter.sample([batch])).toBe(2);
+    expect(meter.sample([batch.end()])).toBe(0);
+    expect(meter.take()).toEqual([{ service: "s", meanItems: 1 }]);
+    expect(meter.take()).toEqual([]);
+  });
+});
+
+describe(LoadBook.name, () => {
+  const load = { target: "t", incarnation: 1, model: "m", version: 3 };
+
+  function doTest(
+    versions: Readonly<Record<string, number>>,
+    question: { model: string; now: number },
+    expected: boolean,
+  ) {
+    const report = {
+      id: "t",
+      service: "s",
+      address: "127.0.0.1:1",
+      dataCentre: "a",
+      incarnation: 1,
+      sequence: 1,
+      state: TargetState.Ready,
+      slots: 1,
+      versions,
+      isSpot: false,
+    };
+    const book = new LoadBook().begin(load, 0);
+    expect(book.isLoading(report, question.model, question.now))
+      .toBe(expected);
+  }
+
+  it("knows a load until the version is there", () => {
+    doTest({ m: 2 }, { model: "m", now: 100 }, true);
+    doTest({ m: 3 }, { model: "m", now: 100 }, false);
+  });
+
+  it("concerns one model only", () =>
+    doTest({ m: 2 }, { model: "other", now: 100 }, false));
+
+  it("gives a load up after a time", () =>
+    doTest({ m: 2 }, { model: "m", now: 9_000 }, false));
+});
--- /dev/null
+++ b/src/tasks/fleet/duties_test.ts
@@ -0,0 +1,283 @@
+import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
+import { UsageBook } from "../../core/calls/mod.ts";
+import { type FleetCommand, FleetState } from "../../core/fleet/mod.ts";
+import type { PolicyDocument, ScalingPolicy } from "../../core/policy/mod.ts";
+import { TargetRegistry, TargetState } from "../../core/registry/mod.ts";
+import { Logger } from "../../logging/mod.ts";
+import { Metrics } from "../../metrics/mod.ts";
+import { CapacityDuty } from "./capacity_duty.ts";
+import { DutyLease } from "./duty_lease.ts";
+import {
+  type CapacityOrder,
+  type EngineStatus,
+  type LoadOrder,
+  OrderOutcome,
+  type OrderPort,
+  type ReceiverPort,
+} from "./order_port.ts";
+import { UsageDuty } from "./usage_duty.ts";
+import { WeightsDuty } from "./weights_duty.ts";
+
+const logger = new Logger({ instance: "test", level: "error" });
+const now = () => Date.now();
+
+function lease(isLeading = true): DutyLease {
+  return new DutyLease({
+    holder: "control-1",
+    term: () => isLeading ? 4 : undefined,
+    leaseEnd: () => Date.now() + 500,
+    now,
+    leaderSince: () => 0,
+  });
+}
+
+function policy(scaling: ScalingPolicy | undefined = undefined) {
+  return {
+    revision: 1,
+    routes: [],
+    services: [{
+      name: "s",
+      healthPath: "/",
+      maxConnections: 9,
+      models: ["m"],
+      scaling,
+    }],
+    limits: {
+      maxHeaderBytes: 1,
+      maxBodyBytes: 1,
+      headerTimeoutMs: 1,
+      idleTimeoutMs: 1,
+    },
+    workspaces: [],
+  } satisfies PolicyDocument;
+}
+
+function registryOf(ids: readonly string[]): TargetRegistry {
+  const registry = new TargetRegistry();
+  ids.forEach((id, i) =>
+    registry.merge({
+      id,
+      service: "s",
+      address: `127.0.0.1:${i + 1}`,
+      dataCentre: id[0],
+      incarnation: 1,
+      sequence: 1,
+      state: TargetState.Ready,
+      slots: 10,
+      versions: { m: 1 },
+      isSpot: false,
+    }, Date.now())
+  );
+  return registry;
+}
+
+beforeEach(() => void vi.useFakeTimers({ now: 1_000_000 }));
+afterEach(() => void vi.useRealTimers());
+
+describe(DutyLease.name, () => {
+  function doTest(
+    sources: { term?: number; leaseMs: number; ledMs: number },
+    expected: { fence: number; timeoutMs: number } | undefined,
+  ) {
+    const grant = new DutyLease({
+      holder: "c",
+      term: () => sources.term,
+      leaseEnd: () => 10_000 + sources.leaseMs,
+      now: () => 10_000,
+      leaderSince: () => 10_000 - sources.ledMs,
+    }).get();
+    const { token, timeoutMs } = grant ?? {};
+    expect(grant && { fence: token?.fence, timeoutMs }).toEqual(expected);
+  }
+
+  it("grants a send that ends before the lease", () =>
+    doTest({ term: 7, leaseMs: 400, ledMs: 5_000 }, {
+      fence: 7,
+      timeoutMs: 400,
+    }));
+
+  it("grants nothing near the end of the lease, or after it", () => {
+    doTest({ term: 7, leaseMs: 100, ledMs: 5_000 }, undefined);
+    doTest({ term: 7, leaseMs: -Infinity, ledMs: 5_000 }, undefined);
+  });
+
+  it("waits out what a predecessor has sent", () =>
+    doTest({ term: 7, leaseMs: 400, ledMs: 300 }, undefined));
+
+  it("grants nothing where this replica does not lead", () =>
+    doTest({ leaseMs: 400, ledMs: 5_000 }, undefined));
+});
+
+describe(WeightsDuty.name, () => {
+  class ScriptedEngines implements OrderPort {
+    readonly loads: LoadOrder[] = [];
+    readonly versions = new Map<string, number>();
+    isBusy = false;
+
+    status({ id }: { id: string }): Promise<EngineStatus> {
+      const version = this.versions.get(id) ?? 1;
+      return Promise.resolve({
+        isBusy: this.isBusy,
+        orders: this.loads.length,
+        versions: { m: version },
+      });
+    }
+
+    load(order: LoadOrder): Promise<OrderOutcome> {
+      this.loads.push(order);
+      this.versions.set(order.target.id, order.version);
+      return Promise.resolve(OrderOutcome.Accepted);
+    }
+  }
+
+  async function doTest(
+    options: { targets: readonly string[]; isLeading?: boolean; forMs: number },
+    expected: readonly string[],
+  ) {
+    const registry = registryOf(options.targets);
+    const engines = new ScriptedEngines();
+    const duty = new WeightsDuty({
+      lease: lease(options.isLeading),
+      orders: engines,
+      registry,
+      logger,
+      metrics: new Metrics({ tags: {} }),
+      now,
+      policy: () => policy(),
+      newest: () => new Map([["m", 2]]),
+      reportIntervalMs: 60_000,
+      onLoading: () => {},
+      onLoaded: (loaded) => registry.learnVersion(loaded),
+    });
+    duty.start();
+    await vi.advanceTimersByTimeAsync(options.forMs);
+    duty.stop();
+    expect(engines.loads.map((order) => order.target.id)).toEqual(expected);
+    expect(engines.loads.every((order) => order.version === 2)).toBe(true);
+  }
+
+  it("brings every target to the named version, a few at a time", async () => {
+    await doTest({ targets: ["a1", "a2", "a3", "a4"], forMs: 200 }, ["a1"]);
+    await doTest({ targets: ["a1", "a2", "a3", "a4"], forMs: 5_000 }, [
+      "a1",
+      "a2",
+      "a3",
+      "a4",
+    ]);
+  });
+
+  it("orders nothing where it does not lead", () =>
+    doTest({ targets: ["a1"], isLeading: false, forMs: 2_000 }, []));
+});
+
+describe(UsageDuty.name, () => {
+  async function doTest(
+    outcomes: readonly OrderOutcome[],
+    expected: readonly { window: number; counts: Record<string, number> }[],
+  ) {
+    const state = new FleetState();
+    const book = new UsageBook();
+    const reports: { window: number; counts: Record<string, number> }[] = [];
+    const receiver: Pick<ReceiverPort, "reportUsage"> = {
+      reportUsage: ({ window, counts }) => {
+        reports.push({ window, counts: { ...counts } });
+        return Promise.resolve(
+          outcomes[reports.length - 1] ?? OrderOutcome.Accepted,
+        );
+      },
+    };
+    const window = Math.floor(Date.now() / 2_000);
+    book.learn("e1", { [window]: { w: 2 } });
+    book.learn("e2", { [window]: { w: 1, v: 4 } });
+    const duty = new UsageDuty({
+      lease: lease(),
+      receiver: receiver as ReceiverPort,
+      book,
+      state: () => state,
+      propose: (command: FleetCommand) => Promise.resolve(state.apply(command)),
+      logger,
+      windowMs: 2_000,
+      dueMs: 4_000,
+      wall: () => Date.now(),
+    });
+    duty.start();
+    await vi.advanceTimersByTimeAsync(4_000);
+    book.learn("e3", { [window]: { w: 100 } });
+    await vi.advanceTimersByTimeAsync(2_000);
+    duty.stop();
+    const relative = reports.map((report) => ({
+      ...report,
+      window: report.window - window,
+    }));
+    expect(relative).toEqual(expected);
+  }
+
+  const figures = { w: 3, v: 4 };
+
+  it("reports the sums of each window once", () =>
+    doTest([], [
+      { window: 0, counts: figures },
+      { window: 1, counts: {} },
+    ]));
+
+  it("sends the same figures again where no answer came", () =>
+    doTest([OrderOutcome.Unanswered], [
+      { window: 0, counts: figures },
+      { window: 0, counts: figures },
+      { window: 1, counts: {} },
+    ]));
+});
+
+describe(CapacityDuty.name, () => {
+  const scaling: ScalingPolicy = {
+    min: 1,
+    max: 4,
+    bootMs: 1_000,
+    spotPrice: undefined,
+    prices: { a: 1, b: 1 },
+  };
+
+  async function doTest(
+    meanItems: number,
+    outcomeOf: (order: CapacityOrder) => OrderOutcome,
+    expected: readonly string[],
+  ) {
+    const orders: CapacityOrder[] = [];
+    const receiver: Pick<ReceiverPort, "orderTargets"> = {
+      orderTargets: (order) => {
+        orders.push(order);
+        return Promise.resolve(outcomeOf(order));
+      },
+    };
+    const duty = new CapacityDuty({
+      lease: lease(),
+      receiver: receiver as ReceiverPort,
+      registry: registryOf(["a1", "b1"]),
+      logger,
+      policy: () => policy(scaling),
+      now,
+    });
+    duty.start();
+    for (let second = 0; second < 12; second += 1) {
+      duty.observe({ service: "s", meanItems });
+      await vi.advanceTimersByTimeAsync(1_000);
+    }
+    duty.stop();
+    const seen = orders.map(({ dataCentre, count }) => `${dataCentre}${count}`);
+    expect([...new Set(seen)]).toEqual(expected);
+  }
+
+  it("orders nothing while slots are free", () =>
+    doTest(5, () => OrderOutcome.Accepted, []));
+
+  it("orders more where half of the slots are in use", () =>
+    doTest(20, () => OrderOutcome.Accepted, ["a2", "b2"]));
+
+  it("asks another data centre where one has none", () =>
+    doTest(
+      20,
+      ({ dataCentre }) =>
+        dataCentre === "a" ? OrderOutcome.Fenced : OrderOutcome.Accepted,
+      ["a2", "b2", "b3"],
+    ));
+});
