--- a/src/core/batches/batch_record.ts
+++ b/src/core/batches/batch_record.ts
@@ -9,12 +9,20 @@
 import type { KeptRecord } from "./batch_command.ts";
 import type { KeptText } from "./run_text.ts";
 
+/** A result as it is kept: its text shares the pieces that the log holds. */
+interface KeptResult {
+  readonly id: string;
+  readonly state: ResultState;
+  readonly pieces: readonly string[];
+  readonly versions: readonly number[];
+}
+
 /** Keeps one batch. */
 export class BatchRecord {
   readonly spec: BatchSpec;
   readonly #items: ReadonlyMap<string, BatchItem>;
-  readonly #results: BatchResult[] = [];
-  readonly #listed = new Map<string, BatchResult>();
+  readonly #results: KeptResult[] = [];
+  readonly #listed = new Map<string, KeptResult>();
   readonly #kept = new Map<string, KeptText>();
   #isEnded = false;
 
@@ -34,9 +42,14 @@
     return !this.#isEnded && this.#listed.size < this.#items.size;
   }
 
+  /** Gets the number of results. */
+  get size(): number {
+    return this.#results.length;
+  }
+
   /** Gets the results in their positions. */
   get results(): readonly BatchResult[] {
-    return this.#results;
+    return this.#results.map(toResult);
   }
 
   /** Gets an item. */
@@ -46,7 +59,13 @@
 
   /** Gets the result of an item. */
   getResult(id: string): BatchResult | undefined {
-    return this.#listed.get(id);
+    const kept = this.#listed.get(id);
+    return kept === undefined ? undefined : toResult(kept);
+  }
+
+  /** Gets whether an item has a result. */
+  isListed(id: string): boolean {
+    return this.#listed.has(id);
   }
 
   /** Gets the items without a result. */
@@ -79,13 +98,14 @@
   }
 
   /** Joins a result with the text that is kept; undefined where it is not. */
-  #whole(result: BatchResult, after: number): BatchResult | undefined {
-    if (after === 0) return result;
-    const kept = this.#kept.get(result.id);
+  #whole(result: BatchResult, after: number): KeptResult | undefined {
+    const { id, state, text, versions } = result;
+    if (after === 0) return { id, state, pieces: [text], versions };
+    const kept = this.#kept.get(id);
     if (kept === undefined || kept.lastId < after) return undefined;
     const pieces = kept.pieces.slice(0, after);
-    if (result.text.length > 0) pieces.push(result.text);
-    return { ...result, text: pieces.join("\n") };
+    if (text.length > 0) pieces.push(text);
+    return { id, state, pieces, versions };
   }
 
   /** Gets the text of an item whose run has not ended. */
@@ -131,7 +151,8 @@
   page(after: number, maxBytes: number): ResultPage {
     const results: BatchResult[] = [];
     let bytes = 0;
-    for (const result of this.#results.slice(after)) {
+    for (const kept of this.#results.slice(after)) {
+      const result = toResult(kept);
       bytes += Buffer.byteLength(result.text);
       if (results.length > 0 && bytes > maxBytes) break;
       results.push(result);
@@ -140,3 +161,7 @@
     return { total: this.#items.size, next, results };
   }
 }
+
+function toResult({ id, state, pieces, versions }: KeptResult): BatchResult {
+  return { id, state, text: pieces.join("\n"), versions };
+}
--- a/src/core/registry/target_registry.ts
+++ b/src/core/registry/target_registry.ts
@@ -136,8 +136,13 @@
 }
 
 function isSame(a: TargetReport, b: TargetReport): boolean {
+  return isSamePlace(a, b) &&
+    JSON.stringify(a.versions) === JSON.stringify(b.versions);
+}
+
+/** Gets whether two reports are alike but for the versions of the weights. */
+export function isSamePlace(a: TargetReport, b: TargetReport): boolean {
   return a.incarnation === b.incarnation && a.state === b.state &&
     a.address === b.address && a.service === b.service &&
-    a.slots === b.slots && a.isSpot === b.isSpot &&
-    JSON.stringify(a.versions) === JSON.stringify(b.versions);
+    a.slots === b.slots && a.isSpot === b.isSpot;
 }
--- a/src/tasks/batches/batch_runner.ts
+++ b/src/tasks/batches/batch_runner.ts
@@ -401,7 +401,7 @@
 
   #isWaiting(record: BatchRecord, item: BatchItem, now: number): boolean {
     const key = keyOf(record.spec.id, item.id);
-    if (record.getResult(item.id) !== undefined) return false;
+    if (record.isListed(item.id)) return false;
     if (this.#runs.has(key) || this.#listing.has(key)) return false;
     return !this.#book.isPaused(item, now);
   }
@@ -419,6 +419,7 @@
     const { minVersion, isSingleVersion, workspace } = record.spec;
     for (const other of this.#options.state().all) {
       if (other === record || other.spec.workspace !== workspace) continue;
+      if (!other.isListed(item.id)) continue;
       const result = other.getResult(item.id);
       if (result?.state !== ResultState.Completed) continue;
       const isFresh = result.versions.every((v) => v >= minVersion);
--- a/src/tasks/batches/batch_task.ts
+++ b/src/tasks/batches/batch_task.ts
@@ -267,7 +267,7 @@
     const find = () => this.#service.state.getOf(workspace, batch);
     const record = find();
     if (record === undefined) throw notFound();
-    if (record.results.length <= after && waitMs > 0 && record.isOpen) {
+    if (record.size <= after && waitMs > 0 && record.isOpen) {
       await this.#whenListed(batch, waitMs);
       await this.#confirm();
     }
--- a/src/tasks/calls/call_gate.ts
+++ b/src/tasks/calls/call_gate.ts
@@ -24,7 +24,6 @@
   readonly policy: () => PolicyView | undefined;
   /** Waits shortly for a confirmed policy; false where none comes. */
   readonly awaitLease: () => Promise<boolean>;
-  readonly isDraining: () => boolean;
 }
 
 const RETRY_AFTER_MS = 1_000;
--- a/src/tasks/fleet/entry_task.ts
+++ b/src/tasks/fleet/entry_task.ts
@@ -31,9 +31,6 @@
 import type { FleetFollower } from "./fleet_follower.ts";
 import type { FleetNode } from "./fleet_node.ts";
 
-/** Limits of what callers send. */
-export type CallLimits = CallerLimits;
-
 /** Options of {@link EntryTask}. */
 export interface EntryTaskOptions {
   readonly node: FleetNode;
@@ -57,7 +54,7 @@
   readonly isWhole: boolean;
 }
 
-const DEFAULT_LIMITS: CallLimits = {
+const DEFAULT_LIMITS: CallerLimits = {
   maxHeaderBytes: 16_384,
   maxBodyBytes: 33_554_432,
   headerTimeoutMs: 3_000,
@@ -88,7 +85,6 @@
     this.#gate = new CallGate({
       policy: () => follower.policy,
       awaitLease: () => follower.awaitLease(),
-      isDraining: () => this.#isDraining,
     });
   }
 
@@ -100,7 +96,7 @@
   }
 
   /** Gets the limits in force. */
-  get limits(): CallLimits {
+  get limits(): CallerLimits {
     return this.#options.follower.policy?.document.limits ?? DEFAULT_LIMITS;
   }
 
--- a/src/tasks/fleet/fleet_control.ts
+++ b/src/tasks/fleet/fleet_control.ts
@@ -206,10 +206,11 @@
   /** Records that a target has left, and tells the others. */
   removeTarget(id: string, incarnation: number | undefined): void {
     const { now } = this.#options;
+    const known = this.registry.get(id)?.report;
     if (!this.registry.remove(id, incarnation, now())) return;
     const gone = this.registry.get(id)?.report;
     if (gone === undefined) return;
-    this.#onTargetChanged(gone);
+    this.#onTargetChanged(gone, known);
     this.#teller.shareReport(gone);
   }
 
@@ -311,11 +312,15 @@
   }
 
   #merge(report: TargetReport): void {
+    const known = this.registry.get(report.id)?.report;
     const change = this.registry.merge(report, this.#options.now());
-    if (change === RegistryChange.Changed) this.#onTargetChanged(report);
+    if (change === RegistryChange.Changed) this.#onTargetChanged(report, known);
   }
 
-  #onTargetChanged(report: TargetReport): void {
+  #onTargetChanged(
+    report: TargetReport,
+    known: TargetReport | undefined,
+  ): void {
     const { node, onChanged } = this.#options;
     node.logger.event("targetChanged", {
       target: report.id,
@@ -326,7 +331,7 @@
       sequence: report.sequence,
       versions: JSON.stringify(report.versions),
     });
-    this.#teller.onTarget(report);
+    this.#teller.onTarget(report, known);
     onChanged();
   }
 
--- a/src/tasks/fleet/fleet_teller.ts
+++ b/src/tasks/fleet/fleet_teller.ts
@@ -8,10 +8,11 @@
   type RosterEntry,
 } from "../../core/fleet/mod.ts";
 import type { PolicyDocument } from "../../core/policy/mod.ts";
-import type {
-  LoadedVersion,
-  TargetRegistry,
-  TargetReport,
+import {
+  isSamePlace,
+  type LoadedVersion,
+  type TargetRegistry,
+  type TargetReport,
 } from "../../core/registry/mod.ts";
 import type { FleetNode } from "./fleet_node.ts";
 
@@ -42,7 +43,8 @@
   readonly #options: FleetTellerOptions;
   readonly #life = randomBytes(LIFE_BYTES).toString("hex");
   readonly #toldAt = new Map<string, number>();
-  #change = 0;
+  /** Last change by role: entry instances do not follow versions. */
+  readonly #changes = new Map<FleetRole, number>();
   #isTelling = false;
   #toldRoster = "";
   #rosterRound = 0;
@@ -62,20 +64,14 @@
     });
   }
 
-  /** Tells a change of a target to those who send it work. */
-  onTarget(report: TargetReport): void {
-    const { node } = this.#options;
-    this.#change += 1;
-    for (const role of TOLD_ROLES) {
-      for (const { id } of node.present(role)) {
-        node.notify(id, {
-          type: "targets",
-          mark: this.#mark,
-          isWhole: false,
-          reports: [report],
-        });
-      }
-    }
+  /**
+   * Tells a change of a target to those who send it work.
+   * @param known - What was known of it before.
+   */
+  onTarget(report: TargetReport, known: TargetReport | undefined): void {
+    const isMoved = known === undefined || !isSamePlace(known, report);
+    this.#tellTarget(FleetRole.Ledger, report);
+    if (isMoved) this.#tellTarget(FleetRole.Entry, report);
   }
 
   /** Tells the other control instances of a report that came here. */
@@ -110,15 +106,29 @@
       for (const { id, member } of node.present(role)) {
         const seen = member.targetsSeen[node.settings.id];
         const isNew = seen?.life !== this.#life;
-        const isBehind = isNew || seen.change < this.#change;
-        if (isBehind) this.#tellTargets(id, isNew);
+        const { change } = this.#markOf(role);
+        const isBehind = isNew || seen.change < change;
+        if (isBehind) this.#tellTargets(id, role, isNew);
       }
     }
     this.#tellRoster();
   }
 
-  get #mark(): ChangeMark {
-    return { life: this.#life, change: this.#change };
+  #tellTarget(role: FleetRole, report: TargetReport): void {
+    const { node } = this.#options;
+    this.#changes.set(role, (this.#changes.get(role) ?? 0) + 1);
+    for (const { id } of node.present(role)) {
+      node.notify(id, {
+        type: "targets",
+        mark: this.#markOf(role),
+        isWhole: false,
+        reports: [report],
+      });
+    }
+  }
+
+  #markOf(role: FleetRole): ChangeMark {
+    return { life: this.#life, change: this.#changes.get(role) ?? 0 };
   }
 
   #tellPolicy(document: PolicyDocument | undefined): void {
@@ -134,7 +144,7 @@
   }
 
   /** Signs of what an instance has taken in come back with a delay. */
-  #tellTargets(id: string, isNew: boolean): void {
+  #tellTargets(id: string, role: FleetRole, isNew: boolean): void {
     const { node, registry, now } = this.#options;
     const at = now();
     const pauseMs = isNew ? TELL_NEW_MS : TELL_AGAIN_MS;
@@ -142,7 +152,7 @@
     this.#toldAt.set(id, at);
     node.notify(id, {
       type: "targets",
-      mark: this.#mark,
+      mark: this.#markOf(role),
       isWhole: true,
       reports: registry.all.map((target) => target.report),
     });
