Duties share their loop, bundles their options; unused members removed

Cause, by reading the change as a whole: the duties for usage and capacity each had the same timer with the same busy flag, two bundles the same nine options, and a few exports and getters had no caller (BatchAnswers, LOG_ROLES, fetchText, isGroupComplete, running, isMember, the call's model). Ruled out: the older control task's waiters beside LogService; they look alike, but it answers forwarded proposals too, so joining them changes behaviour.

--- a/scripts/bundle.ts
+++ b/scripts/bundle.ts
@@ -25,22 +25,11 @@
  * ```
  */
 export async function bundlePrograms(): Promise<void> {
-  await build({
-    entryPoints: {
-      nutmegreel: "src/main.ts",
-      fake: "fakes/main.ts",
-      fleet: "platform/main.ts",
-    },
-    outdir: "dist",
-    outExtension: { ".js": ".mjs" },
-    bundle: true,
-    platform: "node",
-    target: "node20",
-    format: "esm",
-    external: OPTIONAL_MODULES,
-    banner: { js: BANNER },
-    logLevel: "error",
-  });
+  await bundleModules({
+    nutmegreel: "src/main.ts",
+    fake: "fakes/main.ts",
+    fleet: "platform/main.ts",
+  }, "dist");
 }
 
 /** Bundles the program as CommonJS, as a single executable needs it. */
@@ -60,9 +49,17 @@
 
 /** Bundles the program that runs on the users' platform. */
 export async function bundleFleet(): Promise<void> {
+  await bundleModules({ "nutmegreel": "platform/main.ts" }, "target");
+}
+
+/** Bundles programs as modules. */
+async function bundleModules(
+  entryPoints: Readonly<Record<string, string>>,
+  outdir: string,
+): Promise<void> {
   await build({
-    entryPoints: { "nutmegreel": "platform/main.ts" },
-    outdir: "target",
+    entryPoints,
+    outdir,
     outExtension: { ".js": ".mjs" },
     bundle: true,
     platform: "node",
--- a/src/core/batches/batch_record.ts
+++ b/src/core/batches/batch_record.ts
@@ -73,14 +73,6 @@
     return this.spec.items.filter((item) => !this.#listed.has(item.id));
   }
 
-  /** Gets whether every item of a group has completed. */
-  isGroupComplete(group: string): boolean {
-    return this.spec.items.every((item) =>
-      item.group !== group ||
-      this.#listed.get(item.id)?.state === ResultState.Completed
-    );
-  }
-
   /**
    * Lists a result, unless the item has one.
    * @param after - Events of the text that are kept already.
--- a/src/core/calls/call.ts
+++ b/src/core/calls/call.ts
@@ -18,8 +18,6 @@
   readonly key: string | undefined;
   /** Time for which the caller waits, from arrival; undefined for unsaid. */
   readonly patienceMs: number | undefined;
-  /** Model that the caller asks for. */
-  readonly model: string | undefined;
 }
 
 /** An answer, read whole. */
--- a/src/core/fleet/roster.ts
+++ b/src/core/fleet/roster.ts
@@ -1,7 +1,7 @@
 /** The members of a fleet, as far as one instance has heard. */
 import {
   type FleetMember,
-  FleetRole,
+  type FleetRole,
   type RosterEntry,
 } from "./fleet_member.ts";
 
@@ -62,9 +62,3 @@
     return forgotten;
   }
 }
-
-/** Roles whose members every instance knows. */
-export const LOG_ROLES: readonly FleetRole[] = [
-  FleetRole.Control,
-  FleetRole.Ledger,
-];
--- a/src/tasks/batches/batch_port.ts
+++ b/src/tasks/batches/batch_port.ts
@@ -1,5 +1,5 @@
 /** Calls for batches, as entry instances pass them to the ledger. */
-import type { BatchSpec, ResultPage } from "../../core/batches/mod.ts";
+import type { BatchSpec } from "../../core/batches/mod.ts";
 
 /** Names of the calls between instances. */
 export const BatchMethod = {
@@ -37,9 +37,3 @@
 export interface BodyParams extends BatchParams {
   readonly item: string;
 }
-
-/** Answers of the calls. */
-export interface BatchAnswers {
-  readonly page: ResultPage;
-  readonly body: Uint8Array;
-}
--- a/src/tasks/batches/batch_runner.ts
+++ b/src/tasks/batches/batch_runner.ts
@@ -106,11 +106,6 @@
     return this;
   }
 
-  /** Gets the number of runs. */
-  get running(): number {
-    return this.#runs.size;
-  }
-
   /** Takes the means of demand since the last call, by service. */
   takeDemand(): ServiceDemand[] {
     return this.#demand.take();
--- a/src/tasks/batches/batch_task.ts
+++ b/src/tasks/batches/batch_task.ts
@@ -108,12 +108,6 @@
     return this.#service.leadsTerm;
   }
 
-  /** Gets whether the replica is one of the log's members. */
-  get isMember(): boolean {
-    const members = this.#service.driver.node?.members;
-    return members !== undefined && members.voters.length > 0;
-  }
-
   /** Opens the store and runs. */
   async start(): Promise<void> {
     await this.#service.driver.start();
--- a/src/tasks/calls/call_run_test.ts
+++ b/src/tasks/calls/call_run_test.ts
@@ -21,7 +21,6 @@
   body: new Uint8Array(),
   key: "k",
   patienceMs: 2_000,
-  model: undefined,
 };
 
 function answered(
--- a/src/tasks/fleet/capacity_duty.ts
+++ b/src/tasks/fleet/capacity_duty.ts
@@ -5,6 +5,7 @@
 import { type TargetRegistry, TargetState } from "../../core/registry/mod.ts";
 import type { Logger } from "../../logging/mod.ts";
 import type { DutyLease } from "./duty_lease.ts";
+import { DutyLoop } from "./duty_loop.ts";
 import { OrderOutcome, type ReceiverPort } from "./order_port.ts";
 
 /** Options of {@link CapacityDuty}. */
@@ -44,23 +45,26 @@
   readonly #dryUntil = new Map<string, number>();
   #observations: Observation[] = [];
   #observedSince = Infinity;
-  #isBusy = false;
-  #timer: NodeJS.Timeout | undefined;
+  readonly #loop: DutyLoop;
 
   /** Creates the duty; it does nothing yet. */
   constructor(options: CapacityDutyOptions) {
     this.#options = options;
+    this.#loop = new DutyLoop({
+      intervalMs: TICK_MS,
+      work: () => this.#work(),
+      onError: (err) => options.logger.error(err),
+    });
   }
 
   /** Begins the duty. */
   start(): void {
-    this.#timer ??= setInterval(() => this.#tick(), TICK_MS);
+    this.#loop.start();
   }
 
   /** Ends the duty. */
   stop(): void {
-    clearInterval(this.#timer);
-    this.#timer = undefined;
+    this.#loop.stop();
     this.#placed.clear();
     this.#dryUntil.clear();
     this.#observations = [];
@@ -75,16 +79,6 @@
     this.#observations.push({ ...demand, at });
   }
 
-  #tick(): void {
-    if (this.#isBusy) return;
-    this.#isBusy = true;
-    this.#work()
-      .catch((err) => this.#options.logger.error(err))
-      .finally(() => {
-        this.#isBusy = false;
-      });
-  }
-
   async #work(): Promise<void> {
     if (this.#options.lease.get() === undefined) return;
     for (const service of this.#options.policy()?.services ?? []) {
--- a/src/tasks/fleet/usage_duty.ts
+++ b/src/tasks/fleet/usage_duty.ts
@@ -3,6 +3,7 @@
 import type { FleetCommand, FleetState } from "../../core/fleet/mod.ts";
 import type { Logger } from "../../logging/mod.ts";
 import type { DutyLease } from "./duty_lease.ts";
+import { DutyLoop } from "./duty_loop.ts";
 import { OrderOutcome, type ReceiverPort } from "./order_port.ts";
 
 /** Options of {@link UsageDuty}. */
@@ -29,37 +30,27 @@
 /** Reports the windows in order. */
 export class UsageDuty {
   readonly #options: UsageDutyOptions;
-  #isBusy = false;
-  #timer: NodeJS.Timeout | undefined;
+  readonly #loop: DutyLoop;
 
   /** Creates the duty; it does nothing yet. */
   constructor(options: UsageDutyOptions) {
     this.#options = options;
+    this.#loop = new DutyLoop({
+      intervalMs: TICK_MS,
+      work: () => this.#work(),
+      onError: (err) =>
+        options.logger.event("usageFailed", { reason: (err as Error).message }),
+    });
   }
 
   /** Begins the duty. */
   start(): void {
-    this.#timer ??= setInterval(() => this.#tick(), TICK_MS);
+    this.#loop.start();
   }
 
   /** Ends the duty. */
   stop(): void {
-    clearInterval(this.#timer);
-    this.#timer = undefined;
-  }
-
-  #tick(): void {
-    if (this.#isBusy) return;
-    this.#isBusy = true;
-    this.#work()
-      .catch((err) =>
-        this.#options.logger.event("usageFailed", {
-          reason: (err as Error).message,
-        })
-      )
-      .finally(() => {
-        this.#isBusy = false;
-      });
+    this.#loop.stop();
   }
 
   async #work(): Promise<void> {
--- a/tests/support/fleet_trainer.ts
+++ b/tests/support/fleet_trainer.ts
@@ -1,5 +1,5 @@
 /** A trainer on the users' platform: submits batches and reads results. */
-import { Client, request } from "undici";
+import { Client } from "undici";
 import { sleep } from "./fleet_deployment.ts";
 
 /** A result as the trainer read it. */
@@ -168,9 +168,3 @@
     }
   }
 }
-
-/** Asks whatever listens at a URL, for tests of what is served besides. */
-export async function fetchText(url: string): Promise<string> {
-  const answer = await request(url);
-  return await answer.body.text();
-}
