A batch that is held is never answered as not run

Cause: for a batch that its state already holds, BatchTask confirmed the lead with the verdict of a question that changes nothing, so a replica that had lost its quorum answered notRun (503 at the entry) though the items may run. Ruled out: the path of an unknown batch; its proposal already tells notRun from mayHaveRun, and the entry keeps mayHaveRun over a later notRun. Conclusion: the verdict belongs to the question; confirmLead takes it.

--- a/src/tasks/batches/batch_task.ts
+++ b/src/tasks/batches/batch_task.ts
@@ -250,7 +250,7 @@
       if (!answer.isHeld) throw notFound();
       return true;
     }
-    await this.#confirm();
+    await this.#service.confirmLead(CONFIRM_MS, Verdict.MayHaveRun);
     if (known.spec.workspace !== spec.workspace) throw notFound();
     return true;
   }
--- /dev/null
+++ b/src/tasks/batches/batch_task_test.ts
@@ -0,0 +1,108 @@
+import { mkdtemp, rm } from "node:fs/promises";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
+import type { BatchSpec } from "../../core/batches/mod.ts";
+import { Verdict } from "../../core/verdict/mod.ts";
+import { Logger } from "../../logging/mod.ts";
+import { Metrics } from "../../metrics/mod.ts";
+import { fleetSettingsSchema } from "../../settings/mod.ts";
+import { FleetNode } from "../fleet/fleet_node.ts";
+import { BatchMethod } from "./batch_port.ts";
+import { BatchTask } from "./batch_task.ts";
+
+const spec: BatchSpec = {
+  id: "b-1",
+  workspace: "w",
+  route: "r",
+  host: "h",
+  service: "s",
+  acceptedAt: Date.now(),
+  objectiveMs: 7_500,
+  giveUpMs: 10_000,
+  maxAttempts: 3,
+  minVersion: 0,
+  isSingleVersion: false,
+  desiredGroups: 0,
+  items: [],
+};
+
+describe(BatchTask.name, () => {
+  let dataFolder: string;
+  let node: FleetNode;
+  let task: BatchTask;
+
+  const submit = () =>
+    node.hub.answer(BatchMethod.Submit, { spec }, node.settings.id);
+
+  beforeEach(async () => {
+    dataFolder = await mkdtemp(join(tmpdir(), "batch-task-"));
+    node = new FleetNode({
+      settings: fleetSettingsSchema.parse({
+        id: "127.0.0.1",
+        name: "s0",
+        dataCentre: "a",
+        role: "ledger",
+        peerPort: 1,
+        seeds: [],
+        isFirstStart: true,
+        tolerance: 0,
+        listen: {},
+        times: {
+          revokeMs: 5_000,
+          reportIntervalMs: 500,
+          graceS: 8,
+          usageWindowS: 5,
+          usageDueS: 10,
+          keepResultsS: 40,
+          contactMs: 3_000,
+        },
+      }),
+      logger: new Logger({ instance: "test", level: "error" }),
+      metrics: new Metrics({ tags: {} }),
+      describe: () => ({
+        replica: task.replica,
+        leadsTerm: task.leadsTerm,
+        policyRevision: 0,
+        targetsSeen: {},
+      }),
+    });
+    task = new BatchTask({
+      node,
+      dataFolder,
+      engines: {
+        open: () => ({ cancel: () => {} }),
+        keepOnly: () => {},
+      },
+      now: () => performance.now(),
+    });
+    await task.start();
+  });
+
+  afterEach(async () => {
+    await task.stop();
+    await rm(dataFolder, { recursive: true, force: true });
+  });
+
+  async function lead(): Promise<void> {
+    await node.hub.answer("batches.form", [task.replica], node.settings.id);
+    await vi.waitFor(() => expect(task.leadsTerm).toBeDefined(), 5_000);
+  }
+
+  it("refuses as not run what it has never accepted", () =>
+    expect(submit()).rejects.toMatchObject({ verdict: Verdict.NotRun }));
+
+  it("accepts a batch once, however often it comes", async () => {
+    await lead();
+    expect(await submit()).toBe(true);
+    expect(await submit()).toBe(true);
+  });
+
+  it("does not call an accepted batch not run", async () => {
+    await lead();
+    await submit();
+    await task.stop();
+    await expect(submit()).rejects
+      .toMatchObject({ verdict: Verdict.MayHaveRun });
+  });
+});
--- a/src/tasks/log/log_service.ts
+++ b/src/tasks/log/log_service.ts
@@ -103,11 +103,15 @@
 
   /**
    * Waits until this replica is known to lead still.
-   * @throws RefusalError where it does not, or cannot be sure in time.
+   * @throws RefusalError with the verdict, where it does not lead or cannot be
+   * sure in time.
    */
-  async confirmLead(timeoutMs: number): Promise<void> {
+  async confirmLead(
+    timeoutMs: number,
+    verdict: Verdict = Verdict.NotRun,
+  ): Promise<void> {
     if (await this.driver.confirmLead(timeoutMs)) return;
-    throw unavailable(Verdict.NotRun);
+    throw unavailable(verdict);
   }
 
   /** Sets the gauges of the log. */
--- a/src/tasks/peers/peer_hub.ts
+++ b/src/tasks/peers/peer_hub.ts
@@ -164,6 +164,20 @@
     return this;
   }
 
+  /**
+   * Answers a question of an instance.
+   * @throws RefusalError with verdict `notRun` where nothing takes it.
+   */
+  async answer(
+    method: string,
+    params: unknown,
+    from: string,
+  ): Promise<unknown> {
+    const handler = this.#methods.get(method);
+    if (handler === undefined) throw unanswered(Verdict.NotRun);
+    return await handler(params, from);
+  }
+
   /** Tells what this instance is to all that hear of it, now. */
   announce(): this {
     this.#beat();
@@ -343,10 +357,8 @@
     respond: (answer: PeerEnvelope) => void,
   ): Promise<void> {
     const { id, method, params } = envelope.body;
-    const handler = this.#methods.get(method);
     try {
-      if (handler === undefined) throw unanswered(Verdict.NotRun);
-      const result = await handler(params, from);
+      const result = await this.answer(method, params, from);
       respond({ channel: "reply", body: { id, result } });
     } catch (err) {
       const refusal = refusalOf(err);
