A replica without a vote ticks no more

Cause: nextTickAt told an election time to replicas that may not stand for election; once it had passed, the driver ticked each 5 ms for good. Of 6 idle ledger replicas the three without a vote woke 223 to 230 times a second and took 4.3 % of a core each; those with a vote 61 to 97 times and 2.1 to 3.3 %. Ruled out: heartbeats and presence, which are the same for both. The new test fails without the change (2100 instead of Infinity).

--- a/src/core/configuration/document.ts
+++ b/src/core/configuration/document.ts
@@ -1,5 +1,5 @@
 /** The configuration document: one JSON object, a section for each matter. */
-import { z } from "zod";
+import * as z from "zod";
 
 const MAX_NAME_LENGTH = 64;
 const HOUR_MS = 3_600_000;
--- a/src/core/consensus/consensus_node.ts
+++ b/src/core/consensus/consensus_node.ts
@@ -343,10 +343,10 @@
     this.#startPreVote(now);
   }
 
-  /** Gets when {@link ConsensusNode.tick} is due next. */
+  /** Gets when {@link ConsensusNode.tick} is due next; infinite for never. */
   get nextTickAt(): number {
     if (this.role === Role.Leader) return this.#heartbeatDueAt;
-    return this.#electionDueAt;
+    return this.#isVoter() ? this.#electionDueAt : Infinity;
   }
 
   /** Replaces applied entries by a snapshot of the application. */
--- a/src/core/consensus/consensus_node_test.ts
+++ b/src/core/consensus/consensus_node_test.ts
@@ -306,6 +306,20 @@
       .toBe(true);
   });
 
+  it("has a tick due only where it may lead", () => {
+    const cluster = create();
+    const leader = cluster.elect("a");
+    const members = { voters: ["a", "b", "c"], learners: ["d"] };
+    cluster.disks.set("d", stored([]));
+    const learner = cluster.start("d");
+    expect(learner.nextTickAt).toBe(Infinity);
+    leader.proposeMembers(members, cluster.now);
+    cluster.settle();
+    expect(learner.nextTickAt).toBe(Infinity);
+    expect(cluster.of("b").nextTickAt).toBeGreaterThan(cluster.now);
+    expect(leader.nextTickAt).toBeLessThan(Infinity);
+  });
+
   it("makes no learner a voter that is not whole", () => {
     const cluster = create();
     const leader = cluster.elect("a");
--- a/src/tasks/log/log_driver.ts
+++ b/src/tasks/log/log_driver.ts
@@ -311,7 +311,7 @@
   #schedule(): void {
     clearTimeout(this.#tickTimer);
     const node = this.#node;
-    if (node === undefined) return;
+    if (node === undefined || node.nextTickAt === Infinity) return;
     const { now } = this.#options;
     const delay = Math.max(MIN_TICK_MS, node.nextTickAt - now());
     this.#tickTimer = setTimeout(
