Less to load at each start: schemas without locales, bundles without blanks

Cause: of 272 ms to load the bundle 73 ms are its parsing; the name z taken from zod keeps every locale in it, 560 KB of 2.86 MB.

--- a/scripts/bundle.ts
+++ b/scripts/bundle.ts
@@ -67,6 +67,9 @@
     format: "esm",
     external: OPTIONAL_MODULES,
     banner: { js: BANNER },
+    // Less to parse at each start; names stay, for stack traces.
+    minifyWhitespace: true,
+    minifySyntax: true,
     logLevel: "error",
   });
 }
--- a/scripts/catalogues.ts
+++ b/scripts/catalogues.ts
@@ -1,6 +1,6 @@
 /** Writes the pages and schemas that are made from the code. */
 import { mkdirSync, readFileSync, writeFileSync } from "node:fs";
-import { z } from "zod";
+import * as z from "zod";
 import { configurationSchema } from "../src/core/configuration/mod.ts";
 import { EVENT_CATALOGUE } from "../src/logging/mod.ts";
 import { metricCatalogue } from "../src/metrics/mod.ts";
--- a/src/protocol/completion_chunk.ts
+++ b/src/protocol/completion_chunk.ts
@@ -1,5 +1,5 @@
 /** The part of an engine's stream that the system reads. */
-import { z } from "zod";
+import * as z from "zod";
 
 /** Schema of one event of an engine's stream. */
 export const completionChunkSchema = z.object({
--- a/src/protocol/step_request.ts
+++ b/src/protocol/step_request.ts
@@ -1,5 +1,5 @@
 /** Bodies of the step endpoints. */
-import { z } from "zod";
+import * as z from "zod";
 
 const MAX_GROUPS = 4_096;
 const MAX_SAMPLES = 16_384;
--- a/src/replay/trace_line.ts
+++ b/src/replay/trace_line.ts
@@ -1,5 +1,5 @@
 /** Lines of a recorded trace. */
-import { z } from "zod";
+import * as z from "zod";
 
 /** Schema of a line: what happened, and what is to come of it. */
 export const traceLineSchema = z.strictObject({
--- a/src/settings/fleet_settings.ts
+++ b/src/settings/fleet_settings.ts
@@ -1,5 +1,5 @@
 /** Settings of an instance of a fleet that finds itself by seeds. */
-import { z } from "zod";
+import * as z from "zod";
 import { FleetRole } from "../core/fleet/fleet_member.ts";
 
 const MS_PER_S = 1_000;
--- a/src/settings/settings.ts
+++ b/src/settings/settings.ts
@@ -1,5 +1,5 @@
 /** Settings of one instance, as its JSON file gives them. */
-import { z } from "zod";
+import * as z from "zod";
 
 const id = z.string().regex(
   /^[a-z0-9][a-z0-9.-]*$/,
--- a/src/tasks/entry/http_body.ts
+++ b/src/tasks/entry/http_body.ts
@@ -1,6 +1,6 @@
 /** Reads bounded bodies of callers' requests. */
 import type { IncomingMessage } from "node:http";
-import type { z } from "zod";
+import type * as z from "zod";
 import { toFaults } from "../../core/configuration/mod.ts";
 import {
   RefusalError,
--- a/src/tasks/entry/operator_handlers.ts
+++ b/src/tasks/entry/operator_handlers.ts
@@ -1,7 +1,7 @@
 /** Handlers of operators' and targets' endpoints. */
 import { randomBytes, timingSafeEqual } from "node:crypto";
 import { createHash } from "node:crypto";
-import { z } from "zod";
+import * as z from "zod";
 import { SECTION_NAMES } from "../../core/configuration/mod.ts";
 import type { CommandAnswer } from "../../core/control/mod.ts";
 import type { ForceAnswer } from "../../core/feed/mod.ts";
