Two instances share one connection, whoever has dialled it

Cause: messages went only on links that an instance had dialled itself, so control instances dialled back to each entry and ledger instance that had dialled them; each of the two connections had its own signs of life, two pings, two pongs and a presence a second. With 20 idle instances a control instance wakes 113 to 159 times a second, an entry instance 25 to 35 times. Ruled out: timers of the tasks (upkeep, duties), under 15 wakeups a second. Change: a link that was accepted is used like an own one; pings are sent only into silence; of two links in a mesh the one dialled by the lower id stays; a silent accepted link is ended; a question fails with the link that it went on (the test of the spare link failed first: the close of the old link failed a question on the new one).

--- a/src/tasks/fleet/fleet_node.ts
+++ b/src/tasks/fleet/fleet_node.ts
@@ -243,16 +243,22 @@
     ]);
     controls.delete(id);
     if (role === FleetRole.Control) {
-      for (const control of controls) this.hub.keepLink(control);
+      for (const control of controls) this.#keepMeshLink(control);
       return;
     }
     this.#keepControlLinks([...controls]);
     if (role !== FleetRole.Ledger) return;
     for (const ledger of this.roster.of(FleetRole.Ledger, this.now)) {
-      if (ledger.id !== id) this.hub.keepLink(ledger.id);
+      if (ledger.id !== id) this.#keepMeshLink(ledger.id);
     }
   }
 
+  /** Of two that have dialled each other, the one with the lower id stays. */
+  #keepMeshLink(other: string): void {
+    if (!this.hub.isLinked(other)) this.hub.keepLink(other);
+    else if (this.settings.id > other) this.hub.dropSpareLink(other);
+  }
+
   #keepControlLinks(controls: readonly string[]): void {
     const linked = controls.filter((id) => this.hub.isLinked(id));
     let missing = CONTROL_LINKS - linked.length;
--- a/src/tasks/peers/peer_hub.ts
+++ b/src/tasks/peers/peer_hub.ts
@@ -13,6 +13,7 @@
 } from "../../settings/mod.ts";
 import { readCertificatesOrThrow } from "../certificates.ts";
 import type { PeerEnvelope, PeerReply, Presence } from "./peer_envelope.ts";
+import type { AcceptedLink } from "./accepted_link.ts";
 import { type LinkSecurity, PeerLink } from "./peer_link.ts";
 import { PeerListener } from "./peer_listener.ts";
 
@@ -57,7 +58,8 @@
 }
 
 interface Waiting {
-  readonly peer: string;
+  /** Link on which the question went, and on which the answer comes. */
+  readonly link: PeerLink | AcceptedLink;
   readonly resolve: (result: unknown) => void;
   readonly reject: (err: Error) => void;
   readonly timer: NodeJS.Timeout;
@@ -115,9 +117,18 @@
       secret: this.#secret,
       security: this.#security,
       isKnown: (id) => this.getPeer(id) !== undefined,
-      onMessage: (from, envelope, respond) =>
-        this.#onMessage(from, envelope, respond),
+      onMessage: (accepted, envelope) =>
+        this.#onMessage(
+          accepted.peer,
+          envelope,
+          (answer) => accepted.send(answer),
+        ),
+      onChange: (accepted, isUp) => {
+        if (isUp) this.#sendPresence(accepted.peer);
+        else this.#failWaiting(accepted);
+      },
       onReceived: (bytes) => metrics.count("peers.receivedBytes", bytes),
+      onSent: (bytes) => metrics.count("peers.sentBytes", bytes),
       onRefused: (detail) => logger.event("peerRefused", { detail }),
     });
   }
@@ -192,15 +203,25 @@
 
   /** Ends the link to an instance. */
   dropLink(id: string): this {
-    this.#links.get(id)?.stop();
+    const link = this.#links.get(id);
+    if (link === undefined) return this;
+    link.stop();
     this.#links.delete(id);
-    this.#failWaiting(id);
+    this.#failWaiting(link);
     return this;
   }
 
   /** Gets whether messages to an instance can be sent now. */
   isLinked(id: string): boolean {
-    return this.#links.get(id)?.isUp ?? false;
+    return this.#openLinkTo(id) !== undefined;
+  }
+
+  /** Ends the own link to an instance that keeps one to this one too. */
+  dropSpareLink(id: string): this {
+    const own = this.#links.get(id);
+    const isSpare = this.#listener?.getLink(id) !== undefined &&
+      ![...this.#waiting.values()].some(({ link }) => link === own);
+    return isSpare ? this.dropLink(id) : this;
   }
 
   /** Gets the instances that gave a sign of life lately. */
@@ -210,7 +231,8 @@
 
   /** Sends a message; it may be lost. */
   send(to: string, envelope: PeerEnvelope): boolean {
-    return this.#linkTo(to)?.send(envelope) ?? false;
+    const link = this.#openLinkTo(to) ?? this.#linkTo(to);
+    return link?.send(envelope) ?? false;
   }
 
   /**
@@ -222,11 +244,9 @@
     method: string,
     options: { params: unknown; timeoutMs: number },
   ): Promise<unknown> {
-    const link = this.#linkTo(to);
     const linkMs = Math.min(LINK_WAIT_MS, options.timeoutMs);
-    if (link === undefined || !await link.whenUp(linkMs)) {
-      throw unanswered(Verdict.NotRun);
-    }
+    const isUp = this.isLinked(to) || await this.#linkTo(to)?.whenUp(linkMs);
+    if (isUp !== true) throw unanswered(Verdict.NotRun);
     return await this.#ask(to, method, options);
   }
 
@@ -244,12 +264,13 @@
       }, options.timeoutMs);
       const { params } = options;
       const body = { id, method, params };
-      if (!this.send(to, { channel: "request", body })) {
+      const link = this.#openLinkTo(to);
+      if (link?.send({ channel: "request", body }) !== true) {
         clearTimeout(timer);
         reject(unanswered(Verdict.NotRun));
         return;
       }
-      this.#waiting.set(id, { peer: to, resolve, reject, timer });
+      this.#waiting.set(id, { link, resolve, reject, timer });
     });
   }
 
@@ -284,14 +305,14 @@
   }
 
   #linkTo(id: string): PeerLink | undefined {
-    let link = this.#links.get(id);
+    const link = this.#links.get(id);
     if (link !== undefined) return link;
     const peer = this.getPeer(id);
     if (peer === undefined || id === this.#options.settings.id) {
       return undefined;
     }
     const { metrics, logger } = this.#options;
-    link = new PeerLink({
+    const own = new PeerLink({
       self: this.#options.settings.id,
       peer,
       secret: this.#secret,
@@ -299,20 +320,27 @@
       onChange: (isUp) => {
         logger.event(isUp ? "peerUp" : "peerDown", { peer: id });
         if (isUp) this.#sendPresence(id);
-        else this.#failWaiting(id);
+        else this.#failWaiting(own);
       },
       onSent: (bytes) => metrics.count("peers.sentBytes", bytes),
-      onAnswer: (envelope) => {
-        if (envelope.channel === "reply") this.#onReply(envelope.body);
-      },
+      onReceived: (bytes) => metrics.count("peers.receivedBytes", bytes),
+      onMessage: (envelope) =>
+        this.#onMessage(id, envelope, (answer) => own.send(answer)),
     });
-    this.#links.set(id, link);
-    return link;
+    this.#links.set(id, own);
+    return own;
+  }
+
+  /** Gets a link to an instance that is up, whoever has dialled it. */
+  #openLinkTo(id: string): PeerLink | AcceptedLink | undefined {
+    const own = this.#links.get(id);
+    return own?.isUp === true ? own : this.#listener?.getLink(id);
   }
 
-  #failWaiting(peer: string): void {
+  /** Answers on a link are lost with it, even where there is another. */
+  #failWaiting(link: PeerLink | AcceptedLink): void {
     for (const [id, waiting] of this.#waiting) {
-      if (waiting.peer !== peer) continue;
+      if (waiting.link !== link) continue;
       this.#waiting.delete(id);
       clearTimeout(waiting.timer);
       waiting.reject(unanswered(Verdict.MayHaveRun));
@@ -320,13 +348,17 @@
   }
 
   #beat(): void {
-    const audience = this.#options.audience() ?? [...this.#links.keys()];
+    const audience = this.#options.audience() ?? this.#linkedIds;
     for (const id of audience) this.#sendPresence(id);
   }
 
   #sendPresence(to: string): void {
     const body = this.#options.presence();
-    this.#links.get(to)?.send({ channel: "presence", body });
+    this.#openLinkTo(to)?.send({ channel: "presence", body });
+  }
+
+  get #linkedIds(): ReadonlySet<string> {
+    return new Set([...this.#links.keys(), ...this.#listener?.linkedIds ?? []]);
   }
 
   #onMessage(
--- a/src/tasks/peers/peer_hub_test.ts
+++ b/src/tasks/peers/peer_hub_test.ts
@@ -1,6 +1,6 @@
 import { createServer } from "node:net";
 import type { AddressInfo } from "node:net";
-import { afterEach, describe, expect, it } from "vitest";
+import { afterEach, describe, expect, it, vi } from "vitest";
 import { FaultProxy, LinkState } from "../../../soak/fleet/fault_proxy.ts";
 import { RefusalReason, Verdict } from "../../core/verdict/mod.ts";
 import { RefusalError } from "../../core/verdict/mod.ts";
@@ -76,6 +76,38 @@
       throw new RefusalError(RefusalReason.NotFound, Verdict.NotRun);
     }, [RefusalReason.NotFound, Verdict.NotRun]));
 
+  it("sends on a link that the other has dialled", async () => {
+    const [a, b, dead] = [await freePort(), await freePort(), await freePort()];
+    const dialler = await start("a", a, { b });
+    const other = await start("b", b, { a: dead });
+    dialler.keepLink("b").handle("echo", (params) => params);
+    const notices: unknown[] = [];
+    dialler.on("notice", (from, notice) => notices.push([from, notice]));
+    await vi.waitFor(() => expect(other.isLinked("a")).toBe(true), 5_000);
+    await vi.waitFor(() => expect(dialler.isPresent("b")).toBe(true), 5_000);
+    const options = { params: { n: 1 }, timeoutMs: 2_000 };
+    expect(await other.request("a", "echo", options)).toEqual({ n: 1 });
+    const body = { type: "roster", members: [], retiring: [] } as const;
+    expect(other.send("a", { channel: "notice", body })).toBe(true);
+    await vi.waitFor(() => expect(notices).toEqual([["b", body]]), 5_000);
+  });
+
+  it("ends the spare one of two links, and only that", async () => {
+    const [a, b] = [await freePort(), await freePort()];
+    const first = await start("a", a, { b });
+    const second = await start("b", b, { a });
+    second.dropSpareLink("a");
+    first.keepLink("b");
+    second.keepLink("a");
+    await vi.waitFor(() => expect(second.isLinked("a")).toBe(true), 5_000);
+    await vi.waitFor(() => expect(first.isLinked("b")).toBe(true), 5_000);
+    second.dropSpareLink("a");
+    expect(second.isLinked("a")).toBe(true);
+    first.handle("echo", (params) => params);
+    const options = { params: 1, timeoutMs: 2_000 };
+    expect(await second.request("a", "echo", options)).toBe(1);
+  });
+
   it("says not run where the other is not there", async () => {
     const [a, b] = [await freePort(), await freePort()];
     const asker = await start("a", a, { b });
--- a/src/tasks/peers/peer_link.ts
+++ b/src/tasks/peers/peer_link.ts
@@ -29,18 +29,21 @@
   readonly onChange: (isUp: boolean) => void;
   /** Counts sent bytes. */
   readonly onSent: (bytes: number) => void;
-  /** Takes an answer that came on this connection. */
-  readonly onAnswer: (envelope: PeerEnvelope) => void;
+  /** Takes a message that came on this connection. */
+  readonly onMessage: (envelope: PeerEnvelope) => void;
+  /** Counts received bytes. */
+  readonly onReceived: (bytes: number) => void;
 }
 
+/** Silence after which the other side is asked for a sign of life. */
 const PING_INTERVAL_MS = 500;
 /** Silence after which a link counts as dead although it is not closed. */
-const SILENCE_LIMIT_MS = 1_800;
+export const SILENCE_LIMIT_MS = 1_800;
 const FIRST_PAUSE_MS = 100;
 const MAX_PAUSE_MS = 1_000;
 const HANDSHAKE_TIMEOUT_MS = 1_500;
 /** Bytes that wait on a slow link before messages are dropped. */
-const MAX_BUFFERED_BYTES = 33_554_432;
+export const MAX_BUFFERED_BYTES = 33_554_432;
 
 /** Dials one instance again and again, and sends to it. */
 export class PeerLink {
@@ -127,9 +130,11 @@
       socket.send(JSON.stringify({ proof: createProof(own) }));
       this.#pauseMs = FIRST_PAUSE_MS;
       socket.on("message", (message: Buffer) => {
+        this.#heardAt = performance.now();
+        this.#options.onReceived(message.length);
         const envelope = decodeEnvelope(message);
         if (envelope === undefined) socket.terminate();
-        else this.#options.onAnswer(envelope);
+        else this.#options.onMessage(envelope);
       });
       this.#watch(socket);
       this.#setUp(true);
@@ -152,7 +157,7 @@
         this.#onClose(socket);
         return;
       }
-      socket.ping();
+      if (silentMs >= PING_INTERVAL_MS) socket.ping();
     }, PING_INTERVAL_MS);
   }
 
--- a/src/tasks/peers/peer_listener.ts
+++ b/src/tasks/peers/peer_listener.ts
@@ -4,12 +4,9 @@
 import type { Server as TlsServer } from "node:https";
 import { type WebSocket, WebSocketServer } from "ws";
 import type { Address } from "../../settings/mod.ts";
+import { AcceptedLink } from "./accepted_link.ts";
 import { createNonce, createProof, isProofOf } from "./peer_handshake.ts";
-import {
-  decodeEnvelope,
-  encodeEnvelope,
-  type PeerEnvelope,
-} from "./peer_envelope.ts";
+import { decodeEnvelope, type PeerEnvelope } from "./peer_envelope.ts";
 import type { LinkSecurity } from "./peer_link.ts";
 
 /** Options of {@link PeerListener}. */
@@ -24,14 +21,14 @@
   readonly security?: LinkSecurity;
   /** Gets whether an instance is one of the system's. */
   readonly isKnown: (id: string) => boolean;
-  /** Takes a message, and how to answer it on the same connection. */
-  readonly onMessage: (
-    from: string,
-    envelope: PeerEnvelope,
-    respond: (answer: PeerEnvelope) => void,
-  ) => void;
+  /** Takes a message, and the connection to answer it on. */
+  readonly onMessage: (link: AcceptedLink, envelope: PeerEnvelope) => void;
+  /** Hears that the newest connection of an instance is up, or has ended. */
+  readonly onChange: (link: AcceptedLink, isUp: boolean) => void;
   /** Counts received bytes. */
   readonly onReceived: (bytes: number) => void;
+  /** Counts sent bytes. */
+  readonly onSent: (bytes: number) => void;
   /** Hears of a connection that could not prove itself. */
   readonly onRefused: (detail: string) => void;
 }
@@ -39,12 +36,16 @@
 const MAX_MESSAGE_BYTES = 134_217_728;
 const MAX_HANDSHAKE_BYTES = 1_024;
 const HANDSHAKE_TIMEOUT_MS = 3_000;
+const WATCH_INTERVAL_MS = 600;
 
 /** Listens for other instances and hands their messages on. */
 export class PeerListener {
   readonly #options: PeerListenerOptions;
   readonly #http: Server | TlsServer;
   readonly #sockets: WebSocketServer;
+  /** Newest connection of each instance. */
+  readonly #links = new Map<string, AcceptedLink>();
+  #watchTimer: NodeJS.Timeout | undefined;
 
   /** Creates the listener; it does not listen yet. */
   constructor(options: PeerListenerOptions) {
@@ -64,6 +65,9 @@
   /** Begins to listen. */
   listen(): Promise<void> {
     const { host, port } = this.#options.address;
+    this.#watchTimer = setInterval(() => {
+      for (const link of this.#links.values()) link.endIfSilent();
+    }, WATCH_INTERVAL_MS);
     return new Promise((resolve, reject) => {
       this.#http.once("error", reject);
       this.#http.listen(port, host, () => {
@@ -73,6 +77,17 @@
     });
   }
 
+  /** Gets the instances that keep a connection to this one. */
+  get linkedIds(): readonly string[] {
+    return [...this.#links.keys()];
+  }
+
+  /** Gets the newest connection of an instance. */
+  getLink(id: string): AcceptedLink | undefined {
+    const link = this.#links.get(id);
+    return link?.isUp === true ? link : undefined;
+  }
+
   /** Replaces the certificate for new connections. */
   setSecureContext(security: LinkSecurity): this {
     if ("setSecureContext" in this.#http) {
@@ -83,6 +98,7 @@
 
   /** Ends all connections. */
   stop(): void {
+    clearInterval(this.#watchTimer);
     for (const socket of this.#sockets.clients) socket.terminate();
     this.#sockets.close();
     this.#http.close();
@@ -133,20 +149,27 @@
   }
 
   #accept(socket: WebSocket, id: string): void {
+    const { onMessage, onChange, onReceived, onRefused, onSent } =
+      this.#options;
+    const link = new AcceptedLink({ peer: id, socket, onSent });
+    this.#links.set(id, link);
     socket.on("message", (data: Buffer) => {
-      this.#options.onReceived(data.length);
+      link.hear();
+      onReceived(data.length);
       const envelope = decodeEnvelope(data);
       if (envelope === undefined) {
-        this.#options.onRefused(`Malformed message of ${id}`);
+        onRefused(`Malformed message of ${id}`);
         socket.terminate();
         return;
       }
-      this.#options.onMessage(id, envelope, (answer) => {
-        if (socket.readyState === socket.OPEN) {
-          socket.send(encodeEnvelope(answer));
-        }
-      });
+      onMessage(link, envelope);
+    });
+    socket.on("close", () => {
+      if (this.#links.get(id) !== link) return;
+      this.#links.delete(id);
+      onChange(link, false);
     });
+    onChange(link, true);
   }
 }
 
