--- a/src/core/batches/batch_record_test.ts
+++ b/src/core/batches/batch_record_test.ts
@@ -1,31 +1,11 @@
 import { describe, expect, it } from "vitest";
-import { type BatchSpec, ResultState } from "./batch.ts";
+import { createItem, createSpec } from "../../../tests/support/batch_spec.ts";
+import { ResultState } from "./batch.ts";
 import { BatchRecord } from "./batch_record.ts";
 
-const SPEC: BatchSpec = {
-  id: "b",
-  workspace: "w",
-  route: "r",
-  host: "h",
-  service: "s",
-  acceptedAt: 0,
-  objectiveMs: 1_000,
-  giveUpMs: 10_000,
-  maxAttempts: 3,
-  minVersion: 0,
-  isSingleVersion: false,
-  desiredGroups: 0,
-  items: ["i1", "i2", "i3"].map((id) => ({
-    id,
-    path: "/p/",
-    headers: {},
-    body: new Uint8Array(),
-    tokens: 0,
-    group: "g",
-    model: "m",
-    expectedTokens: undefined,
-  })),
-};
+const SPEC = createSpec({
+  items: ["i1", "i2", "i3"].map((id) => createItem(id)),
+});
 
 function completed(id: string, text: string) {
   return { id, state: ResultState.Completed, text, versions: [1] };
--- a/src/core/batches/item_book_test.ts
+++ b/src/core/batches/item_book_test.ts
@@ -1,4 +1,5 @@
 import { describe, expect, it } from "vitest";
+import { createItem, createSpec } from "../../../tests/support/batch_spec.ts";
 import type { BatchItem } from "./batch.ts";
 import { BatchRecord } from "./batch_record.ts";
 import { DemandMeter } from "./demand_meter.ts";
@@ -7,31 +8,9 @@
 import { RunText } from "./run_text.ts";
 import { TargetState } from "../registry/mod.ts";
 
-function record(id: string, items: readonly string[], minVersion = 0) {
-  return new BatchRecord({
-    id,
-    workspace: "w",
-    route: "r",
-    host: "h",
-    service: "s",
-    acceptedAt: 0,
-    objectiveMs: 1,
-    giveUpMs: 1,
-    maxAttempts: 1,
-    minVersion,
-    isSingleVersion: false,
-    desiredGroups: 0,
-    items: items.map((item) => ({
-      id: item,
-      path: "/",
-      headers: {},
-      body: new Uint8Array(),
-      tokens: 0,
-      group: item,
-      model: "m",
-      expectedTokens: undefined,
-    })),
-  });
+function record(id: string, ids: readonly string[], minVersion = 0) {
+  const items = ids.map((item) => createItem(item, { group: item }));
+  return new BatchRecord(createSpec({ id, minVersion, items }));
 }
 
 function itemOf(batch: BatchRecord, id: string): BatchItem {
--- a/src/core/batches/item_order_test.ts
+++ b/src/core/batches/item_order_test.ts
@@ -1,41 +1,18 @@
 import { describe, expect, it } from "vitest";
+import { createItem, createSpec } from "../../../tests/support/batch_spec.ts";
 import type { BatchItem, BatchSpec } from "./batch.ts";
 import { BatchRecord } from "./batch_record.ts";
 import { orderItems } from "./item_order.ts";
 
 function item(id: string, expectedTokens: number): BatchItem {
-  return {
-    id,
-    path: "/p/",
-    headers: {},
-    body: new Uint8Array(),
-    tokens: 0,
-    group: id[0],
-    model: "m",
-    expectedTokens,
-  };
+  return createItem(id, { expectedTokens });
 }
 
 function record(
   items: readonly BatchItem[],
   fields: Partial<BatchSpec> = {},
 ): BatchRecord {
-  return new BatchRecord({
-    id: "b",
-    workspace: "w",
-    route: "r",
-    host: "h",
-    service: "s",
-    acceptedAt: 0,
-    objectiveMs: 1_000,
-    giveUpMs: 10_000,
-    maxAttempts: 3,
-    minVersion: 0,
-    isSingleVersion: false,
-    desiredGroups: 0,
-    items,
-    ...fields,
-  });
+  return new BatchRecord(createSpec({ items, ...fields }));
 }
 
 describe(orderItems.name, () => {
--- a/src/tasks/batches/batch_runner_test.ts
+++ b/src/tasks/batches/batch_runner_test.ts
@@ -1,4 +1,5 @@
 import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
+import { createItem, createSpec } from "../../../tests/support/batch_spec.ts";
 import {
   type BatchSpec,
   BatchState,
@@ -62,31 +63,15 @@
 }
 
 function spec(ids: readonly string[], fields: Partial<BatchSpec> = {}) {
-  return {
+  return createSpec({
     id: "b1",
-    workspace: "w",
-    route: "r",
-    host: "h",
-    service: "s",
     acceptedAt: Date.now(),
     objectiveMs: 5_000,
     giveUpMs: 60_000,
-    maxAttempts: 3,
     minVersion: 5,
-    isSingleVersion: false,
-    desiredGroups: 0,
-    items: ids.map((id) => ({
-      id,
-      path: "/p/",
-      headers: {},
-      body: new Uint8Array(),
-      tokens: 0,
-      group: id[0],
-      model: "m",
-      expectedTokens: 100,
-    })),
+    items: ids.map((id) => createItem(id, { expectedTokens: 100 })),
     ...fields,
-  };
+  });
 }
 
 describe(BatchRunner.name, () => {
--- a/src/tasks/batches/batch_task_test.ts
+++ b/src/tasks/batches/batch_task_test.ts
@@ -2,7 +2,7 @@
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
-import type { BatchSpec } from "../../core/batches/mod.ts";
+import { createSpec } from "../../../tests/support/batch_spec.ts";
 import { Verdict } from "../../core/verdict/mod.ts";
 import { Logger } from "../../logging/mod.ts";
 import { Metrics } from "../../metrics/mod.ts";
@@ -11,21 +11,7 @@
 import { BatchMethod } from "./batch_port.ts";
 import { BatchTask } from "./batch_task.ts";
 
-const spec: BatchSpec = {
-  id: "b-1",
-  workspace: "w",
-  route: "r",
-  host: "h",
-  service: "s",
-  acceptedAt: Date.now(),
-  objectiveMs: 7_500,
-  giveUpMs: 10_000,
-  maxAttempts: 3,
-  minVersion: 0,
-  isSingleVersion: false,
-  desiredGroups: 0,
-  items: [],
-};
+const spec = createSpec({ acceptedAt: Date.now() });
 
 describe(BatchTask.name, () => {
   let dataFolder: string;
--- /dev/null
+++ b/tests/support/batch_spec.ts
@@ -0,0 +1,40 @@
+/** Batches as tests submit them. */
+import type { BatchItem, BatchSpec } from "../../src/core/batches/mod.ts";
+
+/** Creates an item whose group is the first letter of its identifier. */
+export function createItem(
+  id: string,
+  fields: Partial<BatchItem> = {},
+): BatchItem {
+  return {
+    id,
+    path: "/p/",
+    headers: {},
+    body: new Uint8Array(),
+    tokens: 0,
+    group: id[0],
+    model: "m",
+    expectedTokens: undefined,
+    ...fields,
+  };
+}
+
+/** Creates a batch of any version that is due soon. */
+export function createSpec(fields: Partial<BatchSpec> = {}): BatchSpec {
+  return {
+    id: "b",
+    workspace: "w",
+    route: "r",
+    host: "h",
+    service: "s",
+    acceptedAt: 0,
+    objectiveMs: 1_000,
+    giveUpMs: 10_000,
+    maxAttempts: 3,
+    minVersion: 0,
+    isSingleVersion: false,
+    desiredGroups: 0,
+    items: [],
+    ...fields,
+  };
+}
