--- a/src/commands/explain.ts
+++ b/src/commands/explain.ts
@@ -38,9 +38,11 @@
   },
 });
 
-function print({ steps, deciding, context }: Explanation): void {
+function print({ steps, deciding, context, restart }: Explanation): void {
   for (const step of steps) console.log(step.text);
   if (context.length > 0) console.log("Around the deciding line:");
   for (const step of context) console.log(`  ${step.text}`);
-  if (deciding !== undefined) console.log(`Decided by: ${deciding.text}`);
+  if (deciding === undefined) return;
+  if (restart === undefined) console.log(`Decided by: ${deciding.text}`);
+  else console.log(`Ended with its process; started again: ${restart.text}`);
 }
--- a/src/explain/explain.ts
+++ b/src/explain/explain.ts
@@ -21,6 +21,8 @@
   readonly deciding: ExplainedStep | undefined;
   /** Lines about what the deciding instance believed shortly before. */
   readonly context: readonly ExplainedStep[];
+  /** Next start of that instance, where it ended before it could decide. */
+  readonly restart: ExplainedStep | undefined;
 }
 
 type Line = Readonly<Record<string, unknown>>;
@@ -34,6 +36,12 @@
   "batchAccepted",
 ]);
 
+/** Events of a process that begins. */
+const START_EVENTS: ReadonlySet<EventName> = new Set([
+  "instanceStarted",
+  "fleetJoined",
+]);
+
 /** Events that change what an instance believes. */
 const BELIEF_EVENTS: ReadonlySet<EventName> = new Set([
   "instanceStarted",
@@ -89,7 +97,25 @@
   const own = steps.filter((step) => step.isOwn);
   const deciding = own.findLast((step) => FINAL_EVENTS.has(step.event)) ??
     own[own.length - 1];
-  return { steps, deciding, context: contextOf(deciding, parsed) };
+  return {
+    steps,
+    deciding,
+    context: contextOf(deciding, parsed),
+    restart: restartAfter(deciding, parsed),
+  };
+}
+
+function restartAfter(
+  last: ExplainedStep | undefined,
+  lines: readonly Line[],
+): ExplainedStep | undefined {
+  if (last === undefined || FINAL_EVENTS.has(last.event)) return undefined;
+  return lines
+    .filter((line) => line.instance === last.instance)
+    .map((line) => toStep(line, ""))
+    .find((step) =>
+      step !== undefined && START_EVENTS.has(step.event) && step.at > last.at
+    );
 }
 
 /** An item is explained by its own lines, and those of its batches. */
--- a/src/explain/explain_test.ts
+++ b/src/explain/explain_test.ts
@@ -25,9 +25,11 @@
       steps: readonly EventName[];
       deciding: EventName | undefined;
       context?: readonly EventName[];
+      restart?: EventName;
     },
   ) {
-    const { steps, deciding, context } = explain(id, lines);
+    const { steps, deciding, context, restart } = explain(id, lines);
+    expect(restart?.event).toBe(expected.restart);
     expect(steps.map((step) => step.event)).toEqual(expected.steps);
     expect(deciding?.event).toBe(expected.deciding);
     expect(context.map((step) => step.event)).toEqual(expected.context ?? []);
@@ -41,6 +43,18 @@
     ], { steps: ["callRetried", "callRefused"], deciding: "callRefused" });
   });
 
+  it("tells a request that ended with its process", () => {
+    doTest("r1", [
+      line(1, "e1", "callPlaced", { request: "r1" }),
+      line(2, "e2", "fleetJoined"),
+      line(3, "e1", "fleetJoined"),
+    ], {
+      steps: ["callPlaced"],
+      deciding: "callPlaced",
+      restart: "fleetJoined",
+    });
+  });
+
   it("shows what the deciding instance believed shortly before", () => {
     doTest("r1", [
       line(1, "e1", "policyInForce"),
--- a/src/logging/event_catalogue.ts
+++ b/src/logging/event_catalogue.ts
@@ -199,6 +199,7 @@
   callRetried: describe(2103, "info", {
     text: "Request is tried at another target",
   }),
+  callPlaced: describe(2104, "info", { text: "Request sent to a target" }),
   batchAccepted: describe(2201, "info", { text: "Batch stored by a quorum" }),
   batchRefused: describe(2202, "info", { text: "Call for a batch refused" }),
   batchEnded: describe(2203, "info", { text: "Batch ended by its caller" }),
--- a/src/tasks/calls/call_run.ts
+++ b/src/tasks/calls/call_run.ts
@@ -10,6 +10,7 @@
 import type {
   RegisteredTarget,
   TargetRegistry,
+  TargetReport,
 } from "../../core/registry/mod.ts";
 import {
   RefusalError,
@@ -184,6 +185,7 @@
     const { call, admission, stream } = this.#options;
     this.#tried.add(report.id);
     this.#ranOn += 1;
+    this.#logPlaced(report);
     book.onSent(report.id);
     const startedAt = performance.now();
     const attempt: CallAttempt = {
@@ -207,6 +209,20 @@
     return this.#settle(outcome, report.id);
   }
 
+  #logPlaced(report: TargetReport): void {
+    const { book, logger } = this.#parts;
+    const { call, admission } = this.#options;
+    logger.event("callPlaced", {
+      request: call.id,
+      target: report.id,
+      attempt: this.#tried.size,
+      inFlight: book.inFlight(report.id),
+      latencyMs: Math.round(book.latencyMs(report.id)),
+      leftMs: Math.round(this.#leftMs),
+      revision: admission.policy.revision,
+    });
+  }
+
   /** Gets the answer that ends the call, or undefined where it goes on. */
   #settle(outcome: AttemptOutcome, target: string): CallAnswer | undefined {
     if (outcome.type === "failed") {
