--- a/src/tasks/batches/batch_runner.ts
+++ b/src/tasks/batches/batch_runner.ts
@@ -10,25 +10,23 @@
   type KeptRecord,
   LoadBook,
   orderItems,
-  placeItem,
-  type PlacementTarget,
   type ResultRecord,
   ResultState,
-  type RunText,
   type ServiceDemand,
   TargetPace,
   type WaitingItem,
 } from "../../core/batches/mod.ts";
 import {
   type LoadedVersion,
-  type RegisteredTarget,
   type TargetRegistry,
   TargetState,
 } from "../../core/registry/mod.ts";
 import type { Logger } from "../../logging/mod.ts";
 import type { Metrics } from "../../metrics/mod.ts";
 import { type EnginePort, RunFailure } from "./engine_port.ts";
+import { ItemPlacer } from "./item_placer.ts";
 import { ItemRun, type ItemRunListener } from "./item_run.ts";
+import { keyOf, RunTable } from "./run_table.ts";
 
 /** Options of {@link BatchRunner}. */
 export interface BatchRunnerOptions {
@@ -73,12 +71,13 @@
 /** Owns the runs of a ledger's leader. */
 export class BatchRunner implements ItemRunListener {
   readonly #options: BatchRunnerOptions;
-  readonly #runs = new Map<string, ItemRun>();
+  readonly #runs = new RunTable();
   readonly #listing = new Set<string>();
   readonly #book = new ItemBook();
   readonly #demand = new DemandMeter();
   readonly #pace = new TargetPace();
   readonly #loads = new LoadBook();
+  readonly #placer: ItemPlacer;
   #timer: NodeJS.Timeout | undefined;
   #isPumpDue = false;
   #keptAt = -Infinity;
@@ -86,6 +85,14 @@
   /** Creates a runner that does not run yet. */
   constructor(options: BatchRunnerOptions) {
     this.#options = options;
+    this.#placer = new ItemPlacer({
+      registry: options.registry,
+      runs: this.#runs,
+      book: this.#book,
+      pace: this.#pace,
+      loads: this.#loads,
+      dataCentre: options.dataCentre,
+    });
   }
 
   /** Begins to run items. */
@@ -99,8 +106,7 @@
   stop(): this {
     clearInterval(this.#timer);
     this.#timer = undefined;
-    for (const run of this.#runs.values()) run.cancel();
-    this.#runs.clear();
+    this.#runs.cancelAll();
     this.#listing.clear();
     this.#book.clear();
     return this;
@@ -130,11 +136,11 @@
 
   /** Ends the runs of a batch that has ended. */
   onEnded(batch: string): this {
-    for (const [key, run] of this.#runs) {
+    for (const run of this.#runs.all) {
       if (run.record.spec.id !== batch) continue;
       this.#book.keep(run.item, run.text);
       run.cancel();
-      this.#runs.delete(key);
+      this.#runs.remove(run);
     }
     this.pump();
     return this;
@@ -172,7 +178,7 @@
     const { metrics, now } = this.#options;
     metrics.timing("items.duration", now() - run.startedAt);
     this.#pace.onWhole(run.target.id);
-    this.#end(run);
+    this.#runs.remove(run);
     this.#listWhole(run);
     this.pump();
   }
@@ -180,7 +186,7 @@
   /** Takes the end of a run without its whole output. */
   onBroken(run: ItemRun, failure: RunFailure, detail: string): void {
     const { logger, now } = this.#options;
-    this.#end(run);
+    this.#runs.remove(run);
     this.#book.keep(run.item, run.text);
     const progress = this.#book.of(run.item);
     this.#options.metrics.count("items.broken");
@@ -260,17 +266,13 @@
     });
   }
 
-  #end(run: ItemRun): void {
-    this.#runs.delete(keyOf(run.record.spec.id, run.item.id));
-  }
-
   /** Long runs are stored as they go, so that a later leader goes on. */
   #keepLong(): void {
     const now = this.#options.now();
     if (now - this.#keptAt < KEEP_INTERVAL_MS) return;
     this.#keptAt = now;
     const records: KeptRecord[] = [];
-    for (const run of this.#runs.values()) {
+    for (const run of this.#runs.all) {
       if (now - run.startedAt < LONG_RUN_MS) continue;
       const { id } = run.item;
       const after = run.keptId;
@@ -297,7 +299,7 @@
 
   /** A silent target, or one that has turned slow, gives its runs away. */
   #moveStalled(): void {
-    for (const run of [...this.#runs.values()]) {
+    for (const run of this.#runs.all) {
       const limitMs = this.#silenceLimitMs(run);
       if (run.silentMs > limitMs) {
         this.#move(run, `Silent for ${Math.round(run.silentMs)} ms`);
@@ -309,15 +311,16 @@
   /** Runs leave a target that has turned slow as far as others have room. */
   #moveSlow(): void {
     const now = this.#options.now();
-    const counts = this.#runCounts();
+    const counts = this.#runs.countByTarget();
     let moved = 0;
-    for (const run of [...this.#runs.values()]) {
+    for (const run of this.#runs.all) {
       const { id } = run.target;
       const isJudged = run.events >= JUDGED_EVENTS;
       if (!isJudged || !this.#pace.isSlow(id, now)) continue;
       if (moved >= MAX_MOVED) return;
       const waiting = { record: run.record, item: run.item };
-      const chosen = this.#choose(waiting, run.text, counts, now);
+      const { text } = run;
+      const chosen = this.#placer.choose(waiting, { text, counts, now });
       if (chosen === undefined || chosen.id === id) continue;
       counts.set(chosen.id, (counts.get(chosen.id) ?? 0) + 1);
       this.#move(run, `Pace ${Math.round(this.#pace.paceMs(id, now))} ms`);
@@ -336,7 +339,7 @@
 
   #move(run: ItemRun, reason: string): void {
     run.cancel();
-    this.#end(run);
+    this.#runs.remove(run);
     this.#book.keep(run.item, run.text);
     this.#book.of(run.item).excluded.add(run.target.id);
     this.#options.metrics.count("items.moved");
@@ -357,8 +360,9 @@
       for (const item of record.unlisted) {
         const key = keyOf(spec.id, item.id);
         if (this.#listing.has(key)) continue;
-        this.#runs.get(key)?.cancel();
-        this.#runs.delete(key);
+        const run = this.#runs.get(spec.id, item.id);
+        run?.cancel();
+        if (run !== undefined) this.#runs.remove(run);
         this.#list(record, {
           id: item.id,
           state: ResultState.Abandoned,
@@ -383,32 +387,25 @@
       isWaiting: (record, item) => this.#isWaiting(record, item, now),
       isCarried: (record, item) => this.#book.isCarried(record, item),
     });
-    const loads = this.#runCounts();
+    const counts = this.#runs.countByTarget();
     let placed = 0;
     for (const waiting of order) {
       if (placed >= MAX_PLACED) break;
       const { record, item } = waiting;
       const isCarried = this.#book.isCarried(record, item);
       if (isCarried && this.#reuse(waiting)) continue;
-      if (this.#run(waiting, loads, now)) placed += 1;
+      if (this.#run(waiting, counts, now)) placed += 1;
     }
   }
 
   #isWaiting(record: BatchRecord, item: BatchItem, now: number): boolean {
     const key = keyOf(record.spec.id, item.id);
     if (record.isListed(item.id)) return false;
-    if (this.#runs.has(key) || this.#listing.has(key)) return false;
+    const isRunning = this.#runs.has(record.spec.id, item.id);
+    if (isRunning || this.#listing.has(key)) return false;
     return !this.#book.isPaused(item, now);
   }
 
-  #runCounts(): Map<string, number> {
-    const loads = new Map<string, number>();
-    for (const run of this.#runs.values()) {
-      loads.set(run.target.id, (loads.get(run.target.id) ?? 0) + 1);
-    }
-    return loads;
-  }
-
   /** An item that came again is listed with the text of its former batch. */
   #reuse({ record, item }: WaitingItem): boolean {
     const { minVersion, isSingleVersion, workspace } = record.spec;
@@ -428,18 +425,19 @@
 
   #run(
     { record, item }: WaitingItem,
-    loads: Map<string, number>,
+    counts: Map<string, number>,
     now: number,
   ): boolean {
     const { registry, engines, logger } = this.#options;
     const { minVersion, id: batch } = record.spec;
     const { all } = this.#options.state();
     const text = this.#book.textOf(record, item, all);
-    const chosen = this.#choose({ record, item }, text, loads, now);
+    const choice = { text, counts, now };
+    const chosen = this.#placer.choose({ record, item }, choice);
     if (chosen === undefined) return false;
     const target = registry.get(chosen.id)?.report;
     if (target === undefined) return false;
-    loads.set(target.id, (loads.get(target.id) ?? 0) + 1);
+    counts.set(target.id, (counts.get(target.id) ?? 0) + 1);
     this.#options.metrics.count("items.placed");
     logger.event("itemPlaced", {
       batch,
@@ -460,60 +458,7 @@
       listener: this,
       now: this.#options.now,
     });
-    if (!run.isOver) this.#runs.set(keyOf(batch, item.id), run);
+    if (!run.isOver) this.#runs.add(run);
     return true;
   }
-
-  #choose(
-    { record, item }: WaitingItem,
-    text: RunText,
-    counts: ReadonlyMap<string, number>,
-    now: number,
-  ): PlacementTarget | undefined {
-    const { registry, dataCentre } = this.#options;
-    const { minVersion, isSingleVersion, service } = record.spec;
-    return placeItem({
-      targets: registry.readyOf(service)
-        .map((target) => this.#viewOf(target, item, counts, now)),
-      minVersion,
-      versions: text.versions,
-      isSingleVersion,
-      excluded: this.#book.excludedOf(item),
-      warm: this.#warmTargets(record, item),
-      dataCentre,
-    });
-  }
-
-  #viewOf(
-    { report }: RegisteredTarget,
-    item: BatchItem,
-    loads: ReadonlyMap<string, number>,
-    now: number,
-  ): PlacementTarget {
-    return {
-      id: report.id,
-      dataCentre: report.dataCentre,
-      slots: report.slots,
-      inFlight: loads.get(report.id) ?? 0,
-      version: report.versions[item.model],
-      paceMs: this.#pace.paceMs(report.id, now),
-      isSlow: this.#pace.isSlow(report.id, now),
-      isAvoided: this.#pace.isAvoided(report.id, now) ||
-        this.#loads.isLoading(report, item.model, now),
-    };
-  }
-
-  #warmTargets(record: BatchRecord, item: BatchItem): Set<string> {
-    const warm = new Set<string>();
-    for (const other of record.spec.items) {
-      if (other.group !== item.group) continue;
-      const run = this.#runs.get(keyOf(record.spec.id, other.id));
-      if (run !== undefined) warm.add(run.target.id);
-    }
-    return warm;
-  }
-}
-
-function keyOf(batch: string, item: string): string {
-  return `${batch}/${item}`;
 }
