A late replica is brought up in parts; members are looked up once

A message held up to 256 entries whatever their size (batches of 100 KB, texts), and was sent again each 500 ms while the first was still being read; the leader's heartbeats waited behind it, the others elected a new one, and that one did the same. The process grew to 193 of 220 MB. Ruled out: disks (0.5 ms a sync, no stall on these machines then), load (0.38 of 0.81 cores at most), the cut itself (its zone held one voter of five). Change: a message holds 256 KB of commands or one command; it is sent again after 2 s, for what a link lost shows by the answer to the next heartbeat; the members are kept instead of searched in the whole log at each answer. Tests: nine commands of 100 KB come in parts of two (failed first: 9); a lost part is sent again at the next heartbeat.

--- a/src/core/batches/batch_command.ts
+++ b/src/core/batches/batch_command.ts
@@ -27,6 +27,37 @@
   | { readonly type: "end"; readonly batch: string }
   | { readonly type: "forget"; readonly batches: readonly string[] };
 
+/** Bytes of an item or a record besides its body or text. */
+const FRAME_BYTES = 300;
+
+const SIZES: {
+  readonly [T in BatchCommand["type"]]: (
+    command: Extract<BatchCommand, { type: T }>,
+  ) => number;
+} = {
+  accept: ({ spec }) =>
+    sumOf(spec.items, ({ body }) => FRAME_BYTES + body.length),
+  list: ({ records }) =>
+    sumOf(records, ({ result }) => FRAME_BYTES + result.text.length),
+  keep: ({ records }) =>
+    sumOf(records, ({ pieces }) => FRAME_BYTES + sumOf(pieces, lengthOf)),
+  end: () => FRAME_BYTES,
+  forget: ({ batches }) => sumOf(batches, lengthOf),
+};
+
+/** Gets about how many bytes a command takes. */
+export function sizeOfCommand(command: BatchCommand): number {
+  return SIZES[command.type](command as never);
+}
+
+function lengthOf(text: string): number {
+  return text.length;
+}
+
+function sumOf<T>(values: readonly T[], sizeOf: (value: T) => number): number {
+  return values.reduce((sum, value) => sum + sizeOf(value), 0);
+}
+
 /** How a command ended. */
 export interface BatchAnswer {
   /** Whether the state holds what the command says, now or before. */
--- a/src/core/consensus/consensus_node.ts
+++ b/src/core/consensus/consensus_node.ts
@@ -86,6 +86,8 @@
   readonly now: number;
   /** Checks in place; all where absent. */
   readonly guards?: ConsensusGuards;
+  /** Gets about how many bytes a command takes; none counts where absent. */
+  readonly sizeOf?: (command: C) => number;
 }
 
 type Handlers<C, S> = {
@@ -103,8 +105,14 @@
 const FIRST_SPREAD = 0.5;
 /** Entries in one message. */
 const MAX_ENTRIES = 256;
-/** Time after which an unanswered message with entries is sent again. */
-const RESEND_HEARTBEATS = 5;
+/** Bytes of commands in one message, unless one command has more. */
+const MAX_BYTES = 262_144;
+/**
+ * Time after which an unanswered message with entries is sent again.
+ *
+ * What a broken link has lost shows sooner, by the answer to a heartbeat.
+ */
+const RESEND_HEARTBEATS = 20;
 
 /**
  * Keeps one replica of the log.
@@ -539,7 +547,7 @@
       else this.#sendHeartbeat(replica, now);
       return;
     }
-    const entries = isPending ? [] : this.#log.from(progress.next, MAX_ENTRIES);
+    const entries = isPending ? [] : this.#part(progress.next);
     if (entries.length === 0 && !options.isHeartbeat) return;
     if (entries.length > 0) progress.pendingSince = now;
     const reach = prevIndex + entries.length;
@@ -555,6 +563,19 @@
     });
   }
 
+  /** Gets entries from a position on; they take a bounded time to send. */
+  #part(index: number): LogEntry<C>[] {
+    const entries = this.#log.from(index, MAX_ENTRIES);
+    let bytes = 0;
+    const end = entries.findIndex(({ content }) => {
+      if (content.type === "command") {
+        bytes += this.#options.sizeOf?.(content.command) ?? 0;
+      }
+      return bytes > MAX_BYTES;
+    });
+    return end < 0 ? entries : entries.slice(0, Math.max(1, end));
+  }
+
   #sendHeartbeat(replica: ReplicaId, now: number): void {
     this.#send({
       type: "appendRequest",
--- a/src/core/consensus/consensus_node_test.ts
+++ b/src/core/consensus/consensus_node_test.ts
@@ -60,6 +60,7 @@
       random: () => 0,
       now: this.now,
       guards: this.#guards,
+      sizeOf: (command) => command.length,
     });
     this.nodes.set(id, node);
     return node;
@@ -286,6 +287,43 @@
     expect(cluster.of("c").committed).toBe(11);
   });
 
+  it("brings a late replica up in parts of a bounded size", () => {
+    const cluster = create();
+    const leader = cluster.elect("a");
+    const sizes: number[] = [];
+    cluster.cut.add("c");
+    const command = "x".repeat(100_000);
+    for (let i = 0; i < 9; i += 1) cluster.propose("a", command);
+    cluster.cut.clear();
+    cluster.drops = (message) => {
+      if (message.type === "appendRequest" && message.to === "c") {
+        sizes.push(message.entries.length);
+      }
+      return false;
+    };
+    for (let i = 0; i < 30; i += 1) {
+      cluster.now += 100;
+      leader.tick(cluster.now);
+      cluster.settle();
+    }
+    expect(cluster.of("c").committed).toBe(10);
+    expect(Math.max(...sizes)).toBe(2);
+  });
+
+  it("sends a part again where a heartbeat shows that it is lost", () => {
+    const cluster = create();
+    const leader = cluster.elect("a");
+    cluster.drops = (message) =>
+      message.type === "appendRequest" && message.to === "c" &&
+      message.entries.length > 0;
+    cluster.propose("a", "1");
+    cluster.drops = () => false;
+    cluster.now += 100;
+    leader.tick(cluster.now);
+    cluster.settle();
+    expect(cluster.of("c").last.index).toBe(leader.last.index);
+  });
+
   it("hands leadership over at once and gives its lease up", () => {
     const cluster = create();
     const leader = cluster.elect("a");
--- a/src/core/consensus/replicated_log.ts
+++ b/src/core/consensus/replicated_log.ts
@@ -16,6 +16,8 @@
   #snapshot: LogSnapshot<S>;
   #entries: LogEntry<C>[];
   #committed: number;
+  /** Members as of the last entry; undefined where they must be looked up. */
+  #members: Members | undefined;
 
   /** Creates a log from what was stored. */
   constructor(snapshot: LogSnapshot<S>, entries: readonly LogEntry<C>[]) {
@@ -78,11 +80,8 @@
 
   /** Gets the members as of the last entry, committed or not. */
   get members(): Members {
-    for (let i = this.#entries.length - 1; i >= 0; i -= 1) {
-      const { content } = this.#entries[i];
-      if (content.type === "members") return content.members;
-    }
-    return this.#snapshot.members;
+    this.#members ??= this.membersAt(this.last.index);
+    return this.#members;
   }
 
   /** Gets whether a change of members waits to be committed. */
@@ -111,6 +110,9 @@
   /** Adds entries at the end. */
   append(entries: readonly LogEntry<C>[]): this {
     this.#entries.push(...entries);
+    if (entries.some((e) => e.content.type === "members")) {
+      this.#members = undefined;
+    }
     return this;
   }
 
@@ -122,6 +124,7 @@
       `Entry ${index} is committed (up to ${this.#committed})`,
     );
     this.#entries.length = Math.max(0, index - this.#snapshot.index - 1);
+    this.#members = undefined;
     return this;
   }
 
@@ -151,6 +154,7 @@
     else {
       this.#snapshot = snapshot;
       this.#entries = [];
+      this.#members = undefined;
     }
     return this.commit(snapshot.index);
   }
--- a/src/tasks/batches/batch_task.ts
+++ b/src/tasks/batches/batch_task.ts
@@ -9,6 +9,7 @@
   type ResultPage,
   type ResultRecord,
   ResultState,
+  sizeOfCommand,
 } from "../../core/batches/mod.ts";
 import {
   allMembers,
@@ -147,6 +148,7 @@
       dataFolder,
       createState: () => new BatchState(),
       compactEntries: COMPACT_ENTRIES,
+      sizeOf: sizeOfCommand,
       wantedVoters: () => this.#wantedVoters(),
       wantedLearners: 0,
       times: FLEET_CONSENSUS_TIMES,
--- a/src/tasks/log/log_driver.ts
+++ b/src/tasks/log/log_driver.ts
@@ -33,6 +33,8 @@
   readonly createState: () => M;
   /** Entries after which the log is compacted. */
   readonly compactEntries?: number;
+  /** Gets about how many bytes a command takes; none counts where absent. */
+  readonly sizeOf?: (command: C) => number;
   /** Times of the protocol. */
   readonly times: ConsensusTimes;
   /** Logs. */
@@ -162,6 +164,7 @@
       times: this.#options.times,
       random: Math.random,
       now: now(),
+      sizeOf: this.#options.sizeOf,
     });
     logger.event("controlRestored", {
       log: this.#options.name,
