Slots for a whole wave of items, not for twice the mean

Change: the ledger tells the peaks of each model; slots are planned for their sum, between twice and four times the mean, so that a backlog after an outage orders nothing beyond that.

--- a/src/core/batches/item_book_test.ts
+++ b/src/core/batches/item_book_test.ts
@@ -58,7 +58,8 @@
     const batch = record("b1", ["i1", "i2"]);
     expect(meter.sample([batch])).toBe(2);
     expect(meter.sample([batch.end()])).toBe(0);
-    expect(meter.take()).toEqual([{ service: "s", meanItems: 1 }]);
+    const peaks = { m: 2 };
+    expect(meter.take()).toEqual([{ service: "s", meanItems: 1, peaks }]);
     expect(meter.take()).toEqual([]);
   });
 });
--- a/src/core/capacity/slot_planner.ts
+++ b/src/core/capacity/slot_planner.ts
@@ -15,6 +15,8 @@
 export interface SlotQuestion {
   /** Items that ran or waited at a time, as a mean over some seconds. */
   readonly meanItems: number;
+  /** Most items at a time: the sum over the models, each at its own time. */
+  readonly peakItems: number;
   /** Items that a target runs at once. */
   readonly slots: number;
   readonly zones: readonly SlotZone[];
@@ -23,28 +25,31 @@
   readonly max: number;
 }
 
-/** Slots for each item of the mean: batches come in waves. */
-const HEADROOM = 2;
+/** Slots for each item of the mean, at least: waves differ in height. */
+const LEAST_HEADROOM = 2;
+/** Slots for each item of the mean, at most: a backlog is no wave. */
+const MOST_HEADROOM = 4;
 /** Part of the price by which one more target in a data centre is dearer. */
 const CROWD_SHARE = 0.25;
 
 /**
  * Gets the targets of each data centre.
  *
- * An item that waits for a slot makes its whole group late, so the slots are
- * about half in use. More targets than that help little, for each must load
- * every version of the weights. Targets are spread, for a data centre may be
- * lost, and the cheaper data centres get more.
+ * An item that waits for a slot makes its whole group late, and with it the
+ * step that its caller waits for, so the items of a whole wave have slots at
+ * once. Targets are spread, for a data centre may be lost, and the cheaper
+ * data centres get more.
  *
  * @example
  * ```ts
- * planSlots({ meanItems: 30, slots: 8, zones, min: 1, max: 6 }).get("a");
+ * const demand = { meanItems: 30, peakItems: 90 };
+ * planSlots({ ...demand, slots: 8, zones, min: 1, max: 6 }).get("a");
  * ```
  */
 export function planSlots(question: SlotQuestion): Map<string, number> {
-  const { meanItems, slots, zones, min, max } = question;
+  const { slots, zones, min, max } = question;
   const counts = new Map(zones.map((zone) => [zone.id, min] as const));
-  const needed = Math.ceil((meanItems * HEADROOM) / Math.max(1, slots));
+  const needed = Math.ceil(wantedSlots(question) / Math.max(1, slots));
   let left = needed - min * zones.length;
   while (left > 0) {
     const open = zones.filter((zone) => {
@@ -60,3 +65,9 @@
   }
   return counts;
 }
+
+function wantedSlots({ meanItems, peakItems }: SlotQuestion): number {
+  const least = meanItems * LEAST_HEADROOM;
+  const most = meanItems * MOST_HEADROOM;
+  return Math.max(least, Math.min(peakItems, most));
+}
--- a/src/core/capacity/slot_planner_test.ts
+++ b/src/core/capacity/slot_planner_test.ts
@@ -12,6 +12,7 @@
   ) {
     const counts = planSlots({
       meanItems: 0,
+      peakItems: 0,
       slots: 10,
       zones: [zone("a"), zone("b")],
       min: 1,
@@ -29,6 +30,14 @@
     doTest({ meanItems: 30 }, { a: 3, b: 3 });
   });
 
+  it("has slots for all items of a wave at once", () => {
+    doTest({ meanItems: 20, peakItems: 60 }, { a: 3, b: 3 });
+  });
+
+  it("orders nothing for a backlog beyond that", () => {
+    doTest({ meanItems: 10, peakItems: 200 }, { a: 2, b: 2 });
+  });
+
   it("orders more where it is cheaper", () => {
     const zones = [zone("a", { price: 2 }), zone("b")];
     doTest({ meanItems: 25, zones }, { a: 1, b: 4 });
--- a/src/tasks/fleet/capacity_duty.ts
+++ b/src/tasks/fleet/capacity_duty.ts
@@ -29,7 +29,7 @@
 }
 
 const TICK_MS = 500;
-/** Time for which the greatest mean counts. */
+/** Time for which the greatest mean and the peaks count. */
 const MEMORY_MS = 30_000;
 /** Time over which demand is averaged: waves of batches come and go. */
 const MEAN_MS = 8_000;
@@ -94,6 +94,7 @@
     const now = this.#options.now();
     const counts = planSlots({
       meanItems: greatestMean(seen),
+      peakItems: sumOfPeaks(seen),
       slots: this.#slotsOf(service.name),
       min: scaling.min,
       max: scaling.max,
@@ -184,6 +185,17 @@
   return greatest;
 }
 
+/** Gets the sum over the models of the most items at a time. */
+function sumOfPeaks(seen: readonly Observation[]): number {
+  const peaks = new Map<string, number>();
+  for (const observation of seen) {
+    for (const [model, count] of Object.entries(observation.peaks)) {
+      peaks.set(model, Math.max(count, peaks.get(model) ?? 0));
+    }
+  }
+  return [...peaks.values()].reduce((sum, peak) => sum + peak, 0);
+}
+
 function keyOf(service: string, dataCentre: string): string {
   return `${service}/${dataCentre}`;
 }
--- a/src/tasks/fleet/duties_test.ts
+++ b/src/tasks/fleet/duties_test.ts
@@ -1,4 +1,5 @@
 import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
+import type { ServiceDemand } from "../../core/batches/mod.ts";
 import { UsageBook } from "../../core/calls/mod.ts";
 import { type FleetCommand, FleetState } from "../../core/fleet/mod.ts";
 import type { PolicyDocument, ScalingPolicy } from "../../core/policy/mod.ts";
@@ -238,7 +239,7 @@
   };
 
   async function doTest(
-    meanItems: number,
+    demand: Omit<ServiceDemand, "service">,
     outcomeOf: (order: CapacityOrder) => OrderOutcome,
     expected: readonly string[],
   ) {
@@ -259,7 +260,7 @@
     });
     duty.start();
     for (let second = 0; second < 12; second += 1) {
-      duty.observe({ service: "s", meanItems });
+      duty.observe({ service: "s", ...demand });
       await vi.advanceTimersByTimeAsync(1_000);
     }
     duty.stop();
@@ -268,14 +269,25 @@
   }
 
   it("orders nothing while slots are free", () =>
-    doTest(5, () => OrderOutcome.Accepted, []));
+    doTest({ meanItems: 5, peaks: {} }, () => OrderOutcome.Accepted, []));
 
   it("orders more where half of the slots are in use", () =>
-    doTest(20, () => OrderOutcome.Accepted, ["a2", "b2"]));
+    doTest(
+      { meanItems: 20, peaks: {} },
+      () => OrderOutcome.Accepted,
+      ["a2", "b2"],
+    ));
+
+  it("orders slots for the waves of all models together", () =>
+    doTest(
+      { meanItems: 15, peaks: { m: 30, n: 30 } },
+      () => OrderOutcome.Accepted,
+      ["a3", "b3"],
+    ));
 
   it("asks another data centre where one has none", () =>
     doTest(
-      20,
+      { meanItems: 20, peaks: {} },
       ({ dataCentre }) =>
         dataCentre === "a" ? OrderOutcome.Fenced : OrderOutcome.Accepted,
       ["a2", "b2", "b3"],
