What is known of the targets is gathered once for all items of a round

Cause: for each waiting item each target's pace was compared with the median, which sorted the paces of all targets: items x targets x targets. Change: a placer lives for one round, with one view a target and model; the median is kept for a time; a service, model and version without room is not asked for again in the round.

--- a/src/core/batches/target_pace.ts
+++ b/src/core/batches/target_pace.ts
@@ -22,10 +22,13 @@
 /** Keeps the pace of targets, and who is avoided for a while. */
 export class TargetPace {
   readonly #seen = new Map<string, Seen>();
+  /** Median at a time; decisions ask for it once for each item and target. */
+  #median: { readonly at: number; readonly paceMs: number } | undefined;
 
   /** Records the time between two events of a run. */
   onGap(target: string, gapMs: number, now: number): this {
     const seen = this.#of(target);
+    this.#median = undefined;
     if (now - seen.seenAt > STALE_MS) seen.samples = 0;
     seen.seenAt = now;
     const weight = Math.max(NEWEST_WEIGHT, 1 / (seen.samples + 1));
@@ -74,6 +77,13 @@
 
   /** Gets the median pace of the targets that have one. */
   medianMs(now: number): number {
+    if (this.#median?.at !== now) {
+      this.#median = { at: now, paceMs: this.#findMedian(now) };
+    }
+    return this.#median.paceMs;
+  }
+
+  #findMedian(now: number): number {
     const paces = [...this.#seen.values()]
       .filter((seen) => isCurrent(seen, now))
       .map((seen) => seen.paceMs)
@@ -83,6 +93,7 @@
 
   /** Forgets all targets but these. */
   keepOnly(targets: ReadonlySet<string>): this {
+    this.#median = undefined;
     for (const id of this.#seen.keys()) {
       if (!targets.has(id)) this.#seen.delete(id);
     }
--- a/src/tasks/batches/batch_runner.ts
+++ b/src/tasks/batches/batch_runner.ts
@@ -77,7 +77,6 @@
   readonly #demand = new DemandMeter();
   readonly #pace = new TargetPace();
   readonly #loads = new LoadBook();
-  readonly #placer: ItemPlacer;
   #timer: NodeJS.Timeout | undefined;
   #isPumpDue = false;
   #keptAt = -Infinity;
@@ -85,14 +84,6 @@
   /** Creates a runner that does not run yet. */
   constructor(options: BatchRunnerOptions) {
     this.#options = options;
-    this.#placer = new ItemPlacer({
-      registry: options.registry,
-      runs: this.#runs,
-      book: this.#book,
-      pace: this.#pace,
-      loads: this.#loads,
-      dataCentre: options.dataCentre,
-    });
   }
 
   /** Begins to run items. */
@@ -299,11 +290,12 @@
 
   /** A silent target, or one that has turned slow, gives its runs away. */
   #moveStalled(): void {
+    const now = this.#options.now();
     for (const run of this.#runs.all) {
-      const limitMs = this.#silenceLimitMs(run);
+      const limitMs = this.#silenceLimitMs(run, now);
       if (run.silentMs > limitMs) {
         this.#move(run, `Silent for ${Math.round(run.silentMs)} ms`);
-        this.#pace.onFailure(run.target.id, this.#options.now());
+        this.#pace.onFailure(run.target.id, now);
       }
     }
   }
@@ -311,7 +303,7 @@
   /** Runs leave a target that has turned slow as far as others have room. */
   #moveSlow(): void {
     const now = this.#options.now();
-    const counts = this.#runs.countByTarget();
+    const placer = this.#createPlacer(now);
     let moved = 0;
     for (const run of this.#runs.all) {
       const { id } = run.target;
@@ -319,17 +311,15 @@
       if (!isJudged || !this.#pace.isSlow(id, now)) continue;
       if (moved >= MAX_MOVED) return;
       const waiting = { record: run.record, item: run.item };
-      const { text } = run;
-      const chosen = this.#placer.choose(waiting, { text, counts, now });
+      const chosen = placer.choose(waiting, run.text);
       if (chosen === undefined || chosen.id === id) continue;
-      counts.set(chosen.id, (counts.get(chosen.id) ?? 0) + 1);
+      placer.take(chosen.id);
       this.#move(run, `Pace ${Math.round(this.#pace.paceMs(id, now))} ms`);
       moved += 1;
     }
   }
 
-  #silenceLimitMs(run: ItemRun): number {
-    const now = this.#options.now();
+  #silenceLimitMs(run: ItemRun, now: number): number {
     const { model } = run.item;
     if (this.#loads.isLoading(run.target, model, now)) return LOAD_SILENCE_MS;
     if (run.events < JUDGED_EVENTS) return FIRST_EVENT_MS;
@@ -387,14 +377,14 @@
       isWaiting: (record, item) => this.#isWaiting(record, item, now),
       isCarried: (record, item) => this.#book.isCarried(record, item),
     });
-    const counts = this.#runs.countByTarget();
+    const placer = this.#createPlacer(now);
     let placed = 0;
     for (const waiting of order) {
       if (placed >= MAX_PLACED) break;
       const { record, item } = waiting;
       const isCarried = this.#book.isCarried(record, item);
       if (isCarried && this.#reuse(waiting)) continue;
-      if (this.#run(waiting, counts, now)) placed += 1;
+      if (this.#run(waiting, placer)) placed += 1;
     }
   }
 
@@ -406,6 +396,19 @@
     return !this.#book.isPaused(item, now);
   }
 
+  #createPlacer(now: number): ItemPlacer {
+    const { registry, dataCentre } = this.#options;
+    return new ItemPlacer({
+      registry,
+      runs: this.#runs,
+      book: this.#book,
+      pace: this.#pace,
+      loads: this.#loads,
+      dataCentre,
+      now,
+    });
+  }
+
   /** An item that came again is listed with the text of its former batch. */
   #reuse({ record, item }: WaitingItem): boolean {
     const { minVersion, isSingleVersion, workspace } = record.spec;
@@ -425,19 +428,17 @@
 
   #run(
     { record, item }: WaitingItem,
-    counts: Map<string, number>,
-    now: number,
+    placer: ItemPlacer,
   ): boolean {
     const { registry, engines, logger } = this.#options;
     const { minVersion, id: batch } = record.spec;
     const { all } = this.#options.state();
     const text = this.#book.textOf(record, item, all);
-    const choice = { text, counts, now };
-    const chosen = this.#placer.choose({ record, item }, choice);
+    const chosen = placer.choose({ record, item }, text);
     if (chosen === undefined) return false;
     const target = registry.get(chosen.id)?.report;
     if (target === undefined) return false;
-    counts.set(target.id, (counts.get(target.id) ?? 0) + 1);
+    placer.take(target.id);
     this.#options.metrics.count("items.placed");
     logger.event("itemPlaced", {
       batch,
--- a/src/tasks/batches/batch_runner_test.ts
+++ b/src/tasks/batches/batch_runner_test.ts
@@ -127,6 +127,19 @@
     }
   }
 
+  it("looks at the targets once a round, however many items wait", () => {
+    const targets = [target("t1"), target("t2", { slots: 0 })];
+    const ids = Array.from({ length: 60 }, (_, i) => `x${i}`);
+    const readyOf = vi.spyOn(TargetRegistry.prototype, "readyOf");
+    const { engines, step } = start(targets, [spec(ids)]);
+    expect(engines.runs).toHaveLength(4);
+    readyOf.mockClear();
+    step(500);
+    const rounds = 10;
+    expect(readyOf.mock.calls.length).toBeLessThanOrEqual(rounds);
+    readyOf.mockRestore();
+  });
+
   function doTest(
     end: (run: Opened) => void,
     expected: { state: ResultState; text: string } | undefined,
--- a/src/tasks/batches/item_placer.ts
+++ b/src/tasks/batches/item_placer.ts
@@ -1,6 +1,5 @@
-/** Chooses the target of an item from what is known of all of them. */
+/** Chooses the targets of items from what is known of all of them. */
 import {
-  type BatchItem,
   type ItemBook,
   type LoadBook,
   placeItem,
@@ -9,13 +8,10 @@
   type TargetPace,
   type WaitingItem,
 } from "../../core/batches/mod.ts";
-import type {
-  RegisteredTarget,
-  TargetRegistry,
-} from "../../core/registry/mod.ts";
+import type { TargetRegistry } from "../../core/registry/mod.ts";
 import type { RunTable } from "./run_table.ts";
 
-/** Options of {@link ItemPlacer}. */
+/** What a choice relies on. */
 export interface ItemPlacerOptions {
   readonly registry: TargetRegistry;
   readonly runs: RunTable;
@@ -24,61 +20,78 @@
   readonly loads: LoadBook;
   /** Data centre of this instance. */
   readonly dataCentre: string;
-}
-
-/** What the choice depends on besides what is known of the targets. */
-export interface ItemChoice {
-  /** Text of the item so far. */
-  readonly text: RunText;
-  /** Runs of each target, with those that are being placed. */
-  readonly counts: ReadonlyMap<string, number>;
+  /** Time of the choices. */
   readonly now: number;
 }
 
-/** Chooses targets. */
+type TargetView = PlacementTarget & { inFlight: number };
+
+/** Chooses targets in one round; what is known of them is gathered once. */
 export class ItemPlacer {
   readonly #options: ItemPlacerOptions;
+  readonly #counts: Map<string, number>;
+  /** Targets by service and model. */
+  readonly #views = new Map<string, TargetView[]>();
+  /** Services, models and versions for which no target has room. */
+  readonly #full = new Set<string>();
 
-  /** Creates a placer. */
+  /** Creates a placer for the runs and targets as they are now. */
   constructor(options: ItemPlacerOptions) {
     this.#options = options;
+    this.#counts = options.runs.countByTarget();
   }
 
   /** Gets the target for an item; undefined where it is to wait. */
   choose(
     { record, item }: WaitingItem,
-    choice: ItemChoice,
+    text: RunText,
   ): PlacementTarget | undefined {
-    const { registry, runs, book, dataCentre } = this.#options;
+    const { runs, book, dataCentre } = this.#options;
     const { minVersion, isSingleVersion, service } = record.spec;
-    return placeItem({
-      targets: registry.readyOf(service)
-        .map((target) => this.#viewOf(target, item, choice)),
+    const demand = `${service}/${item.model}/${minVersion}`;
+    if (this.#full.has(demand)) return undefined;
+    const chosen = placeItem({
+      targets: this.#viewsOf(service, item.model),
       minVersion,
-      versions: choice.text.versions,
+      versions: text.versions,
       isSingleVersion,
       excluded: book.excludedOf(item),
       warm: runs.targetsOfGroup(record, item),
       dataCentre,
     });
+    const isBound = isSingleVersion && text.versions.length > 0;
+    if (chosen === undefined && !isBound) this.#full.add(demand);
+    return chosen;
+  }
+
+  /** Takes a slot of a target. */
+  take(target: string): this {
+    const count = (this.#counts.get(target) ?? 0) + 1;
+    this.#counts.set(target, count);
+    for (const views of this.#views.values()) {
+      const view = views.find(({ id }) => id === target);
+      if (view !== undefined) view.inFlight = count;
+    }
+    return this;
   }
 
-  #viewOf(
-    { report }: RegisteredTarget,
-    item: BatchItem,
-    { counts, now }: ItemChoice,
-  ): PlacementTarget {
-    const { pace, loads } = this.#options;
-    return {
+  #viewsOf(service: string, model: string): TargetView[] {
+    const key = `${service}/${model}`;
+    let views = this.#views.get(key);
+    if (views !== undefined) return views;
+    const { registry, pace, loads, now } = this.#options;
+    views = registry.readyOf(service).map(({ report }) => ({
       id: report.id,
       dataCentre: report.dataCentre,
       slots: report.slots,
-      inFlight: counts.get(report.id) ?? 0,
-      version: report.versions[item.model],
+      inFlight: this.#counts.get(report.id) ?? 0,
+      version: report.versions[model],
       paceMs: pace.paceMs(report.id, now),
       isSlow: pace.isSlow(report.id, now),
       isAvoided: pace.isAvoided(report.id, now) ||
-        loads.isLoading(report, item.model, now),
-    };
+        loads.isLoading(report, model, now),
+    }));
+    this.#views.set(key, views);
+    return views;
   }
 }
