A notice to many instances is encoded once

Cause: a policy or a change of a target was packed and compressed once for each of up to 72 instances, and a policy was sent again each 200 ms to whoever had not yet said that it holds it.

--- a/src/tasks/fleet/fleet_node.ts
+++ b/src/tasks/fleet/fleet_node.ts
@@ -191,9 +191,14 @@
     this.hub.send(to, { channel: "log", body: envelope });
   }
 
-  /** Sends a notice. */
-  notify(to: string, notice: FleetNotice): void {
-    this.hub.send(to, { channel: "notice", body: notice });
+  /** Sends a notice to instances. */
+  notify(to: Iterable<string>, notice: FleetNotice): void {
+    this.hub.sendAll(to, { channel: "notice", body: notice });
+  }
+
+  /** Sends a notice to the members of a role that are present. */
+  notifyRole(role: FleetRole, notice: FleetNotice): void {
+    this.notify(this.present(role).map(({ id }) => id), notice);
   }
 
   /** Takes in the notices of others. */
--- a/src/tasks/fleet/fleet_teller.ts
+++ b/src/tasks/fleet/fleet_teller.ts
@@ -26,9 +26,16 @@
   readonly now: () => number;
 }
 
+interface ToldPolicy {
+  readonly revision: number;
+  readonly at: number;
+}
+
 const LIFE_BYTES = 4;
 /** Time between two tellings to an instance that knows nothing yet. */
 const TELL_NEW_MS = 300;
+/** Time after which the same policy is told again to who lacks it. */
+const TELL_POLICY_MS = 500;
 /** Time in which signs of what an instance has taken in come back. */
 const TELL_AGAIN_MS = 1_500;
 /** Rounds after which the roster is told although it is the same. */
@@ -43,6 +50,7 @@
   readonly #options: FleetTellerOptions;
   readonly #life = randomBytes(LIFE_BYTES).toString("hex");
   readonly #toldAt = new Map<string, number>();
+  readonly #toldPolicy = new Map<string, ToldPolicy>();
   /** Last change by role: entry instances do not follow versions. */
   readonly #changes = new Map<FleetRole, number>();
   #isTelling = false;
@@ -83,19 +91,13 @@
       isWhole: false,
       reports: [report],
     };
-    for (const { id } of node.present(FleetRole.Control)) {
-      node.notify(id, notice);
-    }
+    node.notifyRole(FleetRole.Control, notice);
   }
 
   /** Tells that a target loads weights, or has. */
   onLoad(type: "loading" | "loaded", load: LoadedVersion): void {
     const { node } = this.#options;
-    for (const role of LOG_HOLDERS) {
-      for (const { id } of node.present(role)) {
-        node.notify(id, { type, ...load });
-      }
-    }
+    for (const role of LOG_HOLDERS) node.notifyRole(role, { type, ...load });
   }
 
   /** Whoever lacks something is told again, however it was lost. */
@@ -117,14 +119,12 @@
   #tellTarget(role: FleetRole, report: TargetReport): void {
     const { node } = this.#options;
     this.#changes.set(role, (this.#changes.get(role) ?? 0) + 1);
-    for (const { id } of node.present(role)) {
-      node.notify(id, {
-        type: "targets",
-        mark: this.#markOf(role),
-        isWhole: false,
-        reports: [report],
-      });
-    }
+    node.notifyRole(role, {
+      type: "targets",
+      mark: this.#markOf(role),
+      isWhole: false,
+      reports: [report],
+    });
   }
 
   #markOf(role: FleetRole): ChangeMark {
@@ -135,12 +135,19 @@
     if (document === undefined) return;
     const { node } = this.#options;
     const notice: FleetNotice = { type: "policy", document };
-    for (const role of TOLD_ROLES) {
-      for (const { id, member } of node.present(role)) {
-        if (member.policyRevision >= document.revision) continue;
-        node.notify(id, notice);
-      }
-    }
+    const lacking = TOLD_ROLES.flatMap((role) => [...node.present(role)])
+      .filter(({ member }) => member.policyRevision < document.revision)
+      .filter(({ id }) => this.#mayTellPolicy(id, document.revision));
+    node.notify(lacking.map(({ id }) => id), notice);
+  }
+
+  #mayTellPolicy(id: string, revision: number): boolean {
+    const at = this.#options.now();
+    const told = this.#toldPolicy.get(id);
+    const isRecent = told !== undefined && at - told.at < TELL_POLICY_MS;
+    if (isRecent && told.revision >= revision) return false;
+    this.#toldPolicy.set(id, { revision, at });
+    return true;
   }
 
   /** Signs of what an instance has taken in come back with a delay. */
@@ -150,7 +157,7 @@
     const pauseMs = isNew ? TELL_NEW_MS : TELL_AGAIN_MS;
     if (at - (this.#toldAt.get(id) ?? -Infinity) < pauseMs) return;
     this.#toldAt.set(id, at);
-    node.notify(id, {
+    node.notify([id], {
       type: "targets",
       mark: this.#markOf(role),
       isWhole: true,
@@ -168,9 +175,7 @@
     if (roster === this.#toldRoster && !isDue) return;
     this.#toldRoster = roster;
     for (const role of Object.values(FleetRole)) {
-      for (const { id } of node.present(role)) {
-        node.notify(id, { type: "roster", members, retiring });
-      }
+      node.notifyRole(role, { type: "roster", members, retiring });
     }
   }
 
--- a/src/tasks/peers/accepted_link.ts
+++ b/src/tasks/peers/accepted_link.ts
@@ -38,9 +38,14 @@
 
   /** Sends a message; it is lost where the connection is closed or too slow. */
   send(envelope: PeerEnvelope): boolean {
+    return this.sendBytes(() => encodeEnvelope(envelope));
+  }
+
+  /** Sends a message whose bytes are asked for where they can be sent. */
+  sendBytes(encode: () => Buffer): boolean {
     const { socket, onSent } = this.#options;
     if (!this.isUp || socket.bufferedAmount > MAX_BUFFERED_BYTES) return false;
-    const bytes = encodeEnvelope(envelope);
+    const bytes = encode();
     onSent(bytes.length);
     socket.send(bytes);
     return true;
--- a/src/tasks/peers/peer_hub.ts
+++ b/src/tasks/peers/peer_hub.ts
@@ -12,7 +12,12 @@
   type Settings,
 } from "../../settings/mod.ts";
 import { readCertificatesOrThrow } from "../certificates.ts";
-import type { PeerEnvelope, PeerReply, Presence } from "./peer_envelope.ts";
+import {
+  encodeEnvelope,
+  type PeerEnvelope,
+  type PeerReply,
+  type Presence,
+} from "./peer_envelope.ts";
 import type { AcceptedLink } from "./accepted_link.ts";
 import { type LinkSecurity, PeerLink } from "./peer_link.ts";
 import { PeerListener } from "./peer_listener.ts";
@@ -235,6 +240,16 @@
     return link?.send(envelope) ?? false;
   }
 
+  /** Sends the same message to several instances; it may be lost. */
+  sendAll(to: Iterable<string>, envelope: PeerEnvelope): void {
+    let bytes: Buffer | undefined;
+    const encode = () => bytes ??= encodeEnvelope(envelope);
+    for (const id of to) {
+      const link = this.#openLinkTo(id) ?? this.#linkTo(id);
+      link?.sendBytes(encode);
+    }
+  }
+
   /**
    * Asks another instance and waits for its answer.
    * @throws RefusalError of the other side, or of a lost link.
@@ -349,7 +364,9 @@
 
   #beat(): void {
     const audience = this.#options.audience() ?? this.#linkedIds;
-    for (const id of audience) this.#sendPresence(id);
+    const body = this.#options.presence();
+    const linked = [...audience].filter((id) => this.isLinked(id));
+    this.sendAll(linked, { channel: "presence", body });
   }
 
   #sendPresence(to: string): void {
--- a/src/tasks/peers/peer_link.ts
+++ b/src/tasks/peers/peer_link.ts
@@ -70,10 +70,15 @@
 
   /** Sends a message; it is lost where the link is down or too slow. */
   send(envelope: PeerEnvelope): boolean {
+    return this.sendBytes(() => encodeEnvelope(envelope));
+  }
+
+  /** Sends a message whose bytes are asked for where they can be sent. */
+  sendBytes(encode: () => Buffer): boolean {
     const socket = this.#socket;
     if (!this.#isUp || socket === undefined) return false;
     if (socket.bufferedAmount > MAX_BUFFERED_BYTES) return false;
-    const bytes = encodeEnvelope(envelope);
+    const bytes = encode();
     this.#options.onSent(bytes.length);
     socket.send(bytes);
     return true;
