--- a/bench/slopes/main.ts
+++ b/bench/slopes/main.ts
@@ -17,6 +17,7 @@
   targetSeries,
   tokenSeries,
 } from "./instance_series.ts";
+import { placingSeries } from "./placing_series.ts";
 import { RESULTS_FILE, type SlopeResults } from "./results.ts";
 import { measureSeries, type Series, type SeriesOptions } from "./series.ts";
 
@@ -37,6 +38,7 @@
     changeSeries(options),
     forceSeries(),
     restartSeries(),
+    placingSeries(options),
   ];
 }
 
--- /dev/null
+++ b/bench/slopes/placing_series.ts
@@ -0,0 +1,142 @@
+/** Series over the targets that the ledger's leader places items at. */
+import { type BatchItem, BatchState } from "../../src/core/batches/mod.ts";
+import { TargetRegistry, TargetState } from "../../src/core/registry/mod.ts";
+import { Logger } from "../../src/logging/mod.ts";
+import { Metrics } from "../../src/metrics/mod.ts";
+import {
+  BatchRunner,
+  type EnginePort,
+  type RunSink,
+} from "../../src/tasks/batches/mod.ts";
+import { createItem, createSpec } from "../../tests/support/batch_spec.ts";
+import type { Figures, SeriesOptions } from "./series.ts";
+import type { SlopeOptions } from "./cluster_series.ts";
+
+const SLOTS = 8;
+const MODELS = 3;
+const BATCHES = 9;
+const ITEMS = 104;
+const GROUP_SIZE = 8;
+const EVENT_INTERVAL_MS = 58;
+/** Share of the runs that end at each event. */
+const END_SHARE = 0.04;
+const EVENT = "x".repeat(400);
+const MICROSECONDS_PER_MS = 1_000;
+
+interface PlayedRun {
+  readonly sink: RunSink;
+  events: number;
+}
+
+/** Plays engines whose runs all go at one pace. */
+class SteadyEngines implements EnginePort {
+  readonly #runs = new Set<PlayedRun>();
+  ended = 0;
+
+  open(_request: unknown, sink: RunSink) {
+    const run = { sink, events: 0 };
+    this.#runs.add(run);
+    sink.onVersion(1);
+    return { cancel: () => void this.#runs.delete(run) };
+  }
+
+  keepOnly(): void {}
+
+  /** Sends one event of each run, and ends some. */
+  step(): void {
+    for (const run of [...this.#runs]) {
+      run.events += 1;
+      run.sink.onEvent({ id: run.events, data: EVENT });
+    }
+    const ending = Math.ceil(this.#runs.size * END_SHARE);
+    for (const run of [...this.#runs].slice(0, ending)) {
+      this.#runs.delete(run);
+      this.ended += 1;
+      run.sink.onEnd();
+    }
+  }
+}
+
+function createRegistry(targets: number): TargetRegistry {
+  const registry = new TargetRegistry();
+  const versions = Object.fromEntries(
+    Array.from({ length: MODELS }, (_, i) => [`m${i}`, 1]),
+  );
+  for (let i = 0; i < targets; i += 1) {
+    registry.merge({
+      id: `t${i}`,
+      service: "s",
+      address: `127.0.0.1:${i + 1}`,
+      dataCentre: "abcd"[i % 4],
+      incarnation: 1,
+      sequence: 1,
+      state: TargetState.Ready,
+      slots: SLOTS,
+      versions,
+      isSpot: false,
+    }, 0);
+  }
+  return registry;
+}
+
+function createItems(batch: number): BatchItem[] {
+  return Array.from({ length: ITEMS }, (_, i) =>
+    createItem(`b${batch}-${i}`, {
+      group: `b${batch}-${Math.floor(i / GROUP_SIZE)}`,
+      model: `m${batch % MODELS}`,
+      expectedTokens: 100 + (i * 37) % 2_000,
+    }));
+}
+
+async function measure(targets: number, measureMs: number): Promise<Figures> {
+  const state = new BatchState();
+  const engines = new SteadyEngines();
+  const runner = new BatchRunner({
+    state: () => state,
+    registry: createRegistry(targets),
+    engines,
+    logger: new Logger({ instance: "bench", level: "error" }),
+    metrics: new Metrics({ tags: {} }),
+    dataCentre: "a",
+    now: () => performance.now(),
+    mayRun: () => true,
+    list: (record) => {
+      state.apply({ type: "list", records: [record] });
+      runner.onListed(record.batch, record.result.id);
+    },
+    keep: (records) => void state.apply({ type: "keep", records }),
+  });
+  for (let batch = 0; batch < BATCHES; batch += 1) {
+    const spec = createSpec({
+      id: `b${batch}`,
+      acceptedAt: Date.now(),
+      objectiveMs: 60_000,
+      giveUpMs: 120_000,
+      minVersion: 1,
+      items: createItems(batch),
+    });
+    state.apply({ type: "accept", spec });
+  }
+  const before = process.cpuUsage();
+  runner.start();
+  const timer = setInterval(() => engines.step(), EVENT_INTERVAL_MS);
+  await new Promise((resolve) => setTimeout(resolve, measureMs));
+  clearInterval(timer);
+  runner.stop();
+  const { user, system } = process.cpuUsage(before);
+  const cpuMs = (user + system) / MICROSECONDS_PER_MS;
+  return {
+    core: cpuMs / measureMs,
+    msPerRun: cpuMs / Math.max(1, engines.ended),
+  };
+}
+
+/** Gets the series of the ledger's runner over targets. */
+export function placingSeries({ measureMs }: SlopeOptions): SeriesOptions {
+  return {
+    name: "placing",
+    size: "targets of 8 slots, 936 items",
+    sizes: [70, 300, 1_000, 2_300],
+    measure: (targets) => measure(targets, measureMs),
+  };
+}
