The view of a ledger has a room of its own

core/control and core/ledger imported each other for one type each; the view moves to core/views, and control alone imports the ledger's sealed windows.

--- a/soak/ledger_process.ts
+++ b/soak/ledger_process.ts
@@ -1,5 +1,5 @@
 /** One process of a data centre's ledger in a randomised run. */
-import type { LedgerView } from "../src/core/control/mod.ts";
+import type { LedgerView } from "../src/core/views/mod.ts";
 import {
   type LedgerEffect,
   type LedgerEntry,
--- a/soak/ledger_world.ts
+++ b/soak/ledger_world.ts
@@ -1,5 +1,5 @@
 /** Randomised runs of a data centre's ledger and its views. */
-import type { LedgerView } from "../src/core/control/mod.ts";
+import type { LedgerView } from "../src/core/views/mod.ts";
 import {
   ALL_LEDGER_GUARDS,
   type LedgerEntry,
--- a/src/core/control/control_command.ts
+++ b/src/core/control/control_command.ts
@@ -1,22 +1,9 @@
 /** Commands of the control log. */
 import type { KeyRecord } from "../keys/mod.ts";
 import type { SealedWindow } from "../ledger/mod.ts";
+import type { LedgerView } from "../views/mod.ts";
 import type { ConfigurationChange } from "./configuration_store.ts";
 
-/** Who keeps the ledger of a data centre. */
-export interface LedgerView {
-  /** Data centre. */
-  readonly dataCentre: string;
-  /** Number of the view; a greater one replaces a smaller one. */
-  readonly number: number;
-  /** Process that orders the records. */
-  readonly primary: string;
-  /** Processes that hold every record before it counts. */
-  readonly backups: readonly string[];
-  /** Counts how often the state was lost whole and begun anew. */
-  readonly epoch: number;
-}
-
 /** An order to the platform or to a target. */
 export interface OrderIntent {
   /** Identifier, the same however often the order is sent. */
--- a/src/core/control/control_state.ts
+++ b/src/core/control/control_state.ts
@@ -13,10 +13,10 @@
 } from "./configuration_store.ts";
 import type {
   ControlCommand,
-  LedgerView,
   OrderIntent,
   OrderOutcome,
 } from "./control_command.ts";
+import type { LedgerView } from "../views/mod.ts";
 import { digestOf } from "./section_digest.ts";
 
 /** Newest weights of a model. */
--- a/src/core/feed/home_authority.ts
+++ b/src/core/feed/home_authority.ts
@@ -1,5 +1,5 @@
 /** Who may answer for a data centre's home workspaces when it is cut off. */
-import type { LedgerView } from "../control/mod.ts";
+import type { LedgerView } from "../views/mod.ts";
 import type { FeedTimes } from "./feed_node.ts";
 
 /** Options of {@link HomeAuthority}. */
--- a/src/core/ledger/ledger_replica.ts
+++ b/src/core/ledger/ledger_replica.ts
@@ -1,6 +1,6 @@
 /** A replica of a data centre's ledger: primary, backup or joiner. */
 import { assertInvariant, Invariant } from "../invariants/mod.ts";
-import type { LedgerView } from "../control/mod.ts";
+import type { LedgerView } from "../views/mod.ts";
 import {
   type LedgerEntry,
   LedgerLog,
--- a/src/core/ledger/view_policy.ts
+++ b/src/core/ledger/view_policy.ts
@@ -1,5 +1,5 @@
 /** Decides the next view of a data centre's ledger. */
-import type { LedgerView } from "../control/mod.ts";
+import type { LedgerView } from "../views/mod.ts";
 
 /** What the decision looks at. */
 export interface ViewQuestion {
--- /dev/null
+++ b/src/core/views/mod.ts
@@ -0,0 +1,2 @@
+/** Views: who keeps a ledger. */
+export * from "./ledger_view.ts";
--- a/src/tasks/control/control_port.ts
+++ b/src/tasks/control/control_port.ts
@@ -3,8 +3,8 @@
   CommandAnswer,
   ControlCommand,
   ControlState,
-  LedgerView,
 } from "../../core/control/mod.ts";
+import type { LedgerView } from "../../core/views/mod.ts";
 import type { ForceAnswer } from "../../core/feed/mod.ts";
 
 /** Hears of each command that has been applied on this instance. */
--- a/src/tasks/control/control_task.ts
+++ b/src/tasks/control/control_task.ts
@@ -3,8 +3,8 @@
   type CommandAnswer,
   type ControlCommand,
   type ControlState,
-  type LedgerView,
 } from "../../core/control/mod.ts";
+import type { LedgerView } from "../../core/views/mod.ts";
 import type { ConsensusTimes, LogEntry } from "../../core/consensus/mod.ts";
 import type { FeedTimes, ForceAnswer } from "../../core/feed/mod.ts";
 import { nextView } from "../../core/ledger/mod.ts";
--- a/src/tasks/control/local_control.ts
+++ b/src/tasks/control/local_control.ts
@@ -3,8 +3,8 @@
   type CommandAnswer,
   type ControlCommand,
   ControlState,
-  type LedgerView,
 } from "../../core/control/mod.ts";
+import type { LedgerView } from "../../core/views/mod.ts";
 import type { ForceAnswer } from "../../core/feed/mod.ts";
 import type { AppliedListener, ControlPort } from "./control_port.ts";
 
--- a/src/tasks/ledger/ledger_task.ts
+++ b/src/tasks/ledger/ledger_task.ts
@@ -1,5 +1,5 @@
 /** The ledger as an instance of a system of several sees it. */
-import type { LedgerView } from "../../core/control/mod.ts";
+import type { LedgerView } from "../../core/views/mod.ts";
 import {
   instanceOfProcess,
   type LedgerEffect,
