--- a/src/core/consensus/consensus_node.ts
+++ b/src/core/consensus/consensus_node.ts
@@ -12,84 +12,25 @@
   VoteReply,
   VoteRequest,
 } from "./consensus_message.ts";
-import type {
-  EntryContent,
-  HardState,
-  LogEntry,
-  LogSnapshot,
-} from "./log_entry.ts";
+import type { EntryContent, LogEntry, LogSnapshot } from "./log_entry.ts";
 import {
   allMembers,
   isSingleChange,
   type Members,
   quorumSize,
 } from "./members.ts";
+import {
+  ALL_GUARDS,
+  type ConsensusGuards,
+  type ConsensusNodeOptions,
+  type StoredLog,
+} from "./consensus_options.ts";
+import { LogSender } from "./log_sender.ts";
 import type { ReplicaId } from "./replica_id.ts";
 import { type LogPosition, ReplicatedLog } from "./replicated_log.ts";
 import { ReplicationTracker } from "./replication_tracker.ts";
 import { Role, RoleEvent, RoleLifecycle } from "./role.ts";
 
-/** Times of the protocol, in milliseconds of the local clock. */
-export interface ConsensusTimes {
-  /** Time between two signs of life of a leader. */
-  readonly heartbeatMs: number;
-  /** Shortest time without a leader before an election. */
-  readonly electionMs: number;
-  /** Greatest difference in rate between two clocks, as a share. */
-  readonly clockRateError: number;
-}
-
-/** What a replica had stored when it stopped. */
-export interface StoredLog<C, S> {
-  /** Term and vote. */
-  readonly hardState: HardState;
-  /** Snapshot. */
-  readonly snapshot: LogSnapshot<S>;
-  /** Entries after the snapshot. */
-  readonly entries: readonly LogEntry<C>[];
-}
-
-/** Checks that a test may take out, to show that the soak misses them. */
-export interface ConsensusGuards {
-  /** Voters refuse while they hear a leader. */
-  readonly leaderStickiness: boolean;
-  /** A vote is stored before it is told. */
-  readonly voteStored: boolean;
-  /** A replica that lost its disk does not go on as its old self. */
-  readonly incarnationCheck: boolean;
-  /** Entries of former terms commit only with one of the own term. */
-  readonly commitOwnTermOnly: boolean;
-  /** A learner becomes a voter only when it holds all that is committed. */
-  readonly learnerWhole: boolean;
-}
-
-/** All checks in place. */
-export const ALL_GUARDS: ConsensusGuards = {
-  leaderStickiness: true,
-  voteStored: true,
-  incarnationCheck: true,
-  commitOwnTermOnly: true,
-  learnerWhole: true,
-};
-
-/** Options of {@link ConsensusNode}. */
-export interface ConsensusNodeOptions<C, S> {
-  /** This replica. */
-  readonly self: ReplicaId;
-  /** What it had stored. */
-  readonly stored: StoredLog<C, S>;
-  /** Times. */
-  readonly times: ConsensusTimes;
-  /** Gets a random number from 0 to 1. */
-  readonly random: () => number;
-  /** Time of the start, by the local clock. */
-  readonly now: number;
-  /** Checks in place; all where absent. */
-  readonly guards?: ConsensusGuards;
-  /** Gets about how many bytes a command takes; none counts where absent. */
-  readonly sizeOf?: (command: C) => number;
-}
-
 type Handlers<C, S> = {
   readonly [T in ConsensusMessage<C, S>["type"]]: (
     message: Extract<ConsensusMessage<C, S>, { type: T }>,
@@ -103,17 +44,6 @@
  * Voters that started together refuse until that time, so it is short.
  */
 const FIRST_SPREAD = 0.5;
-/** Entries in one message. */
-const MAX_ENTRIES = 256;
-/** Bytes of commands in one message, unless one command has more. */
-const MAX_BYTES = 262_144;
-/**
- * Time after which an unanswered message with entries is sent again.
- *
- * What a broken link has lost shows sooner, by the answer to a heartbeat.
- */
-const RESEND_HEARTBEATS = 20;
-
 /**
  * Keeps one replica of the log.
  *
@@ -137,6 +67,7 @@
   #leader: ReplicaId | undefined;
   #votes = new Set<ReplicaId>();
   #tracker: ReplicationTracker | undefined;
+  #sender: LogSender<C, S> | undefined;
   #effects: ConsensusEffect<C, S>[] = [];
   #heardAt: number;
   #electionDueAt = 0;
@@ -257,7 +188,7 @@
   probeQuorum(now: number): void {
     if (this.role !== Role.Leader) return;
     this.#heartbeatDueAt = now + this.#options.times.heartbeatMs;
-    this.#broadcast(now, { isHeartbeat: true });
+    this.#sender?.broadcast(this.members, now, { isHeartbeat: true });
   }
 
   /** Gets whether this leader may act alone now. */
@@ -414,6 +345,7 @@
     }
     this.#leader = leader;
     this.#tracker = undefined;
+    this.#sender = undefined;
     this.#hasYielded = false;
     this.#votes.clear();
     if (wasFollower) return;
@@ -482,6 +414,15 @@
       next: this.last.index + 1,
       now,
     });
+    this.#sender = new LogSender({
+      self: this.self,
+      term: this.#term,
+      log: this.#log,
+      tracker: this.#tracker,
+      heartbeatMs: this.#options.times.heartbeatMs,
+      sizeOf: this.#options.sizeOf,
+      send: (message) => this.#send(message),
+    });
     this.#effects.push({ type: "role", role: this.role, term: this.#term });
     this.#appendOwn({ type: "noop" }, now);
   }
@@ -500,7 +441,7 @@
       term: this.#term,
     });
     if (content.type === "members") this.#tracker?.keepOnly(content.members);
-    this.#broadcast(now, { isHeartbeat: false });
+    this.#sender?.broadcast(this.members, now, { isHeartbeat: false });
     return { index: entry.index, term: entry.term };
   }
 
@@ -520,83 +461,7 @@
     }
     if (now < this.#heartbeatDueAt) return;
     this.#heartbeatDueAt = now + heartbeatMs;
-    this.#broadcast(now, { isHeartbeat: true });
-  }
-
-  #broadcast(now: number, options: { isHeartbeat: boolean }): void {
-    for (const replica of allMembers(this.members)) {
-      if (replica !== this.self) this.#replicate(replica, now, options);
-    }
-  }
-
-  #replicate(
-    replica: ReplicaId,
-    now: number,
-    options: { isHeartbeat: boolean },
-  ): void {
-    const progress = this.#tracker?.of(replica);
-    if (progress === undefined) return;
-    const resendMs = this.#options.times.heartbeatMs * RESEND_HEARTBEATS;
-    const isPending = progress.pendingSince !== undefined &&
-      now - progress.pendingSince < resendMs;
-    if (isPending && !options.isHeartbeat) return;
-    const prevIndex = progress.next - 1;
-    const prevTerm = this.#log.termAt(prevIndex);
-    if (prevTerm === undefined) {
-      if (!isPending) this.#sendSnapshot(replica, now);
-      else this.#sendHeartbeat(replica, now);
-      return;
-    }
-    const entries = isPending ? [] : this.#part(progress.next);
-    if (entries.length === 0 && !options.isHeartbeat) return;
-    if (entries.length > 0) progress.pendingSince = now;
-    const reach = prevIndex + entries.length;
-    progress.told = Math.max(progress.told, Math.min(this.committed, reach));
-    this.#send({
-      type: "appendRequest",
-      ...this.#base(replica),
-      prevIndex,
-      prevTerm,
-      entries,
-      committed: this.committed,
-      sentAt: now,
-    });
-  }
-
-  /** Gets entries from a position on; they take a bounded time to send. */
-  #part(index: number): LogEntry<C>[] {
-    const entries = this.#log.from(index, MAX_ENTRIES);
-    let bytes = 0;
-    const end = entries.findIndex(({ content }) => {
-      if (content.type === "command") {
-        bytes += this.#options.sizeOf?.(content.command) ?? 0;
-      }
-      return bytes > MAX_BYTES;
-    });
-    return end < 0 ? entries : entries.slice(0, Math.max(1, end));
-  }
-
-  #sendHeartbeat(replica: ReplicaId, now: number): void {
-    this.#send({
-      type: "appendRequest",
-      ...this.#base(replica),
-      prevIndex: 0,
-      prevTerm: 0,
-      entries: [],
-      committed: this.committed,
-      sentAt: now,
-    });
-  }
-
-  #sendSnapshot(replica: ReplicaId, now: number): void {
-    const progress = this.#tracker?.of(replica);
-    if (progress !== undefined) progress.pendingSince = now;
-    this.#send({
-      type: "snapshotRequest",
-      ...this.#base(replica),
-      snapshot: this.#log.snapshot,
-      sentAt: now,
-    });
+    this.#sender?.broadcast(this.members, now, { isHeartbeat: true });
   }
 
   #advanceCommit(now: number): void {
@@ -607,20 +472,10 @@
     const isOwnTerm = this.#log.termAt(index) === this.#term;
     if (!isOwnTerm && this.#guards.commitOwnTermOnly) return;
     this.#commitTo(index);
-    this.#tellCommitted(now);
+    this.#sender?.tellCommitted(this.members, now);
     if (!this.#isVoter()) this.#becomeFollower(this.#term, undefined);
   }
 
-  /** Tells the commit to those that are known to hold the entry. */
-  #tellCommitted(now: number): void {
-    for (const replica of allMembers(this.members)) {
-      const progress = this.#tracker?.of(replica);
-      if (replica === this.self || progress === undefined) continue;
-      const isHeld = progress.match >= this.committed;
-      if (isHeld) this.#replicate(replica, now, { isHeartbeat: true });
-    }
-  }
-
   #commitTo(index: number): void {
     this.#log.commit(Math.min(index, this.last.index));
     const entries: LogEntry<C>[] = [];
@@ -755,7 +610,7 @@
       );
       progress.next = Math.max(progress.next, progress.match + 1);
       progress.pendingSince = undefined;
-      this.#replicate(message.from, now, { isHeartbeat: true });
+      this.#sender?.replicate(message.from, now, { isHeartbeat: true });
       return;
     }
     const isPendingAnswered = progress.pendingSince !== undefined &&
@@ -766,7 +621,7 @@
     this.#advanceCommit(now);
     const reach = Math.min(this.committed, progress.match);
     const isHeartbeat = progress.told < reach;
-    this.#replicate(message.from, now, { isHeartbeat });
+    this.#sender?.replicate(message.from, now, { isHeartbeat });
   }
 
   #onSnapshotRequest(message: SnapshotRequest<S>, now: number): void {
--- a/src/core/consensus/consensus_node_test.ts
+++ b/src/core/consensus/consensus_node_test.ts
@@ -1,12 +1,12 @@
 import { describe, expect, it } from "vitest";
 import type { ConsensusEffect } from "./consensus_effect.ts";
 import type { ConsensusMessage } from "./consensus_message.ts";
+import { ConsensusNode } from "./consensus_node.ts";
 import {
   ALL_GUARDS,
   type ConsensusGuards,
-  ConsensusNode,
   type StoredLog,
-} from "./consensus_node.ts";
+} from "./consensus_options.ts";
 import { nextMembers } from "./membership_repair.ts";
 
 type Message = ConsensusMessage<string, string>;
--- a/src/core/consensus/mod.ts
+++ b/src/core/consensus/mod.ts
@@ -2,6 +2,7 @@
 export * from "./consensus_effect.ts";
 export * from "./consensus_message.ts";
 export * from "./consensus_node.ts";
+export * from "./consensus_options.ts";
 export * from "./log_entry.ts";
 export * from "./members.ts";
 export * from "./replica_id.ts";
