One timer checks all links of an instance

Cause: each link had a ping timer of its own, so an idle entry instance with four links was woken 8 times a second by them (strace of 5 s), of 22.

--- a/src/tasks/peers/peer_hub.ts
+++ b/src/tasks/peers/peer_hub.ts
@@ -19,7 +19,7 @@
   type Presence,
 } from "./peer_envelope.ts";
 import type { AcceptedLink } from "./accepted_link.ts";
-import { type LinkSecurity, PeerLink } from "./peer_link.ts";
+import { type LinkSecurity, PeerLink, PING_INTERVAL_MS } from "./peer_link.ts";
 import { PeerListener } from "./peer_listener.ts";
 
 /** Channels that tasks listen to. */
@@ -77,7 +77,8 @@
 
 /** Time for which a request waits for the link to come up. */
 const LINK_WAIT_MS = 700;
-const PRESENCE_INTERVAL_MS = 1_000;
+/** Checks of the links between two tellings of the presence. */
+const CHECKS_PER_PRESENCE = 2;
 /** Time without a sign of life after which an instance counts as away. */
 const AWAY_AFTER_MS = 3_500;
 
@@ -103,6 +104,7 @@
   #timer: NodeJS.Timeout | undefined;
   readonly #createdAt = Date.now();
   #nextRequest = 1;
+  #checks = 0;
 
   /** Creates the hub; it does not listen or dial yet. */
   constructor(options: PeerHubOptions) {
@@ -162,7 +164,7 @@
     for (const { id } of [...this.neighbours, ...this.controls]) {
       this.#linkTo(id);
     }
-    this.#timer = setInterval(() => this.#beat(), PRESENCE_INTERVAL_MS);
+    this.#timer = setInterval(() => this.#check(), PING_INTERVAL_MS);
   }
 
   /** Takes the messages of a channel. */
@@ -362,6 +364,13 @@
     }
   }
 
+  /** One timer serves all links, for each wakes the process. */
+  #check(): void {
+    for (const link of this.#links.values()) link.check();
+    this.#checks += 1;
+    if (this.#checks % CHECKS_PER_PRESENCE === 0) this.#beat();
+  }
+
   #beat(): void {
     const audience = this.#options.audience() ?? this.#linkedIds;
     const body = this.#options.presence();
--- a/src/tasks/peers/peer_link.ts
+++ b/src/tasks/peers/peer_link.ts
@@ -36,7 +36,7 @@
 }
 
 /** Silence after which the other side is asked for a sign of life. */
-const PING_INTERVAL_MS = 500;
+export const PING_INTERVAL_MS = 500;
 /** Silence after which a link counts as dead although it is not closed. */
 export const SILENCE_LIMIT_MS = 1_800;
 const FIRST_PAUSE_MS = 100;
@@ -53,7 +53,6 @@
   #isStopped = false;
   #pauseMs = FIRST_PAUSE_MS;
   #timer: NodeJS.Timeout | undefined;
-  #pingTimer: NodeJS.Timeout | undefined;
   #heardAt = 0;
   readonly #waiters = new Set<(isUp: boolean) => void>();
 
@@ -102,10 +101,26 @@
   stop(): void {
     this.#isStopped = true;
     clearTimeout(this.#timer);
-    clearInterval(this.#pingTimer);
     this.#socket?.terminate();
   }
 
+  /**
+   * Asks for a sign of life after silence, and ends a link without one.
+   *
+   * A connection can fall silent without an end; only pings show it.
+   */
+  check(): void {
+    const socket = this.#socket;
+    if (!this.#isUp || socket === undefined) return;
+    const silentMs = performance.now() - this.#heardAt;
+    if (silentMs > SILENCE_LIMIT_MS) {
+      socket.terminate();
+      this.#onClose(socket);
+      return;
+    }
+    if (silentMs >= PING_INTERVAL_MS) socket.ping();
+  }
+
   #dial(): void {
     const { peer } = this.#options;
     const security = this.#options.security();
@@ -141,7 +156,7 @@
         if (envelope === undefined) socket.terminate();
         else this.#options.onMessage(envelope);
       });
-      this.#watch(socket);
+      this.#heardAt = performance.now();
       this.#setUp(true);
     });
     socket.on("pong", () => {
@@ -151,25 +166,9 @@
     socket.on("close", () => this.#onClose(socket));
   }
 
-  /** A connection can fall silent without an end; only pings show it. */
-  #watch(socket: WebSocket): void {
-    clearInterval(this.#pingTimer);
-    this.#heardAt = performance.now();
-    this.#pingTimer = setInterval(() => {
-      const silentMs = performance.now() - this.#heardAt;
-      if (silentMs > SILENCE_LIMIT_MS) {
-        socket.terminate();
-        this.#onClose(socket);
-        return;
-      }
-      if (silentMs >= PING_INTERVAL_MS) socket.ping();
-    }, PING_INTERVAL_MS);
-  }
-
   #onClose(socket: WebSocket): void {
     if (socket !== this.#socket) return;
     this.#socket = undefined;
-    clearInterval(this.#pingTimer);
     this.#setUp(false);
     if (this.#isStopped) return;
     this.#timer = setTimeout(() => this.#dial(), this.#pauseMs);
