Half of a model's targets run its items while the others load

Loads of different models never overlapped, as the most urgent model took both places. Ruled out: a late leader (loads went on at 8.0 s, 1.6 s after the freeze). Change: of a model's share at most half loads at once, so the places go to two models. Test: nine targets of three models, two places (first: both to one). Open: a slow target counts as one of the share.

--- a/src/tasks/fleet/duties_test.ts
+++ b/src/tasks/fleet/duties_test.ts
@@ -32,7 +32,10 @@
   });
 }
 
-function policy(scaling: ScalingPolicy | undefined = undefined) {
+function policy(
+  scaling: ScalingPolicy | undefined = undefined,
+  models: readonly string[] = ["m"],
+) {
   return {
     revision: 1,
     routes: [],
@@ -40,7 +43,7 @@
       name: "s",
       healthPath: "/",
       maxConnections: 9,
-      models: ["m"],
+      models,
       scaling,
     }],
     limits: {
@@ -132,9 +135,15 @@
   }
 
   async function doTest(
-    options: { targets: readonly string[]; isLeading?: boolean; forMs: number },
+    options: {
+      targets: readonly string[];
+      models?: readonly string[];
+      isLeading?: boolean;
+      forMs: number;
+    },
     expected: readonly string[],
   ) {
+    const models = options.models ?? ["m"];
     const registry = registryOf(options.targets);
     const engines = new ScriptedEngines();
     const duty = new WeightsDuty({
@@ -144,8 +153,8 @@
       logger,
       metrics: new Metrics({ tags: {} }),
       now,
-      policy: () => policy(),
-      newest: () => new Map([["m", 2]]),
+      policy: () => policy(undefined, models),
+      newest: () => new Map(models.map((model) => [model, 2])),
       reportIntervalMs: 60_000,
       onLoading: () => {},
       onLoaded: (loaded) => registry.learnVersion(loaded),
@@ -167,6 +176,13 @@
     ]);
   });
 
+  it("leaves each model targets that run its items", () =>
+    doTest({
+      targets: Array.from({ length: 9 }, (_, i) => `a${i}`),
+      models: ["m", "n", "o"],
+      forMs: 200,
+    }, ["a1", "a2"]));
+
   it("orders nothing where it does not lead", () =>
     doTest({ targets: ["a1"], isLeading: false, forMs: 2_000 }, []));
 });
--- a/src/tasks/fleet/weights_duty.ts
+++ b/src/tasks/fleet/weights_duty.ts
@@ -47,6 +47,8 @@
 const TICK_MS = 150;
 /** Part of a service's targets that may load at once. */
 const LOADING_SHARE = 0.25;
+/** Part of a model's targets that may load at once: the others run items. */
+const MODEL_LOADING_SHARE = 0.5;
 const STATUS_TIMEOUT_MS = 500;
 const POLL_MS = 300;
 const LOAD_TIMEOUT_MS = 8_000;
@@ -57,7 +59,8 @@
 /** Keeps the targets of each model at its newest version. */
 export class WeightsDuty {
   readonly #options: WeightsDutyOptions;
-  readonly #loading = new Set<string>();
+  /** Model that each target loads, by target. */
+  readonly #loading = new Map<string, string>();
   readonly #notBefore = new Map<string, number>();
   readonly #followed = new Map<string, string>();
   #timer: NodeJS.Timeout | undefined;
@@ -118,11 +121,16 @@
       if (this.#loading.size >= limit) return;
       const target = this.#options.registry.get(id)?.report;
       if (target === undefined || this.#loading.has(id)) continue;
+      if (this.#loadsOf(model) >= mostLoads(shares.get(model))) continue;
       if (now() < (this.#notBefore.get(id) ?? -Infinity)) continue;
       this.#start({ target, model, version, mode });
     }
   }
 
+  #loadsOf(model: string): number {
+    return [...this.#loading.values()].filter((m) => m === model).length;
+  }
+
   #usable(service: string): RegisteredTarget[] {
     const { registry, reportIntervalMs, now } = this.#options;
     const limitMs = reportIntervalMs * MISSED_REPORTS;
@@ -133,7 +141,7 @@
   #start(load: Load): void {
     const { id } = load.target;
     const { logger, now } = this.#options;
-    this.#loading.add(id);
+    this.#loading.set(id, load.model);
     this.#load(load)
       .catch((err) => logger.error(err, { target: id }))
       .finally(() => {
@@ -222,6 +230,11 @@
   }
 }
 
+/** Gets how many targets of a model's share may load at once. */
+function mostLoads(share: readonly string[] = []): number {
+  return Math.max(1, Math.floor(share.length * MODEL_LOADING_SHARE));
+}
+
 function loadedOf({ target, model, version }: Load): LoadedVersion {
   const { id, incarnation } = target;
   return { target: id, incarnation, model, version };
