--- a/src/metrics/metrics.ts
+++ b/src/metrics/metrics.ts
@@ -1,5 +1,6 @@
 /** Metrics: kept in the process and sent to a StatsD receiver. */
-import { build, type Histogram } from "hdr-histogram-js";
+import type { Histogram } from "hdr-histogram-js";
+import { build } from "hdr-histogram-js/dist/HistogramBuilder.js";
 import { StatsD } from "hot-shots";
 import type { Address } from "../settings/mod.ts";
 import type { MetricName } from "./metric_catalogue.ts";
