Test: a silent link is given up by the side that accepted it

The check was written with the shared links and had no test of its own; without its timer the test fails after 5 s.

--- a/src/tasks/peers/peer_hub_test.ts
+++ b/src/tasks/peers/peer_hub_test.ts
@@ -116,6 +116,26 @@
       .rejects.toMatchObject({ verdict: Verdict.NotRun });
   });
 
+  it("gives up a link that the other dialled and that fell silent", async () => {
+    const [a, b, front] = [
+      await freePort(),
+      await freePort(),
+      await freePort(),
+    ];
+    const proxy = await new FaultProxy({
+      host: HOST,
+      port: front,
+      targetPort: b,
+    }).start();
+    stops.push(() => proxy.stop());
+    const dialler = await start("a", a, { b: front });
+    const other = await start("b", b, {});
+    dialler.keepLink("b");
+    await vi.waitFor(() => expect(other.isLinked("a")).toBe(true), 5_000);
+    proxy.set(LinkState.Silent);
+    await vi.waitFor(() => expect(other.isLinked("a")).toBe(false), 5_000);
+  });
+
   it("gives up a link that has fallen silent, and dials anew", async () => {
     const [a, b, front] = [
       await freePort(),
