No text is gathered for items that no target has room for

Each waiting item's text was looked up in all batches before the placer said that its service, model and version are full, and the list of batches was copied for each item placed or used again. The placer is asked first, and a round works on one list.

--- a/src/tasks/batches/batch_runner.ts
+++ b/src/tasks/batches/batch_runner.ts
@@ -383,8 +383,8 @@
       if (placed >= MAX_PLACED) break;
       const { record, item } = waiting;
       const isCarried = this.#book.isCarried(record, item);
-      if (isCarried && this.#reuse(waiting)) continue;
-      if (this.#run(waiting, placer)) placed += 1;
+      if (isCarried && this.#reuse(waiting, all)) continue;
+      if (this.#run(waiting, placer, all)) placed += 1;
     }
   }
 
@@ -410,9 +410,12 @@
   }
 
   /** An item that came again is listed with the text of its former batch. */
-  #reuse({ record, item }: WaitingItem): boolean {
+  #reuse(
+    { record, item }: WaitingItem,
+    records: readonly BatchRecord[],
+  ): boolean {
     const { minVersion, isSingleVersion, workspace } = record.spec;
-    for (const other of this.#options.state().all) {
+    for (const other of records) {
       if (other === record || other.spec.workspace !== workspace) continue;
       if (!other.isListed(item.id)) continue;
       const result = other.getResult(item.id);
@@ -427,14 +430,16 @@
   }
 
   #run(
-    { record, item }: WaitingItem,
+    waiting: WaitingItem,
     placer: ItemPlacer,
+    records: readonly BatchRecord[],
   ): boolean {
+    if (placer.isFull(waiting)) return false;
     const { registry, engines, logger } = this.#options;
+    const { record, item } = waiting;
     const { minVersion, id: batch } = record.spec;
-    const { all } = this.#options.state();
-    const text = this.#book.textOf(record, item, all);
-    const chosen = placer.choose({ record, item }, text);
+    const text = this.#book.textOf(record, item, records);
+    const chosen = placer.choose(waiting, text);
     if (chosen === undefined) return false;
     const target = registry.get(chosen.id)?.report;
     if (target === undefined) return false;
--- a/src/tasks/batches/item_placer.ts
+++ b/src/tasks/batches/item_placer.ts
@@ -41,15 +41,17 @@
     this.#counts = options.runs.countByTarget();
   }
 
+  /** Gets whether no target has room for an item, whatever its text. */
+  isFull(waiting: WaitingItem): boolean {
+    return this.#full.has(demandOf(waiting));
+  }
+
   /** Gets the target for an item; undefined where it is to wait. */
-  choose(
-    { record, item }: WaitingItem,
-    text: RunText,
-  ): PlacementTarget | undefined {
+  choose(waiting: WaitingItem, text: RunText): PlacementTarget | undefined {
+    if (this.isFull(waiting)) return undefined;
+    const { record, item } = waiting;
     const { runs, book, dataCentre } = this.#options;
     const { minVersion, isSingleVersion, service } = record.spec;
-    const demand = `${service}/${item.model}/${minVersion}`;
-    if (this.#full.has(demand)) return undefined;
     const chosen = placeItem({
       targets: this.#viewsOf(service, item.model),
       minVersion,
@@ -60,7 +62,7 @@
       dataCentre,
     });
     const isBound = isSingleVersion && text.versions.length > 0;
-    if (chosen === undefined && !isBound) this.#full.add(demand);
+    if (chosen === undefined && !isBound) this.#full.add(demandOf(waiting));
     return chosen;
   }
 
@@ -95,3 +97,9 @@
     return views;
   }
 }
+
+/** Items of the same service, model and version fit the same targets. */
+function demandOf({ record, item }: WaitingItem): string {
+  const { service, minVersion } = record.spec;
+  return `${service}/${item.model}/${minVersion}`;
+}
