--- a/fakes/fleet_replica.ts
+++ b/fakes/fleet_replica.ts
@@ -8,6 +8,7 @@
 } from "node:http";
 import type { AddressInfo, Socket } from "node:net";
 import { request } from "undici";
+import { sleep } from "./engine.ts";
 import { eventsOf, pieceOf } from "./fleet_text.ts";
 
 /** Options of {@link FleetReplica}. */
@@ -307,7 +308,3 @@
     };
   }
 }
-
-function sleep(ms: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, ms));
-}
--- a/src/tasks/batches/batch_task.ts
+++ b/src/tasks/batches/batch_task.ts
@@ -23,7 +23,7 @@
   RefusalReason,
   Verdict,
 } from "../../core/verdict/mod.ts";
-import { FLEET_CONSENSUS_TIMES } from "../fleet/fleet_times.ts";
+import { fleetLogOptions } from "../fleet/fleet_log.ts";
 import type { FleetNode } from "../fleet/fleet_node.ts";
 import { LogService } from "../log/mod.ts";
 import {
@@ -124,9 +124,7 @@
   async stop(): Promise<void> {
     clearInterval(this.#upkeepTimer);
     this.#runner.stop();
-    this.#service.driver.yieldLeadership();
-    await new Promise((resolve) => setTimeout(resolve, HANDOVER_MS));
-    await this.#service.driver.stop();
+    await this.#service.stop();
   }
 
   /** Looks at changed targets. */
@@ -141,23 +139,15 @@
 
   #createService(): Service {
     const { node, dataFolder, now } = this.#options;
-    const { settings, logger } = node;
     return new LogService({
-      name: BATCH_LOG,
-      id: settings.id,
+      ...fleetLogOptions(node, BATCH_LOG),
       dataFolder,
       createState: () => new BatchState(),
       compactEntries: COMPACT_ENTRIES,
       sizeOf: sizeOfCommand,
       wantedVoters: () => this.#wantedVoters(),
       wantedLearners: 0,
-      times: FLEET_CONSENSUS_TIMES,
-      logger,
-      metrics: node.metrics,
       now,
-      send: (to, message) =>
-        node.sendLog(to, { log: BATCH_LOG, message: message as never }),
-      keepLink: (id) => node.hub.keepLink(id),
       present: () => this.#present(),
       isGone: (replica) => this.#isGone(instanceOf(replica)),
       onApplied: (command) => this.#onApplied(command),
@@ -440,9 +430,6 @@
   [ResultState.Abandoned]: "items.abandoned",
 } as const;
 
-/** Time for the new leader to take over before this replica stops. */
-const HANDOVER_MS = 300;
-
 function notFound(): RefusalError {
   return new RefusalError(RefusalReason.NotFound, Verdict.NotRun, {
     message: "No such batch or item",
--- a/src/tasks/control/control_task.ts
+++ b/src/tasks/control/control_task.ts
@@ -22,6 +22,7 @@
   RestoredListener,
 } from "./control_port.ts";
 import { FeedTask } from "./feed_task.ts";
+import { ProposalWaiters, PROPOSE_TIMEOUT_MS } from "../log/mod.ts";
 import { type ControlDriver, createControlDriver } from "./control_driver.ts";
 
 /** Options of {@link ControlTask}. */
@@ -40,12 +41,6 @@
   readonly isDraining: () => boolean;
 }
 
-interface Waiter {
-  readonly term: number;
-  readonly resolve: (answer: CommandAnswer) => void;
-  readonly reject: (err: Error) => void;
-}
-
 interface Proposed {
   readonly answer: CommandAnswer;
   readonly index: number;
@@ -66,7 +61,6 @@
 /** Times of the leases of the configuration. */
 export const FEED_TIMES: FeedTimes = { leaseMs: 3_000, clockRateError: 0.02 };
 
-const PROPOSE_TIMEOUT_MS = 4_000;
 const FORCE_TIMEOUT_MS = 4_500;
 const FORCE_POLL_MS = 20;
 const FOLLOW_TIMEOUT_MS = 2_000;
@@ -80,7 +74,7 @@
   readonly #options: ControlTaskOptions;
   readonly #driver: ControlDriver | undefined;
   readonly #feed: FeedTask;
-  readonly #waiters = new Map<number, Waiter>();
+  readonly #waiters = new ProposalWaiters<CommandAnswer>(unavailable);
   readonly #applied: AppliedListener[] = [];
   readonly #restored: RestoredListener[] = [];
   readonly #roles: ((isLeader: boolean) => void)[] = [];
@@ -222,25 +216,17 @@
     entry: LogEntry<ControlCommand>,
     answer: CommandAnswer | undefined,
   ): void {
-    const { content, index, term } = entry;
+    const { content, index } = entry;
     const command = content.type === "command" ? content.command : undefined;
     this.#feed.onLogEntry(index, command);
     if (command !== undefined && answer !== undefined) {
       this.#tellApplied(command, answer);
     }
-    const waiter = this.#waiters.get(index);
-    if (waiter === undefined) return;
-    this.#waiters.delete(index);
-    if (waiter.term === term && answer !== undefined) waiter.resolve(answer);
-    else waiter.reject(unavailable(Verdict.NotRun));
+    this.#waiters.onApplied(entry, answer);
   }
 
   #onRole(isLeader: boolean): void {
-    if (!isLeader) {
-      const waiters = [...this.#waiters.values()];
-      this.#waiters.clear();
-      for (const w of waiters) w.reject(unavailable(Verdict.MayHaveRun));
-    }
+    if (!isLeader) this.#waiters.rejectAll();
     this.#feed.updateRoot();
     for (const listener of this.#roles) listener(isLeader);
   }
@@ -286,25 +272,8 @@
     }
     const position = driver.propose(command);
     if (position === undefined) throw unavailable(Verdict.NotRun);
-    const { index, term } = position;
-    const answer = await new Promise<CommandAnswer>((resolve, reject) => {
-      const timer = setTimeout(() => {
-        this.#waiters.delete(index);
-        reject(unavailable(Verdict.MayHaveRun));
-      }, PROPOSE_TIMEOUT_MS);
-      this.#waiters.set(index, {
-        term,
-        resolve: (result) => {
-          clearTimeout(timer);
-          resolve(result);
-        },
-        reject: (err) => {
-          clearTimeout(timer);
-          reject(err);
-        },
-      });
-    });
-    return { answer, index };
+    const answer = await this.#waiters.wait(position);
+    return { answer, index: position.index };
   }
 
   async #awaitForceHere(question: ForceQuestion): Promise<ForceAnswer> {
--- a/src/tasks/fleet/fleet_control.ts
+++ b/src/tasks/fleet/fleet_control.ts
@@ -28,7 +28,8 @@
 import { LogService, LogStore } from "../log/mod.ts";
 import type { FleetNode } from "./fleet_node.ts";
 import { FleetTeller } from "./fleet_teller.ts";
-import { FLEET_CONSENSUS_TIMES } from "./fleet_times.ts";
+import { fleetLogOptions } from "./fleet_log.ts";
+import { logTargetChanged } from "./target_log.ts";
 
 /** Options of {@link FleetControl}. */
 export interface FleetControlOptions {
@@ -163,9 +164,7 @@
   /** Hands the lead over and stops. */
   async stop(): Promise<void> {
     clearInterval(this.#timer);
-    this.#service.driver.yieldLeadership();
-    await new Promise((resolve) => setTimeout(resolve, HANDOVER_MS));
-    await this.#service.driver.stop();
+    await this.#service.stop();
   }
 
   /**
@@ -239,23 +238,16 @@
 
   #createService(): Service {
     const { node, dataFolder, now } = this.#options;
-    const { settings, hub, logger } = node;
+    const { settings, hub } = node;
     return new LogService({
-      name: FLEET_LOG,
-      id: settings.id,
+      ...fleetLogOptions(node, FLEET_LOG),
       dataFolder,
       createState: () => new FleetState(),
       wantedVoters: () => {
         const members = this.#service.driver.node?.members.voters.length ?? 0;
         return wantedVoters(Math.max(this.#present().length, members));
       },
-      times: FLEET_CONSENSUS_TIMES,
-      logger,
-      metrics: node.metrics,
       now,
-      send: (to, message) =>
-        node.sendLog(to, { log: FLEET_LOG, message: message as never }),
-      keepLink: (id) => hub.keepLink(id),
       present: () => this.#present(),
       isGone: (replica) =>
         hub.absentMs(instanceOf(replica)) > settings.times.contactMs &&
@@ -323,15 +315,7 @@
     known: TargetReport | undefined,
   ): void {
     const { node, onChanged } = this.#options;
-    node.logger.event("targetChanged", {
-      target: report.id,
-      service: report.service,
-      address: report.address,
-      state: report.state,
-      incarnation: report.incarnation,
-      sequence: report.sequence,
-      versions: JSON.stringify(report.versions),
-    });
+    logTargetChanged(node.logger, report);
     this.#teller.onTarget(report, known);
     onChanged();
   }
@@ -345,9 +329,6 @@
   }
 }
 
-/** Time for the new leader to take over before this replica stops. */
-const HANDOVER_MS = 300;
-
 /** Gives up waiting in time for the asker to hear of it. */
 async function within<T>(promise: Promise<T>, timeoutMs: number): Promise<T> {
   let timer: NodeJS.Timeout | undefined;
--- a/src/tasks/fleet/fleet_follower.ts
+++ b/src/tasks/fleet/fleet_follower.ts
@@ -19,6 +19,7 @@
   type PolicyQuestion,
 } from "./fleet_control.ts";
 import type { FleetNode } from "./fleet_node.ts";
+import { logTargetChanged } from "./target_log.ts";
 
 /** Options of {@link FleetFollower}. */
 export interface FleetFollowerOptions {
@@ -207,15 +208,7 @@
         continue;
       }
       isChanged = true;
-      node.logger.event("targetChanged", {
-        target: report.id,
-        service: report.service,
-        address: report.address,
-        state: report.state,
-        incarnation: report.incarnation,
-        sequence: report.sequence,
-        versions: JSON.stringify(report.versions),
-      });
+      logTargetChanged(node.logger, report);
     }
     if (isChanged) onTargetsChanged();
   }
--- /dev/null
+++ b/src/tasks/fleet/fleet_log.ts
@@ -0,0 +1,21 @@
+/** What the replicated logs of a fleet have in common. */
+import type { LogEnvelope } from "../peers/mod.ts";
+import type { FleetNode } from "./fleet_node.ts";
+import { FLEET_CONSENSUS_TIMES } from "./fleet_times.ts";
+
+/** Gets the options that a log takes from its instance. */
+export function fleetLogOptions(node: FleetNode, name: string) {
+  return {
+    name,
+    id: node.settings.id,
+    times: FLEET_CONSENSUS_TIMES,
+    logger: node.logger,
+    metrics: node.metrics,
+    send: (to: string, message: unknown) =>
+      node.sendLog(to, {
+        log: name,
+        message: message as LogEnvelope["message"],
+      }),
+    keepLink: (id: string) => void node.hub.keepLink(id),
+  };
+}
--- /dev/null
+++ b/src/tasks/fleet/target_log.ts
@@ -0,0 +1,16 @@
+/** Log lines about registered targets. */
+import type { TargetReport } from "../../core/registry/mod.ts";
+import type { Logger } from "../../logging/mod.ts";
+
+/** Records what is believed of a target from now on. */
+export function logTargetChanged(logger: Logger, report: TargetReport): void {
+  logger.event("targetChanged", {
+    target: report.id,
+    service: report.service,
+    address: report.address,
+    state: report.state,
+    incarnation: report.incarnation,
+    sequence: report.sequence,
+    versions: JSON.stringify(report.versions),
+  });
+}
--- a/src/tasks/log/log_service.ts
+++ b/src/tasks/log/log_service.ts
@@ -7,6 +7,7 @@
 } from "../../core/verdict/mod.ts";
 import type { Metrics } from "../../metrics/mod.ts";
 import { LogDriver, type LogDriverOptions } from "./log_driver.ts";
+import { ProposalWaiters } from "./proposal_waiters.ts";
 import type { StateMachine } from "./state_machine.ts";
 
 /** Options of {@link LogService}. */
@@ -25,20 +26,15 @@
     readonly metrics: Metrics;
   };
 
-interface Waiter<A> {
-  readonly term: number;
-  readonly resolve: (answer: A) => void;
-  readonly reject: (err: Error) => void;
-}
-
-const PROPOSE_TIMEOUT_MS = 4_000;
+/** Time for the new leader to take over before this replica stops. */
+const HANDOVER_MS = 300;
 const RETRY_AFTER_MS = 500;
 
 /** Owns a replica of a log and those who wait for its entries. */
 export class LogService<C, S, A, M extends StateMachine<C, S, A>> {
   readonly driver: LogDriver<C, S, A, M>;
   readonly #options: LogServiceOptions<C, S, A, M>;
-  readonly #waiters = new Map<number, Waiter<A>>();
+  readonly #waiters = new ProposalWaiters<A>(unavailable);
 
   /** Creates the service; it does not run yet. */
   constructor(options: LogServiceOptions<C, S, A, M>) {
@@ -78,26 +74,11 @@
     if (position === undefined) {
       return Promise.reject(unavailable(Verdict.NotRun));
     }
-    const { index, term } = position;
     const proposedAt = performance.now();
     const { metrics } = this.#options;
-    return new Promise((resolve, reject) => {
-      const timer = setTimeout(() => {
-        this.#waiters.delete(index);
-        reject(unavailable(Verdict.MayHaveRun));
-      }, PROPOSE_TIMEOUT_MS);
-      this.#waiters.set(index, {
-        term,
-        resolve: (answer) => {
-          clearTimeout(timer);
-          metrics.timing("log.proposeDuration", performance.now() - proposedAt);
-          resolve(answer);
-        },
-        reject: (err) => {
-          clearTimeout(timer);
-          reject(err);
-        },
-      });
+    return this.#waiters.wait(position).then((answer) => {
+      metrics.timing("log.proposeDuration", performance.now() - proposedAt);
+      return answer;
     });
   }
 
@@ -114,6 +95,13 @@
     throw unavailable(verdict);
   }
 
+  /** Hands the lead over and stops the replica. */
+  async stop(): Promise<void> {
+    this.driver.yieldLeadership();
+    await new Promise((resolve) => setTimeout(resolve, HANDOVER_MS));
+    await this.driver.stop();
+  }
+
   /** Sets the gauges of the log. */
   measure(): void {
     const { metrics } = this.#options;
@@ -122,26 +110,15 @@
   }
 
   #onEntry(entry: LogEntry<C>, answer: A | undefined): void {
-    const { content, index, term } = entry;
+    const { content } = entry;
     if (content.type === "command" && answer !== undefined) {
       this.#options.onApplied(content.command, answer);
     }
-    const waiter = this.#waiters.get(index);
-    if (waiter === undefined) return;
-    this.#waiters.delete(index);
-    const isOwn = waiter.term === term && answer !== undefined;
-    if (isOwn) waiter.resolve(answer);
-    else waiter.reject(unavailable(Verdict.NotRun));
+    this.#waiters.onApplied(entry, answer);
   }
 
   #onRole(isLeader: boolean): void {
-    if (!isLeader) {
-      const waiters = [...this.#waiters.values()];
-      this.#waiters.clear();
-      for (const waiter of waiters) {
-        waiter.reject(unavailable(Verdict.MayHaveRun));
-      }
-    }
+    if (!isLeader) this.#waiters.rejectAll();
     this.#options.onRole(isLeader);
   }
 }
--- a/src/tasks/log/mod.ts
+++ b/src/tasks/log/mod.ts
@@ -3,3 +3,4 @@
 export * from "./log_store.ts";
 export * from "./state_machine.ts";
 export * from "./log_service.ts";
+export * from "./proposal_waiters.ts";
--- a/src/tasks/peers/accepted_link.ts
+++ b/src/tasks/peers/accepted_link.ts
@@ -1,7 +1,7 @@
 /** A connection that another instance has dialled and proved. */
 import type { WebSocket } from "ws";
 import { encodeEnvelope, type PeerEnvelope } from "./peer_envelope.ts";
-import { MAX_BUFFERED_BYTES, SILENCE_LIMIT_MS } from "./peer_link.ts";
+import { sendOn, SILENCE_LIMIT_MS } from "./peer_link.ts";
 
 /** Options of {@link AcceptedLink}. */
 export interface AcceptedLinkOptions {
@@ -44,11 +44,7 @@
   /** Sends a message whose bytes are asked for where they can be sent. */
   sendBytes(encode: () => Buffer): boolean {
     const { socket, onSent } = this.#options;
-    if (!this.isUp || socket.bufferedAmount > MAX_BUFFERED_BYTES) return false;
-    const bytes = encode();
-    onSent(bytes.length);
-    socket.send(bytes);
-    return true;
+    return this.isUp && sendOn(socket, { encode, onSent });
   }
 
   /** Ends the connection where nothing has come for long. */
--- a/src/tasks/peers/peer_link.ts
+++ b/src/tasks/peers/peer_link.ts
@@ -43,7 +43,7 @@
 const MAX_PAUSE_MS = 1_000;
 const HANDSHAKE_TIMEOUT_MS = 1_500;
 /** Bytes that wait on a slow link before messages are dropped. */
-export const MAX_BUFFERED_BYTES = 33_554_432;
+const MAX_BUFFERED_BYTES = 33_554_432;
 
 /** Dials one instance again and again, and sends to it. */
 export class PeerLink {
@@ -76,11 +76,7 @@
   sendBytes(encode: () => Buffer): boolean {
     const socket = this.#socket;
     if (!this.#isUp || socket === undefined) return false;
-    if (socket.bufferedAmount > MAX_BUFFERED_BYTES) return false;
-    const bytes = encode();
-    this.#options.onSent(bytes.length);
-    socket.send(bytes);
-    return true;
+    return sendOn(socket, { encode, onSent: this.#options.onSent });
   }
 
   /** Waits until messages can be sent, at most for a time. */
@@ -190,6 +186,21 @@
  */
 const acceptsAnyName = (() => undefined) as unknown as () => boolean;
 
+/** Sends bytes, unless too many wait on the connection already. */
+export function sendOn(
+  socket: WebSocket,
+  options: {
+    readonly encode: () => Buffer;
+    readonly onSent: (bytes: number) => void;
+  },
+): boolean {
+  if (socket.bufferedAmount > MAX_BUFFERED_BYTES) return false;
+  const bytes = options.encode();
+  options.onSent(bytes.length);
+  socket.send(bytes);
+  return true;
+}
+
 function parseAnswer(
   data: Buffer,
 ): { nonce: string; proof: string } | undefined {
