Consensus, retire: three known failures mended

Causes - A replica refused pre-votes while its own log did not show it as a voter, although its promotion was committed by the others. With one of those lost, two of three voters ran and none was elected. Votes never had that check, so it protected nothing; pre-votes drop it. - The status listed members of the last entry, committed or not. The roster that control instances exchange now names its members, and orders to empty an instance are decided by it.

Ruled out: the disk incarnation as a reason for the check of pre-votes (a replica with a lost disk has a new identity).

--- a/src/core/consensus/consensus_node.ts
+++ b/src/core/consensus/consensus_node.ts
@@ -129,6 +129,11 @@
     return this.#log.members;
   }
 
+  /** Gets the members as of the last committed entry. */
+  get committedMembers(): Members {
+    return this.#log.membersAt(this.#log.committed);
+  }
+
   /** Gets the highest committed index. */
   get committed(): number {
     return this.#log.committed;
@@ -528,11 +533,14 @@
     this.#effects.push({ type: "apply", entries });
   }
 
+  /**
+   * Grants a pre-vote even if the local log does not show this replica as a
+   * voter: its promotion may be committed without it having received the entry.
+   */
   #onPreVoteRequest(message: PreVoteRequest, now: number): void {
     const hasLeader = this.role === Role.Leader || this.#hasLeaderContact(now);
     const isRefused = hasLeader && this.#guards.leaderStickiness;
-    const isGranted = !isRefused && this.#isVoter() &&
-      message.term >= this.#term &&
+    const isGranted = !isRefused && message.term >= this.#term &&
       this.#log.isUpToDate({
         index: message.lastIndex,
         term: message.lastTerm,
--- a/src/core/consensus/consensus_node_test.ts
+++ b/src/core/consensus/consensus_node_test.ts
@@ -360,6 +360,49 @@
     expect(leader.nextTickAt).toBeLessThan(Infinity);
   });
 
+  /** Promotes learner `c` without letting it receive that entry. */
+  function promoteUnseen(): Cluster {
+    const cluster = new Cluster(["a", "b"]);
+    cluster.disks.set("c", stored([]));
+    cluster.start("c");
+    const leader = cluster.elect("a");
+    const voters = ["a", "b"];
+    leader.proposeMembers({ voters, learners: ["c"] }, cluster.now);
+    cluster.settle();
+    leader.tick(cluster.now += 100);
+    cluster.settle();
+    cluster.drops = ({ to }) => to === "c";
+    const promoted = { voters: [...voters, "c"], learners: [] };
+    expect(leader.proposeMembers(promoted, cluster.now)).toBeDefined();
+    cluster.settle();
+    leader.tick(cluster.now += 100);
+    cluster.settle();
+    cluster.drops = () => false;
+    return cluster;
+  }
+
+  it("elects a leader by a voter that has not seen its promotion", () => {
+    const cluster = promoteUnseen();
+    expect(cluster.nodeOf("c").members.voters).not.toContain("c");
+    cluster.isolated.add("a");
+    expect(cluster.elect("b").role).toBe("leader");
+  });
+
+  it("shows a voter among the committed ones after the commit", () => {
+    const cluster = create();
+    const leader = cluster.elect("a");
+    cluster.isolated.add("b").add("c");
+    const reduced = { voters: ["a", "b"], learners: [] };
+    leader.proposeMembers(reduced, cluster.now);
+    cluster.settle();
+    expect(leader.members).toEqual(reduced);
+    expect(leader.committedMembers.voters).toEqual(["a", "b", "c"]);
+    cluster.isolated.clear();
+    leader.tick(cluster.now += 100);
+    cluster.settle();
+    expect(leader.committedMembers).toEqual(reduced);
+  });
+
   it("rejects the promotion of a learner that is not caught up", () => {
     const cluster = create();
     const leader = cluster.elect("a");
--- a/src/core/fleet/fleet_member.ts
+++ b/src/core/fleet/fleet_member.ts
@@ -37,6 +37,8 @@
 export interface RosterEntry {
   /** Identity of the instance: its address without the port. */
   readonly id: string;
+  /** Name of the machine, as known to operators. */
+  readonly name: string;
   readonly role: FleetRole;
   readonly dataCentre: string;
   readonly leadsTerm: number | undefined;
--- a/src/core/fleet/roster.ts
+++ b/src/core/fleet/roster.ts
@@ -23,9 +23,9 @@
 
   /** Records the status published by a member. */
   updateFromMember(id: string, member: FleetMember, now: number): this {
-    const { role, dataCentre, leadsTerm } = member;
+    const { name, role, dataCentre, leadsTerm } = member;
     this.#members.set(id, {
-      entry: { id, role, dataCentre, leadsTerm },
+      entry: { id, name, role, dataCentre, leadsTerm },
       lastSeenAt: now,
     });
     return this;
--- a/src/tasks/fleet/control_task.ts
+++ b/src/tasks/fleet/control_task.ts
@@ -1,7 +1,7 @@
 /** A control instance: policy, target registry and the leader's tasks. */
 import type { ServiceDemand } from "../../core/batches/mod.ts";
 import type { ElapsedClock } from "../../core/clock/mod.ts";
-import { FleetRole } from "../../core/fleet/mod.ts";
+import { FleetRole, type RosterEntry } from "../../core/fleet/mod.ts";
 import type { PolicyDocument } from "../../core/policy/mod.ts";
 import type { TargetReport } from "../../core/registry/mod.ts";
 import {
@@ -141,14 +141,14 @@
   async retire(name: string): Promise<void> {
     const { node } = this.#options;
     if (this.#control.state.retiring.has(name)) return;
-    const ledgers = node.linkedMembers(FleetRole.Ledger);
-    if (!ledgers.some(({ member }) => member.name === name)) {
+    const ledgers = this.#ledgerMembers();
+    if (!ledgers.some((member) => member.name === name)) {
       throw new RefusalError(RefusalReason.NotFound, Verdict.NotRun, {
         message: `No instance ${name} holds data`,
       });
     }
     const { retiring } = this.#control.state;
-    const remaining = ledgers.filter(({ member }) =>
+    const remaining = ledgers.filter((member) =>
       member.name !== name && !retiring.has(member.name)
     );
     if (remaining.length < 2 * node.settings.tolerance + 1) {
@@ -182,9 +182,10 @@
       BatchMethod.Holders,
       { params: {}, timeoutMs: HOLDERS_TIMEOUT_MS },
     ) as readonly string[];
-    const member = node.linkedMembers(FleetRole.Ledger)
-      .find((ledger) => ledger.member.name === name);
-    if (member === undefined || holders.includes(member.id)) return false;
+    const members = this.#ledgerMembers()
+      .filter((member) => member.name === name);
+    const isEmpty = members.every(({ id }) => !holders.includes(id));
+    if (members.length === 0 || !isEmpty) return false;
     await this.#control.propose({ type: "retired", name });
     node.logger.event("instanceRetired", { instance: name });
     return true;
@@ -202,6 +203,15 @@
     });
   }
 
+  /**
+   * Gets the ledger instances that any control instance has a link to. This one
+   * need not have one, as a ledger instance links to a few control instances.
+   */
+  #ledgerMembers(): RosterEntry[] {
+    const { roster, now } = this.#options.node;
+    return roster.membersOf(FleetRole.Ledger, now);
+  }
+
   #createLease(): OrderLease {
     const { node, clock } = this.#options;
     return new OrderLease({
--- a/src/tasks/fleet/fleet_publisher.ts
+++ b/src/tasks/fleet/fleet_publisher.ts
@@ -204,9 +204,10 @@
 
   #members(): RosterEntry[] {
     const { node, leadsTerm } = this.#options;
-    const { id, dataCentre } = node.settings;
+    const { id, name, dataCentre } = node.settings;
     const own: RosterEntry = {
       id,
+      name,
       role: FleetRole.Control,
       dataCentre,
       leadsTerm: leadsTerm(),
@@ -214,6 +215,7 @@
     const others = LOG_ROLES.flatMap((role) =>
       node.linkedMembers(role).map(({ id: memberId, member }) => ({
         id: memberId,
+        name: member.name,
         role,
         dataCentre: member.dataCentre,
         leadsTerm: member.leadsTerm,
--- a/src/tasks/instance.ts
+++ b/src/tasks/instance.ts
@@ -442,7 +442,7 @@
         term: node.term,
         leader: node.leader,
         committed: node.committed,
-        members: node.members,
+        members: node.committedMembers,
       },
       view: control.view,
       ledger: {
