--- a/src/tasks/entry/http_server.ts
+++ b/src/tasks/entry/http_server.ts
@@ -13,6 +13,7 @@
 import type { Logger } from "../../logging/mod.ts";
 import type { Metrics } from "../../metrics/mod.ts";
 import type { Settings } from "../../settings/mod.ts";
+import { listenOn, stopAccepting } from "../http_listener.ts";
 import { sendRefusal, toRefusal } from "./http_response.ts";
 import type { OperatorHandlers } from "./operator_handlers.ts";
 import type { HttpContext, RouteHandlers } from "./route_handlers.ts";
@@ -76,15 +77,9 @@
    * @returns The port.
    * @throws Error of the socket if it cannot listen at the address.
    */
-  listen(): Promise<number> {
-    const { host, port } = this.#options.settings.listen;
-    return new Promise((resolve, reject) => {
-      this.#server.once("error", reject);
-      this.#server.listen(port, host, () => {
-        this.#server.off("error", reject);
-        resolve((this.#server.address() as AddressInfo).port);
-      });
-    });
+  async listen(): Promise<number> {
+    await listenOn(this.#server as Server, this.#options.settings.listen);
+    return (this.#server.address() as AddressInfo).port;
   }
 
   /**
@@ -104,7 +99,7 @@
   async drain(): Promise<void> {
     this.#isDraining = true;
     const deadline = Date.now() + this.#options.settings.http.drainTimeoutMs;
-    this.#server.close();
+    await stopAccepting(this.#server as Server, () => {});
     this.#server.closeIdleConnections();
     while (this.#openRequests > 0 && Date.now() < deadline) {
       await new Promise((resolve) =>
