Targets that leave are known from their responses too

Cause: a leaving target was known by its report and deregistration only, so an instance that had just passed on a response with the leaving header went on using it until control's notice came, or for good without one.

In the registry the state of an incarnation no longer goes back, so a report "ready" that was on its way changes nothing, and a new incarnation is not mistaken for the one that left. A copy of a known report that says "draining" counts as newer. A control instance that has restarted is told again when it publishes the target as ready.

Ruled out: marks by address (reused) and by identifier alone (kept over restarts).

--- a/bench/slopes/placement_series.ts
+++ b/bench/slopes/placement_series.ts
@@ -100,6 +100,7 @@
     dataCentre: "a",
     now: () => performance.now(),
     canRunItems: () => true,
+    onTargetLeaving: () => {},
     storeResult: (record) => {
       state.apply({ type: "list", records: [record] });
       runner.onResultStored(record.batch, record.result.id);
--- a/fakes/fleet_replica.ts
+++ b/fakes/fleet_replica.ts
@@ -74,6 +74,8 @@
   slowdownFactor = 1;
   /** Whether requests stay without a response. */
   isSilent = false;
+  /** Whether responses say that the target leaves; its heartbeats do not. */
+  saysLeaving = false;
 
   /** Creates a target; {@link FleetReplica.start} makes it listen. */
   constructor(options: FleetReplicaOptions) {
@@ -150,6 +152,7 @@
     const chunks: Buffer[] = [];
     for await (const chunk of req) chunks.push(chunk);
     if (this.isSilent) return;
+    if (this.saysLeaving) res.setHeader("server-leaving", "1");
     const expected = req.headers["expect-instance"];
     if (expected !== undefined && expected !== this.#id) {
       res.writeHead(421, { "instance-id": this.#id }).end();
--- a/src/core/fleet/fleet_notice.ts
+++ b/src/core/fleet/fleet_notice.ts
@@ -38,6 +38,12 @@
     readonly model: string;
     readonly version: number;
   }
+  | {
+    /** A target has said in a response that it leaves. */
+    readonly type: "leaving";
+    readonly target: string;
+    readonly incarnation: number;
+  }
   | {
     readonly type: "roster";
     readonly members: readonly RosterEntry[];
--- a/src/core/registry/target_registry.ts
+++ b/src/core/registry/target_registry.ts
@@ -43,13 +43,19 @@
 export class TargetRegistry {
   readonly #targets = new Map<string, RegisteredTarget>();
 
-  /** Merges a report; ignored if it is not newer than the known one. */
+  /**
+   * Merges a report; ignored if it is not newer than the known one. A target
+   * that leaves stays leaving until it starts again.
+   */
   merge(report: TargetReport, now: number): RegistryChange {
     const current = this.#targets.get(report.id)?.report;
     if (current !== undefined && !isNewer(report, current)) {
       return RegistryChange.None;
     }
-    const resolved = this.#resolveAddressConflict(report, now);
+    const resolved = this.#resolveAddressConflict(
+      keepLeaving(report, current),
+      now,
+    );
     this.#targets.set(report.id, { report: resolved, reportedAt: now });
     return current !== undefined && isSameReport(current, resolved)
       ? RegistryChange.Refreshed
@@ -74,6 +80,23 @@
     return true;
   }
 
+  /**
+   * Records that an incarnation of a target leaves, before it reports it.
+   * @returns False if it is unknown, has restarted or was known to leave.
+   */
+  markLeaving(id: string, incarnation: number): boolean {
+    const current = this.#targets.get(id);
+    if (current === undefined) return false;
+    const { report, reportedAt } = current;
+    const isReady = report.state === TargetState.Ready;
+    if (!isReady || report.incarnation !== incarnation) return false;
+    this.#targets.set(id, {
+      report: { ...report, state: TargetState.Draining },
+      reportedAt,
+    });
+    return true;
+  }
+
   /**
    * Records that a target has loaded a version, before it reports it.
    * @returns False if the incarnation differs or the version is not newer.
@@ -98,6 +121,16 @@
     return this.#targets.get(id);
   }
 
+  /**
+   * Gets the current report of a target.
+   * @throws Error if the target is unknown.
+   */
+  getReportOrThrow(id: string): TargetReport {
+    const target = this.#targets.get(id);
+    if (target === undefined) throw new Error(`Unknown target ${id}`);
+    return target.report;
+  }
+
   /** Gets all targets, including those in state gone. */
   get all(): readonly RegisteredTarget[] {
     return [...this.#targets.values()];
@@ -145,7 +178,22 @@
   }
   if (current.state === TargetState.Gone) return false;
   if (report.state === TargetState.Gone) return true;
-  return report.sequence > current.sequence;
+  if (report.sequence !== current.sequence) {
+    return report.sequence > current.sequence;
+  }
+  return report.state === TargetState.Draining &&
+    current.state === TargetState.Ready;
+}
+
+/** Gets a report whose state is not older than the one known. */
+function keepLeaving(
+  report: TargetReport,
+  current: TargetReport | undefined,
+): TargetReport {
+  const isLeaving = current?.incarnation === report.incarnation &&
+    current.state === TargetState.Draining &&
+    report.state === TargetState.Ready;
+  return isLeaving ? { ...report, state: TargetState.Draining } : report;
 }
 
 function isSameReport(a: TargetReport, b: TargetReport): boolean {
--- a/src/core/registry/target_registry_test.ts
+++ b/src/core/registry/target_registry_test.ts
@@ -63,6 +63,31 @@
     expect(registry.readyOf("planner")).toEqual([]);
   });
 
+  it("keeps a target leaving although its reports call it ready", () => {
+    const registry = new TargetRegistry();
+    registry.merge(report({}), 0);
+    expect(registry.markLeaving("i-1", 1)).toBe(true);
+    expect(registry.markLeaving("i-1", 1)).toBe(false);
+    registry.merge(report({ sequence: 2 }), 1);
+    expect(registry.readyOf("planner")).toEqual([]);
+  });
+
+  it("does not take a restarted target for the one that left", () => {
+    const registry = new TargetRegistry();
+    registry.merge(report({ incarnation: 2 }), 0);
+    expect(registry.markLeaving("i-1", 1)).toBe(false);
+    registry.markLeaving("i-1", 2);
+    registry.merge(report({ incarnation: 3, sequence: 1 }), 1);
+    expect(registry.readyOf("planner")).toHaveLength(1);
+  });
+
+  it("learns that a target leaves from a copy of a known report", () => {
+    doTest(
+      [{}, { state: TargetState.Draining }, {}],
+      { "i-1": TargetState.Draining },
+    );
+  });
+
   it("distinguishes a repeated report from a changed one", () => {
     const registry = new TargetRegistry();
     expect(registry.merge(report({}), 0)).toBe(RegistryChange.Changed);
--- a/src/core/registry/target_report.ts
+++ b/src/core/registry/target_report.ts
@@ -1,8 +1,12 @@
 /** Reports by which targets register themselves. */
 
-/** States of a target; only `ready` accepts work. */
+/**
+ * States of a target, of which only `ready` accepts work. An incarnation never
+ * returns to an earlier state.
+ */
 export const TargetState = {
   Ready: "ready",
+  /** The target leaves, by its own report or by one of its responses. */
   Draining: "draining",
   /** The target has deregistered, or a newer one has its address. */
   Gone: "gone",
--- a/src/tasks/batches/batch_runner.ts
+++ b/src/tasks/batches/batch_runner.ts
@@ -19,6 +19,7 @@
 import {
   type LoadedVersion,
   type TargetRegistry,
+  type TargetReport,
   TargetState,
 } from "../../core/registry/mod.ts";
 import type { Logger } from "../../logging/mod.ts";
@@ -44,6 +45,8 @@
    * committed entries.
    */
   readonly canRunItems: () => boolean;
+  /** Called when a target has said that it leaves. */
+  readonly onTargetLeaving: (target: TargetReport) => void;
   /** Writes a result to the ledger. */
   readonly storeResult: (record: ResultRecord) => void;
   /** Writes the partial texts of runs in progress to the ledger. */
@@ -180,6 +183,11 @@
     this.#targetPace.onEventGap(run.target.id, gapMs, this.#options.now());
   }
 
+  /** Passes on that a target leaves. */
+  onTargetLeaving({ target }: ItemRun): void {
+    this.#options.onTargetLeaving(target);
+  }
+
   /** Stores the result of a completed run. */
   onCompleted(run: ItemRun): void {
     const { metrics, now } = this.#options;
--- a/src/tasks/batches/batch_runner_test.ts
+++ b/src/tasks/batches/batch_runner_test.ts
@@ -101,6 +101,9 @@
       dataCentre: "a",
       now: () => Date.now(),
       canRunItems: () => true,
+      onTargetLeaving: ({ id, incarnation }) => {
+        registry.markLeaving(id, incarnation);
+      },
       storeResult: (record) => {
         state.apply({ type: "list", records: [record] });
         runner.onResultStored(record.batch, record.result.id);
--- a/src/tasks/batches/batch_task.ts
+++ b/src/tasks/batches/batch_task.ts
@@ -17,7 +17,11 @@
   type ReplicaId,
 } from "../../core/consensus/mod.ts";
 import { FleetRole, wantedVoters } from "../../core/fleet/mod.ts";
-import { type LoadedVersion, TargetRegistry } from "../../core/registry/mod.ts";
+import {
+  type LoadedVersion,
+  TargetRegistry,
+  type TargetReport,
+} from "../../core/registry/mod.ts";
 import {
   RefusalError,
   RefusalReason,
@@ -47,6 +51,8 @@
    * milliseconds.
    */
   readonly now: () => number;
+  /** Called when a target has said that it leaves. */
+  readonly onTargetLeaving: (target: TargetReport) => void;
 }
 
 /** Name of the replicated log and of its data folder. */
@@ -168,7 +174,7 @@
   }
 
   #createRunner(): BatchRunner {
-    const { node, engines, now } = this.#options;
+    const { node, engines, now, onTargetLeaving } = this.#options;
     return new BatchRunner({
       state: () => this.#service.state,
       registry: this.registry,
@@ -181,6 +187,7 @@
         const { driver } = this.#service;
         return driver.isReady && driver.node?.hasLease(now()) === true;
       },
+      onTargetLeaving,
       storeResult: (record) => this.#queueResult(record),
       storePartialTexts: (records) => {
         this.#service.propose({ type: "keep", records })
--- a/src/tasks/batches/batch_task_test.ts
+++ b/src/tasks/batches/batch_task_test.ts
@@ -61,6 +61,7 @@
         closeIdleExcept: () => {},
       },
       now: () => performance.now(),
+      onTargetLeaving: () => {},
     });
     await task.start();
   });
--- a/src/tasks/batches/engine_port.ts
+++ b/src/tasks/batches/engine_port.ts
@@ -42,6 +42,8 @@
   /** Called with the weight version that generates the following events. */
   onVersion(version: number): void;
   onEvent(event: RunEvent): void;
+  /** Called when the target says in its response that it leaves. */
+  onLeaving(): void;
   /** Called when the output is complete. */
   onEnd(): void;
   onFailure(failure: RunFailure, detail: string): void;
--- a/src/tasks/batches/item_run.ts
+++ b/src/tasks/batches/item_run.ts
@@ -18,6 +18,8 @@
   onEventGap(run: ItemRun, gapMs: number): void;
   onCompleted(run: ItemRun): void;
   onFailed(run: ItemRun, failure: RunFailure, detail: string): void;
+  /** Called when the run's target has said that it leaves. */
+  onTargetLeaving(run: ItemRun): void;
 }
 
 /** Options of {@link ItemRun}. */
@@ -132,6 +134,11 @@
     }
   }
 
+  /** Passes on that the target leaves; the run itself goes on. */
+  onLeaving(): void {
+    if (!this.#hasEnded) this.#options.listener.onTargetLeaving(this);
+  }
+
   /** Completes the run; output without any event counts as broken. */
   onEnd(): void {
     if (this.#hasEnded) return;
--- a/src/tasks/calls/call_run.ts
+++ b/src/tasks/calls/call_run.ts
@@ -37,6 +37,8 @@
   readonly dataCentre: string;
   /** Called once per call, when a target may first have run it. */
   readonly onFirstRun: (workspace: string | undefined) => void;
+  /** Called when a target has said in a response that it leaves. */
+  readonly onTargetLeaving: (target: TargetReport) => void;
   /**
    * Waits briefly for a valid policy lease, for example after the process was
    * suspended; false if there is none in time.
@@ -224,6 +226,7 @@
       signal,
       maxConnections: admission.policy.getService(report.service)
         ?.maxConnections ?? 1,
+      onLeaving: () => this.#dependencies.onTargetLeaving(report),
     };
     const outcome = stream === undefined
       ? await this.#dependencies.targets.send(attempt)
--- a/src/tasks/calls/call_run_test.ts
+++ b/src/tasks/calls/call_run_test.ts
@@ -139,6 +139,9 @@
     metrics: new Metrics({ tags: {} }),
     dataCentre: "a",
     onFirstRun: () => void (ran += 1),
+    onTargetLeaving: ({ id, incarnation }) => {
+      registry.markLeaving(id, incarnation);
+    },
     awaitLease: () => Promise.resolve(options.hasLease ?? true),
   }, {
     call: CALL,
--- a/src/tasks/calls/target_port.ts
+++ b/src/tasks/calls/target_port.ts
@@ -13,6 +13,8 @@
   readonly signal: AbortSignal;
   /** Maximum number of open connections to the target. */
   readonly maxConnections: number;
+  /** Called with the head of a response in which the target says it leaves. */
+  readonly onLeaving: () => void;
 }
 
 /** Outcome of an attempt. */
--- a/src/tasks/fleet/control_task.ts
+++ b/src/tasks/fleet/control_task.ts
@@ -236,6 +236,8 @@
       policy: () => control.state.policy,
       newestVersions: () => control.state.weights,
       reportIntervalMs: node.settings.times.reportIntervalMs,
+      onTargetLeaving: ({ id, incarnation }) =>
+        control.markLeaving(id, incarnation),
       onLoading: (loading) => control.publishLoading(loading),
       onLoaded: (loaded) => control.publishLoaded(loaded),
     });
--- a/src/tasks/fleet/entry_task.ts
+++ b/src/tasks/fleet/entry_task.ts
@@ -157,6 +157,7 @@
       metrics: node.metrics,
       dataCentre: node.settings.dataCentre,
       awaitLease: () => follower.awaitLease(),
+      onTargetLeaving: (target) => follower.markLeaving(target),
       onFirstRun: (workspace) => {
         if (workspace !== undefined) this.#usage.count(workspace, Date.now());
       },
--- a/src/tasks/fleet/fleet_control.ts
+++ b/src/tasks/fleet/fleet_control.ts
@@ -278,6 +278,21 @@
     return [this.replica, ...others].filter((id) => id !== undefined);
   }
 
+  /**
+   * Records that an incarnation of a target leaves, and tells the followers and
+   * the other control instances.
+   */
+  markLeaving(id: string, incarnation: number): void {
+    const previous = this.registry.get(id)?.report;
+    if (!this.registry.markLeaving(id, incarnation)) return;
+    this.#onTargetChanged(this.registry.getReportOrThrow(id), previous);
+    this.#options.node.notifyRole(FleetRole.Control, {
+      type: "leaving",
+      target: id,
+      incarnation,
+    });
+  }
+
   async #confirm(
     request: ConfirmPolicyRequest,
   ): Promise<ConfirmPolicyReply> {
@@ -313,6 +328,9 @@
 
   #onNotice(notice: FleetNotice): void {
     if (notice.type === "loaded") this.registry.recordVersion(notice);
+    if (notice.type === "leaving") {
+      this.markLeaving(notice.target, notice.incarnation);
+    }
     if (notice.type !== "targets") return;
     for (const report of notice.reports) this.#applyReport(report);
   }
@@ -320,9 +338,8 @@
   #applyReport(report: TargetReport): void {
     const previous = this.registry.get(report.id)?.report;
     const change = this.registry.merge(report, this.#options.now());
-    if (change === RegistryChange.Changed) {
-      this.#onTargetChanged(report, previous);
-    }
+    if (change !== RegistryChange.Changed) return;
+    this.#onTargetChanged(this.registry.getReportOrThrow(report.id), previous);
   }
 
   #onTargetChanged(
--- a/src/tasks/fleet/fleet_follower.ts
+++ b/src/tasks/fleet/fleet_follower.ts
@@ -12,6 +12,8 @@
   type LoadedVersion,
   RegistryChange,
   type TargetRegistry,
+  type TargetReport,
+  TargetState,
 } from "../../core/registry/mod.ts";
 import {
   type ConfirmPolicyReply,
@@ -115,6 +117,15 @@
     return this.hasLease;
   }
 
+  /** Records that a target leaves, and tells the control instances. */
+  markLeaving({ id, incarnation }: TargetReport): void {
+    const { node, registry, onTargetsChanged } = this.#options;
+    if (!registry.markLeaving(id, incarnation)) return;
+    logTargetChanged(node.logger, registry.getReportOrThrow(id));
+    onTargetsChanged();
+    node.notifyRole(FleetRole.Control, createLeavingNotice(id, incarnation));
+  }
+
   #updateGauges(): void {
     const { node, clock } = this.#options;
     const leftMs = Math.max(0, this.#leaseEnd - clock.now());
@@ -182,6 +193,7 @@
     if (notice.type !== "targets") return;
     this.#recordChange(from, notice);
     this.#mergeReports(notice);
+    this.#repeatLeaving(notice, from);
   }
 
   /** Applies a policy if its revision is newer than the current one. */
@@ -217,8 +229,33 @@
         continue;
       }
       isChanged = true;
-      logTargetChanged(node.logger, report);
+      logTargetChanged(node.logger, registry.getReportOrThrow(report.id));
     }
     if (isChanged) onTargetsChanged();
   }
+
+  /**
+   * Tells a control instance again of the leaving targets that it takes for
+   * ready, for example after its restart.
+   */
+  #repeatLeaving(
+    { reports }: Extract<FleetNotice, { type: "targets" }>,
+    from: string,
+  ): void {
+    const { node, registry } = this.#options;
+    for (const { id, state, incarnation } of reports) {
+      if (state !== TargetState.Ready) continue;
+      const known = registry.get(id)?.report;
+      const isLeaving = known?.incarnation === incarnation &&
+        known.state === TargetState.Draining;
+      if (isLeaving) node.notify([from], createLeavingNotice(id, incarnation));
+    }
+  }
+}
+
+function createLeavingNotice(
+  target: string,
+  incarnation: number,
+): FleetNotice {
+  return { type: "leaving", target, incarnation };
 }
--- a/src/tasks/fleet/leader_tasks_test.ts
+++ b/src/tasks/fleet/leader_tasks_test.ts
@@ -116,12 +116,14 @@
   class ScriptedEngines implements OrderPort {
     readonly loads: LoadOrder[] = [];
     readonly versions = new Map<string, number>();
+    readonly leaving = new Set<string>();
     isBusy = false;
 
     status({ id }: { id: string }): Promise<EngineStatus> {
       const version = this.versions.get(id) ?? 1;
       return Promise.resolve({
         isBusy: this.isBusy,
+        isLeaving: this.leaving.has(id),
         orders: this.loads.length,
         versions: { m: version },
       });
@@ -157,6 +159,9 @@
       newestVersions: () => new Map(models.map((model) => [model, 2])),
       reportIntervalMs: 60_000,
       onLoading: () => {},
+      onTargetLeaving: ({ id, incarnation }) => {
+        registry.markLeaving(id, incarnation);
+      },
       onLoaded: (loaded) => registry.recordVersion(loaded),
     });
     rollout.start();
--- a/src/tasks/fleet/order_port.ts
+++ b/src/tasks/fleet/order_port.ts
@@ -4,6 +4,8 @@
 export interface EngineStatus {
   /** Whether an order is in progress. */
   readonly isBusy: boolean;
+  /** Whether the engine leaves. */
+  readonly isLeaving: boolean;
   /** Number of orders accepted so far. */
   readonly orders: number;
   readonly versions: Readonly<Record<string, number>>;
--- a/src/tasks/fleet/weights_rollout.ts
+++ b/src/tasks/fleet/weights_rollout.ts
@@ -34,6 +34,8 @@
   readonly newestVersions: () => ReadonlyMap<string, number>;
   /** Time between two reports of a target, in milliseconds. */
   readonly reportIntervalMs: number;
+  /** Called when a target has said that it leaves. */
+  readonly onTargetLeaving: (target: TargetReport) => void;
   /** Called when a target has been ordered to load weights. */
   readonly onLoading: (loading: LoadedVersion) => void;
   /** Called when a target has loaded weights. */
@@ -162,6 +164,7 @@
     if (status === undefined) {
       return this.#onFailed(load, "target did not answer the status request");
     }
+    if (status.isLeaving) return this.#options.onTargetLeaving(target);
     if ((status.versions[model] ?? 0) >= version) return this.#onLoaded(load);
     if (status.isBusy) return await this.#awaitLoaded(load);
     const grant = lease.get();
--- a/tests/fleet_test.ts
+++ b/tests/fleet_test.ts
@@ -1,4 +1,4 @@
-import { afterAll, beforeAll, describe, expect, it } from "vitest";
+import { afterAll, beforeAll, describe, expect, it, vi } from "vitest";
 import { FleetReceiver } from "../fakes/fleet_receiver.ts";
 import { FleetReplica } from "../fakes/fleet_replica.ts";
 import { outputOf } from "../fakes/fleet_text.ts";
@@ -205,6 +205,37 @@
     await leaving.start();
   }, TIMEOUT_MS);
 
+  it(
+    "sends no call to a target that says in responses that it leaves",
+    async () => {
+      const leaving = await createReplica(apps, []).start();
+      leaving.saysLeaving = true;
+      const send = (id: string) =>
+        trainer.sendCall(`${plain}leaving/${id}`, { id, deadlineMs: 2_000 });
+      try {
+        await vi.waitUntil(async () => {
+          const ids = ["a", "b", "c", "d"].map((id) => `${id}-${Date.now()}`);
+        await Promise.all(ids.map(send));
+          return leaving.runs.length > 0;
+        }, { timeout: TIMEOUT_MS, interval: 20 });
+        await sleep(300);
+        for (const machine of fleet.machinesWithRole(FleetRole.Control)) {
+          await fleet.kill(machine);
+          fleet.start(machine);
+        }
+        await fleet.waitUntilReady();
+        const before = leaving.runs.length;
+        for (let i = 0; i < 40; i += 1) {
+          expect((await send(`after-${i}`)).status).toBe(200);
+        }
+        expect(leaving.runs).toHaveLength(before);
+      } finally {
+        leaving.crash();
+      }
+    },
+    TIMEOUT_MS,
+  );
+
   it(
     "keeps the policy with the highest revision and refuses invalid ones",
     async () => {
