--- a/tests/fleet_test.ts
+++ b/tests/fleet_test.ts
@@ -215,7 +215,7 @@
       try {
         await vi.waitUntil(async () => {
           const ids = ["a", "b", "c", "d"].map((id) => `${id}-${Date.now()}`);
-        await Promise.all(ids.map(send));
+          await Promise.all(ids.map(send));
           return leaving.runs.length > 0;
         }, { timeout: TIMEOUT_MS, interval: 20 });
         await sleep(300);
