Batches: items are scored by calls of their own

Change: core/scoring decides, without I/O, which text is called for next (those whose group lacks fewest items, then by due time), how many calls a route may have in flight, when a call is repeated and when the item is given up: after the failed responses that the route allows, never for refusals or lost connections. The end of a text is committed by the ledger before its call goes out, so a new leader repeats only the call, under the same id, and runs nothing again. Calls go by CallRun over the route of their host and path, with its attempts, hedge and time, without key or workspace, and leave half of the slots to callers. A result is completed only with a score, which platform/ takes from a complete success. A scoring call without a route, host or Base64 body is refused with the whole submission.

Ruled out: a queue in memory alone (its texts would be run again after a change of the leader); calls through the entry instances (another hop, and the ledger has the targets already).

--- a/bench/slopes/placement_series.ts
+++ b/bench/slopes/placement_series.ts
@@ -8,7 +8,11 @@
   type EnginePort,
   type RunSink,
 } from "../../src/tasks/batches/mod.ts";
-import { createItem, createSpec } from "../../tests/support/batch_spec.ts";
+import {
+  createItem,
+  createSpec,
+  NO_SCORING,
+} from "../../tests/support/batch_spec.ts";
 import type { Figures, SeriesOptions } from "./series.ts";
 import type { MeasureOptions } from "./cluster_series.ts";
 
@@ -100,7 +104,9 @@
     dataCentre: "a",
     now: () => performance.now(),
     canRunItems: () => true,
+    scoring: NO_SCORING,
     onTargetLeaving: () => {},
+    storeCompleteText: () => {},
     storeResult: (record) => {
       state.apply({ type: "list", records: [record] });
       runner.onResultStored(record.batch, record.result.id);
--- a/fakes/fleet_replica.ts
+++ b/fakes/fleet_replica.ts
@@ -76,6 +76,8 @@
   isSilent = false;
   /** Whether responses say that the target leaves; its heartbeats do not. */
   saysLeaving = false;
+  /** Selects the plain requests that the target runs and fails. */
+  fails: (request: string) => boolean = () => false;
 
   /** Creates a target; {@link FleetReplica.start} makes it listen. */
   constructor(options: FleetReplicaOptions) {
@@ -185,7 +187,7 @@
     const run = this.#recordRun(req);
     await sleep(this.#options.workMs * this.slowdownFactor);
     const body = `answer to ${run.request}`;
-    res.writeHead(200, {
+    res.writeHead(this.fails(run.request) ? 500 : 200, {
       "request-id": run.request,
       "server-stamp": `${this.#id}.${run.request}`,
       "content-length": String(body.length),
--- a/src/core/batches/batch.ts
+++ b/src/core/batches/batch.ts
@@ -1,5 +1,14 @@
 /** Batches: sets of requests accepted together and executed asynchronously. */
 
+/** A call by which a service scores the complete text of an item. */
+export interface ScoringCall {
+  /** Identifier of the call, the same at every attempt. */
+  readonly id: string;
+  readonly host: string;
+  readonly path: string;
+  readonly body: Uint8Array;
+}
+
 /** One request of a batch. */
 export interface BatchItem {
   readonly id: string;
@@ -17,6 +26,8 @@
   readonly model: string;
   /** Expected output length in tokens; undefined if unknown. */
   readonly expectedTokens: number | undefined;
+  /** Call that scores the item; undefined if it needs no score. */
+  readonly scoring?: ScoringCall | undefined;
 }
 
 /** Specification of an accepted batch. */
@@ -60,6 +71,8 @@
   readonly text: string;
   /** Weight versions that generated the text, ascending. */
   readonly versions: readonly number[];
+  /** Score of the text; absent if the item needs none. */
+  readonly score?: string;
 }
 
 /** A page of a batch's results. */
--- a/src/core/batches/batch_command.ts
+++ b/src/core/batches/batch_command.ts
@@ -9,7 +9,7 @@
   readonly after?: number;
 }
 
-/** Part of the output of an item that is still running. */
+/** Part of the output of an item that has no result yet. */
 export interface PartialTextRecord {
   readonly batch: string;
   readonly item: string;
@@ -17,6 +17,8 @@
   readonly after: number;
   readonly pieces: readonly string[];
   readonly versions: readonly number[];
+  /** Whether the output ends with these pieces; it then waits for its score. */
+  readonly isComplete?: boolean;
 }
 
 /** A command of the ledger log. */
@@ -36,7 +38,11 @@
   ) => number;
 } = {
   accept: ({ spec }) =>
-    sumOf(spec.items, ({ body }) => OVERHEAD_BYTES + body.length),
+    sumOf(
+      spec.items,
+      ({ body, scoring }) =>
+        OVERHEAD_BYTES + body.length + (scoring?.body.length ?? 0),
+    ),
   list: ({ records }) =>
     sumOf(records, ({ result }) => OVERHEAD_BYTES + result.text.length),
   keep: ({ records }) =>
--- a/src/core/batches/batch_record.ts
+++ b/src/core/batches/batch_record.ts
@@ -15,6 +15,7 @@
   readonly state: ResultState;
   readonly pieces: readonly string[];
   readonly versions: readonly number[];
+  readonly score: string | undefined;
 }
 
 /** Holds the specification, results and partial outputs of one batch. */
@@ -67,6 +68,16 @@
     return this.#resultsById.has(id);
   }
 
+  /** Gets whether an item's output is complete and waits for its score. */
+  hasCompleteText(id: string): boolean {
+    return this.#partialTexts.get(id)?.isComplete === true;
+  }
+
+  /** Gets the items whose output is not complete. */
+  get itemsToRun(): BatchItem[] {
+    return this.pendingItems.filter(({ id }) => !this.hasCompleteText(id));
+  }
+
   /** Gets the items without a result. */
   get pendingItems(): BatchItem[] {
     return this.spec.items.filter((item) => !this.#resultsById.has(item.id));
@@ -94,13 +105,13 @@
     result: BatchResult,
     after: number,
   ): StoredResult | undefined {
-    const { id, state, text, versions } = result;
-    if (after === 0) return { id, state, pieces: [text], versions };
+    const { id, state, text, versions, score } = result;
+    if (after === 0) return { id, state, pieces: [text], versions, score };
     const stored = this.#partialTexts.get(id);
     if (stored === undefined || stored.lastId < after) return undefined;
     const pieces = stored.pieces.slice(0, after);
     if (text.length > 0) pieces.push(text);
-    return { id, state, pieces, versions };
+    return { id, state, pieces, versions, score };
   }
 
   /** Gets the partial output of an item that has no result yet. */
@@ -121,17 +132,20 @@
 
   /**
    * Appends to the partial output of an item, or restarts it if `after` is 0.
+   * A complete output is final.
    * @returns False if the pieces do not continue the stored output.
    */
   appendPartialText(record: PartialTextRecord): boolean {
-    const { item, after, pieces, versions } = record;
+    const { item, after, pieces, versions, isComplete } = record;
     if (!this.#items.has(item) || this.#resultsById.has(item)) return false;
+    if (this.hasCompleteText(item)) return false;
     const existing = after === 0 ? undefined : this.#partialTexts.get(item);
     if (after !== (existing?.lastId ?? 0)) return false;
     this.#partialTexts.set(item, {
       lastId: after + pieces.length,
       pieces: [...existing?.pieces ?? [], ...pieces],
       versions,
+      ...(isComplete === true ? { isComplete } : {}),
     });
     return true;
   }
@@ -161,6 +175,8 @@
   }
 }
 
-function toResult({ id, state, pieces, versions }: StoredResult): BatchResult {
-  return { id, state, text: pieces.join("\n"), versions };
+function toResult(stored: StoredResult): BatchResult {
+  const { id, state, pieces, versions, score } = stored;
+  const result = { id, state, text: pieces.join("\n"), versions };
+  return score === undefined ? result : { ...result, score };
 }
--- a/src/core/batches/demand_meter.ts
+++ b/src/core/batches/demand_meter.ts
@@ -66,11 +66,11 @@
   records: readonly BatchRecord[],
 ): Map<string, Map<string, number>> {
   const services = new Map<string, Map<string, number>>();
-  for (const { spec, pendingItems, isOpen } of records) {
+  for (const { spec, itemsToRun, isOpen } of records) {
     if (!isOpen) continue;
     const counts = services.get(spec.service) ?? new Map<string, number>();
     services.set(spec.service, counts);
-    for (const { model } of pendingItems) {
+    for (const { model } of itemsToRun) {
       counts.set(model, (counts.get(model) ?? 0) + 1);
     }
   }
--- a/src/core/batches/item_tracker.ts
+++ b/src/core/batches/item_tracker.ts
@@ -79,8 +79,8 @@
   }
 
   /**
-   * Gets the longest output that a run of an item can resume from: the weight
-   * versions that generated it must all be allowed by the batch.
+   * Gets the complete output of an item, or the longest that a run of it can
+   * resume from: the batch must allow the weight versions that generated it.
    */
   resumableTextOf(
     record: BatchRecord,
@@ -94,6 +94,7 @@
     ];
     for (const partial of candidates) {
       if (partial === undefined || !fitsBatch(partial, record)) continue;
+      if (partial.isComplete) return new RunText(partial);
       if (partial.lastId > (best?.lastId ?? 0)) best = partial;
     }
     return new RunText(best);
--- a/src/core/batches/run_text.ts
+++ b/src/core/batches/run_text.ts
@@ -12,6 +12,8 @@
   readonly lastId: number;
   readonly pieces: readonly string[];
   readonly versions: readonly number[];
+  /** Whether the output is complete and waits only for its score. */
+  readonly isComplete?: boolean;
 }
 
 /**
@@ -26,11 +28,13 @@
 export class RunText {
   readonly #pieces: string[] = [];
   readonly #versions = new Set<number>();
+  readonly #isComplete: boolean;
   #version: number | undefined;
   #lastId = 0;
 
   /** Creates an empty text, or one that resumes from a partial output. */
   constructor(partial?: PartialText) {
+    this.#isComplete = partial?.isComplete ?? false;
     if (partial === undefined) return;
     this.#pieces.push(...partial.pieces);
     for (const version of partial.versions) this.#versions.add(version);
@@ -42,6 +46,11 @@
     return this.#lastId;
   }
 
+  /** Gets whether the text was created from a complete output. */
+  get isComplete(): boolean {
+    return this.#isComplete;
+  }
+
   /** Gets the number of events. */
   get size(): number {
     return this.#pieces.length;
--- a/src/logging/event_catalogue.ts
+++ b/src/logging/event_catalogue.ts
@@ -288,6 +288,13 @@
     text:
       "Run of an item cancelled at a slow or silent target; the item continues at another one",
   }),
+  itemScored: defineEvent(2216, "info", {
+    text: "The text of an item was scored; its result is stored",
+  }),
+  itemUnscored: defineEvent(2217, "info", {
+    text:
+      "Scoring call of an item ended without a score; it is sent again, or the item abandoned",
+  }),
   recordsUnstored: defineEvent(2215, "warn", {
     text: "Results of items could not be stored; the items run again",
     action: "Check that the ledger's log has a leader and a quorum",
--- a/src/metrics/metric_catalogue.ts
+++ b/src/metrics/metric_catalogue.ts
@@ -103,6 +103,11 @@
     kind: "counter",
     text: "Runs of items moved away from slow or silent targets",
   },
+  "items.scored": { kind: "counter", text: "Items that got their score" },
+  "items.unscored": {
+    kind: "counter",
+    text: "Scoring calls that ended without a score",
+  },
   "items.duration": {
     kind: "timing",
     text: "Duration of a complete run of an item, in milliseconds",
--- a/src/tasks/batches/batch_runner.ts
+++ b/src/tasks/batches/batch_runner.ts
@@ -27,6 +27,11 @@
 import { type EnginePort, RunFailure } from "./engine_port.ts";
 import { ItemPlacer } from "./item_placer.ts";
 import { ItemRun, type ItemRunListener } from "./item_run.ts";
+import {
+  ItemScorer,
+  type ScoredItem,
+  type ScoringPort,
+} from "./item_scorer.ts";
 import { itemKeyOf, RunTable } from "./run_table.ts";
 
 /** Options of {@link BatchRunner}. */
@@ -45,10 +50,14 @@
    * committed entries.
    */
   readonly canRunItems: () => boolean;
+  /** Sends scoring calls. */
+  readonly scoring: ScoringPort;
   /** Called when a target has said that it leaves. */
   readonly onTargetLeaving: (target: TargetReport) => void;
   /** Writes a result to the ledger. */
   readonly storeResult: (record: ResultRecord) => void;
+  /** Writes the end of a complete text, which still needs its score. */
+  readonly storeCompleteText: (record: PartialTextRecord) => void;
   /** Writes the partial texts of runs in progress to the ledger. */
   readonly storePartialTexts: (records: readonly PartialTextRecord[]) => void;
 }
@@ -90,6 +99,7 @@
   readonly #demandMeter = new DemandMeter();
   readonly #targetPace = new TargetPace();
   readonly #loads = new PendingLoads();
+  readonly #scorer: ItemScorer;
   #timer: NodeJS.Timeout | undefined;
   #isPlacementScheduled = false;
   /** Time at which partial texts were last written. */
@@ -98,6 +108,18 @@
   /** Creates a stopped runner. */
   constructor(options: BatchRunnerOptions) {
     this.#options = options;
+    const { scoring, state, registry, logger, metrics, dataCentre } = options;
+    this.#scorer = new ItemScorer({
+      port: scoring,
+      state,
+      registry,
+      logger,
+      metrics,
+      dataCentre,
+      isBeingStored: (key) => this.#pendingResults.has(key),
+      onTargetLeaving: options.onTargetLeaving,
+      onEnded: (scored, score) => this.#onScored(scored, score),
+    });
   }
 
   /** Starts placing items; has no effect if already started. */
@@ -112,6 +134,7 @@
     clearInterval(this.#timer);
     this.#timer = undefined;
     this.#runs.cancelAll();
+    this.#scorer.stop();
     this.#pendingResults.clear();
     this.#itemTracker.clear();
     return this;
@@ -150,10 +173,18 @@
       run.cancel();
       this.#runs.remove(run);
     }
+    this.#scorer.onBatchEnded(batch);
     this.schedulePlacement();
     return this;
   }
 
+  /** Records that the write of a complete text has been applied. */
+  onTextStored(batch: string, item: string): this {
+    this.onResultStored(batch, item);
+    if (this.#options.canRunItems()) this.#scorer.run();
+    return this;
+  }
+
   /** Records that the write of a result has been applied or has failed. */
   onResultStored(batch: string, item: string): this {
     this.#pendingResults.delete(itemKeyOf(batch, item));
@@ -163,12 +194,11 @@
   /** Drops the state of removed targets and schedules a placement round. */
   onTargetsChanged(): this {
     const { registry, engines } = this.#options;
-    const present = registry.all
-      .filter(({ report }) => report.state !== TargetState.Gone);
-    this.#targetPace.keepOnly(new Set(present.map(({ report }) => report.id)));
-    engines.closeIdleExcept(
-      new Set(present.map(({ report }) => report.address)),
-    );
+    const present = registry.all.map(({ report }) => report)
+      .filter(({ state }) => state !== TargetState.Gone);
+    this.#targetPace.keepOnly(new Set(present.map(({ id }) => id)));
+    engines.closeIdleExcept(new Set(present.map(({ address }) => address)));
+    this.#scorer.onTargetsChanged(present);
     this.schedulePlacement();
     return this;
   }
@@ -194,7 +224,8 @@
     metrics.timing("items.duration", now() - run.startedAt);
     this.#targetPace.onCompleted(run.target.id);
     this.#runs.remove(run);
-    this.#storeCompleted(run);
+    if (run.item.scoring === undefined) this.#storeCompleted(run);
+    else this.#storeScorableText(run);
     this.schedulePlacement();
   }
 
@@ -250,6 +281,22 @@
     },
   };
 
+  /** Stores the result of a scored item; without a score it is abandoned. */
+  #onScored({ record, item }: ScoredItem, score: string | undefined): void {
+    const stored = record.getPartialText(item.id);
+    if (stored === undefined) return;
+    const { versions, lastId } = stored;
+    const state = score === undefined
+      ? ResultState.Abandoned
+      : ResultState.Completed;
+    const result = { id: item.id, state, text: "", versions };
+    this.#storeResult(
+      record,
+      score === undefined ? result : { ...result, score },
+      lastId,
+    );
+  }
+
   #abandon(run: ItemRun): void {
     const { id } = run.item;
     const { text, versions } = run.text;
@@ -261,10 +308,40 @@
     });
   }
 
-  #storeResult(record: BatchRecord, result: BatchResult): void {
+  /**
+   * Stores a result.
+   * @param after - Events of the text that are already stored.
+   */
+  #storeResult(record: BatchRecord, result: BatchResult, after = 0): void {
     const batch = record.spec.id;
     this.#pendingResults.add(itemKeyOf(batch, result.id));
-    this.#options.storeResult({ batch, result });
+    this.#options.storeResult(
+      after === 0 ? { batch, result } : { batch, result, after },
+    );
+  }
+
+  /** Stores the rest of the text of a run, which is scored afterwards. */
+  #storeScorableText({ record, item, text, storedEventId }: ItemRun): void {
+    this.#storeCompleteText(record, item, {
+      after: storedEventId,
+      pieces: text.piecesAfter(storedEventId),
+      versions: text.versions,
+    });
+  }
+
+  #storeCompleteText(
+    record: BatchRecord,
+    item: BatchItem,
+    text: Pick<PartialTextRecord, "after" | "pieces" | "versions">,
+  ): void {
+    const batch = record.spec.id;
+    this.#pendingResults.add(itemKeyOf(batch, item.id));
+    this.#options.storeCompleteText({
+      batch,
+      item: item.id,
+      ...text,
+      isComplete: true,
+    });
   }
 
   /**
@@ -283,13 +360,7 @@
       this.#storeResult(record, { ...result, text: text.text });
       return;
     }
-    const batch = record.spec.id;
-    this.#pendingResults.add(itemKeyOf(batch, item.id));
-    this.#options.storeResult({
-      batch,
-      result: { ...result, text: rest },
-      after: storedEventId,
-    });
+    this.#storeResult(record, { ...result, text: rest }, storedEventId);
   }
 
   /**
@@ -323,6 +394,7 @@
     this.#storeLongRuns();
     this.#abandonOverdue();
     this.#itemTracker.forget(this.#options.state().all);
+    this.#scorer.run();
     this.#placeItems();
   }
 
@@ -398,6 +470,7 @@
         const run = this.#runs.get(spec.id, item.id);
         run?.cancel();
         if (run !== undefined) this.#runs.remove(run);
+        this.#scorer.cancel(spec.id, item.id);
         this.#storeResult(record, {
           id: item.id,
           state: ResultState.Abandoned,
@@ -436,7 +509,9 @@
 
   #isWaiting(record: BatchRecord, item: BatchItem, now: number): boolean {
     const key = itemKeyOf(record.spec.id, item.id);
-    if (record.hasResult(item.id)) return false;
+    if (record.hasResult(item.id) || record.hasCompleteText(item.id)) {
+      return false;
+    }
     const isRunning = this.#runs.has(record.spec.id, item.id);
     if (isRunning || this.#pendingResults.has(key)) return false;
     return !this.#itemTracker.isBackingOff(item, now);
@@ -457,7 +532,8 @@
 
   /**
    * Reuses the completed result of an item that was resubmitted in another
-   * batch, if its versions are allowed.
+   * batch, if its versions are allowed. Its score counts for the same scoring
+   * call only.
    */
   #reuseResult(
     { record, item }: WaitingItem,
@@ -472,12 +548,29 @@
       const isFresh = result.versions.every((v) => v >= minVersion);
       const isSingle = !isSingleVersion || result.versions.length === 1;
       if (!isFresh || !isSingle || result.versions.length === 0) continue;
-      this.#storeResult(record, result);
+      const scoringId = other.getItem(item.id)?.scoring?.id;
+      if (scoringId === item.scoring?.id) this.#storeResult(record, result);
+      else this.#reuseText(record, item, result);
       return true;
     }
     return false;
   }
 
+  /** Reuses a text whose score, if it has one, is of another call. */
+  #reuseText(
+    record: BatchRecord,
+    item: BatchItem,
+    { text, versions }: Pick<BatchResult, "text" | "versions">,
+  ): void {
+    if (item.scoring !== undefined) {
+      const pieces = [text];
+      this.#storeCompleteText(record, item, { after: 0, pieces, versions });
+      return;
+    }
+    const state = ResultState.Completed;
+    this.#storeResult(record, { id: item.id, state, text, versions });
+  }
+
   #startRun(
     waiting: WaitingItem,
     placer: ItemPlacer,
@@ -488,6 +581,10 @@
     const { record, item } = waiting;
     const { minVersion, id: batch } = record.spec;
     const text = this.#itemTracker.resumableTextOf(record, item, records);
+    if (text.isComplete) {
+      this.#reuseText(record, item, text);
+      return true;
+    }
     const chosen = placer.choose(waiting, text);
     if (chosen === undefined) return false;
     const target = registry.get(chosen.id)?.report;
--- a/src/tasks/batches/batch_runner_test.ts
+++ b/src/tasks/batches/batch_runner_test.ts
@@ -1,5 +1,9 @@
 import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
-import { createItem, createSpec } from "../../../tests/support/batch_spec.ts";
+import {
+  createItem,
+  createSpec,
+  NO_SCORING,
+} from "../../../tests/support/batch_spec.ts";
 import {
   type BatchSpec,
   BatchState,
@@ -101,6 +105,11 @@
       dataCentre: "a",
       now: () => Date.now(),
       canRunItems: () => true,
+      scoring: NO_SCORING,
+      storeCompleteText: (record) => {
+        state.apply({ type: "keep", records: [record] });
+        runner.onTextStored(record.batch, record.item);
+      },
       onTargetLeaving: ({ id, incarnation }) => {
         registry.markLeaving(id, incarnation);
       },
--- a/src/tasks/batches/batch_task.ts
+++ b/src/tasks/batches/batch_task.ts
@@ -7,6 +7,7 @@
   BatchState,
   estimateCommandBytes,
   type LedgerSnapshot,
+  type PartialTextRecord,
   type ResultPage,
   type ResultRecord,
   ResultState,
@@ -40,6 +41,7 @@
 } from "./batch_port.ts";
 import { BatchRunner } from "./batch_runner.ts";
 import type { EnginePort } from "./engine_port.ts";
+import type { ScoringPort } from "./item_scorer.ts";
 
 /** Options of {@link BatchTask}. */
 export interface BatchTaskOptions {
@@ -51,6 +53,7 @@
    * milliseconds.
    */
   readonly now: () => number;
+  readonly scoring: ScoringPort;
   /** Called when a target has said that it leaves. */
   readonly onTargetLeaving: (target: TargetReport) => void;
 }
@@ -174,7 +177,7 @@
   }
 
   #createRunner(): BatchRunner {
-    const { node, engines, now, onTargetLeaving } = this.#options;
+    const { node, engines, scoring, now, onTargetLeaving } = this.#options;
     return new BatchRunner({
       state: () => this.#service.state,
       registry: this.registry,
@@ -187,7 +190,9 @@
         const { driver } = this.#service;
         return driver.isReady && driver.node?.hasLease(now()) === true;
       },
+      scoring,
       onTargetLeaving,
+      storeCompleteText: (record) => this.#storeCompleteText(record),
       storeResult: (record) => this.#queueResult(record),
       storePartialTexts: (records) => {
         this.#service.propose({ type: "keep", records })
@@ -358,6 +363,14 @@
       });
   }
 
+  #storeCompleteText(record: PartialTextRecord): void {
+    this.#service.propose({ type: "keep", records: [record] })
+      .catch((err) => {
+        this.#logStoreFailure(err, 1);
+        this.#runner.onResultStored(record.batch, record.item);
+      });
+  }
+
   #logStoreFailure(err: unknown, records: number): void {
     this.#options.node.logger.event("recordsUnstored", {
       reason: (err as Error).message,
@@ -387,7 +400,11 @@
     list: ({ records }) => {
       for (const { batch, result } of records) this.#onResult(batch, result);
     },
-    keep: () => {},
+    keep: ({ records }) => {
+      for (const { batch, item, isComplete } of records) {
+        if (isComplete) this.#runner.onTextStored(batch, item);
+      }
+    },
     end: ({ batch }) => {
       this.#recordDuration(batch);
       this.#logIfLeader("batchEnded", { batch });
--- a/src/tasks/batches/batch_task_test.ts
+++ b/src/tasks/batches/batch_task_test.ts
@@ -2,7 +2,7 @@
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
-import { createSpec } from "../../../tests/support/batch_spec.ts";
+import { createSpec, NO_SCORING } from "../../../tests/support/batch_spec.ts";
 import { Verdict } from "../../core/verdict/mod.ts";
 import { Logger } from "../../logging/mod.ts";
 import { Metrics } from "../../metrics/mod.ts";
@@ -61,6 +61,7 @@
         closeIdleExcept: () => {},
       },
       now: () => performance.now(),
+      scoring: NO_SCORING,
       onTargetLeaving: () => {},
     });
     await task.start();
--- /dev/null
+++ b/src/tasks/batches/item_scorer_test.ts
@@ -0,0 +1,280 @@
+import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
+import { createItem, createSpec } from "../../../tests/support/batch_spec.ts";
+import {
+  type BatchSpec,
+  BatchState,
+  type ResultRecord,
+} from "../../core/batches/mod.ts";
+import { PolicyView, RouteKind } from "../../core/policy/mod.ts";
+import { TargetRegistry, TargetState } from "../../core/registry/mod.ts";
+import { Logger } from "../../logging/mod.ts";
+import { Metrics } from "../../metrics/mod.ts";
+import type { AttemptOutcome, CallAttempt, TargetPort } from "../calls/mod.ts";
+import { BatchRunner } from "./batch_runner.ts";
+import type { EnginePort, RunRequest, RunSink } from "./engine_port.ts";
+import { ItemScorer } from "./item_scorer.ts";
+
+const SLOTS = 4;
+const MAX_ATTEMPTS = 2;
+
+interface OpenCall {
+  readonly attempt: CallAttempt;
+  readonly settle: (outcome: AttemptOutcome) => void;
+}
+
+/** Holds the scoring calls until a test answers them. */
+class ScriptedService implements TargetPort {
+  readonly calls: OpenCall[] = [];
+
+  send(attempt: CallAttempt): Promise<AttemptOutcome> {
+    return new Promise((settle) => this.calls.push({ attempt, settle }));
+  }
+
+  stream(attempt: CallAttempt): Promise<AttemptOutcome> {
+    return this.send(attempt);
+  }
+
+  closeIdleExcept(): void {}
+}
+
+function answered(status: number, body = ""): AttemptOutcome {
+  const isNotRun = status === 503;
+  const answer = { status, headers: [], body: Buffer.from(body) };
+  return { type: "answered", answer, isNotRun, isMisdirected: false };
+}
+
+const POLICY = new PolicyView({
+  revision: 1,
+  routes: [{
+    name: "scores",
+    host: "h",
+    prefix: "/score/",
+    kind: RouteKind.Idempotent,
+    timeoutMs: 1_000,
+    objectiveMs: 1_000,
+    priority: 1,
+    shares: [{ service: "scorers", weight: 1 }],
+    maxAttempts: MAX_ATTEMPTS,
+    isAnonymous: true,
+    isResumable: false,
+    isSingleVersion: false,
+    giveUpMs: 0,
+    resultObjectiveMs: 0,
+  }],
+  services: [],
+  limits: {
+    maxHeaderBytes: 1,
+    maxBodyBytes: 1,
+    headerTimeoutMs: 1,
+    idleTimeoutMs: 1,
+  },
+  workspaces: [],
+});
+
+function spec(ids: readonly string[], fields: Partial<BatchSpec> = {}) {
+  return createSpec({
+    id: "b1",
+    acceptedAt: Date.now(),
+    giveUpMs: 60_000,
+    items: ids.map((id) =>
+      createItem(id, {
+        scoring: {
+          id: `score-${id}`,
+          host: "h",
+          path: "/score/x",
+          body: Buffer.from(id),
+        },
+      })
+    ),
+    ...fields,
+  });
+}
+
+describe(ItemScorer.name, () => {
+  beforeEach(() => void vi.useFakeTimers());
+  afterEach(() => void vi.useRealTimers());
+
+  function start(specs: readonly BatchSpec[], state = new BatchState()) {
+    const service = new ScriptedService();
+    const registry = new TargetRegistry();
+    for (const [id, name] of [["e1", "s"], ["p1", "scorers"]]) {
+      registry.merge({
+        id,
+        service: name,
+        address: `127.0.0.1:${id.charCodeAt(0)}`,
+        dataCentre: "a",
+        incarnation: 1,
+        sequence: 1,
+        state: TargetState.Ready,
+        slots: SLOTS,
+        versions: { m: 1 },
+        isSpot: false,
+      }, 0);
+    }
+    const runs: { request: RunRequest; sink: RunSink }[] = [];
+    const engines: EnginePort = {
+      open: (request, sink) => {
+        runs.push({ request, sink });
+        sink.onVersion(1);
+        return { cancel: () => {} };
+      },
+      closeIdleExcept: () => {},
+    };
+    for (const batch of specs) state.apply({ type: "accept", spec: batch });
+    const results: ResultRecord[] = [];
+    const runner = new BatchRunner({
+      state: () => state,
+      registry,
+      engines,
+      scoring: {
+        targets: service,
+        policy: () => POLICY,
+        scoreOf: ({ status, body }) =>
+          status === 200 ? Buffer.from(body).toString() : undefined,
+      },
+      logger: new Logger({ instance: "test", level: "error" }),
+      metrics: new Metrics({ tags: {} }),
+      dataCentre: "a",
+      now: () => Date.now(),
+      canRunItems: () => true,
+      onTargetLeaving: () => {},
+      storeResult: (record) => {
+        results.push(record);
+        state.apply({ type: "list", records: [record] });
+        runner.onResultStored(record.batch, record.result.id);
+      },
+      storeCompleteText: (record) => {
+        // The write takes a turn, as it does in the replicated log.
+        setTimeout(() => {
+          state.apply({ type: "keep", records: [record] });
+          runner.onTextStored(record.batch, record.item);
+        });
+      },
+      storePartialTexts: (records) => state.apply({ type: "keep", records }),
+    }).start();
+    return { state, service, runner, runs, results };
+  }
+
+  /** Lets the engine complete an item with two events. */
+  function complete({ sink }: { sink: RunSink }): void {
+    sink.onEvent({ id: 1, data: "one" });
+    sink.onEvent({ id: 2, data: "two" });
+    sink.onEnd();
+  }
+
+  const advance = (ms: number) => vi.advanceTimersByTimeAsync(ms);
+
+  it("calls only after the complete text is stored", async () => {
+    const { state, service, runs } = start([spec(["x1"])]);
+    await advance(20);
+    complete(runs[0]);
+    expect(service.calls).toHaveLength(0);
+    await advance(20);
+    expect(service.calls).toHaveLength(1);
+    expect(state.get("b1")?.hasCompleteText("x1")).toBe(true);
+    const { call, workspace } = service.calls[0].attempt;
+    expect({ id: call.id, key: call.key, workspace })
+      .toEqual({ id: "score-x1", key: undefined, workspace: undefined });
+    service.calls[0].settle(answered(200, "stamp"));
+    await advance(20);
+    expect(state.get("b1")?.getResult("x1")).toEqual({
+      id: "x1",
+      state: "completed",
+      text: "one\ntwo",
+      versions: [1],
+      score: "stamp",
+    });
+  });
+
+  it("repeats only the call after a change of the leader", async () => {
+    const first = start([spec(["x1"])]);
+    await advance(20);
+    complete(first.runs[0]);
+    await advance(20);
+    first.runner.stop();
+    first.service.calls[0].settle(answered(200, "late"));
+    const second = start([], first.state);
+    await advance(100);
+    expect(first.results).toEqual([]);
+    expect(second.runs).toEqual([]);
+    expect(second.service.calls.map(({ attempt }) => attempt.call.id))
+      .toEqual(["score-x1"]);
+  });
+
+  it("abandons an item whose call fails too often, not before", async () => {
+    const { state, service, runs } = start([spec(["x1"])]);
+    await advance(20);
+    complete(runs[0]);
+    for (let i = 0; i < MAX_ATTEMPTS; i += 1) {
+      await advance(200);
+      expect(state.get("b1")?.getResult("x1")).toBeUndefined();
+      service.calls[i].settle(answered(500));
+    }
+    await advance(200);
+    expect(state.get("b1")?.getResult("x1")?.state).toBe("abandoned");
+    expect(service.calls).toHaveLength(MAX_ATTEMPTS);
+    expect(runs).toHaveLength(1);
+  });
+
+  it("retries refusals until the item may be given up", async () => {
+    const { state, service, runs } = start([spec(["x1"])]);
+    await advance(20);
+    complete(runs[0]);
+    for (let i = 0; i < 10; i += 1) {
+      await advance(1_100);
+      service.calls.at(-1)?.settle(answered(503));
+    }
+    await advance(1_100);
+    expect(service.calls.length).toBeGreaterThan(5);
+    expect(state.get("b1")?.getResult("x1")).toBeUndefined();
+  });
+
+  it("leaves half of the service's slots to others", async () => {
+    const ids = ["x1", "x2", "x3", "x4"];
+    const { service, runs } = start([spec(ids)]);
+    await advance(20);
+    for (const run of [...runs]) complete(run);
+    await advance(20);
+    expect(service.calls).toHaveLength(SLOTS / 2);
+    service.calls[0].settle(answered(200, "stamp"));
+    await advance(20);
+    expect(service.calls).toHaveLength(SLOTS / 2 + 1);
+  });
+
+  it("cancels the calls of a batch that has ended", async () => {
+    const { state, service, runner, runs } = start([spec(["x1"])]);
+    await advance(20);
+    complete(runs[0]);
+    await advance(20);
+    state.apply({ type: "end", batch: "b1" });
+    runner.onBatchEnded("b1");
+    expect(service.calls[0].attempt.signal.aborted).toBe(true);
+    service.calls[0].settle(answered(200, "late"));
+    await advance(500);
+    expect(state.get("b1")?.getResult("x1")).toBeUndefined();
+    expect(service.calls).toHaveLength(1);
+  });
+
+  it("scores a resubmitted text by its new call, without a run", async () => {
+    const again = spec(["x1"], { id: "b2" });
+    const { state, service, runs } = start([spec(["x1"])]);
+    await advance(20);
+    complete(runs[0]);
+    await advance(20);
+    service.calls[0].settle(answered(200, "first"));
+    await advance(20);
+    const [item] = again.items;
+    const other = { ...item, scoring: { ...item.scoring!, id: "score-2" } };
+    state.apply({ type: "accept", spec: { ...again, items: [other] } });
+    await advance(200);
+    expect(runs).toHaveLength(1);
+    expect(service.calls[1].attempt.call.id).toBe("score-2");
+    service.calls[1].settle(answered(200, "second"));
+    await advance(20);
+    expect(state.get("b2")?.getResult("x1")).toMatchObject({
+      state: "completed",
+      text: "one\ntwo",
+      score: "second",
+    });
+  });
+});
--- a/src/tasks/batches/mod.ts
+++ b/src/tasks/batches/mod.ts
@@ -3,3 +3,4 @@
 export * from "./batch_runner.ts";
 export * from "./batch_task.ts";
 export * from "./engine_port.ts";
+export type { ScoringPort } from "./item_scorer.ts";
--- a/src/tasks/calls/call_run.ts
+++ b/src/tasks/calls/call_run.ts
@@ -84,6 +84,7 @@
    * Number of attempts that may have run the call, including those in flight.
    */
   #attemptsRun = 0;
+  #failedResponses = 0;
 
   constructor(dependencies: CallRunDependencies, options: CallRunOptions) {
     this.#dependencies = dependencies;
@@ -118,6 +119,11 @@
     throw this.#createRefusal();
   }
 
+  /** Gets the number of responses in which a target ran the call and failed. */
+  get failedResponses(): number {
+    return this.#failedResponses;
+  }
+
   get #remainingMs(): number {
     return this.#deadline - performance.now();
   }
@@ -272,6 +278,7 @@
       return undefined;
     }
     this.#recordVerdict(Verdict.Ran);
+    if (response.status >= MIN_ERROR_STATUS) this.#failedResponses += 1;
     const isFinal = response.status < MIN_ERROR_STATUS || !this.#isRetryable;
     if (isFinal) return response;
     this.#errorResponse = response;
--- a/src/tasks/fleet/entry_task.ts
+++ b/src/tasks/fleet/entry_task.ts
@@ -14,7 +14,12 @@
 import { FleetRole } from "../../core/fleet/mod.ts";
 import type { CallerLimits } from "../../core/policy/mod.ts";
 import { type TargetRegistry, TargetState } from "../../core/registry/mod.ts";
-import type { RefusalError } from "../../core/verdict/mod.ts";
+import { findScoringFaults } from "../../core/scoring/mod.ts";
+import {
+  RefusalError,
+  RefusalReason,
+  Verdict,
+} from "../../core/verdict/mod.ts";
 import {
   BatchMethod,
   type BatchParams,
@@ -193,8 +198,18 @@
     }
   }
 
-  /** Submits a batch to the ledger. */
-  async submit(spec: BatchSpec): Promise<void> {
+  /**
+   * Submits a batch to the ledger.
+   * @throws RefusalError if no route matches a scoring call of its items, or if
+   * the ledger does not accept it in time.
+   */
+  async submit(spec: BatchSpec, { policy }: Admission): Promise<void> {
+    const faults = findScoringFaults(spec, policy);
+    if (faults.length > 0) {
+      throw new RefusalError(RefusalReason.MalformedRequest, Verdict.NotRun, {
+        message: faults.join("; "),
+      });
+    }
     await this.#requestLedger(BatchMethod.Submit, { spec }, SUBMIT_TIMEOUT_MS);
   }
 
--- a/tests/fleet_test.ts
+++ b/tests/fleet_test.ts
@@ -9,7 +9,7 @@
   sleep,
 } from "./support/fleet_deployment.ts";
 import { FLEET_NAMES, fleetPolicy } from "./support/fleet_policy.ts";
-import { FleetTrainer } from "./support/fleet_trainer.ts";
+import { FleetTrainer, scoringIdOf } from "./support/fleet_trainer.ts";
 import { LoopbackNet } from "./support/loopback_net.ts";
 
 const { host, plain, once, rollout, engines, apps, model } = FLEET_NAMES;
@@ -194,6 +194,65 @@
     );
   }, TIMEOUT_MS);
 
+  async function doScoringTest(
+    batch: string,
+    during: () => Promise<void> = () => Promise.resolve(),
+  ): Promise<void> {
+    const items = Array.from({ length: 12 }, (_, i) => `${batch}-${i}`);
+    const failing = scoringIdOf(items[3]);
+    app.fails = (request) => request === failing;
+    const plan = { id: batch, model, minVersion: 0, items };
+    await trainer.submit({ ...plan, scoringPrefix: plain }, TIMEOUT_MS);
+    await during();
+    const results = await trainer.readAll(plan, TIMEOUT_MS);
+    for (const { id, state, text, score } of results) {
+      const expected = id === items[3]
+        ? { state: "abandoned", score: undefined }
+        : { state: "completed", score: `${app.id}.${scoringIdOf(id)}` };
+      expect({ state, score }).toEqual(expected);
+      expect(text).toBe(outputOf(id));
+      const calls = app.runs.filter((r) => r.request === scoringIdOf(id));
+      expect(calls.map(({ workspace }) => workspace)).toContain("");
+    }
+    await trainer.end(batch, TIMEOUT_MS);
+  }
+
+  it(
+    "scores the items of a batch and abandons those that cannot be scored",
+    () => doScoringTest("scored"),
+    TIMEOUT_MS,
+  );
+
+  it(
+    "runs no scored text again after a change of the leader",
+    () =>
+      doScoringTest("rescored", async () => {
+        const leader = await waitForLeaderOf("rescored");
+        app.isSilent = true;
+        await sleep(1_500);
+        const runs = replicas.flatMap((r) => r.runs).length;
+        await fleet.kill(leader);
+        app.isSilent = false;
+        await sleep(1_500);
+        expect(replicas.flatMap((r) => r.runs).length).toBe(runs);
+        fleet.start(leader);
+      }),
+    TIMEOUT_MS,
+  );
+
+  it("refuses a batch whose scoring calls have no route", async () => {
+    const plan = {
+      id: "unrouted",
+      model,
+      minVersion: 0,
+      items: ["unrouted-1"],
+    };
+    await expect(
+      trainer.submit({ ...plan, scoringPrefix: "/none/" }, 1_000),
+    ).rejects.toThrow();
+    expect(await trainer.read("unrouted", 0)).toBeUndefined();
+  });
+
   it("sends no request to a draining target", async () => {
     const leaving = replicas[1];
     expect(await leaving.drain()).toBe(true);
--- a/tests/support/batch_spec.ts
+++ b/tests/support/batch_spec.ts
@@ -1,5 +1,17 @@
 /** Batch specifications for tests. */
 import type { BatchItem, BatchSpec } from "../../src/core/batches/mod.ts";
+import type { ScoringPort } from "../../src/tasks/batches/mod.ts";
+
+/** Port of a runner whose items need no score. */
+export const NO_SCORING: ScoringPort = {
+  targets: {
+    send: () => Promise.reject(new Error("Unexpected scoring call")),
+    stream: () => Promise.reject(new Error("Unexpected scoring call")),
+    closeIdleExcept: () => {},
+  },
+  policy: () => undefined,
+  scoreOf: () => undefined,
+};
 
 /** Creates an item whose group is the first letter of its identifier. */
 export function createItem(
--- a/tests/support/fleet_trainer.ts
+++ b/tests/support/fleet_trainer.ts
@@ -9,6 +9,7 @@
   readonly text: string;
   /** Weight versions that generated the text. */
   readonly versions: readonly number[];
+  readonly score?: string;
 }
 
 /** Options of {@link FleetTrainer}. */
@@ -28,6 +29,13 @@
   readonly minVersion: number;
   /** Identifiers of items; the group is the part before the hyphen. */
   readonly items: readonly string[];
+  /** Path prefix of the route that scores the items; none if absent. */
+  readonly scoringPrefix?: string;
+}
+
+/** Gets the identifier of the call that scores an item. */
+export function scoringIdOf(item: string): string {
+  return `score-${item}`;
 }
 
 const ATTEMPT_TIMEOUT_MS = 4_000;
@@ -56,6 +64,7 @@
         body: Buffer.from(id).toString("base64"),
         tokens: 100,
         group: id.split("-")[0],
+        ...this.#createScorer(plan, id),
       })),
     });
     const path = `${this.#options.prefix}${plan.id}`;
@@ -65,6 +74,14 @@
     });
   }
 
+  #createScorer({ scoringPrefix }: BatchPlan, item: string): object {
+    if (scoringPrefix === undefined) return {};
+    const id = scoringIdOf(item);
+    const body = Buffer.from(item).toString("base64");
+    const { host } = this.#options;
+    return { scorer: { id, host, path: `${scoringPrefix}${id}`, body } };
+  }
+
   /** Reads results from an index; gets undefined unless the status is 200. */
   async read(
     batch: string,
