Orders: two holders never take turns where no fencing token is checked

Cause: where recipients do not reject outdated tokens, an order of the leader in between may still arrive after the first leader leads again; and a grant that was checked before a pause, or before the connection was open, was used after it, since the request's timer does not count a suspension.

Change: one lease for both cases. A replica that leads again sends nothing for the order lease after its own last grant (after its start, if an earlier process may have sent), where `orders.areFencesChecked` is false.

Ruled out: delaying each takeover by the lease (every change of the leader would cost three seconds without loads); a delay only for clock errors (the turns come from late execution, not from clocks).

--- a/src/settings/fleet_settings.ts
+++ b/src/settings/fleet_settings.ts
@@ -9,6 +9,8 @@
  */
 const POLICY_LEASE_FRACTION = 0.6;
 
+const DEFAULT_ORDER_LEASE_MS = 3_000;
+
 const name = z.string().min(1).max(200);
 const port = z.number().int().min(1).max(65_535);
 const secondsToMs = z.number().positive().transform((s) => s * MS_PER_S);
@@ -63,6 +65,13 @@
     /** Requests sent to it: `usage` for reports, `autoscale` for orders. */
     duties: z.array(z.string()),
   }).optional(),
+  /** Orders that the control leader sends to targets and the receiver. */
+  orders: z.object({
+    /** Time within which two leaders must not take turns, in ms. */
+    leaseMs: milliseconds.default(DEFAULT_ORDER_LEASE_MS),
+    /** Whether recipients reject orders with an outdated fencing token. */
+    areFencesChecked: z.boolean().default(true),
+  }).prefault({}),
   times: z.object({
     /** Time within which a withdrawn key must stop working, in ms. */
     revokeMs: milliseconds,
--- a/src/tasks/fleet/capacity_scaler.ts
+++ b/src/tasks/fleet/capacity_scaler.ts
@@ -153,8 +153,7 @@
     const key = keyOf(service, dataCentre);
     const outcome = await receiver.orderTargets(
       { service, dataCentre, count, isSpot: false },
-      grant.token,
-      grant.timeoutMs,
+      grant,
     );
     const isAccepted = outcome === OrderOutcome.Accepted;
     logger.event(isAccepted ? "capacityOrdered" : "capacityFailed", {
--- a/src/tasks/fleet/control_task.ts
+++ b/src/tasks/fleet/control_task.ts
@@ -214,12 +214,15 @@
 
   #createLease(): OrderLease {
     const { node, clock } = this.#options;
+    const { orders, isFirstStart } = node.settings;
     return new OrderLease({
       holder: node.settings.name,
       term: () => this.#control.leadsTerm,
       leaseEnd: () => this.#control.leaseEnd,
       leaderSince: () => this.#control.leaderSince,
       now: () => clock.now(),
+      returnDelayMs: orders.areFencesChecked ? 0 : orders.leaseMs,
+      hasPredecessor: !isFirstStart,
     });
   }
 
--- a/src/tasks/fleet/leader_tasks_test.ts
+++ b/src/tasks/fleet/leader_tasks_test.ts
@@ -29,6 +29,8 @@
     leaseEnd: () => Date.now() + 500,
     now,
     leaderSince: () => 0,
+    returnDelayMs: 0,
+    hasPredecessor: false,
   });
 }
 
@@ -89,6 +91,8 @@
       leaseEnd: () => 10_000 + sources.leaseMs,
       now: () => 10_000,
       leaderSince: () => 10_000 - sources.ledMs,
+      returnDelayMs: 0,
+      hasPredecessor: false,
     }).get();
     const { token, timeoutMs } = grant ?? {};
     expect(grant && { fence: token?.fence, timeoutMs }).toEqual(expected);
--- a/src/tasks/fleet/order_lease.ts
+++ b/src/tasks/fleet/order_lease.ts
@@ -1,5 +1,5 @@
 /** Permission for the leader to send an order, with its fencing token. */
-import type { FencingToken } from "./order_port.ts";
+import type { OrderGrant } from "./order_port.ts";
 
 /** Options of {@link OrderLease}. */
 export interface OrderLeaseOptions {
@@ -17,13 +17,16 @@
   readonly now: () => number;
   /** Gets the time at which this replica became leader. */
   readonly leaderSince: () => number;
-}
-
-/** Permission to send one order now. */
-export interface OrderGrant {
-  readonly token: FencingToken;
-  /** Time within which the request must end, in milliseconds. */
-  readonly timeoutMs: number;
+  /**
+   * Time after its last order for which a replica that leads again sends none,
+   * in milliseconds; 0 where recipients reject outdated fencing tokens.
+   *
+   * Without that check, an order of the leader in between may arrive late, so
+   * two holders must not take turns within this time.
+   */
+  readonly returnDelayMs: number;
+  /** Whether an earlier process of this instance may have sent orders. */
+  readonly hasPredecessor: boolean;
 }
 
 const MAX_ORDER_MS = 600;
@@ -38,21 +41,36 @@
  */
 export class OrderLease {
   readonly #options: OrderLeaseOptions;
+  /** Time of the last grant; orders of an earlier process count as granted. */
+  #grantedAt: number;
 
   constructor(options: OrderLeaseOptions) {
     this.#options = options;
+    this.#grantedAt = options.hasPredecessor ? options.now() : -Infinity;
   }
 
   /** Gets a grant; undefined if this replica must not send an order now. */
   get(): OrderGrant | undefined {
-    const { holder, term, leaseEnd, now, leaderSince } = this.#options;
+    const { holder, term, leaseEnd, now } = this.#options;
     const fence = term();
     const at = now();
-    if (fence === undefined || at - leaderSince() < TAKEOVER_DELAY_MS) {
-      return undefined;
-    }
+    if (fence === undefined || !this.#hasTakenOver(at)) return undefined;
     const timeoutMs = Math.min(MAX_ORDER_MS, leaseEnd() - at);
     if (timeoutMs < MIN_ORDER_MS) return undefined;
-    return { token: { holder, fence }, timeoutMs };
+    this.#grantedAt = at;
+    const expiresAt = at + timeoutMs;
+    return {
+      token: { holder, fence },
+      timeoutMs,
+      isValid: () => now() < expiresAt && term() === fence,
+    };
+  }
+
+  #hasTakenOver(at: number): boolean {
+    const { leaderSince, returnDelayMs } = this.#options;
+    const since = leaderSince();
+    if (at - since < TAKEOVER_DELAY_MS) return false;
+    const isHolder = this.#grantedAt >= since;
+    return isHolder || at - this.#grantedAt >= returnDelayMs;
   }
 }
--- a/src/tasks/fleet/order_port.ts
+++ b/src/tasks/fleet/order_port.ts
@@ -39,6 +39,18 @@
   readonly fence: number;
 }
 
+/** Permission to send one order now. */
+export interface OrderGrant {
+  readonly token: FencingToken;
+  /** Time within which the request must end, in milliseconds. */
+  readonly timeoutMs: number;
+  /**
+   * Gets whether the order may still be sent. Senders ask at the moment at which
+   * they write the request, since the process may have been paused before.
+   */
+  readonly isValid: () => boolean;
+}
+
 /** Outcome of an order. */
 export const OrderOutcome = {
   Accepted: "accepted",
@@ -54,6 +66,8 @@
   Unanswered: "unanswered",
   /** The receiver's rate limit is exceeded. */
   Throttled: "throttled",
+  /** The grant expired before the order was sent. */
+  NotSent: "notSent",
 } as const;
 
 /** One of the values of {@link OrderOutcome}. */
@@ -66,11 +80,7 @@
     target: { readonly id: string; readonly address: string },
     timeoutMs: number,
   ): Promise<EngineStatus | undefined>;
-  load(
-    order: LoadOrder,
-    token: FencingToken,
-    timeoutMs: number,
-  ): Promise<OrderOutcome>;
+  load(order: LoadOrder, grant: OrderGrant): Promise<OrderOutcome>;
 }
 
 /** Order to run a number of targets in a data centre. */
@@ -88,12 +98,10 @@
       readonly window: number;
       readonly counts: Readonly<Record<string, number>>;
     },
-    token: FencingToken,
-    timeoutMs: number,
+    grant: OrderGrant,
   ): Promise<OrderOutcome>;
   orderTargets(
     order: CapacityOrder,
-    token: FencingToken,
-    timeoutMs: number,
+    grant: OrderGrant,
   ): Promise<OrderOutcome>;
 }
--- a/src/tasks/fleet/usage_reporter.ts
+++ b/src/tasks/fleet/usage_reporter.ts
@@ -97,11 +97,7 @@
     const { lease, receiver, propose, logger } = this.#options;
     const grant = lease.get();
     if (grant === undefined) return;
-    const outcome = await receiver.reportUsage(
-      { window, counts },
-      grant.token,
-      grant.timeoutMs,
-    );
+    const outcome = await receiver.reportUsage({ window, counts }, grant);
     const isAccepted = outcome === OrderOutcome.Accepted ||
       outcome === OrderOutcome.Held;
     if (!isAccepted) {
--- a/src/tasks/fleet/weights_rollout.ts
+++ b/src/tasks/fleet/weights_rollout.ts
@@ -185,7 +185,7 @@
       orders: status.orders,
     });
     this.#options.onLoading(toLoadedVersion(load));
-    const outcome = await orders.load(order, grant.token, grant.timeoutMs);
+    const outcome = await orders.load(order, grant);
     await this.#onOutcome[outcome](load);
   }
 
@@ -200,6 +200,7 @@
     refused: (load) => this.#onFailed(load, "target rejected the order"),
     throttled: (load) => this.#onFailed(load, "target's rate limit exceeded"),
     unanswered: (load) => this.#awaitLoaded(load),
+    notSent: (load) => this.#onFailed(load, "lease ended before the order"),
   };
 
   /**
