Ledger: a lost disk is repaired by a replica of any instance

Change: a voter whose disk was lost is removed as one that is down for good is, once any present learner has caught up. One rule in place of two.

Tests failed first: one loss with the learner elsewhere; 40 losses in turn.

--- a/src/core/consensus/membership_repair.ts
+++ b/src/core/consensus/membership_repair.ts
@@ -30,9 +30,9 @@
  * Gets the next membership, one change from the current one, or undefined if no
  * change is needed or possible.
  *
- * An instance that lost its disk rejoins as a new replica. It is added as a
- * learner; once it has caught up, the old replica of the instance is removed,
- * and then the learner is promoted to voter.
+ * An instance that lost its disk rejoins as a new replica. A learner is added;
+ * once it has caught up, the old replica of the instance is removed, and then
+ * the learner is promoted to voter.
  *
  * @example
  * ```ts
@@ -43,16 +43,13 @@
 export function nextMembers(input: RepairInput): Members | undefined {
   return removeDownLearner(input) ??
     addLearner(input) ??
-    removeReplacedVoter(input) ??
-    removeDownVoter(input) ??
+    removeLostVoter(input) ??
     promoteLearner(input);
 }
 
 function removeDownLearner(input: RepairInput): Members | undefined {
-  const { members, present } = input;
-  const { isPermanentlyDown } = input;
-  const down = members.learners
-    .find((id) => isReplaced(id, present) || isPermanentlyDown?.(id) === true);
+  const { members } = input;
+  const down = members.learners.find((id) => isLostForGood(id, input));
   if (down === undefined) return undefined;
   const learners = members.learners.filter((id) => id !== down);
   return { voters: members.voters, learners };
@@ -74,38 +71,28 @@
  * regardless of the wanted number of learners.
  */
 function needsLearner(input: RepairInput): boolean {
-  const { members, present, isPermanentlyDown, wantedVoters } = input;
+  const { members, wantedVoters } = input;
   const missing = members.voters
-    .filter((id) => isReplaced(id, present) || isPermanentlyDown?.(id) === true)
-    .length;
+    .filter((id) => isLostForGood(id, input)).length;
   const needed = Math.max(0, wantedVoters - members.voters.length) + missing;
   const wanted = Math.max(needed, input.wantedLearners ?? Infinity);
   return members.learners.length < wanted;
 }
 
-function removeReplacedVoter(input: RepairInput): Members | undefined {
-  const { members, present, isCaughtUp } = input;
-  const replaced = members.voters.find((id) => isReplaced(id, present));
-  if (replaced === undefined || members.voters.length <= 1) return undefined;
-  const successor = members.learners
-    .find((id) => instanceOf(id) === instanceOf(replaced));
-  if (successor === undefined || !isCaughtUp(successor)) return undefined;
-  const voters = members.voters.filter((id) => id !== replaced);
-  return { voters, learners: members.learners };
-}
-
 /**
- * Removes a voter that is permanently down once a caught-up learner can replace
- * it.
+ * Removes a voter that is down for good, or whose disk was lost, once a
+ * caught-up learner can replace it. The learner may be of any instance: waiting
+ * for one of the same instance would leave the lost disk unrepaired while
+ * another learner takes the place.
  */
-function removeDownVoter(input: RepairInput): Members | undefined {
-  const { members, present, isPermanentlyDown, isCaughtUp } = input;
-  const down = members.voters.find((id) => isPermanentlyDown?.(id) === true);
-  if (down === undefined || members.voters.length <= 1) return undefined;
+function removeLostVoter(input: RepairInput): Members | undefined {
+  const { members, present, isCaughtUp } = input;
+  if (members.voters.length <= 1) return undefined;
+  const lost = members.voters.find((id) => isLostForGood(id, input));
   const hasReplacement = members.learners
     .some((id) => present.includes(id) && isCaughtUp(id));
-  if (!hasReplacement) return undefined;
-  const voters = members.voters.filter((id) => id !== down);
+  if (lost === undefined || !hasReplacement) return undefined;
+  const voters = members.voters.filter((id) => id !== lost);
   return { voters, learners: members.learners };
 }
 
@@ -121,6 +108,14 @@
   };
 }
 
+/** Gets whether a replica is down for good, or its disk was lost. */
+function isLostForGood(
+  id: ReplicaId,
+  { present, isPermanentlyDown }: RepairInput,
+): boolean {
+  return isReplaced(id, present) || isPermanentlyDown?.(id) === true;
+}
+
 function isReplaced(id: ReplicaId, present: readonly ReplicaId[]): boolean {
   return !present.includes(id) &&
     present.some((other) => instanceOf(other) === instanceOf(id));
--- a/src/core/consensus/membership_repair_test.ts
+++ b/src/core/consensus/membership_repair_test.ts
@@ -45,6 +45,47 @@
       isPermanentlyDown: (id) => id === "c#1",
     }, { voters: ["a#1", "b#1"], learners: ["d#1"] }));
 
+  it("replaces a voter with a lost disk by a replica of another instance", () =>
+    doTest({
+      members: { voters: ["a#1", "b#1", "c#1"], learners: ["d#1"] },
+      present: ["a#1", "b#2", "c#1", "d#1"],
+      wantedLearners: 0,
+    }, { voters: ["a#1", "c#1"], learners: ["d#1"] }));
+
+  it("keeps a voter with a lost disk while no learner has caught up", () =>
+    doTest({
+      members: { voters: ["a#1", "b#1", "c#1"], learners: ["d#1"] },
+      present: ["a#1", "b#2", "c#1", "d#1"],
+      wantedLearners: 0,
+      isCaughtUp: () => false,
+    }, undefined));
+
+  it("repairs every loss of one disk after another", () => {
+    const lost = new Map<string, number>();
+    const replicaOf = (name: string) => `${name}#${lost.get(name) ?? 1}`;
+    const names = ["a", "b", "c", "d"];
+    let members = { voters: ["a#1", "b#1", "c#1"], learners: [] as string[] };
+    for (let round = 0; round < 40; round += 1) {
+      const name = names[(round * 7) % names.length];
+      lost.set(name, (lost.get(name) ?? 1) + 1);
+      for (let change = 0; change < 10; change += 1) {
+        const next = nextMembers({
+          members,
+          present: [...names.slice(round % 4), ...names].map(replicaOf),
+          wantedVoters: 3,
+          wantedLearners: 0,
+          isCaughtUp: () => true,
+        });
+        if (next === undefined) break;
+        members = { voters: [...next.voters], learners: [...next.learners] };
+      }
+      const running = members.voters.filter((id) =>
+        names.map(replicaOf).includes(id)
+      );
+      expect(running).toHaveLength(3);
+    }
+  });
+
   it("keeps a voter that is down while no learner has caught up", () =>
     doTest({
       members: { voters: ["a#1", "b#1", "c#1"], learners: ["d#1"] },
