--- a/src/tasks/batches/batch_runner.ts
+++ b/src/tasks/batches/batch_runner.ts
@@ -2,7 +2,6 @@
 import {
   type BatchItem,
   type BatchRecord,
-  type BatchResult,
   type BatchState,
   DemandMeter,
   type ItemProgress,
@@ -10,8 +9,6 @@
   orderItems,
   type PartialTextRecord,
   PendingLoads,
-  type ResultRecord,
-  ResultState,
   type ServiceDemand,
   TargetPace,
   type WaitingItem,
@@ -27,15 +24,13 @@
 import { type EnginePort, RunFailure } from "./engine_port.ts";
 import { ItemPlacer } from "./item_placer.ts";
 import { ItemRun, type ItemRunListener } from "./item_run.ts";
-import {
-  ItemScorer,
-  type ScoredItem,
-  type ScoringPort,
-} from "./item_scorer.ts";
+import { ItemScorer, type ScoringPort } from "./item_scorer.ts";
+import { ResultWriter, type ResultWriterOptions } from "./result_writer.ts";
+import { RunMover } from "./run_mover.ts";
 import { itemKeyOf, RunTable } from "./run_table.ts";
 
 /** Options of {@link BatchRunner}. */
-export interface BatchRunnerOptions {
+export interface BatchRunnerOptions extends ResultWriterOptions {
   /** Gets the replicated state of the ledger. */
   readonly state: () => BatchState;
   readonly registry: TargetRegistry;
@@ -54,23 +49,11 @@
   readonly scoring: ScoringPort;
   /** Called when a target has said that it leaves. */
   readonly onTargetLeaving: (target: TargetReport) => void;
-  /** Writes a result to the ledger. */
-  readonly storeResult: (record: ResultRecord) => void;
-  /** Writes the end of a complete text, which still needs its score. */
-  readonly storeCompleteText: (record: PartialTextRecord) => void;
   /** Writes the partial texts of runs in progress to the ledger. */
   readonly storePartialTexts: (records: readonly PartialTextRecord[]) => void;
 }
 
 const TICK_INTERVAL_MS = 50;
-/**
- * Silence timeout of a run with fewer than {@link MIN_EVENTS_FOR_PACE} events.
- */
-const FIRST_EVENT_TIMEOUT_MS = 1_000;
-/** Lower bound of the silence timeout between two events. */
-const SILENCE_TIMEOUT_MS = 600;
-/** Silence timeout while the target loads weights of the item's model. */
-const LOADING_SILENCE_TIMEOUT_MS = 3_000;
 /** Time for which a target gets no items after it refused one. */
 const REFUSAL_BACKOFF_MS = 150;
 /** Interval between writes of the partial texts of long runs. */
@@ -79,12 +62,6 @@
 const LONG_RUN_MS = 500;
 /** Maximum number of items sent to targets in one round. */
 const MAX_PLACED_PER_ROUND = 64;
-/** Silence timeout between two events, as a multiple of their median time. */
-const SILENCE_TIMEOUT_EVENTS = 8;
-/** Maximum number of runs moved off slow targets in one round. */
-const MAX_MOVED_PER_ROUND = 12;
-/** Number of events of a run from which its pace is taken into account. */
-const MIN_EVENTS_FOR_PACE = 3;
 
 /**
  * Places items on targets, moves runs off silent or slow targets and stores the
@@ -93,13 +70,13 @@
 export class BatchRunner implements ItemRunListener {
   readonly #options: BatchRunnerOptions;
   readonly #runs = new RunTable();
-  /** Keys of the items whose results are being written to the ledger. */
-  readonly #pendingResults = new Set<string>();
+  readonly #results: ResultWriter;
   readonly #itemTracker = new ItemTracker();
   readonly #demandMeter = new DemandMeter();
   readonly #targetPace = new TargetPace();
   readonly #loads = new PendingLoads();
   readonly #scorer: ItemScorer;
+  readonly #mover: RunMover;
   #timer: NodeJS.Timeout | undefined;
   #isPlacementScheduled = false;
   /** Time at which partial texts were last written. */
@@ -108,6 +85,7 @@
   /** Creates a stopped runner. */
   constructor(options: BatchRunnerOptions) {
     this.#options = options;
+    this.#results = new ResultWriter(options);
     const { scoring, state, registry, logger, metrics, dataCentre } = options;
     this.#scorer = new ItemScorer({
       port: scoring,
@@ -116,9 +94,19 @@
       logger,
       metrics,
       dataCentre,
-      isBeingStored: (key) => this.#pendingResults.has(key),
+      isBeingStored: (key) => this.#results.isPending(key),
       onTargetLeaving: options.onTargetLeaving,
-      onEnded: (scored, score) => this.#onScored(scored, score),
+      onEnded: (scored, score) => this.#results.completeScored(scored, score),
+    });
+    this.#mover = new RunMover({
+      runs: this.#runs,
+      itemTracker: this.#itemTracker,
+      targetPace: this.#targetPace,
+      loads: this.#loads,
+      logger,
+      metrics,
+      now: options.now,
+      createPlacer: (now) => this.#createPlacer(now),
     });
   }
 
@@ -135,7 +123,7 @@
     this.#timer = undefined;
     this.#runs.cancelAll();
     this.#scorer.stop();
-    this.#pendingResults.clear();
+    this.#results.clear();
     this.#itemTracker.clear();
     return this;
   }
@@ -187,7 +175,7 @@
 
   /** Records that the write of a result has been applied or has failed. */
   onResultStored(batch: string, item: string): this {
-    this.#pendingResults.delete(itemKeyOf(batch, item));
+    this.#results.onStored(batch, item);
     return this;
   }
 
@@ -224,8 +212,7 @@
     metrics.timing("items.duration", now() - run.startedAt);
     this.#targetPace.onCompleted(run.target.id);
     this.#runs.remove(run);
-    if (run.item.scoring === undefined) this.#storeCompleted(run);
-    else this.#storeScorableText(run);
+    this.#results.complete(run);
     this.schedulePlacement();
   }
 
@@ -270,10 +257,11 @@
       progress.failedRuns += 1;
       progress.excludedTargets.add(run.target.id);
       if (progress.failedRuns >= run.record.spec.maxAttempts) {
-        this.#abandon(run);
+        this.#results.abandon(run.record, run.item, run.text);
       }
     },
-    impossible: (run) => this.#abandon(run),
+    impossible: ({ record, item, text }) =>
+      this.#results.abandon(record, item, text),
     broken: (run, progress) => {
       progress.excludedTargets.add(run.target.id);
       this.#targetPace.onFailure(run.target.id, this.#options.now());
@@ -281,88 +269,6 @@
     },
   };
 
-  /** Stores the result of a scored item; without a score it is abandoned. */
-  #onScored({ record, item }: ScoredItem, score: string | undefined): void {
-    const stored = record.getPartialText(item.id);
-    if (stored === undefined) return;
-    const { versions, lastId } = stored;
-    const state = score === undefined
-      ? ResultState.Abandoned
-      : ResultState.Completed;
-    const result = { id: item.id, state, text: "", versions };
-    this.#storeResult(
-      record,
-      score === undefined ? result : { ...result, score },
-      lastId,
-    );
-  }
-
-  #abandon(run: ItemRun): void {
-    const { id } = run.item;
-    const { text, versions } = run.text;
-    this.#storeResult(run.record, {
-      id,
-      state: ResultState.Abandoned,
-      text,
-      versions,
-    });
-  }
-
-  /**
-   * Stores a result.
-   * @param after - Events of the text that are already stored.
-   */
-  #storeResult(record: BatchRecord, result: BatchResult, after = 0): void {
-    const batch = record.spec.id;
-    this.#pendingResults.add(itemKeyOf(batch, result.id));
-    this.#options.storeResult(
-      after === 0 ? { batch, result } : { batch, result, after },
-    );
-  }
-
-  /** Stores the rest of the text of a run, which is scored afterwards. */
-  #storeScorableText({ record, item, text, storedEventId }: ItemRun): void {
-    this.#storeCompleteText(record, item, {
-      after: storedEventId,
-      pieces: text.piecesAfter(storedEventId),
-      versions: text.versions,
-    });
-  }
-
-  #storeCompleteText(
-    record: BatchRecord,
-    item: BatchItem,
-    text: Pick<PartialTextRecord, "after" | "pieces" | "versions">,
-  ): void {
-    const batch = record.spec.id;
-    this.#pendingResults.add(itemKeyOf(batch, item.id));
-    this.#options.storeCompleteText({
-      batch,
-      item: item.id,
-      ...text,
-      isComplete: true,
-    });
-  }
-
-  /**
-   * Stores the result of a completed run. If part of the text is already
-   * stored, only the rest is written.
-   */
-  #storeCompleted(
-    { record, item, text, storedEventId }: ItemRun,
-  ): void {
-    const { versions } = text;
-    const result = { id: item.id, state: ResultState.Completed, versions };
-    const rest = text.piecesAfter(storedEventId).join("\n");
-    const writesFullText = storedEventId === 0 ||
-      (rest === "" && storedEventId < text.lastId);
-    if (writesFullText) {
-      this.#storeResult(record, { ...result, text: text.text });
-      return;
-    }
-    this.#storeResult(record, { ...result, text: rest }, storedEventId);
-  }
-
   /**
    * Stores the partial texts of long runs, so that a new leader can resume them
    * instead of starting over.
@@ -389,8 +295,8 @@
   #tick(): void {
     if (!this.#options.canRunItems()) return;
     this.#sampleDemand();
-    this.#moveSilentRuns();
-    this.#moveSlowRuns();
+    this.#mover.moveSilentRuns();
+    this.#mover.moveSlowRuns();
     this.#storeLongRuns();
     this.#abandonOverdue();
     this.#itemTracker.forget(this.#options.state().all);
@@ -398,67 +304,6 @@
     this.#placeItems();
   }
 
-  /** Moves runs that have had no event for too long to other targets. */
-  #moveSilentRuns(): void {
-    const now = this.#options.now();
-    for (const run of this.#runs.all) {
-      const limitMs = this.#silenceTimeoutMs(run, now);
-      if (run.silenceMs > limitMs) {
-        this.#moveRun(run, `No event for ${Math.round(run.silenceMs)} ms`);
-        this.#targetPace.onFailure(run.target.id, now);
-      }
-    }
-  }
-
-  /** Moves runs off slow targets as long as other targets have free slots. */
-  #moveSlowRuns(): void {
-    const now = this.#options.now();
-    const placer = this.#createPlacer(now);
-    let moved = 0;
-    for (const run of this.#runs.all) {
-      const { id } = run.target;
-      const hasEnoughEvents = run.events >= MIN_EVENTS_FOR_PACE;
-      if (!hasEnoughEvents || !this.#targetPace.isSlow(id, now)) continue;
-      if (moved >= MAX_MOVED_PER_ROUND) return;
-      const waiting = { record: run.record, item: run.item };
-      const chosen = placer.choose(waiting, run.text);
-      if (chosen === undefined || chosen.id === id) continue;
-      placer.reserveSlot(chosen.id);
-      this.#moveRun(
-        run,
-        `Target takes ${
-          Math.round(this.#targetPace.paceMs(id, now))
-        } ms per event`,
-      );
-      moved += 1;
-    }
-  }
-
-  #silenceTimeoutMs(run: ItemRun, now: number): number {
-    const { model } = run.item;
-    if (this.#loads.isLoading(run.target, model, now)) {
-      return LOADING_SILENCE_TIMEOUT_MS;
-    }
-    if (run.events < MIN_EVENTS_FOR_PACE) return FIRST_EVENT_TIMEOUT_MS;
-    const medianMs = this.#targetPace.medianPaceMs(now);
-    return Math.max(SILENCE_TIMEOUT_MS, medianMs * SILENCE_TIMEOUT_EVENTS);
-  }
-
-  #moveRun(run: ItemRun, reason: string): void {
-    run.cancel();
-    this.#runs.remove(run);
-    this.#itemTracker.savePartialText(run.item, run.text);
-    this.#itemTracker.progressOf(run.item).excludedTargets.add(run.target.id);
-    this.#options.metrics.count("items.moved");
-    this.#options.logger.event("itemMoved", {
-      batch: run.record.spec.id,
-      item: run.item.id,
-      target: run.target.id,
-      reason,
-      events: run.events,
-    });
-  }
-
   #abandonOverdue(): void {
     const wallNow = Date.now();
     for (const record of this.#options.state().all) {
@@ -466,17 +311,12 @@
       if (!record.isOpen || wallNow < spec.acceptedAt + spec.giveUpMs) continue;
       for (const item of record.pendingItems) {
         const key = itemKeyOf(spec.id, item.id);
-        if (this.#pendingResults.has(key)) continue;
+        if (this.#results.isPending(key)) continue;
         const run = this.#runs.get(spec.id, item.id);
         run?.cancel();
         if (run !== undefined) this.#runs.remove(run);
         this.#scorer.cancel(spec.id, item.id);
-        this.#storeResult(record, {
-          id: item.id,
-          state: ResultState.Abandoned,
-          text: "",
-          versions: [],
-        });
+        this.#results.abandon(record, item);
       }
     }
   }
@@ -502,7 +342,7 @@
       if (placed >= MAX_PLACED_PER_ROUND) break;
       const { record, item } = waiting;
       const isResubmitted = this.#itemTracker.isResubmitted(record, item);
-      if (isResubmitted && this.#reuseResult(waiting, all)) continue;
+      if (isResubmitted && this.#results.reuseResult(waiting, all)) continue;
       if (this.#startRun(waiting, placer, all)) placed += 1;
     }
   }
@@ -513,7 +353,7 @@
       return false;
     }
     const isRunning = this.#runs.has(record.spec.id, item.id);
-    if (isRunning || this.#pendingResults.has(key)) return false;
+    if (isRunning || this.#results.isPending(key)) return false;
     return !this.#itemTracker.isBackingOff(item, now);
   }
 
@@ -530,47 +370,6 @@
     });
   }
 
-  /**
-   * Reuses the completed result of an item that was resubmitted in another
-   * batch, if its versions are allowed. Its score counts for the same scoring
-   * call only.
-   */
-  #reuseResult(
-    { record, item }: WaitingItem,
-    records: readonly BatchRecord[],
-  ): boolean {
-    const { minVersion, isSingleVersion, workspace } = record.spec;
-    for (const other of records) {
-      if (other === record || other.spec.workspace !== workspace) continue;
-      if (!other.hasResult(item.id)) continue;
-      const result = other.getResult(item.id);
-      if (result?.state !== ResultState.Completed) continue;
-      const isFresh = result.versions.every((v) => v >= minVersion);
-      const isSingle = !isSingleVersion || result.versions.length === 1;
-      if (!isFresh || !isSingle || result.versions.length === 0) continue;
-      const scoringId = other.getItem(item.id)?.scoring?.id;
-      if (scoringId === item.scoring?.id) this.#storeResult(record, result);
-      else this.#reuseText(record, item, result);
-      return true;
-    }
-    return false;
-  }
-
-  /** Reuses a text whose score, if it has one, is of another call. */
-  #reuseText(
-    record: BatchRecord,
-    item: BatchItem,
-    { text, versions }: Pick<BatchResult, "text" | "versions">,
-  ): void {
-    if (item.scoring !== undefined) {
-      const pieces = [text];
-      this.#storeCompleteText(record, item, { after: 0, pieces, versions });
-      return;
-    }
-    const state = ResultState.Completed;
-    this.#storeResult(record, { id: item.id, state, text, versions });
-  }
-
   #startRun(
     waiting: WaitingItem,
     placer: ItemPlacer,
@@ -582,7 +381,7 @@
     const { minVersion, id: batch } = record.spec;
     const text = this.#itemTracker.resumableTextOf(record, item, records);
     if (text.isComplete) {
-      this.#reuseText(record, item, text);
+      this.#results.reuseText(record, item, text);
       return true;
     }
     const chosen = placer.choose(waiting, text);
