Ledger: a retiring voter is replaced before it is removed

A group of two tolerates no loss.

Change: a retiring replica is told apart from one that is down for good. It still votes, so the successor is promoted first (four voters tolerate one loss) and it is removed then.

Ruled out: promoting first for lost voters as well (of four with one dead all three others are needed, as of two).

Test: the group has three voters or more at each step of a retirement; before, it was 3, 2, 3.

--- a/src/core/consensus/membership_repair.ts
+++ b/src/core/consensus/membership_repair.ts
@@ -22,6 +22,11 @@
    * Gets whether a replica is considered permanently down. Defaults to none.
    */
   readonly isPermanentlyDown?: (replica: ReplicaId) => boolean;
+  /**
+   * Gets whether a replica runs and is to be taken away. Defaults to none; a
+   * retiring replica is not among {@link RepairInput.present}.
+   */
+  readonly isRetiring?: (replica: ReplicaId) => boolean;
   /** Gets whether a replica holds all committed entries. */
   readonly isCaughtUp: (replica: ReplicaId) => boolean;
 }
@@ -32,7 +37,8 @@
  *
  * An instance that lost its disk rejoins as a new replica. A learner is added;
  * once it has caught up, the old replica of the instance is removed, and then
- * the learner is promoted to voter.
+ * the learner is promoted to voter. A retiring replica still votes, so its
+ * successor is promoted first: the group tolerates a further loss all the while.
  *
  * @example
  * ```ts
@@ -44,12 +50,14 @@
   return removeDownLearner(input) ??
     addLearner(input) ??
     removeLostVoter(input) ??
-    promoteLearner(input);
+    promoteLearner(input) ??
+    removeRetiringVoter(input);
 }
 
 function removeDownLearner(input: RepairInput): Members | undefined {
-  const { members } = input;
-  const down = members.learners.find((id) => isLostForGood(id, input));
+  const { members, isRetiring } = input;
+  const down = members.learners
+    .find((id) => isLostForGood(id, input) || isRetiring?.(id) === true);
   if (down === undefined) return undefined;
   const learners = members.learners.filter((id) => id !== down);
   return { voters: members.voters, learners };
@@ -72,8 +80,7 @@
  */
 function needsLearner(input: RepairInput): boolean {
   const { members, wantedVoters } = input;
-  const missing = members.voters
-    .filter((id) => isLostForGood(id, input)).length;
+  const missing = members.voters.length - stayingVoters(input).length;
   const needed = Math.max(0, wantedVoters - members.voters.length) + missing;
   const wanted = Math.max(needed, input.wantedLearners ?? Infinity);
   return members.learners.length < wanted;
@@ -97,8 +104,10 @@
 }
 
 function promoteLearner(input: RepairInput): Members | undefined {
-  const { members, present, wantedVoters, isCaughtUp } = input;
-  if (members.voters.length >= wantedVoters) return undefined;
+  const { members, present, wantedVoters, isCaughtUp, isRetiring } = input;
+  const retiring = members.voters
+    .filter((id) => isRetiring?.(id) === true).length;
+  if (members.voters.length - retiring >= wantedVoters) return undefined;
   const learner = members.learners
     .find((id) => present.includes(id) && isCaughtUp(id));
   if (learner === undefined) return undefined;
@@ -108,6 +117,23 @@
   };
 }
 
+/** Removes a retiring voter once enough others have a vote. */
+function removeRetiringVoter(input: RepairInput): Members | undefined {
+  const { members, wantedVoters, isRetiring } = input;
+  const retiring = members.voters.find((id) => isRetiring?.(id) === true);
+  const hasSuccessor = stayingVoters(input).length >= wantedVoters;
+  if (retiring === undefined || !hasSuccessor) return undefined;
+  const voters = members.voters.filter((id) => id !== retiring);
+  return { voters, learners: members.learners };
+}
+
+/** Gets the voters that neither are lost nor retire. */
+function stayingVoters(input: RepairInput): ReplicaId[] {
+  const { members, isRetiring } = input;
+  return members.voters
+    .filter((id) => !isLostForGood(id, input) && isRetiring?.(id) !== true);
+}
+
 /** Gets whether a replica is down for good, or its disk was lost. */
 function isLostForGood(
   id: ReplicaId,
--- a/src/core/consensus/membership_repair_test.ts
+++ b/src/core/consensus/membership_repair_test.ts
@@ -86,6 +86,40 @@
     }
   });
 
+  it("tolerates the loss of any voter while one retires", () => {
+    let members = { voters: ["a#1", "b#1", "c#1"], learners: [] as string[] };
+    const sizes: number[] = [];
+    for (let change = 0; change < 10; change += 1) {
+      const next = nextMembers({
+        members,
+        present: ["a#1", "b#1", "d#1"],
+        wantedVoters: 3,
+        wantedLearners: 0,
+        isRetiring: (id) => id === "c#1",
+        isCaughtUp: () => true,
+      });
+      if (next === undefined) break;
+      members = { voters: [...next.voters], learners: [...next.learners] };
+      sizes.push(members.voters.length);
+    }
+    expect(members.voters).toEqual(["a#1", "b#1", "d#1"]);
+    expect(Math.min(...sizes)).toBe(3);
+  });
+
+  it("keeps a retiring voter while no learner has caught up", () =>
+    doTest({
+      members: { voters: ["a#1", "b#1", "c#1"], learners: ["d#1"] },
+      present: ["a#1", "b#1", "d#1"],
+      isRetiring: (id) => id === "c#1",
+      isCaughtUp: () => false,
+    }, undefined));
+
+  it("removes a retiring learner", () =>
+    doTest({
+      members: { voters: ["a#1", "b#1", "c#1"], learners: ["d#1"] },
+      isRetiring: (id) => id === "d#1",
+    }, { voters: ["a#1", "b#1", "c#1"], learners: [] }));
+
   it("keeps a voter that is down while no learner has caught up", () =>
     doTest({
       members: { voters: ["a#1", "b#1", "c#1"], learners: ["d#1"] },
--- a/src/tasks/batches/batch_task.ts
+++ b/src/tasks/batches/batch_task.ts
@@ -169,7 +169,8 @@
       wantedLearners: 0,
       now,
       presentReplicas: () => this.#presentReplicas(),
-      isLost: (replica) => this.#hasLeft(instanceOf(replica)),
+      isLost: (replica) => this.#isLost(instanceOf(replica)),
+      isRetiring: (replica) => this.#isRetiring(instanceOf(replica)),
       onApplied: (command) => this.#onApplied(command),
       onRestored: () => this.#wakeAllReaders(),
       onRole: (isLeader) => this.#onRoleChanged(isLeader),
@@ -219,13 +220,21 @@
     return [own, ...others].filter((id) => id !== undefined);
   }
 
-  #hasLeft(instance: string): boolean {
+  #isLost(instance: string): boolean {
+    const { hub, settings } = this.#options.node;
+    if (instance === settings.id || hub.getPresence(instance) !== undefined) {
+      return false;
+    }
+    return hub.absentMs(instance) > settings.times.contactMs;
+  }
+
+  #isRetiring(instance: string): boolean {
     const { node } = this.#options;
-    const { id, name, times } = node.settings;
-    if (instance === id) return node.isRetiring(name);
-    const member = node.hub.getPresence(instance)?.member;
-    if (member !== undefined) return node.isRetiring(member.name);
-    return node.hub.absentMs(instance) > times.contactMs;
+    const { id, name } = node.settings;
+    const retiring = instance === id
+      ? name
+      : node.hub.getPresence(instance)?.member?.name;
+    return retiring !== undefined && node.isRetiring(retiring);
   }
 
   /** Transfers leadership if this instance is retiring. */
--- a/src/tasks/log/log_driver.ts
+++ b/src/tasks/log/log_driver.ts
@@ -57,6 +57,8 @@
   readonly wantedLearners?: number;
   /** Checks whether a replica is lost for good; by default, none is. */
   readonly isLost?: (replica: ReplicaId) => boolean;
+  /** Gets whether a running replica is to be taken away. Defaults to none. */
+  readonly isRetiring?: (replica: ReplicaId) => boolean;
   /** Called for each applied entry, with the result if it is a command. */
   readonly onApplied: (
     entry: LogEntry<C>,
@@ -443,6 +445,7 @@
       wantedVoters: wantedVoters(),
       wantedLearners: this.#options.wantedLearners,
       isPermanentlyDown: this.#options.isLost,
+      isRetiring: this.#options.isRetiring,
       isCaughtUp: (replica) => node.isCaughtUp(replica, now()),
     });
     if (next === undefined) return;
