Cancelled requests reset their connection

Change: the pool knows the socket of each connection and resets it as soon as the signal of its request aborts, before the client closes it, and whenever a connection that is not clean is given back. So calls, runs, scoring calls and orders that we have given up on reach nobody later.

--- a/src/tasks/calls/target_connections.ts
+++ b/src/tasks/calls/target_connections.ts
@@ -1,5 +1,6 @@
 /** Connection pools for targets; requests are never pipelined. */
-import { Client } from "undici";
+import type { Socket } from "node:net";
+import { buildConnector, Client } from "undici";
 
 /** Options of {@link TargetConnections}. */
 export interface TargetConnectionsOptions {
@@ -34,9 +35,12 @@
 export class TargetConnections {
   readonly #options: TargetConnectionsOptions;
   readonly #pools = new Map<string, ConnectionPool>();
+  readonly #sockets = new WeakMap<Client, Socket>();
+  readonly #connect: buildConnector.connector;
 
   constructor(options: TargetConnectionsOptions) {
     this.#options = options;
+    this.#connect = buildConnector({ timeout: options.connectTimeoutMs });
   }
 
   /**
@@ -51,14 +55,29 @@
       throw new ConnectionsExhaustedError(address);
     }
     pool.open += 1;
-    const { connectTimeoutMs, idleTimeoutMs } = this.#options;
-    return new Client(`http://${address}`, {
+    const client: Client = new Client(`http://${address}`, {
       pipelining: 1,
-      connect: { timeout: connectTimeoutMs },
+      connect: (options, callback) =>
+        this.#connect(options, (...result) => {
+          const [, socket] = result;
+          if (socket !== null) this.#sockets.set(client, socket);
+          callback(...result);
+        }),
       headersTimeout: 0,
       bodyTimeout: 0,
-      keepAliveTimeout: idleTimeoutMs,
+      keepAliveTimeout: this.#options.idleTimeoutMs,
     });
+    return client;
+  }
+
+  /**
+   * Resets the connection of a request as soon as a signal aborts. Must be
+   * called before the request is sent with the same signal, which would close
+   * the connection: what the network has held up of the request until then
+   * would still reach the target, however late.
+   */
+  resetOnAbort(client: Client, signal: AbortSignal): void {
+    signal.addEventListener("abort", () => this.#reset(client), { once: true });
   }
 
   /** Returns a connection to its pool, or closes it if it is not clean. */
@@ -73,6 +92,7 @@
       return;
     }
     if (pool !== undefined) pool.open -= 1;
+    this.#reset(client);
     this.#destroy(client);
   }
 
@@ -93,6 +113,11 @@
     return pool;
   }
 
+  #reset(client: Client): void {
+    const socket = this.#sockets.get(client);
+    if (socket !== undefined && !socket.destroyed) socket.resetAndDestroy();
+  }
+
   /** Destroys a connection; errors while doing so are ignored. */
   #destroy(client: Client): void {
     client.destroy().catch(() => {});
