Refusals after several attempts keep the verdict of the earlier ones

Change: RefusalError.afterAttempt merges the verdicts; the response then says that the outcome is unknown.

--- a/src/core/verdict/refusal_error.ts
+++ b/src/core/verdict/refusal_error.ts
@@ -1,7 +1,7 @@
 /** Error for refused and failed requests. */
 import { NutmegreelError } from "../errors/mod.ts";
 import { REFUSAL_STATUS, type RefusalReason } from "./refusal_reason.ts";
-import type { Verdict } from "./verdict.ts";
+import { mergeVerdicts, type Verdict } from "./verdict.ts";
 
 /** Options of {@link RefusalError}. */
 export interface RefusalOptions {
@@ -52,6 +52,26 @@
     this.retryAfterMs = options.retryAfterMs;
   }
 
+  /**
+   * Merges the verdict of an earlier attempt into this refusal: what a target
+   * may have run stays so, even if a later attempt was refused as not run.
+   *
+   * @example
+   * ```ts
+   * throw refusal.afterAttempt(earlier.verdict);
+   * ```
+   */
+  afterAttempt(verdict: Verdict): RefusalError {
+    const merged = mergeVerdicts(this.verdict, verdict);
+    if (merged === this.verdict) return this;
+    const { message, retryAfterMs } = this;
+    return new RefusalError(this.reason, merged, {
+      message,
+      cause: this,
+      ...(retryAfterMs === undefined ? {} : { retryAfterMs }),
+    });
+  }
+
   /** Gets the HTTP status of the refusal. */
   get status(): number {
     return REFUSAL_STATUS[this.reason];
--- a/src/tasks/fleet/fleet_node.ts
+++ b/src/tasks/fleet/fleet_node.ts
@@ -313,8 +313,8 @@
       cause: err,
     });
   }
-  if (!isRetryable(err) || previous.verdict === Verdict.NotRun) return err;
-  return previous;
+  if (!isRetryable(err)) return err.afterAttempt(previous.verdict);
+  return previous.verdict === Verdict.NotRun ? err : previous;
 }
 
 /** Creates the refusal for a log without a reachable leader. */
