Batches: a slow but sound target completes its items

One of the users' warnings: slow but sound streams were cut. It could happen: a run without a first event for 1 s, or with a pause of eight median events, was cancelled and begun anew each time, so an item whose engine always needs longer never completed, whatever the time it had.

Change: the silence that an item's runs are allowed doubles with each run that was too silent, up to 64 times. Ruled out: a longer fixed time (items on engines that went dark would wait as long), a limit by received bytes (an engine that sends bytes and no events would keep its item for ever; a test has that case).

--- a/src/core/batches/item_tracker.ts
+++ b/src/core/batches/item_tracker.ts
@@ -11,6 +11,8 @@
   failedRuns: number;
   /** Runs that ended early for another reason; they determine the backoff. */
   interruptedRuns: number;
+  /** Runs moved for their silence; later runs are allowed more of it. */
+  silentRuns: number;
   /** Time before which the item is not run again, in milliseconds. */
   notBefore: number;
   /** Targets that run the item again only if no other target is eligible. */
@@ -45,6 +47,7 @@
       partialText: undefined,
       failedRuns: 0,
       interruptedRuns: 0,
+      silentRuns: 0,
       notBefore: -Infinity,
       excludedTargets: new Set(),
     };
--- a/src/tasks/batches/batch_runner_test.ts
+++ b/src/tasks/batches/batch_runner_test.ts
@@ -221,6 +221,34 @@
     expect(engines.runs[1].request.resumeAfter).toBe(4);
   });
 
+  it("lets a slow but sound target complete an item", () => {
+    const { state, engines, step } = start([target("t1")], [spec(["x1"])]);
+    const slowMs = 3_500;
+    let played: OpenedRun | undefined;
+    let playedMs = 0;
+    for (let ms = 0; ms < 60_000; ms += 50) {
+      step(50);
+      const run = engines.active.at(-1);
+      if (run !== played) playedMs = 0;
+      played = run;
+      playedMs += 50;
+      if (run === undefined || playedMs < slowMs) continue;
+      run.sink.onEvent({ id: 1, data: "late" });
+      run.sink.onEnd();
+      break;
+    }
+    expect(state.get("b1")?.getResult("x1")?.text).toBe("late");
+  });
+
+  it("ends runs without events however often bytes arrive", () => {
+    const { engines, step } = start([target("t1")], [spec(["x1"])]);
+    for (let ms = 0; ms < 30_000; ms += 100) {
+      engines.active.at(-1)?.sink.onVersion(5);
+      step(100);
+    }
+    expect(engines.runs.length).toBeGreaterThan(3);
+  });
+
   it("moves runs off a target that has become slow", () => {
     const { engines, step } = start(
       [target("t1"), target("t2"), target("t3")],
--- a/src/tasks/batches/run_mover.ts
+++ b/src/tasks/batches/run_mover.ts
@@ -39,6 +39,9 @@
 /** Number of events of a run from which its pace is taken into account. */
 const MIN_EVENTS_FOR_PACE = 3;
 
+/** Doublings after which the silence timeout of an item grows no more. */
+const MAX_TIMEOUT_DOUBLINGS = 6;
+
 /** Cancels runs that make no progress; their items run on at other targets. */
 export class RunMover {
   readonly #options: RunMoverOptions;
@@ -49,12 +52,13 @@
 
   /** Moves runs that have had no event for too long to other targets. */
   moveSilentRuns(): void {
-    const { runs, targetPace, now: clock } = this.#options;
+    const { runs, itemTracker, targetPace, now: clock } = this.#options;
     const now = clock();
     for (const run of runs.all) {
       const limitMs = this.#silenceTimeoutMs(run, now);
       if (run.silenceMs > limitMs) {
         this.#moveRun(run, `No event for ${Math.round(run.silenceMs)} ms`);
+        itemTracker.progressOf(run.item).silentRuns += 1;
         targetPace.onFailure(run.target.id, now);
       }
     }
@@ -83,7 +87,17 @@
     }
   }
 
+  /**
+   * Gets how long a run may be silent. The time doubles with each run of the
+   * item that was too silent, so that a slow but sound target completes it.
+   */
   #silenceTimeoutMs(run: ItemRun, now: number): number {
+    const { silentRuns } = this.#options.itemTracker.progressOf(run.item);
+    const doublings = Math.min(silentRuns, MAX_TIMEOUT_DOUBLINGS);
+    return this.#usualSilenceMs(run, now) * 2 ** doublings;
+  }
+
+  #usualSilenceMs(run: ItemRun, now: number): number {
     const { loads, targetPace } = this.#options;
     const { model } = run.item;
     if (loads.isLoading(run.target, model, now)) {
