--- a/bench/slopes/placement_series.ts
+++ b/bench/slopes/placement_series.ts
@@ -1,6 +1,6 @@
 /** Series that measures the placement of batch items on targets. */
 import { type BatchItem, BatchState } from "../../src/core/batches/mod.ts";
-import { TargetRegistry, TargetState } from "../../src/core/registry/mod.ts";
+import { TargetRegistry } from "../../src/core/registry/mod.ts";
 import { Logger } from "../../src/logging/mod.ts";
 import { Metrics } from "../../src/metrics/mod.ts";
 import {
@@ -13,6 +13,7 @@
   createSpec,
   NO_SCORING,
 } from "../../tests/support/batch_spec.ts";
+import { createReport } from "../../tests/support/target_report.ts";
 import type { Figures, SeriesOptions } from "./series.ts";
 import type { MeasureOptions } from "./cluster_series.ts";
 
@@ -67,18 +68,10 @@
     Array.from({ length: MODELS }, (_, i) => [`m${i}`, 1]),
   );
   for (let i = 0; i < targets; i += 1) {
-    registry.merge({
-      id: `t${i}`,
-      service: "s",
-      address: `127.0.0.1:${i + 1}`,
-      dataCentre: "abcd"[i % 4],
-      incarnation: 1,
-      sequence: 1,
-      state: TargetState.Ready,
-      slots: SLOTS,
-      versions,
-      isSpot: false,
-    }, 0);
+    const address = `127.0.0.1:${i + 1}`;
+    const dataCentre = "abcd"[i % 4];
+    const fields = { id: `t${i}`, address, dataCentre, slots: SLOTS, versions };
+    registry.merge(createReport(fields), 0);
   }
   return registry;
 }
--- a/src/core/batches/item_tracker_test.ts
+++ b/src/core/batches/item_tracker_test.ts
@@ -1,12 +1,12 @@
 import { describe, expect, it } from "vitest";
 import { createItem, createSpec } from "../../../tests/support/batch_spec.ts";
+import { createReport } from "../../../tests/support/target_report.ts";
 import type { BatchItem } from "./batch.ts";
 import { BatchRecord } from "./batch_record.ts";
 import { DemandMeter } from "./demand_meter.ts";
 import { ItemTracker } from "./item_tracker.ts";
 import { PendingLoads } from "./pending_loads.ts";
 import { RunText } from "./run_text.ts";
-import { TargetState } from "../registry/mod.ts";
 
 function record(id: string, ids: readonly string[], minVersion = 0) {
   const items = ids.map((item) => createItem(item, { group: item }));
@@ -76,18 +76,7 @@
     query: { model: string; now: number },
     expected: boolean,
   ) {
-    const report = {
-      id: "t",
-      service: "s",
-      address: "127.0.0.1:1",
-      dataCentre: "a",
-      incarnation: 1,
-      sequence: 1,
-      state: TargetState.Ready,
-      slots: 1,
-      versions,
-      isSpot: false,
-    };
+    const report = createReport({ id: "t", versions });
     const loads = new PendingLoads().onOrdered(load, 0);
     expect(loads.isLoading(report, query.model, query.now))
       .toBe(expected);
--- a/src/core/fleet/fleet_state_test.ts
+++ b/src/core/fleet/fleet_state_test.ts
@@ -1,21 +1,10 @@
 import { describe, expect, it } from "vitest";
-import type { PolicyDocument } from "../policy/mod.ts";
+import { createPolicy } from "../../../tests/support/policy_document.ts";
 import type { FleetCommand } from "./fleet_command.ts";
 import { FleetState } from "./fleet_state.ts";
 
 function policy(revision: number): FleetCommand {
-  const document = {
-    revision,
-    routes: [],
-    services: [],
-    limits: {
-      maxHeaderBytes: 1,
-      maxBodyBytes: 1,
-      headerTimeoutMs: 1,
-      idleTimeoutMs: 1,
-    },
-    workspaces: [],
-  } satisfies PolicyDocument;
+  const document = createPolicy({ revision });
   return { type: "replacePolicy", document, source: `source ${revision}` };
 }
 
--- a/src/core/policy/policy_test.ts
+++ b/src/core/policy/policy_test.ts
@@ -1,36 +1,18 @@
 import { describe, expect, it } from "vitest";
-import { findPolicyFaults } from "./policy_check.ts";
 import {
-  type PolicyDocument,
-  RouteKind,
-  type RoutePolicy,
-} from "./policy_document.ts";
+  createPolicy,
+  createRoute,
+} from "../../../tests/support/policy_document.ts";
+import { findPolicyFaults } from "./policy_check.ts";
+import { type PolicyDocument, type RoutePolicy } from "./policy_document.ts";
 import { PolicyView } from "./policy_view.ts";
 
 function route(fields: Partial<RoutePolicy>): RoutePolicy {
-  return {
-    name: "r",
-    host: "a.example",
-    prefix: "/",
-    kind: RouteKind.Idempotent,
-    timeoutMs: 1_000,
-    objectiveMs: 100,
-    priority: 1,
-    shares: [{ service: "s", weight: 1 }],
-    maxAttempts: 2,
-    isAnonymous: false,
-    isResumable: false,
-    isSingleVersion: false,
-    giveUpMs: 1_000,
-    resultObjectiveMs: 1_000,
-    ...fields,
-  };
+  return createRoute({ host: "a.example", prefix: "/", ...fields });
 }
 
 function document(fields: Partial<PolicyDocument>): PolicyDocument {
-  return {
-    revision: 1,
-    routes: [],
+  return createPolicy({
     services: [{
       name: "s",
       healthPath: "/",
@@ -38,15 +20,8 @@
       models: [],
       scaling: undefined,
     }],
-    limits: {
-      maxHeaderBytes: 1,
-      maxBodyBytes: 1,
-      headerTimeoutMs: 1,
-      idleTimeoutMs: 1,
-    },
-    workspaces: [],
     ...fields,
-  };
+  });
 }
 
 describe(PolicyView.name, () => {
--- a/src/core/registry/target_registry_test.ts
+++ b/src/core/registry/target_registry_test.ts
@@ -1,21 +1,11 @@
 import { describe, expect, it } from "vitest";
+import { createReport } from "../../../tests/support/target_report.ts";
 import { RegistryChange, TargetRegistry } from "./target_registry.ts";
 import { type TargetReport, TargetState } from "./target_report.ts";
 
 function report(fields: Partial<TargetReport>): TargetReport {
-  return {
-    id: "i-1",
-    service: "planner",
-    address: "127.0.0.1:9001",
-    dataCentre: "a",
-    incarnation: 1,
-    sequence: 1,
-    state: TargetState.Ready,
-    slots: 4,
-    versions: { m: 1 },
-    isSpot: false,
-    ...fields,
-  };
+  const common = { id: "i-1", service: "planner", versions: { m: 1 } };
+  return createReport({ ...common, ...fields });
 }
 
 describe(TargetRegistry.name, () => {
--- a/src/tasks/batches/batch_runner_test.ts
+++ b/src/tasks/batches/batch_runner_test.ts
@@ -4,17 +4,14 @@
   createSpec,
   NO_SCORING,
 } from "../../../tests/support/batch_spec.ts";
+import { createReport } from "../../../tests/support/target_report.ts";
 import {
   type BatchSpec,
   BatchState,
   type PartialTextRecord,
   ResultState,
 } from "../../core/batches/mod.ts";
-import {
-  TargetRegistry,
-  type TargetReport,
-  TargetState,
-} from "../../core/registry/mod.ts";
+import { TargetRegistry, type TargetReport } from "../../core/registry/mod.ts";
 import { Logger } from "../../logging/mod.ts";
 import { Metrics } from "../../metrics/mod.ts";
 import { BatchRunner } from "./batch_runner.ts";
@@ -51,19 +48,7 @@
 }
 
 function target(id: string, fields: Partial<TargetReport> = {}): TargetReport {
-  return {
-    id,
-    service: "s",
-    address: `127.0.0.1:${id.length}`,
-    dataCentre: "a",
-    incarnation: 1,
-    sequence: 1,
-    state: TargetState.Ready,
-    slots: 4,
-    versions: { m: 5 },
-    isSpot: false,
-    ...fields,
-  };
+  return createReport({ id, versions: { m: 5 }, ...fields });
 }
 
 function spec(ids: readonly string[], fields: Partial<BatchSpec> = {}) {
--- a/src/tasks/batches/item_scorer_test.ts
+++ b/src/tasks/batches/item_scorer_test.ts
@@ -1,12 +1,17 @@
 import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
 import { createItem, createSpec } from "../../../tests/support/batch_spec.ts";
+import {
+  createPolicy,
+  createRoute,
+} from "../../../tests/support/policy_document.ts";
+import { createReport } from "../../../tests/support/target_report.ts";
 import {
   type BatchSpec,
   BatchState,
   type ResultRecord,
 } from "../../core/batches/mod.ts";
-import { PolicyView, RouteKind } from "../../core/policy/mod.ts";
-import { TargetRegistry, TargetState } from "../../core/registry/mod.ts";
+import { PolicyView } from "../../core/policy/mod.ts";
+import { TargetRegistry } from "../../core/registry/mod.ts";
 import { Logger } from "../../logging/mod.ts";
 import { Metrics } from "../../metrics/mod.ts";
 import type { AttemptOutcome, CallAttempt, TargetPort } from "../calls/mod.ts";
@@ -43,33 +48,16 @@
   return { type: "answered", answer, isNotRun, isMisdirected: false };
 }
 
-const POLICY = new PolicyView({
-  revision: 1,
-  routes: [{
+const POLICY = new PolicyView(createPolicy({
+  routes: [createRoute({
     name: "scores",
-    host: "h",
     prefix: "/score/",
-    kind: RouteKind.Idempotent,
-    timeoutMs: 1_000,
     objectiveMs: 1_000,
-    priority: 1,
     shares: [{ service: "scorers", weight: 1 }],
     maxAttempts: MAX_ATTEMPTS,
     isAnonymous: true,
-    isResumable: false,
-    isSingleVersion: false,
-    giveUpMs: 0,
-    resultObjectiveMs: 0,
-  }],
-  services: [],
-  limits: {
-    maxHeaderBytes: 1,
-    maxBodyBytes: 1,
-    headerTimeoutMs: 1,
-    idleTimeoutMs: 1,
-  },
-  workspaces: [],
-});
+  })],
+}));
 
 function spec(ids: readonly string[], fields: Partial<BatchSpec> = {}) {
   return createSpec({
@@ -98,18 +86,9 @@
     const service = new ScriptedService();
     const registry = new TargetRegistry();
     for (const [id, name] of [["e1", "s"], ["p1", "scorers"]]) {
-      registry.merge({
-        id,
-        service: name,
-        address: `127.0.0.1:${id.charCodeAt(0)}`,
-        dataCentre: "a",
-        incarnation: 1,
-        sequence: 1,
-        state: TargetState.Ready,
-        slots: SLOTS,
-        versions: { m: 1 },
-        isSpot: false,
-      }, 0);
+      const address = `127.0.0.1:${id.charCodeAt(0)}`;
+      const fields = { id, service: name, address, slots: SLOTS };
+      registry.merge(createReport({ ...fields, versions: { m: 1 } }), 0);
     }
     const runs: { request: RunRequest; sink: RunSink }[] = [];
     const engines: EnginePort = {
--- a/src/tasks/calls/call_run_test.ts
+++ b/src/tasks/calls/call_run_test.ts
@@ -1,11 +1,16 @@
 import { describe, expect, it } from "vitest";
+import {
+  createPolicy,
+  createRoute,
+} from "../../../tests/support/policy_document.ts";
+import { createReport } from "../../../tests/support/target_report.ts";
 import {
   type CallRequest,
   type CallResponse,
   LatencyTracker,
 } from "../../core/calls/mod.ts";
 import { PolicyView, RouteKind } from "../../core/policy/mod.ts";
-import { TargetRegistry, TargetState } from "../../core/registry/mod.ts";
+import { TargetRegistry } from "../../core/registry/mod.ts";
 import type { RefusalError } from "../../core/verdict/mod.ts";
 import { Logger } from "../../logging/mod.ts";
 import { Metrics } from "../../metrics/mod.ts";
@@ -87,48 +92,19 @@
 ): Promise<CallEnd & { ids: string[]; ran: number }> {
   const registry = new TargetRegistry();
   for (let i = 0; i < (options.targets ?? 3); i += 1) {
-    registry.merge({
-      id: `t${i}`,
-      service: "s",
-      address: `127.0.0.1:${i + 1}`,
-      dataCentre: "a",
-      incarnation: 1,
-      sequence: 1,
-      state: TargetState.Ready,
-      slots: 4,
-      versions: {},
-      isSpot: false,
-    }, 0);
+    const address = `127.0.0.1:${i + 1}`;
+    registry.merge(createReport({ id: `t${i}`, address }), 0);
   }
-  const route = {
-    name: "r",
-    host: "h",
-    prefix: "/p/",
+  const route = createRoute({
     kind: options.kind ?? RouteKind.Idempotent,
     timeoutMs: options.timeoutMs ?? 1_000,
     objectiveMs: 60,
-    priority: 1,
-    shares: [{ service: "s", weight: 1 }],
     maxAttempts: options.maxAttempts ?? 3,
-    isAnonymous: false,
-    isResumable: false,
-    isSingleVersion: false,
-    giveUpMs: 0,
-    resultObjectiveMs: 0,
-  };
-  const workspace = { name: "w", keys: ["k"], priority: 1 };
-  const policy = new PolicyView({
-    revision: 1,
-    routes: [route],
-    services: [],
-    limits: {
-      maxHeaderBytes: 1,
-      maxBodyBytes: 1,
-      headerTimeoutMs: 1,
-      idleTimeoutMs: 1,
-    },
-    workspaces: [workspace],
   });
+  const workspace = { name: "w", keys: ["k"], priority: 1 };
+  const policy = new PolicyView(
+    createPolicy({ routes: [route], workspaces: [workspace] }),
+  );
   const targets = new ScriptedTargets(outcomes);
   let ran = 0;
   const run = new CallRun({
--- a/src/tasks/fleet/leader_tasks_test.ts
+++ b/src/tasks/fleet/leader_tasks_test.ts
@@ -1,9 +1,11 @@
 import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
+import { createPolicy } from "../../../tests/support/policy_document.ts";
+import { createReport } from "../../../tests/support/target_report.ts";
 import type { ServiceDemand } from "../../core/batches/mod.ts";
 import { UsageTotals } from "../../core/calls/mod.ts";
 import { type FleetCommand, FleetState } from "../../core/fleet/mod.ts";
-import type { PolicyDocument, ScalingPolicy } from "../../core/policy/mod.ts";
-import { TargetRegistry, TargetState } from "../../core/registry/mod.ts";
+import type { ScalingPolicy } from "../../core/policy/mod.ts";
+import { TargetRegistry } from "../../core/registry/mod.ts";
 import { Logger } from "../../logging/mod.ts";
 import { Metrics } from "../../metrics/mod.ts";
 import { CapacityScaler } from "./capacity_scaler.ts";
@@ -38,9 +40,7 @@
   scaling: ScalingPolicy | undefined = undefined,
   models: readonly string[] = ["m"],
 ) {
-  return {
-    revision: 1,
-    routes: [],
+  return createPolicy({
     services: [{
       name: "s",
       healthPath: "/",
@@ -48,31 +48,22 @@
       models,
       scaling,
     }],
-    limits: {
-      maxHeaderBytes: 1,
-      maxBodyBytes: 1,
-      headerTimeoutMs: 1,
-      idleTimeoutMs: 1,
-    },
-    workspaces: [],
-  } satisfies PolicyDocument;
+  });
 }
 
 function registryOf(ids: readonly string[]): TargetRegistry {
   const registry = new TargetRegistry();
   ids.forEach((id, i) =>
-    registry.merge({
-      id,
-      service: "s",
-      address: `127.0.0.1:${i + 1}`,
-      dataCentre: id[0],
-      incarnation: 1,
-      sequence: 1,
-      state: TargetState.Ready,
-      slots: 10,
-      versions: { m: 1 },
-      isSpot: false,
-    }, Date.now())
+    registry.merge(
+      createReport({
+        id,
+        address: `127.0.0.1:${i + 1}`,
+        dataCentre: id[0],
+        slots: 10,
+        versions: { m: 1 },
+      }),
+      Date.now(),
+    )
   );
   return registry;
 }
