Connections: a request that has ended resets no later one

Cause: the listener by which a cancelled request resets its connection stayed on the request's time limit after the response, so each kept connection was reset once the time of an earlier request was over, in use or not.

Test failed first: a second call on the same connection, which runs while the time of the first one ends, is answered.

--- a/src/tasks/calls/target_connections.ts
+++ b/src/tasks/calls/target_connections.ts
@@ -36,6 +36,8 @@
   readonly #options: TargetConnectionsOptions;
   readonly #pools = new Map<string, ConnectionPool>();
   readonly #sockets = new WeakMap<Client, Socket>();
+  /** Removes the listener of the request in progress. */
+  readonly #stopListening = new WeakMap<Client, () => void>();
   readonly #connect: buildConnector.connector;
 
   constructor(options: TargetConnectionsOptions) {
@@ -71,13 +73,18 @@
   }
 
   /**
-   * Resets the connection of a request as soon as a signal aborts. Must be
-   * called before the request is sent with the same signal, which would close
-   * the connection: what the network has held up of the request until then
-   * would still reach the target, however late.
+   * Resets the connection of a request as soon as a signal aborts, until the
+   * connection is released. Must be called before the request is sent with the
+   * same signal, which would close the connection: what the network has held up
+   * of the request until then would still reach the target, however late.
    */
   resetOnAbort(client: Client, signal: AbortSignal): void {
-    signal.addEventListener("abort", () => this.#reset(client), { once: true });
+    const onAbort = () => this.#reset(client);
+    signal.addEventListener("abort", onAbort, { once: true });
+    this.#stopListening.set(
+      client,
+      () => signal.removeEventListener("abort", onAbort),
+    );
   }
 
   /** Returns a connection to its pool, or closes it if it is not clean. */
@@ -86,6 +93,8 @@
     client: Client,
     options: { isClean: boolean },
   ): void {
+    this.#stopListening.get(client)?.();
+    this.#stopListening.delete(client);
     const pool = this.#pools.get(address);
     if (pool !== undefined && options.isClean && !client.destroyed) {
       pool.idle.push(client);
