Batches: an accepted batch stays accepted when its scoring route goes

Cause (found on reading the diff): the entry instance refused a submission whose scoring calls have no route before it asked the ledger. The same submission again, after a change of the policy, was then told that it had not run although the ledger runs it.

Change: the faults go along to the ledger, which refuses for them only a batch that it does not hold, after confirming that it still leads.

Test: batch_task_test.ts, refused as not run when new, accepted when held.

--- a/src/core/scoring/scoring_queue.ts
+++ b/src/core/scoring/scoring_queue.ts
@@ -55,7 +55,7 @@
 /**
  * Holds the texts that wait for a score. Answers bursts of texts that complete
  * together before a service with few places: the calls are bounded by route, so
- * that one that fails or is full holds back no other.
+ * that one that fails or is full delays no other.
  *
  * @example
  * ```ts
--- a/src/tasks/batches/batch_port.ts
+++ b/src/tasks/batches/batch_port.ts
@@ -17,6 +17,8 @@
 /** Parameters of {@link BatchMethod.Submit}. */
 export interface SubmitParams {
   readonly spec: BatchSpec;
+  /** Faults for which the batch is refused, unless it is already accepted. */
+  readonly faults?: readonly string[];
 }
 
 /** Identifies a batch of a workspace. */
--- a/src/tasks/batches/batch_task.ts
+++ b/src/tasks/batches/batch_task.ts
@@ -268,21 +268,31 @@
     return allMembers(members).map((replica) => instanceOf(replica));
   }
 
-  async #submit({ spec }: SubmitParams): Promise<true> {
+  async #submit({ spec, faults = [] }: SubmitParams): Promise<true> {
+    // A batch that was accepted stays so, whatever the policy says by now.
+    if (faults.length > 0) await this.#confirmSubmission();
     const existing = this.#service.state.get(spec.id);
+    if (existing === undefined && faults.length > 0) {
+      throw new RefusalError(RefusalReason.MalformedRequest, Verdict.NotRun, {
+        message: faults.join("; "),
+      });
+    }
     if (existing === undefined) {
       const result = await this.#service.propose({ type: "accept", spec });
       if (!result.isHeld) throw notFound();
       return true;
     }
-    await this.#service.confirmLeadership(
-      CONFIRM_TIMEOUT_MS,
-      Verdict.MayHaveRun,
-    );
+    await this.#confirmSubmission();
     if (existing.spec.workspace !== spec.workspace) throw notFound();
     return true;
   }
 
+  /** Confirms leadership for a batch that may have been accepted before. */
+  async #confirmSubmission(): Promise<void> {
+    const { MayHaveRun } = Verdict;
+    await this.#service.confirmLeadership(CONFIRM_TIMEOUT_MS, MayHaveRun);
+  }
+
   async #readResults(params: ReadParams): Promise<ResultPage> {
     const { workspace, batch, after, waitMs } = params;
     await this.#confirmLeadership();
--- a/src/tasks/batches/batch_task_test.ts
+++ b/src/tasks/batches/batch_task_test.ts
@@ -18,8 +18,12 @@
   let node: FleetNode;
   let task: BatchTask;
 
-  const submit = () =>
-    node.hub.handleRequest(BatchMethod.Submit, { spec }, node.settings.id);
+  const submit = (faults: readonly string[] = []) =>
+    node.hub.handleRequest(
+      BatchMethod.Submit,
+      { spec, faults },
+      node.settings.id,
+    );
 
   beforeEach(async () => {
     dataFolder = await mkdtemp(join(tmpdir(), "batch-task-"));
@@ -90,6 +94,16 @@
     expect(await submit()).toBe(true);
   });
 
+  it("refuses a faulty batch as not run, unless it is accepted", async () => {
+    await becomeLeader();
+    await expect(submit(["No route"])).rejects.toMatchObject({
+      reason: "malformedRequest",
+      verdict: Verdict.NotRun,
+    });
+    await submit();
+    expect(await submit(["No route"])).toBe(true);
+  });
+
   it("does not report an accepted batch as not run", async () => {
     await becomeLeader();
     await submit();
--- a/src/tasks/fleet/entry_task.ts
+++ b/src/tasks/fleet/entry_task.ts
@@ -15,16 +15,13 @@
 import type { CallerLimits } from "../../core/policy/mod.ts";
 import { type TargetRegistry, TargetState } from "../../core/registry/mod.ts";
 import { findScoringFaults } from "../../core/scoring/mod.ts";
-import {
-  RefusalError,
-  RefusalReason,
-  Verdict,
-} from "../../core/verdict/mod.ts";
+import type { RefusalError } from "../../core/verdict/mod.ts";
 import {
   BatchMethod,
   type BatchParams,
   type BodyParams,
   type ReadParams,
+  type SubmitParams,
 } from "../batches/mod.ts";
 import {
   type Admission,
@@ -205,13 +202,11 @@
    * the ledger does not accept it in time.
    */
   async submit(spec: BatchSpec, { policy }: Admission): Promise<void> {
-    const faults = findScoringFaults(spec, policy);
-    if (faults.length > 0) {
-      throw new RefusalError(RefusalReason.MalformedRequest, Verdict.NotRun, {
-        message: faults.join("; "),
-      });
-    }
-    await this.#requestLedger(BatchMethod.Submit, { spec }, SUBMIT_TIMEOUT_MS);
+    const params: SubmitParams = {
+      spec,
+      faults: findScoringFaults(spec, policy),
+    };
+    await this.#requestLedger(BatchMethod.Submit, params, SUBMIT_TIMEOUT_MS);
   }
 
   /** Reads a page of batch results, from the cache if it is there. */
