Reading of the diff: limits once a round, one filter of present targets

- ScoringQueue asked for a route's limit for each text that was due, and each answer went through all targets; it asks once a route and round.
Two getters that nothing used are gone.
- The targets that are not gone were picked out alike by the entry task and by the batch runner; that is TargetRegistry.presentReports now.

--- a/src/core/registry/target_registry.ts
+++ b/src/core/registry/target_registry.ts
@@ -136,6 +136,12 @@
     return [...this.#targets.values()];
   }
 
+  /** Gets the reports of the targets that are not gone. */
+  get presentReports(): TargetReport[] {
+    return this.all.map(({ report }) => report)
+      .filter(({ state }) => state !== TargetState.Gone);
+  }
+
   /** Gets the targets of a service that accept work. */
   readyOf(service: string): RegisteredTarget[] {
     return this.all.filter(({ report }) =>
--- a/src/core/scoring/scoring_queue.ts
+++ b/src/core/scoring/scoring_queue.ts
@@ -67,16 +67,6 @@
   readonly #states = new Map<string, TaskState>();
   readonly #inFlight = new Map<string, number>();
 
-  /** Gets the number of texts that wait for a score or are being scored. */
-  get size(): number {
-    return this.#states.size;
-  }
-
-  /** Gets the keys of all texts. */
-  get keys(): readonly string[] {
-    return [...this.#states.keys()];
-  }
-
   /** Adds a text; has no effect if it is already held. */
   add(task: ScoringTask): this {
     if (this.#states.has(task.key)) return this;
@@ -117,9 +107,12 @@
         a.missing - b.missing || a.state.task.dueAt - b.state.task.dueAt
       );
     const taken: ScoringTask[] = [];
+    const limits = new Map<string, number>();
     for (const { state } of due) {
       const { route } = state.task;
-      if ((this.#inFlight.get(route) ?? 0) >= limitOf(route)) continue;
+      const limit = limits.get(route) ?? limitOf(route);
+      limits.set(route, limit);
+      if ((this.#inFlight.get(route) ?? 0) >= limit) continue;
       state.isCalled = true;
       this.#countInFlight(state, 1);
       taken.push(state.task);
--- a/src/tasks/batches/batch_runner.ts
+++ b/src/tasks/batches/batch_runner.ts
@@ -17,7 +17,6 @@
   type LoadedVersion,
   type TargetRegistry,
   type TargetReport,
-  TargetState,
 } from "../../core/registry/mod.ts";
 import type { Logger } from "../../logging/mod.ts";
 import type { Metrics } from "../../metrics/mod.ts";
@@ -182,8 +181,7 @@
   /** Drops the state of removed targets and schedules a placement round. */
   onTargetsChanged(): this {
     const { registry, engines } = this.#options;
-    const present = registry.all.map(({ report }) => report)
-      .filter(({ state }) => state !== TargetState.Gone);
+    const present = registry.presentReports;
     this.#targetPace.keepOnly(new Set(present.map(({ id }) => id)));
     engines.closeIdleExcept(new Set(present.map(({ address }) => address)));
     this.#scorer.onTargetsChanged(present);
--- a/src/tasks/fleet/entry_task.ts
+++ b/src/tasks/fleet/entry_task.ts
@@ -13,7 +13,7 @@
 } from "../../core/calls/mod.ts";
 import { FleetRole } from "../../core/fleet/mod.ts";
 import type { CallerLimits } from "../../core/policy/mod.ts";
-import { type TargetRegistry, TargetState } from "../../core/registry/mod.ts";
+import type { TargetRegistry } from "../../core/registry/mod.ts";
 import { findScoringFaults } from "../../core/scoring/mod.ts";
 import type { RefusalError } from "../../core/verdict/mod.ts";
 import {
@@ -120,11 +120,10 @@
 
   /** Drops the latencies and connections of removed targets. */
   onTargetsChanged(): void {
-    const present = this.#options.registry.all
-      .filter(({ report }) => report.state !== TargetState.Gone);
-    this.#latencies.keepOnly(new Set(present.map(({ report }) => report.id)));
+    const present = this.#options.registry.presentReports;
+    this.#latencies.keepOnly(new Set(present.map(({ id }) => id)));
     this.#options.targets
-      .closeIdleExcept(new Set(present.map(({ report }) => report.address)));
+      .closeIdleExcept(new Set(present.map(({ address }) => address)));
   }
 
   /** Admits a call, or rejects with a RefusalError. */
