--- a/src/tasks/calls/call_run.ts
+++ b/src/tasks/calls/call_run.ts
@@ -19,6 +19,7 @@
 } from "../../core/verdict/mod.ts";
 import type { Logger } from "../../logging/mod.ts";
 import type { Metrics } from "../../metrics/mod.ts";
+import { fingerprintOf } from "./call_fingerprint.ts";
 import type { Admission } from "./call_gate.ts";
 import type {
   AttemptOutcome,
@@ -85,6 +86,7 @@
    */
   #attemptsRun = 0;
   #failedResponses = 0;
+  #knownFingerprint: string | undefined;
 
   constructor(dependencies: CallRunDependencies, options: CallRunOptions) {
     this.#dependencies = dependencies;
@@ -302,9 +304,17 @@
       target,
       reason: detail,
       leftMs: Math.round(this.#remainingMs),
+      fingerprint: this.#fingerprint,
     });
   }
 
+  /** Gets the fingerprint, which is computed only once it is needed. */
+  get #fingerprint(): string {
+    const { call, admission } = this.#options;
+    this.#knownFingerprint ??= fingerprintOf(call, admission.workspace?.name);
+    return this.#knownFingerprint;
+  }
+
   #createRefusal(): RefusalError {
     const isLate = this.#remainingMs <= MIN_ATTEMPT_MS;
     if (this.#verdict === Verdict.NotRun) {
