--- a/fakes/fleet_replica.ts
+++ b/fakes/fleet_replica.ts
@@ -84,6 +84,10 @@
   saysLeaving = false;
   /** Selects the plain requests that the target runs and fails. */
   fails: (request: string) => boolean = () => false;
+  /** Selects the paths of plain requests that end the target running them. */
+  crashesOn: (path: string) => boolean = () => false;
+  /** Called when a request has ended the target. */
+  onCrashed: () => void = () => {};
 
   /** Creates a target; {@link FleetReplica.start} makes it listen. */
   constructor(options: FleetReplicaOptions) {
@@ -192,6 +196,11 @@
   ): Promise<void> {
     const run = this.#recordRun(req);
     await sleep(this.#options.workMs * this.slowdownFactor);
+    if (this.crashesOn(req.url ?? "")) {
+      this.crash();
+      this.onCrashed();
+      return;
+    }
     const body = `answer to ${run.request}`;
     res.writeHead(this.fails(run.request) ? 500 : 200, {
       "request-id": run.request,
