Requests that crash targets are known to all entry instances of a fleet

A fleet counted attempts of one call only. The quarantine of core/ served the dispatcher's half; nothing in a fleet recorded that a target had ended under a call, nor told other instances. Ruled out: lost evidence (there was none), more attempts than the route allows (two each).

Change: the one Quarantine counts the incarnations of targets that ended under a fingerprint and is part of the control log's state, so it outlives restarts of all instances. An entry instance whose call's connection breaks asks the address for a connection; only a refusal is the end of a target, so resets, truncated and lost responses count for nothing, nor does the exit of a target that leaves. What it has seen counts for itself at once; it reports it to the control leader until it is committed, and gets the others' by push and with each confirmation of the policy. Three ends prove a request: it is refused as not run, with the time of the next trial run in Retry-After. As a sound request may have been on three targets that died together, the log grants single trial runs, after 30 s, 5 min, 50 min; one that completes lifts it. A completed run clears a suspicion everywhere. Scoring calls of accepted items are exempt: they are owed.

The status is 503 towards the platform's callers and not 422: deaths do not prove that the request is at fault, and 503 is their promise of not run.

--- a/src/core/fleet/fleet_command.ts
+++ b/src/core/fleet/fleet_command.ts
@@ -1,5 +1,6 @@
 /** Commands of the fleet's control log and their results. */
 import type { PolicyDocument } from "../policy/mod.ts";
+import type { TargetDeath } from "../quarantine/mod.ts";
 
 /** Number of requests started in a window, by workspace. */
 export type UsageCounts = Readonly<Record<string, number>>;
@@ -31,6 +32,20 @@
     readonly counts: UsageCounts;
   }
   | { readonly type: "usageReported"; readonly window: number }
+  | {
+    /** Reports which requests targets died under, and which completed. */
+    readonly type: "reportRuns";
+    readonly deaths: readonly TargetDeath[];
+    /** Fingerprints under suspicion that have completed. */
+    readonly completed: readonly string[];
+  }
+  | {
+    /** Takes the trial run of a proven fingerprint; done only if one is due. */
+    readonly type: "takeTrial";
+    readonly fingerprint: string;
+    /** Time in milliseconds since the epoch. */
+    readonly at: number;
+  }
   /** Starts to drain an instance. */
   | { readonly type: "retire"; readonly name: string }
   /** Records that an instance has been drained. */
--- a/src/core/fleet/fleet_notice.ts
+++ b/src/core/fleet/fleet_notice.ts
@@ -1,5 +1,6 @@
 /** Messages that control instances push to the other instances. */
 import type { PolicyDocument } from "../policy/mod.ts";
+import type { SuspicionChange } from "../quarantine/mod.ts";
 import type { TargetReport } from "../registry/mod.ts";
 import type { RosterEntry } from "./fleet_member.ts";
 
@@ -13,6 +14,13 @@
   readonly change: number;
 }
 
+/** Fingerprints under suspicion, in one version of the control log's state. */
+export interface SuspicionUpdate {
+  /** Number of changes of suspicions that the state includes. */
+  readonly version: number;
+  readonly changes: readonly SuspicionChange[];
+}
+
 /** A pushed message. */
 export type FleetNotice =
   | { readonly type: "policy"; readonly document: PolicyDocument }
@@ -44,6 +52,8 @@
     readonly target: string;
     readonly incarnation: number;
   }
+  /** The changes that lead to a version from the one before. */
+  | ({ readonly type: "suspicions" } & SuspicionUpdate)
   | {
     readonly type: "roster";
     readonly members: readonly RosterEntry[];
--- a/src/core/fleet/fleet_state.ts
+++ b/src/core/fleet/fleet_state.ts
@@ -1,10 +1,12 @@
 /** Replicated state of the fleet's control log. */
 import type { PolicyDocument } from "../policy/mod.ts";
+import { Quarantine } from "../quarantine/mod.ts";
 import type {
   FleetCommand,
   FleetCommandResult,
   UsageCounts,
 } from "./fleet_command.ts";
+import type { SuspicionUpdate } from "./fleet_notice.ts";
 
 /** Serializable state. */
 export interface FleetSnapshot {
@@ -14,6 +16,7 @@
   readonly sealed: readonly (readonly [number, UsageCounts])[];
   readonly reported: number;
   readonly retiring: readonly (readonly [string, boolean])[];
+  readonly suspicions?: SuspicionUpdate;
 }
 
 type Handlers = {
@@ -40,6 +43,8 @@
   #sealed = new Map<number, UsageCounts>();
   #reported = 0;
   #retiring = new Map<string, boolean>();
+  readonly #quarantine = new Quarantine();
+  #suspicionVersion = 0;
   readonly #handlers: Handlers = {
     replacePolicy: ({ document, source }) => {
       if (document.revision <= this.policyRevision) return false;
@@ -68,6 +73,17 @@
       }
       return true;
     },
+    reportRuns: ({ deaths, completed }) => {
+      const changes = [
+        ...completed.map((fingerprint) =>
+          this.#quarantine.release(fingerprint)
+        ),
+        ...deaths.map((death) => this.#quarantine.recordDeath(death)),
+      ];
+      return this.#countSuspicionChange(changes.some((k) => k !== undefined));
+    },
+    takeTrial: ({ fingerprint, at }) =>
+      this.#countSuspicionChange(this.#quarantine.takeTrial(fingerprint, at)),
     retire: ({ name }) => {
       if (this.#retiring.has(name)) return false;
       this.#retiring.set(name, false);
@@ -119,6 +135,26 @@
     return this.#retiring;
   }
 
+  /** Gets the number of changes of suspicions so far. */
+  get suspicionVersion(): number {
+    return this.#suspicionVersion;
+  }
+
+  /** Gets the state of all fingerprints under suspicion. */
+  get suspicions(): SuspicionUpdate {
+    return {
+      version: this.#suspicionVersion,
+      changes: this.#quarantine.save(),
+    };
+  }
+
+  /** Gets the state of fingerprints, under suspicion or not. */
+  suspicionsOf(fingerprints: Iterable<string>): SuspicionUpdate {
+    const changes = [...new Set(fingerprints)]
+      .map((fingerprint) => this.#quarantine.changeOf(fingerprint));
+    return { version: this.#suspicionVersion, changes };
+  }
+
   /** Applies a command. */
   apply(command: FleetCommand): FleetCommandResult {
     const handler = this.#handlers[command.type] as (
@@ -135,6 +171,7 @@
       sealed: [...this.#sealed],
       reported: this.#reported,
       retiring: [...this.#retiring],
+      suspicions: this.suspicions,
     };
   }
 
@@ -146,6 +183,13 @@
     this.#sealed = new Map(snapshot.sealed);
     this.#reported = snapshot.reported;
     this.#retiring = new Map(snapshot.retiring);
+    this.#quarantine.load(snapshot.suspicions?.changes ?? []);
+    this.#suspicionVersion = snapshot.suspicions?.version ?? 0;
     return this;
   }
+
+  #countSuspicionChange(isChanged: boolean): boolean {
+    if (isChanged) this.#suspicionVersion += 1;
+    return isChanged;
+  }
 }
--- a/src/core/fleet/fleet_state_test.ts
+++ b/src/core/fleet/fleet_state_test.ts
@@ -78,4 +78,24 @@
         expect([...state.retiring]).toEqual([["l1", true], ["l2", false]]),
     );
   });
+
+  it("numbers the changes of suspicions, and those alone", () => {
+    const death = (target: string): FleetCommand => ({
+      type: "reportRuns",
+      deaths: [{ fingerprint: "f", target, at: 0 }],
+      completed: [],
+    });
+    const trial: FleetCommand = {
+      type: "takeTrial",
+      fingerprint: "f",
+      at: 60_000,
+    };
+    const commands = [death("a"), death("a"), death("b"), death("c"), trial];
+    doTest([...commands, trial], (state) => {
+      expect(state.suspicionVersion).toBe(4);
+      expect(state.suspicions.changes).toMatchObject([
+        { fingerprint: "f", suspicion: "proven", trials: 1 },
+      ]);
+    });
+  });
 });
--- a/src/core/quarantine/quarantine_test.ts
+++ b/src/core/quarantine/quarantine_test.ts
@@ -37,4 +37,41 @@
     quarantine.merge({ fingerprint: "f", suspicion: "clear", deaths: 0 });
     expect(quarantine.suspicionOf("f")).toBe("proven");
   });
+
+  describe("deaths reported by several instances", () => {
+    function doTest(
+      deaths: readonly (readonly [target: string, at: number])[],
+      check: (quarantine: Quarantine) => void,
+    ) {
+      const quarantine = new Quarantine();
+      for (const [target, at] of deaths) {
+        quarantine.recordDeath({ fingerprint: "f", target, at });
+      }
+      const saved = structuredClone(quarantine.save());
+      check(quarantine);
+      check(new Quarantine().load(saved));
+    }
+
+    it("counts each incarnation of a target once", () =>
+      doTest([["a/1", 0], ["a/1", 5], ["b/1", 9]], (quarantine) => {
+        expect(quarantine.suspicionOf("f")).toBe("suspect");
+        expect(quarantine.takeTrial("f", 1e9)).toBe(false);
+      }));
+
+    it("proves a request by three targets and grants one trial run", () =>
+      doTest([["a/1", 0], ["a/2", 0], ["b/1", 1_000]], (quarantine) => {
+        expect(quarantine.suspicionOf("f")).toBe("proven");
+        expect(quarantine.takeTrial("f", 30_999)).toBe(false);
+        expect(quarantine.takeTrial("f", 31_000)).toBe(true);
+        expect(quarantine.takeTrial("f", 31_000)).toBe(false);
+        expect(quarantine.takeTrial("f", 331_000)).toBe(true);
+      }));
+
+    it("releases a proven request whose trial run has completed", () =>
+      doTest([["a/1", 0], ["b/1", 0], ["c/1", 0]], (quarantine) => {
+        expect(quarantine.release("f")?.suspicion).toBe("clear");
+        expect(quarantine.suspicionOf("f")).toBe("clear");
+        expect(quarantine.release("f")).toBeUndefined();
+      }));
+  });
 });
--- a/src/logging/event_catalogue.ts
+++ b/src/logging/event_catalogue.ts
@@ -265,6 +265,10 @@
   callPlaced: defineEvent(2104, "info", {
     text: "Request sent to a target",
   }),
+  suspicionUnreported: defineEvent(2105, "warn", {
+    text:
+      "The control leader did not store in time which requests targets ended under; it is tried again",
+  }),
   batchAccepted: defineEvent(2201, "info", {
     text: "Batch committed by a quorum of the ledger's log",
   }),
--- a/src/tasks/batches/item_scorer.ts
+++ b/src/tasks/batches/item_scorer.ts
@@ -12,7 +12,7 @@
 import { RefusalError } from "../../core/verdict/mod.ts";
 import type { Logger } from "../../logging/mod.ts";
 import type { Metrics } from "../../metrics/mod.ts";
-import { CallRun, type TargetPort } from "../calls/mod.ts";
+import { CallRun, NO_CRASH_GUARD, type TargetPort } from "../calls/mod.ts";
 import { itemKeyOf } from "./run_table.ts";
 
 /** Connections and policy by which scoring calls are sent. */
@@ -209,6 +209,8 @@
       targets: port.targets,
       registry,
       latencies: this.#latencies,
+      // Items are owed whatever happens to the targets that score them.
+      crashes: NO_CRASH_GUARD,
       logger,
       metrics,
       dataCentre,
--- a/src/tasks/batches/item_scorer_test.ts
+++ b/src/tasks/batches/item_scorer_test.ts
@@ -39,6 +39,10 @@
     return this.send(attempt);
   }
 
+  isRefusing(): Promise<boolean> {
+    return Promise.resolve(false);
+  }
+
   closeIdleExcept(): void {}
 }
 
--- a/src/tasks/calls/call_run.ts
+++ b/src/tasks/calls/call_run.ts
@@ -21,6 +21,7 @@
 import type { Metrics } from "../../metrics/mod.ts";
 import { fingerprintOf } from "./call_fingerprint.ts";
 import type { Admission } from "./call_gate.ts";
+import type { CrashGuard } from "./crash_guard.ts";
 import type {
   AttemptOutcome,
   CallAttempt,
@@ -33,6 +34,7 @@
   readonly targets: TargetPort;
   readonly registry: TargetRegistry;
   readonly latencies: LatencyTracker;
+  readonly crashes: CrashGuard;
   readonly logger: Logger;
   readonly metrics: Metrics;
   readonly dataCentre: string;
@@ -104,6 +106,7 @@
    */
   async run(): Promise<CallResponse> {
     const { maxAttempts } = this.#options.admission.route;
+    await this.#throwIfQuarantined();
     while (
       this.#attemptsRun < maxAttempts && this.#remainingMs > MIN_ATTEMPT_MS
     ) {
@@ -115,6 +118,7 @@
       if (response !== undefined) return response;
       if (this.#options.signal.aborted) break;
       if (!this.#isRetryable && this.#verdict !== Verdict.NotRun) break;
+      if (this.#dependencies.crashes.isProven(this.#fingerprint)) break;
       if (!await this.#mayRetry()) break;
     }
     if (this.#errorResponse !== undefined) return this.#errorResponse;
@@ -136,6 +140,18 @@
       (kind === RouteKind.Streaming && isResumable);
   }
 
+  /** Refuses a call under which targets ended, unless its trial run is due. */
+  async #throwIfQuarantined(): Promise<void> {
+    const { crashes } = this.#dependencies;
+    const fingerprint = this.#fingerprint;
+    if (!crashes.isProven(fingerprint)) return;
+    if (await crashes.takeTrial(fingerprint)) return;
+    throw new RefusalError(RefusalReason.Quarantined, Verdict.NotRun, {
+      message: `Targets ended under this request (${fingerprint})`,
+      retryAfterMs: crashes.retryAfterMs(fingerprint),
+    });
+  }
+
   /**
    * Confirms the policy before a retry, since the caller's key may have been
    * withdrawn in the meantime.
@@ -198,9 +214,9 @@
       );
       const firstSettled = await settleWithin(first, hedgeDelayMs);
       if (firstSettled.isSettled) return firstSettled.value;
-      const second = this.#attemptsRun < route.maxAttempts
-        ? this.#pickTarget()
-        : undefined;
+      const mayHedge = this.#attemptsRun < route.maxAttempts &&
+        !this.#dependencies.crashes.isSuspect(this.#fingerprint);
+      const second = mayHedge ? this.#pickTarget() : undefined;
       if (second === undefined) return await first;
       this.#dependencies.logger.event("callRetried", {
         request: this.#options.call.id,
@@ -245,9 +261,24 @@
       isFailure: isFailure(outcome) && !signal.aborted,
       now,
     });
+    if (outcome.type === "failed" && outcome.isBroken && !signal.aborted) {
+      await this.#reportBroken(report);
+    }
     return this.#handleOutcome(outcome, report.id);
   }
 
+  /**
+   * Reports a broken connection. Only the end of a further target is awaited,
+   * since it may be the last that this call may cost.
+   */
+  async #reportBroken(target: TargetReport): Promise<void> {
+    const { crashes, logger } = this.#dependencies;
+    const isSuspect = crashes.isSuspect(this.#fingerprint);
+    const reported = crashes.onBroken(this.#fingerprint, target)
+      .catch((err) => logger.error(err));
+    if (isSuspect) await reported;
+  }
+
   #logPlaced(report: TargetReport): void {
     const { latencies, logger } = this.#dependencies;
     const { call, admission } = this.#options;
@@ -281,6 +312,7 @@
     }
     this.#recordVerdict(Verdict.Ran);
     if (response.status >= MIN_ERROR_STATUS) this.#failedResponses += 1;
+    this.#dependencies.crashes.onCompleted(this.#fingerprint);
     const isFinal = response.status < MIN_ERROR_STATUS || !this.#isRetryable;
     if (isFinal) return response;
     this.#errorResponse = response;
--- a/src/tasks/calls/call_run_test.ts
+++ b/src/tasks/calls/call_run_test.ts
@@ -15,6 +15,7 @@
 import { Logger } from "../../logging/mod.ts";
 import { Metrics } from "../../metrics/mod.ts";
 import { CallRun } from "./call_run.ts";
+import { type CrashGuard, NO_CRASH_GUARD } from "./crash_guard.ts";
 import type { AttemptOutcome, CallAttempt, TargetPort } from "./target_port.ts";
 
 const CALL: CallRequest = {
@@ -43,7 +44,7 @@
 }
 
 function failed(mayHaveRun: boolean): AttemptOutcome {
-  return { type: "failed", mayHaveRun, detail: "reset" };
+  return { type: "failed", mayHaveRun, isBroken: false, detail: "reset" };
 }
 
 /** Returns the given outcomes in order, then repeats the last one. */
@@ -70,6 +71,10 @@
     return this.send(attempt);
   }
 
+  isRefusing(): Promise<boolean> {
+    return Promise.resolve(false);
+  }
+
   closeIdleExcept(): void {}
 }
 
@@ -88,6 +93,7 @@
     maxAttempts?: number;
     timeoutMs?: number;
     hasLease?: boolean;
+    crashes?: Partial<CrashGuard>;
   } = {},
 ): Promise<CallEnd & { ids: string[]; ran: number }> {
   const registry = new TargetRegistry();
@@ -111,6 +117,7 @@
     targets,
     registry,
     latencies: new LatencyTracker(),
+    crashes: { ...NO_CRASH_GUARD, ...options.crashes },
     logger: new Logger({ instance: "test", level: "error" }),
     metrics: new Metrics({ tags: {} }),
     dataCentre: "a",
@@ -213,6 +220,43 @@
       attempts: 1,
     }));
 
+  const proven = { isProven: () => true, isSuspect: () => true };
+
+  it("refuses a request that ends targets as not run", () =>
+    doTest([answered(200)], {
+      crashes: { ...proven, takeTrial: () => Promise.resolve(false) },
+    }, { reason: "quarantined", verdict: "notRun", attempts: 0 }));
+
+  it("sends the trial run of such a request to one target only", () =>
+    doTest([{ ...failed(true), isBroken: true } as AttemptOutcome], {
+      crashes: { ...proven, takeTrial: () => Promise.resolve(true) },
+    }, { reason: "targetFailed", verdict: "mayHaveRun", attempts: 1 }));
+
+  it("sends no hedge of a request under which a target has ended", () =>
+    doTest(["silent", answered(200)], {
+      timeoutMs: 200,
+      crashes: { isSuspect: () => true },
+    }, { reason: "targetTimeout", verdict: "mayHaveRun", attempts: 1 }));
+
+  it("stops once a further target has ended under the request", async () => {
+    let deaths = 1;
+    const crashes = {
+      isSuspect: () => deaths > 0,
+      isProven: () => deaths >= 3,
+      onBroken: async () => {
+        await Promise.resolve();
+        deaths += 1;
+      },
+    };
+    const broken = { ...failed(true), isBroken: true } as AttemptOutcome;
+    const { attempts } = await play([broken], {
+      targets: 5,
+      maxAttempts: 5,
+      crashes,
+    });
+    expect(attempts).toBe(2);
+  });
+
   it("sends each attempt to another target and counts the call once", async () => {
     const { ids, ran } = await play([
       failed(true),
--- a/src/tasks/calls/mod.ts
+++ b/src/tasks/calls/mod.ts
@@ -1,5 +1,6 @@
 /** Admission of calls, and their execution on targets. */
 export * from "./call_gate.ts";
 export * from "./call_run.ts";
+export * from "./crash_guard.ts";
 export * from "./target_port.ts";
 export * from "./target_connections.ts";
--- a/src/tasks/calls/target_connections.ts
+++ b/src/tasks/calls/target_connections.ts
@@ -87,6 +87,20 @@
     );
   }
 
+  /**
+   * Gets whether an address refuses a new connection. One that does not answer
+   * in time may have been cut off, and refuses nothing.
+   */
+  isRefusing(address: string): Promise<boolean> {
+    const { hostname, port } = new URL(`http://${address}`);
+    return new Promise((resolve) => {
+      this.#connect({ hostname, port, protocol: "http:" }, (err, socket) => {
+        socket?.destroy();
+        resolve((err as NodeJS.ErrnoException)?.code === "ECONNREFUSED");
+      });
+    });
+  }
+
   /** Returns a connection to its pool, or closes it if it is not clean. */
   release(
     address: string,
--- a/src/tasks/calls/target_port.ts
+++ b/src/tasks/calls/target_port.ts
@@ -31,6 +31,8 @@
     readonly type: "failed";
     /** Whether any part of the call may have reached the target. */
     readonly mayHaveRun: boolean;
+    /** Whether the target closed the connection before the response ended. */
+    readonly isBroken: boolean;
     readonly detail: string;
   };
 
@@ -56,6 +58,8 @@
    * resolves at the end of the stream.
    */
   stream(attempt: CallAttempt, sink: ResponseStream): Promise<AttemptOutcome>;
+  /** Gets whether an address refuses connections: its process has ended. */
+  isRefusing(address: string): Promise<boolean>;
   /** Closes idle connections to all addresses except the given ones. */
   closeIdleExcept(addresses: ReadonlySet<string>): void;
 }
--- a/src/tasks/fleet/entry_task.ts
+++ b/src/tasks/fleet/entry_task.ts
@@ -27,6 +27,7 @@
   type Admission,
   CallGate,
   CallRun,
+  type CrashGuard,
   type ResponseStream,
   type TargetPort,
 } from "../calls/mod.ts";
@@ -39,6 +40,7 @@
   readonly follower: FleetFollower;
   readonly registry: TargetRegistry;
   readonly targets: TargetPort;
+  readonly crashes: CrashGuard;
 }
 
 /** Options of {@link EntryTask.forward}. */
@@ -148,13 +150,14 @@
     call: CallRequest,
     options: ForwardOptions,
   ): Promise<ForwardedResponse> {
-    const { node, follower, registry, targets } = this.#options;
+    const { node, follower, registry, targets, crashes } = this.#options;
     const { admission, signal, stream, arrivedAt } = options;
     let hasHead = false;
     const run = new CallRun({
       targets,
       registry,
       latencies: this.#latencies,
+      crashes,
       logger: node.logger,
       metrics: node.metrics,
       dataCentre: node.settings.dataCentre,
--- a/src/tasks/fleet/fleet_control.ts
+++ b/src/tasks/fleet/fleet_control.ts
@@ -8,6 +8,7 @@
   FleetRole,
   type FleetSnapshot,
   FleetState,
+  type SuspicionUpdate,
   wantedVoters,
 } from "../../core/fleet/mod.ts";
 import {
@@ -54,6 +55,8 @@
   /** Incarnation of the requesting process: a new value at each start. */
   readonly life: string;
   readonly usage: UsageWindows;
+  /** Changes of suspicions applied there; undefined if it needs none. */
+  readonly suspicionVersion: number | undefined;
 }
 
 /** Reply to a {@link ConfirmPolicyRequest}. */
@@ -61,6 +64,8 @@
   readonly revision: number;
   /** The policy; undefined if the requesting instance is up to date. */
   readonly document: PolicyDocument | undefined;
+  /** All suspicions; undefined if the requesting instance is up to date. */
+  readonly suspicions: SuspicionUpdate | undefined;
 }
 
 /** Names of the methods that control instances serve. */
@@ -296,13 +301,16 @@
   async #confirm(
     request: ConfirmPolicyRequest,
   ): Promise<ConfirmPolicyReply> {
-    const { revision, instance, life, usage } = request;
+    const { revision, instance, life, usage, suspicionVersion } = request;
     this.usageTotals.record(`${instance}/${life}`, usage);
     await this.#service.confirmLeadership(CONFIRM_TIMEOUT_MS);
     const { policy, policyRevision } = this.state;
+    const isBehind = this.state.suspicionVersion >
+      (suspicionVersion ?? Infinity);
     return {
       revision: policyRevision,
       document: policyRevision > revision ? policy : undefined,
+      suspicions: isBehind ? this.state.suspicions : undefined,
     };
   }
 
@@ -323,9 +331,18 @@
       const { model, version } = command;
       this.#options.node.logger.event("weightsNamed", { model, version });
     }
+    if (result.type === "done") this.#publishSuspicions(command);
     this.#options.onChanged();
   }
 
+  #publishSuspicions(command: FleetCommand): void {
+    const fingerprints = fingerprintsOf(command);
+    if (fingerprints.length === 0) return;
+    const update = this.state.suspicionsOf(fingerprints);
+    const { node } = this.#options;
+    node.notifyRole(FleetRole.Entry, { type: "suspicions", ...update });
+  }
+
   #onNotice(notice: FleetNotice): void {
     if (notice.type === "loaded") this.registry.recordVersion(notice);
     if (notice.type === "leaving") {
@@ -361,6 +378,14 @@
   }
 }
 
+/** Gets the fingerprints whose suspicion a command may change. */
+function fingerprintsOf(command: FleetCommand): string[] {
+  if (command.type === "takeTrial") return [command.fingerprint];
+  if (command.type !== "reportRuns") return [];
+  const died = command.deaths.map(({ fingerprint }) => fingerprint);
+  return [...command.completed, ...died];
+}
+
 /**
  * Rejects with a RefusalError if a promise does not settle within a timeout,
  * so that the caller gets the refusal before it stops waiting.
--- a/src/tasks/fleet/fleet_follower.ts
+++ b/src/tasks/fleet/fleet_follower.ts
@@ -20,6 +20,7 @@
   type ConfirmPolicyRequest,
   FleetMethod,
 } from "./fleet_control.ts";
+import type { CrashWatch } from "./crash_watch.ts";
 import type { FleetNode } from "./fleet_node.ts";
 import { logTargetChanged } from "./target_log.ts";
 
@@ -28,6 +29,8 @@
   readonly node: FleetNode;
   readonly registry: TargetRegistry;
   readonly clock: ElapsedClock;
+  /** Receives the suspicions of the control log; none if absent. */
+  readonly crashes?: CrashWatch;
   /** Whether to hold a policy lease by confirming the policy periodically. */
   readonly needsLease: boolean;
   /** Gets the number of started requests, by window and workspace. */
@@ -157,17 +160,20 @@
   }
 
   #confirmRequest(): ConfirmPolicyRequest {
-    const { node, usage } = this.#options;
+    const { node, usage, crashes } = this.#options;
     return {
       revision: this.policyRevision,
       instance: node.settings.id,
       life: this.#incarnation,
       usage: usage(),
+      suspicionVersion: crashes?.version,
     };
   }
 
   #onConfirmed(reply: ConfirmPolicyReply, sentAt: number): void {
-    if (reply.document !== undefined) this.#applyPolicy(reply.document);
+    const { document, suspicions } = reply;
+    if (document !== undefined) this.#applyPolicy(document);
+    if (suspicions) this.#options.crashes?.onConfirmed(suspicions);
     if (this.policyRevision < reply.revision) return;
     const { policyLeaseMs } = this.#options.node.settings.times;
     this.#leaseEnd = Math.max(this.#leaseEnd, sentAt + policyLeaseMs);
@@ -185,6 +191,7 @@
 
   #onNotice(notice: FleetNotice, from: string): void {
     if (notice.type === "policy") this.#applyPolicy(notice.document);
+    if (notice.type === "suspicions") this.#options.crashes?.onPushed(notice);
     if (notice.type === "loading") this.#options.onLoading?.(notice);
     if (notice.type === "loaded") {
       const { registry, onTargetsChanged } = this.#options;
--- a/tests/support/batch_spec.ts
+++ b/tests/support/batch_spec.ts
@@ -7,6 +7,7 @@
   targets: {
     send: () => Promise.reject(new Error("Unexpected scoring call")),
     stream: () => Promise.reject(new Error("Unexpected scoring call")),
+    isRefusing: () => Promise.resolve(false),
     closeIdleExcept: () => {},
   },
   policy: () => undefined,
