Quarantine: deaths that instances saw at the same time add up

Instances of a data centre share suspicions, and merged two of them to the greater number of deaths: where three instances each lost another target under one request before they heard of each other, each counted one. Shown by the test: 'suspect' where three targets had died, before the change.

A suspicion names the incarnations of the targets that died; merged ones are united.

--- a/src/core/dispatch/dispatcher.ts
+++ b/src/core/dispatch/dispatcher.ts
@@ -265,7 +265,10 @@
     target.send(TargetEvent.Lose);
     this.#options.picker.forget(targetId);
     if (isExpected) return [];
-    const changes = this.quarantine.onTargetDied(target.fingerprints);
+    const changes = this.quarantine.onTargetDied(
+      target.fingerprints,
+      `${targetId}/${target.announcement.incarnation}`,
+    );
     return changes.flatMap((change) => [
       { type: "suspect" as const, change },
       ...this.#onSuspicion(change, now),
--- a/src/core/ledger/ledger_state.ts
+++ b/src/core/ledger/ledger_state.ts
@@ -1,10 +1,6 @@
 /** Replicated state of a data centre's ledger, computed from its records. */
 import { InvariantError } from "../invariants/mod.ts";
-import {
-  Quarantine,
-  Suspicion,
-  type SuspicionChange,
-} from "../quarantine/mod.ts";
+import { Quarantine, type SuspicionChange } from "../quarantine/mod.ts";
 import { CallLedger, type CallLedgerState } from "./call_ledger.ts";
 import type { LedgerRecord, StepKey } from "./ledger_record.ts";
 import { StepLedger, type StepLedgerState, StepStatus } from "./step_ledger.ts";
@@ -44,7 +40,6 @@
   readonly usage = new UsageLedger();
   /** Requests suspected of crashing targets. */
   readonly quarantine = new Quarantine();
-  readonly #suspicions = new Map<string, SuspicionChange>();
   readonly #steps = new Map<string, StepLedger>();
   readonly #handlers: RecordHandlers = {
     stepSubmitted: ({ step }) => this.#addStep(new StepLedger(step)),
@@ -75,7 +70,7 @@
     callLost: (record) => {
       this.calls.markLost(record);
     },
-    suspicion: ({ change }) => this.#updateSuspicion(change),
+    suspicion: ({ change }) => this.quarantine.merge(change),
     usage: ({ entries }) => {
       this.usage.add(entries);
     },
@@ -119,7 +114,7 @@
       steps: this.steps.map((step) => step.save()),
       calls: this.calls.save(),
       usage: this.usage.save(),
-      suspicions: [...this.#suspicions.values()],
+      suspicions: this.quarantine.save(),
     };
   }
 
@@ -129,7 +124,7 @@
     for (const step of snapshot.steps) this.#addStep(StepLedger.load(step));
     this.calls.load(snapshot.calls);
     this.usage.load(snapshot.usage);
-    for (const change of snapshot.suspicions) this.#updateSuspicion(change);
+    for (const change of snapshot.suspicions) this.quarantine.merge(change);
     return this;
   }
 
@@ -141,16 +136,6 @@
     if (!this.#steps.has(name)) this.#steps.set(name, step);
   }
 
-  #updateSuspicion(change: SuspicionChange): void {
-    this.quarantine.merge(change);
-    const { fingerprint } = change;
-    if (this.quarantine.suspicionOf(fingerprint) === Suspicion.Clear) {
-      this.#suspicions.delete(fingerprint);
-    } else if (change.suspicion !== Suspicion.Clear) {
-      this.#suspicions.set(fingerprint, change);
-    }
-  }
-
   #evictEndedSteps(): void {
     const ended = this.steps.filter((step) =>
       step.status === StepStatus.Cancelled ||
--- a/src/core/quarantine/quarantine.ts
+++ b/src/core/quarantine/quarantine.ts
@@ -86,12 +86,16 @@
   /**
    * Records that a target died.
    * @param fingerprints - Fingerprints of all requests that it was running.
+   * @param target - The target, named with its incarnation.
    */
-  onTargetDied(fingerprints: readonly string[]): SuspicionChange[] {
+  onTargetDied(
+    fingerprints: readonly string[],
+    target?: string,
+  ): SuspicionChange[] {
     const distinct = [...new Set(fingerprints)];
     const isAlone = fingerprints.length === 1;
     return distinct.map((fingerprint) =>
-      this.#addDeath(fingerprint, { isAlone })
+      this.#addDeath(fingerprint, { target, isAlone })
     );
   }
 
@@ -171,17 +175,23 @@
     return this;
   }
 
-  /** Merges a change from another instance; a proven suspicion is final. */
+  /**
+   * Merges a change from another instance: the targets that died add up. A
+   * proven suspicion is final.
+   */
   merge(change: SuspicionChange): this {
-    const existing = this.#entries.get(change.fingerprint);
-    if (existing?.suspicion === Suspicion.Proven) return this;
-    const deaths = Math.max(existing?.deaths ?? 0, change.deaths);
+    const existing = this.#entries.get(change.fingerprint) ?? NEW_ENTRY;
+    if (existing.suspicion === Suspicion.Proven) return this;
+    const added = (change.targets ?? [])
+      .filter((target) => !existing.targets.includes(target));
+    const deaths = Math.max(existing.deaths + added.length, change.deaths);
     const isProven = change.suspicion !== Suspicion.Clear &&
       deaths >= MAX_DEATHS;
     return this.replace({
       ...change,
       suspicion: isProven ? Suspicion.Proven : change.suspicion,
       deaths,
+      targets: [...existing.targets, ...added].slice(-MAX_DEATHS),
     });
   }
 
--- a/src/core/quarantine/quarantine_test.ts
+++ b/src/core/quarantine/quarantine_test.ts
@@ -31,6 +31,18 @@
     expect(quarantine.suspicionOf("bad")).toBe("proven");
   });
 
+  it("adds up deaths that instances saw before they heard of each other's", () => {
+    const instances = [new Quarantine(), new Quarantine(), new Quarantine()];
+    const changes = instances.flatMap((instance, i) =>
+      instance.onTargetDied(["bad", `n${i}`], `t${i}/1`)
+    );
+    for (const instance of instances) {
+      for (const change of changes) instance.merge(change);
+      expect(instance.suspicionOf("bad")).toBe("proven");
+      expect(instance.suspicionOf("n1")).toBe("suspect");
+    }
+  });
+
   it("does not clear a suspicion that another instance has proven", () => {
     const quarantine = new Quarantine();
     quarantine.merge({ fingerprint: "f", suspicion: "proven", deaths: 2 });
