--- a/fakes/fleet_replica.ts
+++ b/fakes/fleet_replica.ts
@@ -82,6 +82,10 @@
   isSilent = false;
   /** Whether responses say that the target leaves; its heartbeats do not. */
   saysLeaving = false;
+  /** Requests a second that responses name as the limit; none by default. */
+  maxPerSecond: number | undefined;
+  /** Times at which requests arrived, other than for its state and orders. */
+  readonly arrivals: number[] = [];
   /** Selects the plain requests that the target runs and fails. */
   fails: (request: string) => boolean = () => false;
   /** Selects the paths of plain requests that end the target running them. */
@@ -165,6 +169,9 @@
     for await (const chunk of req) chunks.push(chunk);
     if (this.isSilent) return;
     if (this.saysLeaving) res.setHeader("server-leaving", "1");
+    if (this.maxPerSecond !== undefined) {
+      res.setHeader("server-limit", String(this.maxPerSecond));
+    }
     const expected = req.headers["expect-instance"];
     if (expected !== undefined && expected !== this.#id) {
       res.writeHead(421, { "instance-id": this.#id }).end();
@@ -177,6 +184,7 @@
         JSON.parse(Buffer.concat(chunks).toString()),
       );
     }
+    this.arrivals.push(Date.now());
     if (this.#activeRequestCount >= this.#options.slots) {
       res.writeHead(503, { "not-executed": "1" }).end();
       return;
--- /dev/null
+++ b/tests/limited_targets_test.ts
@@ -0,0 +1,139 @@
+import { afterAll, beforeAll, beforeEach, describe, expect, it } from "vitest";
+import { FleetReplica } from "../fakes/fleet_replica.ts";
+import { FleetDeployment, sleep } from "./support/fleet_deployment.ts";
+import { FLEET_NAMES, fleetPolicy } from "./support/fleet_policy.ts";
+import { FleetTrainer } from "./support/fleet_trainer.ts";
+import { LoopbackNet } from "./support/loopback_net.ts";
+
+const { host, plain, rollout, engines, apps, model } = FLEET_NAMES;
+const KEY = "key-of-the-park";
+/** Time from which a limit is to be kept, after it was first named. */
+const CONTACT_MS = 3_000;
+const WINDOW_MS = 4_000;
+const PLAY_MS = CONTACT_MS + WINDOW_MS + 1_500;
+const CALL_INTERVAL_MS = 15;
+const NOT_RUN_STATUS = 503;
+
+/** Gets the requests that a window may have under a limit per second. */
+function allowedOf(perSecond: number): number {
+  return 1.5 * perSecond * WINDOW_MS / 1_000 + 5;
+}
+
+describe("a target that names the requests a second that it takes", () => {
+  let fleet: FleetDeployment;
+  let client: FleetTrainer;
+  const services: FleetReplica[] = [];
+  const llms: FleetReplica[] = [];
+
+  function createTarget(service: string, models: readonly string[]) {
+    return new FleetReplica({
+      service,
+      zone: "a",
+      models,
+      slots: 8,
+      controls: () => fleet.controlAddresses,
+      workMs: 60,
+      loadMs: 200,
+      isFencingEnabled: true,
+    });
+  }
+
+  beforeAll(async () => {
+    fleet = new FleetDeployment({
+      net: await LoopbackNet.claim(),
+      controls: 3,
+      ledgers: 3,
+      entries: 3,
+    });
+    await fleet.startAll(fleetPolicy({ version: 1, keys: [KEY] }));
+    for (let i = 0; i < 3; i += 1) services.push(createTarget(apps, []));
+    for (let i = 0; i < 2; i += 1) llms.push(createTarget(engines, [model]));
+    for (const target of [...services, ...llms]) await target.start();
+    client = new FleetTrainer({
+      entries: fleet.entries,
+      host,
+      key: KEY,
+      prefix: rollout,
+    });
+    await sleep(500);
+  });
+
+  afterAll(async () => {
+    for (const target of [...services, ...llms]) target.crash();
+    await fleet.stop();
+  });
+
+  beforeEach(() => {
+    for (const target of [...services, ...llms]) {
+      target.maxPerSecond = undefined;
+      target.arrivals.length = 0;
+    }
+  });
+
+  /** Sends calls at an even rate; returns their responses. */
+  async function press(prefix: string) {
+    const pending: ReturnType<FleetTrainer["sendCall"]>[] = [];
+    const endsAt = Date.now() + PLAY_MS;
+    for (let i = 0; Date.now() < endsAt; i += 1) {
+      const id = `${prefix}-${i}`;
+      pending.push(client.sendCall(`${plain}${id}`, { id }));
+      await sleep(CALL_INTERVAL_MS);
+    }
+    return await Promise.all(pending);
+  }
+
+  function expectWithinLimit(target: FleetReplica, perSecond: number) {
+    const from = target.arrivals[0] + CONTACT_MS;
+    const late = target.arrivals.filter((at) => at >= from);
+    expect(late.length).toBeGreaterThan(0);
+    const counts = late.map((start) =>
+      late.filter((at) => at >= start && at < start + WINDOW_MS).length
+    );
+    expect(Math.max(...counts)).toBeLessThanOrEqual(allowedOf(perSecond));
+  }
+
+  async function doTest(limited: readonly FleetReplica[], perSecond: number) {
+    for (const target of limited) target.maxPerSecond = perSecond;
+    const responses = await press(`limit-${limited.length}`);
+    for (const target of limited) expectWithinLimit(target, perSecond);
+    return responses;
+  }
+
+  it("gets no more calls from all entry instances, which others serve", async () => {
+    const responses = await doTest(services.slice(0, 2), 1);
+    expect(responses.every(({ status }) => status === 200)).toBe(true);
+  });
+
+  it("gets no more calls where all targets name one; the rest are refused", async () => {
+    const responses = await doTest(services, 1);
+    const refused = responses.filter(({ status }) => status !== 200);
+    expect(refused.length).toBeGreaterThan(0);
+    for (const { status, retryAfterS } of refused) {
+      expect(status).toBe(NOT_RUN_STATUS);
+      expect(retryAfterS).toBeGreaterThan(0);
+    }
+    const servedPerTarget = PLAY_MS / 1_000 / 2;
+    expect(responses.length - refused.length)
+      .toBeGreaterThanOrEqual(Math.floor(services.length * servedPerTarget));
+  });
+
+  it("gets no more items of batches, which complete all the same", async () => {
+    const perSecond = 3;
+    for (const target of llms) target.maxPerSecond = perSecond;
+    const items = Array.from({ length: 130 }, (_, i) => `g${i % 10}-${i}`);
+    const plan = { id: "limited", model, minVersion: 0, items };
+    await client.submit(plan, 10_000);
+    const results = await client.readAll(plan, 40_000);
+    expect(results.every(({ state }) => state === "completed")).toBe(true);
+    for (const target of llms) expectWithinLimit(target, perSecond);
+  });
+
+  it("gets calls at any rate again once it names none", async () => {
+    for (const target of services) target.maxPerSecond = 1;
+    await client.sendCall(`${plain}first`, { id: "first" });
+    for (const target of services) target.maxPerSecond = undefined;
+    const responses = await press("again");
+    const settled = responses.slice(responses.length / 2);
+    expect(settled.every(({ status }) => status === 200)).toBe(true);
+  });
+});
--- a/tests/support/fleet_trainer.ts
+++ b/tests/support/fleet_trainer.ts
@@ -33,6 +33,16 @@
   readonly scoringPrefix?: string | undefined;
 }
 
+/** Response to a request of the client. */
+export interface ClientResponse {
+  readonly status: number;
+  readonly text: string;
+  /** Mark of the target that produced the response; undefined without one. */
+  readonly stamp: string | undefined;
+  /** Value of `Retry-After`, in seconds; NaN without one. */
+  readonly retryAfterS: number;
+}
+
 /** Gets the identifier of the call that scores an item. */
 export function scoringIdOf(item: string): string {
   return `score-${item}`;
@@ -130,7 +140,7 @@
   async sendCall(
     path: string,
     options: { id: string; key?: string; deadlineMs?: number },
-  ): Promise<{ status: number; text: string; stamp: string | undefined }> {
+  ): Promise<ClientResponse> {
     return await this.#send("POST", path, { ...options, body: "call" });
   }
 
@@ -165,7 +175,7 @@
       waitMs?: number;
       deadlineMs?: number;
     },
-  ): Promise<{ status: number; text: string; stamp: string | undefined }> {
+  ): Promise<ClientResponse> {
     const { entries, host, key } = this.#options;
     this.#requestCount += 1;
     const client = new Client(
@@ -194,6 +204,7 @@
         status: response.statusCode,
         text: await response.body.text(),
         stamp: typeof stamp === "string" ? stamp : undefined,
+        retryAfterS: Number(response.headers["retry-after"] ?? NaN),
       };
     } finally {
       client.destroy().catch(() => {});
