Samples of steps are owed, however many targets die under them

What callers saw: a report from a similar system, that an item under which several targets had died in a burst of crashes was never placed again. Looked for in both halves of the product; the dispatcher's has it: the quarantine refused the sample for good after three deaths (or two alone), the step's slot was recorded as failed and the caller never got it, though all targets were calm. All samples of a group share one fingerprint, so the whole group went. Shown by the new test, which got 'refuse' before the change.

A sample is an item that is handed in for later, and such items do not crash targets by themselves: they are neither suspected nor refused, and their deaths say nothing of calls that ran beside them. Calls keep the quarantine as it was.

--- a/src/core/dispatch/dispatcher.ts
+++ b/src/core/dispatch/dispatcher.ts
@@ -297,7 +297,9 @@
     this.#placement.onSuspect(fingerprint);
     if (suspicion !== Suspicion.Proven) return [];
     const waiting = [...this.#requests.values()].filter((request) =>
-      request.targetId === undefined && request.item.fingerprint === fingerprint
+      request.targetId === undefined &&
+      request.item.fingerprint === fingerprint &&
+      this.#isQuarantined(request.item)
     );
     return waiting.map((request) => {
       request.addVerdict(Verdict.Ran);
@@ -330,8 +332,7 @@
         NO_TARGET_RETRY_MS,
       );
     }
-    const suspicion = this.quarantine.suspicionOf(item.fingerprint);
-    if (suspicion === Suspicion.Proven) {
+    if (this.#isQuarantined(item)) {
       return {
         type: "refuse",
         item,
@@ -343,6 +344,12 @@
     return this.#refusalByLoad(item, now) ?? this.#refusalByLimit(item, now);
   }
 
+  /** Gets whether a request is refused; a sample is owed in any case. */
+  #isQuarantined({ kind, fingerprint }: WorkItem): boolean {
+    return kind !== WorkKind.Sample &&
+      this.quarantine.suspicionOf(fingerprint) === Suspicion.Proven;
+  }
+
   #refusalByLoad(item: WorkItem, now: number): DispatchEffect | undefined {
     if (!this.#hasTargetFor(item.pool)) {
       return createRefusal(item, RefusalReason.NoTarget, NO_TARGET_RETRY_MS);
@@ -484,7 +491,7 @@
   ): DispatchEffect[] {
     const { item } = request;
     request.addVerdict(outcome.verdict);
-    if (this.quarantine.suspicionOf(item.fingerprint) === Suspicion.Proven) {
+    if (this.#isQuarantined(item)) {
       request.addVerdict(Verdict.Ran);
       return [this.#refuse(request, RefusalReason.Quarantined, now)];
     }
--- a/src/core/dispatch/dispatcher_test.ts
+++ b/src/core/dispatch/dispatcher_test.ts
@@ -221,6 +221,41 @@
     expect(targetsOf(dispatcher.tick(9_000))).toEqual([]);
   });
 
+  it("runs a sample until it completes, however many targets die under it", () => {
+    const dispatcher = create();
+    const sample = item({ kind: "sample", maxAttempts: 1_000, deadline: 1e9 });
+    const sibling = { ...sample, id: "sibling" };
+    let now = 0;
+    let started: string[] = [];
+    const play = (effects: DispatchEffect[]) => {
+      for (const effect of effects) {
+        expect(["start", "retry"]).toContain(effect.type);
+        if (effect.type === "start") started.push(effect.item.id);
+      }
+    };
+    for (let burst = 1; burst <= 4; burst += 1) {
+      const incarnation = `${burst}`;
+      for (const id of ["a", "b"]) {
+        play(dispatcher.announce(target(id, { incarnation }), now));
+      }
+      if (burst === 1) play(dispatcher.submit(sample, now));
+      for (let i = 0; i < 20; i += 1, now += 1_000) {
+        play(dispatcher.tick(now));
+      }
+      const runsOn = dispatcher.getTargetOf(sample.id);
+      expect(runsOn).toBeDefined();
+      for (const id of ["a", "b"]) play(dispatcher.targetDied(id, now));
+      play(dispatcher.finish(sample.id, failed(), now));
+    }
+    started = [];
+    for (const id of ["a", "b"]) {
+      play(dispatcher.announce(target(id, { incarnation: "9" }), now));
+    }
+    play(dispatcher.submit(sibling, now));
+    for (let i = 0; i < 20; i += 1, now += 1_000) play(dispatcher.tick(now));
+    expect(started.sort()).toEqual([sample.id, "sibling"].sort());
+  });
+
   it("raises no suspicion when a leaving target exits", () => {
     const dispatcher = create();
     dispatcher.announce(target("a"), 0);
--- a/src/core/dispatch/placement.ts
+++ b/src/core/dispatch/placement.ts
@@ -10,7 +10,7 @@
 import { Verdict } from "../verdict/mod.ts";
 import { FingerprintLimiter } from "./fingerprint_limiter.ts";
 import type { ActiveRequest } from "./active_request.ts";
-import type { WorkItem } from "./work_item.ts";
+import { type WorkItem, WorkKind } from "./work_item.ts";
 
 /** Options of {@link Placement}. */
 export interface PlacementOptions {
@@ -114,7 +114,8 @@
     request.targetId = target.id;
     request.attempts += 1;
     request.startedAt = now;
-    target.onStart(item.id, item.fingerprint, now);
+    const isCall = item.kind === WorkKind.Call;
+    target.onStart(item.id, isCall ? item.fingerprint : undefined, now);
     if (this.#isSuspect(item)) this.#reserve(item, target);
     this.#limiter.onStart(item.fingerprint, target.id);
     this.#options.picker.onPlaced(item.prefix, target.id);
@@ -160,9 +161,10 @@
     return this;
   }
 
-  #isSuspect(item: WorkItem): boolean {
-    const suspicion = this.#options.quarantine.suspicionOf(item.fingerprint);
-    return suspicion !== Suspicion.Clear;
+  /** Gets whether a call may crash targets; samples never do by themselves. */
+  #isSuspect({ kind, fingerprint }: WorkItem): boolean {
+    return kind !== WorkKind.Sample &&
+      this.#options.quarantine.suspicionOf(fingerprint) !== Suspicion.Clear;
   }
 
   #reserve(item: WorkItem, target: Target): this {
--- a/src/core/routing/target.ts
+++ b/src/core/routing/target.ts
@@ -58,7 +58,7 @@
   readonly #lifecycle = new TargetLifecycle();
   readonly #window: AdaptiveWindow;
   /** Requests in flight from this instance: item id to fingerprint. */
-  readonly #inFlight = new Map<string, string>();
+  readonly #inFlight = new Map<string, string | undefined>();
   #announcement: TargetAnnouncement;
   readonly #speed = new SpeedModel();
   readonly #history = new InFlightHistory();
@@ -104,9 +104,9 @@
     return this.#inFlight.size;
   }
 
-  /** Gets the fingerprints in flight from this instance. */
+  /** Gets the fingerprints in flight that may crash this target. */
   get fingerprints(): readonly string[] {
-    return [...this.#inFlight.values()];
+    return [...this.#inFlight.values()].filter((k) => k !== undefined);
   }
 
   /** Gets the maximum number of requests in flight; 1 while probing. */
@@ -184,8 +184,11 @@
     return this;
   }
 
-  /** Records that a request was placed. */
-  onStart(itemId: string, fingerprint: string, now: number): this {
+  /**
+   * Records that a request was placed.
+   * @param fingerprint - Undefined for a request that crashes no target.
+   */
+  onStart(itemId: string, fingerprint: string | undefined, now: number): this {
     this.#inFlight.set(itemId, fingerprint);
     this.#history.record(this.inFlight, now);
     return this;
--- a/src/tasks/steps/sample_job.ts
+++ b/src/tasks/steps/sample_job.ts
@@ -97,11 +97,9 @@
     }
     if (result.type === "cancelled") return;
     const isRejected = sink instanceof SampleJobSink && sink.isRejected;
-    const isQuarantined = result.type === "refused" &&
-      result.reason === RefusalReason.Quarantined;
     this.#options.onFailed({
-      reason: isQuarantined ? result.reason : RefusalReason.TargetRefused,
-      isPermanent: isQuarantined || isRejected,
+      reason: RefusalReason.TargetRefused,
+      isPermanent: isRejected,
     });
   }
 }
