Items that one version must generate begin anew when no target has it any more

What callers saw: a report from a similar system, of an item that was never placed again after a burst of crashes. But an item of a one-version route whose run broke off midway was bound to the version of its partial text; once all targets had loaded a newer one, nothing could go on with it, and it waited until it was given up, with free slots everywhere. Shown by the second new test, where no run was opened in 4 s before the change.

Such an item now drops its text and begins anew under a version that its batch allows.

--- a/src/tasks/batches/batch_runner.ts
+++ b/src/tasks/batches/batch_runner.ts
@@ -9,6 +9,7 @@
   orderItems,
   type PartialTextRecord,
   PendingLoads,
+  RunText,
   type ServiceDemand,
   TargetPace,
   type WaitingItem,
@@ -392,11 +393,12 @@
     const { registry, engines, logger, limiter } = this.#options;
     const { record, item } = waiting;
     const { minVersion, id: batch } = record.spec;
-    const text = this.#itemTracker.resumableTextOf(record, item, records);
-    if (text.isComplete) {
-      this.#results.reuseText(record, item, text);
+    const known = this.#itemTracker.resumableTextOf(record, item, records);
+    if (known.isComplete) {
+      this.#results.reuseText(record, item, known);
       return true;
     }
+    const text = placer.isStranded(waiting, known) ? new RunText() : known;
     const chosen = placer.choose(waiting, text);
     if (chosen === undefined) return false;
     const target = registry.get(chosen.id)?.report;
--- a/src/tasks/batches/batch_runner_test.ts
+++ b/src/tasks/batches/batch_runner_test.ts
@@ -188,6 +188,45 @@
     expect(state.get("b1")?.getResult("x1")?.text).toBe("a\nb");
   });
 
+  it("places an item again after targets have died under it in bursts", () => {
+    const { engines, step } = start(
+      [target("t1"), target("t2"), target("t3")],
+      [spec(["x1"])],
+    );
+    for (let i = 0; i < 15; i += 1) {
+      const run = engines.active.at(-1);
+      run?.sink.onFailure(RunFailure.Broken, "reset");
+      if (run !== undefined) run.isCancelled = true;
+      step(400);
+    }
+    step(4_000);
+    expect(engines.active).toHaveLength(1);
+  });
+
+  it("begins a one-version item anew if no target has its version any more", () => {
+    const { engines, step, registry } = start(
+      [target("t1"), target("t2")],
+      [spec(["x1"], { isSingleVersion: true })],
+    );
+    const [first] = engines.runs;
+    first.sink.onEvent({ id: 1, data: "a" });
+    first.sink.onFailure(RunFailure.Broken, "reset");
+    for (const id of ["t1", "t2"]) {
+      registry.recordVersion({
+        target: id,
+        incarnation: registry.getReportOrThrow(id).incarnation,
+        model: "m",
+        version: 6,
+      });
+    }
+    step(4_000);
+    const second = engines.runs[1];
+    expect(second?.request).toMatchObject({
+      resumeAfter: 0,
+      expectVersion: undefined,
+    });
+  });
+
   it("cancels a run that skips an event and resumes after the last one", () => {
     const { engines, step } = start([target("t1")], [spec(["x1"])]);
     engines.runs[0].sink.onEvent({ id: 1, data: "a" });
--- a/src/tasks/batches/item_placer.ts
+++ b/src/tasks/batches/item_placer.ts
@@ -78,6 +78,17 @@
     return chosen;
   }
 
+  /**
+   * Gets whether no target can go on with a text that a single weight version
+   * must generate. Versions only rise, so waiting would not help.
+   */
+  isStranded({ record, item }: WaitingItem, { versions }: RunText): boolean {
+    const { isSingleVersion, service } = record.spec;
+    if (!isSingleVersion || versions.length === 0) return false;
+    return !this.#candidatesFor(service, item.model)
+      .some(({ version, isAvoided }) => version === versions[0] && !isAvoided);
+  }
+
   /** Gets the limited targets of this round that have free slots. */
   get limitedTargets(): TargetReport[] {
     return [...this.#limitedTargets.values()];
