Connections to targets: a reset is never the end of a response

Two faults of one cause, in both halves of the product:

- A response without a length ends with its connection.
- A cancelled request resets its connection without an error.
Where the client had paused the reading of such a response, for a slow caller, it looked for its end then and failed an assertion in a socket's event: an exception that nothing catches, which ends the process.

One connector for both halves replaces the code of a reset before the client sees it, and a reset of our own tells the client by an error first.

--- a/src/tasks/calls/target_connections.ts
+++ b/src/tasks/calls/target_connections.ts
@@ -1,6 +1,7 @@
 /** Connection pools for targets; requests are never pipelined. */
 import type { Socket } from "node:net";
-import { buildConnector, Client } from "undici";
+import { type buildConnector, Client } from "undici";
+import { createTargetConnector, resetConnection } from "../target_connector.ts";
 
 /** Options of {@link TargetConnections}. */
 export interface TargetConnectionsOptions {
@@ -42,7 +43,7 @@
 
   constructor(options: TargetConnectionsOptions) {
     this.#options = options;
-    this.#connect = buildConnector({ timeout: options.connectTimeoutMs });
+    this.#connect = createTargetConnector(options.connectTimeoutMs);
   }
 
   /**
@@ -138,7 +139,7 @@
 
   #reset(client: Client): void {
     const socket = this.#sockets.get(client);
-    if (socket !== undefined && !socket.destroyed) socket.resetAndDestroy();
+    if (socket !== undefined) resetConnection(socket);
   }
 
   /** Destroys a connection; errors while doing so are ignored. */
--- a/src/tasks/targets/exchange.ts
+++ b/src/tasks/targets/exchange.ts
@@ -1,6 +1,7 @@
 /** A single HTTP request to a target, and its response. */
 import { Agent, request } from "undici";
 import { RefusalReason, Verdict } from "../../core/verdict/mod.ts";
+import { createTargetConnector } from "../target_connector.ts";
 
 /** A request of an attempt at a target. */
 export interface ExchangeRequest {
@@ -89,7 +90,7 @@
     pipelining: 1,
     connections: MAX_CONNECTIONS_PER_TARGET,
     keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
-    connect: { timeout: CONNECT_TIMEOUT_MS },
+    connect: createTargetConnector(CONNECT_TIMEOUT_MS),
     headersTimeout: 0,
     bodyTimeout: 0,
   });
