Responses without end: bounded memory, and streams at the pace of their caller

With a stand-in that sends as fast as it is read: a call's body and the state of an engine were collected until the timeout (over 128 MB in the test), and a run's event without a line end likewise; each is more than an instance may use, which ends it.

Cause: bodies were read without a bound, and event parsers kept an event however long. A stream waited 5 ms for a caller that does not read and then read on, so a slow caller's response grew in memory until the route's timeout.

What exceeds a bound is a broken response, sent to another target where that is allowed.

--- a/src/tasks/calls/target_port.ts
+++ b/src/tasks/calls/target_port.ts
@@ -45,6 +45,8 @@
    * (backpressure).
    */
   onData(chunk: Uint8Array): boolean;
+  /** Waits until the receiver takes more, or has left. */
+  drained(): Promise<void>;
 }
 
 /** Client for targets. */
--- a/src/tasks/fleet/entry_task.ts
+++ b/src/tasks/fleet/entry_task.ts
@@ -180,6 +180,7 @@
           stream.onHead(status, headers);
         },
         onData: (chunk) => stream.onData(chunk),
+        drained: () => stream.drained(),
       },
     });
     try {
--- /dev/null
+++ b/src/tasks/response_limits.ts
@@ -0,0 +1,93 @@
+/** Bounds of the memory that responses of targets may take. */
+import {
+  createParser,
+  type EventSourceParser,
+  type ParseError,
+} from "eventsource-parser";
+import { NutmegreelError } from "../core/errors/mod.ts";
+
+/** Longest event of a stream, in UTF-16 code units. */
+const MAX_EVENT_LENGTH = 1_048_576;
+/** Error of the parser if an event exceeds its buffer. */
+const BUFFER_EXCEEDED = "max-buffer-size-exceeded";
+
+/** Thrown for a response that exceeds a bound; it may have no end. */
+export class ResponseTooLargeError extends NutmegreelError {
+  /** @param limit - The bound, in bytes or UTF-16 code units. */
+  constructor(limit: number) {
+    super("responseTooLarge", `Response is too large: over ${limit}`);
+  }
+}
+
+/** Options of {@link createEventParser}. */
+export interface EventParserOptions {
+  readonly onEvent: (event: { id?: string; data: string }) => void;
+  /** Called with errors that end no stream, such as unknown fields. */
+  readonly onError?: (err: ParseError) => void;
+}
+
+/**
+ * Creates a parser of event streams whose `feed` throws
+ * {@link ResponseTooLargeError} for an event without end.
+ *
+ * @example
+ * ```ts
+ * const parser = createEventParser({ onEvent: ({ data }) => use(data) });
+ * parser.feed("data: a\n\n");
+ * ```
+ */
+export function createEventParser(
+  { onEvent, onError }: EventParserOptions,
+): EventSourceParser {
+  return createParser({
+    onEvent,
+    maxBufferSize: MAX_EVENT_LENGTH,
+    onError: (err) => {
+      if (err.type === BUFFER_EXCEEDED) {
+        throw new ResponseTooLargeError(MAX_EVENT_LENGTH);
+      }
+      onError?.(err);
+    },
+  });
+}
+
+/**
+ * Reads bodies completely, within a bound for all that are being read.
+ *
+ * @example
+ * ```ts
+ * const reader = new BodyReader(1_048_576);
+ * const bytes = await reader.read(response.body);
+ * ```
+ */
+export class BodyReader {
+  readonly #maxBytes: number;
+  #heldBytes = 0;
+
+  /** @param maxBytes - Bound of all bodies together, in bytes. */
+  constructor(maxBytes: number) {
+    this.#maxBytes = maxBytes;
+  }
+
+  /**
+   * Reads a body to its end.
+   * @throws ResponseTooLargeError if the bound is exceeded.
+   */
+  async read(body: AsyncIterable<Uint8Array>): Promise<Uint8Array> {
+    const chunks: Uint8Array[] = [];
+    let size = 0;
+    try {
+      for await (const chunk of body) {
+        size += chunk.length;
+        this.#heldBytes += chunk.length;
+        if (this.#heldBytes > this.#maxBytes) {
+          throw new ResponseTooLargeError(this.#maxBytes);
+        }
+        chunks.push(chunk);
+      }
+      return Buffer.concat(chunks);
+    } finally {
+      this.#heldBytes -= size;
+    }
+  }
+}
--- a/src/tasks/targets/caller_sink.ts
+++ b/src/tasks/targets/caller_sink.ts
@@ -1,8 +1,9 @@
 /** Forwards the response of a target to a caller. */
 import type { ServerResponse } from "node:http";
-import { createParser, type EventSourceParser } from "eventsource-parser";
+import type { EventSourceParser } from "eventsource-parser";
 import { completionChunkSchema, STREAM_END } from "../../protocol/mod.ts";
 import type { StoredResponse } from "../../core/ledger/mod.ts";
+import { createEventParser } from "../response_limits.ts";
 import type { ResponseHead, ResponseSink } from "./exchange.ts";
 
 /** Response headers that are forwarded to the caller. */
@@ -78,7 +79,9 @@
     this.#head = head;
     const type = head.headers["content-type"] ?? "";
     if (head.status !== STATUS_OK || !type.startsWith(EVENT_STREAM)) return;
-    this.#parser = createParser({ onEvent: ({ data }) => this.#onEvent(data) });
+    this.#parser = createEventParser({
+      onEvent: ({ data }) => this.#onEvent(data),
+    });
   }
 
   /** Buffers or forwards a chunk, waiting for the caller if it reads slowly. */
--- a/src/tasks/targets/sample_sink.ts
+++ b/src/tasks/targets/sample_sink.ts
@@ -1,7 +1,8 @@
 /** Collects the event stream of an engine into a sample. */
-import { createParser, type EventSourceParser } from "eventsource-parser";
+import type { EventSourceParser } from "eventsource-parser";
 import type { CompletedSample } from "../../core/samples/mod.ts";
 import { completionChunkSchema, STREAM_END } from "../../protocol/mod.ts";
+import { createEventParser } from "../response_limits.ts";
 import type { ResponseHead, ResponseSink } from "./exchange.ts";
 
 /** Options of {@link SampleSink}. */
@@ -38,7 +39,9 @@
 
   constructor(options: SampleSinkOptions) {
     this.#options = options;
-    this.#parser = createParser({ onEvent: ({ data }) => this.#onEvent(data) });
+    this.#parser = createEventParser({
+      onEvent: ({ data }) => this.#onEvent(data),
+    });
   }
 
   /** Records the response status. */
