--- a/src/tasks/calls/call_run.ts
+++ b/src/tasks/calls/call_run.ts
@@ -1,18 +1,14 @@
 /** Execution of a single call, with retries and hedging. */
-import { createHash } from "node:crypto";
-import { setTimeout as sleep } from "node:timers/promises";
 import {
   type CallRequest,
   type CallResponse,
-  LatencyTracker,
-  rankTargets,
+  type LatencyTracker,
 } from "../../core/calls/mod.ts";
 import { RouteKind } from "../../core/policy/mod.ts";
-import {
-  type TargetRegistry,
-  type TargetReport,
-  type TargetSigns,
-  TargetState,
+import type {
+  TargetRegistry,
+  TargetReport,
+  TargetSigns,
 } from "../../core/registry/mod.ts";
 import {
   RefusalError,
@@ -22,9 +18,11 @@
 import type { Logger } from "../../logging/mod.ts";
 import type { Metrics } from "../../metrics/mod.ts";
 import { fingerprintOf } from "./call_fingerprint.ts";
+import { CallTargets } from "./call_targets.ts";
 import type { Admission } from "./call_gate.ts";
 import type { CrashGuard } from "./crash_guard.ts";
 import type { RateGuard } from "./rate_guard.ts";
+import { firstDefined, settleWithin } from "./settle.ts";
 import type {
   AttemptOutcome,
   CallAttempt,
@@ -70,8 +68,6 @@
 /** Fraction of the route's latency objective after which a hedge is sent. */
 const HEDGE_DELAY_FRACTION = 0.6;
 const RETRY_AFTER_MS = 300;
-/** Fraction of the route's latency objective that a permit is waited for. */
-const PERMIT_WAIT_FRACTION = 0.5;
 const MIN_ERROR_STATUS = 500;
 /**
  * Time before the route's or the caller's timeout at which a call ends, so that
@@ -83,13 +79,11 @@
 export class CallRun {
   readonly #dependencies: CallRunDependencies;
   readonly #options: CallRunOptions;
-  /** IDs of the targets to which the call has been sent. */
-  readonly #triedTargets = new Set<string>();
+  readonly #targets: CallTargets;
   readonly #deadline: number;
   #verdict: Verdict = Verdict.NotRun;
   #errorResponse: CallResponse | undefined;
   #lastFailure = "";
-  #retryAfterMs = RETRY_AFTER_MS;
   /**
    * Number of attempts that may have run the call, including those in flight.
    */
@@ -105,6 +99,15 @@
     const timeMs = Math.min(route.timeoutMs, callTimeoutMs) -
       RESPONSE_MARGIN_MS;
     this.#deadline = performance.now() + timeMs;
+    const { registry, latencies, rates, dataCentre } = dependencies;
+    this.#targets = new CallTargets({
+      registry,
+      latencies,
+      rates,
+      dataCentre,
+      route,
+      call: options.call.id,
+    });
   }
 
   /**
@@ -117,8 +120,9 @@
     while (
       this.#attemptsRun < maxAttempts && this.#remainingMs > MIN_ATTEMPT_MS
     ) {
-      const target = await this.#nextTarget();
+      const target = await this.#targets.next(this.#remainingMs);
       if (target === undefined) break;
+      if (this.#hasWaitedFor(target) && !await this.#hasLease()) break;
       const response = this.#isRetryable && this.#options.stream === undefined
         ? await this.#attemptWithHedge(target)
         : await this.#attempt(target, this.#options.signal);
@@ -126,7 +130,6 @@
       if (this.#options.signal.aborted) break;
       if (!this.#isRetryable && this.#verdict !== Verdict.NotRun) break;
       if (this.#dependencies.crashes.isProven(this.#fingerprint)) break;
-      if (!await this.#mayRetry()) break;
     }
     if (this.#errorResponse !== undefined) return this.#errorResponse;
     throw this.#createRefusal();
@@ -159,88 +162,19 @@
     });
   }
 
-  /**
-   * Confirms the policy before a retry, since the caller's key may have been
-   * withdrawn in the meantime.
-   */
-  async #mayRetry(): Promise<boolean> {
-    if (this.#options.admission.workspace === undefined) return true;
-    return await this.#dependencies.awaitLease();
-  }
-
-  /** Gets the target of the next attempt; a permit for it has been taken. */
-  async #nextTarget(): Promise<TargetReport | undefined> {
-    const ranked = this.#rankTargets();
-    const best = ranked[0];
-    if (best === undefined || !this.#isLimited(best)) return best;
-    return await this.#takePermit(ranked.filter((k) => this.#isLimited(k))) ??
-      this.#rankTargets().find((k) => !this.#isLimited(k));
-  }
-
-  /**
-   * Takes a permit for one of some limited targets, and waits until it is due.
-   * A longer wait than that within the route's objective serves nobody better
-   * than a refusal that says when to come back.
-   */
-  async #takePermit(
-    limited: readonly TargetReport[],
-  ): Promise<TargetReport | undefined> {
-    const { rates, registry } = this.#dependencies;
-    const { objectiveMs } = this.#options.admission.route;
-    const maxWaitMs = Math.min(
-      objectiveMs * PERMIT_WAIT_FRACTION,
-      this.#remainingMs / 2,
-    );
-    const { permit, retryAfterMs } = await rates.acquire(limited, maxWaitMs);
-    if (permit === undefined) {
-      this.#retryAfterMs = Math.max(RETRY_AFTER_MS, retryAfterMs);
-      this.#lastFailure = "Targets are at the limit that they name";
-      return undefined;
-    }
-    const { target, afterMs } = permit;
-    if (afterMs > 0) await sleep(afterMs);
-    const isUsable = registry.get(target.id)?.report.state ===
-      TargetState.Ready;
-    return isUsable && await this.#mayRetry() ? target : undefined;
-  }
-
-  #isLimited(target: TargetReport): boolean {
-    return this.#dependencies.rates.isLimited(target);
-  }
-
-  /** Gets the targets that may run the call, the best ones first. */
-  #rankTargets(): TargetReport[] {
-    const { registry, latencies, dataCentre } = this.#dependencies;
-    const ready = registry.readyOf(this.#pickService());
-    const now = performance.now();
-    const ranked = rankTargets({
-      dataCentre,
-      tried: this.#triedTargets,
-      targets: ready.map(({ report }) => ({
-        id: report.id,
-        dataCentre: report.dataCentre,
-        inFlight: latencies.inFlight(report.id),
-        latencyMs: latencies.latencyMs(report.id),
-        isSuspect: latencies.isSuspect(report.id, now),
-        isLimited: this.#isLimited(report),
-      })),
-    });
-    return ranked.map(({ id }) => registry.getReportOrThrow(id));
+  /** Gets whether an attempt or a permit has taken time since the admission. */
+  #hasWaitedFor(target: TargetReport): boolean {
+    return this.#targets.triedCount > 0 ||
+      this.#dependencies.rates.isLimited(target);
   }
 
   /**
-   * Picks a service by weight. The choice is derived from the call ID, so that
-   * all attempts of a call use the same service.
+   * Confirms the policy before a delayed attempt, since the caller's key may
+   * have been withdrawn in the meantime.
    */
-  #pickService(): string {
-    const { shares } = this.#options.admission.route;
-    const total = shares.reduce((sum, share) => sum + share.weight, 0);
-    let point = toUnitInterval(this.#options.call.id) * total;
-    for (const { service, weight } of shares) {
-      point -= weight;
-      if (point < 0) return service;
-    }
-    return shares[shares.length - 1].service;
+  async #hasLease(): Promise<boolean> {
+    if (this.#options.admission.workspace === undefined) return true;
+    return await this.#dependencies.awaitLease();
   }
 
   /**
@@ -264,9 +198,7 @@
       if (firstSettled.isSettled) return firstSettled.value;
       const mayHedge = this.#attemptsRun < route.maxAttempts &&
         !this.#dependencies.crashes.isSuspect(this.#fingerprint);
-      const second = mayHedge
-        ? this.#rankTargets().find((k) => !this.#isLimited(k))
-        : undefined;
+      const second = mayHedge ? this.#targets.nextUnlimited() : undefined;
       if (second === undefined) return await first;
       this.#dependencies.logger.event("callRetried", {
         request: this.#options.call.id,
@@ -274,7 +206,7 @@
         reason: "slow",
         waitedMs: Math.round(hedgeDelayMs),
       });
-      return await firstResponse([first, this.#attempt(second, hedge.signal)]);
+      return await firstDefined([first, this.#attempt(second, hedge.signal)]);
     } finally {
       this.#options.signal.removeEventListener("abort", onAbort);
       hedge.abort();
@@ -287,7 +219,7 @@
   ): Promise<CallResponse | undefined> {
     const { latencies } = this.#dependencies;
     const { call, admission, stream } = this.#options;
-    this.#triedTargets.add(report.id);
+    this.#targets.markTried(report);
     this.#attemptsRun += 1;
     this.#logPlaced(report);
     latencies.onSent(report.id);
@@ -335,7 +267,7 @@
     logger.event("callPlaced", {
       request: call.id,
       target: report.id,
-      attempt: this.#triedTargets.size,
+      attempt: this.#targets.triedCount,
       inFlight: latencies.inFlight(report.id),
       latencyMs: Math.round(latencies.latencyMs(report.id)),
       leftMs: Math.round(this.#remainingMs),
@@ -400,9 +332,13 @@
   #createRefusal(): RefusalError {
     const isLate = this.#remainingMs <= MIN_ATTEMPT_MS;
     if (this.#verdict === Verdict.NotRun) {
+      const { permitAfterMs } = this.#targets;
+      const isAtLimit = permitAfterMs !== undefined;
       return new RefusalError(RefusalReason.NoTarget, Verdict.NotRun, {
-        message: this.#lastFailure || "No target takes the call",
-        retryAfterMs: this.#retryAfterMs,
+        message: isAtLimit
+          ? "All targets are at the limit that they name"
+          : this.#lastFailure || "No target takes the call",
+        retryAfterMs: Math.max(RETRY_AFTER_MS, permitAfterMs ?? 0),
       });
     }
     const reason = isLate
@@ -418,46 +354,3 @@
   if (outcome.type === "failed") return true;
   return outcome.isMisdirected || outcome.answer.status >= MIN_ERROR_STATUS;
 }
-
-/** Hashes a text to a number in the range [0, 1). */
-function toUnitInterval(text: string): number {
-  const digest = createHash("sha256").update(text).digest();
-  return digest.readUInt32BE(0) / 2 ** 32;
-}
-
-type SettledResult<T> =
-  | { readonly isSettled: true; readonly value: T }
-  | { readonly isSettled: false };
-
-async function settleWithin<T>(
-  promise: Promise<T>,
-  timeoutMs: number,
-): Promise<SettledResult<T>> {
-  let timer: NodeJS.Timeout | undefined;
-  const timeout = new Promise<SettledResult<T>>((resolve) => {
-    timer = setTimeout(() => resolve({ isSettled: false }), timeoutMs);
-  });
-  const settled = promise.then((value) =>
-    ({ isSettled: true, value }) as const
-  );
-  try {
-    return await Promise.race([settled, timeout]);
-  } finally {
-    clearTimeout(timer);
-  }
-}
-
-/** Gets the first response; undefined if every attempt ends without one. */
-function firstResponse(
-  attempts: readonly Promise<CallResponse | undefined>[],
-): Promise<CallResponse | undefined> {
-  return new Promise((resolve) => {
-    let pending = attempts.length;
-    for (const attempt of attempts) {
-      attempt.then((response) => {
-        pending -= 1;
-        if (response !== undefined || pending === 0) resolve(response);
-      });
-    }
-  });
-}
--- /dev/null
+++ b/src/tasks/calls/call_targets.ts
@@ -0,0 +1,141 @@
+/** Choice of the targets of a single call. */
+import { createHash } from "node:crypto";
+import { setTimeout as sleep } from "node:timers/promises";
+import { type LatencyTracker, rankTargets } from "../../core/calls/mod.ts";
+import type { RoutePolicy } from "../../core/policy/mod.ts";
+import {
+  type TargetRegistry,
+  type TargetReport,
+  TargetState,
+} from "../../core/registry/mod.ts";
+import type { RateGuard } from "./rate_guard.ts";
+
+/** Options of {@link CallTargets}. */
+export interface CallTargetsOptions {
+  readonly registry: TargetRegistry;
+  readonly latencies: LatencyTracker;
+  readonly rates: RateGuard;
+  readonly dataCentre: string;
+  readonly route: RoutePolicy;
+  /** Identifier of the call. */
+  readonly call: string;
+}
+
+/** Fraction of the route's latency objective that a permit is waited for. */
+const PERMIT_WAIT_FRACTION = 0.5;
+
+/** Chooses a target for each attempt of a call, never the same one twice. */
+export class CallTargets {
+  readonly #options: CallTargetsOptions;
+  readonly #tried = new Set<string>();
+  readonly #service: string;
+  #permitAfterMs: number | undefined;
+
+  constructor(options: CallTargetsOptions) {
+    this.#options = options;
+    this.#service = pickService(options.route, options.call);
+  }
+
+  /** Gets the number of targets to which the call has been sent. */
+  get triedCount(): number {
+    return this.#tried.size;
+  }
+
+  /**
+   * Gets the time until a limited target has a permit, in milliseconds;
+   * undefined if no permit was missing.
+   */
+  get permitAfterMs(): number | undefined {
+    return this.#permitAfterMs;
+  }
+
+  /** Records that the call is sent to a target. */
+  markTried({ id }: TargetReport): this {
+    this.#tried.add(id);
+    return this;
+  }
+
+  /**
+   * Gets the target of the next attempt, with a permit if it needs one.
+   * @param leftMs - Time left for the call, in milliseconds.
+   */
+  async next(leftMs: number): Promise<TargetReport | undefined> {
+    const ranked = this.#rank();
+    const best = ranked[0];
+    if (best === undefined || !this.#isLimited(best)) return best;
+    const limited = ranked.filter((target) => this.#isLimited(target));
+    return await this.#takePermit(limited, leftMs) ?? this.nextUnlimited();
+  }
+
+  /** Gets the best target that does not limit its requests. */
+  nextUnlimited(): TargetReport | undefined {
+    return this.#rank().find((target) => !this.#isLimited(target));
+  }
+
+  /**
+   * Takes a permit for one of some limited targets, and waits until it is due.
+   * A longer wait than that within the route's objective serves nobody better
+   * than a refusal that says when to come back.
+   */
+  async #takePermit(
+    limited: readonly TargetReport[],
+    leftMs: number,
+  ): Promise<TargetReport | undefined> {
+    const { rates, registry, route } = this.#options;
+    const maxWaitMs = Math.min(
+      route.objectiveMs * PERMIT_WAIT_FRACTION,
+      leftMs / 2,
+    );
+    const { permit, retryAfterMs } = await rates.acquire(limited, maxWaitMs);
+    this.#permitAfterMs = permit === undefined ? retryAfterMs : undefined;
+    if (permit === undefined) return undefined;
+    const { target, afterMs } = permit;
+    if (afterMs > 0) await sleep(afterMs);
+    const isUsable = registry.get(target.id)?.report.state ===
+      TargetState.Ready;
+    return isUsable ? target : undefined;
+  }
+
+  #isLimited(target: TargetReport): boolean {
+    return this.#options.rates.isLimited(target);
+  }
+
+  /** Gets the targets that may run the call, the best ones first. */
+  #rank(): TargetReport[] {
+    const { registry, latencies, dataCentre } = this.#options;
+    const now = performance.now();
+    const ranked = rankTargets({
+      dataCentre,
+      tried: this.#tried,
+      targets: registry.readyOf(this.#service).map(({ report }) => ({
+        id: report.id,
+        dataCentre: report.dataCentre,
+        inFlight: latencies.inFlight(report.id),
+        latencyMs: latencies.latencyMs(report.id),
+        isSuspect: latencies.isSuspect(report.id, now),
+        isLimited: this.#isLimited(report),
+      })),
+    });
+    return ranked.map(({ id }) => registry.getReportOrThrow(id));
+  }
+}
+
+/**
+ * Picks a service by weight. The choice is derived from the call ID, so that all
+ * attempts of a call use the same service.
+ */
+function pickService({ shares }: RoutePolicy, call: string): string {
+  const total = shares.reduce((sum, share) => sum + share.weight, 0);
+  let point = toUnitInterval(call) * total;
+  for (const { service, weight } of shares) {
+    point -= weight;
+    if (point < 0) return service;
+  }
+  return shares[shares.length - 1].service;
+}
+
+/** Hashes a text to a number in the range [0, 1). */
+function toUnitInterval(text: string): number {
+  const digest = createHash("sha256").update(text).digest();
+  return digest.readUInt32BE(0) / 2 ** 32;
+}
