Control: the directory of targets is a class of its own; one call fixture for tests

fleet_control.ts had grown to 448 lines; what merges and passes on knowledge of targets is target_directory.ts now (114 lines, fleet_control.ts 352). No behaviour changes.

--- a/src/tasks/calls/call_run.ts
+++ b/src/tasks/calls/call_run.ts
@@ -22,7 +22,7 @@
 import type { Admission } from "./call_gate.ts";
 import type { CrashGuard } from "./crash_guard.ts";
 import type { RateGuard } from "./rate_guard.ts";
-import { firstDefined, settleWithin } from "./settle.ts";
+import { firstDefined, settleWithin } from "../settle.ts";
 import type {
   AttemptOutcome,
   CallAttempt,
--- a/src/tasks/calls/call_run_test.ts
+++ b/src/tasks/calls/call_run_test.ts
@@ -1,14 +1,11 @@
 import { describe, expect, it } from "vitest";
+import { createCall } from "../../../tests/support/call_request.ts";
 import {
   createPolicy,
   createRoute,
 } from "../../../tests/support/policy_document.ts";
 import { createReport } from "../../../tests/support/target_report.ts";
-import {
-  type CallRequest,
-  type CallResponse,
-  LatencyTracker,
-} from "../../core/calls/mod.ts";
+import { type CallResponse, LatencyTracker } from "../../core/calls/mod.ts";
 import { PolicyView, RouteKind } from "../../core/policy/mod.ts";
 import { TargetRegistry } from "../../core/registry/mod.ts";
 import type { RefusalError } from "../../core/verdict/mod.ts";
@@ -19,16 +16,7 @@
 import type { RateGuard } from "./rate_guard.ts";
 import type { AttemptOutcome, CallAttempt, TargetPort } from "./target_port.ts";
 
-const CALL: CallRequest = {
-  id: "c1",
-  host: "h",
-  method: "POST",
-  path: "/p/",
-  headers: [],
-  body: new Uint8Array(),
-  key: "k",
-  timeoutMs: 2_000,
-};
+const CALL = createCall({ key: "k", timeoutMs: 2_000 });
 
 const NO_LIMITS: RateGuard = {
   isLimited: () => false,
--- a/src/tasks/fleet/control_task.ts
+++ b/src/tasks/fleet/control_task.ts
@@ -103,7 +103,7 @@
 
   /** Merges a target's report into the registry and forwards it. */
   reportTarget(report: TargetReport): void {
-    this.#control.mergeReport(report);
+    this.#control.targets.merge(report);
   }
 
   /**
@@ -111,7 +111,7 @@
    * @param incarnation - Incarnation that leaves; undefined for any.
    */
   removeTarget(id: string, incarnation: number | undefined): void {
-    this.#control.removeTarget(id, incarnation);
+    this.#control.targets.remove(id, incarnation);
   }
 
   /**
@@ -232,7 +232,7 @@
     return new WeightsRollout({
       lease,
       orders,
-      registry: control.registry,
+      registry: control.targets.registry,
       logger: node.logger,
       metrics: node.metrics,
       now: () => clock.now(),
@@ -240,9 +240,9 @@
       newestVersions: () => control.state.weights,
       reportIntervalMs: node.settings.times.reportIntervalMs,
       onTargetLeaving: ({ id, incarnation }) =>
-        control.markLeaving(id, incarnation),
-      onLoading: (loading) => control.publishLoading(loading),
-      onLoaded: (loaded) => control.publishLoaded(loaded),
+        control.targets.markLeaving(id, incarnation),
+      onLoading: (loading) => control.targets.publishLoading(loading),
+      onLoaded: (loaded) => control.targets.publishLoaded(loaded),
     });
   }
 
@@ -277,7 +277,7 @@
     return new CapacityScaler({
       lease,
       receiver,
-      registry: control.registry,
+      registry: control.targets.registry,
       logger: node.logger,
       policy: () => control.state.policy,
       now: () => clock.now(),
--- a/src/tasks/fleet/fleet_control.ts
+++ b/src/tasks/fleet/fleet_control.ts
@@ -1,10 +1,9 @@
-/** The replicated control log and the registry of targets. */
+/** The replicated control log of a control instance. */
 import { UsageTotals, type UsageWindows } from "../../core/calls/mod.ts";
 import { instanceOf } from "../../core/consensus/mod.ts";
 import {
   type FleetCommand,
   type FleetCommandResult,
-  type FleetNotice,
   FleetRole,
   type FleetSnapshot,
   FleetState,
@@ -20,22 +19,18 @@
   findPolicyFaults,
   type PolicyDocument,
 } from "../../core/policy/mod.ts";
-import {
-  type LoadedVersion,
-  RegistryChange,
-  TargetRegistry,
-  type TargetReport,
-} from "../../core/registry/mod.ts";
+import { TargetRegistry } from "../../core/registry/mod.ts";
 import {
   RefusalError,
   RefusalReason,
   Verdict,
 } from "../../core/verdict/mod.ts";
 import { LogService, LogStore } from "../log/mod.ts";
+import { settleWithin } from "../settle.ts";
 import type { FleetNode } from "./fleet_node.ts";
 import { FleetPublisher } from "./fleet_publisher.ts";
 import { createLogOptions } from "./fleet_log.ts";
-import { logTargetChanged } from "./target_log.ts";
+import { TargetDirectory } from "./target_directory.ts";
 
 /** Options of {@link FleetControl}. */
 export interface FleetControlOptions {
@@ -95,10 +90,10 @@
   FleetState
 >;
 
-/** Owns a replica of the control log and the registry of targets. */
+/** Owns a replica of the control log and the directory of targets. */
 export class FleetControl {
   /** Targets that have registered with this or another control instance. */
-  readonly registry = new TargetRegistry();
+  readonly targets: TargetDirectory;
   /** Started requests, as reported by the entry instances. */
   readonly usageTotals = new UsageTotals();
   readonly #options: FleetControlOptions;
@@ -111,9 +106,10 @@
     this.#options = options;
     this.#service = this.#createService();
     const { node } = options;
+    const registry = new TargetRegistry();
     this.#publisher = new FleetPublisher({
       node,
-      registry: this.registry,
+      registry,
       state: () => this.state,
       leadsTerm: () => this.leadsTerm,
       now: options.now,
@@ -134,7 +130,14 @@
         FleetMethod.Permits,
         (params) => this.#grantPermits(params as PermitRequest),
       );
-    node.onNotice = (notice) => this.#onNotice(notice);
+    this.targets = new TargetDirectory({
+      node,
+      registry,
+      publisher: this.#publisher,
+      now: options.now,
+      onChanged: options.onChanged,
+    });
+    node.onNotice = (notice) => this.targets.onNotice(notice);
   }
 
   /** Gets the state that this replica has applied; it may lag the leader's. */
@@ -217,44 +220,13 @@
     return (reply as { source: string | undefined }).source;
   }
 
-  /** Merges a target's report and forwards it to other control instances. */
-  mergeReport(report: TargetReport): void {
-    this.#applyReport(report);
-    this.#publisher.forwardReport(report);
-  }
-
-  /** Removes a target and informs the other instances. */
-  removeTarget(id: string, incarnation: number | undefined): void {
-    const { now } = this.#options;
-    const previous = this.registry.get(id)?.report;
-    if (!this.registry.remove(id, incarnation, now())) return;
-    const removed = this.registry.get(id)?.report;
-    if (removed === undefined) return;
-    this.#onTargetChanged(removed, previous);
-    this.#publisher.forwardReport(removed);
-  }
-
-  /** Records that a target has loaded weights, and publishes it. */
-  publishLoaded(loaded: LoadedVersion): void {
-    this.registry.recordVersion(loaded);
-    this.#publisher.publishLoad("loaded", loaded);
-  }
-
-  /** Publishes that a target has been ordered to load weights. */
-  publishLoading(loading: LoadedVersion): void {
-    this.#publisher.publishLoad("loading", loading);
-  }
-
   /**
    * Proposes a command, through the leader if this replica does not lead.
    * @throws RefusalError if it is not committed in time; it may still be.
    */
   async propose(command: FleetCommand): Promise<FleetCommandResult> {
     if (this.leadsTerm !== undefined) {
-      return await withTimeout(
-        this.#service.propose(command),
-        REQUEST_TIMEOUT_MS,
-      );
+      return await this.#proposeAsLeader(command);
     }
     return await this.#options.node.requestLeader(
       FleetRole.Control,
@@ -263,6 +235,18 @@
     ) as FleetCommandResult;
   }
 
+  /** Refuses a command that is not stored before its sender stops waiting. */
+  async #proposeAsLeader(command: FleetCommand): Promise<FleetCommandResult> {
+    const stored = this.#service.propose(command);
+    const settled = await settleWithin(stored, REQUEST_TIMEOUT_MS);
+    if (settled.isSettled) return settled.value;
+    throw new RefusalError(
+      RefusalReason.ControlUnavailable,
+      Verdict.MayHaveRun,
+      { message: "Not stored in time", retryAfterMs: REQUEST_TIMEOUT_MS },
+    );
+  }
+
   #createService(): FleetLogService {
     const { node, dataFolder, now } = this.#options;
     const { settings, hub } = node;
@@ -294,21 +278,6 @@
     return [this.replica, ...others].filter((id) => id !== undefined);
   }
 
-  /**
-   * Records that an incarnation of a target leaves, and tells the followers and
-   * the other control instances.
-   */
-  markLeaving(id: string, incarnation: number): void {
-    const previous = this.registry.get(id)?.report;
-    if (!this.registry.markLeaving(id, incarnation)) return;
-    this.#onTargetChanged(this.registry.getReportOrThrow(id), previous);
-    this.#options.node.notifyRole(FleetRole.Control, {
-      type: "leaving",
-      target: id,
-      incarnation,
-    });
-  }
-
   async #confirm(
     request: ConfirmPolicyRequest,
   ): Promise<ConfirmPolicyReply> {
@@ -365,45 +334,9 @@
     node.notifyRole(FleetRole.Entry, { type: "suspicions", ...update });
   }
 
-  #onNotice(notice: FleetNotice): void {
-    if (notice.type === "loaded") this.registry.recordVersion(notice);
-    if (notice.type === "leaving") {
-      this.markLeaving(notice.target, notice.incarnation);
-    }
-    if (notice.type === "limit") this.#recordLimit(notice);
-    if (notice.type !== "targets") return;
-    for (const report of notice.reports) this.#applyReport(report);
-  }
-
-  /** Records a rate that a target names, and passes it on once. */
-  #recordLimit(notice: Extract<FleetNotice, { type: "limit" }>): void {
-    const { target, incarnation, maxPerSecond } = notice;
-    if (!this.registry.recordLimit(target, incarnation, maxPerSecond)) return;
-    const { node } = this.#options;
-    node.logger.event("targetLimited", { target, maxPerSecond });
-    for (const role of Object.values(FleetRole)) node.notifyRole(role, notice);
-  }
-
-  #applyReport(report: TargetReport): void {
-    const previous = this.registry.get(report.id)?.report;
-    const change = this.registry.merge(report, this.#options.now());
-    if (change !== RegistryChange.Changed) return;
-    this.#onTargetChanged(this.registry.getReportOrThrow(report.id), previous);
-  }
-
-  #onTargetChanged(
-    report: TargetReport,
-    previous: TargetReport | undefined,
-  ): void {
-    const { node, onChanged } = this.#options;
-    logTargetChanged(node.logger, report);
-    this.#publisher.publishTarget(report, previous);
-    onChanged();
-  }
-
   #maintain(): void {
     const { node, now } = this.#options;
-    this.registry.prune(now());
+    this.targets.registry.prune(now());
     this.#service.updateGauges();
     node.metrics.gauge("policy.revision", this.state.policyRevision);
     this.#publisher.resendMissing();
@@ -417,32 +350,3 @@
   const died = command.deaths.map(({ fingerprint }) => fingerprint);
   return [...command.completed, ...died];
 }
-
-/**
- * Rejects with a RefusalError if a promise does not settle within a timeout,
- * so that the caller gets the refusal before it stops waiting.
- */
-async function withTimeout<T>(
-  promise: Promise<T>,
-  timeoutMs: number,
-): Promise<T> {
-  let timer: NodeJS.Timeout | undefined;
-  const timeout = new Promise<never>((_resolve, reject) => {
-    timer = setTimeout(
-      () =>
-        reject(
-          new RefusalError(
-            RefusalReason.ControlUnavailable,
-            Verdict.MayHaveRun,
-            { message: "Not stored in time", retryAfterMs: timeoutMs },
-          ),
-        ),
-      timeoutMs,
-    );
-  });
-  try {
-    return await Promise.race([promise, timeout]);
-  } finally {
-    clearTimeout(timer);
-  }
-}
--- /dev/null
+++ b/src/tasks/fleet/target_directory.ts
@@ -0,0 +1,114 @@
+/** Targets known to a control instance, kept in step with the other instances. */
+import { type FleetNotice, FleetRole } from "../../core/fleet/mod.ts";
+import {
+  type LoadedVersion,
+  RegistryChange,
+  type TargetRegistry,
+  type TargetReport,
+} from "../../core/registry/mod.ts";
+import type { FleetNode } from "./fleet_node.ts";
+import type { FleetPublisher } from "./fleet_publisher.ts";
+import { logTargetChanged } from "./target_log.ts";
+
+/** Options of {@link TargetDirectory}. */
+export interface TargetDirectoryOptions {
+  readonly node: FleetNode;
+  readonly registry: TargetRegistry;
+  readonly publisher: FleetPublisher;
+  /** Gets the local monotonic time, in milliseconds. */
+  readonly now: () => number;
+  /** Called when a target has changed. */
+  readonly onChanged: () => void;
+}
+
+/** Merges what targets and instances say of targets, and passes it on. */
+export class TargetDirectory {
+  /** Targets that have registered with this or another control instance. */
+  readonly registry: TargetRegistry;
+  readonly #options: TargetDirectoryOptions;
+
+  constructor(options: TargetDirectoryOptions) {
+    this.#options = options;
+    this.registry = options.registry;
+  }
+
+  /** Merges a target's report and forwards it to other control instances. */
+  merge(report: TargetReport): void {
+    this.#applyReport(report);
+    this.#options.publisher.forwardReport(report);
+  }
+
+  /** Removes a target and informs the other instances. */
+  remove(id: string, incarnation: number | undefined): void {
+    const { now } = this.#options;
+    const previous = this.registry.get(id)?.report;
+    if (!this.registry.remove(id, incarnation, now())) return;
+    const removed = this.registry.get(id)?.report;
+    if (removed === undefined) return;
+    this.#onTargetChanged(removed, previous);
+    this.#options.publisher.forwardReport(removed);
+  }
+
+  /** Records that a target has loaded weights, and publishes it. */
+  publishLoaded(loaded: LoadedVersion): void {
+    this.registry.recordVersion(loaded);
+    this.#options.publisher.publishLoad("loaded", loaded);
+  }
+
+  /** Publishes that a target has been ordered to load weights. */
+  publishLoading(loading: LoadedVersion): void {
+    this.#options.publisher.publishLoad("loading", loading);
+  }
+
+  /**
+   * Records that an incarnation of a target leaves, and tells the followers and
+   * the other control instances.
+   */
+  markLeaving(id: string, incarnation: number): void {
+    const previous = this.registry.get(id)?.report;
+    if (!this.registry.markLeaving(id, incarnation)) return;
+    this.#onTargetChanged(this.registry.getReportOrThrow(id), previous);
+    this.#options.node.notifyRole(FleetRole.Control, {
+      type: "leaving",
+      target: id,
+      incarnation,
+    });
+  }
+
+  /** Applies a notice of another instance. */
+  onNotice(notice: FleetNotice): void {
+    if (notice.type === "loaded") this.registry.recordVersion(notice);
+    if (notice.type === "leaving") {
+      this.markLeaving(notice.target, notice.incarnation);
+    }
+    if (notice.type === "limit") this.#recordLimit(notice);
+    if (notice.type !== "targets") return;
+    for (const report of notice.reports) this.#applyReport(report);
+  }
+
+  /** Records a rate that a target names, and passes it on once. */
+  #recordLimit(notice: Extract<FleetNotice, { type: "limit" }>): void {
+    const { target, incarnation, maxPerSecond } = notice;
+    if (!this.registry.recordLimit(target, incarnation, maxPerSecond)) return;
+    const { node } = this.#options;
+    node.logger.event("targetLimited", { target, maxPerSecond });
+    for (const role of Object.values(FleetRole)) node.notifyRole(role, notice);
+  }
+
+  #applyReport(report: TargetReport): void {
+    const previous = this.registry.get(report.id)?.report;
+    const change = this.registry.merge(report, this.#options.now());
+    if (change !== RegistryChange.Changed) return;
+    this.#onTargetChanged(this.registry.getReportOrThrow(report.id), previous);
+  }
+
+  #onTargetChanged(
+    report: TargetReport,
+    previous: TargetReport | undefined,
+  ): void {
+    const { node, onChanged } = this.#options;
+    logTargetChanged(node.logger, report);
+    this.#options.publisher.publishTarget(report, previous);
+    onChanged();
+  }
+}
