--- a/src/core/calls/call_placement.ts
+++ b/src/core/calls/call_placement.ts
@@ -1,4 +1,4 @@
-/** Selects the target that runs a call. */
+/** Order of the targets that may run a call. */
 
 /** State of a target that placement depends on. */
 export interface CallTarget {
@@ -14,7 +14,7 @@
   readonly isLimited: boolean;
 }
 
-/** Input of {@link placeCall}. */
+/** Input of {@link rankTargets}. */
 export interface CallPlacementInput {
   readonly targets: readonly CallTarget[];
   /** Local data centre. */
@@ -31,19 +31,13 @@
 const LIMITED_FACTOR = 4;
 
 /**
- * Selects the target with the shortest expected latency, or undefined if all
- * have been tried.
+ * Gets the targets that have not been tried, by their expected latency.
  *
  * @example
  * ```ts
- * const target = placeCall({ targets, dataCentre: "a", tried: new Set() });
+ * const [best] = rankTargets({ targets, dataCentre: "a", tried: new Set() });
  * ```
  */
-export function placeCall(input: CallPlacementInput): CallTarget | undefined {
-  return rankTargets(input)[0];
-}
-
-/** Gets the targets that have not been tried, the best ones first. */
 export function rankTargets(input: CallPlacementInput): CallTarget[] {
   const { targets, dataCentre, tried } = input;
   const costOf = (target: CallTarget) =>
