Items of one version wait a second for their version before they begin anew

What callers would see: a long run of a one-version route that its engine refused for a moment began anew at another version, and its text was lost.

--- a/src/core/batches/item_tracker.ts
+++ b/src/core/batches/item_tracker.ts
@@ -15,6 +15,8 @@
   silentRuns: number;
   /** Time before which the item is not run again, in milliseconds. */
   notBefore: number;
+  /** Time since which no target can go on with the partial output. */
+  strandedAt: number | undefined;
   /** Targets that run the item again only if no other target is eligible. */
   readonly excludedTargets: Set<string>;
 }
@@ -49,6 +51,7 @@
       interruptedRuns: 0,
       silentRuns: 0,
       notBefore: -Infinity,
+      strandedAt: undefined,
       excludedTargets: new Set(),
     };
     this.#progress.set(item.id, progress);
@@ -81,6 +84,21 @@
     return this;
   }
 
+  /**
+   * Records whether any target can go on with an item's partial output.
+   * @returns The time for which none can, in milliseconds; 0 if one can.
+   */
+  trackStranded(item: BatchItem, isStranded: boolean, now: number): number {
+    const known = this.#progress.get(item.id);
+    if (!isStranded) {
+      if (known !== undefined) known.strandedAt = undefined;
+      return 0;
+    }
+    const progress = known ?? this.progressOf(item);
+    progress.strandedAt ??= now;
+    return now - progress.strandedAt;
+  }
+
   /**
    * Gets the complete output of an item, or the longest that a run of it can
    * resume from: the batch must allow the weight versions that generated it.
--- a/src/tasks/batches/batch_runner.ts
+++ b/src/tasks/batches/batch_runner.ts
@@ -65,6 +65,11 @@
 const LONG_RUN_MS = 500;
 /** Maximum number of items sent to targets in one round. */
 const MAX_PLACED_PER_ROUND = 64;
+/**
+ * Time for which an item waits for a target that can go on with its partial
+ * output, before it begins anew.
+ */
+const STRANDED_WAIT_MS = 1_000;
 
 /**
  * Places items on targets, moves runs off silent or slow targets and stores the
@@ -398,7 +403,12 @@
       this.#results.reuseText(record, item, known);
       return true;
     }
-    const text = placer.isStranded(waiting, known) ? new RunText() : known;
+    const strandedMs = this.#itemTracker.trackStranded(
+      item,
+      placer.isStranded(waiting, known),
+      this.#options.now(),
+    );
+    const text = strandedMs < STRANDED_WAIT_MS ? known : new RunText();
     const chosen = placer.choose(waiting, text);
     if (chosen === undefined) return false;
     const target = registry.get(chosen.id)?.report;
--- a/src/tasks/batches/batch_runner_test.ts
+++ b/src/tasks/batches/batch_runner_test.ts
@@ -203,6 +203,24 @@
     expect(engines.active).toHaveLength(1);
   });
 
+  it("goes on with a one-version item at a target that refused it just now", () => {
+    const { engines, step } = start(
+      [target("t1"), target("t2", { versions: { m: 6 } })],
+      [spec(["x1"], { isSingleVersion: true })],
+    );
+    const [first] = engines.runs;
+    expect(first.request.target.id).toBe("t1");
+    first.sink.onEvent({ id: 1, data: "a" });
+    first.sink.onFailure(RunFailure.Refused, "503");
+    step(900);
+    expect(engines.runs).toHaveLength(2);
+    expect(engines.runs[1].request).toMatchObject({
+      target: { id: "t1" },
+      resumeAfter: 1,
+      expectVersion: 5,
+    });
+  });
+
   it("begins a one-version item anew if no target has its version any more", () => {
     const { engines, step, registry } = start(
       [target("t1"), target("t2")],
--- a/src/tasks/batches/item_placer.ts
+++ b/src/tasks/batches/item_placer.ts
@@ -79,8 +79,8 @@
   }
 
   /**
-   * Gets whether no target can go on with a text that a single weight version
-   * must generate. Versions only rise, so waiting would not help.
+   * Gets whether no target can go on now with a text that a single weight
+   * version must generate.
    */
   isStranded({ record, item }: WaitingItem, { versions }: RunText): boolean {
     const { isSingleVersion, service } = record.spec;
