Tests: fleets create their targets, where three tests and the soak wrote them out

FleetDeployment.createTarget has the defaults that four places repeated. Tests of the fleet, of crash requests and of limited targets, and the seeded fleet soak passed.

--- a/soak/fleet/fleet_soak.ts
+++ b/soak/fleet/fleet_soak.ts
@@ -2,7 +2,7 @@
 import { uniformFloat64 } from "pure-rand/distribution/uniformFloat64";
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
 import { FleetReceiver } from "../../fakes/fleet_receiver.ts";
-import { FleetReplica } from "../../fakes/fleet_replica.ts";
+import type { FleetReplica } from "../../fakes/fleet_replica.ts";
 import { FleetRole } from "../../src/core/fleet/mod.ts";
 import {
   FleetDeployment,
@@ -188,13 +188,9 @@
   }
 
   #createReplica(models: readonly string[]): FleetReplica {
-    return new FleetReplica({
+    return this.#fleet.createTarget({
       service: models.length > 0 ? engines : apps,
-      zone: "a",
       models,
-      slots: 8,
-      controls: () => this.#fleet.controlAddresses,
-      workMs: 15,
       loadMs: 300,
       isFencingEnabled: this.#options.areFencesChecked,
     });
--- a/tests/crash_requests_test.ts
+++ b/tests/crash_requests_test.ts
@@ -1,5 +1,5 @@
 import { afterAll, beforeAll, describe, expect, it } from "vitest";
-import { FleetReplica } from "../fakes/fleet_replica.ts";
+import type { FleetReplica } from "../fakes/fleet_replica.ts";
 import { FleetRole } from "../src/core/fleet/mod.ts";
 import { FleetDeployment, sleep } from "./support/fleet_deployment.ts";
 import { FLEET_NAMES, fleetPolicy } from "./support/fleet_policy.ts";
@@ -27,16 +27,7 @@
   let isOver = false;
 
   function createTarget(): FleetReplica {
-    const target = new FleetReplica({
-      service: apps,
-      zone: "a",
-      models: [],
-      slots: 8,
-      controls: () => fleet.controlAddresses,
-      workMs: 15,
-      loadMs: 200,
-      isFencingEnabled: true,
-    });
+    const target = fleet.createTarget({ service: apps });
     target.crashesOn = (path) => path.includes("crash");
     target.onCrashed = () => {
       crashes.push(Date.now());
--- a/tests/fleet_test.ts
+++ b/tests/fleet_test.ts
@@ -1,6 +1,6 @@
 import { afterAll, beforeAll, describe, expect, it, vi } from "vitest";
 import { FleetReceiver } from "../fakes/fleet_receiver.ts";
-import { FleetReplica } from "../fakes/fleet_replica.ts";
+import type { FleetReplica } from "../fakes/fleet_replica.ts";
 import { outputOf } from "../fakes/fleet_text.ts";
 import { FleetRole } from "../src/core/fleet/mod.ts";
 import {
@@ -23,19 +23,6 @@
   let replicas: FleetReplica[] = [];
   let app: FleetReplica;
 
-  function createReplica(service: string, models: readonly string[]) {
-    return new FleetReplica({
-      service,
-      zone: "a",
-      models,
-      slots: 8,
-      controls: () => fleet.controlAddresses,
-      workMs: 15,
-      loadMs: 200,
-      isFencingEnabled: true,
-    });
-  }
-
   beforeAll(async () => {
     await receiver.start();
     fleet = new FleetDeployment({
@@ -47,10 +34,10 @@
     });
     await fleet.startAll(fleetPolicy({ version: 1, keys: [KEY] }));
     replicas = [
-      createReplica(engines, [model]),
-      createReplica(engines, [model]),
+      fleet.createTarget({ service: engines, models: [model] }),
+      fleet.createTarget({ service: engines, models: [model] }),
     ];
-    app = createReplica(apps, []);
+    app = fleet.createTarget({ service: apps });
     for (const replica of [...replicas, app]) await replica.start();
     trainer = new FleetTrainer({
       entries: fleet.entries,
@@ -267,7 +254,7 @@
   it(
     "sends no call to a target that says in responses that it leaves",
     async () => {
-      const leaving = await createReplica(apps, []).start();
+      const leaving = await fleet.createTarget({ service: apps }).start();
       leaving.saysLeaving = true;
       const send = (id: string) =>
         trainer.sendCall(`${plain}leaving/${id}`, { id, deadlineMs: 2_000 });
--- a/tests/limited_targets_test.ts
+++ b/tests/limited_targets_test.ts
@@ -1,5 +1,5 @@
 import { afterAll, beforeAll, beforeEach, describe, expect, it } from "vitest";
-import { FleetReplica } from "../fakes/fleet_replica.ts";
+import type { FleetReplica } from "../fakes/fleet_replica.ts";
 import { FleetDeployment, sleep } from "./support/fleet_deployment.ts";
 import { FLEET_NAMES, fleetPolicy } from "./support/fleet_policy.ts";
 import { FleetTrainer } from "./support/fleet_trainer.ts";
@@ -25,19 +25,6 @@
   const services: FleetReplica[] = [];
   const llms: FleetReplica[] = [];
 
-  function createTarget(service: string, models: readonly string[]) {
-    return new FleetReplica({
-      service,
-      zone: "a",
-      models,
-      slots: models.length > 0 ? 8 : 64,
-      controls: () => fleet.controlAddresses,
-      workMs: 60,
-      loadMs: 200,
-      isFencingEnabled: true,
-    });
-  }
-
   beforeAll(async () => {
     fleet = new FleetDeployment({
       net: await LoopbackNet.claim(),
@@ -46,8 +33,14 @@
       entries: 3,
     });
     await fleet.startAll(fleetPolicy({ version: 1, keys: [KEY] }));
-    for (let i = 0; i < 3; i += 1) services.push(createTarget(apps, []));
-    for (let i = 0; i < 2; i += 1) llms.push(createTarget(engines, [model]));
+    const workMs = 60;
+    for (let i = 0; i < 3; i += 1) {
+      services.push(fleet.createTarget({ service: apps, slots: 64, workMs }));
+    }
+    for (let i = 0; i < 2; i += 1) {
+      const models = [model];
+      llms.push(fleet.createTarget({ service: engines, models, workMs }));
+    }
     for (const target of [...services, ...llms]) await target.start();
     client = new FleetTrainer({
       entries: fleet.entries,
--- a/tests/support/fleet_deployment.ts
+++ b/tests/support/fleet_deployment.ts
@@ -3,6 +3,10 @@
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { request } from "undici";
+import {
+  FleetReplica,
+  type FleetReplicaOptions,
+} from "../../fakes/fleet_replica.ts";
 import { FleetRole } from "../../src/core/fleet/mod.ts";
 import type { LoopbackNet } from "./loopback_net.ts";
 import { ProcessGroup, type StartedProcess } from "./process_group.ts";
@@ -103,6 +107,24 @@
     await this.waitUntilReady();
   }
 
+  /** Creates a target that registers with the control instances. */
+  createTarget(
+    options:
+      & Pick<FleetReplicaOptions, "service">
+      & Partial<FleetReplicaOptions>,
+  ): FleetReplica {
+    return new FleetReplica({
+      zone: "a",
+      models: [],
+      slots: 8,
+      controls: () => this.controlAddresses,
+      workMs: 15,
+      loadMs: 200,
+      isFencingEnabled: true,
+      ...options,
+    });
+  }
+
   /** Writes the settings of a machine and starts its process. */
   start(machine: FleetMachine, isFirstStart = false): void {
     const file = join(machine.folder, "settings.json");
