One wait for slow callers in both halves

Found in reading the diff: the wait for a response to drain, written for streams of a fleet, stood in CallerSink already. Both call src/tasks/drained.ts. No behaviour changes.

--- a/src/tasks/calls/call_run.ts
+++ b/src/tasks/calls/call_run.ts
@@ -322,7 +322,7 @@
     });
   }
 
-  /** Gets the fingerprint, which is computed only once it is needed. */
+  /** Gets the fingerprint, which is computed once. */
   get #fingerprint(): string {
     const { call, admission } = this.#options;
     this.#knownFingerprint ??= fingerprintOf(call, admission.workspace?.name);
--- a/src/tasks/targets/caller_sink.ts
+++ b/src/tasks/targets/caller_sink.ts
@@ -3,6 +3,7 @@
 import type { EventSourceParser } from "eventsource-parser";
 import { completionChunkSchema, STREAM_END } from "../../protocol/mod.ts";
 import type { StoredResponse } from "../../core/ledger/mod.ts";
+import { drained } from "../drained.ts";
 import { createEventParser } from "../response_limits.ts";
 import type { ResponseHead, ResponseSink } from "./exchange.ts";
 
@@ -151,15 +152,7 @@
 
   async #write(chunk: Buffer): Promise<void> {
     if (this.#res.destroyed || this.#res.write(chunk)) return;
-    await new Promise<void>((resolve) => {
-      const done = () => {
-        this.#res.off("drain", done);
-        this.#res.off("close", done);
-        resolve();
-      };
-      this.#res.once("drain", done);
-      this.#res.once("close", done);
-    });
+    await drained(this.#res);
   }
 
   #onEvent(data: string): void {
