--- a/src/tasks/calls/call_run.ts
+++ b/src/tasks/calls/call_run.ts
@@ -23,11 +23,12 @@
 import type { CrashGuard } from "./crash_guard.ts";
 import type { RateGuard } from "./rate_guard.ts";
 import { firstDefined, settleWithin } from "../settle.ts";
-import type {
-  AttemptOutcome,
-  CallAttempt,
-  ResponseStream,
-  TargetPort,
+import {
+  type AttemptOutcome,
+  type CallAttempt,
+  ConnectionState,
+  type ResponseStream,
+  type TargetPort,
 } from "./target_port.ts";
 
 /** Dependencies that all runs of an instance share. */
@@ -89,6 +90,8 @@
    */
   #attemptsRun = 0;
   #failedResponses = 0;
+  /** States of the connections of the attempts in flight, by target. */
+  readonly #connections = new Map<string, () => ConnectionState>();
   #knownFingerprint: string | undefined;
 
   constructor(dependencies: CallRunDependencies, options: CallRunOptions) {
@@ -204,6 +207,8 @@
         request: this.#options.call.id,
         target: second.id,
         reason: "slow",
+        slowTarget: target.id,
+        connection: this.#connectionOf(target.id),
         waitedMs: Math.round(hedgeDelayMs),
       });
       return await firstDefined([first, this.#attempt(second, hedge.signal)]);
@@ -233,6 +238,7 @@
       maxConnections: admission.policy.getService(report.service)
         ?.maxConnections ?? 1,
       onSigns: (signs) => this.#dependencies.onSigns(report, signs),
+      onConnection: (getState) => this.#connections.set(report.id, getState),
     };
     const outcome = stream === undefined
       ? await this.#dependencies.targets.send(attempt)
@@ -317,11 +323,16 @@
       request: this.#options.call.id,
       target,
       reason: detail,
+      connection: this.#connectionOf(target),
       leftMs: Math.round(this.#remainingMs),
       fingerprint: this.#fingerprint,
     });
   }
 
+  #connectionOf(target: string): ConnectionState {
+    return this.#connections.get(target)?.() ?? ConnectionState.None;
+  }
+
   /** Gets the fingerprint, which is computed once. */
   get #fingerprint(): string {
     const { call, admission } = this.#options;
--- a/src/tasks/calls/target_connections.ts
+++ b/src/tasks/calls/target_connections.ts
@@ -2,6 +2,7 @@
 import type { Socket } from "node:net";
 import { type buildConnector, Client } from "undici";
 import { createTargetConnector, resetConnection } from "../target_connector.ts";
+import { ConnectionState } from "./target_port.ts";
 
 /** Options of {@link TargetConnections}. */
 export interface TargetConnectionsOptions {
@@ -37,6 +38,8 @@
   readonly #options: TargetConnectionsOptions;
   readonly #pools = new Map<string, ConnectionPool>();
   readonly #sockets = new WeakMap<Client, Socket>();
+  /** Connections that have served a request before. */
+  readonly #used = new WeakSet<Client>();
   /** Removes the listener of the request in progress. */
   readonly #stopListening = new WeakMap<Client, () => void>();
   readonly #connect: buildConnector.connector;
@@ -73,6 +76,14 @@
     return client;
   }
 
+  /** Gets how far the connection of a request has come. */
+  stateOf(client: Client): ConnectionState {
+    if (this.#used.has(client)) return ConnectionState.Kept;
+    return this.#sockets.has(client)
+      ? ConnectionState.New
+      : ConnectionState.Opening;
+  }
+
   /**
    * Resets the connection of a request as soon as a signal aborts, until the
    * connection is released. Must be called before the request is sent with the
@@ -112,6 +123,7 @@
     this.#stopListening.delete(client);
     const pool = this.#pools.get(address);
     if (pool !== undefined && options.isClean && !client.destroyed) {
+      this.#used.add(client);
       pool.idle.push(client);
       return;
     }
--- a/src/tasks/calls/target_port.ts
+++ b/src/tasks/calls/target_port.ts
@@ -2,6 +2,22 @@
 import type { CallRequest, CallResponse } from "../../core/calls/mod.ts";
 import type { TargetSigns } from "../../core/registry/mod.ts";
 
+/** How far the connection of an attempt has come. */
+export const ConnectionState = {
+  /** No connection is allowed or assigned yet. */
+  None: "none",
+  /** It is being opened; nothing has been sent. */
+  Opening: "opening",
+  /** It was opened for this attempt. */
+  New: "new",
+  /** It was open already and has served an earlier request. */
+  Kept: "kept",
+} as const;
+
+/** One of the values of {@link ConnectionState}. */
+export type ConnectionState =
+  typeof ConnectionState[keyof typeof ConnectionState];
+
 /** A single attempt of a call at a target. */
 export interface CallAttempt {
   readonly call: CallRequest;
@@ -16,6 +32,8 @@
   readonly maxConnections: number;
   /** Called with what the target says of itself in the head of a response. */
   readonly onSigns: (signs: TargetSigns) => void;
+  /** Called with the state of the connection that the attempt uses. */
+  readonly onConnection?: (getState: () => ConnectionState) => void;
 }
 
 /** Outcome of an attempt. */
