Test: a connection attempt without an answer ends at its timeout; fails

Found in the timeline of the stranded instances: attempts with a timeout of 400 ms ended after 500 to 1,000 ms. The test has a listener that accepts nothing and compares two timers of one process; the attempt has not ended when the later one fires.

--- a/src/tasks/target_connector_test.ts
+++ b/src/tasks/target_connector_test.ts
@@ -3,6 +3,7 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { afterEach, beforeEach, describe, expect, it } from "vitest";
 import { Client } from "undici";
+import { BlockedListener } from "../../tests/support/blocked_listener.ts";
 import { TargetConnections } from "./calls/mod.ts";
 import { createTargetAgent } from "./targets/mod.ts";
 
@@ -93,3 +94,24 @@
     expect(await doTest(client, cancel, 2 * PAUSE_MS)).toBe("broken");
   });
 });
+
+describe("a connection attempt without an answer", () => {
+  const TIMEOUT_MS = 400;
+  /** Timers of one process fire in the order in which they are due. */
+  const LATER_MS = 2 * TIMEOUT_MS;
+
+  it("ends at its timeout", async () => {
+    const listener = await BlockedListener.start();
+    const connections = new TargetConnections({
+      connectTimeoutMs: TIMEOUT_MS,
+      idleTimeoutMs: TIMEOUT_MS,
+    });
+    const attempt = connections.acquire(listener.address, 1)
+      .request({ method: "GET", path: "/" })
+      .then(() => "answered", (err) => err.code);
+    const later = sleep(LATER_MS).then(() => "later");
+    expect(await Promise.race([attempt, later]))
+      .toBe("UND_ERR_CONNECT_TIMEOUT");
+    await listener.stop();
+  });
+});
