Connections to targets: one pool for both halves, whose connect timeout holds

Callers of instances that had lost their targets waited 500 to 1,000 ms for each connection attempt, with a timeout of 400 ms set. Cause: the HTTP client's connect timer ticks every 499 ms and rounds up. Connections are now dialled by code of our own with a timer of their own (tasks/paths), and the dispatcher's half uses the same pool in place of the client's agent; its orders of weights keep an agent of their own. Ruled out: load (the attempts waited in the state opening, and the process was idle).

Socket options are as before (strace of both libraries): keep-alive after 60 s, every 1 s, 10 probes; no TCP_USER_TIMEOUT anywhere; the libraries of the links between instances set TCP_NODELAY alone.

--- a/src/tasks/calls/call_run.ts
+++ b/src/tasks/calls/call_run.ts
@@ -23,12 +23,12 @@
 import type { CrashGuard } from "./crash_guard.ts";
 import type { RateGuard } from "./rate_guard.ts";
 import { firstDefined, settleWithin } from "../settle.ts";
-import {
-  type AttemptOutcome,
-  type CallAttempt,
-  ConnectionState,
-  type ResponseStream,
-  type TargetPort,
+import { ConnectionState } from "../paths/mod.ts";
+import type {
+  AttemptOutcome,
+  CallAttempt,
+  ResponseStream,
+  TargetPort,
 } from "./target_port.ts";
 
 /** Dependencies that all runs of an instance share. */
--- a/src/tasks/calls/mod.ts
+++ b/src/tasks/calls/mod.ts
@@ -4,4 +4,3 @@
 export * from "./crash_guard.ts";
 export * from "./rate_guard.ts";
 export * from "./target_port.ts";
-export * from "./target_connections.ts";
--- a/src/tasks/calls/target_port.ts
+++ b/src/tasks/calls/target_port.ts
@@ -1,22 +1,7 @@
 /** The interface through which calls are sent to targets. */
 import type { CallRequest, CallResponse } from "../../core/calls/mod.ts";
 import type { TargetSigns } from "../../core/registry/mod.ts";
-
-/** How far the connection of an attempt has come. */
-export const ConnectionState = {
-  /** No connection is allowed or assigned yet. */
-  None: "none",
-  /** It is being opened; nothing has been sent. */
-  Opening: "opening",
-  /** It was opened for this attempt. */
-  New: "new",
-  /** It was open already and has served an earlier request. */
-  Kept: "kept",
-} as const;
-
-/** One of the values of {@link ConnectionState}. */
-export type ConnectionState =
-  typeof ConnectionState[keyof typeof ConnectionState];
+import type { ConnectionState } from "../paths/mod.ts";
 
 /** A single attempt of a call at a target. */
 export interface CallAttempt {
--- a/src/tasks/instance.ts
+++ b/src/tasks/instance.ts
@@ -209,7 +209,8 @@
     this.#steps.stop();
     for (const watcher of this.#watchers) watcher.stop();
     await this.#orderDelivery?.stop();
-    await this.#dispatch.stop();
+    await this.#weightSwaps.stop();
+    this.#dispatch.stop();
     this.#server.stop();
     await this.#cluster?.stop();
     await this.#metrics.close();
@@ -311,7 +312,6 @@
     return new WeightSwapTask({
       control: this.#control,
       dispatch: this.#dispatch,
-      agent: this.#dispatch.agent,
       credential: readSecretIfSet(targetCredentialFile),
       authority: () => this.#getTargetAuthority(),
       logger: this.#logger,
--- a/src/tasks/leader/weight_swap_task.ts
+++ b/src/tasks/leader/weight_swap_task.ts
@@ -1,5 +1,5 @@
 /** Rolling update of the weights of a data centre's targets. */
-import { type Agent, request } from "undici";
+import { Agent, request } from "undici";
 import {
   type Target,
   TargetEvent,
@@ -28,7 +28,6 @@
   readonly control: ControlPort;
   /** Registry of the targets. */
   readonly dispatch: DispatchTask;
-  readonly agent: Agent;
   /** Bearer token sent to targets. */
   readonly credential?: string;
   /** Gets the current authority of this process. */
@@ -55,6 +54,7 @@
  */
 export class WeightSwapTask {
   readonly #options: WeightSwapTaskOptions;
+  readonly #agent = new Agent({ pipelining: 1 });
   /** IDs of the targets that are loading weights. */
   readonly #swapping = new Set<string>();
   /** Earliest time of the next attempt after a failure, by target ID. */
@@ -123,11 +123,16 @@
     this.startSwaps();
   }
 
+  /** Closes the connections of orders. */
+  async stop(): Promise<void> {
+    await this.#agent.destroy();
+  }
+
   async #sendLoadOrder(
     target: Target,
     order: { model: string; version: number },
   ): Promise<boolean> {
-    const { agent, authority, credential } = this.#options;
+    const { authority, credential } = this.#options;
     const { epoch, view, leftMs } = authority();
     if (leftMs < MAX_SEND_MS) return false;
     this.#sequence += 1;
@@ -142,7 +147,7 @@
     try {
       const res = await request(target.announcement.url + WEIGHTS_PATH, {
         method: "POST",
-        dispatcher: agent,
+        dispatcher: this.#agent,
         idempotent: false,
         headers,
         body: JSON.stringify(order),
--- /dev/null
+++ b/src/tasks/paths/connection_reset.ts
@@ -0,0 +1,43 @@
+/** Resets of connections to targets, which never look like the end of a response. */
+import type { Duplex } from "node:stream";
+import { NutmegreelError } from "../../core/errors/mod.ts";
+
+/** A connection that can be closed with a reset. */
+export interface ResettableSocket extends Duplex {
+  resetAndDestroy(): unknown;
+}
+
+const RESET_CODE = "ECONNRESET";
+/** Code by which the HTTP client takes an error for that of a connection. */
+const SOCKET_ERROR_CODE = "UND_ERR_SOCKET";
+
+/** Error of a connection that was reset. */
+export class ConnectionResetError extends NutmegreelError {
+  constructor(message: string) {
+    super(SOCKET_ERROR_CODE, message);
+  }
+}
+
+/**
+ * Replaces the code of resets before the HTTP client sees it. The client takes a
+ * reset for the end of a response that has no length and ends with its
+ * connection, and does so by the error's code.
+ */
+export function relabelResets(socket: Duplex): void {
+  socket.on("error", (err: NodeJS.ErrnoException) => {
+    if (err.code === RESET_CODE) err.code = SOCKET_ERROR_CODE;
+  });
+}
+
+/**
+ * Resets a connection. The client is told by an error: without one it looks for
+ * the end of a response, and fails an assertion if it has paused the reading.
+ */
+export function resetConnection(socket: ResettableSocket): void {
+  if (socket.destroyed) return;
+  socket.emit(
+    "error",
+    new ConnectionResetError("The connection was reset by this instance"),
+  );
+  socket.resetAndDestroy();
+}
--- /dev/null
+++ b/src/tasks/paths/mod.ts
@@ -0,0 +1,7 @@
+/** Connections to targets, and the ways by which they are opened. */
+export * from "./connection_reset.ts";
+export * from "./connection_state.ts";
+export * from "./dial.ts";
+export * from "./target_connection.ts";
+export * from "./target_connections.ts";
+export * from "./target_paths.ts";
--- a/src/tasks/targets/dispatch_task.ts
+++ b/src/tasks/targets/dispatch_task.ts
@@ -1,5 +1,4 @@
 /** Executes the decisions of the dispatcher. */
-import type { Agent } from "undici";
 import {
   type AttemptOutcome,
   type DispatchEffect,
@@ -18,7 +17,7 @@
 import type { Logger } from "../../logging/mod.ts";
 import type { Metrics, RetryMetric } from "../../metrics/mod.ts";
 import {
-  createTargetAgent,
+  createTargetConnections,
   Exchange,
   type ExchangeResult,
 } from "./exchange.ts";
@@ -54,7 +53,7 @@
 export class DispatchTask {
   readonly #options: DispatchTaskOptions;
   readonly #dispatcher: Dispatcher;
-  readonly #agent: Agent = createTargetAgent();
+  readonly #connections = createTargetConnections();
   readonly #prober: TargetProber;
   readonly #jobs = new Map<string, ActiveJob>();
   readonly #timer: NodeJS.Timeout;
@@ -65,7 +64,7 @@
     this.#options = options;
     this.#dispatcher = new Dispatcher(options);
     this.#prober = new TargetProber({
-      agent: this.#agent,
+      connections: this.#connections,
       timeoutMs: options.probeTimeoutMs,
       credential: options.targetCredential,
     });
@@ -77,11 +76,6 @@
     return this.#dispatcher;
   }
 
-  /** Gets the HTTP agent that holds the connections to targets. */
-  get agent(): Agent {
-    return this.#agent;
-  }
-
   /** Gets the number of waiting and running jobs. */
   get size(): number {
     return this.#jobs.size;
@@ -191,11 +185,11 @@
     return this;
   }
 
-  /** Cancels all jobs and closes all connections. */
-  async stop(): Promise<void> {
+  /** Cancels all jobs, which resets their connections, and closes the others. */
+  stop(): void {
     clearInterval(this.#timer);
     for (const id of [...this.#jobs.keys()]) this.cancel(id);
-    await this.#agent.destroy();
+    this.#connections.closeIdleExcept(new Set());
   }
 
   #applyHealth(announcement: TargetAnnouncement, health: HealthResponse): void {
@@ -318,7 +312,7 @@
       firstTokenTimeoutMs: effect.firstTokenTimeoutMs,
       signal: abort.signal,
     }, sink);
-    const result = await exchange.run(this.#agent);
+    const result = await exchange.run(this.#connections);
     if (this.#jobs.get(item.id)?.abort !== abort) return;
     if (result.type === "failed" && result.isBroken) {
       await this.probe(targetId);
--- a/src/tasks/targets/exchange.ts
+++ b/src/tasks/targets/exchange.ts
@@ -1,7 +1,13 @@
 /** A single HTTP request to a target, and its response. */
-import { Agent, request } from "undici";
+import type { Dispatcher } from "undici";
 import { RefusalReason, Verdict } from "../../core/verdict/mod.ts";
-import { createTargetConnector } from "../target_connector.ts";
+import {
+  ConnectionsExhaustedError,
+  type TargetConnection,
+  TargetConnections,
+  TargetPaths,
+} from "../paths/mod.ts";
+import { parseTargetUrl } from "./target_url.ts";
 
 /** A request of an attempt at a target. */
 export interface ExchangeRequest {
@@ -61,8 +67,9 @@
 export const TARGET_VERDICT_HEADER = "x-nutmegreel-verdict";
 
 const CONNECT_TIMEOUT_MS = 2_000;
-const KEEP_ALIVE_TIMEOUT_MS = 10_000;
-const MAX_CONNECTIONS_PER_TARGET = 512;
+const IDLE_TIMEOUT_MS = 10_000;
+/** Bound of the connections of an instance to one target. */
+export const MAX_CONNECTIONS_PER_TARGET = 512;
 const MS_PER_SECOND = 1_000;
 const STATUS_TOO_MANY_REQUESTS = 429;
 const MIN_SERVER_ERROR_STATUS = 500;
@@ -81,19 +88,11 @@
   "UND_ERR_BODY_TIMEOUT",
 ]);
 
-/**
- * Creates the HTTP agent for targets. Requests are not pipelined, and timeouts
- * are left to {@link Exchange}.
- */
-export function createTargetAgent(): Agent {
-  return new Agent({
-    pipelining: 1,
-    connections: MAX_CONNECTIONS_PER_TARGET,
-    keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
-    connect: createTargetConnector(CONNECT_TIMEOUT_MS),
-    headersTimeout: 0,
-    bodyTimeout: 0,
-  });
+/** Creates a connection pool for targets. */
+export function createTargetConnections(
+  paths = new TargetPaths({ connectTimeoutMs: CONNECT_TIMEOUT_MS }),
+): TargetConnections {
+  return new TargetConnections({ paths, idleTimeoutMs: IDLE_TIMEOUT_MS });
 }
 
 /** Sends a request and reports its result. */
@@ -111,9 +110,9 @@
 
   /**
    * Sends the request and feeds the sink until the response ends.
-   * @param agent - Connections to targets.
+   * @param connections - Connections to targets.
    */
-  async run(agent: Agent): Promise<ExchangeResult> {
+  async run(connections: TargetConnections): Promise<ExchangeResult> {
     const { signal, timeoutMs, firstTokenTimeoutMs } = this.#request;
     if (signal.aborted) return { type: "aborted" };
     const onAbort = () => this.#abort.abort();
@@ -126,7 +125,7 @@
       );
     }
     try {
-      return await this.#exchange(agent);
+      return await this.#exchangeOn(connections);
     } catch (err) {
       return this.#toFailedResult(err);
     } finally {
@@ -136,11 +135,28 @@
     }
   }
 
-  async #exchange(agent: Agent): Promise<ExchangeResult> {
-    const { url, method, headers, body, requestId } = this.#request;
-    const res = await request(url, {
-      dispatcher: agent,
-      method: method as "POST",
+  #exchangeOn(connections: TargetConnections): Promise<ExchangeResult> {
+    const { address, isSecure, path } = parseTargetUrl(this.#request.url);
+    const options = {
+      maxConnections: MAX_CONNECTIONS_PER_TARGET,
+      isSecure,
+      signal: this.#abort.signal,
+    };
+    return connections.use(address, options, async (connection) => {
+      const result = await this.#exchange(connection, path);
+      if (result.type === "whole") connection.markComplete();
+      return result;
+    });
+  }
+
+  async #exchange(
+    connection: TargetConnection,
+    path: string,
+  ): Promise<ExchangeResult> {
+    const { method, headers, body, requestId } = this.#request;
+    const res = await connection.client.request({
+      method: method as Dispatcher.HttpMethod,
+      path,
       headers: { ...headers, [REQUEST_ID_HEADER]: requestId },
       body,
       idempotent: false,
@@ -206,6 +222,9 @@
     }
     if (this.#request.signal.aborted) return { type: "aborted" };
     const code = (err as NodeJS.ErrnoException).code ?? "";
+    if (err instanceof ConnectionsExhaustedError) {
+      return failedResult(RefusalReason.TargetRefused, Verdict.NotRun, false);
+    }
     if (CONNECT_ERROR_CODES.has(code)) {
       return failedResult(RefusalReason.TargetFailed, Verdict.NotRun, true);
     }
--- a/src/tasks/targets/target_prober.ts
+++ b/src/tasks/targets/target_prober.ts
@@ -1,7 +1,9 @@
 /** Health probes of single targets. */
-import { type Agent, request } from "undici";
 import type { LoadReport, TargetAnnouncement } from "../../core/routing/mod.ts";
 import { healthSchema } from "../../protocol/mod.ts";
+import type { TargetConnections } from "../paths/mod.ts";
+import { MAX_CONNECTIONS_PER_TARGET } from "./exchange.ts";
+import { parseTargetUrl } from "./target_url.ts";
 
 /** Health reported by a target in response to a probe. */
 export interface HealthResponse {
@@ -23,7 +25,7 @@
 
 /** Options of {@link TargetProber}. */
 export interface TargetProberOptions {
-  readonly agent: Agent;
+  readonly connections: TargetConnections;
   /** Timeout of a probe, in milliseconds. */
   readonly timeoutMs: number;
   /** Bearer token sent to targets. */
@@ -31,6 +33,7 @@
 }
 
 const HEALTH_PATH = "/health";
+const OK_STATUS = 200;
 
 /** Probes targets; concurrent probes of the same target share one request. */
 export class TargetProber {
@@ -53,29 +56,42 @@
   }
 
   async #sendProbe(announcement: TargetAnnouncement): Promise<ProbeResult> {
-    const { agent, timeoutMs, credential } = this.#options;
-    const url = announcement.url.replace(/\/$/, "") + HEALTH_PATH;
+    const { connections, timeoutMs, credential } = this.#options;
+    const { address, isSecure, path } = parseTargetUrl(
+      announcement.url.replace(/\/$/, "") + HEALTH_PATH,
+    );
+    const signal = AbortSignal.timeout(timeoutMs);
+    const options = {
+      maxConnections: MAX_CONNECTIONS_PER_TARGET,
+      isSecure,
+      signal,
+    };
+    const headers: Record<string, string> = credential === undefined
+      ? {}
+      : { authorization: `Bearer ${credential}` };
     try {
-      const res = await request(url, {
-        dispatcher: agent,
-        signal: AbortSignal.timeout(timeoutMs),
-        headers: credential === undefined
-          ? {}
-          : { authorization: `Bearer ${credential}` },
+      return await connections.use(address, options, async (connection) => {
+        const res = await connection.client
+          .request({ method: "GET", path, headers, signal });
+        const body = await res.body.json();
+        connection.markComplete();
+        return decodeHealth(res.statusCode, body);
       });
-      const health = healthSchema.safeParse(await res.body.json());
-      if (res.statusCode !== 200 || !health.success) return { type: "silent" };
-      const { incarnation, running, waiting, weightVersion } = health.data;
-      const at = Date.now();
-      return {
-        type: "answered",
-        incarnation,
-        load: { running, waiting, at },
-        weightVersion,
-      };
     } catch (err) {
       const { code } = err as NodeJS.ErrnoException;
       return { type: code === "ECONNREFUSED" ? "refused" : "silent" };
     }
   }
 }
+
+function decodeHealth(status: number, body: unknown): ProbeResult {
+  const health = healthSchema.safeParse(body);
+  if (status !== OK_STATUS || !health.success) return { type: "silent" };
+  const { incarnation, running, waiting, weightVersion } = health.data;
+  return {
+    type: "answered",
+    incarnation,
+    load: { running, waiting, at: Date.now() },
+    weightVersion,
+  };
+}
