--- a/soak/fleet/fault_proxy.ts
+++ b/soak/fleet/fault_proxy.ts
@@ -1,5 +1,6 @@
 /** Loopback proxy that injects faults into the connections to an instance. */
 import {
+  type AddressInfo,
   createConnection,
   createServer,
   type Server,
@@ -25,7 +26,7 @@
 export interface FaultProxyOptions {
   /** Address of the proxy and the instance. */
   readonly host: string;
-  /** Port on which the proxy listens. */
+  /** Port on which the proxy listens; 0 for any. */
   readonly port: number;
   /** Port of the instance. */
   readonly targetPort: number;
@@ -56,6 +57,11 @@
     return this;
   }
 
+  /** Gets the port on which the proxy listens. */
+  get port(): number {
+    return (this.#server.address() as AddressInfo).port;
+  }
+
   /**
    * Sets the fault for open and new connections.
    *
--- a/src/tasks/targets/dispatch_task.ts
+++ b/src/tasks/targets/dispatch_task.ts
@@ -21,6 +21,7 @@
   Exchange,
   type ExchangeResult,
 } from "./exchange.ts";
+import type { TargetConnections, TargetPaths } from "../paths/mod.ts";
 import type { Job, JobResult, JobSink } from "./job.ts";
 import { type HealthResponse, TargetProber } from "./target_prober.ts";
 
@@ -32,6 +33,8 @@
   readonly now: () => number;
   /** Bearer token sent to targets. */
   readonly targetCredential?: string;
+  /** Ways to targets; by default, connections of this instance only. */
+  readonly paths?: TargetPaths;
   /** Timeout of a probe, in milliseconds. */
   readonly probeTimeoutMs: number;
   /** Called with suspicions raised by this instance, to publish them. */
@@ -53,7 +56,7 @@
 export class DispatchTask {
   readonly #options: DispatchTaskOptions;
   readonly #dispatcher: Dispatcher;
-  readonly #connections = createTargetConnections();
+  readonly #connections: TargetConnections;
   readonly #prober: TargetProber;
   readonly #jobs = new Map<string, ActiveJob>();
   readonly #timer: NodeJS.Timeout;
@@ -62,6 +65,7 @@
   /** Creates the task; its timer starts at once. */
   constructor(options: DispatchTaskOptions) {
     this.#options = options;
+    this.#connections = createTargetConnections(options.paths);
     this.#dispatcher = new Dispatcher(options);
     this.#prober = new TargetProber({
       connections: this.#connections,
--- /dev/null
+++ b/tests/support/relaying_instances.ts
@@ -0,0 +1,91 @@
+/** Instances that reach the same targets, each by links that a test can cut. */
+import { createServer, type IncomingMessage, type Server } from "node:http";
+import type { ServerResponse } from "node:http";
+import type { AddressInfo, Socket } from "node:net";
+import { TargetPaths } from "../../src/tasks/paths/mod.ts";
+import { CutLinks } from "./cut_links.ts";
+import type { LoopbackNet } from "./loopback_net.ts";
+
+const FIRST_HOST_OCTET = 100;
+/** Long enough that a busy machine establishes a connection in it. */
+const CONNECT_TIMEOUT_MS = 2_000;
+
+/** An instance with its ways to targets. */
+export interface RelayingInstance {
+  readonly id: string;
+  readonly links: CutLinks;
+  readonly paths: TargetPaths;
+}
+
+/** A target that counts what it runs. */
+export interface CountingTarget {
+  readonly address: string;
+  /** Identifiers of the requests that were run, in order. */
+  readonly ran: string[];
+  readonly server: Server;
+  readonly sockets: Set<Socket>;
+}
+
+/** Handles a request at a target. */
+export type TargetHandler = (
+  req: IncomingMessage,
+  res: ServerResponse,
+) => void;
+
+/** Starts a target whose handler runs after the request is counted. */
+export async function startTarget(
+  idHeader: string,
+  handler: TargetHandler,
+): Promise<CountingTarget> {
+  const ran: string[] = [];
+  const sockets = new Set<Socket>();
+  const server = createServer((req, res) => {
+    const id = String(req.headers[idHeader]);
+    ran.push(id);
+    res.setHeader(idHeader, id);
+    handler(req, res);
+  });
+  server.on("connection", (socket) => {
+    sockets.add(socket);
+    socket.on("close", () => sockets.delete(socket));
+  });
+  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+  const { port } = server.address() as AddressInfo;
+  return { address: `127.0.0.1:${port}`, ran, server, sockets };
+}
+
+/** Stops a target: its connections are reset and new ones refused. */
+export function stopTarget({ server, sockets }: CountingTarget): void {
+  server.close();
+  for (const socket of sockets) socket.resetAndDestroy();
+}
+
+/** Starts instances that relay for each other. */
+export async function startInstances(
+  net: LoopbackNet,
+  options: {
+    readonly count: number;
+    readonly targets: readonly CountingTarget[];
+  },
+): Promise<RelayingInstance[]> {
+  const ids = Array.from(
+    { length: options.count },
+    (_, i) => net.addressOf(FIRST_HOST_OCTET + i),
+  );
+  const instances: RelayingInstance[] = [];
+  for (const id of ids) {
+    const links = new CutLinks();
+    for (const { address } of options.targets) await links.add(address);
+    const paths = new TargetPaths({
+      connectTimeoutMs: CONNECT_TIMEOUT_MS,
+      dial: links.dial,
+    });
+    instances.push({ id, links, paths });
+  }
+  return instances;
+}
+
+/** Stops an instance at once; its connections are closed. */
+export function stopInstance({ links }: RelayingInstance): void {
+  links.stop();
+}
