Connections to lost targets go through other instances

Cause: a call reached targets over connections of its own instance only. Ruled out: the length of timeouts alone; with exact ones the same calls fail, earlier.

The handshake of links stands in one place for links and tunnels.

--- a/soak/fleet/fault_proxy.ts
+++ b/soak/fleet/fault_proxy.ts
@@ -98,7 +98,9 @@
       instance.destroy();
     };
     for (const socket of pair) {
-      socket.on("error", end);
+      socket.on("error", () => {
+        for (const either of pair) either.resetAndDestroy();
+      });
       socket.on("close", end);
     }
     caller.on("data", (chunk) => this.#forwardChunk(instance, chunk, false));
--- a/src/logging/event_catalogue.ts
+++ b/src/logging/event_catalogue.ts
@@ -277,6 +277,26 @@
     text:
       "The control leader granted no permits in time; this instance keeps to a share of its targets' limits",
   }),
+  pathLost: defineEvent(2108, "warn", {
+    text:
+      "Target is reached through another instance only; this instance has no connection to it",
+    action: "Check the network between the instance and the target",
+  }),
+  pathFound: defineEvent(2109, "info", {
+    text: "This instance connects to the target itself again",
+  }),
+  targetsLost: defineEvent(2110, "error", {
+    text:
+      "This instance has lost several targets in a row that others reach; its requests go through other instances",
+    action: "Check the network of the instance",
+  }),
+  targetsFound: defineEvent(2111, "info", {
+    text: "This instance reaches targets itself again",
+  }),
+  relayRefused: defineEvent(2112, "info", {
+    text:
+      "A connection to a target was not opened for another instance, for the given reason",
+  }),
   batchAccepted: defineEvent(2201, "info", {
     text: "Batch committed by a quorum of the ledger's log",
   }),
--- a/src/metrics/metric_catalogue.ts
+++ b/src/metrics/metric_catalogue.ts
@@ -69,6 +69,26 @@
     kind: "counter",
     text: "Actions refused because they would violate an invariant",
   },
+  "connections.direct": {
+    kind: "counter",
+    text: "Connections to targets that this instance opened itself",
+  },
+  "connections.relayed": {
+    kind: "counter",
+    text: "Connections to targets that were opened through other instances",
+  },
+  "connections.lostPaths": {
+    kind: "gauge",
+    text: "Targets that this instance reaches through others only",
+  },
+  "relays.opened": {
+    kind: "counter",
+    text: "Connections to targets opened for other instances",
+  },
+  "relays.open": {
+    kind: "gauge",
+    text: "Connections that are forwarded for other instances",
+  },
   "calls.retried": {
     kind: "counter",
     text: "Calls retried at another target",
--- a/src/tasks/cluster.ts
+++ b/src/tasks/cluster.ts
@@ -29,6 +29,7 @@
   readonly control: ControlTask;
   readonly ledger: LedgerTask;
   #isDraining = false;
+  #isCutOff = false;
 
   private constructor(
     options: ClusterOptions,
@@ -46,6 +47,7 @@
         ledger: process,
         incarnation,
         isDraining: this.#isDraining,
+        isCutOff: this.#isCutOff,
       }),
       presenceRecipients: () => this.#getPresenceRecipients(process),
     });
@@ -123,6 +125,13 @@
     }
   }
 
+  /** Announces that this instance has lost all targets, or no longer. */
+  setCutOff(isCutOff: boolean): this {
+    this.#isCutOff = isCutOff;
+    this.hub.announce();
+    return this;
+  }
+
   /** Stops all components. */
   async stop(): Promise<void> {
     await this.ledger.stop();
--- a/src/tasks/fleet/fleet_control.ts
+++ b/src/tasks/fleet/fleet_control.ts
@@ -1,4 +1,7 @@
 /** The replicated control log of a control instance. */
+import { uniformFloat64 } from "pure-rand/distribution/uniformFloat64";
+import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
+import { chooseRelays } from "../../core/paths/mod.ts";
 import { UsageTotals, type UsageWindows } from "../../core/calls/mod.ts";
 import { instanceOf } from "../../core/consensus/mod.ts";
 import {
@@ -74,6 +77,7 @@
   Confirm: "fleet.confirm",
   Read: "fleet.read",
   Permits: "fleet.permits",
+  Relays: "fleet.relays",
 } as const;
 
 /** Name of the control log and of its folder. */
@@ -82,6 +86,8 @@
 const CONFIRM_TIMEOUT_MS = 800;
 const REQUEST_TIMEOUT_MS = 900;
 const MAINTENANCE_INTERVAL_MS = 200;
+/** Maximum number of entry instances named to one that needs a relay. */
+const MAX_RELAYS = 6;
 
 type FleetLogService = LogService<
   FleetCommand,
@@ -100,6 +106,7 @@
   readonly #service: FleetLogService;
   readonly #publisher: FleetPublisher;
   readonly #permits = new PermitDesk();
+  readonly #random = xoroshiro128plus(process.pid ^ Date.now());
   #timer: NodeJS.Timeout | undefined;
 
   constructor(options: FleetControlOptions) {
@@ -129,7 +136,8 @@
       .handle(
         FleetMethod.Permits,
         (params) => this.#grantPermits(params as PermitRequest),
-      );
+      )
+      .handle(FleetMethod.Relays, (_params, from) => this.#findRelays(from));
     this.targets = new TargetDirectory({
       node,
       registry,
@@ -305,6 +313,24 @@
     throw new RefusalError(RefusalReason.ControlUnavailable, Verdict.NotRun);
   }
 
+  /** Finds entry instances that reach targets and may relay to them. */
+  #findRelays(from: string): readonly string[] {
+    const { hub } = this.#options.node;
+    const candidates = this.#options.node.linkedMembers(FleetRole.Entry)
+      .filter(({ id }) => {
+        const presence = hub.getPresence(id);
+        return id !== from && presence?.isDraining === false &&
+          presence.isCutOff !== true;
+      })
+      .map(({ id, member }) => ({ id, dataCentre: member.dataCentre }));
+    return chooseRelays({
+      candidates,
+      dataCentre: hub.getPresence(from)?.member?.dataCentre ?? "",
+      count: MAX_RELAYS,
+      random: () => uniformFloat64(this.#random),
+    });
+  }
+
   async #read(): Promise<{ source: string | undefined }> {
     await this.#service.confirmLeadership(CONFIRM_TIMEOUT_MS);
     return { source: this.state.policySource };
--- a/src/tasks/fleet/fleet_node.ts
+++ b/src/tasks/fleet/fleet_node.ts
@@ -51,6 +51,7 @@
   readonly roster = new Roster();
   readonly #options: FleetNodeOptions;
   #isDraining = false;
+  #isCutOff = false;
   #seeds: readonly string[];
   #retiring: ReadonlySet<string> = new Set();
   #timer: NodeJS.Timeout | undefined;
@@ -81,6 +82,7 @@
         ledger: settings.id,
         incarnation,
         isDraining: this.#isDraining,
+        isCutOff: this.#isCutOff,
         member: this.#describe(),
       }),
       presenceRecipients: () => undefined,
@@ -121,6 +123,13 @@
     return this;
   }
 
+  /** Announces that this instance has lost all targets, or no longer. */
+  setCutOff(isCutOff: boolean): this {
+    this.#isCutOff = isCutOff;
+    this.hub.announce();
+    return this;
+  }
+
   /** Closes all links. */
   stop(): void {
     clearInterval(this.#timer);
--- a/src/tasks/instance.ts
+++ b/src/tasks/instance.ts
@@ -4,6 +4,7 @@
 import { randomUUID } from "node:crypto";
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
 import { uniformFloat64 } from "pure-rand/distribution/uniformFloat64";
+import { ElapsedClock } from "../core/clock/mod.ts";
 import { ConfigurationView } from "../core/configuration/mod.ts";
 import type { CommandResult, ControlCommand } from "../core/control/mod.ts";
 import type { LedgerRecord, UsageEntry } from "../core/ledger/mod.ts";
@@ -24,6 +25,7 @@
 } from "./leader/mod.ts";
 import { CertificateWatcher, readCertificatesOrThrow } from "./certificates.ts";
 import { Cluster } from "./cluster.ts";
+import { createClusterPaths } from "./cluster_paths.ts";
 import { bootstrapControl } from "./control/bootstrap.ts";
 import type { ControlPort } from "./control/control_port.ts";
 import { LocalControl } from "./control/local_control.ts";
@@ -39,6 +41,7 @@
 } from "./entry/mod.ts";
 import type { LedgerPort } from "./ledger/ledger_port.ts";
 import { LocalLedger } from "./ledger/local_ledger.ts";
+import { RelayServer, type TargetPaths } from "./paths/mod.ts";
 import { PrimaryClient } from "./ledger/primary_client.ts";
 import {
   StepForwarder,
@@ -84,6 +87,8 @@
   readonly #control: ControlPort;
   readonly #ledger: LedgerPort;
   readonly #usage = new UsageMeter();
+  readonly #paths: TargetPaths;
+  readonly #relays: RelayServer | undefined;
   readonly #dispatch: DispatchTask;
   readonly #probeTask: ProbeTask;
   readonly #callGuard: LedgerCallGuard;
@@ -114,6 +119,13 @@
     this.#cluster = cluster;
     this.#control = cluster?.control ?? new LocalControl();
     this.#ledger = cluster?.ledger ?? new LocalLedger();
+    this.#paths = createClusterPaths({
+      cluster,
+      dataCentre: settings.dataCentre,
+      logger: this.#logger,
+      metrics: this.#metrics,
+    });
+    this.#relays = this.#createRelays();
     this.#dispatch = this.#createDispatch();
     this.#probeTask = new ProbeTask({
       id: settings.id,
@@ -196,7 +208,10 @@
   async drain(): Promise<void> {
     this.#logger.event("instanceDraining");
     await this.#cluster?.transferLeadership();
-    await this.#server.drain();
+    await Promise.all([
+      this.#server.drain(),
+      this.#relays?.drain(this.#settings.http.drainTimeoutMs),
+    ]);
     await this.stop();
   }
 
@@ -212,6 +227,7 @@
     await this.#weightSwaps.stop();
     this.#dispatch.stop();
     this.#server.stop();
+    this.#relays?.stop();
     await this.#cluster?.stop();
     await this.#metrics.close();
     this.#logger.event("instanceStopped");
@@ -263,6 +279,19 @@
       );
   }
 
+  /** Creates the forwarding of connections for peers that have lost targets. */
+  #createRelays(): RelayServer | undefined {
+    const hub = this.#cluster?.hub;
+    return hub && new RelayServer({
+      hub,
+      paths: this.#paths,
+      isTarget: (address) => this.#dispatch.hasTargetAt(address),
+      clock: new ElapsedClock(),
+      logger: this.#logger,
+      metrics: this.#metrics,
+    });
+  }
+
   #createDispatch(): DispatchTask {
     const { targetCredentialFile, targets } = this.#settings;
     const random = xoroshiro128plus(Date.now() ^ process.pid);
@@ -279,6 +308,7 @@
       metrics: this.#metrics,
       now: Date.now,
       targetCredential: readSecretIfSet(targetCredentialFile),
+      paths: this.#paths,
       probeTimeoutMs: targets.probeTimeoutMs,
       onSuspicion: (change) => this.#publishSuspicion(change),
     });
--- a/src/tasks/paths/connection_reset.ts
+++ b/src/tasks/paths/connection_reset.ts
@@ -5,6 +5,8 @@
 /** A connection that can be closed with a reset. */
 export interface ResettableSocket extends Duplex {
   resetAndDestroy(): unknown;
+  /** Whether it must carry no further request. */
+  readonly isDraining?: boolean;
 }
 
 const RESET_CODE = "ECONNRESET";
--- a/src/tasks/paths/target_connection.ts
+++ b/src/tasks/paths/target_connection.ts
@@ -1,8 +1,10 @@
 /** A single connection to a target. */
 import type { Duplex } from "node:stream";
 import { buildConnector, Client } from "undici";
+import { Path } from "../../core/paths/mod.ts";
 import { resetConnection, type ResettableSocket } from "./connection_reset.ts";
 import { ConnectionState } from "./connection_state.ts";
+import type { OpenedConnection } from "./path_race.ts";
 
 /** Options of {@link TargetConnection}. */
 export interface TargetConnectionOptions {
@@ -13,7 +15,7 @@
   /** Idle time after which the connection is closed, in milliseconds. */
   readonly idleTimeoutMs: number;
   /** Opens the connection. */
-  readonly open: () => Promise<ResettableSocket>;
+  readonly open: () => Promise<Pick<OpenedConnection, "socket" | "path">>;
 }
 
 type ConnectCallback = Parameters<buildConnector.connector>[1];
@@ -27,8 +29,10 @@
   readonly client: Client;
   readonly #options: TargetConnectionOptions;
   #socket: ResettableSocket | undefined;
+  #path: Path = Path.Direct;
   #isKept = false;
   #isComplete = false;
+  #isIdle = true;
   /** Removes the listener of the request in progress. */
   #stopListening: () => void = () => {};
 
@@ -51,6 +55,11 @@
     return this.#isKept ? ConnectionState.Kept : ConnectionState.New;
   }
 
+  /** Gets the path by which the connection was opened. */
+  get path(): Path {
+    return this.#path;
+  }
+
   /**
    * Resets the connection as soon as a signal aborts, until it is released. Must
    * be called before the request is sent with the same signal, which would close
@@ -58,6 +67,7 @@
    * still reach the target, however late.
    */
   resetOnAbort(signal: AbortSignal): void {
+    this.#isIdle = false;
     const onAbort = () => this.#reset();
     signal.addEventListener("abort", onAbort, { once: true });
     this.#stopListening = () => signal.removeEventListener("abort", onAbort);
@@ -69,13 +79,19 @@
     return this;
   }
 
+  /** Gets whether the connection, while idle, may carry another request. */
+  get isReusable(): boolean {
+    return !this.client.destroyed && this.#socket?.isDraining !== true;
+  }
+
   /**
    * Ends the request in progress.
    * @returns Whether the connection may carry another one.
    */
   release(): boolean {
     this.#stopListening();
-    const isReusable = this.#isComplete && !this.client.destroyed;
+    this.#isIdle = true;
+    const isReusable = this.#isComplete && this.isReusable;
     this.#isComplete = false;
     this.#isKept = this.#socket !== undefined;
     return isReusable;
@@ -98,8 +114,8 @@
     callback: ConnectCallback,
   ): void {
     this.#options.open().then(
-      (socket) => {
-        this.#setSocket(socket);
+      ({ socket, path }) => {
+        this.#setSocket(socket, path);
         // The client uses no more of a socket than a duplex stream has.
         const httpSocket = socket as Duplex as NonNullable<ClientSocket>;
         if (this.#options.isSecure) {
@@ -110,9 +126,13 @@
     );
   }
 
-  #setSocket(socket: ResettableSocket): void {
+  #setSocket(socket: ResettableSocket, path: Path): void {
     this.#socket = socket;
+    this.#path = path;
     this.#isKept = false;
+    socket.once("draining", () => {
+      if (this.#isIdle) this.close();
+    });
     socket.once("close", () => {
       if (this.#socket === socket) this.#socket = undefined;
     });
--- a/src/tasks/paths/target_connections.ts
+++ b/src/tasks/paths/target_connections.ts
@@ -1,11 +1,12 @@
 /** Connection pools for targets; requests are never pipelined. */
+import { Path } from "../../core/paths/mod.ts";
 import { TargetConnection } from "./target_connection.ts";
 import type { TargetPaths } from "./target_paths.ts";
 
 /** Options of {@link TargetConnections}. */
 export interface TargetConnectionsOptions {
   /** Opens the connections. */
-  readonly paths: Pick<TargetPaths, "open">;
+  readonly paths: Pick<TargetPaths, "open" | "pathTo" | "tryDirectIfDue">;
   /** Idle time after which a connection is closed, in milliseconds. */
   readonly idleTimeoutMs: number;
 }
@@ -64,7 +65,7 @@
    */
   acquire(address: string, options: AcquireOptions): TargetConnection {
     const pool = this.#getOrCreatePool(address);
-    const idle = pool.idle.pop();
+    const idle = this.#takeIdle(pool);
     if (idle !== undefined) return idle;
     if (pool.open >= options.maxConnections) {
       throw new ConnectionsExhaustedError(address);
@@ -123,6 +124,25 @@
     }
   }
 
+  /**
+   * Takes an idle connection of the path that is preferred now; others are
+   * closed, so a relay ends with the cut that needs it.
+   */
+  #takeIdle(pool: ConnectionPool): TargetConnection | undefined {
+    const { paths } = this.#options;
+    while (pool.idle.length > 0) {
+      const connection = pool.idle.pop()!;
+      const { address, path } = connection;
+      if (path === Path.Relayed) paths.tryDirectIfDue(address);
+      if (connection.isReusable && path === paths.pathTo(address)) {
+        return connection;
+      }
+      pool.open -= 1;
+      connection.close();
+    }
+    return undefined;
+  }
+
   #getOrCreatePool(address: string): ConnectionPool {
     let pool = this.#pools.get(address);
     if (pool !== undefined) return pool;
--- a/src/tasks/peers/peer_envelope.ts
+++ b/src/tasks/peers/peer_envelope.ts
@@ -43,6 +43,8 @@
   readonly incarnation: string;
   /** Whether the instance is draining. */
   readonly isDraining: boolean;
+  /** Whether the instance has lost all targets, so that it cannot relay. */
+  readonly isCutOff?: boolean;
   /** Membership of an instance that joined a fleet through seeds. */
   readonly member?: FleetMember;
 }
--- a/src/tasks/peers/peer_hub.ts
+++ b/src/tasks/peers/peer_hub.ts
@@ -19,7 +19,13 @@
   type Presence,
 } from "./peer_envelope.ts";
 import type { AcceptedLink } from "./accepted_link.ts";
-import { type LinkSecurity, PeerLink, PING_INTERVAL_MS } from "./peer_link.ts";
+import {
+  type DialledPeer,
+  dialPeer,
+  type LinkSecurity,
+  PeerPath,
+} from "./peer_dialer.ts";
+import { PeerLink, PING_INTERVAL_MS } from "./peer_link.ts";
 import { PeerListener } from "./peer_listener.ts";
 
 /** Channels that tasks can subscribe to. */
@@ -43,6 +49,9 @@
   from: string,
 ) => unknown | Promise<unknown>;
 
+/** Handles a tunnel that another instance has opened. */
+export type TunnelListener = (tunnel: DialledPeer, from: string) => void;
+
 /** Options of {@link PeerHub}. */
 export interface PeerHubOptions {
   readonly settings: Pick<
@@ -98,6 +107,7 @@
     TaskChannel,
     (from: string, body: never) => void
   >();
+  #onTunnel: TunnelListener = ({ socket }) => socket.terminate();
   #timer: NodeJS.Timeout | undefined;
   readonly #createdAt = Date.now();
   #nextRequest = 1;
@@ -135,6 +145,7 @@
         if (isUp) this.#sendPresence(accepted.peer);
         else this.#failPending(accepted);
       },
+      onTunnel: (tunnel, from) => this.#onTunnel(tunnel, from),
       onReceived: (bytes) => metrics.count("peers.receivedBytes", bytes),
       onSent: (bytes) => metrics.count("peers.sentBytes", bytes),
       onRefused: (detail) => logger.event("peerRefused", { detail }),
@@ -256,6 +267,33 @@
     }
   }
 
+  /** Sets the listener of tunnels, which are closed at once without one. */
+  onTunnel(listener: TunnelListener): this {
+    this.#onTunnel = listener;
+    return this;
+  }
+
+  /**
+   * Dials an instance for a tunnel, beside its link.
+   * @param onAuthenticated - Called once the tunnel is open.
+   * @returns The connection; undefined if the instance is unknown.
+   */
+  dialTunnel(
+    id: string,
+    onAuthenticated: () => void,
+  ): DialledPeer | undefined {
+    const peer = this.getPeer(id);
+    if (peer === undefined) return undefined;
+    return dialPeer({
+      self: this.#options.settings.id,
+      peer,
+      secret: this.#secret,
+      security: () => this.#security,
+      path: PeerPath.Tunnel,
+      onAuthenticated,
+    });
+  }
+
   /**
    * Sends a request to another instance and waits for its reply.
    * @throws RefusalError from the other instance, or, if the link is down or no
--- a/src/tasks/peers/peer_link.ts
+++ b/src/tasks/peers/peer_link.ts
@@ -1,20 +1,13 @@
 /** Outgoing connection to another instance. */
-import { WebSocket } from "ws";
+import type { WebSocket } from "ws";
 import type { PeerSettings } from "../../settings/mod.ts";
-import { createNonce, createProof, isValidProof } from "./peer_handshake.ts";
+import { dialPeer, type LinkSecurity, PeerPath } from "./peer_dialer.ts";
 import {
   decodeEnvelope,
   encodeEnvelope,
   type PeerEnvelope,
 } from "./peer_envelope.ts";
 
-/** TLS certificate, key and authority of a link. */
-export interface LinkSecurity {
-  readonly cert: Buffer;
-  readonly key: Buffer;
-  readonly ca?: Buffer;
-}
-
 /** Options of {@link PeerLink}. */
 export interface PeerLinkOptions {
   /** ID of this instance. */
@@ -41,7 +34,6 @@
 export const SILENCE_TIMEOUT_MS = 1_800;
 const MIN_REDIAL_DELAY_MS = 100;
 const MAX_REDIAL_DELAY_MS = 1_000;
-const HANDSHAKE_TIMEOUT_MS = 1_500;
 /** Size of a link's send buffer above which messages are dropped, in bytes. */
 const MAX_BUFFERED_BYTES = 33_554_432;
 
@@ -121,50 +113,35 @@
   }
 
   #dial(): void {
-    const { peer } = this.#options;
-    const security = this.#options.security();
-    const { host, port } = peer.address;
-    const urlHost = host.includes(":") ? `[${host}]` : host;
-    const scheme = security === undefined ? "ws" : "wss";
-    const socket = new WebSocket(`${scheme}://${urlHost}:${port}/peer`, {
-      handshakeTimeout: HANDSHAKE_TIMEOUT_MS,
-      perMessageDeflate: false,
-      cert: security?.cert,
-      key: security?.key,
-      ca: security?.ca,
-      checkServerIdentity: acceptAnyHostName,
+    const { self, peer, secret, security } = this.#options;
+    const { socket } = dialPeer({
+      self,
+      peer,
+      secret,
+      security,
+      path: PeerPath.Link,
+      onAuthenticated: () => this.#onAuthenticated(socket),
     });
     this.#socket = socket;
-    const nonce = createNonce();
-    const { self, secret } = this.#options;
-    socket.on("open", () => socket.send(JSON.stringify({ id: self, nonce })));
-    socket.once("message", (data: Buffer) => {
-      const reply = parseHandshakeReply(data);
-      const proof = { secret, id: peer.id, to: self, nonce };
-      if (reply === undefined || !isValidProof(proof, reply.proof)) {
-        socket.terminate();
-        return;
-      }
-      const ownProof = { secret, id: self, to: peer.id, nonce: reply.nonce };
-      socket.send(JSON.stringify({ proof: createProof(ownProof) }));
-      this.#redialDelayMs = MIN_REDIAL_DELAY_MS;
-      socket.on("message", (message: Buffer) => {
-        this.#lastReceivedAt = performance.now();
-        this.#options.onReceived(message.length);
-        const envelope = decodeEnvelope(message);
-        if (envelope === undefined) socket.terminate();
-        else this.#options.onMessage(envelope);
-      });
-      this.#lastReceivedAt = performance.now();
-      this.#setIsUp(true);
-    });
     socket.on("pong", () => {
       this.#lastReceivedAt = performance.now();
     });
-    socket.on("error", () => {});
     socket.on("close", () => this.#onClose(socket));
   }
 
+  #onAuthenticated(socket: WebSocket): void {
+    this.#redialDelayMs = MIN_REDIAL_DELAY_MS;
+    socket.on("message", (message: Buffer) => {
+      this.#lastReceivedAt = performance.now();
+      this.#options.onReceived(message.length);
+      const envelope = decodeEnvelope(message);
+      if (envelope === undefined) socket.terminate();
+      else this.#options.onMessage(envelope);
+    });
+    this.#lastReceivedAt = performance.now();
+    this.#setIsUp(true);
+  }
+
   #onClose(socket: WebSocket): void {
     if (socket !== this.#socket) return;
     this.#socket = undefined;
@@ -185,13 +162,6 @@
   }
 }
 
-/**
- * Accepts any host name in a certificate of the authority: the addresses are IP
- * addresses, and the instance proves its identity in the handshake. Node treats
- * undefined as acceptance, although the type requires a boolean.
- */
-const acceptAnyHostName = (() => undefined) as unknown as () => boolean;
-
 /** Encodes and sends a message, unless the connection's buffer is full. */
 export function sendEncoded(
   socket: WebSocket,
@@ -206,15 +176,3 @@
   socket.send(bytes);
   return true;
 }
-
-function parseHandshakeReply(
-  data: Buffer,
-): { nonce: string; proof: string } | undefined {
-  try {
-    const { nonce, proof } = JSON.parse(data.toString());
-    const isReply = typeof nonce === "string" && typeof proof === "string";
-    return isReply ? { nonce, proof } : undefined;
-  } catch {
-    return undefined;
-  }
-}
--- a/src/tasks/peers/peer_listener.ts
+++ b/src/tasks/peers/peer_listener.ts
@@ -1,13 +1,18 @@
 /** Server for connections from other instances. */
-import { createServer, type Server } from "node:http";
+import { createServer, type IncomingMessage, type Server } from "node:http";
 import { createServer as createTlsServer } from "node:https";
 import type { Server as TlsServer } from "node:https";
-import { type WebSocket, WebSocketServer } from "ws";
+import { type ServerOptions, type WebSocket, WebSocketServer } from "ws";
 import type { Address } from "../../settings/mod.ts";
 import { AcceptedLink } from "./accepted_link.ts";
 import { createNonce, createProof, isValidProof } from "./peer_handshake.ts";
 import { decodeEnvelope, type PeerEnvelope } from "./peer_envelope.ts";
-import type { LinkSecurity } from "./peer_link.ts";
+import {
+  CLOSE_TIMEOUT_MS,
+  type DialledPeer,
+  type LinkSecurity,
+  PeerPath,
+} from "./peer_dialer.ts";
 
 /** Options of {@link PeerListener}. */
 export interface PeerListenerOptions {
@@ -25,6 +30,8 @@
   readonly onMessage: (link: AcceptedLink, envelope: PeerEnvelope) => void;
   /** Called when the newest connection of an instance is up or has closed. */
   readonly onChange: (link: AcceptedLink, isUp: boolean) => void;
+  /** Called with each tunnel that another instance has opened. */
+  readonly onTunnel: (tunnel: DialledPeer, from: string) => void;
   /** Called with the size of each message received, in bytes. */
   readonly onReceived: (bytes: number) => void;
   /** Called with the size of each message sent, in bytes. */
@@ -60,8 +67,12 @@
       server: this.#httpServer as Server,
       maxPayload: MAX_MESSAGE_BYTES,
       perMessageDeflate: false,
-    });
-    this.#socketServer.on("connection", (socket) => this.#authenticate(socket));
+      closeTimeout: CLOSE_TIMEOUT_MS,
+    } as ServerOptions);
+    this.#socketServer.on(
+      "connection",
+      (socket, req) => this.#authenticate(socket, req),
+    );
   }
 
   /**
@@ -109,7 +120,7 @@
     this.#httpServer.close();
   }
 
-  #authenticate(socket: WebSocket): void {
+  #authenticate(socket: WebSocket, req: IncomingMessage): void {
     const { self, secret, isKnown, onRefused } = this.#options;
     const nonce = createNonce();
     let id: string | undefined;
@@ -150,7 +161,11 @@
         return refuse(`handshake: invalid proof from ${id}`);
       }
       clearTimeout(timer);
-      this.#accept(socket, id);
+      if (req.url === PeerPath.Tunnel) {
+        this.#options.onTunnel({ socket, connection: req.socket }, id);
+      } else {
+        this.#accept(socket, id);
+      }
     };
     socket.once("message", onHello);
   }
--- a/src/tasks/targets/dispatch_task.ts
+++ b/src/tasks/targets/dispatch_task.ts
@@ -23,6 +23,7 @@
 } from "./exchange.ts";
 import type { TargetConnections, TargetPaths } from "../paths/mod.ts";
 import type { Job, JobResult, JobSink } from "./job.ts";
+import { parseTargetUrl } from "./target_url.ts";
 import { type HealthResponse, TargetProber } from "./target_prober.ts";
 
 /** Options of {@link DispatchTask}. */
@@ -85,6 +86,14 @@
     return this.#jobs.size;
   }
 
+  /** Gets whether a target that is not leaving has an address. */
+  hasTargetAt(address: string): boolean {
+    return this.#dispatcher.targets.list().some((target) =>
+      target.mayServe() &&
+      parseTargetUrl(target.announcement.url).address === address
+    );
+  }
+
   /** Submits a job; its result is reported to {@link Job.onEnd}. */
   submit(job: Job): this {
     this.#jobs.set(job.item.id, { job, sink: undefined, abort: undefined });
--- a/src/tasks/targets/exchange.ts
+++ b/src/tasks/targets/exchange.ts
@@ -66,7 +66,8 @@
 /** Header by which a target states that it did not run a request. */
 export const TARGET_VERDICT_HEADER = "x-nutmegreel-verdict";
 
-const CONNECT_TIMEOUT_MS = 2_000;
+/** Time in which a connection to a target must be established. */
+export const CONNECT_TIMEOUT_MS = 2_000;
 const IDLE_TIMEOUT_MS = 10_000;
 /** Bound of the connections of an instance to one target. */
 export const MAX_CONNECTIONS_PER_TARGET = 512;
--- a/tests/support/relaying_instances.ts
+++ b/tests/support/relaying_instances.ts
@@ -2,10 +2,18 @@
 import { createServer, type IncomingMessage, type Server } from "node:http";
 import type { ServerResponse } from "node:http";
 import type { AddressInfo, Socket } from "node:net";
-import { TargetPaths } from "../../src/tasks/paths/mod.ts";
+import { Logger } from "../../src/logging/mod.ts";
+import { Metrics } from "../../src/metrics/mod.ts";
+import {
+  createRelayedPaths,
+  RelayServer,
+  type TargetPaths,
+} from "../../src/tasks/paths/mod.ts";
+import { PeerHub } from "../../src/tasks/peers/mod.ts";
 import { CutLinks } from "./cut_links.ts";
 import type { LoopbackNet } from "./loopback_net.ts";
 
+const PEER_PORT = 17_020;
 const FIRST_HOST_OCTET = 100;
 /** Long enough that a busy machine establishes a connection in it. */
 const CONNECT_TIMEOUT_MS = 2_000;
@@ -14,7 +22,11 @@
 export interface RelayingInstance {
   readonly id: string;
   readonly links: CutLinks;
+  readonly hub: PeerHub;
   readonly paths: TargetPaths;
+  readonly relays: RelayServer;
+  /** Lets time pass for the relay server that its process does not notice. */
+  readonly suspend: (ms: number) => void;
 }
 
 /** A target that counts what it runs. */
@@ -76,16 +88,61 @@
   for (const id of ids) {
     const links = new CutLinks();
     for (const { address } of options.targets) await links.add(address);
-    const paths = new TargetPaths({
+    const hub = createHub(id);
+    await hub.start();
+    const logger = new Logger({ instance: id, level: "error" });
+    const metrics = new Metrics({ tags: {} });
+    const others = ids.filter((other) => other !== id);
+    const paths = createRelayedPaths({
       connectTimeoutMs: CONNECT_TIMEOUT_MS,
       dial: links.dial,
+      hub,
+      findRelays: () => Promise.resolve(others),
+      logger,
+      metrics,
+      onCutOffChanged: () => {},
     });
-    instances.push({ id, links, paths });
+    let suspendedMs = 0;
+    const relays = new RelayServer({
+      hub,
+      paths,
+      isTarget: (address) =>
+        options.targets.some((target) => target.address === address),
+      clock: { now: () => performance.now() + suspendedMs },
+      logger,
+      metrics,
+    });
+    const suspend = (ms: number) => void (suspendedMs += ms);
+    instances.push({ id, links, hub, paths, relays, suspend });
   }
   return instances;
 }
 
 /** Stops an instance at once; its connections are closed. */
-export function stopInstance({ links }: RelayingInstance): void {
+export function stopInstance({ relays, hub, links }: RelayingInstance): void {
+  relays.stop();
+  hub.stop();
   links.stop();
 }
+
+function createHub(id: string): PeerHub {
+  return new PeerHub({
+    settings: {
+      id,
+      dataCentre: "a",
+      peers: [],
+      peerListen: { host: id, port: PEER_PORT },
+      tls: {},
+    },
+    findPeer: (other) => ({
+      id: other,
+      dataCentre: "a",
+      address: { host: other, port: PEER_PORT },
+      control: false,
+    }),
+    logger: new Logger({ instance: id, level: "error" }),
+    metrics: new Metrics({ tags: {} }),
+    presence: () => ({ ledger: id, incarnation: id, isDraining: false }),
+    presenceRecipients: () => [],
+  });
+}
