A target is dead only if other instances are refused as well

Cause: an instance took a refused connection for the end of the target's process, and reported it to control.

--- a/src/tasks/paths/target_paths.ts
+++ b/src/tasks/paths/target_paths.ts
@@ -95,12 +95,12 @@
   }
 
   /**
-   * Gets whether an address refuses a new connection. One that does not answer in
-   * time may have been cut off, and refuses nothing.
+   * Gets whether an address refuses a new connection, by all paths. One that does
+   * not answer in time may have been cut off, and refuses nothing.
    */
   async isRefusing(address: string): Promise<boolean> {
     try {
-      const socket = await this.openDirect(address);
+      const { socket } = await this.open(address);
       socket.destroy();
       return false;
     } catch (err) {
