Requests that nobody repeats go over connections known to be alive

What callers saw: after a cut, a call that must not be repeated, a stream or the last attempt of a call was sent over a connection opened before, and got no answer until its time was up; it may have run, so it could not go elsewhere. Cause: an idle connection was used for any request, up to 3 s (10 s in the dispatcher's half) after anything had come back over it. Now such a request takes a connection that has answered within the last second, or a new one, whose handshake shows that the way is open now. Calls that are hedged take any kept connection first, as before.

Ruled out: keep-alive probes (the library's first one comes after 60 s) and TCP_USER_TIMEOUT (not set by any library, and not to be set from Node).

--- a/src/tasks/calls/call_run.ts
+++ b/src/tasks/calls/call_run.ts
@@ -192,16 +192,19 @@
     const onAbort = () => hedge.abort();
     this.#options.signal.addEventListener("abort", onAbort, { once: true });
     try {
-      const first = this.#attempt(target, hedge.signal);
+      const mayHedge = this.#mayHedge(target);
+      const first = this.#attempt(target, hedge.signal, mayHedge);
       const hedgeDelayMs = Math.min(
         route.objectiveMs * HEDGE_DELAY_FRACTION,
         this.#remainingMs / 2,
       );
       const firstSettled = await settleWithin(first, hedgeDelayMs);
       if (firstSettled.isSettled) return firstSettled.value;
-      const mayHedge = this.#attemptsRun < route.maxAttempts &&
-        !this.#dependencies.crashes.isSuspect(this.#fingerprint);
-      const second = mayHedge ? this.#targets.nextUnlimited() : undefined;
+      const { crashes } = this.#dependencies;
+      const isSuspect = crashes.isSuspect(this.#fingerprint);
+      const second = mayHedge && !isSuspect
+        ? this.#targets.nextUnlimited()
+        : undefined;
       if (second === undefined) return await first;
       this.#dependencies.logger.event("callRetried", {
         request: this.#options.call.id,
@@ -218,9 +221,22 @@
     }
   }
 
+  /** Gets whether another target may run the call beside its next one. */
+  #mayHedge(next: TargetReport): boolean {
+    return this.#attemptsRun + 1 < this.#options.admission.route.maxAttempts &&
+      this.#targets.hasUnlimitedBeside(next) &&
+      !this.#dependencies.crashes.isSuspect(this.#fingerprint);
+  }
+
+  /**
+   * Sends the call to a target.
+   * @param isHedged - Whether the call is sent to another target if nothing comes
+   *   back from this one.
+   */
   async #attempt(
     report: TargetReport,
     signal: AbortSignal,
+    isHedged = false,
   ): Promise<CallResponse | undefined> {
     const { latencies } = this.#dependencies;
     const { call, admission, stream } = this.#options;
@@ -238,6 +254,7 @@
       maxConnections: admission.policy.getService(report.service)
         ?.maxConnections ?? 1,
       onSigns: (signs) => this.#dependencies.onSigns(report, signs),
+      needsLive: !isHedged,
       onConnection: (getState) => this.#connections.set(report.id, getState),
     };
     const outcome = stream === undefined
--- a/src/tasks/calls/call_targets.ts
+++ b/src/tasks/calls/call_targets.ts
@@ -72,6 +72,13 @@
     return this.#rank().find((target) => !this.#isLimited(target));
   }
 
+  /** Gets whether a target that does not limit its requests is left beside one. */
+  hasUnlimitedBeside({ id }: TargetReport): boolean {
+    return this.#rank().some((target) =>
+      target.id !== id && !this.#isLimited(target)
+    );
+  }
+
   /**
    * Takes a permit for one of some limited targets, and waits until it is due.
    * A longer wait than that within the route's objective serves nobody better
--- a/src/tasks/calls/target_port.ts
+++ b/src/tasks/calls/target_port.ts
@@ -17,6 +17,11 @@
   readonly maxConnections: number;
   /** Called with what the target says of itself in the head of a response. */
   readonly onSigns: (signs: TargetSigns) => void;
+  /**
+   * Whether the connection must be known to be alive, since nobody sends the
+   * call elsewhere if nothing comes back.
+   */
+  readonly needsLive?: boolean;
   /** Called with the state of the connection that the attempt uses. */
   readonly onConnection?: (getState: () => ConnectionState) => void;
 }
--- a/src/tasks/paths/target_connection.ts
+++ b/src/tasks/paths/target_connection.ts
@@ -18,6 +18,9 @@
   readonly open: () => Promise<Pick<OpenedConnection, "socket" | "path">>;
 }
 
+/** Time after a response for which its connection counts as alive. */
+const LIVE_MS = 1_000;
+
 type ConnectCallback = Parameters<buildConnector.connector>[1];
 type ClientSocket = Parameters<ConnectCallback>[1];
 
@@ -32,6 +35,7 @@
   #path: Path = Path.Direct;
   #isKept = false;
   #isComplete = false;
+  #completedAt = -Infinity;
   #isIdle = true;
   /** Removes the listener of the request in progress. */
   #stopListening: () => void = () => {};
@@ -76,9 +80,19 @@
   /** Records that the response of the request in progress was read completely. */
   markComplete(): this {
     this.#isComplete = true;
+    this.#completedAt = performance.now();
     return this;
   }
 
+  /**
+   * Gets whether the connection was alive a short time ago, or is opened anew for
+   * the next request.
+   */
+  get isLive(): boolean {
+    return this.#socket === undefined ||
+      performance.now() - this.#completedAt < LIVE_MS;
+  }
+
   /** Gets whether the connection, while idle, may carry another request. */
   get isReusable(): boolean {
     return !this.client.destroyed && this.#socket?.isDraining !== true;
--- a/src/tasks/paths/target_connections.ts
+++ b/src/tasks/paths/target_connections.ts
@@ -17,6 +17,11 @@
   readonly maxConnections: number;
   /** Whether the target speaks TLS; false by default. */
   readonly isSecure?: boolean;
+  /**
+   * Whether the connection must be known to be alive, as for a request that is
+   * not repeated if nothing comes back; false by default.
+   */
+  readonly needsLive?: boolean;
 }
 
 /** Options of {@link TargetConnections.use}. */
@@ -65,7 +70,7 @@
    */
   acquire(address: string, options: AcquireOptions): TargetConnection {
     const pool = this.#getOrCreatePool(address);
-    const idle = this.#takeIdle(pool);
+    const idle = this.#takeIdle(pool, options.needsLive ?? false);
     if (idle !== undefined) return idle;
     if (pool.open >= options.maxConnections) {
       throw new ConnectionsExhaustedError(address);
@@ -128,15 +133,19 @@
    * Takes an idle connection of the path that is preferred now; others are
    * closed, so a relay ends with the cut that needs it.
    */
-  #takeIdle(pool: ConnectionPool): TargetConnection | undefined {
+  #takeIdle(
+    pool: ConnectionPool,
+    needsLive: boolean,
+  ): TargetConnection | undefined {
     const { paths } = this.#options;
     while (pool.idle.length > 0) {
       const connection = pool.idle.pop()!;
       const { address, path } = connection;
       if (path === Path.Relayed) paths.tryDirectIfDue(address);
-      if (connection.isReusable && path === paths.pathTo(address)) {
-        return connection;
-      }
+      const isUsable = connection.isReusable &&
+        path === paths.pathTo(address) &&
+        (!needsLive || connection.isLive);
+      if (isUsable) return connection;
       pool.open -= 1;
       connection.close();
     }
--- a/src/tasks/targets/exchange.ts
+++ b/src/tasks/targets/exchange.ts
@@ -141,6 +141,7 @@
     const options = {
       maxConnections: MAX_CONNECTIONS_PER_TARGET,
       isSecure,
+      needsLive: true,
       signal: this.#abort.signal,
     };
     return connections.use(address, options, async (connection) => {
