An instance that nobody can relay for refuses at once

What callers saw on overlapping cuts: while five of eight entry instances were cut off and the other three cut off or frozen, each call tried three targets for 400 ms each and was refused after 1.2 s, or its caller left first. Nobody could serve them; the refusal came late. Once several targets in a row were reached by no path, an instance that is cut off allows one attempt an interval of 500 ms, and the others fail before anything is sent.

--- a/src/core/paths/path_table.ts
+++ b/src/core/paths/path_table.ts
@@ -25,12 +25,28 @@
   /** Addresses lost since a direct connection was last established. */
   readonly #lostInRow = new Set<string>();
   #lastTrialAt = -Infinity;
+  /** Addresses that no path has led to since any connection was established. */
+  readonly #unreachedInRow = new Set<string>();
+  #lastAttemptAt = -Infinity;
 
   /** Gets whether the instance has probably lost all targets. */
   get isCutOff(): boolean {
     return this.#lostInRow.size >= MIN_LOST_TARGETS;
   }
 
+  /**
+   * Gets whether a connection attempt is worth its time. While the instance is cut
+   * off and other instances did not lead to several targets in a row either, one
+   * attempt an interval is allowed.
+   */
+  allowAttempt(now: number): boolean {
+    const isFutile = this.isCutOff &&
+      this.#unreachedInRow.size >= MIN_LOST_TARGETS &&
+      now - this.#lastAttemptAt < TRIAL_INTERVAL_MS;
+    if (!isFutile) this.#lastAttemptAt = now;
+    return !isFutile;
+  }
+
   /** Gets the number of targets without a direct path. */
   get lostCount(): number {
     return this.#lost.size;
@@ -54,6 +70,18 @@
     return isNew;
   }
 
+  /** Records that a target was reached by any path. */
+  onReached(): this {
+    this.#unreachedInRow.clear();
+    return this;
+  }
+
+  /** Records that a target was reached by no path. */
+  onUnreached(address: string): this {
+    this.#unreachedInRow.add(address);
+    return this;
+  }
+
   /**
    * Records that a direct connection was established. The trials of all other
    * lost paths are due at once, since what cut them off has probably ended.
--- a/src/core/paths/path_table_test.ts
+++ b/src/core/paths/path_table_test.ts
@@ -88,4 +88,39 @@
     table.onDirect("a");
     expect(table.takeTrial("b", 1)).toBe(true);
   });
+
+  describe("attempts that others cannot serve either", () => {
+    function doTest(
+      play: (table: PathTable) => void,
+      expected: readonly boolean[],
+    ) {
+      const table = new PathTable();
+      table.onLost("a", 0);
+      table.onLost("b", 0);
+      play(table);
+      const times = [0, 1, LATER_MS, LATER_MS + 1];
+      expect(times.map((now) => table.allowAttempt(now))).toEqual(expected);
+    }
+
+    it("are allowed once an interval after several targets", () =>
+      doTest((table) => {
+        table.onUnreached("a").onUnreached("b");
+      }, [true, false, true, false]));
+
+    it("are all allowed after a single target", () =>
+      doTest((table) => {
+        table.onUnreached("a").onUnreached("a");
+      }, [true, true, true, true]));
+
+    it("are all allowed once a target was reached", () =>
+      doTest((table) => {
+        table.onUnreached("a").onUnreached("b").onReached();
+      }, [true, true, true, true]));
+
+    it("are all allowed while the instance connects directly", () =>
+      doTest((table) => {
+        table.onUnreached("a").onUnreached("b");
+        table.onDirect("a");
+      }, [true, true, true, true]));
+  });
 });
--- a/src/tasks/paths/path_race.ts
+++ b/src/tasks/paths/path_race.ts
@@ -1,11 +1,11 @@
 /** Opening of one connection by several paths at once. */
 import { errors } from "undici";
 import { Path } from "../../core/paths/mod.ts";
-import { NutmegreelError } from "../../core/errors/mod.ts";
 import type { ResettableSocket } from "./connection_reset.ts";
 import { RelayError } from "./relay_error.ts";
 import type { RelayClient } from "./relay_client.ts";
 import { RelayRefusal } from "./relay_message.ts";
+import { TargetUnreachableError } from "./target_unreachable_error.ts";
 
 /** Options of {@link PathRace}. */
 export interface PathRaceOptions {
@@ -34,8 +34,6 @@
 const ATTEMPT_DELAY_MS = 100;
 /** Maximum number of instances that are asked to relay. */
 const MAX_RELAYS = 3;
-/** Code of a target that was not reached by any path. */
-const UNREACHABLE_CODE = "EHOSTUNREACH";
 const REFUSED_CODE = "ECONNREFUSED";
 
 /**
@@ -166,12 +164,7 @@
     if (err !== undefined && (err.code !== REFUSED_CODE || isRefusedByAll)) {
       return err;
     }
-    const { address } = this.#options;
-    return new NutmegreelError(
-      UNREACHABLE_CODE,
-      `Neither this instance nor others reach ${address}`,
-      { cause: err },
-    );
+    return new TargetUnreachableError(this.#options.address, { cause: err });
   }
 }
 
--- a/src/tasks/paths/target_paths.ts
+++ b/src/tasks/paths/target_paths.ts
@@ -6,6 +6,7 @@
 import { type Dial, dialTcp, parseEndpoint, untilConnected } from "./dial.ts";
 import { type OpenedConnection, PathRace } from "./path_race.ts";
 import type { RelayClient } from "./relay_client.ts";
+import { TargetUnreachableError } from "./target_unreachable_error.ts";
 
 /** What an instance needs to reach targets through others. */
 export interface RelayOptions {
@@ -58,16 +59,25 @@
       return { socket: await this.openDirect(address), path: Path.Direct };
     }
     this.tryDirectIfDue(address);
-    const opened = await new PathRace({
-      address,
-      first: this.pathTo(address),
-      timeoutMs: connectTimeoutMs,
-      openDirect: () => this.openDirect(address),
-      relays: relays.client,
-    }).run();
-    relays.metrics.count(`connections.${opened.path}`);
-    if (opened.hasLostDirect) this.#onLost(address);
-    return opened;
+    if (!this.#table.allowAttempt(performance.now())) {
+      throw new TargetUnreachableError(address);
+    }
+    try {
+      const opened = await new PathRace({
+        address,
+        first: this.pathTo(address),
+        timeoutMs: connectTimeoutMs,
+        openDirect: () => this.openDirect(address),
+        relays: relays.client,
+      }).run();
+      this.#table.onReached();
+      relays.metrics.count(`connections.${opened.path}`);
+      if (opened.hasLostDirect) this.#onLost(address);
+      return opened;
+    } catch (err) {
+      this.#table.onUnreached(address);
+      throw err;
+    }
   }
 
   /**
