Test: what was acknowledged outlives a disk and the power of all other machines

Three replicas of a log on files; at the moment of the tenth acknowledgement one disk is lost, and the others keep only what was synced by then. The next leader has all ten commands, whichever disk is lost. No fault was found: a follower acknowledges, and the leader counts itself, after the sync.

--- a/src/tasks/log/log_driver_test.ts
+++ b/src/tasks/log/log_driver_test.ts
@@ -1,11 +1,19 @@
 import { mkdtemp, rm } from "node:fs/promises";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
-import { afterEach, beforeEach, describe, expect, it } from "vitest";
+import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
 import { BatchState } from "../../core/batches/mod.ts";
 import { Logger } from "../../logging/mod.ts";
+import {
+  losePower,
+  type SyncedSizes,
+  SyncRecorder,
+} from "../../../tests/support/sync_recorder.ts";
 import { LogDriver } from "./log_driver.ts";
 import { LogStore } from "./log_store.ts";
+import type { StateMachine } from "./state_machine.ts";
+
+const TIMEOUT_MS = 20_000;
 
 describe(LogDriver.name, () => {
   let dataFolder: string;
@@ -50,3 +58,124 @@
       ["127.0.0.2", "127.0.0.3"],
     ));
 });
+
+/** Remembers all commands. */
+class CommandList implements StateMachine<string, string[], number> {
+  #commands: string[] = [];
+
+  apply(command: string): number {
+    return this.#commands.push(command);
+  }
+
+  save(): string[] {
+    return [...this.#commands];
+  }
+
+  load(commands: string[]): this {
+    this.#commands = [...commands];
+    return this;
+  }
+}
+
+type Driver = LogDriver<string, string[], number, CommandList>;
+
+describe("a command that was acknowledged", () => {
+  const IDS = ["a", "b", "c"];
+  const COMMANDS = 20;
+  let dataFolder: string;
+  let recorder: SyncRecorder;
+  let drivers: Map<string, Driver>;
+  let onAcknowledged: (command: string) => void;
+
+  beforeEach(async () => {
+    dataFolder = await mkdtemp(join(tmpdir(), "power-loss-"));
+    recorder = await SyncRecorder.start();
+    drivers = new Map();
+    onAcknowledged = () => {};
+  });
+
+  afterEach(async () => {
+    await stopAll();
+    recorder.stop();
+    await rm(dataFolder, { recursive: true, force: true });
+  });
+
+  async function stopAll(): Promise<void> {
+    const stopped = [...drivers.values()].map((driver) => driver.stop());
+    drivers.clear();
+    await Promise.all(stopped);
+  }
+
+  const folderOf = (id: string) => join(dataFolder, id);
+
+  async function startAll(): Promise<void> {
+    for (const id of IDS) {
+      const driver: Driver = new LogDriver({
+        id,
+        dataFolder: folderOf(id),
+        name: "log",
+        createState: () => new CommandList(),
+        wantedVoters: () => IDS.length,
+        times: { heartbeatMs: 50, electionMs: 300, clockRateError: 0.02 },
+        logger: new Logger({ instance: id, level: "error" }),
+        now: () => performance.now(),
+        send: (to, message) =>
+          void setImmediate(() => drivers.get(to)?.receive(message)),
+        presentReplicas: () =>
+          [...drivers.values()].flatMap(({ replica }) => replica ?? []),
+        onApplied: ({ content }) => {
+          if (content.type !== "command") return;
+          if (driver.leaderSince === Infinity) return;
+          onAcknowledged(content.command);
+        },
+        onRestored: () => {},
+        onRole: () => {},
+      });
+      drivers.set(id, driver);
+    }
+    await Promise.all([...drivers.values()].map((driver) => driver.start()));
+  }
+
+  const untilLed = () =>
+    vi.waitFor(() => {
+      const leader = [...drivers.values()].find(({ isReady }) => isReady);
+      return leader ?? Promise.reject(new Error("No leader"));
+    }, { timeout: TIMEOUT_MS });
+
+  /** Loses one disk, and the power of all others, at an acknowledgement. */
+  async function doTest(lostDisk: string): Promise<void> {
+    for (const id of IDS) {
+      await LogStore.create({
+        dataFolder: folderOf(id),
+        name: "log",
+        emptyState: [],
+        instances: IDS,
+      });
+    }
+    await startAll();
+    const leader = await untilLed();
+    const acknowledged: string[] = [];
+    const lost = new Promise<SyncedSizes>((resolve) => {
+      onAcknowledged = (command) => {
+        acknowledged.push(command);
+        if (acknowledged.length === COMMANDS / 2) resolve(recorder.save());
+      };
+    });
+    for (let i = 0; i < COMMANDS; i += 1) {
+      leader.propose(`command ${i}`);
+      await new Promise((resolve) => setImmediate(resolve));
+    }
+    const sizes = await lost;
+    const expected = acknowledged.slice(0, COMMANDS / 2);
+    await stopAll();
+    for (const id of IDS) losePower(folderOf(id), sizes);
+    await rm(folderOf(lostDisk), { recursive: true });
+    await startAll();
+    const next = await untilLed();
+    expect(next.state.save()).toEqual(expect.arrayContaining(expected));
+  }
+
+  for (const id of IDS) {
+    it(`outlives disk ${id} and the power of all others`, () => doTest(id));
+  }
+});
