--- a/src/logging/logger.ts
+++ b/src/logging/logger.ts
@@ -1,10 +1,7 @@
 /** Structured log of numbered events. */
 import bunyan from "bunyan";
-import {
-  EVENT_CATALOGUE,
-  type EventLevel,
-  type EventName,
-} from "./event_catalogue.ts";
+import { EVENT_CATALOGUE, type EventName } from "./event_catalogue.ts";
+import type { EventLevel } from "./event_description.ts";
 import { LogRateLimiter, type LogRateLimits } from "./log_rate_limiter.ts";
 
 /** Fields of an event; must not hold keys, prompts or generated text. */
--- a/src/logging/mod.ts
+++ b/src/logging/mod.ts
@@ -1,4 +1,5 @@
 /** Logging: the event catalogue, the logger and its rate limiter. */
 export * from "./event_catalogue.ts";
+export * from "./event_description.ts";
 export * from "./log_rate_limiter.ts";
 export * from "./logger.ts";
