--- a/src/core/control/control_state.ts
+++ b/src/core/control/control_state.ts
@@ -5,7 +5,6 @@
   InvariantError,
 } from "../invariants/mod.ts";
 import { KeyDirectory, type KeyRecord } from "../keys/mod.ts";
-import type { SealedWindow } from "../ledger/mod.ts";
 import {
   type ChangeResult,
   ConfigurationStore,
@@ -17,7 +16,7 @@
   OrderOutcome,
 } from "./control_command.ts";
 import type { LedgerView } from "../views/mod.ts";
-import { digestOf } from "./section_digest.ts";
+import { SealedWindows, type UsageReport } from "./sealed_windows.ts";
 
 /** Newest announced weights of a model. */
 export interface AnnouncedWeights {
@@ -26,18 +25,6 @@
   readonly at: number;
 }
 
-/**
- * A sealed usage window of a data centre, to be reported to the recipient of
- * usage reports.
- */
-export interface UsageReport {
-  readonly dataCentre: string;
-  /** Usage totals of the window. */
-  readonly sealed: SealedWindow;
-  /** Whether the recipient has confirmed the report. */
-  readonly isReported: boolean;
-}
-
 /** An order with its outcome, once known. */
 export interface OrderEntry {
   /** Order as recorded. */
@@ -76,8 +63,6 @@
 const UNCHANGED: CommandResult = { type: "unchanged" };
 /** Number of finished orders retained. */
 const MAX_FINISHED_ORDERS = 1_024;
-/** Number of confirmed usage reports retained for each data centre. */
-const MAX_REPORTED_WINDOWS = 1_024;
 
 /**
  * Applies commands in log order; equal commands give equal state.
@@ -96,7 +81,7 @@
   readonly #weights = new Map<string, AnnouncedWeights>();
   readonly #views = new Map<string, LedgerView>();
   readonly #orders = new Map<string, OrderEntry>();
-  readonly #usage = new Map<string, UsageReport>();
+  readonly #usage = new SealedWindows();
   #sequence = 0;
   readonly #handlers: CommandHandlers = {
     changeConfiguration: ({ change }) => this.configuration.apply(change),
@@ -120,15 +105,10 @@
     setLedgerView: ({ view }) => this.#setView(view),
     orderIntent: ({ order }) => this.#addOrder(order),
     orderOutcome: ({ id, outcome }) => this.#endOrder(id, outcome),
-    sealUsage: ({ dataCentre, sealed }) => this.#sealWindow(dataCentre, sealed),
-    usageReported: ({ dataCentre, window }) => {
-      const existing = this.getUsage(dataCentre, window);
-      if (existing === undefined || existing.isReported) return UNCHANGED;
-      const name = formatWindowKey(dataCentre, window);
-      this.#usage.set(name, { ...existing, isReported: true });
-      this.#evictReportedWindows(dataCentre);
-      return DONE;
-    },
+    sealUsage: ({ dataCentre, sealed }) =>
+      this.#usage.seal(dataCentre, sealed) ? DONE : UNCHANGED,
+    usageReported: ({ dataCentre, window }) =>
+      this.#usage.markReported(dataCentre, window) ? DONE : UNCHANGED,
   };
 
   /** Gets the newest announced weights of a model. */
@@ -169,12 +149,12 @@
 
   /** Gets a sealed usage window. */
   getUsage(dataCentre: string, window: number): UsageReport | undefined {
-    return this.#usage.get(formatWindowKey(dataCentre, window));
+    return this.#usage.get(dataCentre, window);
   }
 
   /** Gets all retained sealed usage windows. */
   get usage(): readonly UsageReport[] {
-    return [...this.#usage.values()];
+    return this.#usage.list();
   }
 
   /**
@@ -223,12 +203,7 @@
       this.#orders,
       snapshot.orders.map((entry) => [entry.order.id, entry] as const),
     );
-    replaceEntries(
-      this.#usage,
-      snapshot.usage.map((u) =>
-        [formatWindowKey(u.dataCentre, u.sealed.window), u] as const
-      ),
-    );
+    this.#usage.load(snapshot.usage);
     this.#sequence = snapshot.sequence;
     return this;
   }
@@ -269,35 +244,6 @@
     }
     return DONE;
   }
-
-  #sealWindow(dataCentre: string, sealed: SealedWindow): CommandResult {
-    const name = formatWindowKey(dataCentre, sealed.window);
-    const existing = this.#usage.get(name);
-    if (existing !== undefined) {
-      assertInvariant(
-        digestOf(existing.sealed) === digestOf(sealed),
-        Invariant.WindowReportedOnce,
-        `Window ${name} has already been sealed with different figures`,
-      );
-      return UNCHANGED;
-    }
-    this.#usage.set(name, { dataCentre, sealed, isReported: false });
-    return DONE;
-  }
-
-  #evictReportedWindows(dataCentre: string): void {
-    const reported = this.usage
-      .filter((u) => u.dataCentre === dataCentre && u.isReported)
-      .sort((a, b) => a.sealed.window - b.sealed.window);
-    const excess = Math.max(0, reported.length - MAX_REPORTED_WINDOWS);
-    for (const { sealed } of reported.slice(0, excess)) {
-      this.#usage.delete(formatWindowKey(dataCentre, sealed.window));
-    }
-  }
-}
-
-function formatWindowKey(dataCentre: string, window: number): string {
-  return `${dataCentre}/${window}`;
 }
 
 function replaceEntries<T>(
--- a/src/core/fleet/fleet_command.ts
+++ b/src/core/fleet/fleet_command.ts
@@ -56,3 +56,11 @@
   | { readonly type: "done" }
   /** Nothing changed: the current value is equal or newer. */
   | { readonly type: "unchanged" };
+
+/** Gets the fingerprints whose suspicion a command may change. */
+export function fingerprintsOf(command: FleetCommand): string[] {
+  if (command.type === "takeTrial") return [command.fingerprint];
+  if (command.type !== "reportRuns") return [];
+  const died = command.deaths.map(({ fingerprint }) => fingerprint);
+  return [...command.completed, ...died];
+}
--- /dev/null
+++ b/src/tasks/calls/call_refusal.ts
@@ -0,0 +1,37 @@
+/** The refusal of a call that no target has completed. */
+import {
+  RefusalError,
+  RefusalReason,
+  Verdict,
+} from "../../core/verdict/mod.ts";
+
+/** Input of {@link createCallRefusal}. */
+export interface CallRefusalInput {
+  readonly verdict: Verdict;
+  /** Whether no time is left for another attempt. */
+  readonly isLate: boolean;
+  /** Time until a limited target has a permit, if one was missing. */
+  readonly permitAfterMs: number | undefined;
+  /** Detail of the last attempt that failed; empty if there was none. */
+  readonly lastFailure: string;
+}
+
+const RETRY_AFTER_MS = 300;
+
+/** Creates the refusal, with a retry delay if the call has not run. */
+export function createCallRefusal(input: CallRefusalInput): RefusalError {
+  const { verdict, isLate, permitAfterMs, lastFailure } = input;
+  if (verdict === Verdict.NotRun) {
+    const isAtLimit = permitAfterMs !== undefined;
+    return new RefusalError(RefusalReason.NoTarget, Verdict.NotRun, {
+      message: isAtLimit
+        ? "All targets are at the limit that they name"
+        : lastFailure || "No target takes the call",
+      retryAfterMs: Math.max(RETRY_AFTER_MS, permitAfterMs ?? 0),
+    });
+  }
+  const reason = isLate
+    ? RefusalReason.TargetTimeout
+    : RefusalReason.TargetFailed;
+  return new RefusalError(reason, verdict, { message: lastFailure });
+}
--- a/src/tasks/calls/call_run.ts
+++ b/src/tasks/calls/call_run.ts
@@ -1,74 +1,27 @@
 /** Execution of a single call, with retries and hedging. */
-import {
-  type CallRequest,
-  type CallResponse,
-  type LatencyTracker,
-} from "../../core/calls/mod.ts";
+import type { CallResponse } from "../../core/calls/mod.ts";
 import { RouteKind } from "../../core/policy/mod.ts";
-import type {
-  TargetRegistry,
-  TargetReport,
-  TargetSigns,
-} from "../../core/registry/mod.ts";
+import type { TargetReport } from "../../core/registry/mod.ts";
 import {
   RefusalError,
   RefusalReason,
   Verdict,
 } from "../../core/verdict/mod.ts";
-import type { Logger } from "../../logging/mod.ts";
-import type { Metrics } from "../../metrics/mod.ts";
 import { fingerprintOf } from "./call_fingerprint.ts";
+import { createCallRefusal } from "./call_refusal.ts";
 import { CallTargets } from "./call_targets.ts";
-import type { Admission } from "./call_gate.ts";
-import type { CrashGuard } from "./crash_guard.ts";
-import type { RateGuard } from "./rate_guard.ts";
 import { firstDefined, settleWithin } from "../settle.ts";
-import { ConnectionState } from "../paths/mod.ts";
 import type {
-  AttemptOutcome,
-  CallAttempt,
-  ResponseStream,
-  TargetPort,
-} from "./target_port.ts";
-
-/** Dependencies that all runs of an instance share. */
-export interface CallRunDependencies {
-  readonly targets: TargetPort;
-  readonly registry: TargetRegistry;
-  readonly latencies: LatencyTracker;
-  readonly crashes: CrashGuard;
-  readonly rates: RateGuard;
-  readonly logger: Logger;
-  readonly metrics: Metrics;
-  readonly dataCentre: string;
-  /** Called once per call, when a target may first have run it. */
-  readonly onFirstRun: (workspace: string | undefined) => void;
-  /** Called with what a target says of itself in a response. */
-  readonly onSigns: (target: TargetReport, signs: TargetSigns) => void;
-  /**
-   * Waits briefly for a valid policy lease, for example after the process was
-   * suspended; false if there is none in time.
-   */
-  readonly awaitLease: () => Promise<boolean>;
-}
-
-/** Options of {@link CallRun}. */
-export interface CallRunOptions {
-  readonly call: CallRequest;
-  readonly admission: Admission;
-  readonly signal: AbortSignal;
-  /**
-   * Receives the response as it arrives; if undefined, the response is read
-   * completely and returned.
-   */
-  readonly stream: ResponseStream | undefined;
-}
+  CallRunDependencies,
+  CallRunOptions,
+} from "./call_run_options.ts";
+import { CallTrace } from "./call_trace.ts";
+import type { AttemptOutcome, CallAttempt } from "./target_port.ts";
 
 /** Minimum remaining time for which a further attempt is started. */
 const MIN_ATTEMPT_MS = 30;
 /** Fraction of the route's latency objective after which a hedge is sent. */
 const HEDGE_DELAY_FRACTION = 0.6;
-const RETRY_AFTER_MS = 300;
 const MIN_ERROR_STATUS = 500;
 /**
  * Time before the route's or the caller's timeout at which a call ends, so that
@@ -81,6 +34,7 @@
   readonly #dependencies: CallRunDependencies;
   readonly #options: CallRunOptions;
   readonly #targets: CallTargets;
+  readonly #trace: CallTrace;
   readonly #deadline: number;
   #verdict: Verdict = Verdict.NotRun;
   #errorResponse: CallResponse | undefined;
@@ -90,13 +44,12 @@
    */
   #attemptsRun = 0;
   #failedResponses = 0;
-  /** States of the connections of the attempts in flight, by target. */
-  readonly #connections = new Map<string, () => ConnectionState>();
   #knownFingerprint: string | undefined;
 
   constructor(dependencies: CallRunDependencies, options: CallRunOptions) {
     this.#dependencies = dependencies;
     this.#options = options;
+    this.#trace = new CallTrace(dependencies, options);
     const { route } = options.admission;
     const callTimeoutMs = options.call.timeoutMs ?? Infinity;
     const timeMs = Math.min(route.timeoutMs, callTimeoutMs) -
@@ -135,7 +88,12 @@
       if (this.#dependencies.crashes.isProven(this.#fingerprint)) break;
     }
     if (this.#errorResponse !== undefined) return this.#errorResponse;
-    throw this.#createRefusal();
+    throw createCallRefusal({
+      verdict: this.#verdict,
+      isLate: this.#remainingMs <= MIN_ATTEMPT_MS,
+      permitAfterMs: this.#targets.permitAfterMs,
+      lastFailure: this.#lastFailure,
+    });
   }
 
   /** Gets the number of responses in which a target ran the call and failed. */
@@ -206,14 +164,7 @@
         ? this.#targets.nextUnlimited()
         : undefined;
       if (second === undefined) return await first;
-      this.#dependencies.logger.event("callRetried", {
-        request: this.#options.call.id,
-        target: second.id,
-        reason: "slow",
-        slowTarget: target.id,
-        connection: this.#connectionOf(target.id),
-        waitedMs: Math.round(hedgeDelayMs),
-      });
+      this.#trace.hedged(target.id, { target: second.id, hedgeDelayMs });
       return await firstDefined([first, this.#attempt(second, hedge.signal)]);
     } finally {
       this.#options.signal.removeEventListener("abort", onAbort);
@@ -242,7 +193,7 @@
     const { call, admission, stream } = this.#options;
     this.#targets.markTried(report);
     this.#attemptsRun += 1;
-    this.#logPlaced(report);
+    this.#trace.placed(report, this.#targets.triedCount, this.#remainingMs);
     latencies.onSent(report.id);
     const startedAt = performance.now();
     const attempt: CallAttempt = {
@@ -255,7 +206,7 @@
         ?.maxConnections ?? 1,
       onSigns: (signs) => this.#dependencies.onSigns(report, signs),
       needsLive: !isHedged,
-      onConnection: (getState) => this.#connections.set(report.id, getState),
+      onConnection: (getState) => this.#trace.onConnection(report.id, getState),
     };
     const outcome = stream === undefined
       ? await this.#dependencies.targets.send(attempt)
@@ -284,20 +235,6 @@
     if (isSuspect) await reported;
   }
 
-  #logPlaced(report: TargetReport): void {
-    const { latencies, logger } = this.#dependencies;
-    const { call, admission } = this.#options;
-    logger.event("callPlaced", {
-      request: call.id,
-      target: report.id,
-      attempt: this.#targets.triedCount,
-      inFlight: latencies.inFlight(report.id),
-      latencyMs: Math.round(latencies.latencyMs(report.id)),
-      leftMs: Math.round(this.#remainingMs),
-      revision: admission.policy.revision,
-    });
-  }
-
   /** Gets the response that ends the call; undefined if it may be retried. */
   #handleOutcome(
     outcome: AttemptOutcome,
@@ -335,47 +272,19 @@
   #recordRetry(target: string, detail: string): void {
     this.#lastFailure = detail;
     if (this.#options.signal.aborted) return;
-    this.#dependencies.metrics.count("calls.retried");
-    this.#dependencies.logger.event("callRetried", {
-      request: this.#options.call.id,
-      target,
+    this.#trace.retried(target, {
       reason: detail,
-      connection: this.#connectionOf(target),
-      leftMs: Math.round(this.#remainingMs),
+      leftMs: this.#remainingMs,
       fingerprint: this.#fingerprint,
     });
   }
 
-  #connectionOf(target: string): ConnectionState {
-    return this.#connections.get(target)?.() ?? ConnectionState.None;
-  }
-
   /** Gets the fingerprint, which is computed once. */
   get #fingerprint(): string {
     const { call, admission } = this.#options;
     this.#knownFingerprint ??= fingerprintOf(call, admission.workspace?.name);
     return this.#knownFingerprint;
   }
-
-  #createRefusal(): RefusalError {
-    const isLate = this.#remainingMs <= MIN_ATTEMPT_MS;
-    if (this.#verdict === Verdict.NotRun) {
-      const { permitAfterMs } = this.#targets;
-      const isAtLimit = permitAfterMs !== undefined;
-      return new RefusalError(RefusalReason.NoTarget, Verdict.NotRun, {
-        message: isAtLimit
-          ? "All targets are at the limit that they name"
-          : this.#lastFailure || "No target takes the call",
-        retryAfterMs: Math.max(RETRY_AFTER_MS, permitAfterMs ?? 0),
-      });
-    }
-    const reason = isLate
-      ? RefusalReason.TargetTimeout
-      : RefusalReason.TargetFailed;
-    return new RefusalError(reason, this.#verdict, {
-      message: this.#lastFailure,
-    });
-  }
 }
 
 function isFailure(outcome: AttemptOutcome): boolean {
--- a/src/tasks/control/control_task.ts
+++ b/src/tasks/control/control_task.ts
@@ -7,12 +7,7 @@
 import type { LedgerView } from "../../core/views/mod.ts";
 import type { ConsensusTiming, LogEntry } from "../../core/consensus/mod.ts";
 import type { FeedTiming, InForceStatus } from "../../core/feed/mod.ts";
-import { nextView } from "../../core/ledger/mod.ts";
-import {
-  RefusalError,
-  RefusalReason,
-  Verdict,
-} from "../../core/verdict/mod.ts";
+import { Verdict } from "../../core/verdict/mod.ts";
 import type { Logger } from "../../logging/mod.ts";
 import type { Settings } from "../../settings/mod.ts";
 import type { PeerHub } from "../peers/mod.ts";
@@ -22,8 +17,15 @@
   RestoredListener,
 } from "./control_port.ts";
 import { FeedTask } from "./feed_task.ts";
+import {
+  type AwaitInForceRequest,
+  FeedWaiter,
+  IN_FORCE_TIMEOUT_MS,
+} from "./feed_waiter.ts";
 import { ProposalWaiters, PROPOSE_TIMEOUT_MS } from "../log/mod.ts";
+import { ControlClient, createUnavailableError } from "./control_client.ts";
 import { type ControlDriver, createControlDriver } from "./control_driver.ts";
+import { ViewUpdater } from "./view_updater.ts";
 
 /** Options of {@link ControlTask}. */
 export interface ControlTaskOptions {
@@ -43,11 +45,6 @@
   readonly index: number;
 }
 
-interface AwaitInForceRequest {
-  readonly index: number;
-  readonly homes: readonly string[];
-}
-
 /** Heartbeat and election times of the control log. */
 export const CONSENSUS_TIMING: ConsensusTiming = {
   heartbeatMs: 200,
@@ -58,17 +55,6 @@
 /** Times of the leases that allow an instance to use the configuration. */
 export const FEED_TIMING: FeedTiming = { leaseMs: 3_000, clockRateError: 0.02 };
 
-const IN_FORCE_TIMEOUT_MS = 4_500;
-const POLL_INTERVAL_MS = 20;
-const APPLY_TIMEOUT_MS = 2_000;
-const VIEW_INTERVAL_MS = 500;
-/**
- * Time for which a new leader does not replace views, so that it can first
- * receive heartbeats from every process.
- */
-const VIEW_GRACE_MS = 3_500;
-const RETRY_AFTER_MS = 1_000;
-
 /** Runs an instance's replica of the control log, if any, and its feed. */
 export class ControlTask implements ControlPort {
   readonly #options: ControlTaskOptions;
@@ -80,7 +66,9 @@
   readonly #appliedListeners: AppliedListener[] = [];
   readonly #restoredListeners: RestoredListener[] = [];
   readonly #roleListeners: ((isLeader: boolean) => void)[] = [];
-  #viewTimer: NodeJS.Timeout | undefined;
+  readonly #views: ViewUpdater;
+  readonly #client: ControlClient;
+  readonly #waiter: FeedWaiter;
 
   constructor(options: ControlTaskOptions) {
     this.#options = options;
@@ -99,6 +87,19 @@
       onApplied: (command, result) => this.#notifyApplied(command, result),
       onRestored: (state) => this.#notifyRestored(state),
     });
+    this.#client = new ControlClient({
+      id: settings.id,
+      hub,
+      driver: this.#driver,
+      timeoutMs: PROPOSE_TIMEOUT_MS + IN_FORCE_TIMEOUT_MS,
+    });
+    this.#waiter = new FeedWaiter({ feed: this.#feed, now });
+    this.#views = new ViewUpdater({
+      driver: this.#driver,
+      feed: this.#feed,
+      getView: (dataCentre) => this.state.getView(dataCentre),
+      now,
+    });
     hub
       .on("consensus", (_from, body) => this.#driver?.receive(body))
       .handle(
@@ -134,23 +135,23 @@
   async start(): Promise<void> {
     await this.#driver?.start();
     this.#feed.start();
-    this.#viewTimer = setInterval(() => this.#updateViews(), VIEW_INTERVAL_MS);
+    this.#views.start();
   }
 
   async stop(): Promise<void> {
-    clearInterval(this.#viewTimer);
+    this.#views.stop();
     this.#feed.stop();
     await this.#driver?.stop();
   }
 
   /**
-   * Proposes a command and waits until this instance has applied it, for up to
-   * {@link APPLY_TIMEOUT_MS} after the leader has.
+   * Proposes a command and waits, for a limited time after the leader has applied
+   * it, until this instance has.
    * @throws RefusalError if the log's leader cannot be reached.
    */
   async propose(command: ControlCommand): Promise<CommandResult> {
     const { answer, index } = await this.#proposeOrForward(command);
-    await this.#waitUntilApplied(index);
+    await this.#waiter.untilApplied(index);
     return answer;
   }
 
@@ -163,7 +164,7 @@
     const request = { index: this.#feed.node.applied, homes };
     if (this.#driver?.isReady) return await this.#awaitInForceLocally(request);
     try {
-      return await this.#requestLeader(
+      return await this.#client.request(
         "control.force",
         request,
       ) as InForceStatus;
@@ -254,28 +255,12 @@
 
   async #proposeOrForward(command: ControlCommand): Promise<ProposeReply> {
     if (this.#driver?.isReady) return await this.#proposeLocally(command);
-    return await this.#requestLeader(
+    return await this.#client.request(
       "control.propose",
       command,
     ) as ProposeReply;
   }
 
-  /** Sends a request to the leader if known, else to a control instance. */
-  async #requestLeader(method: string, params: unknown): Promise<unknown> {
-    const { hub } = this.#options;
-    const leader = this.#driver?.leaderInstance;
-    const present = hub.controlPeers.filter((peer) => hub.isPresent(peer.id));
-    const candidates = present.length > 0 ? present : hub.controlPeers;
-    const to = leader ?? candidates[0]?.id;
-    if (to === undefined || to === this.#options.settings.id) {
-      throw createUnavailableError(Verdict.NotRun);
-    }
-    return await hub.request(to, method, {
-      params,
-      timeoutMs: PROPOSE_TIMEOUT_MS + IN_FORCE_TIMEOUT_MS,
-    });
-  }
-
   async #proposeLocally(command: ControlCommand): Promise<ProposeReply> {
     const driver = this.#driver;
     if (driver === undefined) throw createUnavailableError(Verdict.NotRun);
@@ -284,7 +269,7 @@
       const isOtherLeader = leader !== undefined &&
         leader !== this.#options.settings.id;
       if (!isOtherLeader) throw createUnavailableError(Verdict.NotRun);
-      return await this.#requestLeader(
+      return await this.#client.request(
         "control.propose",
         command,
       ) as ProposeReply;
@@ -299,56 +284,17 @@
     request: AwaitInForceRequest,
   ): Promise<InForceStatus> {
     const driver = this.#driver;
-    const { now, settings } = this.#options;
+    const { settings } = this.#options;
     if (driver !== undefined && !driver.isReady) {
       const leader = driver.leaderInstance;
       if (leader === undefined || leader === settings.id) {
         throw createUnavailableError(Verdict.NotRun);
       }
-      return await this.#requestLeader(
+      return await this.#client.request(
         "control.force",
         request,
       ) as InForceStatus;
     }
-    const endsAt = now() + IN_FORCE_TIMEOUT_MS;
-    while (true) {
-      this.#feed.updateRoot();
-      const { index, homes } = request;
-      const status = this.#feed.node.inForceStatus(index, homes, now());
-      if (status.isInForce || now() >= endsAt) return status;
-      await new Promise((resolve) => setTimeout(resolve, POLL_INTERVAL_MS));
-    }
-  }
-
-  /** Waits until this instance has applied an index, or the time is over. */
-  async #waitUntilApplied(index: number): Promise<void> {
-    const { now } = this.#options;
-    const endsAt = now() + APPLY_TIMEOUT_MS;
-    while (this.#feed.node.applied < index && now() < endsAt) {
-      await new Promise((resolve) => setTimeout(resolve, POLL_INTERVAL_MS));
-    }
+    return await this.#waiter.untilInForce(request);
   }
-
-  /** Proposes new views for ledgers with absent members, as the leader. */
-  #updateViews(): void {
-    const driver = this.#driver;
-    if (driver === undefined || !driver.isReady) return;
-    const { now } = this.#options;
-    if (now() - driver.leaderSince < VIEW_GRACE_MS) return;
-    for (const dataCentre of this.#feed.presentDataCentres) {
-      const view = nextView({
-        dataCentre,
-        view: this.state.getView(dataCentre),
-        present: this.#feed.presentProcessesIn(dataCentre),
-      });
-      if (view !== undefined) driver.propose({ type: "setLedgerView", view });
-    }
-  }
-}
-
-function createUnavailableError(verdict: Verdict): RefusalError {
-  return new RefusalError(RefusalReason.ControlUnavailable, verdict, {
-    message: "The control log cannot be reached",
-    retryAfterMs: RETRY_AFTER_MS,
-  });
 }
--- a/src/tasks/control/feed_task.ts
+++ b/src/tasks/control/feed_task.ts
@@ -11,13 +11,14 @@
   FeedNode,
   type FeedTiming,
   HomeAuthority,
-  type PresentProcess,
   type RootStatus,
 } from "../../core/feed/mod.ts";
 import { instanceOfProcess } from "../../core/ledger/mod.ts";
 import type { Logger } from "../../logging/mod.ts";
 import type { HomeMessage, PeerHub } from "../peers/mod.ts";
 import type { ControlDriver } from "./control_driver.ts";
+import { PresentProcesses } from "./present_processes.ts";
+import { selectUpstream } from "./upstream.ts";
 
 /** Options of {@link FeedTask}. */
 export interface FeedTaskOptions {
@@ -45,8 +46,6 @@
 const RENEW_INTERVAL_MS = 700;
 /** Time in which changes are combined into one confirmation upstream. */
 const CONFIRM_DELAY_MS = 10;
-/** Time without a heartbeat after which a process counts as absent. */
-const PRESENT_TTL_MS = 3_000;
 
 /**
  * Runs the feed of one instance: it receives the control log from an upstream
@@ -56,19 +55,18 @@
   readonly #options: FeedTaskOptions;
   readonly #node: FeedNode;
   readonly #homeAuthority: HomeAuthority;
-  readonly #downstreamProcesses = new Map<
-    string,
-    { dataCentre: string; until: number }
-  >();
+  readonly #present: PresentProcesses;
   #state = new ControlState();
   #timer: NodeJS.Timeout | undefined;
   #confirmTimer: NodeJS.Timeout | undefined;
   #hadLease: boolean | undefined;
+  #confirmedIndex = 0;
 
   /** Subscribes to the channels of the feed. */
   constructor(options: FeedTaskOptions) {
     const { id, dataCentre, times, process } = options;
     this.#options = options;
+    this.#present = new PresentProcesses(options);
     this.#node = new FeedNode({
       self: id,
       dataCentre,
@@ -94,7 +92,7 @@
   /** Gets the ledger processes of a data centre that are present. */
   presentProcessesIn(dataCentre: string): readonly string[] {
     const now = this.#options.now();
-    return this.#listPresent(now)
+    return this.#present.list(now)
       .filter((present) => present.dataCentre === dataCentre)
       .map((present) => present.process);
   }
@@ -102,7 +100,7 @@
   /** Gets the data centres with a process that is present. */
   get presentDataCentres(): readonly string[] {
     const now = this.#options.now();
-    return [...new Set(this.#listPresent(now).map((p) => p.dataCentre))];
+    return [...new Set(this.#present.list(now).map((p) => p.dataCentre))];
   }
 
   /** Gets whether a lease guarantees that the configuration is current. */
@@ -175,56 +173,14 @@
     this.#options.logger.event(hasLease ? "leaseHeld" : "leaseLost");
   }
 
-  #listPresent(now: number): PresentProcess[] {
-    const { hub, process, dataCentre, isDraining } = this.#options;
-    const list: PresentProcess[] = isDraining()
-      ? []
-      : [{ process, dataCentre }];
-    for (const peer of hub.localPeers) {
-      const presence = hub.getPresence(peer.id);
-      if (presence === undefined || presence.isDraining) continue;
-      list.push({ process: presence.ledger, dataCentre: peer.dataCentre });
-    }
-    for (const [other, { dataCentre, until }] of this.#downstreamProcesses) {
-      if (until <= now) this.#downstreamProcesses.delete(other);
-      else if (!list.some((p) => p.process === other)) {
-        list.push({ process: other, dataCentre });
-      }
-    }
-    return list;
-  }
-
-  /**
-   * Selects the upstream instance: the leader for control instances, the
-   * ledger's primary for other instances of its data centre, and else a control
-   * instance, preferably one that is present and in this data centre. If none
-   * is present, it rotates among them.
-   */
-  #selectUpstream(): string | undefined {
-    const { driver, hub, id, dataCentre } = this.#options;
-    if (driver !== undefined) {
-      const leader = driver.leaderInstance;
-      return leader === id ? undefined : leader;
-    }
-    const primary = this.#homeAuthority.view?.primary;
-    if (primary !== undefined && !this.#homeAuthority.isPrimary) {
-      const instance = instanceOfProcess(primary);
-      if (hub.isPresent(instance) && instance !== id) return instance;
-    }
-    const controls = [...hub.controlPeers].sort((a, b) =>
-      Number(b.dataCentre === dataCentre) - Number(a.dataCentre === dataCentre)
-    );
-    const presentControl = controls.find((peer) => hub.isPresent(peer.id));
-    const rotation = Math.floor(this.#options.now() / PRESENT_TTL_MS);
-    return presentControl?.id ??
-      controls[rotation % Math.max(1, controls.length)]?.id;
-  }
-
   #renew(): void {
     const { hub, now } = this.#options;
-    const upstream = this.#selectUpstream();
+    const upstream = selectUpstream({
+      ...this.#options,
+      homeAuthority: this.#homeAuthority,
+    });
     if (upstream === undefined) return;
-    const body = this.#node.renew(now(), this.#listPresent(now()));
+    const body = this.#node.renew(now(), this.#present.list(now()));
     hub.send(upstream, { channel: "feed", body });
   }
 
@@ -236,10 +192,7 @@
     }
     this.updateRoot();
     this.#updateHomeAuthority(now());
-    const until = now() + PRESENT_TTL_MS;
-    for (const { process, dataCentre } of message.present) {
-      this.#downstreamProcesses.set(process, { dataCentre, until });
-    }
+    this.#present.merge(message.present, now());
     const body = this.#node.onRenew(message, now());
     hub.send(from, { channel: "feed", body });
     this.#scheduleConfirmation();
@@ -287,15 +240,13 @@
     if (this.#confirmTimer !== undefined) return;
     this.#confirmTimer = setTimeout(() => {
       this.#confirmTimer = undefined;
-      if (this.#node.inForce(this.#options.now()) > this.#confirmedIndex) {
-        this.#confirmedIndex = this.#node.inForce(this.#options.now());
-        this.#renew();
-      }
+      const inForce = this.#node.inForce(this.#options.now());
+      if (inForce <= this.#confirmedIndex) return;
+      this.#confirmedIndex = inForce;
+      this.#renew();
     }, CONFIRM_DELAY_MS);
   }
 
-  #confirmedIndex = 0;
-
   #onView(view: LedgerView): void {
     if (view.dataCentre !== this.#options.dataCentre) return;
     this.#homeAuthority.setView(view, this.#options.now());
--- a/src/tasks/entry/mod.ts
+++ b/src/tasks/entry/mod.ts
@@ -1,4 +1,5 @@
 /** The HTTP interface of an instance. */
+export * from "./access_guard.ts";
 export * from "./call_forwarder.ts";
 export * from "./call_guard.ts";
 export * from "./ledger_call_guard.ts";
--- a/src/tasks/entry/operator_handlers.ts
+++ b/src/tasks/entry/operator_handlers.ts
@@ -1,6 +1,5 @@
 /** Handlers of the endpoints for operators and targets. */
-import { randomBytes, timingSafeEqual } from "node:crypto";
-import { createHash } from "node:crypto";
+import { randomBytes } from "node:crypto";
 import * as z from "zod";
 import { SECTION_NAMES } from "../../core/configuration/mod.ts";
 import type { CommandResult } from "../../core/control/mod.ts";
@@ -18,7 +17,7 @@
 import type { ControlPort } from "../control/control_port.ts";
 import type { LedgerPort } from "../ledger/ledger_port.ts";
 import type { DispatchTask } from "../targets/mod.ts";
-import { getPresentedKey } from "./caller.ts";
+import { AccessGuard, type AccessTokens } from "./access_guard.ts";
 import { sendJson } from "./http_response.ts";
 import {
   checkBodyOrThrow,
@@ -28,14 +27,6 @@
 } from "./http_body.ts";
 import type { HttpContext } from "./route_handlers.ts";
 
-/** Bearer tokens of operators and targets. */
-export interface AccessTokens {
-  /** Token of operators; if undefined, their endpoints refuse all requests. */
-  readonly operator?: string;
-  /** Token of targets; if undefined, any client may announce a target. */
-  readonly target?: string;
-}
-
 /** Options of {@link OperatorHandlers}. */
 export interface OperatorHandlersOptions {
   readonly settings: Settings;
@@ -73,9 +64,11 @@
 /** Handles the requests of operators and targets. */
 export class OperatorHandlers {
   readonly #options: OperatorHandlersOptions;
+  readonly #guard: AccessGuard;
 
   constructor(options: OperatorHandlersOptions) {
     this.#options = options;
+    this.#guard = new AccessGuard(options.tokens);
   }
 
   /** Responds to the health checks of a load balancer. */
@@ -85,7 +78,7 @@
 
   /** Sends the configuration document with the revision of each section. */
   showConfiguration(ctx: HttpContext): void {
-    this.#authorizeOrThrow(ctx);
+    this.#guard.throwIfNotOperator(ctx.req);
     const { configuration } = this.#options.control.state;
     const sections = Object.fromEntries(
       SECTION_NAMES.map((name) => [name, configuration.revisionOf(name)]),
@@ -96,7 +89,7 @@
 
   /** Applies a change to the configuration. */
   async changeConfiguration(ctx: HttpContext): Promise<void> {
-    this.#authorizeOrThrow(ctx);
+    this.#guard.throwIfNotOperator(ctx.req);
     const json = await this.#readJson(ctx);
     const change = checkBodyOrThrow(changeSchema, json);
     const formerHomes = this.#getAllHomeDataCentres();
@@ -111,7 +104,7 @@
    * Creates a key. Its secret is sent in this response only, and not stored.
    */
   async createKey(ctx: HttpContext): Promise<void> {
-    this.#authorizeOrThrow(ctx);
+    this.#guard.throwIfNotOperator(ctx.req);
     const json = await this.#readJson(ctx);
     const { id, workspace } = checkBodyOrThrow(createKeySchema, json);
     const { state } = this.#options.control;
@@ -143,7 +136,7 @@
 
   /** Lists all keys, without their digests. */
   listKeys(ctx: HttpContext): void {
-    this.#authorizeOrThrow(ctx);
+    this.#guard.throwIfNotOperator(ctx.req);
     const keys = this.#options.control.state.keys.list()
       .map(({ id, workspace, withdrawn }) => ({ id, workspace, withdrawn }));
     sendJson(ctx.res, { keys });
@@ -154,7 +147,7 @@
    * on every instance in time.
    */
   async withdrawKey(ctx: HttpContext): Promise<void> {
-    this.#authorizeOrThrow(ctx);
+    this.#guard.throwIfNotOperator(ctx.req);
     const { id } = ctx.params;
     const key = this.#options.control.state.keys.get(id);
     if (key === undefined) {
@@ -173,7 +166,7 @@
 
   /** Sends the status of the instance and its targets. */
   showStatus(ctx: HttpContext): void {
-    this.#authorizeOrThrow(ctx);
+    this.#guard.throwIfNotOperator(ctx.req);
     const { settings, control, ledger, dispatch, metrics } = this.#options;
     const targets = dispatch.dispatcher.targets.list().map((target) => ({
       id: target.id,
@@ -196,7 +189,7 @@
   }
 
   listSteps(ctx: HttpContext): void {
-    this.#authorizeOrThrow(ctx);
+    this.#guard.throwIfNotOperator(ctx.req);
     const steps = this.#options.ledger.state.steps.map((step) => ({
       workspace: step.spec.workspace,
       step: step.spec.id,
@@ -213,7 +206,7 @@
    * the control log.
    */
   showUsage(ctx: HttpContext): void {
-    this.#authorizeOrThrow(ctx);
+    this.#guard.throwIfNotOperator(ctx.req);
     const { usage } = this.#options.ledger.state;
     sendJson(ctx.res, {
       open: usage.open,
@@ -225,7 +218,7 @@
 
   /** Accepts the announcement of a target. */
   async announceTarget(ctx: HttpContext): Promise<void> {
-    this.#authorizeTargetOrThrow(ctx);
+    this.#guard.throwIfNotTarget(ctx.req);
     const json = await this.#readJson(ctx);
     const announcement = checkBodyOrThrow(announceRequestSchema, json);
     this.#options.onAnnounced(announcement);
@@ -234,7 +227,7 @@
 
   /** Accepts the notice that a target is leaving. */
   leaveTarget(ctx: HttpContext): void {
-    this.#authorizeTargetOrThrow(ctx);
+    this.#guard.throwIfNotTarget(ctx.req);
     this.#options.onLeaving(ctx.params.id);
     sendJson(ctx.res, { id: ctx.params.id });
   }
@@ -290,24 +283,4 @@
     });
     return parseJsonOrThrow(body);
   }
-
-  #authorizeOrThrow(ctx: HttpContext): void {
-    const { operator } = this.#options.tokens;
-    const presented = getPresentedKey(ctx.req);
-    if (operator !== undefined && isSameToken(presented, operator)) return;
-    throw new RefusalError(RefusalReason.OperatorTokenInvalid, Verdict.NotRun);
-  }
-
-  #authorizeTargetOrThrow(ctx: HttpContext): void {
-    const { target } = this.#options.tokens;
-    if (target === undefined || isSameToken(getPresentedKey(ctx.req), target)) {
-      return;
-    }
-    throw new RefusalError(RefusalReason.OperatorTokenInvalid, Verdict.NotRun);
-  }
-}
-
-function isSameToken(presented: string | undefined, expected: string): boolean {
-  const digest = (text: string) => createHash("sha256").update(text).digest();
-  return timingSafeEqual(digest(presented ?? ""), digest(expected));
 }
--- a/src/tasks/fleet/crash_watch.ts
+++ b/src/tasks/fleet/crash_watch.ts
@@ -17,7 +17,7 @@
   TargetState,
 } from "../../core/registry/mod.ts";
 import type { CrashGuard, TargetPort } from "../calls/mod.ts";
-import { FleetMethod } from "./fleet_control.ts";
+import { FleetMethod } from "./fleet_method.ts";
 import type { FleetNode } from "./fleet_node.ts";
 
 /** Options of {@link CrashWatch}. */
--- a/src/tasks/fleet/fleet_control.ts
+++ b/src/tasks/fleet/fleet_control.ts
@@ -1,17 +1,12 @@
 /** The replicated control log of a control instance. */
-import { uniformFloat64 } from "pure-rand/distribution/uniformFloat64";
-import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
-import { chooseRelays } from "../../core/paths/mod.ts";
-import { UsageTotals, type UsageWindows } from "../../core/calls/mod.ts";
-import { instanceOf } from "../../core/consensus/mod.ts";
+import { UsageTotals } from "../../core/calls/mod.ts";
 import {
+  fingerprintsOf,
   type FleetCommand,
   type FleetCommandResult,
   FleetRole,
   type FleetSnapshot,
   FleetState,
-  type SuspicionUpdate,
-  wantedVoters,
 } from "../../core/fleet/mod.ts";
 import {
   PermitDesk,
@@ -28,11 +23,22 @@
   RefusalReason,
   Verdict,
 } from "../../core/verdict/mod.ts";
-import { LogService, LogStore } from "../log/mod.ts";
+import { LogStore } from "../log/mod.ts";
 import { settleWithin } from "../settle.ts";
+import {
+  type ConfirmPolicyReply,
+  type ConfirmPolicyRequest,
+  createConfirmReply,
+  FleetMethod,
+} from "./fleet_method.ts";
 import type { FleetNode } from "./fleet_node.ts";
+import { createRandom, findRelays } from "./relay_directory.ts";
 import { FleetPublisher } from "./fleet_publisher.ts";
-import { createLogOptions } from "./fleet_log.ts";
+import {
+  createFleetLogService,
+  FLEET_LOG,
+  type FleetLogService,
+} from "./fleet_log_service.ts";
 import { TargetDirectory } from "./target_directory.ts";
 
 /** Options of {@link FleetControl}. */
@@ -50,51 +56,9 @@
   readonly onChanged: () => void;
 }
 
-/** Request to confirm the policy in force; it carries the usage counts. */
-export interface ConfirmPolicyRequest {
-  /** Revision that the requesting instance has applied. */
-  readonly revision: number;
-  readonly instance: string;
-  /** Incarnation of the requesting process: a new value at each start. */
-  readonly life: string;
-  readonly usage: UsageWindows;
-  /** Changes of suspicions applied there; undefined if it needs none. */
-  readonly suspicionVersion: number | undefined;
-}
-
-/** Reply to a {@link ConfirmPolicyRequest}. */
-export interface ConfirmPolicyReply {
-  readonly revision: number;
-  /** The policy; undefined if the requesting instance is up to date. */
-  readonly document: PolicyDocument | undefined;
-  /** All suspicions; undefined if the requesting instance is up to date. */
-  readonly suspicions: SuspicionUpdate | undefined;
-}
-
-/** Names of the methods that control instances serve. */
-export const FleetMethod = {
-  Propose: "fleet.propose",
-  Confirm: "fleet.confirm",
-  Read: "fleet.read",
-  Permits: "fleet.permits",
-  Relays: "fleet.relays",
-} as const;
-
-/** Name of the control log and of its folder. */
-export const FLEET_LOG = "fleet";
-
 const CONFIRM_TIMEOUT_MS = 800;
 const REQUEST_TIMEOUT_MS = 900;
 const MAINTENANCE_INTERVAL_MS = 200;
-/** Maximum number of entry instances named to one that needs a relay. */
-const MAX_RELAYS = 6;
-
-type FleetLogService = LogService<
-  FleetCommand,
-  FleetSnapshot,
-  FleetCommandResult,
-  FleetState
->;
 
 /** Owns a replica of the control log and the directory of targets. */
 export class FleetControl {
@@ -106,7 +70,7 @@
   readonly #service: FleetLogService;
   readonly #publisher: FleetPublisher;
   readonly #permits = new PermitDesk();
-  readonly #random = xoroshiro128plus(process.pid ^ Date.now());
+  readonly #random = createRandom();
   #timer: NodeJS.Timeout | undefined;
 
   constructor(options: FleetControlOptions) {
@@ -137,7 +101,10 @@
         FleetMethod.Permits,
         (params) => this.#grantPermits(params as PermitRequest),
       )
-      .handle(FleetMethod.Relays, (_params, from) => this.#findRelays(from));
+      .handle(
+        FleetMethod.Relays,
+        (_params, from) => findRelays(node, from, this.#random),
+      );
     this.targets = new TargetDirectory({
       node,
       registry,
@@ -257,25 +224,16 @@
 
   #createService(): FleetLogService {
     const { node, dataFolder, now } = this.#options;
-    const { settings, hub } = node;
-    return new LogService({
-      ...createLogOptions(node, FLEET_LOG),
+    return createFleetLogService({
+      node,
       dataFolder,
-      createState: () => new FleetState(),
-      wantedVoters: () => {
-        const members = this.#service.driver.node?.members.voters.length ?? 0;
-        return wantedVoters(Math.max(this.#presentReplicas().length, members));
-      },
       now,
       presentReplicas: () => this.#presentReplicas(),
-      isLost: (replica) =>
-        hub.absentMs(instanceOf(replica)) > settings.times.contactMs &&
-        instanceOf(replica) !== settings.id,
       onApplied: (command, result) => this.#onApplied(command, result),
       onRestored: () => this.#options.onChanged(),
       onRole: (isLeader) => {
         this.#options.onRole(isLeader);
-        hub.announce();
+        node.hub.announce();
       },
     });
   }
@@ -289,17 +247,10 @@
   async #confirm(
     request: ConfirmPolicyRequest,
   ): Promise<ConfirmPolicyReply> {
-    const { revision, instance, life, usage, suspicionVersion } = request;
+    const { instance, life, usage } = request;
     this.usageTotals.record(`${instance}/${life}`, usage);
     await this.#service.confirmLeadership(CONFIRM_TIMEOUT_MS);
-    const { policy, policyRevision } = this.state;
-    const isBehind = this.state.suspicionVersion >
-      (suspicionVersion ?? Infinity);
-    return {
-      revision: policyRevision,
-      document: policyRevision > revision ? policy : undefined,
-      suspicions: isBehind ? this.state.suspicions : undefined,
-    };
+    return createConfirmReply(this.state, request);
   }
 
   /**
@@ -313,24 +264,6 @@
     throw new RefusalError(RefusalReason.ControlUnavailable, Verdict.NotRun);
   }
 
-  /** Finds entry instances that reach targets and may relay to them. */
-  #findRelays(from: string): readonly string[] {
-    const { hub } = this.#options.node;
-    const candidates = this.#options.node.linkedMembers(FleetRole.Entry)
-      .filter(({ id }) => {
-        const presence = hub.getPresence(id);
-        return id !== from && presence?.isDraining === false &&
-          presence.isCutOff !== true;
-      })
-      .map(({ id, member }) => ({ id, dataCentre: member.dataCentre }));
-    return chooseRelays({
-      candidates,
-      dataCentre: hub.getPresence(from)?.member?.dataCentre ?? "",
-      count: MAX_RELAYS,
-      random: () => uniformFloat64(this.#random),
-    });
-  }
-
   async #read(): Promise<{ source: string | undefined }> {
     await this.#service.confirmLeadership(CONFIRM_TIMEOUT_MS);
     return { source: this.state.policySource };
@@ -340,8 +273,7 @@
     if (command.type === "replacePolicy") {
       const { revision } = command.document;
       const isNew = result.type === "done";
-      const { logger } = this.#options.node;
-      logger.event("policyAccepted", { revision, isNew });
+      this.#options.node.logger.event("policyAccepted", { revision, isNew });
       if (isNew) this.#publisher.schedulePolicy();
     }
     if (command.type === "announceWeights" && result.type === "done") {
@@ -355,9 +287,7 @@
   #publishSuspicions(command: FleetCommand): void {
     const fingerprints = fingerprintsOf(command);
     if (fingerprints.length === 0) return;
-    const update = this.state.suspicionsOf(fingerprints);
-    const { node } = this.#options;
-    node.notifyRole(FleetRole.Entry, { type: "suspicions", ...update });
+    this.#publisher.publishSuspicions(this.state.suspicionsOf(fingerprints));
   }
 
   #maintain(): void {
@@ -368,11 +298,3 @@
     this.#publisher.resendMissing();
   }
 }
-
-/** Gets the fingerprints whose suspicion a command may change. */
-function fingerprintsOf(command: FleetCommand): string[] {
-  if (command.type === "takeTrial") return [command.fingerprint];
-  if (command.type !== "reportRuns") return [];
-  const died = command.deaths.map(({ fingerprint }) => fingerprint);
-  return [...command.completed, ...died];
-}
--- a/src/tasks/fleet/fleet_follower.ts
+++ b/src/tasks/fleet/fleet_follower.ts
@@ -20,9 +20,10 @@
   type ConfirmPolicyReply,
   type ConfirmPolicyRequest,
   FleetMethod,
-} from "./fleet_control.ts";
+} from "./fleet_method.ts";
 import type { CrashWatch } from "./crash_watch.ts";
 import type { FleetNode } from "./fleet_node.ts";
+import { PolicyLease } from "./policy_lease.ts";
 import { logTargetChanged } from "./target_log.ts";
 
 /** Options of {@link FleetFollower}. */
@@ -53,15 +54,15 @@
   readonly #options: FleetFollowerOptions;
   readonly #targetsSeen: Record<string, ChangeSequence> = {};
   readonly #incarnation = randomUUID();
+  readonly #lease: PolicyLease;
   #policy: PolicyView | undefined;
-  #leaseEnd = -Infinity;
   #isConfirming = false;
   #hadLease = false;
-  readonly #leaseWaiters = new Set<() => void>();
   #timer: NodeJS.Timeout | undefined;
 
   constructor(options: FleetFollowerOptions) {
     this.#options = options;
+    this.#lease = new PolicyLease(options.clock);
     options.node.onNotice = (notice, from) => this.#onNotice(notice, from);
   }
 
@@ -84,7 +85,7 @@
    * Gets whether the policy lease is valid; API keys are accepted only then.
    */
   get hasLease(): boolean {
-    return this.#options.clock.now() < this.#leaseEnd;
+    return this.#lease.isValid;
   }
 
   /** Starts to confirm the policy, if a lease is needed. */
@@ -109,15 +110,7 @@
   async awaitLease(): Promise<boolean> {
     if (this.hasLease) return true;
     this.#confirm();
-    await new Promise<void>((resolve) => {
-      const settle = () => {
-        clearTimeout(timer);
-        this.#leaseWaiters.delete(settle);
-        resolve();
-      };
-      const timer = setTimeout(settle, LEASE_WAIT_MS);
-      this.#leaseWaiters.add(settle);
-    });
+    await this.#lease.untilRenewed(LEASE_WAIT_MS);
     return this.hasLease;
   }
 
@@ -152,8 +145,8 @@
   }
 
   #updateGauges(): void {
-    const { node, clock } = this.#options;
-    const leftMs = Math.max(0, this.#leaseEnd - clock.now());
+    const { node } = this.#options;
+    const { leftMs } = this.#lease;
     node.metrics.gauge("policy.revision", this.policyRevision);
     node.metrics.gauge("policy.leaseLeftMs", Math.round(leftMs));
   }
@@ -198,9 +191,8 @@
     if (suspicions) this.#options.crashes?.onConfirmed(suspicions);
     if (this.policyRevision < reply.revision) return;
     const { policyLeaseMs } = this.#options.node.settings.times;
-    this.#leaseEnd = Math.max(this.#leaseEnd, sentAt + policyLeaseMs);
+    this.#lease.extend(sentAt + policyLeaseMs);
     this.#logLeaseChange();
-    for (const settle of [...this.#leaseWaiters]) settle();
   }
 
   #logLeaseChange(): void {
--- /dev/null
+++ b/src/tasks/fleet/fleet_method.ts
@@ -0,0 +1,48 @@
+/** Requests that control instances serve. */
+import type { UsageWindows } from "../../core/calls/mod.ts";
+import type { FleetState, SuspicionUpdate } from "../../core/fleet/mod.ts";
+import type { PolicyDocument } from "../../core/policy/mod.ts";
+
+/** Names of the methods that control instances serve. */
+export const FleetMethod = {
+  Propose: "fleet.propose",
+  Confirm: "fleet.confirm",
+  Read: "fleet.read",
+  Permits: "fleet.permits",
+  Relays: "fleet.relays",
+} as const;
+
+/** Request to confirm the policy in force; it carries the usage counts. */
+export interface ConfirmPolicyRequest {
+  /** Revision that the requesting instance has applied. */
+  readonly revision: number;
+  readonly instance: string;
+  /** Incarnation of the requesting process: a new value at each start. */
+  readonly life: string;
+  readonly usage: UsageWindows;
+  /** Changes of suspicions applied there; undefined if it needs none. */
+  readonly suspicionVersion: number | undefined;
+}
+
+/** Reply to a {@link ConfirmPolicyRequest}. */
+export interface ConfirmPolicyReply {
+  readonly revision: number;
+  /** The policy; undefined if the requesting instance is up to date. */
+  readonly document: PolicyDocument | undefined;
+  /** All suspicions; undefined if the requesting instance is up to date. */
+  readonly suspicions: SuspicionUpdate | undefined;
+}
+
+/** Creates the reply from the state that a confirmed leader has applied. */
+export function createConfirmReply(
+  state: FleetState,
+  { revision, suspicionVersion }: ConfirmPolicyRequest,
+): ConfirmPolicyReply {
+  const { policy, policyRevision } = state;
+  const isBehind = state.suspicionVersion > (suspicionVersion ?? Infinity);
+  return {
+    revision: policyRevision,
+    document: policyRevision > revision ? policy : undefined,
+    suspicions: isBehind ? state.suspicions : undefined,
+  };
+}
--- a/src/tasks/fleet/fleet_node.ts
+++ b/src/tasks/fleet/fleet_node.ts
@@ -6,15 +6,11 @@
   FleetRole,
   Roster,
 } from "../../core/fleet/mod.ts";
-import {
-  RefusalError,
-  RefusalReason,
-  Verdict,
-} from "../../core/verdict/mod.ts";
 import type { Logger } from "../../logging/mod.ts";
 import type { Metrics } from "../../metrics/mod.ts";
 import type { FleetSettings, PeerSettings } from "../../settings/mod.ts";
 import { type LogEnvelope, PeerHub } from "../peers/mod.ts";
+import { LeaderClient, type LeaderRequestOptions } from "./leader_client.ts";
 
 /** Options of {@link FleetNode}. */
 export interface FleetNodeOptions {
@@ -25,22 +21,10 @@
   readonly describe: () => Omit<FleetMember, "name" | "dataCentre" | "role">;
 }
 
-/** Options of {@link FleetNode.requestLeader}. */
-export interface LeaderRequestOptions {
-  readonly params: unknown;
-  /** Time for all attempts together, in milliseconds. */
-  readonly timeoutMs: number;
-  /** Time for one attempt, in milliseconds. */
-  readonly attemptMs?: number;
-}
-
 /** Number of control instances that other roles keep links to. */
 const CONTROL_LINKS = 3;
 const MAINTENANCE_INTERVAL_MS = 500;
-const RETRY_DELAY_MS = 60;
-const ATTEMPT_MS = 1_200;
 const INCARNATION_BYTES = 4;
-const RETRY_AFTER_MS = 1_000;
 
 /** Owns the links of one instance. */
 export class FleetNode {
@@ -49,6 +33,7 @@
   readonly metrics: Metrics;
   readonly hub: PeerHub;
   readonly roster = new Roster();
+  readonly #leaders: LeaderClient;
   readonly #options: FleetNodeOptions;
   #isDraining = false;
   #isCutOff = false;
@@ -87,6 +72,12 @@
       }),
       presenceRecipients: () => undefined,
     });
+    this.#leaders = new LeaderClient({
+      hub: this.hub,
+      leaderOf: (role) => this.leaderOf(role),
+      membersOf: (role) =>
+        this.roster.membersOf(role, this.now).map((entry) => entry.id),
+    });
     this.hub.on("notice", (from, notice) => this.#onNotice(notice, from));
   }
 
@@ -169,31 +160,12 @@
    * members while there is no leader. The request must be idempotent.
    * @throws RefusalError from the leader, or if no leader answered in time.
    */
-  async requestLeader(
+  requestLeader(
     role: FleetRole,
     method: string,
     options: LeaderRequestOptions,
   ): Promise<unknown> {
-    const endsAt = this.now + options.timeoutMs;
-    let failure = createNoLeaderError(Verdict.NotRun);
-    const tried = new Set<string>();
-    while (this.now < endsAt) {
-      const id = this.#nextCandidate(role, tried);
-      const leftMs = endsAt - this.now;
-      if (id !== undefined) {
-        try {
-          const timeoutMs = Math.min(leftMs, options.attemptMs ?? ATTEMPT_MS);
-          const { params } = options;
-          return await this.hub.request(id, method, { params, timeoutMs });
-        } catch (err) {
-          failure = mergeFailures(failure, err);
-          if (!isRetryable(failure)) throw failure;
-          tried.add(id);
-        }
-      }
-      await delay(Math.min(RETRY_DELAY_MS, Math.max(1, endsAt - this.now)));
-    }
-    throw failure;
+    return this.#leaders.request(role, method, options);
   }
 
   /** Subscribes to the messages of a log. */
@@ -240,21 +212,6 @@
     this.onNotice(notice, from);
   }
 
-  /**
-   * Selects the known leader if it has not been tried, or else another member
-   * of the role that has not. When all have been tried, it starts over.
-   */
-  #nextCandidate(role: FleetRole, tried: Set<string>): string | undefined {
-    const leader = this.leaderOf(role);
-    if (leader !== undefined && !tried.has(leader)) return leader;
-    const members = this.roster.membersOf(role, this.now)
-      .map((entry) => entry.id);
-    const next = members.find((id) => !tried.has(id));
-    if (next !== undefined) return next;
-    tried.clear();
-    return leader ?? members[0];
-  }
-
   #maintainLinks(): void {
     const { id, role } = this.settings;
     for (const { id: memberId, member } of this.#allLinkedMembers()) {
@@ -305,31 +262,3 @@
     ) => [...this.linkedMembers(role)]);
   }
 }
-
-function delay(ms: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, ms));
-}
-
-function isRetryable(err: RefusalError): boolean {
-  return err.reason === RefusalReason.ControlUnavailable ||
-    err.reason === RefusalReason.LedgerUnavailable;
-}
-
-/** Merges failures: if one attempt may have run, the request may have run. */
-function mergeFailures(previous: RefusalError, err: unknown): RefusalError {
-  if (!(err instanceof RefusalError)) {
-    return new RefusalError(RefusalReason.Internal, Verdict.MayHaveRun, {
-      cause: err,
-    });
-  }
-  if (!isRetryable(err)) return err.afterAttempt(previous.verdict);
-  return previous.verdict === Verdict.NotRun ? err : previous;
-}
-
-/** Creates the refusal for a log without a reachable leader. */
-function createNoLeaderError(verdict: Verdict): RefusalError {
-  return new RefusalError(RefusalReason.ControlUnavailable, verdict, {
-    message: "No leader answered",
-    retryAfterMs: RETRY_AFTER_MS,
-  });
-}
--- a/src/tasks/fleet/fleet_publisher.ts
+++ b/src/tasks/fleet/fleet_publisher.ts
@@ -6,6 +6,7 @@
   FleetRole,
   type FleetState,
   type RosterEntry,
+  type SuspicionUpdate,
 } from "../../core/fleet/mod.ts";
 import type { PolicyDocument } from "../../core/policy/mod.ts";
 import {
@@ -111,6 +112,12 @@
     node.notifyRole(FleetRole.Control, notice);
   }
 
+  /** Publishes changed suspicions to the entry instances. */
+  publishSuspicions(update: SuspicionUpdate): void {
+    const notice: FleetNotice = { type: "suspicions", ...update };
+    this.#options.node.notifyRole(FleetRole.Entry, notice);
+  }
+
   /** Publishes that a target is loading weights, or has loaded them. */
   publishLoad(type: "loading" | "loaded", load: LoadedVersion): void {
     const { node } = this.#options;
--- a/src/tasks/fleet/relay_finder.ts
+++ b/src/tasks/fleet/relay_finder.ts
@@ -1,6 +1,6 @@
 /** Instances through which this one may reach targets that it has lost. */
 import { FleetRole } from "../../core/fleet/mod.ts";
-import { FleetMethod } from "./fleet_control.ts";
+import { FleetMethod } from "./fleet_method.ts";
 import type { FleetNode } from "./fleet_node.ts";
 
 /** Time for which an answer of the control instances is used. */
--- a/src/tasks/fleet/target_limiter.ts
+++ b/src/tasks/fleet/target_limiter.ts
@@ -8,7 +8,7 @@
 } from "../../core/limits/mod.ts";
 import type { TargetRegistry, TargetReport } from "../../core/registry/mod.ts";
 import type { PermitAnswer, RateGuard } from "../calls/mod.ts";
-import { FleetMethod } from "./fleet_control.ts";
+import { FleetMethod } from "./fleet_method.ts";
 import type { FleetNode } from "./fleet_node.ts";
 
 /** Options of {@link TargetLimiter}. */
--- a/src/tasks/paths/target_connection.ts
+++ b/src/tasks/paths/target_connection.ts
@@ -71,12 +71,17 @@
    * still reach the target, however late.
    */
   resetOnAbort(signal: AbortSignal): void {
-    this.#isIdle = false;
     const onAbort = () => this.#reset();
     signal.addEventListener("abort", onAbort, { once: true });
     this.#stopListening = () => signal.removeEventListener("abort", onAbort);
   }
 
+  /** Reserves the connection for a request. */
+  reserve(): this {
+    this.#isIdle = false;
+    return this;
+  }
+
   /** Records that the response of the request in progress was read completely. */
   markComplete(): this {
     this.#isComplete = true;
--- a/src/tasks/paths/target_connections.ts
+++ b/src/tasks/paths/target_connections.ts
@@ -71,7 +71,7 @@
   acquire(address: string, options: AcquireOptions): TargetConnection {
     const pool = this.#getOrCreatePool(address);
     const idle = this.#takeIdle(pool, options.needsLive ?? false);
-    if (idle !== undefined) return idle;
+    if (idle !== undefined) return idle.reserve();
     if (pool.open >= options.maxConnections) {
       throw new ConnectionsExhaustedError(address);
     }
@@ -82,7 +82,7 @@
       isSecure: options.isSecure ?? false,
       idleTimeoutMs,
       open: () => paths.open(address),
-    });
+    }).reserve();
   }
 
   /**
--- a/src/tasks/targets/dispatch_task.ts
+++ b/src/tasks/targets/dispatch_task.ts
@@ -7,6 +7,7 @@
 } from "../../core/dispatch/mod.ts";
 import {
   type LoadReport,
+  type Target,
   type TargetAnnouncement,
   TargetEvent,
   TargetPhase,
@@ -88,10 +89,8 @@
 
   /** Gets whether a target that is not leaving has an address. */
   hasTargetAt(address: string): boolean {
-    return this.#dispatcher.targets.list().some((target) =>
-      target.mayServe() &&
-      parseTargetUrl(target.announcement.url).address === address
-    );
+    return this.#dispatcher.targets.list()
+      .some((target) => target.mayServe() && addressOf(target) === address);
   }
 
   /** Submits a job; its result is reported to {@link Job.onEnd}. */
@@ -139,6 +138,7 @@
   remove(targetId: string): this {
     this.#options.logger.event("targetRemoved", { target: targetId });
     this.#dispatcher.removeTarget(targetId);
+    this.#options.paths?.keepOnly(this.#addresses);
     return this;
   }
 
@@ -205,6 +205,11 @@
     this.#connections.closeIdleExcept(new Set());
   }
 
+  /** Gets the addresses of all targets. */
+  get #addresses(): ReadonlySet<string> {
+    return new Set(this.#dispatcher.targets.list().map(addressOf));
+  }
+
   #applyHealth(announcement: TargetAnnouncement, health: HealthResponse): void {
     const current = this.#dispatcher.targets.get(announcement.id);
     if (current === undefined) return;
@@ -374,6 +379,10 @@
   }
 }
 
+function addressOf({ announcement }: Target): string {
+  return parseTargetUrl(announcement.url).address;
+}
+
 function toAttemptOutcome(
   result: ExchangeResult,
   sink: JobSink,
