--- a/src/tasks/peers/peer_hub_test.ts
+++ b/src/tasks/peers/peer_hub_test.ts
@@ -8,11 +8,13 @@
   vi,
 } from "vitest";
 import { FaultProxy, LinkState } from "../../../soak/fleet/fault_proxy.ts";
+import { BlockedListener } from "../../../tests/support/blocked_listener.ts";
 import { LoopbackNet } from "../../../tests/support/loopback_net.ts";
 import { RefusalReason, Verdict } from "../../core/verdict/mod.ts";
 import { RefusalError } from "../../core/verdict/mod.ts";
 import { Logger } from "../../logging/mod.ts";
 import { Metrics } from "../../metrics/mod.ts";
+import { dialPeer, PeerPath } from "./peer_dialer.ts";
 import { PeerHub } from "./peer_hub.ts";
 import { PeerLink } from "./peer_link.ts";
 
@@ -183,3 +185,32 @@
     expect(await sendRequest()).toBe(1);
   });
 });
+
+describe(dialPeer.name, () => {
+  /** Longer than a handshake may take. */
+  const LATER_MS = 3_000;
+
+  it("gives up an attempt that is not answered", async () => {
+    const listener = await BlockedListener.start();
+    const [host, port] = listener.address.split(":");
+    const { socket } = dialPeer({
+      self: "a",
+      peer: {
+        id: "b",
+        dataCentre: "a",
+        address: { host, port: Number(port) },
+        control: false,
+      },
+      secret: "",
+      security: () => undefined,
+      path: PeerPath.Link,
+      onAuthenticated: () => {},
+    });
+    const ended = await Promise.race([
+      new Promise((resolve) => socket.once("close", () => resolve("closed"))),
+      new Promise((resolve) => setTimeout(() => resolve("later"), LATER_MS)),
+    ]);
+    expect(ended).toBe("closed");
+    await listener.stop();
+  });
+});
