An attempt to dial another instance ends at its timeout

The dialler has a timer of its own, until both sides are authenticated. A tunnel that names no target within 3 s is reset as well.

--- a/src/tasks/paths/relay_server.ts
+++ b/src/tasks/paths/relay_server.ts
@@ -26,6 +26,8 @@
 
 /** Maximum number of connections forwarded at the same time. */
 const MAX_RELAYED = 256;
+/** Time in which a new tunnel must name its target. */
+const REQUEST_TIMEOUT_MS = 3_000;
 const WATCH_INTERVAL_MS = 200;
 /**
  * Time without a check from which the process was suspended: the bytes that have
@@ -83,8 +85,16 @@
   #onTunnel(dialled: DialledPeer, from: string): void {
     const tunnel = new TunnelSocket(dialled);
     this.#tunnels.add(tunnel);
-    tunnel.once("close", () => this.#tunnels.delete(tunnel));
+    const timer = setTimeout(
+      () => tunnel.resetAndDestroy(),
+      REQUEST_TIMEOUT_MS,
+    );
+    tunnel.once("close", () => {
+      clearTimeout(timer);
+      this.#tunnels.delete(tunnel);
+    });
     tunnel.onText = (text) => {
+      clearTimeout(timer);
       tunnel.onText = () => {};
       this.#open(tunnel, { text, from })
         .catch((err) => this.#options.logger.error(err));
--- a/src/tasks/peers/peer_dialer.ts
+++ b/src/tasks/peers/peer_dialer.ts
@@ -45,6 +45,10 @@
   readonly connection: Socket;
 }
 
+/**
+ * Time in which a connection must be authenticated. The library's own timeout
+ * does not cover connections that are made for it.
+ */
 const HANDSHAKE_TIMEOUT_MS = 1_500;
 /** Time in which the other side answers a close. */
 export const CLOSE_TIMEOUT_MS = 1_000;
@@ -65,13 +69,14 @@
       checkServerIdentity: acceptAnyHostName,
     });
   const clientOptions: ClientOptions & { readonly closeTimeout: number } = {
-    handshakeTimeout: HANDSHAKE_TIMEOUT_MS,
     closeTimeout: CLOSE_TIMEOUT_MS,
     perMessageDeflate: false,
     createConnection: () => connection,
   };
   const url = `${scheme}://${urlHost}:${port}${path}`;
   const socket = new WebSocket(url, clientOptions);
+  const timer = setTimeout(() => socket.terminate(), HANDSHAKE_TIMEOUT_MS);
+  socket.once("close", () => clearTimeout(timer));
   const nonce = createNonce();
   socket.on("open", () => socket.send(JSON.stringify({ id: self, nonce })));
   socket.once("message", (data: Buffer) => {
@@ -83,6 +88,7 @@
     }
     const ownProof = { secret, id: self, to: peer.id, nonce: reply.nonce };
     socket.send(JSON.stringify({ proof: createProof(ownProof) }));
+    clearTimeout(timer);
     options.onAuthenticated();
   });
   socket.on("error", () => {});
