Who may relay is decided in one place

Found in reading the diff: the check that an instance is present, does not drain and has not lost its targets stood in the fleet's directory of relays and in the cluster's paths, each with a bound of its own. Both call mayRelay and use MAX_RELAY_CANDIDATES; the bound of instances asked in one race stays where it is used. No behaviour changes.

--- a/src/tasks/cluster_paths.ts
+++ b/src/tasks/cluster_paths.ts
@@ -5,7 +5,12 @@
 import type { Logger } from "../logging/mod.ts";
 import type { Metrics } from "../metrics/mod.ts";
 import type { Cluster } from "./cluster.ts";
-import { createRelayedPaths, TargetPaths } from "./paths/mod.ts";
+import {
+  createRelayedPaths,
+  MAX_RELAY_CANDIDATES,
+  mayRelay,
+  TargetPaths,
+} from "./paths/mod.ts";
 import type { PeerHub } from "./peers/mod.ts";
 import { CONNECT_TIMEOUT_MS } from "./targets/mod.ts";
 
@@ -19,9 +24,6 @@
   readonly metrics: Metrics;
 }
 
-/** Maximum number of instances that are asked to relay. */
-const MAX_RELAYS = 6;
-
 /** Creates the ways to targets: its own connections, and relays by its peers. */
 export function createClusterPaths(options: ClusterPathsOptions): TargetPaths {
   const { cluster, dataCentre, logger, metrics } = options;
@@ -46,11 +48,9 @@
   options: { readonly dataCentre: string; readonly random: () => number },
 ): string[] {
   const candidates = hub.presentIds.flatMap((id) => {
-    const presence = hub.getPresence(id);
     const peer = hub.getPeer(id);
-    const mayRelay = presence?.isDraining === false &&
-      presence.isCutOff !== true;
-    return mayRelay && peer !== undefined ? [peer] : [];
+    const isEligible = peer !== undefined && mayRelay(hub.getPresence(id));
+    return isEligible ? [peer] : [];
   });
-  return chooseRelays({ ...options, candidates, count: MAX_RELAYS });
+  return chooseRelays({ ...options, candidates, count: MAX_RELAY_CANDIDATES });
 }
--- a/src/tasks/fleet/relay_directory.ts
+++ b/src/tasks/fleet/relay_directory.ts
@@ -3,11 +3,9 @@
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
 import { FleetRole } from "../../core/fleet/mod.ts";
 import { chooseRelays } from "../../core/paths/mod.ts";
+import { MAX_RELAY_CANDIDATES, mayRelay } from "../paths/mod.ts";
 import type { FleetNode } from "./fleet_node.ts";
 
-/** Maximum number of entry instances named to one that needs a relay. */
-const MAX_RELAYS = 6;
-
 /** Creates a source of random numbers from 0 to 1. */
 export function createRandom(): () => number {
   const generator = xoroshiro128plus(process.pid ^ Date.now());
@@ -25,16 +23,12 @@
 ): readonly string[] {
   const { hub } = node;
   const candidates = node.linkedMembers(FleetRole.Entry)
-    .filter(({ id }) => {
-      const presence = hub.getPresence(id);
-      return id !== from && presence?.isDraining === false &&
-        presence.isCutOff !== true;
-    })
+    .filter(({ id }) => id !== from && mayRelay(hub.getPresence(id)))
     .map(({ id, member }) => ({ id, dataCentre: member.dataCentre }));
   return chooseRelays({
     candidates,
     dataCentre: hub.getPresence(from)?.member?.dataCentre ?? "",
-    count: MAX_RELAYS,
+    count: MAX_RELAY_CANDIDATES,
     random,
   });
 }
