All targets are resent only to instances that missed a change

A control instance compared the changes that an instance had confirmed with the newest one. A change now counts as missed once it is 1.3 s old and unconfirmed.

--- a/src/tasks/fleet/fleet_publisher.ts
+++ b/src/tasks/fleet/fleet_publisher.ts
@@ -1,6 +1,7 @@
 /** Publishes policy, targets and members from a control instance to others. */
 import { randomBytes } from "node:crypto";
 import {
+  ChangeCounter,
   type ChangeSequence,
   type FleetNotice,
   FleetRole,
@@ -37,11 +38,13 @@
 const TARGETS_RESEND_NEW_MS = 300;
 /** Interval at which the same policy is resent to an instance without it. */
 const POLICY_RESEND_MS = 500;
+/** Interval at which all targets are resent to an instance that missed a change. */
+const TARGETS_RESEND_MS = 1_500;
 /**
- * Interval at which all targets are resent to an instance that missed a change;
- * it confirms changes through its presence, which arrives with a delay.
+ * Time after which an instance has missed a change that it does not confirm:
+ * it confirms changes by its heartbeat, once a second.
  */
-const TARGETS_RESEND_MS = 1_500;
+const CONFIRMATION_DELAY_MS = 1_300;
 /**
  * Number of calls of {@link FleetPublisher.resendMissing} after which an
  * unchanged roster is sent again.
@@ -62,10 +65,10 @@
   readonly #targetsSentAt = new Map<string, number>();
   readonly #sentPolicies = new Map<string, SentPolicy>();
   /**
-   * Number of the last change, by role. The roles differ because entry
-   * instances are not sent changes of weight versions.
+   * Published changes, by role. The roles differ because entry instances are
+   * not sent changes of weight versions.
    */
-  readonly #changes = new Map<FleetRole, number>();
+  readonly #changes = new Map<FleetRole, ChangeCounter>();
   #isPolicyScheduled = false;
   #sentRoster = "";
   #rosterRound = 0;
@@ -130,14 +133,15 @@
    * instances if it has changed, and also at intervals.
    */
   resendMissing(): void {
-    const { node, state } = this.#options;
+    const { node, state, now } = this.#options;
     this.#sendPolicy(state().policy);
+    const confirmableAt = now() - CONFIRMATION_DELAY_MS;
     for (const role of FOLLOWER_ROLES) {
+      const confirmable = this.#changesOf(role).countUntil(confirmableAt);
       for (const { id, member } of node.linkedMembers(role)) {
         const applied = member.targetsSeen[node.settings.id];
         const isNew = applied?.life !== this.#incarnation;
-        const { change } = this.#lastChangeOf(role);
-        const isBehind = isNew || applied.change < change;
+        const isBehind = isNew || applied.change < confirmable;
         if (isBehind) this.#sendAllTargets(id, role, isNew);
       }
     }
@@ -146,7 +150,7 @@
 
   #sendTarget(role: FleetRole, report: TargetReport): void {
     const { node } = this.#options;
-    this.#changes.set(role, (this.#changes.get(role) ?? 0) + 1);
+    this.#changesOf(role).add(this.#options.now());
     node.notifyRole(role, {
       type: "targets",
       mark: this.#lastChangeOf(role),
@@ -156,7 +160,15 @@
   }
 
   #lastChangeOf(role: FleetRole): ChangeSequence {
-    return { life: this.#incarnation, change: this.#changes.get(role) ?? 0 };
+    return { life: this.#incarnation, change: this.#changesOf(role).count };
+  }
+
+  #changesOf(role: FleetRole): ChangeCounter {
+    let changes = this.#changes.get(role);
+    if (changes !== undefined) return changes;
+    changes = new ChangeCounter(CONFIRMATION_DELAY_MS);
+    this.#changes.set(role, changes);
+    return changes;
   }
 
   #sendPolicy(document: PolicyDocument | undefined): void {
