Results are read from a replica of the ledger in the data centre of the reader

Results never change once they have a position, so any replica with a vote may serve those it has; only the leader says that there are no more, or no such batch. Instances of an earlier build do not name replicas with a vote, so their leader serves the reads.

--- a/src/core/fleet/fleet_member.ts
+++ b/src/core/fleet/fleet_member.ts
@@ -27,6 +27,11 @@
   readonly replica: string | undefined;
   /** Term in which that replica leads; undefined if it does not lead. */
   readonly leadsTerm: number | undefined;
+  /**
+   * Whether that replica has a vote, and so stores all committed entries;
+   * absent on instances without one, and on those of an earlier build.
+   */
+  readonly isVoter?: boolean | undefined;
   /** Revision of the policy that the instance holds; 0 for none. */
   readonly policyRevision: number;
   /** Last target change that the instance has applied, by publisher. */
@@ -42,4 +47,6 @@
   readonly role: FleetRole;
   readonly dataCentre: string;
   readonly leadsTerm: number | undefined;
+  /** See {@link FleetMember.isVoter}. */
+  readonly isVoter?: boolean | undefined;
 }
--- a/src/core/fleet/mod.ts
+++ b/src/core/fleet/mod.ts
@@ -4,5 +4,6 @@
 export * from "./fleet_member.ts";
 export * from "./fleet_notice.ts";
 export * from "./fleet_state.ts";
+export * from "./replica_choice.ts";
 export * from "./roster.ts";
 export * from "./voter_count.ts";
--- a/src/core/fleet/roster.ts
+++ b/src/core/fleet/roster.ts
@@ -23,9 +23,9 @@
 
   /** Records the status published by a member. */
   updateFromMember(id: string, member: FleetMember, now: number): this {
-    const { name, role, dataCentre, leadsTerm } = member;
+    const { name, role, dataCentre, leadsTerm, isVoter } = member;
     this.#members.set(id, {
-      entry: { id, name, role, dataCentre, leadsTerm },
+      entry: { id, name, role, dataCentre, leadsTerm, isVoter },
       lastSeenAt: now,
     });
     return this;
--- a/src/metrics/metric_catalogue.ts
+++ b/src/metrics/metric_catalogue.ts
@@ -123,6 +123,18 @@
     kind: "counter",
     text: "Runs of items that begin anew although events were received",
   },
+  "reads.leader": {
+    kind: "counter",
+    text: "Reads of batch results that the ledger's leader answered",
+  },
+  "reads.replica": {
+    kind: "counter",
+    text: "Reads of batch results answered by a replica in the data centre",
+  },
+  "reads.replicaFailed": {
+    kind: "counter",
+    text: "Reads of batch results that a replica did not answer",
+  },
   "items.completed": {
     kind: "counter",
     text: "Items completed, with a stored result",
--- a/src/tasks/batches/batch_port.ts
+++ b/src/tasks/batches/batch_port.ts
@@ -5,6 +5,8 @@
 export const BatchMethod = {
   Submit: "batches.submit",
   Read: "batches.read",
+  /** Reads what a replica has stored; served by all replicas. */
+  ReadStored: "batches.readStored",
   Body: "batches.body",
   End: "batches.end",
   /** Lists the instances that hold a replica of the ledger. */
--- a/src/tasks/batches/batch_task.ts
+++ b/src/tasks/batches/batch_task.ts
@@ -8,7 +8,6 @@
   estimateCommandBytes,
   type LedgerSnapshot,
   type PartialTextRecord,
-  type ResultPage,
   type ResultRecord,
   ResultState,
 } from "../../core/batches/mod.ts";
@@ -42,6 +41,7 @@
   type SubmitParams,
 } from "./batch_port.ts";
 import { BatchRunner } from "./batch_runner.ts";
+import { createNotFoundError, ResultReader } from "./result_reader.ts";
 import type { EnginePort } from "./engine_port.ts";
 import type { ScoringPort } from "./item_scorer.ts";
 
@@ -68,7 +68,6 @@
 const COMPACT_ENTRIES = 8_192;
 const CONFIRM_TIMEOUT_MS = 800;
 const DEMAND_TIMEOUT_MS = 800;
-const MAX_PAGE_BYTES = 700_000;
 const MAINTENANCE_INTERVAL_MS = 1_000;
 /** Time added to the retention period before results are deleted. */
 const EXPIRY_SLACK_MS = 30_000;
@@ -92,8 +91,7 @@
   readonly #options: BatchTaskOptions;
   readonly #service: Service;
   readonly #runner: BatchRunner;
-  /** Callbacks of the reads that wait for a result, by batch. */
-  readonly #resultWaiters = new Map<string, Set<() => void>>();
+  readonly #reader: ResultReader;
   #pendingResults: ResultRecord[] = [];
   #isStoring = false;
   #maintenanceTimer: NodeJS.Timeout | undefined;
@@ -105,6 +103,10 @@
   constructor(options: BatchTaskOptions) {
     this.#options = options;
     this.#service = this.#createService();
+    this.#reader = new ResultReader({
+      state: () => this.#service.state,
+      confirmLeadership: () => this.#confirmLeadership(),
+    });
     this.#runner = this.#createRunner();
     options.node
       .onLog(BATCH_LOG, (message) => this.#service.receive(message as never));
@@ -115,8 +117,12 @@
           this.#service.driver.bootstrapMembers(params as ReplicaId[]),
       )
       .handle(BatchMethod.Submit, (p) => this.#submit(p as SubmitParams))
-      .handle(BatchMethod.Read, (p) => this.#readResults(p as ReadParams))
-      .handle(BatchMethod.Body, (p) => this.#readBody(p as BodyParams))
+      .handle(BatchMethod.Read, (p) => this.#reader.read(p as ReadParams))
+      .handle(
+        BatchMethod.ReadStored,
+        (p) => this.#reader.readStored(p as ReadParams),
+      )
+      .handle(BatchMethod.Body, (p) => this.#reader.readBody(p as BodyParams))
       .handle(BatchMethod.Holders, () => this.#holders())
       .handle(BatchMethod.End, (p) => this.#end(p as BatchParams));
   }
@@ -126,6 +132,13 @@
     return this.#service.driver.replica;
   }
 
+  /** Gets whether the local replica is a voter of the ledger's log. */
+  get isVoter(): boolean {
+    const { replica } = this;
+    const voters = this.#service.driver.node?.committedMembers.voters ?? [];
+    return replica !== undefined && voters.includes(replica);
+  }
+
   /** Gets the term in which this replica leads; undefined if it does not. */
   get leadsTerm(): number | undefined {
     return this.#service.leadsTerm;
@@ -174,7 +187,7 @@
       isLost: (replica) => this.#isLost(instanceOf(replica)),
       isRetiring: (replica) => this.#isRetiring(instanceOf(replica)),
       onApplied: (command) => this.#onApplied(command),
-      onRestored: () => this.#wakeAllReaders(),
+      onRestored: () => this.#reader.wakeAll(),
       onRole: (isLeader) => this.#onRoleChanged(isLeader),
     });
   }
@@ -282,11 +295,11 @@
     }
     if (existing === undefined) {
       const result = await this.#service.propose({ type: "accept", spec });
-      if (!result.isHeld) throw notFound();
+      if (!result.isHeld) throw createNotFoundError();
       return true;
     }
     await this.#confirmSubmission();
-    if (existing.spec.workspace !== spec.workspace) throw notFound();
+    if (existing.spec.workspace !== spec.workspace) throw createNotFoundError();
     return true;
   }
 
@@ -296,72 +309,22 @@
     await this.#service.confirmLeadership(CONFIRM_TIMEOUT_MS, MayHaveRun);
   }
 
-  async #readResults(params: ReadParams): Promise<ResultPage> {
-    const { workspace, batch, after, waitMs } = params;
-    await this.#confirmLeadership();
-    const find = () => this.#service.state.getForWorkspace(workspace, batch);
-    const record = find();
-    if (record === undefined) throw notFound();
-    if (record.resultCount <= after && waitMs > 0 && record.isOpen) {
-      await this.#waitForResult(batch, waitMs);
-      await this.#confirmLeadership();
-    }
-    return (find() ?? record).getPage(after, MAX_PAGE_BYTES);
-  }
-
-  async #readBody({ workspace, batch, item }: BodyParams): Promise<Uint8Array> {
-    await this.#confirmLeadership();
-    const record = this.#service.state.getForWorkspace(workspace, batch);
-    const body = record?.getItem(item)?.body;
-    if (body === undefined) throw notFound();
-    return body;
-  }
-
   async #end({ workspace, batch }: BatchParams): Promise<true> {
     const record = this.#service.state.getForWorkspace(workspace, batch);
     if (record === undefined) {
       await this.#confirmLeadership();
       if (this.#service.state.getForWorkspace(workspace, batch) === undefined) {
-        throw notFound();
+        throw createNotFoundError();
       }
     }
     await this.#service.propose({ type: "end", batch });
     return true;
   }
 
-  /**
-   * Confirms with a quorum that this replica still leads. Reads need this so
-   * that a deposed leader does not answer from stale state.
-   */
   async #confirmLeadership(): Promise<void> {
     await this.#service.confirmLeadership(CONFIRM_TIMEOUT_MS);
   }
 
-  #waitForResult(batch: string, waitMs: number): Promise<void> {
-    return new Promise((resolve) => {
-      const readers = this.#resultWaiters.get(batch) ?? new Set();
-      this.#resultWaiters.set(batch, readers);
-      const settle = () => {
-        clearTimeout(timer);
-        readers.delete(settle);
-        resolve();
-      };
-      const timer = setTimeout(settle, waitMs);
-      readers.add(settle);
-    });
-  }
-
-  #wakeReaders(batch: string): void {
-    for (const settle of this.#resultWaiters.get(batch) ?? []) settle();
-    this.#resultWaiters.delete(batch);
-  }
-
-  #wakeAllReaders(): void {
-    for (const batch of [...this.#resultWaiters.keys()]) {
-      this.#wakeReaders(batch);
-    }
-  }
-
   /** Queues a result; results that arrive during a write share the next one. */
   #queueResult(record: ResultRecord): void {
     this.#pendingResults.push(record);
@@ -431,7 +394,7 @@
       this.#recordDuration(batch);
       this.#logIfLeader("batchEnded", { batch });
       this.#runner.onBatchEnded(batch);
-      this.#wakeReaders(batch);
+      this.#reader.wake(batch);
     },
     forget: () => {},
   };
@@ -453,7 +416,7 @@
       versions: result.versions.join(","),
       bytes: result.text.length,
     });
-    this.#wakeReaders(batch);
+    this.#reader.wake(batch);
   }
 
   /** Logs an event on the leader only, since every replica applies it. */
@@ -469,7 +432,7 @@
     this.#pendingResults = [];
     if (isLeader) this.#runner.start();
     else this.#runner.stop();
-    if (!isLeader) this.#wakeAllReaders();
+    if (!isLeader) this.#reader.wakeAll();
     this.#options.node.hub.announce();
   }
 
@@ -494,9 +457,3 @@
   [ResultState.Completed]: "items.completed",
   [ResultState.Abandoned]: "items.abandoned",
 } as const;
-
-function notFound(): RefusalError {
-  return new RefusalError(RefusalReason.NotFound, Verdict.NotRun, {
-    message: "No such batch or item",
-  });
-}
--- /dev/null
+++ b/src/tasks/batches/result_reader.ts
@@ -0,0 +1,118 @@
+/** Reads of batch results and bodies from a replica of the ledger. */
+import type { BatchState, ResultPage } from "../../core/batches/mod.ts";
+import {
+  RefusalError,
+  RefusalReason,
+  Verdict,
+} from "../../core/verdict/mod.ts";
+import type { BodyParams, ReadParams } from "./batch_port.ts";
+
+/** Options of {@link ResultReader}. */
+export interface ResultReaderOptions {
+  /** Gets the replicated state of the ledger. */
+  readonly state: () => BatchState;
+  /**
+   * Waits until a quorum confirms that this replica still leads.
+   * @throws RefusalError if it does not.
+   */
+  readonly confirmLeadership: () => Promise<void>;
+}
+
+const MAX_PAGE_BYTES = 700_000;
+
+/**
+ * Serves reads. The leader knows all results that were stored before a read;
+ * another replica may lack the latest ones, but those it has never change.
+ */
+export class ResultReader {
+  readonly #options: ResultReaderOptions;
+  /** Callbacks of the reads that wait for a result, by batch. */
+  readonly #waiters = new Map<string, Set<() => void>>();
+
+  constructor(options: ResultReaderOptions) {
+    this.#options = options;
+  }
+
+  /**
+   * Reads results as the leader. Reads need its confirmation so that a deposed
+   * leader does not answer from stale state.
+   * @throws RefusalError if this replica does not lead, or the batch is unknown.
+   */
+  async read(params: ReadParams): Promise<ResultPage> {
+    const { workspace, batch, after, waitMs } = params;
+    const { state, confirmLeadership } = this.#options;
+    await confirmLeadership();
+    const find = () => state().getForWorkspace(workspace, batch);
+    const record = find();
+    if (record === undefined) throw createNotFoundError();
+    if (record.resultCount <= after && waitMs > 0 && record.isOpen) {
+      await this.#waitForResult(batch, waitMs);
+      await confirmLeadership();
+    }
+    return (find() ?? record).getPage(after, MAX_PAGE_BYTES);
+  }
+
+  /**
+   * Reads the results that this replica has, whether it leads or not.
+   * @returns Undefined if it has none after the position; only the leader can
+   *     tell whether there are any.
+   */
+  async readStored(params: ReadParams): Promise<ResultPage | undefined> {
+    const { workspace, batch, after, waitMs } = params;
+    const find = () => this.#options.state().getForWorkspace(workspace, batch);
+    const record = find();
+    if (record === undefined) return undefined;
+    if (record.resultCount <= after && waitMs > 0 && record.isOpen) {
+      await this.#waitForResult(batch, waitMs);
+    }
+    const latest = find() ?? record;
+    return latest.resultCount > after
+      ? latest.getPage(after, MAX_PAGE_BYTES)
+      : undefined;
+  }
+
+  /**
+   * Reads the body of an item as the leader.
+   * @throws RefusalError if this replica does not lead, or the item is unknown.
+   */
+  async readBody({ workspace, batch, item }: BodyParams): Promise<Uint8Array> {
+    const { state, confirmLeadership } = this.#options;
+    await confirmLeadership();
+    const record = state().getForWorkspace(workspace, batch);
+    const body = record?.getItem(item)?.body;
+    if (body === undefined) throw createNotFoundError();
+    return body;
+  }
+
+  /** Wakes the reads that wait for a result of a batch. */
+  wake(batch: string): void {
+    for (const settle of this.#waiters.get(batch) ?? []) settle();
+    this.#waiters.delete(batch);
+  }
+
+  /** Wakes all reads that wait for a result. */
+  wakeAll(): void {
+    for (const batch of [...this.#waiters.keys()]) this.wake(batch);
+  }
+
+  #waitForResult(batch: string, waitMs: number): Promise<void> {
+    return new Promise((resolve) => {
+      const readers = this.#waiters.get(batch) ?? new Set();
+      this.#waiters.set(batch, readers);
+      const settle = () => {
+        clearTimeout(timer);
+        readers.delete(settle);
+        resolve();
+      };
+      const timer = setTimeout(settle, waitMs);
+      readers.add(settle);
+    });
+  }
+}
+
+/** Creates the refusal for a batch or item that does not exist. */
+export function createNotFoundError(): RefusalError {
+  return new RefusalError(RefusalReason.NotFound, Verdict.NotRun, {
+    message: "No such batch or item",
+  });
+}
--- a/src/tasks/fleet/entry_task.ts
+++ b/src/tasks/fleet/entry_task.ts
@@ -1,9 +1,5 @@
 /** An entry instance: admits and forwards calls, and relays batches. */
-import {
-  type BatchSpec,
-  ResultCache,
-  type ResultPage,
-} from "../../core/batches/mod.ts";
+import type { BatchSpec, ResultPage } from "../../core/batches/mod.ts";
 import {
   type CallRequest,
   type CallResponse,
@@ -32,6 +28,7 @@
   type ResponseStream,
   type TargetPort,
 } from "../calls/mod.ts";
+import { BatchReader } from "./batch_reader.ts";
 import type { FleetFollower } from "./fleet_follower.ts";
 import type { FleetNode } from "./fleet_node.ts";
 import { StreamRecords } from "./stream_records.ts";
@@ -67,20 +64,15 @@
   headerTimeoutMs: 3_000,
   idleTimeoutMs: 15_000,
 };
-/** Maximum size of the cache of batch results, in bytes. */
-const RESULT_CACHE_BYTES = 16_777_216;
-const MAX_PAGE_BYTES = 700_000;
 const SUBMIT_TIMEOUT_MS = 3_000;
 const LEDGER_TIMEOUT_MS = 1_300;
-/** Time allowed for a read in addition to its own waiting time. */
-const READ_EXTRA_MS = 1_000;
 
 /** Serves callers on one entry instance. */
 export class EntryTask {
   readonly #options: EntryTaskOptions;
   readonly #gate: CallGate;
   readonly #latencies = new LatencyTracker();
-  readonly #results = new ResultCache(RESULT_CACHE_BYTES);
+  readonly #reader: BatchReader;
   readonly #usage: UsageCounter;
   readonly #streams: StreamRecords;
   #isDraining = false;
@@ -89,6 +81,11 @@
     this.#options = options;
     const { node, follower } = options;
     this.#streams = new StreamRecords(node);
+    this.#reader = new BatchReader({
+      node,
+      readLeader: (params, timeoutMs) =>
+        this.#requestLedger(BatchMethod.Read, params, timeoutMs),
+    });
     this.#usage = new UsageCounter(node.settings.times.usageWindowMs);
     this.#gate = new CallGate({
       policy: () => follower.policy,
@@ -222,19 +219,9 @@
     await this.#requestLedger(BatchMethod.Submit, params, SUBMIT_TIMEOUT_MS);
   }
 
-  /** Reads a page of batch results, from the cache if it is there. */
-  async readBatch(params: ReadParams): Promise<ResultPage> {
-    const cached = this.#results.get(params, MAX_PAGE_BYTES);
-    if (cached !== undefined) return cached;
-    const timeoutMs = params.waitMs + READ_EXTRA_MS;
-    const reply = await this.#requestLedger(
-      BatchMethod.Read,
-      params,
-      timeoutMs,
-    );
-    const page = reply as ResultPage;
-    this.#results.add(params, page);
-    return page;
+  /** Reads a page of batch results. */
+  readBatch(params: ReadParams): Promise<ResultPage> {
+    return this.#reader.read(params);
   }
 
   /** Reads the body of an item from the ledger. */
--- a/src/tasks/fleet/fleet_publisher.ts
+++ b/src/tasks/fleet/fleet_publisher.ts
@@ -238,6 +238,7 @@
         role,
         dataCentre: member.dataCentre,
         leadsTerm: member.leadsTerm,
+        isVoter: member.isVoter,
       }))
     );
     return [own, ...others].sort((a, b) => a.id < b.id ? -1 : 1);
