--- a/src/core/continuation/stream_directory.ts
+++ b/src/core/continuation/stream_directory.ts
@@ -24,6 +24,11 @@
   readonly maxStreams?: number;
 }
 
+interface KnownStream {
+  readonly key: StreamKey;
+  readonly writer: OutputWriter;
+}
+
 /** Maximum number of streams; the oldest one is forgotten. */
 const MAX_STREAMS = 50_000;
 
@@ -38,7 +43,7 @@
  * ```
  */
 export class StreamDirectory {
-  readonly #streams: LRUCache<string, OutputWriter>;
+  readonly #streams: LRUCache<string, KnownStream>;
 
   constructor({ now, maxStreams = MAX_STREAMS }: StreamDirectoryOptions) {
     this.#streams = new LRUCache({
@@ -53,17 +58,41 @@
     return this.#streams.size;
   }
 
-  /** Adds a stream, or extends the time for which it is remembered. */
-  add({ writer, keepMs, ...key }: StreamRecord): this {
-    this.#streams.set(encodeKey(key), writer, {
-      ttl: Math.max(1, Math.ceil(keepMs)),
-    });
+  /** Gets the streams that are remembered, the latest ones first. */
+  get keys(): StreamKey[] {
+    this.#streams.purgeStale();
+    return [...this.#streams.values()].map(({ key }) => key);
+  }
+
+  /**
+   * Adds a stream, or extends the time for which it is remembered. If another
+   * version is known to have written it, as after a request that came twice,
+   * its events may be of either: its version is unknown from then on.
+   */
+  add({ writer, keepMs, workspace, request }: StreamRecord): this {
+    const key = { workspace, request };
+    const known = this.get(key);
+    const isSame = known === undefined ||
+      (known.service === writer.service && known.software === writer.software);
+    const { service } = writer;
+    this.#streams.set(encodeKey(key), {
+      key,
+      writer: isSame ? writer : { service, software: undefined },
+    }, { ttl: Math.max(1, Math.ceil(keepMs)) });
     return this;
   }
 
   /** Gets who wrote the events of a stream. */
   get(key: StreamKey): OutputWriter | undefined {
-    return this.#streams.get(encodeKey(key));
+    return this.#streams.get(encodeKey(key))?.writer;
+  }
+
+  /** Gets what another instance needs to remember a stream for as long. */
+  getRecord(key: StreamKey): StreamRecord | undefined {
+    const writer = this.get(key);
+    if (writer === undefined) return undefined;
+    const keepMs = this.#streams.getRemainingTTL(encodeKey(key));
+    return { ...key, writer, keepMs };
   }
 }
 
--- a/src/core/continuation/stream_directory_test.ts
+++ b/src/core/continuation/stream_directory_test.ts
@@ -38,6 +38,28 @@
     expect(directory.get(key)).toEqual(WRITER);
   });
 
+  it("does not know the version of a stream that two versions wrote", () => {
+    const newer = { ...WRITER, software: "v2" };
+    const directory = new StreamDirectory({ now: () => 1 });
+    for (const writer of [WRITER, newer, newer]) {
+      directory.add({ ...key, writer, keepMs: 100 });
+    }
+    expect(directory.get(key)).toEqual({ ...WRITER, software: undefined });
+  });
+
+  it("hands on a stream with the time that is left", () => {
+    let time = 1;
+    const directory = new StreamDirectory({ now: () => time })
+      .add({ ...key, writer: WRITER, keepMs: 100 });
+    time = 41;
+    expect(directory.keys).toEqual([key]);
+    expect(directory.getRecord(key))
+      .toEqual({ ...key, writer: WRITER, keepMs: 60 });
+    time = 141;
+    expect(directory.keys).toEqual([]);
+    expect(directory.getRecord(key)).toBeUndefined();
+  });
+
   it("is bounded; it forgets the oldest streams first", () => {
     const directory = new StreamDirectory({ now: () => 1 });
     for (let i = 0; i < 50_001; i += 1) {
--- a/src/tasks/fleet/fleet_method.ts
+++ b/src/tasks/fleet/fleet_method.ts
@@ -13,6 +13,7 @@
   TakeTrial: "fleet.takeTrial",
   EndTrial: "fleet.endTrial",
   RecordStream: "fleet.recordStream",
+  RecordStreams: "fleet.recordStreams",
   FindStream: "fleet.findStream",
 } as const;
 
