Soaks: all entry instances are lost at once, in the simulation and over processes

Guards against: a stream that goes on at a guess once no entry instance is left that knows its writer. The simulation now has entry instances with their own memory and links, control instances that know each other in part or start again, and records that come late. After the loss of all entry instances the callers return at once, and again when one link each is up.

The fleet soak has the fault loseAllEntries, which kills all entry processes and starts them again.

--- a/soak/fleet/fleet_faults.ts
+++ b/soak/fleet/fleet_faults.ts
@@ -112,6 +112,7 @@
         await process?.waitForExit();
         this.#options.fleet.start(machine);
       }),
+    loseAllEntries: () => this.#loseAllEntries(),
     pause: () =>
       this.#faultMachine("pause", async (machine, durationMs) => {
         this.#options.fleet.signal(machine, "SIGSTOP");
@@ -145,6 +146,22 @@
     },
   };
 
+  /** Kills all entry instances at once and starts them again. */
+  async #loseAllEntries(): Promise<void> {
+    const { fleet } = this.#options;
+    const entries = fleet.machinesWithRole(FleetRole.Entry);
+    if (entries.some((one) => this.#affectedMachines.has(one))) return;
+    for (const machine of entries) this.#affectedMachines.add(machine);
+    try {
+      await Promise.all(entries.map((machine) => fleet.kill(machine)));
+      for (const machine of entries) fleet.start(machine);
+      await fleet.waitUntilReady();
+    } finally {
+      for (const machine of entries) this.#affectedMachines.delete(machine);
+    }
+    this.#options.log("fault loseAllEntries is over");
+  }
+
   /** Waits for the duration of a fault. */
   #pause(): Promise<void> {
     return sleep(
--- a/soak/output_simulation.ts
+++ b/soak/output_simulation.ts
@@ -10,14 +10,12 @@
   RunText,
   type WaitingItem,
 } from "../src/core/batches/mod.ts";
-import {
-  type OutputWriter,
-  StreamDirectory,
-} from "../src/core/continuation/mod.ts";
+import type { OutputWriter } from "../src/core/continuation/mod.ts";
 import type { TargetReport } from "../src/core/registry/mod.ts";
 import { createItem, createSpec } from "../tests/support/batch_spec.ts";
 import { createReport } from "../tests/support/target_report.ts";
 import type { RunResult } from "./schedule.ts";
+import { StreamMemory } from "./stream_memory.ts";
 
 /** Parts of the rule that a simulation can do without. */
 export interface OutputGuards {
@@ -25,6 +23,8 @@
   readonly version: boolean;
   /** Whether a target must name its incarnation first. */
   readonly incarnation: boolean;
+  /** Whether a stream is refused if nobody knows who wrote it. */
+  readonly record: boolean;
 }
 
 /** Options of {@link OutputSimulation}. */
@@ -68,8 +68,6 @@
 const TARGETS = 4;
 const ITEMS = ["x1", "x2", "x3"];
 const SOFTWARE = [FIRST_SOFTWARE, "v2", "v3"];
-const CONTROLS = 4;
-const LINKS = 3;
 const SERVICE = "s";
 const KEEP_MS = 1_000;
 
@@ -81,7 +79,7 @@
   /** Reports known to the leader and to entry instances, some outdated. */
   readonly #reports = new Map<string, TargetReport>();
   readonly #undelivered: TargetReport[] = [];
-  readonly #directories: StreamDirectory[];
+  readonly #memory: StreamMemory;
   readonly #counts: Record<string, number> = {};
   #state = new BatchState();
   #tracker = new ItemTracker();
@@ -95,11 +93,17 @@
 
   constructor({ seed, guards }: OutputSimulationOptions) {
     this.#scheduler = new Scheduler(seed);
-    this.#guards = { version: true, incarnation: true, ...guards };
-    this.#directories = Array.from(
-      { length: CONTROLS },
-      () => new StreamDirectory({ now: () => this.#time, maxStreams: STEPS }),
-    );
+    this.#guards = {
+      version: true,
+      incarnation: true,
+      record: true,
+      ...guards,
+    };
+    this.#memory = new StreamMemory({
+      scheduler: this.#scheduler,
+      now: () => this.#time,
+      maxStreams: STEPS,
+    });
   }
 
   /** Plays the schedule up to its end or the first violation. */
@@ -163,10 +167,20 @@
     },
     takeUpStream: () => {
       const stream = this.#pickStream();
-      if (stream === undefined || stream.run !== undefined) return;
-      if (stream.events.length === EVENTS) return;
-      this.#takeUp(stream);
+      if (stream !== undefined) this.#takeUp(stream);
     },
+    loseAllEntries: () => {
+      this.#memory.loseAllEntries();
+      const broken = this.#streams.filter(({ run }) => run !== undefined);
+      for (const stream of broken) stream.run = undefined;
+      // Callers return at once, and again as the instances find links.
+      for (const stream of broken) this.#takeUp(stream);
+      this.#memory.linkEntries();
+      for (const stream of broken) this.#takeUp(stream);
+    },
+    linkEntries: () => this.#memory.linkEntries(),
+    loseControl: () => this.#memory.loseControl(),
+    deliverLate: () => this.#memory.deliverLate(),
   };
 
   #pickTarget(): string {
@@ -391,25 +405,19 @@
     if (lastId === 0) stream.request = `r${this.#requestCount}`;
   }
 
-  /** Records a stream at some control instances, one of which may be lost. */
   #record({ request }: CallerStream, software: string | undefined): void {
     const writer = { service: SERVICE, software };
-    for (let i = 0; i < LINKS; i += 1) {
-      if (this.#scheduler.random() < 0.2) continue;
-      const key = { workspace: "w", request };
-      this.#directories[i].add({ ...key, writer, keepMs: KEEP_MS });
-    }
+    this.#memory.record({ workspace: "w", request, writer, keepMs: KEEP_MS });
   }
 
   #takeUp(stream: CallerStream): void {
+    if (stream.run !== undefined || stream.events.length === EVENTS) return;
     if (stream.events.length === 0) return this.#startStream(stream, undefined);
-    const directory = this.#scheduler.pick(this.#directories);
     const key = { workspace: "w", request: stream.request };
-    const writer = directory.get(key);
-    const isKnown = writer !== undefined;
-    if (isKnown || !this.#guards.version) {
-      this.#startStream(stream, writer ?? { service: SERVICE, software: "v1" });
-      return;
+    const writer = this.#memory.find(key);
+    if (writer !== undefined) return this.#startStream(stream, writer);
+    if (!this.#guards.version || !this.#guards.record) {
+      return this.#startStream(stream, undefined);
     }
     this.#count("streams refused");
   }
--- a/soak/soak_test.ts
+++ b/soak/soak_test.ts
@@ -61,6 +61,10 @@
     );
   });
 
+  it("detect streams of two versions where an unknown writer is guessed", () => {
+    doTest(RunKind.Outputs, { outputs: { record: false } }, /has versions/);
+  });
+
   it("detect lost commits where a replica without its disk keeps its name", () => {
     doTest(
       RunKind.Control,
--- /dev/null
+++ b/soak/stream_memory.ts
@@ -0,0 +1,125 @@
+/** Instances that remember who writes streams, in a simulation. */
+import type { Scheduler } from "../sim/scheduler.ts";
+import {
+  type OutputWriter,
+  StreamDirectory,
+  type StreamKey,
+  type StreamRecord,
+} from "../src/core/continuation/mod.ts";
+
+/** Options of {@link StreamMemory}. */
+export interface StreamMemoryOptions {
+  readonly scheduler: Scheduler;
+  /** Gets the time of the simulation. */
+  readonly now: () => number;
+  /** Maximum number of streams that an instance remembers. */
+  readonly maxStreams: number;
+}
+
+/** An entry instance. */
+interface Entry {
+  /** Streams of its own callers. */
+  readonly own: StreamDirectory;
+  /** Control instances to which it is linked. */
+  readonly links: Set<number>;
+}
+
+const ENTRIES = 3;
+const CONTROLS = 4;
+const MAX_LINKS = 3;
+const LOST_SHARE = 0.2;
+const LATE_SHARE = 0.2;
+/** Share of the control instances that do not answer another one. */
+const SILENT_SHARE = 0.3;
+
+/**
+ * Entry instances with links to some control instances, which know each other
+ * in part. Records are lost or come late; any instance may forget all.
+ */
+export class StreamMemory {
+  readonly #options: StreamMemoryOptions;
+  readonly #controls: StreamDirectory[];
+  #entries: Entry[];
+  readonly #late: { control: number; record: StreamRecord }[] = [];
+
+  constructor(options: StreamMemoryOptions) {
+    this.#options = options;
+    this.#controls = Array.from(
+      { length: CONTROLS },
+      () => this.#createDirectory(),
+    );
+    this.#entries = this.#createEntries();
+    for (const entry of this.#entries) {
+      while (entry.links.size < MAX_LINKS) this.#link(entry);
+    }
+  }
+
+  /** Records a stream at a random entry instance and its control instances. */
+  record(record: StreamRecord): this {
+    const { own, links } = this.#options.scheduler.pick(this.#entries);
+    own.add(record);
+    for (const control of links) {
+      const fate = this.#random();
+      if (fate < LOST_SHARE) continue;
+      if (fate < LOST_SHARE + LATE_SHARE) this.#late.push({ control, record });
+      else this.#controls[control].add(record);
+    }
+    return this;
+  }
+
+  /** Finds who wrote a stream, as a random entry instance knows it. */
+  find(key: StreamKey): OutputWriter | undefined {
+    const { own, links } = this.#options.scheduler.pick(this.#entries);
+    const known = own.get(key);
+    if (known !== undefined || links.size === 0) return known;
+    const answering = this.#controls.filter((_, i) =>
+      links.has(i) || this.#random() >= SILENT_SHARE
+    );
+    return answering.map((control) => control.get(key))
+      .find((writer) => writer !== undefined);
+  }
+
+  /** Kills all entry instances; the next ones know nothing and have no link. */
+  loseAllEntries(): void {
+    this.#entries = this.#createEntries();
+  }
+
+  /** Links each entry instance to one more control instance. */
+  linkEntries(): void {
+    for (const entry of this.#entries) {
+      if (entry.links.size < MAX_LINKS) this.#link(entry);
+    }
+  }
+
+  /** Starts a control instance again, which forgets all streams. */
+  loseControl(): void {
+    const lost = Math.floor(this.#random() * CONTROLS);
+    this.#controls[lost] = this.#createDirectory();
+  }
+
+  /** Delivers the record that has been late for longest. */
+  deliverLate(): void {
+    const first = this.#late.shift();
+    if (first !== undefined) this.#controls[first.control].add(first.record);
+  }
+
+  #random(): number {
+    return this.#options.scheduler.random();
+  }
+
+  #link({ links }: Entry): void {
+    links.add(Math.floor(this.#random() * CONTROLS));
+  }
+
+  #createEntries(): Entry[] {
+    return Array.from({ length: ENTRIES }, () => ({
+      own: this.#createDirectory(),
+      links: new Set<number>(),
+    }));
+  }
+
+  #createDirectory(): StreamDirectory {
+    const { now, maxStreams } = this.#options;
+    return new StreamDirectory({ now, maxStreams });
+  }
+}
