--- /dev/null
+++ b/tests/streams_after_entry_loss_test.ts
@@ -0,0 +1,173 @@
+import { afterEach, beforeEach, describe, expect, it } from "vitest";
+import type { FleetReplica } from "../fakes/fleet_replica.ts";
+import { softwareOf } from "../fakes/fleet_text.ts";
+import { FleetRole } from "../src/core/fleet/mod.ts";
+import { FleetDeployment, sleep } from "./support/fleet_deployment.ts";
+import { FLEET_NAMES, fleetPolicy } from "./support/fleet_policy.ts";
+import { LoopbackNet } from "./support/loopback_net.ts";
+import { type HeldStream, StreamCaller } from "./support/stream_caller.ts";
+
+const { host, stream, engines, model } = FLEET_NAMES;
+const KEY = "key-of-the-park";
+const STREAMS = 24;
+/** Time after which all instances know the targets, in milliseconds. */
+const CERTAIN_MS = 1_000;
+/** Events that callers hold when the fault begins. */
+const EVENTS_BEFORE = 2 * STREAMS;
+/** Time in which callers read their streams, in milliseconds. */
+const READ_MS = 8_000;
+const OK_STATUS = 200;
+const REFUSED_STATUS = 503;
+
+describe("streams after all entry instances were killed", () => {
+  let fleet: FleetDeployment;
+  let replicas: FleetReplica[] = [];
+
+  beforeEach(async () => {
+    fleet = new FleetDeployment({
+      net: await LoopbackNet.claim(),
+      controls: 4,
+      ledgers: 3,
+      entries: 3,
+    });
+    await fleet.startAll(fleetPolicy({ version: 1, keys: [KEY] }));
+  }, 60_000);
+
+  afterEach(async () => {
+    for (const replica of replicas) replica.crash();
+    await fleet.stop();
+  });
+
+  async function startTargets(...software: string[]): Promise<void> {
+    replicas = software.map((version) => {
+      const replica = fleet.createTarget({
+        service: engines,
+        models: [model],
+        workMs: 40,
+      });
+      replica.software = version;
+      return replica;
+    });
+    for (const replica of replicas) await replica.start();
+    await sleep(CERTAIN_MS);
+  }
+
+  /** Kills all instances of a role at the same time and starts them again. */
+  async function loseAll(role: FleetRole): Promise<void> {
+    const machines = fleet.machinesWithRole(role);
+    await Promise.all(machines.map((machine) => fleet.kill(machine)));
+    for (const machine of machines) fleet.start(machine);
+  }
+
+  /** Reads streams during a fault that begins as soon as they have begun. */
+  async function doTest(
+    during: () => Promise<void>,
+  ): Promise<HeldStream[]> {
+    const caller = new StreamCaller({
+      entries: () => fleet.entries,
+      host,
+      key: KEY,
+      prefix: stream,
+      model,
+    });
+    let eventCount = 0;
+    let onBegun = () => {};
+    const begun = new Promise<void>((resolve) => {
+      onBegun = resolve;
+    });
+    const onEvent = () => {
+      eventCount += 1;
+      if (eventCount === EVENTS_BEFORE) onBegun();
+    };
+    const streams = Array.from(
+      { length: STREAMS },
+      (_, i) => caller.read(`s${i}`, { timeoutMs: READ_MS, onEvent }),
+    );
+    await begun;
+    await during();
+    const held = await Promise.all(streams);
+    for (const { events } of held) {
+      expect(softwareOf(events.join("\n")).length).toBeLessThanOrEqual(1);
+    }
+    return held;
+  }
+
+  /** Gets the streams of which events came before the fault, and not all. */
+  function brokenOf(held: readonly HeldStream[]): HeldStream[] {
+    return held.filter(({ statuses, first }) =>
+      first?.endsWith("-0") && statuses.length > 1
+    );
+  }
+
+  /** Expects at least half of the streams to have been read to their end. */
+  function expectHalfComplete(streams: readonly HeldStream[]): void {
+    const complete = streams.filter(({ isComplete }) => isComplete);
+    expect(complete.length).toBeGreaterThanOrEqual(streams.length / 2);
+  }
+
+  it("go on at their version while two of its targets serve", async () => {
+    await startTargets("v1", "v1", "v2", "v2");
+    const broken = brokenOf(await doTest(() => loseAll(FleetRole.Entry)));
+    expect(broken.length).toBeGreaterThan(0);
+    expectHalfComplete(broken);
+  }, 60_000);
+
+  it("go on if one of the entry instances is killed", async () => {
+    await startTargets("v1", "v1", "v2", "v2");
+    const [killed] = fleet.machinesWithRole(FleetRole.Entry);
+    const broken = brokenOf(await doTest(() => fleet.kill(killed)));
+    expect(broken.length).toBeGreaterThan(0);
+    expectHalfComplete(broken);
+  }, 60_000);
+
+  it(
+    "are refused at once if the last target of their version ends",
+    async () => {
+      await startTargets("v1", "v2", "v2");
+      const held = await doTest(async () => {
+        replicas[0].crash();
+        await loseAll(FleetRole.Entry);
+      });
+      const broken = brokenOf(held);
+      const isStranded = ({ events }: HeldStream) =>
+        softwareOf(events[0])[0] === "v1";
+      const stranded = broken.filter(isStranded);
+      expect(stranded.length).toBeGreaterThan(0);
+      for (const { statuses, isComplete } of stranded) {
+        expect(isComplete).toBe(false);
+        expect(statuses).toContain(REFUSED_STATUS);
+        // The first request was answered; no later one was.
+        expect(statuses.lastIndexOf(OK_STATUS)).toBe(0);
+      }
+      expectHalfComplete(broken.filter((one) => !isStranded(one)));
+    },
+    60_000,
+  );
+
+  it("do not go on at the next process of their target, unheard", async () => {
+    await startTargets("v1", "v1", "v2", "v2");
+    const held = await doTest(async () => {
+      replicas[0].crash();
+      replicas[0].software = "v2";
+      replicas[0].isUnheard = true;
+      await replicas[0].restart();
+      await loseAll(FleetRole.Entry);
+    });
+    expect(brokenOf(held).length).toBeGreaterThan(0);
+  }, 60_000);
+
+  it(
+    "are of one version if all control instances are killed, too",
+    async () => {
+      await startTargets("v1", "v1", "v2", "v2");
+      const held = await doTest(async () => {
+        await Promise.all([
+          loseAll(FleetRole.Control),
+          loseAll(FleetRole.Entry),
+        ]);
+      });
+      expect(brokenOf(held).length).toBeGreaterThan(0);
+    },
+    60_000,
+  );
+});
