A leader of the ledger starts runs at the pace of its process

Starts now begin at 8 a tick of 50 ms, grow by 8 while ticks are in time and are halved when one is late by a fifth of the election timeout.

--- a/src/core/batches/mod.ts
+++ b/src/core/batches/mod.ts
@@ -6,6 +6,7 @@
 export * from "./item_order.ts";
 export * from "./item_placement.ts";
 export * from "./run_text.ts";
+export * from "./start_pacer.ts";
 export * from "./target_pace.ts";
 export * from "./result_cache.ts";
 export * from "./demand_meter.ts";
--- /dev/null
+++ b/src/core/batches/start_pacer.ts
@@ -0,0 +1,70 @@
+/** Limits how many runs a leader starts, by how far its process lags behind. */
+
+/** Lag above which fewer runs start, a fraction of the election timeout. */
+const MAX_LAG_MS = 100;
+/** Starts per tick of a process whose speed is not known yet. */
+const MIN_STARTS = 8;
+const MAX_STARTS = 256;
+/** Number by which the starts per tick grow while the process keeps up. */
+const STARTS_STEP = 8;
+
+/**
+ * Paces the starts of runs. A leader that has just started, with its code still
+ * slow and no connection open, and finds hundreds of items waiting would be busy
+ * with them for longer than the election timeout and lose its lead, and the next
+ * one after it.
+ *
+ * @example
+ * ```ts
+ * const pacer = new StartPacer(50).onTick(0);
+ * pacer.left; // 8
+ * ```
+ */
+export class StartPacer {
+  readonly #tickMs: number;
+  #limit = MIN_STARTS;
+  #left = MIN_STARTS;
+  #tickedAt: number | undefined;
+
+  /**
+   * Creates a pacer of a process whose speed is not known.
+   * @param tickMs - Interval at which {@link onTick} is to be called.
+   */
+  constructor(tickMs: number) {
+    this.#tickMs = tickMs;
+  }
+
+  /** Gets the number of runs that may start until the next tick. */
+  get left(): number {
+    return this.#left;
+  }
+
+  /** Forgets the speed of the process, as for a new leader. */
+  reset(): this {
+    this.#limit = MIN_STARTS;
+    this.#left = MIN_STARTS;
+    this.#tickedAt = undefined;
+    return this;
+  }
+
+  /** Allows starts until the next tick: fewer if this one comes late. */
+  onTick(now: number): this {
+    const lagMs = this.#tickedAt === undefined
+      ? 0
+      : now - this.#tickedAt - this.#tickMs;
+    if (lagMs > MAX_LAG_MS) {
+      this.#limit = Math.max(MIN_STARTS, Math.floor(this.#limit / 2));
+    } else if (this.#tickedAt !== undefined) {
+      this.#limit = Math.min(MAX_STARTS, this.#limit + STARTS_STEP);
+    }
+    this.#tickedAt = now;
+    this.#left = this.#limit;
+    return this;
+  }
+
+  /** Uses some of the starts. */
+  use(starts: number): this {
+    this.#left = Math.max(0, this.#left - starts);
+    return this;
+  }
+}
--- a/src/tasks/batches/batch_runner.ts
+++ b/src/tasks/batches/batch_runner.ts
@@ -10,6 +10,7 @@
   type PartialTextRecord,
   PendingLoads,
   type ServiceDemand,
+  StartPacer,
   TargetPace,
 } from "../../core/batches/mod.ts";
 import {
@@ -64,6 +65,7 @@
 const LONG_RUN_MS = 500;
 /** Maximum number of items sent to targets in one round. */
 const MAX_PLACED_PER_ROUND = 64;
+
 /**
  * Places items on targets, moves runs off silent or slow targets and stores the
  * results. Runs only on the ledger's leader.
@@ -76,6 +78,7 @@
   readonly #demandMeter = new DemandMeter();
   readonly #targetPace = new TargetPace();
   readonly #loads = new PendingLoads();
+  readonly #pacer = new StartPacer(TICK_INTERVAL_MS);
   readonly #scorer: ItemScorer;
   readonly #mover: RunMover;
   readonly #starter: ItemStarter;
@@ -123,6 +126,7 @@
 
   /** Starts placing items; has no effect if already started. */
   start(): this {
+    if (this.#timer === undefined) this.#pacer.reset();
     this.#timer ??= setInterval(() => this.#tick(), TICK_INTERVAL_MS);
     this.schedulePlacement();
     return this;
@@ -307,7 +311,9 @@
   }
 
   #tick(): void {
-    if (!this.#options.canRunItems()) return;
+    const { canRunItems, now } = this.#options;
+    this.#pacer.onTick(now());
+    if (!canRunItems()) return;
     this.#sampleDemand();
     this.#mover.moveSilentRuns();
     this.#mover.moveSlowRuns();
@@ -337,7 +343,7 @@
 
   #placeItems(): void {
     const { canRunItems, state } = this.#options;
-    if (!canRunItems()) return;
+    if (!canRunItems() || this.#pacer.left === 0) return;
     const { all } = state();
     this.#itemTracker.indexFirstBatches(all);
     const records = all.filter((record) => record.isOpen);
@@ -351,14 +357,16 @@
         this.#itemTracker.isResubmitted(record, item),
     });
     const placer = this.#createPlacer(now);
+    const maxPlaced = Math.min(MAX_PLACED_PER_ROUND, this.#pacer.left);
     let placed = 0;
     for (const waiting of order) {
-      if (placed >= MAX_PLACED_PER_ROUND) break;
+      if (placed >= maxPlaced) break;
       const { record, item } = waiting;
       const isResubmitted = this.#itemTracker.isResubmitted(record, item);
       if (isResubmitted && this.#results.reuseResult(waiting, all)) continue;
       if (this.#starter.start(waiting, placer, all)) placed += 1;
     }
+    this.#pacer.use(placed);
     this.#fetchPermits(placer, order.length - placed);
   }
 
