Control: evacuation of data centres, ordered by operators and kept in the log

Cause: operators had no way to keep requests from a data centre; its targets went on to get calls, items and scoring calls until they deregistered.

The control log has the commands evacuate and readmit, whose state is numbered by its changes. A command that changes the state names the version it is based on, so that a copy delayed on its way to the leader cannot undo a later order. The state is pushed as a notice, resent to instances whose presence shows an older version, and carried in the reply that confirms the policy; ledger instances confirm now, too. The registry offers no target of an evacuated data centre, and none at all before an instance that has just started has the reply of a control leader. A call or run that waited for a permit, the policy or a connection is checked once more before it is sent.

Retirement of ledger instances moves to a class of its own, for the size of its file; the events of the policy lease move to the lease.

--- a/src/core/fleet/fleet_command.ts
+++ b/src/core/fleet/fleet_command.ts
@@ -46,6 +46,20 @@
     /** Time in milliseconds since the epoch. */
     readonly at: number;
   }
+  | {
+    /** Orders that nothing more be sent to the targets of a data centre. */
+    readonly type: "evacuate";
+    readonly dataCentre: string;
+    /** Version of the evacuations that the order is based on. */
+    readonly after: number;
+  }
+  | {
+    /** Withdraws the order to send nothing to a data centre. */
+    readonly type: "readmit";
+    readonly dataCentre: string;
+    /** Version of the evacuations that the order is based on. */
+    readonly after: number;
+  }
   /** Starts to drain an instance. */
   | { readonly type: "retire"; readonly name: string }
   /** Records that an instance has been drained. */
@@ -55,7 +69,9 @@
 export type FleetCommandResult =
   | { readonly type: "done" }
   /** Nothing changed: the current value is equal or newer. */
-  | { readonly type: "unchanged" };
+  | { readonly type: "unchanged" }
+  /** Nothing changed: the command is based on another version than this. */
+  | { readonly type: "outdated"; readonly version: number };
 
 /** Gets the fingerprints whose suspicion a command may change. */
 export function fingerprintsOf(command: FleetCommand): string[] {
--- a/src/core/fleet/fleet_member.ts
+++ b/src/core/fleet/fleet_member.ts
@@ -29,6 +29,11 @@
   readonly leadsTerm: number | undefined;
   /** Revision of the policy that the instance holds; 0 for none. */
   readonly policyRevision: number;
+  /**
+   * Version of the evacuations that the instance applies; undefined if its build
+   * knows none.
+   */
+  readonly evacuationVersion?: number;
   /** Last target change that the instance has applied, by publisher. */
   readonly targetsSeen: Readonly<Record<string, ChangeSequence>>;
 }
--- a/src/core/fleet/fleet_notice.ts
+++ b/src/core/fleet/fleet_notice.ts
@@ -2,6 +2,7 @@
 import type { PolicyDocument } from "../policy/mod.ts";
 import type { SuspicionChange } from "../quarantine/mod.ts";
 import type { TargetReport } from "../registry/mod.ts";
+import type { EvacuationUpdate } from "./evacuations.ts";
 import type { RosterEntry } from "./fleet_member.ts";
 
 /**
@@ -62,6 +63,8 @@
   }
   /** The changes that lead to a version from the one before. */
   | ({ readonly type: "suspicions" } & SuspicionUpdate)
+  /** All evacuated data centres. */
+  | ({ readonly type: "evacuations" } & EvacuationUpdate)
   | {
     readonly type: "roster";
     readonly members: readonly RosterEntry[];
--- a/src/core/fleet/fleet_state.ts
+++ b/src/core/fleet/fleet_state.ts
@@ -1,6 +1,7 @@
 /** Replicated state of the fleet's control log. */
 import type { PolicyDocument } from "../policy/mod.ts";
 import { Quarantine } from "../quarantine/mod.ts";
+import { Evacuations, type EvacuationUpdate } from "./evacuations.ts";
 import type {
   FleetCommand,
   FleetCommandResult,
@@ -17,12 +18,13 @@
   readonly reported: number;
   readonly retiring: readonly (readonly [string, boolean])[];
   readonly suspicions?: SuspicionUpdate;
+  readonly evacuations?: EvacuationUpdate;
 }
 
 type Handlers = {
   readonly [T in FleetCommand["type"]]: (
     command: Extract<FleetCommand, { type: T }>,
-  ) => boolean;
+  ) => boolean | FleetCommandResult;
 };
 
 /** Number of usage windows retained after they have been reported. */
@@ -45,6 +47,7 @@
   #retiring = new Map<string, boolean>();
   readonly #quarantine = new Quarantine();
   #suspicionVersion = 0;
+  readonly #evacuations = new Evacuations();
   readonly #handlers: Handlers = {
     replacePolicy: ({ document, source }) => {
       if (document.revision <= this.policyRevision) return false;
@@ -84,6 +87,8 @@
     },
     takeTrial: ({ fingerprint, at }) =>
       this.#countSuspicionChange(this.#quarantine.takeTrial(fingerprint, at)),
+    evacuate: (command) => this.#evacuations.apply(command),
+    readmit: (command) => this.#evacuations.apply(command),
     retire: ({ name }) => {
       if (this.#retiring.has(name)) return false;
       this.#retiring.set(name, false);
@@ -148,6 +153,11 @@
     };
   }
 
+  /** Gets the evacuated data centres, with the version of their state. */
+  get evacuations(): Pick<Evacuations, "version" | "dataCentres" | "save"> {
+    return this.#evacuations;
+  }
+
   /** Gets the last targets that ended under each request under suspicion. */
   get deadTargets(): ReadonlySet<string> {
     const { changes } = this.suspicions;
@@ -165,8 +175,10 @@
   apply(command: FleetCommand): FleetCommandResult {
     const handler = this.#handlers[command.type] as (
       command: FleetCommand,
-    ) => boolean;
-    return { type: handler(command) ? "done" : "unchanged" };
+    ) => boolean | FleetCommandResult;
+    const result = handler(command);
+    if (typeof result !== "boolean") return result;
+    return { type: result ? "done" : "unchanged" };
   }
 
   save(): FleetSnapshot {
@@ -178,6 +190,7 @@
       reported: this.#reported,
       retiring: [...this.#retiring],
       suspicions: this.suspicions,
+      evacuations: this.#evacuations.save(),
     };
   }
 
@@ -191,6 +204,7 @@
     this.#retiring = new Map(snapshot.retiring);
     this.#quarantine.load(snapshot.suspicions?.changes ?? []);
     this.#suspicionVersion = snapshot.suspicions?.version ?? 0;
+    this.#evacuations.load(snapshot.evacuations);
     return this;
   }
 
--- a/src/core/fleet/fleet_state_test.ts
+++ b/src/core/fleet/fleet_state_test.ts
@@ -79,6 +79,30 @@
     );
   });
 
+  // Guards against evacuations lost by a snapshot of the log.
+  it("keeps the evacuated data centres with their version", () => {
+    doTest([
+      { type: "evacuate", dataCentre: "a", after: 0 },
+      { type: "evacuate", dataCentre: "b", after: 1 },
+      policy(1),
+      { type: "readmit", dataCentre: "a", after: 2 },
+    ], (state) => {
+      expect(state.evacuations.save()).toEqual({
+        version: 3,
+        dataCentres: ["b"],
+      });
+    });
+  });
+
+  // Guards against a start that fails on a snapshot of an earlier build.
+  it("loads a snapshot without evacuations", () => {
+    const { evacuations: _, ...earlier } = new FleetState().save();
+    const state = new FleetState();
+    state.apply({ type: "evacuate", dataCentre: "a", after: 0 });
+    expect(state.load(earlier).evacuations.save())
+      .toEqual({ version: 0, dataCentres: [] });
+  });
+
   it("numbers the changes of suspicions, and those alone", () => {
     const death = (target: string): FleetCommand => ({
       type: "reportRuns",
--- a/src/core/fleet/mod.ts
+++ b/src/core/fleet/mod.ts
@@ -1,4 +1,5 @@
 /** Fleet whose instances discover each other through seed addresses. */
+export * from "./evacuations.ts";
 export * from "./fleet_command.ts";
 export * from "./fleet_member.ts";
 export * from "./fleet_notice.ts";
--- a/src/core/registry/target_registry.ts
+++ b/src/core/registry/target_registry.ts
@@ -47,6 +47,7 @@
  */
 export class TargetRegistry {
   readonly #targets = new Map<string, RegisteredTarget>();
+  #evacuated: ReadonlySet<string> | undefined = new Set();
 
   /**
    * Merges a report; ignored if it is not newer than the known one. A target
@@ -171,13 +172,35 @@
       .filter(({ state }) => state !== TargetState.Gone);
   }
 
-  /** Gets the targets of a service that accept work. */
+  /** Gets the targets of a service that accept work and may be sent some. */
   readyOf(service: string): RegisteredTarget[] {
     return this.all.filter(({ report }) =>
-      report.service === service && report.state === TargetState.Ready
+      report.service === service && this.maySendTo(report.id)
     );
   }
 
+  /** Gets whether a target accepts work and its data centre is not evacuated. */
+  maySendTo(id: string): boolean {
+    const report = this.#targets.get(id)?.report;
+    return report?.state === TargetState.Ready &&
+      !this.isEvacuated(report.dataCentre);
+  }
+
+  /**
+   * Replaces the set of evacuated data centres.
+   * @param dataCentres - Undefined if it is not known which they are; all count
+   *     as evacuated then.
+   */
+  setEvacuated(dataCentres: ReadonlySet<string> | undefined): this {
+    this.#evacuated = dataCentres;
+    return this;
+  }
+
+  /** Gets whether a data centre is evacuated, or may be. */
+  isEvacuated(dataCentre: string): boolean {
+    return this.#evacuated?.has(dataCentre) ?? true;
+  }
+
   /** Removes targets that have been gone for the retention time. */
   prune(now: number): this {
     for (const [id, { report, reportedAt }] of this.#targets) {
--- a/src/core/registry/target_registry_test.ts
+++ b/src/core/registry/target_registry_test.ts
@@ -71,6 +71,27 @@
     expect(registry.readyOf("planner")).toHaveLength(1);
   });
 
+  // Guards against requests to an evacuated data centre.
+  it("offers no target of an evacuated data centre", () => {
+    const registry = new TargetRegistry();
+    registry.merge(report({ id: "i-1", dataCentre: "a", address: "1" }), 0);
+    registry.merge(report({ id: "i-2", dataCentre: "b", address: "2" }), 0);
+    const ready = () =>
+      registry.readyOf("planner").map(({ report: { id } }) => id);
+    registry.setEvacuated(new Set(["a"]));
+    expect(ready()).toEqual(["i-2"]);
+    expect(registry.maySendTo("i-1")).toBe(false);
+    registry.setEvacuated(new Set());
+    expect(ready()).toEqual(["i-1", "i-2"]);
+  });
+
+  // Guards against requests of an instance that has just started.
+  it("offers none while it is unknown which data centres are evacuated", () => {
+    const registry = new TargetRegistry().setEvacuated(undefined);
+    registry.merge(report({}), 0);
+    expect(registry.readyOf("planner")).toEqual([]);
+  });
+
   it("learns that a target leaves from a copy of a known report", () => {
     doTest(
       [{}, { state: TargetState.Draining }, {}],
--- a/src/logging/fleet_events.ts
+++ b/src/logging/fleet_events.ts
@@ -169,6 +169,14 @@
   instanceRetired: defineEvent(2342, "info", {
     text: "Instance is retired: it holds no data and may be removed",
   }),
+  dataCentreEvacuated: defineEvent(2351, "warn", {
+    text:
+      "Evacuation of a data centre in force on this instance; it sends nothing more to the targets there",
+  }),
+  dataCentreReadmitted: defineEvent(2352, "info", {
+    text:
+      "Evacuation of a data centre withdrawn on this instance; its targets get requests again",
+  }),
   linesDropped: defineEvent(2901, "warn", {
     text:
       "Log lines dropped: events exceeded their rate limit, or the log reader is too slow",
--- a/src/metrics/metric_catalogue.ts
+++ b/src/metrics/metric_catalogue.ts
@@ -55,6 +55,10 @@
     text: "Samples discarded because their slot was already filled",
   },
   "targets.serving": { kind: "gauge", text: "Targets that accept requests" },
+  "targets.evacuatedDataCentres": {
+    kind: "gauge",
+    text: "Data centres to whose targets this instance sends nothing",
+  },
   "targets.died": { kind: "counter", text: "Deaths of target processes" },
   "peers.sentBytes": {
     kind: "counter",
--- a/src/settings/fleet_settings.ts
+++ b/src/settings/fleet_settings.ts
@@ -34,6 +34,8 @@
   /** Name of the machine, as operators use it. */
   name,
   dataCentre: name,
+  /** Region of each data centre of the deployment. */
+  regions: z.record(name, name).optional(),
   role: z.enum(Object.values(FleetRole)),
   /** Port on which instances connect to each other. */
   peerPort: port,
--- a/src/tasks/batches/engine_port.ts
+++ b/src/tasks/batches/engine_port.ts
@@ -24,6 +24,11 @@
   readonly resumeAfter: number;
   /** Weight version that must generate the output; undefined for any. */
   readonly expectVersion: number | undefined;
+  /**
+   * Gets whether the target may still be sent the run, once a connection is
+   * ready for it; it always may by default.
+   */
+  readonly maySend?: () => boolean;
 }
 
 /** Reasons why a run ended before its output was complete. */
--- a/src/tasks/batches/item_run.ts
+++ b/src/tasks/batches/item_run.ts
@@ -32,6 +32,8 @@
   readonly engines: EnginePort;
   readonly listener: ItemRunListener;
   readonly now: () => number;
+  /** Gets whether the target may still be sent the run. */
+  readonly maySend?: () => boolean;
 }
 
 /** Runs an item at one target and collects its output. */
@@ -71,6 +73,7 @@
       workspace: spec.workspace,
       resumeAfter: text.lastId,
       expectVersion: isPinned ? text.versions[0] : undefined,
+      ...(options.maySend === undefined ? {} : { maySend: options.maySend }),
     }, this);
   }
 
--- a/src/tasks/batches/item_starter.ts
+++ b/src/tasks/batches/item_starter.ts
@@ -90,6 +90,7 @@
       engines,
       listener: this.#options.listener,
       now: this.#options.now,
+      maySend: () => !registry.isEvacuated(target.dataCentre),
     });
     if (!run.hasEnded) runs.add(run);
     return true;
--- a/src/tasks/calls/call_run.ts
+++ b/src/tasks/calls/call_run.ts
@@ -93,6 +93,7 @@
 
   async #tryTargets(): Promise<CallResponse> {
     const { maxAttempts } = this.#options.admission.route;
+    const { registry } = this.#dependencies;
     await this.#trial.throwIfQuarantined();
     while (
       this.#attemptsRun < maxAttempts && this.#remainingMs > MIN_ATTEMPT_MS
@@ -101,6 +102,7 @@
       const target = await this.#targets.next(this.#remainingMs);
       if (target === undefined) break;
       if (this.#hasWaitedFor(target) && !await this.#hasLease()) break;
+      if (registry.isEvacuated(target.dataCentre)) continue;
       const response = this.#isRetryable && this.#options.stream === undefined
         ? await this.#attemptWithHedge(target)
         : await this.#attempt(target, this.#options.signal);
@@ -201,7 +203,7 @@
     signal: AbortSignal,
     isHedged = false,
   ): Promise<CallResponse | undefined> {
-    const { latencies } = this.#dependencies;
+    const { latencies, registry } = this.#dependencies;
     const { call, admission } = this.#options;
     this.#targets.markTried(report);
     this.#attemptsRun += 1;
@@ -223,6 +225,7 @@
         ?.maxConnections ?? 1,
       onSigns: (signs) => this.#dependencies.onSigns(report, signs),
       needsLive: !isHedged,
+      maySend: () => !registry.isEvacuated(report.dataCentre),
       onConnection: (getState) => this.#trace.onConnection(report.id, getState),
       ...this.#output.attemptAt(report),
     };
--- a/src/tasks/calls/call_targets.ts
+++ b/src/tasks/calls/call_targets.ts
@@ -11,7 +11,6 @@
 import {
   type TargetRegistry,
   type TargetReport,
-  TargetState,
 } from "../../core/registry/mod.ts";
 import type { RateGuard } from "./rate_guard.ts";
 
@@ -112,9 +111,7 @@
     if (permit === undefined) return undefined;
     const { target, afterMs } = permit;
     if (afterMs > 0) await sleep(afterMs);
-    const isUsable = registry.get(target.id)?.report.state ===
-      TargetState.Ready;
-    return isUsable ? target : undefined;
+    return registry.maySendTo(target.id) ? target : undefined;
   }
 
   #isLimited(target: TargetReport): boolean {
--- a/src/tasks/calls/target_port.ts
+++ b/src/tasks/calls/target_port.ts
@@ -48,6 +48,11 @@
    * call elsewhere if nothing comes back.
    */
   readonly needsLive?: boolean;
+  /**
+   * Gets whether the target may still be sent the call, once a connection is
+   * ready for it; it always may by default.
+   */
+  readonly maySend?: () => boolean;
   /** Called with the state of the connection that the attempt uses. */
   readonly onConnection?: (getState: () => ConnectionState) => void;
 }
--- a/src/tasks/fleet/control_task.ts
+++ b/src/tasks/fleet/control_task.ts
@@ -1,21 +1,18 @@
 /** A control instance: policy, target registry and the leader's tasks. */
 import type { ServiceDemand } from "../../core/batches/mod.ts";
 import type { ElapsedClock } from "../../core/clock/mod.ts";
-import { FleetRole, type RosterEntry } from "../../core/fleet/mod.ts";
 import type { PolicyDocument } from "../../core/policy/mod.ts";
 import type { TargetReport } from "../../core/registry/mod.ts";
-import {
-  RefusalError,
-  RefusalReason,
-  Verdict,
-} from "../../core/verdict/mod.ts";
-import { BatchMethod, DEMAND_METHOD } from "../batches/mod.ts";
+import type { RefusalError } from "../../core/verdict/mod.ts";
+import { DEMAND_METHOD } from "../batches/mod.ts";
 import { CapacityScaler } from "./capacity_scaler.ts";
 import { OrderLease } from "./order_lease.ts";
+import type { EvacuationDesk } from "./evacuation_desk.ts";
 import { FleetControl } from "./fleet_control.ts";
 import { LedgerFormation } from "./ledger_formation.ts";
 import type { FleetNode } from "./fleet_node.ts";
 import type { OrderPort, ReceiverPort } from "./order_port.ts";
+import { RetirementDesk } from "./retirement_desk.ts";
 import { UsageReporter } from "./usage_reporter.ts";
 import { WeightsRollout } from "./weights_rollout.ts";
 
@@ -34,7 +31,6 @@
 /** Value of the receiver's `duties` setting that enables autoscaling. */
 const CAPACITY_DUTY = "autoscale";
 const FORM_INTERVAL_MS = 300;
-const HOLDERS_TIMEOUT_MS = 800;
 
 /** Runs one control instance. */
 export class ControlTask {
@@ -44,6 +40,7 @@
   readonly #usageReporter: UsageReporter | undefined;
   readonly #scaler: CapacityScaler | undefined;
   readonly #formation: LedgerFormation;
+  readonly #retirements: RetirementDesk;
   #formTimer: NodeJS.Timeout | undefined;
 
   constructor(options: ControlTaskOptions) {
@@ -61,6 +58,7 @@
       control: this.#control,
       now: () => clock.now(),
     });
+    this.#retirements = new RetirementDesk({ node, control: this.#control });
     const lease = this.#createLease();
     this.#rollout = this.#createRollout(lease);
     this.#usageReporter = this.#createReporter(lease);
@@ -86,6 +84,11 @@
     return this.#control.state.policyRevision;
   }
 
+  /** Receives the operators' orders to evacuate data centres. */
+  get evacuations(): EvacuationDesk {
+    return this.#control.evacuations;
+  }
+
   /** Opens the log store, joins the log and starts the timers. */
   async start(): Promise<void> {
     await this.#control.start();
@@ -136,31 +139,10 @@
 
   /**
    * Starts to move the data off a ledger instance.
-   * @throws RefusalError if the instance is unknown, or if fewer than
-   *     `2 * tolerance + 1` instances would remain.
+   * @throws RefusalError if the instance is unknown or cannot be spared.
    */
-  async retire(name: string): Promise<void> {
-    const { node } = this.#options;
-    if (this.#control.state.retiring.has(name)) return;
-    const ledgers = this.#ledgerMembers();
-    if (!ledgers.some((member) => member.name === name)) {
-      throw new RefusalError(RefusalReason.NotFound, Verdict.NotRun, {
-        message: `No instance ${name} holds data`,
-      });
-    }
-    const { retiring } = this.#control.state;
-    const remaining = ledgers.filter((member) =>
-      member.name !== name && !retiring.has(member.name)
-    );
-    if (remaining.length < 2 * node.settings.tolerance + 1) {
-      throw new RefusalError(
-        RefusalReason.ConfigurationConflict,
-        Verdict.NotRun,
-        { message: "Too few instances would be left" },
-      );
-    }
-    await this.#control.propose({ type: "retire", name });
-    node.logger.event("instanceRetiring", { instance: name });
+  retire(name: string): Promise<void> {
+    return this.#retirements.begin(name);
   }
 
   /**
@@ -169,27 +151,8 @@
    * @throws RefusalError if the instance is not retiring, or if the ledger's
    *     leader does not answer.
    */
-  async checkRetired(name: string): Promise<boolean> {
-    const { node } = this.#options;
-    const { retiring } = this.#control.state;
-    if (!retiring.has(name)) {
-      throw new RefusalError(RefusalReason.NotFound, Verdict.NotRun, {
-        message: `${name} is not being emptied`,
-      });
-    }
-    if (retiring.get(name) === true) return true;
-    const holders = await node.requestLeader(
-      FleetRole.Ledger,
-      BatchMethod.Holders,
-      { params: {}, timeoutMs: HOLDERS_TIMEOUT_MS },
-    ) as readonly string[];
-    const members = this.#ledgerMembers()
-      .filter((member) => member.name === name);
-    const isEmpty = members.every(({ id }) => !holders.includes(id));
-    if (members.length === 0 || !isEmpty) return false;
-    await this.#control.propose({ type: "retired", name });
-    node.logger.event("instanceRetired", { instance: name });
-    return true;
+  checkRetired(name: string): Promise<boolean> {
+    return this.#retirements.check(name);
   }
 
   /** Counts and logs the refusal of a call. */
@@ -204,15 +167,6 @@
     });
   }
 
-  /**
-   * Gets the ledger instances that any control instance has a link to. This one
-   * need not have one, as a ledger instance links to a few control instances.
-   */
-  #ledgerMembers(): RosterEntry[] {
-    const { roster, now } = this.#options.node;
-    return roster.membersOf(FleetRole.Ledger, now);
-  }
-
   #createLease(): OrderLease {
     const { node, clock } = this.#options;
     const { orders, isFirstStart } = node.settings;
--- a/src/tasks/fleet/entry_task.ts
+++ b/src/tasks/fleet/entry_task.ts
@@ -99,11 +99,13 @@
 
   /**
    * Gets whether this instance is ready for callers: not draining, with a
-   * policy, and with a valid lease if the policy requires API keys.
+   * policy and the evacuated data centres, and with a valid lease if the policy
+   * requires API keys.
    */
   get isReady(): boolean {
     const { follower } = this.#options;
     if (this.#isDraining || follower.policy === undefined) return false;
+    if (!follower.evacuations.isConfirmed) return false;
     return follower.hasLease || !follower.policy.needsKeys;
   }
 
--- /dev/null
+++ b/src/tasks/fleet/evacuation_watch.ts
@@ -0,0 +1,79 @@
+/** The evacuated data centres, as in force on one instance. */
+import type { EvacuationUpdate } from "../../core/fleet/mod.ts";
+import type { TargetRegistry } from "../../core/registry/mod.ts";
+import type { FleetNode } from "./fleet_node.ts";
+
+/** Options of {@link EvacuationWatch}. */
+export interface EvacuationWatchOptions {
+  readonly node: Pick<FleetNode, "logger" | "metrics">;
+  readonly registry: TargetRegistry;
+  /** Called when other data centres than before are evacuated. */
+  readonly onChanged: () => void;
+}
+
+/** Puts the newest known state of evacuations in force in a registry. */
+export class EvacuationWatch {
+  readonly #options: EvacuationWatchOptions;
+  #version = 0;
+  #known: ReadonlySet<string> = new Set();
+  #inForce: ReadonlySet<string> = new Set();
+  #isConfirmed = false;
+
+  /**
+   * Creates the watch. Until {@link confirm}, the registry offers no targets: a
+   * process that has just started may have missed an order.
+   */
+  constructor(options: EvacuationWatchOptions) {
+    this.#options = options;
+    options.registry.setEvacuated(undefined);
+  }
+
+  /** Gets the number of changes that the known state includes. */
+  get version(): number {
+    return this.#version;
+  }
+
+  /** Gets whether the state of a control leader has been received. */
+  get isConfirmed(): boolean {
+    return this.#isConfirmed;
+  }
+
+  /** Applies a state that is newer than the known one. */
+  apply({ version, dataCentres }: EvacuationUpdate): this {
+    if (version <= this.#version) return this;
+    this.#version = version;
+    this.#known = new Set(dataCentres);
+    if (this.#isConfirmed) this.#enforce();
+    return this;
+  }
+
+  /**
+   * Applies the reply of a control leader.
+   * @param update - Undefined if the known state is the leader's.
+   */
+  confirm(update: EvacuationUpdate | undefined): this {
+    if (update !== undefined) this.apply(update);
+    if (this.#isConfirmed) return this;
+    this.#isConfirmed = true;
+    this.#enforce();
+    return this;
+  }
+
+  #enforce(): void {
+    const { registry, node, onChanged } = this.#options;
+    const { logger, metrics } = node;
+    const version = this.#version;
+    registry.setEvacuated(this.#known);
+    metrics.gauge("targets.evacuatedDataCentres", this.#known.size);
+    for (const dataCentre of this.#known) {
+      if (this.#inForce.has(dataCentre)) continue;
+      logger.event("dataCentreEvacuated", { dataCentre, version });
+    }
+    for (const dataCentre of this.#inForce) {
+      if (this.#known.has(dataCentre)) continue;
+      logger.event("dataCentreReadmitted", { dataCentre, version });
+    }
+    this.#inForce = this.#known;
+    onChanged();
+  }
+}
--- /dev/null
+++ b/src/tasks/fleet/evacuation_watch_test.ts
@@ -0,0 +1,62 @@
+import { describe, expect, it } from "vitest";
+import { createReport } from "../../../tests/support/target_report.ts";
+import { TargetRegistry } from "../../core/registry/mod.ts";
+import { Logger } from "../../logging/mod.ts";
+import { Metrics } from "../../metrics/mod.ts";
+import { EvacuationWatch } from "./evacuation_watch.ts";
+
+describe(EvacuationWatch.name, () => {
+  function doTest(
+    act: (watch: EvacuationWatch) => void,
+    expected: { readonly ready: readonly string[]; readonly changes: number },
+  ) {
+    const registry = new TargetRegistry();
+    for (const dataCentre of ["a", "b"]) {
+      const fields = { id: dataCentre, address: dataCentre, dataCentre };
+      registry.merge(createReport(fields), 0);
+    }
+    let changes = 0;
+    const watch = new EvacuationWatch({
+      node: {
+        logger: new Logger({ instance: "test", level: "error" }),
+        metrics: new Metrics({ tags: {} }),
+      },
+      registry,
+      onChanged: () => changes += 1,
+    });
+    act(watch);
+    const ready = registry.readyOf("s").map(({ report }) => report.id);
+    expect({ ready, changes }).toEqual(expected);
+  }
+
+  // Guards against requests of a process that missed an order while it was down.
+  it("offers no targets before a control leader has replied", () => {
+    doTest((watch) => watch.apply({ version: 1, dataCentres: ["a"] }), {
+      ready: [],
+      changes: 0,
+    });
+  });
+
+  it("offers all targets if the leader knows of no evacuation", () => {
+    doTest((watch) => watch.confirm(undefined), {
+      ready: ["a", "b"],
+      changes: 1,
+    });
+  });
+
+  // Guards against a delayed notice that withdraws a newer order.
+  it("ignores an older state", () => {
+    doTest((watch) => {
+      watch.confirm({ version: 2, dataCentres: ["a"] })
+        .apply({ version: 1, dataCentres: ["b"] })
+        .confirm({ version: 0, dataCentres: [] });
+    }, { ready: ["b"], changes: 1 });
+  });
+
+  it("applies a newer state", () => {
+    doTest((watch) => {
+      watch.confirm({ version: 1, dataCentres: ["a", "b"] })
+        .apply({ version: 2, dataCentres: ["b"] });
+    }, { ready: ["a"], changes: 2 });
+  });
+});
--- a/src/tasks/fleet/fleet_control.ts
+++ b/src/tasks/fleet/fleet_control.ts
@@ -1,7 +1,6 @@
 /** The replicated control log of a control instance. */
 import { UsageTotals } from "../../core/calls/mod.ts";
 import {
-  fingerprintsOf,
   type FleetCommand,
   type FleetCommandResult,
   FleetRole,
@@ -26,6 +25,7 @@
   createConfirmReply,
   FleetMethod,
 } from "./fleet_method.ts";
+import { EvacuationDesk } from "./evacuation_desk.ts";
 import type { FleetNode } from "./fleet_node.ts";
 import { createRandom, findRelays } from "./relay_directory.ts";
 import { FleetPublisher } from "./fleet_publisher.ts";
@@ -62,6 +62,8 @@
 export class FleetControl {
   /** Targets that have registered with this or another control instance. */
   readonly targets: TargetDirectory;
+  /** Receives the operators' orders to evacuate data centres. */
+  readonly evacuations: EvacuationDesk;
   /** Started requests, as reported by the entry instances. */
   readonly usageTotals = new UsageTotals();
   readonly #options: FleetControlOptions;
@@ -82,6 +84,13 @@
       leadsTerm: () => this.leadsTerm,
       now: options.now,
     });
+    this.evacuations = new EvacuationDesk({
+      node,
+      registry,
+      publisher: this.#publisher,
+      state: () => this.state,
+      propose: (command) => this.propose(command),
+    });
     node
       .onLog(FLEET_LOG, (message) => this.#service.receive(message as never));
     node.hub
@@ -231,7 +240,7 @@
       now,
       presentReplicas: () => this.#presentReplicas(),
       onApplied: (command, result) => this.#onApplied(command, result),
-      onRestored: () => this.#options.onChanged(),
+      onRestored: () => this.#onStateChanged(),
       onRole: (isLeader) => {
         this.#options.onRole(isLeader);
         node.hub.announce();
@@ -270,14 +279,13 @@
       const { model, version } = command;
       this.#options.node.logger.event("weightsNamed", { model, version });
     }
-    if (result.type === "done") this.#publishSuspicions(command);
-    this.#options.onChanged();
+    if (result.type === "done") this.#publisher.publishSuspicions(command);
+    this.#onStateChanged();
   }
 
-  #publishSuspicions(command: FleetCommand): void {
-    const fingerprints = fingerprintsOf(command);
-    if (fingerprints.length === 0) return;
-    this.#publisher.publishSuspicions(this.state.suspicionsOf(fingerprints));
+  #onStateChanged(): void {
+    this.evacuations.onStateChanged();
+    this.#options.onChanged();
   }
 
   #maintain(): void {
--- a/src/tasks/fleet/fleet_follower.ts
+++ b/src/tasks/fleet/fleet_follower.ts
@@ -22,6 +22,7 @@
   FleetMethod,
 } from "./fleet_method.ts";
 import type { CrashWatch } from "./crash_watch.ts";
+import { EvacuationWatch } from "./evacuation_watch.ts";
 import type { FleetNode } from "./fleet_node.ts";
 import { PolicyLease } from "./policy_lease.ts";
 import { logTargetChanged } from "./target_log.ts";
@@ -33,11 +34,11 @@
   readonly clock: ElapsedClock;
   /** Receives the suspicions of the control log; none if absent. */
   readonly crashes?: CrashWatch;
-  /** Whether to hold a policy lease by confirming the policy periodically. */
+  /** Whether API keys are accepted here, for which a policy lease is held. */
   readonly needsLease: boolean;
   /** Gets the number of started requests, by window and workspace. */
   readonly usage: () => UsageWindows;
-  /** Called when a target has changed. */
+  /** Called when a target has changed, or which data centres are evacuated. */
   readonly onTargetsChanged: () => void;
   /** Called when a target has started to load weights. */
   readonly onLoading?: (loading: LoadedVersion) => void;
@@ -51,18 +52,26 @@
 
 /** Applies the notices of the control instances. */
 export class FleetFollower {
+  /** The evacuated data centres in force here. */
+  readonly evacuations: EvacuationWatch;
   readonly #options: FleetFollowerOptions;
   readonly #targetsSeen: Record<string, ChangeSequence> = {};
   readonly #incarnation = randomUUID();
   readonly #lease: PolicyLease;
   #policy: PolicyView | undefined;
   #isConfirming = false;
-  #hadLease = false;
   #timer: NodeJS.Timeout | undefined;
 
   constructor(options: FleetFollowerOptions) {
     this.#options = options;
-    this.#lease = new PolicyLease(options.clock);
+    this.#lease = new PolicyLease({
+      ...options,
+      revision: () => this.policyRevision,
+    });
+    this.evacuations = new EvacuationWatch({
+      ...options,
+      onChanged: () => this.#onEvacuationsChanged(),
+    });
     options.node.onNotice = (notice, from) => this.#onNotice(notice, from);
   }
 
@@ -88,9 +97,8 @@
     return this.#lease.isValid;
   }
 
-  /** Starts to confirm the policy, if a lease is needed. */
+  /** Starts to confirm policy and evacuations with the control leader. */
   start(): this {
-    if (!this.#options.needsLease) return this;
     const { policyLeaseMs } = this.#options.node.settings.times;
     const intervalMs = policyLeaseMs / CONFIRMS_PER_LEASE;
     this.#timer = setInterval(() => this.#confirm(), intervalMs);
@@ -144,19 +152,12 @@
     node.notifyRole(FleetRole.Control, createLeavingNotice(id, incarnation));
   }
 
-  #updateGauges(): void {
-    const { node } = this.#options;
-    const { leftMs } = this.#lease;
-    node.metrics.gauge("policy.revision", this.policyRevision);
-    node.metrics.gauge("policy.leaseLeftMs", Math.round(leftMs));
-  }
-
   #confirm(): void {
-    this.#logLeaseChange();
-    this.#updateGauges();
+    const { node, clock } = this.#options;
+    this.#lease.report();
+    node.metrics.gauge("policy.revision", this.policyRevision);
     if (this.#isConfirming) return;
     this.#isConfirming = true;
-    const { node, clock } = this.#options;
     const sentAt = clock.now();
     node.requestLeader(FleetRole.Control, FleetMethod.Confirm, {
       params: this.#confirmRequest(),
@@ -182,30 +183,30 @@
       life: this.#incarnation,
       usage: usage(),
       suspicionVersion: crashes?.version,
+      evacuationVersion: this.evacuations.version,
     };
   }
 
   #onConfirmed(reply: ConfirmPolicyReply, sentAt: number): void {
-    const { document, suspicions } = reply;
+    const { document, suspicions, evacuations } = reply;
+    this.evacuations.confirm(evacuations);
     if (document !== undefined) this.#applyPolicy(document);
     if (suspicions) this.#options.crashes?.onConfirmed(suspicions);
     if (this.policyRevision < reply.revision) return;
     const { policyLeaseMs } = this.#options.node.settings.times;
     this.#lease.extend(sentAt + policyLeaseMs);
-    this.#logLeaseChange();
   }
 
-  #logLeaseChange(): void {
-    const { hasLease } = this;
-    if (hasLease === this.#hadLease) return;
-    this.#hadLease = hasLease;
-    const name = hasLease ? "policyLeaseHeld" : "policyLeaseLost";
-    this.#options.node.logger.event(name, { revision: this.policyRevision });
+  #onEvacuationsChanged(): void {
+    const { node, onTargetsChanged } = this.#options;
+    onTargetsChanged();
+    node.hub.announce();
   }
 
   #onNotice(notice: FleetNotice, from: string): void {
     if (notice.type === "policy") this.#applyPolicy(notice.document);
     if (notice.type === "suspicions") this.#options.crashes?.onPushed(notice);
+    if (notice.type === "evacuations") this.evacuations.apply(notice);
     if (notice.type === "loading") this.#options.onLoading?.(notice);
     if (notice.type === "loaded") {
       const { registry, onTargetsChanged } = this.#options;
--- a/src/tasks/fleet/fleet_method.ts
+++ b/src/tasks/fleet/fleet_method.ts
@@ -1,6 +1,10 @@
 /** Requests that control instances serve. */
 import type { UsageWindows } from "../../core/calls/mod.ts";
-import type { FleetState, SuspicionUpdate } from "../../core/fleet/mod.ts";
+import type {
+  EvacuationUpdate,
+  FleetState,
+  SuspicionUpdate,
+} from "../../core/fleet/mod.ts";
 import type { PolicyDocument } from "../../core/policy/mod.ts";
 
 /** Names of the methods that control instances serve. */
@@ -26,6 +30,8 @@
   readonly usage: UsageWindows;
   /** Changes of suspicions applied there; undefined if it needs none. */
   readonly suspicionVersion: number | undefined;
+  /** Changes of evacuations applied there; undefined if its build has none. */
+  readonly evacuationVersion?: number;
 }
 
 /** Reply to a {@link ConfirmPolicyRequest}. */
@@ -35,18 +41,23 @@
   readonly document: PolicyDocument | undefined;
   /** All suspicions; undefined if the requesting instance is up to date. */
   readonly suspicions: SuspicionUpdate | undefined;
+  /** All evacuations; undefined if the requesting instance is up to date. */
+  readonly evacuations?: EvacuationUpdate | undefined;
 }
 
 /** Creates the reply from the state that a confirmed leader has applied. */
 export function createConfirmReply(
   state: FleetState,
-  { revision, suspicionVersion }: ConfirmPolicyRequest,
+  { revision, suspicionVersion, evacuationVersion }: ConfirmPolicyRequest,
 ): ConfirmPolicyReply {
-  const { policy, policyRevision } = state;
+  const { policy, policyRevision, evacuations } = state;
   const isBehind = state.suspicionVersion > (suspicionVersion ?? Infinity);
   return {
     revision: policyRevision,
     document: policyRevision > revision ? policy : undefined,
     suspicions: isBehind ? state.suspicions : undefined,
+    evacuations: evacuations.version > (evacuationVersion ?? 0)
+      ? evacuations.save()
+      : undefined,
   };
 }
--- a/src/tasks/fleet/fleet_publisher.ts
+++ b/src/tasks/fleet/fleet_publisher.ts
@@ -2,11 +2,12 @@
 import { randomBytes } from "node:crypto";
 import {
   type ChangeSequence,
+  fingerprintsOf,
+  type FleetCommand,
   type FleetNotice,
   FleetRole,
   type FleetState,
   type RosterEntry,
-  type SuspicionUpdate,
 } from "../../core/fleet/mod.ts";
 import type { PolicyDocument } from "../../core/policy/mod.ts";
 import {
@@ -27,16 +28,16 @@
   readonly now: () => number;
 }
 
-interface SentPolicy {
-  readonly revision: number;
+interface SentVersion {
+  readonly version: number;
   readonly at: number;
 }
 
 const INCARNATION_BYTES = 4;
 /** Interval at which an instance is sent all targets until it confirms them. */
 const TARGETS_RESEND_NEW_MS = 300;
-/** Interval at which the same policy is resent to an instance without it. */
-const POLICY_RESEND_MS = 500;
+/** Interval at which the same state is resent to an instance without it. */
+const STATE_RESEND_MS = 500;
 /**
  * Interval at which all targets are resent to an instance that missed a change;
  * it confirms changes through its presence, which arrives with a delay.
@@ -60,7 +61,8 @@
   readonly #options: FleetPublisherOptions;
   readonly #incarnation = randomBytes(INCARNATION_BYTES).toString("hex");
   readonly #targetsSentAt = new Map<string, number>();
-  readonly #sentPolicies = new Map<string, SentPolicy>();
+  readonly #sentPolicies = new Map<string, SentVersion>();
+  readonly #sentEvacuations = new Map<string, SentVersion>();
   /**
    * Number of the last change, by role. The roles differ because entry
    * instances are not sent changes of weight versions.
@@ -112,10 +114,26 @@
     node.notifyRole(FleetRole.Control, notice);
   }
 
-  /** Publishes changed suspicions to the entry instances. */
-  publishSuspicions(update: SuspicionUpdate): void {
-    const notice: FleetNotice = { type: "suspicions", ...update };
-    this.#options.node.notifyRole(FleetRole.Entry, notice);
+  /** Publishes the suspicions that a command changed to the entry instances. */
+  publishSuspicions(command: FleetCommand): void {
+    const { node, state } = this.#options;
+    const fingerprints = fingerprintsOf(command);
+    if (fingerprints.length === 0) return;
+    const update = state().suspicionsOf(fingerprints);
+    node.notifyRole(FleetRole.Entry, { type: "suspicions", ...update });
+  }
+
+  /** Publishes the evacuated data centres to the instances that lack them. */
+  publishEvacuations(): void {
+    const { node, state } = this.#options;
+    const update = state().evacuations.save();
+    const outdated = this.#followers
+      .filter(({ member }) => (member.evacuationVersion ?? 0) < update.version)
+      .filter(({ id }) => this.#isDue(this.#sentEvacuations, id, update));
+    node.notify(outdated.map(({ id }) => id), {
+      type: "evacuations",
+      ...update,
+    });
   }
 
   /** Publishes that a target is loading weights, or has loaded them. */
@@ -125,13 +143,14 @@
   }
 
   /**
-   * Resends policy and targets to every instance whose presence shows that it
-   * lacks them, for example after a lost message. Sends the roster to all
+   * Resends policy, evacuations and targets to every instance whose presence
+   * shows that it lacks them, for example after a lost message. Sends the roster to all
    * instances if it has changed, and also at intervals.
    */
   resendMissing(): void {
     const { node, state } = this.#options;
     this.#sendPolicy(state().policy);
+    this.publishEvacuations();
     for (const role of FOLLOWER_ROLES) {
       for (const { id, member } of node.linkedMembers(role)) {
         const applied = member.targetsSeen[node.settings.id];
@@ -163,20 +182,29 @@
     if (document === undefined) return;
     const { node } = this.#options;
     const notice: FleetNotice = { type: "policy", document };
-    const outdated = FOLLOWER_ROLES.flatMap((
-      role,
-    ) => [...node.linkedMembers(role)])
-      .filter(({ member }) => member.policyRevision < document.revision)
-      .filter(({ id }) => this.#isPolicyDue(id, document.revision));
+    const version = document.revision;
+    const outdated = this.#followers
+      .filter(({ member }) => member.policyRevision < version)
+      .filter(({ id }) => this.#isDue(this.#sentPolicies, id, { version }));
     node.notify(outdated.map(({ id }) => id), notice);
   }
 
-  #isPolicyDue(id: string, revision: number): boolean {
+  get #followers() {
+    const { node } = this.#options;
+    return FOLLOWER_ROLES.flatMap((role) => [...node.linkedMembers(role)]);
+  }
+
+  /** Records a send, unless the same version was sent a short time ago. */
+  #isDue(
+    sent: Map<string, SentVersion>,
+    id: string,
+    { version }: { readonly version: number },
+  ): boolean {
     const at = this.#options.now();
-    const sent = this.#sentPolicies.get(id);
-    const isRecent = sent !== undefined && at - sent.at < POLICY_RESEND_MS;
-    if (isRecent && sent.revision >= revision) return false;
-    this.#sentPolicies.set(id, { revision, at });
+    const last = sent.get(id);
+    const isRecent = last !== undefined && at - last.at < STATE_RESEND_MS;
+    if (isRecent && last.version >= version) return false;
+    sent.set(id, { version, at });
     return true;
   }
 
--- a/src/tasks/fleet/trial_service.ts
+++ b/src/tasks/fleet/trial_service.ts
@@ -58,7 +58,8 @@
     const { suspicions, deadTargets } = state();
     if (ranBeside(request, suspicions.changes)) return GRANTED_TRIAL;
     const strength = strengthOf(request.service, {
-      targets: registry.all,
+      targets: registry.all
+        .filter(({ report }) => !registry.isEvacuated(report.dataCentre)),
       dead: new Set([...deadTargets, ...request.targets]),
       reportIntervalMs: node.settings.times.reportIntervalMs,
       now: now(),
