Capacity: what an evacuated data centre has is ordered elsewhere

Cause: the planner counted the targets of an evacuated data centre as capacity, and could order more of them where nothing may be sent to them.

Callers saw items wait for slots for as long as the evacuation lasted. The planner now gives such a data centre no number and plans its share, and its minimum, in the others, up to their maximum. Slots per target are read from evacuated targets, too; without them, one slot each was assumed and far too many were ordered. A load order is not sent there either; a readmitted target gets it.

Evidence: slot_planner_test.ts, leader_tasks_test.ts (loads resume on readmission; orders b2, b4 for an evacuated a).

--- a/src/core/capacity/slot_planner.ts
+++ b/src/core/capacity/slot_planner.ts
@@ -9,6 +9,8 @@
   readonly present: number;
   /** Whether the platform recently refused to start more targets there. */
   readonly isExhausted: boolean;
+  /** Whether nothing is sent to the targets there. */
+  readonly isEvacuated: boolean;
 }
 
 /** Input of {@link planSlots}. */
@@ -43,7 +45,8 @@
  * An item that waits for a slot delays its group, and with it the step that
  * the caller waits for, so slots are planned for all items of a burst. Targets
  * are spread over data centres, because one may fail, and cheaper data centres
- * get more.
+ * get more. What an evacuated data centre would have is planned elsewhere; it
+ * gets no number itself, so its targets stay as they are.
  *
  * @example
  * ```ts
@@ -52,9 +55,13 @@
  * ```
  */
 export function planSlots(input: SlotPlanInput): Map<string, number> {
-  const { slots, zones, min, max } = input;
+  const { slots, min, max } = input;
+  const zones = input.zones.filter(({ isEvacuated }) => !isEvacuated);
   const counts = new Map(zones.map((zone) => [zone.id, min] as const));
-  const needed = Math.ceil(neededSlots(input) / Math.max(1, slots));
+  const needed = Math.max(
+    Math.ceil(neededSlots(input) / Math.max(1, slots)),
+    min * input.zones.length,
+  );
   let remaining = needed - min * zones.length;
   while (remaining > 0) {
     const open = zones.filter((zone) => {
--- a/src/core/capacity/slot_planner_test.ts
+++ b/src/core/capacity/slot_planner_test.ts
@@ -9,7 +9,14 @@
   id: string,
   fields: Partial<DataCentreState> = {},
 ): DataCentreState {
-  return { id, price: 1, present: 1, isExhausted: false, ...fields };
+  return {
+    id,
+    price: 1,
+    present: 1,
+    isExhausted: false,
+    isEvacuated: false,
+    ...fields,
+  };
 }
 
 describe(planSlots.name, () => {
@@ -58,4 +65,29 @@
     const zones = [zone("a", { isExhausted: true, present: 2 }), zone("b")];
     doTest({ meanItems: 1_000, zones }, { a: 2, b: 4 });
   });
+
+  // Guards against targets that are ordered where nothing may be sent to them.
+  it("plans an evacuated data centre's share elsewhere", () => {
+    const zones = [
+      zone("a", { isEvacuated: true, present: 3 }),
+      zone("b"),
+      zone("c"),
+    ];
+    doTest({ meanItems: 30, zones }, { b: 3, c: 3 });
+  });
+
+  // Guards against replacements beyond what a data centre may have.
+  it("plans no more than the maximum for evacuated data centres", () => {
+    const zones = [zone("a", { isEvacuated: true }), zone("b")];
+    doTest({ meanItems: 1_000, zones }, { b: 4 });
+  });
+
+  it("keeps up the minimum of evacuated data centres elsewhere", () => {
+    const zones = [zone("a", { isEvacuated: true }), zone("b"), zone("c")];
+    doTest({ min: 2, zones }, { b: 3, c: 3 });
+  });
+
+  it("plans nothing if all data centres are evacuated", () => {
+    doTest({ meanItems: 30, zones: [zone("a", { isEvacuated: true })] }, {});
+  });
 });
--- a/src/tasks/fleet/capacity_scaler.ts
+++ b/src/tasks/fleet/capacity_scaler.ts
@@ -107,6 +107,7 @@
         present: present.get(id) ?? 0,
         isExhausted:
           now < (this.#backoffUntil.get(keyOf(service.name, id)) ?? 0),
+        isEvacuated: this.#options.registry.isEvacuated(id),
       })),
     });
     for (const [dataCentre, count] of counts) {
@@ -178,9 +179,11 @@
     return present;
   }
 
+  /** Evacuated targets count, as those that replace them are alike. */
   #slotsPerTarget(service: string): number {
-    const slots = this.#options.registry.readyOf(service)
-      .map(({ report }) => report.slots);
+    const slots = this.#options.registry.presentReports
+      .filter((k) => k.service === service && k.state === TargetState.Ready)
+      .map((report) => report.slots);
     return slots.length === 0 ? 1 : Math.min(...slots);
   }
 }
--- a/src/tasks/fleet/leader_tasks_test.ts
+++ b/src/tasks/fleet/leader_tasks_test.ts
@@ -136,12 +136,17 @@
       targets: readonly string[];
       models?: readonly string[];
       isLeading?: boolean;
+      /** Data centres that are evacuated at first. */
+      evacuated?: readonly string[];
+      /** Time after which they are readmitted; never by default. */
+      readmittedMs?: number;
       forMs: number;
     },
     expected: readonly string[],
   ) {
     const models = options.models ?? ["m"];
     const registry = registryOf(options.targets);
+    registry.setEvacuated(new Set(options.evacuated));
     const engines = new ScriptedEngines();
     const rollout = new WeightsRollout({
       lease: lease(options.isLeading),
@@ -160,7 +165,10 @@
       onLoaded: (loaded) => registry.recordVersion(loaded),
     });
     rollout.start();
-    await vi.advanceTimersByTimeAsync(options.forMs);
+    const { readmittedMs = options.forMs } = options;
+    await vi.advanceTimersByTimeAsync(readmittedMs);
+    registry.setEvacuated(new Set());
+    await vi.advanceTimersByTimeAsync(options.forMs - readmittedMs);
     rollout.stop();
     expect(engines.loads.map((order) => order.target.id)).toEqual(expected);
     expect(engines.loads.every((order) => order.version === 2)).toBe(true);
@@ -183,6 +191,23 @@
       forMs: 200,
     }, ["a1", "a2"]));
 
+  // Guards against orders to targets to which nothing may be sent.
+  it("orders nothing in an evacuated data centre", () =>
+    doTest({
+      targets: ["a1", "b1"],
+      evacuated: ["a"],
+      forMs: 5_000,
+    }, ["b1"]));
+
+  // Guards against targets that serve with old weights for good.
+  it("orders the loads of a data centre that is readmitted", () =>
+    doTest({
+      targets: ["a1", "b1"],
+      evacuated: ["a"],
+      readmittedMs: 3_000,
+      forMs: 6_000,
+    }, ["b1", "a1"]));
+
   it("orders nothing unless this replica leads", () =>
     doTest({ targets: ["a1"], isLeading: false, forMs: 2_000 }, []));
 });
@@ -258,7 +283,12 @@
     demand: Omit<ServiceDemand, "service">,
     outcomeOf: (order: CapacityOrder) => OrderOutcome,
     expected: readonly string[],
+    options: {
+      readonly evacuated?: readonly string[];
+      readonly prices?: Readonly<Record<string, number>>;
+    } = {},
   ) {
+    const { evacuated, prices = scaling.prices } = options;
     const orders: CapacityOrder[] = [];
     const receiver: Pick<ReceiverPort, "orderTargets"> = {
       orderTargets: (order) => {
@@ -269,9 +299,9 @@
     const scaler = new CapacityScaler({
       lease: lease(),
       receiver: receiver as ReceiverPort,
-      registry: registryOf(["a1", "b1"]),
+      registry: registryOf(["a1", "b1"]).setEvacuated(new Set(evacuated)),
       logger,
-      policy: () => policy(scaling),
+      policy: () => policy({ ...scaling, prices }),
       now,
     });
     scaler.start();
@@ -301,6 +331,24 @@
       ["a3", "b3"],
     ));
 
+  // Guards against capacity lost to an evacuation, and ordered there.
+  it("replaces the targets of an evacuated data centre elsewhere", () =>
+    doTest(
+      { meanItems: 20, peaks: {} },
+      () => OrderOutcome.Accepted,
+      ["b2", "b4"],
+      { evacuated: ["a"] },
+    ));
+
+  // Guards against many orders since no target is left that shows its slots.
+  it("plans by the slots of evacuated targets if no others are left", () =>
+    doTest(
+      { meanItems: 5, peaks: {} },
+      () => OrderOutcome.Accepted,
+      ["c3"],
+      { evacuated: ["a", "b"], prices: { a: 1, b: 1, c: 1 } },
+    ));
+
   it("orders from another data centre if one refuses", () =>
     doTest(
       { meanItems: 20, peaks: {} },
--- a/src/tasks/fleet/weights_rollout.ts
+++ b/src/tasks/fleet/weights_rollout.ts
@@ -167,6 +167,7 @@
     if (status.isLeaving) return this.#options.onTargetLeaving(target);
     if ((status.versions[model] ?? 0) >= version) return this.#onLoaded(load);
     if (status.isBusy) return await this.#awaitLoaded(load);
+    if (this.#options.registry.isEvacuated(target.dataCentre)) return;
     const grant = lease.get();
     if (grant === undefined) return;
     const order = {
