--- a/src/explain/explain.ts
+++ b/src/explain/explain.ts
@@ -56,6 +56,8 @@
   "recordsUnstored",
   "loadOrdered",
   "targetChanged",
+  "dataCentreEvacuated",
+  "dataCentreReadmitted",
 ]);
 
 /** Time before the deciding line that the context covers. */
