--- a/src/core/fleet/fleet_member.ts
+++ b/src/core/fleet/fleet_member.ts
@@ -34,6 +34,11 @@
   readonly isVoter?: boolean | undefined;
   /** Revision of the policy that the instance holds; 0 for none. */
   readonly policyRevision: number;
+  /**
+   * Version of the evacuations that the instance applies; undefined if it has
+   * just started, or its build knows none.
+   */
+  readonly evacuationVersion?: number | undefined;
   /** Last target change that the instance has applied, by publisher. */
   readonly targetsSeen: Readonly<Record<string, ChangeSequence>>;
 }
--- a/src/core/fleet/mod.ts
+++ b/src/core/fleet/mod.ts
@@ -1,5 +1,6 @@
 /** Fleet whose instances discover each other through seed addresses. */
 export * from "./change_counter.ts";
+export * from "./evacuations.ts";
 export * from "./fleet_command.ts";
 export * from "./fleet_member.ts";
 export * from "./fleet_notice.ts";
--- a/src/tasks/fleet/fleet_publisher.ts
+++ b/src/tasks/fleet/fleet_publisher.ts
@@ -3,11 +3,12 @@
 import {
   ChangeCounter,
   type ChangeSequence,
+  fingerprintsOf,
+  type FleetCommand,
   type FleetNotice,
   FleetRole,
   type FleetState,
   type RosterEntry,
-  type SuspicionUpdate,
 } from "../../core/fleet/mod.ts";
 import type { PolicyDocument } from "../../core/policy/mod.ts";
 import {
@@ -28,16 +29,16 @@
   readonly now: () => number;
 }
 
-interface SentPolicy {
-  readonly revision: number;
+interface SentVersion {
+  readonly version: number;
   readonly at: number;
 }
 
 const INCARNATION_BYTES = 4;
 /** Interval at which an instance is sent all targets until it confirms them. */
 const TARGETS_RESEND_NEW_MS = 300;
-/** Interval at which the same policy is resent to an instance without it. */
-const POLICY_RESEND_MS = 500;
+/** Interval at which the same state is resent to an instance without it. */
+const STATE_RESEND_MS = 500;
 /** Interval at which all targets are resent to an instance that missed a change. */
 const TARGETS_RESEND_MS = 1_500;
 /**
@@ -45,6 +46,12 @@
  * it confirms changes by its heartbeat, once a second.
  */
 const CONFIRMATION_DELAY_MS = 1_300;
+/**
+ * Time after its start from which an instance without a leader tells instances
+ * that have just started what it has restored; before, a leader may know of a
+ * later order.
+ */
+const LEADER_WAIT_MS = 3_000;
 /**
  * Number of calls of {@link FleetPublisher.resendMissing} after which an
  * unchanged roster is sent again.
@@ -62,8 +69,10 @@
 export class FleetPublisher {
   readonly #options: FleetPublisherOptions;
   readonly #incarnation = randomBytes(INCARNATION_BYTES).toString("hex");
+  readonly #startedAt: number;
   readonly #targetsSentAt = new Map<string, number>();
-  readonly #sentPolicies = new Map<string, SentPolicy>();
+  readonly #sentPolicies = new Map<string, SentVersion>();
+  readonly #sentEvacuations = new Map<string, SentVersion>();
   /**
    * Published changes, by role. The roles differ because entry instances are
    * not sent changes of weight versions.
@@ -75,6 +84,7 @@
 
   constructor(options: FleetPublisherOptions) {
     this.#options = options;
+    this.#startedAt = options.now();
   }
 
   /**
@@ -115,10 +125,30 @@
     node.notifyRole(FleetRole.Control, notice);
   }
 
-  /** Publishes changed suspicions to the entry instances. */
-  publishSuspicions(update: SuspicionUpdate): void {
-    const notice: FleetNotice = { type: "suspicions", ...update };
-    this.#options.node.notifyRole(FleetRole.Entry, notice);
+  /** Publishes the suspicions that a command changed to the entry instances. */
+  publishSuspicions(command: FleetCommand): void {
+    const { node, state } = this.#options;
+    const fingerprints = fingerprintsOf(command);
+    if (fingerprints.length === 0) return;
+    const update = state().suspicionsOf(fingerprints);
+    node.notifyRole(FleetRole.Entry, { type: "suspicions", ...update });
+  }
+
+  /**
+   * Publishes the evacuated data centres to the instances that lack them, or
+   * know of no state yet.
+   */
+  publishEvacuations(): void {
+    if (!this.#isUpToDate) return;
+    const { node, state } = this.#options;
+    const update = state().evacuations.save();
+    const outdated = this.#followers
+      .filter(({ member }) => (member.evacuationVersion ?? -1) < update.version)
+      .filter(({ id }) => this.#isDue(this.#sentEvacuations, id, update));
+    node.notify(outdated.map(({ id }) => id), {
+      type: "evacuations",
+      ...update,
+    });
   }
 
   /** Publishes that a target is loading weights, or has loaded them. */
@@ -128,13 +158,14 @@
   }
 
   /**
-   * Resends policy and targets to every instance whose presence shows that it
-   * lacks them, for example after a lost message. Sends the roster to all
+   * Resends policy, evacuations and targets to every instance whose presence
+   * shows that it lacks them, for example after a lost message. Sends the roster to all
    * instances if it has changed, and also at intervals.
    */
   resendMissing(): void {
     const { node, state, now } = this.#options;
     this.#sendPolicy(state().policy);
+    this.publishEvacuations();
     const confirmableAt = now() - CONFIRMATION_DELAY_MS;
     for (const role of FOLLOWER_ROLES) {
       const confirmable = this.#changesOf(role).countUntil(confirmableAt);
@@ -175,20 +206,29 @@
     if (document === undefined) return;
     const { node } = this.#options;
     const notice: FleetNotice = { type: "policy", document };
-    const outdated = FOLLOWER_ROLES.flatMap((
-      role,
-    ) => [...node.linkedMembers(role)])
-      .filter(({ member }) => member.policyRevision < document.revision)
-      .filter(({ id }) => this.#isPolicyDue(id, document.revision));
+    const version = document.revision;
+    const outdated = this.#followers
+      .filter(({ member }) => member.policyRevision < version)
+      .filter(({ id }) => this.#isDue(this.#sentPolicies, id, { version }));
     node.notify(outdated.map(({ id }) => id), notice);
   }
 
-  #isPolicyDue(id: string, revision: number): boolean {
+  get #followers() {
+    const { node } = this.#options;
+    return FOLLOWER_ROLES.flatMap((role) => [...node.linkedMembers(role)]);
+  }
+
+  /** Records a send, unless the same version was sent a short time ago. */
+  #isDue(
+    sent: Map<string, SentVersion>,
+    id: string,
+    { version }: { readonly version: number },
+  ): boolean {
     const at = this.#options.now();
-    const sent = this.#sentPolicies.get(id);
-    const isRecent = sent !== undefined && at - sent.at < POLICY_RESEND_MS;
-    if (isRecent && sent.revision >= revision) return false;
-    this.#sentPolicies.set(id, { revision, at });
+    const last = sent.get(id);
+    const isRecent = last !== undefined && at - last.at < STATE_RESEND_MS;
+    if (isRecent && last.version >= version) return false;
+    sent.set(id, { version, at });
     return true;
   }
 
@@ -207,6 +247,14 @@
     });
   }
 
+  /** Gets whether the state is that of a leader, or there is none. */
+  get #isUpToDate(): boolean {
+    const { node, leadsTerm, now } = this.#options;
+    return leadsTerm() !== undefined ||
+      node.leaderOf(FleetRole.Control) !== undefined ||
+      now() - this.#startedAt > LEADER_WAIT_MS;
+  }
+
   #sendRoster(): void {
     const { node, state } = this.#options;
     const members = this.#members();
--- a/src/tasks/fleet/fleet_publisher_test.ts
+++ b/src/tasks/fleet/fleet_publisher_test.ts
@@ -51,6 +51,7 @@
     const follower = new Follower();
     const node = {
       settings: { id: "c1", name: "c1", dataCentre: "a" },
+      leaderOf: () => undefined,
       linkedMembers: (role: FleetRole) =>
         role !== FleetRole.Ledger ? [] : [{
           id: "l1",
