--- a/src/tasks/fleet/entry_task.ts
+++ b/src/tasks/fleet/entry_task.ts
@@ -102,7 +102,7 @@
   get isReady(): boolean {
     const { follower } = this.#options;
     if (this.#isDraining || follower.policy === undefined) return false;
-    if (!follower.evacuations.isConfirmed) return false;
+    if (follower.evacuations.version === undefined) return false;
     return follower.hasLease || !follower.policy.needsKeys;
   }
 
