--- a/soak/output_simulation.ts
+++ b/soak/output_simulation.ts
@@ -275,7 +275,7 @@
   }
 
   #choose(written: OutputWriter | undefined): TargetReport | undefined {
-    const chosen = placeItem({
+    const { placement } = placeItem({
       targets: [...this.#reports.values()].map((report) => ({
         ...report,
         software: report.software,
@@ -283,7 +283,7 @@
         inFlight: Math.floor(this.#scheduler.random() * 3),
         version: 1,
         paceMs: 1,
-        isSlow: false,
+        isSick: false,
         isAvoided: this.#scheduler.random() < 0.2,
       })),
       minVersion: 0,
@@ -293,8 +293,16 @@
       excluded: new Set(),
       warmTargets: new Set(),
       dataCentre: "a",
+      run: {
+        remainingEvents: 10,
+        coldPromptEvents: 1,
+        cachedPromptEvents: 1,
+        meanRunEvents: 10,
+      },
+      dueInMs: 1_000,
+      heldItems: undefined,
     });
-    return chosen && this.#reports.get(chosen.id);
+    return placement && this.#reports.get(placement.target.id);
   }
 
   /** Gets the process at a target, unless it must be another one. */
--- a/src/core/batches/item_placement.ts
+++ b/src/core/batches/item_placement.ts
@@ -1,5 +1,6 @@
-/** Selects the target that runs an item. */
+/** Selects the target at which an item is expected to end first. */
 import { mayContinue, type OutputWriter } from "../continuation/mod.ts";
+import { loadFactorOf } from "./target_pace.ts";
 
 /** State of a target that placement depends on. */
 export interface PlacementTarget {
@@ -16,14 +17,26 @@
   readonly inFlight: number;
   /** Loaded version of the item's model; undefined if not reported. */
   readonly version: number | undefined;
-  /** Recent mean time between two events of a run, in milliseconds. */
+  /** Expected time per event of a run alone at the target, in milliseconds. */
   readonly paceMs: number;
-  /** Whether the target is much slower than the median. */
-  readonly isSlow: boolean;
+  /** Whether the target is far slower now than it is in the long run. */
+  readonly isSick: boolean;
   /** Whether the target accepts no work: after failures or while loading. */
   readonly isAvoided: boolean;
 }
 
+/** Expected run of an item, in times per event. */
+export interface ExpectedRun {
+  /** Number of events that the output still needs. */
+  readonly remainingEvents: number;
+  /** Time to the first event at a target without the prompt. */
+  readonly coldPromptEvents: number;
+  /** Time to the first event at a target with the prompt in its cache. */
+  readonly cachedPromptEvents: number;
+  /** Mean length of a run, which determines when a used slot becomes free. */
+  readonly meanRunEvents: number;
+}
+
 /** Input of {@link placeItem}. */
 export interface PlacementInput {
   readonly targets: readonly PlacementTarget[];
@@ -41,44 +54,161 @@
   readonly warmTargets: ReadonlySet<string>;
   /** Local data centre. */
   readonly dataCentre: string;
+  readonly run: ExpectedRun;
+  /** Time until the item is due, in milliseconds; negative if overdue. */
+  readonly dueInMs: number;
+  /**
+   * Number of items that already wait for a used slot in this round; undefined
+   * if the item may not wait.
+   */
+  readonly heldItems: number | undefined;
+}
+
+/** Reasons for the choice of a target. */
+export const PlacementReason = {
+  /** No other target ends the item earlier. */
+  Earliest: "earliest",
+  /** As {@link PlacementReason.Earliest}, with the prompt in its cache. */
+  CachedPrompt: "cachedPrompt",
+  /** It is in the local data centre, and others end hardly earlier. */
+  Local: "local",
+  /** It is sick, and no other target ends the item earlier. */
+  Sick: "sick",
+} as const;
+
+/** One of the values of {@link PlacementReason}. */
+export type PlacementReason =
+  typeof PlacementReason[keyof typeof PlacementReason];
+
+/** A target for an item. */
+export interface Placement {
+  readonly target: PlacementTarget;
+  /** Expected time until the output is complete, in milliseconds. */
+  readonly expectedMs: number;
+  readonly reason: PlacementReason;
+}
+
+/** Result of {@link placeItem}. */
+export interface PlacementResult {
+  /** Undefined if the item must wait. */
+  readonly placement: Placement | undefined;
+  /** Whether slots are free, but the item ends earlier in one that is used. */
+  readonly isHeld: boolean;
 }
 
-/** Cost reduction for a target with the prompt in its cache, as a fraction. */
-const WARM_CACHE_BONUS = 0.15;
-/** Cost increase for a target in another data centre, as a fraction. */
-const DISTANCE_PENALTY = 0.05;
 /**
- * Cost increase of a scarce target for items that any target could run, as a
- * fraction; outputs of its software version can go on nowhere else.
+ * Share by which a scarce target must end an item earlier that any target could
+ * run; outputs of its software version can go on nowhere else.
  */
 const SCARCE_PENALTY = 0.5;
+/** Part of the time left that an item may lose at a local target. */
+const LOCAL_SHARE = 0.05;
+/** Factor on the expected time, as outputs are often longer than estimated. */
+const SAFETY_FACTOR = 2.5;
+/** Share of the time of a run that waiting for a used slot may take at most. */
+const HOLD_SHARE = 0.8;
+const NOT_PLACED: PlacementResult = { placement: undefined, isHeld: false };
+const HELD: PlacementResult = { placement: undefined, isHeld: true };
+
+/** The best of some targets, by expected end. */
+interface Best {
+  target: PlacementTarget | undefined;
+  /** Expected time until the output is complete, in milliseconds. */
+  ms: number;
+  /** As `ms`, with the penalty of a scarce target. */
+  cost: number;
+}
+
+/** The best targets of one pass. */
+interface Ranking {
+  readonly free: Best;
+  readonly freeLocal: Best;
+  readonly used: Best;
+  /** Number of slots of the targets without a free one. */
+  usedSlots: number;
+}
 
 /**
- * Selects the target with the shortest expected run, or undefined if no
- * eligible target has a free slot. Slow targets are never used, because
- * waiting for a slot takes less time than a run on a slow target.
+ * Selects the target at which an item ends first. A target in the local data
+ * centre is preferred if little time is lost by it. An item that is late at all
+ * free targets, or finds only sick ones, waits if it then ends earlier.
  *
  * @example
  * ```ts
- * const target = placeItem(input);
+ * const { placement } = placeItem(input);
  * ```
  */
-export function placeItem(
-  input: PlacementInput,
-): PlacementTarget | undefined {
-  const eligible = input.targets.filter((t) => isEligible(t, input));
-  const fast = eligible.filter((t) => !t.isSlow);
-  const untried = fast.filter((t) => !input.excluded.has(t.id));
-  const candidates = untried.length > 0 ? untried : fast;
-  let best: PlacementTarget | undefined;
-  let bestCost = Infinity;
-  for (const target of candidates) {
-    const cost = costOf(target, input);
-    if (cost >= bestCost) continue;
-    best = target;
-    bestCost = cost;
+export function placeItem(input: PlacementInput): PlacementResult {
+  const untried = rankTargets(input, false);
+  const ranking = untried.free.target === undefined && input.excluded.size > 0
+    ? rankTargets(input, true)
+    : untried;
+  const { free, freeLocal } = ranking;
+  if (free.target === undefined) return NOT_PLACED;
+  if (mustWait(untried, free, input)) return HELD;
+  if (isLocalPreferred(ranking, input)) {
+    return toResult(freeLocal, input, PlacementReason.Local);
   }
-  return best;
+  return toResult(free, input, PlacementReason.Earliest);
+}
+
+function toResult(
+  { target, ms }: Best,
+  { warmTargets }: PlacementInput,
+  usual: PlacementReason,
+): PlacementResult {
+  if (target === undefined) return NOT_PLACED;
+  const isCached = usual === PlacementReason.Earliest &&
+    warmTargets.has(target.id);
+  const reason = target.isSick
+    ? PlacementReason.Sick
+    : isCached
+    ? PlacementReason.CachedPrompt
+    : usual;
+  return { placement: { target, expectedMs: ms, reason }, isHeld: false };
+}
+
+/** Finds the best targets among those that are excluded, or are not. */
+function rankTargets(input: PlacementInput, isExcluded: boolean): Ranking {
+  const ranking: Ranking = {
+    free: createBest(),
+    freeLocal: createBest(),
+    used: createBest(),
+    usedSlots: 0,
+  };
+  for (const target of input.targets) {
+    if (!isEligible(target, input)) continue;
+    if (input.excluded.has(target.id) !== isExcluded) continue;
+    const ms = expectedMsOf(target, input);
+    const isScarce = target.isScarce && input.written === undefined;
+    const cost = isScarce ? ms * (1 + SCARCE_PENALTY) : ms;
+    if (target.inFlight < target.slots) {
+      improve(ranking.free, target, ms, cost);
+      if (target.dataCentre === input.dataCentre) {
+        improve(ranking.freeLocal, target, ms, cost);
+      }
+    } else if (!target.isSick) {
+      improve(ranking.used, target, ms, cost);
+      ranking.usedSlots += target.slots;
+    }
+  }
+  return ranking;
+}
+
+function createBest(): Best {
+  return { target: undefined, ms: Infinity, cost: Infinity };
+}
+
+function improve(
+  best: Best,
+  target: PlacementTarget,
+  ms: number,
+  cost: number,
+): void {
+  if (cost >= best.cost) return;
+  best.target = target;
+  best.ms = ms;
+  best.cost = cost;
 }
 
 function isEligible(
@@ -86,7 +216,7 @@
   input: PlacementInput,
 ): boolean {
   const { version } = target;
-  if (target.isAvoided || target.inFlight >= target.slots) return false;
+  if (target.isAvoided || target.slots === 0) return false;
   if (input.minVersion > 0 && version === undefined) return false;
   if (version !== undefined && version < input.minVersion) return false;
   if (!mayContinue(input.written, target)) return false;
@@ -94,15 +224,41 @@
   return input.versions.every((v) => v === version);
 }
 
-function costOf(target: PlacementTarget, input: PlacementInput): number {
-  const load = target.inFlight / Math.max(1, target.slots);
-  const warmBonus = input.warmTargets.has(target.id) ? WARM_CACHE_BONUS : 0;
-  const distancePenalty = target.dataCentre === input.dataCentre
-    ? 0
-    : DISTANCE_PENALTY;
-  const scarcePenalty = target.isScarce && input.written === undefined
-    ? SCARCE_PENALTY
-    : 0;
-  return target.paceMs *
-    (1 + load - warmBonus + distancePenalty + scarcePenalty);
+function expectedMsOf(target: PlacementTarget, input: PlacementInput): number {
+  const { run, warmTargets } = input;
+  const promptEvents = warmTargets.has(target.id)
+    ? run.cachedPromptEvents
+    : run.coldPromptEvents;
+  return eventMsOf(target) * (promptEvents + run.remainingEvents);
+}
+
+function eventMsOf({ paceMs, inFlight, slots }: PlacementTarget): number {
+  return paceMs * loadFactorOf(inFlight / slots);
+}
+
+/** Gets whether an item ends earlier if it waits for a slot in use. */
+function mustWait(
+  { used, usedSlots }: Ranking,
+  free: Best,
+  { run, dueInMs, heldItems }: PlacementInput,
+): boolean {
+  if (used.target === undefined || heldItems === undefined) return false;
+  const isLate = free.ms * SAFETY_FACTOR > dueInMs;
+  if (!isLate && free.target?.isSick !== true) return false;
+  const runMs = run.meanRunEvents * eventMsOf(used.target);
+  const waitMs = runMs * (heldItems + 1) / usedSlots;
+  return used.ms + waitMs < HOLD_SHARE * free.ms;
+}
+
+function isLocalPreferred(
+  { free, freeLocal }: Ranking,
+  { dueInMs }: PlacementInput,
+): boolean {
+  if (freeLocal.target === undefined || freeLocal.target === free.target) {
+    return false;
+  }
+  if (freeLocal.target.isSick || freeLocal.ms * SAFETY_FACTOR > dueInMs) {
+    return false;
+  }
+  return freeLocal.cost - free.cost <= LOCAL_SHARE * dueInMs;
 }
--- a/src/core/batches/mod.ts
+++ b/src/core/batches/mod.ts
@@ -10,4 +10,7 @@
 export * from "./result_cache.ts";
 export * from "./demand_meter.ts";
 export * from "./item_tracker.ts";
+export * from "./prompt_locations.ts";
+export * from "./run_estimator.ts";
+export * from "./run_move.ts";
 export * from "./pending_loads.ts";
--- /dev/null
+++ b/src/core/batches/pace_stats.ts
@@ -0,0 +1,101 @@
+/** Long-run and recent time between two events of the runs of a target. */
+
+/** What is known of the pace and the failures of a target. */
+export interface PaceStats {
+  service: string;
+  incarnation: number;
+  /** Long-run time per event of a run alone at the target. */
+  inherentMs: number;
+  inherentSamples: number;
+  /** Time per event at the last sample, of a run alone at the target. */
+  recentMs: number;
+  recentSamples: number;
+  lastSampleAt: number;
+  /** Time since which the recent pace has been far from the long-run pace. */
+  changedSince: number | undefined;
+  /** Whether the target was sick at the last sample that could tell. */
+  wasSick: boolean;
+  avoidedUntil: number;
+  failures: number;
+}
+
+/** Lower bound of the weight of an event in the recent pace. */
+const RECENT_WEIGHT = 0.1;
+/** Time constant of the recent pace; a longer gap says more. */
+const RECENT_MS = 500;
+const INHERENT_WEIGHT = 0.02;
+/** Number of events from which the recent pace counts as measured. */
+export const MIN_RECENT_SAMPLES = 5;
+/** Number of events from which the long-run pace counts as measured. */
+export const MIN_INHERENT_SAMPLES = 20;
+/** Multiple of the long-run pace to which single gaps are limited in it. */
+const MAX_GAP_RATIO = 4;
+/** Time without an event after which a recent pace expires. */
+const STALE_MS = 3_000;
+/** Time without an event after which a recent pace is gradually forgotten. */
+const FORGET_AFTER_MS = 500;
+/** Time constant with which it is forgotten. */
+const FORGET_MS = 2_000;
+
+/** Creates the measurements of a target without events. */
+export function createPaceStats(
+  service: string,
+  incarnation: number,
+): PaceStats {
+  return {
+    service,
+    incarnation,
+    inherentMs: 0,
+    inherentSamples: 0,
+    recentMs: 0,
+    recentSamples: 0,
+    lastSampleAt: -Infinity,
+    changedSince: undefined,
+    wasSick: false,
+    avoidedUntil: -Infinity,
+    failures: 0,
+  };
+}
+
+/** Adds the time between two events to the recent pace. */
+export function addRecent(stats: PaceStats, gapMs: number, now: number): void {
+  if (now - stats.lastSampleAt > STALE_MS) stats.recentSamples = 0;
+  stats.recentMs = recentMsOf(stats, now);
+  const weight = Math.max(
+    RECENT_WEIGHT,
+    1 / (stats.recentSamples + 1),
+    1 - Math.exp(-gapMs / RECENT_MS),
+  );
+  stats.recentMs += weight * (gapMs - stats.recentMs);
+  stats.recentSamples += 1;
+  stats.lastSampleAt = now;
+}
+
+/** Adds the time between two events to the long-run pace. */
+export function addInherent(stats: PaceStats, gapMs: number): void {
+  const limitedMs = hasInherent(stats)
+    ? Math.min(gapMs, MAX_GAP_RATIO * stats.inherentMs)
+    : gapMs;
+  const weight = Math.max(INHERENT_WEIGHT, 1 / (stats.inherentSamples + 1));
+  stats.inherentMs += weight * (limitedMs - stats.inherentMs);
+  stats.inherentSamples += 1;
+}
+
+/** Gets the recent pace, which tends to the long-run pace without events. */
+export function recentMsOf(stats: PaceStats, now: number): number {
+  if (!hasInherent(stats)) return stats.recentMs;
+  const ageMs = Math.max(0, now - stats.lastSampleAt - FORGET_AFTER_MS);
+  const excessMs = stats.recentMs - stats.inherentMs;
+  return stats.inherentMs + excessMs * Math.exp(-ageMs / FORGET_MS);
+}
+
+/** Gets whether the long-run pace is known. */
+export function hasInherent(stats: PaceStats): boolean {
+  return stats.inherentSamples >= MIN_INHERENT_SAMPLES;
+}
+
+/** Gets whether the recent pace is known. */
+export function isCurrent(stats: PaceStats, now: number): boolean {
+  return stats.recentSamples >= MIN_RECENT_SAMPLES &&
+    now - stats.lastSampleAt < STALE_MS;
+}
--- a/src/core/batches/target_pace.ts
+++ b/src/core/batches/target_pace.ts
@@ -1,123 +1,258 @@
 /** Measures how fast targets run items and backs off from failing ones. */
+import {
+  addInherent,
+  addRecent,
+  createPaceStats,
+  hasInherent,
+  isCurrent,
+  MIN_INHERENT_SAMPLES,
+  MIN_RECENT_SAMPLES,
+  type PaceStats,
+  recentMsOf,
+} from "./pace_stats.ts";
+import { percentileOf } from "./percentile.ts";
 
-interface PaceStats {
-  paceMs: number;
-  samples: number;
-  lastSampleAt: number;
-  avoidedUntil: number;
-  failures: number;
+/** A target whose pace is measured. */
+export interface PacedTarget {
+  readonly id: string;
+  readonly service: string;
+  readonly incarnation: number;
+}
+
+/** Time between two events of a run. */
+export interface PaceSample {
+  readonly gapMs: number;
+  /** Share of the target's slots that other runs used, from 0. */
+  readonly load: number;
+  /** Current time, in milliseconds. */
+  readonly now: number;
+}
+
+/** What the targets of one service show. */
+interface ServiceSummary {
+  readonly at: number;
+  /** Median long-run pace, in milliseconds; undefined if none is known. */
+  readonly medianMs: number | undefined;
+  /** Pace at the slow end; undefined if too few targets are known. */
+  readonly slowEndMs: number | undefined;
+  /** Median ratio of recent to long-run pace, at least 1. */
+  readonly medianRatio: number;
 }
 
 const DEFAULT_PACE_MS = 60;
-const EWMA_WEIGHT = 0.2;
-/** Number of events from which the pace of a target counts as measured. */
-const MIN_SAMPLES = 5;
-/** Time without an event after which a measured pace expires. */
-const STALE_MS = 3_000;
-/** Ratio to the median pace above which a target counts as slow. */
-const SLOW_RATIO = 2;
+/** Ratio of recent to long-run pace above which a target is sick. */
+const SICK_RATIO = 3;
+/** Ratio to the slow end of its service above which a new target is sick. */
+const SICK_SERVICE_RATIO = 3.5;
+/** Ratio to the long-run pace from which the recent pace is expected to last. */
+const CHANGED_RATIO = 1.5;
+/** Time after which a changed pace becomes the long-run pace. */
+const ADOPTION_MS = 15_000;
+/** As {@link ADOPTION_MS}, for a target that was never seen sound. */
+const NEW_ADOPTION_MS = 5_000;
+/** Percentile of the long-run paces that is the slow end of a service. */
+const SLOW_END = 0.9;
+/** Number of targets with a long-run pace from which a slow end is known. */
+const MIN_SLOW_END_TARGETS = 2;
+/** Number of targets from which a delay of most is one of this process. */
+const MIN_RATIO_TARGETS = 3;
+/** Time for which the summary of a service is reused. */
+const SUMMARY_VALIDITY_MS = 100;
+/** Share by which a run takes longer at a target whose slots are all in use. */
+const LOAD_SLOWDOWN = 0.2;
 const FIRST_BACKOFF_MS = 200;
 const MAX_BACKOFF_MS = 2_000;
 
-/** Tracks the pace of targets, and which to avoid until when. */
+/** Gets the factor by which other runs at a target lengthen a run. */
+export function loadFactorOf(load: number): number {
+  return 1 + LOAD_SLOWDOWN * load;
+}
+
+/**
+ * Tracks the long-run and the recent pace of targets, and which to avoid until
+ * when. Paces are those of a run alone at the target.
+ *
+ * @example
+ * ```ts
+ * pace.onEventGap(target, { gapMs: 20, load: 0.5, now });
+ * pace.isSick(target, now); // false
+ * ```
+ */
 export class TargetPace {
   readonly #stats = new Map<string, PaceStats>();
-  /** Cached median, since it is read for each pair of item and target. */
-  #median: { readonly at: number; readonly paceMs: number } | undefined;
-
-  /** Records the time between two events of a run, in milliseconds. */
-  onEventGap(target: string, gapMs: number, now: number): this {
-    const stats = this.#statsOf(target);
-    this.#median = undefined;
-    if (now - stats.lastSampleAt > STALE_MS) stats.samples = 0;
-    stats.lastSampleAt = now;
-    const weight = Math.max(EWMA_WEIGHT, 1 / (stats.samples + 1));
-    stats.paceMs += weight * (gapMs - stats.paceMs);
-    stats.samples += 1;
+  readonly #summaries = new Map<string, ServiceSummary>();
+
+  /** Records the time between two events of a run. */
+  onEventGap(target: PacedTarget, sample: PaceSample): this {
+    const stats = this.#statsFor(target);
+    if (target.incarnation < stats.incarnation) return this;
+    const { now } = sample;
+    const gapMs = sample.gapMs / loadFactorOf(sample.load);
+    addRecent(stats, gapMs, now);
+    const isConfirmed = stats.recentSamples >= MIN_RECENT_SAMPLES;
+    if (stats.wasSick && !isConfirmed) return this;
+    stats.wasSick = this.#isSick(stats, now);
+    if (this.#isChanged(stats, now)) return this.#onChanged(stats, now);
+    stats.changedSince = undefined;
+    addInherent(stats, gapMs);
+    if (stats.inherentSamples === MIN_INHERENT_SAMPLES) {
+      this.#summaries.delete(stats.service);
+    }
+    return this;
+  }
+
+  /** Gets whether the recent pace says nothing of the long-run pace. */
+  #isChanged(stats: PaceStats, now: number): boolean {
+    if (!hasInherent(stats)) return stats.wasSick;
+    const { medianRatio } = this.#summaryOf(stats.service, now);
+    const usualMs = medianRatio * stats.inherentMs;
+    return recentMsOf(stats, now) > CHANGED_RATIO * usualMs;
+  }
+
+  /** Adopts the pace of a target once it has lasted. */
+  #onChanged(stats: PaceStats, now: number): this {
+    stats.changedSince ??= now;
+    const adoptionMs = hasInherent(stats) ? ADOPTION_MS : NEW_ADOPTION_MS;
+    if (now - stats.changedSince < adoptionMs) return this;
+    stats.inherentMs = stats.recentMs;
+    stats.inherentSamples = MIN_INHERENT_SAMPLES;
+    stats.changedSince = undefined;
+    stats.wasSick = false;
+    this.#summaries.delete(stats.service);
     return this;
   }
 
   /** Records a completed run, which resets the backoff. */
-  onCompleted(target: string): this {
-    this.#statsOf(target).failures = 0;
+  onCompleted(target: PacedTarget): this {
+    this.#statsFor(target).failures = 0;
     return this;
   }
 
   /** Records a failure and avoids the target with exponential backoff. */
-  onFailure(target: string, now: number): this {
-    const stats = this.#statsOf(target);
+  onFailure(target: PacedTarget, now: number): this {
+    const stats = this.#statsFor(target);
     const backoffMs = FIRST_BACKOFF_MS * 2 ** Math.min(stats.failures, 6);
     stats.failures += 1;
     return this.avoid(target, now + Math.min(MAX_BACKOFF_MS, backoffMs));
   }
 
   /** Avoids a target until a time. */
-  avoid(target: string, until: number): this {
-    const stats = this.#statsOf(target);
+  avoid(target: PacedTarget, until: number): this {
+    const stats = this.#statsFor(target);
     stats.avoidedUntil = Math.max(stats.avoidedUntil, until);
     return this;
   }
 
   /** Gets whether a target should be avoided now. */
-  isAvoided(target: string, now: number): boolean {
-    return now < (this.#stats.get(target)?.avoidedUntil ?? -Infinity);
+  isAvoided(target: PacedTarget, now: number): boolean {
+    return now < (this.#stats.get(target.id)?.avoidedUntil ?? -Infinity);
   }
 
   /**
-   * Gets the mean time between two events at a target, in milliseconds; the
-   * median of all targets if it has no current measurement.
+   * Gets the expected time per event of a run alone at a target, in
+   * milliseconds: its long-run pace unless its recent pace is far beyond it.
    */
-  paceMs(target: string, now: number): number {
-    const stats = this.#stats.get(target);
-    const isMeasured = stats !== undefined && isCurrent(stats, now);
-    return isMeasured ? stats.paceMs : this.medianPaceMs(now);
+  paceMs(target: PacedTarget, now: number): number {
+    const stats = this.#getStats(target);
+    if (stats === undefined) return this.#medianMs(target.service, now);
+    const inherentMs = this.inherentPaceMs(target, now);
+    if (!isCurrent(stats, now)) return inherentMs;
+    const recentMs = recentMsOf(stats, now);
+    return recentMs > CHANGED_RATIO * inherentMs ? recentMs : inherentMs;
   }
 
-  /** Gets whether a target is much slower than the median. */
-  isSlow(target: string, now: number): boolean {
-    return this.paceMs(target, now) > SLOW_RATIO * this.medianPaceMs(now);
+  /**
+   * Gets the long-run time per event of a run alone at a target, in
+   * milliseconds; the median of its service if it is unknown.
+   */
+  inherentPaceMs(target: PacedTarget, now: number): number {
+    const stats = this.#getStats(target);
+    if (stats !== undefined && hasInherent(stats)) return stats.inherentMs;
+    const isMeasured = stats !== undefined && isCurrent(stats, now);
+    if (!isMeasured || this.#isSick(stats, now)) {
+      return this.#medianMs(target.service, now);
+    }
+    return stats.recentMs;
   }
 
-  /** Gets the median pace of the measured targets, in milliseconds. */
-  medianPaceMs(now: number): number {
-    if (this.#median?.at !== now) {
-      this.#median = { at: now, paceMs: this.#findMedian(now) };
-    }
-    return this.#median.paceMs;
+  /** Gets whether a target is far slower now than it is in the long run. */
+  isSick(target: PacedTarget, now: number): boolean {
+    const stats = this.#getStats(target);
+    return stats !== undefined && this.#isSick(stats, now);
   }
 
-  #findMedian(now: number): number {
-    const paces = [...this.#stats.values()]
-      .filter((stats) => isCurrent(stats, now))
-      .map((stats) => stats.paceMs)
-      .sort((a, b) => a - b);
-    return paces[Math.floor(paces.length / 2)] ?? DEFAULT_PACE_MS;
+  /** Gets whether a target was sick, and no events show that it recovered. */
+  isRecovering(target: PacedTarget, now: number): boolean {
+    const stats = this.#getStats(target);
+    return stats !== undefined && stats.wasSick && !this.#isSick(stats, now);
   }
 
   /** Removes all targets except the given ones. */
   keepOnly(targets: ReadonlySet<string>): this {
-    this.#median = undefined;
+    this.#summaries.clear();
     for (const id of this.#stats.keys()) {
       if (!targets.has(id)) this.#stats.delete(id);
     }
     return this;
   }
 
-  #statsOf(target: string): PaceStats {
-    let stats = this.#stats.get(target);
-    if (stats !== undefined) return stats;
-    stats = {
-      paceMs: DEFAULT_PACE_MS,
-      samples: 0,
-      lastSampleAt: -Infinity,
-      avoidedUntil: -Infinity,
-      failures: 0,
+  #isSick(stats: PaceStats, now: number): boolean {
+    if (stats.recentSamples < MIN_RECENT_SAMPLES) return false;
+    const { slowEndMs, medianRatio } = this.#summaryOf(stats.service, now);
+    const recentMs = recentMsOf(stats, now);
+    // A delay of this process shows at all targets; their median cancels it.
+    if (hasInherent(stats)) {
+      return recentMs > SICK_RATIO * medianRatio * stats.inherentMs;
+    }
+    if (slowEndMs === undefined || !isCurrent(stats, now)) return false;
+    return recentMs > SICK_SERVICE_RATIO * medianRatio * slowEndMs;
+  }
+
+  #medianMs(service: string, now: number): number {
+    return this.#summaryOf(service, now).medianMs ?? DEFAULT_PACE_MS;
+  }
+
+  #summaryOf(service: string, now: number): ServiceSummary {
+    let summary = this.#summaries.get(service);
+    if (summary !== undefined && now - summary.at < SUMMARY_VALIDITY_MS) {
+      return summary;
+    }
+    const known = [...this.#stats.values()]
+      .filter((stats) => stats.service === service && hasInherent(stats));
+    const paces = known.map(({ inherentMs }) => inherentMs);
+    const ratios = known.filter((stats) => isCurrent(stats, now))
+      .map((stats) => recentMsOf(stats, now) / stats.inherentMs);
+    summary = {
+      at: now,
+      medianMs: percentileOf(paces, 0.5),
+      slowEndMs: paces.length < MIN_SLOW_END_TARGETS
+        ? undefined
+        : percentileOf(paces, SLOW_END),
+      medianRatio: ratios.length < MIN_RATIO_TARGETS
+        ? 1
+        : Math.max(1, percentileOf(ratios, 0.5) ?? 1),
     };
-    this.#stats.set(target, stats);
-    return stats;
+    this.#summaries.set(service, summary);
+    return summary;
+  }
+
+  /** Gets the state of a target's incarnation. */
+  #getStats({ id, incarnation }: PacedTarget): PaceStats | undefined {
+    const stats = this.#stats.get(id);
+    return stats?.incarnation === incarnation ? stats : undefined;
   }
-}
 
-function isCurrent(stats: PaceStats, now: number): boolean {
-  return stats.samples >= MIN_SAMPLES && now - stats.lastSampleAt < STALE_MS;
+  /**
+   * Gets the state of a target or creates it. The paces of a new incarnation
+   * begin anew; the backoff after failures lasts.
+   */
+  #statsFor({ id, service, incarnation }: PacedTarget): PaceStats {
+    const known = this.#stats.get(id);
+    if (known !== undefined && known.incarnation >= incarnation) return known;
+    const stats = createPaceStats(service, incarnation);
+    stats.avoidedUntil = known?.avoidedUntil ?? -Infinity;
+    stats.failures = known?.failures ?? 0;
+    this.#stats.set(id, stats);
+    return stats;
+  }
 }
--- a/src/metrics/metric_catalogue.ts
+++ b/src/metrics/metric_catalogue.ts
@@ -137,7 +137,16 @@
   },
   "items.moved": {
     kind: "counter",
-    text: "Runs of items moved away from slow or silent targets",
+    text: "Runs of items moved away from sick or silent targets",
+  },
+  "items.moved.sick": {
+    kind: "counter",
+    text:
+      "Runs of items moved away from targets far slower than in the long run",
+  },
+  "items.moved.silent": {
+    kind: "counter",
+    text: "Runs of items moved away from targets that sent no events",
   },
   "items.scored": { kind: "counter", text: "Items that got their score" },
   "items.unscored": {
--- a/src/tasks/batches/batch_runner.ts
+++ b/src/tasks/batches/batch_runner.ts
@@ -9,6 +9,8 @@
   orderItems,
   type PartialTextRecord,
   PendingLoads,
+  PromptLocations,
+  RunEstimator,
   type ServiceDemand,
   TargetPace,
 } from "../../core/batches/mod.ts";
@@ -75,6 +77,8 @@
   readonly #itemTracker = new ItemTracker();
   readonly #demandMeter = new DemandMeter();
   readonly #targetPace = new TargetPace();
+  readonly #estimator = new RunEstimator();
+  readonly #prompts = new PromptLocations();
   readonly #loads = new PendingLoads();
   readonly #scorer: ItemScorer;
   readonly #mover: RunMover;
@@ -106,6 +110,7 @@
       ...options,
       itemTracker: this.#itemTracker,
       results: this.#results,
+      prompts: this.#prompts,
       runs: this.#runs,
       listener: this,
     });
@@ -113,11 +118,14 @@
       runs: this.#runs,
       itemTracker: this.#itemTracker,
       targetPace: this.#targetPace,
+      estimator: this.#estimator,
       loads: this.#loads,
       logger,
       metrics,
       now: options.now,
       createPlacer: (now) => this.#createPlacer(now),
+      restart: (waiting, placer) =>
+        this.#starter.start(waiting, placer, state().all),
     });
   }
 
@@ -136,6 +144,7 @@
     this.#scorer.stop();
     this.#results.clear();
     this.#itemTracker.clear();
+    this.#prompts.clear();
     return this;
   }
 
@@ -206,9 +215,24 @@
     this.#loads.onOrdered(loading, this.#options.now());
   }
 
+  /** Records the time in which a target has read a prompt. */
+  onFirstEvent(run: ItemRun, afterMs: number): void {
+    const now = this.#options.now();
+    this.#prompts.add(run, run.target.id, now);
+    if (run.resumedAfter > 0) return;
+    const paceMs = this.#targetPace.inherentPaceMs(run.target, now);
+    this.#estimator.onFirstEvent(run.record.spec.service, {
+      isCached: run.isPromptCached,
+      events: afterMs / paceMs,
+    });
+  }
+
   /** Records the time between two events, in milliseconds. */
-  onEventGap(run: ItemRun, gapMs: number): void {
-    this.#targetPace.onEventGap(run.target.id, gapMs, this.#options.now());
+  onEventGap({ target }: ItemRun, gapMs: number): void {
+    const others = this.#runs.countAt(target.id) - 1;
+    const load = Math.max(0, others) / Math.max(1, target.slots);
+    const now = this.#options.now();
+    this.#targetPace.onEventGap(target, { gapMs, load, now });
   }
 
   /** Passes on what a target says of itself. */
@@ -220,7 +244,12 @@
   onCompleted(run: ItemRun): void {
     const { metrics, now } = this.#options;
     metrics.timing("items.duration", now() - run.startedAt);
-    this.#targetPace.onCompleted(run.target.id);
+    this.#targetPace.onCompleted(run.target);
+    this.#prompts.add(run, run.target.id, now());
+    this.#estimator.onCompleted(run.record.spec.service, {
+      expectedTokens: run.item.expectedTokens,
+      events: run.text.lastId,
+    });
     this.#runs.remove(run);
     this.#results.complete(run);
     this.schedulePlacement();
@@ -251,17 +280,19 @@
     Record<RunFailure, (run: ItemRun, progress: ItemProgress) => void>
   > = {
     refused: (run) => {
+      this.#prompts.remove(run, run.target.id);
       this.#targetPace.avoid(
-        run.target.id,
+        run.target,
         this.#options.now() + REFUSAL_BACKOFF_MS,
       );
     },
     misdirected: (run) => {
-      this.#targetPace.onFailure(run.target.id, this.#options.now());
+      this.#prompts.remove(run, run.target.id);
+      this.#targetPace.onFailure(run.target, this.#options.now());
     },
     unverified: (run, progress) => {
       progress.unverifiedRuns += 1;
-      this.#targetPace.onFailure(run.target.id, this.#options.now());
+      this.#targetPace.onFailure(run.target, this.#options.now());
     },
     otherVersion: (run, progress) => {
       progress.excludedTargets.add(run.target.id);
@@ -278,7 +309,7 @@
       this.#results.abandon(record, item, text),
     broken: (run, progress) => {
       progress.excludedTargets.add(run.target.id);
-      this.#targetPace.onFailure(run.target.id, this.#options.now());
+      this.#targetPace.onFailure(run.target, this.#options.now());
       this.#itemTracker.backOff(run.item, this.#options.now());
     },
   };
@@ -310,7 +341,7 @@
     if (!this.#options.canRunItems()) return;
     this.#sampleDemand();
     this.#mover.moveSilentRuns();
-    this.#mover.moveSlowRuns();
+    this.#mover.moveSickRuns();
     this.#storeLongRuns();
     this.#abandonOverdue();
     this.#itemTracker.forget(this.#options.state().all);
@@ -388,9 +419,12 @@
       runs: this.#runs,
       itemTracker: this.#itemTracker,
       targetPace: this.#targetPace,
+      estimator: this.#estimator,
+      prompts: this.#prompts,
       loads: this.#loads,
       dataCentre,
       now,
+      wallNow: Date.now(),
     });
   }
 }
--- a/src/tasks/batches/item_placer.ts
+++ b/src/tasks/batches/item_placer.ts
@@ -1,9 +1,13 @@
 /** Assigns waiting items to targets. */
 import {
+  type ExpectedRun,
   type ItemTracker,
   type PendingLoads,
   placeItem,
+  type PlacementResult,
   type PlacementTarget,
+  type PromptLocations,
+  type RunEstimator,
   type RunText,
   type TargetPace,
   type WaitingItem,
@@ -20,14 +24,27 @@
   readonly itemTracker: ItemTracker;
   readonly targetPace: TargetPace;
   readonly loads: PendingLoads;
+  readonly estimator: RunEstimator;
+  readonly prompts: PromptLocations;
   /** Permits for targets that limit their requests. */
   readonly limiter: TargetLimiter;
   /** Data centre of this instance. */
   readonly dataCentre: string;
   /** Time of the round, in milliseconds of the local clock. */
   readonly now: number;
+  /** Time of the round, in milliseconds since the Unix epoch. */
+  readonly wallNow: number;
 }
 
+/**
+ * Number of items that may wait in one round while slots are free; bounds the
+ * work of a round.
+ */
+const MAX_HELD_PER_ROUND = 32;
+/** Number of runs that show whether a target that was sick has recovered. */
+const MAX_RECOVERING_RUNS = 1;
+const NOT_PLACED: PlacementResult = { placement: undefined, isHeld: false };
+
 type PlacementCandidate = PlacementTarget & { inFlight: number };
 
 /**
@@ -43,6 +60,7 @@
   /** Placement keys for which no target has a free slot. */
   readonly #exhausted = new Set<string>();
   readonly #limitedTargets = new Map<string, TargetReport>();
+  #heldItems = 0;
 
   /** Creates a placer from the current runs and targets. */
   constructor(options: ItemPlacerOptions) {
@@ -58,15 +76,15 @@
   }
 
   /**
-   * Chooses a target for an item; undefined if the item must wait.
+   * Chooses a target for an item; without one the item must wait.
    * @param text - The output to go on with; empty to begin anew.
    */
-  choose(waiting: WaitingItem, text: RunText): PlacementTarget | undefined {
-    if (this.isExhausted(waiting)) return undefined;
+  choose(waiting: WaitingItem, text: RunText): PlacementResult {
+    if (this.isExhausted(waiting)) return NOT_PLACED;
     const { record, item } = waiting;
-    const { runs, itemTracker, dataCentre } = this.#options;
+    const { itemTracker, prompts, dataCentre, now, wallNow } = this.#options;
     const { minVersion, isSingleVersion, service } = record.spec;
-    const chosen = placeItem({
+    const result = placeItem({
       targets: this.#candidatesFor(service, item.model),
       minVersion,
       written: text.size === 0
@@ -75,13 +93,32 @@
       versions: text.versions,
       isSingleVersion,
       excluded: itemTracker.excludedTargetsOf(item),
-      warmTargets: runs.getTargetsOfGroup(record, item),
+      warmTargets: prompts.targetsOf(waiting, now),
       dataCentre,
+      run: this.#expectRun(waiting, text.lastId),
+      dueInMs: record.spec.acceptedAt + record.spec.objectiveMs - wallNow,
+      heldItems: this.#heldItems < MAX_HELD_PER_ROUND
+        ? this.#heldItems
+        : undefined,
     });
-    if (chosen === undefined && text.size === 0) {
+    if (result.isHeld) this.#heldItems += 1;
+    else if (result.placement === undefined && text.size === 0) {
       this.#exhausted.add(placementKeyOf(waiting));
     }
-    return chosen;
+    return result;
+  }
+
+  #expectRun(waiting: WaitingItem, received: number): ExpectedRun {
+    const { estimator } = this.#options;
+    const { service } = waiting.record.spec;
+    const promptEvents = (isCached: boolean) =>
+      estimator.promptEvents(service, { isCached, received });
+    return {
+      remainingEvents: estimator.remainingEvents(waiting, received),
+      coldPromptEvents: promptEvents(false),
+      cachedPromptEvents: promptEvents(true),
+      meanRunEvents: estimator.meanEvents(service),
+    };
   }
 
   /** Gets the limited targets of this round that have free slots. */
@@ -116,9 +153,10 @@
       slots: this.#slotsOf(report),
       inFlight: this.#runCounts.get(report.id) ?? 0,
       version: report.versions[model],
-      paceMs: targetPace.paceMs(report.id, now),
-      isSlow: targetPace.isSlow(report.id, now),
-      isAvoided: targetPace.isAvoided(report.id, now) ||
+      paceMs: targetPace.paceMs(report, now),
+      isSick: targetPace.isSick(report, now) ||
+        targetPace.isRecovering(report, now),
+      isAvoided: targetPace.isAvoided(report, now) ||
         loads.isLoading(report, model, now),
     }));
     this.#candidates.set(key, candidates);
@@ -127,11 +165,14 @@
 
   /** Gets the slots of a target, as far as it takes more requests now. */
   #slotsOf(report: TargetReport): number {
-    const { limiter } = this.#options;
-    if (!limiter.isLimited(report)) return report.slots;
+    const { limiter, targetPace, now } = this.#options;
+    const slots = targetPace.isRecovering(report, now)
+      ? Math.min(report.slots, MAX_RECOVERING_RUNS)
+      : report.slots;
+    if (!limiter.isLimited(report)) return slots;
     const inFlight = this.#runCounts.get(report.id) ?? 0;
-    if (inFlight < report.slots) this.#limitedTargets.set(report.id, report);
-    return Math.min(report.slots, inFlight + limiter.storedPermits(report));
+    if (inFlight < slots) this.#limitedTargets.set(report.id, report);
+    return Math.min(slots, inFlight + limiter.storedPermits(report));
   }
 }
 
--- a/src/tasks/batches/item_run.ts
+++ b/src/tasks/batches/item_run.ts
@@ -15,6 +15,8 @@
 
 /** Observes the progress of item runs. */
 export interface ItemRunListener {
+  /** Called with the time from the start of a run to its first event. */
+  onFirstEvent(run: ItemRun, afterMs: number): void;
   onEventGap(run: ItemRun, gapMs: number): void;
   onCompleted(run: ItemRun): void;
   onFailed(run: ItemRun, failure: RunFailure, detail: string): void;
@@ -29,6 +31,8 @@
   readonly target: TargetReport;
   /** Output of earlier runs, which this run continues. */
   readonly text: RunText;
+  /** Whether the target should have the prompt in its cache. */
+  readonly isPromptCached: boolean;
   readonly engines: EnginePort;
   readonly listener: ItemRunListener;
   readonly now: () => number;
@@ -41,6 +45,9 @@
   readonly target: TargetReport;
   readonly text: RunText;
   readonly startedAt: number;
+  /** Number of events that the run goes on after. */
+  readonly resumedAfter: number;
+  readonly isPromptCached: boolean;
   /** ID of the last event stored in the ledger; 0 if none is. */
   storedEventId = 0;
   readonly #options: ItemRunOptions;
@@ -57,6 +64,8 @@
     this.item = item;
     this.target = target;
     this.text = text;
+    this.resumedAfter = text.lastId;
+    this.isPromptCached = options.isPromptCached;
     this.startedAt = options.now();
     this.#lastEventAt = this.startedAt;
     const { spec } = record;
@@ -134,9 +143,9 @@
     this.#eventCount += 1;
     const gapMs = now - this.#lastEventAt;
     this.#lastEventAt = now;
-    if (this.#eventCount > 1) {
-      this.#options.listener.onEventGap(this, gapMs);
-    }
+    const { listener } = this.#options;
+    if (this.#eventCount > 1) listener.onEventGap(this, gapMs);
+    else listener.onFirstEvent(this, gapMs);
   }
 
   /** Passes on what the target says of itself; the run goes on. */
--- a/src/tasks/batches/item_starter.ts
+++ b/src/tasks/batches/item_starter.ts
@@ -3,7 +3,8 @@
   type BatchRecord,
   type ItemTracker,
   type KnownOutput,
-  type PlacementTarget,
+  type Placement,
+  type PromptLocations,
   RunText,
   type WaitingItem,
 } from "../../core/batches/mod.ts";
@@ -24,6 +25,8 @@
   readonly limiter: TargetLimiter;
   readonly itemTracker: ItemTracker;
   readonly results: ResultWriter;
+  /** Receives the targets that read prompts. */
+  readonly prompts: PromptLocations;
   /** Receives the runs that are started. */
   readonly runs: RunTable;
   readonly listener: ItemRunListener;
@@ -41,7 +44,7 @@
 
 /** A target for an item, and the output that the run goes on with. */
 interface TargetChoice {
-  readonly chosen: PlacementTarget;
+  readonly placement: Placement;
   /** Empty if the item begins anew. */
   readonly text: RunText;
 }
@@ -65,8 +68,8 @@
     records: readonly BatchRecord[],
   ): boolean {
     if (placer.isExhausted(waiting)) return false;
-    const { registry, engines, limiter, itemTracker, results, runs } = this
-      .#options;
+    const { registry, engines, limiter, itemTracker, results, runs, prompts } =
+      this.#options;
     const { record, item } = waiting;
     const output = itemTracker.outputOf(waiting, records);
     if (output.complete !== undefined) {
@@ -75,18 +78,22 @@
     }
     const choice = this.#chooseTarget(waiting, placer, output.partial);
     if (choice === undefined) return false;
-    const { chosen, text } = choice;
-    const target = registry.get(chosen.id)?.report;
+    const { placement, text } = choice;
+    const target = registry.get(placement.target.id)?.report;
     if (target === undefined) return false;
     placer.reserveSlot(target.id);
     if (limiter.isLimited(target)) limiter.useStored(target);
     itemTracker.onRunStarted(item, text.size > 0);
-    this.#logPlaced(waiting, { target, chosen, text, output });
+    this.#logPlaced(waiting, { target, placement, text, output });
+    const startedAt = this.#options.now();
+    const isPromptCached = prompts.targetsOf(waiting, startedAt).has(target.id);
+    prompts.add(waiting, target.id, startedAt);
     const run = new ItemRun({
       record,
       item,
       target,
       text,
+      isPromptCached,
       engines,
       listener: this.#options.listener,
       now: this.#options.now,
@@ -105,21 +112,22 @@
     partial: readonly RunText[],
   ): TargetChoice | undefined {
     for (const text of partial) {
-      const chosen = placer.choose(waiting, text);
-      if (chosen !== undefined) return { chosen, text };
+      const { placement, isHeld } = placer.choose(waiting, text);
+      if (isHeld) return undefined;
+      if (placement !== undefined) return { placement, text };
     }
     const text = new RunText();
-    const chosen = placer.choose(waiting, text);
-    if (chosen === undefined) return undefined;
-    if (partial.length === 0) return { chosen, text };
+    const { placement } = placer.choose(waiting, text);
+    if (placement === undefined) return undefined;
+    if (partial.length === 0) return { placement, text };
     const { itemTracker, now } = this.#options;
     const strandedMs = itemTracker.trackStranded(waiting.item, now());
-    return strandedMs < STRANDED_WAIT_MS ? undefined : { chosen, text };
+    return strandedMs < STRANDED_WAIT_MS ? undefined : { placement, text };
   }
 
   #logPlaced(
     { record, item }: WaitingItem,
-    { target, chosen, text, output }: TargetChoice & {
+    { target, placement, text, output }: TargetChoice & {
       readonly target: TargetReport;
       readonly output: KnownOutput;
     },
@@ -137,8 +145,10 @@
       resumedSoftware: text.software,
       version: target.versions[item.model],
       minVersion,
-      inFlight: chosen.inFlight,
-      paceMs: Math.round(chosen.paceMs),
+      inFlight: placement.target.inFlight,
+      paceMs: Math.round(placement.target.paceMs),
+      expectedMs: Math.round(placement.expectedMs),
+      reason: placement.reason,
     });
     if (text.size > 0 || output.receivedEvents === 0) return;
     const [dropped] = output.partial;
--- a/src/tasks/batches/run_mover.ts
+++ b/src/tasks/batches/run_mover.ts
@@ -1,8 +1,13 @@
-/** Moves runs off silent and slow targets. */
-import type {
-  ItemTracker,
-  PendingLoads,
-  TargetPace,
+/** Moves runs off silent and sick targets. */
+import {
+  expectedStayMs,
+  type ItemTracker,
+  loadFactorOf,
+  mayMoveRun,
+  type PendingLoads,
+  type RunEstimator,
+  type TargetPace,
+  type WaitingItem,
 } from "../../core/batches/mod.ts";
 import type { Logger } from "../../logging/mod.ts";
 import type { Metrics } from "../../metrics/mod.ts";
@@ -15,6 +20,7 @@
   readonly runs: RunTable;
   readonly itemTracker: ItemTracker;
   readonly targetPace: TargetPace;
+  readonly estimator: RunEstimator;
   readonly loads: PendingLoads;
   readonly logger: Logger;
   readonly metrics: Metrics;
@@ -22,6 +28,17 @@
   readonly now: () => number;
   /** Creates a placer for one round at a time. */
   readonly createPlacer: (now: number) => ItemPlacer;
+  /** Starts an item at the target that the placer chooses. */
+  readonly restart: (waiting: WaitingItem, placer: ItemPlacer) => boolean;
+}
+
+/** Why and where a run moves, for the log. */
+interface MoveDetail {
+  readonly reason: "silent" | "sick";
+  readonly detail: string;
+  readonly to?: string;
+  readonly stayMs?: number;
+  readonly moveMs?: number;
 }
 
 /**
@@ -32,9 +49,11 @@
 const SILENCE_TIMEOUT_MS = 600;
 /** Silence timeout while the target loads weights of the item's model. */
 const LOADING_SILENCE_TIMEOUT_MS = 3_000;
-/** Silence timeout between two events, as a multiple of their median time. */
+/** Silence timeout between two events, in long-run times per event. */
 const SILENCE_TIMEOUT_EVENTS = 8;
-/** Maximum number of runs moved off slow targets in one round. */
+/** Silence timeout before the first event, in expected times until then. */
+const FIRST_EVENT_TIMEOUTS = 3;
+/** Maximum number of runs moved off sick targets in one round. */
 const MAX_MOVED_PER_ROUND = 12;
 /** Number of events of a run from which its pace is taken into account. */
 const MIN_EVENTS_FOR_PACE = 3;
@@ -56,37 +75,67 @@
     const now = clock();
     for (const run of runs.all) {
       const limitMs = this.#silenceTimeoutMs(run, now);
-      if (run.silenceMs > limitMs) {
-        this.#moveRun(run, `No event for ${Math.round(run.silenceMs)} ms`);
-        itemTracker.progressOf(run.item).silentRuns += 1;
-        targetPace.onFailure(run.target.id, now);
-      }
+      if (run.silenceMs <= limitMs) continue;
+      this.#cancelRun(run, {
+        reason: "silent",
+        detail: `No event for ${Math.round(run.silenceMs)} ms`,
+      });
+      itemTracker.progressOf(run.item).silentRuns += 1;
+      targetPace.onFailure(run.target, now);
     }
   }
 
-  /** Moves runs off slow targets as long as other targets have free slots. */
-  moveSlowRuns(): void {
+  /** Moves runs off sick targets if they then end clearly earlier. */
+  moveSickRuns(): void {
     const { runs, targetPace, createPlacer, now: clock } = this.#options;
     const now = clock();
-    const placer = createPlacer(now);
+    let placer: ItemPlacer | undefined;
     let moved = 0;
     for (const run of runs.all) {
-      const { id } = run.target;
-      const hasEnoughEvents = run.events >= MIN_EVENTS_FOR_PACE;
-      if (!hasEnoughEvents || !targetPace.isSlow(id, now)) continue;
       if (moved >= MAX_MOVED_PER_ROUND) return;
-      const waiting = { record: run.record, item: run.item };
-      const chosen = placer.choose(waiting, run.text);
-      if (chosen === undefined || chosen.id === id) continue;
-      placer.reserveSlot(chosen.id);
-      this.#moveRun(
-        run,
-        `Target takes ${Math.round(targetPace.paceMs(id, now))} ms per event`,
-      );
-      moved += 1;
+      if (!targetPace.isSick(run.target, now)) continue;
+      placer ??= createPlacer(now);
+      if (this.#moveSickRun(run, placer, now)) moved += 1;
     }
   }
 
+  #moveSickRun(run: ItemRun, placer: ItemPlacer, now: number): boolean {
+    const { placement } = placer.choose(run, run.text);
+    if (placement === undefined || placement.target.id === run.target.id) {
+      return false;
+    }
+    const stayMs = this.#stayMs(run, now);
+    const moveMs = placement.expectedMs;
+    if (!mayMoveRun({ stayMs, moveMs })) return false;
+    const paceMs = this.#options.targetPace.paceMs(run.target, now);
+    this.#cancelRun(run, {
+      reason: "sick",
+      detail: `Target takes ${Math.round(paceMs)} ms per event`,
+      to: placement.target.id,
+      stayMs: Math.round(stayMs),
+      moveMs: Math.round(moveMs),
+    });
+    this.#options.restart(run, placer);
+    return true;
+  }
+
+  /** Gets the expected time to the end of a run where it is. */
+  #stayMs(run: ItemRun, now: number): number {
+    const { targetPace, estimator } = this.#options;
+    const { target, text } = run;
+    const factor = this.#loadFactorAt(run);
+    return expectedStayMs({
+      remainingEvents: estimator.remainingEvents(run, text.lastId),
+      recentMs: targetPace.paceMs(target, now) * factor,
+      inherentMs: targetPace.inherentPaceMs(target, now) * factor,
+    });
+  }
+
+  #loadFactorAt({ target }: ItemRun): number {
+    const others = this.#options.runs.countAt(target.id) - 1;
+    return loadFactorOf(Math.max(0, others) / Math.max(1, target.slots));
+  }
+
   /**
    * Gets how long a run may be silent. The time doubles with each run of the
    * item that was too silent, so that a slow but sound target completes it.
@@ -97,30 +146,49 @@
     return this.#usualSilenceMs(run, now) * 2 ** doublings;
   }
 
+  /** Gets the silence to allow by the long-run pace of the run's target. */
   #usualSilenceMs(run: ItemRun, now: number): number {
-    const { loads, targetPace } = this.#options;
-    const { model } = run.item;
-    if (loads.isLoading(run.target, model, now)) {
+    const { loads, targetPace, estimator } = this.#options;
+    if (loads.isLoading(run.target, run.item.model, now)) {
       return LOADING_SILENCE_TIMEOUT_MS;
     }
-    if (run.events < MIN_EVENTS_FOR_PACE) return FIRST_EVENT_TIMEOUT_MS;
-    const medianMs = targetPace.medianPaceMs(now);
-    return Math.max(SILENCE_TIMEOUT_MS, medianMs * SILENCE_TIMEOUT_EVENTS);
+    const eventMs = targetPace.inherentPaceMs(run.target, now) *
+      this.#loadFactorAt(run);
+    const betweenMs = eventMs * SILENCE_TIMEOUT_EVENTS;
+    if (run.events >= MIN_EVENTS_FOR_PACE) {
+      return Math.max(SILENCE_TIMEOUT_MS, betweenMs);
+    }
+    const promptMs = eventMs * estimator.promptEvents(run.record.spec.service, {
+      isCached: run.isPromptCached,
+      received: run.resumedAfter,
+    });
+    return Math.max(
+      FIRST_EVENT_TIMEOUT_MS,
+      betweenMs,
+      FIRST_EVENT_TIMEOUTS * promptMs,
+    );
   }
 
-  #moveRun(run: ItemRun, reason: string): void {
+  #cancelRun(run: ItemRun, { reason, ...detail }: MoveDetail): void {
     const { runs, itemTracker, metrics, logger } = this.#options;
     run.cancel();
     runs.remove(run);
     itemTracker.savePartialText(run, run.text);
     itemTracker.progressOf(run.item).excludedTargets.add(run.target.id);
     metrics.count("items.moved");
+    metrics.count(MOVE_METRICS[reason]);
     logger.event("itemMoved", {
       batch: run.record.spec.id,
       item: run.item.id,
       target: run.target.id,
       reason,
+      ...detail,
       events: run.events,
     });
   }
 }
+
+const MOVE_METRICS = {
+  silent: "items.moved.silent",
+  sick: "items.moved.sick",
+} as const;
--- a/src/tasks/batches/run_table.ts
+++ b/src/tasks/batches/run_table.ts
@@ -1,5 +1,4 @@
 /** The runs in progress, by batch and item. */
-import type { BatchItem, BatchRecord } from "../../core/batches/mod.ts";
 import type { ItemRun } from "./item_run.ts";
 
 /** Gets the map key of an item of a batch. */
@@ -10,6 +9,7 @@
 /** Indexes the runs in progress by batch and item. */
 export class RunTable {
   readonly #runs = new Map<string, ItemRun>();
+  readonly #counts = new Map<string, number>();
 
   get size(): number {
     return this.#runs.size;
@@ -32,13 +32,21 @@
     return this.#runs.get(itemKeyOf(batch, item));
   }
 
+  /** Adds a run; an item has one run at a time. */
   add(run: ItemRun): this {
     this.#runs.set(itemKeyOf(run.record.spec.id, run.item.id), run);
+    this.#counts.set(run.target.id, this.countAt(run.target.id) + 1);
     return this;
   }
 
+  /** Removes a run; has no effect if it is not in the table. */
   remove(run: ItemRun): this {
-    this.#runs.delete(itemKeyOf(run.record.spec.id, run.item.id));
+    const key = itemKeyOf(run.record.spec.id, run.item.id);
+    if (this.#runs.get(key) !== run) return this;
+    this.#runs.delete(key);
+    const count = this.countAt(run.target.id) - 1;
+    if (count > 0) this.#counts.set(run.target.id, count);
+    else this.#counts.delete(run.target.id);
     return this;
   }
 
@@ -46,26 +54,17 @@
   cancelAll(): this {
     for (const run of this.#runs.values()) run.cancel();
     this.#runs.clear();
+    this.#counts.clear();
     return this;
   }
 
-  /** Counts runs by target ID. */
-  countByTarget(): Map<string, number> {
-    const counts = new Map<string, number>();
-    for (const { target } of this.#runs.values()) {
-      counts.set(target.id, (counts.get(target.id) ?? 0) + 1);
-    }
-    return counts;
+  /** Gets the number of runs at a target. */
+  countAt(target: string): number {
+    return this.#counts.get(target) ?? 0;
   }
 
-  /** Gets the IDs of the targets that run items of the same group. */
-  getTargetsOfGroup({ spec }: BatchRecord, item: BatchItem): Set<string> {
-    const targets = new Set<string>();
-    for (const other of spec.items) {
-      if (other.group !== item.group) continue;
-      const run = this.get(spec.id, other.id);
-      if (run !== undefined) targets.add(run.target.id);
-    }
-    return targets;
+  /** Gets a copy of the numbers of runs by target ID. */
+  countByTarget(): Map<string, number> {
+    return new Map(this.#counts);
   }
 }
--- /dev/null
+++ b/src/tasks/batches/uneven_targets_test.ts
@@ -0,0 +1,103 @@
+import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
+import {
+  playUnevenLoad,
+  type UnevenLoadOptions,
+  type UnevenLoadReport,
+} from "../../../tests/support/uneven_load.ts";
+import { BatchRunner } from "./batch_runner.ts";
+
+const TIMEOUT_MS = 120_000;
+
+describe(`${BatchRunner.name} at uneven targets`, () => {
+  beforeEach(() => vi.useFakeTimers());
+  afterEach(() => vi.useRealTimers());
+
+  function doTest(
+    options: Partial<UnevenLoadOptions>,
+    check: (report: UnevenLoadReport) => void,
+  ) {
+    const report = playUnevenLoad({ seed: 1, load: 0.6, ...options });
+    console.info(expect.getState().currentTestName, JSON.stringify(report));
+    expect(report.refused).toBe(0);
+    check(report);
+  }
+
+  it(
+    "cuts no run of a slow target at 40% of the room",
+    () =>
+      doTest({ load: 0.4 }, ({ inTimeLearnt, moves, slowShare }) => {
+        expect(moves).toBe(0);
+        expect(inTimeLearnt).toBeGreaterThanOrEqual(0.99);
+        expect(slowShare).toBeGreaterThan(0.05);
+      }),
+    TIMEOUT_MS,
+  );
+
+  it(
+    "completes groups in time at 80% of the room",
+    () =>
+      doTest({ load: 0.8 }, ({ inTimeLearnt, moves, slowShare }) => {
+        expect(moves).toBe(0);
+        expect(inTimeLearnt).toBeGreaterThanOrEqual(0.98);
+        expect(slowShare).toBeGreaterThan(0.1);
+      }),
+    TIMEOUT_MS,
+  );
+
+  it(
+    "completes most groups in time at 110% of the room",
+    () =>
+      doTest({ load: 1.1, playedMs: 12_000 }, ({ inTimeLearnt, moves }) => {
+        expect(moves).toBe(0);
+        expect(inTimeLearnt).toBeGreaterThan(0.9);
+      }),
+    TIMEOUT_MS,
+  );
+
+  it(
+    "moves only the runs of a target that turns ten times slower",
+    () =>
+      doTest({
+        onStep: (ms, [engine]) => {
+          engine.slowdown = ms >= 5_000 && ms < 10_000 ? 10 : 1;
+        },
+      }, ({ inTimeLearnt, moves }) => {
+        expect(moves).toBeGreaterThan(0);
+        expect(moves).toBeLessThan(60);
+        expect(inTimeLearnt).toBeGreaterThanOrEqual(0.97);
+      }),
+    TIMEOUT_MS,
+  );
+
+  it("goes on when a third of the targets is lost", () =>
+    doTest({
+      load: 0.5,
+      onStep: (ms, engines, played) => {
+        if (ms !== 5_000) return;
+        for (const engine of engines.slice(12, 24)) played.lose(engine);
+      },
+    }, ({ inTimeLearnt, moves }) => {
+      expect(moves).toBe(0);
+      expect(inTimeLearnt).toBeGreaterThanOrEqual(0.95);
+    }), TIMEOUT_MS);
+
+  it.each([1 / 3, 3])(
+    "bears estimates off by %f",
+    (estimateFactor) =>
+      doTest({ estimateFactor }, ({ inTimeLearnt, moves }) => {
+        expect(moves).toBe(0);
+        expect(inTimeLearnt).toBeGreaterThanOrEqual(0.98);
+      }),
+    TIMEOUT_MS,
+  );
+
+  it(
+    "spreads load over targets that are alike",
+    () =>
+      doTest({ paces: [0.85] }, ({ inTime, moves }) => {
+        expect(moves).toBe(0);
+        expect(inTime).toBeGreaterThanOrEqual(0.99);
+      }),
+    TIMEOUT_MS,
+  );
+});
