Items wait briefly for a target that has read their prompt

Cause: in a burst each slot that becomes free was given to the next item in order, whose group was mostly unknown to that target, so a group's prompt was read about seven times for a dozen items.

Change: an item leaves a free slot to the next one for at most 300 ms if it ends earlier in the next slot of a target with its prompt. The wait is estimated from the slots of those targets, the mean run and the items of the group that wait already; at most 32 items are held in a round.

--- a/soak/output_simulation.ts
+++ b/soak/output_simulation.ts
@@ -301,6 +301,7 @@
       },
       dueInMs: 1_000,
       heldItems: undefined,
+      heldForPrompt: undefined,
     });
     return placement && this.#reports.get(placement.target.id);
   }
--- a/src/core/batches/item_placement.ts
+++ b/src/core/batches/item_placement.ts
@@ -62,6 +62,11 @@
    * if the item may not wait.
    */
   readonly heldItems: number | undefined;
+  /**
+   * Number of items of the group that already wait in this round for a target
+   * with their prompt; undefined if the item may not wait for one.
+   */
+  readonly heldForPrompt: number | undefined;
 }
 
 /** Reasons for the choice of a target. */
@@ -126,12 +131,16 @@
   readonly used: Best;
   /** Number of slots of the targets without a free one. */
   usedSlots: number;
+  /** As `used`, among the targets that have the prompt in their cache. */
+  readonly usedWarm: Best;
+  usedWarmSlots: number;
 }
 
 /**
  * Selects the target at which an item ends first. A target in the local data
- * centre is preferred if little time is lost by it. An item that is late at all
- * free targets, or finds only sick ones, waits if it then ends earlier.
+ * centre is preferred if little time is lost by it. An item waits for a used
+ * slot if it then ends earlier, and is late at all free targets, finds only sick
+ * ones, or finds none that has read its prompt.
  *
  * @example
  * ```ts
@@ -175,6 +184,8 @@
     freeLocal: createBest(),
     used: createBest(),
     usedSlots: 0,
+    usedWarm: createBest(),
+    usedWarmSlots: 0,
   };
   for (const target of input.targets) {
     if (!isEligible(target, input)) continue;
@@ -190,6 +201,9 @@
     } else if (!target.isSick) {
       improve(ranking.used, target, ms, cost);
       ranking.usedSlots += target.slots;
+      if (!input.warmTargets.has(target.id)) continue;
+      improve(ranking.usedWarm, target, ms, cost);
+      ranking.usedWarmSlots += target.slots;
     }
   }
   return ranking;
@@ -238,16 +252,31 @@
 
 /** Gets whether an item ends earlier if it waits for a slot in use. */
 function mustWait(
-  { used, usedSlots }: Ranking,
+  { used, usedSlots, usedWarm, usedWarmSlots }: Ranking,
   free: Best,
-  { run, dueInMs, heldItems }: PlacementInput,
+  input: PlacementInput,
 ): boolean {
-  if (used.target === undefined || heldItems === undefined) return false;
+  const { run, dueInMs, heldItems, heldForPrompt } = input;
+  if (heldItems === undefined) return false;
+  const latestMs = HOLD_SHARE * free.ms;
   const isLate = free.ms * SAFETY_FACTOR > dueInMs;
-  if (!isLate && free.target?.isSick !== true) return false;
-  const runMs = run.meanRunEvents * eventMsOf(used.target);
-  const waitMs = runMs * (heldItems + 1) / usedSlots;
-  return used.ms + waitMs < HOLD_SHARE * free.ms;
+  if (isLate || free.target?.isSick === true) {
+    if (endAfterWaitMs(used, usedSlots, heldItems, run) < latestMs) return true;
+  }
+  if (heldForPrompt === undefined) return false;
+  return endAfterWaitMs(usedWarm, usedWarmSlots, heldForPrompt, run) < latestMs;
+}
+
+/** Gets the expected end at a target, once one of some used slots is free. */
+function endAfterWaitMs(
+  best: Best,
+  slots: number,
+  held: number,
+  run: ExpectedRun,
+): number {
+  if (best.target === undefined) return Infinity;
+  const runMs = run.meanRunEvents * eventMsOf(best.target);
+  return best.ms + runMs * (held + 1) / slots;
 }
 
 function isLocalPreferred(
--- a/src/core/batches/item_placement_test.ts
+++ b/src/core/batches/item_placement_test.ts
@@ -50,6 +50,7 @@
       run: RUN,
       dueInMs: 6_000,
       heldItems: 0,
+      heldForPrompt: undefined,
       ...fields,
     });
   }
@@ -86,6 +87,16 @@
       "x",
     ));
 
+  it("waits for a target with the prompt if the item then ends earlier", () => {
+    const targets = [target("x", { inFlight: 4 }), target("y")];
+    const warmTargets = new Set(["x"]);
+    const run = { ...RUN, coldPromptEvents: 20, meanRunEvents: 8 };
+    const fields = { warmTargets, run };
+    doTest(targets, { ...fields, heldForPrompt: 0 }, undefined);
+    doTest(targets, { ...fields, heldForPrompt: 4 }, "y");
+    doTest(targets, fields, "y");
+  });
+
   it("uses a slow target if no faster one has a free slot", () =>
     doTest(
       [target("x", { inFlight: 4 }), target("y", { paceMs: 80 })],
--- a/src/core/batches/item_tracker.ts
+++ b/src/core/batches/item_tracker.ts
@@ -22,6 +22,8 @@
   notBefore: number;
   /** Time since which only the partial output keeps the item from a target. */
   strandedAt: number | undefined;
+  /** Time since which the item waits although slots are free. */
+  heldAt: number | undefined;
   /** Targets that run the item again only if no other target is eligible. */
   readonly excludedTargets: Set<string>;
 }
@@ -71,6 +73,7 @@
       unverifiedRuns: 0,
       notBefore: -Infinity,
       strandedAt: undefined,
+      heldAt: undefined,
       excludedTargets: new Set(),
     };
     this.#progress.set(item.id, progress);
@@ -116,11 +119,23 @@
     return now - progress.strandedAt;
   }
 
+  /** Records that an item waits although slots are free. */
+  onHeld(item: BatchItem, now: number): this {
+    this.progressOf(item).heldAt ??= now;
+    return this;
+  }
+
+  /** Gets how long an item has waited although slots are free. */
+  heldMs(item: BatchItem, now: number): number {
+    return now - (this.#progress.get(item.id)?.heldAt ?? now);
+  }
+
   /** Records that an item runs, whether it goes on or begins anew. */
   onRunStarted(item: BatchItem, isResumed: boolean): this {
     const known = this.#progress.get(item.id);
     if (known === undefined) return this;
     known.strandedAt = undefined;
+    known.heldAt = undefined;
     if (!isResumed) known.unverifiedRuns = 0;
     return this;
   }
--- a/src/core/batches/prompt_locations.ts
+++ b/src/core/batches/prompt_locations.ts
@@ -51,11 +51,12 @@
 }
 
 /** An item of a batch. */
-interface GroupMember {
+export interface GroupMember {
   readonly record: BatchRecord;
   readonly item: BatchItem;
 }
 
-function groupKeyOf({ record, item }: GroupMember): string {
+/** Gets the key of an item's group, which differs between batches. */
+export function groupKeyOf({ record, item }: GroupMember): string {
   return `${record.spec.id}/${item.group}`;
 }
--- a/src/tasks/batches/item_placer.ts
+++ b/src/tasks/batches/item_placer.ts
@@ -1,6 +1,7 @@
 /** Assigns waiting items to targets. */
 import {
   type ExpectedRun,
+  groupKeyOf,
   type ItemTracker,
   type PendingLoads,
   placeItem,
@@ -43,6 +44,8 @@
 const MAX_HELD_PER_ROUND = 32;
 /** Number of runs that show whether a target that was sick has recovered. */
 const MAX_RECOVERING_RUNS = 1;
+/** Time for which an item waits for a target that has read its prompt. */
+const MAX_PROMPT_WAIT_MS = 300;
 const NOT_PLACED: PlacementResult = { placement: undefined, isHeld: false };
 
 type PlacementCandidate = PlacementTarget & { inFlight: number };
@@ -61,6 +64,8 @@
   readonly #exhausted = new Set<string>();
   readonly #limitedTargets = new Map<string, TargetReport>();
   #heldItems = 0;
+  /** Number of items that wait while slots are free, by group. */
+  readonly #heldByGroup = new Map<string, number>();
 
   /** Creates a placer from the current runs and targets. */
   constructor(options: ItemPlacerOptions) {
@@ -100,14 +105,25 @@
       heldItems: this.#heldItems < MAX_HELD_PER_ROUND
         ? this.#heldItems
         : undefined,
+      heldForPrompt: itemTracker.heldMs(item, now) < MAX_PROMPT_WAIT_MS
+        ? this.#heldByGroup.get(groupKeyOf(waiting)) ?? 0
+        : undefined,
     });
-    if (result.isHeld) this.#heldItems += 1;
+    if (result.isHeld) this.#onHeld(waiting);
     else if (result.placement === undefined && text.size === 0) {
       this.#exhausted.add(placementKeyOf(waiting));
     }
     return result;
   }
 
+  #onHeld(waiting: WaitingItem): void {
+    const { itemTracker, now } = this.#options;
+    const key = groupKeyOf(waiting);
+    this.#heldItems += 1;
+    this.#heldByGroup.set(key, (this.#heldByGroup.get(key) ?? 0) + 1);
+    itemTracker.onHeld(waiting.item, now);
+  }
+
   #expectRun(waiting: WaitingItem, received: number): ExpectedRun {
     const { estimator } = this.#options;
     const { service } = waiting.record.spec;
