No run counts as silent while this process was held up

Cause: the check for silent runs is a timer, and after a pause of the process it runs before the events that arrived meanwhile are read.

Change: the check is skipped once after a late one, so that the events are read first. Two checks in a row are never skipped.

--- a/src/tasks/batches/run_mover.ts
+++ b/src/tasks/batches/run_mover.ts
@@ -53,6 +53,11 @@
 const SILENCE_TIMEOUT_EVENTS = 8;
 /** Silence timeout before the first event, in expected times until then. */
 const FIRST_EVENT_TIMEOUTS = 3;
+/**
+ * Time between two checks for silence from which this process was held up, so
+ * that events may wait to be read.
+ */
+const HELD_UP_MS = 200;
 /** Maximum number of runs moved off sick targets in one round. */
 const MAX_MOVED_PER_ROUND = 12;
 /** Number of events of a run from which its pace is taken into account. */
@@ -64,6 +69,8 @@
 /** Cancels runs that make no progress; their items run on at other targets. */
 export class RunMover {
   readonly #options: RunMoverOptions;
+  #checkedAt = -Infinity;
+  #wasHeldUp = false;
 
   constructor(options: RunMoverOptions) {
     this.#options = options;
@@ -73,6 +80,7 @@
   moveSilentRuns(): void {
     const { runs, itemTracker, targetPace, now: clock } = this.#options;
     const now = clock();
+    if (this.#isHeldUp(now)) return;
     for (const run of runs.all) {
       const limitMs = this.#silenceTimeoutMs(run, now);
       if (run.silenceMs <= limitMs) continue;
@@ -85,6 +93,17 @@
     }
   }
 
+  /**
+   * Gets whether this process was held up since the last check. Two checks in a
+   * row are not skipped, so that silent runs end even if it is always late.
+   */
+  #isHeldUp(now: number): boolean {
+    const isLate = now - this.#checkedAt > HELD_UP_MS;
+    this.#checkedAt = now;
+    this.#wasHeldUp = isLate && !this.#wasHeldUp;
+    return this.#wasHeldUp;
+  }
+
   /** Moves runs off sick targets if they then end clearly earlier. */
   moveSickRuns(): void {
     const { runs, targetPace, createPlacer, now: clock } = this.#options;
