Slow start: cold targets get requests by permits only

Targets that have just started, or that report a cold time, tolerate few requests a second and end well above that. All instances sent them as much as to any other target.

The platform's `coldS`, `coldPerS`, `coldLeftMs` and `Cold-Ms` are decoded into the policy, reports and signs. The registry keeps the end of the cold time by incarnation, on the local clock; reports that only count down change nothing, and older, repeated or late ones do not end it. The limiter treats a cold target as one that limits its rate. Instances learn of all senders by the roster.

Services without slow start have no cold targets and keep their permits as before.

--- a/soak/output_simulation.ts
+++ b/soak/output_simulation.ts
@@ -285,6 +285,7 @@
         paceMs: 1,
         isSlow: false,
         isAvoided: this.#scheduler.random() < 0.2,
+        isCold: false,
       })),
       minVersion: 0,
       written: this.#guards.version ? written : undefined,
--- a/src/core/batches/item_placement.ts
+++ b/src/core/batches/item_placement.ts
@@ -22,6 +22,8 @@
   readonly isSlow: boolean;
   /** Whether the target accepts no work: after failures or while loading. */
   readonly isAvoided: boolean;
+  /** Whether it has just started and takes few requests a second. */
+  readonly isCold: boolean;
 }
 
 /** Input of {@link placeItem}. */
@@ -52,6 +54,11 @@
  * fraction; outputs of its software version can go on nowhere else.
  */
 const SCARCE_PENALTY = 0.5;
+/**
+ * Cost increase of a cold target, as a fraction: its few requests are left to
+ * items that find no slot elsewhere.
+ */
+const COLD_PENALTY = 0.1;
 
 /**
  * Selects the target with the shortest expected run, or undefined if no
@@ -103,6 +110,7 @@
   const scarcePenalty = target.isScarce && input.written === undefined
     ? SCARCE_PENALTY
     : 0;
+  const coldPenalty = target.isCold ? COLD_PENALTY : 0;
   return target.paceMs *
-    (1 + load - warmBonus + distancePenalty + scarcePenalty);
+    (1 + load - warmBonus + distancePenalty + scarcePenalty + coldPenalty);
 }
--- a/src/core/batches/item_placement_test.ts
+++ b/src/core/batches/item_placement_test.ts
@@ -21,6 +21,7 @@
     paceMs: 40,
     isSlow: false,
     isAvoided: false,
+    isCold: false,
     ...fields,
   };
 }
--- a/src/core/fleet/fleet_notice.ts
+++ b/src/core/fleet/fleet_notice.ts
@@ -60,6 +60,15 @@
     /** Requests a second; undefined if it no longer limits them. */
     readonly maxPerSecond: number | undefined;
   }
+  | {
+    /** A target has named a cold time in a response. */
+    readonly type: "cold";
+    readonly target: string;
+    readonly incarnation: number;
+    readonly coldMs: number;
+    /** Whether a control instance passes it on to the others. */
+    readonly isForwarded: boolean;
+  }
   /** The changes that lead to a version from the one before. */
   | ({ readonly type: "suspicions" } & SuspicionUpdate)
   | {
@@ -67,4 +76,10 @@
     readonly members: readonly RosterEntry[];
     /** Names of the instances that are being drained. */
     readonly retiring: readonly string[];
+    /**
+     * Instances that send requests to targets: to control instances, those
+     * linked to the publisher; to others, all that it knows. Absent from an
+     * earlier build.
+     */
+    readonly senders?: readonly string[];
   };
--- a/src/core/fleet/mod.ts
+++ b/src/core/fleet/mod.ts
@@ -1,7 +1,9 @@
 /** Fleet whose instances discover each other through seed addresses. */
+export * from "./control_contact.ts";
 export * from "./fleet_command.ts";
 export * from "./fleet_member.ts";
 export * from "./fleet_notice.ts";
 export * from "./fleet_state.ts";
 export * from "./roster.ts";
+export * from "./sender_list.ts";
 export * from "./voter_count.ts";
--- a/src/core/limits/permit_desk.ts
+++ b/src/core/limits/permit_desk.ts
@@ -7,6 +7,11 @@
   /** Target, named with its incarnation. */
   readonly target: string;
   readonly perSecond: number;
+  /**
+   * Requests that it may get at once after a pause; by default, those of
+   * {@link BURST_S} at its rate.
+   */
+  readonly burst?: number | undefined;
 }
 
 /** Request for permits. */
@@ -36,7 +41,13 @@
 
 /** Requests that a target may get at once after a pause, in time of its rate. */
 const BURST_S = 0.25;
-const MAX_TARGETS = 10_000;
+const DEFAULT_MAX_TARGETS = 10_000;
+
+/** Options of {@link PermitDesk}. */
+export interface PermitDeskOptions {
+  /** Number of targets whose permits are counted at the same time. */
+  readonly maxTargets?: number;
+}
 
 /**
  * Grants permits at the rates that targets name. One desk serves all instances,
@@ -52,7 +63,11 @@
  * ```
  */
 export class PermitDesk {
-  readonly #buckets = new LRUCache<string, TokenBucket>({ max: MAX_TARGETS });
+  readonly #buckets: LRUCache<string, TokenBucket>;
+
+  constructor({ maxTargets = DEFAULT_MAX_TARGETS }: PermitDeskOptions = {}) {
+    this.#buckets = new LRUCache({ max: maxTargets });
+  }
 
   /** Grants up to the requested number of permits. */
   grant(
@@ -83,10 +98,11 @@
   }
 
   /** A new bucket is empty: the target has had requests without a permit. */
-  #bucketOf({ target, perSecond }: LimitedTarget, now: number): TokenBucket {
+  #bucketOf(limited: LimitedTarget, now: number): TokenBucket {
+    const { target, perSecond } = limited;
     const options = {
       ratePerSecond: perSecond,
-      burst: Math.max(1, perSecond * BURST_S),
+      burst: limited.burst ?? Math.max(1, perSecond * BURST_S),
     };
     const existing = this.#buckets.get(target);
     if (existing !== undefined) {
--- a/src/core/policy/policy_document.ts
+++ b/src/core/policy/policy_document.ts
@@ -72,6 +72,14 @@
   readonly prices: Readonly<Record<string, number>>;
 }
 
+/** Limits of a target that has just started. */
+export interface SlowStartPolicy {
+  /** Time for which a target is cold after starting, in milliseconds. */
+  readonly durationMs: number;
+  /** Requests a second that a cold target takes from all instances. */
+  readonly requestsPerS: number;
+}
+
 /** A service: a group of targets of the same kind. */
 export interface ServicePolicy {
   readonly name: string;
@@ -82,6 +90,8 @@
   /** Names of the models; empty for a service that is not a model engine. */
   readonly models: readonly string[];
   readonly scaling: ScalingPolicy | undefined;
+  /** Undefined if targets take any number of requests from their start on. */
+  readonly slowStart?: SlowStartPolicy | undefined;
 }
 
 /** Size limits and timeouts for callers. */
--- a/src/core/registry/mod.ts
+++ b/src/core/registry/mod.ts
@@ -1,3 +1,4 @@
 /** Registry of targets, which register themselves by reports. */
+export * from "./cold_time.ts";
 export * from "./target_registry.ts";
 export * from "./target_report.ts";
--- a/src/core/registry/target_registry.ts
+++ b/src/core/registry/target_registry.ts
@@ -1,8 +1,14 @@
 /** Registry of targets, built from their reports. */
+import {
+  COLD_MARGIN_MS,
+  coldMsOf,
+  type ColdTime,
+  mergeColdUntil,
+} from "./cold_time.ts";
 import { type TargetReport, TargetState } from "./target_report.ts";
 
 /** A registered target and the time of its last report. */
-export interface RegisteredTarget {
+export interface RegisteredTarget extends ColdTime {
   readonly report: TargetReport;
   /** Time at which the last report arrived, in milliseconds, local clock. */
   readonly reportedAt: number;
@@ -53,25 +59,61 @@
    * that leaves stays leaving until it starts again.
    */
   merge(report: TargetReport, now: number): RegistryChange {
-    const current = this.#targets.get(report.id)?.report;
+    const known = this.#targets.get(report.id);
+    const current = known?.report;
     if (current !== undefined && !isNewer(report, current)) {
       return RegistryChange.None;
     }
+    const same = current?.incarnation === report.incarnation
+      ? known
+      : undefined;
+    const joinedAt = same === undefined
+      ? this.#joinTimeOf(report, now)
+      : same.joinedAt;
+    const coldMs = coldMsOf(report, current);
     const resolved = this.#resolveAddressConflict(
-      keepLeaving(report, current),
+      { ...keepLeaving(report, current), coldMs },
       now,
     );
-    const maxPerSecond = current?.incarnation === report.incarnation
-      ? this.#targets.get(report.id)?.maxPerSecond
-      : undefined;
+    const coldUntil = mergeColdUntil({
+      coldUntil: same?.coldUntil,
+      extendedAt: same?.extendedAt,
+      coldMs,
+      now,
+    });
     this.#targets.set(report.id, {
       report: resolved,
       reportedAt: now,
-      maxPerSecond,
+      maxPerSecond: same?.maxPerSecond,
+      coldUntil,
+      extendedAt: same?.extendedAt,
+      joinedAt,
     });
-    return current !== undefined && isSameReport(current, resolved)
-      ? RegistryChange.Refreshed
-      : RegistryChange.Changed;
+    const isSame = current !== undefined && isSameReport(current, resolved) &&
+      coldUntil === same?.coldUntil;
+    return isSame ? RegistryChange.Refreshed : RegistryChange.Changed;
+  }
+
+  /**
+   * Records that an incarnation of a target is cold, by one of its responses or
+   * by an order. Responses are not numbered, so they only extend a cold time.
+   * @returns False if it is unknown, has restarted or was known to be cold.
+   */
+  extendCold(
+    id: string,
+    incarnation: number,
+    { coldMs, now }: { readonly coldMs: number; readonly now: number },
+  ): boolean {
+    const current = this.#targets.get(id);
+    if (current?.report.incarnation !== incarnation) return false;
+    const end = now + coldMs;
+    if (coldMs <= 0 || end <= (current.coldUntil ?? -Infinity)) return false;
+    this.#targets.set(id, {
+      ...current,
+      coldUntil: end + COLD_MARGIN_MS,
+      extendedAt: now,
+    });
+    return true;
   }
 
   /**
@@ -187,6 +229,12 @@
     return this;
   }
 
+  #joinTimeOf({ id, service }: TargetReport, now: number): number | undefined {
+    const isJoining = this.readyOf(service)
+      .some(({ report }) => report.id !== id);
+    return isJoining ? now : undefined;
+  }
+
   /** Lets the target that started last keep an address that two report. */
   #resolveAddressConflict(report: TargetReport, now: number): TargetReport {
     if (report.state === TargetState.Gone) return report;
--- a/src/core/registry/target_report.ts
+++ b/src/core/registry/target_report.ts
@@ -38,6 +38,11 @@
   readonly versions: Readonly<Record<string, number>>;
   /** Whether the platform may reclaim the target at short notice. */
   readonly isSpot: boolean;
+  /**
+   * Time for which the target stays cold, in milliseconds from the report on; 0
+   * if it is warm, undefined if it does not say.
+   */
+  readonly coldMs?: number | undefined;
 }
 
 /** What a target says of itself in its responses. */
@@ -45,4 +50,6 @@
   readonly isLeaving: boolean;
   /** Requests a second that it takes from all instances; undefined for any. */
   readonly maxPerSecond: number | undefined;
+  /** Time for which it stays cold, in milliseconds; undefined if not named. */
+  readonly coldMs?: number | undefined;
 }
--- a/src/logging/fleet_events.ts
+++ b/src/logging/fleet_events.ts
@@ -94,6 +94,13 @@
       "No control instance recorded in time who writes a stream; its caller may be unable to take it up elsewhere",
     action: "Check the network to the control instances",
   }),
+  targetCold: defineEvent(2114, "info", {
+    text:
+      "Target takes only the given requests a second for some time, by its own report or because it has just started",
+  }),
+  targetWarm: defineEvent(2115, "info", {
+    text: "Target is no longer cold, for the given reason",
+  }),
   batchAccepted: defineEvent(2201, "info", {
     text: "Batch committed by a quorum of the ledger's log",
   }),
--- a/src/metrics/metric_catalogue.ts
+++ b/src/metrics/metric_catalogue.ts
@@ -55,6 +55,15 @@
     text: "Samples discarded because their slot was already filled",
   },
   "targets.serving": { kind: "gauge", text: "Targets that accept requests" },
+  "targets.cold": {
+    kind: "gauge",
+    text: "Targets that take only a few requests a second after their start",
+  },
+  "requests.delayedCold": {
+    kind: "counter",
+    text:
+      "Requests of calls for which a cold target had no permit at once, by instance that sends them",
+  },
   "targets.died": { kind: "counter", text: "Deaths of target processes" },
   "peers.sentBytes": {
     kind: "counter",
--- a/src/tasks/batches/batch_task.ts
+++ b/src/tasks/batches/batch_task.ts
@@ -31,7 +31,7 @@
 } from "../../core/verdict/mod.ts";
 import { createLogOptions } from "../fleet/fleet_log.ts";
 import type { FleetNode } from "../fleet/fleet_node.ts";
-import { TargetLimiter } from "../fleet/target_limiter.ts";
+import { createLimiter } from "../fleet/target_limiter.ts";
 import { LogService } from "../log/mod.ts";
 import {
   BatchMethod,
@@ -188,7 +188,12 @@
       logger: node.logger,
       metrics: node.metrics,
       dataCentre: node.settings.dataCentre,
-      limiter: new TargetLimiter({ node, registry: this.registry, now }),
+      limiter: createLimiter({
+        node,
+        registry: this.registry,
+        getService: (name) => scoring.policy()?.getService(name),
+        now,
+      }),
       now: () => performance.now(),
       canRunItems: () => {
         const { driver } = this.#service;
--- a/src/tasks/batches/item_placer.ts
+++ b/src/tasks/batches/item_placer.ts
@@ -104,7 +104,7 @@
     const key = `${service}/${model}`;
     let candidates = this.#candidates.get(key);
     if (candidates !== undefined) return candidates;
-    const { registry, targetPace, loads, now } = this.#options;
+    const { registry, targetPace, loads, limiter, now } = this.#options;
     const reports = registry.readyOf(service).map(({ report }) => report);
     const scarce = scarceVersionsOf(reports);
     candidates = reports.map((report) => ({
@@ -120,6 +120,7 @@
       isSlow: targetPace.isSlow(report.id, now),
       isAvoided: targetPace.isAvoided(report.id, now) ||
         loads.isLoading(report, model, now),
+      isCold: limiter.isCold(report),
     }));
     this.#candidates.set(key, candidates);
     return candidates;
--- a/src/tasks/calls/call_targets.ts
+++ b/src/tasks/calls/call_targets.ts
@@ -107,13 +107,16 @@
       route.objectiveMs * PERMIT_WAIT_FRACTION,
       leftMs / 2,
     );
-    const { permit, retryAfterMs } = await rates.acquire(limited, maxWaitMs);
+    const hasOther = this.nextUnlimited() !== undefined;
+    const { permit, retryAfterMs } = await rates
+      .acquire(limited, maxWaitMs, hasOther);
     this.#permitAfterMs = permit === undefined ? retryAfterMs : undefined;
     if (permit === undefined) return undefined;
-    const { target, afterMs } = permit;
+    const { target, afterMs, isValid } = permit;
     if (afterMs > 0) await sleep(afterMs);
-    const isUsable = registry.get(target.id)?.report.state ===
+    const isReady = registry.get(target.id)?.report.state ===
       TargetState.Ready;
+    const isUsable = isReady && isValid?.() !== false;
     return isUsable ? target : undefined;
   }
 
--- a/src/tasks/calls/rate_guard.ts
+++ b/src/tasks/calls/rate_guard.ts
@@ -6,6 +6,8 @@
   readonly target: TargetReport;
   /** Time until it may be sent, in milliseconds. */
   readonly afterMs: number;
+  /** Gets whether it may still be used; a request may come to it late. */
+  readonly isValid?: () => boolean;
 }
 
 /** Reply to a request for a permit. */
@@ -18,14 +20,19 @@
 
 /** Grants requests to targets that limit the rate of all instances. */
 export interface RateGuard {
-  /** Gets whether a target limits the requests of all instances. */
+  /**
+   * Gets whether a target limits the requests of all instances, by its own word
+   * or while it is cold.
+   */
   isLimited(target: TargetReport): boolean;
   /**
    * Takes a permit for one request to the first of some limited targets.
    * @param maxWaitMs - Longest time that the request can wait.
+   * @param hasOther - Whether a target without a limit can run the request.
    */
   acquire(
     targets: readonly TargetReport[],
     maxWaitMs: number,
+    hasOther: boolean,
   ): Promise<PermitAnswer>;
 }
--- a/src/tasks/fleet/fleet_control.ts
+++ b/src/tasks/fleet/fleet_control.ts
@@ -67,6 +67,7 @@
   readonly #options: FleetControlOptions;
   readonly #service: FleetLogService;
   readonly #publisher: FleetPublisher;
+  readonly #permits: PermitService;
   readonly #random = createRandom();
   #timer: NodeJS.Timeout | undefined;
 
@@ -104,7 +105,12 @@
       leadsTerm: () => this.leadsTerm,
       now: options.now,
     };
-    new PermitService(leading);
+    this.#permits = new PermitService({
+      ...leading,
+      leaseEnd: () => this.leaseEnd,
+      registry,
+      policy: () => this.state.policy,
+    });
     new TrialService({ ...leading, registry, state: () => this.state });
     this.targets = new TargetDirectory({
       node,
@@ -285,6 +291,7 @@
     this.targets.registry.prune(now());
     this.#service.updateGauges();
     node.metrics.gauge("policy.revision", this.state.policyRevision);
+    this.#permits.checkColdTargets();
     this.#publisher.resendMissing();
   }
 }
--- a/src/tasks/fleet/fleet_follower.ts
+++ b/src/tasks/fleet/fleet_follower.ts
@@ -43,6 +43,12 @@
   readonly onLoading?: (loading: LoadedVersion) => void;
 }
 
+/** A pushed message of one type. */
+type NoticeOf<T extends FleetNotice["type"]> = Extract<
+  FleetNotice,
+  { type: T }
+>;
+
 /** Confirmations per lease duration. */
 const CONFIRMS_PER_LEASE = 4;
 const CONFIRM_TIMEOUT_MS = 900;
@@ -116,23 +122,34 @@
 
   /** Records what a target says of itself, and tells the control instances. */
   onSigns({ id, incarnation }: TargetReport, signs: TargetSigns): void {
-    if (signs.isLeaving) this.#markLeaving(id, incarnation);
-    this.#recordLimit(id, incarnation, signs.maxPerSecond);
+    const { node } = this.#options;
+    const { isLeaving, maxPerSecond, coldMs } = signs;
+    if (isLeaving) this.#markLeaving(id, incarnation);
+    const limit = { target: id, incarnation, maxPerSecond };
+    if (this.#recordLimit(limit)) {
+      node.notifyRole(FleetRole.Control, { type: "limit", ...limit });
+    }
+    if (coldMs === undefined) return;
+    const cold = { target: id, incarnation, coldMs, isForwarded: false };
+    if (this.#extendCold(cold)) {
+      node.notifyRole(FleetRole.Control, { type: "cold", ...cold });
+    }
   }
 
-  #recordLimit(
-    target: string,
-    incarnation: number,
-    maxPerSecond: number | undefined,
-  ): void {
+  #recordLimit(limit: Omit<NoticeOf<"limit">, "type">): boolean {
     const { node, registry } = this.#options;
-    if (!registry.recordLimit(target, incarnation, maxPerSecond)) return;
-    node.logger.event("targetLimited", { target, maxPerSecond });
-    node.notifyRole(FleetRole.Control, {
-      type: "limit",
-      target,
-      incarnation,
-      maxPerSecond,
+    const { target, incarnation, maxPerSecond } = limit;
+    const isNew = registry.recordLimit(target, incarnation, maxPerSecond);
+    if (isNew) node.logger.event("targetLimited", { target, maxPerSecond });
+    return isNew;
+  }
+
+  #extendCold(cold: Omit<NoticeOf<"cold">, "type">): boolean {
+    const { registry, clock } = this.#options;
+    const { target, incarnation, coldMs } = cold;
+    return registry.extendCold(target, incarnation, {
+      coldMs,
+      now: clock.now(),
     });
   }
 
@@ -211,24 +228,14 @@
       const { registry, onTargetsChanged } = this.#options;
       if (registry.recordVersion(notice)) onTargetsChanged();
     }
-    if (notice.type === "limit") this.#onLimitNotice(notice);
+    if (notice.type === "limit") this.#recordLimit(notice);
+    if (notice.type === "cold") this.#extendCold(notice);
     if (notice.type !== "targets") return;
     this.#recordChange(from, notice);
     this.#mergeReports(notice);
     this.#repeatLeaving(notice, from);
   }
 
-  #onLimitNotice(
-    { target, incarnation, maxPerSecond }: Extract<
-      FleetNotice,
-      { type: "limit" }
-    >,
-  ): void {
-    const { node, registry } = this.#options;
-    if (!registry.recordLimit(target, incarnation, maxPerSecond)) return;
-    node.logger.event("targetLimited", { target, maxPerSecond });
-  }
-
   /** Applies a policy if its revision is newer than the current one. */
   #applyPolicy(document: PolicyDocument): void {
     if (document.revision <= this.policyRevision) return;
@@ -245,7 +252,7 @@
    */
   #recordChange(
     from: string,
-    { mark, isWhole }: Extract<FleetNotice, { type: "targets" }>,
+    { mark, isWhole }: NoticeOf<"targets">,
   ): void {
     if (mark === undefined) return;
     const lastChange = this.#targetsSeen[from];
@@ -254,7 +261,7 @@
     if (isWhole || isNext) this.#targetsSeen[from] = mark;
   }
 
-  #mergeReports(notice: Extract<FleetNotice, { type: "targets" }>): void {
+  #mergeReports(notice: NoticeOf<"targets">): void {
     const { registry, clock, onTargetsChanged, node } = this.#options;
     let isChanged = false;
     for (const report of notice.reports) {
@@ -272,7 +279,7 @@
    * ready, for example after its restart.
    */
   #repeatLeaving(
-    { reports }: Extract<FleetNotice, { type: "targets" }>,
+    { reports }: NoticeOf<"targets">,
     from: string,
   ): void {
     const { node, registry } = this.#options;
--- a/src/tasks/fleet/fleet_node.ts
+++ b/src/tasks/fleet/fleet_node.ts
@@ -1,10 +1,12 @@
 /** Links of an instance to others, with membership and leader lookup. */
 import { randomBytes } from "node:crypto";
 import {
+  ControlContact,
   type FleetMember,
   type FleetNotice,
   FleetRole,
   Roster,
+  SenderList,
 } from "../../core/fleet/mod.ts";
 import type { Logger } from "../../logging/mod.ts";
 import type { Metrics } from "../../metrics/mod.ts";
@@ -38,6 +40,8 @@
   #isDraining = false;
   #isCutOff = false;
   #seeds: readonly string[];
+  readonly #senders = new SenderList();
+  readonly #contact = new ControlContact();
   #retiring: ReadonlySet<string> = new Set();
   #timer: NodeJS.Timeout | undefined;
 
@@ -92,6 +96,24 @@
     return this.#retiring.has(name);
   }
 
+  /** Gets the instances that send requests to targets, as far as known. */
+  get senders(): readonly string[] {
+    return this.#senders.all;
+  }
+
+  /**
+   * Gets the time for which this instance has not known what the control
+   * instances know of targets, in milliseconds; 0 if it does.
+   */
+  get outdatedMs(): number {
+    return this.now - this.#updateContact().knownAt(this.now);
+  }
+
+  #updateContact(): ControlContact {
+    const [first] = this.linkedMembers(FleetRole.Control);
+    return this.#contact.update(first !== undefined, this.now);
+  }
+
   /** Gets monotonic time in milliseconds, by which roster entries expire. */
   get now(): number {
     return performance.now();
@@ -208,12 +230,14 @@
     if (notice.type === "roster") {
       this.roster.mergeEntries(notice.members, this.now);
       this.#retiring = new Set(notice.retiring);
+      this.#senders.update(from, notice.senders ?? [], this.now);
     }
     this.onNotice(notice, from);
   }
 
   #maintainLinks(): void {
     const { id, role } = this.settings;
+    this.#updateContact();
     for (const { id: memberId, member } of this.#allLinkedMembers()) {
       this.roster.updateFromMember(memberId, member, this.now);
     }
--- a/src/tasks/fleet/fleet_publisher.ts
+++ b/src/tasks/fleet/fleet_publisher.ts
@@ -12,6 +12,8 @@
 import {
   isSameExceptVersions,
   type LoadedVersion,
+  type RegisteredTarget,
+  reportAt,
   type TargetRegistry,
   type TargetReport,
 } from "../../core/registry/mod.ts";
@@ -88,14 +90,16 @@
 
   /**
    * Publishes a change of a target to the roles that send it work.
-   * @param previous - Previous report; undefined for a new target.
+   * @param previous - What was known of it; undefined for a new target.
    */
   publishTarget(
     report: TargetReport,
-    previous: TargetReport | undefined,
+    previous: RegisteredTarget | undefined,
   ): void {
+    const { coldUntil } = this.#options.registry.get(report.id) ?? {};
     const isPlaceChanged = previous === undefined ||
-      !isSameExceptVersions(previous, report);
+      previous.coldUntil !== coldUntil ||
+      !isSameExceptVersions(previous.report, report);
     this.#sendTarget(FleetRole.Ledger, report);
     if (isPlaceChanged) this.#sendTarget(FleetRole.Entry, report);
   }
@@ -151,10 +155,17 @@
       type: "targets",
       mark: this.#lastChangeOf(role),
       isWhole: false,
-      reports: [report],
+      reports: [this.#currentReport(report)],
     });
   }
 
+  /** Gets a report with the cold time that is left of it by now. */
+  #currentReport(report: TargetReport): TargetReport {
+    const { registry, now } = this.#options;
+    const target = registry.get(report.id);
+    return target === undefined ? report : reportAt(target, now());
+  }
+
   #lastChangeOf(role: FleetRole): ChangeSequence {
     return { life: this.#incarnation, change: this.#changes.get(role) ?? 0 };
   }
@@ -191,7 +202,7 @@
       type: "targets",
       mark: this.#lastChangeOf(role),
       isWhole: true,
-      reports: registry.all.map((target) => target.report),
+      reports: registry.all.map((target) => reportAt(target, at)),
     });
   }
 
@@ -200,15 +211,26 @@
     const members = this.#members();
     const retiring = [...state().retiring.keys()];
     this.#rosterRound += 1;
-    const roster = JSON.stringify({ members, retiring });
+    const linked = this.#linkedSenders();
+    const senders = [...new Set([...linked, ...node.senders])].sort();
+    const roster = JSON.stringify({ members, retiring, senders });
     const isDue = this.#rosterRound % ROSTER_RESEND_ROUNDS === 0;
     if (roster === this.#sentRoster && !isDue) return;
     this.#sentRoster = roster;
     for (const role of Object.values(FleetRole)) {
-      node.notifyRole(role, { type: "roster", members, retiring });
+      const listed = role === FleetRole.Control ? linked : senders;
+      const notice = { type: "roster", members, retiring } as const;
+      node.notifyRole(role, { ...notice, senders: listed });
     }
   }
 
+  #linkedSenders(): string[] {
+    const { node } = this.#options;
+    return FOLLOWER_ROLES.flatMap((role) =>
+      [...node.linkedMembers(role)].map(({ id }) => id)
+    );
+  }
+
   #members(): RosterEntry[] {
     const { node, leadsTerm } = this.#options;
     const { id, name, dataCentre } = node.settings;
--- a/src/tasks/fleet/target_directory.ts
+++ b/src/tasks/fleet/target_directory.ts
@@ -2,6 +2,7 @@
 import { type FleetNotice, FleetRole } from "../../core/fleet/mod.ts";
 import {
   type LoadedVersion,
+  type RegisteredTarget,
   RegistryChange,
   type TargetRegistry,
   type TargetReport,
@@ -41,7 +42,7 @@
   /** Removes a target and informs the other instances. */
   remove(id: string, incarnation: number | undefined): void {
     const { now } = this.#options;
-    const previous = this.registry.get(id)?.report;
+    const previous = this.registry.get(id);
     if (!this.registry.remove(id, incarnation, now())) return;
     const removed = this.registry.get(id)?.report;
     if (removed === undefined) return;
@@ -65,7 +66,7 @@
    * the other control instances.
    */
   markLeaving(id: string, incarnation: number): void {
-    const previous = this.registry.get(id)?.report;
+    const previous = this.registry.get(id);
     if (!this.registry.markLeaving(id, incarnation)) return;
     this.#onTargetChanged(this.registry.getReportOrThrow(id), previous);
     this.#options.node.notifyRole(FleetRole.Control, {
@@ -82,6 +83,7 @@
       this.markLeaving(notice.target, notice.incarnation);
     }
     if (notice.type === "limit") this.#recordLimit(notice);
+    if (notice.type === "cold") this.#extendCold(notice);
     if (notice.type !== "targets") return;
     for (const report of notice.reports) this.#applyReport(report);
   }
@@ -95,8 +97,20 @@
     for (const role of Object.values(FleetRole)) node.notifyRole(role, notice);
   }
 
+  /** Records a cold time that a target names, and passes it on once. */
+  #extendCold(notice: Extract<FleetNotice, { type: "cold" }>): void {
+    const { target, incarnation, isForwarded } = notice;
+    const end = { coldMs: notice.coldMs, now: this.#options.now() };
+    if (!this.registry.extendCold(target, incarnation, end)) return;
+    const { node } = this.#options;
+    const forwarded = { ...notice, isForwarded: true };
+    if (!isForwarded) node.notifyRole(FleetRole.Control, forwarded);
+    node.notifyRole(FleetRole.Entry, forwarded);
+    node.notifyRole(FleetRole.Ledger, forwarded);
+  }
+
   #applyReport(report: TargetReport): void {
-    const previous = this.registry.get(report.id)?.report;
+    const previous = this.registry.get(report.id);
     const change = this.registry.merge(report, this.#options.now());
     if (change !== RegistryChange.Changed) return;
     this.#onTargetChanged(this.registry.getReportOrThrow(report.id), previous);
@@ -104,7 +118,7 @@
 
   #onTargetChanged(
     report: TargetReport,
-    previous: TargetReport | undefined,
+    previous: RegisteredTarget | undefined,
   ): void {
     const { node, onChanged } = this.#options;
     logTargetChanged(node.logger, report);
