--- a/fakes/fleet_replica.ts
+++ b/fakes/fleet_replica.ts
@@ -85,6 +85,11 @@
   saysLeaving = false;
   /** Requests a second that responses name as the limit; none by default. */
   maxPerSecond: number | undefined;
+  /** Time for which the target is cold from its next start on. */
+  coldMs = 0;
+  #coldUntil = 0;
+  /** Times at which requests arrived while the target was cold. */
+  readonly coldArrivals: number[] = [];
   /** Times at which requests arrived, other than for its state and orders. */
   readonly arrivals: number[] = [];
   /** Whether the target sends no heartbeats, as if cut off from control. */
@@ -126,6 +131,25 @@
     return this.#versions.get(model) ?? 0;
   }
 
+  /** Gets whether the target takes few requests a second. */
+  get isCold(): boolean {
+    return Date.now() < this.#coldUntil;
+  }
+
+  /** Gets the most requests that arrived in any second while it was cold. */
+  get mostColdPerSecond(): number {
+    const counts = this.coldArrivals.map((end) =>
+      this.coldArrivals.filter((at) => at > end - 1_000 && at <= end).length
+    );
+    return Math.max(0, ...counts);
+  }
+
+  /** Makes the running process cold; its next heartbeat says so. */
+  becomeCold(durationMs: number): this {
+    this.#coldUntil = Date.now() + durationMs;
+    return this;
+  }
+
   /** Starts a new incarnation, which keeps the loaded weights. */
   async start(): Promise<this> {
     this.#id = `i-${randomBytes(5).toString("hex")}`;
@@ -140,6 +164,7 @@
   async #listen(port: number): Promise<this> {
     this.#runningSoftware = this.software;
     this.#bornAt = Date.now();
+    this.#coldUntil = this.#bornAt + this.coldMs;
     this.#sequence = 0;
     this.#acceptedOrderCount = 0;
     this.#highestFence = 0;
@@ -192,6 +217,7 @@
     if (this.maxPerSecond !== undefined) {
       res.setHeader("server-limit", String(this.maxPerSecond));
     }
+    if (this.isCold) res.setHeader("cold-ms", String(this.#coldLeftMs));
     const expected = req.headers["expect-instance"];
     if (expected !== undefined && expected !== this.#id) {
       res.writeHead(421, { "instance-id": this.#id }).end();
@@ -205,6 +231,7 @@
       );
     }
     this.arrivals.push(Date.now());
+    if (this.isCold) this.coldArrivals.push(Date.now());
     if (this.#activeRequestCount >= this.#options.slots) {
       res.writeHead(503, { "not-executed": "1" }).end();
       return;
@@ -368,6 +395,10 @@
     return false;
   }
 
+  get #coldLeftMs(): number {
+    return Math.max(0, this.#coldUntil - Date.now());
+  }
+
   #createHeartbeat(): unknown {
     return {
       service: this.#options.service,
@@ -376,7 +407,7 @@
       version: this.#runningSoftware,
       slots: this.#options.slots,
       state: this.#state,
-      coldLeftMs: 0,
+      coldLeftMs: this.#coldLeftMs,
       models: this.#modelList(),
       seq: this.#sequence,
       born: this.#bornAt,
--- a/src/tasks/calls/call_run.ts
+++ b/src/tasks/calls/call_run.ts
@@ -101,6 +101,7 @@
       const target = await this.#targets.next(this.#remainingMs);
       if (target === undefined) break;
       if (this.#hasWaitedFor(target) && !await this.#hasLease()) break;
+      if (!this.#targets.isPermitted) continue;
       const response = this.#isRetryable && this.#options.stream === undefined
         ? await this.#attemptWithHedge(target)
         : await this.#attempt(target, this.#options.signal);
--- a/src/tasks/calls/call_targets.ts
+++ b/src/tasks/calls/call_targets.ts
@@ -13,7 +13,7 @@
   type TargetReport,
   TargetState,
 } from "../../core/registry/mod.ts";
-import type { RateGuard } from "./rate_guard.ts";
+import type { HeldPermit, RateGuard } from "./rate_guard.ts";
 
 /** Options of {@link CallTargets}. */
 export interface CallTargetsOptions {
@@ -38,6 +38,7 @@
   readonly #tried = new Set<string>();
   readonly #service: string;
   #permitAfterMs: number | undefined;
+  #permit: HeldPermit | undefined;
 
   constructor(options: CallTargetsOptions) {
     this.#options = options;
@@ -66,6 +67,7 @@
   /** Records that the call is sent to a target. */
   markTried({ id }: TargetReport): this {
     this.#tried.add(id);
+    this.#permit = undefined;
     return this;
   }
 
@@ -74,6 +76,7 @@
    * @param leftMs - Time left for the call, in milliseconds.
    */
   async next(leftMs: number): Promise<TargetReport | undefined> {
+    this.#permit = undefined;
     const ranked = this.#rank();
     const best = ranked[0];
     if (best === undefined || !this.#isLimited(best)) return best;
@@ -81,6 +84,11 @@
     return await this.#takePermit(limited, leftMs) ?? this.nextUnlimited();
   }
 
+  /** Gets whether the last target needs no permit, or has one that is valid. */
+  get isPermitted(): boolean {
+    return this.#permit?.isValid?.() !== false;
+  }
+
   /** Gets the best target that does not limit its requests. */
   nextUnlimited(): TargetReport | undefined {
     return this.#rank().find((target) => !this.#isLimited(target));
@@ -112,12 +120,12 @@
       .acquire(limited, maxWaitMs, hasOther);
     this.#permitAfterMs = permit === undefined ? retryAfterMs : undefined;
     if (permit === undefined) return undefined;
-    const { target, afterMs, isValid } = permit;
+    const { target, afterMs } = permit;
     if (afterMs > 0) await sleep(afterMs);
     const isReady = registry.get(target.id)?.report.state ===
       TargetState.Ready;
-    const isUsable = isReady && isValid?.() !== false;
-    return isUsable ? target : undefined;
+    this.#permit = permit;
+    return isReady && this.isPermitted ? target : undefined;
   }
 
   #isLimited(target: TargetReport): boolean {
--- a/src/tasks/fleet/target_limiter.ts
+++ b/src/tasks/fleet/target_limiter.ts
@@ -214,6 +214,7 @@
 
   #rateWithoutLeader(target: string, requestsPerS: number): number {
     const { instance, node: { senders } } = this.#options;
+    if (senders.length === 0) return 0;
     const known = this.#shares.get(target);
     const isCurrent = known?.senders === senders &&
       known.requestsPerS === requestsPerS;
--- a/tests/support/fleet_policy.ts
+++ b/tests/support/fleet_policy.ts
@@ -8,6 +8,8 @@
   readonly keys: readonly string[];
   /** API keys of a second workspace; there is none by default. */
   readonly otherKeys?: readonly string[];
+  /** How targets of all services start; at once by default. */
+  readonly slowStart?: { readonly coldS: number; readonly coldPerS: number };
 }
 
 /** Host, path prefixes, services, model and workspace of the policy. */
@@ -80,12 +82,18 @@
     ],
     services: [
       {
+        ...options.slowStart,
         name: engines,
         healthPath: "/healthz",
         maxConns: 100,
         engine: { slots: 8, models: [{ name: model }] },
       },
-      { name: apps, healthPath: "/healthz", maxConns: 100 },
+      {
+        ...options.slowStart,
+        name: apps,
+        healthPath: "/healthz",
+        maxConns: 100,
+      },
     ],
     limits: {
       maxHeaderBytes: 16_384,
--- a/tests/support/slow_start_simulation.ts
+++ b/tests/support/slow_start_simulation.ts
@@ -223,7 +223,7 @@
         node: {
           logger: LOGGER,
           metrics: METRICS,
-          senders: this.#faults.knowsNoSenders ? [] : ids,
+          senders: this.#faults.knowsNoSenders ? [id] : ids,
           requestLeader: (_role, _method, { params, timeoutMs }) =>
             this.#request(id, params, timeoutMs),
         },
