--- a/src/core/batches/item_placement.ts
+++ b/src/core/batches/item_placement.ts
@@ -23,6 +23,8 @@
   readonly isSick: boolean;
   /** Whether the target accepts no work: after failures or while loading. */
   readonly isAvoided: boolean;
+  /** Whether it has just started and takes few requests a second. */
+  readonly isCold: boolean;
 }
 
 /** Expected run of an item, in times per event. */
@@ -106,6 +108,11 @@
  * run; outputs of its software version can go on nowhere else.
  */
 const SCARCE_PENALTY = 0.5;
+/**
+ * Share by which a cold target must end an item earlier: its few requests are
+ * left to items that find no slot elsewhere.
+ */
+const COLD_PENALTY = 0.1;
 /** Part of the time left that an item may lose at a local target. */
 const LOCAL_SHARE = 0.05;
 /** Factor on the expected time, as outputs are often longer than estimated. */
@@ -120,7 +127,7 @@
   target: PlacementTarget | undefined;
   /** Expected time until the output is complete, in milliseconds. */
   ms: number;
-  /** As `ms`, with the penalty of a scarce target. */
+  /** As `ms`, with the penalties of a scarce and a cold target. */
   cost: number;
 }
 
@@ -191,8 +198,7 @@
     if (!isEligible(target, input)) continue;
     if (input.excluded.has(target.id) !== isExcluded) continue;
     const ms = expectedMsOf(target, input);
-    const isScarce = target.isScarce && input.written === undefined;
-    const cost = isScarce ? ms * (1 + SCARCE_PENALTY) : ms;
+    const cost = ms * (1 + penaltyOf(target, input));
     if (target.inFlight < target.slots) {
       improve(ranking.free, target, ms, cost);
       if (target.dataCentre === input.dataCentre) {
@@ -209,6 +215,12 @@
   return ranking;
 }
 
+/** Gets the share by which a target must end an item earlier than others. */
+function penaltyOf(target: PlacementTarget, input: PlacementInput): number {
+  const isScarce = target.isScarce && input.written === undefined;
+  return (isScarce ? SCARCE_PENALTY : 0) + (target.isCold ? COLD_PENALTY : 0);
+}
+
 function createBest(): Best {
   return { target: undefined, ms: Infinity, cost: Infinity };
 }
--- a/src/core/batches/item_placement_test.ts
+++ b/src/core/batches/item_placement_test.ts
@@ -22,6 +22,7 @@
     paceMs: 40,
     isSick: false,
     isAvoided: false,
+    isCold: false,
     ...fields,
   };
 }
--- a/src/metrics/metric_catalogue.ts
+++ b/src/metrics/metric_catalogue.ts
@@ -59,6 +59,15 @@
     kind: "gauge",
     text: "Data centres to whose targets this instance sends nothing",
   },
+  "targets.cold": {
+    kind: "gauge",
+    text: "Targets that take only a few requests a second after their start",
+  },
+  "requests.delayedCold": {
+    kind: "counter",
+    text:
+      "Requests of calls for which a cold target had no permit at once, by instance that sends them",
+  },
   "targets.died": { kind: "counter", text: "Deaths of target processes" },
   "peers.sentBytes": {
     kind: "counter",
--- a/src/tasks/batches/item_placer.ts
+++ b/src/tasks/batches/item_placer.ts
@@ -157,7 +157,7 @@
     const key = `${service}/${model}`;
     let candidates = this.#candidates.get(key);
     if (candidates !== undefined) return candidates;
-    const { registry, targetPace, loads, now } = this.#options;
+    const { registry, targetPace, loads, limiter, now } = this.#options;
     const reports = registry.readyOf(service).map(({ report }) => report);
     const scarce = scarceVersionsOf(reports);
     candidates = reports.map((report) => ({
@@ -174,6 +174,7 @@
         targetPace.isRecovering(report, now),
       isAvoided: targetPace.isAvoided(report, now) ||
         loads.isLoading(report, model, now),
+      isCold: limiter.isCold(report),
     }));
     this.#candidates.set(key, candidates);
     return candidates;
--- a/src/tasks/calls/call_run.ts
+++ b/src/tasks/calls/call_run.ts
@@ -103,6 +103,7 @@
       if (target === undefined) break;
       if (this.#hasWaitedFor(target) && !await this.#hasLease()) break;
       if (registry.isEvacuated(target.dataCentre)) continue;
+      if (!this.#targets.isPermitted) continue;
       const response = this.#isRetryable && this.#options.stream === undefined
         ? await this.#attemptWithHedge(target)
         : await this.#attempt(target, this.#options.signal);
--- a/src/tasks/calls/call_targets.ts
+++ b/src/tasks/calls/call_targets.ts
@@ -12,7 +12,7 @@
   type TargetRegistry,
   type TargetReport,
 } from "../../core/registry/mod.ts";
-import type { RateGuard } from "./rate_guard.ts";
+import type { HeldPermit, RateGuard } from "./rate_guard.ts";
 
 /** Options of {@link CallTargets}. */
 export interface CallTargetsOptions {
@@ -37,6 +37,7 @@
   readonly #tried = new Set<string>();
   readonly #service: string;
   #permitAfterMs: number | undefined;
+  #permit: HeldPermit | undefined;
 
   constructor(options: CallTargetsOptions) {
     this.#options = options;
@@ -65,6 +66,7 @@
   /** Records that the call is sent to a target. */
   markTried({ id }: TargetReport): this {
     this.#tried.add(id);
+    this.#permit = undefined;
     return this;
   }
 
@@ -73,6 +75,7 @@
    * @param leftMs - Time left for the call, in milliseconds.
    */
   async next(leftMs: number): Promise<TargetReport | undefined> {
+    this.#permit = undefined;
     const ranked = this.#rank();
     const best = ranked[0];
     if (best === undefined || !this.#isLimited(best)) return best;
@@ -80,6 +83,11 @@
     return await this.#takePermit(limited, leftMs) ?? this.nextUnlimited();
   }
 
+  /** Gets whether the last target needs no permit, or has one that is valid. */
+  get isPermitted(): boolean {
+    return this.#permit?.isValid?.() !== false;
+  }
+
   /** Gets the best target that does not limit its requests. */
   nextUnlimited(): TargetReport | undefined {
     return this.#rank().find((target) => !this.#isLimited(target));
@@ -106,12 +114,17 @@
       route.objectiveMs * PERMIT_WAIT_FRACTION,
       leftMs / 2,
     );
-    const { permit, retryAfterMs } = await rates.acquire(limited, maxWaitMs);
+    const hasOther = this.nextUnlimited() !== undefined;
+    const { permit, retryAfterMs } = await rates
+      .acquire(limited, maxWaitMs, hasOther);
     this.#permitAfterMs = permit === undefined ? retryAfterMs : undefined;
     if (permit === undefined) return undefined;
     const { target, afterMs } = permit;
     if (afterMs > 0) await sleep(afterMs);
-    return registry.maySendTo(target.id) ? target : undefined;
+    this.#permit = permit;
+    return registry.maySendTo(target.id) && this.isPermitted
+      ? target
+      : undefined;
   }
 
   #isLimited(target: TargetReport): boolean {
--- a/src/tasks/fleet/fleet_control.ts
+++ b/src/tasks/fleet/fleet_control.ts
@@ -69,6 +69,7 @@
   readonly #options: FleetControlOptions;
   readonly #service: FleetLogService;
   readonly #publisher: FleetPublisher;
+  readonly #permits: PermitService;
   readonly #random = createRandom();
   #timer: NodeJS.Timeout | undefined;
 
@@ -113,7 +114,12 @@
       leadsTerm: () => this.leadsTerm,
       now: options.now,
     };
-    new PermitService(leading);
+    this.#permits = new PermitService({
+      ...leading,
+      leaseEnd: () => this.leaseEnd,
+      registry,
+      policy: () => this.state.policy,
+    });
     new TrialService({ ...leading, registry, state: () => this.state });
     this.targets = new TargetDirectory({
       node,
@@ -293,6 +299,7 @@
     this.targets.registry.prune(now());
     this.#service.updateGauges();
     node.metrics.gauge("policy.revision", this.state.policyRevision);
+    this.#permits.checkColdTargets();
     this.#publisher.resendMissing();
   }
 }
--- a/src/tasks/fleet/fleet_publisher_test.ts
+++ b/src/tasks/fleet/fleet_publisher_test.ts
@@ -52,6 +52,7 @@
     const node = {
       settings: { id: "c1", name: "c1", dataCentre: "a" },
       leaderOf: () => undefined,
+      senders: [],
       linkedMembers: (role: FleetRole) =>
         role !== FleetRole.Ledger ? [] : [{
           id: "l1",
