Calls: spread over targets where entry instances outnumber slots

Cause: the order by latency and own calls in flight is nearly blind where each instance sends few calls. One bad measurement kept an instance away from a target, an unmeasured target looked as fast as the default of 30 ms, a refusal counted as a failure for 2 s, and a failing target got calls every 2 s from each instance.

Callers saw: long waits at some targets while others had idle slots, and many first attempts at a failing target.

The factors for distance, suspicion, limits and scarce versions stay, and no messages are added. calls.spread counts choices that the change made.

--- a/src/core/calls/call_placement.ts
+++ b/src/core/calls/call_placement.ts
@@ -44,13 +44,16 @@
  */
 export function rankTargets(input: CallPlacementInput): CallTarget[] {
   const { targets, dataCentre, tried } = input;
-  const costOf = (target: CallTarget) =>
-    target.latencyMs * (1 + target.inFlight) *
+  return targets
+    .filter((target) => !tried.has(target.id))
+    .sort((a, b) => costOf(a, dataCentre) - costOf(b, dataCentre));
+}
+
+/** Gets the expected latency of a call, weighted by reasons against a target. */
+export function costOf(target: CallTarget, dataCentre: string): number {
+  return target.latencyMs * (1 + target.inFlight) *
     (target.dataCentre === dataCentre ? 1 : DISTANCE_FACTOR) *
     (target.isSuspect ? SUSPECT_FACTOR : 1) *
     (target.isLimited ? LIMITED_FACTOR : 1) *
     (target.isScarce ? SCARCE_FACTOR : 1);
-  return targets
-    .filter((target) => !tried.has(target.id))
-    .sort((a, b) => costOf(a) - costOf(b));
 }
--- a/src/metrics/metric_catalogue.ts
+++ b/src/metrics/metric_catalogue.ts
@@ -93,6 +93,11 @@
     kind: "counter",
     text: "Calls retried at another target",
   },
+  "calls.spread": {
+    kind: "counter",
+    text:
+      "Calls whose random change of costs gave them another target than the cheapest",
+  },
   "batches.accepted": {
     kind: "counter",
     text: "Batches committed by a quorum",
--- a/src/tasks/calls/call_run.ts
+++ b/src/tasks/calls/call_run.ts
@@ -54,17 +54,13 @@
     const timeMs = Math.min(route.timeoutMs, callTimeoutMs) -
       RESPONSE_MARGIN_MS;
     this.#deadline = performance.now() + timeMs;
-    const { registry, latencies, rates, dataCentre } = dependencies;
     this.#output = new CallOutput({
       ...options,
       isResumable: this.#isRetryable,
       onProgress: () => this.#trial.onProgress(),
     });
     this.#targets = new CallTargets({
-      registry,
-      latencies,
-      rates,
-      dataCentre,
+      ...dependencies,
       route,
       call: options.call.id,
       written: () => this.#output.written,
@@ -234,6 +230,7 @@
     latencies.onEnded(report.id, {
       latencyMs: now - startedAt,
       isFailure: isFailure(outcome) && !signal.aborted,
+      isRefusal: isRefusal(outcome),
       now,
     });
     if (outcome.type === "failed" && outcome.isBroken && !signal.aborted) {
@@ -294,3 +291,9 @@
   if (outcome.type === "failed") return true;
   return outcome.isMisdirected || outcome.answer.status >= MIN_ERROR_STATUS;
 }
+
+/** Gets whether the target that was meant states that it did not run the call. */
+function isRefusal(outcome: AttemptOutcome): boolean {
+  return outcome.type === "answered" && outcome.isNotRun &&
+    !outcome.isMisdirected;
+}
--- a/src/tasks/calls/call_run_options.ts
+++ b/src/tasks/calls/call_run_options.ts
@@ -13,6 +13,14 @@
 import type { RateGuard } from "./rate_guard.ts";
 import type { ResponseStream, TargetPort } from "./target_port.ts";
 
+/** How calls are spread where instances outnumber slots. */
+export interface CallSpread {
+  /** Gets the number of instances that choose targets for calls. */
+  readonly instances: () => number;
+  /** Gets a random number in the range [0, 1). */
+  readonly random: () => number;
+}
+
 /** Dependencies that all runs of an instance share. */
 export interface CallRunDependencies {
   readonly targets: TargetPort;
@@ -23,6 +31,8 @@
   readonly logger: Logger;
   readonly metrics: Metrics;
   readonly dataCentre: string;
+  /** Undefined if few instances send calls, as for scoring calls. */
+  readonly spread?: CallSpread | undefined;
   /** Called once per call, when a target may first have run it. */
   readonly onFirstRun: (workspace: string | undefined) => void;
   /** Called with what a target says of itself in a response. */
--- a/src/tasks/calls/call_run_test.ts
+++ b/src/tasks/calls/call_run_test.ts
@@ -12,6 +12,7 @@
 import { Logger } from "../../logging/mod.ts";
 import { Metrics } from "../../metrics/mod.ts";
 import { CallRun } from "./call_run.ts";
+import type { CallSpread } from "./call_run_options.ts";
 import { type CrashGuard, NO_CRASH_GUARD } from "./crash_guard.ts";
 import type { RateGuard } from "./rate_guard.ts";
 import type { AttemptOutcome, CallAttempt, TargetPort } from "./target_port.ts";
@@ -90,6 +91,7 @@
     hasLease?: boolean;
     crashes?: Partial<CrashGuard>;
     rates?: Partial<RateGuard>;
+    spread?: CallSpread;
   } = {},
 ): Promise<CallEnd & { ids: string[]; ran: number }> {
   const registry = new TargetRegistry();
@@ -117,6 +119,7 @@
     logger: new Logger({ instance: "test", level: "error" }),
     metrics: new Metrics({ tags: {} }),
     dataCentre: "a",
+    spread: options.spread,
     onFirstRun: () => void (ran += 1),
     onSigns: ({ id, incarnation }, { isLeaving }) => {
       if (isLeaving) registry.markLeaving(id, incarnation);
@@ -152,6 +155,22 @@
   it("returns the response of the first target", () =>
     doTest([answered(200)], {}, { status: 200, attempts: 1 }));
 
+  it("spreads calls only where instances outnumber the slots", async () => {
+    const firstOf = async (instances: number) => {
+      const draws = [0.9, 0.5, 0.1];
+      const random = () => draws.shift() ?? 0.5;
+      const spread = { instances: () => instances, random };
+      const { ids } = await play([answered(200)], {
+        spread,
+        kind: RouteKind.NonIdempotent,
+      });
+      return ids[0];
+    };
+    const slots = 3 * createReport({}).slots;
+    expect(await firstOf(slots)).toBe("t0");
+    expect(await firstOf(slots + 1)).toBe("t2");
+  });
+
   it("tries another target after a refusal, also on a non-idempotent route", () =>
     doTest(
       [answered(503, { isNotRun: true }), answered(200)],
--- a/src/tasks/calls/call_targets.ts
+++ b/src/tasks/calls/call_targets.ts
@@ -1,7 +1,12 @@
 /** Choice of the targets of a single call. */
 import { createHash } from "node:crypto";
 import { setTimeout as sleep } from "node:timers/promises";
-import { type LatencyTracker, rankTargets } from "../../core/calls/mod.ts";
+import {
+  type CallPlacementInput,
+  type LatencyTracker,
+  rankSpread,
+  rankTargets,
+} from "../../core/calls/mod.ts";
 import {
   mayContinue,
   type OutputWriter,
@@ -13,6 +18,8 @@
   type TargetReport,
   TargetState,
 } from "../../core/registry/mod.ts";
+import type { Metrics } from "../../metrics/mod.ts";
+import type { CallSpread } from "./call_run_options.ts";
 import type { RateGuard } from "./rate_guard.ts";
 
 /** Options of {@link CallTargets}. */
@@ -21,6 +28,9 @@
   readonly latencies: LatencyTracker;
   readonly rates: RateGuard;
   readonly dataCentre: string;
+  readonly metrics: Metrics;
+  /** How calls are spread; undefined to use the order by latency alone. */
+  readonly spread?: CallSpread | undefined;
   readonly route: RoutePolicy;
   /** Identifier of the call. */
   readonly call: string;
@@ -38,6 +48,8 @@
   readonly #tried = new Set<string>();
   readonly #service: string;
   #permitAfterMs: number | undefined;
+  /** Whether the last order does not begin with the target of the least cost. */
+  #isSpread = false;
 
   constructor(options: CallTargetsOptions) {
     this.#options = options;
@@ -76,6 +88,7 @@
   async next(leftMs: number): Promise<TargetReport | undefined> {
     const ranked = this.#rank();
     const best = ranked[0];
+    if (this.#isSpread) this.#options.metrics.count("calls.spread");
     if (best === undefined || !this.#isLimited(best)) return best;
     const limited = ranked.filter((target) => this.#isLimited(target));
     return await this.#takePermit(limited, leftMs) ?? this.nextUnlimited();
@@ -130,7 +143,7 @@
       .map(({ report }) => report);
     const isFreshStream = route.isResumable && writer === undefined;
     const scarce = isFreshStream ? scarceVersionsOf(reports) : NO_VERSIONS;
-    const ranked = rankTargets({
+    const ranked = this.#order(reports, {
       dataCentre,
       tried: this.#tried,
       targets: reports.filter((report) => mayContinue(writer, report)).map((
@@ -145,7 +158,35 @@
         isScarce: scarce.has(report.software),
       })),
     });
-    return ranked.map(({ id }) => registry.getReportOrThrow(id));
+    return ranked.map((id) => registry.getReportOrThrow(id));
+  }
+
+  /**
+   * Orders targets at random within limits if the instances outnumber the slots
+   * of the ready targets, and by latency alone otherwise.
+   */
+  #order(
+    ready: readonly TargetReport[],
+    input: CallPlacementInput,
+  ): string[] {
+    const { latencies, spread } = this.#options;
+    const slots = ready.reduce((sum, report) => sum + report.slots, 0);
+    this.#isSpread = false;
+    if (spread === undefined || spread.instances() <= slots) {
+      return rankTargets(input).map(({ id }) => id);
+    }
+    const now = performance.now();
+    const ranking = rankSpread({
+      ...input,
+      random: spread.random,
+      targets: input.targets.map((target) => ({
+        ...target,
+        measuredMs: latencies.measuredMs(target.id),
+        isSuspect: latencies.isFailing(target.id, now),
+      })),
+    });
+    this.#isSpread = ranking.isSpread;
+    return ranking.targets.map(({ id }) => id);
   }
 }
 
--- a/src/tasks/fleet/entry_task.ts
+++ b/src/tasks/fleet/entry_task.ts
@@ -1,4 +1,6 @@
 /** An entry instance: admits and forwards calls, and relays batches. */
+import { uniformFloat64 } from "pure-rand/distribution/uniformFloat64";
+import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
 import {
   type BatchSpec,
   ResultCache,
@@ -27,6 +29,7 @@
   type Admission,
   CallGate,
   CallRun,
+  type CallSpread,
   type CrashGuard,
   type RateGuard,
   type ResponseStream,
@@ -83,12 +86,18 @@
   readonly #results = new ResultCache(RESULT_CACHE_BYTES);
   readonly #usage: UsageCounter;
   readonly #streams: StreamRecords;
+  readonly #spread: CallSpread;
   #isDraining = false;
 
   constructor(options: EntryTaskOptions) {
     this.#options = options;
     const { node, follower } = options;
     this.#streams = new StreamRecords(node);
+    const random = xoroshiro128plus(Date.now() ^ process.pid);
+    this.#spread = {
+      instances: () => node.roster.membersOf(FleetRole.Entry, node.now).length,
+      random: () => uniformFloat64(random),
+    };
     this.#usage = new UsageCounter(node.settings.times.usageWindowMs);
     this.#gate = new CallGate({
       policy: () => follower.policy,
@@ -169,6 +178,7 @@
       logger: node.logger,
       metrics: node.metrics,
       dataCentre: node.settings.dataCentre,
+      spread: this.#spread,
       awaitLease: () => follower.awaitLease(),
       onSigns: (target, signs) => follower.onSigns(target, signs),
       onFirstRun: (workspace) => {
