Batches: order of items by priority and fair shares under scarcity

Cause: batches ran by due time alone. Where room is short, the batches due first took all slots until they were overdue, and priorities had no effect.

Callers saw: nearly all batches late, a small workspace beside a large one with no results at all, and an urgent workspace served as any other.

Change: batches that are not overdue come first, then the priority of workspace and route, which a batch now carries from its admission, then the due time. Batches due within a second of each other, and all of a priority if more than a tenth of the unfinished items is overdue, share the slots by expected tokens. Less urgent and overdue batches get a least share. If room is short, groups of a batch follow one another.

--- a/src/core/batches/batch.ts
+++ b/src/core/batches/batch.ts
@@ -30,6 +30,12 @@
   readonly scoring?: ScoringCall | undefined;
 }
 
+/** Priorities of a batch; 0 is the most urgent. That of its workspace precedes. */
+export interface BatchPriority {
+  readonly workspace: number;
+  readonly route: number;
+}
+
 /** Specification of an accepted batch. */
 export interface BatchSpec {
   readonly id: string;
@@ -51,6 +57,8 @@
   readonly isSingleVersion: boolean;
   /** Number of complete groups that the caller waits for; 0 for all. */
   readonly desiredGroups: number;
+  /** Absent in batches that an earlier build accepted; then the most urgent. */
+  readonly priority?: BatchPriority | undefined;
   readonly items: readonly BatchItem[];
 }
 
--- a/src/core/batches/item_order.ts
+++ b/src/core/batches/item_order.ts
@@ -1,6 +1,7 @@
 /** Orders the waiting items of open batches. */
-import type { BatchItem } from "./batch.ts";
+import type { BatchItem, BatchPriority } from "./batch.ts";
 import type { BatchRecord } from "./batch_record.ts";
+import { type BatchQueue, mergeByShares } from "./batch_shares.ts";
 
 /** An item that waits to be run. */
 export interface WaitingItem {
@@ -19,6 +20,12 @@
   readonly now: number;
 }
 
+interface OpenBatch extends Omit<BatchQueue, "rank"> {
+  readonly dueAt: number;
+  readonly isLate: boolean;
+  readonly priority: BatchPriority;
+}
+
 interface Group {
   readonly waiting: BatchItem[];
   /** Expected output of the longest waiting item, in tokens. */
@@ -31,15 +38,24 @@
 
 /** Expected output of an item without an estimate, in tokens. */
 const DEFAULT_EXPECTED_TOKENS = 1_000;
+/** Difference of due times up to which batches share the slots. */
+const CLOSE_MS = 1_000;
+/** Share of overdue items among those waiting from which room is short. */
+const SHORT_ROOM_SHARE = 0.1;
+const MOST_URGENT: BatchPriority = { workspace: 0, route: 0 };
 
 /**
  * Gets the waiting items in the order in which they should run.
  *
- * Batches are ordered by due time; overdue batches come last. A caller waits
- * for a number of complete groups, so within a batch the groups expected to
+ * Overdue batches come last, more urgent priorities first, then earlier due
+ * times. Batches whose due times are close share the slots by expected tokens,
+ * and so do all of a priority if room is short: the one due first would
+ * otherwise take all of it, until the others can be in time no more. A caller
+ * waits for a number of complete groups, so within a batch the groups expected to
  * complete first are preferred: resubmitted groups, then groups in progress,
  * then the shortest. Of the preferred items the longest start first, because
- * the last one to finish determines when the caller can continue.
+ * the last one to finish determines when the caller can continue. If room is
+ * short, groups follow one another, so that some are complete in time.
  *
  * @example
  * ```ts
@@ -47,21 +63,98 @@
  * ```
  */
 export function orderItems(input: OrderInput): WaitingItem[] {
-  const { records, now } = input;
-  const dueOf = (record: BatchRecord) =>
-    record.spec.acceptedAt + record.spec.objectiveMs;
-  const isLate = (record: BatchRecord) => now > dueOf(record);
-  return records
-    .filter((record) => record.isOpen)
-    .sort((a, b) =>
-      Number(isLate(a)) - Number(isLate(b)) || dueOf(a) - dueOf(b)
-    )
-    .flatMap((record) => orderWithin(record, input));
+  const services = new Map<string, BatchRecord[]>();
+  for (const record of input.records) {
+    if (!record.isOpen) continue;
+    const open = services.get(record.spec.service);
+    if (open === undefined) services.set(record.spec.service, [record]);
+    else open.push(record);
+  }
+  return [...services.values()].flatMap((open) => orderService(open, input));
+}
+
+/** Orders the items of the batches of one service, which share its targets. */
+function orderService(
+  open: readonly BatchRecord[],
+  input: OrderInput,
+): WaitingItem[] {
+  const isShort = isRoomShort(open, input.now);
+  const batches = open
+    .map((record) => createBatch(record, input, isShort))
+    .sort((a, b) => compareUrgency(a, b) || a.dueAt - b.dueAt);
+  let rank = 0;
+  let first = batches[0];
+  const queues = batches.map((batch): BatchQueue => {
+    const isEqual = compareUrgency(first, batch) === 0 &&
+      (isShort || batch.dueAt - first.dueAt <= CLOSE_MS);
+    if (!isEqual) {
+      rank += 1;
+      first = batch;
+    }
+    return { ...batch, rank };
+  });
+  return mergeByShares({
+    queues,
+    tokensOf: ({ item }) => expectedLengthOf(item),
+  });
+}
+
+/** Compares what precedes the due times; a negative number if `a` does. */
+function compareUrgency(a: OpenBatch, b: OpenBatch): number {
+  return Number(a.isLate) - Number(b.isLate) ||
+    a.priority.workspace - b.priority.workspace ||
+    a.priority.route - b.priority.route;
+}
+
+/** Gets whether a considerable share of the unfinished items is overdue. */
+function isRoomShort(open: readonly BatchRecord[], now: number): boolean {
+  let unfinished = 0;
+  let late = 0;
+  for (const record of open) {
+    const count = record.spec.items.length - record.resultCount;
+    unfinished += count;
+    if (now > dueAtOf(record)) late += count;
+  }
+  return late > SHORT_ROOM_SHARE * unfinished;
+}
+
+function dueAtOf({ spec }: BatchRecord): number {
+  return spec.acceptedAt + spec.objectiveMs;
+}
+
+function createBatch(
+  record: BatchRecord,
+  input: OrderInput,
+  isShort: boolean,
+): OpenBatch {
+  const { workspace, priority } = record.spec;
+  const dueAt = dueAtOf(record);
+  const waiting = orderWithin(record, input, isShort);
+  const isWaiting = new Set(waiting.map(({ item }) => item));
+  let runningTokens = 0;
+  let runningItems = 0;
+  for (const item of record.spec.items) {
+    const isDone = record.hasResult(item.id) ||
+      record.hasCompleteText(item.id);
+    if (isDone || isWaiting.has(item)) continue;
+    runningItems += 1;
+    runningTokens += expectedLengthOf(item);
+  }
+  return {
+    workspace,
+    waiting,
+    runningTokens,
+    runningItems,
+    dueAt,
+    isLate: input.now > dueAt,
+    priority: priority ?? MOST_URGENT,
+  };
 }
 
 function orderWithin(
   record: BatchRecord,
   input: OrderInput,
+  isShort: boolean,
 ): WaitingItem[] {
   const groups = [...groupsOf(record, input).values()];
   const complete = groups
@@ -73,6 +166,9 @@
       Number(b.started > 0) - Number(a.started > 0) ||
       a.longestTokens - b.longestTokens
     );
+  if (isShort) {
+    return open.flatMap((g) => longestFirst(g.waiting)).map(toWaiting);
+  }
   const { desiredGroups } = record.spec;
   const isBounded = desiredGroups > 0 && desiredGroups < groups.length;
   const wanted = isBounded
@@ -82,7 +178,11 @@
   return [
     ...longestFirst(open.slice(0, wanted).flatMap((g) => g.waiting)),
     ...rest,
-  ].map((item) => ({ record, item }));
+  ].map(toWaiting);
+
+  function toWaiting(item: BatchItem): WaitingItem {
+    return { record, item };
+  }
 }
 
 function longestFirst(items: readonly BatchItem[]): BatchItem[] {
