--- a/src/tasks/fleet/entry_task.ts
+++ b/src/tasks/fleet/entry_task.ts
@@ -1,4 +1,6 @@
 /** An entry instance: admits and forwards calls, and relays batches. */
+import { uniformFloat64 } from "pure-rand/distribution/uniformFloat64";
+import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
 import type { BatchSpec, ResultPage } from "../../core/batches/mod.ts";
 import {
   type CallRequest,
@@ -23,6 +25,7 @@
   type Admission,
   CallGate,
   CallRun,
+  type CallSpread,
   type CrashGuard,
   type RateGuard,
   type ResponseStream,
@@ -75,6 +78,7 @@
   readonly #reader: BatchReader;
   readonly #usage: UsageCounter;
   readonly #streams: StreamRecords;
+  readonly #spread: CallSpread;
   #isDraining = false;
 
   constructor(options: EntryTaskOptions) {
@@ -86,6 +90,13 @@
       readLeader: (params, timeoutMs) =>
         this.#requestLedger(BatchMethod.Read, params, timeoutMs),
     });
+    const random = xoroshiro128plus(Date.now() ^ process.pid);
+    this.#spread = {
+      instances: () =>
+        node.senders.length -
+        node.roster.membersOf(FleetRole.Ledger, node.now).length,
+      random: () => uniformFloat64(random),
+    };
     this.#usage = new UsageCounter(node.settings.times.usageWindowMs);
     this.#gate = new CallGate({
       policy: () => follower.policy,
@@ -172,6 +183,7 @@
       logger: node.logger,
       metrics: node.metrics,
       dataCentre: node.settings.dataCentre,
+      spread: this.#spread,
       awaitLease: () => follower.awaitLease(),
       onSigns: (target, signs) => follower.onSigns(target, signs),
       onFirstRun: (workspace) => {
