Policy: homes of routes and workspaces, outside which their requests never run

Cause: the lists of regions in the configuration were ignored, so requests reached targets, relays and ledger instances in any region.

Homes of a route and of a workspace both bind. The registry offers only targets in the homes for calls, items and scoring calls; relays are in the region of the instance that asks, or in a home of every list; a batch is refused if a ledger instance would keep it elsewhere. A policy that names an unknown region is refused with 400, and a request without a target in a home at once with 503 homeUnavailable.

--- a/src/core/batches/batch.ts
+++ b/src/core/batches/batch.ts
@@ -49,6 +49,8 @@
   readonly minVersion: number;
   /** Whether one weight version must generate the complete text of an item. */
   readonly isSingleVersion: boolean;
+  /** Regions in which items may run; absent for any, empty for none. */
+  readonly homes?: readonly string[];
   /** Number of complete groups that the caller waits for; 0 for all. */
   readonly desiredGroups: number;
   readonly items: readonly BatchItem[];
--- a/src/core/paths/relay_choice.ts
+++ b/src/core/paths/relay_choice.ts
@@ -11,6 +11,8 @@
   readonly candidates: readonly RelayCandidate[];
   /** Data centre of the instance that needs them. */
   readonly dataCentre: string;
+  /** Gets whether an instance of a data centre may relay; any by default. */
+  readonly mayRelay?: (dataCentre: string) => boolean;
   /** Maximum number of instances. */
   readonly count: number;
   /** Returns a random number from 0 to 1, which spreads the load. */
@@ -27,7 +29,8 @@
  * ```
  */
 export function chooseRelays(options: RelayChoiceOptions): string[] {
-  const { candidates, dataCentre, count, random } = options;
+  const { dataCentre, count, random, mayRelay = () => true } = options;
+  const candidates = options.candidates.filter((k) => mayRelay(k.dataCentre));
   const shuffled = shuffle(candidates, random);
   const near = shuffled.filter((k) => k.dataCentre === dataCentre);
   const far = shuffled.filter((k) => k.dataCentre !== dataCentre);
--- a/src/core/paths/relay_choice_test.ts
+++ b/src/core/paths/relay_choice_test.ts
@@ -6,6 +6,7 @@
     candidates: Readonly<Record<string, string>>,
     count: number,
     expected: readonly string[],
+    mayRelay?: (dataCentre: string) => boolean,
   ) {
     const chosen = chooseRelays({
       candidates: Object.entries(candidates)
@@ -13,6 +14,7 @@
       dataCentre: "a",
       count,
       random: () => 0.999,
+      ...(mayRelay === undefined ? {} : { mayRelay }),
     });
     expect(chosen).toEqual(expected);
   }
@@ -31,5 +33,9 @@
   it("takes no more than asked for", () =>
     doTest({ a1: "a", a2: "a", a3: "a" }, 2, ["a1", "a2"]));
 
+  // Guards against bodies that pass through a region not allowed to them.
+  it("takes only those that may relay", () =>
+    doTest({ a1: "a", b1: "b", c1: "c" }, 3, ["c1"], (id) => id === "c"));
+
   it("finds none where there is none", () => doTest({}, 2, []));
 });
--- a/src/core/policy/policy_document.ts
+++ b/src/core/policy/policy_document.ts
@@ -53,6 +53,8 @@
   readonly giveUpMs: number;
   /** Rollout routes: time after which all results are due, in milliseconds. */
   readonly resultObjectiveMs: number;
+  /** Regions in which its requests may run; absent or empty for any. */
+  readonly homes?: readonly string[];
 }
 
 /** Limits of the number of targets of a service in each data centre. */
@@ -97,6 +99,8 @@
   readonly name: string;
   readonly keys: readonly string[];
   readonly priority: number;
+  /** Regions in which its requests may run; absent or empty for any. */
+  readonly homes?: readonly string[];
 }
 
 /** A policy document. */
--- a/src/core/policy/policy_view.ts
+++ b/src/core/policy/policy_view.ts
@@ -75,6 +75,10 @@
     return this.#keys.get(key);
   }
 
+  getWorkspace(name: string): WorkspacePolicy | undefined {
+    return this.document.workspaces.find((k) => k.name === name);
+  }
+
   getService(name: string): ServicePolicy | undefined {
     return this.#services.get(name);
   }
--- a/src/core/registry/target_registry.ts
+++ b/src/core/registry/target_registry.ts
@@ -1,4 +1,5 @@
 /** Registry of targets, built from their reports. */
+import { type Homes, RegionMap } from "../policy/mod.ts";
 import { type TargetReport, TargetState } from "./target_report.ts";
 
 /** A registered target and the time of its last report. */
@@ -47,8 +48,14 @@
  */
 export class TargetRegistry {
   readonly #targets = new Map<string, RegisteredTarget>();
+  readonly #regions: RegionMap;
   #evacuated: ReadonlySet<string> | undefined = new Set();
 
+  /** @param regions - Regions of the data centres; none known by default. */
+  constructor(regions: RegionMap = new RegionMap(undefined)) {
+    this.#regions = regions;
+  }
+
   /**
    * Merges a report; ignored if it is not newer than the known one. A target
    * that leaves stays leaving until it starts again.
@@ -172,10 +179,14 @@
       .filter(({ state }) => state !== TargetState.Gone);
   }
 
-  /** Gets the targets of a service that accept work and may be sent some. */
-  readyOf(service: string): RegisteredTarget[] {
+  /**
+   * Gets the targets of a service that accept work and may be sent some.
+   * @param homes - Regions in which the work may run.
+   */
+  readyOf(service: string, homes?: Homes): RegisteredTarget[] {
     return this.all.filter(({ report }) =>
-      report.service === service && this.maySendTo(report.id)
+      report.service === service && this.maySendTo(report.id) &&
+      this.#regions.isWithin(report.dataCentre, homes)
     );
   }
 
--- a/src/core/verdict/refusal_reason.ts
+++ b/src/core/verdict/refusal_reason.ts
@@ -19,6 +19,8 @@
   DeadlineUnreachable: "deadlineUnreachable",
   DeadlinePassed: "deadlinePassed",
   NoTarget: "noTarget",
+  /** Nothing that may run or keep the request is in a region allowed to. */
+  HomeUnavailable: "homeUnavailable",
   /** No target can go on with the stream that the caller takes up. */
   StreamStranded: "streamStranded",
   /** It is not known who began the stream that the caller takes up. */
@@ -66,6 +68,7 @@
   deadlineUnreachable: 503,
   deadlinePassed: 504,
   noTarget: 503,
+  homeUnavailable: 503,
   streamStranded: 503,
   streamUnknown: 503,
   quarantined: 422,
--- a/src/tasks/batches/batch_runner_test.ts
+++ b/src/tasks/batches/batch_runner_test.ts
@@ -77,6 +77,49 @@
     expect(state.get("b1")?.getResult("x1")?.text).toBe("a\nb");
   });
 
+  // Guards against items, begun or resumed, outside the homes of their batch.
+  it("runs the items of each batch in its homes only", () => {
+    const { engines, step } = startRunner(
+      [target("t1", { dataCentre: "a" }), target("t2", { dataCentre: "b" })],
+      [
+        spec(["x1"], { id: "b1", homes: ["east"] }),
+        spec(["y1"], { id: "b2", homes: ["north"] }),
+        spec(["z1"], { id: "b3", homes: [] }),
+      ],
+      undefined,
+      { a: "north", b: "east" },
+    );
+    for (const { sink } of [...engines.runs]) {
+      sink.onEvent({ id: 1, data: "a" });
+      sink.onFailure(RunFailure.Refused, "503");
+    }
+    step(400);
+    const placed = engines.runs
+      .map(({ request }) => `${request.id} ${request.target.id}`);
+    expect(placed.sort()).toEqual(["x1 t2", "x1 t2", "y1 t1", "y1 t1"]);
+  });
+
+  // Guards against items sent to an evacuated data centre, and against runs
+  // that an evacuation cuts short.
+  it("goes on elsewhere with a run that breaks in an evacuated data centre", () => {
+    const { engines, registry, runner, step } = startRunner(
+      [target("t1", { dataCentre: "a" }), target("t2", { dataCentre: "b" })],
+      [spec(["x1"])],
+    );
+    const [first] = engines.runs;
+    const { dataCentre } = registry
+      .getReportOrThrow(first.request.target.id);
+    registry.setEvacuated(new Set([dataCentre]));
+    runner.onTargetsChanged();
+    step(100);
+    expect(engines.runs).toHaveLength(1);
+    first.sink.onEvent({ id: 1, data: "a" });
+    first.sink.onFailure(RunFailure.Refused, "503");
+    step(400);
+    expect(engines.runs.slice(1).map(({ request }) => request.target.id))
+      .toEqual(["t2"]);
+  });
+
   it("places an item again after targets have died under it in bursts", () => {
     const { engines, step } = startRunner(
       [target("t1"), target("t2"), target("t3")],
--- a/src/tasks/batches/batch_task.ts
+++ b/src/tasks/batches/batch_task.ts
@@ -18,6 +18,7 @@
   type ReplicaId,
 } from "../../core/consensus/mod.ts";
 import { FleetRole, wantedVoters } from "../../core/fleet/mod.ts";
+import { RegionMap } from "../../core/policy/mod.ts";
 import {
   type LoadedVersion,
   TargetRegistry,
@@ -88,7 +89,7 @@
  */
 export class BatchTask {
   /** Targets, as published by the control instances. */
-  readonly registry = new TargetRegistry();
+  readonly registry: TargetRegistry;
   readonly #options: BatchTaskOptions;
   readonly #service: Service;
   readonly #runner: BatchRunner;
@@ -104,6 +105,8 @@
    */
   constructor(options: BatchTaskOptions) {
     this.#options = options;
+    const { regions } = options.node.settings;
+    this.registry = new TargetRegistry(new RegionMap(regions));
     this.#service = this.#createService();
     this.#runner = this.#createRunner();
     options.node
--- a/src/tasks/batches/item_placer.ts
+++ b/src/tasks/batches/item_placer.ts
@@ -8,6 +8,7 @@
   type TargetPace,
   type WaitingItem,
 } from "../../core/batches/mod.ts";
+import type { Homes } from "../../core/policy/mod.ts";
 import { scarceVersionsOf } from "../../core/continuation/mod.ts";
 import type { TargetRegistry, TargetReport } from "../../core/registry/mod.ts";
 import type { TargetLimiter } from "../fleet/target_limiter.ts";
@@ -38,7 +39,7 @@
 export class ItemPlacer {
   readonly #options: ItemPlacerOptions;
   readonly #runCounts: Map<string, number>;
-  /** Candidate targets by service and model. */
+  /** Candidate targets by service, model and homes. */
   readonly #candidates = new Map<string, PlacementCandidate[]>();
   /** Placement keys for which no target has a free slot. */
   readonly #exhausted = new Set<string>();
@@ -65,9 +66,9 @@
     if (this.isExhausted(waiting)) return undefined;
     const { record, item } = waiting;
     const { runs, itemTracker, dataCentre } = this.#options;
-    const { minVersion, isSingleVersion, service } = record.spec;
+    const { minVersion, isSingleVersion, service, homes } = record.spec;
     const chosen = placeItem({
-      targets: this.#candidatesFor(service, item.model),
+      targets: this.#candidatesFor(service, item.model, homes),
       minVersion,
       written: text.size === 0
         ? undefined
@@ -100,12 +101,18 @@
     return this;
   }
 
-  #candidatesFor(service: string, model: string): PlacementCandidate[] {
-    const key = `${service}/${model}`;
+  #candidatesFor(
+    service: string,
+    model: string,
+    homes: Homes,
+  ): PlacementCandidate[] {
+    const key = JSON.stringify([service, model, homes]);
     let candidates = this.#candidates.get(key);
     if (candidates !== undefined) return candidates;
     const { registry, targetPace, loads, now } = this.#options;
-    const reports = registry.readyOf(service).map(({ report }) => report);
+    const reports = registry.readyOf(service, homes).map(({ report }) =>
+      report
+    );
     const scarce = scarceVersionsOf(reports);
     candidates = reports.map((report) => ({
       id: report.id,
@@ -136,10 +143,10 @@
 }
 
 /**
- * Gets the key of an item's service, model and lowest version. Items with the
- * same key fit the same targets.
+ * Gets the key of an item's service, model, lowest version and homes. Items with
+ * the same key fit the same targets.
  */
 function placementKeyOf({ record, item }: WaitingItem): string {
-  const { service, minVersion } = record.spec;
-  return `${service}/${item.model}/${minVersion}`;
+  const { service, minVersion, homes } = record.spec;
+  return JSON.stringify([service, item.model, minVersion, homes]);
 }
--- a/src/tasks/batches/item_scorer.ts
+++ b/src/tasks/batches/item_scorer.ts
@@ -6,7 +6,11 @@
   ScoringCall,
 } from "../../core/batches/mod.ts";
 import { type CallResponse, LatencyTracker } from "../../core/calls/mod.ts";
-import type { PolicyView, RoutePolicy } from "../../core/policy/mod.ts";
+import {
+  homesOf,
+  type PolicyView,
+  type RoutePolicy,
+} from "../../core/policy/mod.ts";
 import type {
   TargetRegistry,
   TargetReport,
@@ -197,6 +201,7 @@
         timeoutMs: spec.acceptedAt + spec.giveUpMs - Date.now(),
       },
       admission: { route, workspace: undefined, policy },
+      homes: homesOf(route, policy.getWorkspace(spec.workspace)),
       signal,
       stream: undefined,
     });
--- a/src/tasks/calls/call_refusal.ts
+++ b/src/tasks/calls/call_refusal.ts
@@ -15,6 +15,8 @@
   readonly permitAfterMs: number | undefined;
   /** Time until the call may be tried, if it is under suspicion and was not. */
   readonly trialAfterMs: number | undefined;
+  /** Whether no target is in a region in which the call may run. */
+  readonly isOutsideHomes: boolean;
   /** Who wrote the events that the caller holds; undefined if it holds none. */
   readonly written: OutputWriter | undefined;
   /** Detail of the last attempt that failed; empty if there was none. */
@@ -22,13 +24,21 @@
 }
 
 const RETRY_AFTER_MS = 300;
+/** Retry delay of a call without a target in a region allowed to it. */
+const HOME_RETRY_AFTER_MS = 1_000;
 /** Retry delay of a stream whose version no target has. */
 const STRANDED_RETRY_AFTER_MS = 1_000;
 
 /** Creates the refusal, with a retry delay if the call has not run. */
 export function createCallRefusal(input: CallRefusalInput): RefusalError {
   const { verdict, isLate, permitAfterMs, lastFailure, written } = input;
-  const { trialAfterMs } = input;
+  const { trialAfterMs, isOutsideHomes } = input;
+  if (verdict === Verdict.NotRun && isOutsideHomes) {
+    return new RefusalError(RefusalReason.HomeUnavailable, verdict, {
+      message: "No target is in a region in which the request may run",
+      retryAfterMs: HOME_RETRY_AFTER_MS,
+    });
+  }
   if (trialAfterMs !== undefined) {
     return new RefusalError(RefusalReason.Suspected, verdict, {
       message: "A target ended under this request; it waits to be tried",
--- a/src/tasks/calls/call_run.ts
+++ b/src/tasks/calls/call_run.ts
@@ -1,6 +1,6 @@
 /** Execution of a single call, with retries and hedging. */
 import type { CallResponse } from "../../core/calls/mod.ts";
-import { RouteKind } from "../../core/policy/mod.ts";
+import { homesOf, RouteKind } from "../../core/policy/mod.ts";
 import type { TargetReport } from "../../core/registry/mod.ts";
 import { Verdict } from "../../core/verdict/mod.ts";
 import { fingerprintOf } from "./call_fingerprint.ts";
@@ -49,23 +49,20 @@
     this.#dependencies = dependencies;
     this.#options = options;
     this.#trace = new CallTrace(dependencies, options);
-    const { route } = options.admission;
+    const { route, workspace } = options.admission;
     const callTimeoutMs = options.call.timeoutMs ?? Infinity;
     const timeMs = Math.min(route.timeoutMs, callTimeoutMs) -
       RESPONSE_MARGIN_MS;
     this.#deadline = performance.now() + timeMs;
-    const { registry, latencies, rates, dataCentre } = dependencies;
     this.#output = new CallOutput({
       ...options,
       isResumable: this.#isRetryable,
       onProgress: () => this.#trial.onProgress(),
     });
     this.#targets = new CallTargets({
-      registry,
-      latencies,
-      rates,
-      dataCentre,
+      ...dependencies,
       route,
+      homes: options.homes ?? homesOf(route, workspace),
       call: options.call.id,
       written: () => this.#output.written,
     });
@@ -119,6 +116,7 @@
       trialAfterMs: this.#trial.retryAfterMs,
       isLate: this.#remainingMs <= MIN_ATTEMPT_MS,
       permitAfterMs: this.#targets.permitAfterMs,
+      isOutsideHomes: this.#targets.isOutsideHomes,
       written: this.#output.written,
       lastFailure: this.#lastFailure,
     });
--- a/src/tasks/calls/call_run_options.ts
+++ b/src/tasks/calls/call_run_options.ts
@@ -1,6 +1,7 @@
 /** What the run of a call needs. */
 import type { CallRequest, LatencyTracker } from "../../core/calls/mod.ts";
 import type { OutputWriter } from "../../core/continuation/mod.ts";
+import type { Homes } from "../../core/policy/mod.ts";
 import type {
   TargetRegistry,
   TargetReport,
@@ -38,6 +39,8 @@
 export interface CallRunOptions {
   readonly call: CallRequest;
   readonly admission: Admission;
+  /** Homes of the call; by default, those of its admission. */
+  readonly homes?: Homes;
   readonly signal: AbortSignal;
   /**
    * Receives the response as it arrives; if undefined, the response is read
--- a/src/tasks/calls/call_targets.ts
+++ b/src/tasks/calls/call_targets.ts
@@ -7,7 +7,7 @@
   type OutputWriter,
   scarceVersionsOf,
 } from "../../core/continuation/mod.ts";
-import type { RoutePolicy } from "../../core/policy/mod.ts";
+import type { Homes, RoutePolicy } from "../../core/policy/mod.ts";
 import {
   type TargetRegistry,
   type TargetReport,
@@ -20,6 +20,8 @@
   readonly latencies: LatencyTracker;
   readonly rates: RateGuard;
   readonly dataCentre: string;
+  /** Regions in which the call may run. */
+  readonly homes: Homes;
   readonly route: RoutePolicy;
   /** Identifier of the call. */
   readonly call: string;
@@ -62,6 +64,11 @@
     return this.#permitAfterMs;
   }
 
+  /** Gets whether the call is kept from all targets by its homes. */
+  get isOutsideHomes(): boolean {
+    return this.#options.homes !== undefined && this.#reports().length === 0;
+  }
+
   /** Records that the call is sent to a target. */
   markTried({ id }: TargetReport): this {
     this.#tried.add(id);
@@ -118,13 +125,18 @@
     return this.#options.rates.isLimited(target);
   }
 
+  /** Gets the targets of the service in the homes of the call. */
+  #reports(): TargetReport[] {
+    const { registry, homes } = this.#options;
+    return registry.readyOf(this.#service, homes).map(({ report }) => report);
+  }
+
   /** Gets the targets that may run the call, the best ones first. */
   #rank(): TargetReport[] {
     const { registry, latencies, dataCentre, written, route } = this.#options;
     const now = performance.now();
     const writer = written();
-    const reports = registry.readyOf(this.#service)
-      .map(({ report }) => report);
+    const reports = this.#reports();
     const isFreshStream = route.isResumable && writer === undefined;
     const scarce = isFreshStream ? scarceVersionsOf(reports) : NO_VERSIONS;
     const ranked = rankTargets({
--- a/src/tasks/fleet/control_task.ts
+++ b/src/tasks/fleet/control_task.ts
@@ -1,9 +1,13 @@
 /** A control instance: policy, target registry and the leader's tasks. */
 import type { ServiceDemand } from "../../core/batches/mod.ts";
 import type { ElapsedClock } from "../../core/clock/mod.ts";
-import type { PolicyDocument } from "../../core/policy/mod.ts";
+import { type PolicyDocument, RegionMap } from "../../core/policy/mod.ts";
 import type { TargetReport } from "../../core/registry/mod.ts";
-import type { RefusalError } from "../../core/verdict/mod.ts";
+import {
+  RefusalError,
+  RefusalReason,
+  Verdict,
+} from "../../core/verdict/mod.ts";
 import { DEMAND_METHOD } from "../batches/mod.ts";
 import { CapacityScaler } from "./capacity_scaler.ts";
 import { OrderLease } from "./order_lease.ts";
@@ -120,11 +124,20 @@
 
   /**
    * Proposes a policy.
-   * @throws RefusalError if the document is invalid or is not committed in
-   * time.
+   * @throws RefusalError if the document is invalid, names an unknown region or
+   * is not committed in time.
    */
-  replacePolicy(document: PolicyDocument, source: string): Promise<void> {
-    return this.#control.replacePolicy(document, source);
+  async replacePolicy(document: PolicyDocument, source: string): Promise<void> {
+    const { node } = this.#options;
+    const faults = new RegionMap(node.settings.regions).findFaults(document);
+    if (faults.length > 0) {
+      const { revision } = document;
+      node.logger.event("policyRefused", { revision, faults });
+      throw new RefusalError(RefusalReason.MalformedRequest, Verdict.NotRun, {
+        message: faults.join("; "),
+      });
+    }
+    await this.#control.replacePolicy(document, source);
   }
 
   /** Reads the source text of the committed policy from the leader. */
--- a/src/tasks/fleet/entry_task.ts
+++ b/src/tasks/fleet/entry_task.ts
@@ -32,6 +32,7 @@
   type ResponseStream,
   type TargetPort,
 } from "../calls/mod.ts";
+import { BatchHomes } from "./batch_homes.ts";
 import type { FleetFollower } from "./fleet_follower.ts";
 import type { FleetNode } from "./fleet_node.ts";
 import { StreamRecords } from "./stream_records.ts";
@@ -83,12 +84,14 @@
   readonly #results = new ResultCache(RESULT_CACHE_BYTES);
   readonly #usage: UsageCounter;
   readonly #streams: StreamRecords;
+  readonly #batchHomes: BatchHomes;
   #isDraining = false;
 
   constructor(options: EntryTaskOptions) {
     this.#options = options;
     const { node, follower } = options;
     this.#streams = new StreamRecords(node);
+    this.#batchHomes = new BatchHomes(options);
     this.#usage = new UsageCounter(node.settings.times.usageWindowMs);
     this.#gate = new CallGate({
       policy: () => follower.policy,
@@ -213,10 +216,11 @@
 
   /**
    * Submits a batch to the ledger.
-   * @throws RefusalError if no route matches a scoring call of its items, or if
-   * the ledger does not accept it in time.
+   * @throws RefusalError if no route matches a scoring call of its items, if it
+   * would leave its homes, or if the ledger does not accept it in time.
    */
   async submit(spec: BatchSpec, { policy }: Admission): Promise<void> {
+    this.#batchHomes.throwIfOutside(spec);
     const params: SubmitParams = {
       spec,
       faults: findScoringFaults(spec, policy),
--- a/src/tasks/fleet/fleet_control.ts
+++ b/src/tasks/fleet/fleet_control.ts
@@ -27,7 +27,7 @@
 } from "./fleet_method.ts";
 import { EvacuationDesk } from "./evacuation_desk.ts";
 import type { FleetNode } from "./fleet_node.ts";
-import { createRandom, findRelays } from "./relay_directory.ts";
+import { serveRelays } from "./relay_directory.ts";
 import { FleetPublisher } from "./fleet_publisher.ts";
 import {
   createFleetLogService,
@@ -69,7 +69,6 @@
   readonly #options: FleetControlOptions;
   readonly #service: FleetLogService;
   readonly #publisher: FleetPublisher;
-  readonly #random = createRandom();
   #timer: NodeJS.Timeout | undefined;
 
   constructor(options: FleetControlOptions) {
@@ -102,11 +101,8 @@
         FleetMethod.Confirm,
         (params) => this.#confirm(params as ConfirmPolicyRequest),
       )
-      .handle(FleetMethod.Read, () => this.#read())
-      .handle(
-        FleetMethod.Relays,
-        (_params, from) => findRelays(node, from, this.#random),
-      );
+      .handle(FleetMethod.Read, () => this.#read());
+    serveRelays(node, () => this.state.policy);
     new StreamDesk(node);
     const leading = {
       node,
--- a/tests/support/batch_runner_fixture.ts
+++ b/tests/support/batch_runner_fixture.ts
@@ -5,6 +5,7 @@
   BatchState,
   type PartialTextRecord,
 } from "../../src/core/batches/mod.ts";
+import { RegionMap } from "../../src/core/policy/mod.ts";
 import {
   TargetRegistry,
   type TargetReport,
@@ -76,10 +77,11 @@
   targets: readonly TargetReport[],
   specs: readonly BatchSpec[],
   setUp: (state: BatchState) => void = () => {},
+  regions?: Readonly<Record<string, string>>,
 ) {
   const state = new BatchState();
   const engines = new ScriptedEngines();
-  const registry = new TargetRegistry();
+  const registry = new TargetRegistry(new RegionMap(regions));
   const storedTexts: PartialTextRecord[] = [];
   targets.forEach((t, i) =>
     registry.merge({ ...t, address: `127.0.0.1:${i + 1}` }, 0)
--- a/tests/support/fleet_deployment.ts
+++ b/tests/support/fleet_deployment.ts
@@ -25,6 +25,8 @@
   readonly receiver?: string;
   /** Whether peers reach each instance through a proxy on its dialled port. */
   readonly hasPeerProxies?: boolean;
+  /** Region of each zone; the settings have none by default. */
+  readonly regions?: Readonly<Record<string, string>>;
   /** Whether recipients of orders check fencing tokens; true by default. */
   readonly areFencesChecked?: boolean;
   /** Bundled program of all machines; the one of today by default. */
@@ -253,11 +255,13 @@
 
   #createSettings(machine: FleetMachine, isFirstStart: boolean): unknown {
     const { id, name, zone, role, folder } = machine;
-    const { receiver, hasPeerProxies, areFencesChecked } = this.#options;
+    const { receiver, hasPeerProxies, areFencesChecked, regions } =
+      this.#options;
     return {
       id,
       name,
       dataCentre: zone,
+      regions,
       role,
       peerPort: PEER_PORT,
       ...(hasPeerProxies ? { peerListenPort: PEER_LISTEN_PORT } : {}),
