--- a/src/settings/fleet_settings.ts
+++ b/src/settings/fleet_settings.ts
@@ -21,6 +21,11 @@
     const [host, port] = text.split(":");
     return { host, port: Number(port) };
   });
+/** Schema of an optional table of regions; null or an empty one means none. */
+const regions = z.record(name, name).nullable()
+  .transform((table) =>
+    Object.keys(table ?? {}).length === 0 ? undefined : table ?? undefined
+  );
 /** Schema of an optional address; an empty string means none. */
 const optionalAddress = z.union([
   z.literal("").transform(() => undefined),
@@ -35,7 +40,7 @@
   name,
   dataCentre: name,
   /** Region of each data centre of the deployment. */
-  regions: z.record(name, name).optional(),
+  regions: regions.optional(),
   role: z.enum(Object.values(FleetRole)),
   /** Port on which instances connect to each other. */
   peerPort: port,
