Tests: an instance learns of evacuations by confirmation, and sends nothing before

Cause: the process tests reach an instance by a notice first, so they show neither the confirmation nor the wait of an instance that has just started.

Evidence: fleet_follower_test.ts, 3 tests.

--- /dev/null
+++ b/src/tasks/fleet/fleet_follower_test.ts
@@ -0,0 +1,105 @@
+import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
+import { createPolicy } from "../../../tests/support/policy_document.ts";
+import { createReport } from "../../../tests/support/target_report.ts";
+import { ElapsedClock } from "../../core/clock/mod.ts";
+import type { EvacuationUpdate, FleetNotice } from "../../core/fleet/mod.ts";
+import { TargetRegistry } from "../../core/registry/mod.ts";
+import { Logger } from "../../logging/mod.ts";
+import { Metrics } from "../../metrics/mod.ts";
+import { FleetFollower } from "./fleet_follower.ts";
+import type { ConfirmPolicyReply } from "./fleet_method.ts";
+import type { FleetNode } from "./fleet_node.ts";
+
+const LEASE_MS = 2_000;
+const CONFIRM_INTERVAL_MS = 500;
+
+beforeEach(() => void vi.useFakeTimers());
+afterEach(() => void vi.useRealTimers());
+
+describe(FleetFollower.name, () => {
+  /** Gets the targets offered at first and after each step. */
+  async function doTest(
+    options: {
+      readonly needsLease: boolean;
+      /** Notices that arrive before the first reply. */
+      readonly notices?: readonly FleetNotice[];
+      /** Evacuations in the replies of the control leader; it is silent before. */
+      readonly replies: readonly (EvacuationUpdate | undefined | "none")[];
+    },
+    expected: readonly (readonly string[])[],
+  ) {
+    const registry = new TargetRegistry();
+    const replies = [...options.replies];
+    const node = {
+      settings: { id: "10.0.0.1", times: { policyLeaseMs: LEASE_MS } },
+      logger: new Logger({ instance: "test", level: "error" }),
+      metrics: new Metrics({ tags: {} }),
+      hub: { announce: () => {} },
+      notify: () => {},
+      onNotice: (_notice: FleetNotice, _from: string) => {},
+      requestLeader: (): Promise<ConfirmPolicyReply> => {
+        const evacuations = replies.shift();
+        if (evacuations === "none") return Promise.reject(new Error("Silent"));
+        const document = undefined;
+        return Promise.resolve({
+          revision: 1,
+          document,
+          suspicions: undefined,
+          evacuations,
+        });
+      },
+    };
+    const follower = new FleetFollower({
+      node: node as unknown as FleetNode,
+      registry,
+      clock: new ElapsedClock(),
+      needsLease: options.needsLease,
+      usage: () => ({}),
+      onTargetsChanged: () => {},
+    });
+    const reports = ["a", "b"].map((dataCentre) =>
+      createReport({ id: dataCentre, address: dataCentre, dataCentre })
+    );
+    const mark = undefined;
+    node.onNotice({ type: "policy", document: createPolicy() }, "c");
+    node.onNotice({ type: "targets", mark, isWhole: true, reports }, "c");
+    for (const notice of options.notices ?? []) node.onNotice(notice, "c");
+    const offered = () => registry.readyOf("s").map(({ report }) => report.id);
+    const seen = [offered()];
+    follower.start();
+    for (const _ of options.replies) {
+      await vi.advanceTimersByTimeAsync(1);
+      seen.push(offered());
+      await vi.advanceTimersByTimeAsync(CONFIRM_INTERVAL_MS - 1);
+    }
+    follower.stop();
+    expect(seen).toEqual(expected);
+  }
+
+  // Guards against requests of an instance that has a policy and targets, but
+  // has not heard of an order given while it was down.
+  it("offers no targets until the control leader has replied", async () => {
+    const evacuated = { version: 2, dataCentres: ["a"] };
+    for (const needsLease of [true, false]) {
+      await doTest(
+        { needsLease, replies: ["none", evacuated] },
+        [[], [], ["b"]],
+      );
+    }
+  });
+
+  // Guards against ledger instances that miss an order for good.
+  it("learns of an order by a confirmation if its notice is lost", () =>
+    doTest({
+      needsLease: false,
+      replies: [undefined, { version: 1, dataCentres: ["b"] }],
+    }, [[], ["a", "b"], ["a"]]));
+
+  // Guards against a notice of a control instance that lags behind the leader.
+  it("prefers the newer state of the leader to that of a notice", () =>
+    doTest({
+      needsLease: true,
+      notices: [{ type: "evacuations", version: 1, dataCentres: ["a"] }],
+      replies: [{ version: 2, dataCentres: [] }],
+    }, [[], ["a", "b"]]));
+});
