--- a/src/tasks/fleet/entry_task.ts
+++ b/src/tasks/fleet/entry_task.ts
@@ -31,6 +31,7 @@
   type ResponseStream,
   type TargetPort,
 } from "../calls/mod.ts";
+import { BatchHomes } from "./batch_homes.ts";
 import { BatchReader } from "./batch_reader.ts";
 import type { FleetFollower } from "./fleet_follower.ts";
 import type { FleetNode } from "./fleet_node.ts";
@@ -79,6 +80,7 @@
   readonly #usage: UsageCounter;
   readonly #streams: StreamRecords;
   readonly #spread: CallSpread;
+  readonly #batchHomes: BatchHomes;
   #isDraining = false;
 
   constructor(options: EntryTaskOptions) {
@@ -97,6 +99,7 @@
         node.roster.membersOf(FleetRole.Ledger, node.now).length,
       random: () => uniformFloat64(random),
     };
+    this.#batchHomes = new BatchHomes(options);
     this.#usage = new UsageCounter(node.settings.times.usageWindowMs);
     this.#gate = new CallGate({
       policy: () => follower.policy,
@@ -226,10 +229,11 @@
 
   /**
    * Submits a batch to the ledger.
-   * @throws RefusalError if no route matches a scoring call of its items, or if
-   * the ledger does not accept it in time.
+   * @throws RefusalError if no route matches a scoring call of its items, if it
+   * would leave its homes, or if the ledger does not accept it in time.
    */
   async submit(spec: BatchSpec, { policy }: Admission): Promise<void> {
+    this.#batchHomes.throwIfOutside(spec);
     const params: SubmitParams = {
       spec,
       faults: findScoringFaults(spec, policy),
--- a/src/tasks/fleet/evacuation_watch_test.ts
+++ b/src/tasks/fleet/evacuation_watch_test.ts
@@ -30,7 +30,7 @@
   }
 
   // Guards against requests of a process that missed an order while it was down.
-  it("offers no targets before a control leader has replied", () => {
+  it("offers no targets before a control instance has told its state", () => {
     doTest((watch) => watch.apply({ version: 1, dataCentres: ["a"] }), {
       ready: [],
       changes: 0,
