One late event makes no target sick, and a short pause moves no run

Cause: the recent pace follows events quickly, so that the gap after one lost packet (some 200 ms) could put a fast target above the ratio at which its runs are moved, until the next ten events arrived.

Change: a single gap counts at most as ten times the long-run pace, its weight allows for the other runs at the target, and runs are moved only once the target has been sick at each event for 200 ms.

--- a/src/core/batches/pace_stats.ts
+++ b/src/core/batches/pace_stats.ts
@@ -13,8 +13,11 @@
   lastSampleAt: number;
   /** Time since which the recent pace has been far from the long-run pace. */
   changedSince: number | undefined;
-  /** Whether the target was sick at the last sample that could tell. */
-  wasSick: boolean;
+  /**
+   * Time since which the target was sick at each sample; undefined if it was
+   * not at the last sample that could tell.
+   */
+  sickSince: number | undefined;
   avoidedUntil: number;
   failures: number;
 }
@@ -30,6 +33,11 @@
 export const MIN_INHERENT_SAMPLES = 20;
 /** Multiple of the long-run pace to which single gaps are limited in it. */
 const MAX_GAP_RATIO = 4;
+/**
+ * As {@link MAX_GAP_RATIO}, in the recent pace: one late event, as after a lost
+ * packet, does not make a target sick.
+ */
+const MAX_RECENT_GAP_RATIO = 10;
 /** Time without an event after which a recent pace expires. */
 const STALE_MS = 3_000;
 /** Time without an event after which a recent pace is gradually forgotten. */
@@ -51,22 +59,29 @@
     recentSamples: 0,
     lastSampleAt: -Infinity,
     changedSince: undefined,
-    wasSick: false,
+    sickSince: undefined,
     avoidedUntil: -Infinity,
     failures: 0,
   };
 }
 
 /** Adds the time between two events to the recent pace. */
-export function addRecent(stats: PaceStats, gapMs: number, now: number): void {
+export function addRecent(
+  stats: PaceStats,
+  gapMs: number,
+  { runs, now }: { readonly runs: number; readonly now: number },
+): void {
   if (now - stats.lastSampleAt > STALE_MS) stats.recentSamples = 0;
   stats.recentMs = recentMsOf(stats, now);
   const weight = Math.max(
     RECENT_WEIGHT,
     1 / (stats.recentSamples + 1),
-    1 - Math.exp(-gapMs / RECENT_MS),
+    1 - Math.exp(-gapMs / (RECENT_MS * runs)),
   );
-  stats.recentMs += weight * (gapMs - stats.recentMs);
+  const limitedMs = hasInherent(stats)
+    ? Math.min(gapMs, MAX_RECENT_GAP_RATIO * stats.inherentMs)
+    : gapMs;
+  stats.recentMs += weight * (limitedMs - stats.recentMs);
   stats.recentSamples += 1;
   stats.lastSampleAt = now;
 }
--- a/src/core/batches/target_pace.ts
+++ b/src/core/batches/target_pace.ts
@@ -24,6 +24,8 @@
   readonly gapMs: number;
   /** Share of the target's slots that other runs used, from 0. */
   readonly load: number;
+  /** Number of runs at the target, with this one. */
+  readonly runs: number;
   /** Current time, in milliseconds. */
   readonly now: number;
 }
@@ -42,6 +44,8 @@
 const DEFAULT_PACE_MS = 60;
 /** Ratio of recent to long-run pace above which a target is sick. */
 const SICK_RATIO = 3;
+/** Time for which a target is sick before its runs are moved. */
+const LASTING_MS = 200;
 /** Ratio to the slow end of its service above which a new target is sick. */
 const SICK_SERVICE_RATIO = 3.5;
 /** Ratio to the long-run pace from which the recent pace is expected to last. */
@@ -74,7 +78,7 @@
  *
  * @example
  * ```ts
- * pace.onEventGap(target, { gapMs: 20, load: 0.5, now });
+ * pace.onEventGap(target, { gapMs: 20, load: 0.5, runs: 5, now });
  * pace.isSick(target, now); // false
  * ```
  */
@@ -88,10 +92,12 @@
     if (target.incarnation < stats.incarnation) return this;
     const { now } = sample;
     const gapMs = sample.gapMs / loadFactorOf(sample.load);
-    addRecent(stats, gapMs, now);
+    addRecent(stats, gapMs, sample);
     const isConfirmed = stats.recentSamples >= MIN_RECENT_SAMPLES;
-    if (stats.wasSick && !isConfirmed) return this;
-    stats.wasSick = this.#isSick(stats, now);
+    if (stats.sickSince !== undefined && !isConfirmed) return this;
+    stats.sickSince = this.#isSick(stats, now)
+      ? stats.sickSince ?? now
+      : undefined;
     if (this.#isChanged(stats, now)) return this.#onChanged(stats, now);
     stats.changedSince = undefined;
     addInherent(stats, gapMs);
@@ -103,7 +109,7 @@
 
   /** Gets whether the recent pace says nothing of the long-run pace. */
   #isChanged(stats: PaceStats, now: number): boolean {
-    if (!hasInherent(stats)) return stats.wasSick;
+    if (!hasInherent(stats)) return stats.sickSince !== undefined;
     const { medianRatio } = this.#summaryOf(stats.service, now);
     const usualMs = medianRatio * stats.inherentMs;
     return recentMsOf(stats, now) > CHANGED_RATIO * usualMs;
@@ -117,7 +123,7 @@
     stats.inherentMs = stats.recentMs;
     stats.inherentSamples = MIN_INHERENT_SAMPLES;
     stats.changedSince = undefined;
-    stats.wasSick = false;
+    stats.sickSince = undefined;
     this.#summaries.delete(stats.service);
     return this;
   }
@@ -181,10 +187,17 @@
     return stats !== undefined && this.#isSick(stats, now);
   }
 
+  /** Gets whether a target is sick, and was at each event for a while. */
+  isLastinglySick(target: PacedTarget, now: number): boolean {
+    const since = this.#getStats(target)?.sickSince;
+    if (since === undefined || now - since < LASTING_MS) return false;
+    return this.isSick(target, now);
+  }
+
   /** Gets whether a target was sick, and no events show that it recovered. */
   isRecovering(target: PacedTarget, now: number): boolean {
     const stats = this.#getStats(target);
-    return stats !== undefined && stats.wasSick && !this.#isSick(stats, now);
+    return stats?.sickSince !== undefined && !this.#isSick(stats, now);
   }
 
   /** Removes all targets except the given ones. */
--- a/src/core/batches/target_pace_test.ts
+++ b/src/core/batches/target_pace_test.ts
@@ -13,7 +13,7 @@
 ): TargetPace {
   const { from, to, gapMs, load = 0 } = events;
   for (let now = from; now <= to; now += gapMs) {
-    pace.onEventGap(at, { gapMs, load, now });
+    pace.onEventGap(at, { gapMs, load, runs: 1, now });
   }
   return pace;
 }
@@ -24,7 +24,12 @@
     const pace = new TargetPace();
     for (const [id, gapMs] of Object.entries(gaps)) {
       for (let i = 0; i < 20; i += 1) {
-        pace.onEventGap(target(id), { gapMs, load: 0, now: 1_000 + i });
+        pace.onEventGap(target(id), {
+          gapMs,
+          load: 0,
+          runs: 1,
+          now: 1_000 + i,
+        });
       }
     }
     return pace;
@@ -104,12 +109,26 @@
     }
     for (let i = 0; i < 6; i += 1) {
       for (const each of targets) {
-        pace.onEventGap(each, { gapMs: 400, load: 0, now: 1_400 + i });
+        pace.onEventGap(each, { gapMs: 400, load: 0, runs: 1, now: 1_400 + i });
       }
     }
     expect(targets.filter((each) => pace.isSick(each, 1_600))).toEqual([]);
   });
 
+  it("holds no target sick for one late event, or moves runs for a few", () => {
+    const pace = new TargetPace();
+    const at = target("x");
+    play(pace, at, { from: 0, to: 1_000, gapMs: 14 });
+    const late = { gapMs: 300, load: 0, runs: 8, now: 1_300 };
+    pace.onEventGap(at, late);
+    expect(pace.isSick(at, 1_300)).toBe(false);
+    for (let i = 0; i < 7; i += 1) pace.onEventGap(at, late);
+    expect(pace.isSick(at, 1_300)).toBe(true);
+    expect(pace.isLastinglySick(at, 1_350)).toBe(false);
+    play(pace, at, { from: 1_301, to: 1_600, gapMs: 14 });
+    expect(pace.isSick(at, 1_600)).toBe(false);
+  });
+
   it("awaits events before it counts a sick target as recovered", () => {
     const pace = new TargetPace();
     const at = target("x");
--- a/src/tasks/batches/batch_runner.ts
+++ b/src/tasks/batches/batch_runner.ts
@@ -229,10 +229,10 @@
 
   /** Records the time between two events, in milliseconds. */
   onEventGap({ target }: ItemRun, gapMs: number): void {
-    const others = this.#runs.countAt(target.id) - 1;
-    const load = Math.max(0, others) / Math.max(1, target.slots);
+    const runs = Math.max(1, this.#runs.countAt(target.id));
+    const load = (runs - 1) / Math.max(1, target.slots);
     const now = this.#options.now();
-    this.#targetPace.onEventGap(target, { gapMs, load, now });
+    this.#targetPace.onEventGap(target, { gapMs, load, runs, now });
   }
 
   /** Passes on what a target says of itself. */
--- a/src/tasks/batches/run_mover.ts
+++ b/src/tasks/batches/run_mover.ts
@@ -112,7 +112,7 @@
     let moved = 0;
     for (const run of runs.all) {
       if (moved >= MAX_MOVED_PER_ROUND) return;
-      if (!targetPace.isSick(run.target, now)) continue;
+      if (!targetPace.isLastinglySick(run.target, now)) continue;
       placer ??= createPlacer(now);
       if (this.#moveSickRun(run, placer, now)) moved += 1;
     }
