--- a/src/core/batches/item_placement_test.ts
+++ b/src/core/batches/item_placement_test.ts
@@ -49,6 +49,12 @@
   it("selects the least loaded of equal targets", () =>
     doTest([target("x", { inFlight: 2 }), target("y")], {}, "y"));
 
+  it("leaves the few requests of a cold target to items without a slot", () => {
+    const cold = target("cold", { isCold: true });
+    doTest([cold, target("warm")], {}, "warm");
+    doTest([cold, target("full", { inFlight: 4 })], {}, "cold");
+  });
+
   it("selects a faster target despite its higher load", () =>
     doTest(
       [
--- a/src/tasks/fleet/fleet_follower.ts
+++ b/src/tasks/fleet/fleet_follower.ts
@@ -147,10 +147,8 @@
   #extendCold(cold: Omit<NoticeOf<"cold">, "type">): boolean {
     const { registry, clock } = this.#options;
     const { target, incarnation, coldMs } = cold;
-    return registry.extendCold(target, incarnation, {
-      coldMs,
-      now: clock.now(),
-    });
+    const end = { coldMs, now: clock.now() };
+    return registry.extendCold(target, incarnation, end);
   }
 
   #markLeaving(id: string, incarnation: number): void {
