Slow start: a target whose process seems to have ended counts as cold

A process that starts again under its identifier is cold, but until its first heartbeat is heard every instance takes it for the warm one before. An instance whose connection to a target of a service with slow start breaks or is refused, or to which another incarnation answers, takes the target for cold for one second. Services without slow start are not affected.

--- a/src/tasks/batches/batch_runner.ts
+++ b/src/tasks/batches/batch_runner.ts
@@ -56,6 +56,11 @@
 }
 
 const TICK_INTERVAL_MS = 50;
+/** Failures after which another process may have the target's identifier. */
+const LOST_FAILURES: ReadonlySet<RunFailure> = new Set([
+  RunFailure.Broken,
+  RunFailure.Unverified,
+]);
 /** Time for which a target gets no items after it refused one. */
 const REFUSAL_BACKOFF_MS = 150;
 /** Interval between writes of the partial texts of long runs. */
@@ -228,8 +233,9 @@
 
   /** Keeps the text of a failed run and decides whether the item is retried. */
   onFailed(run: ItemRun, failure: RunFailure, detail: string): void {
-    const { logger, now } = this.#options;
+    const { logger, limiter, now } = this.#options;
     this.#runs.remove(run);
+    if (LOST_FAILURES.has(failure)) limiter.onLost(run.target);
     this.#itemTracker.savePartialText(run, run.text);
     const progress = this.#itemTracker.progressOf(run.item);
     this.#options.metrics.count("items.broken");
--- a/src/tasks/calls/call_run.ts
+++ b/src/tasks/calls/call_run.ts
@@ -202,7 +202,7 @@
     signal: AbortSignal,
     isHedged = false,
   ): Promise<CallResponse | undefined> {
-    const { latencies } = this.#dependencies;
+    const { latencies, rates } = this.#dependencies;
     const { call, admission } = this.#options;
     this.#targets.markTried(report);
     this.#attemptsRun += 1;
@@ -237,8 +237,9 @@
       isFailure: isFailure(outcome) && !signal.aborted,
       now,
     });
-    if (outcome.type === "failed" && outcome.isBroken && !signal.aborted) {
-      await this.#trial.reportBroken(report);
+    if (outcome.type === "failed" && !signal.aborted) {
+      if (outcome.isBroken || outcome.isRefused) rates.onLost?.(report);
+      if (outcome.isBroken) await this.#trial.reportBroken(report);
     }
     return this.#handleOutcome(outcome, report.id);
   }
--- a/src/tasks/calls/call_run_test.ts
+++ b/src/tasks/calls/call_run_test.ts
@@ -293,6 +293,32 @@
         retryAfterMs: 900,
       }));
 
+    it("learns of targets whose connection breaks or is refused", async () => {
+      const lost: string[] = [];
+      const ends = [{ isBroken: true }, { isRefused: true }, {}];
+      const outcomes = ends.map((end) =>
+        ({ ...failed(true), ...end }) as AttemptOutcome
+      );
+      const { ids } = await play(outcomes, {
+        maxAttempts: 3,
+        rates: { onLost: ({ id }) => lost.push(id) },
+      });
+      expect(lost).toEqual(ids.slice(0, 2));
+    });
+
+    it("does not use a permit that has expired during the wait", () =>
+      doTest([answered(200)], {
+        targets: 1,
+        rates: {
+          isLimited,
+          acquire: ([first]) =>
+            Promise.resolve({
+              permit: { target: first, afterMs: 5, isValid: () => false },
+              retryAfterMs: 0,
+            }),
+        },
+      }, { reason: "noTarget", verdict: "notRun", attempts: 0 }));
+
     it("sends no hedge to them", () =>
       doTest(["silent", answered(200)], {
         targets: 2,
--- a/src/tasks/calls/rate_guard.ts
+++ b/src/tasks/calls/rate_guard.ts
@@ -25,6 +25,11 @@
    * or while it is cold.
    */
   isLimited(target: TargetReport): boolean;
+  /**
+   * Records that a target's process seems to have ended; another one may have
+   * started under its identifier, which is not known yet to be cold.
+   */
+  onLost?(target: TargetReport): void;
   /**
    * Takes a permit for one request to the first of some limited targets.
    * @param maxWaitMs - Longest time that the request can wait.
--- a/src/tasks/calls/target_port.ts
+++ b/src/tasks/calls/target_port.ts
@@ -68,6 +68,8 @@
     readonly mayHaveRun: boolean;
     /** Whether the target closed the connection before the response ended. */
     readonly isBroken: boolean;
+    /** Whether nothing listens at the target's address. */
+    readonly isRefused?: boolean;
     readonly detail: string;
   };
 
--- a/src/tasks/fleet/cold_targets.ts
+++ b/src/tasks/fleet/cold_targets.ts
@@ -48,6 +48,12 @@
 /** Difference of the clocks of two machines that is reckoned with. */
 const CLOCK_SKEW_MS = 6_000;
 
+/**
+ * Time for which a target counts as cold after its process seems to have ended.
+ * One that starts again under its identifier has sent heartbeats by then.
+ */
+const LOST_MS = 1_000;
+
 interface ColdState {
   readonly incarnation: number;
   readonly until: number;
@@ -58,6 +64,8 @@
   readonly #options: ColdTargetsOptions;
   /** Targets that were cold at the last {@link check}. */
   readonly #known = new Map<string, ColdState>();
+  /** Targets whose process seems to have ended. */
+  readonly #lost = new Map<string, ColdState>();
 
   constructor(options: ColdTargetsOptions) {
     this.#options = options;
@@ -71,8 +79,31 @@
     const target = this.#options.registry.get(id);
     if (target?.report.incarnation !== incarnation) return undefined;
     const end = this.#endOf(target);
-    if (end === undefined) return undefined;
-    return end.until > this.#knownAt ? this.#rateOf(target) : undefined;
+    const isCold = end !== undefined && end.until > this.#knownAt;
+    const isLimited = isCold || this.#isLost(target);
+    return isLimited ? this.#rateOf(target) : undefined;
+  }
+
+  /**
+   * Records that a target's process seems to have ended. Until a restart is
+   * heard of, a process under the same identifier would pass for warm.
+   */
+  onLost({ id, incarnation }: TargetReport): void {
+    const target = this.#options.registry.get(id);
+    if (target?.report.incarnation !== incarnation) return;
+    if (this.#rateOf(target) === undefined) return;
+    const now = this.#options.now();
+    for (const [other, { until }] of this.#lost) {
+      if (until <= now) this.#lost.delete(other);
+    }
+    this.#lost.set(id, { incarnation, until: now + LOST_MS });
+  }
+
+  #isLost({ report: { id, incarnation } }: RegisteredTarget): boolean {
+    const lost = this.#lost.get(id);
+    if (lost === undefined) return false;
+    return lost.incarnation === incarnation &&
+      lost.until > this.#options.now();
   }
 
   /**
--- a/src/tasks/fleet/cold_targets_test.ts
+++ b/src/tasks/fleet/cold_targets_test.ts
@@ -90,6 +90,16 @@
     expect(setup.cold.rateOf(target)).toBeUndefined();
   });
 
+  it("takes a target for cold whose process may have been replaced", () => {
+    const setup = new Setup();
+    setup.merge(2, 0);
+    const target = setup.registry.getReportOrThrow("t1");
+    setup.cold.onLost(target);
+    expect(setup.cold.rateOf(target)).toBe(SLOW_START.requestsPerS);
+    setup.now = 1_000;
+    expect(setup.cold.rateOf(target)).toBeUndefined();
+  });
+
   it("leaves a target that was warm at the loss of contact as it was", () => {
     const setup = new Setup();
     const target = setup.registry.getReportOrThrow("t1");
--- a/src/tasks/fleet/target_limiter.ts
+++ b/src/tasks/fleet/target_limiter.ts
@@ -93,6 +93,11 @@
     return this.#options.cold.rateOf(target) !== undefined;
   }
 
+  /** Takes a target for cold until its next heartbeats would have come. */
+  onLost(target: TargetReport): void {
+    this.#options.cold.onLost(target);
+  }
+
   /** Takes a permit for one request to the first of some limited targets. */
   async acquire(
     targets: readonly TargetReport[],
