--- a/src/logging/fleet_events.ts
+++ b/src/logging/fleet_events.ts
@@ -122,7 +122,7 @@
   }),
   itemMoved: defineEvent(2214, "info", {
     text:
-      "Run of an item cancelled at a slow or silent target; the item continues at another one",
+      "Run of an item cancelled at a sick or silent target; the item continues at another one",
   }),
   recordsUnstored: defineEvent(2215, "warn", {
     text: "Results of items could not be stored; the items run again",
@@ -176,6 +176,14 @@
   instanceRetired: defineEvent(2342, "info", {
     text: "Instance is retired: it holds no data and may be removed",
   }),
+  dataCentreEvacuated: defineEvent(2351, "warn", {
+    text:
+      "Evacuation of a data centre in force on this instance; it sends nothing more to the targets there",
+  }),
+  dataCentreReadmitted: defineEvent(2352, "info", {
+    text:
+      "Evacuation of a data centre withdrawn on this instance; its targets get requests again",
+  }),
   linesDropped: defineEvent(2901, "warn", {
     text:
       "Log lines dropped: events exceeded their rate limit, or the log reader is too slow",
--- a/src/metrics/metric_catalogue.ts
+++ b/src/metrics/metric_catalogue.ts
@@ -55,6 +55,10 @@
     text: "Samples discarded because their slot was already filled",
   },
   "targets.serving": { kind: "gauge", text: "Targets that accept requests" },
+  "targets.evacuatedDataCentres": {
+    kind: "gauge",
+    text: "Data centres to whose targets this instance sends nothing",
+  },
   "targets.cold": {
     kind: "gauge",
     text: "Targets that take only a few requests a second after their start",
@@ -102,6 +106,11 @@
     kind: "counter",
     text: "Calls retried at another target",
   },
+  "calls.spread": {
+    kind: "counter",
+    text:
+      "Calls whose random change of costs gave them another target than the cheapest",
+  },
   "batches.accepted": {
     kind: "counter",
     text: "Batches committed by a quorum",
@@ -132,6 +141,18 @@
     kind: "counter",
     text: "Runs of items that begin anew although events were received",
   },
+  "reads.leader": {
+    kind: "counter",
+    text: "Reads of batch results that the ledger's leader answered",
+  },
+  "reads.replica": {
+    kind: "counter",
+    text: "Reads of batch results answered by a replica in the data centre",
+  },
+  "reads.replicaFailed": {
+    kind: "counter",
+    text: "Reads of batch results that a replica did not answer",
+  },
   "items.completed": {
     kind: "counter",
     text: "Items completed, with a stored result",
@@ -146,7 +167,16 @@
   },
   "items.moved": {
     kind: "counter",
-    text: "Runs of items moved away from slow or silent targets",
+    text: "Runs of items moved away from sick or silent targets",
+  },
+  "items.moved.sick": {
+    kind: "counter",
+    text:
+      "Runs of items moved away from targets far slower than in the long run",
+  },
+  "items.moved.silent": {
+    kind: "counter",
+    text: "Runs of items moved away from targets that sent no events",
   },
   "items.scored": { kind: "counter", text: "Items that got their score" },
   "items.unscored": {
--- a/src/tasks/batches/batch_runner.ts
+++ b/src/tasks/batches/batch_runner.ts
@@ -9,7 +9,10 @@
   orderItems,
   type PartialTextRecord,
   PendingLoads,
+  PromptLocations,
+  RunEstimator,
   type ServiceDemand,
+  StartPacer,
   TargetPace,
 } from "../../core/batches/mod.ts";
 import {
@@ -69,6 +72,7 @@
 const LONG_RUN_MS = 500;
 /** Maximum number of items sent to targets in one round. */
 const MAX_PLACED_PER_ROUND = 64;
+
 /**
  * Places items on targets, moves runs off silent or slow targets and stores the
  * results. Runs only on the ledger's leader.
@@ -80,7 +84,10 @@
   readonly #itemTracker = new ItemTracker();
   readonly #demandMeter = new DemandMeter();
   readonly #targetPace = new TargetPace();
+  readonly #estimator = new RunEstimator();
+  readonly #prompts = new PromptLocations();
   readonly #loads = new PendingLoads();
+  readonly #pacer = new StartPacer(TICK_INTERVAL_MS);
   readonly #scorer: ItemScorer;
   readonly #mover: RunMover;
   readonly #starter: ItemStarter;
@@ -111,6 +118,7 @@
       ...options,
       itemTracker: this.#itemTracker,
       results: this.#results,
+      prompts: this.#prompts,
       runs: this.#runs,
       listener: this,
     });
@@ -118,16 +126,20 @@
       runs: this.#runs,
       itemTracker: this.#itemTracker,
       targetPace: this.#targetPace,
+      estimator: this.#estimator,
       loads: this.#loads,
       logger,
       metrics,
       now: options.now,
       createPlacer: (now) => this.#createPlacer(now),
+      restart: (waiting, placer) =>
+        this.#starter.start(waiting, placer, state().all),
     });
   }
 
   /** Starts placing items; has no effect if already started. */
   start(): this {
+    if (this.#timer === undefined) this.#pacer.reset();
     this.#timer ??= setInterval(() => this.#tick(), TICK_INTERVAL_MS);
     this.schedulePlacement();
     return this;
@@ -141,6 +153,7 @@
     this.#scorer.stop();
     this.#results.clear();
     this.#itemTracker.clear();
+    this.#prompts.clear();
     return this;
   }
 
@@ -211,9 +224,24 @@
     this.#loads.onOrdered(loading, this.#options.now());
   }
 
+  /** Records the time in which a target has read a prompt. */
+  onFirstEvent(run: ItemRun, afterMs: number): void {
+    const now = this.#options.now();
+    this.#prompts.add(run, run.target.id, now);
+    if (run.resumedAfter > 0) return;
+    const paceMs = this.#targetPace.inherentPaceMs(run.target, now);
+    this.#estimator.onFirstEvent(run.record.spec.service, {
+      isCached: run.isPromptCached,
+      events: afterMs / paceMs,
+    });
+  }
+
   /** Records the time between two events, in milliseconds. */
-  onEventGap(run: ItemRun, gapMs: number): void {
-    this.#targetPace.onEventGap(run.target.id, gapMs, this.#options.now());
+  onEventGap({ target }: ItemRun, gapMs: number): void {
+    const others = this.#runs.countAt(target.id) - 1;
+    const load = Math.max(0, others) / Math.max(1, target.slots);
+    const now = this.#options.now();
+    this.#targetPace.onEventGap(target, { gapMs, load, now });
   }
 
   /** Passes on what a target says of itself. */
@@ -225,7 +253,12 @@
   onCompleted(run: ItemRun): void {
     const { metrics, now } = this.#options;
     metrics.timing("items.duration", now() - run.startedAt);
-    this.#targetPace.onCompleted(run.target.id);
+    this.#targetPace.onCompleted(run.target);
+    this.#prompts.add(run, run.target.id, now());
+    this.#estimator.onCompleted(run.record.spec.service, {
+      expectedTokens: run.item.expectedTokens,
+      events: run.text.lastId,
+    });
     this.#runs.remove(run);
     this.#results.complete(run);
     this.schedulePlacement();
@@ -257,17 +290,19 @@
     Record<RunFailure, (run: ItemRun, progress: ItemProgress) => void>
   > = {
     refused: (run) => {
+      this.#prompts.remove(run, run.target.id);
       this.#targetPace.avoid(
-        run.target.id,
+        run.target,
         this.#options.now() + REFUSAL_BACKOFF_MS,
       );
     },
     misdirected: (run) => {
-      this.#targetPace.onFailure(run.target.id, this.#options.now());
+      this.#prompts.remove(run, run.target.id);
+      this.#targetPace.onFailure(run.target, this.#options.now());
     },
     unverified: (run, progress) => {
       progress.unverifiedRuns += 1;
-      this.#targetPace.onFailure(run.target.id, this.#options.now());
+      this.#targetPace.onFailure(run.target, this.#options.now());
     },
     otherVersion: (run, progress) => {
       progress.excludedTargets.add(run.target.id);
@@ -284,7 +319,7 @@
       this.#results.abandon(record, item, text),
     broken: (run, progress) => {
       progress.excludedTargets.add(run.target.id);
-      this.#targetPace.onFailure(run.target.id, this.#options.now());
+      this.#targetPace.onFailure(run.target, this.#options.now());
       this.#itemTracker.backOff(run.item, this.#options.now());
     },
   };
@@ -313,10 +348,12 @@
   }
 
   #tick(): void {
-    if (!this.#options.canRunItems()) return;
+    const { canRunItems, now } = this.#options;
+    this.#pacer.onTick(now());
+    if (!canRunItems()) return;
     this.#sampleDemand();
     this.#mover.moveSilentRuns();
-    this.#mover.moveSlowRuns();
+    this.#mover.moveSickRuns();
     this.#storeLongRuns();
     this.#abandonOverdue();
     this.#itemTracker.forget(this.#options.state().all);
@@ -343,7 +380,7 @@
 
   #placeItems(): void {
     const { canRunItems, state } = this.#options;
-    if (!canRunItems()) return;
+    if (!canRunItems() || this.#pacer.left === 0) return;
     const { all } = state();
     this.#itemTracker.indexFirstBatches(all);
     const records = all.filter((record) => record.isOpen);
@@ -357,14 +394,16 @@
         this.#itemTracker.isResubmitted(record, item),
     });
     const placer = this.#createPlacer(now);
+    const maxPlaced = Math.min(MAX_PLACED_PER_ROUND, this.#pacer.left);
     let placed = 0;
     for (const waiting of order) {
-      if (placed >= MAX_PLACED_PER_ROUND) break;
+      if (placed >= maxPlaced) break;
       const { record, item } = waiting;
       const isResubmitted = this.#itemTracker.isResubmitted(record, item);
       if (isResubmitted && this.#results.reuseResult(waiting, all)) continue;
       if (this.#starter.start(waiting, placer, all)) placed += 1;
     }
+    this.#pacer.use(placed);
     this.#fetchPermits(placer, order.length - placed);
   }
 
@@ -394,9 +433,12 @@
       runs: this.#runs,
       itemTracker: this.#itemTracker,
       targetPace: this.#targetPace,
+      estimator: this.#estimator,
+      prompts: this.#prompts,
       loads: this.#loads,
       dataCentre,
       now,
+      wallNow: Date.now(),
     });
   }
 }
--- a/src/tasks/calls/call_run.ts
+++ b/src/tasks/calls/call_run.ts
@@ -54,17 +54,13 @@
     const timeMs = Math.min(route.timeoutMs, callTimeoutMs) -
       RESPONSE_MARGIN_MS;
     this.#deadline = performance.now() + timeMs;
-    const { registry, latencies, rates, dataCentre } = dependencies;
     this.#output = new CallOutput({
       ...options,
       isResumable: this.#isRetryable,
       onProgress: () => this.#trial.onProgress(),
     });
     this.#targets = new CallTargets({
-      registry,
-      latencies,
-      rates,
-      dataCentre,
+      ...dependencies,
       route,
       call: options.call.id,
       written: () => this.#output.written,
@@ -93,6 +89,7 @@
 
   async #tryTargets(): Promise<CallResponse> {
     const { maxAttempts } = this.#options.admission.route;
+    const { registry } = this.#dependencies;
     await this.#trial.throwIfQuarantined();
     while (
       this.#attemptsRun < maxAttempts && this.#remainingMs > MIN_ATTEMPT_MS
@@ -101,6 +98,7 @@
       const target = await this.#targets.next(this.#remainingMs);
       if (target === undefined) break;
       if (this.#hasWaitedFor(target) && !await this.#hasLease()) break;
+      if (registry.isEvacuated(target.dataCentre)) continue;
       if (!this.#targets.isPermitted) continue;
       const response = this.#isRetryable && this.#options.stream === undefined
         ? await this.#attemptWithHedge(target)
@@ -202,7 +200,7 @@
     signal: AbortSignal,
     isHedged = false,
   ): Promise<CallResponse | undefined> {
-    const { latencies, rates } = this.#dependencies;
+    const { latencies, rates, registry } = this.#dependencies;
     const { call, admission } = this.#options;
     this.#targets.markTried(report);
     this.#attemptsRun += 1;
@@ -224,6 +222,7 @@
         ?.maxConnections ?? 1,
       onSigns: (signs) => this.#dependencies.onSigns(report, signs),
       needsLive: !isHedged,
+      maySend: () => !registry.isEvacuated(report.dataCentre),
       onConnection: (getState) => this.#trace.onConnection(report.id, getState),
       ...this.#output.attemptAt(report),
     };
@@ -235,6 +234,7 @@
     latencies.onEnded(report.id, {
       latencyMs: now - startedAt,
       isFailure: isFailure(outcome) && !signal.aborted,
+      isRefusal: isRefusal(outcome),
       now,
     });
     if (outcome.type === "failed" && !signal.aborted) {
@@ -296,3 +296,9 @@
   if (outcome.type === "failed") return true;
   return outcome.isMisdirected || outcome.answer.status >= MIN_ERROR_STATUS;
 }
+
+/** Gets whether the target that was meant states that it did not run the call. */
+function isRefusal(outcome: AttemptOutcome): boolean {
+  return outcome.type === "answered" && outcome.isNotRun &&
+    !outcome.isMisdirected;
+}
--- a/src/tasks/fleet/entry_task.ts
+++ b/src/tasks/fleet/entry_task.ts
@@ -1,9 +1,7 @@
 /** An entry instance: admits and forwards calls, and relays batches. */
-import {
-  type BatchSpec,
-  ResultCache,
-  type ResultPage,
-} from "../../core/batches/mod.ts";
+import { uniformFloat64 } from "pure-rand/distribution/uniformFloat64";
+import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
+import type { BatchSpec, ResultPage } from "../../core/batches/mod.ts";
 import {
   type CallRequest,
   type CallResponse,
@@ -27,11 +25,13 @@
   type Admission,
   CallGate,
   CallRun,
+  type CallSpread,
   type CrashGuard,
   type RateGuard,
   type ResponseStream,
   type TargetPort,
 } from "../calls/mod.ts";
+import { BatchReader } from "./batch_reader.ts";
 import type { FleetFollower } from "./fleet_follower.ts";
 import type { FleetNode } from "./fleet_node.ts";
 import { StreamRecords } from "./stream_records.ts";
@@ -67,28 +67,36 @@
   headerTimeoutMs: 3_000,
   idleTimeoutMs: 15_000,
 };
-/** Maximum size of the cache of batch results, in bytes. */
-const RESULT_CACHE_BYTES = 16_777_216;
-const MAX_PAGE_BYTES = 700_000;
 const SUBMIT_TIMEOUT_MS = 3_000;
 const LEDGER_TIMEOUT_MS = 1_300;
-/** Time allowed for a read in addition to its own waiting time. */
-const READ_EXTRA_MS = 1_000;
 
 /** Serves callers on one entry instance. */
 export class EntryTask {
   readonly #options: EntryTaskOptions;
   readonly #gate: CallGate;
   readonly #latencies = new LatencyTracker();
-  readonly #results = new ResultCache(RESULT_CACHE_BYTES);
+  readonly #reader: BatchReader;
   readonly #usage: UsageCounter;
   readonly #streams: StreamRecords;
+  readonly #spread: CallSpread;
   #isDraining = false;
 
   constructor(options: EntryTaskOptions) {
     this.#options = options;
     const { node, follower } = options;
     this.#streams = new StreamRecords(node);
+    this.#reader = new BatchReader({
+      node,
+      readLeader: (params, timeoutMs) =>
+        this.#requestLedger(BatchMethod.Read, params, timeoutMs),
+    });
+    const random = xoroshiro128plus(Date.now() ^ process.pid);
+    this.#spread = {
+      instances: () =>
+        node.senders.length -
+        node.roster.membersOf(FleetRole.Ledger, node.now).length,
+      random: () => uniformFloat64(random),
+    };
     this.#usage = new UsageCounter(node.settings.times.usageWindowMs);
     this.#gate = new CallGate({
       policy: () => follower.policy,
@@ -99,11 +107,13 @@
 
   /**
    * Gets whether this instance is ready for callers: not draining, with a
-   * policy, and with a valid lease if the policy requires API keys.
+   * policy and the evacuated data centres, and with a valid lease if the policy
+   * requires API keys.
    */
   get isReady(): boolean {
     const { follower } = this.#options;
     if (this.#isDraining || follower.policy === undefined) return false;
+    if (follower.evacuations.version === undefined) return false;
     return follower.hasLease || !follower.policy.needsKeys;
   }
 
@@ -152,13 +162,17 @@
    * @throws RefusalError whose verdict says whether the call may have run.
    */
   async forward(
-    call: CallRequest,
+    request: CallRequest,
     options: ForwardOptions,
   ): Promise<ForwardedResponse> {
     const { node, follower, registry, targets, crashes, rates } = this
       .#options;
     const { admission, signal, stream, arrivedAt } = options;
-    const written = await this.#streams.findWriter(call, admission);
+    const written = await this.#streams.findWriter(request, admission);
+    // The search for the writer is part of the time that the caller waits.
+    const call = written === undefined
+      ? request
+      : withLessTime(request, performance.now() - arrivedAt);
     let hasHead = false;
     const run = new CallRun({
       targets,
@@ -169,6 +183,7 @@
       logger: node.logger,
       metrics: node.metrics,
       dataCentre: node.settings.dataCentre,
+      spread: this.#spread,
       awaitLease: () => follower.awaitLease(),
       onSigns: (target, signs) => follower.onSigns(target, signs),
       onFirstRun: (workspace) => {
@@ -222,19 +237,9 @@
     await this.#requestLedger(BatchMethod.Submit, params, SUBMIT_TIMEOUT_MS);
   }
 
-  /** Reads a page of batch results, from the cache if it is there. */
-  async readBatch(params: ReadParams): Promise<ResultPage> {
-    const cached = this.#results.get(params, MAX_PAGE_BYTES);
-    if (cached !== undefined) return cached;
-    const timeoutMs = params.waitMs + READ_EXTRA_MS;
-    const reply = await this.#requestLedger(
-      BatchMethod.Read,
-      params,
-      timeoutMs,
-    );
-    const page = reply as ResultPage;
-    this.#results.add(params, page);
-    return page;
+  /** Reads a page of batch results. */
+  readBatch(params: ReadParams): Promise<ResultPage> {
+    return this.#reader.read(params);
   }
 
   /** Reads the body of an item from the ledger. */
@@ -278,4 +283,9 @@
   }
 }
 
+function withLessTime(call: CallRequest, spentMs: number): CallRequest {
+  if (call.timeoutMs === undefined) return call;
+  return { ...call, timeoutMs: Math.max(0, call.timeoutMs - spentMs) };
+}
+
 const EMPTY_BODY = new Uint8Array();
