Slow start: targets of a readmitted data centre are cold

The targets of a data centre that is no longer evacuated have had no requests for some time and would get a full load at once.

--- a/src/tasks/fleet/evacuation_desk.ts
+++ b/src/tasks/fleet/evacuation_desk.ts
@@ -27,6 +27,8 @@
   readonly publisher: Pick<FleetPublisher, "publishEvacuations">;
   /** Gets the applied state of the control log. */
   readonly state: () => FleetState;
+  /** Gets the local monotonic time, in milliseconds. */
+  readonly now: () => number;
   readonly propose: (command: FleetCommand) => Promise<FleetCommandResult>;
 }
 
@@ -51,8 +53,12 @@
     this.#options = options;
     // A control instance sends to targets only while it leads, and it leads
     // only after it has applied all committed commands.
-    this.#watch = new EvacuationWatch({ ...options, onChanged: () => {} })
-      .confirm(undefined);
+    this.#watch = new EvacuationWatch({
+      ...options,
+      getService: (name) =>
+        options.state().policy?.services.find((known) => known.name === name),
+      onChanged: () => {},
+    }).confirm(undefined);
   }
 
   /** Puts the applied state in force, and publishes it if it is new. */
--- a/src/tasks/fleet/evacuation_desk_test.ts
+++ b/src/tasks/fleet/evacuation_desk_test.ts
@@ -57,6 +57,7 @@
       publisher: { publishEvacuations: () => {} },
       // The replica asked has applied none of the leader's commands.
       state: () => new FleetState(),
+      now: () => 0,
       propose: (command): Promise<FleetCommandResult> => {
         const failure = failures.shift();
         return failure === undefined
--- a/src/tasks/fleet/evacuation_watch.ts
+++ b/src/tasks/fleet/evacuation_watch.ts
@@ -1,5 +1,6 @@
 /** The evacuated data centres, as in force on one instance. */
 import type { EvacuationUpdate } from "../../core/fleet/mod.ts";
+import type { ServicePolicy } from "../../core/policy/mod.ts";
 import type { TargetRegistry } from "../../core/registry/mod.ts";
 import type { FleetNode } from "./fleet_node.ts";
 
@@ -7,6 +8,10 @@
 export interface EvacuationWatchOptions {
   readonly node: Pick<FleetNode, "logger" | "metrics">;
   readonly registry: TargetRegistry;
+  /** Gets a service of the policy in force. */
+  readonly getService: (name: string) => ServicePolicy | undefined;
+  /** Gets the local monotonic time, in milliseconds. */
+  readonly now: () => number;
   /** Called when other data centres than before are evacuated. */
   readonly onChanged: () => void;
 }
@@ -71,8 +76,20 @@
     for (const dataCentre of this.#inForce) {
       if (this.#known.has(dataCentre)) continue;
       logger.event("dataCentreReadmitted", { dataCentre, version });
+      this.#markCold(dataCentre);
     }
     this.#inForce = this.#known;
     onChanged();
   }
+
+  /** Targets without requests for some time are cold until they say otherwise. */
+  #markCold(dataCentre: string): void {
+    const { registry, getService, now } = this.#options;
+    for (const { report } of registry.all) {
+      if (report.dataCentre !== dataCentre) continue;
+      const { id, incarnation, service } = report;
+      const coldMs = getService(service)?.slowStart?.durationMs ?? 0;
+      registry.extendCold(id, incarnation, { coldMs, now: now() });
+    }
+  }
 }
--- a/src/tasks/fleet/evacuation_watch_test.ts
+++ b/src/tasks/fleet/evacuation_watch_test.ts
@@ -8,7 +8,12 @@
 describe(EvacuationWatch.name, () => {
   function doTest(
     act: (watch: EvacuationWatch) => void,
-    expected: { readonly ready: readonly string[]; readonly changes: number },
+    expected: {
+      readonly ready: readonly string[];
+      readonly changes: number;
+      /** Targets that are cold afterwards; none by default. */
+      readonly cold?: readonly string[];
+    },
   ) {
     const registry = new TargetRegistry();
     for (const dataCentre of ["a", "b"]) {
@@ -22,11 +27,23 @@
         metrics: new Metrics({ tags: {} }),
       },
       registry,
+      getService: () => ({
+        name: "s",
+        healthPath: "/",
+        maxConnections: 8,
+        models: [],
+        scaling: undefined,
+        slowStart: { durationMs: 3_000, requestsPerS: 8 },
+      }),
+      now: () => 0,
       onChanged: () => changes += 1,
     });
     act(watch);
     const ready = registry.readyOf("s").map(({ report }) => report.id);
-    expect({ ready, changes }).toEqual(expected);
+    const cold = registry.all
+      .filter(({ coldUntil = 0 }) => coldUntil >= 3_000)
+      .map(({ report }) => report.id);
+    expect({ ready, changes, cold }).toEqual({ cold: [], ...expected });
   }
 
   // Guards against requests of a process that missed an order while it was down.
@@ -57,6 +74,6 @@
     doTest((watch) => {
       watch.confirm({ version: 1, dataCentres: ["a", "b"] })
         .apply({ version: 2, dataCentres: ["b"] });
-    }, { ready: ["a"], changes: 2 });
+    }, { ready: ["a"], changes: 2, cold: ["a"] });
   });
 });
--- a/src/tasks/fleet/fleet_control.ts
+++ b/src/tasks/fleet/fleet_control.ts
@@ -90,6 +90,7 @@
       registry,
       publisher: this.#publisher,
       state: () => this.state,
+      now: options.now,
       propose: (command) => this.propose(command),
     });
     node
--- a/src/tasks/fleet/fleet_follower.ts
+++ b/src/tasks/fleet/fleet_follower.ts
@@ -76,6 +76,8 @@
     });
     this.evacuations = new EvacuationWatch({
       ...options,
+      getService: (name) => this.#policy?.getService(name),
+      now: () => options.clock.now(),
       onChanged: () => this.#onEvacuationsChanged(),
     });
     options.node.onNotice = (notice, from) => this.#onNotice(notice, from);
