Streams: a resumption waits for the first list of targets; the fleet soak counts streams

Cause: an instance that has just started may know the policy before it knows the targets, so that no target seems to have the version that began a stream.

Callers could see: 503 streamStranded from an instance that knew no target. Not shown in isolation: the lines of killed instances were not kept.

The fleet soak compared requests with streams: each refused request of a resumption counted, 'connection refused' too, while new streams counted once, however many requests they took. Both sides now count streams, as the requirement does. A stream refused first and continued later counts as continued, which is less strict than before towards single refusals.

--- a/soak/fleet/fleet_clients.ts
+++ b/soak/fleet/fleet_clients.ts
@@ -39,9 +39,9 @@
   begun: number;
   /** Streams read to their end. */
   streams: number;
-  /** Counted requests that took a stream up with events held. */
+  /** Streams that were taken up with events held, by counted requests. */
   retakes: number;
-  /** Those of them that went on. */
+  /** Those of them that went on; like new streams, after as many requests. */
   resumed: number;
 }
 
@@ -178,8 +178,8 @@
       this.#counts.asked += 1;
       this.#check(() => this.#options.checks.onStream(held));
       this.#counts.streams += held.isComplete ? 1 : 0;
-      this.#counts.retakes += held.retakes;
-      this.#counts.resumed += held.resumed;
+      this.#counts.retakes += held.retakes > 0 ? 1 : 0;
+      this.#counts.resumed += held.resumed > 0 ? 1 : 0;
     }
   }
 
--- a/src/tasks/fleet/entry_task.ts
+++ b/src/tasks/fleet/entry_task.ts
@@ -35,6 +35,7 @@
 import type { FleetFollower } from "./fleet_follower.ts";
 import type { FleetNode } from "./fleet_node.ts";
 import { StreamRecords } from "./stream_records.ts";
+import { untilTargetsKnown } from "./targets_wait.ts";
 
 /** Options of {@link EntryTask}. */
 export interface EntryTaskOptions {
@@ -159,7 +160,8 @@
       .#options;
     const { admission, signal, stream, arrivedAt } = options;
     const written = await this.#streams.findWriter(request, admission);
-    // The search for the writer is part of the time that the caller waits.
+    if (written !== undefined) await untilTargetsKnown(follower);
+    // These waits are part of the time that the caller waits.
     const call = written === undefined
       ? request
       : withLessTime(request, performance.now() - arrivedAt);
