--- a/src/tasks/fleet/stream_records_test.ts
+++ b/src/tasks/fleet/stream_records_test.ts
@@ -1,5 +1,7 @@
 import { describe, expect, it } from "vitest";
 import { sleep } from "../../../fakes/engine.ts";
+import type { CallRequest } from "../../core/calls/mod.ts";
+import type { StreamRecord } from "../../core/continuation/mod.ts";
 import { FleetRole } from "../../core/fleet/mod.ts";
 import { Logger } from "../../logging/mod.ts";
 import { Metrics } from "../../metrics/mod.ts";
@@ -217,6 +219,23 @@
     expect(answer).toEqual({ writer: undefined, isCertain: false });
   });
 
+  it("keeps a stream for callers that return after its request's time", async () => {
+    const net = new StandInNet();
+    const kept: StreamRecord[] = [];
+    net.createNode("c1", []).hub.handle(
+      FleetMethod.RecordStream,
+      (params) => kept.push(params as StreamRecord),
+    );
+    const { workspace, request, writer } = record;
+    await new StreamRecords(net.createNode("e1", ["c1"])).record(
+      { id: request, timeoutMs: 4_000 } as CallRequest,
+      { route: { timeoutMs: 3_000 }, workspace: { name: workspace } } as never,
+      writer,
+    );
+    expect(kept).toMatchObject([{ ...key, writer }]);
+    expect(kept[0].keepMs).toBeGreaterThan(10_000);
+  });
+
   it("sends nothing again that control instances have", async () => {
     const net = new StandInNet();
     net.startControls();
