Tests: the loss of an entry instance begins once each instance has begun streams

Cause: the fault began after 48 events in all.

It now begins once four streams of each instance hold an event; targets take 80 ms for each. No expectation is changed.

--- a/tests/streams_after_entry_loss_test.ts
+++ b/tests/streams_after_entry_loss_test.ts
@@ -12,8 +12,9 @@
 const STREAMS = 24;
 /** Time after which all instances know the targets, in milliseconds. */
 const CERTAIN_MS = 1_000;
-/** Events that callers hold when the fault begins. */
-const EVENTS_BEFORE = 2 * STREAMS;
+const ENTRIES = 3;
+/** Streams of each entry instance that have begun when the fault begins. */
+const MIN_BEGUN = 4;
 /** Time in which callers read their streams, in milliseconds. */
 const READ_MS = 8_000;
 const OK_STATUS = 200;
@@ -28,7 +29,7 @@
       net: await LoopbackNet.claim(),
       controls: 4,
       ledgers: 3,
-      entries: 3,
+      entries: ENTRIES,
     });
     await fleet.startAll(fleetPolicy({ version: 1, keys: [KEY] }));
   }, 60_000);
@@ -43,7 +44,7 @@
       const replica = fleet.createTarget({
         service: engines,
         models: [model],
-        workMs: 40,
+        workMs: 80,
       });
       replica.software = version;
       return replica;
@@ -70,18 +71,22 @@
       prefix: stream,
       model,
     });
-    let eventCount = 0;
+    // Callers use the entry instances in turn.
+    const begunCounts = Array.from({ length: ENTRIES }, () => 0);
     let onBegun = () => {};
     const begun = new Promise<void>((resolve) => {
       onBegun = resolve;
     });
-    const onEvent = () => {
-      eventCount += 1;
-      if (eventCount === EVENTS_BEFORE) onBegun();
-    };
     const streams = Array.from(
       { length: STREAMS },
-      (_, i) => caller.read(`s${i}`, { timeoutMs: READ_MS, onEvent }),
+      (_, i) =>
+        caller.read(`s${i}`, {
+          timeoutMs: READ_MS,
+          onEvent: (count) => {
+            if (count === 1) begunCounts[i % ENTRIES] += 1;
+            if (begunCounts.every((one) => one >= MIN_BEGUN)) onBegun();
+          },
+        }),
     );
     await begun;
     await during();
