Tests: an instance is killed once its callers hold events

The test killed an entry instance 250 ms after its callers had begun. It now begins the fault once half of the streams at each instance have events, and counts streams that had some: as strict, half of the broken ones must go on.

--- a/tests/software_versions_test.ts
+++ b/tests/software_versions_test.ts
@@ -19,6 +19,7 @@
 /** Time after which the restart of a target would be known, in milliseconds. */
 const CERTAIN_MS = 1_000;
 const STREAMS = 16;
+const ENTRIES = 2;
 
 describe("outputs while targets run two software versions", () => {
   let fleet: FleetDeployment;
@@ -29,7 +30,7 @@
       net: await LoopbackNet.claim(),
       controls: 3,
       ledgers: 3,
-      entries: 2,
+      entries: ENTRIES,
     });
     await fleet.startAll(fleetPolicy({
       version: 1,
@@ -73,18 +74,34 @@
     return held;
   }
 
-  /** Reads streams until each is complete, or the time is up. */
+  /**
+   * Reads streams until each is complete, or the time is up. What happens during
+   * them begins once callers hold events of half of those at each instance.
+   */
   async function doTest(
     during: () => Promise<void>,
     entries?: () => string[],
   ): Promise<HeldStream[]> {
     const caller = createCaller(KEY, entries);
-    const options = { timeoutMs: 5_000 };
+    // Callers use the entry instances in turn.
+    const begun = Array.from({ length: ENTRIES }, () => 0);
+    let onHalfBegun = () => {};
+    const halfBegun = new Promise<void>((resolve) => {
+      onHalfBegun = resolve;
+    });
+    const onBegun = (i: number) => {
+      begun[i % ENTRIES] += 1;
+      if (begun.every((one) => one >= STREAMS / ENTRIES / 2)) onHalfBegun();
+    };
     const streams = Array.from(
       { length: STREAMS },
-      (_, i) => caller.read(`s${i}`, options),
+      (_, i) =>
+        caller.read(`s${i}`, {
+          timeoutMs: 8_000,
+          onEvent: (count) => count === 1 && onBegun(i),
+        }),
     );
-    await sleep(250);
+    await halfBegun;
     await during();
     const held = await Promise.all(streams);
     for (const { events } of held) {
@@ -107,8 +124,11 @@
               !address.startsWith(`${killed.id}:`)
             ),
       );
-      const broken = held.filter(({ statuses }) => statuses.length > 1);
-      const resumed = held.filter((one) => one.resumed > 0 && one.isComplete);
+      // A stream of which no event had come begins anew.
+      const broken = held.filter(({ statuses, first }) =>
+        first?.endsWith("-0") && statuses.length > 1
+      );
+      const resumed = broken.filter((one) => one.resumed > 0 && one.isComplete);
       expect(broken.length).toBeGreaterThan(0);
       expect(resumed.length).toBeGreaterThanOrEqual(broken.length / 2);
     },
