Move a run once off a slow target whose pace was unknown

Cause: after a change of the ledger's leader no pace is known, and a target without one counts as the median of its service, so long items start at slow targets and stay there. Change: a run that started before its target's long-run pace was known may move once that is known, by the margin of sick targets and within their bound of a round, at most once for an item. Runs that started at a known pace stay.

--- a/src/core/batches/item_tracker.ts
+++ b/src/core/batches/item_tracker.ts
@@ -16,6 +16,8 @@
   interruptedRuns: number;
   /** Runs moved for their silence; later runs are allowed more of it. */
   silentRuns: number;
+  /** Whether a run was moved as its target's pace had not been known. */
+  isPaceCorrected: boolean;
   /** Runs that no target of the partial output's version would go on with. */
   unverifiedRuns: number;
   /** Time before which the item is not run again, in milliseconds. */
@@ -70,6 +72,7 @@
       failedRuns: 0,
       interruptedRuns: 0,
       silentRuns: 0,
+      isPaceCorrected: false,
       unverifiedRuns: 0,
       notBefore: -Infinity,
       strandedAt: undefined,
--- a/src/core/batches/target_pace.ts
+++ b/src/core/batches/target_pace.ts
@@ -181,6 +181,12 @@
     return stats.recentMs;
   }
 
+  /** Gets whether the long-run pace of a target is known. */
+  isPaceKnown(target: PacedTarget): boolean {
+    const stats = this.#getStats(target);
+    return stats !== undefined && hasInherent(stats);
+  }
+
   /** Gets whether a target is far slower now than it is in the long run. */
   isSick(target: PacedTarget, now: number): boolean {
     const stats = this.#getStats(target);
--- a/src/metrics/metric_catalogue.ts
+++ b/src/metrics/metric_catalogue.ts
@@ -167,7 +167,12 @@
   },
   "items.moved": {
     kind: "counter",
-    text: "Runs of items moved away from sick or silent targets",
+    text: "Runs of items moved away from sick, slow or silent targets",
+  },
+  "items.moved.misplaced": {
+    kind: "counter",
+    text:
+      "Runs of items moved away from slow targets whose pace was unknown when the runs started",
   },
   "items.moved.sick": {
     kind: "counter",
--- a/src/tasks/batches/batch_runner.ts
+++ b/src/tasks/batches/batch_runner.ts
@@ -117,6 +117,7 @@
     this.#starter = new ItemStarter({
       ...options,
       itemTracker: this.#itemTracker,
+      targetPace: this.#targetPace,
       results: this.#results,
       prompts: this.#prompts,
       runs: this.#runs,
@@ -353,7 +354,7 @@
     if (!canRunItems()) return;
     this.#sampleDemand();
     this.#mover.moveSilentRuns();
-    this.#mover.moveSickRuns();
+    this.#mover.moveSlowRuns();
     this.#storeLongRuns();
     this.#abandonOverdue();
     this.#itemTracker.forget(this.#options.state().all);
--- a/src/tasks/batches/item_run.ts
+++ b/src/tasks/batches/item_run.ts
@@ -33,6 +33,8 @@
   readonly text: RunText;
   /** Whether the target should have the prompt in its cache. */
   readonly isPromptCached: boolean;
+  /** Whether the long-run pace of the target is known at the start. */
+  readonly isPaceKnown: boolean;
   readonly engines: EnginePort;
   readonly listener: ItemRunListener;
   readonly now: () => number;
@@ -50,6 +52,8 @@
   /** Number of events that the run goes on after. */
   readonly resumedAfter: number;
   readonly isPromptCached: boolean;
+  /** Whether the long-run pace of the target was known at the start. */
+  readonly wasPaceKnown: boolean;
   /** ID of the last event stored in the ledger; 0 if none is. */
   storedEventId = 0;
   readonly #options: ItemRunOptions;
@@ -68,6 +72,7 @@
     this.text = text;
     this.resumedAfter = text.lastId;
     this.isPromptCached = options.isPromptCached;
+    this.wasPaceKnown = options.isPaceKnown;
     this.startedAt = options.now();
     this.#lastEventAt = this.startedAt;
     const { spec } = record;
--- a/src/tasks/batches/item_starter.ts
+++ b/src/tasks/batches/item_starter.ts
@@ -6,6 +6,7 @@
   type Placement,
   type PromptLocations,
   RunText,
+  type TargetPace,
   type WaitingItem,
 } from "../../core/batches/mod.ts";
 import type { TargetRegistry, TargetReport } from "../../core/registry/mod.ts";
@@ -24,6 +25,7 @@
   readonly engines: EnginePort;
   readonly limiter: TargetLimiter;
   readonly itemTracker: ItemTracker;
+  readonly targetPace: TargetPace;
   readonly results: ResultWriter;
   /** Receives the targets that read prompts. */
   readonly prompts: PromptLocations;
@@ -94,6 +96,7 @@
       target,
       text,
       isPromptCached,
+      isPaceKnown: this.#options.targetPace.isPaceKnown(target),
       engines,
       listener: this.#options.listener,
       now: this.#options.now,
--- a/src/tasks/batches/run_mover.ts
+++ b/src/tasks/batches/run_mover.ts
@@ -1,4 +1,4 @@
-/** Moves runs off silent and sick targets. */
+/** Moves runs off silent, sick and slow targets. */
 import {
   expectedStayMs,
   type ItemTracker,
@@ -32,9 +32,12 @@
   readonly restart: (waiting: WaitingItem, placer: ItemPlacer) => boolean;
 }
 
+/** Why a run moves off a slow target. */
+type SlowReason = "sick" | "misplaced";
+
 /** Why and where a run moves, for the log. */
 interface MoveDetail {
-  readonly reason: "silent" | "sick";
+  readonly reason: "silent" | SlowReason;
   readonly detail: string;
   readonly to?: string;
   readonly stayMs?: number;
@@ -58,7 +61,7 @@
  * that events may wait to be read.
  */
 const HELD_UP_MS = 200;
-/** Maximum number of runs moved off sick targets in one round. */
+/** Maximum number of runs moved off sick and slow targets in one round. */
 const MAX_MOVED_PER_ROUND = 12;
 /** Number of events of a run from which its pace is taken into account. */
 const MIN_EVENTS_FOR_PACE = 3;
@@ -104,31 +107,56 @@
     return this.#wasHeldUp;
   }
 
-  /** Moves runs off sick targets if they then end clearly earlier. */
-  moveSickRuns(): void {
-    const { runs, targetPace, createPlacer, now: clock } = this.#options;
+  /**
+   * Moves runs off sick targets, and off slow ones whose pace was unknown when
+   * the runs started, if they then end clearly earlier.
+   */
+  moveSlowRuns(): void {
+    const { runs, createPlacer, now: clock } = this.#options;
     const now = clock();
     let placer: ItemPlacer | undefined;
     let moved = 0;
     for (const run of runs.all) {
       if (moved >= MAX_MOVED_PER_ROUND) return;
-      if (!targetPace.isLastinglySick(run.target, now)) continue;
+      const reason = this.#reasonToMove(run, now);
+      if (reason === undefined) continue;
       placer ??= createPlacer(now);
-      if (this.#moveSickRun(run, placer, now)) moved += 1;
+      if (this.#moveSlowRun(run, placer, reason, now)) moved += 1;
+    }
+  }
+
+  /** Gets why a run may move; undefined if it stays in any case. */
+  #reasonToMove(run: ItemRun, now: number): SlowReason | undefined {
+    const { targetPace, itemTracker } = this.#options;
+    if (targetPace.isLastinglySick(run.target, now)) return "sick";
+    if (run.wasPaceKnown || !targetPace.isPaceKnown(run.target)) {
+      return undefined;
     }
+    const { isPaceCorrected } = itemTracker.progressOf(run.item);
+    return isPaceCorrected ? undefined : "misplaced";
   }
 
-  #moveSickRun(run: ItemRun, placer: ItemPlacer, now: number): boolean {
+  #moveSlowRun(
+    run: ItemRun,
+    placer: ItemPlacer,
+    reason: SlowReason,
+    now: number,
+  ): boolean {
+    const { targetPace, itemTracker } = this.#options;
+    const stayMs = this.#stayMs(run, reason, now);
+    if (!mayMoveRun({ stayMs, moveMs: 0 })) return false;
     const { placement } = placer.choose(run, run.text);
     if (placement === undefined || placement.target.id === run.target.id) {
       return false;
     }
-    const stayMs = this.#stayMs(run, now);
     const moveMs = placement.expectedMs;
     if (!mayMoveRun({ stayMs, moveMs })) return false;
-    const paceMs = this.#options.targetPace.paceMs(run.target, now);
+    if (reason === "misplaced") {
+      itemTracker.progressOf(run.item).isPaceCorrected = true;
+    }
+    const paceMs = targetPace.paceMs(run.target, now);
     this.#cancelRun(run, {
-      reason: "sick",
+      reason,
       detail: `Target takes ${Math.round(paceMs)} ms per event`,
       to: placement.target.id,
       stayMs: Math.round(stayMs),
@@ -139,14 +167,18 @@
   }
 
   /** Gets the expected time to the end of a run where it is. */
-  #stayMs(run: ItemRun, now: number): number {
+  #stayMs(run: ItemRun, reason: SlowReason, now: number): number {
     const { targetPace, estimator } = this.#options;
     const { target, text } = run;
     const factor = this.#loadFactorAt(run);
+    const inherentMs = targetPace.inherentPaceMs(target, now);
+    const recentMs = reason === "sick"
+      ? targetPace.paceMs(target, now)
+      : inherentMs;
     return expectedStayMs({
       remainingEvents: estimator.remainingEvents(run, text.lastId),
-      recentMs: targetPace.paceMs(target, now) * factor,
-      inherentMs: targetPace.inherentPaceMs(target, now) * factor,
+      recentMs: recentMs * factor,
+      inherentMs: inherentMs * factor,
     });
   }
 
@@ -210,4 +242,5 @@
 const MOVE_METRICS = {
   silent: "items.moved.silent",
   sick: "items.moved.sick",
+  misplaced: "items.moved.misplaced",
 } as const;
