Split placement rounds, failures and storage off the batch runner

Callers see no change. PlacementScheduler runs the rounds, RunFailureHandler retries or abandons items, PartialTextWriter stores long runs, RunLearner records paces and prompts, OverdueItems abandons. Evidence: tests of tasks/batches pass; the plays of uneven_targets_test.ts at 40% and with a third lost give the same reports as before.

--- a/src/tasks/batches/batch_runner.ts
+++ b/src/tasks/batches/batch_runner.ts
@@ -1,12 +1,8 @@
 /** Runs the items of open batches at targets while this replica leads. */
 import {
-  type BatchItem,
-  type BatchRecord,
   type BatchState,
   DemandMeter,
-  type ItemProgress,
   ItemTracker,
-  orderItems,
   type PartialTextRecord,
   PendingLoads,
   PromptLocations,
@@ -24,14 +20,19 @@
 import type { Logger } from "../../logging/mod.ts";
 import type { Metrics } from "../../metrics/mod.ts";
 import type { TargetLimiter } from "../fleet/target_limiter.ts";
-import { type EnginePort, RunFailure } from "./engine_port.ts";
+import type { EnginePort, RunFailure } from "./engine_port.ts";
 import { ItemPlacer } from "./item_placer.ts";
 import type { ItemRun, ItemRunListener } from "./item_run.ts";
 import { ItemStarter } from "./item_starter.ts";
 import { ItemScorer, type ScoringPort } from "./item_scorer.ts";
+import { OverdueItems } from "./overdue_items.ts";
+import { PartialTextWriter } from "./partial_text_writer.ts";
+import { PlacementScheduler } from "./placement_scheduler.ts";
 import { ResultWriter, type ResultWriterOptions } from "./result_writer.ts";
+import { RunFailureHandler } from "./run_failure_handler.ts";
+import { RunLearner } from "./run_learner.ts";
 import { RunMover } from "./run_mover.ts";
-import { itemKeyOf, RunTable } from "./run_table.ts";
+import { RunTable } from "./run_table.ts";
 
 /** Options of {@link BatchRunner}. */
 export interface BatchRunnerOptions extends ResultWriterOptions {
@@ -59,20 +60,6 @@
 }
 
 const TICK_INTERVAL_MS = 50;
-/** Failures after which another process may have the target's identifier. */
-const LOST_FAILURES: ReadonlySet<RunFailure> = new Set([
-  RunFailure.Broken,
-  RunFailure.Unverified,
-]);
-/** Time for which a target gets no items after it refused one. */
-const REFUSAL_BACKOFF_MS = 150;
-/** Interval between writes of the partial texts of long runs. */
-const STORE_INTERVAL_MS = 500;
-/** Age from which the partial text of a run is stored. */
-const LONG_RUN_MS = 500;
-/** Maximum number of items sent to targets in one round. */
-const MAX_PLACED_PER_ROUND = 64;
-
 /**
  * Places items on targets, moves runs off silent or slow targets and stores the
  * results. Runs only on the ledger's leader.
@@ -91,10 +78,12 @@
   readonly #scorer: ItemScorer;
   readonly #mover: RunMover;
   readonly #starter: ItemStarter;
+  readonly #learner: RunLearner;
+  readonly #overdue: OverdueItems;
+  readonly #failures: RunFailureHandler;
+  readonly #partialTexts: PartialTextWriter;
+  readonly #scheduler: PlacementScheduler;
   #timer: NodeJS.Timeout | undefined;
-  #isPlacementScheduled = false;
-  /** Time at which partial texts were last written. */
-  #storedAt = -Infinity;
 
   /** Creates a stopped runner. */
   constructor(options: BatchRunnerOptions) {
@@ -114,28 +103,34 @@
       onSigns: options.onSigns,
       onEnded: (scored, score) => this.#results.completeScored(scored, score),
     });
-    this.#starter = new ItemStarter({
+    const shared = {
       ...options,
-      itemTracker: this.#itemTracker,
-      targetPace: this.#targetPace,
-      results: this.#results,
-      prompts: this.#prompts,
-      runs: this.#runs,
-      listener: this,
-    });
-    this.#mover = new RunMover({
       runs: this.#runs,
       itemTracker: this.#itemTracker,
       targetPace: this.#targetPace,
       estimator: this.#estimator,
+      prompts: this.#prompts,
       loads: this.#loads,
-      logger,
-      metrics,
-      now: options.now,
-      createPlacer: (now) => this.#createPlacer(now),
+      results: this.#results,
+      scorer: this.#scorer,
+      createPlacer: (now: number) => this.#createPlacer(now),
+    };
+    this.#starter = new ItemStarter({ ...shared, listener: this });
+    this.#mover = new RunMover({
+      ...shared,
       restart: (waiting, placer) =>
         this.#starter.start(waiting, placer, state().all),
     });
+    this.#learner = new RunLearner(shared);
+    this.#overdue = new OverdueItems(shared);
+    this.#failures = new RunFailureHandler(shared);
+    this.#partialTexts = new PartialTextWriter(shared);
+    this.#scheduler = new PlacementScheduler({
+      ...shared,
+      starter: this.#starter,
+      pacer: this.#pacer,
+      isStarted: () => this.#timer !== undefined,
+    });
   }
 
   /** Starts placing items; has no effect if already started. */
@@ -175,12 +170,7 @@
    * requests before it share one round.
    */
   schedulePlacement(): void {
-    if (this.#isPlacementScheduled || this.#timer === undefined) return;
-    this.#isPlacementScheduled = true;
-    setImmediate(() => {
-      this.#isPlacementScheduled = false;
-      if (this.#timer !== undefined) this.#placeItems();
-    });
+    this.#scheduler.schedule();
   }
 
   /** Cancels the runs of a batch that has ended, keeping their texts. */
@@ -227,22 +217,12 @@
 
   /** Records the time in which a target has read a prompt. */
   onFirstEvent(run: ItemRun, afterMs: number): void {
-    const now = this.#options.now();
-    this.#prompts.add(run, run.target.id, now);
-    if (run.resumedAfter > 0) return;
-    const paceMs = this.#targetPace.inherentPaceMs(run.target, now);
-    this.#estimator.onFirstEvent(run.record.spec.service, {
-      isCached: run.isPromptCached,
-      events: afterMs / paceMs,
-    });
+    this.#learner.onFirstEvent(run, afterMs);
   }
 
   /** Records the time between two events, in milliseconds. */
-  onEventGap({ target }: ItemRun, gapMs: number): void {
-    const runs = Math.max(1, this.#runs.countAt(target.id));
-    const load = (runs - 1) / Math.max(1, target.slots);
-    const now = this.#options.now();
-    this.#targetPace.onEventGap(target, { gapMs, load, runs, now });
+  onEventGap(run: ItemRun, gapMs: number): void {
+    this.#learner.onEventGap(run, gapMs);
   }
 
   /** Passes on what a target says of itself. */
@@ -254,12 +234,7 @@
   onCompleted(run: ItemRun): void {
     const { metrics, now } = this.#options;
     metrics.timing("items.duration", now() - run.startedAt);
-    this.#targetPace.onCompleted(run.target);
-    this.#prompts.add(run, run.target.id, now());
-    this.#estimator.onCompleted(run.record.spec.service, {
-      expectedTokens: run.item.expectedTokens,
-      events: run.text.lastId,
-    });
+    this.#learner.onCompleted(run);
     this.#runs.remove(run);
     this.#results.complete(run);
     this.schedulePlacement();
@@ -267,87 +242,11 @@
 
   /** Keeps the text of a failed run and decides whether the item is retried. */
   onFailed(run: ItemRun, failure: RunFailure, detail: string): void {
-    const { logger, limiter, now } = this.#options;
     this.#runs.remove(run);
-    if (LOST_FAILURES.has(failure)) limiter.onLost(run.target);
-    this.#itemTracker.savePartialText(run, run.text);
-    const progress = this.#itemTracker.progressOf(run.item);
-    this.#options.metrics.count("items.broken");
-    logger.event("itemBroken", {
-      batch: run.record.spec.id,
-      item: run.item.id,
-      target: run.target.id,
-      failure,
-      detail,
-      events: run.events,
-      lastEvent: run.text.lastId,
-      ranMs: Math.round(now() - run.startedAt),
-    });
-    this.#failureHandlers[failure](run, progress);
+    this.#failures.onFailed(run, failure, detail);
     this.schedulePlacement();
   }
 
-  readonly #failureHandlers: Readonly<
-    Record<RunFailure, (run: ItemRun, progress: ItemProgress) => void>
-  > = {
-    refused: (run) => {
-      this.#prompts.remove(run, run.target.id);
-      this.#targetPace.avoid(
-        run.target,
-        this.#options.now() + REFUSAL_BACKOFF_MS,
-      );
-    },
-    misdirected: (run) => {
-      this.#prompts.remove(run, run.target.id);
-      this.#targetPace.onFailure(run.target, this.#options.now());
-    },
-    unverified: (run, progress) => {
-      progress.unverifiedRuns += 1;
-      this.#targetPace.onFailure(run.target, this.#options.now());
-    },
-    otherVersion: (run, progress) => {
-      progress.excludedTargets.add(run.target.id);
-      this.#itemTracker.backOff(run.item, this.#options.now());
-    },
-    failed: (run, progress) => {
-      progress.failedRuns += 1;
-      progress.excludedTargets.add(run.target.id);
-      if (progress.failedRuns >= run.record.spec.maxAttempts) {
-        this.#results.abandon(run.record, run.item, run.text);
-      }
-    },
-    impossible: ({ record, item, text }) =>
-      this.#results.abandon(record, item, text),
-    broken: (run, progress) => {
-      progress.excludedTargets.add(run.target.id);
-      this.#targetPace.onFailure(run.target, this.#options.now());
-      this.#itemTracker.backOff(run.item, this.#options.now());
-    },
-  };
-
-  /**
-   * Stores the partial texts of long runs, so that a new leader can resume them
-   * instead of starting over.
-   */
-  #storeLongRuns(): void {
-    const now = this.#options.now();
-    if (now - this.#storedAt < STORE_INTERVAL_MS) return;
-    this.#storedAt = now;
-    const records: PartialTextRecord[] = [];
-    for (const run of this.#runs.all) {
-      if (now - run.startedAt < LONG_RUN_MS) continue;
-      const { id } = run.item;
-      const after = run.storedEventId;
-      const pieces = run.text.piecesAfter(after);
-      if (pieces.length === 0) continue;
-      run.storedEventId = run.text.lastId;
-      const { versions, software } = run.text;
-      const batch = run.record.spec.id;
-      records.push({ batch, item: id, after, pieces, versions, software });
-    }
-    if (records.length > 0) this.#options.storePartialTexts(records);
-  }
-
   #tick(): void {
     const { canRunItems, now } = this.#options;
     this.#pacer.onTick(now());
@@ -355,75 +254,11 @@
     this.#sampleDemand();
     this.#mover.moveSilentRuns();
     this.#mover.moveSlowRuns();
-    this.#storeLongRuns();
-    this.#abandonOverdue();
+    this.#partialTexts.storeLongRuns();
+    this.#overdue.abandon(Date.now());
     this.#itemTracker.forget(this.#options.state().all);
     this.#scorer.run();
-    this.#placeItems();
-  }
-
-  #abandonOverdue(): void {
-    const wallNow = Date.now();
-    for (const record of this.#options.state().all) {
-      const { spec } = record;
-      if (!record.isOpen || wallNow < spec.acceptedAt + spec.giveUpMs) continue;
-      for (const item of record.pendingItems) {
-        const key = itemKeyOf(spec.id, item.id);
-        if (this.#results.isPending(key)) continue;
-        const run = this.#runs.get(spec.id, item.id);
-        run?.cancel();
-        if (run !== undefined) this.#runs.remove(run);
-        this.#scorer.cancel(spec.id, item.id);
-        this.#results.abandon(record, item);
-      }
-    }
-  }
-
-  #placeItems(): void {
-    const { canRunItems, state } = this.#options;
-    if (!canRunItems() || this.#pacer.left === 0) return;
-    const { all } = state();
-    this.#itemTracker.indexFirstBatches(all);
-    const records = all.filter((record) => record.isOpen);
-    if (records.length === 0) return;
-    const now = this.#options.now();
-    const order = orderItems({
-      records,
-      now: Date.now(),
-      isWaiting: (record, item) => this.#isWaiting(record, item, now),
-      isResubmitted: (record, item) =>
-        this.#itemTracker.isResubmitted(record, item),
-    });
-    const placer = this.#createPlacer(now);
-    const maxPlaced = Math.min(MAX_PLACED_PER_ROUND, this.#pacer.left);
-    let placed = 0;
-    for (const waiting of order) {
-      if (placed >= maxPlaced) break;
-      const { record, item } = waiting;
-      const isResubmitted = this.#itemTracker.isResubmitted(record, item);
-      if (isResubmitted && this.#results.reuseResult(waiting, all)) continue;
-      if (this.#starter.start(waiting, placer, all)) placed += 1;
-    }
-    this.#pacer.use(placed);
-    this.#fetchPermits(placer, order.length - placed);
-  }
-
-  /** Fetches permits of limited targets for items that could not be placed. */
-  #fetchPermits(placer: ItemPlacer, waiting: number): void {
-    const { limiter, logger } = this.#options;
-    limiter.fetch(placer.limitedTargets, waiting)
-      .then((hasCome) => hasCome && this.schedulePlacement())
-      .catch((err) => logger.error(err));
-  }
-
-  #isWaiting(record: BatchRecord, item: BatchItem, now: number): boolean {
-    const key = itemKeyOf(record.spec.id, item.id);
-    if (record.hasResult(item.id) || record.hasCompleteText(item.id)) {
-      return false;
-    }
-    const isRunning = this.#runs.has(record.spec.id, item.id);
-    if (isRunning || this.#results.isPending(key)) return false;
-    return !this.#itemTracker.isBackingOff(item, now);
+    this.#scheduler.placeItems();
   }
 
   #createPlacer(now: number): ItemPlacer {
--- /dev/null
+++ b/src/tasks/batches/run_failure_handler.ts
@@ -0,0 +1,109 @@
+/** Decides how items go on after their runs failed. */
+import type {
+  ItemProgress,
+  ItemTracker,
+  PromptLocations,
+  TargetPace,
+} from "../../core/batches/mod.ts";
+import type { Logger } from "../../logging/mod.ts";
+import type { Metrics } from "../../metrics/mod.ts";
+import type { TargetLimiter } from "../fleet/target_limiter.ts";
+import { RunFailure } from "./engine_port.ts";
+import type { ItemRun } from "./item_run.ts";
+import type { ResultWriter } from "./result_writer.ts";
+
+/** Options of {@link RunFailureHandler}. */
+export interface RunFailureHandlerOptions {
+  readonly itemTracker: ItemTracker;
+  readonly targetPace: TargetPace;
+  readonly prompts: PromptLocations;
+  readonly results: ResultWriter;
+  readonly limiter: TargetLimiter;
+  readonly logger: Logger;
+  readonly metrics: Metrics;
+  /** Gets the local monotonic time, in milliseconds. */
+  readonly now: () => number;
+}
+
+/** Failures after which another process may have the target's identifier. */
+const LOST_FAILURES: ReadonlySet<RunFailure> = new Set([
+  RunFailure.Broken,
+  RunFailure.Unverified,
+]);
+/** Time for which a target gets no items after it refused one. */
+const REFUSAL_BACKOFF_MS = 150;
+
+/** Keeps the texts of failed runs, and retries or abandons their items. */
+export class RunFailureHandler {
+  readonly #options: RunFailureHandlerOptions;
+
+  constructor(options: RunFailureHandlerOptions) {
+    this.#options = options;
+  }
+
+  /** Keeps the text of a failed run and decides whether the item is retried. */
+  onFailed(run: ItemRun, failure: RunFailure, detail: string): void {
+    const { itemTracker, limiter, metrics, logger, now } = this.#options;
+    if (LOST_FAILURES.has(failure)) limiter.onLost(run.target);
+    itemTracker.savePartialText(run, run.text);
+    const progress = itemTracker.progressOf(run.item);
+    metrics.count("items.broken");
+    logger.event("itemBroken", {
+      batch: run.record.spec.id,
+      item: run.item.id,
+      target: run.target.id,
+      failure,
+      detail,
+      events: run.events,
+      lastEvent: run.text.lastId,
+      ranMs: Math.round(now() - run.startedAt),
+    });
+    this.#handlers[failure](run, progress);
+  }
+
+  readonly #handlers: Readonly<
+    Record<RunFailure, (run: ItemRun, progress: ItemProgress) => void>
+  > = {
+    refused: (run) => {
+      const { prompts, targetPace, now } = this.#options;
+      prompts.remove(run, run.target.id);
+      targetPace.avoid(run.target, now() + REFUSAL_BACKOFF_MS);
+    },
+    misdirected: (run) => {
+      this.#options.prompts.remove(run, run.target.id);
+      this.#backOffTarget(run);
+    },
+    unverified: (run, progress) => {
+      progress.unverifiedRuns += 1;
+      this.#backOffTarget(run);
+    },
+    otherVersion: (run, progress) => {
+      progress.excludedTargets.add(run.target.id);
+      this.#backOffItem(run);
+    },
+    failed: (run, progress) => {
+      progress.failedRuns += 1;
+      progress.excludedTargets.add(run.target.id);
+      if (progress.failedRuns >= run.record.spec.maxAttempts) {
+        this.#options.results.abandon(run.record, run.item, run.text);
+      }
+    },
+    impossible: ({ record, item, text }) =>
+      this.#options.results.abandon(record, item, text),
+    broken: (run, progress) => {
+      progress.excludedTargets.add(run.target.id);
+      this.#backOffTarget(run);
+      this.#backOffItem(run);
+    },
+  };
+
+  #backOffTarget({ target }: ItemRun): void {
+    const { targetPace, now } = this.#options;
+    targetPace.onFailure(target, now());
+  }
+
+  #backOffItem({ item }: ItemRun): void {
+    const { itemTracker, now } = this.#options;
+    itemTracker.backOff(item, now());
+  }
+}
--- /dev/null
+++ b/src/tasks/batches/run_learner.ts
@@ -0,0 +1,59 @@
+/** Learns from runs how fast targets are and which prompts they hold. */
+import type {
+  PromptLocations,
+  RunEstimator,
+  TargetPace,
+} from "../../core/batches/mod.ts";
+import type { ItemRun } from "./item_run.ts";
+import type { RunTable } from "./run_table.ts";
+
+/** Options of {@link RunLearner}. */
+export interface RunLearnerOptions {
+  readonly runs: RunTable;
+  readonly targetPace: TargetPace;
+  readonly estimator: RunEstimator;
+  readonly prompts: PromptLocations;
+  /** Gets the local monotonic time, in milliseconds. */
+  readonly now: () => number;
+}
+
+/** Records what the events of runs show of targets and outputs. */
+export class RunLearner {
+  readonly #options: RunLearnerOptions;
+
+  constructor(options: RunLearnerOptions) {
+    this.#options = options;
+  }
+
+  /** Records the time in which a target has read a prompt. */
+  onFirstEvent(run: ItemRun, afterMs: number): void {
+    const { prompts, targetPace, estimator } = this.#options;
+    const now = this.#options.now();
+    prompts.add(run, run.target.id, now);
+    if (run.resumedAfter > 0) return;
+    const paceMs = targetPace.inherentPaceMs(run.target, now);
+    estimator.onFirstEvent(run.record.spec.service, {
+      isCached: run.isPromptCached,
+      events: afterMs / paceMs,
+    });
+  }
+
+  /** Records the time between two events, in milliseconds. */
+  onEventGap({ target }: ItemRun, gapMs: number): void {
+    const runs = Math.max(1, this.#options.runs.countAt(target.id));
+    const load = (runs - 1) / Math.max(1, target.slots);
+    const now = this.#options.now();
+    this.#options.targetPace.onEventGap(target, { gapMs, load, runs, now });
+  }
+
+  /** Records the length of a complete output, and where its prompt is. */
+  onCompleted(run: ItemRun): void {
+    const { prompts, targetPace, estimator, now } = this.#options;
+    targetPace.onCompleted(run.target);
+    prompts.add(run, run.target.id, now());
+    estimator.onCompleted(run.record.spec.service, {
+      expectedTokens: run.item.expectedTokens,
+      events: run.text.lastId,
+    });
+  }
+}
