Review of policies: contradictions, and differences from the one in force

Cause: a policy is checked only when it is sent, and only for what makes it unusable. Operators saw entries without effect (a service of weight 0, homes in no region, a timeout in which no attempt starts) only in operation.

A call ends 40 ms before its timeout and starts no attempt with 30 ms or less left, so that the shortest useful timeout is above 70 ms. Both constants move to core/retry, and the review uses them. findChangedMembers of `config diff` moves beside digestOf, since both comparisons need it.

--- a/src/commands/config.ts
+++ b/src/commands/config.ts
@@ -7,7 +7,11 @@
   SECTION_NAMES,
   type SectionName,
 } from "../core/configuration/mod.ts";
-import { canonicalJson, digestOf } from "../core/control/mod.ts";
+import {
+  canonicalJson,
+  digestOf,
+  findChangedMembers,
+} from "../core/control/mod.ts";
 import { NutmegreelError } from "../core/errors/mod.ts";
 import {
   FaultyFileError,
@@ -237,12 +241,3 @@
   return SECTION_NAMES
     .filter((name) => digestOf(current[name]) !== digestOf(wanted[name]));
 }
-
-function findChangedMembers(live: unknown, wanted: unknown): string[] {
-  const left = live as Record<string, unknown>;
-  const right = wanted as Record<string, unknown>;
-  const names = new Set([...Object.keys(left), ...Object.keys(right)]);
-  return [...names]
-    .filter((name) => digestOf(left[name]) !== digestOf(right[name]))
-    .sort();
-}
--- a/src/core/control/section_digest.ts
+++ b/src/core/control/section_digest.ts
@@ -30,3 +30,20 @@
     );
   return `{${members.join(",")}}`;
 }
+
+/**
+ * Gets the names of the members in which two objects differ, sorted.
+ *
+ * @example
+ * ```ts
+ * findChangedMembers({ a: 1, b: 2 }, { a: 1, b: 3 }); // ["b"]
+ * ```
+ */
+export function findChangedMembers(from: unknown, to: unknown): string[] {
+  const left = from as Record<string, unknown>;
+  const right = to as Record<string, unknown>;
+  const names = new Set([...Object.keys(left), ...Object.keys(right)]);
+  return [...names]
+    .filter((name) => digestOf(left[name]) !== digestOf(right[name]))
+    .sort();
+}
--- a/src/core/policy/policy_test.ts
+++ b/src/core/policy/policy_test.ts
@@ -3,7 +3,7 @@
   createPolicy,
   createRoute,
 } from "../../../tests/support/policy_document.ts";
-import { findPolicyFaults } from "./policy_check.ts";
+import { findPolicyFaults, locatePolicyFaults } from "./policy_check.ts";
 import { type PolicyDocument, type RoutePolicy } from "./policy_document.ts";
 import { PolicyView } from "./policy_view.ts";
 
@@ -89,3 +89,41 @@
       ],
     }, 3));
 });
+
+describe(locatePolicyFaults.name, () => {
+  function doTest(
+    fields: Partial<PolicyDocument>,
+    expected: readonly (readonly (string | number)[])[],
+  ) {
+    const faults = locatePolicyFaults(document(fields));
+    expect(faults.map(({ path }) => path)).toEqual(expected);
+    expect(faults.map(({ reason }) => reason))
+      .toEqual(findPolicyFaults(document(fields)));
+  }
+
+  it("gives the paths of faulty routes", () =>
+    doTest({
+      routes: [
+        route({}),
+        route({
+          prefix: "/b/",
+          shares: [{ service: "s", weight: 1 }, { service: "x", weight: 1 }],
+        }),
+        route({ prefix: "/c/", timeoutMs: 0, shares: [] }),
+        route({}),
+      ],
+    }, [
+      ["routes", 1, "shares", 1, "service"],
+      ["routes", 2, "shares"],
+      ["routes", 2, "timeoutMs"],
+      ["routes", 3],
+    ]));
+
+  it("gives the path of a key that two workspaces share", () =>
+    doTest({
+      workspaces: [
+        { name: "a", keys: ["k"], priority: 0 },
+        { name: "b", keys: ["l", "k"], priority: 0 },
+      ],
+    }, [["workspaces", 1, "keys", 1]]));
+});
--- a/src/core/policy/region_map.ts
+++ b/src/core/policy/region_map.ts
@@ -33,7 +33,9 @@
   }
 
   /** Gets the faults of a policy that names a region which does not exist. */
-  findFaults(document: PolicyDocument): string[] {
+  findFaults(
+    document: Pick<PolicyDocument, "routes" | "workspaces">,
+  ): string[] {
     if (this.#regions === undefined) return [];
     const known = new Set(this.#regions.values());
     const named = new Set(homeListsOf(document).flat());
--- a/src/core/retry/retry_policy.ts
+++ b/src/core/retry/retry_policy.ts
@@ -27,6 +27,14 @@
 /** One of the values of {@link RetryDecision}. */
 export type RetryDecision = typeof RetryDecision[keyof typeof RetryDecision];
 
+/** An attempt is started only with more than this time remaining. */
+export const MIN_ATTEMPT_MS = 30;
+/**
+ * Time before the route's or the caller's timeout at which a call ends, so that
+ * its response or refusal is sent before that timeout.
+ */
+export const RESPONSE_MARGIN_MS = 40;
+
 const FIRST_DELAY_MS = 20;
 const MAX_DELAY_MS = 2_000;
 
--- a/src/tasks/calls/call_run.ts
+++ b/src/tasks/calls/call_run.ts
@@ -2,6 +2,7 @@
 import type { CallResponse } from "../../core/calls/mod.ts";
 import { homesOf, RouteKind } from "../../core/policy/mod.ts";
 import type { TargetReport } from "../../core/registry/mod.ts";
+import { MIN_ATTEMPT_MS, RESPONSE_MARGIN_MS } from "../../core/retry/mod.ts";
 import { Verdict } from "../../core/verdict/mod.ts";
 import { fingerprintOf } from "./call_fingerprint.ts";
 import { CallOutput } from "./call_output.ts";
@@ -16,16 +17,9 @@
 import { CallTrial } from "./call_trial.ts";
 import type { AttemptOutcome, CallAttempt } from "./target_port.ts";
 
-/** Minimum remaining time for which a further attempt is started. */
-const MIN_ATTEMPT_MS = 30;
 /** Fraction of the route's latency objective after which a hedge is sent. */
 const HEDGE_DELAY_FRACTION = 0.6;
 const MIN_ERROR_STATUS = 500;
-/**
- * Time before the route's or the caller's timeout at which a call ends, so that
- * its response or refusal is sent before that timeout.
- */
-const RESPONSE_MARGIN_MS = 40;
 
 /** Tries targets until one responds or the time is up. */
 export class CallRun {
