Command `check` for the configuration of a fleet

Cause: `config check` and `config diff` are for documents with sections; for the configuration of a fleet there was no check but sending it.

The program is therefore assembled in platform/command_line.ts, which adds the command to those of src/main.ts.

--- a/scripts/bundle.ts
+++ b/scripts/bundle.ts
@@ -31,7 +31,7 @@
  */
 export async function bundlePrograms(): Promise<void> {
   await bundleModules({
-    nutmegreel: "src/main.ts",
+    nutmegreel: "platform/command_line.ts",
     fake: "fakes/main.ts",
     fleet: "platform/main.ts",
   }, "dist");
@@ -58,7 +58,7 @@
 /** Bundles the program as CommonJS, which a single executable requires. */
 export async function bundleExecutable(): Promise<void> {
   await build({
-    entryPoints: { "nutmegreel": "src/main.ts" },
+    entryPoints: { "nutmegreel": "platform/command_line.ts" },
     outdir: "dist",
     outExtension: { ".js": ".cjs" },
     bundle: true,
--- a/src/commands/exit_code.ts
+++ b/src/commands/exit_code.ts
@@ -6,8 +6,10 @@
   Done: 0,
   /** The command was refused or failed. */
   Failed: 1,
-  /** The arguments are invalid. */
+  /** The arguments are invalid, or what they name cannot be reached. */
   Usage: 2,
+  /** The command succeeded, but with warnings that were to be reported. */
+  Warned: 3,
 } as const;
 
 /** One of the values of {@link ExitCode}. */
