Review: routes with the same homes are compared only once

Cause: every route was compared with every workspace.

The comparison is kept by list of homes. Documents in which every route has homes of its own still take routes times workspaces.

Evidence: policy_review_test and the tests of the command pass.

--- a/src/core/policy/policy_review.ts
+++ b/src/core/policy/policy_review.ts
@@ -29,10 +29,7 @@
 type Contradiction = readonly [path: PolicyPath, message: string];
 
 /** Gets the contradictions of one route or service. */
-type OwnerRule<T> = (
-  owner: T,
-  document: PolicyDocument,
-) => readonly Contradiction[];
+type OwnerRule<T> = (owner: T) => readonly Contradiction[];
 
 const ROUTE_RULES: Readonly<Record<string, OwnerRule<RoutePolicy>>> = {
   routeNeverMatches: ({ prefix }) =>
@@ -60,11 +57,6 @@
         `No attempt is started within a timeout of ${NO_ATTEMPT_MS} ms or less`,
       ]]
       : [],
-  homesDisjoint: (route, { workspaces }) => {
-    const apart = workspaces.filter((w) => isEmpty(homesOf(route, w)));
-    if (apart.length === 0) return [];
-    return [[["homes"], `No region in common with ${listNames(apart)}`]];
-  },
 };
 
 const SERVICE_RULES: Readonly<Record<string, OwnerRule<ServicePolicy>>> = {
@@ -113,6 +105,7 @@
   return [
     ...applyRules(document, "routes", ROUTE_RULES),
     ...reviewAttempts(document),
+    ...reviewCommonHomes(document),
     ...applyRules(document, "services", SERVICE_RULES),
     ...reviewUseOfServices(document),
     ...reviewHiddenNames(document),
@@ -128,7 +121,7 @@
 ): PolicyFinding[] {
   return document[section].flatMap((owner, i) =>
     Object.entries(rules).flatMap(([code, rule]) =>
-      rule(owner, document).map(([path, message]) =>
+      rule(owner).map(([path, message]) =>
         warn(code, [section, i, ...path], describe(section, owner, message))
       )
     )
@@ -157,6 +150,29 @@
   });
 }
 
+/** Routes with the same homes are compared with the workspaces only once. */
+function reviewCommonHomes(
+  { routes, workspaces }: PolicyDocument,
+): PolicyFinding[] {
+  const messages = new Map<string, string | undefined>();
+  const getMessage = (route: RoutePolicy) => {
+    const id = JSON.stringify(route.homes ?? []);
+    if (messages.has(id)) return messages.get(id);
+    const apart = workspaces.filter((w) => isEmpty(homesOf(route, w)));
+    const message = apart.length === 0
+      ? undefined
+      : `No region in common with ${listNames(apart)}`;
+    messages.set(id, message);
+    return message;
+  };
+  return routes.flatMap((route, i) => {
+    const message = getMessage(route);
+    if (message === undefined) return [];
+    const path = ["routes", i, "homes"];
+    return [warn("homesDisjoint", path, describe("routes", route, message))];
+  });
+}
+
 function reviewUseOfServices(
   { routes, services }: PolicyDocument,
 ): PolicyFinding[] {
