Publish the roster in a class of its own

Callers see no change; the publisher calls it in the same rounds. Evidence: tests of tasks/fleet pass (22 files with those of tasks/calls and item_placement, 151 passed), tsc and lint are clean.

--- a/src/tasks/fleet/fleet_publisher.ts
+++ b/src/tasks/fleet/fleet_publisher.ts
@@ -8,7 +8,6 @@
   type FleetNotice,
   FleetRole,
   type FleetState,
-  type RosterEntry,
 } from "../../core/fleet/mod.ts";
 import type { PolicyDocument } from "../../core/policy/mod.ts";
 import {
@@ -20,6 +19,11 @@
   type TargetReport,
 } from "../../core/registry/mod.ts";
 import type { FleetNode } from "./fleet_node.ts";
+import {
+  FOLLOWER_ROLES,
+  LOG_ROLES,
+  RosterPublisher,
+} from "./roster_publisher.ts";
 
 /** Options of {@link FleetPublisher}. */
 export interface FleetPublisherOptions {
@@ -54,24 +58,12 @@
  * later order.
  */
 const LEADER_WAIT_MS = 3_000;
-/**
- * Number of calls of {@link FleetPublisher.resendMissing} after which an
- * unchanged roster is sent again.
- */
-const ROSTER_RESEND_ROUNDS = 15;
-/** Roles that receive policy and targets. */
-const FOLLOWER_ROLES: readonly FleetRole[] = [
-  FleetRole.Entry,
-  FleetRole.Ledger,
-];
-/** Roles that hold a log. */
-const LOG_ROLES: readonly FleetRole[] = [FleetRole.Control, FleetRole.Ledger];
-
 /** Sends changes at once, and resends them to instances that lack them. */
 export class FleetPublisher {
   readonly #options: FleetPublisherOptions;
   readonly #incarnation = randomBytes(INCARNATION_BYTES).toString("hex");
   readonly #startedAt: number;
+  readonly #roster: RosterPublisher;
   readonly #targetsSentAt = new Map<string, number>();
   readonly #sentPolicies = new Map<string, SentVersion>();
   readonly #sentEvacuations = new Map<string, SentVersion>();
@@ -81,12 +73,11 @@
    */
   readonly #changes = new Map<FleetRole, ChangeCounter>();
   #isPolicyScheduled = false;
-  #sentRoster = "";
-  #rosterRound = 0;
 
   constructor(options: FleetPublisherOptions) {
     this.#options = options;
     this.#startedAt = options.now();
+    this.#roster = new RosterPublisher(options);
   }
 
   /**
@@ -180,7 +171,7 @@
         if (isBehind) this.#sendAllTargets(id, role, isNew);
       }
     }
-    this.#sendRoster();
+    this.#roster.send();
   }
 
   #sendTarget(role: FleetRole, report: TargetReport): void {
@@ -265,52 +256,4 @@
       node.leaderOf(FleetRole.Control) !== undefined ||
       now() - this.#startedAt > LEADER_WAIT_MS;
   }
-
-  #sendRoster(): void {
-    const { node, state } = this.#options;
-    const members = this.#members();
-    const retiring = [...state().retiring.keys()];
-    this.#rosterRound += 1;
-    const linked = this.#linkedSenders();
-    const senders = [...new Set([...linked, ...node.senders])].sort();
-    const roster = JSON.stringify({ members, retiring, senders });
-    const isDue = this.#rosterRound % ROSTER_RESEND_ROUNDS === 0;
-    if (roster === this.#sentRoster && !isDue) return;
-    this.#sentRoster = roster;
-    for (const role of Object.values(FleetRole)) {
-      const listed = role === FleetRole.Control ? linked : senders;
-      const notice = { type: "roster", members, retiring } as const;
-      node.notifyRole(role, { ...notice, senders: listed });
-    }
-  }
-
-  #linkedSenders(): string[] {
-    const { node } = this.#options;
-    return FOLLOWER_ROLES.flatMap((role) =>
-      [...node.linkedMembers(role)].map(({ id }) => id)
-    );
-  }
-
-  #members(): RosterEntry[] {
-    const { node, leadsTerm } = this.#options;
-    const { id, name, dataCentre } = node.settings;
-    const own: RosterEntry = {
-      id,
-      name,
-      role: FleetRole.Control,
-      dataCentre,
-      leadsTerm: leadsTerm(),
-    };
-    const others = LOG_ROLES.flatMap((role) =>
-      node.linkedMembers(role).map(({ id: memberId, member }) => ({
-        id: memberId,
-        name: member.name,
-        role,
-        dataCentre: member.dataCentre,
-        leadsTerm: member.leadsTerm,
-        isVoter: member.isVoter,
-      }))
-    );
-    return [own, ...others].sort((a, b) => a.id < b.id ? -1 : 1);
-  }
 }
