--- /dev/null
+++ b/src/core/batches/target_ranking.ts
@@ -0,0 +1,116 @@
+/** Ranks targets by the expected end of an item. */
+import { mayContinue } from "../continuation/mod.ts";
+import type { PlacementInput, PlacementTarget } from "./item_placement.ts";
+import { loadFactorOf } from "./target_pace.ts";
+
+/**
+ * Share by which a scarce target must end an item earlier that any target could
+ * run; outputs of its software version can go on nowhere else.
+ */
+const SCARCE_PENALTY = 0.5;
+/**
+ * Share by which a cold target must end an item earlier: its few requests are
+ * left to items that find no slot elsewhere.
+ */
+const COLD_PENALTY = 0.1;
+
+/** The best of some targets, by expected end. */
+export interface Best {
+  target: PlacementTarget | undefined;
+  /** Expected time until the output is complete, in milliseconds. */
+  ms: number;
+  /** As `ms`, with the penalties of a scarce and a cold target. */
+  cost: number;
+}
+
+/** The best targets of one pass. */
+export interface Ranking {
+  readonly free: Best;
+  readonly freeLocal: Best;
+  readonly used: Best;
+  /** Number of slots of the targets without a free one. */
+  usedSlots: number;
+  /** As `used`, among the targets that have the prompt in their cache. */
+  readonly usedWarm: Best;
+  usedWarmSlots: number;
+}
+
+/** Finds the best targets among those that are excluded, or are not. */
+export function rankTargets(
+  input: PlacementInput,
+  isExcluded: boolean,
+): Ranking {
+  const ranking: Ranking = {
+    free: createBest(),
+    freeLocal: createBest(),
+    used: createBest(),
+    usedSlots: 0,
+    usedWarm: createBest(),
+    usedWarmSlots: 0,
+  };
+  const { run, excluded, warmTargets } = input;
+  const coldEvents = run.coldPromptEvents + run.remainingEvents;
+  const warmEvents = run.cachedPromptEvents + run.remainingEvents;
+  for (const target of input.targets) {
+    if (!isEligible(target, input)) continue;
+    if (excluded.size > 0 && excluded.has(target.id) !== isExcluded) continue;
+    const isWarm = warmTargets.size > 0 && warmTargets.has(target.id);
+    const ms = eventMsOf(target) * (isWarm ? warmEvents : coldEvents);
+    const cost = ms * (1 + penaltyOf(target, input));
+    if (target.inFlight < target.slots) {
+      improve(ranking.free, target, ms, cost);
+      if (target.dataCentre === input.dataCentre) {
+        improve(ranking.freeLocal, target, ms, cost);
+      }
+    } else if (!target.isSick) {
+      improve(ranking.used, target, ms, cost);
+      ranking.usedSlots += target.slots;
+      if (!isWarm) continue;
+      improve(ranking.usedWarm, target, ms, cost);
+      ranking.usedWarmSlots += target.slots;
+    }
+  }
+  return ranking;
+}
+
+/** Gets the share by which a target must end an item earlier than others. */
+function penaltyOf(target: PlacementTarget, input: PlacementInput): number {
+  const isScarce = target.isScarce && input.written === undefined;
+  return (isScarce ? SCARCE_PENALTY : 0) + (target.isCold ? COLD_PENALTY : 0);
+}
+
+function createBest(): Best {
+  return { target: undefined, ms: Infinity, cost: Infinity };
+}
+
+function improve(
+  best: Best,
+  target: PlacementTarget,
+  ms: number,
+  cost: number,
+): void {
+  if (cost >= best.cost) return;
+  best.target = target;
+  best.ms = ms;
+  best.cost = cost;
+}
+
+function isEligible(
+  target: PlacementTarget,
+  input: PlacementInput,
+): boolean {
+  const { version } = target;
+  if (target.isAvoided || target.slots === 0) return false;
+  if (input.minVersion > 0 && version === undefined) return false;
+  if (version !== undefined && version < input.minVersion) return false;
+  if (!mayContinue(input.written, target)) return false;
+  if (!input.isSingleVersion || input.versions.length === 0) return true;
+  return input.versions.every((v) => v === version);
+}
+
+/** Gets the time per event of one more run at a target. */
+export function eventMsOf(
+  { paceMs, inFlight, slots }: PlacementTarget,
+): number {
+  return paceMs * loadFactorOf(inFlight / slots);
+}
