Split intake, storage, membership and observers off the batch task

Callers see no change. BatchIntake accepts and ends batches, ResultQueue writes outputs, LedgerMembership finds present, lost and retiring replicas, LedgerObserver reacts to applied commands.

--- a/src/tasks/batches/batch_task.ts
+++ b/src/tasks/batches/batch_task.ts
@@ -1,22 +1,11 @@
 /** The batch ledger of an instance with persistent storage. */
 import {
-  type BatchCommand,
-  type BatchCommandResult,
   type BatchRecord,
-  type BatchResult,
   BatchState,
   estimateCommandBytes,
-  type LedgerSnapshot,
-  type PartialTextRecord,
-  type ResultRecord,
-  ResultState,
 } from "../../core/batches/mod.ts";
-import {
-  allMembers,
-  instanceOf,
-  type ReplicaId,
-} from "../../core/consensus/mod.ts";
-import { FleetRole, wantedVoters } from "../../core/fleet/mod.ts";
+import { instanceOf, type ReplicaId } from "../../core/consensus/mod.ts";
+import { FleetRole } from "../../core/fleet/mod.ts";
 import { RegionMap } from "../../core/policy/mod.ts";
 import {
   type LoadedVersion,
@@ -24,11 +13,6 @@
   type TargetReport,
   type TargetSigns,
 } from "../../core/registry/mod.ts";
-import {
-  RefusalError,
-  RefusalReason,
-  Verdict,
-} from "../../core/verdict/mod.ts";
 import { createLogOptions } from "../fleet/fleet_log.ts";
 import type { FleetNode } from "../fleet/fleet_node.ts";
 import { createLimiter } from "../fleet/target_limiter.ts";
@@ -41,8 +25,16 @@
   type ReadParams,
   type SubmitParams,
 } from "./batch_port.ts";
+import {
+  BatchIntake,
+  CONFIRM_TIMEOUT_MS,
+  type LedgerService,
+} from "./batch_intake.ts";
 import { BatchRunner } from "./batch_runner.ts";
-import { createNotFoundError, ResultReader } from "./result_reader.ts";
+import { LedgerMembership } from "./ledger_membership.ts";
+import { LedgerObserver } from "./ledger_observer.ts";
+import { ResultQueue } from "./result_queue.ts";
+import { ResultReader } from "./result_reader.ts";
 import type { EnginePort } from "./engine_port.ts";
 import type { ScoringPort } from "./item_scorer.ts";
 
@@ -67,21 +59,10 @@
 export const FORM_METHOD = "batches.form";
 
 const COMPACT_ENTRIES = 8_192;
-const CONFIRM_TIMEOUT_MS = 800;
 const DEMAND_TIMEOUT_MS = 800;
 const MAINTENANCE_INTERVAL_MS = 1_000;
 /** Time added to the retention period before results are deleted. */
 const EXPIRY_SLACK_MS = 30_000;
-/** Maximum number of results written by one log entry. */
-const MAX_RESULTS_PER_ENTRY = 32;
-
-type Service = LogService<
-  BatchCommand,
-  LedgerSnapshot,
-  BatchCommandResult,
-  BatchState
->;
-
 /**
  * Owns the instance's replica of the batch ledger, and runs the items while
  * that replica leads.
@@ -90,11 +71,13 @@
   /** Targets, as published by the control instances. */
   readonly registry: TargetRegistry;
   readonly #options: BatchTaskOptions;
-  readonly #service: Service;
+  readonly #service: LedgerService;
   readonly #runner: BatchRunner;
   readonly #reader: ResultReader;
-  #pendingResults: ResultRecord[] = [];
-  #isStoring = false;
+  readonly #membership: LedgerMembership;
+  readonly #results: ResultQueue;
+  readonly #intake: BatchIntake;
+  readonly #observer: LedgerObserver;
   #maintenanceTimer: NodeJS.Timeout | undefined;
 
   /**
@@ -106,11 +89,32 @@
     const { regions } = options.node.settings;
     this.registry = new TargetRegistry(new RegionMap(regions));
     this.#service = this.#createService();
+    const { driver } = this.#service;
+    this.#membership = new LedgerMembership({
+      node: options.node,
+      replica: () => this.replica,
+      members: () => driver.node?.members,
+    });
+    this.#intake = new BatchIntake({ service: this.#service });
     this.#reader = new ResultReader({
       state: () => this.#service.state,
       confirmLeadership: () => this.#confirmLeadership(),
     });
+    const { logger, metrics } = options.node;
+    this.#results = new ResultQueue({
+      propose: (command) => this.#service.propose(command),
+      onUnstored: (batch, item) => this.#runner.onResultStored(batch, item),
+      logger,
+    });
     this.#runner = this.#createRunner();
+    this.#observer = new LedgerObserver({
+      state: () => this.#service.state,
+      runner: this.#runner,
+      reader: this.#reader,
+      logger,
+      metrics,
+      isLeader: () => this.leadsTerm !== undefined,
+    });
     options.node
       .onLog(BATCH_LOG, (message) => this.#service.receive(message as never));
     options.node.hub
@@ -119,7 +123,7 @@
         (params) =>
           this.#service.driver.bootstrapMembers(params as ReplicaId[]),
       )
-      .handle(BatchMethod.Submit, (p) => this.#submit(p as SubmitParams))
+      .handle(BatchMethod.Submit, (p) => this.#intake.submit(p as SubmitParams))
       .handle(BatchMethod.Read, (p) => this.#reader.read(p as ReadParams))
       .handle(
         BatchMethod.ReadStored,
@@ -127,7 +131,7 @@
       )
       .handle(BatchMethod.Body, (p) => this.#reader.readBody(p as BodyParams))
       .handle(BatchMethod.Holders, () => this.#holders())
-      .handle(BatchMethod.End, (p) => this.#end(p as BatchParams));
+      .handle(BatchMethod.End, (p) => this.#intake.end(p as BatchParams));
   }
 
   /** Gets the ID of the local replica; undefined before it is opened. */
@@ -175,7 +179,7 @@
     this.#runner.onLoadStarted(loading);
   }
 
-  #createService(): Service {
+  #createService(): LedgerService {
     const { node, dataFolder, now } = this.#options;
     return new LogService({
       ...createLogOptions(node, BATCH_LOG),
@@ -183,13 +187,13 @@
       createState: () => new BatchState(),
       compactEntries: COMPACT_ENTRIES,
       sizeOf: estimateCommandBytes,
-      wantedVoters: () => this.#wantedVoters(),
+      wantedVoters: () => this.#membership.wantedVoters,
       wantedLearners: 0,
       now,
-      presentReplicas: () => this.#presentReplicas(),
-      isLost: (replica) => this.#isLost(instanceOf(replica)),
-      isRetiring: (replica) => this.#isRetiring(instanceOf(replica)),
-      onApplied: (command) => this.#onApplied(command),
+      presentReplicas: () => this.#membership.presentReplicas,
+      isLost: (replica) => this.#membership.isLost(instanceOf(replica)),
+      isRetiring: (replica) => this.#membership.isRetiring(instanceOf(replica)),
+      onApplied: (command) => this.#observer.onApplied(command),
       onRestored: () => this.#reader.wakeAll(),
       onRole: (isLeader) => this.#onRoleChanged(isLeader),
     });
@@ -217,55 +221,16 @@
       },
       scoring,
       onSigns,
-      storeCompleteText: (record) => this.#storeCompleteText(record),
-      storeResult: (record) => this.#queueResult(record),
-      storePartialTexts: (records) => {
-        this.#service.propose({ type: "keep", records })
-          .catch((err) => this.#logStoreFailure(err, records.length));
-      },
+      storeCompleteText: (record) => this.#results.storeCompleteText(record),
+      storeResult: (record) => this.#results.add(record),
+      storePartialTexts: (records) => this.#results.storePartialTexts(records),
     });
   }
 
-  #wantedVoters(): number {
-    const { tolerance } = this.#options.node.settings;
-    const replicas = this.#presentReplicas().length;
-    const members = this.#service.driver.node?.members.voters.length ?? 0;
-    const fullSize = 2 * tolerance + 1;
-    return Math.min(fullSize, wantedVoters(Math.max(replicas, members)));
-  }
-
-  /** Gets the reachable replicas, excluding those of retiring instances. */
-  #presentReplicas(): string[] {
-    const { node } = this.#options;
-    const others = node.linkedMembers(FleetRole.Ledger)
-      .filter(({ member }) => !node.isRetiring(member.name))
-      .map(({ member }) => member.replica);
-    const own = node.isRetiring(node.settings.name) ? undefined : this.replica;
-    return [own, ...others].filter((id) => id !== undefined);
-  }
-
-  #isLost(instance: string): boolean {
-    const { hub, settings } = this.#options.node;
-    if (instance === settings.id || hub.getPresence(instance) !== undefined) {
-      return false;
-    }
-    return hub.absentMs(instance) > settings.times.contactMs;
-  }
-
-  #isRetiring(instance: string): boolean {
-    const { node } = this.#options;
-    const { id, name } = node.settings;
-    const retiring = instance === id
-      ? name
-      : node.hub.getPresence(instance)?.member?.name;
-    return retiring !== undefined && node.isRetiring(retiring);
-  }
-
   /** Transfers leadership if this instance is retiring. */
   #transferIfRetiring(): void {
-    const { node } = this.#options;
     if (this.leadsTerm === undefined) return;
-    if (!node.isRetiring(node.settings.name)) return;
+    if (!this.#membership.isLocalRetiring) return;
     this.#service.driver.transferLeadership();
   }
 
@@ -287,157 +252,15 @@
   /** Gets the instances that hold a replica of the ledger. */
   async #holders(): Promise<string[]> {
     await this.#confirmLeadership();
-    const members = this.#service.driver.node?.members;
-    if (members === undefined) return [];
-    return allMembers(members).map((replica) => instanceOf(replica));
-  }
-
-  async #submit({ spec, faults = [] }: SubmitParams): Promise<true> {
-    // A batch that was accepted stays so, whatever the policy says by now.
-    if (faults.length > 0) await this.#confirmSubmission();
-    const existing = this.#service.state.get(spec.id);
-    if (existing === undefined && faults.length > 0) {
-      throw new RefusalError(RefusalReason.MalformedRequest, Verdict.NotRun, {
-        message: faults.join("; "),
-      });
-    }
-    if (existing === undefined) {
-      const result = await this.#service.propose({ type: "accept", spec });
-      if (!result.isHeld) throw createNotFoundError();
-      return true;
-    }
-    await this.#confirmSubmission();
-    if (existing.spec.workspace !== spec.workspace) throw createNotFoundError();
-    return true;
-  }
-
-  /** Confirms leadership for a batch that may have been accepted before. */
-  async #confirmSubmission(): Promise<void> {
-    const { MayHaveRun } = Verdict;
-    await this.#service.confirmLeadership(CONFIRM_TIMEOUT_MS, MayHaveRun);
-  }
-
-  async #end({ workspace, batch }: BatchParams): Promise<true> {
-    const record = this.#service.state.getForWorkspace(workspace, batch);
-    if (record === undefined) {
-      await this.#confirmLeadership();
-      if (this.#service.state.getForWorkspace(workspace, batch) === undefined) {
-        throw createNotFoundError();
-      }
-    }
-    await this.#service.propose({ type: "end", batch });
-    return true;
+    return this.#membership.holders;
   }
 
   async #confirmLeadership(): Promise<void> {
     await this.#service.confirmLeadership(CONFIRM_TIMEOUT_MS);
   }
 
-  /** Queues a result; results that arrive during a write share the next one. */
-  #queueResult(record: ResultRecord): void {
-    this.#pendingResults.push(record);
-    if (!this.#isStoring) this.#storeQueuedResults();
-  }
-
-  #storeQueuedResults(): void {
-    const records = this.#pendingResults.splice(0, MAX_RESULTS_PER_ENTRY);
-    if (records.length === 0) return;
-    this.#isStoring = true;
-    this.#service.propose({ type: "list", records })
-      .catch((err) => {
-        this.#logStoreFailure(err, records.length);
-        for (const { batch, result } of records) {
-          this.#runner.onResultStored(batch, result.id);
-        }
-      })
-      .finally(() => {
-        this.#isStoring = false;
-        this.#storeQueuedResults();
-      });
-  }
-
-  #storeCompleteText(record: PartialTextRecord): void {
-    this.#service.propose({ type: "keep", records: [record] })
-      .catch((err) => {
-        this.#logStoreFailure(err, 1);
-        this.#runner.onResultStored(record.batch, record.item);
-      });
-  }
-
-  #logStoreFailure(err: unknown, records: number): void {
-    this.#options.node.logger.event("recordsUnstored", {
-      reason: (err as Error).message,
-      records,
-    });
-  }
-
-  #onApplied(command: BatchCommand): void {
-    this.#appliedHandlers[command.type](command as never);
-  }
-
-  readonly #appliedHandlers: {
-    readonly [T in BatchCommand["type"]]: (
-      command: Extract<BatchCommand, { type: T }>,
-    ) => void;
-  } = {
-    accept: ({ spec }) => {
-      this.#options.node.metrics.count("batches.accepted");
-      this.#logIfLeader("batchAccepted", {
-        batch: spec.id,
-        workspace: spec.workspace,
-        items: spec.items.length,
-        minVersion: spec.minVersion,
-      });
-      this.#runner.schedulePlacement();
-    },
-    list: ({ records }) => {
-      for (const { batch, result } of records) this.#onResult(batch, result);
-    },
-    keep: ({ records }) => {
-      for (const { batch, item, isComplete } of records) {
-        if (isComplete) this.#runner.onTextStored(batch, item);
-      }
-    },
-    end: ({ batch }) => {
-      this.#recordDuration(batch);
-      this.#logIfLeader("batchEnded", { batch });
-      this.#runner.onBatchEnded(batch);
-      this.#reader.wake(batch);
-    },
-    forget: () => {},
-  };
-
-  #recordDuration(batch: string): void {
-    const spec = this.#service.state.get(batch)?.spec;
-    if (spec === undefined) return;
-    const tookMs = Date.now() - spec.acceptedAt;
-    this.#options.node.metrics.timing("batches.duration", tookMs);
-  }
-
-  #onResult(batch: string, result: BatchResult): void {
-    this.#runner.onResultStored(batch, result.id);
-    this.#options.node.metrics.count(RESULT_METRIC_NAMES[result.state]);
-    this.#logIfLeader("itemListed", {
-      batch,
-      item: result.id,
-      state: result.state,
-      versions: result.versions.join(","),
-      bytes: result.text.length,
-    });
-    this.#reader.wake(batch);
-  }
-
-  /** Logs an event on the leader only, since every replica applies it. */
-  #logIfLeader(
-    name: "batchAccepted" | "batchEnded" | "itemListed",
-    fields: Readonly<Record<string, string | number>>,
-  ): void {
-    if (this.leadsTerm === undefined) return;
-    this.#options.node.logger.event(name, fields);
-  }
-
   #onRoleChanged(isLeader: boolean): void {
-    this.#pendingResults = [];
+    this.#results.clear();
     if (isLeader) this.#runner.start();
     else this.#runner.stop();
     if (!isLeader) this.#reader.wakeAll();
@@ -460,8 +283,3 @@
       .catch((err) => this.#options.node.logger.error(err));
   }
 }
-
-const RESULT_METRIC_NAMES = {
-  [ResultState.Completed]: "items.completed",
-  [ResultState.Abandoned]: "items.abandoned",
-} as const;
