Record the signs of targets in a class of its own

Callers see no change. Evidence: tests of tasks/fleet pass (96 with batch_task_test.ts), tsc and lint are clean.

--- a/src/tasks/fleet/fleet_follower.ts
+++ b/src/tasks/fleet/fleet_follower.ts
@@ -14,7 +14,6 @@
   type TargetRegistry,
   type TargetReport,
   type TargetSigns,
-  TargetState,
 } from "../../core/registry/mod.ts";
 import {
   type ConfirmPolicyReply,
@@ -26,6 +25,7 @@
 import type { FleetNode } from "./fleet_node.ts";
 import { PolicyLease } from "./policy_lease.ts";
 import { logTargetChanged } from "./target_log.ts";
+import { type NoticeOf, TargetSignsRecorder } from "./target_signs_recorder.ts";
 
 /** Options of {@link FleetFollower}. */
 export interface FleetFollowerOptions {
@@ -44,12 +44,6 @@
   readonly onLoading?: (loading: LoadedVersion) => void;
 }
 
-/** A pushed message of one type. */
-type NoticeOf<T extends FleetNotice["type"]> = Extract<
-  FleetNotice,
-  { type: T }
->;
-
 /** Confirmations per lease duration. */
 const CONFIRMS_PER_LEASE = 4;
 const CONFIRM_TIMEOUT_MS = 900;
@@ -64,12 +58,14 @@
   readonly #targetsSeen: Record<string, ChangeSequence> = {};
   readonly #incarnation = randomUUID();
   readonly #lease: PolicyLease;
+  readonly #signs: TargetSignsRecorder;
   #policy: PolicyView | undefined;
   #isConfirming = false;
   #timer: NodeJS.Timeout | undefined;
 
   constructor(options: FleetFollowerOptions) {
     this.#options = options;
+    this.#signs = new TargetSignsRecorder(options);
     this.#lease = new PolicyLease({
       ...options,
       revision: () => this.policyRevision,
@@ -129,42 +125,8 @@
   }
 
   /** Records what a target says of itself, and tells the control instances. */
-  onSigns({ id, incarnation }: TargetReport, signs: TargetSigns): void {
-    const { node } = this.#options;
-    const { isLeaving, maxPerSecond, coldMs } = signs;
-    if (isLeaving) this.#markLeaving(id, incarnation);
-    const limit = { target: id, incarnation, maxPerSecond };
-    if (this.#recordLimit(limit)) {
-      node.notifyRole(FleetRole.Control, { type: "limit", ...limit });
-    }
-    if (coldMs === undefined) return;
-    const cold = { target: id, incarnation, coldMs, isForwarded: false };
-    if (this.#extendCold(cold)) {
-      node.notifyRole(FleetRole.Control, { type: "cold", ...cold });
-    }
-  }
-
-  #recordLimit(limit: Omit<NoticeOf<"limit">, "type">): boolean {
-    const { node, registry } = this.#options;
-    const { target, incarnation, maxPerSecond } = limit;
-    const isNew = registry.recordLimit(target, incarnation, maxPerSecond);
-    if (isNew) node.logger.event("targetLimited", { target, maxPerSecond });
-    return isNew;
-  }
-
-  #extendCold(cold: Omit<NoticeOf<"cold">, "type">): boolean {
-    const { registry, clock } = this.#options;
-    const { target, incarnation, coldMs } = cold;
-    const end = { coldMs, now: clock.now() };
-    return registry.extendCold(target, incarnation, end);
-  }
-
-  #markLeaving(id: string, incarnation: number): void {
-    const { node, registry, onTargetsChanged } = this.#options;
-    if (!registry.markLeaving(id, incarnation)) return;
-    logTargetChanged(node.logger, registry.getReportOrThrow(id));
-    onTargetsChanged();
-    node.notifyRole(FleetRole.Control, createLeavingNotice(id, incarnation));
+  onSigns(target: TargetReport, signs: TargetSigns): void {
+    this.#signs.onSigns(target, signs);
   }
 
   #confirm(): void {
@@ -227,12 +189,12 @@
       const { registry, onTargetsChanged } = this.#options;
       if (registry.recordVersion(notice)) onTargetsChanged();
     }
-    if (notice.type === "limit") this.#recordLimit(notice);
-    if (notice.type === "cold") this.#extendCold(notice);
+    if (notice.type === "limit") this.#signs.recordLimit(notice);
+    if (notice.type === "cold") this.#signs.extendCold(notice);
     if (notice.type !== "targets") return;
     this.#recordChange(from, notice);
     this.#mergeReports(notice);
-    this.#repeatLeaving(notice, from);
+    this.#signs.repeatLeaving(notice, from);
   }
 
   /** Applies a policy if its revision is newer than the current one. */
@@ -272,29 +234,4 @@
     }
     if (isChanged) onTargetsChanged();
   }
-
-  /**
-   * Tells a control instance again of the leaving targets that it takes for
-   * ready, for example after its restart.
-   */
-  #repeatLeaving(
-    { reports }: NoticeOf<"targets">,
-    from: string,
-  ): void {
-    const { node, registry } = this.#options;
-    for (const { id, state, incarnation } of reports) {
-      if (state !== TargetState.Ready) continue;
-      const known = registry.get(id)?.report;
-      const isLeaving = known?.incarnation === incarnation &&
-        known.state === TargetState.Draining;
-      if (isLeaving) node.notify([from], createLeavingNotice(id, incarnation));
-    }
-  }
-}
-
-function createLeavingNotice(
-  target: string,
-  incarnation: number,
-): FleetNotice {
-  return { type: "leaving", target, incarnation };
 }
