--- a/src/tasks/calls/call_run.ts
+++ b/src/tasks/calls/call_run.ts
@@ -14,13 +14,13 @@
 } from "./call_run_options.ts";
 import { CallTrace } from "./call_trace.ts";
 import { CallTrial } from "./call_trial.ts";
-import { isErrorStatus, isFailure, isRefusal } from "./attempt_outcome.ts";
 import type { AttemptOutcome, CallAttempt } from "./target_port.ts";
 
 /** Minimum remaining time for which a further attempt is started. */
 const MIN_ATTEMPT_MS = 30;
 /** Fraction of the route's latency objective after which a hedge is sent. */
 const HEDGE_DELAY_FRACTION = 0.6;
+const MIN_ERROR_STATUS = 500;
 /**
  * Time before the route's or the caller's timeout at which a call ends, so that
  * its response or refusal is sent before that timeout.
@@ -267,9 +267,9 @@
     this.#recordVerdict(Verdict.Ran);
     this.#trial.end();
     this.#output.end();
-    if (isErrorStatus(response.status)) this.#failedResponses += 1;
+    if (response.status >= MIN_ERROR_STATUS) this.#failedResponses += 1;
     this.#trial.onCompleted();
-    const isFinal = !isErrorStatus(response.status) || !this.#isRetryable;
+    const isFinal = response.status < MIN_ERROR_STATUS || !this.#isRetryable;
     if (isFinal) return response;
     this.#errorResponse = response;
     this.#recordRetry(target, `Answered ${response.status}`);
@@ -293,3 +293,14 @@
     });
   }
 }
+
+function isFailure(outcome: AttemptOutcome): boolean {
+  if (outcome.type === "failed") return true;
+  return outcome.isMisdirected || outcome.answer.status >= MIN_ERROR_STATUS;
+}
+
+/** Gets whether the target that was meant states that it did not run the call. */
+function isRefusal(outcome: AttemptOutcome): boolean {
+  return outcome.type === "answered" && outcome.isNotRun &&
+    !outcome.isMisdirected;
+}
