--- a/src/tasks/fleet/fleet_control.ts
+++ b/src/tasks/fleet/fleet_control.ts
@@ -89,6 +89,7 @@
       registry,
       publisher: this.#publisher,
       state: () => this.state,
+      now: options.now,
       propose: (command) => this.propose(command),
     });
     node
