--- a/src/tasks/calls/call_run.ts
+++ b/src/tasks/calls/call_run.ts
@@ -4,6 +4,7 @@
 import type { TargetReport } from "../../core/registry/mod.ts";
 import { MIN_ATTEMPT_MS, RESPONSE_MARGIN_MS } from "../../core/retry/mod.ts";
 import { Verdict } from "../../core/verdict/mod.ts";
+import { isErrorStatus, isFailure, isRefusal } from "./attempt_outcome.ts";
 import { fingerprintOf } from "./call_fingerprint.ts";
 import { CallOutput } from "./call_output.ts";
 import { createCallRefusal } from "./call_refusal.ts";
@@ -19,7 +20,6 @@
 
 /** Fraction of the route's latency objective after which a hedge is sent. */
 const HEDGE_DELAY_FRACTION = 0.6;
-const MIN_ERROR_STATUS = 500;
 
 /** Tries targets until one responds or the time is up. */
 export class CallRun {
@@ -261,9 +261,9 @@
     this.#recordVerdict(Verdict.Ran);
     this.#trial.end();
     this.#output.end();
-    if (response.status >= MIN_ERROR_STATUS) this.#failedResponses += 1;
+    if (isErrorStatus(response.status)) this.#failedResponses += 1;
     this.#trial.onCompleted();
-    const isFinal = response.status < MIN_ERROR_STATUS || !this.#isRetryable;
+    const isFinal = !isErrorStatus(response.status) || !this.#isRetryable;
     if (isFinal) return response;
     this.#errorResponse = response;
     this.#recordRetry(target, `Answered ${response.status}`);
@@ -287,14 +287,3 @@
     });
   }
 }
-
-function isFailure(outcome: AttemptOutcome): boolean {
-  if (outcome.type === "failed") return true;
-  return outcome.isMisdirected || outcome.answer.status >= MIN_ERROR_STATUS;
-}
-
-/** Gets whether the target that was meant states that it did not run the call. */
-function isRefusal(outcome: AttemptOutcome): boolean {
-  return outcome.type === "answered" && outcome.isNotRun &&
-    !outcome.isMisdirected;
-}
