Newcomer's read: an order whose sender has left is not rebased; leaders tell first what is evacuated

From a read of the whole change: a control instance whose order was outdated took the newer version and tried again without limit, also after its sender had left and given a later order elsewhere, which it would have undone. A control instance that knew a leader told instances that had just started its own, perhaps older, set; now only the leader does, or anyone after 3 s without one. A resumption's wait for targets ignored the time that its caller has left. Attempts withheld for an evacuation counted as failures of their target. Permits that expired unused stayed in memory. Doc comments that were untrue.

--- a/src/commands/exit_code.ts
+++ b/src/commands/exit_code.ts
@@ -8,7 +8,7 @@
   Failed: 1,
   /** The arguments are invalid, or what they name cannot be reached. */
   Usage: 2,
-  /** The command succeeded, but with warnings that were to be reported. */
+  /** The document is valid, but has warnings, and `--strict` was set. */
   Warned: 3,
 } as const;
 
--- a/src/core/batches/start_pacer.ts
+++ b/src/core/batches/start_pacer.ts
@@ -1,6 +1,9 @@
 /** Limits how many runs a leader starts, by how far its process lags behind. */
 
-/** Lag above which fewer runs start, a fraction of the election timeout. */
+/**
+ * Delay of a tick from which the limit is halved, in milliseconds; well below
+ * the election timeout.
+ */
 const MAX_LAG_MS = 100;
 /** Starts per tick of a process whose speed is not known yet. */
 const MIN_STARTS = 8;
@@ -9,10 +12,9 @@
 const STARTS_STEP = 8;
 
 /**
- * Paces the starts of runs. A leader that has just started, with its code still
- * slow and no connection open, and finds hundreds of items waiting would be busy
- * with them for longer than the election timeout and lose its lead, and the next
- * one after it.
+ * Limits how many runs start in a tick. The limit grows while ticks are in time
+ * and is halved after a late one, so that a new leader with many waiting items
+ * still sends its heartbeats before the election timeout.
  *
  * @example
  * ```ts
--- a/src/core/continuation/stream_directory.ts
+++ b/src/core/continuation/stream_directory.ts
@@ -65,7 +65,7 @@
   }
 
   /**
-   * Adds a stream, or extends the time for which it is remembered. If another
+   * Adds a stream, to be remembered for its time from now on. If another
    * version is known to have written it, as after a request that came twice,
    * its events may be of either: its version is unknown from then on.
    */
--- a/src/core/limits/permit_store.ts
+++ b/src/core/limits/permit_store.ts
@@ -28,6 +28,7 @@
     { expiresAt, extendsOthers }: StoredPermitOptions,
     now: number,
   ): this {
+    this.#prune(now);
     const valid = this.#validOf(target, now)
       .map((at) => extendsOthers ? Math.max(at, expiresAt) : at);
     this.#expiries.set(target, [...valid, expiresAt].sort((a, b) => a - b));
@@ -47,6 +48,13 @@
     return this;
   }
 
+  /** Removes the targets whose permits have all expired. */
+  #prune(now: number): void {
+    for (const [target, expiries] of this.#expiries) {
+      if (expiries[expiries.length - 1] <= now) this.#expiries.delete(target);
+    }
+  }
+
   #validOf(target: string, now: number): number[] {
     return (this.#expiries.get(target) ?? []).filter((at) => now < at);
   }
--- a/src/tasks/batches/placement_scheduler.ts
+++ b/src/tasks/batches/placement_scheduler.ts
@@ -38,7 +38,7 @@
 /** Maximum number of items sent to targets in one round. */
 const MAX_PLACED_PER_ROUND = 64;
 
-/** Runs placement rounds, at most one in a turn of the event loop by request. */
+/** Runs placement rounds; requests in one turn of the event loop share one. */
 export class PlacementScheduler {
   readonly #options: PlacementSchedulerOptions;
   #isScheduled = false;
@@ -61,7 +61,7 @@
     });
   }
 
-  /** Starts the items that are due first, as far as targets take them. */
+  /** Starts waiting items in their order, as far as targets and pace allow. */
   placeItems(): void {
     const { canRunItems, state, pacer, itemTracker, results, starter } =
       this.#options;
--- a/src/tasks/calls/call_run.ts
+++ b/src/tasks/calls/call_run.ts
@@ -229,7 +229,8 @@
     const now = performance.now();
     latencies.onEnded(report.id, {
       latencyMs: now - startedAt,
-      isFailure: isFailure(outcome) && !signal.aborted,
+      isFailure: isFailure(outcome) && !signal.aborted &&
+        !registry.isEvacuated(report.dataCentre),
       isRefusal: isRefusal(outcome),
       now,
     });
--- a/src/tasks/calls/call_targets.ts
+++ b/src/tasks/calls/call_targets.ts
@@ -77,7 +77,7 @@
     return this.#permitAfterMs;
   }
 
-  /** Gets whether the call is kept from all targets by its homes. */
+  /** Gets whether the call has homes, and no target in them is ready. */
   get isOutsideHomes(): boolean {
     return this.#options.homes !== undefined && this.#reports().length === 0;
   }
--- a/src/tasks/fleet/entry_task.ts
+++ b/src/tasks/fleet/entry_task.ts
@@ -173,11 +173,15 @@
       .#options;
     const { admission, signal, stream, arrivedAt } = options;
     const written = await this.#streams.findWriter(request, admission);
-    if (written !== undefined) await untilTargetsKnown(follower);
-    // These waits are part of the time that the caller waits.
+    const { timeoutMs = Infinity } = request;
+    const leftMs = () =>
+      Math.min(timeoutMs, admission.route.timeoutMs) -
+      (performance.now() - arrivedAt);
+    if (written !== undefined) await untilTargetsKnown(follower, leftMs());
+    // The search for the writer and the wait are part of the call's time.
     const call = written === undefined
       ? request
-      : withLessTime(request, performance.now() - arrivedAt);
+      : { ...request, timeoutMs: Math.max(0, leftMs()) };
     let hasHead = false;
     const run = new CallRun({
       targets,
@@ -289,9 +293,4 @@
   }
 }
 
-function withLessTime(call: CallRequest, spentMs: number): CallRequest {
-  if (call.timeoutMs === undefined) return call;
-  return { ...call, timeoutMs: Math.max(0, call.timeoutMs - spentMs) };
-}
-
 const EMPTY_BODY = new Uint8Array();
--- a/src/tasks/fleet/evacuation_desk.ts
+++ b/src/tasks/fleet/evacuation_desk.ts
@@ -85,7 +85,10 @@
     }
     const endsAt = performance.now() + ORDER_TIMEOUT_MS;
     let after = this.#options.state().evacuations.version;
-    let verdict: Verdict = Verdict.NotRun;
+    let failure = new RefusalError(
+      RefusalReason.ControlUnavailable,
+      Verdict.NotRun,
+    );
     while (true) {
       try {
         const command = { type, dataCentre, after } as const;
@@ -94,10 +97,11 @@
         after = result.version;
       } catch (err) {
         if (!isUnavailable(err)) throw err;
-        const isOver = performance.now() > endsAt || !order.isAwaited();
-        if (isOver) throw err.afterAttempt(verdict);
-        verdict = err.afterAttempt(verdict).verdict;
+        failure = err.afterAttempt(failure.verdict);
       }
+      // A sender that has left may have given a later order elsewhere, which
+      // this one must not undo.
+      if (performance.now() > endsAt || !order.isAwaited()) throw failure;
       await sleep(RETRY_DELAY_MS);
     }
   }
--- a/src/tasks/fleet/fleet_method.ts
+++ b/src/tasks/fleet/fleet_method.ts
@@ -31,7 +31,10 @@
   readonly usage: UsageWindows;
   /** Changes of suspicions applied there; undefined if it needs none. */
   readonly suspicionVersion: number | undefined;
-  /** Changes of evacuations applied there; undefined if its build has none. */
+  /**
+   * Changes of evacuations applied there; undefined if it knows no state yet, or
+   * its build has none.
+   */
   readonly evacuationVersion?: number | undefined;
 }
 
--- a/src/tasks/fleet/fleet_publisher.ts
+++ b/src/tasks/fleet/fleet_publisher.ts
@@ -134,11 +134,14 @@
    * know of no state yet.
    */
   publishEvacuations(): void {
-    if (!this.#isUpToDate) return;
     const { node, state } = this.#options;
     const update = state().evacuations.save();
+    // An instance that knows nothing yet would take this state for the latest.
+    const unknown = this.#mayTellFirst ? -1 : Infinity;
     const outdated = this.#followers
-      .filter(({ member }) => (member.evacuationVersion ?? -1) < update.version)
+      .filter(({ member: { evacuationVersion = unknown } }) =>
+        evacuationVersion < update.version
+      )
       .filter(({ id }) => this.#isDue(this.#sentEvacuations, id, update));
     node.notify(outdated.map(({ id }) => id), {
       type: "evacuations",
@@ -249,11 +252,11 @@
     });
   }
 
-  /** Gets whether the state is that of a leader, or there is none. */
-  get #isUpToDate(): boolean {
+  /** Gets whether this instance leads, or has waited for a leader in vain. */
+  get #mayTellFirst(): boolean {
     const { node, leadsTerm, now } = this.#options;
-    return leadsTerm() !== undefined ||
-      node.leaderOf(FleetRole.Control) !== undefined ||
+    if (leadsTerm() !== undefined) return true;
+    return node.leaderOf(FleetRole.Control) === undefined &&
       now() - this.#startedAt > LEADER_WAIT_MS;
   }
 }
--- a/src/tasks/fleet/stream_resender.ts
+++ b/src/tasks/fleet/stream_resender.ts
@@ -34,8 +34,8 @@
 /** Maximum number of streams in one message. */
 const MAX_BATCH = 500;
 /**
- * Failures in a row after which a process gets no more of what it has missed:
- * it is of an earlier build, which does not know the message.
+ * Failures in a row after which the streams that a process has missed so far are
+ * dropped: one of an earlier build does not know the message.
  */
 const MAX_FAILURES = 6;
 
