--- a/soak/output_simulation.ts
+++ b/soak/output_simulation.ts
@@ -306,11 +306,11 @@
       versions: [],
       isSingleVersion: false,
       excluded: new Set(),
-      warmTargets: new Set(),
+      cachingTargets: new Set(),
       dataCentre: "a",
       run: {
         remainingEvents: 10,
-        coldPromptEvents: 1,
+        uncachedPromptEvents: 1,
         cachedPromptEvents: 1,
         meanRunEvents: 10,
       },
--- a/src/core/batches/item_placement.ts
+++ b/src/core/batches/item_placement.ts
@@ -37,7 +37,7 @@
   /** Number of events that the output still needs. */
   readonly remainingEvents: number;
   /** Time to the first event at a target without the prompt. */
-  readonly coldPromptEvents: number;
+  readonly uncachedPromptEvents: number;
   /** Time to the first event at a target with the prompt in its cache. */
   readonly cachedPromptEvents: number;
   /** Mean length of a run, which determines when a used slot becomes free. */
@@ -58,7 +58,7 @@
   /** Targets to use only if no other is eligible, as after a failed run. */
   readonly excluded: ReadonlySet<string>;
   /** Targets that have the prompt of the item's group in their cache. */
-  readonly warmTargets: ReadonlySet<string>;
+  readonly cachingTargets: ReadonlySet<string>;
   /** Local data centre. */
   readonly dataCentre: string;
   readonly run: ExpectedRun;
@@ -144,12 +144,12 @@
 
 function toResult(
   { target, ms }: Best,
-  { warmTargets }: PlacementInput,
+  { cachingTargets }: PlacementInput,
   usual: PlacementReason,
 ): PlacementResult {
   if (target === undefined) return NOT_PLACED;
   const isCached = usual === PlacementReason.Earliest &&
-    warmTargets.has(target.id);
+    cachingTargets.has(target.id);
   const reason = target.isSick
     ? PlacementReason.Sick
     : isCached
@@ -160,7 +160,7 @@
 
 /** Gets whether an item ends earlier if it waits for a slot in use. */
 function mustWait(
-  { used, usedSlots, usedWarm, usedWarmSlots }: Ranking,
+  { used, usedSlots, usedCaching, usedCachingSlots }: Ranking,
   free: Best,
   input: PlacementInput,
 ): boolean {
@@ -172,7 +172,8 @@
     if (endAfterWaitMs(used, usedSlots, heldItems, run) < latestMs) return true;
   }
   if (heldForPrompt === undefined) return false;
-  return endAfterWaitMs(usedWarm, usedWarmSlots, heldForPrompt, run) < latestMs;
+  return endAfterWaitMs(usedCaching, usedCachingSlots, heldForPrompt, run) <
+    latestMs;
 }
 
 /** Gets the expected end at a target, once one of some used slots is free. */
--- a/src/core/batches/item_placement_test.ts
+++ b/src/core/batches/item_placement_test.ts
@@ -29,7 +29,7 @@
 
 const RUN = {
   remainingEvents: 20,
-  coldPromptEvents: 10,
+  uncachedPromptEvents: 10,
   cachedPromptEvents: 1,
   meanRunEvents: 20,
 };
@@ -46,7 +46,7 @@
       versions: [],
       isSingleVersion: false,
       excluded: new Set(),
-      warmTargets: new Set(),
+      cachingTargets: new Set(),
       dataCentre: "a",
       run: RUN,
       dueInMs: 6_000,
@@ -85,20 +85,24 @@
     ));
 
   it("prefers a target that has the prompt cached", () =>
-    doTest([target("x"), target("y")], { warmTargets: new Set(["y"]) }, "y"));
+    doTest(
+      [target("x"), target("y")],
+      { cachingTargets: new Set(["y"]) },
+      "y",
+    ));
 
   it("reads the prompt again where the item then ends earlier", () =>
     doTest(
       [target("x", { paceMs: 14 }), target("y", { paceMs: 34 })],
-      { warmTargets: new Set(["y"]) },
+      { cachingTargets: new Set(["y"]) },
       "x",
     ));
 
   it("waits for a target with the prompt if the item then ends earlier", () => {
     const targets = [target("x", { inFlight: 4 }), target("y")];
-    const warmTargets = new Set(["x"]);
-    const run = { ...RUN, coldPromptEvents: 20, meanRunEvents: 8 };
-    const fields = { warmTargets, run };
+    const cachingTargets = new Set(["x"]);
+    const run = { ...RUN, uncachedPromptEvents: 20, meanRunEvents: 8 };
+    const fields = { cachingTargets, run };
     doTest(targets, { ...fields, heldForPrompt: 0 }, undefined);
     doTest(targets, { ...fields, heldForPrompt: 4 }, "y");
     doTest(targets, fields, "y");
--- a/src/core/batches/run_estimator.ts
+++ b/src/core/batches/run_estimator.ts
@@ -11,7 +11,10 @@
   estimatedEvents: number;
   estimatedTokens: number;
   /** Time to the first event, by whether the prompt was cached. */
-  readonly prompts: { readonly cold: PromptMean; readonly cached: PromptMean };
+  readonly prompts: {
+    readonly uncached: PromptMean;
+    readonly cached: PromptMean;
+  };
 }
 
 interface PromptMean {
@@ -25,7 +28,7 @@
 const DECAY = 0.995;
 const DEFAULT_EVENTS = 30;
 /** Time to the first event without samples, in times per event. */
-const DEFAULT_COLD_EVENTS = 5;
+const DEFAULT_UNCACHED_EVENTS = 5;
 const DEFAULT_CACHED_EVENTS = 1;
 const PROMPT_WEIGHT = 0.05;
 /** Expected rest of an output that is longer than estimated, as a share. */
@@ -76,8 +79,8 @@
     service: string,
     first: { readonly isCached: boolean; readonly events: number },
   ): this {
-    const { cold, cached } = this.#sumsOf(service).prompts;
-    const mean = first.isCached ? cached : cold;
+    const { uncached, cached } = this.#sumsOf(service).prompts;
+    const mean = first.isCached ? cached : uncached;
     const weight = Math.max(PROMPT_WEIGHT, 1 / (mean.samples + 1));
     mean.events += weight * (first.events - mean.events);
     mean.samples += 1;
@@ -134,8 +137,8 @@
   ): number {
     const { isCached, received } = run;
     const prompts = this.#services.get(service)?.prompts;
-    const mean = isCached ? prompts?.cached : prompts?.cold;
-    const usual = isCached ? DEFAULT_CACHED_EVENTS : DEFAULT_COLD_EVENTS;
+    const mean = isCached ? prompts?.cached : prompts?.uncached;
+    const usual = isCached ? DEFAULT_CACHED_EVENTS : DEFAULT_UNCACHED_EVENTS;
     const known = mean === undefined || mean.samples === 0
       ? usual
       : mean.events;
@@ -152,7 +155,7 @@
       estimatedEvents: 0,
       estimatedTokens: 0,
       prompts: {
-        cold: { events: 0, samples: 0 },
+        uncached: { events: 0, samples: 0 },
         cached: { events: 0, samples: 0 },
       },
     };
--- a/src/core/batches/target_ranking.ts
+++ b/src/core/batches/target_ranking.ts
@@ -31,8 +31,8 @@
   /** Number of slots of the targets without a free one. */
   usedSlots: number;
   /** As `used`, among the targets that have the prompt in their cache. */
-  readonly usedWarm: Best;
-  usedWarmSlots: number;
+  readonly usedCaching: Best;
+  usedCachingSlots: number;
 }
 
 /** Finds the best targets among those that are excluded, or are not. */
@@ -45,17 +45,17 @@
     freeLocal: createBest(),
     used: createBest(),
     usedSlots: 0,
-    usedWarm: createBest(),
-    usedWarmSlots: 0,
+    usedCaching: createBest(),
+    usedCachingSlots: 0,
   };
-  const { run, excluded, warmTargets } = input;
-  const coldEvents = run.coldPromptEvents + run.remainingEvents;
-  const warmEvents = run.cachedPromptEvents + run.remainingEvents;
+  const { run, excluded, cachingTargets } = input;
+  const uncachedEvents = run.uncachedPromptEvents + run.remainingEvents;
+  const cachedEvents = run.cachedPromptEvents + run.remainingEvents;
   for (const target of input.targets) {
     if (!isEligible(target, input)) continue;
     if (excluded.size > 0 && excluded.has(target.id) !== isExcluded) continue;
-    const isWarm = warmTargets.size > 0 && warmTargets.has(target.id);
-    const ms = eventMsOf(target) * (isWarm ? warmEvents : coldEvents);
+    const isCached = cachingTargets.size > 0 && cachingTargets.has(target.id);
+    const ms = eventMsOf(target) * (isCached ? cachedEvents : uncachedEvents);
     const cost = ms * (1 + penaltyOf(target, input));
     if (target.inFlight < target.slots) {
       improve(ranking.free, target, ms, cost);
@@ -65,9 +65,9 @@
     } else if (!target.isSick) {
       improve(ranking.used, target, ms, cost);
       ranking.usedSlots += target.slots;
-      if (!isWarm) continue;
-      improve(ranking.usedWarm, target, ms, cost);
-      ranking.usedWarmSlots += target.slots;
+      if (!isCached) continue;
+      improve(ranking.usedCaching, target, ms, cost);
+      ranking.usedCachingSlots += target.slots;
     }
   }
   return ranking;
--- a/src/tasks/batches/item_placer.ts
+++ b/src/tasks/batches/item_placer.ts
@@ -99,7 +99,7 @@
       versions: text.versions,
       isSingleVersion,
       excluded: itemTracker.excludedTargetsOf(item),
-      warmTargets: prompts.targetsOf(waiting, now),
+      cachingTargets: prompts.targetsOf(waiting, now),
       dataCentre,
       run: this.#expectRun(waiting, text.lastId),
       dueInMs: record.spec.acceptedAt + record.spec.objectiveMs - wallNow,
@@ -132,7 +132,7 @@
       estimator.promptEvents(service, { isCached, received });
     return {
       remainingEvents: estimator.remainingEvents(waiting, received),
-      coldPromptEvents: promptEvents(false),
+      uncachedPromptEvents: promptEvents(false),
       cachedPromptEvents: promptEvents(true),
       meanRunEvents: estimator.meanEvents(service),
     };
