--- a/src/core/batches/start_pacer.ts
+++ b/src/core/batches/start_pacer.ts
@@ -4,9 +4,10 @@
  * Delay of a tick from which the limit is halved, in milliseconds; well below
  * the election timeout.
  */
-const MAX_LAG_MS = 100;
+const MAX_LAG_MS = 150;
 /** Starts per tick of a process whose speed is not known yet. */
-const MIN_STARTS = 8;
+const FIRST_STARTS = 48;
+const MIN_STARTS = 16;
 const MAX_STARTS = 256;
 /** Number by which the starts per tick grow while the process keeps up. */
 const STARTS_STEP = 8;
@@ -19,13 +20,13 @@
  * @example
  * ```ts
  * const pacer = new StartPacer(50).onTick(0);
- * pacer.left; // 8
+ * pacer.left; // 48
  * ```
  */
 export class StartPacer {
   readonly #tickMs: number;
-  #limit = MIN_STARTS;
-  #left = MIN_STARTS;
+  #limit = FIRST_STARTS;
+  #left = FIRST_STARTS;
   #tickedAt: number | undefined;
 
   /**
@@ -43,8 +44,8 @@
 
   /** Forgets the speed of the process, as for a new leader. */
   reset(): this {
-    this.#limit = MIN_STARTS;
-    this.#left = MIN_STARTS;
+    this.#limit = FIRST_STARTS;
+    this.#left = FIRST_STARTS;
     this.#tickedAt = undefined;
     return this;
   }
