Medians, random sources, a page's size and a default latency stand once

The change had written again what stood beside it: a median next to percentileOf, a seeded random source next to that of the relay directory, the page size of the ledger's reads at the entry instance, and the latency assumed before the first measurement.

--- a/src/core/batches/target_pace.ts
+++ b/src/core/batches/target_pace.ts
@@ -10,7 +10,7 @@
   type PaceStats,
   recentMsOf,
 } from "./pace_stats.ts";
-import { percentileOf } from "./percentile.ts";
+import { percentileOf } from "../statistics/mod.ts";
 
 /** A target whose pace is measured. */
 export interface PacedTarget {
--- a/src/core/calls/latency_tracker.ts
+++ b/src/core/calls/latency_tracker.ts
@@ -14,7 +14,8 @@
   failures: number;
 }
 
-const DEFAULT_LATENCY_MS = 30;
+/** Assumed latency before the first measurement, in milliseconds. */
+export const DEFAULT_LATENCY_MS = 30;
 /** Weight of the latest latency in the mean. */
 const EWMA_WEIGHT = 0.25;
 /** Time for which a target is suspect after a failure. */
--- a/src/core/calls/spread_ranking.ts
+++ b/src/core/calls/spread_ranking.ts
@@ -4,6 +4,8 @@
   type CallTarget,
   costOf,
 } from "./call_placement.ts";
+import { percentileOf } from "../statistics/mod.ts";
+import { DEFAULT_LATENCY_MS } from "./latency_tracker.ts";
 
 /** State of a target as far as this instance has measured it. */
 export interface MeasuredTarget extends CallTarget {
@@ -32,8 +34,6 @@
  * targets whose measurements differ by chance only.
  */
 const SPREAD = 0.2;
-/** Assumed latency of all targets before the first measurement. */
-const UNMEASURED_MS = 30;
 
 /**
  * Gets the targets that have not been tried, by their expected latency with a
@@ -50,7 +50,9 @@
  */
 export function rankSpread(input: SpreadRankingInput): SpreadRanking {
   const { targets, dataCentre, tried, random } = input;
-  const assumedMs = medianOf(targets);
+  const measured = targets
+    .flatMap(({ measuredMs }) => measuredMs === undefined ? [] : [measuredMs]);
+  const assumedMs = percentileOf(measured, 0.5) ?? DEFAULT_LATENCY_MS;
   const ranked = targets
     .filter(({ id }) => !tried.has(id))
     .map((target) => {
@@ -65,10 +67,3 @@
     isSpread: ranked.some(({ cost }) => cost < ranked[0].cost),
   };
 }
-
-function medianOf(targets: readonly MeasuredTarget[]): number {
-  const measured = targets
-    .flatMap(({ measuredMs }) => measuredMs === undefined ? [] : [measuredMs])
-    .sort((a, b) => a - b);
-  return measured[Math.floor(measured.length / 2)] ?? UNMEASURED_MS;
-}
--- /dev/null
+++ b/src/core/statistics/mod.ts
@@ -0,0 +1,2 @@
+/** Statistics of measured values. */
+export * from "./percentile.ts";
--- a/src/tasks/batches/batch_port.ts
+++ b/src/tasks/batches/batch_port.ts
@@ -13,6 +13,9 @@
   Holders: "batches.holders",
 } as const;
 
+/** Maximum size of the texts of a page of results, in bytes. */
+export const MAX_PAGE_BYTES = 700_000;
+
 /** Reports the number of running and waiting items to the control leader. */
 export const DEMAND_METHOD = "fleet.demand";
 
--- a/src/tasks/batches/result_reader.ts
+++ b/src/tasks/batches/result_reader.ts
@@ -5,7 +5,11 @@
   RefusalReason,
   Verdict,
 } from "../../core/verdict/mod.ts";
-import type { BodyParams, ReadParams } from "./batch_port.ts";
+import {
+  type BodyParams,
+  MAX_PAGE_BYTES,
+  type ReadParams,
+} from "./batch_port.ts";
 
 /** Options of {@link ResultReader}. */
 export interface ResultReaderOptions {
@@ -18,8 +22,6 @@
   readonly confirmLeadership: () => Promise<void>;
 }
 
-const MAX_PAGE_BYTES = 700_000;
-
 /**
  * Serves reads. The leader knows all results that were stored before a read;
  * another replica may lack the latest ones, but those it has never change.
--- a/src/tasks/fleet/batch_reader.ts
+++ b/src/tasks/fleet/batch_reader.ts
@@ -1,7 +1,11 @@
 /** Reads of batch results by an entry instance. */
 import { ResultCache, type ResultPage } from "../../core/batches/mod.ts";
 import { chooseReplica, FleetRole } from "../../core/fleet/mod.ts";
-import { BatchMethod, type ReadParams } from "../batches/mod.ts";
+import {
+  BatchMethod,
+  MAX_PAGE_BYTES,
+  type ReadParams,
+} from "../batches/mod.ts";
 import type { FleetNode } from "./fleet_node.ts";
 
 /** Options of {@link BatchReader}. */
@@ -18,7 +22,6 @@
 
 /** Maximum size of the cache of batch results, in bytes. */
 const RESULT_CACHE_BYTES = 16_777_216;
-const MAX_PAGE_BYTES = 700_000;
 /** Time allowed for a read in addition to its own waiting time. */
 const READ_EXTRA_MS = 1_000;
 /** Longest time that a read waits at a replica for the next result. */
--- a/src/tasks/fleet/entry_task.ts
+++ b/src/tasks/fleet/entry_task.ts
@@ -1,6 +1,4 @@
 /** An entry instance: admits and forwards calls, and relays batches. */
-import { uniformFloat64 } from "pure-rand/distribution/uniformFloat64";
-import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
 import type { BatchSpec, ResultPage } from "../../core/batches/mod.ts";
 import {
   type CallRequest,
@@ -31,6 +29,7 @@
   type ResponseStream,
   type TargetPort,
 } from "../calls/mod.ts";
+import { createRandom } from "../random.ts";
 import { BatchHomes } from "./batch_homes.ts";
 import { BatchReader } from "./batch_reader.ts";
 import type { FleetFollower } from "./fleet_follower.ts";
@@ -93,12 +92,11 @@
       readLeader: (params, timeoutMs) =>
         this.#requestLedger(BatchMethod.Read, params, timeoutMs),
     });
-    const random = xoroshiro128plus(Date.now() ^ process.pid);
     this.#spread = {
       instances: () =>
         node.senders.length -
         node.roster.membersOf(FleetRole.Ledger, node.now).length,
-      random: () => uniformFloat64(random),
+      random: createRandom(),
     };
     this.#batchHomes = new BatchHomes(options);
     this.#usage = new UsageCounter(node.settings.times.usageWindowMs);
--- a/src/tasks/fleet/relay_directory.ts
+++ b/src/tasks/fleet/relay_directory.ts
@@ -1,6 +1,4 @@
 /** Entry instances through which others may reach targets. */
-import { uniformFloat64 } from "pure-rand/distribution/uniformFloat64";
-import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
 import { FleetRole } from "../../core/fleet/mod.ts";
 import { chooseRelays } from "../../core/paths/mod.ts";
 import {
@@ -9,15 +7,10 @@
   RegionMap,
 } from "../../core/policy/mod.ts";
 import { MAX_RELAY_CANDIDATES, mayRelay } from "../paths/mod.ts";
+import { createRandom } from "../random.ts";
 import { FleetMethod } from "./fleet_method.ts";
 import type { FleetNode } from "./fleet_node.ts";
 
-/** Creates a source of random numbers from 0 to 1. */
-function createRandom(): () => number {
-  const generator = xoroshiro128plus(process.pid ^ Date.now());
-  return () => uniformFloat64(generator);
-}
-
 /** Serves the other instances' requests for relays. */
 export function serveRelays(
   node: FleetNode,
