A leader of a replicated log keeps its lead while its process stalls

Each leader stepped down by itself: its event loop stalled for 250 to 400 ms, and the next tick found the last answer of a quorum older than the election timeout, though answers lay unread in the sockets. Ruled out: votes of others, as the same replica was elected again two times of four.

The time without an answer now counts from a tick that came late, up to four election timeouts. The lease and confirmed reads depend on answers alone, as before. An earlier build ignores the field.

--- a/src/core/consensus/consensus_message.ts
+++ b/src/core/consensus/consensus_message.ts
@@ -50,6 +50,11 @@
   readonly entries: readonly LogEntry<C>[];
   /** Commit index of the leader. */
   readonly committed: number;
+  /**
+   * Time that the recipient adds to its election timeout, in milliseconds, since
+   * the leader's process is slow. An earlier build sends none.
+   */
+  readonly electionDelayMs?: number;
   /** Send time by the leader's clock, in milliseconds. Echoed in the reply. */
   readonly sentAt: number;
 }
--- a/src/core/consensus/consensus_node.ts
+++ b/src/core/consensus/consensus_node.ts
@@ -25,6 +25,7 @@
   type ConsensusNodeOptions,
   type StoredLog,
 } from "./consensus_options.ts";
+import { LeaderDelay } from "./leader_delay.ts";
 import { LogSender } from "./log_sender.ts";
 import type { ReplicaId } from "./replica_id.ts";
 import { type LogPosition, ReplicatedLog } from "./replicated_log.ts";
@@ -46,6 +47,11 @@
  * the same time reject vote requests until the minimum timeout has passed.
  */
 const FIRST_ELECTION_JITTER = 0.5;
+/**
+ * Election timeouts without an answer of a quorum after which a leader steps
+ * down even if its ticks come late.
+ */
+const MAX_SILENCE_FACTOR = 4;
 
 /**
  * Implements Raft with pre-vote, check-quorum, leader leases and learners.
@@ -72,9 +78,14 @@
   #tracker: ReplicationTracker | undefined;
   #sender: LogSender<C, S> | undefined;
   #effects: ConsensusEffect<C, S>[] = [];
+  readonly #leaderDelay: LeaderDelay;
   #leaderContactAt: number;
+  /** Time that the leader asked to be added to the election timeout. */
+  #electionDelayMs = 0;
   #electionDueAt = 0;
   #heartbeatDueAt = 0;
+  /** Time of the last tick that came late. */
+  #lateTickAt = -Infinity;
   #applied: number;
   #isTransferring = false;
   #transferStartedAt = 0;
@@ -90,6 +101,10 @@
     this.#applied = stored.snapshot.index;
     this.#leaderContactAt = options.now;
     const { electionMs } = options.times;
+    this.#leaderDelay = new LeaderDelay({
+      startedAt: options.now,
+      maxMs: options.times.maxElectionDelayMs ?? 0,
+    });
     const jitterFactor = 1 + FIRST_ELECTION_JITTER * options.random();
     this.#electionDueAt = options.now + electionMs * jitterFactor;
     this.#handlers = {
@@ -353,12 +368,13 @@
   #resetElection(now: number): void {
     const { electionMs } = this.#options.times;
     const jitterFactor = 1 + this.#options.random();
-    this.#electionDueAt = now + electionMs * jitterFactor;
+    this.#electionDueAt = now + this.#electionDelayMs +
+      electionMs * jitterFactor;
   }
 
   #hasLeaderContact(now: number): boolean {
     const { electionMs } = this.#options.times;
-    return now - this.#leaderContactAt < electionMs;
+    return now - this.#leaderContactAt < electionMs + this.#electionDelayMs;
   }
 
   #ignoresVoteRequest(message: ConsensusMessage<C, S>, now: number): boolean {
@@ -398,6 +414,7 @@
   #startPreVote(now: number): void {
     this.#lifecycle.send(RoleEvent.Timeout);
     this.#leader = undefined;
+    this.#electionDelayMs = 0;
     this.#resetElection(now);
     this.#requestVotes((request) => ({ type: "preVoteRequest", ...request }));
     this.#countPreVotes(now);
@@ -463,8 +480,10 @@
       tracker: this.#tracker,
       heartbeatMs: this.#options.times.heartbeatMs,
       sizeOf: this.#options.sizeOf,
+      electionDelayMs: (at) => this.#leaderDelay.get(at),
       send: (message) => this.#send(message),
     });
+    this.#heartbeatDueAt = now;
     this.#effects.push({ type: "role", role: this.role, term: this.#term });
     this.#appendEntry({ type: "noop" }, now);
   }
@@ -493,13 +512,12 @@
     const { electionMs, heartbeatMs } = this.#options.times;
     const tracker = this.#tracker;
     if (tracker === undefined) return;
-    const contactAt = Math.max(
-      tracker.quorumContactAt(this.members, now),
-      tracker.startedAt,
-    );
+    const lagMs = now - this.#heartbeatDueAt;
+    this.#leaderDelay.onTick(now, lagMs);
+    if (lagMs > heartbeatMs) this.#lateTickAt = now;
     const isTransferOverdue = this.#isTransferring &&
       now - this.#transferStartedAt > electionMs;
-    if (now - contactAt > electionMs || isTransferOverdue) {
+    if (this.#hasLostQuorum(tracker, now) || isTransferOverdue) {
       this.#becomeFollower(this.#term, undefined);
       this.#resetElection(now);
       return;
@@ -509,6 +527,21 @@
     this.#sender?.broadcast(this.members, now, { isHeartbeat: true });
   }
 
+  /**
+   * Gets whether no quorum has answered for too long. After a late tick, replies
+   * may wait to be read, so the time counts from that tick.
+   */
+  #hasLostQuorum(tracker: ReplicationTracker, now: number): boolean {
+    const { electionMs } = this.#options.times;
+    const contactAt = Math.max(
+      tracker.quorumContactAt(this.members, now),
+      tracker.startedAt,
+    );
+    const silentMs = now - Math.max(contactAt, this.#lateTickAt);
+    return silentMs > electionMs ||
+      now - contactAt > MAX_SILENCE_FACTOR * electionMs;
+  }
+
   #advanceCommit(now: number): void {
     const tracker = this.#tracker;
     if (tracker === undefined) return;
@@ -587,7 +620,13 @@
     this.#countVotes(now);
   }
 
-  #onLeaderContact(from: ReplicaId, now: number): void {
+  #onLeaderContact(
+    { from, electionDelayMs = 0 }: {
+      readonly from: ReplicaId;
+      readonly electionDelayMs?: number;
+    },
+    now: number,
+  ): void {
     assertInvariant(
       this.role !== Role.Leader,
       Invariant.OneLeaderPerTerm,
@@ -601,6 +640,10 @@
     );
     this.#leader = from;
     this.#leaderContactAt = now;
+    this.#electionDelayMs = Math.min(
+      electionDelayMs,
+      this.#options.times.maxElectionDelayMs ?? 0,
+    );
     this.#resetElection(now);
   }
 
@@ -609,7 +652,7 @@
       this.#replyAppend(message, { isAccepted: false, matchIndex: 0 });
       return;
     }
-    this.#onLeaderContact(message.from, now);
+    this.#onLeaderContact(message, now);
     const { prevIndex, prevTerm } = message;
     const isBeforeSnapshot = prevIndex < this.#log.snapshot.index;
     if (!isBeforeSnapshot && this.#log.termAt(prevIndex) !== prevTerm) {
@@ -687,7 +730,7 @@
       this.#replyAppend(message, { isAccepted: false, matchIndex: 0 });
       return;
     }
-    this.#onLeaderContact(message.from, now);
+    this.#onLeaderContact(message, now);
     const { snapshot } = message;
     if (snapshot.index > this.committed) {
       this.#log.restore(snapshot);
--- a/src/core/consensus/consensus_options.ts
+++ b/src/core/consensus/consensus_options.ts
@@ -8,6 +8,11 @@
   readonly heartbeatMs: number;
   /** Minimum election timeout. Jitter of up to 100 % is added. */
   readonly electionMs: number;
+  /**
+   * Maximum time that followers add to the election timeout for a leader whose
+   * process is slow. Defaults to none.
+   */
+  readonly maxElectionDelayMs?: number;
   /** Maximum difference in rate between two clocks, as a fraction. */
   readonly clockRateError: number;
 }
--- a/src/core/consensus/log_sender.ts
+++ b/src/core/consensus/log_sender.ts
@@ -21,6 +21,8 @@
    * limited in bytes.
    */
   readonly sizeOf?: (command: C) => number;
+  /** Gets the time that followers add to their election timeouts. */
+  readonly electionDelayMs: (now: number) => number;
   readonly send: (message: ConsensusMessage<C, S>) => void;
 }
 
@@ -100,6 +102,7 @@
       prevTerm,
       entries,
       committed: log.committed,
+      ...this.#electionDelay(now),
       sentAt: now,
     });
   }
@@ -144,10 +147,16 @@
       prevTerm: 0,
       entries: [],
       committed: this.#options.log.committed,
+      ...this.#electionDelay(now),
       sentAt: now,
     });
   }
 
+  #electionDelay(now: number): { electionDelayMs?: number } {
+    const electionDelayMs = this.#options.electionDelayMs(now);
+    return electionDelayMs > 0 ? { electionDelayMs } : {};
+  }
+
   #sendSnapshot(replica: ReplicaId, now: number): void {
     const { log, tracker } = this.#options;
     tracker.progressOf(replica).pendingSince = now;
--- a/src/tasks/fleet/fleet_timing.ts
+++ b/src/tasks/fleet/fleet_timing.ts
@@ -5,5 +5,6 @@
 export const FLEET_CONSENSUS_TIMING: ConsensusTiming = {
   heartbeatMs: 100,
   electionMs: 500,
+  maxElectionDelayMs: 1_000,
   clockRateError: 0.02,
 };
