Items avoid a data centre that does not answer

Two targets of a data centre that let connections or runs time out within 2 s, while none there answers, now keep items from it as long as others can run them. One dead target, refused connections and an instance that is cut off itself change nothing. A connect timeout is a failure of its own (unreachable).

The new test of BatchRunner fails without the rule: an item goes to a third target of the data centre.

--- a/src/core/batches/mod.ts
+++ b/src/core/batches/mod.ts
@@ -9,6 +9,7 @@
 export * from "./start_pacer.ts";
 export * from "./target_pace.ts";
 export * from "./result_cache.ts";
+export * from "./data_centre_reach.ts";
 export * from "./demand_meter.ts";
 export * from "./item_tracker.ts";
 export * from "./prompt_locations.ts";
--- a/src/logging/fleet_events.ts
+++ b/src/logging/fleet_events.ts
@@ -139,6 +139,11 @@
     text:
       "Item begins anew, as its writer is unknown or no target has the versions that wrote its partial output",
   }),
+  dataCentreUnanswered: defineEvent(2222, "warn", {
+    text:
+      "Several targets of a data centre time out and none there answers; items go to other data centres meanwhile",
+    action: "Check the links between the data centres",
+  }),
   ledgerFormed: defineEvent(2221, "info", {
     text: "Initial voters of the ledger's log chosen and proposed",
   }),
--- a/src/metrics/metric_catalogue.ts
+++ b/src/metrics/metric_catalogue.ts
@@ -141,6 +141,10 @@
     kind: "counter",
     text: "Runs of items that begin anew although events were received",
   },
+  "items.dataCentreUnanswered": {
+    kind: "counter",
+    text: "Times at which items began to avoid a data centre without answers",
+  },
   "reads.leader": {
     kind: "counter",
     text: "Reads of batch results that the ledger's leader answered",
--- a/src/tasks/batches/batch_runner.ts
+++ b/src/tasks/batches/batch_runner.ts
@@ -1,6 +1,7 @@
 /** Runs the items of open batches at targets while this replica leads. */
 import {
   type BatchState,
+  DataCentreReach,
   DemandMeter,
   ItemTracker,
   type PartialTextRecord,
@@ -28,6 +29,7 @@
 import { OverdueItems } from "./overdue_items.ts";
 import { PartialTextWriter } from "./partial_text_writer.ts";
 import { PlacementScheduler } from "./placement_scheduler.ts";
+import { ReachRecorder } from "./reach_recorder.ts";
 import { ResultWriter, type ResultWriterOptions } from "./result_writer.ts";
 import { RunFailureHandler } from "./run_failure_handler.ts";
 import { RunLearner } from "./run_learner.ts";
@@ -74,6 +76,7 @@
   readonly #estimator = new RunEstimator();
   readonly #prompts = new PromptLocations();
   readonly #loads = new PendingLoads();
+  readonly #reach = new DataCentreReach();
   readonly #pacer = new StartPacer(TICK_INTERVAL_MS);
   readonly #scorer: ItemScorer;
   readonly #mover: RunMover;
@@ -111,19 +114,22 @@
       estimator: this.#estimator,
       prompts: this.#prompts,
       loads: this.#loads,
+      reach: this.#reach,
       results: this.#results,
       scorer: this.#scorer,
       createPlacer: (now: number) => this.#createPlacer(now),
     };
     this.#starter = new ItemStarter({ ...shared, listener: this });
+    const reach = new ReachRecorder(shared);
     this.#mover = new RunMover({
       ...shared,
+      reach,
       restart: (waiting, placer) =>
         this.#starter.start(waiting, placer, state().all),
     });
     this.#learner = new RunLearner(shared);
     this.#overdue = new OverdueItems(shared);
-    this.#failures = new RunFailureHandler(shared);
+    this.#failures = new RunFailureHandler({ ...shared, reach });
     this.#partialTexts = new PartialTextWriter(shared);
     this.#scheduler = new PlacementScheduler({
       ...shared,
@@ -150,6 +156,7 @@
     this.#results.clear();
     this.#itemTracker.clear();
     this.#prompts.clear();
+    this.#reach.clear();
     return this;
   }
 
@@ -272,6 +279,7 @@
       estimator: this.#estimator,
       prompts: this.#prompts,
       loads: this.#loads,
+      reach: this.#reach,
       dataCentre,
       now,
       wallNow: Date.now(),
--- a/src/tasks/batches/batch_runner_test.ts
+++ b/src/tasks/batches/batch_runner_test.ts
@@ -99,6 +99,32 @@
     expect(placed.sort()).toEqual(["x1 t2", "x1 t2", "y1 t1", "y1 t1"]);
   });
 
+  // Guards against items that wait for one connect timeout after another while
+  // a data centre is cut off.
+  it("sends items elsewhere once several targets of a data centre time out", () => {
+    const cutOff = ["a1", "a2", "a3", "a4"];
+    const { engines, step } = startRunner(
+      [
+        ...cutOff.map((id) => target(id, { dataCentre: "a", slots: 1 })),
+        target("b1", { dataCentre: "b", slots: 1 }),
+      ],
+      [spec(["x1", "x2", "x3", "x4", "x5"])],
+    );
+    const isOfCutOff = ({ request }: OpenedRun) =>
+      request.target.id.startsWith("a");
+    const [first, second] = engines.runs.filter(isOfCutOff);
+    const openedBefore = engines.runs.length;
+    for (const { sink } of [first, second]) {
+      sink.onFailure(RunFailure.Unreachable, "Connect timeout");
+    }
+    const onB = engines.runs.find((run) => !isOfCutOff(run));
+    onB?.sink.onEvent({ id: 1, data: "a" });
+    onB?.sink.onEnd();
+    step(600);
+    const opened = engines.runs.slice(openedBefore);
+    expect(opened.map(({ request }) => request.target.id)).toEqual(["b1"]);
+  });
+
   // Guards against items sent to an evacuated data centre, and against runs
   // that an evacuation cuts short.
   it("goes on elsewhere with a run that breaks in an evacuated data centre", () => {
--- a/src/tasks/batches/engine_port.ts
+++ b/src/tasks/batches/engine_port.ts
@@ -45,6 +45,8 @@
   Failed: "failed",
   /** The target states that the item can never succeed. */
   Impossible: "impossible",
+  /** No connection to the target was opened in time. */
+  Unreachable: "unreachable",
   /** The connection broke, or the response could not be parsed. */
   Broken: "broken",
 } as const;
--- a/src/tasks/batches/item_placer.ts
+++ b/src/tasks/batches/item_placer.ts
@@ -1,5 +1,6 @@
 /** Assigns waiting items to targets. */
 import {
+  type DataCentreReach,
   type ExpectedRun,
   groupKeyOf,
   type ItemTracker,
@@ -26,6 +27,7 @@
   readonly itemTracker: ItemTracker;
   readonly targetPace: TargetPace;
   readonly loads: PendingLoads;
+  readonly reach: DataCentreReach;
   readonly estimator: RunEstimator;
   readonly prompts: PromptLocations;
   /** Permits for targets that limit their requests. */
@@ -166,6 +168,7 @@
     const reports = registry.readyOf(service, homes)
       .map(({ report }) => report);
     const scarce = scarceVersionsOf(reports);
+    const unreachable = this.#unreachableOf(reports);
     candidates = reports.map((report) => ({
       id: report.id,
       service,
@@ -179,13 +182,25 @@
       isSick: targetPace.isSick(report, now) ||
         targetPace.isRecovering(report, now),
       isAvoided: targetPace.isAvoided(report, now) ||
-        loads.isLoading(report, model, now),
+        loads.isLoading(report, model, now) ||
+        unreachable.has(report.dataCentre),
       isCold: limiter.isCold(report),
     }));
     this.#candidates.set(key, candidates);
     return candidates;
   }
 
+  /**
+   * Gets the data centres that do not answer; none if that are all, since then
+   * this instance is the one that is cut off.
+   */
+  #unreachableOf(reports: readonly TargetReport[]): ReadonlySet<string> {
+    const { reach, now } = this.#options;
+    const all = new Set(reports.map(({ dataCentre }) => dataCentre));
+    const unreachable = [...all].filter((id) => reach.isUnreachable(id, now));
+    return new Set(unreachable.length < all.size ? unreachable : []);
+  }
+
   /** Gets the slots of a target, as far as it takes more requests now. */
   #slotsOf(report: TargetReport): number {
     const { limiter, targetPace, now } = this.#options;
--- a/src/tasks/batches/run_failure_handler.ts
+++ b/src/tasks/batches/run_failure_handler.ts
@@ -10,12 +10,14 @@
 import type { TargetLimiter } from "../fleet/target_limiter.ts";
 import { RunFailure } from "./engine_port.ts";
 import type { ItemRun } from "./item_run.ts";
+import type { ReachRecorder } from "./reach_recorder.ts";
 import type { ResultWriter } from "./result_writer.ts";
 
 /** Options of {@link RunFailureHandler}. */
 export interface RunFailureHandlerOptions {
   readonly itemTracker: ItemTracker;
   readonly targetPace: TargetPace;
+  readonly reach: ReachRecorder;
   readonly prompts: PromptLocations;
   readonly results: ResultWriter;
   readonly limiter: TargetLimiter;
@@ -27,6 +29,7 @@
 
 /** Failures after which another process may have the target's identifier. */
 const LOST_FAILURES: ReadonlySet<RunFailure> = new Set([
+  RunFailure.Unreachable,
   RunFailure.Broken,
   RunFailure.Unverified,
 ]);
@@ -90,13 +93,19 @@
     },
     impossible: ({ record, item, text }) =>
       this.#options.results.abandon(record, item, text),
-    broken: (run, progress) => {
-      progress.excludedTargets.add(run.target.id);
-      this.#backOffTarget(run);
-      this.#backOffItem(run);
+    unreachable: (run, progress) => {
+      this.#options.reach.onUnanswered(run.target);
+      this.#onBroken(run, progress);
     },
+    broken: (run, progress) => this.#onBroken(run, progress),
   };
 
+  #onBroken(run: ItemRun, progress: ItemProgress): void {
+    progress.excludedTargets.add(run.target.id);
+    this.#backOffTarget(run);
+    this.#backOffItem(run);
+  }
+
   #backOffTarget({ target }: ItemRun): void {
     const { targetPace, now } = this.#options;
     targetPace.onFailure(target, now());
--- a/src/tasks/batches/run_learner.ts
+++ b/src/tasks/batches/run_learner.ts
@@ -1,5 +1,6 @@
 /** Learns from runs how fast targets are and which prompts they hold. */
 import type {
+  DataCentreReach,
   PromptLocations,
   RunEstimator,
   TargetPace,
@@ -11,6 +12,7 @@
 export interface RunLearnerOptions {
   readonly runs: RunTable;
   readonly targetPace: TargetPace;
+  readonly reach: DataCentreReach;
   readonly estimator: RunEstimator;
   readonly prompts: PromptLocations;
   /** Gets the local monotonic time, in milliseconds. */
@@ -27,8 +29,9 @@
 
   /** Records the time in which a target has read a prompt. */
   onFirstEvent(run: ItemRun, afterMs: number): void {
-    const { prompts, targetPace, estimator } = this.#options;
+    const { prompts, targetPace, estimator, reach } = this.#options;
     const now = this.#options.now();
+    reach.onAnswered(run.target.dataCentre);
     prompts.add(run, run.target.id, now);
     if (run.resumedAfter > 0) return;
     const paceMs = targetPace.inherentPaceMs(run.target, now);
@@ -43,6 +46,7 @@
     const runs = Math.max(1, this.#options.runs.countAt(target.id));
     const load = (runs - 1) / Math.max(1, target.slots);
     const now = this.#options.now();
+    this.#options.reach.onAnswered(target.dataCentre);
     this.#options.targetPace.onEventGap(target, { gapMs, load, runs, now });
   }
 
--- a/src/tasks/batches/run_mover.ts
+++ b/src/tasks/batches/run_mover.ts
@@ -13,6 +13,7 @@
 import type { Metrics } from "../../metrics/mod.ts";
 import type { ItemPlacer } from "./item_placer.ts";
 import type { ItemRun } from "./item_run.ts";
+import type { ReachRecorder } from "./reach_recorder.ts";
 import type { RunTable } from "./run_table.ts";
 
 /** Options of {@link RunMover}. */
@@ -22,6 +23,7 @@
   readonly targetPace: TargetPace;
   readonly estimator: RunEstimator;
   readonly loads: PendingLoads;
+  readonly reach: ReachRecorder;
   readonly logger: Logger;
   readonly metrics: Metrics;
   /** Gets the local monotonic time, in milliseconds. */
@@ -81,8 +83,8 @@
 
   /** Moves runs that have had no event for too long to other targets. */
   moveSilentRuns(): void {
-    const { runs, itemTracker, targetPace, now: clock } = this.#options;
-    const now = clock();
+    const { runs, itemTracker, targetPace, reach } = this.#options;
+    const now = this.#options.now();
     if (this.#isHeldUp(now)) return;
     for (const run of runs.all) {
       const limitMs = this.#silenceTimeoutMs(run, now);
@@ -93,6 +95,7 @@
       });
       itemTracker.progressOf(run.item).silentRuns += 1;
       targetPace.onFailure(run.target, now);
+      reach.onUnanswered(run.target);
     }
   }
 
