--- a/scripts/bundle.ts
+++ b/scripts/bundle.ts
@@ -6,12 +6,13 @@
 
 const MAX_ARCHIVE_BYTES = 67_108_864;
 
-const BANNER =
+/** First line of a bundle, by which bundled CommonJS modules can load others. */
+export const REQUIRE_BANNER =
   "import { createRequire as __createRequire } from 'node:module';" +
   "const require = __createRequire(import.meta.url);";
 
 /** Optional native add-ons, without which the libraries work; not bundled. */
-const OPTIONAL_MODULES = [
+export const OPTIONAL_MODULES = [
   "dtrace-provider",
   "mv",
   "source-map-support",
@@ -89,7 +90,7 @@
     target: "node20",
     format: "esm",
     external: OPTIONAL_MODULES,
-    banner: { js: BANNER },
+    banner: { js: REQUIRE_BANNER },
     // Reduces parsing at start-up; identifiers are kept for stack traces.
     minifyWhitespace: true,
     minifySyntax: true,
