--- a/src/core/batches/demand_meter.ts
+++ b/src/core/batches/demand_meter.ts
@@ -66,8 +66,9 @@
   records: readonly BatchRecord[],
 ): Map<string, Map<string, number>> {
   const services = new Map<string, Map<string, number>>();
-  for (const { spec, itemsToRun, isOpen } of records) {
-    if (!isOpen) continue;
+  for (const record of records) {
+    if (!record.isOpen) continue;
+    const { spec, itemsToRun } = record;
     const counts = services.get(spec.service) ?? new Map<string, number>();
     services.set(spec.service, counts);
     for (const { model } of itemsToRun) {
--- a/src/tasks/batches/item_placer.ts
+++ b/src/tasks/batches/item_placer.ts
@@ -1,5 +1,6 @@
 /** Assigns waiting items to targets. */
 import {
+  type BatchRecord,
   type ExpectedRun,
   groupKeyOf,
   type ItemTracker,
@@ -13,7 +14,6 @@
   type TargetPace,
   type WaitingItem,
 } from "../../core/batches/mod.ts";
-import type { Homes } from "../../core/policy/mod.ts";
 import { scarceVersionsOf } from "../../core/continuation/mod.ts";
 import type { TargetRegistry, TargetReport } from "../../core/registry/mod.ts";
 import type { TargetLimiter } from "../fleet/target_limiter.ts";
@@ -51,6 +51,14 @@
 
 type PlacementCandidate = PlacementTarget & { inFlight: number };
 
+/** Keys of the items of one batch and model. */
+interface PlacementKeys {
+  /** Service, model and homes: which targets are candidates. */
+  readonly candidates: string;
+  /** The same and the lowest version: items with it fit the same targets. */
+  readonly items: string;
+}
+
 /**
  * Chooses targets for the items of one placement round. Target state is read
  * once per round, so that the cost does not grow with the number of waiting
@@ -64,6 +72,8 @@
   /** Placement keys for which no target has a free slot. */
   readonly #exhausted = new Set<string>();
   readonly #limitedTargets = new Map<string, TargetReport>();
+  /** Keys by batch and model; encoding them costs as much as a choice. */
+  readonly #keys = new Map<BatchRecord, Map<string, PlacementKeys>>();
   #heldItems = 0;
   /** Number of items that wait while slots are free, by group. */
   readonly #heldByGroup = new Map<string, number>();
@@ -78,7 +88,7 @@
    * Gets whether no target can take an item, regardless of its partial text.
    */
   isExhausted(waiting: WaitingItem): boolean {
-    return this.#exhausted.has(placementKeyOf(waiting));
+    return this.#exhausted.has(this.#keysOf(waiting).items);
   }
 
   /**
@@ -89,9 +99,9 @@
     if (this.isExhausted(waiting)) return NOT_PLACED;
     const { record, item } = waiting;
     const { itemTracker, prompts, dataCentre, now, wallNow } = this.#options;
-    const { minVersion, isSingleVersion, service, homes } = record.spec;
+    const { minVersion, isSingleVersion, service } = record.spec;
     const result = placeItem({
-      targets: this.#candidatesFor(service, item.model, homes),
+      targets: this.#candidatesFor(waiting),
       minVersion,
       written: text.size === 0
         ? undefined
@@ -112,7 +122,7 @@
     });
     if (result.isHeld) this.#onHeld(waiting);
     else if (result.placement === undefined && text.size === 0) {
-      this.#exhausted.add(placementKeyOf(waiting));
+      this.#exhausted.add(this.#keysOf(waiting).items);
     }
     return result;
   }
@@ -154,12 +164,10 @@
     return this;
   }
 
-  #candidatesFor(
-    service: string,
-    model: string,
-    homes: Homes,
-  ): PlacementCandidate[] {
-    const key = JSON.stringify([service, model, homes]);
+  #candidatesFor(waiting: WaitingItem): PlacementCandidate[] {
+    const key = this.#keysOf(waiting).candidates;
+    const { service, homes } = waiting.record.spec;
+    const { model } = waiting.item;
     let candidates = this.#candidates.get(key);
     if (candidates !== undefined) return candidates;
     const { registry, targetPace, loads, limiter, now } = this.#options;
@@ -197,13 +205,22 @@
     if (inFlight < slots) this.#limitedTargets.set(report.id, report);
     return Math.min(slots, inFlight + limiter.storedPermits(report));
   }
-}
 
-/**
- * Gets the key of an item's service, model, lowest version and homes. Items with
- * the same key fit the same targets.
- */
-function placementKeyOf({ record, item }: WaitingItem): string {
-  const { service, minVersion, homes } = record.spec;
-  return JSON.stringify([service, item.model, minVersion, homes]);
+  #keysOf({ record, item: { model } }: WaitingItem): PlacementKeys {
+    let byModel = this.#keys.get(record);
+    if (byModel === undefined) {
+      byModel = new Map();
+      this.#keys.set(record, byModel);
+    }
+    let keys = byModel.get(model);
+    if (keys === undefined) {
+      const { service, minVersion, homes } = record.spec;
+      keys = {
+        candidates: JSON.stringify([service, model, homes]),
+        items: JSON.stringify([service, model, minVersion, homes]),
+      };
+      byModel.set(model, keys);
+    }
+    return keys;
+  }
 }
