The program of a fleet bundles only the HTTP client of undici

An import of a part that scripts/undici_client.mjs does not name fails the build. Other programs and the tests use the whole package as before.

--- a/scripts/bundle.ts
+++ b/scripts/bundle.ts
@@ -1,8 +1,8 @@
 /** Bundles each program into a single file under `dist/` or `target/`. */
 import { execFileSync } from "node:child_process";
 import { mkdirSync } from "node:fs";
-import { join } from "node:path";
-import { build } from "esbuild";
+import { join, resolve } from "node:path";
+import { build, type Plugin } from "esbuild";
 
 const MAX_ARCHIVE_BYTES = 67_108_864;
 
@@ -22,6 +22,20 @@
   "msgpackr-extract",
 ];
 
+/** Program of a fleet. */
+const FLEET_ENTRY = "platform/main.ts";
+/**
+ * Bundles only the parts of undici that the program of a fleet uses; an import
+ * of another part fails the build.
+ */
+const UNDICI_CLIENT: Plugin = {
+  name: "undici-client",
+  setup: ({ onResolve }) =>
+    onResolve({ filter: /^undici$/ }, () => ({
+      path: resolve("scripts/undici_client.mjs"),
+    })),
+};
+
 /**
  * Bundles every program that the tests, the demo and the benchmarks start.
  *
@@ -34,8 +48,8 @@
   await bundleModules({
     nutmegreel: "platform/command_line.ts",
     fake: "fakes/main.ts",
-    fleet: "platform/main.ts",
   }, "dist");
+  await bundleModules({ fleet: FLEET_ENTRY }, "dist", [UNDICI_CLIENT]);
 }
 
 /**
@@ -73,17 +87,21 @@
 
 /** Bundles the program that is deployed on the users' platform. */
 export async function bundleFleet(): Promise<void> {
-  await bundleModules({ "nutmegreel": "platform/main.ts" }, "target");
+  await bundleModules({ "nutmegreel": FLEET_ENTRY }, "target", [
+    UNDICI_CLIENT,
+  ]);
 }
 
 /** Bundles each entry point as an ECMAScript module. */
 async function bundleModules(
   entryPoints: Readonly<Record<string, string>>,
   outdir: string,
+  plugins: Plugin[] = [],
 ): Promise<void> {
   await build({
     entryPoints,
     outdir,
+    plugins,
     outExtension: { ".js": ".mjs" },
     bundle: true,
     platform: "node",
