A ledger instance drops state of targets only when they come, go or move

Each report of a target and each notice of a loaded version made every ledger instance build three sets of all targets, to drop paces and connections of those that are gone. This is done now if identifiers or addresses have changed; placement is scheduled as before.

--- a/bench/leader/main.ts
+++ b/bench/leader/main.ts
@@ -11,6 +11,8 @@
 
 const ROUNDS = 6;
 const FOLDER = "dist/leader";
+/** Memory limits of a ledger instance, as in deploy/system.toml. */
+const NODE_OPTIONS = ["--max-semi-space-size=2", "--max-old-space-size=160"];
 /** Number of parts and functions that are printed. */
 const PRINTED_ROWS = 24;
 
@@ -34,6 +36,7 @@
 
 function start(program: string): ChildProcess {
   return fork(`${FOLDER}/${program}.mjs`, {
+    execArgv: NODE_OPTIONS,
     stdio: ["ignore", "ignore", "inherit", "ipc"],
   });
 }
--- a/bench/leader/player.ts
+++ b/bench/leader/player.ts
@@ -264,6 +264,7 @@
   };
 }
 
+process.on("disconnect", () => process.exit(1));
 process.once("message", async (options: PlayerOptions) => {
   const player = new Player(options);
   const costs: RoundCost[] = [];
--- a/src/tasks/batches/batch_runner.ts
+++ b/src/tasks/batches/batch_runner.ts
@@ -83,6 +83,8 @@
   readonly #failures: RunFailureHandler;
   readonly #partialTexts: PartialTextWriter;
   readonly #scheduler: PlacementScheduler;
+  /** Identifiers and addresses of the targets whose state is kept. */
+  #places: string | undefined;
   #timer: NodeJS.Timeout | undefined;
 
   /** Creates a stopped runner. */
@@ -201,15 +203,22 @@
 
   /** Drops the state of removed targets and schedules a placement round. */
   onTargetsChanged(): this {
-    const { registry, engines } = this.#options;
-    const present = registry.presentReports;
-    this.#targetPace.keepOnly(new Set(present.map(({ id }) => id)));
-    engines.closeIdleExcept(new Set(present.map(({ address }) => address)));
-    this.#scorer.onTargetsChanged(present);
+    const present = this.#options.registry.presentReports;
+    const places = present.map(({ id, address }) => `${id} ${address}`).join();
+    // Most changes are of weight versions, which remove no state.
+    if (places !== this.#places) this.#keepOnly(present);
+    this.#places = places;
     this.schedulePlacement();
     return this;
   }
 
+  #keepOnly(present: readonly TargetReport[]): void {
+    this.#targetPace.keepOnly(new Set(present.map(({ id }) => id)));
+    this.#options.engines
+      .closeIdleExcept(new Set(present.map(({ address }) => address)));
+    this.#scorer.onTargetsChanged(present);
+  }
+
   /** Excludes a target from placement of a model while it loads its weights. */
   onLoadStarted(loading: LoadedVersion): void {
     this.#loads.onOrdered(loading, this.#options.now());
