--- a/src/core/batches/item_order.ts
+++ b/src/core/batches/item_order.ts
@@ -37,9 +37,9 @@
 }
 
 /** Expected output of an item without an estimate, in tokens. */
-const DEFAULT_EXPECTED_TOKENS = 1_000;
+export const DEFAULT_EXPECTED_TOKENS = 1_000;
 /** Difference of due times up to which batches share the slots. */
-const CLOSE_MS = 1_000;
+export const CLOSE_MS = 1_000;
 /** Share of overdue items among those waiting from which room is short. */
 const SHORT_ROOM_SHARE = 0.1;
 const MOST_URGENT: BatchPriority = { workspace: 0, route: 0 };
--- a/src/core/batches/run_estimator.ts
+++ b/src/core/batches/run_estimator.ts
@@ -1,6 +1,6 @@
 /** Estimates the length of outputs and the time to read prompts. */
 import type { BatchRecord } from "./batch_record.ts";
-import type { WaitingItem } from "./item_order.ts";
+import { DEFAULT_EXPECTED_TOKENS, type WaitingItem } from "./item_order.ts";
 
 /** Sums over the recent runs of a service; older runs count less. */
 interface ServiceSums {
@@ -96,6 +96,20 @@
     return sums.events / sums.runs;
   }
 
+  /**
+   * Gets the number of estimated tokens that an event stands for; undefined
+   * until enough outputs are complete.
+   */
+  tokensPerEvent(service: string): number | undefined {
+    const sums = this.#services.get(service);
+    if (sums === undefined || sums.completed < MIN_COMPLETED) return undefined;
+    const { estimatedTokens, estimatedEvents, events, runs } = sums;
+    if (estimatedTokens > 0 && estimatedEvents > 0) {
+      return estimatedTokens / estimatedEvents;
+    }
+    return events > 0 ? DEFAULT_EXPECTED_TOKENS * runs / events : undefined;
+  }
+
   /** Gets the expected number of events that an output still needs. */
   remainingEvents(waiting: WaitingItem, received: number): number {
     const expected = this.#expectedEvents(waiting);
--- /dev/null
+++ b/src/core/batches/service_targets.ts
@@ -0,0 +1,90 @@
+/** Remembers the targets of each service, with their long-run paces. */
+import type { ServiceRoom } from "./batch_admission.ts";
+import { loadFactorOf } from "./target_pace.ts";
+
+/** A target and what it does in the long run. */
+export interface RoomTarget {
+  readonly id: string;
+  readonly service: string;
+  readonly dataCentre: string;
+  readonly slots: number;
+  /** Long-run time per event of a run alone at the target, in milliseconds. */
+  readonly paceMs: number;
+}
+
+/** Targets that a service may have at most, by its policy. */
+export interface RoomLimits {
+  /** Maximum number of targets, over all data centres allowed to a batch. */
+  readonly maxTargets: number;
+  /** Time from ordering a target until it serves, in milliseconds. */
+  readonly bootMs: number;
+}
+
+/** Input of {@link ServiceTargets.roomOf}. */
+export interface RoomInput {
+  readonly tokensPerEvent: number;
+  /** Gets whether a batch may run in a data centre. */
+  readonly isAllowed: (dataCentre: string) => boolean;
+  /** Undefined if no targets of the service are ordered. */
+  readonly limits: RoomLimits | undefined;
+  readonly now: number;
+}
+
+interface SeenTarget extends RoomTarget {
+  readonly seenAt: number;
+}
+
+/**
+ * Time for which a lost target counts as present while others are left, in
+ * milliseconds: targets behind a broken link or in a restart return.
+ */
+const LOST_MS = 60_000;
+/** As {@link LOST_MS}, if none is left. */
+const ALL_LOST_MS = 10_000;
+
+/** Remembers targets, as lost ones count as present for a while. */
+export class ServiceTargets {
+  readonly #seen = new Map<string, SeenTarget>();
+
+  /** Records the targets that are present. */
+  onSeen(targets: readonly RoomTarget[], now: number): this {
+    for (const target of targets) {
+      this.#seen.set(target.id, { ...target, seenAt: now });
+    }
+    for (const [id, { seenAt }] of this.#seen) {
+      if (now - seenAt > LOST_MS) this.#seen.delete(id);
+    }
+    return this;
+  }
+
+  /** Gets the room of a service with full slots; undefined if it has no slot. */
+  roomOf(service: string, input: RoomInput): ServiceRoom | undefined {
+    const { isAllowed, limits, now, tokensPerEvent } = input;
+    const all = [...this.#seen.values()]
+      .filter((target) => target.service === service && target.slots > 0);
+    const lastSeenAt = Math.max(...all.map(({ seenAt }) => seenAt));
+    const isGone = now - lastSeenAt > ALL_LOST_MS;
+    const allowed = all.filter(({ dataCentre }) => isAllowed(dataCentre));
+    const present = isGone ? [] : allowed;
+    const targets = present.map((target) => eventsPerMsOf(target));
+    // A target that starts is assumed to be as fast as the fastest one known.
+    const fastest = Math.max(0, ...all.map((target) => eventsPerMsOf(target)));
+    if (fastest === 0) return undefined;
+    const startable = Math.max(0, (limits?.maxTargets ?? 0) - present.length);
+    return {
+      slots: present.reduce((sum, { slots }) => sum + slots, 0),
+      tokensPerMs: tokensPerEvent * sum(targets),
+      startableTokensPerMs: tokensPerEvent * startable * fastest,
+      bootMs: limits?.bootMs ?? 0,
+    };
+  }
+}
+
+/** Gets the events per millisecond of a target with full slots. */
+function eventsPerMsOf({ slots, paceMs }: RoomTarget): number {
+  return slots / (paceMs * loadFactorOf(1));
+}
+
+function sum(values: readonly number[]): number {
+  return values.reduce((total, value) => total + value, 0);
+}
