The ledger's leader refuses batches that cannot be complete in time

A batch was accepted regardless of the work that waits. A refused batch gets 503 deadlineUnreachable, verdict notRun and a Retry-After from the drain rate of the queue; nothing of it enters the log.

The decision is made a second time after leadership was confirmed, so a batch that an earlier leader accepted is acknowledged. A batch whose earlier proposal has no known outcome is never refused. If leadership cannot be confirmed, the batch is proposed as before.

Ruled out: a refusal without confirmed leadership, which may answer notRun for an accepted batch; a new refusal reason, which older entry instances would not know.

--- a/src/core/batches/batch_drain.ts
+++ b/src/core/batches/batch_drain.ts
@@ -101,6 +101,15 @@
     return this;
   }
 
+  /** Gets the number of open items. */
+  openItems(service: string): number {
+    let count = 0;
+    for (const open of this.#batches.values()) {
+      if (open.service === service) count += open.items.size;
+    }
+    return count;
+  }
+
   /** Gets the expected output of the open items, in tokens. */
   openTokens(service: string): number {
     return this.#meters.get(service)?.queuedTokens ?? 0;
--- a/src/core/batches/service_targets.ts
+++ b/src/core/batches/service_targets.ts
@@ -80,8 +80,15 @@
   }
 }
 
-/** Gets the events per millisecond of a target with full slots. */
-function eventsPerMsOf({ slots, paceMs }: RoomTarget): number {
+/**
+ * Gets the events per millisecond of a target with full slots.
+ *
+ * @example
+ * ```ts
+ * eventsPerMsOf({ ...target, slots: 12, paceMs: 10 }); // 1
+ * ```
+ */
+export function eventsPerMsOf({ slots, paceMs }: RoomTarget): number {
   return slots / (paceMs * loadFactorOf(1));
 }
 
--- a/src/core/registry/target_registry.ts
+++ b/src/core/registry/target_registry.ts
@@ -233,6 +233,11 @@
     );
   }
 
+  /** Gets whether work with some homes may run in a data centre. */
+  isWithin(dataCentre: string, homes: Homes): boolean {
+    return this.#regions.isWithin(dataCentre, homes);
+  }
+
   /** Gets whether a target accepts work and its data centre is not evacuated. */
   maySendTo(id: string): boolean {
     const report = this.#targets.get(id)?.report;
--- a/src/logging/fleet_events.ts
+++ b/src/logging/fleet_events.ts
@@ -105,7 +105,8 @@
     text: "Batch committed by a quorum of the ledger's log",
   }),
   batchRefused: defineEvent(2202, "info", {
-    text: "Request for a batch refused",
+    text:
+      "Batch refused, as it could not be complete before its caller gives up",
   }),
   batchEnded: defineEvent(2203, "info", {
     text: "Batch ended by its caller",
--- a/src/metrics/metric_catalogue.ts
+++ b/src/metrics/metric_catalogue.ts
@@ -115,6 +115,23 @@
     kind: "counter",
     text: "Batches committed by a quorum",
   },
+  "batches.refused.urgentWork": {
+    kind: "counter",
+    text: "Batches refused as more urgent work takes the time of the targets",
+  },
+  "batches.refused.aboveShare": {
+    kind: "counter",
+    text: "Batches refused as work accepted before exceeds their share",
+  },
+  "batches.openTokens.*": {
+    kind: "gauge",
+    text: "Expected output of the open items of a service, in tokens",
+  },
+  "batches.drainMs.*": {
+    kind: "gauge",
+    text:
+      "Time in which the open items of a service drain, in milliseconds; 0 if not known",
+  },
   "batches.duration": {
     kind: "timing",
     text: "Time from acceptance of a batch to its end, in milliseconds",
@@ -228,10 +245,15 @@
 export type RefusalMetric = `refusals.${RefusalReason}`;
 /** Name of a retry counter. */
 export type RetryMetric = `retries.${RefusalReason}.${RetryDecision}`;
+/** Name of a gauge of the open items of a service. */
+export type ServiceMetric =
+  | `batches.openTokens.${string}`
+  | `batches.drainMs.${string}`;
 /** Name of a metric. */
 export type MetricName =
   | keyof typeof FIXED_METRICS
   | RefusalMetric
+  | ServiceMetric
   | RetryMetric;
 
 /** Gets all metrics: the fixed ones and the counters of each refusal reason. */
--- a/src/tasks/batches/batch_intake.ts
+++ b/src/tasks/batches/batch_intake.ts
@@ -1,7 +1,9 @@
 /** Accepts and ends batches in the ledger. */
 import type {
+  AdmissionDecision,
   BatchCommand,
   BatchCommandResult,
+  BatchSpec,
   BatchState,
   LedgerSnapshot,
 } from "../../core/batches/mod.ts";
@@ -25,14 +27,32 @@
 /** Options of {@link BatchIntake}. */
 export interface BatchIntakeOptions {
   readonly service: LedgerService;
+  readonly admission: () => BatchAdmission;
 }
 
+/** Decides whether the leader accepts a batch. */
+export interface BatchAdmission {
+  decide(spec: BatchSpec): AdmissionDecision;
+  /** Called with a decision by which a batch is refused. */
+  onRefused(spec: BatchSpec, decision: AdmissionDecision): void;
+}
+
+/**
+ * Number of batches that are remembered whose proposals may take effect later.
+ */
+const MAX_UNSETTLED = 1_000;
+
 /** Time within which leadership must be confirmed. */
 export const CONFIRM_TIMEOUT_MS = 800;
 
 /** Proposes the batches that callers submit or end. */
 export class BatchIntake {
   readonly #options: BatchIntakeOptions;
+  /**
+   * Batches whose proposals are in progress or ended without a known effect.
+   * They are never refused, as they may be accepted by then.
+   */
+  readonly #unsettled = new Set<string>();
 
   constructor(options: BatchIntakeOptions) {
     this.#options = options;
@@ -40,7 +60,8 @@
 
   /**
    * Accepts a batch, unless it was accepted before.
-   * @throws RefusalError if it is faulty or belongs to another workspace.
+   * @throws RefusalError if it is faulty, belongs to another workspace or cannot
+   * be complete before its caller gives up.
    */
   async submit({ spec, faults = [] }: SubmitParams): Promise<true> {
     // A batch that was accepted stays so, whatever the policy says by now.
@@ -52,18 +73,57 @@
       });
     }
     if (existing === undefined) {
-      const result = await this.#options.service.propose({
-        type: "accept",
-        spec,
-      });
-      if (!result.isHeld) throw createNotFoundError();
-      return true;
+      await this.#throwIfUnservable(spec);
+      return await this.#propose(spec);
     }
     await this.#confirmSubmission();
     if (existing.spec.workspace !== spec.workspace) throw createNotFoundError();
     return true;
   }
 
+  /**
+   * Refuses a batch that cannot be complete in time. The decision is made again
+   * once leadership is confirmed, as an earlier leader may have accepted the
+   * batch. Without confirmation the batch is proposed, which answers truthfully.
+   */
+  async #throwIfUnservable(spec: BatchSpec): Promise<void> {
+    if (this.#findRefusal(spec) === undefined) return;
+    try {
+      await this.#confirmSubmission();
+    } catch {
+      return;
+    }
+    const decision = this.#findRefusal(spec);
+    if (decision === undefined) return;
+    this.#options.admission().onRefused(spec, decision);
+    throw new RefusalError(RefusalReason.DeadlineUnreachable, Verdict.NotRun, {
+      message: "The batch could not be complete before its time to live ends",
+      retryAfterMs: decision.retryAfterMs,
+    });
+  }
+
+  #findRefusal(spec: BatchSpec): AdmissionDecision | undefined {
+    const { service, admission } = this.#options;
+    if (service.leadsTerm === undefined) return undefined;
+    if (this.#unsettled.has(spec.id)) return undefined;
+    if (service.state.get(spec.id) !== undefined) return undefined;
+    const decision = admission().decide(spec);
+    return decision.isAdmitted ? undefined : decision;
+  }
+
+  async #propose(spec: BatchSpec): Promise<true> {
+    this.#unsettled.add(spec.id);
+    for (const id of this.#unsettled) {
+      if (this.#unsettled.size <= MAX_UNSETTLED) break;
+      this.#unsettled.delete(id);
+    }
+    const result = await this.#options.service
+      .propose({ type: "accept", spec });
+    this.#unsettled.delete(spec.id);
+    if (!result.isHeld) throw createNotFoundError();
+    return true;
+  }
+
   /** Confirms leadership for a batch that may have been accepted before. */
   async #confirmSubmission(): Promise<void> {
     const { MayHaveRun } = Verdict;
--- a/src/tasks/batches/batch_runner.ts
+++ b/src/tasks/batches/batch_runner.ts
@@ -20,6 +20,7 @@
 import type { Logger } from "../../logging/mod.ts";
 import type { Metrics } from "../../metrics/mod.ts";
 import type { TargetLimiter } from "../fleet/target_limiter.ts";
+import { AdmissionGate } from "./admission_gate.ts";
 import type { EnginePort, RunFailure } from "./engine_port.ts";
 import { ItemPlacer } from "./item_placer.ts";
 import type { ItemRun, ItemRunListener } from "./item_run.ts";
@@ -65,6 +66,8 @@
  * results. Runs only on the ledger's leader.
  */
 export class BatchRunner implements ItemRunListener {
+  /** Decides on batches that are submitted. */
+  readonly admission: AdmissionGate;
   readonly #options: BatchRunnerOptions;
   readonly #runs = new RunTable();
   readonly #results: ResultWriter;
@@ -115,6 +118,10 @@
       scorer: this.#scorer,
       createPlacer: (now: number) => this.#createPlacer(now),
     };
+    this.admission = new AdmissionGate({
+      ...shared,
+      policy: () => scoring.policy(),
+    });
     this.#starter = new ItemStarter({ ...shared, listener: this });
     this.#mover = new RunMover({
       ...shared,
@@ -135,7 +142,10 @@
 
   /** Starts placing items; has no effect if already started. */
   start(): this {
-    if (this.#timer === undefined) this.#pacer.reset();
+    if (this.#timer === undefined) {
+      this.#pacer.reset();
+      this.admission.start();
+    }
     this.#timer ??= setInterval(() => this.#tick(), TICK_INTERVAL_MS);
     this.schedulePlacement();
     return this;
@@ -145,6 +155,7 @@
   stop(): this {
     clearInterval(this.#timer);
     this.#timer = undefined;
+    this.admission.stop();
     this.#runs.cancelAll();
     this.#scorer.stop();
     this.#results.clear();
@@ -252,6 +263,7 @@
     this.#pacer.onTick(now());
     if (!canRunItems()) return;
     this.#sampleDemand();
+    this.admission.sample();
     this.#mover.moveSilentRuns();
     this.#mover.moveSlowRuns();
     this.#partialTexts.storeLongRuns();
--- a/src/tasks/batches/batch_task.ts
+++ b/src/tasks/batches/batch_task.ts
@@ -95,7 +95,10 @@
       replica: () => this.replica,
       members: () => driver.node?.members,
     });
-    this.#intake = new BatchIntake({ service: this.#service });
+    this.#intake = new BatchIntake({
+      service: this.#service,
+      admission: () => this.#runner.admission,
+    });
     this.#reader = new ResultReader({
       state: () => this.#service.state,
       confirmLeadership: () => this.#confirmLeadership(),
--- a/src/tasks/batches/ledger_observer.ts
+++ b/src/tasks/batches/ledger_observer.ts
@@ -47,7 +47,9 @@
         items: spec.items.length,
         minVersion: spec.minVersion,
       });
-      this.#options.runner.schedulePlacement();
+      const { runner } = this.#options;
+      runner.admission.drain.onAccepted(spec, performance.now());
+      runner.schedulePlacement();
     },
     list: ({ records }) => {
       for (const { batch, result } of records) this.#onResult(batch, result);
@@ -61,9 +63,13 @@
       this.#recordDuration(batch);
       this.#logIfLeader("batchEnded", { batch });
       this.#options.runner.onBatchEnded(batch);
+      this.#options.runner.admission.drain.onEnded(batch, performance.now());
       this.#options.reader.wake(batch);
     },
-    forget: () => {},
+    forget: ({ batches }) => {
+      const { drain } = this.#options.runner.admission;
+      for (const batch of batches) drain.onEnded(batch, performance.now());
+    },
   };
 
   #recordDuration(batch: string): void {
@@ -75,6 +81,10 @@
 
   #onResult(batch: string, result: BatchResult): void {
     this.#options.runner.onResultStored(batch, result.id);
+    this.#options.runner.admission.drain.onResult(batch, result.id, {
+      isCompleted: result.state === ResultState.Completed,
+      now: performance.now(),
+    });
     this.#options.metrics.count(RESULT_METRIC_NAMES[result.state]);
     this.#logIfLeader("itemListed", {
       batch,
