Retry-After of calls that all targets refuse as full comes from latencies

Such a call was told to come back after 300 ms, whatever the targets do. It is now told the time in which the targets of its service complete what they hold, from the latencies that the instance has measured, from 300 ms to 10 s and spread by up to a quarter by the call. The constants apply where no latency is measured or a target could not be reached; permits still count.

Ruled out: the time until the first slot is free, as all refused callers would return for it.

--- a/src/tasks/calls/call_refusal.ts
+++ b/src/tasks/calls/call_refusal.ts
@@ -1,5 +1,6 @@
 /** The refusal of a call that no target has completed. */
 import type { OutputWriter } from "../../core/continuation/mod.ts";
+import { spreadRetryAfterMs } from "../../core/retry/mod.ts";
 import {
   RefusalError,
   RefusalReason,
@@ -21,6 +22,13 @@
   readonly written: OutputWriter | undefined;
   /** Detail of the last attempt that failed; empty if there was none. */
   readonly lastFailure: string;
+  /** Identifier of the call. */
+  readonly call: string;
+  /**
+   * Time in which the targets complete what they hold, if all of them refused
+   * the call as full; undefined if that is not so, or the time not known.
+   */
+  readonly drainMs: number | undefined;
 }
 
 const RETRY_AFTER_MS = 300;
@@ -53,11 +61,14 @@
   }
   if (verdict === Verdict.NotRun) {
     const isAtLimit = permitAfterMs !== undefined;
+    const fullAfterMs = input.drainMs === undefined
+      ? RETRY_AFTER_MS
+      : spreadRetryAfterMs(input.drainMs, input.call);
     return new RefusalError(RefusalReason.NoTarget, Verdict.NotRun, {
       message: isAtLimit
         ? "All targets are at the limit that they name"
         : lastFailure || "No target takes the call",
-      retryAfterMs: Math.max(RETRY_AFTER_MS, permitAfterMs ?? 0),
+      retryAfterMs: Math.max(fullAfterMs, permitAfterMs ?? 0),
     });
   }
   const reason = isLate
--- a/src/tasks/calls/call_run.ts
+++ b/src/tasks/calls/call_run.ts
@@ -38,6 +38,8 @@
    */
   #attemptsRun = 0;
   #failedResponses = 0;
+  /** Number of targets that refused the call as full. */
+  #refusals = 0;
 
   constructor(dependencies: CallRunDependencies, options: CallRunOptions) {
     this.#dependencies = dependencies;
@@ -114,6 +116,8 @@
       isOutsideHomes: this.#targets.isOutsideHomes,
       written: this.#output.written,
       lastFailure: this.#lastFailure,
+      call: this.#options.call.id,
+      drainMs: this.#isRefusedByAll ? this.#targets.drainMs : undefined,
     });
   }
 
@@ -122,6 +126,10 @@
     return this.#failedResponses;
   }
 
+  get #isRefusedByAll(): boolean {
+    return this.#refusals > 0 && this.#refusals === this.#targets.triedCount;
+  }
+
   get #remainingMs(): number {
     return this.#deadline - performance.now();
   }
@@ -256,6 +264,7 @@
     const { answer: response, isNotRun, isMisdirected } = outcome;
     if (isNotRun || isMisdirected) {
       this.#attemptsRun -= 1;
+      if (isRefusal(outcome)) this.#refusals += 1;
       this.#recordRetry(target, `Not run: ${response.status}`);
       return undefined;
     }
--- a/src/tasks/calls/call_run_test.ts
+++ b/src/tasks/calls/call_run_test.ts
@@ -92,6 +92,8 @@
     crashes?: Partial<CrashGuard>;
     rates?: Partial<RateGuard>;
     spread?: CallSpread;
+    /** Latency that was measured at each target, in milliseconds. */
+    measuredMs?: number;
   } = {},
 ): Promise<CallEnd & { ids: string[]; ran: number }> {
   const registry = new TargetRegistry();
@@ -111,10 +113,17 @@
   );
   const targets = new ScriptedTargets(outcomes);
   let ran = 0;
+  const latencies = new LatencyTracker();
+  for (const { report } of registry.all) {
+    const latencyMs = options.measuredMs;
+    if (latencyMs === undefined) break;
+    latencies.onSent(report.id)
+      .onEnded(report.id, { latencyMs, isFailure: false, now: 0 });
+  }
   const run = new CallRun({
     targets,
     registry,
-    latencies: new LatencyTracker(),
+    latencies,
     crashes: { ...NO_CRASH_GUARD, ...options.crashes },
     logger: new Logger({ instance: "test", level: "error" }),
     metrics: new Metrics({ tags: {} }),
@@ -273,6 +282,39 @@
     expect(attempts).toBe(2);
   });
 
+  describe("refused by all targets as full", () => {
+    const full = answered(503, { isNotRun: true });
+
+    async function doRefusedTest(
+      outcomes: readonly AttemptOutcome[],
+      measuredMs: number | undefined,
+      [min, max]: readonly [number, number],
+    ) {
+      const { reason, verdict, retryAfterMs } = await play(outcomes, {
+        targets: 2,
+        ...(measuredMs === undefined ? {} : { measuredMs }),
+      });
+      expect({ reason, verdict })
+        .toEqual({ reason: "noTarget", verdict: "notRun" });
+      expect(retryAfterMs).toBeGreaterThanOrEqual(min);
+      expect(retryAfterMs).toBeLessThanOrEqual(max);
+    }
+
+    it("names the time in which targets complete what they hold", () =>
+      doRefusedTest([full], 2_000, [2_000, 2_500]));
+
+    it("names a constant if no latency is measured", () =>
+      doRefusedTest([full], undefined, [300, 300]));
+
+    it("names a constant if a target was not reached", () =>
+      doRefusedTest([failed(false), full], 2_000, [300, 300]));
+
+    it("names no time outside the bounds", async () => {
+      await doRefusedTest([full], 1, [300, 375]);
+      await doRefusedTest([full], 90_000, [8_000, 10_000]);
+    });
+  });
+
   describe("with targets that limit their requests", () => {
     const limited = new Set(["t0", "t1"]);
     const isLimited = ({ id }: { id: string }) => limited.has(id);
--- a/src/tasks/calls/call_targets.ts
+++ b/src/tasks/calls/call_targets.ts
@@ -3,6 +3,7 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import {
   type CallPlacementInput,
+  drainMsOf,
   type LatencyTracker,
   rankSpread,
   rankTargets,
@@ -77,6 +78,20 @@
     return this.#permitAfterMs;
   }
 
+  /**
+   * Gets the time in which the targets of the service complete what they hold,
+   * in milliseconds; undefined if no latency is measured.
+   */
+  get drainMs(): number | undefined {
+    const { latencies } = this.#options;
+    return drainMsOf(
+      this.#reports().map(({ id, slots }) => ({
+        slots,
+        measuredMs: latencies.measuredMs(id),
+      })),
+    );
+  }
+
   /** Gets whether the call has homes, and no target in them is ready. */
   get isOutsideHomes(): boolean {
     return this.#options.homes !== undefined && this.#reports().length === 0;
