--- a/src/core/batches/batch_admission_test.ts
+++ b/src/core/batches/batch_admission_test.ts
@@ -34,7 +34,7 @@
     check: (admission: Figures, today: Figures) => void,
   ) {
     for (const giveUpMs of [10_000, 20_000]) {
-      for (const seed of demand > 1 ? [3, 5] : [3]) {
+      for (const seed of demand > 1 ? [3, 5] : [3, 5, 7, 11]) {
         const [today, admission] = [false, true].map((hasAdmission) => {
           const figures = simulateAdmission({
             groups: GROUPS,
--- a/src/core/batches/service_targets.ts
+++ b/src/core/batches/service_targets.ts
@@ -10,6 +10,8 @@
   readonly slots: number;
   /** Long-run time per event of a run alone at the target, in milliseconds. */
   readonly paceMs: number;
+  /** Whether the pace is measured, not that of other targets or a default. */
+  readonly isPaceKnown: boolean;
 }
 
 /** Targets that a service may have at most, by its policy. */
@@ -57,11 +59,15 @@
     return this;
   }
 
-  /** Gets the room of a service with full slots; undefined if it has no slot. */
+  /**
+   * Gets the room of a service with full slots; undefined if no target with a
+   * measured pace was seen. A default pace may be several times too slow.
+   */
   roomOf(service: string, input: RoomInput): ServiceRoom | undefined {
     const { isAllowed, limits, now, tokensPerEvent } = input;
     const all = [...this.#seen.values()]
       .filter((target) => target.service === service && target.slots > 0);
+    if (!all.some(({ isPaceKnown }) => isPaceKnown)) return undefined;
     const lastSeenAt = Math.max(...all.map(({ seenAt }) => seenAt));
     const isGone = now - lastSeenAt > ALL_LOST_MS;
     const allowed = all.filter(({ dataCentre }) => isAllowed(dataCentre));
@@ -69,7 +75,6 @@
     const targets = present.map((target) => eventsPerMsOf(target));
     // A target that starts is assumed to be as fast as the fastest one known.
     const fastest = Math.max(0, ...all.map((target) => eventsPerMsOf(target)));
-    if (fastest === 0) return undefined;
     const startable = Math.max(0, (limits?.maxTargets ?? 0) - present.length);
     return {
       slots: present.reduce((sum, { slots }) => sum + slots, 0),
--- a/src/core/batches/service_targets_test.ts
+++ b/src/core/batches/service_targets_test.ts
@@ -8,6 +8,7 @@
   dataCentre: "a",
   slots: 12,
   paceMs: 10,
+  isPaceKnown: true,
 };
 
 describe(ServiceTargets.name, () => {
@@ -46,6 +47,17 @@
     doTest({ now: 11_000 }, { slots: 0, startable: 3 });
   });
 
+  it("tells nothing from targets whose paces are not measured", () => {
+    const targets = new ServiceTargets()
+      .onSeen([{ ...target, isPaceKnown: false }], 0);
+    expect(targets.roomOf("s", {
+      tokensPerEvent: 1,
+      isAllowed: () => true,
+      limits: undefined,
+      now: 0,
+    })).toBeUndefined();
+  });
+
   it("counts the targets in the homes of a batch alone", () =>
     doTest({ now: 0, homes: "b" }, { slots: 12, startable: 2 }));
 });
--- a/src/tasks/batches/admission_gate.ts
+++ b/src/tasks/batches/admission_gate.ts
@@ -151,7 +151,8 @@
   #roomTargetOf(report: TargetReport, now: number): RoomTarget {
     const { id, service, dataCentre, slots } = report;
     const paceMs = this.#options.targetPace.inherentPaceMs(report, now);
-    return { id, service, dataCentre, slots, paceMs };
+    const isPaceKnown = this.#options.targetPace.isPaceKnown(report);
+    return { id, service, dataCentre, slots, paceMs, isPaceKnown };
   }
 
   /** Gets the room for a batch; undefined if too little is known to tell. */
--- a/tests/support/admission_simulation.ts
+++ b/tests/support/admission_simulation.ts
@@ -83,6 +83,7 @@
     dataCentre: "a",
     slots,
     paceMs: MS_PER_TOKEN / FULL_LOAD_FACTOR,
+    isPaceKnown: true,
   }], 0);
   const drain = new BatchDrain().start([], 0);
   const figures = new Map(
