Calls wait for the policy lease while control restarts, and linked members are asked first

Cause: tests/fleet_test.ts "sends no call to a target that says in responses that it leaves" was answered 503, dataCentreFenced, "Keys cannot be checked now". Its failure now prints the body of the refusal and the last lines of the control and entry instances. A call waited 600 ms for the lease whatever its deadline; a confirmation that failed was repeated only after a quarter of a lease; and each one spent 450 ms on a member that was down, so that the new leader was not asked for up to 0.5 s.

For callers: a call with a key waits for the lease for up to three quarters of its time, at most 2 s (600 ms before), which counts towards its deadline. While calls wait, the lease is confirmed again 60 ms after a failure. Requests to the leader of a log ask linked members before those without a link. An entry instance that is cut off from control refuses such calls later than before, at three quarters of their time.

If the control processes take longer than the lease and the wait to come back, the refusal is right.

Ruled out: a longer lease, since a withdrawn key must stop within revokeMs.

--- a/src/tasks/calls/call_gate.ts
+++ b/src/tasks/calls/call_gate.ts
@@ -22,8 +22,11 @@
 /** Options of {@link CallGate}. */
 export interface CallGateOptions {
   readonly policy: () => PolicyView | undefined;
-  /** Waits briefly for a valid policy lease; false if there is none in time. */
-  readonly awaitLease: () => Promise<boolean>;
+  /**
+   * Waits for a valid policy lease, briefly if no longest wait is given; false
+   * if there is none in time.
+   */
+  readonly awaitLease: (maxWaitMs?: number) => Promise<boolean>;
   /**
    * Gets whether a control leader is known. It sends the policy to an instance
    * that has just started; without one, it must be elected first.
@@ -32,6 +35,16 @@
 }
 
 const RETRY_AFTER_MS = 1_000;
+/**
+ * Fraction of a call's time for which it waits for the policy lease. The rest is
+ * for the targets, or for the caller to come back.
+ */
+const LEASE_WAIT_FRACTION = 3 / 4;
+/**
+ * Longest wait of a call for the policy lease, in milliseconds: that of the start
+ * of all control instances and an election, on a busy machine.
+ */
+const MAX_LEASE_WAIT_MS = 2_000;
 /** Retry delay while a known leader has not yet sent the policy. */
 const POLICY_RETRY_AFTER_MS = 300;
 /** Retry delay while all instances start and no leader is elected. */
@@ -52,11 +65,16 @@
    * @throws RefusalError with verdict `notRun`.
    */
   async admit(
-    call: Pick<CallRequest, "host" | "path" | "key">,
+    call:
+      & Pick<CallRequest, "host" | "path" | "key">
+      & Partial<Pick<CallRequest, "timeoutMs">>,
   ): Promise<Admission> {
     const admission = this.#findAdmissionOrThrow(call);
     if (admission.workspace === undefined) return admission;
-    if (await this.#options.awaitLease()) {
+    const { timeoutMs = Infinity } = call;
+    const timeMs = Math.min(timeoutMs, admission.route.timeoutMs);
+    const maxWaitMs = Math.min(timeMs * LEASE_WAIT_FRACTION, MAX_LEASE_WAIT_MS);
+    if (await this.#options.awaitLease(maxWaitMs)) {
       return this.#findAdmissionOrThrow(call);
     }
     throw new RefusalError(RefusalReason.DataCentreFenced, Verdict.NotRun, {
--- a/src/tasks/fleet/entry_task.ts
+++ b/src/tasks/fleet/entry_task.ts
@@ -53,6 +53,8 @@
   /** Aborted when the caller disconnects. */
   readonly signal: AbortSignal;
   readonly arrivedAt: number;
+  /** Time that the admission took, which is part of the call's time. */
+  readonly waitedMs: number;
   readonly stream: ResponseStream | undefined;
 }
 
@@ -102,7 +104,7 @@
     this.#usage = new UsageCounter(node.settings.times.usageWindowMs);
     this.#gate = new CallGate({
       policy: () => follower.policy,
-      awaitLease: () => follower.awaitLease(),
+      awaitLease: (maxWaitMs) => follower.awaitLease(maxWaitMs),
       hasControlLeader: () => node.leaderOf(FleetRole.Control) !== undefined,
     });
   }
@@ -169,17 +171,20 @@
   ): Promise<ForwardedResponse> {
     const { node, follower, registry, targets, crashes, rates } = this
       .#options;
-    const { admission, signal, stream, arrivedAt } = options;
+    const { admission, signal, stream, arrivedAt, waitedMs } = options;
     const written = await this.#streams.findWriter(request, admission);
     const { timeoutMs = Infinity } = request;
     const leftMs = () =>
       Math.min(timeoutMs, admission.route.timeoutMs) -
       (performance.now() - arrivedAt);
     if (written !== undefined) await untilTargetsKnown(follower, leftMs());
-    // The search for the writer and the wait are part of the call's time.
-    const call = written === undefined
-      ? request
-      : { ...request, timeoutMs: Math.max(0, leftMs()) };
+    // The search for the writer and the waits are part of the call's time.
+    const call = {
+      ...request,
+      timeoutMs: written === undefined
+        ? request.timeoutMs && Math.max(0, request.timeoutMs - waitedMs)
+        : Math.max(0, leftMs()),
+    };
     let hasHead = false;
     const run = new CallRun({
       targets,
--- a/src/tasks/fleet/fleet_follower.ts
+++ b/src/tasks/fleet/fleet_follower.ts
@@ -47,8 +47,10 @@
 /** Confirmations per lease duration. */
 const CONFIRMS_PER_LEASE = 4;
 const CONFIRM_TIMEOUT_MS = 900;
-/** Time that a request waits for an expired lease to be renewed. */
+/** Default time that a request waits for an expired lease to be renewed. */
 const LEASE_WAIT_MS = 600;
+/** Delay of the next confirmation while requests wait for the lease. */
+const AWAITED_CONFIRM_DELAY_MS = 60;
 
 /** Applies the notices of the control instances. */
 export class FleetFollower {
@@ -115,14 +117,14 @@
   }
 
   /**
-   * Waits up to {@link LEASE_WAIT_MS} for an expired lease to be renewed, for
-   * example after the process was suspended.
+   * Waits for an expired lease to be renewed, for example after the process was
+   * suspended or while the control instances start again.
    * @returns Whether the lease is valid.
    */
-  async awaitLease(): Promise<boolean> {
+  async awaitLease(maxWaitMs = LEASE_WAIT_MS): Promise<boolean> {
     if (this.hasLease) return true;
     this.#confirm();
-    await this.#lease.untilRenewed(LEASE_WAIT_MS);
+    await this.#lease.untilRenewed(maxWaitMs);
     return this.hasLease;
   }
 
@@ -151,9 +153,18 @@
       )
       .finally(() => {
         this.#isConfirming = false;
+        this.#confirmAgainIfAwaited();
       });
   }
 
+  /** Confirms soon again, since the interval is longer than requests wait. */
+  #confirmAgainIfAwaited(): void {
+    if (!this.#lease.isAwaited) return;
+    setTimeout(() => {
+      if (this.#lease.isAwaited) this.#confirm();
+    }, AWAITED_CONFIRM_DELAY_MS);
+  }
+
   #confirmRequest(): ConfirmPolicyRequest {
     const { node, usage, crashes } = this.#options;
     return {
--- a/src/tasks/fleet/fleet_follower_test.ts
+++ b/src/tasks/fleet/fleet_follower_test.ts
@@ -13,9 +13,29 @@
 const LEASE_MS = 2_000;
 const CONFIRM_INTERVAL_MS = 500;
 
+const REPLY: ConfirmPolicyReply = {
+  revision: 1,
+  document: undefined,
+  suspicions: undefined,
+  evacuations: undefined,
+};
+
 beforeEach(() => void vi.useFakeTimers());
 afterEach(() => void vi.useRealTimers());
 
+/** Creates the node of a follower, with a control leader that replies. */
+function createNode(requestLeader: () => Promise<ConfirmPolicyReply>) {
+  return {
+    settings: { id: "10.0.0.1", times: { policyLeaseMs: LEASE_MS } },
+    logger: new Logger({ instance: "test", level: "error" }),
+    metrics: new Metrics({ tags: {} }),
+    hub: { announce: () => {} },
+    notify: () => {},
+    onNotice: (_notice: FleetNotice, _from: string) => {},
+    requestLeader,
+  };
+}
+
 describe(FleetFollower.name, () => {
   /** Gets the targets offered at first and after each step. */
   async function doTest(
@@ -30,25 +50,11 @@
   ) {
     const registry = new TargetRegistry();
     const replies = [...options.replies];
-    const node = {
-      settings: { id: "10.0.0.1", times: { policyLeaseMs: LEASE_MS } },
-      logger: new Logger({ instance: "test", level: "error" }),
-      metrics: new Metrics({ tags: {} }),
-      hub: { announce: () => {} },
-      notify: () => {},
-      onNotice: (_notice: FleetNotice, _from: string) => {},
-      requestLeader: (): Promise<ConfirmPolicyReply> => {
-        const evacuations = replies.shift();
-        if (evacuations === "none") return Promise.reject(new Error("Silent"));
-        const document = undefined;
-        return Promise.resolve({
-          revision: 1,
-          document,
-          suspicions: undefined,
-          evacuations,
-        });
-      },
-    };
+    const node = createNode(() => {
+      const evacuations = replies.shift();
+      if (evacuations === "none") return Promise.reject(new Error("Silent"));
+      return Promise.resolve({ ...REPLY, evacuations });
+    });
     const follower = new FleetFollower({
       node: node as unknown as FleetNode,
       registry,
@@ -102,4 +108,38 @@
       notices: [{ type: "evacuations", version: 1, dataCentres: ["a"] }],
       replies: [{ version: 2, dataCentres: [] }],
     }, [["b"], ["a", "b"]]));
+
+  /** Gets whether the lease is renewed within a wait while control restarts. */
+  async function doLeaseTest(
+    { backAtMs, waitMs }: { backAtMs: number; waitMs: number },
+  ): Promise<boolean | undefined> {
+    let isBack = false;
+    const node = createNode(() =>
+      isBack ? Promise.resolve(REPLY) : Promise.reject(new Error("No leader"))
+    );
+    const follower = new FleetFollower({
+      node: node as unknown as FleetNode,
+      registry: new TargetRegistry(),
+      clock: new ElapsedClock(),
+      needsLease: true,
+      usage: () => ({}),
+      onTargetsChanged: () => {},
+    });
+    node.onNotice({ type: "policy", document: createPolicy() }, "c");
+    follower.start();
+    let isRenewed: boolean | undefined;
+    follower.awaitLease(waitMs).then((value) => isRenewed = value);
+    await vi.advanceTimersByTimeAsync(backAtMs);
+    isBack = true;
+    await vi.advanceTimersByTimeAsync(waitMs - backAtMs);
+    follower.stop();
+    return isRenewed;
+  }
+
+  // Guards against calls that are refused, with time left, just after all
+  // control instances have started again.
+  it("renews the lease as soon as a leader answers waiting requests", async () => {
+    expect(await doLeaseTest({ backAtMs: 250, waitMs: 400 })).toBe(true);
+    expect(await doLeaseTest({ backAtMs: 1_900, waitMs: 2_000 })).toBe(true);
+  });
 });
--- a/src/tasks/fleet/leader_client.ts
+++ b/src/tasks/fleet/leader_client.ts
@@ -9,7 +9,7 @@
 
 /** Options of {@link LeaderClient}. */
 export interface LeaderClientOptions {
-  readonly hub: Pick<PeerHub, "request">;
+  readonly hub: Pick<PeerHub, "request" | "isLinked">;
   /** Gets the instance that leads a role's log; undefined if none is known. */
   readonly leaderOf: (role: FleetRole) => string | undefined;
   /** Gets the members of a role that were reported recently. */
@@ -76,13 +76,16 @@
 
   /**
    * Selects the known leader if it has not been tried, or else another member
-   * of the role that has not. When all have been tried, it starts over.
+   * of the role that has not, and a linked one first: a request to a member that
+   * is down waits for its link. When all have been tried, it starts over.
    */
   #nextCandidate(role: FleetRole, tried: Set<string>): string | undefined {
     const leader = this.#options.leaderOf(role);
     if (leader !== undefined && !tried.has(leader)) return leader;
     const members = this.#options.membersOf(role);
-    const next = members.find((id) => !tried.has(id));
+    const untried = members.filter((id) => !tried.has(id));
+    const next = untried.find((id) => this.#options.hub.isLinked(id)) ??
+      untried[0];
     if (next !== undefined) return next;
     tried.clear();
     return leader ?? members[0];
--- a/src/tasks/fleet/policy_lease.ts
+++ b/src/tasks/fleet/policy_lease.ts
@@ -28,6 +28,11 @@
     return this.#options.clock.now() < this.#end;
   }
 
+  /** Gets whether requests wait for the lease to be extended. */
+  get isAwaited(): boolean {
+    return this.#waiters.size > 0;
+  }
+
   /** Extends the lease; an earlier end than the current one is ignored. */
   extend(end: number): this {
     this.#end = Math.max(this.#end, end);
--- a/tests/fleet_test.ts
+++ b/tests/fleet_test.ts
@@ -15,6 +15,8 @@
 const { host, plain, once, rollout, engines, apps, model } = FLEET_NAMES;
 const KEY = "key-of-the-park";
 const TIMEOUT_MS = 30_000;
+/** Lines of each instance that a failure shows. */
+const LINES_SHOWN = 40;
 
 describe("fleet of real processes", () => {
   const receiver = new FleetReceiver();
@@ -251,6 +253,13 @@
     await leaving.start();
   }, TIMEOUT_MS);
 
+  /** Gets what control and entry instances logged last, for a failure. */
+  function linesOfRefusal(): string[] {
+    return [FleetRole.Control, FleetRole.Entry]
+      .flatMap((role) => fleet.machinesWithRole(role))
+      .flatMap(({ process }) => process?.lines.slice(-LINES_SHOWN) ?? []);
+  }
+
   it(
     "sends no call to a target that says in responses that it leaves",
     async () => {
@@ -272,7 +281,13 @@
         await fleet.waitUntilReady();
         const before = leaving.runs.length;
         for (let i = 0; i < 40; i += 1) {
-          expect((await send(`after-${i}`)).status).toBe(200);
+          const { status, text } = await send(`after-${i}`);
+          const lines = status === 200 ? [] : linesOfRefusal();
+          expect({ status, text, lines }).toEqual({
+            status: 200,
+            text: `answer to after-${i}`,
+            lines: [],
+          });
         }
         expect(leaving.runs).toHaveLength(before);
       } finally {
