Fleet tests start their fleet, targets and client by one fixture

Change: tests/support/fleet_fixture.ts does it once.

Ruled out: one fixture per file pair, which would repeat the same start and stop three times.

--- a/tests/crash_requests_small_services_test.ts
+++ b/tests/crash_requests_small_services_test.ts
@@ -1,61 +1,41 @@
 import { afterEach, beforeEach, describe, expect, it } from "vitest";
 import type { FleetReplica } from "../fakes/fleet_replica.ts";
-import { FleetDeployment, sleep } from "./support/fleet_deployment.ts";
-import { FLEET_NAMES, fleetPolicy } from "./support/fleet_policy.ts";
-import { FleetTrainer } from "./support/fleet_trainer.ts";
-import { LoopbackNet } from "./support/loopback_net.ts";
+import { sleep } from "./support/fleet_deployment.ts";
+import { FleetFixture } from "./support/fleet_fixture.ts";
+import { FLEET_NAMES } from "./support/fleet_policy.ts";
 
-const { host, plain, rollout, apps } = FLEET_NAMES;
-const KEY = "key-of-the-park";
+const { plain, apps } = FLEET_NAMES;
 /** Time that a target needs to come back, in milliseconds. */
 const RESTART_MS = 2_000;
 const REPEAT_MS = 50;
 const MAX_DEATHS = 3;
 
 describe("a request that ends the targets of a small service", () => {
-  let fleet: FleetDeployment;
-  let client: FleetTrainer;
+  let fixture: FleetFixture;
   let targets: FleetReplica[];
   let running: Set<FleetReplica>;
   let fewestRunning: number;
   let deaths: number;
-  let isOver: boolean;
 
   beforeEach(async () => {
     targets = [];
     running = new Set();
     deaths = 0;
-    isOver = false;
-    fleet = new FleetDeployment({
-      net: await LoopbackNet.claim(),
-      controls: 3,
-      ledgers: 1,
-      entries: 3,
-    });
-    await fleet.startAll(fleetPolicy({ version: 1, keys: [KEY] }));
-    client = new FleetTrainer({
-      entries: fleet.entries,
-      host,
-      key: KEY,
-      prefix: rollout,
-    });
+    fixture = await FleetFixture.start({ controls: 3, ledgers: 1, entries: 3 });
   }, 60_000);
 
-  afterEach(async () => {
-    isOver = true;
-    for (const target of targets) target.crash();
-    await fleet.stop();
-  });
+  afterEach(() => fixture.stop());
 
   async function startTarget(): Promise<void> {
-    const target = fleet.createTarget({ service: apps });
+    const owner = fixture;
+    const target = owner.createTarget({ service: apps });
     target.crashesOn = (path) => path.includes("crash");
     target.onCrashed = () => {
       deaths += 1;
       running.delete(target);
       fewestRunning = Math.min(fewestRunning, running.size);
       setTimeout(() => {
-        if (isOver) return;
+        if (owner.isStopped) return;
         target.start().then(() => running.add(target));
       }, RESTART_MS);
     };
@@ -69,6 +49,7 @@
     size: number,
     expected: { running: number; refusesBeside: boolean },
   ): Promise<void> {
+    const { fleet, client } = fixture;
     for (let i = 0; i < size; i += 1) await startTarget();
     fewestRunning = size;
     await sleep(700);
--- a/tests/crash_requests_test.ts
+++ b/tests/crash_requests_test.ts
@@ -1,13 +1,11 @@
 import { afterAll, beforeAll, describe, expect, it } from "vitest";
-import type { FleetReplica } from "../fakes/fleet_replica.ts";
 import { FleetRole } from "../src/core/fleet/mod.ts";
-import { FleetDeployment, sleep } from "./support/fleet_deployment.ts";
-import { FLEET_NAMES, fleetPolicy } from "./support/fleet_policy.ts";
-import { FleetTrainer } from "./support/fleet_trainer.ts";
-import { LoopbackNet } from "./support/loopback_net.ts";
+import { type FleetDeployment, sleep } from "./support/fleet_deployment.ts";
+import { FleetFixture } from "./support/fleet_fixture.ts";
+import { FLEET_NAMES } from "./support/fleet_policy.ts";
+import type { FleetTrainer } from "./support/fleet_trainer.ts";
 
-const { host, plain, rollout, apps } = FLEET_NAMES;
-const KEY = "key-of-the-park";
+const { plain, apps } = FLEET_NAMES;
 const TARGETS = 4;
 const RESTART_MS = 400;
 const REPEAT_MS = 60;
@@ -19,47 +17,30 @@
 const MAX_SENDS_WHEN_KNOWN = 3;
 
 describe("a request that ends each target that runs it", () => {
+  let fixture: FleetFixture;
   let fleet: FleetDeployment;
   let client: FleetTrainer;
-  const targets: FleetReplica[] = [];
   /** Times at which a target ended under a request, in order. */
   const crashes: number[] = [];
-  let isOver = false;
 
-  function createTarget(): FleetReplica {
-    const target = fleet.createTarget({ service: apps });
+  async function startTarget(): Promise<void> {
+    const target = fixture.createTarget({ service: apps });
     target.crashesOn = (path) => path.includes("crash");
     target.onCrashed = () => {
       crashes.push(Date.now());
-      setTimeout(() => isOver || target.start(), RESTART_MS);
+      setTimeout(() => fixture.isStopped || target.start(), RESTART_MS);
     };
-    return target;
+    await target.start();
   }
 
   beforeAll(async () => {
-    fleet = new FleetDeployment({
-      net: await LoopbackNet.claim(),
-      controls: 3,
-      ledgers: 3,
-      entries: 3,
-    });
-    await fleet.startAll(fleetPolicy({ version: 1, keys: [KEY] }));
-    for (let i = 0; i < TARGETS; i += 1) targets.push(createTarget());
-    for (const target of targets) await target.start();
-    client = new FleetTrainer({
-      entries: fleet.entries,
-      host,
-      key: KEY,
-      prefix: rollout,
-    });
+    fixture = await FleetFixture.start({ controls: 3, ledgers: 3, entries: 3 });
+    ({ fleet, client } = fixture);
+    for (let i = 0; i < TARGETS; i += 1) await startTarget();
     await sleep(500);
   });
 
-  afterAll(async () => {
-    isOver = true;
-    for (const target of targets) target.crash();
-    await fleet.stop();
-  });
+  afterAll(() => fixture.stop());
 
   /** Repeats a request under new ids, at each entry instance in turn. */
   async function repeat(path: string, forMs: number): Promise<void> {
--- a/tests/evacuation_test.ts
+++ b/tests/evacuation_test.ts
@@ -5,16 +5,15 @@
 import { outputOf } from "../fakes/fleet_text.ts";
 import { FleetRole } from "../src/core/fleet/mod.ts";
 import {
-  FleetDeployment,
+  type FleetDeployment,
   type FleetMachine,
   sleep,
 } from "./support/fleet_deployment.ts";
+import { FLEET_KEY, FleetFixture } from "./support/fleet_fixture.ts";
 import { FLEET_NAMES, fleetPolicy } from "./support/fleet_policy.ts";
-import { FleetTrainer } from "./support/fleet_trainer.ts";
-import { LoopbackNet } from "./support/loopback_net.ts";
+import type { FleetTrainer } from "./support/fleet_trainer.ts";
 
-const { host, plain, rollout, engines, apps, model } = FLEET_NAMES;
-const KEY = "key-of-the-park";
+const { plain, engines, apps, model } = FLEET_NAMES;
 const TIMEOUT_MS = 30_000;
 /** Time from the acknowledgement in which all instances know of an order. */
 const SPREAD_MS = 1_000;
@@ -25,6 +24,7 @@
 const OTHER = "b";
 
 describe("evacuation of a data centre", () => {
+  let fixture: FleetFixture;
   let fleet: FleetDeployment;
   let trainer: FleetTrainer;
   const targets = new Map<string, FleetReplica[]>();
@@ -32,34 +32,20 @@
   let batchCount = 0;
 
   beforeAll(async () => {
-    fleet = new FleetDeployment({
-      net: await LoopbackNet.claim(),
-      controls: 3,
-      ledgers: 3,
-      entries: 2,
-    });
-    await fleet.startAll(fleetPolicy({ version, keys: [KEY] }));
+    fixture = await FleetFixture.start({ controls: 3, ledgers: 3, entries: 2 });
+    ({ fleet, client: trainer } = fixture);
     for (const zone of [EVACUATED, OTHER]) {
       const replicas = [
-        fleet.createTarget({ service: engines, models: [model], zone }),
-        fleet.createTarget({ service: apps, zone, slots: 64 }),
+        fixture.createTarget({ service: engines, models: [model], zone }),
+        fixture.createTarget({ service: apps, zone, slots: 64 }),
       ];
       for (const replica of replicas) await replica.start();
       targets.set(zone, replicas);
     }
-    trainer = new FleetTrainer({
-      entries: fleet.entries,
-      host,
-      key: KEY,
-      prefix: rollout,
-    });
     await sleep(700);
   }, 60_000);
 
-  afterAll(async () => {
-    await fleet.stop();
-    for (const replica of [...targets.values()].flat()) replica.crash();
-  });
+  afterAll(() => fixture.stop());
 
   const order = (type: "Begin" | "Finish", zone: string) =>
     fleet.sendToControl("POST", `/-/Evacuate.${type}/${zone}`, {
@@ -178,7 +164,7 @@
   // Guards against an order lost beside a change of the policy.
   it("applies an order beside a change of the policy", () => {
     version += 1;
-    const policy = fleetPolicy({ version, keys: [KEY] });
+    const policy = fleetPolicy({ version, keys: [FLEET_KEY] });
     return doTest(() =>
       Promise.all([
         fleet.putPolicy(policy, TIMEOUT_MS),
--- a/tests/homes_test.ts
+++ b/tests/homes_test.ts
@@ -1,15 +1,16 @@
 /** Requests that may run in some regions only, over real processes. */
 import { afterAll, beforeAll, describe, expect, it } from "vitest";
 import type { FleetReplica } from "../fakes/fleet_replica.ts";
-import { FleetDeployment, sleep } from "./support/fleet_deployment.ts";
+import { type FleetDeployment, sleep } from "./support/fleet_deployment.ts";
+import {
+  FLEET_KEY as KEY,
+  FleetFixture,
+  OTHER_FLEET_KEY as OTHER_KEY,
+} from "./support/fleet_fixture.ts";
 import { FLEET_NAMES, fleetPolicy } from "./support/fleet_policy.ts";
-import { FleetTrainer } from "./support/fleet_trainer.ts";
-import { LoopbackNet } from "./support/loopback_net.ts";
+import type { FleetTrainer } from "./support/fleet_trainer.ts";
 
-const { host, plain, rollout, once, engines, apps, model, workspace } =
-  FLEET_NAMES;
-const KEY = "key-of-the-park";
-const OTHER_KEY = "key-of-the-zoo";
+const { plain, once, engines, apps, model, workspace } = FLEET_NAMES;
 const TIMEOUT_MS = 20_000;
 const CALLS = 20;
 const REGIONS = { a: "north", b: "east", c: "west" };
@@ -39,39 +40,31 @@
 }
 
 describe("requests with homes", () => {
+  let fixture: FleetFixture;
   let fleet: FleetDeployment;
   let trainer: FleetTrainer;
   const targets = new Map<string, FleetReplica>();
   let callCount = 0;
 
   beforeAll(async () => {
-    fleet = new FleetDeployment({
-      net: await LoopbackNet.claim(),
+    fixture = await FleetFixture.start({
       controls: 3,
       ledgers: 3,
       entries: 2,
       regions: REGIONS,
+      policy: policyWithHomes(1),
     });
-    await fleet.startAll(policyWithHomes(1));
+    ({ fleet, client: trainer } = fixture);
     for (const zone of ["a", "b"]) {
-      const target = fleet.createTarget({ service: apps, zone, slots: 64 });
+      const target = fixture.createTarget({ service: apps, zone, slots: 64 });
       targets.set(zone, await target.start());
       const engine = { service: engines, models: [model], zone };
-      targets.set(`engine ${zone}`, await fleet.createTarget(engine).start());
+      targets.set(`engine ${zone}`, await fixture.createTarget(engine).start());
     }
-    trainer = new FleetTrainer({
-      entries: fleet.entries,
-      host,
-      key: KEY,
-      prefix: rollout,
-    });
     await sleep(700);
   }, 60_000);
 
-  afterAll(async () => {
-    await fleet.stop();
-    for (const target of targets.values()) target.crash();
-  });
+  afterAll(() => fixture.stop());
 
   async function doTest(
     prefix: string,
--- a/tests/limited_targets_test.ts
+++ b/tests/limited_targets_test.ts
@@ -1,12 +1,11 @@
 import { afterAll, beforeAll, beforeEach, describe, expect, it } from "vitest";
 import type { FleetReplica } from "../fakes/fleet_replica.ts";
-import { FleetDeployment, sleep } from "./support/fleet_deployment.ts";
-import { FLEET_NAMES, fleetPolicy } from "./support/fleet_policy.ts";
-import { FleetTrainer } from "./support/fleet_trainer.ts";
-import { LoopbackNet } from "./support/loopback_net.ts";
+import { sleep } from "./support/fleet_deployment.ts";
+import { FleetFixture } from "./support/fleet_fixture.ts";
+import { FLEET_NAMES } from "./support/fleet_policy.ts";
+import type { FleetTrainer } from "./support/fleet_trainer.ts";
 
-const { host, plain, rollout, engines, apps, model } = FLEET_NAMES;
-const KEY = "key-of-the-park";
+const { plain, engines, apps, model } = FLEET_NAMES;
 /** Time from which a limit is to be kept, after it was first named. */
 const CONTACT_MS = 3_000;
 const WINDOW_MS = 4_000;
@@ -20,41 +19,27 @@
 }
 
 describe("a target that names the requests a second that it takes", () => {
-  let fleet: FleetDeployment;
+  let fixture: FleetFixture;
   let client: FleetTrainer;
   const services: FleetReplica[] = [];
   const llms: FleetReplica[] = [];
 
   beforeAll(async () => {
-    fleet = new FleetDeployment({
-      net: await LoopbackNet.claim(),
-      controls: 3,
-      ledgers: 3,
-      entries: 3,
-    });
-    await fleet.startAll(fleetPolicy({ version: 1, keys: [KEY] }));
+    fixture = await FleetFixture.start({ controls: 3, ledgers: 3, entries: 3 });
+    client = fixture.client;
     const workMs = 60;
     for (let i = 0; i < 3; i += 1) {
-      services.push(fleet.createTarget({ service: apps, slots: 64, workMs }));
+      services.push(fixture.createTarget({ service: apps, slots: 64, workMs }));
     }
     for (let i = 0; i < 2; i += 1) {
       const models = [model];
-      llms.push(fleet.createTarget({ service: engines, models, workMs }));
+      llms.push(fixture.createTarget({ service: engines, models, workMs }));
     }
     for (const target of [...services, ...llms]) await target.start();
-    client = new FleetTrainer({
-      entries: fleet.entries,
-      host,
-      key: KEY,
-      prefix: rollout,
-    });
     await sleep(500);
   });
 
-  afterAll(async () => {
-    for (const target of [...services, ...llms]) target.crash();
-    await fleet.stop();
-  });
+  afterAll(() => fixture.stop());
 
   beforeEach(() => {
     for (const target of [...services, ...llms]) {
@@ -63,17 +48,11 @@
     }
   });
 
-  /** Sends calls at an even rate; returns their responses. */
-  async function press(prefix: string) {
-    const pending: ReturnType<FleetTrainer["sendCall"]>[] = [];
-    const endsAt = Date.now() + PLAY_MS;
-    for (let i = 0; Date.now() < endsAt; i += 1) {
-      const id = `${prefix}-${i}`;
-      pending.push(client.sendCall(`${plain}${id}`, { id }));
-      await sleep(CALL_INTERVAL_MS);
-    }
-    return await Promise.all(pending);
-  }
+  const press = (prefix: string) =>
+    fixture.sendCalls(prefix, {
+      durationMs: PLAY_MS,
+      intervalMs: CALL_INTERVAL_MS,
+    });
 
   /** Gets the arrivals at a target from the time at which its limit is kept. */
   function lateArrivalsOf({ arrivals }: FleetReplica): number[] {
--- a/tests/slow_start_test.ts
+++ b/tests/slow_start_test.ts
@@ -1,13 +1,11 @@
 import { afterAll, beforeAll, beforeEach, describe, expect, it } from "vitest";
 import type { FleetReplica } from "../fakes/fleet_replica.ts";
 import { FleetRole } from "../src/core/fleet/mod.ts";
-import { FleetDeployment, sleep } from "./support/fleet_deployment.ts";
+import { sleep } from "./support/fleet_deployment.ts";
+import { FLEET_KEY, FleetFixture } from "./support/fleet_fixture.ts";
 import { FLEET_NAMES, fleetPolicy } from "./support/fleet_policy.ts";
-import { FleetTrainer } from "./support/fleet_trainer.ts";
-import { LoopbackNet } from "./support/loopback_net.ts";
 
-const { host, plain, rollout, engines, apps, model } = FLEET_NAMES;
-const KEY = "key-of-the-park";
+const { engines, apps, model } = FLEET_NAMES;
 const COLD_PER_S = 8.1;
 const COLD_MS = 4_000;
 /** Requests that a cold target tolerates in any second. */
@@ -20,64 +18,37 @@
 const EVENT_WORK_MS = 4;
 
 describe("a cold target beside a warm one", () => {
-  let fleet: FleetDeployment;
-  let client: FleetTrainer;
-  const targets: FleetReplica[] = [];
+  let fixture: FleetFixture;
 
   beforeAll(async () => {
-    fleet = new FleetDeployment({
-      net: await LoopbackNet.claim(),
+    const slowStart = { coldS: COLD_MS / 1_000, coldPerS: COLD_PER_S };
+    fixture = await FleetFixture.start({
       controls: 3,
       ledgers: 3,
       entries: 3,
-    });
-    const slowStart = { coldS: COLD_MS / 1_000, coldPerS: COLD_PER_S };
-    await fleet.startAll(fleetPolicy({ version: 1, keys: [KEY], slowStart }));
-    client = new FleetTrainer({
-      entries: fleet.entries,
-      host,
-      key: KEY,
-      prefix: rollout,
+      policy: fleetPolicy({ version: 1, keys: [FLEET_KEY], slowStart }),
     });
   });
 
-  afterAll(async () => {
-    for (const target of targets) target.crash();
-    await fleet.stop();
-  });
+  afterAll(() => fixture.stop());
 
-  beforeEach(async () => {
-    for (const target of targets.splice(0)) {
-      await target.drain();
-      target.crash();
-    }
-  });
+  beforeEach(() => fixture.retireTargets());
 
   /** Starts a target that is warm, or cold for a time. */
   async function start(service: string, coldMs: number): Promise<FleetReplica> {
-    const target = fleet.createTarget({
+    const target = fixture.createTarget({
       service,
       models: service === engines ? [model] : [],
       slots: service === engines ? 8 : 64,
       workMs: service === engines ? EVENT_WORK_MS : CALL_WORK_MS,
     });
     target.coldMs = coldMs;
-    targets.push(target);
     await target.start();
     return target;
   }
 
-  /** Sends calls at an even rate; returns their responses. */
-  async function press(prefix: string, durationMs: number) {
-    const pending: ReturnType<FleetTrainer["sendCall"]>[] = [];
-    const endsAt = Date.now() + durationMs;
-    for (let i = 0; Date.now() < endsAt; i += 1) {
-      const id = `${prefix}-${i}`;
-      pending.push(client.sendCall(`${plain}${id}`, { id }));
-      await sleep(CALL_INTERVAL_MS);
-    }
-    return await Promise.all(pending);
-  }
+  const press = (prefix: string, durationMs: number) =>
+    fixture.sendCalls(prefix, { durationMs, intervalMs: CALL_INTERVAL_MS });
 
   function expectWithinBound(target: FleetReplica) {
     expect(target.mostColdPerSecond).toBeLessThanOrEqual(TOLERATED);
@@ -116,8 +87,8 @@
     await sleep(300);
     const items = Array.from({ length: 400 }, (_, i) => `g${i % 10}-${i}`);
     const plan = { id: "cold-items", model, minVersion: 0, items };
-    await client.submit(plan, 10_000);
-    const results = await client.readAll(plan, 40_000);
+    await fixture.client.submit(plan, 10_000);
+    const results = await fixture.client.readAll(plan, 40_000);
     expect(results.every(({ state }) => state === "completed")).toBe(true);
     expectWithinBound(cold);
     expect(cold.coldArrivals.length).toBeGreaterThan(0);
@@ -128,6 +99,7 @@
     const cold = await start(apps, COLD_MS);
     await sleep(300);
     const pressed = press("leaderless", COLD_MS);
+    const { fleet } = fixture;
     const controls = fleet.machinesWithRole(FleetRole.Control);
     await sleep(500);
     for (const machine of controls) {
--- a/tests/software_versions_test.ts
+++ b/tests/software_versions_test.ts
@@ -2,19 +2,20 @@
 import type { FleetReplica } from "../fakes/fleet_replica.ts";
 import { softwareOf } from "../fakes/fleet_text.ts";
 import { FleetRole } from "../src/core/fleet/mod.ts";
-import { FleetDeployment, sleep } from "./support/fleet_deployment.ts";
+import { sleep } from "./support/fleet_deployment.ts";
+import {
+  FLEET_KEY,
+  FleetFixture,
+  OTHER_FLEET_KEY,
+} from "./support/fleet_fixture.ts";
 import { FLEET_NAMES, fleetPolicy } from "./support/fleet_policy.ts";
-import { FleetTrainer } from "./support/fleet_trainer.ts";
-import { LoopbackNet } from "./support/loopback_net.ts";
 import {
   emptyStream,
   type HeldStream,
-  StreamCaller,
+  type StreamCaller,
 } from "./support/stream_caller.ts";
 
-const { host, rollout, stream, engines, model } = FLEET_NAMES;
-const KEY = "key-of-the-park";
-const OTHER_KEY = "key-of-the-zoo";
+const { model } = FLEET_NAMES;
 const TIMEOUT_MS = 20_000;
 /** Time after which the restart of a target would be known, in milliseconds. */
 const CERTAIN_MS = 1_000;
@@ -22,47 +23,27 @@
 const ENTRIES = 2;
 
 describe("outputs while targets run two software versions", () => {
-  let fleet: FleetDeployment;
+  let fixture: FleetFixture;
   let replicas: FleetReplica[] = [];
 
   beforeEach(async () => {
-    fleet = new FleetDeployment({
-      net: await LoopbackNet.claim(),
+    const policy = fleetPolicy({
+      version: 1,
+      keys: [FLEET_KEY],
+      otherKeys: [OTHER_FLEET_KEY],
+    });
+    fixture = await FleetFixture.start({
       controls: 3,
       ledgers: 3,
       entries: ENTRIES,
+      policy,
     });
-    await fleet.startAll(fleetPolicy({
-      version: 1,
-      keys: [KEY],
-      otherKeys: [OTHER_KEY],
-    }));
   }, 60_000);
 
-  afterEach(async () => {
-    for (const replica of replicas) replica.crash();
-    await fleet.stop();
-  });
+  afterEach(() => fixture.stop());
 
   async function startTargets(...software: string[]): Promise<void> {
-    replicas = software.map((version) => {
-      const replica = fleet.createTarget({
-        service: engines,
-        models: [model],
-        workMs: 40,
-      });
-      replica.software = version;
-      return replica;
-    });
-    for (const replica of replicas) await replica.start();
-    await sleep(CERTAIN_MS);
-  }
-
-  function createCaller(
-    key = KEY,
-    entries: () => string[] = () => fleet.entries,
-  ) {
-    return new StreamCaller({ entries, host, key, prefix: stream, model });
+    replicas = await fixture.startEngines(40, software);
   }
 
   /** Begins the stream `s1`, whose target ends after the first event. */
@@ -82,7 +63,7 @@
     during: () => Promise<void>,
     entries?: () => string[],
   ): Promise<HeldStream[]> {
-    const caller = createCaller(KEY, entries);
+    const caller = fixture.createStreamCaller(FLEET_KEY, entries);
     const begun = new Map<string, number>();
     const onBegun = (address: string) =>
       begun.set(address, (begun.get(address) ?? 0) + 1);
@@ -112,6 +93,7 @@
     "streams go on at one version after the instance that served them is killed",
     async () => {
       await startTargets("v1", "v1", "v2", "v2");
+      const { fleet } = fixture;
       const [killed] = fleet.machinesWithRole(FleetRole.Entry);
       const held = await doTest(
         () => fleet.kill(killed),
@@ -147,7 +129,7 @@
     "a stream is refused at once if no target of its version is left",
     async () => {
       await startTargets("v1");
-      const caller = createCaller();
+      const caller = fixture.createStreamCaller();
       const held = await readUntilCrash(caller);
       expect(held.isComplete).toBe(false);
       replicas[0].software = "v2";
@@ -165,7 +147,7 @@
     "a stream is not taken up at the next process of its target, unheard",
     async () => {
       await startTargets("v1");
-      const caller = createCaller();
+      const caller = fixture.createStreamCaller();
       const held = await readUntilCrash(caller);
       replicas[0].software = "v2";
       replicas[0].isUnheard = true;
@@ -178,33 +160,28 @@
 
   it("no stream of another workspace is taken up", async () => {
     await startTargets("v1");
-    const held = await readUntilCrash(createCaller());
+    const held = await readUntilCrash(fixture.createStreamCaller());
     await replicas[0].start();
     await sleep(CERTAIN_MS);
-    await createCaller(OTHER_KEY).request("s2", held);
+    await fixture.createStreamCaller(OTHER_FLEET_KEY).request("s2", held);
     const unknown = { ...emptyStream(), first: "none", events: ["x"] };
-    await createCaller(OTHER_KEY).request("s3", unknown);
+    await fixture.createStreamCaller(OTHER_FLEET_KEY).request("s3", unknown);
     expect(held.statuses.at(-1)).toBe(503);
     expect(unknown.statuses).toEqual([503]);
-    await createCaller().request("s4", held);
+    await fixture.createStreamCaller().request("s4", held);
     expect(held.statuses.at(-1)).toBe(200);
   }, 60_000);
 
   it("results of batches are of one version each", async () => {
     await startTargets("v1", "v1", "v2", "v2");
-    const trainer = new FleetTrainer({
-      entries: fleet.entries,
-      host,
-      key: KEY,
-      prefix: rollout,
-    });
+    const { client } = fixture;
     const items = Array.from({ length: 24 }, (_, i) => `g${i >> 2}-${i}`);
     const plan = { id: "b1", model, minVersion: 0, items };
-    await trainer.submit(plan, TIMEOUT_MS);
+    await client.submit(plan, TIMEOUT_MS);
     await sleep(300);
     replicas[0].crash();
     replicas[2].crash();
-    const results = await trainer.readAll(plan, TIMEOUT_MS);
+    const results = await client.readAll(plan, TIMEOUT_MS);
     expect(results.map(({ text }) => softwareOf(text).length))
       .toEqual(items.map(() => 1));
   }, 60_000);
--- a/tests/streams_after_entry_loss_test.ts
+++ b/tests/streams_after_entry_loss_test.ts
@@ -2,16 +2,11 @@
 import type { FleetReplica } from "../fakes/fleet_replica.ts";
 import { softwareOf } from "../fakes/fleet_text.ts";
 import { FleetRole } from "../src/core/fleet/mod.ts";
-import { FleetDeployment, sleep } from "./support/fleet_deployment.ts";
-import { FLEET_NAMES, fleetPolicy } from "./support/fleet_policy.ts";
-import { LoopbackNet } from "./support/loopback_net.ts";
-import { type HeldStream, StreamCaller } from "./support/stream_caller.ts";
+import type { FleetDeployment } from "./support/fleet_deployment.ts";
+import { FleetFixture } from "./support/fleet_fixture.ts";
+import type { HeldStream } from "./support/stream_caller.ts";
 
-const { host, stream, engines, model } = FLEET_NAMES;
-const KEY = "key-of-the-park";
 const STREAMS = 24;
-/** Time after which all instances know the targets, in milliseconds. */
-const CERTAIN_MS = 1_000;
 const ENTRIES = 3;
 /** Streams of each entry instance that have begun when the fault begins. */
 const MIN_BEGUN = 4;
@@ -21,36 +16,20 @@
 const REFUSED_STATUS = 503;
 
 describe("streams after all entry instances were killed", () => {
+  let fixture: FleetFixture;
   let fleet: FleetDeployment;
   let replicas: FleetReplica[] = [];
 
   beforeEach(async () => {
-    fleet = new FleetDeployment({
-      net: await LoopbackNet.claim(),
-      controls: 4,
-      ledgers: 3,
-      entries: ENTRIES,
-    });
-    await fleet.startAll(fleetPolicy({ version: 1, keys: [KEY] }));
+    const counts = { controls: 4, ledgers: 3, entries: ENTRIES };
+    fixture = await FleetFixture.start(counts);
+    fleet = fixture.fleet;
   }, 60_000);
 
-  afterEach(async () => {
-    for (const replica of replicas) replica.crash();
-    await fleet.stop();
-  });
+  afterEach(() => fixture.stop());
 
   async function startTargets(...software: string[]): Promise<void> {
-    replicas = software.map((version) => {
-      const replica = fleet.createTarget({
-        service: engines,
-        models: [model],
-        workMs: 80,
-      });
-      replica.software = version;
-      return replica;
-    });
-    for (const replica of replicas) await replica.start();
-    await sleep(CERTAIN_MS);
+    replicas = await fixture.startEngines(80, software);
   }
 
   /** Kills all instances of a role at the same time and starts them again. */
@@ -64,13 +43,7 @@
   async function doTest(
     during: () => Promise<void>,
   ): Promise<HeldStream[]> {
-    const caller = new StreamCaller({
-      entries: () => fleet.entries,
-      host,
-      key: KEY,
-      prefix: stream,
-      model,
-    });
+    const caller = fixture.createStreamCaller();
     // Callers use the entry instances in turn.
     const begunCounts = Array.from({ length: ENTRIES }, () => 0);
     let onBegun = () => {};
