Split the hub of peer links by responsibility

No message, log event or metric changes.

Ruled out: a reply computed before it is sent, because a result that cannot be encoded must still be replied to with a refusal.

--- a/src/tasks/peers/peer_envelope.ts
+++ b/src/tasks/peers/peer_envelope.ts
@@ -64,6 +64,21 @@
   | { readonly channel: "request"; readonly body: PeerRequest }
   | { readonly channel: "reply"; readonly body: PeerReply };
 
+/** Channels that tasks can subscribe to. */
+export type TaskChannel =
+  | "consensus"
+  | "ledger"
+  | "feed"
+  | "home"
+  | "log"
+  | "notice";
+
+/** Type of the messages of a channel. */
+export type BodyOf<C extends PeerEnvelope["channel"]> = Extract<
+  PeerEnvelope,
+  { channel: C }
+>["body"];
+
 /** A message of a named replicated log. */
 export interface LogEnvelope {
   /** Name of the log. */
--- /dev/null
+++ b/src/tasks/peers/peer_refusal.ts
@@ -0,0 +1,54 @@
+/** Errors of requests between instances, and their form in replies. */
+import {
+  RefusalError,
+  RefusalReason,
+  Verdict,
+} from "../../core/verdict/mod.ts";
+import type { PeerReply } from "./peer_envelope.ts";
+
+/** Refusal in a reply. */
+export type PeerRefusal = NonNullable<PeerReply["refusal"]>;
+
+const RETRY_AFTER_MS = 1_000;
+
+/**
+ * Creates the error of a request without a reply.
+ * @example
+ * throw createUnansweredError(Verdict.NotRun);
+ */
+export function createUnansweredError(verdict: Verdict): RefusalError {
+  return new RefusalError(RefusalReason.ControlUnavailable, verdict, {
+    message: "Another instance did not answer",
+    retryAfterMs: RETRY_AFTER_MS,
+  });
+}
+
+/**
+ * Encodes an error of a handler; one that is no refusal may have run.
+ * @example
+ * respond({ channel: "reply", body: { id, refusal: encodeRefusal(err) } });
+ */
+export function encodeRefusal(err: unknown): PeerRefusal {
+  if (!(err instanceof RefusalError)) {
+    return {
+      reason: RefusalReason.Internal,
+      verdict: Verdict.MayHaveRun,
+      message: (err as Error).message,
+    };
+  }
+  const { reason, verdict, message, retryAfterMs } = err;
+  return { reason, verdict, message, retryAfterMs };
+}
+
+/**
+ * Decodes the refusal of a reply.
+ * @example
+ * reject(decodeRefusal(reply.refusal));
+ */
+export function decodeRefusal(refusal: PeerRefusal): RefusalError {
+  const { reason, verdict, message, retryAfterMs } = refusal;
+  return new RefusalError(reason as RefusalReason, verdict as Verdict, {
+    message,
+    retryAfterMs,
+  });
+}
--- /dev/null
+++ b/src/tasks/peers/request_handlers.ts
@@ -0,0 +1,52 @@
+/** Handlers of the requests from other instances. */
+import { Verdict } from "../../core/verdict/mod.ts";
+import type { PeerReply, PeerRequest } from "./peer_envelope.ts";
+import { createUnansweredError, encodeRefusal } from "./peer_refusal.ts";
+
+/** Handles a request from another instance. */
+export type RequestHandler = (
+  params: unknown,
+  from: string,
+) => unknown | Promise<unknown>;
+
+/** Finds the handler of each request by its method. */
+export class RequestHandlers {
+  readonly #handlers = new Map<string, RequestHandler>();
+
+  /**
+   * Sets the handler of a method, replacing the previous one.
+   * @example
+   * handlers.set("echo", (params) => params);
+   */
+  set(method: string, handler: RequestHandler): void {
+    this.#handlers.set(method, handler);
+  }
+
+  /**
+   * Runs the handler of a method.
+   * @throws RefusalError with verdict `notRun` if the method has no handler.
+   */
+  async run(method: string, params: unknown, from: string): Promise<unknown> {
+    const handler = this.#handlers.get(method);
+    if (handler === undefined) throw createUnansweredError(Verdict.NotRun);
+    return await handler(params, from);
+  }
+
+  /**
+   * Runs the handler of a request and sends its reply. A result that cannot be
+   * sent is replied to with a refusal, so that the sender need not wait.
+   */
+  async answer(
+    request: PeerRequest,
+    from: string,
+    send: (reply: PeerReply) => void,
+  ): Promise<void> {
+    const { id, method, params } = request;
+    try {
+      const result = await this.run(method, params, from);
+      send({ id, result });
+    } catch (err) {
+      send({ id, refusal: encodeRefusal(err) });
+    }
+  }
+}
