Split the dispatch task by responsibility

Change: JobTable owns the jobs and their current attempts, and ends each job once; DispatchRecorder writes the log events and metrics; toAttemptOutcome maps the result of an exchange. DispatchTask keeps its interface. No log event, field or metric changes.

Ruled out: moving the health of targets out as well, because announcing a target and applying its effects belong to the dispatcher's owner.

--- a/src/tasks/targets/dispatch_task.ts
+++ b/src/tasks/targets/dispatch_task.ts
@@ -1,6 +1,5 @@
 /** Executes the decisions of the dispatcher. */
 import {
-  type AttemptOutcome,
   type DispatchEffect,
   Dispatcher,
   type DispatcherOptions,
@@ -12,25 +11,22 @@
   TargetEvent,
   TargetPhase,
 } from "../../core/routing/mod.ts";
-import { InvariantError } from "../../core/invariants/mod.ts";
-import { Suspicion, type SuspicionChange } from "../../core/quarantine/mod.ts";
-import { RefusalReason, Verdict } from "../../core/verdict/mod.ts";
-import type { Logger } from "../../logging/mod.ts";
-import type { Metrics, RetryMetric } from "../../metrics/mod.ts";
-import {
-  createTargetConnections,
-  Exchange,
-  type ExchangeResult,
-} from "./exchange.ts";
+import type { SuspicionChange } from "../../core/quarantine/mod.ts";
 import type { TargetConnections, TargetPaths } from "../paths/mod.ts";
+import { toAttemptOutcome } from "./attempt_outcome.ts";
+import {
+  DispatchRecorder,
+  type DispatchRecorderOptions,
+} from "./dispatch_recorder.ts";
+import { createTargetConnections, type ExchangeResult } from "./exchange.ts";
 import type { Job, JobResult, JobSink } from "./job.ts";
+import { JobTable } from "./job_table.ts";
 import { parseTargetUrl } from "./target_url.ts";
 import { type HealthResponse, TargetProber } from "./target_prober.ts";
 
 /** Options of {@link DispatchTask}. */
-export interface DispatchTaskOptions extends DispatcherOptions {
-  readonly logger: Logger;
-  readonly metrics: Metrics;
+export interface DispatchTaskOptions
+  extends DispatcherOptions, DispatchRecorderOptions {
   /** Gets the current time, in milliseconds since the epoch. */
   readonly now: () => number;
   /** Bearer token sent to targets. */
@@ -43,12 +39,6 @@
   readonly onSuspicion?: (change: SuspicionChange) => void;
 }
 
-interface ActiveJob {
-  readonly job: Job;
-  sink: JobSink | undefined;
-  abort: AbortController | undefined;
-}
-
 /** Interval of the check for delayed and overdue items, in milliseconds. */
 const TICK_INTERVAL_MS = 25;
 
@@ -60,7 +50,8 @@
   readonly #dispatcher: Dispatcher;
   readonly #connections: TargetConnections;
   readonly #prober: TargetProber;
-  readonly #jobs = new Map<string, ActiveJob>();
+  readonly #recorder: DispatchRecorder;
+  readonly #jobs: JobTable;
   readonly #timer: NodeJS.Timeout;
   #wasIdle = false;
 
@@ -69,6 +60,8 @@
     this.#options = options;
     this.#connections = createTargetConnections(options.paths);
     this.#dispatcher = new Dispatcher(options);
+    this.#recorder = new DispatchRecorder(options);
+    this.#jobs = new JobTable(options.targetCredential);
     this.#prober = new TargetProber({
       connections: this.#connections,
       timeoutMs: options.probeTimeoutMs,
@@ -95,17 +88,16 @@
 
   /** Submits a job; its result is reported to {@link Job.onEnd}. */
   submit(job: Job): this {
-    this.#jobs.set(job.item.id, { job, sink: undefined, abort: undefined });
+    this.#jobs.add(job);
     this.#applyEffects(this.#dispatcher.submit(job.item, this.#options.now()));
     return this;
   }
 
   /** Cancels a job and aborts its exchange with the target. */
   cancel(itemId: string): this {
-    const active = this.#jobs.get(itemId);
-    if (active === undefined) return this;
+    if (!this.#jobs.has(itemId)) return this;
     this.#dispatcher.cancel(itemId, this.#options.now());
-    active.abort?.abort();
+    this.#jobs.abort(itemId);
     this.#endJob(itemId, { type: "cancelled" });
     this.#applyEffects(this.#dispatcher.tick(this.#options.now()));
     return this;
@@ -115,16 +107,10 @@
   announce(announcement: TargetAnnouncement): this {
     const previous = this.#dispatcher.targets.get(announcement.id);
     if (previous?.announcement.incarnation !== announcement.incarnation) {
-      const { id, zone, incarnation } = announcement;
-      this.#options.logger.event("targetAnnounced", {
-        target: id,
-        zone,
-        incarnation,
-      });
+      this.#recorder.announced(announcement);
     }
-    this.#applyEffects(
-      this.#dispatcher.announce(announcement, this.#options.now()),
-    );
+    const now = this.#options.now();
+    this.#applyEffects(this.#dispatcher.announce(announcement, now));
     return this;
   }
 
@@ -201,7 +187,7 @@
   /** Cancels all jobs, which resets their connections, and closes the others. */
   stop(): void {
     clearInterval(this.#timer);
-    for (const id of [...this.#jobs.keys()]) this.cancel(id);
+    for (const id of this.#jobs.ids) this.cancel(id);
     this.#connections.closeIdleExcept(new Set());
   }
 
@@ -212,8 +198,7 @@
 
   #applyHealth(announcement: TargetAnnouncement, health: HealthResponse): void {
     const current = this.#dispatcher.targets.get(announcement.id);
-    if (current === undefined) return;
-    if (current.announcement.incarnation !== announcement.incarnation) return;
+    if (current?.announcement.incarnation !== announcement.incarnation) return;
     this.announce({
       ...announcement,
       incarnation: health.incarnation,
@@ -225,15 +210,13 @@
   #onTargetDied(targetId: string): void {
     const target = this.#dispatcher.targets.get(targetId);
     if (target === undefined || target.phase === TargetPhase.Gone) return;
-    this.#options.metrics.count("targets.died");
-    this.#options.logger.event("targetDied", { target: targetId });
-    this.#applyEffects(
-      this.#dispatcher.targetDied(targetId, this.#options.now()),
-    );
+    this.#recorder.died(targetId);
+    const now = this.#options.now();
+    this.#applyEffects(this.#dispatcher.targetDied(targetId, now));
   }
 
   #tick(): void {
-    const { metrics, logger, now } = this.#options;
+    const { metrics, now } = this.#options;
     const isIdle = this.#dispatcher.size === 0;
     if (isIdle && this.#wasIdle) return;
     this.#wasIdle = isIdle;
@@ -241,22 +224,10 @@
       this.#applyEffects(this.#dispatcher.tick(now()));
       metrics.gauge("requests.queued", this.#dispatcher.size);
     } catch (err) {
-      this.#logError(err, logger);
+      this.#recorder.failed(err);
     }
   }
 
-  #logError(err: unknown, logger: Logger): void {
-    if (!(err instanceof InvariantError)) {
-      logger.error(err);
-      return;
-    }
-    this.#options.metrics.count("invariants.refused");
-    logger.event("invariantRefused", {
-      invariant: err.invariant,
-      detail: err.message,
-    });
-  }
-
   #applyEffects(effects: readonly DispatchEffect[]): void {
     for (const effect of effects) this.#applyEffect(effect);
   }
@@ -279,76 +250,33 @@
       return;
     }
     if (effect.type === "retry") {
-      this.#countRetry(effect);
+      this.#recorder.retried(effect);
       return;
     }
-    this.#onSuspicion(effect.change);
-  }
-
-  #countRetry(effect: Extract<DispatchEffect, { type: "retry" }>): void {
-    const { item, reason, decision } = effect;
-    const name: RetryMetric = `retries.${reason}.${decision}`;
-    this.#options.metrics.count(name);
-    this.#options.logger.event("requestRetried", {
-      item: item.id,
-      reason,
-      decision,
-    });
-  }
-
-  #onSuspicion(change: SuspicionChange): void {
-    if (change.suspicion !== Suspicion.Clear) {
-      const isProven = change.suspicion === Suspicion.Proven;
-      this.#options.logger.event(
-        isProven ? "requestQuarantined" : "requestSuspected",
-        { fingerprint: change.fingerprint, deaths: change.deaths },
-      );
-    }
-    this.#options.onSuspicion?.(change);
+    this.#recorder.suspected(effect.change);
+    this.#options.onSuspicion?.(effect.change);
   }
 
   async #startAttempt(
     effect: Extract<DispatchEffect, { type: "start" }>,
   ): Promise<void> {
     const { item, targetId } = effect;
-    const active = this.#jobs.get(item.id);
     const target = this.#dispatcher.targets.get(targetId);
-    if (active === undefined || target === undefined) return;
-    const { job } = active;
-    const sink = job.createSink(targetId);
-    const abort = new AbortController();
-    active.sink = sink;
-    active.abort = abort;
-    job.onPlaced?.(targetId, target.weightVersion);
-    const exchange = new Exchange({
-      url: target.announcement.url.replace(/\/$/, "") + job.request.path,
-      method: job.request.method,
-      headers: this.#createHeaders(job),
-      body: job.request.body,
-      requestId: `${item.id}#${effect.attempt}`,
-      timeoutMs: job.request.timeoutMs,
-      firstTokenTimeoutMs: effect.firstTokenTimeoutMs,
-      signal: abort.signal,
-    }, sink);
-    const result = await exchange.run(this.#connections);
-    if (this.#jobs.get(item.id)?.abort !== abort) return;
+    if (target === undefined) return;
+    const attempt = this.#jobs.begin(effect, target);
+    if (attempt === undefined) return;
+    const result = await attempt.exchange.run(this.#connections);
+    if (!this.#jobs.isCurrent(attempt)) return;
     if (result.type === "failed" && result.isBroken) {
       await this.probe(targetId);
-      if (this.#jobs.get(item.id)?.abort !== abort) return;
+      if (!this.#jobs.isCurrent(attempt)) return;
     }
-    this.#finishAttempt(item.id, sink, result);
-  }
-
-  #createHeaders(job: Job): Record<string, string> {
-    const { targetCredential } = this.#options;
-    if (targetCredential === undefined) return { ...job.request.headers };
-    const authorization = `Bearer ${targetCredential}`;
-    return { ...job.request.headers, authorization };
+    this.#finishAttempt(item.id, attempt.sink, result);
   }
 
   #finishAttempt(itemId: string, sink: JobSink, result: ExchangeResult): void {
     const now = this.#options.now();
-    const targetId = this.#getTargetId(itemId);
+    const targetId = this.#dispatcher.getTargetOf(itemId) ?? "";
     const outcome = toAttemptOutcome(result, sink);
     if (outcome.type === "completed") {
       this.#options.metrics.count("tokens.generated", sink.tokens);
@@ -359,46 +287,13 @@
     this.#applyEffects(this.#dispatcher.finish(itemId, outcome, now));
   }
 
-  #getTargetId(itemId: string): string {
-    return this.#dispatcher.getTargetOf(itemId) ?? "";
-  }
-
   #endJob(itemId: string, result: JobResult): void {
-    const active = this.#jobs.get(itemId);
-    if (active === undefined) return;
-    this.#jobs.delete(itemId);
-    if (result.type === "refused") {
-      this.#options.metrics.count(`refusals.${result.reason}`);
-      this.#options.logger.event("requestRefused", {
-        item: itemId,
-        reason: result.reason,
-        verdict: result.verdict,
-      });
-    }
-    active.job.onEnd(result, active.sink);
+    this.#jobs.end(itemId, result, () => {
+      if (result.type === "refused") this.#recorder.refused(itemId, result);
+    });
   }
 }
 
 function addressOf({ announcement }: Target): string {
   return parseTargetUrl(announcement.url).address;
 }
-
-function toAttemptOutcome(
-  result: ExchangeResult,
-  sink: JobSink,
-): AttemptOutcome {
-  if (result.type === "whole") {
-    return { type: "completed", tokens: sink.tokens };
-  }
-  if (result.type === "aborted") return { type: "cancelled" };
-  const isRefused = result.reason === RefusalReason.TargetRefused;
-  return {
-    type: "failed",
-    reason: result.reason,
-    verdict: sink.hasResponded ? Verdict.Ran : result.verdict,
-    hasResponded: sink.hasResponded,
-    isOverload: isRefused,
-    isTargetFault: !isRefused,
-    retryAfterMs: result.retryAfterMs,
-  };
-}
