Split the handlers of callers' endpoints by responsibility

Change: StepHandlers handles the endpoints for steps, reached through RouteHandlers.steps; CallerAccess authenticates callers, fences workspaces and bounds bodies; findModelRoute and tightenStaleness have files of their own, as has HttpContext. Endpoints, responses and the order of the checks are unchanged.

Ruled out: one shared piece for the ends of `complete` and `callService`, because a service checks the fence before it reads the body and a completion after it.

--- a/src/tasks/entry/http_server.ts
+++ b/src/tasks/entry/http_server.ts
@@ -16,7 +16,8 @@
 import { listenOn, stopAccepting } from "../http_listener.ts";
 import { sendRefusal, toRefusal } from "./http_response.ts";
 import type { OperatorHandlers } from "./operator_handlers.ts";
-import type { HttpContext, RouteHandlers } from "./route_handlers.ts";
+import type { HttpContext } from "./http_context.ts";
+import type { RouteHandlers } from "./route_handlers.ts";
 
 /** Options of {@link HttpServer}. */
 export interface HttpServerOptions {
@@ -117,6 +118,7 @@
 
   #registerRoutes(): void {
     const { routes, operators } = this.#options;
+    const { steps } = routes;
     const app = polka({
       server: this.#server as Server,
       onError: (err, _req, res) => this.#sendError(res as ServerResponse, err),
@@ -130,11 +132,11 @@
     app.post("/v1/chat/completions", handle((c) => routes.complete(c)));
     app.post("/v1/completions", handle((c) => routes.complete(c)));
     app.get("/v1/models", handle((c) => routes.listModels(c)));
-    app.post("/v1/steps", handle((c) => routes.submitStep(c)));
-    app.get("/v1/steps/:step", handle((c) => routes.showStep(c)));
-    app.get("/v1/steps/:step/samples", handle((c) => routes.readSamples(c)));
-    app.post("/v1/steps/:step/ack", handle((c) => routes.ackSamples(c)));
-    app.delete("/v1/steps/:step", handle((c) => routes.cancelStep(c)));
+    app.post("/v1/steps", handle((c) => steps.submitStep(c)));
+    app.get("/v1/steps/:step", handle((c) => steps.showStep(c)));
+    app.get("/v1/steps/:step/samples", handle((c) => steps.readSamples(c)));
+    app.post("/v1/steps/:step/ack", handle((c) => steps.ackSamples(c)));
+    app.delete("/v1/steps/:step", handle((c) => steps.cancelStep(c)));
     app.post("/v1/weights", handle((c) => routes.announceWeights(c)));
     app.all("/services/:route", handle((c) => routes.callService(c)));
     app.all("/services/:route/*", handle((c) => routes.callService(c)));
--- a/src/tasks/entry/operator_handlers.ts
+++ b/src/tasks/entry/operator_handlers.ts
@@ -25,7 +25,7 @@
   parseJsonOrThrow,
   readBody,
 } from "./http_body.ts";
-import type { HttpContext } from "./route_handlers.ts";
+import type { HttpContext } from "./http_context.ts";
 
 /** Options of {@link OperatorHandlers}. */
 export interface OperatorHandlersOptions {
