Requests to the control log have a class of their own

Change: ControlRequests proposes commands, through the leader where this replica does not lead, refuses policies with faults, and answers the requests of other instances. FleetControl keeps its interface. Methods, timeouts, log events and metrics are unchanged.

--- a/src/tasks/fleet/fleet_control.ts
+++ b/src/tasks/fleet/fleet_control.ts
@@ -1,5 +1,5 @@
 /** The replicated control log of a control instance. */
-import { UsageTotals } from "../../core/calls/mod.ts";
+import type { UsageTotals } from "../../core/calls/mod.ts";
 import {
   type FleetCommand,
   type FleetCommandResult,
@@ -7,24 +7,10 @@
   type FleetSnapshot,
   FleetState,
 } from "../../core/fleet/mod.ts";
-import {
-  findPolicyFaults,
-  type PolicyDocument,
-} from "../../core/policy/mod.ts";
+import type { PolicyDocument } from "../../core/policy/mod.ts";
 import { TargetRegistry } from "../../core/registry/mod.ts";
-import {
-  RefusalError,
-  RefusalReason,
-  Verdict,
-} from "../../core/verdict/mod.ts";
 import { LogStore } from "../log/mod.ts";
-import { settleWithin } from "../settle.ts";
-import {
-  type ConfirmPolicyReply,
-  type ConfirmPolicyRequest,
-  createConfirmReply,
-  FleetMethod,
-} from "./fleet_method.ts";
+import { ControlRequests } from "./control_requests.ts";
 import { EvacuationDesk } from "./evacuation_desk.ts";
 import type { FleetNode } from "./fleet_node.ts";
 import { serveRelays } from "./relay_directory.ts";
@@ -54,8 +40,6 @@
   readonly onChanged: () => void;
 }
 
-const CONFIRM_TIMEOUT_MS = 800;
-const REQUEST_TIMEOUT_MS = 900;
 const MAINTENANCE_INTERVAL_MS = 200;
 
 /** Owns a replica of the control log and the directory of targets. */
@@ -64,10 +48,9 @@
   readonly targets: TargetDirectory;
   /** Receives the operators' orders to evacuate data centres. */
   readonly evacuations: EvacuationDesk;
-  /** Started requests, as reported by the entry instances. */
-  readonly usageTotals = new UsageTotals();
   readonly #options: FleetControlOptions;
   readonly #service: FleetLogService;
+  readonly #requests: ControlRequests;
   readonly #publisher: FleetPublisher;
   readonly #permits: PermitService;
   #timer: NodeJS.Timeout | undefined;
@@ -76,6 +59,7 @@
     this.#options = options;
     this.#service = this.#createService();
     const { node } = options;
+    this.#requests = new ControlRequests({ node, service: this.#service });
     const registry = new TargetRegistry();
     this.#publisher = new FleetPublisher({
       node,
@@ -94,16 +78,6 @@
     });
     node
       .onLog(FLEET_LOG, (message) => this.#service.receive(message as never));
-    node.hub
-      .handle(
-        FleetMethod.Propose,
-        (params) => this.#service.propose(params as FleetCommand),
-      )
-      .handle(
-        FleetMethod.Confirm,
-        (params) => this.#confirm(params as ConfirmPolicyRequest),
-      )
-      .handle(FleetMethod.Read, () => this.#read());
     serveRelays(node, () => this.state.policy);
     new StreamDesk(node);
     const leading = {
@@ -179,33 +153,22 @@
     await this.#service.stop();
   }
 
+  /** Gets the started requests, as reported by the entry instances. */
+  get usageTotals(): UsageTotals {
+    return this.#requests.usageTotals;
+  }
+
   /**
    * Proposes a policy; a revision that is not newer has no effect.
    * @throws RefusalError that lists every fault if the document is invalid.
    */
   async replacePolicy(document: PolicyDocument, source: string): Promise<void> {
-    const faults = findPolicyFaults(document);
-    if (faults.length > 0) {
-      const { revision } = document;
-      this.#options.node.logger.event("policyRefused", { revision, faults });
-      throw new RefusalError(
-        RefusalReason.ConfigurationInvalid,
-        Verdict.NotRun,
-        { message: faults.join("; ") },
-      );
-    }
-    await this.propose({ type: "replacePolicy", document, source });
+    await this.#requests.replacePolicy(document, source);
   }
 
   /** Reads the committed policy's source text; undefined if there is none. */
   async readPolicy(): Promise<string | undefined> {
-    if (this.leadsTerm !== undefined) return (await this.#read()).source;
-    const reply = await this.#options.node.requestLeader(
-      FleetRole.Control,
-      FleetMethod.Read,
-      { params: {}, timeoutMs: REQUEST_TIMEOUT_MS },
-    );
-    return (reply as { source: string | undefined }).source;
+    return await this.#requests.readPolicy();
   }
 
   /**
@@ -213,26 +176,7 @@
    * @throws RefusalError if it is not committed in time; it may still be.
    */
   async propose(command: FleetCommand): Promise<FleetCommandResult> {
-    if (this.leadsTerm !== undefined) {
-      return await this.#proposeAsLeader(command);
-    }
-    return await this.#options.node.requestLeader(
-      FleetRole.Control,
-      FleetMethod.Propose,
-      { params: command, timeoutMs: REQUEST_TIMEOUT_MS },
-    ) as FleetCommandResult;
-  }
-
-  /** Refuses a command that is not stored before its sender stops waiting. */
-  async #proposeAsLeader(command: FleetCommand): Promise<FleetCommandResult> {
-    const stored = this.#service.propose(command);
-    const settled = await settleWithin(stored, REQUEST_TIMEOUT_MS);
-    if (settled.isSettled) return settled.value;
-    throw new RefusalError(
-      RefusalReason.ControlUnavailable,
-      Verdict.MayHaveRun,
-      { message: "Not stored in time", retryAfterMs: REQUEST_TIMEOUT_MS },
-    );
+    return await this.#requests.propose(command);
   }
 
   #createService(): FleetLogService {
@@ -257,20 +201,6 @@
     return [this.replica, ...others].filter((id) => id !== undefined);
   }
 
-  async #confirm(
-    request: ConfirmPolicyRequest,
-  ): Promise<ConfirmPolicyReply> {
-    const { instance, life, usage } = request;
-    this.usageTotals.record(`${instance}/${life}`, usage);
-    await this.#service.confirmLeadership(CONFIRM_TIMEOUT_MS);
-    return createConfirmReply(this.state, request);
-  }
-
-  async #read(): Promise<{ source: string | undefined }> {
-    await this.#service.confirmLeadership(CONFIRM_TIMEOUT_MS);
-    return { source: this.state.policySource };
-  }
-
   #onApplied(command: FleetCommand, result: FleetCommandResult): void {
     if (command.type === "replacePolicy") {
       const { revision } = command.document;
