Look up services, draw random numbers and check for streams in one place

Change: CurrentPolicy looks services up in a PolicyView built once for each document; createRandom serves the two tasks; StreamDirectory.isEmpty replaces the copy. One difference: of several services of the same name, the control leader now uses the last one, as entry instances do and as policy_review.ts states; it used the first. Relays are chosen by a seed that differs between starts, not by the process number alone.

--- a/src/core/continuation/stream_directory.ts
+++ b/src/core/continuation/stream_directory.ts
@@ -58,6 +58,12 @@
     return this.#streams.size;
   }
 
+  /** Gets whether no stream is remembered any more. */
+  get isEmpty(): boolean {
+    this.#streams.purgeStale();
+    return this.#streams.size === 0;
+  }
+
   /** Gets the streams that are remembered, the latest ones first. */
   get keys(): StreamKey[] {
     this.#streams.purgeStale();
--- a/src/core/policy/mod.ts
+++ b/src/core/policy/mod.ts
@@ -1,4 +1,5 @@
 /** Policy of a deployment: routes, services, limits and workspaces. */
+export * from "./current_policy.ts";
 export * from "./homes.ts";
 export * from "./policy_check.ts";
 export * from "./policy_difference.ts";
--- a/src/tasks/cluster_paths.ts
+++ b/src/tasks/cluster_paths.ts
@@ -1,6 +1,4 @@
 /** Ways to targets of an instance that has settings for its peers. */
-import { uniformFloat64 } from "pure-rand/distribution/uniformFloat64";
-import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
 import { chooseRelays } from "../core/paths/mod.ts";
 import type { Logger } from "../logging/mod.ts";
 import type { Metrics } from "../metrics/mod.ts";
@@ -12,6 +10,7 @@
   TargetPaths,
 } from "./paths/mod.ts";
 import type { PeerHub } from "./peers/mod.ts";
+import { createRandom } from "./random.ts";
 import { CONNECT_TIMEOUT_MS } from "./targets/mod.ts";
 
 /** Options of {@link createClusterPaths}. */
@@ -29,8 +28,7 @@
   const { cluster, dataCentre, logger, metrics } = options;
   const connectTimeoutMs = CONNECT_TIMEOUT_MS;
   if (cluster === undefined) return new TargetPaths({ connectTimeoutMs });
-  const generator = xoroshiro128plus(process.pid);
-  const random = () => uniformFloat64(generator);
+  const random = createRandom();
   return createRelayedPaths({
     connectTimeoutMs,
     hub: cluster.hub,
--- a/src/tasks/fleet/evacuation_desk.ts
+++ b/src/tasks/fleet/evacuation_desk.ts
@@ -7,6 +7,7 @@
   FleetRole,
   type FleetState,
 } from "../../core/fleet/mod.ts";
+import { CurrentPolicy } from "../../core/policy/mod.ts";
 import type { TargetRegistry } from "../../core/registry/mod.ts";
 import {
   RefusalError,
@@ -53,10 +54,10 @@
     this.#options = options;
     // A control instance sends to targets only while it leads, and it leads
     // only after it has applied all committed commands.
+    const policy = new CurrentPolicy(() => options.state().policy);
     this.#watch = new EvacuationWatch({
       ...options,
-      getService: (name) =>
-        options.state().policy?.services.find((known) => known.name === name),
+      getService: (name) => policy.getService(name),
       onChanged: () => {},
     }).confirm(undefined);
   }
--- a/src/tasks/fleet/permit_service.ts
+++ b/src/tasks/fleet/permit_service.ts
@@ -6,7 +6,7 @@
   type PermitReply,
   type PermitRequest,
 } from "../../core/limits/mod.ts";
-import type { PolicyDocument } from "../../core/policy/mod.ts";
+import { CurrentPolicy, type PolicyDocument } from "../../core/policy/mod.ts";
 import type { TargetRegistry } from "../../core/registry/mod.ts";
 import {
   RefusalError,
@@ -48,11 +48,11 @@
   constructor(options: PermitServiceOptions) {
     this.#options = options;
     this.#desk = new PermitDesk({ maxTargets: options.maxTargets });
-    const { node, registry, policy, now } = options;
+    const { node, registry, now } = options;
+    const policy = new CurrentPolicy(options.policy);
     this.#cold = new ColdTargets({
       registry,
-      getService: (name) =>
-        policy()?.services.find((service) => service.name === name),
+      getService: (name) => policy.getService(name),
       now,
       logger: node.logger,
       metrics: node.metrics,
--- a/src/tasks/fleet/stream_resender.ts
+++ b/src/tasks/fleet/stream_resender.ts
@@ -94,7 +94,7 @@
     for (const [id, state] of this.#states) {
       if (!state.isSending && state.missing.size > 0) this.#send(id, state);
     }
-    if (this.#options.streams.keys.length > 0) return;
+    if (!this.#options.streams.isEmpty) return;
     clearInterval(this.#timer);
     this.#timer = undefined;
   }
--- a/src/tasks/instance.ts
+++ b/src/tasks/instance.ts
@@ -3,7 +3,6 @@
  */
 import { randomUUID } from "node:crypto";
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
-import { uniformFloat64 } from "pure-rand/distribution/uniformFloat64";
 import { ElapsedClock } from "../core/clock/mod.ts";
 import { ConfigurationView } from "../core/configuration/mod.ts";
 import type { CommandResult, ControlCommand } from "../core/control/mod.ts";
@@ -49,6 +48,7 @@
   StepTask,
   UsageMeter,
 } from "./steps/mod.ts";
+import { createRandom } from "./random.ts";
 import { DispatchTask, ProbeTask, type SharedHealth } from "./targets/mod.ts";
 
 /** Interval of usage writes to the ledger. */
@@ -294,10 +294,9 @@
 
   #createDispatch(): DispatchTask {
     const { targetCredentialFile, targets } = this.#settings;
-    const random = xoroshiro128plus(Date.now() ^ process.pid);
     return new DispatchTask({
       picker: new ExpectedTimePicker(xoroshiro128plus(process.pid)),
-      random: () => uniformFloat64(random),
+      random: createRandom(),
       getWeight: (workspace) => this.#getConfiguration().getWeight(workspace),
       getLimits: (workspace) => this.#getConfiguration().getLimits(workspace),
       isLasting: (target) =>
