--- a/src/tasks/batches/batch_runner.ts
+++ b/src/tasks/batches/batch_runner.ts
@@ -6,6 +6,7 @@
   ItemTracker,
   type PartialTextRecord,
   PendingLoads,
+  ProcessLag,
   PromptLocations,
   RunEstimator,
   type ServiceDemand,
@@ -80,6 +81,7 @@
   readonly #prompts = new PromptLocations();
   readonly #loads = new PendingLoads();
   readonly #reach = new DataCentreReach();
+  readonly #lag = new ProcessLag(TICK_INTERVAL_MS);
   readonly #pacer = new StartPacer(TICK_INTERVAL_MS);
   readonly #scorer: ItemScorer;
   readonly #mover: RunMover;
@@ -120,6 +122,7 @@
       prompts: this.#prompts,
       loads: this.#loads,
       reach: this.#reach,
+      lag: this.#lag,
       results: this.#results,
       scorer: this.#scorer,
       createPlacer: (now: number) => this.#createPlacer(now),
@@ -153,6 +156,7 @@
     if (this.#timer === undefined) {
       this.#pacer.reset();
       this.admission.start();
+      this.#lag.reset().onTick(this.#options.now());
     }
     this.#timer ??= setInterval(() => this.#tick(), TICK_INTERVAL_MS);
     this.schedulePlacement();
@@ -275,8 +279,12 @@
   }
 
   #tick(): void {
-    const { canRunItems, now } = this.#options;
-    this.#pacer.onTick(now());
+    const { canRunItems, metrics, now } = this.#options;
+    const startedAt = now();
+    this.#pacer.onTick(startedAt);
+    if (!this.#lag.onTick(startedAt).isMeasured(startedAt, startedAt)) {
+      metrics.count("items.ticksLate");
+    }
     if (!canRunItems()) return;
     this.#sampleDemand();
     this.admission.sample();
--- a/src/tasks/batches/run_learner.ts
+++ b/src/tasks/batches/run_learner.ts
@@ -1,6 +1,7 @@
 /** Learns from runs how fast targets are and which prompts they hold. */
 import type {
   DataCentreReach,
+  ProcessLag,
   PromptLocations,
   RunEstimator,
   TargetPace,
@@ -15,6 +16,8 @@
   readonly reach: DataCentreReach;
   readonly estimator: RunEstimator;
   readonly prompts: PromptLocations;
+  /** Tells whether times of events are those of targets. */
+  readonly lag: ProcessLag;
   /** Gets the local monotonic time, in milliseconds. */
   readonly now: () => number;
 }
@@ -29,11 +32,11 @@
 
   /** Records the time in which a target has read a prompt. */
   onFirstEvent(run: ItemRun, afterMs: number): void {
-    const { prompts, targetPace, estimator, reach } = this.#options;
+    const { prompts, targetPace, estimator, reach, lag } = this.#options;
     const now = this.#options.now();
     reach.onAnswered(run.target.dataCentre);
     prompts.add(run, run.target.id, now);
-    if (run.resumedAfter > 0) return;
+    if (run.resumedAfter > 0 || !lag.isMeasured(now - afterMs, now)) return;
     const paceMs = targetPace.inherentPaceMs(run.target, now);
     estimator.onFirstEvent(run.record.spec.service, {
       isCached: run.isPromptCached,
@@ -43,10 +46,12 @@
 
   /** Records the time between two events, in milliseconds. */
   onEventGap({ target }: ItemRun, gapMs: number): void {
+    const { lag, reach } = this.#options;
+    const now = this.#options.now();
+    reach.onAnswered(target.dataCentre);
+    if (!lag.isMeasured(now - gapMs, now)) return;
     const runs = Math.max(1, this.#options.runs.countAt(target.id));
     const load = (runs - 1) / Math.max(1, target.slots);
-    const now = this.#options.now();
-    this.#options.reach.onAnswered(target.dataCentre);
     this.#options.targetPace.onEventGap(target, { gapMs, load, runs, now });
   }
 
--- a/src/tasks/fleet/fleet_follower.ts
+++ b/src/tasks/fleet/fleet_follower.ts
@@ -49,6 +49,11 @@
 const CONFIRM_TIMEOUT_MS = 900;
 /** Default time that a request waits for an expired lease to be renewed. */
 const LEASE_WAIT_MS = 600;
+/**
+ * Time after which a lost lease is not expected back at once, in milliseconds:
+ * the instance is cut off, and its callers are better served by another one.
+ */
+const LONG_LOST_MS = 3_000;
 /** Delay of the next confirmation while requests wait for the lease. */
 const AWAITED_CONFIRM_DELAY_MS = 60;
 
@@ -124,7 +129,10 @@
   async awaitLease(maxWaitMs = LEASE_WAIT_MS): Promise<boolean> {
     if (this.hasLease) return true;
     this.#confirm();
-    await this.#lease.untilRenewed(maxWaitMs);
+    const isLongLost = this.#lease.lostMs > LONG_LOST_MS;
+    await this.#lease.untilRenewed(
+      isLongLost ? Math.min(maxWaitMs, LEASE_WAIT_MS) : maxWaitMs,
+    );
     return this.hasLease;
   }
 
--- a/src/tasks/fleet/fleet_follower_test.ts
+++ b/src/tasks/fleet/fleet_follower_test.ts
@@ -111,9 +111,14 @@
 
   /** Gets whether the lease is renewed within a wait while control restarts. */
   async function doLeaseTest(
-    { backAtMs, waitMs }: { backAtMs: number; waitMs: number },
+    { backAtMs, waitMs, lostMs = 100 }: {
+      readonly backAtMs: number;
+      readonly waitMs: number;
+      /** Time for which the lease has been lost before the wait. */
+      readonly lostMs?: number;
+    },
   ): Promise<boolean | undefined> {
-    let isBack = false;
+    let isBack = true;
     const node = createNode(() =>
       isBack ? Promise.resolve(REPLY) : Promise.reject(new Error("No leader"))
     );
@@ -127,6 +132,10 @@
     });
     node.onNotice({ type: "policy", document: createPolicy() }, "c");
     follower.start();
+    await vi.advanceTimersByTimeAsync(0);
+    isBack = false;
+    await vi.advanceTimersByTimeAsync(LEASE_MS + lostMs);
+    expect(follower.hasLease).toBe(false);
     let isRenewed: boolean | undefined;
     follower.awaitLease(waitMs).then((value) => isRenewed = value);
     await vi.advanceTimersByTimeAsync(backAtMs);
@@ -142,4 +151,10 @@
     expect(await doLeaseTest({ backAtMs: 250, waitMs: 400 })).toBe(true);
     expect(await doLeaseTest({ backAtMs: 1_900, waitMs: 2_000 })).toBe(true);
   });
+
+  // Guards against callers that wait at an instance that stays cut off.
+  it("keeps no request waiting for a lease that was lost long ago", async () => {
+    const wait = { backAtMs: 1_900, waitMs: 2_000, lostMs: 5_000 };
+    expect(await doLeaseTest(wait)).toBe(false);
+  });
 });
--- a/src/tasks/fleet/policy_lease.ts
+++ b/src/tasks/fleet/policy_lease.ts
@@ -33,6 +33,11 @@
     return this.#waiters.size > 0;
   }
 
+  /** Gets the time since the lease ended, in milliseconds; 0 if it is valid. */
+  get lostMs(): number {
+    return Math.max(0, this.#options.clock.now() - this.#end);
+  }
+
   /** Extends the lease; an earlier end than the current one is ignored. */
   extend(end: number): this {
     this.#end = Math.max(this.#end, end);
