--- a/src/tasks/batches/admission_gate.ts
+++ b/src/tasks/batches/admission_gate.ts
@@ -65,8 +65,12 @@
     return this;
   }
 
-  /** Forgets what was measured as leader. */
+  /** Forgets what was measured as leader; another replica shows it by then. */
   stop(): this {
+    for (const service of this.drain.services) {
+      this.#options.metrics.gauge(`batches.openTokens.${service}`, 0)
+        .gauge(`batches.drainMs.${service}`, 0);
+    }
     this.drain.stop();
     return this;
   }
--- a/src/tasks/batches/admission_gate_test.ts
+++ b/src/tasks/batches/admission_gate_test.ts
@@ -128,6 +128,9 @@
       "batches.openTokens.s": 35_000,
     });
     expect(metrics.values()["batches.drainMs.s"]).toBeGreaterThan(10_000);
+    // Sums over instances would count the queue of a former leader as well.
+    gate.stop();
+    expect(metrics.values()["batches.openTokens.s"]).toBe(0);
   });
 
   it("refuses nothing before it has a policy", () => {
