A target of which it is open whether it ended counts as ended for the last one

Cause: a call waits 500 ms to learn whether a target that broke its connection has ended. If the answer took longer, the call went on without suspicion and could end the last target of a small service, too.

Now the broken connection is an open death until the answer is there. If it leaves the service one target, the call is under suspicion: it asks the control leader for a trial, in which open deaths count, and goes on as soon as it is known that the target runs or the trial is granted. With two or more targets to spare nothing changes.

For callers: in a service of two, a call whose connection was reset by a target that does not answer either waits for up to a third of its time, and may be refused as suspected where it was sent on after 500 ms before.

Evidence: two tests of crash_watch_test.ts failed before, one for a target that ended and one for a target that runs (a connection check of 800 ms); the third guards services with targets to spare.

--- a/src/tasks/fleet/crash_watch.ts
+++ b/src/tasks/fleet/crash_watch.ts
@@ -6,6 +6,8 @@
   type SuspicionUpdate,
 } from "../../core/fleet/mod.ts";
 import {
+  GRANTED_TRIAL,
+  OpenDeaths,
   Quarantine,
   Suspicion,
   type SuspicionChange,
@@ -53,6 +55,7 @@
 export class CrashWatch implements CrashGuard {
   readonly #options: CrashWatchOptions;
   readonly #quarantine = new Quarantine();
+  readonly #openDeaths = new OpenDeaths();
   #version = 0;
   #deaths: readonly TargetDeath[] = [];
   #completed: ReadonlySet<string> = new Set();
@@ -67,9 +70,14 @@
     return this.#version;
   }
 
-  /** Gets whether a target has ended under a call, or more than one. */
+  /**
+   * Gets whether a target has ended under a call, or may have while its service
+   * has one target left.
+   */
   isSuspect(fingerprint: string): boolean {
-    return this.#quarantine.suspicionOf(fingerprint) !== Suspicion.Clear;
+    const { registry } = this.#options;
+    return this.#quarantine.suspicionOf(fingerprint) !== Suspicion.Clear ||
+      this.#openDeaths.isLastAtRisk(fingerprint, (s) => registry.readyOf(s));
   }
 
   /** Gets whether enough targets have ended under a call to refuse it. */
@@ -107,16 +115,12 @@
    * Records that a target closed the connection of a call. The call is under
    * suspicion if the target has ended, unless it was about to leave.
    */
-  async onBroken(
-    fingerprint: string,
-    { id, incarnation, address }: TargetReport,
-  ): Promise<void> {
-    const { registry, targets } = this.#options;
-    const known = registry.get(id)?.report;
+  async onBroken(fingerprint: string, report: TargetReport): Promise<void> {
+    const known = this.#options.registry.get(report.id)?.report;
     const isReady = known?.state === TargetState.Ready &&
-      known.incarnation === incarnation;
-    if (!isReady || !await targets.isRefusing(address)) return;
-    const target = targetNameOf({ id, incarnation });
+      known.incarnation === report.incarnation;
+    if (!isReady || !await this.#hasEnded(fingerprint, report)) return;
+    const target = targetNameOf(report);
     const death = { fingerprint, target, at: Date.now() };
     const change = this.#quarantine.recordDeath(death);
     if (change === undefined) return;
@@ -126,6 +130,16 @@
     this.#send();
   }
 
+  /** Finds out whether a target has ended, which may take a moment. */
+  async #hasEnded(fingerprint: string, report: TargetReport): Promise<boolean> {
+    this.#openDeaths.begin(fingerprint, report);
+    try {
+      return await this.#options.targets.isRefusing(report.address);
+    } finally {
+      this.#openDeaths.end(fingerprint, report);
+    }
+  }
+
   /**
    * Waits for the trial of a call under suspicion, which the control leader
    * grants; a leader that does not answer grants none.
@@ -135,16 +149,25 @@
     { service, maxWaitMs }: TrialWait,
   ): Promise<TrialReply> {
     const startedAt = performance.now();
-    const { deaths, targets = [] } = this.#quarantine.changeOf(fingerprint);
-    const request: TrialRequest = { fingerprint, service, deaths, targets };
+    let wasOpen = false;
     while (true) {
-      const reply = await this.#askForTrial(request);
+      // It is known by now that the target has not ended.
+      if (wasOpen && !this.isSuspect(fingerprint)) return GRANTED_TRIAL;
+      const isOpen = this.#openDeaths.has(fingerprint);
+      wasOpen ||= isOpen;
+      const known = this.#quarantine.changeOf(fingerprint);
+      const deaths = this.#openDeaths.addTo(known);
+      const reply = await this.#askForTrial({
+        fingerprint,
+        service,
+        ...deaths,
+      });
       if (reply.isGranted) return reply;
       const isBusy = reply.retryAfterMs <= TRIAL_POLL_MS;
       const waitMs = isBusy ? maxWaitMs : Math.min(maxWaitMs, MAX_WEAK_WAIT_MS);
       const waitedMs = performance.now() - startedAt;
       // The caller returns to another instance, which must know of the deaths.
-      const isKnown = this.#deaths.length === 0;
+      const isKnown = this.#deaths.length === 0 && !isOpen;
       if (waitedMs + TRIAL_POLL_MS > (isKnown ? waitMs : maxWaitMs)) {
         return reply;
       }
--- a/src/tasks/fleet/crash_watch_test.ts
+++ b/src/tasks/fleet/crash_watch_test.ts
@@ -8,17 +8,22 @@
 import { TargetRegistry, TargetState } from "../../core/registry/mod.ts";
 import { Logger } from "../../logging/mod.ts";
 import { Metrics } from "../../metrics/mod.ts";
-import type { TrialReply } from "../../core/quarantine/mod.ts";
+import type { TrialReply, TrialRequest } from "../../core/quarantine/mod.ts";
+import { CallTrial } from "../calls/call_trial.ts";
 import { CrashWatch } from "./crash_watch.ts";
 import { FleetMethod } from "./fleet_method.ts";
 
 const RETRY_MS = 400;
+const DENIED: TrialReply = { isGranted: false, retryAfterMs: 1_000 };
 
 describe(CrashWatch.name, () => {
   let state: FleetState;
   let isLeaderReachable: boolean;
   let running: Set<string>;
   let trialReplies: TrialReply[];
+  let trialRequests: TrialRequest[];
+  /** Time until it is known whether a target refuses connections. */
+  let checkMs: number;
 
   beforeEach(() => {
     vi.useFakeTimers();
@@ -26,13 +31,15 @@
     isLeaderReachable = true;
     running = new Set();
     trialReplies = [];
+    trialRequests = [];
+    checkMs = 0;
   });
 
   afterEach(() => void vi.useRealTimers());
 
-  function createWatch(): CrashWatch {
+  function createWatch(ids = ["t1", "t2", "t3", "t4"]): CrashWatch {
     const registry = new TargetRegistry();
-    for (const id of ["t1", "t2", "t3", "t4"]) registry.merge(report(id), 0);
+    for (const id of ids) registry.merge(report(id), 0);
     registry.merge(report("leaving", TargetState.Draining), 0);
     return new CrashWatch({
       registry,
@@ -43,15 +50,18 @@
           if (!isLeaderReachable) {
             return Promise.reject(new Error("No leader answered"));
           }
-          return Promise.resolve(
-            method === FleetMethod.TakeTrial
-              ? trialReplies.shift()
-              : state.apply(params as FleetCommand),
-          );
+          if (method === FleetMethod.TakeTrial) {
+            trialRequests.push(params as TrialRequest);
+            return Promise.resolve(trialReplies.shift() ?? DENIED);
+          }
+          return Promise.resolve(state.apply(params as FleetCommand));
         },
       },
       targets: {
-        isRefusing: (address) => Promise.resolve(!running.has(address)),
+        isRefusing: async (address) => {
+          if (checkMs > 0) await new Promise((r) => setTimeout(r, checkMs));
+          return !running.has(address);
+        },
       },
     });
   }
@@ -125,8 +135,7 @@
   });
 
   it("asks for a trial again, as the call may only have run beside another", async () => {
-    const denied = { isGranted: false, retryAfterMs: 1_000 };
-    trialReplies = [denied, denied, { isGranted: true, retryAfterMs: 0 }];
+    trialReplies = [DENIED, DENIED, { isGranted: true, retryAfterMs: 0 }];
     const reply = createWatch()
       .awaitTrial("f", { service: "s", maxWaitMs: 600 });
     await vi.advanceTimersByTimeAsync(RETRY_MS);
@@ -140,4 +149,47 @@
     await vi.advanceTimersByTimeAsync(RETRY_MS);
     expect(await reply).toEqual({ isGranted: false, retryAfterMs: 1_000 });
   });
+
+  /**
+   * Breaks a call at `t1`, of which it takes 800 ms to learn whether it ended,
+   * and gets whether the call may be sent on, and when that is decided.
+   */
+  async function doOpenTest(ids: readonly string[]) {
+    checkMs = 800;
+    const trial = new CallTrial({
+      crashes: createWatch([...ids]),
+      logger: new Logger({ instance: "test", level: "error" }),
+      computeFingerprint: () => "f",
+      service: () => "s",
+      hasRun: false,
+    });
+    const startedAt = performance.now();
+    const decided = trial.reportBroken(report("t1"))
+      .then(() => trial.begin(3_000))
+      .then((mayBeSent) => ({
+        mayBeSent,
+        isKnown: performance.now() - startedAt >= checkMs,
+      }));
+    await vi.advanceTimersByTimeAsync(3_000);
+    return await decided;
+  }
+
+  // Guards against a request that ends the last target of a service, because
+  // it is not known in time that it has ended the other one.
+  it("keeps a call from the last target until the end of another is known", async () => {
+    expect((await doOpenTest(["t1", "t2"])).mayBeSent).toBe(false);
+    expect(trialRequests[0]).toMatchObject({ deaths: 1, targets: ["t1/1"] });
+  });
+
+  // Guards against refusals after connections that broke at running targets.
+  it("sends a call to the last target once another is known to run", async () => {
+    running.add("t1:1");
+    expect(await doOpenTest(["t1", "t2"]))
+      .toEqual({ mayBeSent: true, isKnown: true });
+  });
+
+  it("waits for no answer while a service has targets to spare", async () => {
+    expect(await doOpenTest(["t1", "t2", "t3"]))
+      .toEqual({ mayBeSent: true, isKnown: false });
+  });
 });
