A stream that has begun asks full targets again when its target ends

Cause: tests/software_versions_test.ts "streams go on within one response after their target ends". When a target ends, its streams may go on at targets of the same software version only. In the test that is one target of eight slots; it refused the ninth stream with 503, not run, and as a call was never sent to the same target twice, the response broke off with more than 2 s of its time left. All four broken streams of a run beside load show these lines: callRetried with a reset, callPlaced at the other target of the version, "Not run: 503", callRefused (targetFailed).

For callers: once a part of the response has been sent, the call asks targets that were full again every 100 ms while it has time. Before that, and for responses that are not streams, a target is asked once, as before.

Evidence: two tests of call_run_test.ts failed before; a third guards calls without a first event.

Ruled out: the 4 s of the callers of the test and the 3 s of the route; the streams had 2.1 to 2.8 s left.

--- a/src/tasks/calls/call_run.ts
+++ b/src/tasks/calls/call_run.ts
@@ -59,6 +59,7 @@
       homes: options.homes ?? homesOf(route, workspace),
       call: options.call.id,
       written: () => this.#output.written,
+      hasHead: () => this.#output.hasHead,
     });
     this.#trial = new CallTrial({
       crashes: dependencies.crashes,
@@ -91,7 +92,7 @@
     ) {
       if (!await this.#trial.begin(this.#remainingMs)) break;
       const target = await this.#targets.next(this.#remainingMs);
-      if (target === undefined) break;
+      if (target === undefined || this.#options.signal.aborted) break;
       if (this.#hasWaitedFor(target) && !await this.#hasLease()) break;
       if (registry.isEvacuated(target.dataCentre)) continue;
       if (!this.#targets.isPermitted) continue;
@@ -134,7 +135,7 @@
 
   /** Gets whether an attempt or a permit has taken time since the admission. */
   #hasWaitedFor(target: TargetReport): boolean {
-    return this.#targets.triedCount > 0 ||
+    return this.#targets.sentCount > 0 ||
       this.#dependencies.rates.isLimited(target);
   }
 
@@ -201,7 +202,7 @@
     this.#targets.markTried(report);
     this.#attemptsRun += 1;
     this.#trace.placed(report, {
-      attempt: this.#targets.triedCount,
+      attempt: this.#targets.sentCount,
       leftMs: this.#remainingMs,
       written: this.#output.written,
       resumeAfter: this.#output.lastEventId,
@@ -255,6 +256,7 @@
     }
     const { answer: response, isNotRun, isMisdirected } = outcome;
     if (isNotRun || isMisdirected) {
+      if (isNotRun) this.#targets.markFull(target);
       this.#attemptsRun -= 1;
       this.#recordRetry(target, `Not run: ${response.status}`);
       return undefined;
--- a/src/tasks/calls/call_run_test.ts
+++ b/src/tasks/calls/call_run_test.ts
@@ -15,10 +15,17 @@
 import type { CallSpread } from "./call_run_options.ts";
 import { type CrashGuard, NO_CRASH_GUARD } from "./crash_guard.ts";
 import type { RateGuard } from "./rate_guard.ts";
-import type { AttemptOutcome, CallAttempt, TargetPort } from "./target_port.ts";
+import type {
+  AttemptOutcome,
+  CallAttempt,
+  ResponseStream,
+  TargetPort,
+} from "./target_port.ts";
 
 const CALL = createCall({ key: "k", timeoutMs: 2_000 });
 
+const FIRST_EVENT = "id: 1\ndata: x\n\n";
+
 const NO_LIMITS: RateGuard = {
   isLimited: () => false,
   acquire: () => Promise.reject(new Error("Unexpected request for a permit")),
@@ -42,12 +49,15 @@
   return { type: "failed", mayHaveRun, isBroken: false, detail: "reset" };
 }
 
+/** An outcome; "begun" is a stream that breaks off after its first event. */
+type Scripted = AttemptOutcome | "silent" | "begun";
+
 /** Returns the given outcomes in order, then repeats the last one. */
 class ScriptedTargets implements TargetPort {
   readonly attempts: CallAttempt[] = [];
-  readonly #outcomes: readonly (AttemptOutcome | "silent")[];
+  readonly #outcomes: readonly Scripted[];
 
-  constructor(outcomes: readonly (AttemptOutcome | "silent")[]) {
+  constructor(outcomes: readonly Scripted[]) {
     this.#outcomes = outcomes;
   }
 
@@ -55,6 +65,7 @@
     const i = Math.min(this.attempts.length, this.#outcomes.length - 1);
     this.attempts.push(attempt);
     const outcome = this.#outcomes[i];
+    if (outcome === "begun") return Promise.resolve(failed(true));
     if (outcome !== "silent") return Promise.resolve(outcome);
     return new Promise((resolve) => {
       attempt.signal.addEventListener("abort", () => resolve(failed(true)));
@@ -62,8 +73,16 @@
     });
   }
 
-  stream(attempt: CallAttempt): Promise<AttemptOutcome> {
-    return this.send(attempt);
+  async stream(
+    attempt: CallAttempt,
+    sink: ResponseStream,
+  ): Promise<AttemptOutcome> {
+    if (this.#outcomes[this.attempts.length] === "begun") {
+      attempt.onVerified?.();
+      sink.onHead(200, []);
+      if (!sink.onData(Buffer.from(FIRST_EVENT))) await sink.drained();
+    }
+    return await this.send(attempt);
   }
 
   isRefusing(): Promise<boolean> {
@@ -82,7 +101,7 @@
 }
 
 async function play(
-  outcomes: readonly (AttemptOutcome | "silent")[],
+  outcomes: readonly Scripted[],
   options: {
     kind?: RouteKind;
     targets?: number;
@@ -92,6 +111,7 @@
     crashes?: Partial<CrashGuard>;
     rates?: Partial<RateGuard>;
     spread?: CallSpread;
+    stream?: ResponseStream;
   } = {},
 ): Promise<CallEnd & { ids: string[]; ran: number }> {
   const registry = new TargetRegistry();
@@ -101,6 +121,7 @@
   }
   const route = createRoute({
     kind: options.kind ?? RouteKind.Idempotent,
+    isResumable: options.stream !== undefined,
     timeoutMs: options.timeoutMs ?? 1_000,
     objectiveMs: 60,
     maxAttempts: options.maxAttempts ?? 3,
@@ -130,7 +151,7 @@
     call: CALL,
     admission: { route, workspace, policy },
     signal: new AbortController().signal,
-    stream: undefined,
+    stream: options.stream,
   });
   const ids = () => targets.attempts.map((attempt) => attempt.target.id);
   try {
@@ -145,7 +166,7 @@
 
 describe(CallRun.name, () => {
   async function doTest(
-    outcomes: readonly (AttemptOutcome | "silent")[],
+    outcomes: readonly Scripted[],
     options: Parameters<typeof play>[1],
     expected: CallEnd,
   ) {
@@ -358,4 +379,31 @@
     expect(new Set(ids).size).toBe(3);
     expect(ran).toBe(1);
   });
+
+  describe("of a stream that has begun", () => {
+    const stream: ResponseStream = {
+      onHead: () => {},
+      onData: () => true,
+      drained: () => Promise.resolve(),
+    };
+    const options = { kind: RouteKind.Streaming, targets: 2, stream };
+    const full = answered(503, { isNotRun: true });
+
+    // Guards against streams that break off because the only target that may go
+    // on with them has no free slot when another one ends.
+    it("asks a full target again until it has a free slot", () =>
+      doTest(["begun", full, full, answered(200)], options, {
+        status: 200,
+        attempts: 4,
+      }));
+
+    it("asks full targets no more when its time is up", async () => {
+      const { reason, ids } = await play(["begun", full], options);
+      expect({ reason, ids: ids.slice(0, 3) })
+        .toEqual({ reason: "targetFailed", ids: ["t0", "t1", "t1"] });
+    });
+
+    it("asks a full target once before its first event", () =>
+      doTest([full], options, { reason: "noTarget", attempts: 2 }));
+  });
 });
--- a/src/tasks/calls/call_targets.ts
+++ b/src/tasks/calls/call_targets.ts
@@ -37,16 +37,27 @@
   readonly call: string;
   /** Gets who wrote the events that the caller holds. */
   readonly written: () => OutputWriter | undefined;
+  /** Gets whether the caller has received a part of the response. */
+  readonly hasHead: () => boolean;
 }
 
 /** Fraction of the route's latency objective that a permit is waited for. */
 const PERMIT_WAIT_FRACTION = 0.5;
+/** Delay after which a target that was full is asked again, in milliseconds. */
+const FULL_RETRY_MS = 100;
 const NO_VERSIONS: ReadonlySet<string | undefined> = new Set();
 
-/** Chooses a target for each attempt of a call, never the same one twice. */
+/**
+ * Chooses a target for each attempt of a call. A target is chosen twice only if
+ * it was full and the caller has received a part of the response: few targets
+ * may go on with it, and the response breaks off if none does.
+ */
 export class CallTargets {
   readonly #options: CallTargetsOptions;
   readonly #tried = new Set<string>();
+  /** Targets that were full at their last attempt. */
+  readonly #full = new Set<string>();
+  #sentCount = 0;
   readonly #service: string;
   #permitAfterMs: number | undefined;
   #permit: HeldPermit | undefined;
@@ -64,9 +75,9 @@
     return this.#service;
   }
 
-  /** Gets the number of targets to which the call has been sent. */
-  get triedCount(): number {
-    return this.#tried.size;
+  /** Gets the number of attempts, whether or not they ran the call. */
+  get sentCount(): number {
+    return this.#sentCount;
   }
 
   /**
@@ -85,17 +96,24 @@
   /** Records that the call is sent to a target. */
   markTried({ id }: TargetReport): this {
     this.#tried.add(id);
+    this.#sentCount += 1;
     this.#permit = undefined;
     return this;
   }
 
+  /** Records that a target refused the call, since all its slots are in use. */
+  markFull(id: string): this {
+    this.#full.add(id);
+    return this;
+  }
+
   /**
    * Gets the target of the next attempt, with a permit if it needs one.
    * @param leftMs - Time left for the call, in milliseconds.
    */
   async next(leftMs: number): Promise<TargetReport | undefined> {
     this.#permit = undefined;
-    const ranked = this.#rank();
+    const ranked = await this.#rankWithFull(leftMs);
     const best = ranked[0];
     if (this.#isSpread) this.#options.metrics.count("calls.spread");
     if (best === undefined || !this.#isLimited(best)) return best;
@@ -147,6 +165,18 @@
       : undefined;
   }
 
+  /** Ranks the targets, if need be with those that may be full no more. */
+  async #rankWithFull(leftMs: number): Promise<TargetReport[]> {
+    const ranked = this.#rank();
+    const mayWait = this.#full.size > 0 && this.#options.hasHead() &&
+      leftMs > FULL_RETRY_MS;
+    if (ranked.length > 0 || !mayWait) return ranked;
+    await sleep(FULL_RETRY_MS);
+    for (const id of this.#full) this.#tried.delete(id);
+    this.#full.clear();
+    return this.#rank();
+  }
+
   #isLimited(target: TargetReport): boolean {
     return this.#options.rates.isLimited(target);
   }
--- a/src/tasks/calls/call_targets_test.ts
+++ b/src/tasks/calls/call_targets_test.ts
@@ -44,6 +44,7 @@
       route: createRoute(),
       call: "c",
       written: () => undefined,
+      hasHead: () => false,
     });
     const tried: string[] = [];
     let target = await targets.next(LEFT_MS);
