A reset while the reading is paused breaks a response without a length

Cause: src/tasks/paths/target_connections_test.ts "is broken if the target resets it while its reading is paused". The HTTP client then takes the end for that of a response that ends with its connection.

At the end of the data a direct connection now makes an empty write, and reports a reset as an error if that fails. The client completes such a response at the end of the data whatever error came before, so an interceptor of each connection fails the response if its connection had an error.

For callers: such a response is failed (UND_ERR_SOCKET) in place of passed on in part. Others are unchanged. TargetConnection.client is a composed dispatcher instead of a Client.

Ruled out: emitting the error alone, after which the client completes the response all the same.

--- a/src/tasks/paths/connection_reset.ts
+++ b/src/tasks/paths/connection_reset.ts
@@ -31,6 +31,25 @@
   });
 }
 
+/**
+ * Reports a reset that looks like the end of the data. If it arrives while the
+ * reading is paused, the kernel keeps its error for the next write and ends the
+ * data without one. An empty write gets that error, and sends nothing where the
+ * target has closed the connection.
+ */
+export function reportResetsAtEnd(socket: Duplex): void {
+  // The socket refuses writes once its own listener has seen the end.
+  socket.prependListener("end", () => {
+    if (socket.destroyed || socket.writableEnded) return;
+    socket.write("");
+    if (socket.errored === null) return;
+    socket.emit(
+      "error",
+      new ConnectionResetError("The connection was reset by the target"),
+    );
+  });
+}
+
 /**
  * Resets a connection. The client is told by an error: without one it looks for
  * the end of a response, and fails an assertion if it has paused the reading.
--- a/src/tasks/paths/dial.ts
+++ b/src/tasks/paths/dial.ts
@@ -1,7 +1,7 @@
 /** Direct connections to addresses. */
 import { connect, type Socket, type TcpNetConnectOpts } from "node:net";
 import { errors } from "undici";
-import { relabelResets } from "./connection_reset.ts";
+import { relabelResets, reportResetsAtEnd } from "./connection_reset.ts";
 
 /** Host and port of a target. */
 export interface Endpoint {
@@ -67,6 +67,7 @@
       clearTimeout(timer);
       socket.off("error", onError);
       relabelResets(socket);
+      reportResetsAtEnd(socket);
       resolve(socket);
     });
   });
--- a/src/tasks/paths/target_connection.ts
+++ b/src/tasks/paths/target_connection.ts
@@ -1,10 +1,11 @@
 /** A single connection to a target. */
 import type { Duplex } from "node:stream";
-import { buildConnector, Client } from "undici";
+import { buildConnector, Client, type Dispatcher } from "undici";
 import { Path } from "../../core/paths/mod.ts";
 import { resetConnection, type ResettableSocket } from "./connection_reset.ts";
 import { ConnectionState } from "./connection_state.ts";
 import type { OpenedConnection } from "./path_race.ts";
+import { guardAgainstResets } from "./reset_guard.ts";
 
 /** Options of {@link TargetConnection}. */
 export interface TargetConnectionOptions {
@@ -29,12 +30,14 @@
 /** Carries one request at a time; it is opened for the first one. */
 export class TargetConnection {
   readonly address: string;
-  readonly client: Client;
+  readonly client: Dispatcher.ComposedDispatcher;
+  readonly #client: Client;
   readonly #options: TargetConnectionOptions;
   #socket: ResettableSocket | undefined;
   #path: Path = Path.Direct;
   #incarnation: number | undefined;
   #isKept = false;
+  #isReset = false;
   #isComplete = false;
   #completedAt = -Infinity;
   #isIdle = true;
@@ -45,13 +48,15 @@
     const { address, isSecure, idleTimeoutMs } = options;
     this.#options = options;
     this.address = address;
-    this.client = new Client(`${isSecure ? "https" : "http"}://${address}`, {
+    this.#client = new Client(`${isSecure ? "https" : "http"}://${address}`, {
       pipelining: 1,
       connect: (target, callback) => this.#connect(target, callback),
       headersTimeout: 0,
       bodyTimeout: 0,
       keepAliveTimeout: idleTimeoutMs,
     });
+    this.client = this.#client
+      .compose(guardAgainstResets(() => this.#isReset));
   }
 
   /** Gets how far the connection has come. */
@@ -115,7 +120,7 @@
 
   /** Gets whether the connection, while idle, may carry another request. */
   get isReusable(): boolean {
-    return !this.client.destroyed && this.#socket?.isDraining !== true;
+    return !this.#client.destroyed && this.#socket?.isDraining !== true;
   }
 
   /**
@@ -140,7 +145,7 @@
 
   /** Closes an idle connection; errors while doing so are ignored. */
   close(): void {
-    this.client.destroy().catch(() => {});
+    this.#client.destroy().catch(() => {});
   }
 
   #connect(
@@ -165,6 +170,10 @@
     this.#path = path;
     this.#incarnation = undefined;
     this.#isKept = false;
+    this.#isReset = false;
+    socket.on("error", () => {
+      if (this.#socket === socket) this.#isReset = true;
+    });
     socket.once("draining", () => {
       if (this.#isIdle) this.close();
     });
