Paces and estimates of targets survive a change of the ledger's leader

Cause: the leader learnt long-run paces and estimates in memory only. A new leader counted each target as the median of its service and moved each run that it placed badly meanwhile (reason `misplaced`), with its prompt read again.

Change for callers: TargetPace and RunEstimator have save and load. A new task, PaceKeeper, sends noticeable changes each 2 s to the other ledger instances (method batches.paces) and stores them each 5 s in the file `paces` of the data folder. A new leader begins with what its instance keeps and logs pacesTakenOver. A file that cannot be written is logged once (pacesUnstored). Instances of earlier builds refuse the method and are asked again after up to a minute. TargetPace is split: pace_table.ts and pace_summary.ts hold what it held.

Tests of PaceMemory, PaceRecipients, PaceKeeper, TargetPace and RunEstimator have one failure each: earlier term, older file, either clock, lost message, earlier build, restart, damaged file, other format, full disk, other incarnation.

Ruled out: entries of the replicated log, which earlier builds cannot apply; full messages each 2 s (22 KB for 250 targets, encoded as MessagePack); waiting for the file before the replica starts.

--- /dev/null
+++ b/src/core/batches/known_paces.ts
@@ -0,0 +1,64 @@
+/** What a leader has learnt of targets and services, for the next leader. */
+
+/** Long-run pace of a target's incarnation. */
+export interface TargetPaceRecord {
+  readonly id: string;
+  readonly service: string;
+  readonly incarnation: number;
+  /** Long-run time per event of a run alone at the target, in milliseconds. */
+  readonly paceMs: number;
+  /** Time since the pace was last measured, in milliseconds. */
+  readonly ageMs: number;
+}
+
+/** Mean time to the first event, in times per event. */
+export interface PromptMean {
+  readonly events: number;
+  readonly samples: number;
+}
+
+/** Estimates of a service: sums over its recent runs. */
+export interface EstimateRecord {
+  readonly service: string;
+  readonly completed: number;
+  readonly runs: number;
+  readonly events: number;
+  readonly estimatedEvents: number;
+  readonly estimatedTokens: number;
+  readonly prompts: {
+    readonly uncached: PromptMean;
+    readonly cached: PromptMean;
+  };
+  /** Time since it was last measured, in milliseconds. */
+  readonly ageMs: number;
+}
+
+/** All that is known. */
+export interface KnownPaces {
+  readonly targets: readonly TargetPaceRecord[];
+  readonly services: readonly EstimateRecord[];
+}
+
+type EstimateCounts = Pick<EstimateRecord, "completed" | "prompts">;
+
+/**
+ * Gets whether one estimate is based on more runs than another; counts go on
+ * from leader to leader.
+ *
+ * @example
+ * ```ts
+ * isBetterEstimate(received, undefined); // true
+ * ```
+ */
+export function isBetterEstimate(
+  one: EstimateCounts,
+  other: EstimateCounts | undefined,
+): boolean {
+  if (other === undefined) return true;
+  if (one.completed !== other.completed) return one.completed > other.completed;
+  return countFirstEvents(one) > countFirstEvents(other);
+}
+
+function countFirstEvents({ prompts }: EstimateCounts): number {
+  return prompts.uncached.samples + prompts.cached.samples;
+}
--- a/src/core/batches/pace_stats.ts
+++ b/src/core/batches/pace_stats.ts
@@ -7,6 +7,8 @@
   /** Long-run time per event of a run alone at the target. */
   inherentMs: number;
   inherentSamples: number;
+  /** Time at which the long-run pace was last measured. */
+  inherentAt: number;
   /** Time per event at the last sample, of a run alone at the target. */
   recentMs: number;
   recentSamples: number;
@@ -64,6 +66,7 @@
     incarnation,
     inherentMs: 0,
     inherentSamples: 0,
+    inherentAt: -Infinity,
     recentMs: 0,
     recentSamples: 0,
     lateGaps: 0,
@@ -113,13 +116,18 @@
 }
 
 /** Adds the time between two events to the long-run pace. */
-export function addInherent(stats: PaceStats, gapMs: number): void {
+export function addInherent(
+  stats: PaceStats,
+  gapMs: number,
+  now: number,
+): void {
   const limitedMs = hasInherent(stats)
     ? Math.min(gapMs, MAX_GAP_RATIO * stats.inherentMs)
     : gapMs;
   const weight = Math.max(INHERENT_WEIGHT, 1 / (stats.inherentSamples + 1));
   stats.inherentMs += weight * (limitedMs - stats.inherentMs);
   stats.inherentSamples += 1;
+  stats.inherentAt = now;
 }
 
 /** Gets the recent pace, which tends to the long-run pace without events. */
--- a/src/core/batches/run_estimator.ts
+++ b/src/core/batches/run_estimator.ts
@@ -1,6 +1,7 @@
 /** Estimates the length of outputs and the time to read prompts. */
 import type { BatchRecord } from "./batch_record.ts";
 import type { WaitingItem } from "./item_order.ts";
+import { type EstimateRecord, isBetterEstimate } from "./known_paces.ts";
 
 /** Sums over the recent runs of a service; older runs count less. */
 interface ServiceSums {
@@ -87,6 +88,34 @@
     return this;
   }
 
+  /** Gets the estimates of all services; their counts tell which are newer. */
+  save(): EstimateRecord[] {
+    return [...this.#services]
+      .map(([service, sums]) =>
+        structuredClone({ service, ...sums, ageMs: 0 })
+      );
+  }
+
+  /** Takes over estimates that are based on more runs than the own ones. */
+  load(records: readonly EstimateRecord[]): this {
+    for (const record of records) {
+      const { service } = record;
+      if (!isBetterEstimate(record, this.#services.get(service))) continue;
+      const { completed, runs, events, estimatedEvents, estimatedTokens } =
+        record;
+      const { uncached, cached } = record.prompts;
+      this.#services.set(service, {
+        completed,
+        runs,
+        events,
+        estimatedEvents,
+        estimatedTokens,
+        prompts: { uncached: { ...uncached }, cached: { ...cached } },
+      });
+    }
+    return this;
+  }
+
   /** Gets the mean number of events of an output. */
   meanEvents(service: string): number {
     const sums = this.#services.get(service);
--- a/src/core/batches/run_estimator_test.ts
+++ b/src/core/batches/run_estimator_test.ts
@@ -49,4 +49,19 @@
       estimator.promptEvents("s", { isCached, received: 0 });
     expect([eventsOf(false), eventsOf(true)]).toEqual([12, 2]);
   });
+
+  it("goes on with the estimates of an earlier leader", () => {
+    const saved = learn().save();
+    const expected = items.map((item) =>
+      Math.round(learn().remainingEvents({ record, item }, 0))
+    );
+    doTest(new RunEstimator().load(saved), 0, expected);
+  });
+
+  // Failure: a leader that leads again falls back to what others knew before.
+  it("keeps its own estimates if they are based on more runs", () => {
+    const [saved] = learn().save();
+    const older = { ...saved, completed: saved.completed - 1, events: 1 };
+    expect(learn().load([older]).save()).toEqual([saved]);
+  });
 });
--- a/src/core/batches/target_pace.ts
+++ b/src/core/batches/target_pace.ts
@@ -3,7 +3,6 @@
   addInherent,
   addRecent,
   areMostLate,
-  createPaceStats,
   hasInherent,
   isCurrent,
   MIN_INHERENT_SAMPLES,
@@ -11,14 +10,10 @@
   type PaceStats,
   recentMsOf,
 } from "./pace_stats.ts";
-import { percentileOf } from "../statistics/mod.ts";
+import type { TargetPaceRecord } from "./known_paces.ts";
+import { type PacedTarget, PaceTable } from "./pace_table.ts";
 
-/** A target whose pace is measured. */
-export interface PacedTarget {
-  readonly id: string;
-  readonly service: string;
-  readonly incarnation: number;
-}
+export type { PacedTarget } from "./pace_table.ts";
 
 /** Time between two events of a run. */
 export interface PaceSample {
@@ -31,17 +26,6 @@
   readonly now: number;
 }
 
-/** What the targets of one service show. */
-interface ServiceSummary {
-  readonly at: number;
-  /** Median long-run pace, in milliseconds; undefined if none is known. */
-  readonly medianMs: number | undefined;
-  /** Pace at the slow end; undefined if too few targets are known. */
-  readonly slowEndMs: number | undefined;
-  /** Median ratio of recent to long-run pace, at least 1. */
-  readonly medianRatio: number;
-}
-
 const DEFAULT_PACE_MS = 60;
 /** Ratio of recent to long-run pace above which a target is sick. */
 const SICK_RATIO = 3;
@@ -55,14 +39,6 @@
 const ADOPTION_MS = 15_000;
 /** As {@link ADOPTION_MS}, for a target that was never seen sound. */
 const NEW_ADOPTION_MS = 5_000;
-/** Percentile of the long-run paces that is the slow end of a service. */
-const SLOW_END = 0.9;
-/** Number of targets with a long-run pace from which a slow end is known. */
-const MIN_SLOW_END_TARGETS = 2;
-/** Number of targets from which a delay of most is one of this process. */
-const MIN_RATIO_TARGETS = 3;
-/** Time for which the summary of a service is reused. */
-const SUMMARY_VALIDITY_MS = 100;
 /** Share by which a run takes longer at a target whose slots are all in use. */
 const LOAD_SLOWDOWN = 0.2;
 const FIRST_BACKOFF_MS = 200;
@@ -84,12 +60,11 @@
  * ```
  */
 export class TargetPace {
-  readonly #stats = new Map<string, PaceStats>();
-  readonly #summaries = new Map<string, ServiceSummary>();
+  readonly #table = new PaceTable();
 
   /** Records the time between two events of a run. */
   onEventGap(target: PacedTarget, sample: PaceSample): this {
-    const stats = this.#statsFor(target);
+    const stats = this.#table.getOrCreate(target);
     if (target.incarnation < stats.incarnation) return this;
     const { now } = sample;
     const gapMs = sample.gapMs / loadFactorOf(sample.load);
@@ -101,9 +76,9 @@
       : undefined;
     if (this.#isChanged(stats, now)) return this.#onChanged(stats, now);
     stats.changedSince = undefined;
-    addInherent(stats, gapMs);
+    addInherent(stats, gapMs, now);
     if (stats.inherentSamples === MIN_INHERENT_SAMPLES) {
-      this.#summaries.delete(stats.service);
+      this.#table.forgetSummary(stats.service);
     }
     return this;
   }
@@ -111,7 +86,7 @@
   /** Gets whether the recent pace says nothing of the long-run pace. */
   #isChanged(stats: PaceStats, now: number): boolean {
     if (!hasInherent(stats)) return stats.sickSince !== undefined;
-    const { medianRatio } = this.#summaryOf(stats.service, now);
+    const { medianRatio } = this.#table.summaryOf(stats.service, now);
     const usualMs = medianRatio * stats.inherentMs;
     return recentMsOf(stats, now) > CHANGED_RATIO * usualMs;
   }
@@ -123,9 +98,10 @@
     if (now - stats.changedSince < adoptionMs) return this;
     stats.inherentMs = stats.recentMs;
     stats.inherentSamples = MIN_INHERENT_SAMPLES;
+    stats.inherentAt = now;
     stats.changedSince = undefined;
     stats.sickSince = undefined;
-    this.#summaries.delete(stats.service);
+    this.#table.forgetSummary(stats.service);
     return this;
   }
 
@@ -134,7 +110,7 @@
    * anew that it lasts, as no event was measured meanwhile.
    */
   onHeldUp(now: number): this {
-    for (const stats of this.#stats.values()) {
+    for (const stats of this.#table.all) {
       if (stats.sickSince !== undefined) stats.sickSince = now;
     }
     return this;
@@ -142,13 +118,13 @@
 
   /** Records a completed run, which resets the backoff. */
   onCompleted(target: PacedTarget): this {
-    this.#statsFor(target).failures = 0;
+    this.#table.getOrCreate(target).failures = 0;
     return this;
   }
 
   /** Records a failure and avoids the target with exponential backoff. */
   onFailure(target: PacedTarget, now: number): this {
-    const stats = this.#statsFor(target);
+    const stats = this.#table.getOrCreate(target);
     const backoffMs = FIRST_BACKOFF_MS * 2 ** Math.min(stats.failures, 6);
     stats.failures += 1;
     return this.avoid(target, now + Math.min(MAX_BACKOFF_MS, backoffMs));
@@ -156,14 +132,14 @@
 
   /** Avoids a target until a time. */
   avoid(target: PacedTarget, until: number): this {
-    const stats = this.#statsFor(target);
+    const stats = this.#table.getOrCreate(target);
     stats.avoidedUntil = Math.max(stats.avoidedUntil, until);
     return this;
   }
 
   /** Gets whether a target should be avoided now. */
   isAvoided(target: PacedTarget, now: number): boolean {
-    return now < (this.#stats.get(target.id)?.avoidedUntil ?? -Infinity);
+    return now < (this.#table.getAny(target.id)?.avoidedUntil ?? -Infinity);
   }
 
   /**
@@ -171,7 +147,7 @@
    * milliseconds: its long-run pace unless its recent pace is far beyond it.
    */
   paceMs(target: PacedTarget, now: number): number {
-    const stats = this.#getStats(target);
+    const stats = this.#table.get(target);
     if (stats === undefined) return this.#medianMs(target.service, now);
     const inherentMs = this.inherentPaceMs(target, now);
     if (!isCurrent(stats, now)) return inherentMs;
@@ -184,7 +160,7 @@
    * milliseconds; the median of its service if it is unknown.
    */
   inherentPaceMs(target: PacedTarget, now: number): number {
-    const stats = this.#getStats(target);
+    const stats = this.#table.get(target);
     if (stats !== undefined && hasInherent(stats)) return stats.inherentMs;
     const isMeasured = stats !== undefined && isCurrent(stats, now);
     if (!isMeasured || this.#isSick(stats, now)) {
@@ -195,13 +171,13 @@
 
   /** Gets whether the long-run pace of a target is known. */
   isPaceKnown(target: PacedTarget): boolean {
-    const stats = this.#getStats(target);
+    const stats = this.#table.get(target);
     return stats !== undefined && hasInherent(stats);
   }
 
   /** Gets whether a target is far slower now than it is in the long run. */
   isSick(target: PacedTarget, now: number): boolean {
-    const stats = this.#getStats(target);
+    const stats = this.#table.get(target);
     return stats !== undefined && this.#isSick(stats, now);
   }
 
@@ -211,7 +187,7 @@
    * of a target with few runs as much.
    */
   isLastinglySick(target: PacedTarget, now: number): boolean {
-    const stats = this.#getStats(target);
+    const stats = this.#table.get(target);
     const since = stats?.sickSince;
     if (stats === undefined || since === undefined) return false;
     if (now - since < LASTING_MS) return false;
@@ -221,22 +197,36 @@
 
   /** Gets whether a target was sick, and no events show that it recovered. */
   isRecovering(target: PacedTarget, now: number): boolean {
-    const stats = this.#getStats(target);
+    const stats = this.#table.get(target);
     return stats?.sickSince !== undefined && !this.#isSick(stats, now);
   }
 
+  /** Gets all known long-run paces. */
+  save(now: number): TargetPaceRecord[] {
+    return this.#table.save(now);
+  }
+
+  /**
+   * Takes over long-run paces that were measured later than the own ones. Those
+   * of other incarnations have no effect.
+   */
+  load(records: readonly TargetPaceRecord[], now: number): this {
+    this.#table.load(records, now);
+    return this;
+  }
+
   /** Removes all targets except the given ones. */
   keepOnly(targets: ReadonlySet<string>): this {
-    this.#summaries.clear();
-    for (const id of this.#stats.keys()) {
-      if (!targets.has(id)) this.#stats.delete(id);
-    }
+    this.#table.keepOnly(targets);
     return this;
   }
 
   #isSick(stats: PaceStats, now: number): boolean {
     if (stats.recentSamples < MIN_RECENT_SAMPLES) return false;
-    const { slowEndMs, medianRatio } = this.#summaryOf(stats.service, now);
+    const { slowEndMs, medianRatio } = this.#table.summaryOf(
+      stats.service,
+      now,
+    );
     const recentMs = recentMsOf(stats, now);
     // A delay of this process shows at all targets; their median cancels it.
     if (hasInherent(stats)) {
@@ -247,50 +237,6 @@
   }
 
   #medianMs(service: string, now: number): number {
-    return this.#summaryOf(service, now).medianMs ?? DEFAULT_PACE_MS;
-  }
-
-  #summaryOf(service: string, now: number): ServiceSummary {
-    let summary = this.#summaries.get(service);
-    if (summary !== undefined && now - summary.at < SUMMARY_VALIDITY_MS) {
-      return summary;
-    }
-    const known = [...this.#stats.values()]
-      .filter((stats) => stats.service === service && hasInherent(stats));
-    const paces = known.map(({ inherentMs }) => inherentMs);
-    const ratios = known.filter((stats) => isCurrent(stats, now))
-      .map((stats) => recentMsOf(stats, now) / stats.inherentMs);
-    summary = {
-      at: now,
-      medianMs: percentileOf(paces, 0.5),
-      slowEndMs: paces.length < MIN_SLOW_END_TARGETS
-        ? undefined
-        : percentileOf(paces, SLOW_END),
-      medianRatio: ratios.length < MIN_RATIO_TARGETS
-        ? 1
-        : Math.max(1, percentileOf(ratios, 0.5) ?? 1),
-    };
-    this.#summaries.set(service, summary);
-    return summary;
-  }
-
-  /** Gets the state of a target's incarnation. */
-  #getStats({ id, incarnation }: PacedTarget): PaceStats | undefined {
-    const stats = this.#stats.get(id);
-    return stats?.incarnation === incarnation ? stats : undefined;
-  }
-
-  /**
-   * Gets the state of a target or creates it. The paces of a new incarnation
-   * begin anew; the backoff after failures lasts.
-   */
-  #statsFor({ id, service, incarnation }: PacedTarget): PaceStats {
-    const known = this.#stats.get(id);
-    if (known !== undefined && known.incarnation >= incarnation) return known;
-    const stats = createPaceStats(service, incarnation);
-    stats.avoidedUntil = known?.avoidedUntil ?? -Infinity;
-    stats.failures = known?.failures ?? 0;
-    this.#stats.set(id, stats);
-    return stats;
+    return this.#table.summaryOf(service, now).medianMs ?? DEFAULT_PACE_MS;
   }
 }
--- a/src/core/batches/target_pace_test.ts
+++ b/src/core/batches/target_pace_test.ts
@@ -1,4 +1,5 @@
 import { describe, expect, it } from "vitest";
+import type { TargetPaceRecord } from "./known_paces.ts";
 import { type PacedTarget, TargetPace } from "./target_pace.ts";
 
 function target(id: string, fields: Partial<PacedTarget> = {}): PacedTarget {
@@ -156,6 +157,43 @@
     expect(pace.isLastinglySick(at, 2_150)).toBe(true);
   });
 
+  describe("with the paces of an earlier leader", () => {
+    const saved = (fields: Partial<TargetPaceRecord> = {}) => ({
+      ...{ id: "x", service: "s", incarnation: 1, paceMs: 34, ageMs: 1_000 },
+      ...fields,
+    });
+
+    it("knows them before the first event, with those of others", () => {
+      const pace = new TargetPace().load([saved()], 0);
+      expect(pace.isPaceKnown(target("x"))).toBe(true);
+      expect(pace.paceMs(target("x"), 0)).toBe(34);
+      expect(pace.inherentPaceMs(target("y"), 0)).toBe(34);
+      expect(pace.save(500)).toEqual([saved({ ageMs: 1_500 })]);
+    });
+
+    // Failure: a target that restarted counts as slow as it was before.
+    it.each([1, 3])("ignores those of incarnation %i", (incarnation) => {
+      const pace = new TargetPace().load([saved({ incarnation })], 0);
+      const at = target("x", { incarnation: 2 });
+      expect(pace.isPaceKnown(at)).toBe(false);
+      play(pace, at, { from: 0, to: 1_000, gapMs: 14 });
+      expect(pace.inherentPaceMs(at, 1_000)).toBeCloseTo(14);
+    });
+
+    // Failure: a leader that leads again goes by what it learnt long before.
+    it("takes over those that are newer than its own", () => {
+      const pace = play(new TargetPace(), target("x"), {
+        from: 0,
+        to: 1_000,
+        gapMs: 14,
+      });
+      pace.load([saved({ ageMs: 5_000 })], 2_000);
+      expect(pace.paceMs(target("x"), 9_000)).toBeCloseTo(14);
+      pace.load([saved({ ageMs: 500 })], 2_000);
+      expect(pace.paceMs(target("x"), 9_000)).toBe(34);
+    });
+  });
+
   it("awaits events before it counts a sick target as recovered", () => {
     const pace = new TargetPace();
     const at = target("x");
--- a/src/logging/fleet_events.ts
+++ b/src/logging/fleet_events.ts
@@ -139,6 +139,15 @@
     text:
       "Item begins anew, as its writer is unknown or no target has the versions that wrote its partial output",
   }),
+  pacesTakenOver: defineEvent(2219, "info", {
+    text:
+      "New leader of the ledger knows the paces of this number of targets from earlier leaders",
+  }),
+  pacesUnstored: defineEvent(2220, "warn", {
+    text:
+      "Paces of targets could not be written to the data folder; they are kept in memory",
+    action: "Check the disk and its free space",
+  }),
   ledgerFormed: defineEvent(2221, "info", {
     text: "Initial voters of the ledger's log chosen and proposed",
   }),
--- a/src/tasks/batches/batch_port.ts
+++ b/src/tasks/batches/batch_port.ts
@@ -11,6 +11,8 @@
   End: "batches.end",
   /** Lists the instances that hold a replica of the ledger. */
   Holders: "batches.holders",
+  /** Tells another ledger instance what the leader has learnt of targets. */
+  Paces: "batches.paces",
 } as const;
 
 /** Maximum size of the texts of a page of results, in bytes. */
--- a/src/tasks/batches/batch_runner.ts
+++ b/src/tasks/batches/batch_runner.ts
@@ -3,6 +3,7 @@
   type BatchState,
   DemandMeter,
   ItemTracker,
+  type KnownPaces,
   type PartialTextRecord,
   PendingLoads,
   ProcessLag,
@@ -61,10 +62,7 @@
 }
 
 const TICK_INTERVAL_MS = 50;
-/**
- * Places items on targets, moves runs off silent or slow targets and stores the
- * results. Runs only on the ledger's leader.
- */
+/** Places and moves runs and stores results, on the ledger's leader only. */
 export class BatchRunner implements ItemRunListener {
   readonly #options: BatchRunnerOptions;
   readonly #runs = new RunTable();
@@ -159,6 +157,19 @@
     return this;
   }
 
+  /** Gets what this leader has learnt of targets and services. */
+  savePaces(): KnownPaces {
+    const targets = this.#targetPace.save(this.#options.now());
+    return { targets, services: this.#estimator.save() };
+  }
+
+  /** Takes over what other leaders have learnt since. */
+  loadPaces({ targets, services }: KnownPaces): this {
+    this.#targetPace.load(targets, this.#options.now());
+    this.#estimator.load(services);
+    return this;
+  }
+
   /** Gets the mean demand of each service since the previous call. */
   takeDemand(): ServiceDemand[] {
     return this.#demandMeter.readAndReset();
@@ -254,12 +265,9 @@
   }
 
   #tick(): void {
-    const { canRunItems, metrics, now } = this.#options;
-    const startedAt = now();
-    this.#pacer.onTick(startedAt);
-    if (!this.#lag.onTick(startedAt).isMeasured(startedAt, startedAt)) {
-      metrics.count("items.ticksLate");
-    }
+    const { canRunItems, now } = this.#options;
+    this.#pacer.onTick(now());
+    this.#learner.onTick();
     if (!canRunItems()) return;
     this.#sampleDemand();
     this.#mover.moveSilentRuns();
--- a/src/tasks/batches/batch_task.ts
+++ b/src/tasks/batches/batch_task.ts
@@ -33,6 +33,7 @@
 import { BatchRunner } from "./batch_runner.ts";
 import { LedgerMembership } from "./ledger_membership.ts";
 import { LedgerObserver } from "./ledger_observer.ts";
+import { PaceKeeper } from "./pace_keeper.ts";
 import { ResultQueue } from "./result_queue.ts";
 import { ResultReader } from "./result_reader.ts";
 import type { EnginePort } from "./engine_port.ts";
@@ -73,6 +74,7 @@
   readonly #options: BatchTaskOptions;
   readonly #service: LedgerService;
   readonly #runner: BatchRunner;
+  readonly #paces: PaceKeeper;
   readonly #reader: ResultReader;
   readonly #membership: LedgerMembership;
   readonly #results: ResultQueue;
@@ -107,6 +109,14 @@
       logger,
     });
     this.#runner = this.#createRunner();
+    this.#paces = new PaceKeeper({
+      node: options.node,
+      dataFolder: options.dataFolder,
+      leadsTerm: () => this.leadsTerm,
+      save: () => this.#runner.savePaces(),
+      load: (known) => void this.#runner.loadPaces(known),
+      now: options.now,
+    });
     this.#observer = new LedgerObserver({
       state: () => this.#service.state,
       runner: this.#runner,
@@ -153,6 +163,7 @@
 
   /** Opens the store and starts the replica. */
   async start(): Promise<void> {
+    this.#paces.start();
     await this.#service.driver.start();
     this.#maintenanceTimer = setInterval(() => {
       this.#removeExpired();
@@ -165,6 +176,7 @@
   /** Transfers leadership if held, and stops. */
   async stop(): Promise<void> {
     clearInterval(this.#maintenanceTimer);
+    this.#paces.stop();
     this.#runner.stop();
     await this.#service.stop();
   }
@@ -261,7 +273,7 @@
 
   #onRoleChanged(isLeader: boolean): void {
     this.#results.clear();
-    if (isLeader) this.#runner.start();
+    if (isLeader) this.#runner.loadPaces(this.#paces.takeOver()).start();
     else this.#runner.stop();
     if (!isLeader) this.#reader.wakeAll();
     this.#options.node.hub.announce();
--- /dev/null
+++ b/src/tasks/batches/pace_format.ts
@@ -0,0 +1,47 @@
+/** Decoding of paces from messages and files, which other builds may write. */
+import * as z from "zod";
+import type { PaceMessage, StoredPaces } from "../../core/batches/mod.ts";
+
+/** Number of the file's format; files of other formats count as empty. */
+export const PACE_FORMAT = 1;
+
+/** Bounds the work for what a message or file holds. */
+const MAX_RECORDS = 100_000;
+
+const count = z.number().nonnegative();
+const promptMean = z.object({ events: count, samples: count });
+const knownPaces = {
+  targets: z.array(z.object({
+    id: z.string(),
+    service: z.string(),
+    incarnation: z.number(),
+    paceMs: z.number().positive(),
+    ageMs: count,
+  })).max(MAX_RECORDS),
+  services: z.array(z.object({
+    service: z.string(),
+    completed: count,
+    runs: count,
+    events: count,
+    estimatedEvents: count,
+    estimatedTokens: count,
+    prompts: z.object({ uncached: promptMean, cached: promptMean }),
+    ageMs: count,
+  })).max(MAX_RECORDS),
+};
+const messageSchema = z.object({ term: z.number(), ...knownPaces });
+const fileSchema = z.object({
+  format: z.literal(PACE_FORMAT),
+  savedAt: z.number(),
+  ...knownPaces,
+});
+
+/** Decodes a message; undefined if it is malformed. */
+export function decodePaceMessage(value: unknown): PaceMessage | undefined {
+  return messageSchema.safeParse(value).data;
+}
+
+/** Decodes a file's content; undefined if it has another format. */
+export function decodePaceFile(value: unknown): StoredPaces | undefined {
+  return fileSchema.safeParse(value).data;
+}
--- a/src/tasks/batches/run_learner.ts
+++ b/src/tasks/batches/run_learner.ts
@@ -5,6 +5,7 @@
   RunEstimator,
   TargetPace,
 } from "../../core/batches/mod.ts";
+import type { Metrics } from "../../metrics/mod.ts";
 import type { ItemRun } from "./item_run.ts";
 import type { RunTable } from "./run_table.ts";
 
@@ -16,6 +17,7 @@
   readonly prompts: PromptLocations;
   /** Tells whether times of events are those of targets. */
   readonly lag: ProcessLag;
+  readonly metrics: Metrics;
   /** Gets the local monotonic time, in milliseconds. */
   readonly now: () => number;
 }
@@ -28,6 +30,15 @@
     this.#options = options;
   }
 
+  /** Records a tick of this process, by which gaps between events count. */
+  onTick(): void {
+    const { lag, targetPace, metrics } = this.#options;
+    const now = this.#options.now();
+    if (lag.onTick(now).isMeasured(now, now)) return;
+    metrics.count("items.ticksLate");
+    targetPace.onHeldUp(now);
+  }
+
   /** Records the time in which a target has read a prompt. */
   onFirstEvent(run: ItemRun, afterMs: number): void {
     const { prompts, targetPace, estimator, lag } = this.#options;
--- a/src/tasks/batches/run_learner_test.ts
+++ b/src/tasks/batches/run_learner_test.ts
@@ -6,6 +6,7 @@
   TargetPace,
 } from "../../core/batches/mod.ts";
 import { target } from "../../../tests/support/batch_runner_fixture.ts";
+import { Metrics } from "../../metrics/mod.ts";
 import type { ItemRun } from "./item_run.ts";
 import { RunLearner } from "./run_learner.ts";
 import { RunTable } from "./run_table.ts";
@@ -29,6 +30,7 @@
       estimator: new RunEstimator(),
       prompts: new PromptLocations(),
       lag,
+      metrics: new Metrics({ tags: {} }),
       now: () => now,
     });
     const run = { target: at } as ItemRun;
@@ -37,7 +39,7 @@
     for (now = 1; now <= playedMs; now += 1) {
       const isStalled = now % 1_000 >= 1_000 - STALL_MS;
       if (isStalled) continue;
-      if (now % TICK_MS === 0 || now % 1_000 === 0) lag.onTick(now);
+      if (now % TICK_MS === 0 || now % 1_000 === 0) learner.onTick();
       for (; sentAt + EVENT_MS <= now; sentAt += EVENT_MS) {
         for (const [i, earlier] of readAt.entries()) {
           learner.onEventGap(run, now - earlier);
--- a/src/tasks/batches/uneven_targets_test.ts
+++ b/src/tasks/batches/uneven_targets_test.ts
@@ -4,6 +4,7 @@
   type UnevenLoadOptions,
   type UnevenLoadReport,
 } from "../../../tests/support/uneven_load.ts";
+import type { KnownPaces } from "../../core/batches/mod.ts";
 import { BatchRunner } from "./batch_runner.ts";
 
 const TIMEOUT_MS = 120_000;
@@ -113,6 +114,29 @@
     TIMEOUT_MS,
   );
 
+  // Failure: a new leader learns paces anew, and moves runs of its first batch.
+  it(
+    "moves no run of the first batch of a leader that knows the paces",
+    () => {
+      let known: KnownPaces | undefined;
+      playUnevenLoad({
+        seed: 1,
+        load: 0.6,
+        playedMs: 5_000,
+        onEnd: (runner) => known = runner.savePaces(),
+      });
+      doTest({
+        seed: 2,
+        playedMs: 9_000,
+        onStart: (runner) => runner.loadPaces(known!),
+      }, ({ moves, inTimeFirst }) => {
+        expect(moves).toBe(0);
+        expect(inTimeFirst).toBe(1);
+      });
+    },
+    TIMEOUT_MS,
+  );
+
   // Failure: gaps between events that waited unread count as slow targets.
   it(
     "moves no run while the leader's event loop stalls now and then",
--- a/tests/support/uneven_load.ts
+++ b/tests/support/uneven_load.ts
@@ -3,6 +3,7 @@
 import { uniformFloat64 } from "pure-rand/distribution/uniformFloat64";
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
 import type { BatchItem, BatchSpec } from "../../src/core/batches/mod.ts";
+import type { BatchRunner } from "../../src/tasks/batches/mod.ts";
 import { startRunnerWith, target } from "./batch_runner_fixture.ts";
 import { createItem, createSpec } from "./batch_spec.ts";
 import { SLOTS, type UnevenEngine, UnevenEngines } from "./uneven_engines.ts";
@@ -23,6 +24,10 @@
   /** Paces of the engines, in turn. */
   readonly paces?: readonly number[];
   readonly playedMs?: number;
+  /** Called before the first batch. */
+  readonly onStart?: (runner: BatchRunner) => void;
+  /** Called after the last step. */
+  readonly onEnd?: (runner: BatchRunner) => void;
   /** Share of the events that come late, as after a lost packet. */
   readonly lateShare?: number;
   /** Stalls of the event loop of the leader. */
@@ -102,6 +107,7 @@
     ),
     [],
   );
+  options.onStart?.(runner);
   const startedAt = Date.now();
   const intervalMs = 1_000 * BATCH_ITEMS / (ROOM_PER_S * load);
   const batches: PlannedBatch[] = [];
@@ -137,6 +143,7 @@
     until: startedAt + playedMs,
     moves: metrics.values()["items.moved"] ?? 0,
   });
+  options.onEnd?.(runner);
   runner.stop();
   return report;
 }
