Loaded paces of targets that do not come are dropped after 5 minutes

Cause: a loaded pace waits for its target; one that came back an hour later with the same incarnation would have taken it over, past the 5 minutes of the rule.

Evidence: target_pace_test.ts, 'drops those of targets that do not come for long'.

--- a/src/core/batches/known_paces.ts
+++ b/src/core/batches/known_paces.ts
@@ -33,6 +33,9 @@
   readonly ageMs: number;
 }
 
+/** Age from which a pace or an estimate is ignored. */
+export const MAX_PACE_AGE_MS = 300_000;
+
 /** All that is known. */
 export interface KnownPaces {
   readonly targets: readonly TargetPaceRecord[];
--- a/src/core/batches/pace_memory.ts
+++ b/src/core/batches/pace_memory.ts
@@ -3,6 +3,7 @@
   type EstimateRecord,
   isBetterEstimate,
   type KnownPaces,
+  MAX_PACE_AGE_MS,
   type TargetPaceRecord,
 } from "./known_paces.ts";
 
@@ -34,8 +35,6 @@
   readonly revision: number;
 }
 
-/** Age from which a record is ignored. */
-const MAX_AGE_MS = 300_000;
 /** Time after which a record is kept anew, though it has hardly changed. */
 const REFRESH_MS = 60_000;
 /** Ratio from which a change is noticeable. */
@@ -97,7 +96,7 @@
   load(stored: StoredPaces, clock: PaceClock): this {
     const sinceMs = clock.wallNow - stored.savedAt;
     // A clock that was set back by more says nothing of the age.
-    if (sinceMs < -MAX_AGE_MS) return this;
+    if (sinceMs < -MAX_PACE_AGE_MS) return this;
     const aged = <T extends { readonly ageMs: number }>(record: T) => ({
       ...record,
       ageMs: record.ageMs + Math.max(0, sinceMs),
@@ -120,7 +119,7 @@
       [...all.values()]
         .filter((kept) => kept.revision > revision)
         .map((kept) => ({ ...kept.record, ageMs: ageOf(kept, clock) }))
-        .filter(({ ageMs }) => ageMs <= MAX_AGE_MS);
+        .filter(({ ageMs }) => ageMs <= MAX_PACE_AGE_MS);
     return { targets: read(this.#targets), services: read(this.#services) };
   }
 
@@ -129,7 +128,9 @@
    * so a term is forgotten with what it brought.
    */
   #acceptTerm(term: number, { now }: PaceClock): boolean {
-    if (term < this.#term && now - this.#termAt <= MAX_AGE_MS) return false;
+    if (term < this.#term && now - this.#termAt <= MAX_PACE_AGE_MS) {
+      return false;
+    }
     this.#term = term;
     this.#termAt = now;
     return true;
@@ -154,7 +155,7 @@
     { now, wallNow }: PaceClock,
   ): void {
     const { ageMs } = record;
-    if (ageMs > MAX_AGE_MS) return;
+    if (ageMs > MAX_PACE_AGE_MS) return;
     this.#revision += 1;
     all.set(key, {
       record,
@@ -172,7 +173,7 @@
 
 function pruneOld<T>(all: Map<string, Kept<T>>, clock: PaceClock): void {
   for (const [key, kept] of all) {
-    if (ageOf(kept, clock) > MAX_AGE_MS) all.delete(key);
+    if (ageOf(kept, clock) > MAX_PACE_AGE_MS) all.delete(key);
   }
 }
 
--- a/src/core/batches/pace_table.ts
+++ b/src/core/batches/pace_table.ts
@@ -1,5 +1,5 @@
 /** The paces of all targets, with those that an earlier leader has learnt. */
-import type { TargetPaceRecord } from "./known_paces.ts";
+import { MAX_PACE_AGE_MS, type TargetPaceRecord } from "./known_paces.ts";
 import {
   createPaceStats,
   hasInherent,
@@ -61,8 +61,14 @@
     }
   }
 
-  /** Gets all known long-run paces. */
+  /**
+   * Gets all known long-run paces. Loaded ones that have become too old by now
+   * are dropped, so this is to be called at intervals.
+   */
   save(now: number): TargetPaceRecord[] {
+    for (const [id, { inherentAt }] of this.#loaded) {
+      if (now - inherentAt > MAX_PACE_AGE_MS) this.#loaded.delete(id);
+    }
     return [...this.#stats].filter(([, stats]) => hasInherent(stats))
       .map(([id, { service, incarnation, inherentMs, inherentAt }]) => ({
         id,
--- a/src/core/batches/target_pace_test.ts
+++ b/src/core/batches/target_pace_test.ts
@@ -180,6 +180,15 @@
       expect(pace.inherentPaceMs(at, 1_000)).toBeCloseTo(14);
     });
 
+    // Failure: a target that comes back late counts as it was long before.
+    it("drops those of targets that do not come for long", () => {
+      const pace = new TargetPace().load([saved(), saved({ id: "y" })], 0);
+      expect(pace.isPaceKnown(target("y"))).toBe(true);
+      pace.save(300_000);
+      expect(pace.isPaceKnown(target("x"))).toBe(false);
+      expect(pace.isPaceKnown(target("y"))).toBe(true);
+    });
+
     // Failure: a leader that leads again goes by what it learnt long before.
     it("takes over those that are newer than its own", () => {
       const pace = play(new TargetPace(), target("x"), {
