A test shows that a new ledger leader takes over paces sent before

The wiring of BatchTask was covered by no test: the paces that a replica was sent are handed to its runner once it leads (event pacesTakenOver). Evidence: batch_task_test.ts.

--- a/src/tasks/batches/batch_task_test.ts
+++ b/src/tasks/batches/batch_task_test.ts
@@ -104,6 +104,27 @@
     expect(await submit(["No route"])).toBe(true);
   });
 
+  // Failure: a new leader begins without the paces that it was sent before.
+  it("takes over the paces of an earlier leader", async () => {
+    const event = vi.spyOn(node.logger, "event");
+    const sent = {
+      term: 1,
+      targets: [
+        { id: "t1", service: "s", incarnation: 1, paceMs: 17, ageMs: 0 },
+      ],
+      services: [],
+    };
+    const { id } = node.settings;
+    expect(await node.hub.handleRequest(BatchMethod.Paces, sent, id)).toBe(
+      true,
+    );
+    await becomeLeader();
+    expect(event).toHaveBeenCalledWith("pacesTakenOver", {
+      targets: 1,
+      services: 0,
+    });
+  });
+
   it("does not report an accepted batch as not run", async () => {
     await becomeLeader();
     await submit();
