--- a/src/tasks/calls/call_run.ts
+++ b/src/tasks/calls/call_run.ts
@@ -128,7 +128,7 @@
   }
 
   get #isRefusedByAll(): boolean {
-    return this.#refusals > 0 && this.#refusals === this.#targets.triedCount;
+    return this.#refusals > 0 && this.#refusals === this.#targets.sentCount;
   }
 
   get #remainingMs(): number {
