Rename "desk" classes to services, an issuer and a limiter

Change: EvacuationDesk, StreamDesk and RetirementDesk are services, like PermitService and TrialService beside them; PermitDesk is PermitIssuer and TrialDesk is TrialLimiter, with their files, tests and the pages that name them. No name on the wire, in settings, stored data, logs or metrics changes.

Ruled out: "sick" in the same commit, because it is a log field, part of a metric's name, and in folders that others edit now.

--- a/src/core/limits/permit_desk.ts
+++ b/src/core/limits/permit_issuer.ts
@@ -43,29 +43,29 @@
 const BURST_S = 0.25;
 const DEFAULT_MAX_TARGETS = 10_000;
 
-/** Options of {@link PermitDesk}. */
-export interface PermitDeskOptions {
+/** Options of {@link PermitIssuer}. */
+export interface PermitIssuerOptions {
   /** Number of targets whose permits are counted at the same time. */
   readonly maxTargets?: number;
 }
 
 /**
- * Grants permits at the rates that targets name. One desk serves all instances,
+ * Grants permits at the rates that targets name. One issuer serves all instances,
  * so that their sum keeps to the rate however the callers are spread.
  *
  * @example
  * ```ts
- * desk.grant({
+ * issuer.grant({
  *   targets: [{ target: "t1/7", perSecond: 2 }],
  *   count: 1,
  *   maxWaitMs: 100,
  * }, now); // { permits: [], retryAfterMs: 500 }
  * ```
  */
-export class PermitDesk {
+export class PermitIssuer {
   readonly #buckets: LRUCache<string, TokenBucket>;
 
-  constructor({ maxTargets = DEFAULT_MAX_TARGETS }: PermitDeskOptions = {}) {
+  constructor({ maxTargets = DEFAULT_MAX_TARGETS }: PermitIssuerOptions = {}) {
     this.#buckets = new LRUCache({ max: maxTargets });
   }
 
--- a/src/core/limits/permit_desk_test.ts
+++ b/src/core/limits/permit_issuer_test.ts
@@ -1,26 +1,26 @@
 import { describe, expect, it } from "vitest";
-import { PermitDesk } from "./permit_desk.ts";
+import { PermitIssuer } from "./permit_issuer.ts";
 
 const WINDOW_MS = 4_000;
 
-describe(PermitDesk.name, () => {
+describe(PermitIssuer.name, () => {
   /** Asks at a constant rate; gets the times at which requests are sent. */
   function play(
-    desk: PermitDesk,
+    issuer: PermitIssuer,
     options: { perSecond: number; asksPerS: number; maxWaitMs: number },
   ): number[] {
     const { perSecond, asksPerS, maxWaitMs } = options;
     const targets = [{ target: "t/1", perSecond }];
     const sent: number[] = [];
     for (let now = 0; now < 20_000; now += 1_000 / asksPerS) {
-      const { permits } = desk.grant({ targets, count: 1, maxWaitMs }, now);
+      const { permits } = issuer.grant({ targets, count: 1, maxWaitMs }, now);
       for (const { afterMs } of permits) sent.push(now + afterMs);
     }
     return sent;
   }
 
   function doTest(perSecond: number, asksPerS: number, maxWaitMs: number) {
-    const sent = play(new PermitDesk(), { perSecond, asksPerS, maxWaitMs });
+    const sent = play(new PermitIssuer(), { perSecond, asksPerS, maxWaitMs });
     const counts = sent.map((start) =>
       sent.filter((at) => at >= start && at < start + WINDOW_MS).length
     );
@@ -41,13 +41,13 @@
   it("grants everything below the rate", () => doTest(10, 4, 100));
 
   it("prefers the target that can take a request first", () => {
-    const desk = new PermitDesk();
+    const issuer = new PermitIssuer();
     const targets = [
       { target: "slow/1", perSecond: 1 },
       { target: "fast/1", perSecond: 10 },
     ];
-    desk.grant({ targets, count: 1, maxWaitMs: 0 }, 0);
-    const { permits, retryAfterMs } = desk.grant(
+    issuer.grant({ targets, count: 1, maxWaitMs: 0 }, 0);
+    const { permits, retryAfterMs } = issuer.grant(
       { targets, count: 3, maxWaitMs: 150 },
       100,
     );
@@ -56,9 +56,9 @@
   });
 
   it("applies a changed rate", () => {
-    const desk = new PermitDesk();
+    const issuer = new PermitIssuer();
     const ask = (perSecond: number, now: number) =>
-      desk.grant(
+      issuer.grant(
         { targets: [{ target: "t/1", perSecond }], count: 9, maxWaitMs: 0 },
         now,
       ).permits.length;
--- a/src/core/limits/slow_start.ts
+++ b/src/core/limits/slow_start.ts
@@ -4,9 +4,9 @@
  * In any second a target of rate `r` gets at most `1.5 r + 5` requests. They
  * are divided as follows:
  *
- * - The control leader's desk grants at most `burst + r t` permits in any time
+ * - The control leader's issuer grants at most `burst + r t` permits in any time
  *   `t`, also across a change of leader: a replica grants only during its
- *   lease, leases do not overlap, and a new desk starts empty. A permit is void
+ *   lease, leases do not overlap, and a new issuer starts empty. A permit is void
  *   {@link PERMIT_MAX_AGE_MS} after the instance asked for it, and the request
  *   arrives at most {@link TRANSIT_MS} later. The arrivals of one second are
  *   thus granted in 1.3 s: at most `2 + 1.3 r`.
--- a/src/core/limits/slow_start_test.ts
+++ b/src/core/limits/slow_start_test.ts
@@ -1,6 +1,6 @@
 import fc from "fast-check";
 import { describe, expect, it } from "vitest";
-import { PermitDesk } from "./permit_desk.ts";
+import { PermitIssuer } from "./permit_issuer.ts";
 import { PermitStore } from "./permit_store.ts";
 import {
   COLD_BURST,
@@ -48,12 +48,12 @@
   it("arrive within the bound if they wait as long as they are valid", () => {
     fc.assert(
       fc.property(arbitraryRate, (perSecond) => {
-        const desk = new PermitDesk();
+        const issuer = new PermitIssuer();
         const targets = [{ target: "t/1", perSecond, burst: COLD_BURST }];
         let granted = 0;
         // The longest span whose permits can arrive within one second.
         const ask = (now: number) =>
-          desk.grant({ targets, count: 1_000, maxWaitMs: 0 }, now).permits
+          issuer.grant({ targets, count: 1_000, maxWaitMs: 0 }, now).permits
             .length;
         ask(0);
         for (let now = 60_000; now < 61_300; now += 5) granted += ask(now);
--- a/src/core/quarantine/mod.ts
+++ b/src/core/quarantine/mod.ts
@@ -1,3 +1,3 @@
 /** Quarantine of requests that crash targets. */
 export * from "./quarantine.ts";
-export * from "./trial_desk.ts";
+export * from "./trial_limiter.ts";
--- a/src/core/quarantine/trial_desk.ts
+++ b/src/core/quarantine/trial_limiter.ts
@@ -46,11 +46,11 @@
  *
  * @example
  * ```ts
- * desk.take({ fingerprint: "f", service: "app", deaths: 1 },
+ * limiter.take({ fingerprint: "f", service: "app", deaths: 1 },
  *   { sound: 2, known: 3 }, now); // granted
  * ```
  */
-export class TrialDesk {
+export class TrialLimiter {
   /** Ends of the trials in progress, by service and fingerprint. */
   readonly #trials = new Map<string, Map<string, number>>();
 
--- a/src/core/quarantine/trial_desk_test.ts
+++ b/src/core/quarantine/trial_limiter_test.ts
@@ -2,16 +2,16 @@
 import { createReport } from "../../../tests/support/target_report.ts";
 import { Suspicion } from "./quarantine.ts";
 import { type TargetReport, TargetState } from "../registry/mod.ts";
-import { ranBeside, strengthOf, TrialDesk } from "./trial_desk.ts";
+import { ranBeside, strengthOf, TrialLimiter } from "./trial_limiter.ts";
 
-describe(TrialDesk.name, () => {
+describe(TrialLimiter.name, () => {
   function doTest(
     deaths: number,
     strength: { sound: number; known: number },
     expected: boolean,
   ) {
     const request = { fingerprint: "f", service: "s", deaths };
-    const { isGranted, retryAfterMs } = new TrialDesk()
+    const { isGranted, retryAfterMs } = new TrialLimiter()
       .take(request, strength, 0);
     expect(isGranted).toBe(expected);
     expect(retryAfterMs > 0).toBe(!expected);
@@ -36,30 +36,30 @@
   });
 
   it("tries as many requests at a time as leave a target", () => {
-    const desk = new TrialDesk();
+    const limiter = new TrialLimiter();
     const strength = { sound: 2, known: 3 };
     const first = { fingerprint: "f", service: "s", deaths: 1 };
     const second = { ...first, fingerprint: "g" };
-    expect(desk.take(first, strength, 0).isGranted).toBe(true);
-    expect(desk.take(second, strength, 1).isGranted).toBe(false);
+    expect(limiter.take(first, strength, 0).isGranted).toBe(true);
+    expect(limiter.take(second, strength, 1).isGranted).toBe(false);
     const elsewhere = { ...second, service: "other" };
-    expect(desk.take(elsewhere, strength, 1).isGranted).toBe(true);
-    desk.end(second);
-    expect(desk.take(second, strength, 1).isGranted).toBe(false);
-    desk.end(first);
-    expect(desk.take(second, strength, 1).isGranted).toBe(true);
+    expect(limiter.take(elsewhere, strength, 1).isGranted).toBe(true);
+    limiter.end(second);
+    expect(limiter.take(second, strength, 1).isGranted).toBe(false);
+    limiter.end(first);
+    expect(limiter.take(second, strength, 1).isGranted).toBe(true);
     const third = { ...first, fingerprint: "h" };
-    expect(desk.take(third, strength, 1).isGranted).toBe(false);
-    expect(desk.take(third, { sound: 3, known: 3 }, 1).isGranted).toBe(true);
+    expect(limiter.take(third, strength, 1).isGranted).toBe(false);
+    expect(limiter.take(third, { sound: 3, known: 3 }, 1).isGranted).toBe(true);
   });
 
   it("waits for no trial whose end is not told", () => {
-    const desk = new TrialDesk();
+    const limiter = new TrialLimiter();
     const strength = { sound: 3, known: 3 };
     const first = { fingerprint: "f", service: "s", deaths: 1 };
-    desk.take(first, strength, 0);
+    limiter.take(first, strength, 0);
     const second = { ...first, fingerprint: "g" };
-    expect(desk.take(second, strength, 1_000).isGranted).toBe(true);
+    expect(limiter.take(second, strength, 1_000).isGranted).toBe(true);
   });
 });
 
--- a/src/tasks/fleet/control_task.ts
+++ b/src/tasks/fleet/control_task.ts
@@ -11,12 +11,12 @@
 import { DEMAND_METHOD } from "../batches/mod.ts";
 import { CapacityScaler } from "./capacity_scaler.ts";
 import { OrderLease } from "./order_lease.ts";
-import type { EvacuationDesk } from "./evacuation_desk.ts";
+import type { EvacuationService } from "./evacuation_service.ts";
 import { FleetControl } from "./fleet_control.ts";
 import { LedgerFormation } from "./ledger_formation.ts";
 import type { FleetNode } from "./fleet_node.ts";
 import type { OrderPort, ReceiverPort } from "./order_port.ts";
-import { RetirementDesk } from "./retirement_desk.ts";
+import { RetirementService } from "./retirement_service.ts";
 import { UsageReporter } from "./usage_reporter.ts";
 import { WeightsRollout } from "./weights_rollout.ts";
 
@@ -44,7 +44,7 @@
   readonly #usageReporter: UsageReporter | undefined;
   readonly #scaler: CapacityScaler | undefined;
   readonly #formation: LedgerFormation;
-  readonly #retirements: RetirementDesk;
+  readonly #retirements: RetirementService;
   #formTimer: NodeJS.Timeout | undefined;
 
   constructor(options: ControlTaskOptions) {
@@ -62,7 +62,7 @@
       control: this.#control,
       now: () => clock.now(),
     });
-    this.#retirements = new RetirementDesk({ node, control: this.#control });
+    this.#retirements = new RetirementService({ node, control: this.#control });
     const lease = this.#createLease();
     this.#rollout = this.#createRollout(lease);
     this.#usageReporter = this.#createReporter(lease);
@@ -89,7 +89,7 @@
   }
 
   /** Receives the operators' orders to evacuate data centres. */
-  get evacuations(): EvacuationDesk {
+  get evacuations(): EvacuationService {
     return this.#control.evacuations;
   }
 
--- a/src/tasks/fleet/evacuation_desk.ts
+++ b/src/tasks/fleet/evacuation_service.ts
@@ -18,8 +18,8 @@
 import type { FleetNode } from "./fleet_node.ts";
 import type { FleetPublisher } from "./fleet_publisher.ts";
 
-/** Options of {@link EvacuationDesk}. */
-export interface EvacuationDeskOptions {
+/** Options of {@link EvacuationService}. */
+export interface EvacuationServiceOptions {
   readonly node: Pick<
     FleetNode,
     "settings" | "roster" | "now" | "logger" | "metrics"
@@ -46,11 +46,11 @@
 const RETRY_DELAY_MS = 60;
 
 /** Commits the orders; a repeated order is committed as one without effect. */
-export class EvacuationDesk {
-  readonly #options: EvacuationDeskOptions;
+export class EvacuationService {
+  readonly #options: EvacuationServiceOptions;
   readonly #watch: EvacuationWatch;
 
-  constructor(options: EvacuationDeskOptions) {
+  constructor(options: EvacuationServiceOptions) {
     this.#options = options;
     // A control instance sends to targets only while it leads, and it leads
     // only after it has applied all committed commands.
--- a/src/tasks/fleet/evacuation_desk_test.ts
+++ b/src/tasks/fleet/evacuation_service_test.ts
@@ -15,12 +15,15 @@
 } from "../../core/verdict/mod.ts";
 import { Logger } from "../../logging/mod.ts";
 import { Metrics } from "../../metrics/mod.ts";
-import { EvacuationDesk, type EvacuationOrder } from "./evacuation_desk.ts";
+import {
+  type EvacuationOrder,
+  EvacuationService,
+} from "./evacuation_service.ts";
 
 const unavailable = (verdict: Verdict) =>
   new RefusalError(RefusalReason.ControlUnavailable, verdict);
 
-describe(EvacuationDesk.name, () => {
+describe(EvacuationService.name, () => {
   /** Gets the evacuated data centres, or the reason of the refusal. */
   async function doTest(
     options: {
@@ -45,7 +48,7 @@
       dataCentre: "m",
       leadsTerm: undefined,
     }], 0);
-    const desk = new EvacuationDesk({
+    const service = new EvacuationService({
       node: {
         settings: { dataCentre: "own", regions: options.regions } as never,
         roster,
@@ -71,7 +74,7 @@
       isAwaited: () => true,
       ...options.order,
     } as const;
-    const refusal = await desk.order(order)
+    const refusal = await service.order(order)
       .then(() => undefined, (err) => err as RefusalError);
     const seen = refusal?.reason ?? [...leader.evacuations.dataCentres];
     expect(seen).toEqual(expected);
--- a/src/tasks/fleet/fleet_control.ts
+++ b/src/tasks/fleet/fleet_control.ts
@@ -11,7 +11,7 @@
 import { TargetRegistry } from "../../core/registry/mod.ts";
 import { LogStore } from "../log/mod.ts";
 import { ControlRequests } from "./control_requests.ts";
-import { EvacuationDesk } from "./evacuation_desk.ts";
+import { EvacuationService } from "./evacuation_service.ts";
 import type { FleetNode } from "./fleet_node.ts";
 import { serveRelays } from "./relay_directory.ts";
 import { FleetPublisher } from "./fleet_publisher.ts";
@@ -21,7 +21,7 @@
   type FleetLogService,
 } from "./fleet_log_service.ts";
 import { PermitService } from "./permit_service.ts";
-import { StreamDesk } from "./stream_desk.ts";
+import { StreamService } from "./stream_service.ts";
 import { TargetDirectory } from "./target_directory.ts";
 import { TrialService } from "./trial_service.ts";
 
@@ -47,7 +47,7 @@
   /** Targets that have registered with this or another control instance. */
   readonly targets: TargetDirectory;
   /** Receives the operators' orders to evacuate data centres. */
-  readonly evacuations: EvacuationDesk;
+  readonly evacuations: EvacuationService;
   readonly #options: FleetControlOptions;
   readonly #service: FleetLogService;
   readonly #requests: ControlRequests;
@@ -68,7 +68,7 @@
       leadsTerm: () => this.leadsTerm,
       now: options.now,
     });
-    this.evacuations = new EvacuationDesk({
+    this.evacuations = new EvacuationService({
       node,
       registry,
       publisher: this.#publisher,
@@ -79,7 +79,7 @@
     node
       .onLog(FLEET_LOG, (message) => this.#service.receive(message as never));
     serveRelays(node, () => this.state.policy);
-    new StreamDesk(node);
+    new StreamService(node);
     const leading = {
       node,
       leadsTerm: () => this.leadsTerm,
--- a/src/tasks/fleet/permit_service.ts
+++ b/src/tasks/fleet/permit_service.ts
@@ -2,7 +2,7 @@
 import {
   COLD_BURST,
   type LimitedTarget,
-  PermitDesk,
+  PermitIssuer,
   type PermitReply,
   type PermitRequest,
 } from "../../core/limits/mod.ts";
@@ -41,13 +41,13 @@
 /** Serves the other instances' requests for permits. */
 export class PermitService {
   readonly #options: PermitServiceOptions;
-  readonly #desk: PermitDesk;
+  readonly #issuer: PermitIssuer;
   readonly #cold: ColdTargets;
 
   /** Creates the service and registers its peer method. */
   constructor(options: PermitServiceOptions) {
     this.#options = options;
-    this.#desk = new PermitDesk({ maxTargets: options.maxTargets });
+    this.#issuer = new PermitIssuer({ maxTargets: options.maxTargets });
     const { node, registry, now } = options;
     const policy = new CurrentPolicy(options.policy);
     this.#cold = new ColdTargets({
@@ -73,7 +73,7 @@
     const { leadsTerm, now } = this.#options;
     if (leadsTerm() !== undefined) {
       const targets = request.targets.flatMap((k) => this.#limit(k));
-      return this.#desk.grant({ ...request, targets }, now());
+      return this.#issuer.grant({ ...request, targets }, now());
     }
     throw new RefusalError(RefusalReason.ControlUnavailable, Verdict.NotRun);
   }
--- a/src/tasks/fleet/retirement_desk.ts
+++ b/src/tasks/fleet/retirement_service.ts
@@ -9,8 +9,8 @@
 import type { FleetControl } from "./fleet_control.ts";
 import type { FleetNode } from "./fleet_node.ts";
 
-/** Options of {@link RetirementDesk}. */
-export interface RetirementDeskOptions {
+/** Options of {@link RetirementService}. */
+export interface RetirementServiceOptions {
   readonly node: FleetNode;
   readonly control: FleetControl;
 }
@@ -18,10 +18,10 @@
 const HOLDERS_TIMEOUT_MS = 800;
 
 /** Begins retirements, and records when they are complete. */
-export class RetirementDesk {
-  readonly #options: RetirementDeskOptions;
+export class RetirementService {
+  readonly #options: RetirementServiceOptions;
 
-  constructor(options: RetirementDeskOptions) {
+  constructor(options: RetirementServiceOptions) {
     this.#options = options;
   }
 
--- a/src/tasks/fleet/stream_records_test.ts
+++ b/src/tasks/fleet/stream_records_test.ts
@@ -7,7 +7,7 @@
 import { Metrics } from "../../metrics/mod.ts";
 import { FleetMethod } from "./fleet_method.ts";
 import type { FleetNode } from "./fleet_node.ts";
-import { StreamDesk } from "./stream_desk.ts";
+import { StreamService } from "./stream_service.ts";
 import { StreamRecords } from "./stream_records.ts";
 
 type Handler = (params: unknown, from: string) => unknown;
@@ -62,7 +62,9 @@
   /** Starts control instances that know nothing, each linked to all others. */
   startControls(): void {
     for (const id of CONTROLS) {
-      new StreamDesk(this.createNode(id, CONTROLS.filter((one) => one !== id)));
+      new StreamService(
+        this.createNode(id, CONTROLS.filter((one) => one !== id)),
+      );
     }
   }
 
--- a/src/tasks/fleet/stream_desk.ts
+++ b/src/tasks/fleet/stream_service.ts
@@ -16,8 +16,8 @@
  */
 const JOIN_MS = 6_000;
 
-/** Node of the control instance that a {@link StreamDesk} serves. */
-export type StreamDeskNode = Pick<
+/** Node of the control instance that a {@link StreamService} serves. */
+export type StreamServiceNode = Pick<
   FleetNode,
   "hub" | "linkedMembers" | "now" | "roster" | "settings"
 >;
@@ -26,13 +26,13 @@
  * Serves {@link StreamRecords} of other instances. An instance records a stream
  * at a few control instances only, so one that does not know it asks the others.
  */
-export class StreamDesk {
-  readonly #node: StreamDeskNode;
+export class StreamService {
+  readonly #node: StreamServiceNode;
   readonly #streams: StreamDirectory;
   readonly #startedAt: number;
 
-  /** Creates the desk and registers its peer methods. */
-  constructor(node: StreamDeskNode) {
+  /** Creates the service and registers its peer methods. */
+  constructor(node: StreamServiceNode) {
     this.#node = node;
     this.#startedAt = node.now;
     this.#streams = new StreamDirectory({ now: () => node.now });
--- a/src/tasks/fleet/target_limiter.ts
+++ b/src/tasks/fleet/target_limiter.ts
@@ -5,7 +5,7 @@
   COLD_BURST,
   type LimitedTarget,
   PERMIT_MAX_AGE_MS,
-  PermitDesk,
+  PermitIssuer,
   type PermitReply,
   type PermitRequest,
   PermitStore,
@@ -70,7 +70,7 @@
 export class TargetLimiter implements RateGuard {
   readonly #options: TargetLimiterOptions;
   /** Grants this instance's share while no leader is reached. */
-  readonly #ownDesk: PermitDesk;
+  readonly #ownIssuer: PermitIssuer;
   readonly #stored = new PermitStore();
   readonly #shares: LRUCache<string, KnownShare>;
   #isFetching = false;
@@ -79,7 +79,7 @@
   constructor(options: TargetLimiterOptions) {
     this.#options = options;
     const { maxTargets = DEFAULT_MAX_TARGETS } = options;
-    this.#ownDesk = new PermitDesk({ maxTargets });
+    this.#ownIssuer = new PermitIssuer({ maxTargets });
     this.#shares = new LRUCache({ max: maxTargets });
   }
 
@@ -192,7 +192,7 @@
     }
     const shares = asking.targets
       .flatMap((k) => this.#shareOf(k, asking.hasOther(k)));
-    return this.#ownDesk.grant({ ...request, targets: shares }, now());
+    return this.#ownIssuer.grant({ ...request, targets: shares }, now());
   }
 
   #toLimited(target: TargetReport): LimitedTarget[] {
--- a/src/tasks/fleet/trial_service.ts
+++ b/src/tasks/fleet/trial_service.ts
@@ -5,7 +5,7 @@
   GRANTED_TRIAL,
   ranBeside,
   strengthOf,
-  TrialDesk,
+  TrialLimiter,
   type TrialReply,
   type TrialRequest,
 } from "../../core/quarantine/mod.ts";
@@ -33,7 +33,7 @@
 /** Serves the entry instances' requests for trials. */
 export class TrialService {
   readonly #options: TrialServiceOptions;
-  readonly #desk = new TrialDesk();
+  readonly #limiter = new TrialLimiter();
 
   /** Creates the service and registers its peer methods. */
   constructor(options: TrialServiceOptions) {
@@ -44,7 +44,7 @@
         (params) => this.#take(params as TrialRequest),
       )
       .handle(FleetMethod.EndTrial, (params) => {
-        this.#desk.end(params as EndedTrial);
+        this.#limiter.end(params as EndedTrial);
         return true;
       });
   }
@@ -65,6 +65,6 @@
       now: now(),
       wallNow: Date.now(),
     });
-    return this.#desk.take(request, strength, now());
+    return this.#limiter.take(request, strength, now());
   }
 }
--- a/tests/support/target_limiter.ts
+++ b/tests/support/target_limiter.ts
@@ -1,5 +1,5 @@
 /** Limiter of targets for tests without a fleet. */
-import { PermitDesk, type PermitRequest } from "../../src/core/limits/mod.ts";
+import { PermitIssuer, type PermitRequest } from "../../src/core/limits/mod.ts";
 import type { TargetRegistry } from "../../src/core/registry/mod.ts";
 import { Logger } from "../../src/logging/mod.ts";
 import type { ServicePolicy } from "../../src/core/policy/mod.ts";
@@ -23,7 +23,7 @@
   registry: TargetRegistry,
   options: TestLimiterOptions = {},
 ): TargetLimiter {
-  const desk = new PermitDesk();
+  const issuer = new PermitIssuer();
   const {
     now = () => performance.now(),
     getService = () => undefined,
@@ -43,7 +43,7 @@
       senders,
       requestLeader: (_role, _method, { params }) =>
         hasLeader()
-          ? Promise.resolve(desk.grant(params as PermitRequest, now()))
+          ? Promise.resolve(issuer.grant(params as PermitRequest, now()))
           : Promise.reject(new Error("No leader")),
     },
   });
