Admission, retries and the table of requests leave the dispatcher

Change: Admission refuses new requests and keeps the limits of workspaces; RetryPlanner decides whether and when a failed attempt is repeated; RequestTable keeps requests by item, delay and deadline. The dispatcher keeps its interface and effects, in their order.

Ruled out: sharing createRefusal with later refusals, which carry the verdict of the attempts made.

--- a/src/core/dispatch/dispatcher.ts
+++ b/src/core/dispatch/dispatcher.ts
@@ -1,13 +1,11 @@
 /** Admission, queueing, placement and retries of requests. */
-import TinyQueue from "tinyqueue";
 import type { LimitSettings } from "../configuration/mod.ts";
-import { type AdaptiveWindowOptions, WorkspaceLimits } from "../limits/mod.ts";
+import type { AdaptiveWindowOptions } from "../limits/mod.ts";
 import {
   Quarantine,
   Suspicion,
   type SuspicionChange,
 } from "../quarantine/mod.ts";
-import { backoffMs, decideRetry, isRetry } from "../retry/mod.ts";
 import {
   type CacheEvent,
   type LoadReport,
@@ -21,9 +19,11 @@
 import { RefusalReason, Verdict } from "../verdict/mod.ts";
 import type { AttemptOutcome, DispatchEffect } from "./attempt.ts";
 import { ActiveRequest } from "./active_request.ts";
+import { Admission, NO_TARGET_RETRY_MS } from "./admission.ts";
 import { Placement } from "./placement.ts";
 import { Pool } from "./pool.ts";
-import { RetryBudgets } from "./retry_budgets.ts";
+import { RequestTable } from "./request_table.ts";
+import { type FailedOutcome, RetryPlanner } from "./retry_planner.ts";
 import { type WorkItem, WorkKind } from "./work_item.ts";
 
 /** Options of {@link Dispatcher}. */
@@ -49,14 +49,6 @@
   readonly limitShare?: () => number;
 }
 
-type FailedOutcome = Extract<AttemptOutcome, { type: "failed" }>;
-
-/** Maximum number of queued requests of a workspace without a limit. */
-const DEFAULT_QUEUE_LENGTH = 1_000;
-/** Retry delay if a pool has no target, and of refusals without their own. */
-const NO_TARGET_RETRY_MS = 1_000;
-/** Maximum retry delay of refusals by load. */
-const MAX_RETRY_AFTER_MS = 30_000;
 /** Time that a queued call waits for a pool that has lost all its targets. */
 const NO_TARGET_WAIT_MS = 2_000;
 
@@ -79,26 +71,28 @@
   readonly quarantine = new Quarantine();
   readonly #options: DispatcherOptions;
   readonly #pools = new Map<string, Pool>();
-  readonly #requests = new Map<string, ActiveRequest>();
-  readonly #delayed = new Set<ActiveRequest>();
-  readonly #deadlines = new TinyQueue<ActiveRequest>(
-    [],
-    (a, b) => a.item.deadline - b.item.deadline,
-  );
-  readonly #limits = new Map<string, WorkspaceLimits>();
-  readonly #budgets = new RetryBudgets();
+  readonly #requests = new RequestTable();
+  readonly #retries: RetryPlanner;
   readonly #placement: Placement;
-  #isClosed = false;
+  readonly #admission: Admission;
 
   /** Creates a dispatcher without targets. */
   constructor(options: DispatcherOptions) {
     this.#options = options;
+    this.#retries = new RetryPlanner(() => options.random());
     this.targets = new TargetTable(options.window);
     this.#placement = new Placement({
       ...options,
       targets: this.targets,
       quarantine: this.quarantine,
     });
+    this.#admission = new Admission({
+      targets: this.targets,
+      quarantine: this.quarantine,
+      getPool: (id) => this.getPool(id),
+      getLimits: (workspace) => options.getLimits(workspace),
+      limitShare: () => options.limitShare?.() ?? 1,
+    });
   }
 
   /** Gets the number of requests that are queued, delayed or running. */
@@ -122,18 +116,13 @@
 
   /** Refuses all new requests from now on, for a graceful shutdown. */
   close(): this {
-    this.#isClosed = true;
+    this.#admission.close();
     return this;
   }
 
   /** Applies changed workspace limits to the existing limiters. */
   reconfigure(): this {
-    for (const [workspace, limits] of this.#limits) {
-      limits.configure(
-        this.#options.getLimits(workspace),
-        this.#limitOptions(),
-      );
-    }
+    this.#admission.reconfigure();
     return this;
   }
 
@@ -142,11 +131,10 @@
    * fingerprint is quarantined.
    */
   submit(item: WorkItem, now: number): DispatchEffect[] {
-    const refusal = this.#refusalOf(item, now);
+    const refusal = this.#admission.refusalOf(item, now);
     if (refusal !== undefined) return [refusal];
     const request = new ActiveRequest(item, now);
-    this.#requests.set(item.id, request);
-    if (item.deadline !== Infinity) this.#deadlines.push(request);
+    this.#requests.add(request);
     this.getPool(item.pool).add(item, now);
     return this.#placeQueued(item.pool, now);
   }
@@ -296,11 +284,8 @@
     if (suspicion === Suspicion.Clear) return [];
     this.#placement.onSuspect(fingerprint);
     if (suspicion !== Suspicion.Proven) return [];
-    const waiting = [...this.#requests.values()].filter((request) =>
-      request.targetId === undefined &&
-      request.item.fingerprint === fingerprint &&
-      this.#isQuarantined(request.item)
-    );
+    const waiting = this.#requests.waitingWith(fingerprint)
+      .filter((request) => this.#admission.isQuarantined(request.item));
     return waiting.map((request) => {
       request.addVerdict(Verdict.Ran);
       return this.#refuse(request, RefusalReason.Quarantined, now);
@@ -312,67 +297,18 @@
    * passed, and places queued requests. Must be called periodically.
    */
   tick(now: number): DispatchEffect[] {
-    for (const request of [...this.#delayed]) {
-      if (request.notBefore > now) continue;
-      this.#delayed.delete(request);
+    for (const request of this.#requests.takeDue(now)) {
       this.getPool(request.item.pool).add(request.item, now, { isRetry: true });
     }
     return [
-      ...this.#refuseOverdue(now),
+      ...[...this.#requests.takeOverdue(now)].map((request) =>
+        this.#refuse(request, RefusalReason.DeadlinePassed, now)
+      ),
       ...this.#refuseWithoutTarget(now),
       ...this.#placeQueuedInAll([...this.#pools.keys()], now),
     ];
   }
 
-  #refusalOf(item: WorkItem, now: number): DispatchEffect | undefined {
-    if (this.#isClosed) {
-      return createRefusal(
-        item,
-        RefusalReason.ShuttingDown,
-        NO_TARGET_RETRY_MS,
-      );
-    }
-    if (this.#isQuarantined(item)) {
-      return {
-        type: "refuse",
-        item,
-        reason: RefusalReason.Quarantined,
-        verdict: Verdict.Ran,
-      };
-    }
-    if (item.kind === WorkKind.Sample) return undefined;
-    return this.#refusalByLoad(item, now) ?? this.#refusalByLimit(item, now);
-  }
-
-  /** Gets whether a request is refused; a sample is owed in any case. */
-  #isQuarantined({ kind, fingerprint }: WorkItem): boolean {
-    return kind !== WorkKind.Sample &&
-      this.quarantine.suspicionOf(fingerprint) === Suspicion.Proven;
-  }
-
-  #refusalByLoad(item: WorkItem, now: number): DispatchEffect | undefined {
-    if (!this.#hasTargetFor(item.pool)) {
-      return createRefusal(item, RefusalReason.NoTarget, NO_TARGET_RETRY_MS);
-    }
-    const pool = this.getPool(item.pool);
-    const limits = this.#options.getLimits(item.workspace);
-    const queued = pool.queue.sizeOf(item.workspace);
-    const waitMs = pool.expectedWaitMs(item, now);
-    const retryAfterMs = Math.min(MAX_RETRY_AFTER_MS, Math.max(100, waitMs));
-    if (queued >= (limits.queue ?? DEFAULT_QUEUE_LENGTH)) {
-      return createRefusal(item, RefusalReason.QueueFull, retryAfterMs);
-    }
-    if (waitMs <= pool.allowedWaitMs(item, now)) return undefined;
-    return createRefusal(item, RefusalReason.DeadlineUnreachable, retryAfterMs);
-  }
-
-  #refusalByLimit(item: WorkItem, now: number): DispatchEffect | undefined {
-    const limits = this.#limitsOf(item.workspace);
-    const exceeded = limits.admit(item.tokens, now);
-    if (exceeded === undefined) return undefined;
-    return createRefusal(item, exceeded.reason, exceeded.retryAfterMs);
-  }
-
   #placeQueuedInAll(pools: readonly string[], now: number): DispatchEffect[] {
     return pools.flatMap((pool) => this.#placeQueued(pool, now));
   }
@@ -478,7 +414,7 @@
     const pool = this.getPool(request.item.pool).onTokens(tokens, now);
     pool.serviceTimes.add(durationMs);
     const { workspace } = request.item;
-    this.#budgets.onSuccess({ workspace, targetId: target?.id ?? "" });
+    this.#retries.onSuccess({ workspace, targetId: target?.id ?? "" });
     this.#endRequest(request, { tokens, now });
     const change = this.quarantine.onFinished(request.item.fingerprint);
     return change === undefined ? [] : [{ type: "suspect", change }];
@@ -491,48 +427,26 @@
   ): DispatchEffect[] {
     const { item } = request;
     request.addVerdict(outcome.verdict);
-    if (this.#isQuarantined(item)) {
+    if (this.#admission.isQuarantined(item)) {
       request.addVerdict(Verdict.Ran);
       return [this.#refuse(request, RefusalReason.Quarantined, now)];
     }
-    const decision = decideRetry({
-      verdict: request.verdict,
-      idempotent: item.idempotent,
-      hasResponded: outcome.hasResponded,
-      attempts: request.attempts,
-      maxAttempts: item.maxAttempts,
-    });
-    if (!isRetry(decision)) return [this.#refuse(request, outcome.reason, now)];
-    const isBudgetExempt = item.kind === WorkKind.Sample;
-    const targetId = [...request.failedTargets].at(-1) ?? "";
-    const owners = { workspace: item.workspace, targetId };
-    if (!isBudgetExempt && !this.#budgets.trySpend(owners)) {
-      const reason = RefusalReason.RetryBudgetSpent;
-      return [this.#refuse(request, reason, now)];
+    const plan = this.#retries.plan(request, outcome, now);
+    if (plan.type === "refuse") {
+      return [this.#refuse(request, plan.reason, now)];
     }
-    const delayMs = backoffMs(request.attempts, this.#options.random());
-    request.notBefore = now + Math.max(delayMs, outcome.retryAfterMs ?? 0);
-    this.#delayed.add(request);
+    const { notBefore, decision } = plan;
+    request.notBefore = notBefore;
+    this.#requests.delay(request);
     return [{ type: "retry", item, reason: outcome.reason, decision }];
   }
 
-  #refuseOverdue(now: number): DispatchEffect[] {
-    const effects: DispatchEffect[] = [];
-    while ((this.#deadlines.peek()?.item.deadline ?? Infinity) <= now) {
-      const request = this.#deadlines.pop();
-      if (request === undefined) break;
-      const isWaiting = this.#requests.get(request.item.id) === request &&
-        request.targetId === undefined;
-      if (!isWaiting) continue;
-      effects.push(this.#refuse(request, RefusalReason.DeadlinePassed, now));
-    }
-    return effects;
-  }
-
   #refuseWithoutTarget(now: number): DispatchEffect[] {
     const effects: DispatchEffect[] = [];
     for (const [poolId, pool] of this.#pools) {
-      if (pool.queue.size === 0 || this.#hasTargetFor(poolId)) continue;
+      if (pool.queue.size === 0 || this.#admission.hasTargetFor(poolId)) {
+        continue;
+      }
       for (const item of [...pool.queue.entries()]) {
         const request = this.#requests.get(item.id);
         if (request === undefined || item.kind === WorkKind.Sample) continue;
@@ -543,13 +457,6 @@
     return effects;
   }
 
-  #hasTargetFor(poolId: string): boolean {
-    for (const target of this.targets.inPool(poolId)) {
-      if (target.mayServe()) return true;
-    }
-    return false;
-  }
-
   #refuse(
     request: ActiveRequest,
     reason: RefusalReason,
@@ -572,42 +479,12 @@
   ): void {
     const { item } = request;
     this.#placement.unreserve(item.id);
-    this.#requests.delete(item.id);
-    this.#delayed.delete(request);
+    this.#requests.remove(request);
     this.getPool(item.pool).queue.correct(
       item.workspace,
       item.cost * request.attempts,
       options.tokens,
     );
-    if (item.kind === WorkKind.Sample) return;
-    this.#limitsOf(item.workspace)
-      .release(item.tokens, options.tokens, options.now);
-  }
-
-  #limitsOf(workspace: string): WorkspaceLimits {
-    let limits = this.#limits.get(workspace);
-    if (limits !== undefined) return limits;
-    const settings = this.#options.getLimits(workspace);
-    limits = new WorkspaceLimits(settings, this.#limitOptions());
-    this.#limits.set(workspace, limits);
-    return limits;
+    this.#admission.release(item, options.tokens, options.now);
   }
-
-  #limitOptions(): { share: number } {
-    return { share: this.#options.limitShare?.() ?? 1 };
-  }
-}
-
-function createRefusal(
-  item: WorkItem,
-  reason: RefusalReason,
-  retryAfterMs: number,
-): DispatchEffect {
-  return {
-    type: "refuse",
-    item,
-    reason,
-    verdict: Verdict.NotRun,
-    retryAfterMs,
-  };
 }
