--- a/src/core/quarantine/open_deaths.ts
+++ b/src/core/quarantine/open_deaths.ts
@@ -1,7 +1,7 @@
 /** Targets of which it is not known yet whether they ended under a request. */
 import type { RegisteredTarget, TargetReport } from "../registry/mod.ts";
 import type { SuspicionChange } from "./quarantine.ts";
-import { targetNameOf, type TrialRequest } from "./trial_desk.ts";
+import { targetNameOf, type TrialRequest } from "./trial_limiter.ts";
 
 /**
  * Tracks broken connections while it is being found out whether their target has
