No pace is kept of a target whose events always come together

Cause: such a target has a long-run pace of 0 ms, and estimates in times per event are then not finite. Receivers reject a message or file as a whole for one malformed record, so no pace at all would have been kept.

Evidence: pace_memory_test.ts, 'keeps no pace of a target whose events always come together'.

--- a/src/core/batches/pace_memory.ts
+++ b/src/core/batches/pace_memory.ts
@@ -67,12 +67,15 @@
     this.#prune(clock);
     if (!this.#acceptTerm(message.term, clock)) return this;
     for (const record of message.targets) {
+      // Events that always come together show no pace.
+      if (!(record.paceMs > 0)) continue;
       const kept = this.#targets.get(record.id);
       const isChanged = isChangedPace(record, kept?.record);
       if (!isDue(record, kept, clock) && !isChanged) continue;
       this.#keep(this.#targets, record.id, record, clock);
     }
     for (const record of message.services) {
+      if (!ratiosOf(record).every(Number.isFinite)) continue;
       const kept = this.#services.get(record.service);
       if (!isBetterEstimate(record, kept?.record)) continue;
       const isChanged = isChangedEstimate(record, kept?.record);
--- a/src/core/batches/pace_memory_test.ts
+++ b/src/core/batches/pace_memory_test.ts
@@ -26,6 +26,12 @@
     expect(paces(memory, clock(4_000), revision)).toEqual([22]);
   });
 
+  // Failure: other instances reject a message for one record of it.
+  it("keeps no pace of a target whose events always come together", () => {
+    const memory = new PaceMemory().update(message(0), clock(0));
+    expect(memory.revision).toBe(0);
+  });
+
   // Failure: an unchanged pace grows too old at the other instances.
   it("renews a pace that is measured still, and no other", () => {
     const memory = new PaceMemory().update(message(20), clock(0));
