Split the shared state off the batch runner

Change: RunnerState holds that state, the paces to save and load, and what a stop clears. Callers of BatchRunner see no change; runs are still cancelled before the scorer stops.

--- a/src/tasks/batches/batch_runner.ts
+++ b/src/tasks/batches/batch_runner.ts
@@ -1,18 +1,11 @@
 /** Runs the items of open batches at targets while this replica leads. */
 import {
   type BatchState,
-  DataCentreReach,
   DemandMeter,
-  ItemTracker,
   type KnownPaces,
   type PartialTextRecord,
-  PendingLoads,
-  ProcessLag,
-  PromptLocations,
-  RunEstimator,
   type ServiceDemand,
   StartPacer,
-  TargetPace,
 } from "../../core/batches/mod.ts";
 import {
   type LoadedVersion,
@@ -37,7 +30,7 @@
 import { RunFailureHandler } from "./run_failure_handler.ts";
 import { RunLearner } from "./run_learner.ts";
 import { RunMover } from "./run_mover.ts";
-import { RunTable } from "./run_table.ts";
+import { RunnerState } from "./runner_state.ts";
 
 /** Options of {@link BatchRunner}. */
 export interface BatchRunnerOptions extends ResultWriterOptions {
@@ -65,21 +58,15 @@
 }
 
 const TICK_INTERVAL_MS = 50;
+
 /** Places and moves runs and stores results, on the ledger's leader only. */
 export class BatchRunner implements ItemRunListener {
   /** Decides on batches that are submitted. */
   readonly admission: AdmissionGate;
   readonly #options: BatchRunnerOptions;
-  readonly #runs = new RunTable();
+  readonly #runnerState = new RunnerState(TICK_INTERVAL_MS);
   readonly #results: ResultWriter;
-  readonly #itemTracker = new ItemTracker();
   readonly #demandMeter = new DemandMeter();
-  readonly #targetPace = new TargetPace();
-  readonly #estimator = new RunEstimator();
-  readonly #prompts = new PromptLocations();
-  readonly #loads = new PendingLoads();
-  readonly #reach = new DataCentreReach();
-  readonly #lag = new ProcessLag(TICK_INTERVAL_MS);
   readonly #pacer = new StartPacer(TICK_INTERVAL_MS);
   readonly #scorer: ItemScorer;
   readonly #mover: RunMover;
@@ -89,7 +76,7 @@
   readonly #failures: RunFailureHandler;
   readonly #partialTexts: PartialTextWriter;
   readonly #scheduler: PlacementScheduler;
-  /** Identifiers and addresses of the targets whose state is kept. */
+  /** Identifiers and addresses of the targets whose state is kept, joined. */
   #places: string | undefined;
   #timer: NodeJS.Timeout | undefined;
 
@@ -113,14 +100,7 @@
     });
     const shared = {
       ...options,
-      runs: this.#runs,
-      itemTracker: this.#itemTracker,
-      targetPace: this.#targetPace,
-      estimator: this.#estimator,
-      prompts: this.#prompts,
-      loads: this.#loads,
-      reach: this.#reach,
-      lag: this.#lag,
+      ...this.#runnerState,
       results: this.#results,
       scorer: this.#scorer,
       createPlacer: (now: number) => this.#createPlacer(now),
@@ -154,7 +134,7 @@
     if (this.#timer === undefined) {
       this.#pacer.reset();
       this.admission.start();
-      this.#lag.reset().onTick(this.#options.now());
+      this.#runnerState.lag.reset().onTick(this.#options.now());
     }
     this.#timer ??= setInterval(() => this.#tick(), TICK_INTERVAL_MS);
     this.schedulePlacement();
@@ -166,25 +146,20 @@
     clearInterval(this.#timer);
     this.#timer = undefined;
     this.admission.stop();
-    this.#runs.cancelAll();
+    this.#runnerState.clear();
     this.#scorer.stop();
     this.#results.clear();
-    this.#itemTracker.clear();
-    this.#prompts.clear();
-    this.#reach.clear();
     return this;
   }
 
   /** Gets what this leader has learnt of targets and services. */
   savePaces(): KnownPaces {
-    const targets = this.#targetPace.save(this.#options.now());
-    return { targets, services: this.#estimator.save() };
+    return this.#runnerState.savePaces(this.#options.now());
   }
 
   /** Takes over what other leaders have learnt since. */
-  loadPaces({ targets, services }: KnownPaces): this {
-    this.#targetPace.load(targets, this.#options.now());
-    this.#estimator.load(services);
+  loadPaces(paces: KnownPaces): this {
+    this.#runnerState.loadPaces(paces, this.#options.now());
     return this;
   }
 
@@ -196,8 +171,9 @@
   #sampleDemand(): void {
     const { metrics, state } = this.#options;
     const open = this.#demandMeter.sample(state().all);
-    metrics.gauge("items.running", this.#runs.size);
-    metrics.gauge("items.waiting", Math.max(0, open - this.#runs.size));
+    const running = this.#runnerState.runs.size;
+    metrics.gauge("items.running", running);
+    metrics.gauge("items.waiting", Math.max(0, open - running));
   }
 
   /**
@@ -210,11 +186,12 @@
 
   /** Cancels the runs of a batch that has ended, keeping their texts. */
   onBatchEnded(batch: string): this {
-    for (const run of this.#runs.all) {
+    const { runs, itemTracker } = this.#runnerState;
+    for (const run of runs.all) {
       if (run.record.spec.id !== batch) continue;
-      this.#itemTracker.savePartialText(run, run.text);
+      itemTracker.savePartialText(run, run.text);
       run.cancel();
-      this.#runs.remove(run);
+      runs.remove(run);
     }
     this.#scorer.onBatchEnded(batch);
     this.schedulePlacement();
@@ -246,7 +223,7 @@
   }
 
   #keepOnly(present: readonly TargetReport[]): void {
-    this.#targetPace.keepOnly(new Set(present.map(({ id }) => id)));
+    this.#runnerState.targetPace.keepOnly(new Set(present.map(({ id }) => id)));
     this.#options.engines
       .closeIdleExcept(new Set(present.map(({ address }) => address)));
     this.#scorer.onTargetsChanged(present);
@@ -254,7 +231,7 @@
 
   /** Excludes a target from placement of a model while it loads its weights. */
   onLoadStarted(loading: LoadedVersion): void {
-    this.#loads.onOrdered(loading, this.#options.now());
+    this.#runnerState.loads.onOrdered(loading, this.#options.now());
   }
 
   /** Records the time in which a target has read a prompt. */
@@ -277,14 +254,14 @@
     const { metrics, now } = this.#options;
     metrics.timing("items.duration", now() - run.startedAt);
     this.#learner.onCompleted(run);
-    this.#runs.remove(run);
+    this.#runnerState.runs.remove(run);
     this.#results.complete(run);
     this.schedulePlacement();
   }
 
   /** Keeps the text of a failed run and decides whether the item is retried. */
   onFailed(run: ItemRun, failure: RunFailure, detail: string): void {
-    this.#runs.remove(run);
+    this.#runnerState.runs.remove(run);
     this.#failures.onFailed(run, failure, detail);
     this.schedulePlacement();
   }
@@ -300,7 +277,7 @@
     this.#mover.moveSlowRuns();
     this.#partialTexts.storeLongRuns();
     this.#overdue.abandon(Date.now());
-    this.#itemTracker.forget(this.#options.state().all);
+    this.#runnerState.itemTracker.forget(this.#options.state().all);
     this.#scorer.run();
     this.#scheduler.placeItems();
   }
@@ -310,13 +287,7 @@
     return new ItemPlacer({
       registry,
       limiter,
-      runs: this.#runs,
-      itemTracker: this.#itemTracker,
-      targetPace: this.#targetPace,
-      estimator: this.#estimator,
-      prompts: this.#prompts,
-      loads: this.#loads,
-      reach: this.#reach,
+      ...this.#runnerState,
       dataCentre,
       now,
       wallNow: Date.now(),
