Compare the priorities of batches in one place

Cause: item_order.ts and preceding_work.ts each had the priority of a batch without one and the comparison; a change of one alone would make admission count other work than the order of items puts first. Change: comparePriorities of batch_priority.ts. No change for callers. Evidence: npm run check; tests of src/core/batches and src/tasks/batches/admission_gate_test.ts pass.

--- a/src/core/batches/item_order.ts
+++ b/src/core/batches/item_order.ts
@@ -1,6 +1,7 @@
 /** Orders the waiting items of open batches. */
 import type { BatchItem, BatchPriority } from "./batch.ts";
 import type { BatchRecord } from "./batch_record.ts";
+import { comparePriorities } from "./batch_priority.ts";
 import { type BatchQueue, mergeByShares } from "./batch_shares.ts";
 
 /** An item that waits to be run. */
@@ -23,7 +24,7 @@
 interface OpenBatch extends Omit<BatchQueue, "rank"> {
   readonly dueAt: number;
   readonly isLate: boolean;
-  readonly priority: BatchPriority;
+  readonly priority: BatchPriority | undefined;
 }
 
 interface Group {
@@ -42,7 +43,6 @@
 export const CLOSE_MS = 1_000;
 /** Share of overdue items among those waiting from which room is short. */
 const SHORT_ROOM_SHARE = 0.1;
-const MOST_URGENT: BatchPriority = { workspace: 0, route: 0 };
 
 /**
  * Gets the waiting items in the order in which they should run.
@@ -102,8 +102,7 @@
 /** Compares what precedes the due times; a negative number if `a` does. */
 function compareUrgency(a: OpenBatch, b: OpenBatch): number {
   return Number(a.isLate) - Number(b.isLate) ||
-    a.priority.workspace - b.priority.workspace ||
-    a.priority.route - b.priority.route;
+    comparePriorities(a.priority, b.priority);
 }
 
 /** Gets whether a considerable share of the unfinished items is overdue. */
@@ -147,7 +146,7 @@
     runningItems,
     dueAt,
     isLate: input.now > dueAt,
-    priority: priority ?? MOST_URGENT,
+    priority,
   };
 }
 
--- a/src/core/batches/preceding_work.ts
+++ b/src/core/batches/preceding_work.ts
@@ -1,6 +1,7 @@
 /** Finds the work that a submitted batch would have to wait for. */
-import type { BatchItem, BatchPriority, BatchSpec } from "./batch.ts";
+import type { BatchItem, BatchSpec } from "./batch.ts";
 import type { PrecedingWork } from "./batch_admission.ts";
+import { comparePriorities } from "./batch_priority.ts";
 import type { BatchRecord } from "./batch_record.ts";
 import { CLOSE_MS } from "./item_order.ts";
 
@@ -18,8 +19,6 @@
   readonly placeOf: (record: BatchRecord) => BatchPlace;
 }
 
-const MOST_URGENT: BatchPriority = { workspace: 0, route: 0 };
-
 /**
  * Gets the work of the open batches that do not give way to a submitted one by
  * the order of items: those of a higher priority, and those of the same that are
@@ -39,7 +38,7 @@
     const other = record.spec;
     if (!record.isOpen || other.service !== spec.service) continue;
     const otherDueAt = other.acceptedAt + other.objectiveMs;
-    const difference = comparePriorities(other, spec);
+    const difference = comparePriorities(other.priority, spec.priority);
     if (difference > 0) continue;
     if (difference === 0 && otherDueAt > dueAt + CLOSE_MS) continue;
     preceding.push({
@@ -59,6 +58,11 @@
 /**
  * Gets the expected output of the groups that the caller of a batch still waits
  * for, in tokens; the shortest ones if it waits for some alone.
+ *
+ * @example
+ * ```ts
+ * wantedTokensOf(spec, { isRunnable: () => true, tokensOf: expectedLengthOf });
+ * ```
  */
 export function wantedTokensOf(
   { items, desiredGroups }: BatchSpec,
@@ -86,11 +90,3 @@
     .slice(0, wanted)
     .reduce((sum, tokens) => sum + tokens, 0);
 }
-
-/** Compares the priorities of two batches; negative if `a` is more urgent. */
-function comparePriorities(
-  { priority: a = MOST_URGENT }: BatchSpec,
-  { priority: b = MOST_URGENT }: BatchSpec,
-): number {
-  return a.workspace - b.workspace || a.route - b.route;
-}
