Core: doc comments, examples, names of constants

Cause: read as a newcomer. Two constants of the same name had other values in core/retry and core/dispatch, some numbers had no name (50 runs, a hash factor), some comments restated a number or were figurative, and public functions lacked examples. Change: comments and local names only. The limit of doublings in PaceRecipients is gone, as the maximum pause bounds them anyway. Evidence: npm run check; vitest run src/core/batches src/core/dispatch src/core/quarantine src/core/retry consensus_node_test admission_gate_test: 225 passed. Ruled out: renaming 'sick' here, which log fields and other files use.

--- a/src/core/batches/batch_admission.ts
+++ b/src/core/batches/batch_admission.ts
@@ -84,9 +84,15 @@
   readonly retryAfterMs: number;
 }
 
-/** Factor on what the targets can do, for what is not known of them. */
+/**
+ * Factor on what the targets can do: only a batch that cannot fit is refused, and
+ * paces and lengths are estimates.
+ */
 const ROOM_MARGIN = 1.25;
-/** Time for which a new leader refuses nothing, in milliseconds. */
+/**
+ * Time for which a new leader refuses nothing, in milliseconds: it does not know
+ * yet how the queue drains.
+ */
 const MIN_LEADING_MS = 5_000;
 /**
  * Part of the room up to which the own length counts: estimates are often off by
@@ -95,7 +101,7 @@
 const MAX_OWN_ROOM_SHARE = 0.5;
 /**
  * Part of the room that urgent work leaves to less urgent batches; the order of
- * items gives them as much, see {@link mergeByShares}.
+ * items gives them as much (`batch_shares.ts`).
  */
 const LESS_URGENT_SHARE = 0.25;
 
@@ -124,13 +130,13 @@
   const roomTokens = roomTokensOf(input, room, drainTokensPerMs);
   const work = boundByPlace(preceding, input.giveUpInMs);
   const urgentTokens = Math.min(
-    sumOf(work.filter(({ isMoreUrgent }) => isMoreUrgent)),
+    tokensOf(work.filter(({ isMoreUrgent }) => isMoreUrgent)),
     roomTokens * (1 - LESS_URGENT_SHARE),
   );
   const used = usedByWorkspace(work);
   return decideByShares(input, {
     roomTokens,
-    precedingTokens: sumOf(work),
+    precedingTokens: tokensOf(work),
     leftTokens: roomTokens - urgentTokens,
     hasUrgent: urgentTokens > 0,
     used,
@@ -173,7 +179,7 @@
     return admit(AdmissionReason.BelowShare, figures);
   }
   const isUrgentWork = known.hasUrgent &&
-    sumOf([...wanted.values()].map((tokens) => ({ tokens }))) <= roomTokens;
+    sumOf([...wanted.values()]) <= roomTokens;
   const shareOfRoom = shareTokens / Math.max(1, leftTokens);
   const waitMs = excessTokens /
     Math.max(Number.MIN_VALUE, known.drainTokensPerMs * shareOfRoom);
@@ -251,8 +257,8 @@
 }
 
 /**
- * Shares room out so that nobody gets more than he wants, and what is left by
- * some goes to the others in equal parts.
+ * Divides room so that no workspace gets more than it wants, and what some leave
+ * goes to the others in equal parts.
  */
 function shareFairly(
   wanted: ReadonlyMap<string, number>,
@@ -269,6 +275,10 @@
   return shares;
 }
 
-function sumOf(work: readonly { readonly tokens: number }[]): number {
-  return work.reduce((sum, { tokens }) => sum + tokens, 0);
+function tokensOf(work: readonly PrecedingWork[]): number {
+  return sumOf(work.map(({ tokens }) => tokens));
+}
+
+function sumOf(values: readonly number[]): number {
+  return values.reduce((sum, value) => sum + value, 0);
 }
--- a/src/core/batches/batch_drain.ts
+++ b/src/core/batches/batch_drain.ts
@@ -43,7 +43,7 @@
     return this;
   }
 
-  /** Gets the services of which items were ever open. */
+  /** Gets the services of which items have been open since the start. */
   get services(): readonly string[] {
     return [...this.#meters.keys()];
   }
@@ -101,7 +101,7 @@
     return this;
   }
 
-  /** Gets the number of open items. */
+  /** Gets the number of open items of a service. */
   openItems(service: string): number {
     let count = 0;
     for (const open of this.#batches.values()) {
@@ -110,12 +110,15 @@
     return count;
   }
 
-  /** Gets the expected output of the open items, in tokens. */
+  /** Gets the expected output of the open items of a service, in tokens. */
   openTokens(service: string): number {
     return this.#meters.get(service)?.queuedTokens ?? 0;
   }
 
-  /** Gets the drain rate, in tokens per millisecond; undefined if not known. */
+  /**
+   * Gets the drain rate of a service, in tokens per millisecond; undefined if it
+   * is not known.
+   */
   tokensPerMs(service: string, now: number): number | undefined {
     return this.#meters.get(service)?.tokensPerMs(now);
   }
--- a/src/core/batches/data_centre_reach.ts
+++ b/src/core/batches/data_centre_reach.ts
@@ -16,7 +16,8 @@
  * centre do and none there answers, the others are most likely cut off as well,
  * and items would wait for one connect timeout after another.
  *
- * Load: the loss of a data centre while its share of a batch runs there.
+ * Holds an entry for each target that timed out, until its data centre answers
+ * or all its entries are outdated.
  *
  * @example
  * ```ts
@@ -45,7 +46,7 @@
 
   /**
    * Gets whether a data centre does not answer. Its targets are tried again once
-   * the last timeouts are two seconds old.
+   * the last timeouts are older than {@link UNANSWERED_WINDOW_MS}.
    */
   isUnreachable(dataCentre: string, now: number): boolean {
     const targets = this.#unanswered.get(dataCentre);
--- a/src/core/batches/known_paces.ts
+++ b/src/core/batches/known_paces.ts
@@ -11,9 +11,11 @@
   readonly ageMs: number;
 }
 
-/** Mean time to the first event, in times per event. */
+/** Mean time to the first event. */
 export interface PromptMean {
+  /** The mean, as a number of events that take the same time. */
   readonly events: number;
+  /** Number of runs in the mean. */
   readonly samples: number;
 }
 
--- a/src/core/batches/pace_memory.ts
+++ b/src/core/batches/pace_memory.ts
@@ -35,10 +35,18 @@
   readonly revision: number;
 }
 
-/** Time after which a record is kept anew, though it has hardly changed. */
+/**
+ * Time after which a record is replaced though it has hardly changed, or it would
+ * reach {@link MAX_PACE_AGE_MS} while it is still measured.
+ */
 const REFRESH_MS = 60_000;
 /** Ratio from which a change is noticeable. */
 const NOTICEABLE_RATIO = 1.05;
+/**
+ * Number of completed runs up to which a change of it is noticeable: estimates
+ * are used from a number of runs on, so early ones matter.
+ */
+const MAX_NOTICED_RUNS = 50;
 
 /**
  * Keeps the newest long-run pace of each target and the estimates of each
@@ -83,7 +91,7 @@
   }
 
   /**
-   * Keeps what a message of another instance says newer.
+   * Keeps those records of another instance's message that are newer.
    * @returns Whether it was accepted; that of an earlier term is not.
    */
   merge(message: PaceMessage, clock: PaceClock): boolean {
@@ -92,7 +100,7 @@
     return true;
   }
 
-  /** Keeps what a file says newer; its age is known by wall time only. */
+  /** Keeps those records of a file that are newer, by wall time alone. */
   load(stored: StoredPaces, clock: PaceClock): this {
     const sinceMs = clock.wallNow - stored.savedAt;
     // A clock that was set back by more says nothing of the age.
@@ -177,7 +185,7 @@
   }
 }
 
-/** Gets the age of a record by the clock that went on further. */
+/** Gets the age of a record by the clock that has advanced further. */
 function ageOf<T>({ at, wallAt }: Kept<T>, { now, wallNow }: PaceClock) {
   return Math.max(now - at, wallNow - wallAt);
 }
@@ -221,8 +229,7 @@
   const { completed, runs, events, estimatedEvents, estimatedTokens } = record;
   const { uncached, cached } = record.prompts;
   return [
-    // Estimates count from a number of completed runs, so early ones matter.
-    Math.min(completed, 50),
+    Math.min(completed, MAX_NOTICED_RUNS),
     events / Math.max(1, runs),
     estimatedEvents / Math.max(1, estimatedTokens),
     uncached.events,
--- a/src/core/batches/pace_recipients.ts
+++ b/src/core/batches/pace_recipients.ts
@@ -15,6 +15,7 @@
   retryAt: number;
 }
 
+/** Pause after the first failure; it doubles with each further one. */
 const FIRST_RETRY_MS = 2_000;
 /** Longest pause; a build that does not know the message refuses each one. */
 const MAX_RETRY_MS = 60_000;
@@ -69,7 +70,7 @@
   onFailed(id: string, now: number): this {
     const state = this.#states.get(id);
     if (state === undefined) return this;
-    const pauseMs = FIRST_RETRY_MS * 2 ** Math.min(state.failures, 10);
+    const pauseMs = FIRST_RETRY_MS * 2 ** state.failures;
     state.failures += 1;
     state.retryAt = now + Math.min(MAX_RETRY_MS, pauseMs);
     return this;
--- a/src/core/batches/pace_stats.ts
+++ b/src/core/batches/pace_stats.ts
@@ -12,7 +12,7 @@
   /** Time per event at the last sample, of a run alone at the target. */
   recentMs: number;
   recentSamples: number;
-  /** Last gaps that say something, as bits; 1 is one that came late. */
+  /** Which of the last gaps were late, as bits; see {@link LATE_GAPS}. */
   lateGaps: number;
   lastSampleAt: number;
   /** Time since which the recent pace has been far from the long-run pace. */
@@ -30,12 +30,12 @@
 const RECENT_WEIGHT = 0.1;
 /** Time constant of the recent pace; a longer gap says more. */
 const RECENT_MS = 500;
-/** Number of gaps of which most must be late at a target that is slow. */
+/** Number of last gaps of which most must be late for runs to be moved. */
 const LATE_GAPS = 5;
 const LATE_GAPS_MASK = (1 << LATE_GAPS) - 1;
-/** Share of the long-run pace from which a gap comes late. */
+/** Ratio of a gap to the long-run pace from which it is late. */
 const LATE_RATIO = 1.5;
-/** Share below which a gap says nothing: its event waited for a late one. */
+/** Ratio below which a gap is left out: its event waited behind a late one. */
 const WAITED_RATIO = 0.25;
 const INHERENT_WEIGHT = 0.02;
 /** Number of events from which the recent pace counts as measured. */
@@ -108,7 +108,14 @@
   stats.lateGaps = ((stats.lateGaps << 1) | late) & LATE_GAPS_MASK;
 }
 
-/** Gets whether most of the last gaps came late. */
+/**
+ * Gets whether most of the last gaps were late.
+ *
+ * @example
+ * ```ts
+ * areMostLate({ ...stats, lateGaps: 0b10110 }); // true
+ * ```
+ */
 export function areMostLate({ lateGaps }: PaceStats): boolean {
   let late = 0;
   for (let bits = lateGaps; bits > 0; bits >>= 1) late += bits & 1;
--- a/src/core/batches/pace_summary.ts
+++ b/src/core/batches/pace_summary.ts
@@ -25,7 +25,14 @@
 /** Number of targets from which a delay of most is one of this process. */
 const MIN_RATIO_TARGETS = 3;
 
-/** Summarizes the paces of the targets of one service. */
+/**
+ * Summarizes the paces of the targets of one service.
+ *
+ * @example
+ * ```ts
+ * summarizePaces(targets, now).medianMs;
+ * ```
+ */
 export function summarizePaces(
   targets: readonly PaceStats[],
   now: number,
--- a/src/core/batches/pace_table.ts
+++ b/src/core/batches/pace_table.ts
@@ -18,7 +18,15 @@
 /** Time for which the summary of a service is reused. */
 const SUMMARY_VALIDITY_MS = 100;
 
-/** Holds the measurements of each target, by incarnation. */
+/**
+ * Holds the measurements of each target, by incarnation.
+ *
+ * @example
+ * ```ts
+ * table.load(records, now);
+ * table.getOrCreate({ id: "t1", service: "app", incarnation: 3 });
+ * ```
+ */
 export class PaceTable {
   readonly #stats = new Map<string, PaceStats>();
   readonly #summaries = new Map<string, ServiceSummary>();
@@ -94,7 +102,7 @@
     }
   }
 
-  /** Gets what the targets of a service show; at most 100 ms old. */
+  /** Gets a service's summary, at most {@link SUMMARY_VALIDITY_MS} old. */
   summaryOf(service: string, now: number): ServiceSummary {
     let summary = this.#summaries.get(service);
     if (summary !== undefined && now - summary.at < SUMMARY_VALIDITY_MS) {
--- a/src/core/batches/service_targets.ts
+++ b/src/core/batches/service_targets.ts
@@ -44,7 +44,14 @@
 /** As {@link LOST_MS}, if none is left. */
 const ALL_LOST_MS = 10_000;
 
-/** Remembers targets, as lost ones count as present for a while. */
+/**
+ * Remembers targets, as lost ones count as present for a while.
+ *
+ * @example
+ * ```ts
+ * const room = targets.onSeen(seen, now).roomOf("engines", input);
+ * ```
+ */
 export class ServiceTargets {
   readonly #seen = new Map<string, SeenTarget>();
 
@@ -72,13 +79,13 @@
     const isGone = now - lastSeenAt > ALL_LOST_MS;
     const allowed = all.filter(({ dataCentre }) => isAllowed(dataCentre));
     const present = isGone ? [] : allowed;
-    const targets = present.map((target) => eventsPerMsOf(target));
+    const rates = present.map((target) => eventsPerMsOf(target));
     // A target that starts is assumed to be as fast as the fastest one known.
     const fastest = Math.max(0, ...all.map((target) => eventsPerMsOf(target)));
     const startable = Math.max(0, (limits?.maxTargets ?? 0) - present.length);
     return {
-      slots: present.reduce((sum, { slots }) => sum + slots, 0),
-      tokensPerMs: tokensPerEvent * sum(targets),
+      slots: sumOf(present.map(({ slots }) => slots)),
+      tokensPerMs: tokensPerEvent * sumOf(rates),
       startableTokensPerMs: tokensPerEvent * startable * fastest,
       bootMs: limits?.bootMs ?? 0,
     };
@@ -97,6 +104,6 @@
   return slots / (paceMs * loadFactorOf(1));
 }
 
-function sum(values: readonly number[]): number {
+function sumOf(values: readonly number[]): number {
   return values.reduce((total, value) => total + value, 0);
 }
--- a/src/core/batches/target_pace.ts
+++ b/src/core/batches/target_pace.ts
@@ -44,7 +44,14 @@
 const FIRST_BACKOFF_MS = 200;
 const MAX_BACKOFF_MS = 2_000;
 
-/** Gets the factor by which other runs at a target lengthen a run. */
+/**
+ * Gets the factor by which other runs at a target lengthen a run.
+ *
+ * @example
+ * ```ts
+ * loadFactorOf(0.5); // 1.1
+ * ```
+ */
 export function loadFactorOf(load: number): number {
   return 1 + LOAD_SLOWDOWN * load;
 }
--- a/src/core/consensus/consensus_node.ts
+++ b/src/core/consensus/consensus_node.ts
@@ -49,7 +49,7 @@
 const FIRST_ELECTION_JITTER = 0.5;
 /**
  * Election timeouts without an answer of a quorum after which a leader steps
- * down even if its ticks come late.
+ * down even if its ticks come late, or one that is always late would stay.
  */
 const MAX_SILENCE_FACTOR = 4;
 
--- a/src/core/dispatch/admission.ts
+++ b/src/core/dispatch/admission.ts
@@ -19,17 +19,17 @@
   readonly limitShare?: () => number;
 }
 
-/** Retry delay if a pool has no target, and of refusals without their own. */
+/** Retry delay if a pool has no target, and of refusals without another. */
 export const NO_TARGET_RETRY_MS = 1_000;
 /** Maximum number of queued requests of a workspace without a limit. */
 const DEFAULT_QUEUE_LENGTH = 1_000;
-/** Bounds of the retry delay of refusals by load. */
-const MIN_RETRY_AFTER_MS = 100;
-const MAX_RETRY_AFTER_MS = 30_000;
+/** Bounds of the retry delay of refusals by load, in milliseconds. */
+const MIN_LOAD_RETRY_MS = 100;
+const MAX_LOAD_RETRY_MS = 30_000;
 
 /**
- * Refuses requests by quarantine, load and the limits of workspaces. Samples are
- * owed, and are refused only during a shutdown.
+ * Refuses requests by quarantine, load and the limits of workspaces. Samples
+ * belong to accepted steps, so they are refused only during a shutdown.
  *
  * @example
  * ```ts
@@ -82,7 +82,7 @@
     return this.#refusalByLoad(item, now) ?? this.#refusalByLimit(item, now);
   }
 
-  /** Gets whether a request is refused; a sample is owed in any case. */
+  /** Gets whether a request is quarantined, which a sample never is. */
   isQuarantined({ kind, fingerprint }: WorkItem): boolean {
     return kind !== WorkKind.Sample &&
       this.#options.quarantine.suspicionOf(fingerprint) === Suspicion.Proven;
@@ -111,8 +111,8 @@
     const queued = pool.queue.sizeOf(item.workspace);
     const waitMs = pool.expectedWaitMs(item, now);
     const retryAfterMs = Math.min(
-      MAX_RETRY_AFTER_MS,
-      Math.max(MIN_RETRY_AFTER_MS, waitMs),
+      MAX_LOAD_RETRY_MS,
+      Math.max(MIN_LOAD_RETRY_MS, waitMs),
     );
     if (queued >= (limits.queue ?? DEFAULT_QUEUE_LENGTH)) {
       return createRefusal(item, RefusalReason.QueueFull, retryAfterMs);
--- a/src/core/dispatch/request_table.ts
+++ b/src/core/dispatch/request_table.ts
@@ -2,7 +2,15 @@
 import TinyQueue from "tinyqueue";
 import type { ActiveRequest } from "./active_request.ts";
 
-/** Owns the requests of a dispatcher until they end. */
+/**
+ * Owns the requests of a dispatcher until they end.
+ *
+ * @example
+ * ```ts
+ * table.add(request);
+ * for (const overdue of table.takeOverdue(now)) refuse(overdue);
+ * ```
+ */
 export class RequestTable {
   readonly #requests = new Map<string, ActiveRequest>();
   readonly #delayed = new Set<ActiveRequest>();
--- a/src/core/dispatch/retry_planner.ts
+++ b/src/core/dispatch/retry_planner.ts
@@ -41,7 +41,8 @@
 
   /**
    * Plans what follows a failed attempt, whose verdict and target the request
-   * has recorded. A sample is owed, so its retries spend no budget.
+   * has recorded. A sample belongs to an accepted step, so its retries spend no
+   * budget.
    * @example
    * const plan = planner.plan(request, outcome, now);
    * if (plan.type === "retry") request.notBefore = plan.notBefore;
--- a/src/core/quarantine/trial_limiter.ts
+++ b/src/core/quarantine/trial_limiter.ts
@@ -102,6 +102,11 @@
 /**
  * Gets whether a request only ran beside others under which targets end: each
  * target that ended under it did so under one with more deaths, too.
+ *
+ * @example
+ * ```ts
+ * ranBeside({ fingerprint: "f", deaths: 1, targets: ["t1/7"] }, suspicions);
+ * ```
  */
 export function ranBeside(
   { fingerprint, deaths, targets }: Omit<TrialRequest, "service">,
@@ -137,6 +142,11 @@
 /**
  * Counts the targets of a service that serve, and the most that did so at the
  * same time lately. A target that has started again counts once.
+ *
+ * @example
+ * ```ts
+ * strengthOf("app", options); // { sound: 2, known: 3 }
+ * ```
  */
 export function strengthOf(
   service: string,
@@ -173,7 +183,14 @@
   return most;
 }
 
-/** Names a target with its incarnation. */
+/**
+ * Names a target with its incarnation.
+ *
+ * @example
+ * ```ts
+ * targetNameOf({ id: "t1", incarnation: 7 }); // "t1/7"
+ * ```
+ */
 export function targetNameOf(
   { id, incarnation }: { readonly id: string; readonly incarnation: number },
 ): string {
--- a/src/core/retry/retry_delay.ts
+++ b/src/core/retry/retry_delay.ts
@@ -6,8 +6,11 @@
 export const MAX_RETRY_AFTER_MS = 10_000;
 /** Part of a delay by which it is lengthened at most. */
 const SPREAD_SHARE = 0.25;
+/** Constants of the hash FNV-1a with 32 bits. */
 const FNV_OFFSET = 0x811c9dc5;
 const FNV_PRIME = 0x01000193;
+/** Factor of the final mix of MurmurHash3. */
+const MIX_FACTOR = 0x85ebca6b;
 
 /**
  * Lengthens a delay by up to a quarter, by a hash of the request, and bounds it.
@@ -32,6 +35,6 @@
     hash = Math.imul(hash ^ text.charCodeAt(i), FNV_PRIME);
   }
   // Without this step, texts that differ at the end alone have close hashes.
-  hash = Math.imul(hash ^ (hash >>> 16), 0x85ebca6b);
+  hash = Math.imul(hash ^ (hash >>> 16), MIX_FACTOR);
   return ((hash ^ (hash >>> 13)) >>> 0) / 2 ** 32;
 }
