--- a/bench/leader/engines.ts
+++ b/bench/leader/engines.ts
@@ -7,9 +7,13 @@
 import type { AddressInfo } from "node:net";
 import { TARGETS } from "./load.ts";
 
-/** Time from a request to its first event, so that all runs start before. */
+/**
+ * Time from a request to its first event: all runs of a round have started by
+ * then, so that starts and events are measured apart.
+ */
 const FIRST_EVENT_MS = 600;
 const EVENT_INTERVAL_MS = 40;
+/** Number of events of a run. */
 const EVENTS = 50;
 const EVENT_DATA = "a few words of text ".repeat(6);
 
--- a/bench/leader/main.ts
+++ b/bench/leader/main.ts
@@ -9,6 +9,7 @@
 import type { PlayerOptions, RoundCost } from "./player.ts";
 import type { PartProfile } from "./profiler.ts";
 
+/** Number of rounds of each process; the first is that of a cold one. */
 const ROUNDS = 6;
 const FOLDER = "dist/leader";
 /** Memory limits of a ledger instance, as in deploy/system.toml. */
--- a/bench/leader/player.ts
+++ b/bench/leader/player.ts
@@ -57,10 +57,15 @@
 }
 
 const BODY_BYTES = 4_096;
+/** Number of items of a group. */
 const GROUP_SIZE = 8;
 const FIRST_SECOND_MS = 1_000;
+/** Interval of the timer whose delay is measured. */
 const LAG_INTERVAL_MS = 5;
+/** Number of instances for which each command is encoded. */
 const FOLLOWERS = 4;
+/** Time until a command counts as committed. */
+const COMMIT_MS = 2;
 
 /** Counts what passes between the runner and its client. */
 class CountingEngines implements EnginePort {
@@ -123,7 +128,7 @@
         body: { log: "batches", message: message as never },
       });
     }
-    await new Promise((resolve) => setTimeout(resolve, 2));
+    await new Promise((resolve) => setTimeout(resolve, COMMIT_MS));
     this.#state.apply(command);
   }
 }
--- a/bench/leader/profiler.ts
+++ b/bench/leader/profiler.ts
@@ -22,6 +22,7 @@
   readonly timeDeltas: readonly number[];
 }
 
+/** Interval at which the stack is sampled, in microseconds. */
 const SAMPLING_INTERVAL_US = 200;
 
 /** Parts of the program by the path of the source, first match first. */
--- a/src/tasks/batches/admission_gate.ts
+++ b/src/tasks/batches/admission_gate.ts
@@ -1,6 +1,7 @@
 /** Decides on submitted batches by what the ledger's leader knows. */
 import {
   type AdmissionDecision,
+  type AdmissionInput,
   AdmissionReason,
   BatchDrain,
   type BatchItem,
@@ -46,7 +47,15 @@
 const SAMPLE_INTERVAL_MS = 1_000;
 const MS_PER_S = 1_000;
 
-/** Applies the decision on batches to the state of the ledger's leader. */
+/**
+ * Applies the decision on batches to the state of the ledger's leader.
+ *
+ * @example
+ * ```ts
+ * const decision = gate.decide(spec);
+ * if (!decision.isAdmitted) gate.onRefused(spec, decision);
+ * ```
+ */
 export class AdmissionGate {
   /** Measures the drain rates; to be told of batches and results. */
   readonly drain = new BatchDrain();
@@ -65,8 +74,9 @@
     return this;
   }
 
-  /** Forgets what was measured as leader; another replica shows it by then. */
+  /** Forgets what was measured as leader, and sets the gauges to 0. */
   stop(): this {
+    // The next leader sets them; else a sum over instances counts work twice.
     for (const service of this.drain.services) {
       this.#options.metrics.gauge(`batches.openTokens.${service}`, 0)
         .gauge(`batches.drainMs.${service}`, 0);
@@ -179,7 +189,11 @@
       .roomOf(service, { tokensPerEvent, isAllowed, limits, now });
   }
 
-  #findWork(spec: BatchSpec, now: number) {
+  /** Gets the work that precedes a batch, and its own in tokens. */
+  #findWork(
+    spec: BatchSpec,
+    now: number,
+  ): Pick<AdmissionInput, "preceding" | "tokens"> {
     const { state, estimator } = this.#options;
     const { service } = spec;
     const tokensPerEvent = estimator.tokensPerEvent(service) ?? 0;
--- a/src/tasks/batches/batch_intake.ts
+++ b/src/tasks/batches/batch_intake.ts
@@ -27,6 +27,7 @@
 /** Options of {@link BatchIntake}. */
 export interface BatchIntakeOptions {
   readonly service: LedgerService;
+  /** Gets what decides on new batches, while this replica leads. */
   readonly admission: () => BatchAdmission;
 }
 
@@ -84,7 +85,7 @@
   /**
    * Refuses a batch that cannot be complete in time. The decision is made again
    * once leadership is confirmed, as an earlier leader may have accepted the
-   * batch. Without confirmation the batch is proposed, which answers truthfully.
+   * batch. Without confirmation the batch is proposed, and the log decides.
    */
   async #throwIfUnservable(spec: BatchSpec): Promise<void> {
     if (this.#findRefusal(spec) === undefined) return;
--- a/src/tasks/batches/batch_runner.ts
+++ b/src/tasks/batches/batch_runner.ts
@@ -57,6 +57,7 @@
   readonly storePartialTexts: (records: readonly PartialTextRecord[]) => void;
 }
 
+/** Interval of placement, moves and measurements. */
 const TICK_INTERVAL_MS = 50;
 
 /** Places and moves runs and stores results, on the ledger's leader only. */
--- a/src/tasks/batches/item_placer.ts
+++ b/src/tasks/batches/item_placer.ts
@@ -199,7 +199,7 @@
   }
 
   /**
-   * Gets the data centres that do not answer; none if that are all, since then
+   * Gets the data centres that do not answer; none if no one answers, since then
    * this instance is the one that is cut off.
    */
   #unreachableOf(reports: readonly TargetReport[]): ReadonlySet<string> {
--- a/src/tasks/batches/pace_file.ts
+++ b/src/tasks/batches/pace_file.ts
@@ -7,7 +7,15 @@
 
 const FILE_NAME = "paces";
 
-/** Reads and replaces the file as a whole, with a checksum. */
+/**
+ * Reads and replaces the file as a whole, with a checksum.
+ *
+ * @example
+ * ```ts
+ * await file.write(memory.save(clock));
+ * const stored = await file.read();
+ * ```
+ */
 export class PaceFile {
   readonly #folder: string;
   readonly #codec = new FrameCodec<unknown>();
@@ -31,7 +39,7 @@
     }
   }
 
-  /** Replaces the file; after a power failure either content is there. */
+  /** Replaces the file; a power failure leaves the old or the new content. */
   async write(stored: StoredPaces): Promise<void> {
     await mkdir(this.#folder, { recursive: true });
     const bytes = this.#codec.encode({ format: PACE_FORMAT, ...stored });
--- a/src/tasks/batches/pace_format.ts
+++ b/src/tasks/batches/pace_format.ts
@@ -5,7 +5,7 @@
 /** Number of the file's format; files of other formats count as empty. */
 export const PACE_FORMAT = 1;
 
-/** Bounds the work for what a message or file holds. */
+/** Maximum number of records that are decoded from a message or file. */
 const MAX_RECORDS = 100_000;
 
 const count = z.number().nonnegative();
@@ -36,12 +36,26 @@
   ...knownPaces,
 });
 
-/** Decodes a message; undefined if it is malformed. */
+/**
+ * Decodes a message; undefined if it is malformed.
+ *
+ * @example
+ * ```ts
+ * decodePaceMessage({ term: 3, targets: [], services: [] })?.term; // 3
+ * ```
+ */
 export function decodePaceMessage(value: unknown): PaceMessage | undefined {
   return messageSchema.safeParse(value).data;
 }
 
-/** Decodes a file's content; undefined if it has another format. */
+/**
+ * Decodes a file's content; undefined if it has another format.
+ *
+ * @example
+ * ```ts
+ * decodePaceFile({ format: 0 }); // undefined
+ * ```
+ */
 export function decodePaceFile(value: unknown): StoredPaces | undefined {
   return fileSchema.safeParse(value).data;
 }
--- a/src/tasks/batches/pace_keeper.ts
+++ b/src/tasks/batches/pace_keeper.ts
@@ -26,8 +26,11 @@
   readonly now: () => number;
 }
 
+/** Interval of the messages to the other ledger instances. */
 const SEND_INTERVAL_MS = 2_000;
+/** Minimum time between two writes of the file. */
 const WRITE_INTERVAL_MS = 5_000;
+/** Below the interval, so that an instance gets one message at a time. */
 const SEND_TIMEOUT_MS = 1_500;
 
 /**
@@ -111,7 +114,8 @@
     }).then((isAccepted) => isAccepted === true, () => false)
       .then((isAccepted) => {
         if (isAccepted) this.#recipients.onAcknowledged(id, revision);
-        // A lost message is made up for; one of an earlier build refuses all.
+        // The next message repeats the changes of a lost one. An instance of an
+        // earlier build refuses each message.
         else this.#recipients.onFailed(id, this.#clock.now);
       });
   }
--- a/src/tasks/entry/caller_access.ts
+++ b/src/tasks/entry/caller_access.ts
@@ -18,6 +18,7 @@
   readonly control: Pick<ControlPort, "state" | "mayServe">;
 }
 
+/** Retry delay while this data centre is cut off from the control log. */
 const FENCED_RETRY_AFTER_MS = 2_000;
 
 /** Authenticates callers against the state of the control log. */
--- a/src/tasks/entry/route_handlers.ts
+++ b/src/tasks/entry/route_handlers.ts
@@ -78,6 +78,7 @@
     });
   }
 
+  /** Sends the models that the caller may use. */
   listModels(ctx: HttpContext): void {
     const configuration = this.#access.configuration;
     const key = this.#access.authenticateIfPresented(ctx.req);
--- a/src/tasks/entry/step_handlers.ts
+++ b/src/tasks/entry/step_handlers.ts
@@ -21,9 +21,12 @@
   readonly now: () => number;
 }
 
+/** Longest time that a read waits for samples. */
 const MAX_WAIT_MS = 30_000;
+/** Time that a read waits for samples if it names none. */
 const DEFAULT_WAIT_MS = 10_000;
 const MAX_SAMPLES_PER_READ = 1_024;
+/** Bound of a model for which the configuration has none. */
 const DEFAULT_STALENESS = { maxVersionsBehind: 1 };
 
 /** Handles requests for steps and their samples. */
@@ -120,6 +123,7 @@
     sendJson(ctx.res, { step, ...state });
   }
 
+  /** Cancels a step, and sends its state. */
   async cancelStep(ctx: HttpContext): Promise<void> {
     const { key, step } = this.#authenticateStepRequest(ctx);
     const state = await this.#options.steps.cancel({
--- a/src/tasks/fleet/control_requests.ts
+++ b/src/tasks/fleet/control_requests.ts
@@ -36,7 +36,9 @@
   >;
 }
 
+/** Below {@link REQUEST_TIMEOUT_MS}, so that the sender gets the reply. */
 const CONFIRM_TIMEOUT_MS = 800;
+/** Time after which the sender of a request to the leader stops waiting. */
 const REQUEST_TIMEOUT_MS = 900;
 
 /** Proposes commands to the log, and reads what it has committed. */
--- a/src/tasks/fleet/entry_task.ts
+++ b/src/tasks/fleet/entry_task.ts
@@ -53,7 +53,7 @@
   /** Aborted when the caller disconnects. */
   readonly signal: AbortSignal;
   readonly arrivedAt: number;
-  /** Time that the admission took, which is part of the call's time. */
+  /** Time that the admission took, which counts against the caller's timeout. */
   readonly waitedMs: number;
   readonly stream: ResponseStream | undefined;
 }
--- a/src/tasks/fleet/evacuation_service.ts
+++ b/src/tasks/fleet/evacuation_service.ts
@@ -43,6 +43,7 @@
 
 /** Time in which a command is proposed again, for a change of the leader. */
 const ORDER_TIMEOUT_MS = 2_500;
+/** Delay before a command is proposed again. */
 const RETRY_DELAY_MS = 60;
 
 /** Commits the orders; a repeated order is committed as one without effect. */
--- a/src/tasks/fleet/fleet_follower.ts
+++ b/src/tasks/fleet/fleet_follower.ts
@@ -54,7 +54,7 @@
  * the instance is cut off, and its callers are better served by another one.
  */
 const LONG_LOST_MS = 3_000;
-/** Delay of the next confirmation while requests wait for the lease. */
+/** Delay of the next confirmation while requests wait, in milliseconds. */
 const AWAITED_CONFIRM_DELAY_MS = 60;
 
 /** Applies the notices of the control instances. */
--- a/src/tasks/fleet/retirement_service.ts
+++ b/src/tasks/fleet/retirement_service.ts
@@ -15,6 +15,7 @@
   readonly control: FleetControl;
 }
 
+/** Time allowed for the reply of the ledger's leader. */
 const HOLDERS_TIMEOUT_MS = 800;
 
 /** Begins retirements, and records when they are complete. */
--- a/src/tasks/fleet/stream_service.ts
+++ b/src/tasks/fleet/stream_service.ts
@@ -9,6 +9,7 @@
 import type { FleetNode } from "./fleet_node.ts";
 import { askForWriter, type WriterAnswer } from "./stream_question.ts";
 
+/** Time allowed for the answer of another control instance. */
 const PEER_TIMEOUT_MS = 150;
 /**
  * Time after the start for which the seeds count as control instances that may
--- a/src/tasks/paths/connection_reset.ts
+++ b/src/tasks/paths/connection_reset.ts
@@ -36,6 +36,12 @@
  * reading is paused, the kernel keeps its error for the next write and ends the
  * data without one. An empty write gets that error, and sends nothing where the
  * target has closed the connection.
+ *
+ * @example
+ * ```ts
+ * socket.on("error", onReset);
+ * reportResetsAtEnd(socket);
+ * ```
  */
 export function reportResetsAtEnd(socket: Duplex): void {
   // The socket refuses writes once its own listener has seen the end.
--- a/src/tasks/paths/reset_guard.ts
+++ b/src/tasks/paths/reset_guard.ts
@@ -6,6 +6,11 @@
  * Creates an interceptor that fails a response whose connection was reset before
  * its end. The HTTP client takes the end of the data for the end of a response
  * without a length, also after an error of the connection.
+ *
+ * @example
+ * ```ts
+ * const guarded = client.compose(guardAgainstResets(() => isReset));
+ * ```
  */
 export function guardAgainstResets(
   isReset: () => boolean,
--- a/src/tasks/peers/peer_refusal.ts
+++ b/src/tasks/peers/peer_refusal.ts
@@ -9,6 +9,7 @@
 /** Refusal in a reply. */
 export type PeerRefusal = NonNullable<PeerReply["refusal"]>;
 
+/** Retry delay of a request without a reply. */
 const RETRY_AFTER_MS = 1_000;
 
 /**
--- a/src/tasks/steps/step_runs.ts
+++ b/src/tasks/steps/step_runs.ts
@@ -44,6 +44,8 @@
   readonly waiters: SampleWaiters;
 }
 
+/** Maximum number of attempts of an item, after which its slot is retried. */
+const MAX_ITEM_ATTEMPTS = 3;
 /** Delay before a failed slot is retried. */
 const SLOT_RETRY_DELAY_MS = 200;
 /** Maximum number of samples delivered by one ledger record. */
@@ -82,7 +84,7 @@
       delivered: step.deliveredSlots,
       failed: step.failures.map((failure) => failure.slot),
       hash: hashText,
-      maxAttempts: 3,
+      maxAttempts: MAX_ITEM_ATTEMPTS,
       epoch: this.#options.incarnation,
     });
     const active: ActiveStep = {
