Count refusals of a call where its attempts are counted

Change: CallTargets counts both and tells no drain time unless all attempts were refused. Callers see no change.

--- a/src/tasks/calls/call_run.ts
+++ b/src/tasks/calls/call_run.ts
@@ -38,8 +38,6 @@
    */
   #attemptsRun = 0;
   #failedResponses = 0;
-  /** Number of targets that refused the call as full. */
-  #refusals = 0;
 
   constructor(dependencies: CallRunDependencies, options: CallRunOptions) {
     this.#dependencies = dependencies;
@@ -118,7 +116,7 @@
       written: this.#output.written,
       lastFailure: this.#lastFailure,
       call: this.#options.call.id,
-      drainMs: this.#isRefusedByAll ? this.#targets.drainMs : undefined,
+      drainMs: this.#targets.drainMs,
     });
   }
 
@@ -127,10 +125,6 @@
     return this.#failedResponses;
   }
 
-  get #isRefusedByAll(): boolean {
-    return this.#refusals > 0 && this.#refusals === this.#targets.sentCount;
-  }
-
   get #remainingMs(): number {
     return this.#deadline - performance.now();
   }
@@ -266,7 +260,7 @@
     if (isNotRun || isMisdirected) {
       if (isNotRun) this.#targets.markFull(target);
       this.#attemptsRun -= 1;
-      if (isRefusal(outcome)) this.#refusals += 1;
+      if (isRefusal(outcome)) this.#targets.countRefusal();
       this.#recordRetry(target, `Not run: ${response.status}`);
       return undefined;
     }
--- a/src/tasks/calls/call_targets.ts
+++ b/src/tasks/calls/call_targets.ts
@@ -59,6 +59,8 @@
   /** Targets that were full at their last attempt. */
   readonly #full = new Set<string>();
   #sentCount = 0;
+  /** Number of attempts that targets refused as full. */
+  #refusalCount = 0;
   readonly #service: string;
   #permitAfterMs: number | undefined;
   #permit: HeldPermit | undefined;
@@ -91,9 +93,13 @@
 
   /**
    * Gets the time in which the targets of the service complete what they hold,
-   * in milliseconds; undefined if no latency is measured.
+   * in milliseconds; undefined unless each attempt was refused as full, and if no
+   * latency is measured.
    */
   get drainMs(): number | undefined {
+    const isRefusedByAll = this.#refusalCount > 0 &&
+      this.#refusalCount === this.#sentCount;
+    if (!isRefusedByAll) return undefined;
     const { latencies } = this.#options;
     return drainMsOf(
       this.#reports().map(({ id, slots }) => ({
@@ -116,7 +122,13 @@
     return this;
   }
 
-  /** Records that a target refused the call, since all its slots are in use. */
+  /** Counts an attempt that a target refused as full. */
+  countRefusal(): this {
+    this.#refusalCount += 1;
+    return this;
+  }
+
+  /** Records that a target may be asked again, as it did not run the call. */
   markFull(id: string): this {
     this.#full.add(id);
     return this;
