Split the report of demands off the batch task

Change: reportDemands of demand_reporter.ts sends what the task sent; the message, its timeout and its log event are the same.

--- a/src/tasks/batches/batch_task.ts
+++ b/src/tasks/batches/batch_task.ts
@@ -5,7 +5,6 @@
   estimateCommandBytes,
 } from "../../core/batches/mod.ts";
 import { instanceOf, type ReplicaId } from "../../core/consensus/mod.ts";
-import { FleetRole } from "../../core/fleet/mod.ts";
 import { RegionMap } from "../../core/policy/mod.ts";
 import {
   type LoadedVersion,
@@ -21,7 +20,6 @@
   BatchMethod,
   type BatchParams,
   type BodyParams,
-  DEMAND_METHOD,
   type ReadParams,
   type SubmitParams,
 } from "./batch_port.ts";
@@ -31,6 +29,7 @@
   type LedgerService,
 } from "./batch_intake.ts";
 import { BatchRunner } from "./batch_runner.ts";
+import { reportDemands } from "./demand_reporter.ts";
 import { LedgerMembership } from "./ledger_membership.ts";
 import { LedgerObserver } from "./ledger_observer.ts";
 import { PaceKeeper } from "./pace_keeper.ts";
@@ -60,10 +59,10 @@
 export const FORM_METHOD = "batches.form";
 
 const COMPACT_ENTRIES = 8_192;
-const DEMAND_TIMEOUT_MS = 800;
 const MAINTENANCE_INTERVAL_MS = 1_000;
 /** Time added to the retention period before results are deleted. */
 const EXPIRY_SLACK_MS = 30_000;
+
 /**
  * Owns the instance's replica of the batch ledger, and runs the items while
  * that replica leads.
@@ -251,17 +250,7 @@
 
   #reportDemand(): void {
     if (this.leadsTerm === undefined) return;
-    const { node } = this.#options;
-    for (const demand of this.#runner.takeDemand()) {
-      node.requestLeader(FleetRole.Control, DEMAND_METHOD, {
-        params: demand,
-        timeoutMs: DEMAND_TIMEOUT_MS,
-      }).catch((err) =>
-        node.logger.event("policyUnconfirmed", {
-          reason: (err as Error).message,
-        })
-      );
-    }
+    reportDemands(this.#options.node, this.#runner.takeDemand());
   }
 
   /** Gets the instances that hold a replica of the ledger. */
