Doc comment: the age of an estimate is not that of its last run

Cause: RunEstimator.save sets the age of each estimate to 0, also if its service has had no run for long; the comment said otherwise.

--- a/src/core/batches/known_paces.ts
+++ b/src/core/batches/known_paces.ts
@@ -31,7 +31,7 @@
     readonly uncached: PromptMean;
     readonly cached: PromptMean;
   };
-  /** Time since it was last measured, in milliseconds. */
+  /** Age of the record, in milliseconds; a leader saves its own with 0. */
   readonly ageMs: number;
 }
 
