--- a/src/core/batches/known_paces.ts
+++ b/src/core/batches/known_paces.ts
@@ -11,9 +11,11 @@
   readonly ageMs: number;
 }
 
-/** Mean time to the first event, in times per event. */
+/** Mean time to the first event. */
 export interface PromptMean {
+  /** The mean, as a number of events that take the same time. */
   readonly events: number;
+  /** Number of runs in the mean. */
   readonly samples: number;
 }
 
@@ -29,7 +31,7 @@
     readonly uncached: PromptMean;
     readonly cached: PromptMean;
   };
-  /** Time since it was last measured, in milliseconds. */
+  /** Age of the record, in milliseconds; a leader saves its own with 0. */
   readonly ageMs: number;
 }
 
