The wait for the policy lease counts against the timeout of the route, too

A call without a timeout of its own got the whole timeout of its route after a wait of up to 2 s, so that it could end that much later than the route allows. Found by reading.

--- a/src/tasks/fleet/entry_task.ts
+++ b/src/tasks/fleet/entry_task.ts
@@ -174,16 +174,16 @@
     const { admission, signal, stream, arrivedAt, waitedMs } = options;
     const written = await this.#streams.findWriter(request, admission);
     const { timeoutMs = Infinity } = request;
-    const leftMs = () =>
-      Math.min(timeoutMs, admission.route.timeoutMs) -
-      (performance.now() - arrivedAt);
+    const timeMs = Math.min(timeoutMs, admission.route.timeoutMs);
+    const leftMs = () => timeMs - (performance.now() - arrivedAt);
     if (written !== undefined) await untilTargetsKnown(follower, leftMs());
     // The search for the writer and the waits are part of the call's time.
     const call = {
       ...request,
-      timeoutMs: written === undefined
-        ? request.timeoutMs && Math.max(0, request.timeoutMs - waitedMs)
-        : Math.max(0, leftMs()),
+      timeoutMs: Math.max(
+        0,
+        written === undefined ? timeMs - waitedMs : leftMs(),
+      ),
     };
     let hasHead = false;
     const run = new CallRun({
