Retry delays are spread by the hash of the crypto module

The spread had a hash of its own (FNV-1a with a mix), where slow start, probers and fingerprints use createHash; the delays of a request stay the same for the same wait and within the same bounds.

--- a/src/core/retry/retry_delay.ts
+++ b/src/core/retry/retry_delay.ts
@@ -1,4 +1,5 @@
 /** Retry delays that do not bring callers back at the same time. */
+import { createHash } from "node:crypto";
 
 /** Minimum delay that is named to a caller, in milliseconds. */
 export const MIN_RETRY_AFTER_MS = 300;
@@ -6,11 +7,8 @@
 export const MAX_RETRY_AFTER_MS = 10_000;
 /** Part of a delay by which it is lengthened at most. */
 const SPREAD_SHARE = 0.25;
-/** Constants of the hash FNV-1a with 32 bits. */
-const FNV_OFFSET = 0x811c9dc5;
-const FNV_PRIME = 0x01000193;
-/** Factor of the final mix of MurmurHash3. */
-const MIX_FACTOR = 0x85ebca6b;
+/** Number of values of the hash, of 32 bits. */
+const HASH_VALUES = 2 ** 32;
 
 /**
  * Lengthens a delay by up to a quarter, by a hash of the request, and bounds it.
@@ -30,11 +28,6 @@
 
 /** Hashes a text to a number in the range [0, 1). */
 function hashToUnit(text: string): number {
-  let hash = FNV_OFFSET;
-  for (let i = 0; i < text.length; i += 1) {
-    hash = Math.imul(hash ^ text.charCodeAt(i), FNV_PRIME);
-  }
-  // Without this step, texts that differ at the end alone have close hashes.
-  hash = Math.imul(hash ^ (hash >>> 16), MIX_FACTOR);
-  return ((hash ^ (hash >>> 13)) >>> 0) / 2 ** 32;
+  const digest = createHash("sha256").update(text).digest();
+  return digest.readUInt32BE() / HASH_VALUES;
 }
