Log the ends of batches at entry instances, with the members that were asked

A failed end was logged as a refusal without its batch, so a log could not tell an end that never reached the ledger from an item that was sent late. The events endConfirmed (2204) and endUnconfirmed (2205) name the batch, the time taken and each failed attempt with its member, reason and verdict. No change of logic.

--- a/src/logging/fleet_events.ts
+++ b/src/logging/fleet_events.ts
@@ -111,6 +111,14 @@
   batchEnded: defineEvent(2203, "info", {
     text: "Batch ended by its caller",
   }),
+  endConfirmed: defineEvent(2204, "info", {
+    text: "Ledger confirmed the end of a batch to this instance",
+  }),
+  endUnconfirmed: defineEvent(2205, "warn", {
+    text:
+      "Ledger did not confirm the end of a batch before its caller was answered; `attempts` lists the members that were asked",
+    action: "Check that the ledger's log has a leader and a quorum",
+  }),
   itemPlaced: defineEvent(2211, "info", {
     text: "Item sent to a target",
   }),
--- a/src/tasks/fleet/entry_task.ts
+++ b/src/tasks/fleet/entry_task.ts
@@ -30,6 +30,7 @@
   type TargetPort,
 } from "../calls/mod.ts";
 import { createRandom } from "../random.ts";
+import { BatchEnder } from "./batch_ender.ts";
 import { BatchHomes } from "./batch_homes.ts";
 import { BatchReader } from "./batch_reader.ts";
 import type { FleetFollower } from "./fleet_follower.ts";
@@ -83,6 +84,7 @@
   readonly #streams: StreamRecords;
   readonly #spread: CallSpread;
   readonly #batchHomes: BatchHomes;
+  readonly #ender: BatchEnder;
   #isDraining = false;
 
   constructor(options: EntryTaskOptions) {
@@ -101,6 +103,7 @@
       random: createRandom(),
     };
     this.#batchHomes = new BatchHomes(options);
+    this.#ender = new BatchEnder(options);
     this.#usage = new UsageCounter(node.settings.times.usageWindowMs);
     this.#gate = new CallGate({
       policy: () => follower.policy,
@@ -267,7 +270,7 @@
 
   /** Ends a batch at the ledger. */
   async endBatch(params: BatchParams): Promise<void> {
-    await this.#requestLedger(BatchMethod.End, params, LEDGER_TIMEOUT_MS);
+    await this.#ender.end(params);
   }
 
   /** Counts and logs the refusal of a request. */
--- a/src/tasks/fleet/leader_client.ts
+++ b/src/tasks/fleet/leader_client.ts
@@ -16,6 +16,14 @@
   readonly membersOf: (role: FleetRole) => readonly string[];
 }
 
+/** An attempt of a request at a member that did not answer as the leader. */
+export interface FailedAttempt {
+  readonly member: string;
+  readonly reason: RefusalReason;
+  readonly verdict: Verdict;
+  readonly tookMs: number;
+}
+
 /** Options of {@link LeaderClient.request}. */
 export interface LeaderRequestOptions {
   readonly params: unknown;
@@ -23,6 +31,8 @@
   readonly timeoutMs: number;
   /** Time for one attempt, in milliseconds. */
   readonly attemptMs?: number;
+  /** Called with each failed attempt. */
+  readonly onFailed?: (attempt: FailedAttempt) => void;
 }
 
 const RETRY_DELAY_MS = 60;
@@ -54,6 +64,7 @@
       const id = this.#nextCandidate(role, tried);
       const leftMs = endsAt - performance.now();
       if (id !== undefined) {
+        const startedAt = performance.now();
         try {
           const timeoutMs = Math.min(leftMs, options.attemptMs ?? ATTEMPT_MS);
           const { params } = options;
@@ -62,6 +73,7 @@
             timeoutMs,
           });
         } catch (err) {
+          options.onFailed?.(describeAttempt(id, err, startedAt));
           failure = mergeFailures(failure, err);
           if (!isRetryable(failure)) throw failure;
           tried.add(id);
@@ -96,6 +108,23 @@
   return new Promise((resolve) => setTimeout(resolve, ms));
 }
 
+function describeAttempt(
+  member: string,
+  err: unknown,
+  startedAt: number,
+): FailedAttempt {
+  const { reason, verdict } = toRefusal(err);
+  const tookMs = Math.round(performance.now() - startedAt);
+  return { member, reason, verdict, tookMs };
+}
+
+function toRefusal(err: unknown): RefusalError {
+  if (err instanceof RefusalError) return err;
+  return new RefusalError(RefusalReason.Internal, Verdict.MayHaveRun, {
+    cause: err,
+  });
+}
+
 function isRetryable(err: RefusalError): boolean {
   return err.reason === RefusalReason.ControlUnavailable ||
     err.reason === RefusalReason.LedgerUnavailable;
@@ -103,11 +132,7 @@
 
 /** Merges failures: if one attempt may have run, the request may have run. */
 function mergeFailures(previous: RefusalError, err: unknown): RefusalError {
-  if (!(err instanceof RefusalError)) {
-    return new RefusalError(RefusalReason.Internal, Verdict.MayHaveRun, {
-      cause: err,
-    });
-  }
+  if (!(err instanceof RefusalError)) return toRefusal(err);
   if (!isRetryable(err)) return err.afterAttempt(previous.verdict);
   return previous.verdict === Verdict.NotRun ? err : previous;
 }
