Ends of batches are sent again until the ledger confirms them

What callers saw: a batch that its caller had ended went on sending items to targets, for up to its whole time to live.

Cause: an entry instance sent an end once, in 1,300 ms, and forgot it. Where the ledger had no leader or no quorum for that long, or the known leader was silent (one attempt took the whole time, so no other member was asked), the end was answered 503 or 504 and nobody had it any more. A caller makes few attempts; if all of them fall into one outage, the batch is never ended.

Why it works: ending is idempotent and final, so the entry instance repeats it (450 ms a member, rounds of 1,300 ms, up to 60 s) until the ledger confirms it or says that there is no such batch. The answer is 504 then, as 503 would promise that the end never takes effect. A stopping entry instance waits shortly for the ends in progress. Bodies of items get the same time a member.

Open: the ends in progress are lost with the process of the entry instance.

--- a/src/logging/fleet_events.ts
+++ b/src/logging/fleet_events.ts
@@ -116,7 +116,7 @@
   }),
   endUnconfirmed: defineEvent(2205, "warn", {
     text:
-      "Ledger did not confirm the end of a batch before its caller was answered; `attempts` lists the members that were asked",
+      "Ledger did not confirm the end of a batch at the members listed in `attempts`; it is sent again if `isRetried`",
     action: "Check that the ledger's log has a leader and a quorum",
   }),
   itemPlaced: defineEvent(2211, "info", {
--- a/src/metrics/metric_catalogue.ts
+++ b/src/metrics/metric_catalogue.ts
@@ -162,6 +162,11 @@
     kind: "counter",
     text: "Times at which items began to avoid a data centre without answers",
   },
+  "ends.unconfirmed": {
+    kind: "counter",
+    text:
+      "Rounds of attempts to end a batch that the ledger did not confirm; they are repeated",
+  },
   "reads.leader": {
     kind: "counter",
     text: "Reads of batch results that the ledger's leader answered",
--- a/src/tasks/fleet/entry_task.ts
+++ b/src/tasks/fleet/entry_task.ts
@@ -35,6 +35,7 @@
 import { BatchReader } from "./batch_reader.ts";
 import type { FleetFollower } from "./fleet_follower.ts";
 import type { FleetNode } from "./fleet_node.ts";
+import type { LeaderRequestTimes } from "./leader_client.ts";
 import { StreamRecords } from "./stream_records.ts";
 import { untilTargetsKnown } from "./targets_wait.ts";
 
@@ -72,7 +73,9 @@
   idleTimeoutMs: 15_000,
 };
 const SUBMIT_TIMEOUT_MS = 3_000;
-const LEDGER_TIMEOUT_MS = 1_300;
+const BODY_TIMEOUT_MS = 1_300;
+/** Time for one member, so that a silent leader leaves time for another one. */
+const BODY_ATTEMPT_MS = 450;
 
 /** Serves callers on one entry instance. */
 export class EntryTask {
@@ -94,7 +97,7 @@
     this.#reader = new BatchReader({
       node,
       readLeader: (params, timeoutMs) =>
-        this.#requestLedger(BatchMethod.Read, params, timeoutMs),
+        this.#requestLedger(BatchMethod.Read, params, { timeoutMs }),
     });
     this.#spread = {
       instances: () =>
@@ -250,7 +253,9 @@
       spec,
       faults: findScoringFaults(spec, policy),
     };
-    await this.#requestLedger(BatchMethod.Submit, params, SUBMIT_TIMEOUT_MS);
+    await this.#requestLedger(BatchMethod.Submit, params, {
+      timeoutMs: SUBMIT_TIMEOUT_MS,
+    });
   }
 
   /** Reads a page of batch results. */
@@ -260,19 +265,27 @@
 
   /** Reads the body of an item from the ledger. */
   async readItem(params: BodyParams): Promise<Uint8Array> {
-    const reply = await this.#requestLedger(
-      BatchMethod.Body,
-      params,
-      LEDGER_TIMEOUT_MS,
-    );
+    const reply = await this.#requestLedger(BatchMethod.Body, params, {
+      timeoutMs: BODY_TIMEOUT_MS,
+      attemptMs: BODY_ATTEMPT_MS,
+    });
     return reply as Uint8Array;
   }
 
-  /** Ends a batch at the ledger. */
+  /**
+   * Ends a batch at the ledger, also if that takes longer than the answer.
+   * @throws RefusalError if there is no such batch, or, with verdict
+   * `mayHaveRun`, if the ledger has not confirmed the end in time.
+   */
   async endBatch(params: BatchParams): Promise<void> {
     await this.#ender.end(params);
   }
 
+  /** Waits for some time until the ends of batches are confirmed. */
+  async settleEnds(timeoutMs: number): Promise<void> {
+    await this.#ender.settle(timeoutMs);
+  }
+
   /** Counts and logs the refusal of a request. */
   logRefusal(id: string, refusal: RefusalError): void {
     this.#options.node.metrics.count(`refusals.${refusal.reason}`);
@@ -289,12 +302,12 @@
   #requestLedger(
     method: string,
     params: unknown,
-    timeoutMs: number,
+    { timeoutMs, attemptMs = timeoutMs }: LeaderRequestTimes,
   ): Promise<unknown> {
     return this.#options.node.requestLeader(FleetRole.Ledger, method, {
       params,
       timeoutMs,
-      attemptMs: timeoutMs,
+      attemptMs,
     });
   }
 }
--- a/src/tasks/fleet/leader_client.ts
+++ b/src/tasks/fleet/leader_client.ts
@@ -24,13 +24,17 @@
   readonly tookMs: number;
 }
 
-/** Options of {@link LeaderClient.request}. */
-export interface LeaderRequestOptions {
-  readonly params: unknown;
+/** Times of a request to a leader. */
+export interface LeaderRequestTimes {
   /** Time for all attempts together, in milliseconds. */
   readonly timeoutMs: number;
   /** Time for one attempt, in milliseconds. */
   readonly attemptMs?: number;
+}
+
+/** Options of {@link LeaderClient.request}. */
+export interface LeaderRequestOptions extends LeaderRequestTimes {
+  readonly params: unknown;
   /** Called with each failed attempt. */
   readonly onFailed?: (attempt: FailedAttempt) => void;
 }
@@ -125,6 +129,11 @@
   });
 }
 
+/** Gets whether a request failed because no leader answered it. */
+export function isLeaderMissing(err: unknown): boolean {
+  return err instanceof RefusalError && isRetryable(err);
+}
+
 function isRetryable(err: RefusalError): boolean {
   return err.reason === RefusalReason.ControlUnavailable ||
     err.reason === RefusalReason.LedgerUnavailable;
