Ends that arrive while keys cannot be checked are sent again, too

What callers saw: an instance without a policy lease refused the end of a batch with 503, and the batch ran on if the caller's other attempts failed alike.

Now the end is kept like one that the ledger has not confirmed: the key is checked again once the lease is held, and the end is sent if it is valid then. The caller is answered after the first round, with 504. batch_ender_test.ts shows both, and that a key that was withdrawn meanwhile ends no batch.

--- a/src/logging/fleet_events.ts
+++ b/src/logging/fleet_events.ts
@@ -116,7 +116,7 @@
   }),
   endUnconfirmed: defineEvent(2205, "warn", {
     text:
-      "Ledger did not confirm the end of a batch at the members listed in `attempts`; it is sent again if `isRetried`",
+      "Ledger did not confirm the end of a batch, for the given reason; `attempts` lists the members that were asked",
     action: "Check that the ledger's log has a leader and a quorum",
   }),
   itemPlaced: defineEvent(2211, "info", {
--- a/src/metrics/metric_catalogue.ts
+++ b/src/metrics/metric_catalogue.ts
@@ -164,8 +164,7 @@
   },
   "ends.unconfirmed": {
     kind: "counter",
-    text:
-      "Rounds of attempts to end a batch that the ledger did not confirm; they are repeated",
+    text: "Rounds of attempts to end a batch that failed",
   },
   "reads.leader": {
     kind: "counter",
--- a/src/tasks/fleet/batch_ender.ts
+++ b/src/tasks/fleet/batch_ender.ts
@@ -8,24 +8,46 @@
 import { BatchMethod, type BatchParams } from "../batches/mod.ts";
 import { settleWithin } from "../settle.ts";
 import type { FleetNode } from "./fleet_node.ts";
-import { type FailedAttempt, isLeaderMissing } from "./leader_client.ts";
+import type { FailedAttempt } from "./leader_client.ts";
+
+/** Request of a caller to end a batch. */
+export interface EndRequest {
+  readonly host: string;
+  /** API key of the caller; undefined if it sent none. */
+  readonly key: string | undefined;
+  readonly batch: string;
+}
 
 /** Options of {@link BatchEnder}. */
 export interface BatchEnderOptions {
   readonly node: Pick<FleetNode, "requestLeader" | "logger" | "metrics">;
+  /**
+   * Gets the workspace of a caller.
+   * @throws RefusalError if the key is unknown or cannot be checked now.
+   */
+  readonly authenticate: (
+    host: string,
+    key: string | undefined,
+  ) => Promise<string>;
 }
 
-/** Time after which a caller is answered though the end is not confirmed. */
-const ANSWER_TIMEOUT_MS = 1_300;
+/** Time for all members that are asked in one round. */
+const ROUND_TIMEOUT_MS = 1_300;
 /** Time for one member, so that a silent leader leaves time for another one. */
 const ATTEMPT_TIMEOUT_MS = 450;
-/** Pause between two rounds of attempts. */
 const ROUND_PAUSE_MS = 400;
-/** Time for which an end is sent again; longer than most disruptions last. */
+/** Time for which an end is sent again; longer than most outages last. */
 const RETRY_PERIOD_MS = 60_000;
-/** Number of unconfirmed ends that are sent again after their callers left. */
+/** Maximum number of ends that are sent again after their callers' answers. */
 const MAX_UNCONFIRMED = 1_000;
 
+/** Reasons that may not hold in the next round. */
+const TEMPORARY_REASONS: ReadonlySet<RefusalReason> = new Set([
+  RefusalReason.ControlUnavailable,
+  RefusalReason.LedgerUnavailable,
+  RefusalReason.DataCentreFenced,
+]);
+
 /**
  * Ends batches at the ledger. An end is sent again until the ledger confirms
  * it, also after its caller was answered: the items of a batch would run on if
@@ -33,8 +55,8 @@
  */
 export class BatchEnder {
   readonly #options: BatchEnderOptions;
-  /** Ends in progress, by workspace and batch. */
-  readonly #ends = new Map<string, Promise<void>>();
+  /** Ends that are sent again, by host, key and batch. */
+  readonly #unconfirmed = new Map<string, Promise<void>>();
 
   constructor(options: BatchEnderOptions) {
     this.#options = options;
@@ -42,79 +64,86 @@
 
   /**
    * Ends a batch.
-   * @throws RefusalError if the workspace has no such batch, or, with verdict
-   * `mayHaveRun`, if the ledger does not confirm the end in time.
+   * @throws RefusalError if the caller is not known or has no such batch, or,
+   * with verdict `mayHaveRun`, if the end is not confirmed yet.
    * @example
-   * await ender.end({ workspace: "park", batch: "7c41e0" });
+   * await ender.end({ host: "park.example", key, batch: "7c41e0" });
    */
-  async end(params: BatchParams): Promise<void> {
-    const confirmed = this.#getOrBegin(params);
-    const { isSettled } = await settleWithin(confirmed, ANSWER_TIMEOUT_MS);
-    if (isSettled) return;
-    throw new RefusalError(
-      RefusalReason.LedgerUnavailable,
-      Verdict.MayHaveRun,
-      { message: "The end is not confirmed yet; it is sent again" },
-    );
+  async end(request: EndRequest): Promise<void> {
+    try {
+      await this.#send(request);
+    } catch (err) {
+      if (!isTemporary(err) || !this.#retry(request)) throw err;
+      throw new RefusalError(
+        RefusalReason.LedgerUnavailable,
+        Verdict.MayHaveRun,
+        { message: "The end is not confirmed yet; it is sent again" },
+      );
+    }
   }
 
-  /** Waits until all ends are confirmed or given up, or a time has passed. */
+  /** Waits until no end is sent again, or until a time has passed. */
   async settle(timeoutMs: number): Promise<void> {
-    await settleWithin(Promise.allSettled(this.#ends.values()), timeoutMs);
+    await settleWithin(Promise.all(this.#unconfirmed.values()), timeoutMs);
   }
 
-  #getOrBegin(params: BatchParams): Promise<void> {
-    const key = JSON.stringify([params.workspace, params.batch]);
-    const current = this.#ends.get(key);
-    if (current !== undefined) return current;
-    const end = this.#sendUntilConfirmed(params)
-      .finally(() => this.#ends.delete(key));
-    this.#ends.set(key, end);
-    // The caller may have been answered by the time at which it fails.
-    end.catch(() => {});
-    return end;
+  /** Sends an end again; returns whether it does. */
+  #retry(request: EndRequest): boolean {
+    const key = JSON.stringify([request.host, request.key, request.batch]);
+    if (this.#unconfirmed.has(key)) return true;
+    if (this.#unconfirmed.size >= MAX_UNCONFIRMED) return false;
+    const retries = this.#sendUntilConfirmed(request)
+      .finally(() => this.#unconfirmed.delete(key));
+    this.#unconfirmed.set(key, retries);
+    return true;
   }
 
-  async #sendUntilConfirmed(params: BatchParams): Promise<void> {
-    const { metrics, logger } = this.#options.node;
-    const startedAt = performance.now();
-    const elapsedMs = () => Math.round(performance.now() - startedAt);
-    while (true) {
-      const attempts: string[] = [];
-      const describe = () => ({
-        batch: params.batch,
-        tookMs: elapsedMs(),
-        attempts,
-      });
+  async #sendUntilConfirmed(request: EndRequest): Promise<void> {
+    const endsAt = performance.now() + RETRY_PERIOD_MS;
+    while (performance.now() < endsAt) {
+      await sleep(ROUND_PAUSE_MS);
       try {
-        await this.#sendRound(params, attempts);
-        logger.event("endConfirmed", describe());
-        return;
+        return await this.#send(request);
       } catch (err) {
-        const isRetried = this.#isRetried(err, elapsedMs());
-        metrics.count("ends.unconfirmed");
-        logger.event("endUnconfirmed", { ...describe(), isRetried });
-        if (!isRetried) throw err;
+        // Each failed round is logged.
+        if (!isTemporary(err)) return;
       }
-      await sleep(ROUND_PAUSE_MS);
     }
   }
 
-  #isRetried(err: unknown, elapsedMs: number): boolean {
-    return isLeaderMissing(err) && elapsedMs < RETRY_PERIOD_MS &&
-      this.#ends.size <= MAX_UNCONFIRMED;
-  }
-
-  async #sendRound(params: BatchParams, attempts: string[]): Promise<void> {
-    await this.#options.node.requestLeader(FleetRole.Ledger, BatchMethod.End, {
-      params,
-      timeoutMs: ANSWER_TIMEOUT_MS,
-      attemptMs: ATTEMPT_TIMEOUT_MS,
-      onFailed: (attempt) => attempts.push(formatAttempt(attempt)),
+  /** Sends an end in one round of attempts, and logs the outcome. */
+  async #send({ host, key, batch }: EndRequest): Promise<void> {
+    const { node, authenticate } = this.#options;
+    const attempts: string[] = [];
+    const startedAt = performance.now();
+    const describe = () => ({
+      batch,
+      tookMs: Math.round(performance.now() - startedAt),
+      attempts,
     });
+    try {
+      const workspace = await authenticate(host, key);
+      const params: BatchParams = { workspace, batch };
+      await node.requestLeader(FleetRole.Ledger, BatchMethod.End, {
+        params,
+        timeoutMs: ROUND_TIMEOUT_MS,
+        attemptMs: ATTEMPT_TIMEOUT_MS,
+        onFailed: (attempt) => attempts.push(formatAttempt(attempt)),
+      });
+    } catch (err) {
+      const { reason } = err as Partial<RefusalError>;
+      node.metrics.count("ends.unconfirmed");
+      node.logger.event("endUnconfirmed", { ...describe(), reason });
+      throw err;
+    }
+    node.logger.event("endConfirmed", describe());
   }
 }
 
+function isTemporary(err: unknown): boolean {
+  return err instanceof RefusalError && TEMPORARY_REASONS.has(err.reason);
+}
+
 function formatAttempt(
   { member, reason, verdict, tookMs }: FailedAttempt,
 ): string {
--- a/src/tasks/fleet/batch_ender_test.ts
+++ b/src/tasks/fleet/batch_ender_test.ts
@@ -7,7 +7,7 @@
 import { BatchEnder } from "./batch_ender.ts";
 import { LeaderClient, type LeaderRequestOptions } from "./leader_client.ts";
 
-const PARAMS = { workspace: "park", batch: "b1" };
+const REQUEST = { host: "park.example", key: "key", batch: "b1" };
 const ANSWERED_MS = 1_300;
 const NO_REPORTS = {
   logger: { event: vi.fn() } as never,
@@ -42,6 +42,7 @@
         requestLeader,
         ...NO_REPORTS,
       },
+      authenticate: () => Promise.resolve("park"),
     });
     return { ender, confirmed };
   }
@@ -52,7 +53,7 @@
   ): Promise<{ confirmed: number[]; outcome: Verdict | undefined }> {
     const { ender, confirmed } = createEnder(availableAtMs, failure);
     let outcome: Verdict | undefined;
-    ender.end(PARAMS).catch((err: RefusalError) => outcome = err.verdict);
+    ender.end(REQUEST).catch((err: RefusalError) => outcome = err.verdict);
     await vi.advanceTimersByTimeAsync(ANSWERED_MS);
     const answered = outcome;
     await vi.advanceTimersByTimeAsync(availableAtMs + DUE_MS);
@@ -91,13 +92,50 @@
         requestLeader: (...args) => leaders.request(...args),
         ...NO_REPORTS,
       },
+      authenticate: () => Promise.resolve("park"),
     });
     let isEnded = false;
-    ender.end(PARAMS).then(() => isEnded = true);
+    ender.end(REQUEST).then(() => isEnded = true);
     await vi.advanceTimersByTimeAsync(ANSWERED_MS);
     expect(isEnded).toBe(true);
   });
 
+  /** Ends a batch at an instance that cannot check keys for some time. */
+  async function endWhileFenced(checked: () => string): Promise<unknown[]> {
+    const requestLeader = vi.fn().mockResolvedValue(true);
+    const startedAt = performance.now();
+    const ender = new BatchEnder({
+      node: { requestLeader, ...NO_REPORTS },
+      authenticate: () => {
+        if (performance.now() - startedAt > 5_000) {
+          return Promise.resolve().then(checked);
+        }
+        const { DataCentreFenced } = RefusalReason;
+        return Promise.reject(
+          new RefusalError(DataCentreFenced, Verdict.NotRun),
+        );
+      },
+    });
+    const outcome = ender.end(REQUEST).catch((err) => err.verdict);
+    expect(await outcome).toBe(Verdict.MayHaveRun);
+    await vi.advanceTimersByTimeAsync(5_000 + DUE_MS);
+    return requestLeader.mock.calls.map(([_role, _method, { params }]) =>
+      params
+    );
+  }
+
+  it("ends a batch once its instance can check keys again", async () => {
+    expect(await endWhileFenced(() => "park"))
+      .toEqual([{ workspace: "park", batch: "b1" }]);
+  });
+
+  it("ends no batch for a key that was withdrawn meanwhile", async () => {
+    const ended = await endWhileFenced(() => {
+      throw new RefusalError(RefusalReason.KeyUnknown, Verdict.NotRun);
+    });
+    expect(ended).toEqual([]);
+  });
+
   it("sends the end of an unknown batch once", async () => {
     const notFound = new RefusalError(RefusalReason.NotFound, Verdict.NotRun);
     const { confirmed, outcome } = await doTest(10_000, notFound);
@@ -107,7 +145,7 @@
 
   it("sends an end that is requested again once", async () => {
     const { ender, confirmed } = createEnder(3_000);
-    const ends = [ender.end(PARAMS), ender.end(PARAMS)];
+    const ends = [ender.end(REQUEST), ender.end(REQUEST)];
     const settled = Promise.allSettled(ends);
     await vi.advanceTimersByTimeAsync(3_000 + DUE_MS);
     await settled;
@@ -116,7 +154,7 @@
 
   it("gives up an end that the ledger never confirms", async () => {
     const { ender, confirmed } = createEnder(Infinity);
-    ender.end(PARAMS).catch(() => {});
+    ender.end(REQUEST).catch(() => {});
     await vi.advanceTimersByTimeAsync(70_000);
     const settled = ender.settle(0);
     await vi.advanceTimersByTimeAsync(1);
--- a/src/tasks/fleet/entry_task.ts
+++ b/src/tasks/fleet/entry_task.ts
@@ -14,7 +14,6 @@
 import type { RefusalError } from "../../core/verdict/mod.ts";
 import {
   BatchMethod,
-  type BatchParams,
   type BodyParams,
   type ReadParams,
   type SubmitParams,
@@ -30,7 +29,7 @@
   type TargetPort,
 } from "../calls/mod.ts";
 import { createRandom } from "../random.ts";
-import { BatchEnder } from "./batch_ender.ts";
+import { BatchEnder, type EndRequest } from "./batch_ender.ts";
 import { BatchHomes } from "./batch_homes.ts";
 import { BatchReader } from "./batch_reader.ts";
 import type { FleetFollower } from "./fleet_follower.ts";
@@ -106,13 +105,16 @@
       random: createRandom(),
     };
     this.#batchHomes = new BatchHomes(options);
-    this.#ender = new BatchEnder(options);
     this.#usage = new UsageCounter(node.settings.times.usageWindowMs);
     this.#gate = new CallGate({
       policy: () => follower.policy,
       awaitLease: (maxWaitMs) => follower.awaitLease(maxWaitMs),
       hasControlLeader: () => node.leaderOf(FleetRole.Control) !== undefined,
     });
+    this.#ender = new BatchEnder({
+      node,
+      authenticate: (host, key) => this.#gate.authenticate(host, key),
+    });
   }
 
   /**
@@ -274,11 +276,11 @@
 
   /**
    * Ends a batch at the ledger, also if that takes longer than the answer.
-   * @throws RefusalError if there is no such batch, or, with verdict
-   * `mayHaveRun`, if the ledger has not confirmed the end in time.
+   * @throws RefusalError if the caller is not known or has no such batch, or,
+   * with verdict `mayHaveRun`, if the end is not confirmed yet.
    */
-  async endBatch(params: BatchParams): Promise<void> {
-    await this.#ender.end(params);
+  async endBatch(request: EndRequest): Promise<void> {
+    await this.#ender.end(request);
   }
 
   /** Waits for some time until the ends of batches are confirmed. */
--- a/src/tasks/fleet/leader_client.ts
+++ b/src/tasks/fleet/leader_client.ts
@@ -129,11 +129,6 @@
   });
 }
 
-/** Gets whether a request failed because no leader answered it. */
-export function isLeaderMissing(err: unknown): boolean {
-  return err instanceof RefusalError && isRetryable(err);
-}
-
 function isRetryable(err: RefusalError): boolean {
   return err.reason === RefusalReason.ControlUnavailable ||
     err.reason === RefusalReason.LedgerUnavailable;
