The permission of a request is asked when it is written

What callers saw: nothing yet. A call whose target's data centre was evacuated while the connection opened was still sent there.

Cause: runs and calls asked `maySend` before the HTTP client had a connection. Opening one takes up to 400 ms, and a process may be paused in between.

The checks before the connection are gone. A request that is withheld counts neither as a failure nor as a latency of its target; for runs, event 2223 names the reason.

--- a/src/core/calls/latency_tracker.ts
+++ b/src/core/calls/latency_tracker.ts
@@ -44,11 +44,14 @@
       isFailure: boolean;
       /** Whether the failure is a refusal of a call that did not run. */
       isRefusal?: boolean;
+      /** Whether the call was not sent after all, which tells nothing. */
+      isWithheld?: boolean;
       now: number;
     },
   ): this {
     const stats = this.#statsOf(target);
     stats.inFlight -= 1;
+    if (outcome.isWithheld === true) return this;
     if (outcome.isFailure) {
       stats.failedAt = outcome.now;
       if (outcome.isRefusal !== true) recordFailure(stats, outcome.now);
--- a/src/logging/fleet_events.ts
+++ b/src/logging/fleet_events.ts
@@ -140,6 +140,10 @@
     text:
       "Item begins anew, as its writer is unknown or no target has the versions that wrote its partial output",
   }),
+  itemWithheld: defineEvent(2223, "info", {
+    text:
+      "Run of an item not sent, as its permission ended while the connection was prepared; the item waits again",
+  }),
   dataCentreUnanswered: defineEvent(2222, "warn", {
     text:
       "Several targets of a data centre time out and none there answers; items go to other data centres meanwhile",
--- a/src/metrics/metric_catalogue.ts
+++ b/src/metrics/metric_catalogue.ts
@@ -186,6 +186,10 @@
     kind: "counter",
     text: "Runs of items that ended without their complete output",
   },
+  "items.withheld": {
+    kind: "counter",
+    text: "Runs of items not sent, as their permission had ended",
+  },
   "items.moved": {
     kind: "counter",
     text: "Runs of items moved away from sick, slow or silent targets",
--- a/src/tasks/batches/engine_port.ts
+++ b/src/tasks/batches/engine_port.ts
@@ -2,6 +2,7 @@
 import type { HeaderList } from "../../core/calls/mod.ts";
 import type { RunEvent } from "../../core/batches/mod.ts";
 import type { TargetSigns } from "../../core/registry/mod.ts";
+import type { SendGuard } from "../send_guard.ts";
 
 /** Request to run an item at a target. */
 export interface RunRequest {
@@ -24,11 +25,8 @@
   readonly resumeAfter: number;
   /** Weight version that must generate the output; undefined for any. */
   readonly expectVersion: number | undefined;
-  /**
-   * Gets whether the target may still be sent the run, once a connection is
-   * ready for it; it always may by default.
-   */
-  readonly maySend?: () => boolean;
+  /** Asked when the run is written; by default, it is sent in any case. */
+  readonly guard?: SendGuard;
 }
 
 /** Reasons why a run ended before its output was complete. */
@@ -47,6 +45,8 @@
   Impossible: "impossible",
   /** No connection to the target was opened in time. */
   Unreachable: "unreachable",
+  /** The run was not sent; the detail is the reason that its guard gave. */
+  Withheld: "withheld",
   /** The connection broke, or the response could not be parsed. */
   Broken: "broken",
 } as const;
--- a/src/tasks/batches/item_run.ts
+++ b/src/tasks/batches/item_run.ts
@@ -6,6 +6,7 @@
   RunText,
 } from "../../core/batches/mod.ts";
 import type { TargetReport, TargetSigns } from "../../core/registry/mod.ts";
+import type { SendGuard } from "../send_guard.ts";
 import {
   type EnginePort,
   RunFailure,
@@ -38,8 +39,8 @@
   readonly engines: EnginePort;
   readonly listener: ItemRunListener;
   readonly now: () => number;
-  /** Gets whether the target may still be sent the run. */
-  readonly maySend?: () => boolean;
+  /** Asked when the run is written. */
+  readonly guard: SendGuard;
 }
 
 /** Runs an item at one target and collects its output. */
@@ -87,7 +88,7 @@
       workspace: spec.workspace,
       resumeAfter: text.lastId,
       expectVersion: isPinned ? text.versions[0] : undefined,
-      ...(options.maySend === undefined ? {} : { maySend: options.maySend }),
+      guard: options.guard,
     }, this);
   }
 
--- a/src/tasks/batches/item_starter.ts
+++ b/src/tasks/batches/item_starter.ts
@@ -13,6 +13,7 @@
 import type { Logger } from "../../logging/mod.ts";
 import type { Metrics } from "../../metrics/mod.ts";
 import type { TargetLimiter } from "../fleet/target_limiter.ts";
+import { findTargetBar } from "../send_guard.ts";
 import type { EnginePort } from "./engine_port.ts";
 import type { ItemPlacer } from "./item_placer.ts";
 import { ItemRun, type ItemRunListener } from "./item_run.ts";
@@ -100,7 +101,7 @@
       engines,
       listener: this.#options.listener,
       now: this.#options.now,
-      maySend: () => !registry.isEvacuated(target.dataCentre),
+      guard: () => findTargetBar(registry, target),
     });
     if (!run.hasEnded) runs.add(run);
     return true;
--- a/src/tasks/batches/run_failure_handler.ts
+++ b/src/tasks/batches/run_failure_handler.ts
@@ -46,10 +46,29 @@
 
   /** Keeps the text of a failed run and decides whether the item is retried. */
   onFailed(run: ItemRun, failure: RunFailure, detail: string): void {
-    const { itemTracker, limiter, metrics, logger, now } = this.#options;
+    const { itemTracker, limiter } = this.#options;
     if (LOST_FAILURES.has(failure)) limiter.onLost(run.target);
     itemTracker.savePartialText(run, run.text);
     const progress = itemTracker.progressOf(run.item);
+    if (failure === RunFailure.Withheld) this.#logWithheld(run, detail);
+    else this.#logBroken(run, failure, detail);
+    this.#handlers[failure](run, progress);
+  }
+
+  #logWithheld(run: ItemRun, reason: string): void {
+    const { metrics, logger, now } = this.#options;
+    metrics.count("items.withheld");
+    logger.event("itemWithheld", {
+      batch: run.record.spec.id,
+      item: run.item.id,
+      target: run.target.id,
+      reason,
+      waitedMs: Math.round(now() - run.startedAt),
+    });
+  }
+
+  #logBroken(run: ItemRun, failure: RunFailure, detail: string): void {
+    const { metrics, logger, now } = this.#options;
     metrics.count("items.broken");
     logger.event("itemBroken", {
       batch: run.record.spec.id,
@@ -61,7 +80,6 @@
       lastEvent: run.text.lastId,
       ranMs: Math.round(now() - run.startedAt),
     });
-    this.#handlers[failure](run, progress);
   }
 
   readonly #handlers: Readonly<
@@ -72,6 +90,7 @@
       prompts.remove(run, run.target.id);
       targetPace.avoid(run.target, now() + REFUSAL_BACKOFF_MS);
     },
+    withheld: (run) => this.#options.prompts.remove(run, run.target.id),
     misdirected: (run) => {
       this.#options.prompts.remove(run, run.target.id);
       this.#backOffTarget(run);
--- a/src/tasks/calls/attempt_outcome.ts
+++ b/src/tasks/calls/attempt_outcome.ts
@@ -14,6 +14,11 @@
   return outcome.isMisdirected || isErrorStatus(outcome.answer.status);
 }
 
+/** Gets whether the call was not sent after its target was chosen. */
+export function isWithheld(outcome: AttemptOutcome): boolean {
+  return outcome.type === "failed" && outcome.withheld !== undefined;
+}
+
 /** Gets whether the target that was meant states that it did not run the call. */
 export function isRefusal(outcome: AttemptOutcome): boolean {
   return outcome.type === "answered" && outcome.isNotRun &&
--- a/src/tasks/calls/call_run.ts
+++ b/src/tasks/calls/call_run.ts
@@ -4,11 +4,17 @@
 import type { TargetReport } from "../../core/registry/mod.ts";
 import { MIN_ATTEMPT_MS, RESPONSE_MARGIN_MS } from "../../core/retry/mod.ts";
 import { Verdict } from "../../core/verdict/mod.ts";
-import { isErrorStatus, isFailure, isRefusal } from "./attempt_outcome.ts";
+import {
+  isErrorStatus,
+  isFailure,
+  isRefusal,
+  isWithheld,
+} from "./attempt_outcome.ts";
 import { fingerprintOf } from "./call_fingerprint.ts";
 import { CallOutput } from "./call_output.ts";
 import { createCallRefusal } from "./call_refusal.ts";
 import { CallTargets } from "./call_targets.ts";
+import { findTargetBar } from "../send_guard.ts";
 import { firstDefined, settleWithin } from "../settle.ts";
 import type {
   CallRunDependencies,
@@ -85,7 +91,6 @@
 
   async #tryTargets(): Promise<CallResponse> {
     const { maxAttempts } = this.#options.admission.route;
-    const { registry } = this.#dependencies;
     await this.#trial.throwIfQuarantined();
     while (
       this.#attemptsRun < maxAttempts && this.#remainingMs > MIN_ATTEMPT_MS
@@ -94,7 +99,6 @@
       const target = await this.#targets.next(this.#remainingMs);
       if (target === undefined || this.#options.signal.aborted) break;
       if (this.#hasWaitedFor(target) && !await this.#hasLease()) break;
-      if (registry.isEvacuated(target.dataCentre)) continue;
       if (!this.#targets.isPermitted) continue;
       const response = this.#isRetryable && this.#options.stream === undefined
         ? await this.#attemptWithHedge(target)
@@ -221,7 +225,7 @@
         ?.maxConnections ?? 1,
       onSigns: (signs) => this.#dependencies.onSigns(report, signs),
       needsLive: !isHedged,
-      maySend: () => !registry.isEvacuated(report.dataCentre),
+      guard: () => findTargetBar(registry, report),
       onConnection: (getState) => this.#trace.onConnection(report.id, getState),
       ...this.#output.attemptAt(report),
     };
@@ -235,6 +239,7 @@
       isFailure: isFailure(outcome) && !signal.aborted &&
         !registry.isEvacuated(report.dataCentre),
       isRefusal: isRefusal(outcome),
+      isWithheld: isWithheld(outcome),
       now,
     });
     if (outcome.type === "failed" && !signal.aborted) {
--- a/src/tasks/calls/target_port.ts
+++ b/src/tasks/calls/target_port.ts
@@ -2,6 +2,7 @@
 import type { CallRequest, CallResponse } from "../../core/calls/mod.ts";
 import type { TargetSigns } from "../../core/registry/mod.ts";
 import type { ConnectionState } from "../paths/mod.ts";
+import type { SendGuard, WithheldReason } from "../send_guard.ts";
 
 /** Whether it is found out which incarnation of a target answers. */
 export const Verification = {
@@ -48,11 +49,8 @@
    * call elsewhere if nothing comes back.
    */
   readonly needsLive?: boolean;
-  /**
-   * Gets whether the target may still be sent the call, once a connection is
-   * ready for it; it always may by default.
-   */
-  readonly maySend?: () => boolean;
+  /** Asked when the call is written; by default, it is sent in any case. */
+  readonly guard?: SendGuard;
   /** Called with the state of the connection that the attempt uses. */
   readonly onConnection?: (getState: () => ConnectionState) => void;
 }
@@ -73,6 +71,8 @@
     readonly mayHaveRun: boolean;
     /** Whether the target closed the connection before the response ended. */
     readonly isBroken: boolean;
+    /** Why the call was not sent; undefined if it may have been. */
+    readonly withheld?: WithheldReason;
     /** Whether nothing listens at the target's address. */
     readonly isRefused?: boolean;
     readonly detail: string;
--- /dev/null
+++ b/src/tasks/send_guard.ts
@@ -0,0 +1,37 @@
+/** Whether a request may still be sent, asked at the moment of its write. */
+import type { TargetRegistry, TargetReport } from "../core/registry/mod.ts";
+
+/** Reasons why a request is not sent, though it has been given a target. */
+export const WithheldReason = {
+  /** The data centre of the target is evacuated. */
+  Evacuated: "evacuated",
+  /** The grant of an order has expired. */
+  GrantExpired: "grantExpired",
+} as const;
+
+/** One of the values of {@link WithheldReason}. */
+export type WithheldReason = typeof WithheldReason[keyof typeof WithheldReason];
+
+/**
+ * Gets why a request may not be sent; undefined if it may. Whoever decides that
+ * a request is sent provides it, since the decision may change while the
+ * request waits for its connection or its process is paused.
+ */
+export type SendGuard = () => WithheldReason | undefined;
+
+/**
+ * Gets why a target may not be sent anything; undefined if it may.
+ *
+ * @example
+ * ```ts
+ * const guard = () => findTargetBar(registry, report);
+ * ```
+ */
+export function findTargetBar(
+  registry: Pick<TargetRegistry, "isEvacuated">,
+  { dataCentre }: Pick<TargetReport, "dataCentre">,
+): WithheldReason | undefined {
+  return registry.isEvacuated(dataCentre)
+    ? WithheldReason.Evacuated
+    : undefined;
+}
--- a/tests/support/batch_runner_fixture.ts
+++ b/tests/support/batch_runner_fixture.ts
@@ -12,7 +12,10 @@
 } from "../../src/core/registry/mod.ts";
 import { Logger } from "../../src/logging/mod.ts";
 import { Metrics } from "../../src/metrics/mod.ts";
-import { BatchRunner } from "../../src/tasks/batches/batch_runner.ts";
+import {
+  BatchRunner,
+  type BatchRunnerOptions,
+} from "../../src/tasks/batches/batch_runner.ts";
 import type {
   EnginePort,
   RunRequest,
@@ -34,12 +37,14 @@
   readonly runs: OpenedRun[] = [];
   /** Whether the targets of the runs are known to answer. */
   areVerified = true;
+  /** Whether the targets send the heads of their responses at once. */
+  areAnswered = true;
 
   open(request: RunRequest, sink: RunSink) {
     const run: OpenedRun = { request, sink, isCancelled: false };
     this.runs.push(run);
-    if (this.areVerified) sink.onVerified();
-    sink.onVersion(5);
+    if (this.areAnswered && this.areVerified) sink.onVerified();
+    if (this.areAnswered) sink.onVersion(5);
     return { cancel: () => void (run.isCancelled = true) };
   }
 
@@ -78,9 +83,17 @@
   specs: readonly BatchSpec[],
   setUp?: (state: BatchState) => void,
   regions?: Readonly<Record<string, string>>,
+  overrides: Partial<BatchRunnerOptions> = {},
 ) {
   const engines = new ScriptedEngines();
-  const runner = startRunnerWith(engines, targets, specs, setUp, regions);
+  const runner = startRunnerWith(
+    engines,
+    targets,
+    specs,
+    setUp,
+    regions,
+    overrides,
+  );
   return { ...runner, engines };
 }
 
@@ -91,6 +104,7 @@
   specs: readonly BatchSpec[],
   setUp: (state: BatchState) => void = () => {},
   regions?: Readonly<Record<string, string>>,
+  overrides: Partial<BatchRunnerOptions> = {},
 ) {
   const state = new BatchState();
   const metrics = new Metrics({ tags: {} });
@@ -127,6 +141,7 @@
       storedTexts.push(...records);
       state.apply({ type: "keep", records });
     },
+    ...overrides,
   }).start();
   const step = (ms: number) => vi.advanceTimersByTime(ms);
   step(20);
