A run is sent only while its leader holds the lease and its batch is open

Cause: whether this replica may run items (leader, lease) was asked when an item was placed. Between that and the bytes lie the connection and the state request, a round trip of up to the silence timeout of 1 s. A leader that is paused, cut off or deposed in between sent what its successor may have seen ended.

Why this works: the guard of a run asks for the lease and the batch as it asks for evacuations, at the write. The lease counts from answers of a quorum alone, by a clock that goes on while the machine is suspended, and no successor is elected before it ends; so no run is written once another leader can accept the end of its batch. All runs pass `ItemStarter`: resumed ones, and those that the mover starts again.

--- a/src/tasks/batches/item_starter.ts
+++ b/src/tasks/batches/item_starter.ts
@@ -13,7 +13,7 @@
 import type { Logger } from "../../logging/mod.ts";
 import type { Metrics } from "../../metrics/mod.ts";
 import type { TargetLimiter } from "../fleet/target_limiter.ts";
-import { findTargetBar } from "../send_guard.ts";
+import { findTargetBar, WithheldReason } from "../send_guard.ts";
 import type { EnginePort } from "./engine_port.ts";
 import type { ItemPlacer } from "./item_placer.ts";
 import { ItemRun, type ItemRunListener } from "./item_run.ts";
@@ -37,6 +37,8 @@
   readonly metrics: Metrics;
   /** Gets the local monotonic time, in milliseconds. */
   readonly now: () => number;
+  /** Gets whether this replica may run items. */
+  readonly canRunItems: () => boolean;
 }
 
 /**
@@ -101,12 +103,18 @@
       engines,
       listener: this.#options.listener,
       now: this.#options.now,
-      guard: () => findTargetBar(registry, target),
+      guard: () => this.#findBar(record) ?? findTargetBar(registry, target),
     });
     if (!run.hasEnded) runs.add(run);
     return true;
   }
 
+  /** Gets why no item of a batch may be sent; undefined if they may. */
+  #findBar(record: BatchRecord): WithheldReason | undefined {
+    if (!this.#options.canRunItems()) return WithheldReason.NotLeading;
+    return record.isOpen ? undefined : WithheldReason.BatchEnded;
+  }
+
   /**
    * Chooses a target that goes on with a partial output. If there is none, the
    * item begins anew at another one, after a wait.
--- a/src/tasks/send_guard.ts
+++ b/src/tasks/send_guard.ts
@@ -5,6 +5,10 @@
 export const WithheldReason = {
   /** The data centre of the target is evacuated. */
   Evacuated: "evacuated",
+  /** This replica does not lead the ledger, or holds no lease. */
+  NotLeading: "notLeading",
+  /** The batch of the item has ended. */
+  BatchEnded: "batchEnded",
   /** The grant of an order has expired. */
   GrantExpired: "grantExpired",
 } as const;
