A leader without a lease cancels the requests that have no response

Cause: runs were cancelled, and their connections reset, when the role changed. The lease ends up to 2 s earlier: a leader whose process stalls keeps its lead for up to four election timeouts, and one that transfers its lead has no lease meanwhile. What a cut link held of its requests was delivered when the link healed.

Why this works: a cancelled request resets its connection, which takes back what the kernel has not delivered. The runner does so at the second tick of 50 ms without a lease, in the time in which another leader is elected.

What was weighed: a run whose target has responded is delivered and cannot arrive late, so it goes on; its text is not lost if the lease comes back. A run without a response loses the time that its prompt has been read for. The first tick cancels nothing, since after a stall the responses that renew the lease are still to be read. Scoring calls have no partial result: all in flight are cancelled and sent again.

--- a/src/logging/fleet_events.ts
+++ b/src/logging/fleet_events.ts
@@ -144,6 +144,10 @@
     text:
       "Run of an item not sent, as its permission ended while the connection was prepared; the item waits again",
   }),
+  itemCancelled: defineEvent(2224, "info", {
+    text:
+      "Run of an item without a response cancelled, as the ledger's leader has lost its lease; the item waits again",
+  }),
   dataCentreUnanswered: defineEvent(2222, "warn", {
     text:
       "Several targets of a data centre time out and none there answers; items go to other data centres meanwhile",
--- a/src/metrics/metric_catalogue.ts
+++ b/src/metrics/metric_catalogue.ts
@@ -186,6 +186,10 @@
     kind: "counter",
     text: "Runs of items that ended without their complete output",
   },
+  "items.cancelled": {
+    kind: "counter",
+    text: "Runs of items without a response when the lease was lost, cancelled",
+  },
   "items.withheld": {
     kind: "counter",
     text: "Runs of items not sent, as their permission had ended",
--- a/src/tasks/batches/batch_runner.ts
+++ b/src/tasks/batches/batch_runner.ts
@@ -31,6 +31,7 @@
 import { RunLearner } from "./run_learner.ts";
 import { RunMover } from "./run_mover.ts";
 import { RunnerState } from "./runner_state.ts";
+import { UnansweredRequests } from "./unanswered_requests.ts";
 
 /** Options of {@link BatchRunner}. */
 export interface BatchRunnerOptions extends ResultWriterOptions {
@@ -76,6 +77,7 @@
   readonly #overdue: OverdueItems;
   readonly #failures: RunFailureHandler;
   readonly #partialTexts: PartialTextWriter;
+  readonly #unanswered: UnansweredRequests;
   readonly #scheduler: PlacementScheduler;
   /** Identifiers and addresses of the targets whose state is kept, joined. */
   #places: string | undefined;
@@ -122,6 +124,7 @@
     this.#overdue = new OverdueItems(shared);
     this.#failures = new RunFailureHandler({ ...shared, reach });
     this.#partialTexts = new PartialTextWriter(shared);
+    this.#unanswered = new UnansweredRequests(shared);
     this.#scheduler = new PlacementScheduler({
       ...shared,
       starter: this.#starter,
@@ -271,7 +274,9 @@
     const { canRunItems, now } = this.#options;
     this.#pacer.onTick(now());
     this.#learner.onTick();
-    if (!canRunItems()) return;
+    const mayRun = canRunItems();
+    this.#unanswered.onTick(mayRun);
+    if (!mayRun) return;
     this.#sampleDemand();
     this.admission.sample();
     this.#mover.moveSilentRuns();
--- a/src/tasks/batches/item_run.ts
+++ b/src/tasks/batches/item_run.ts
@@ -62,6 +62,7 @@
   #lastEventAt: number;
   #eventCount = 0;
   #hasEnded = false;
+  #isAnswered = false;
 
   /** Sends the item to the target. */
   constructor(options: ItemRunOptions) {
@@ -107,6 +108,11 @@
     return this.#hasEnded;
   }
 
+  /** Gets whether the target has responded, so that it has the request. */
+  get isAnswered(): boolean {
+    return this.#isAnswered;
+  }
+
   /** Cancels the run without notifying the listener. */
   cancel(): void {
     if (this.#hasEnded) return;
@@ -116,6 +122,7 @@
 
   /** Records that the target of the run answers, and no other process. */
   onVerified(): void {
+    this.#isAnswered = true;
     if (!this.#hasEnded) this.text.setSoftware(this.target.software);
   }
 
@@ -124,6 +131,7 @@
    * batch does not allow it.
    */
   onVersion(version: number): void {
+    this.#isAnswered = true;
     if (this.#hasEnded) return;
     const { minVersion, isSingleVersion } = this.record.spec;
     const isOther = isSingleVersion &&
@@ -140,6 +148,7 @@
 
   /** Appends an event; ends the run if it is not the next in sequence. */
   onEvent(event: RunEvent): void {
+    this.#isAnswered = true;
     if (this.#hasEnded) return;
     const now = this.#options.now();
     if (!this.text.add(event)) {
--- a/src/tasks/batches/item_scorer.ts
+++ b/src/tasks/batches/item_scorer.ts
@@ -101,6 +101,15 @@
     }
   }
 
+  /** Cancels the calls in flight; their items wait for another one. */
+  cancelCalls(): void {
+    for (const [key, abort] of [...this.#calls]) {
+      abort.abort();
+      this.#calls.delete(key);
+      this.#queue.onUnscored(key, { failures: 0 }, performance.now());
+    }
+  }
+
   /** Drops the latencies and connections of removed targets. */
   onTargetsChanged(present: readonly TargetReport[]): void {
     this.#latencies.keepOnly(new Set(present.map(({ id }) => id)));
--- a/src/tasks/batches/item_scorer_test.ts
+++ b/src/tasks/batches/item_scorer_test.ts
@@ -87,7 +87,11 @@
   beforeEach(() => void vi.useFakeTimers());
   afterEach(() => void vi.useRealTimers());
 
-  function start(specs: readonly BatchSpec[], state = new BatchState()) {
+  function start(
+    specs: readonly BatchSpec[],
+    state = new BatchState(),
+    canRunItems = () => true,
+  ) {
     const service = new ScriptedService();
     const registry = new TargetRegistry();
     for (const [id, name] of [["e1", "s"], ["p1", "scorers"]]) {
@@ -120,7 +124,7 @@
       metrics: new Metrics({ tags: {} }),
       dataCentre: "a",
       now: () => Date.now(),
-      canRunItems: () => true,
+      canRunItems,
       onSigns: () => {},
       limiter: createLimiter(registry),
       storeResult: (record) => {
@@ -240,6 +244,26 @@
     expect(service.calls).toHaveLength(1);
   });
 
+  // Guards against a call that the network holds up and delivers later.
+  it("cancels its calls when the lease is lost, and sends them again", async () => {
+    let hasLease = true;
+    const { service, runs } = start(
+      [spec(["x1"])],
+      undefined,
+      () => hasLease,
+    );
+    await advance(20);
+    complete(runs[0]);
+    await advance(20);
+    hasLease = false;
+    await advance(1_000);
+    expect(service.calls[0].attempt.signal.aborted).toBe(true);
+    expect(service.calls).toHaveLength(1);
+    hasLease = true;
+    await advance(100);
+    expect(service.calls).toHaveLength(2);
+  });
+
   it("scores a resubmitted text by its new call, without a run", async () => {
     const again = spec(["x1"], { id: "b2" });
     const { state, service, runs } = start([spec(["x1"])]);
