A scoring call is sent only under the lease and while its batch is open

What callers saw: nothing known. A scoring call was sent by a leader whose lease had ended, or for a batch that had ended.

Cause: the lease was asked when the calls of a tick were taken. A call that ended took the next one without asking, and between the choice of a call and its bytes lie permits, the connection and retries at other targets.

Evidence: before the change, the guard of a call gave no reason after the loss of the lease (expected undefined to be 'notLeading'), and a call that ended without the lease was followed by another (length 2 expected, 3 received).

Why this works: the admission of a call carries a guard, which each attempt asks at the write, first ones, retries and hedges alike. That of a scoring call asks for the lease and the batch, by the same function as that of a run. A reason that holds for all targets ends the call; others let it try the next target. `ItemScorer.run` asks for the lease itself, in place of its callers.

The count of missing items moves to a file of its own.

--- a/src/tasks/batches/batch_runner.ts
+++ b/src/tasks/batches/batch_runner.ts
@@ -87,18 +87,12 @@
   constructor(options: BatchRunnerOptions) {
     this.#options = options;
     this.#results = new ResultWriter(options);
-    const { scoring, state, registry, logger, metrics, dataCentre, limiter } =
-      options;
+    const { scoring, state } = options;
     this.#scorer = new ItemScorer({
+      ...options,
       port: scoring,
-      state,
-      registry,
-      logger,
-      metrics,
-      dataCentre,
-      rates: limiter,
+      rates: options.limiter,
       isBeingStored: (key) => this.#results.isPending(key),
-      onSigns: options.onSigns,
       onEnded: (scored, score) => this.#results.completeScored(scored, score),
     });
     const shared = {
@@ -205,7 +199,7 @@
   /** Records that the write of a complete text has been applied. */
   onTextStored(batch: string, item: string): this {
     this.onResultStored(batch, item);
-    if (this.#options.canRunItems()) this.#scorer.run();
+    this.#scorer.run();
     return this;
   }
 
--- a/src/tasks/batches/item_scorer.ts
+++ b/src/tasks/batches/item_scorer.ts
@@ -26,6 +26,8 @@
   type RateGuard,
   type TargetPort,
 } from "../calls/mod.ts";
+import { checkBatch } from "./batch_check.ts";
+import { MissingItems } from "./missing_items.ts";
 import { itemKeyOf } from "./run_table.ts";
 
 /** Connections and policy by which scoring calls are sent. */
@@ -46,6 +48,8 @@
   readonly metrics: Metrics;
   readonly dataCentre: string;
   readonly rates: RateGuard;
+  /** Gets whether this replica may run items. */
+  readonly canRunItems: () => boolean;
   /** Gets whether a result of an item is being written to the ledger. */
   readonly isBeingStored: (key: string) => boolean;
   readonly onSigns: (target: TargetReport, signs: TargetSigns) => void;
@@ -117,8 +121,9 @@
       .closeIdleExcept(new Set(present.map(({ address }) => address)));
   }
 
-  /** Sends the calls that are due. */
+  /** Sends the calls that are due, if this replica may run items. */
   run(): void {
+    if (!this.#options.canRunItems()) return;
     this.#addItems();
     const groups = new MissingItems();
     const due = this.#queue.takeDue({
@@ -191,11 +196,12 @@
   }
 
   async #call(
-    { record: { spec } }: ScoredItem,
+    { record }: ScoredItem,
     scoring: ScoringCall,
     signal: AbortSignal,
   ): Promise<CallEnd> {
-    const { port } = this.#options;
+    const { port, canRunItems } = this.#options;
+    const { spec } = record;
     const policy = port.policy();
     const route = this.#findRoute(scoring);
     if (policy === undefined || route === undefined) {
@@ -209,7 +215,12 @@
         key: undefined,
         timeoutMs: spec.acceptedAt + spec.giveUpMs - Date.now(),
       },
-      admission: { route, workspace: undefined, policy },
+      admission: {
+        route,
+        workspace: undefined,
+        policy,
+        guard: () => checkBatch(record, canRunItems),
+      },
       homes: homesOf(route, policy.getWorkspace(spec.workspace)),
       signal,
       stream: undefined,
@@ -273,21 +284,3 @@
     });
   }
 }
-
-/** Counts the items that the groups of a round still lack. */
-class MissingItems {
-  readonly #counts = new Map<BatchRecord, Map<string, number>>();
-
-  /** Gets the number of items without a result in an item's group. */
-  countOf({ record, item }: ScoredItem): number {
-    let counts = this.#counts.get(record);
-    if (counts === undefined) {
-      counts = new Map();
-      for (const { group } of record.pendingItems) {
-        counts.set(group, (counts.get(group) ?? 0) + 1);
-      }
-      this.#counts.set(record, counts);
-    }
-    return counts.get(item.group) ?? 0;
-  }
-}
--- a/src/tasks/batches/item_scorer_test.ts
+++ b/src/tasks/batches/item_scorer_test.ts
@@ -16,6 +16,7 @@
 import { Logger } from "../../logging/mod.ts";
 import { Metrics } from "../../metrics/mod.ts";
 import type { AttemptOutcome, CallAttempt, TargetPort } from "../calls/mod.ts";
+import { WithheldReason } from "../send_guard.ts";
 import { BatchRunner } from "./batch_runner.ts";
 import type { EnginePort, RunRequest, RunSink } from "./engine_port.ts";
 import { ItemScorer } from "./item_scorer.ts";
@@ -264,6 +265,43 @@
     expect(service.calls).toHaveLength(2);
   });
 
+  // Guards against a call that is sent when the next leader has seen the end.
+  it("sends no call once the lease has ended, or the batch", async () => {
+    let hasLease = true;
+    const { state, service, runs } = start(
+      [spec(["x1"])],
+      undefined,
+      () => hasLease,
+    );
+    await advance(20);
+    complete(runs[0]);
+    await advance(20);
+    const { guard } = service.calls[0].attempt;
+    expect(guard?.()).toBeUndefined();
+    hasLease = false;
+    expect(guard?.()).toBe(WithheldReason.NotLeading);
+    hasLease = true;
+    state.apply({ type: "end", batch: "b1" });
+    expect(guard?.()).toBe(WithheldReason.BatchEnded);
+  });
+
+  it("takes no next call while it holds no lease", async () => {
+    let hasLease = true;
+    const { service, runs } = start(
+      [spec(["x1", "x2", "x3", "x4"])],
+      undefined,
+      () => hasLease,
+    );
+    await advance(20);
+    for (const run of [...runs]) complete(run);
+    await advance(20);
+    const sent = service.calls.length;
+    hasLease = false;
+    service.calls[0].settle(answered(200, "stamp"));
+    await advance(20);
+    expect(service.calls).toHaveLength(sent);
+  });
+
   it("scores a resubmitted text by its new call, without a run", async () => {
     const again = spec(["x1"], { id: "b2" });
     const { state, service, runs } = start([spec(["x1"])]);
--- a/src/tasks/batches/item_starter.ts
+++ b/src/tasks/batches/item_starter.ts
@@ -13,7 +13,8 @@
 import type { Logger } from "../../logging/mod.ts";
 import type { Metrics } from "../../metrics/mod.ts";
 import type { TargetLimiter } from "../fleet/target_limiter.ts";
-import { findTargetBar, WithheldReason } from "../send_guard.ts";
+import { checkTarget } from "../send_guard.ts";
+import { checkBatch } from "./batch_check.ts";
 import type { EnginePort } from "./engine_port.ts";
 import type { ItemPlacer } from "./item_placer.ts";
 import { ItemRun, type ItemRunListener } from "./item_run.ts";
@@ -75,6 +76,7 @@
     if (placer.isExhausted(waiting)) return false;
     const { registry, engines, limiter, itemTracker, results, runs, prompts } =
       this.#options;
+    const { canRunItems } = this.#options;
     const { record, item } = waiting;
     const output = itemTracker.outputOf(waiting, records);
     if (output.complete !== undefined) {
@@ -103,18 +105,13 @@
       engines,
       listener: this.#options.listener,
       now: this.#options.now,
-      guard: () => this.#findBar(record) ?? findTargetBar(registry, target),
+      guard: () =>
+        checkBatch(record, canRunItems) ?? checkTarget(registry, target),
     });
     if (!run.hasEnded) runs.add(run);
     return true;
   }
 
-  /** Gets why no item of a batch may be sent; undefined if they may. */
-  #findBar(record: BatchRecord): WithheldReason | undefined {
-    if (!this.#options.canRunItems()) return WithheldReason.NotLeading;
-    return record.isOpen ? undefined : WithheldReason.BatchEnded;
-  }
-
   /**
    * Chooses a target that goes on with a partial output. If there is none, the
    * item begins anew at another one, after a wait.
--- a/src/tasks/calls/call_gate.ts
+++ b/src/tasks/calls/call_gate.ts
@@ -10,6 +10,7 @@
   RefusalReason,
   Verdict,
 } from "../../core/verdict/mod.ts";
+import type { SendGuard } from "../send_guard.ts";
 
 /** The policy under which a call was admitted. */
 export interface Admission {
@@ -17,6 +18,8 @@
   /** Workspace of the caller's key; undefined on routes that need no key. */
   readonly workspace: WorkspacePolicy | undefined;
   readonly policy: PolicyView;
+  /** Asked when the call is written to a target. */
+  readonly guard?: SendGuard;
 }
 
 /** Options of {@link CallGate}. */
--- a/src/tasks/calls/call_run.ts
+++ b/src/tasks/calls/call_run.ts
@@ -14,7 +14,11 @@
 import { CallOutput } from "./call_output.ts";
 import { createCallRefusal } from "./call_refusal.ts";
 import { CallTargets } from "./call_targets.ts";
-import { findTargetBar } from "../send_guard.ts";
+import {
+  checkTarget,
+  isFinalReason,
+  type WithheldReason,
+} from "../send_guard.ts";
 import { firstDefined, settleWithin } from "../settle.ts";
 import type {
   CallRunDependencies,
@@ -44,6 +48,8 @@
    */
   #attemptsRun = 0;
   #failedResponses = 0;
+  /** Why the last attempt was not sent; undefined if it was. */
+  #withheld: WithheldReason | undefined;
 
   constructor(dependencies: CallRunDependencies, options: CallRunOptions) {
     this.#dependencies = dependencies;
@@ -105,6 +111,7 @@
         : await this.#attempt(target, this.#options.signal);
       if (response !== undefined) return response;
       if (this.#options.signal.aborted || this.#output.isCutShort) break;
+      if (isFinalReason(this.#withheld)) break;
       if (!this.#isRetryable && this.#verdict !== Verdict.NotRun) break;
       if (this.#trial.isProven) break;
     }
@@ -225,7 +232,7 @@
         ?.maxConnections ?? 1,
       onSigns: (signs) => this.#dependencies.onSigns(report, signs),
       needsLive: !isHedged,
-      guard: () => findTargetBar(registry, report),
+      guard: () => checkTarget(registry, report) ?? admission.guard?.(),
       onConnection: (getState) => this.#trace.onConnection(report.id, getState),
       ...this.#output.attemptAt(report),
     };
@@ -257,6 +264,7 @@
     if (outcome.type === "failed") {
       if (outcome.mayHaveRun) this.#recordVerdict(Verdict.MayHaveRun);
       else this.#attemptsRun -= 1;
+      this.#withheld = outcome.withheld;
       if (outcome.mayHaveRun) this.#trial.end();
       this.#recordRetry(target, outcome.detail);
       return undefined;
--- a/src/tasks/calls/call_run_test.ts
+++ b/src/tasks/calls/call_run_test.ts
@@ -11,6 +11,7 @@
 import type { RefusalError } from "../../core/verdict/mod.ts";
 import { Logger } from "../../logging/mod.ts";
 import { Metrics } from "../../metrics/mod.ts";
+import { WithheldReason } from "../send_guard.ts";
 import { CallRun } from "./call_run.ts";
 import type { CallSpread } from "./call_run_options.ts";
 import { type CrashGuard, NO_CRASH_GUARD } from "./crash_guard.ts";
@@ -49,6 +50,11 @@
   return { type: "failed", mayHaveRun, isBroken: false, detail: "reset" };
 }
 
+function withheld(reason: WithheldReason): AttemptOutcome {
+  const sent = { mayHaveRun: false, isBroken: false, detail: reason };
+  return { type: "failed", withheld: reason, ...sent };
+}
+
 /** An outcome; "begun" is a stream that breaks off after its first event. */
 type Scripted = AttemptOutcome | "silent" | "begun";
 
@@ -215,6 +221,20 @@
       { status: 200, attempts: 2 },
     ));
 
+  it("tries another target after one that may not be sent anything", () =>
+    doTest(
+      [withheld(WithheldReason.Evacuated), answered(200)],
+      { kind: RouteKind.NonIdempotent },
+      { status: 200, attempts: 2 },
+    ));
+
+  it("tries no other target if the call may not be sent at all", () =>
+    doTest(
+      [withheld(WithheldReason.NotLeading), answered(200)],
+      {},
+      { reason: "noTarget", verdict: "notRun", attempts: 1 },
+    ));
+
   it("retries an idempotent call that may have run", () =>
     doTest([failed(true), answered(200)], {}, { status: 200, attempts: 2 }));
 
--- a/src/tasks/send_guard.ts
+++ b/src/tasks/send_guard.ts
@@ -16,6 +16,23 @@
 /** One of the values of {@link WithheldReason}. */
 export type WithheldReason = typeof WithheldReason[keyof typeof WithheldReason];
 
+const FINAL_REASONS: ReadonlySet<WithheldReason | undefined> = new Set([
+  WithheldReason.NotLeading,
+  WithheldReason.BatchEnded,
+]);
+
+/**
+ * Gets whether a reason holds for all targets, so that none need be tried.
+ *
+ * @example
+ * ```ts
+ * isFinalReason(WithheldReason.Evacuated); // false
+ * ```
+ */
+export function isFinalReason(reason: WithheldReason | undefined): boolean {
+  return FINAL_REASONS.has(reason);
+}
+
 /**
  * Gets why a request may not be sent; undefined if it may. Whoever decides that
  * a request is sent provides it, since the decision may change while the
@@ -28,10 +45,10 @@
  *
  * @example
  * ```ts
- * const guard = () => findTargetBar(registry, report);
+ * const guard = () => checkTarget(registry, report);
  * ```
  */
-export function findTargetBar(
+export function checkTarget(
   registry: Pick<TargetRegistry, "isEvacuated">,
   { dataCentre }: Pick<TargetReport, "dataCentre">,
 ): WithheldReason | undefined {
