A call whose key is withdrawn between its attempts is not sent

What callers saw: nothing known. A call that had been admitted was sent again, to another target, after its key was withdrawn or given to another workspace.

Cause: before a delayed attempt the lease alone was awaited. It shows that the policy is the one in force, but the key was not looked up in that policy again. The first attempt asked for nothing between the admission and the bytes.

Evidence: before the change, call_gate_test.ts found nothing that an admitted call could ask (expected undefined to be 'keyWithdrawn'), and call_run_test.ts ended a call with `noTarget` where the refusal is `keyWithdrawn`.

Why this works: the admission carries a guard that looks the key up in the policy at the time, asked when each attempt is written. An expired lease withholds the attempt; the call then awaits the lease and chooses again, the same target too, once.

`CallGateOptions.hasLease` is optional, as the entry instance does not pass it yet; the lease is checked at the write only where it is passed.

The choice of a service moves to a file of its own.

--- a/src/tasks/calls/call_gate.ts
+++ b/src/tasks/calls/call_gate.ts
@@ -10,7 +10,7 @@
   RefusalReason,
   Verdict,
 } from "../../core/verdict/mod.ts";
-import type { SendGuard } from "../send_guard.ts";
+import { type SendGuard, WithheldReason } from "../send_guard.ts";
 
 /** The policy under which a call was admitted. */
 export interface Admission {
@@ -30,6 +30,8 @@
    * if there is none in time.
    */
   readonly awaitLease: (maxWaitMs?: number) => Promise<boolean>;
+  /** Gets whether the policy lease is valid; by default, it always is. */
+  readonly hasLease?: () => boolean;
   /**
    * Gets whether a control leader is known. It sends the policy to an instance
    * that has just started; without one, it must be elected first.
@@ -113,7 +115,22 @@
     if (route.isAnonymous || !policy.needsKeys) {
       return { route, workspace: undefined, policy };
     }
-    return { route, workspace: getWorkspaceOrThrow(policy, call.key), policy };
+    const workspace = getWorkspaceOrThrow(policy, call.key);
+    const guard = () => this.#checkKey(call.key, workspace.name);
+    return { route, workspace, policy, guard };
+  }
+
+  /** Gets why a call with a key may not be sent; undefined if it may. */
+  #checkKey(
+    key: string | undefined,
+    workspace: string,
+  ): WithheldReason | undefined {
+    const policy = this.#getPolicyOrThrow();
+    if (!policy.needsKeys) return undefined;
+    const holder = key === undefined ? undefined : policy.findWorkspace(key);
+    if (holder?.name !== workspace) return WithheldReason.KeyWithdrawn;
+    const hasLease = this.#options.hasLease?.() ?? true;
+    return hasLease ? undefined : WithheldReason.LeaseExpired;
   }
 
   #getPolicyOrThrow(): PolicyView {
--- a/src/tasks/calls/call_gate_test.ts
+++ b/src/tasks/calls/call_gate_test.ts
@@ -3,7 +3,8 @@
   createPolicy,
   createRoute,
 } from "../../../tests/support/policy_document.ts";
-import { PolicyView } from "../../core/policy/mod.ts";
+import { PolicyView, type WorkspacePolicy } from "../../core/policy/mod.ts";
+import { WithheldReason } from "../send_guard.ts";
 import { CallGate } from "./call_gate.ts";
 
 const KEYED_CALL = { host: "h", path: "/p/", key: "k" };
@@ -48,6 +49,60 @@
     expect(waits).toEqual([waitMs]);
   }
 
+  async function doGuardTest(
+    change: (state: { policy: PolicyView; hasLease: boolean }) => void,
+    expected: WithheldReason | undefined,
+  ) {
+    const state = { policy: new PolicyView(POLICY), hasLease: true };
+    const gate = new CallGate({
+      policy: () => state.policy,
+      awaitLease: () => Promise.resolve(true),
+      hasLease: () => state.hasLease,
+      hasControlLeader: () => true,
+    });
+    const { guard } = await gate.admit(KEYED_CALL);
+    change(state);
+    expect(guard?.()).toBe(expected);
+  }
+
+  function withWorkspaces(workspaces: readonly WorkspacePolicy[]): PolicyView {
+    return new PolicyView({ ...POLICY, workspaces });
+  }
+
+  it("lets a call be sent whose key and lease are valid", () =>
+    doGuardTest(() => {}, undefined));
+
+  it("lets a call be sent whose key is not needed any more", () =>
+    doGuardTest(
+      (state) => void (state.policy = withWorkspaces([])),
+      undefined,
+    ));
+
+  // Guards against calls that run after their key was withdrawn.
+  it("bars an admitted call whose key another workspace holds", () =>
+    doGuardTest(
+      (state) =>
+        void (state.policy = withWorkspaces([
+          { name: "other", keys: ["k"], priority: 1 },
+        ])),
+      WithheldReason.KeyWithdrawn,
+    ));
+
+  it("bars an admitted call whose key is withdrawn", () =>
+    doGuardTest(
+      (state) =>
+        void (state.policy = withWorkspaces([
+          { name: "w", keys: ["new"], priority: 1 },
+        ])),
+      WithheldReason.KeyWithdrawn,
+    ));
+
+  it("bars an admitted call while the lease has expired", () =>
+    doGuardTest(
+      (state) => void (state.hasLease = false),
+      WithheldReason.LeaseExpired,
+    ));
+
   // Guards against refusals of calls that have time left while the control
   // instances start again.
   it("waits for the lease for three quarters of a call's time, within limits", async () => {
--- a/src/tasks/calls/call_refusal.ts
+++ b/src/tasks/calls/call_refusal.ts
@@ -6,10 +6,13 @@
   RefusalReason,
   Verdict,
 } from "../../core/verdict/mod.ts";
+import { WithheldReason } from "../send_guard.ts";
 
 /** Input of {@link createCallRefusal}. */
 export interface CallRefusalInput {
   readonly verdict: Verdict;
+  /** Why the last attempt was not sent; undefined if it was. */
+  readonly withheld: WithheldReason | undefined;
   /** Whether no time is left for another attempt. */
   readonly isLate: boolean;
   /** Time until a limited target has a permit, if one was missing. */
@@ -40,7 +43,12 @@
 /** Creates the refusal, with a retry delay if the call has not run. */
 export function createCallRefusal(input: CallRefusalInput): RefusalError {
   const { verdict, isLate, permitAfterMs, lastFailure, written } = input;
-  const { trialAfterMs, isOutsideHomes } = input;
+  const { trialAfterMs, isOutsideHomes, withheld } = input;
+  if (
+    verdict === Verdict.NotRun && withheld === WithheldReason.KeyWithdrawn
+  ) {
+    return new RefusalError(RefusalReason.KeyWithdrawn, verdict);
+  }
   if (verdict === Verdict.NotRun && isOutsideHomes) {
     return new RefusalError(RefusalReason.HomeUnavailable, verdict, {
       message: "No target is in a region in which the request may run",
--- a/src/tasks/calls/call_run.ts
+++ b/src/tasks/calls/call_run.ts
@@ -120,6 +120,7 @@
     }
     throw createCallRefusal({
       verdict: this.#verdict,
+      withheld: this.#withheld,
       trialAfterMs: this.#trial.retryAfterMs,
       isLate: this.#remainingMs <= MIN_ATTEMPT_MS,
       permitAfterMs: this.#targets.permitAfterMs,
@@ -148,7 +149,7 @@
 
   /** Gets whether an attempt or a permit has taken time since the admission. */
   #hasWaitedFor(target: TargetReport): boolean {
-    return this.#targets.sentCount > 0 ||
+    return this.#targets.sentCount > 0 || this.#withheld !== undefined ||
       this.#dependencies.rates.isLimited(target);
   }
 
@@ -265,6 +266,7 @@
       if (outcome.mayHaveRun) this.#recordVerdict(Verdict.MayHaveRun);
       else this.#attemptsRun -= 1;
       this.#withheld = outcome.withheld;
+      if (outcome.withheld !== undefined) this.#targets.markWithheld(target);
       if (outcome.mayHaveRun) this.#trial.end();
       this.#recordRetry(target, outcome.detail);
       return undefined;
--- a/src/tasks/calls/call_run_test.ts
+++ b/src/tasks/calls/call_run_test.ts
@@ -11,7 +11,7 @@
 import type { RefusalError } from "../../core/verdict/mod.ts";
 import { Logger } from "../../logging/mod.ts";
 import { Metrics } from "../../metrics/mod.ts";
-import { WithheldReason } from "../send_guard.ts";
+import { type SendGuard, WithheldReason } from "../send_guard.ts";
 import { CallRun } from "./call_run.ts";
 import type { CallSpread } from "./call_run_options.ts";
 import { type CrashGuard, NO_CRASH_GUARD } from "./crash_guard.ts";
@@ -62,12 +62,18 @@
 class ScriptedTargets implements TargetPort {
   readonly attempts: CallAttempt[] = [];
   readonly #outcomes: readonly Scripted[];
+  readonly #onSend: (() => void) | undefined;
 
-  constructor(outcomes: readonly Scripted[]) {
+  /** @param onSend - Called before the guard of an attempt is asked. */
+  constructor(outcomes: readonly Scripted[], onSend?: () => void) {
     this.#outcomes = outcomes;
+    this.#onSend = onSend;
   }
 
   send(attempt: CallAttempt): Promise<AttemptOutcome> {
+    this.#onSend?.();
+    const reason = attempt.guard?.();
+    if (reason !== undefined) return Promise.resolve(withheld(reason));
     const i = Math.min(this.attempts.length, this.#outcomes.length - 1);
     this.attempts.push(attempt);
     const outcome = this.#outcomes[i];
@@ -120,6 +126,8 @@
     /** Latency that was measured at each target, in milliseconds. */
     measuredMs?: number;
     stream?: ResponseStream;
+    guard?: SendGuard;
+    onSend?: () => void;
   } = {},
 ): Promise<CallEnd & { ids: string[]; ran: number }> {
   const registry = new TargetRegistry();
@@ -138,7 +146,7 @@
   const policy = new PolicyView(
     createPolicy({ routes: [route], workspaces: [workspace] }),
   );
-  const targets = new ScriptedTargets(outcomes);
+  const targets = new ScriptedTargets(outcomes, options.onSend);
   let ran = 0;
   const latencies = new LatencyTracker();
   for (const { report } of registry.all) {
@@ -164,7 +172,12 @@
     awaitLease: () => Promise.resolve(options.hasLease ?? true),
   }, {
     call: CALL,
-    admission: { route, workspace, policy },
+    admission: {
+      route,
+      workspace,
+      policy,
+      ...(options.guard === undefined ? {} : { guard: options.guard }),
+    },
     signal: new AbortController().signal,
     stream: options.stream,
   });
@@ -235,6 +248,31 @@
       { reason: "noTarget", verdict: "notRun", attempts: 1 },
     ));
 
+  // Guards against an attempt after the first that uses a withdrawn key.
+  it("refuses a call whose key is withdrawn between two attempts", () => {
+    let sends = 0;
+    return doTest([answered(503, { isNotRun: true }), answered(200)], {
+      onSend: () => void (sends += 1),
+      guard: () => sends > 1 ? WithheldReason.KeyWithdrawn : undefined,
+    }, { reason: "keyWithdrawn", verdict: "notRun", attempts: 1 });
+  });
+
+  it("sends a call to the same target once the lease is valid again", () => {
+    let sends = 0;
+    return doTest([answered(200)], {
+      targets: 1,
+      onSend: () => void (sends += 1),
+      guard: () => sends === 1 ? WithheldReason.LeaseExpired : undefined,
+    }, { status: 200, attempts: 1 });
+  });
+
+  it("ends a call whose attempts are withheld again and again", () =>
+    doTest([answered(200)], { guard: () => WithheldReason.LeaseExpired }, {
+      reason: "noTarget",
+      verdict: "notRun",
+      attempts: 0,
+    }));
+
   it("retries an idempotent call that may have run", () =>
     doTest([failed(true), answered(200)], {}, { status: 200, attempts: 2 }));
 
--- a/src/tasks/calls/call_targets.ts
+++ b/src/tasks/calls/call_targets.ts
@@ -1,5 +1,4 @@
 /** Choice of the targets of a single call. */
-import { createHash } from "node:crypto";
 import { setTimeout as sleep } from "node:timers/promises";
 import {
   type CallPlacementInput,
@@ -21,6 +20,7 @@
 import type { Metrics } from "../../metrics/mod.ts";
 import type { CallSpread } from "./call_run_options.ts";
 import type { HeldPermit, RateGuard } from "./rate_guard.ts";
+import { pickService } from "./service_choice.ts";
 
 /** Options of {@link CallTargets}. */
 export interface CallTargetsOptions {
@@ -56,6 +56,8 @@
 export class CallTargets {
   readonly #options: CallTargetsOptions;
   readonly #tried = new Set<string>();
+  /** Targets that a call was not sent to after they were chosen. */
+  readonly #withheld = new Set<string>();
   /** Targets that were full at their last attempt. */
   readonly #full = new Set<string>();
   #sentCount = 0;
@@ -128,6 +130,17 @@
     return this;
   }
 
+  /**
+   * Records that the call was not sent to a target after all. The target may be
+   * chosen again, once.
+   */
+  markWithheld(id: string): this {
+    this.#sentCount -= 1;
+    if (!this.#withheld.has(id)) this.#tried.delete(id);
+    this.#withheld.add(id);
+    return this;
+  }
+
   /** Records that a target may be asked again, as it did not run the call. */
   markFull(id: string): this {
     this.#full.add(id);
@@ -268,23 +281,3 @@
     return ranking.targets.map(({ id }) => id);
   }
 }
-
-/**
- * Picks a service by weight. The choice is derived from the call ID, so that all
- * attempts of a call use the same service.
- */
-function pickService({ shares }: RoutePolicy, call: string): string {
-  const total = shares.reduce((sum, share) => sum + share.weight, 0);
-  let point = toUnitInterval(call) * total;
-  for (const { service, weight } of shares) {
-    point -= weight;
-    if (point < 0) return service;
-  }
-  return shares[shares.length - 1].service;
-}
-
-/** Hashes a text to a number in the range [0, 1). */
-function toUnitInterval(text: string): number {
-  const digest = createHash("sha256").update(text).digest();
-  return digest.readUInt32BE(0) / 2 ** 32;
-}
--- a/src/tasks/send_guard.ts
+++ b/src/tasks/send_guard.ts
@@ -9,6 +9,10 @@
   NotLeading: "notLeading",
   /** The batch of the item has ended. */
   BatchEnded: "batchEnded",
+  /** The key of the caller has been withdrawn, or given to another workspace. */
+  KeyWithdrawn: "keyWithdrawn",
+  /** The policy lease has expired, so that no key can be checked. */
+  LeaseExpired: "leaseExpired",
   /** The grant of an order has expired. */
   GrantExpired: "grantExpired",
 } as const;
@@ -19,6 +23,7 @@
 const FINAL_REASONS: ReadonlySet<WithheldReason | undefined> = new Set([
   WithheldReason.NotLeading,
   WithheldReason.BatchEnded,
+  WithheldReason.KeyWithdrawn,
 ]);
 
 /**
