A permit that expires while a connection opens is not used

What callers saw: nothing known. A cold target could get more requests in a second than it tolerates, as one came late on an expired permit.

Cause: the permit was checked when the target was chosen. The connection, and the question for the incarnation, come after that.

Evidence: a call to the only target, whose permit expires between choice and send, took one permit and was sent with it (expected 1 to be 2).

Why this works: `markTried` hands out the guard of the target, which includes the permit, and the attempt asks it at the write. The call then takes another permit. The check before the attempt is gone.

--- a/src/tasks/calls/call_run.ts
+++ b/src/tasks/calls/call_run.ts
@@ -14,11 +14,7 @@
 import { CallOutput } from "./call_output.ts";
 import { createCallRefusal } from "./call_refusal.ts";
 import { CallTargets } from "./call_targets.ts";
-import {
-  checkTarget,
-  isFinalReason,
-  type WithheldReason,
-} from "../send_guard.ts";
+import { isFinalReason, type WithheldReason } from "../send_guard.ts";
 import { firstDefined, settleWithin } from "../settle.ts";
 import type {
   CallRunDependencies,
@@ -105,7 +101,6 @@
       const target = await this.#targets.next(this.#remainingMs);
       if (target === undefined || this.#options.signal.aborted) break;
       if (this.#hasWaitedFor(target) && !await this.#hasLease()) break;
-      if (!this.#targets.isPermitted) continue;
       const response = this.#isRetryable && this.#options.stream === undefined
         ? await this.#attemptWithHedge(target)
         : await this.#attempt(target, this.#options.signal);
@@ -213,7 +208,7 @@
   ): Promise<CallResponse | undefined> {
     const { latencies, rates, registry } = this.#dependencies;
     const { call, admission } = this.#options;
-    this.#targets.markTried(report);
+    const checkTarget = this.#targets.markTried(report);
     this.#attemptsRun += 1;
     this.#trace.placed(report, {
       attempt: this.#targets.sentCount,
@@ -233,7 +228,7 @@
         ?.maxConnections ?? 1,
       onSigns: (signs) => this.#dependencies.onSigns(report, signs),
       needsLive: !isHedged,
-      guard: () => checkTarget(registry, report) ?? admission.guard?.(),
+      guard: () => checkTarget() ?? admission.guard?.(),
       onConnection: (getState) => this.#trace.onConnection(report.id, getState),
       ...this.#output.attemptAt(report),
     };
--- a/src/tasks/calls/call_run_test.ts
+++ b/src/tasks/calls/call_run_test.ts
@@ -459,6 +459,28 @@
         },
       }, { reason: "noTarget", verdict: "notRun", attempts: 0 }));
 
+    // Guards against more requests in a second than a target tolerates, where
+    // the connection opens slowly.
+    it("does not use a permit that expires before the send", () => {
+      let permits = 0;
+      let isValid = true;
+      return doTest([answered(200)], {
+        targets: 1,
+        onSend: () => void (isValid = permits > 1),
+        rates: {
+          isLimited,
+          acquire: ([first]) => {
+            permits += 1;
+            isValid = true;
+            return Promise.resolve({
+              permit: { target: first, afterMs: 5, isValid: () => isValid },
+              retryAfterMs: 0,
+            });
+          },
+        },
+      }, { status: 200, attempts: 1 }).then(() => expect(permits).toBe(2));
+    });
+
     it("sends no hedge to them", () =>
       doTest(["silent", answered(200)], {
         targets: 2,
--- a/src/tasks/calls/call_targets.ts
+++ b/src/tasks/calls/call_targets.ts
@@ -18,6 +18,7 @@
   type TargetReport,
 } from "../../core/registry/mod.ts";
 import type { Metrics } from "../../metrics/mod.ts";
+import { checkTarget, type SendGuard, WithheldReason } from "../send_guard.ts";
 import type { CallSpread } from "./call_run_options.ts";
 import type { HeldPermit, RateGuard } from "./rate_guard.ts";
 import { pickService } from "./service_choice.ts";
@@ -116,12 +117,17 @@
     return this.#options.homes !== undefined && this.#reports().length === 0;
   }
 
-  /** Records that the call is sent to a target. */
-  markTried({ id }: TargetReport): this {
-    this.#tried.add(id);
+  /**
+   * Records that the call is sent to a target, under the permit for it.
+   * @returns The guard that tells whether the target may still be sent the call.
+   */
+  markTried(target: TargetReport): SendGuard {
+    const permit = this.#permit;
+    this.#tried.add(target.id);
     this.#sentCount += 1;
     this.#permit = undefined;
-    return this;
+    return () =>
+      checkTarget(this.#options.registry, target) ?? checkPermit(permit);
   }
 
   /** Counts an attempt that a target refused as full. */
@@ -161,11 +167,6 @@
     return await this.#takePermit(limited, leftMs) ?? this.nextUnlimited();
   }
 
-  /** Gets whether the last target needs no permit, or has one that is valid. */
-  get isPermitted(): boolean {
-    return this.#permit?.isValid?.() !== false;
-  }
-
   /** Gets the best target that does not limit its requests. */
   nextUnlimited(): TargetReport | undefined {
     return this.#rank().find((target) => !this.#isLimited(target));
@@ -200,7 +201,7 @@
     const { target, afterMs } = permit;
     if (afterMs > 0) await sleep(afterMs);
     this.#permit = permit;
-    return registry.maySendTo(target.id) && this.isPermitted
+    return registry.maySendTo(target.id) && isValid(permit)
       ? target
       : undefined;
   }
@@ -281,3 +282,14 @@
     return ranking.targets.map(({ id }) => id);
   }
 }
+
+/** Gets whether a permit is valid; a target without a limit needs none. */
+function isValid(permit: HeldPermit | undefined): boolean {
+  return permit?.isValid?.() !== false;
+}
+
+function checkPermit(
+  permit: HeldPermit | undefined,
+): WithheldReason | undefined {
+  return isValid(permit) ? undefined : WithheldReason.PermitExpired;
+}
--- a/src/tasks/send_guard.ts
+++ b/src/tasks/send_guard.ts
@@ -13,6 +13,8 @@
   KeyWithdrawn: "keyWithdrawn",
   /** The policy lease has expired, so that no key can be checked. */
   LeaseExpired: "leaseExpired",
+  /** The permit to send a request to the target has expired. */
+  PermitExpired: "permitExpired",
   /** The grant of an order has expired. */
   GrantExpired: "grantExpired",
 } as const;
