--- a/src/tasks/batches/batch_runner.ts
+++ b/src/tasks/batches/batch_runner.ts
@@ -31,6 +31,7 @@
 import { RunLearner } from "./run_learner.ts";
 import { RunMover } from "./run_mover.ts";
 import { RunnerState } from "./runner_state.ts";
+import { UnansweredRequests } from "./unanswered_requests.ts";
 
 /** Options of {@link BatchRunner}. */
 export interface BatchRunnerOptions extends ResultWriterOptions {
@@ -76,6 +77,7 @@
   readonly #overdue: OverdueItems;
   readonly #failures: RunFailureHandler;
   readonly #partialTexts: PartialTextWriter;
+  readonly #unanswered: UnansweredRequests;
   readonly #scheduler: PlacementScheduler;
   /** Identifiers and addresses of the targets whose state is kept, joined. */
   #places: string | undefined;
@@ -85,18 +87,12 @@
   constructor(options: BatchRunnerOptions) {
     this.#options = options;
     this.#results = new ResultWriter(options);
-    const { scoring, state, registry, logger, metrics, dataCentre, limiter } =
-      options;
+    const { scoring, state } = options;
     this.#scorer = new ItemScorer({
+      ...options,
       port: scoring,
-      state,
-      registry,
-      logger,
-      metrics,
-      dataCentre,
-      rates: limiter,
+      rates: options.limiter,
       isBeingStored: (key) => this.#results.isPending(key),
-      onSigns: options.onSigns,
       onEnded: (scored, score) => this.#results.completeScored(scored, score),
     });
     const shared = {
@@ -122,6 +118,7 @@
     this.#overdue = new OverdueItems(shared);
     this.#failures = new RunFailureHandler({ ...shared, reach });
     this.#partialTexts = new PartialTextWriter(shared);
+    this.#unanswered = new UnansweredRequests(shared);
     this.#scheduler = new PlacementScheduler({
       ...shared,
       starter: this.#starter,
@@ -202,7 +199,7 @@
   /** Records that the write of a complete text has been applied. */
   onTextStored(batch: string, item: string): this {
     this.onResultStored(batch, item);
-    if (this.#options.canRunItems()) this.#scorer.run();
+    this.#scorer.run();
     return this;
   }
 
@@ -271,7 +268,9 @@
     const { canRunItems, now } = this.#options;
     this.#pacer.onTick(now());
     this.#learner.onTick();
-    if (!canRunItems()) return;
+    const mayRun = canRunItems();
+    this.#unanswered.onTick(mayRun);
+    if (!mayRun) return;
     this.#sampleDemand();
     this.admission.sample();
     this.#mover.moveSilentRuns();
--- a/src/tasks/batches/item_run.ts
+++ b/src/tasks/batches/item_run.ts
@@ -6,6 +6,7 @@
   RunText,
 } from "../../core/batches/mod.ts";
 import type { TargetReport, TargetSigns } from "../../core/registry/mod.ts";
+import type { SendGuard } from "../send_guard.ts";
 import {
   type EnginePort,
   RunFailure,
@@ -38,8 +39,8 @@
   readonly engines: EnginePort;
   readonly listener: ItemRunListener;
   readonly now: () => number;
-  /** Gets whether the target may still be sent the run. */
-  readonly maySend?: () => boolean;
+  /** Asked when the run is written. */
+  readonly guard: SendGuard;
 }
 
 /** Runs an item at one target and collects its output. */
@@ -61,6 +62,7 @@
   #lastEventAt: number;
   #eventCount = 0;
   #hasEnded = false;
+  #isAnswered = false;
 
   /** Sends the item to the target. */
   constructor(options: ItemRunOptions) {
@@ -87,7 +89,7 @@
       workspace: spec.workspace,
       resumeAfter: text.lastId,
       expectVersion: isPinned ? text.versions[0] : undefined,
-      ...(options.maySend === undefined ? {} : { maySend: options.maySend }),
+      guard: options.guard,
     }, this);
   }
 
@@ -106,6 +108,11 @@
     return this.#hasEnded;
   }
 
+  /** Gets whether the target has responded, so that it has the request. */
+  get isAnswered(): boolean {
+    return this.#isAnswered;
+  }
+
   /** Cancels the run without notifying the listener. */
   cancel(): void {
     if (this.#hasEnded) return;
@@ -115,6 +122,7 @@
 
   /** Records that the target of the run answers, and no other process. */
   onVerified(): void {
+    this.#isAnswered = true;
     if (!this.#hasEnded) this.text.setSoftware(this.target.software);
   }
 
@@ -123,6 +131,7 @@
    * batch does not allow it.
    */
   onVersion(version: number): void {
+    this.#isAnswered = true;
     if (this.#hasEnded) return;
     const { minVersion, isSingleVersion } = this.record.spec;
     const isOther = isSingleVersion &&
@@ -139,6 +148,7 @@
 
   /** Appends an event; ends the run if it is not the next in sequence. */
   onEvent(event: RunEvent): void {
+    this.#isAnswered = true;
     if (this.#hasEnded) return;
     const now = this.#options.now();
     if (!this.text.add(event)) {
--- a/src/tasks/batches/item_starter.ts
+++ b/src/tasks/batches/item_starter.ts
@@ -13,6 +13,8 @@
 import type { Logger } from "../../logging/mod.ts";
 import type { Metrics } from "../../metrics/mod.ts";
 import type { TargetLimiter } from "../fleet/target_limiter.ts";
+import { checkTarget } from "../send_guard.ts";
+import { checkBatch } from "./batch_check.ts";
 import type { EnginePort } from "./engine_port.ts";
 import type { ItemPlacer } from "./item_placer.ts";
 import { ItemRun, type ItemRunListener } from "./item_run.ts";
@@ -36,6 +38,8 @@
   readonly metrics: Metrics;
   /** Gets the local monotonic time, in milliseconds. */
   readonly now: () => number;
+  /** Gets whether this replica may run items. */
+  readonly canRunItems: () => boolean;
 }
 
 /**
@@ -72,6 +76,7 @@
     if (placer.isExhausted(waiting)) return false;
     const { registry, engines, limiter, itemTracker, results, runs, prompts } =
       this.#options;
+    const { canRunItems } = this.#options;
     const { record, item } = waiting;
     const output = itemTracker.outputOf(waiting, records);
     if (output.complete !== undefined) {
@@ -100,7 +105,8 @@
       engines,
       listener: this.#options.listener,
       now: this.#options.now,
-      maySend: () => !registry.isEvacuated(target.dataCentre),
+      guard: () =>
+        checkBatch(record, canRunItems) ?? checkTarget(registry, target),
     });
     if (!run.hasEnded) runs.add(run);
     return true;
--- a/src/tasks/calls/call_run.ts
+++ b/src/tasks/calls/call_run.ts
@@ -4,11 +4,17 @@
 import type { TargetReport } from "../../core/registry/mod.ts";
 import { MIN_ATTEMPT_MS, RESPONSE_MARGIN_MS } from "../../core/retry/mod.ts";
 import { Verdict } from "../../core/verdict/mod.ts";
-import { isErrorStatus, isFailure, isRefusal } from "./attempt_outcome.ts";
+import {
+  isErrorStatus,
+  isFailure,
+  isRefusal,
+  isWithheld,
+} from "./attempt_outcome.ts";
 import { fingerprintOf } from "./call_fingerprint.ts";
 import { CallOutput } from "./call_output.ts";
 import { createCallRefusal } from "./call_refusal.ts";
 import { CallTargets } from "./call_targets.ts";
+import { isFinalReason, type WithheldReason } from "../send_guard.ts";
 import { firstDefined, settleWithin } from "../settle.ts";
 import type {
   CallRunDependencies,
@@ -38,6 +44,8 @@
    */
   #attemptsRun = 0;
   #failedResponses = 0;
+  /** Why the last attempt was not sent; undefined if it was. */
+  #withheld: WithheldReason | undefined;
 
   constructor(dependencies: CallRunDependencies, options: CallRunOptions) {
     this.#dependencies = dependencies;
@@ -85,7 +93,6 @@
 
   async #tryTargets(): Promise<CallResponse> {
     const { maxAttempts } = this.#options.admission.route;
-    const { registry } = this.#dependencies;
     await this.#trial.throwIfQuarantined();
     while (
       this.#attemptsRun < maxAttempts && this.#remainingMs > MIN_ATTEMPT_MS
@@ -94,13 +101,12 @@
       const target = await this.#targets.next(this.#remainingMs);
       if (target === undefined || this.#options.signal.aborted) break;
       if (this.#hasWaitedFor(target) && !await this.#hasLease()) break;
-      if (registry.isEvacuated(target.dataCentre)) continue;
-      if (!this.#targets.isPermitted) continue;
       const response = this.#isRetryable && this.#options.stream === undefined
         ? await this.#attemptWithHedge(target)
         : await this.#attempt(target, this.#options.signal);
       if (response !== undefined) return response;
       if (this.#options.signal.aborted || this.#output.isCutShort) break;
+      if (isFinalReason(this.#withheld)) break;
       if (!this.#isRetryable && this.#verdict !== Verdict.NotRun) break;
       if (this.#trial.isProven) break;
     }
@@ -109,6 +115,7 @@
     }
     throw createCallRefusal({
       verdict: this.#verdict,
+      withheld: this.#withheld,
       trialAfterMs: this.#trial.retryAfterMs,
       isLate: this.#remainingMs <= MIN_ATTEMPT_MS,
       permitAfterMs: this.#targets.permitAfterMs,
@@ -137,7 +144,7 @@
 
   /** Gets whether an attempt or a permit has taken time since the admission. */
   #hasWaitedFor(target: TargetReport): boolean {
-    return this.#targets.sentCount > 0 ||
+    return this.#targets.sentCount > 0 || this.#withheld !== undefined ||
       this.#dependencies.rates.isLimited(target);
   }
 
@@ -201,7 +208,7 @@
   ): Promise<CallResponse | undefined> {
     const { latencies, rates, registry } = this.#dependencies;
     const { call, admission } = this.#options;
-    this.#targets.markTried(report);
+    const checkTarget = this.#targets.markTried(report);
     this.#attemptsRun += 1;
     this.#trace.placed(report, {
       attempt: this.#targets.sentCount,
@@ -221,7 +228,7 @@
         ?.maxConnections ?? 1,
       onSigns: (signs) => this.#dependencies.onSigns(report, signs),
       needsLive: !isHedged,
-      maySend: () => !registry.isEvacuated(report.dataCentre),
+      guard: () => checkTarget() ?? admission.guard?.(),
       onConnection: (getState) => this.#trace.onConnection(report.id, getState),
       ...this.#output.attemptAt(report),
     };
@@ -235,6 +242,7 @@
       isFailure: isFailure(outcome) && !signal.aborted &&
         !registry.isEvacuated(report.dataCentre),
       isRefusal: isRefusal(outcome),
+      isWithheld: isWithheld(outcome),
       now,
     });
     if (outcome.type === "failed" && !signal.aborted) {
@@ -252,6 +260,8 @@
     if (outcome.type === "failed") {
       if (outcome.mayHaveRun) this.#recordVerdict(Verdict.MayHaveRun);
       else this.#attemptsRun -= 1;
+      this.#withheld = outcome.withheld;
+      if (outcome.withheld !== undefined) this.#targets.markWithheld(target);
       if (outcome.mayHaveRun) this.#trial.end();
       this.#recordRetry(target, outcome.detail);
       return undefined;
