Runs are withheld and cancelled for the lease alone; calls ask it at the write

The guard and the cancellation ask for the lease; new runs are placed, as before, only where all committed entries are applied.

The entry instance passes its policy lease to the guard of calls.

--- a/src/tasks/batches/batch_check.ts
+++ b/src/tasks/batches/batch_check.ts
@@ -4,16 +4,16 @@
 
 /**
  * Gets why nothing of a batch may be sent; undefined if it may.
- * @param canRunItems - Gets whether this replica may run items.
+ * @param hasLease - Gets whether this replica leads and holds its lease.
  * @example
  * ```ts
- * const guard = () => checkBatch(record, canRunItems);
+ * const guard = () => checkBatch(record, hasLease);
  * ```
  */
 export function checkBatch(
   { isOpen }: Pick<BatchRecord, "isOpen">,
-  canRunItems: () => boolean,
+  hasLease: () => boolean,
 ): WithheldReason | undefined {
-  if (!canRunItems()) return WithheldReason.NotLeading;
+  if (!hasLease()) return WithheldReason.NotLeading;
   return isOpen ? undefined : WithheldReason.BatchEnded;
 }
--- a/src/tasks/batches/batch_runner.ts
+++ b/src/tasks/batches/batch_runner.ts
@@ -45,11 +45,10 @@
   readonly limiter: TargetLimiter;
   /** Gets the local monotonic time, in milliseconds. */
   readonly now: () => number;
-  /**
-   * Gets whether this replica leads, holds its lease and has applied all
-   * committed entries.
-   */
-  readonly canRunItems: () => boolean;
+  /** Gets whether this replica leads the ledger and holds its lease. */
+  readonly hasLease: () => boolean;
+  /** Gets whether this replica has applied all committed entries. */
+  readonly isReady: () => boolean;
   /** Sends scoring calls. */
   readonly scoring: ScoringPort;
   /** Called with what a target says of itself. */
@@ -88,8 +87,10 @@
     this.#options = options;
     this.#results = new ResultWriter(options);
     const { scoring, state } = options;
+    const canRunItems = () => this.#canRunItems;
     this.#scorer = new ItemScorer({
       ...options,
+      canRunItems,
       port: scoring,
       rates: options.limiter,
       isBeingStored: (key) => this.#results.isPending(key),
@@ -98,6 +99,7 @@
     const shared = {
       ...options,
       ...this.#runnerState,
+      canRunItems,
       results: this.#results,
       scorer: this.#scorer,
       createPlacer: (now: number) => this.#createPlacer(now),
@@ -264,13 +266,17 @@
     this.schedulePlacement();
   }
 
+  get #canRunItems(): boolean {
+    const { isReady, hasLease } = this.#options;
+    return isReady() && hasLease();
+  }
+
   #tick(): void {
-    const { canRunItems, now } = this.#options;
+    const { hasLease, now } = this.#options;
     this.#pacer.onTick(now());
     this.#learner.onTick();
-    const mayRun = canRunItems();
-    this.#unanswered.onTick(mayRun);
-    if (!mayRun) return;
+    this.#unanswered.onTick(hasLease());
+    if (!this.#canRunItems) return;
     this.#sampleDemand();
     this.admission.sample();
     this.#mover.moveSilentRuns();
--- a/src/tasks/batches/batch_task.ts
+++ b/src/tasks/batches/batch_task.ts
@@ -229,10 +229,8 @@
         now,
       }),
       now: () => performance.now(),
-      canRunItems: () => {
-        const { driver } = this.#service;
-        return driver.isReady && driver.node?.hasLease(now()) === true;
-      },
+      hasLease: () => this.#service.driver.node?.hasLease(now()) === true,
+      isReady: () => this.#service.driver.isReady,
       scoring,
       onSigns,
       storeCompleteText: (record) => this.#results.storeCompleteText(record),
--- a/src/tasks/batches/item_scorer_test.ts
+++ b/src/tasks/batches/item_scorer_test.ts
@@ -91,7 +91,7 @@
   function start(
     specs: readonly BatchSpec[],
     state = new BatchState(),
-    canRunItems = () => true,
+    hasLease = () => true,
   ) {
     const service = new ScriptedService();
     const registry = new TargetRegistry();
@@ -125,7 +125,8 @@
       metrics: new Metrics({ tags: {} }),
       dataCentre: "a",
       now: () => Date.now(),
-      canRunItems,
+      hasLease,
+      isReady: () => true,
       onSigns: () => {},
       limiter: createLimiter(registry),
       storeResult: (record) => {
--- a/src/tasks/batches/item_starter.ts
+++ b/src/tasks/batches/item_starter.ts
@@ -38,8 +38,8 @@
   readonly metrics: Metrics;
   /** Gets the local monotonic time, in milliseconds. */
   readonly now: () => number;
-  /** Gets whether this replica may run items. */
-  readonly canRunItems: () => boolean;
+  /** Gets whether this replica leads and holds its lease. */
+  readonly hasLease: () => boolean;
 }
 
 /**
@@ -76,7 +76,7 @@
     if (placer.isExhausted(waiting)) return false;
     const { registry, engines, limiter, itemTracker, results, runs, prompts } =
       this.#options;
-    const { canRunItems } = this.#options;
+    const { hasLease } = this.#options;
     const { record, item } = waiting;
     const output = itemTracker.outputOf(waiting, records);
     if (output.complete !== undefined) {
@@ -106,7 +106,7 @@
       listener: this.#options.listener,
       now: this.#options.now,
       guard: () =>
-        checkBatch(record, canRunItems) ?? checkTarget(registry, target),
+        checkBatch(record, hasLease) ?? checkTarget(registry, target),
     });
     if (!run.hasEnded) runs.add(run);
     return true;
--- a/src/tasks/batches/unanswered_requests.ts
+++ b/src/tasks/batches/unanswered_requests.ts
@@ -1,4 +1,4 @@
-/** Cancels what might be delivered late once this replica may not run items. */
+/** Cancels what might be delivered late once this replica has lost its lease. */
 import type { ItemTracker } from "../../core/batches/mod.ts";
 import type { Logger } from "../../logging/mod.ts";
 import type { Metrics } from "../../metrics/mod.ts";
@@ -24,7 +24,7 @@
 const LOST_TICKS = 2;
 
 /**
- * Cancels the requests without a response while this replica may not run items:
+ * Cancels the requests without a response while this replica holds no lease:
  * the network may hold them up and deliver them when the next leader has seen
  * their batch end. A response shows that its request was delivered, so its run
  * goes on: the lease may come back, and the next leader begins at its events.
@@ -37,9 +37,9 @@
     this.#options = options;
   }
 
-  /** Records at each tick whether this replica may run items. */
-  onTick(canRunItems: boolean): void {
-    this.#lostTicks = canRunItems ? 0 : this.#lostTicks + 1;
+  /** Records at each tick whether this replica holds the lease. */
+  onTick(hasLease: boolean): void {
+    this.#lostTicks = hasLease ? 0 : this.#lostTicks + 1;
     if (this.#lostTicks < LOST_TICKS) return;
     const { runs, scorer } = this.#options;
     for (const run of runs.all) {
--- a/src/tasks/calls/call_gate.ts
+++ b/src/tasks/calls/call_gate.ts
@@ -30,8 +30,8 @@
    * if there is none in time.
    */
   readonly awaitLease: (maxWaitMs?: number) => Promise<boolean>;
-  /** Gets whether the policy lease is valid; by default, it always is. */
-  readonly hasLease?: () => boolean;
+  /** Gets whether the policy lease is valid. */
+  readonly hasLease: () => boolean;
   /**
    * Gets whether a control leader is known. It sends the policy to an instance
    * that has just started; without one, it must be elected first.
@@ -129,8 +129,7 @@
     if (!policy.needsKeys) return undefined;
     const holder = key === undefined ? undefined : policy.findWorkspace(key);
     if (holder?.name !== workspace) return WithheldReason.KeyWithdrawn;
-    const hasLease = this.#options.hasLease?.() ?? true;
-    return hasLease ? undefined : WithheldReason.LeaseExpired;
+    return this.#options.hasLease() ? undefined : WithheldReason.LeaseExpired;
   }
 
   #getPolicyOrThrow(): PolicyView {
--- a/src/tasks/calls/call_gate_test.ts
+++ b/src/tasks/calls/call_gate_test.ts
@@ -18,6 +18,7 @@
     const gate = new CallGate({
       policy: () => undefined,
       awaitLease: () => Promise.resolve(false),
+      hasLease: () => false,
       hasControlLeader: () => hasControlLeader,
     });
     await expect(gate.admit(KEYED_CALL)).rejects
@@ -38,6 +39,7 @@
     const waits: (number | undefined)[] = [];
     const gate = new CallGate({
       policy: () => new PolicyView(POLICY),
+      hasLease: () => true,
       awaitLease: (maxWaitMs) => {
         waits.push(maxWaitMs);
         return Promise.resolve(false);
--- a/src/tasks/fleet/entry_task.ts
+++ b/src/tasks/fleet/entry_task.ts
@@ -109,6 +109,7 @@
     this.#gate = new CallGate({
       policy: () => follower.policy,
       awaitLease: (maxWaitMs) => follower.awaitLease(maxWaitMs),
+      hasLease: () => follower.hasLease,
       hasControlLeader: () => node.leaderOf(FleetRole.Control) !== undefined,
     });
     this.#ender = new BatchEnder({
--- a/tests/support/batch_runner_fixture.ts
+++ b/tests/support/batch_runner_fixture.ts
@@ -123,7 +123,8 @@
     metrics,
     dataCentre: "a",
     now: () => Date.now(),
-    canRunItems: () => true,
+    hasLease: () => true,
+    isReady: () => true,
     scoring: NO_SCORING,
     storeCompleteText: (record) => {
       state.apply({ type: "keep", records: [record] });
