A run is sent to a cold target only under a permit that is valid

What callers saw: nothing known. A cold target could get more requests in a second than it tolerates.

Cause: a permit for a cold target is void 250 ms after it was asked for, which the bound counts on (slow_start.ts). Runs took a permit that was fetched ahead when they were placed; the connection and the state request, up to 1 s, came after that.

Why this works: `useStored` hands out the permit with its expiry, as `acquire` does, and the guard of the run includes it. The item then waits for another permit.

--- a/src/core/limits/permit_store.ts
+++ b/src/core/limits/permit_store.ts
@@ -40,6 +40,14 @@
     return this.#validOf(target, now).length;
   }
 
+  /**
+   * Gets the time at which the permit that is used next expires; undefined if
+   * there is none.
+   */
+  nextExpiry(target: string, now: number): number | undefined {
+    return this.#validOf(target, now)[0];
+  }
+
   /** Uses the permit for a target that expires first. */
   use(target: string, now: number): this {
     const [, ...left] = this.#validOf(target, now);
--- a/src/tasks/batches/item_starter.ts
+++ b/src/tasks/batches/item_starter.ts
@@ -13,7 +13,7 @@
 import type { Logger } from "../../logging/mod.ts";
 import type { Metrics } from "../../metrics/mod.ts";
 import type { TargetLimiter } from "../fleet/target_limiter.ts";
-import { checkTarget } from "../send_guard.ts";
+import { checkPermit, checkTarget } from "../send_guard.ts";
 import { checkBatch } from "./batch_check.ts";
 import type { EnginePort } from "./engine_port.ts";
 import type { ItemPlacer } from "./item_placer.ts";
@@ -89,7 +89,9 @@
     const target = registry.get(placement.target.id)?.report;
     if (target === undefined) return false;
     placer.reserveSlot(target.id);
-    if (limiter.isLimited(target)) limiter.useStored(target);
+    const permit = limiter.isLimited(target)
+      ? limiter.useStored(target)
+      : undefined;
     itemTracker.onRunStarted(item, text.size > 0);
     this.#logPlaced(waiting, { target, placement, text, output });
     const startedAt = this.#options.now();
@@ -106,7 +108,8 @@
       listener: this.#options.listener,
       now: this.#options.now,
       guard: () =>
-        checkBatch(record, canRunItems) ?? checkTarget(registry, target),
+        checkBatch(record, canRunItems) ?? checkTarget(registry, target) ??
+          checkPermit(permit),
     });
     if (!run.hasEnded) runs.add(run);
     return true;
--- a/src/tasks/calls/call_targets.ts
+++ b/src/tasks/calls/call_targets.ts
@@ -18,7 +18,7 @@
   type TargetReport,
 } from "../../core/registry/mod.ts";
 import type { Metrics } from "../../metrics/mod.ts";
-import { checkTarget, type SendGuard, WithheldReason } from "../send_guard.ts";
+import { checkPermit, checkTarget, type SendGuard } from "../send_guard.ts";
 import type { CallSpread } from "./call_run_options.ts";
 import type { HeldPermit, RateGuard } from "./rate_guard.ts";
 import { pickService } from "./service_choice.ts";
@@ -201,9 +201,8 @@
     const { target, afterMs } = permit;
     if (afterMs > 0) await sleep(afterMs);
     this.#permit = permit;
-    return registry.maySendTo(target.id) && isValid(permit)
-      ? target
-      : undefined;
+    const isValid = checkPermit(permit) === undefined;
+    return registry.maySendTo(target.id) && isValid ? target : undefined;
   }
 
   /** Ranks the targets, if need be with those that may be full no more. */
@@ -282,14 +281,3 @@
     return ranking.targets.map(({ id }) => id);
   }
 }
-
-/** Gets whether a permit is valid; a target without a limit needs none. */
-function isValid(permit: HeldPermit | undefined): boolean {
-  return permit?.isValid?.() !== false;
-}
-
-function checkPermit(
-  permit: HeldPermit | undefined,
-): WithheldReason | undefined {
-  return isValid(permit) ? undefined : WithheldReason.PermitExpired;
-}
--- a/src/tasks/fleet/target_limiter.ts
+++ b/src/tasks/fleet/target_limiter.ts
@@ -12,7 +12,7 @@
   rateWithoutLeader,
 } from "../../core/limits/mod.ts";
 import type { TargetRegistry, TargetReport } from "../../core/registry/mod.ts";
-import type { PermitAnswer, RateGuard } from "../calls/mod.ts";
+import type { HeldPermit, PermitAnswer, RateGuard } from "../calls/mod.ts";
 import { ColdTargets, type ColdTargetsOptions } from "./cold_targets.ts";
 import { FleetMethod } from "./fleet_method.ts";
 import type { FleetNode } from "./fleet_node.ts";
@@ -133,9 +133,15 @@
   }
 
   /** Uses a permit that was fetched ahead. */
-  useStored(target: TargetReport): this {
-    this.#stored.use(keyOf(target), this.#options.now());
-    return this;
+  useStored(target: TargetReport): HeldPermit {
+    const { now } = this.#options;
+    const key = keyOf(target);
+    const usedAt = now();
+    const expiresAt = this.isCold(target)
+      ? this.#stored.nextExpiry(key, usedAt) ?? usedAt
+      : Infinity;
+    this.#stored.use(key, usedAt);
+    return { target, afterMs: 0, isValid: () => now() < expiresAt };
   }
 
   /**
--- a/src/tasks/fleet/target_limiter_test.ts
+++ b/src/tasks/fleet/target_limiter_test.ts
@@ -107,6 +107,20 @@
       expect(permit?.isValid?.()).toBe(false);
     }));
 
+  // Guards against runs that are sent late under a permit fetched ahead.
+  it("takes no permit fetched ahead for valid that is used late", () =>
+    doTest({ reports: [cold] }, async (limiter, registry, setNow) => {
+      const target = registry.getReportOrThrow("cold");
+      await limiter.fetch([target], 9);
+      setNow(1_000);
+      await limiter.fetch([target], 9);
+      const permit = limiter.useStored(target);
+      setNow(1_240);
+      expect(permit.isValid?.()).toBe(true);
+      setNow(1_250);
+      expect(permit.isValid?.()).toBe(false);
+    }));
+
   it("loses permits that were fetched ahead and not used", () =>
     doTest({ reports: [cold] }, async (limiter, registry, setNow) => {
       const target = registry.getReportOrThrow("cold");
--- a/src/tasks/send_guard.ts
+++ b/src/tasks/send_guard.ts
@@ -63,3 +63,20 @@
     ? WithheldReason.Evacuated
     : undefined;
 }
+
+/**
+ * Gets why a request may not be sent under a permit; undefined if it may, also
+ * without a permit, which only a limited target needs.
+ *
+ * @example
+ * ```ts
+ * checkPermit({ isValid: () => false }); // "permitExpired"
+ * ```
+ */
+export function checkPermit(
+  permit: { readonly isValid?: () => boolean } | undefined,
+): WithheldReason | undefined {
+  return permit?.isValid?.() === false
+    ? WithheldReason.PermitExpired
+    : undefined;
+}
