Nothing is sent to a target that has begun to leave meanwhile

What callers saw: nothing known. A request reached a target that said that it leaves while the connection to it opened.

Cause: whether a target leaves was asked when it was chosen, up to 1 s before the bytes of a run.

Evidence: late_sends_test.ts marks the target as leaving during the state request. Before the change the target got the run (received `/-/report`, `/p/`).

Why this works: the guard of runs and calls asks the registry for the state of the target, by the method by which targets are chosen. A call then tries the next target, an item waits for one.

--- a/src/tasks/send_guard.ts
+++ b/src/tasks/send_guard.ts
@@ -5,6 +5,8 @@
 export const WithheldReason = {
   /** The data centre of the target is evacuated. */
   Evacuated: "evacuated",
+  /** The target leaves, or has left. */
+  TargetLeaving: "targetLeaving",
   /** This replica does not lead the ledger, or holds no lease. */
   NotLeading: "notLeading",
   /** The batch of the item has ended. */
@@ -56,12 +58,11 @@
  * ```
  */
 export function checkTarget(
-  registry: Pick<TargetRegistry, "isEvacuated">,
-  { dataCentre }: Pick<TargetReport, "dataCentre">,
+  registry: Pick<TargetRegistry, "isEvacuated" | "maySendTo">,
+  { id, dataCentre }: Pick<TargetReport, "id" | "dataCentre">,
 ): WithheldReason | undefined {
-  return registry.isEvacuated(dataCentre)
-    ? WithheldReason.Evacuated
-    : undefined;
+  if (registry.isEvacuated(dataCentre)) return WithheldReason.Evacuated;
+  return registry.maySendTo(id) ? undefined : WithheldReason.TargetLeaving;
 }
 
 /**
