The moment at which an item's request leaves the process is logged

An item that reaches a target late could not be traced: `itemPlaced` is logged before the connection and the state request, up to 1 s before the bytes. Event 2225 `itemSent` names batch, item, target and the milliseconds since the placement. It is written where the guard has let the request pass, at info as `itemPlaced` is, since a failure that shows once leaves no second chance to raise the level. A run that is withheld has event 2223 instead, one that is cancelled for the lost lease event 2224.

--- a/src/logging/fleet_events.ts
+++ b/src/logging/fleet_events.ts
@@ -112,7 +112,8 @@
     text: "Batch ended by its caller",
   }),
   itemPlaced: defineEvent(2211, "info", {
-    text: "Item sent to a target",
+    text:
+      "Item placed at a target; its request is sent once a connection is ready",
   }),
   itemListed: defineEvent(2212, "info", {
     text: "Item ended; its result is stored and visible to the caller",
@@ -148,6 +149,10 @@
     text:
       "Run of an item without a response cancelled, as the ledger's leader has lost its lease; the item waits again",
   }),
+  itemSent: defineEvent(2225, "info", {
+    text:
+      "Request of an item written to the connection; `waitedMs` counts from the placement",
+  }),
   dataCentreUnanswered: defineEvent(2222, "warn", {
     text:
       "Several targets of a data centre time out and none there answers; items go to other data centres meanwhile",
--- a/src/tasks/batches/batch_runner_test.ts
+++ b/src/tasks/batches/batch_runner_test.ts
@@ -8,6 +8,8 @@
 } from "../../../tests/support/batch_runner_fixture.ts";
 import { ResultState } from "../../core/batches/mod.ts";
 import { TargetRegistry } from "../../core/registry/mod.ts";
+import { Logger } from "../../logging/mod.ts";
+import { WithheldReason } from "../send_guard.ts";
 import { BatchRunner } from "./batch_runner.ts";
 import { RunFailure } from "./engine_port.ts";
 
@@ -42,6 +44,31 @@
       .toEqual(expected);
   }
 
+  it("logs when a run leaves the process, and how long that took", () => {
+    const { engines, step } = startRunner([target("t1")], [spec(["x1"])]);
+    const event = vi.spyOn(Logger.prototype, "event");
+    step(30);
+    engines.runs[0].request.onSent?.();
+    const fields = { batch: "b1", item: "x1", target: "t1" };
+    expect(event).toHaveBeenCalledWith("itemSent", {
+      ...fields,
+      waitedMs: expect.closeTo(30, -2),
+    });
+    event.mockRestore();
+  });
+
+  it("logs why a run was not sent", () => {
+    const { engines } = startRunner([target("t1")], [spec(["x1"])]);
+    const event = vi.spyOn(Logger.prototype, "event");
+    engines.runs[0].sink
+      .onFailure(RunFailure.Withheld, WithheldReason.NotLeading);
+    expect(event).toHaveBeenCalledWith(
+      "itemWithheld",
+      expect.objectContaining({ item: "x1", reason: "notLeading" }),
+    );
+    event.mockRestore();
+  });
+
   it("stores the complete text of a run", () => {
     doTest((run) => run.sink.onEnd(), {
       state: ResultState.Completed,
--- a/src/tasks/batches/engine_port.ts
+++ b/src/tasks/batches/engine_port.ts
@@ -27,6 +27,8 @@
   readonly expectVersion: number | undefined;
   /** Asked when the run is written; by default, it is sent in any case. */
   readonly guard?: SendGuard;
+  /** Called when the run is written to the connection. */
+  readonly onSent?: () => void;
 }
 
 /** Reasons why a run ended before its output was complete. */
--- a/src/tasks/batches/item_run.ts
+++ b/src/tasks/batches/item_run.ts
@@ -41,6 +41,8 @@
   readonly now: () => number;
   /** Asked when the run is written. */
   readonly guard: SendGuard;
+  /** Called when the run is written to the connection. */
+  readonly onSent: () => void;
 }
 
 /** Runs an item at one target and collects its output. */
@@ -90,6 +92,7 @@
       resumeAfter: text.lastId,
       expectVersion: isPinned ? text.versions[0] : undefined,
       guard: options.guard,
+      onSent: options.onSent,
     }, this);
   }
 
--- a/src/tasks/batches/item_starter.ts
+++ b/src/tasks/batches/item_starter.ts
@@ -110,6 +110,7 @@
       guard: () =>
         checkBatch(record, canRunItems) ?? checkTarget(registry, target) ??
           checkPermit(permit),
+      onSent: () => this.#logSent(waiting, target, startedAt),
     });
     if (!run.hasEnded) runs.add(run);
     return true;
@@ -138,6 +139,20 @@
     return strandedMs < STRANDED_WAIT_MS ? undefined : { placement, text };
   }
 
+  #logSent(
+    { record, item }: WaitingItem,
+    target: TargetReport,
+    placedAt: number,
+  ): void {
+    const { logger, now } = this.#options;
+    logger.event("itemSent", {
+      batch: record.spec.id,
+      item: item.id,
+      target: target.id,
+      waitedMs: Math.round(now() - placedAt),
+    });
+  }
+
   #logPlaced(
     { record, item }: WaitingItem,
     { target, placement, text, output }: TargetChoice & {
