--- a/src/tasks/batches/batch_check.ts
+++ b/src/tasks/batches/batch_check.ts
@@ -4,16 +4,16 @@
 
 /**
  * Gets why nothing of a batch may be sent; undefined if it may.
- * @param hasLease - Gets whether this replica leads and holds its lease.
+ * @param holdsLease - Gets whether this replica leads under its lease.
  * @example
  * ```ts
- * const guard = () => checkBatch(record, hasLease);
+ * const guard = () => checkBatch(record, holdsLease);
  * ```
  */
 export function checkBatch(
   { isOpen }: Pick<BatchRecord, "isOpen">,
-  hasLease: () => boolean,
+  holdsLease: () => boolean,
 ): WithheldReason | undefined {
-  if (!hasLease()) return WithheldReason.NotLeading;
+  if (!holdsLease()) return WithheldReason.NotLeading;
   return isOpen ? undefined : WithheldReason.BatchEnded;
 }
--- a/src/tasks/batches/batch_runner.ts
+++ b/src/tasks/batches/batch_runner.ts
@@ -45,10 +45,16 @@
   readonly limiter: TargetLimiter;
   /** Gets the local monotonic time, in milliseconds. */
   readonly now: () => number;
-  /** Gets whether this replica leads the ledger and holds its lease. */
-  readonly hasLease: () => boolean;
-  /** Gets whether this replica has applied all committed entries. */
-  readonly isReady: () => boolean;
+  /**
+   * Gets whether this replica leads, holds its lease and has applied all
+   * committed entries.
+   */
+  readonly canRunItems: () => boolean;
+  /**
+   * Gets whether this replica leads, holds its lease and has applied all entries
+   * of earlier leaders, so that no other one can have ended a batch.
+   */
+  readonly holdsLease: () => boolean;
   /** Sends scoring calls. */
   readonly scoring: ScoringPort;
   /** Called with what a target says of itself. */
@@ -275,8 +281,8 @@
     const { hasLease, now } = this.#options;
     this.#pacer.onTick(now());
     this.#learner.onTick();
-    this.#unanswered.onTick(hasLease());
-    if (!this.#canRunItems) return;
+    this.#unanswered.onTick();
+    if (!canRunItems()) return;
     this.#sampleDemand();
     this.admission.sample();
     this.#mover.moveSilentRuns();
--- a/src/tasks/batches/item_scorer.ts
+++ b/src/tasks/batches/item_scorer.ts
@@ -50,8 +50,8 @@
   readonly rates: RateGuard;
   /** Gets whether this replica may run items. */
   readonly canRunItems: () => boolean;
-  /** Gets whether this replica leads and holds its lease. */
-  readonly hasLease: () => boolean;
+  /** Gets whether this replica leads under its lease. */
+  readonly holdsLease: () => boolean;
   /** Gets whether a result of an item is being written to the ledger. */
   readonly isBeingStored: (key: string) => boolean;
   readonly onSigns: (target: TargetReport, signs: TargetSigns) => void;
@@ -202,7 +202,7 @@
     scoring: ScoringCall,
     signal: AbortSignal,
   ): Promise<CallEnd> {
-    const { port, hasLease } = this.#options;
+    const { port, holdsLease } = this.#options;
     const { spec } = record;
     const policy = port.policy();
     const route = this.#findRoute(scoring);
@@ -221,7 +221,7 @@
         route,
         workspace: undefined,
         policy,
-        guard: () => checkBatch(record, hasLease),
+        guard: () => checkBatch(record, holdsLease),
       },
       homes: homesOf(route, policy.getWorkspace(spec.workspace)),
       signal,
--- a/src/tasks/batches/item_scorer_test.ts
+++ b/src/tasks/batches/item_scorer_test.ts
@@ -125,8 +125,8 @@
       metrics: new Metrics({ tags: {} }),
       dataCentre: "a",
       now: () => Date.now(),
-      hasLease,
-      isReady: () => true,
+      canRunItems,
+      holdsLease: canRunItems,
       onSigns: () => {},
       limiter: createLimiter(registry),
       storeResult: (record) => {
--- a/src/tasks/send_guard.ts
+++ b/src/tasks/send_guard.ts
@@ -5,6 +5,8 @@
 export const WithheldReason = {
   /** The data centre of the target is evacuated. */
   Evacuated: "evacuated",
+  /** The target leaves, or has left. */
+  TargetLeaving: "targetLeaving",
   /** This replica does not lead the ledger, or holds no lease. */
   NotLeading: "notLeading",
   /** The batch of the item has ended. */
@@ -56,10 +58,26 @@
  * ```
  */
 export function checkTarget(
-  registry: Pick<TargetRegistry, "isEvacuated">,
-  { dataCentre }: Pick<TargetReport, "dataCentre">,
+  registry: Pick<TargetRegistry, "isEvacuated" | "maySendTo">,
+  { id, dataCentre }: Pick<TargetReport, "id" | "dataCentre">,
 ): WithheldReason | undefined {
-  return registry.isEvacuated(dataCentre)
-    ? WithheldReason.Evacuated
+  if (registry.isEvacuated(dataCentre)) return WithheldReason.Evacuated;
+  return registry.maySendTo(id) ? undefined : WithheldReason.TargetLeaving;
+}
+
+/**
+ * Gets why a request may not be sent under a permit; undefined if it may, also
+ * without a permit, which only a limited target needs.
+ *
+ * @example
+ * ```ts
+ * checkPermit({ isValid: () => false }); // "permitExpired"
+ * ```
+ */
+export function checkPermit(
+  permit: { readonly isValid?: () => boolean } | undefined,
+): WithheldReason | undefined {
+  return permit?.isValid?.() === false
+    ? WithheldReason.PermitExpired
     : undefined;
 }
--- a/tests/support/batch_runner_fixture.ts
+++ b/tests/support/batch_runner_fixture.ts
@@ -123,8 +123,8 @@
     metrics,
     dataCentre: "a",
     now: () => Date.now(),
-    hasLease: () => true,
-    isReady: () => true,
+    canRunItems: () => true,
+    holdsLease: () => true,
     scoring: NO_SCORING,
     storeCompleteText: (record) => {
       state.apply({ type: "keep", records: [record] });
