--- a/src/tasks/batches/batch_runner.ts
+++ b/src/tasks/batches/batch_runner.ts
@@ -93,10 +93,8 @@
     this.#options = options;
     this.#results = new ResultWriter(options);
     const { scoring, state } = options;
-    const canRunItems = () => this.#canRunItems;
     this.#scorer = new ItemScorer({
       ...options,
-      canRunItems,
       port: scoring,
       rates: options.limiter,
       isBeingStored: (key) => this.#results.isPending(key),
@@ -105,7 +103,6 @@
     const shared = {
       ...options,
       ...this.#runnerState,
-      canRunItems,
       results: this.#results,
       scorer: this.#scorer,
       createPlacer: (now: number) => this.#createPlacer(now),
@@ -272,13 +269,8 @@
     this.schedulePlacement();
   }
 
-  get #canRunItems(): boolean {
-    const { isReady, hasLease } = this.#options;
-    return isReady() && hasLease();
-  }
-
   #tick(): void {
-    const { hasLease, now } = this.#options;
+    const { canRunItems, now } = this.#options;
     this.#pacer.onTick(now());
     this.#learner.onTick();
     this.#unanswered.onTick();
