--- a/src/logging/fleet_events.ts
+++ b/src/logging/fleet_events.ts
@@ -116,11 +116,12 @@
   }),
   endUnconfirmed: defineEvent(2205, "warn", {
     text:
-      "Ledger did not confirm the end of a batch before its caller was answered; `attempts` lists the members that were asked",
+      "Ledger did not confirm the end of a batch, for the given reason; `attempts` lists the members that were asked",
     action: "Check that the ledger's log has a leader and a quorum",
   }),
   itemPlaced: defineEvent(2211, "info", {
-    text: "Item sent to a target",
+    text:
+      "Item placed at a target; its request is sent once a connection is ready",
   }),
   itemListed: defineEvent(2212, "info", {
     text: "Item ended; its result is stored and visible to the caller",
@@ -148,6 +149,18 @@
     text:
       "Item begins anew, as its writer is unknown or no target has the versions that wrote its partial output",
   }),
+  itemWithheld: defineEvent(2223, "info", {
+    text:
+      "Run of an item not sent, as its permission ended while the connection was prepared; the item waits again",
+  }),
+  itemCancelled: defineEvent(2224, "info", {
+    text:
+      "Run of an item without a response cancelled, as the ledger's leader has lost its lease; the item waits again",
+  }),
+  itemSent: defineEvent(2225, "info", {
+    text:
+      "Request of an item written to the connection; `waitedMs` counts from the placement",
+  }),
   dataCentreUnanswered: defineEvent(2222, "warn", {
     text:
       "Several targets of a data centre time out and none there answers; items go to other data centres meanwhile",
--- a/src/tasks/batches/batch_runner.ts
+++ b/src/tasks/batches/batch_runner.ts
@@ -31,6 +31,7 @@
 import { RunLearner } from "./run_learner.ts";
 import { RunMover } from "./run_mover.ts";
 import { RunnerState } from "./runner_state.ts";
+import { UnansweredRequests } from "./unanswered_requests.ts";
 
 /** Options of {@link BatchRunner}. */
 export interface BatchRunnerOptions extends ResultWriterOptions {
@@ -49,6 +50,11 @@
    * committed entries.
    */
   readonly canRunItems: () => boolean;
+  /**
+   * Gets whether this replica leads, holds its lease and has applied all entries
+   * of earlier leaders, so that no other one can have ended a batch.
+   */
+  readonly holdsLease: () => boolean;
   /** Sends scoring calls. */
   readonly scoring: ScoringPort;
   /** Called with what a target says of itself. */
@@ -76,6 +82,7 @@
   readonly #overdue: OverdueItems;
   readonly #failures: RunFailureHandler;
   readonly #partialTexts: PartialTextWriter;
+  readonly #unanswered: UnansweredRequests;
   readonly #scheduler: PlacementScheduler;
   /** Identifiers and addresses of the targets whose state is kept, joined. */
   #places: string | undefined;
@@ -85,18 +92,12 @@
   constructor(options: BatchRunnerOptions) {
     this.#options = options;
     this.#results = new ResultWriter(options);
-    const { scoring, state, registry, logger, metrics, dataCentre, limiter } =
-      options;
+    const { scoring, state } = options;
     this.#scorer = new ItemScorer({
+      ...options,
       port: scoring,
-      state,
-      registry,
-      logger,
-      metrics,
-      dataCentre,
-      rates: limiter,
+      rates: options.limiter,
       isBeingStored: (key) => this.#results.isPending(key),
-      onSigns: options.onSigns,
       onEnded: (scored, score) => this.#results.completeScored(scored, score),
     });
     const shared = {
@@ -122,6 +123,7 @@
     this.#overdue = new OverdueItems(shared);
     this.#failures = new RunFailureHandler({ ...shared, reach });
     this.#partialTexts = new PartialTextWriter(shared);
+    this.#unanswered = new UnansweredRequests(shared);
     this.#scheduler = new PlacementScheduler({
       ...shared,
       starter: this.#starter,
@@ -202,7 +204,7 @@
   /** Records that the write of a complete text has been applied. */
   onTextStored(batch: string, item: string): this {
     this.onResultStored(batch, item);
-    if (this.#options.canRunItems()) this.#scorer.run();
+    this.#scorer.run();
     return this;
   }
 
@@ -271,6 +273,7 @@
     const { canRunItems, now } = this.#options;
     this.#pacer.onTick(now());
     this.#learner.onTick();
+    this.#unanswered.onTick();
     if (!canRunItems()) return;
     this.#sampleDemand();
     this.admission.sample();
--- a/src/tasks/batches/item_starter.ts
+++ b/src/tasks/batches/item_starter.ts
@@ -13,6 +13,8 @@
 import type { Logger } from "../../logging/mod.ts";
 import type { Metrics } from "../../metrics/mod.ts";
 import type { TargetLimiter } from "../fleet/target_limiter.ts";
+import { checkPermit, checkTarget } from "../send_guard.ts";
+import { checkBatch } from "./batch_check.ts";
 import type { EnginePort } from "./engine_port.ts";
 import type { ItemPlacer } from "./item_placer.ts";
 import { ItemRun, type ItemRunListener } from "./item_run.ts";
@@ -36,6 +38,8 @@
   readonly metrics: Metrics;
   /** Gets the local monotonic time, in milliseconds. */
   readonly now: () => number;
+  /** Gets whether this replica leads under its lease. */
+  readonly holdsLease: () => boolean;
 }
 
 /**
@@ -72,6 +76,7 @@
     if (placer.isExhausted(waiting)) return false;
     const { registry, engines, limiter, itemTracker, results, runs, prompts } =
       this.#options;
+    const { holdsLease } = this.#options;
     const { record, item } = waiting;
     const output = itemTracker.outputOf(waiting, records);
     if (output.complete !== undefined) {
@@ -84,7 +89,9 @@
     const target = registry.get(placement.target.id)?.report;
     if (target === undefined) return false;
     placer.reserveSlot(target.id);
-    if (limiter.isLimited(target)) limiter.useStored(target);
+    const permit = limiter.isLimited(target)
+      ? limiter.useStored(target)
+      : undefined;
     itemTracker.onRunStarted(item, text.size > 0);
     this.#logPlaced(waiting, { target, placement, text, output });
     const startedAt = this.#options.now();
@@ -100,7 +107,10 @@
       engines,
       listener: this.#options.listener,
       now: this.#options.now,
-      maySend: () => !registry.isEvacuated(target.dataCentre),
+      guard: () =>
+        checkBatch(record, holdsLease) ?? checkTarget(registry, target) ??
+          checkPermit(permit),
+      onSent: () => this.#logSent(waiting, target, startedAt),
     });
     if (!run.hasEnded) runs.add(run);
     return true;
@@ -129,6 +139,20 @@
     return strandedMs < STRANDED_WAIT_MS ? undefined : { placement, text };
   }
 
+  #logSent(
+    { record, item }: WaitingItem,
+    target: TargetReport,
+    placedAt: number,
+  ): void {
+    const { logger, now } = this.#options;
+    logger.event("itemSent", {
+      batch: record.spec.id,
+      item: item.id,
+      target: target.id,
+      waitedMs: Math.round(now() - placedAt),
+    });
+  }
+
   #logPlaced(
     { record, item }: WaitingItem,
     { target, placement, text, output }: TargetChoice & {
--- a/src/tasks/calls/call_targets.ts
+++ b/src/tasks/calls/call_targets.ts
@@ -1,5 +1,4 @@
 /** Choice of the targets of a single call. */
-import { createHash } from "node:crypto";
 import { setTimeout as sleep } from "node:timers/promises";
 import {
   type CallPlacementInput,
@@ -19,8 +18,10 @@
   type TargetReport,
 } from "../../core/registry/mod.ts";
 import type { Metrics } from "../../metrics/mod.ts";
+import { checkPermit, checkTarget, type SendGuard } from "../send_guard.ts";
 import type { CallSpread } from "./call_run_options.ts";
 import type { HeldPermit, RateGuard } from "./rate_guard.ts";
+import { pickService } from "./service_choice.ts";
 
 /** Options of {@link CallTargets}. */
 export interface CallTargetsOptions {
@@ -56,6 +57,8 @@
 export class CallTargets {
   readonly #options: CallTargetsOptions;
   readonly #tried = new Set<string>();
+  /** Targets that a call was not sent to after they were chosen. */
+  readonly #withheld = new Set<string>();
   /** Targets that were full at their last attempt. */
   readonly #full = new Set<string>();
   #sentCount = 0;
@@ -114,12 +117,17 @@
     return this.#options.homes !== undefined && this.#reports().length === 0;
   }
 
-  /** Records that the call is sent to a target. */
-  markTried({ id }: TargetReport): this {
-    this.#tried.add(id);
+  /**
+   * Records that the call is sent to a target, under the permit for it.
+   * @returns The guard that tells whether the target may still be sent the call.
+   */
+  markTried(target: TargetReport): SendGuard {
+    const permit = this.#permit;
+    this.#tried.add(target.id);
     this.#sentCount += 1;
     this.#permit = undefined;
-    return this;
+    return () =>
+      checkTarget(this.#options.registry, target) ?? checkPermit(permit);
   }
 
   /** Counts an attempt that a target refused as full. */
@@ -128,6 +136,17 @@
     return this;
   }
 
+  /**
+   * Records that the call was not sent to a target after all. The target may be
+   * chosen again, once.
+   */
+  markWithheld(id: string): this {
+    this.#sentCount -= 1;
+    if (!this.#withheld.has(id)) this.#tried.delete(id);
+    this.#withheld.add(id);
+    return this;
+  }
+
   /** Records that a target may be asked again, as it did not run the call. */
   markFull(id: string): this {
     this.#full.add(id);
@@ -148,11 +167,6 @@
     return await this.#takePermit(limited, leftMs) ?? this.nextUnlimited();
   }
 
-  /** Gets whether the last target needs no permit, or has one that is valid. */
-  get isPermitted(): boolean {
-    return this.#permit?.isValid?.() !== false;
-  }
-
   /** Gets the best target that does not limit its requests. */
   nextUnlimited(): TargetReport | undefined {
     return this.#rank().find((target) => !this.#isLimited(target));
@@ -187,9 +201,8 @@
     const { target, afterMs } = permit;
     if (afterMs > 0) await sleep(afterMs);
     this.#permit = permit;
-    return registry.maySendTo(target.id) && this.isPermitted
-      ? target
-      : undefined;
+    const isValid = checkPermit(permit) === undefined;
+    return registry.maySendTo(target.id) && isValid ? target : undefined;
   }
 
   /** Ranks the targets, if need be with those that may be full no more. */
@@ -268,23 +281,3 @@
     return ranking.targets.map(({ id }) => id);
   }
 }
-
-/**
- * Picks a service by weight. The choice is derived from the call ID, so that all
- * attempts of a call use the same service.
- */
-function pickService({ shares }: RoutePolicy, call: string): string {
-  const total = shares.reduce((sum, share) => sum + share.weight, 0);
-  let point = toUnitInterval(call) * total;
-  for (const { service, weight } of shares) {
-    point -= weight;
-    if (point < 0) return service;
-  }
-  return shares[shares.length - 1].service;
-}
-
-/** Hashes a text to a number in the range [0, 1). */
-function toUnitInterval(text: string): number {
-  const digest = createHash("sha256").update(text).digest();
-  return digest.readUInt32BE(0) / 2 ** 32;
-}
--- a/src/tasks/fleet/batch_ender.ts
+++ b/src/tasks/fleet/batch_ender.ts
@@ -1,19 +1,62 @@
 /** Ends of batches, as requested at an entry instance. */
 import { FleetRole } from "../../core/fleet/mod.ts";
+import {
+  RefusalError,
+  RefusalReason,
+  Verdict,
+} from "../../core/verdict/mod.ts";
 import { BatchMethod, type BatchParams } from "../batches/mod.ts";
+import { settleWithin } from "../settle.ts";
 import type { FleetNode } from "./fleet_node.ts";
 import type { FailedAttempt } from "./leader_client.ts";
 
+/** Request of a caller to end a batch. */
+export interface EndRequest {
+  readonly host: string;
+  /** API key of the caller; undefined if it sent none. */
+  readonly key: string | undefined;
+  readonly batch: string;
+}
+
 /** Options of {@link BatchEnder}. */
 export interface BatchEnderOptions {
-  readonly node: Pick<FleetNode, "requestLeader" | "logger">;
+  readonly node: Pick<FleetNode, "requestLeader" | "logger" | "metrics">;
+  /**
+   * Gets the workspace of a caller.
+   * @throws RefusalError if the key is unknown or cannot be checked now.
+   */
+  readonly authenticate: (
+    host: string,
+    key: string | undefined,
+  ) => Promise<string>;
 }
 
-const END_TIMEOUT_MS = 1_300;
+/** Time for all members that are asked in one round. */
+const ROUND_TIMEOUT_MS = 1_300;
+/** Time for one member, so that a silent leader leaves time for another one. */
+const ATTEMPT_TIMEOUT_MS = 450;
+const ROUND_PAUSE_MS = 400;
+/** Time for which an end is sent again; longer than most outages last. */
+const RETRY_PERIOD_MS = 60_000;
+/** Maximum number of ends that are sent again after their callers' answers. */
+const MAX_UNCONFIRMED = 1_000;
+
+/** Reasons that may not hold in the next round. */
+const TEMPORARY_REASONS: ReadonlySet<RefusalReason> = new Set([
+  RefusalReason.ControlUnavailable,
+  RefusalReason.LedgerUnavailable,
+  RefusalReason.DataCentreFenced,
+]);
 
-/** Ends batches at the ledger, and logs how long that took and who was asked. */
+/**
+ * Ends batches at the ledger. An end is sent again until the ledger confirms
+ * it, also after its caller was answered: the items of a batch would run on if
+ * all attempts of the caller fell into one outage.
+ */
 export class BatchEnder {
   readonly #options: BatchEnderOptions;
+  /** Ends that are sent again, by host, key and batch. */
+  readonly #unconfirmed = new Map<string, Promise<void>>();
 
   constructor(options: BatchEnderOptions) {
     this.#options = options;
@@ -21,35 +64,92 @@
 
   /**
    * Ends a batch.
-   * @throws RefusalError if the workspace has no such batch, or if the ledger
-   * does not confirm the end in time.
+   * @throws RefusalError if the caller is not known or has no such batch, or,
+   * with verdict `mayHaveRun`, if the end is not confirmed yet.
+   * @example
+   * await ender.end({ host: "park.example", key, batch: "7c41e0" });
    */
-  async end(params: BatchParams): Promise<void> {
-    const { node } = this.#options;
+  async end(request: EndRequest): Promise<void> {
+    try {
+      await this.#send(request);
+    } catch (err) {
+      if (!isTemporary(err) || !this.#retry(request)) throw err;
+      throw new RefusalError(
+        RefusalReason.LedgerUnavailable,
+        Verdict.MayHaveRun,
+        { message: "The end is not confirmed yet; it is sent again" },
+      );
+    }
+  }
+
+  /** Waits until no end is sent again, or until a time has passed. */
+  async settle(timeoutMs: number): Promise<void> {
+    await settleWithin(Promise.all(this.#unconfirmed.values()), timeoutMs);
+  }
+
+  /** Sends an end again; returns whether it does. */
+  #retry(request: EndRequest): boolean {
+    const key = JSON.stringify([request.host, request.key, request.batch]);
+    if (this.#unconfirmed.has(key)) return true;
+    if (this.#unconfirmed.size >= MAX_UNCONFIRMED) return false;
+    const retries = this.#sendUntilConfirmed(request)
+      .finally(() => this.#unconfirmed.delete(key));
+    this.#unconfirmed.set(key, retries);
+    return true;
+  }
+
+  async #sendUntilConfirmed(request: EndRequest): Promise<void> {
+    const endsAt = performance.now() + RETRY_PERIOD_MS;
+    while (performance.now() < endsAt) {
+      await sleep(ROUND_PAUSE_MS);
+      try {
+        return await this.#send(request);
+      } catch (err) {
+        // Each failed round is logged.
+        if (!isTemporary(err)) return;
+      }
+    }
+  }
+
+  /** Sends an end in one round of attempts, and logs the outcome. */
+  async #send({ host, key, batch }: EndRequest): Promise<void> {
+    const { node, authenticate } = this.#options;
     const attempts: string[] = [];
     const startedAt = performance.now();
     const describe = () => ({
-      batch: params.batch,
+      batch,
       tookMs: Math.round(performance.now() - startedAt),
       attempts,
     });
     try {
+      const workspace = await authenticate(host, key);
+      const params: BatchParams = { workspace, batch };
       await node.requestLeader(FleetRole.Ledger, BatchMethod.End, {
         params,
-        timeoutMs: END_TIMEOUT_MS,
-        attemptMs: END_TIMEOUT_MS,
+        timeoutMs: ROUND_TIMEOUT_MS,
+        attemptMs: ATTEMPT_TIMEOUT_MS,
         onFailed: (attempt) => attempts.push(formatAttempt(attempt)),
       });
     } catch (err) {
-      node.logger.event("endUnconfirmed", describe());
+      const { reason } = err as Partial<RefusalError>;
+      node.metrics.count("ends.unconfirmed");
+      node.logger.event("endUnconfirmed", { ...describe(), reason });
       throw err;
     }
     node.logger.event("endConfirmed", describe());
   }
 }
 
+function isTemporary(err: unknown): boolean {
+  return err instanceof RefusalError && TEMPORARY_REASONS.has(err.reason);
+}
+
 function formatAttempt(
   { member, reason, verdict, tookMs }: FailedAttempt,
 ): string {
   return `${member} ${reason} ${verdict} ${tookMs} ms`;
 }
+
+function sleep(ms: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, ms));
+}
--- a/src/tasks/fleet/entry_task.ts
+++ b/src/tasks/fleet/entry_task.ts
@@ -14,7 +14,6 @@
 import type { RefusalError } from "../../core/verdict/mod.ts";
 import {
   BatchMethod,
-  type BatchParams,
   type BodyParams,
   type ReadParams,
   type SubmitParams,
@@ -30,11 +29,12 @@
   type TargetPort,
 } from "../calls/mod.ts";
 import { createRandom } from "../random.ts";
-import { BatchEnder } from "./batch_ender.ts";
+import { BatchEnder, type EndRequest } from "./batch_ender.ts";
 import { BatchHomes } from "./batch_homes.ts";
 import { BatchReader } from "./batch_reader.ts";
 import type { FleetFollower } from "./fleet_follower.ts";
 import type { FleetNode } from "./fleet_node.ts";
+import type { LeaderRequestTimes } from "./leader_client.ts";
 import { StreamRecords } from "./stream_records.ts";
 import { untilTargetsKnown } from "./targets_wait.ts";
 
@@ -72,7 +72,9 @@
   idleTimeoutMs: 15_000,
 };
 const SUBMIT_TIMEOUT_MS = 3_000;
-const LEDGER_TIMEOUT_MS = 1_300;
+const BODY_TIMEOUT_MS = 1_300;
+/** Time for one member, so that a silent leader leaves time for another one. */
+const BODY_ATTEMPT_MS = 450;
 
 /** Serves callers on one entry instance. */
 export class EntryTask {
@@ -94,7 +96,7 @@
     this.#reader = new BatchReader({
       node,
       readLeader: (params, timeoutMs) =>
-        this.#requestLedger(BatchMethod.Read, params, timeoutMs),
+        this.#requestLedger(BatchMethod.Read, params, { timeoutMs }),
     });
     this.#spread = {
       instances: () =>
@@ -103,13 +105,17 @@
       random: createRandom(),
     };
     this.#batchHomes = new BatchHomes(options);
-    this.#ender = new BatchEnder(options);
     this.#usage = new UsageCounter(node.settings.times.usageWindowMs);
     this.#gate = new CallGate({
       policy: () => follower.policy,
       awaitLease: (maxWaitMs) => follower.awaitLease(maxWaitMs),
+      hasLease: () => follower.hasLease,
       hasControlLeader: () => node.leaderOf(FleetRole.Control) !== undefined,
     });
+    this.#ender = new BatchEnder({
+      node,
+      authenticate: (host, key) => this.#gate.authenticate(host, key),
+    });
   }
 
   /**
@@ -250,7 +256,9 @@
       spec,
       faults: findScoringFaults(spec, policy),
     };
-    await this.#requestLedger(BatchMethod.Submit, params, SUBMIT_TIMEOUT_MS);
+    await this.#requestLedger(BatchMethod.Submit, params, {
+      timeoutMs: SUBMIT_TIMEOUT_MS,
+    });
   }
 
   /** Reads a page of batch results. */
@@ -260,17 +268,25 @@
 
   /** Reads the body of an item from the ledger. */
   async readItem(params: BodyParams): Promise<Uint8Array> {
-    const reply = await this.#requestLedger(
-      BatchMethod.Body,
-      params,
-      LEDGER_TIMEOUT_MS,
-    );
+    const reply = await this.#requestLedger(BatchMethod.Body, params, {
+      timeoutMs: BODY_TIMEOUT_MS,
+      attemptMs: BODY_ATTEMPT_MS,
+    });
     return reply as Uint8Array;
   }
 
-  /** Ends a batch at the ledger. */
-  async endBatch(params: BatchParams): Promise<void> {
-    await this.#ender.end(params);
+  /**
+   * Ends a batch at the ledger, also if that takes longer than the answer.
+   * @throws RefusalError if the caller is not known or has no such batch, or,
+   * with verdict `mayHaveRun`, if the end is not confirmed yet.
+   */
+  async endBatch(request: EndRequest): Promise<void> {
+    await this.#ender.end(request);
+  }
+
+  /** Waits for some time until the ends of batches are confirmed. */
+  async settleEnds(timeoutMs: number): Promise<void> {
+    await this.#ender.settle(timeoutMs);
   }
 
   /** Counts and logs the refusal of a request. */
@@ -289,12 +305,12 @@
   #requestLedger(
     method: string,
     params: unknown,
-    timeoutMs: number,
+    { timeoutMs, attemptMs = timeoutMs }: LeaderRequestTimes,
   ): Promise<unknown> {
     return this.#options.node.requestLeader(FleetRole.Ledger, method, {
       params,
       timeoutMs,
-      attemptMs: timeoutMs,
+      attemptMs,
     });
   }
 }
