WaitingItem is declared beside the batch record

batch_shares.ts and item_order.ts imported each other: the first for the type WaitingItem, the second for mergeByShares. The type pairs a record with one of its items and is declared in batch_record.ts, which both import.

--- a/src/core/batches/batch_record.ts
+++ b/src/core/batches/batch_record.ts
@@ -18,6 +18,12 @@
   readonly score: string | undefined;
 }
 
+/** An item that waits to be run. */
+export interface WaitingItem {
+  readonly record: BatchRecord;
+  readonly item: BatchItem;
+}
+
 /** Holds the specification, results and partial outputs of one batch. */
 export class BatchRecord {
   readonly spec: BatchSpec;
--- a/src/core/batches/batch_shares.ts
+++ b/src/core/batches/batch_shares.ts
@@ -1,5 +1,5 @@
 /** Fair shares of the slots for batches that compete for them. */
-import type { WaitingItem } from "./item_order.ts";
+import type { WaitingItem } from "./batch_record.ts";
 
 /** The waiting items of a batch, and what it uses already. */
 export interface BatchQueue {
--- a/src/core/batches/batch_shares_test.ts
+++ b/src/core/batches/batch_shares_test.ts
@@ -4,8 +4,9 @@
   simulateBatchOrder,
   type SimulatedWorkspace,
 } from "../../../tests/support/batch_order_simulation.ts";
+import type { WaitingItem } from "./batch_record.ts";
 import { mergeByShares } from "./batch_shares.ts";
-import { type OrderInput, orderItems, type WaitingItem } from "./item_order.ts";
+import { type OrderInput, orderItems } from "./item_order.ts";
 
 /** Orders batches by due time alone, with overdue ones last. */
 function orderByDueTime(input: OrderInput): WaitingItem[] {
--- a/src/core/batches/item_order.ts
+++ b/src/core/batches/item_order.ts
@@ -1,15 +1,9 @@
 /** Orders the waiting items of open batches. */
 import type { BatchItem, BatchPriority } from "./batch.ts";
-import type { BatchRecord } from "./batch_record.ts";
+import type { BatchRecord, WaitingItem } from "./batch_record.ts";
 import { comparePriorities } from "./batch_priority.ts";
 import { type BatchQueue, mergeByShares } from "./batch_shares.ts";
 
-/** An item that waits to be run. */
-export interface WaitingItem {
-  readonly record: BatchRecord;
-  readonly item: BatchItem;
-}
-
 /** Input of {@link orderItems}. */
 export interface OrderInput {
   readonly records: readonly BatchRecord[];
--- a/src/core/batches/item_tracker.ts
+++ b/src/core/batches/item_tracker.ts
@@ -1,7 +1,7 @@
 /** Progress of items between their runs. */
 import type { BatchItem } from "./batch.ts";
 import type { BatchRecord } from "./batch_record.ts";
-import type { WaitingItem } from "./item_order.ts";
+import type { WaitingItem } from "./batch_record.ts";
 import { type PartialText, RunText } from "./run_text.ts";
 
 /** Progress of one item. */
--- a/src/core/batches/run_estimator.ts
+++ b/src/core/batches/run_estimator.ts
@@ -1,6 +1,6 @@
 /** Estimates the length of outputs and the time to read prompts. */
-import type { BatchRecord } from "./batch_record.ts";
-import { DEFAULT_EXPECTED_TOKENS, type WaitingItem } from "./item_order.ts";
+import type { BatchRecord, WaitingItem } from "./batch_record.ts";
+import { DEFAULT_EXPECTED_TOKENS } from "./item_order.ts";
 import { type EstimateRecord, isBetterEstimate } from "./known_paces.ts";
 
 /** Sums over the recent runs of a service; older runs count less. */
