The input of target ranking is declared with it

item_placement.ts and target_ranking.ts imported each other. The state of a target, the expected run and the part of the input that ranking reads are declared in target_ranking.ts; PlacementInput extends it by what the choice needs beyond that.

--- a/src/core/batches/item_placement.ts
+++ b/src/core/batches/item_placement.ts
@@ -1,67 +1,16 @@
 /** Selects the target at which an item is expected to end first. */
-import type { OutputWriter } from "../continuation/mod.ts";
 import {
   type Best,
   eventMsOf,
+  type ExpectedRun,
+  type PlacementTarget,
   type Ranking,
+  type RankingInput,
   rankTargets,
 } from "./target_ranking.ts";
 
-/** State of a target that placement depends on. */
-export interface PlacementTarget {
-  readonly id: string;
-  readonly service: string;
-  /** Software version; undefined if it is unknown. */
-  readonly software: string | undefined;
-  /** Whether other software versions of the service have more targets. */
-  readonly isScarce: boolean;
-  readonly dataCentre: string;
-  /** Maximum number of concurrent requests. */
-  readonly slots: number;
-  /** Number of requests in flight. */
-  readonly inFlight: number;
-  /** Loaded version of the item's model; undefined if not reported. */
-  readonly version: number | undefined;
-  /** Expected time per event of a run alone at the target, in milliseconds. */
-  readonly paceMs: number;
-  /** Whether the target is far slower now than it is in the long run. */
-  readonly isSick: boolean;
-  /** Whether the target accepts no work: after failures or while loading. */
-  readonly isAvoided: boolean;
-  /** Whether it has just started and takes few requests a second. */
-  readonly isCold: boolean;
-}
-
-/** Expected run of an item, in times per event. */
-export interface ExpectedRun {
-  /** Number of events that the output still needs. */
-  readonly remainingEvents: number;
-  /** Time to the first event at a target without the prompt. */
-  readonly uncachedPromptEvents: number;
-  /** Time to the first event at a target with the prompt in its cache. */
-  readonly cachedPromptEvents: number;
-  /** Mean length of a run, which determines when a used slot becomes free. */
-  readonly meanRunEvents: number;
-}
-
 /** Input of {@link placeItem}. */
-export interface PlacementInput {
-  readonly targets: readonly PlacementTarget[];
-  /** Minimum weight version; 0 for any. */
-  readonly minVersion: number;
-  /** Who wrote the output so far; undefined if there is none. */
-  readonly written: OutputWriter | undefined;
-  /** Weight versions that generated the output so far. */
-  readonly versions: readonly number[];
-  /** Whether one weight version must generate the complete output. */
-  readonly isSingleVersion: boolean;
-  /** Targets to use only if no other is eligible, as after a failed run. */
-  readonly excluded: ReadonlySet<string>;
-  /** Targets that have the prompt of the item's group in their cache. */
-  readonly cachingTargets: ReadonlySet<string>;
-  /** Local data centre. */
-  readonly dataCentre: string;
-  readonly run: ExpectedRun;
+export interface PlacementInput extends RankingInput {
   /** Time until the item is due, in milliseconds; negative if overdue. */
   readonly dueInMs: number;
   /**
--- a/src/core/batches/item_placement_test.ts
+++ b/src/core/batches/item_placement_test.ts
@@ -3,8 +3,8 @@
   placeItem,
   type PlacementInput,
   PlacementReason,
-  type PlacementTarget,
 } from "./item_placement.ts";
+import type { PlacementTarget } from "./target_ranking.ts";
 
 function target(
   id: string,
--- a/src/core/batches/mod.ts
+++ b/src/core/batches/mod.ts
@@ -5,6 +5,7 @@
 export * from "./batch_state.ts";
 export * from "./item_order.ts";
 export * from "./item_placement.ts";
+export type { ExpectedRun, PlacementTarget } from "./target_ranking.ts";
 export * from "./known_paces.ts";
 export * from "./pace_memory.ts";
 export * from "./pace_recipients.ts";
--- a/src/core/batches/target_ranking.ts
+++ b/src/core/batches/target_ranking.ts
@@ -1,6 +1,5 @@
 /** Ranks targets by the expected end of an item. */
-import { mayContinue } from "../continuation/mod.ts";
-import type { PlacementInput, PlacementTarget } from "./item_placement.ts";
+import { mayContinue, type OutputWriter } from "../continuation/mod.ts";
 import { loadFactorOf } from "./target_pace.ts";
 
 /**
@@ -14,6 +13,63 @@
  */
 const COLD_PENALTY = 0.1;
 
+/** State of a target that placement depends on. */
+export interface PlacementTarget {
+  readonly id: string;
+  readonly service: string;
+  /** Software version; undefined if it is unknown. */
+  readonly software: string | undefined;
+  /** Whether other software versions of the service have more targets. */
+  readonly isScarce: boolean;
+  readonly dataCentre: string;
+  /** Maximum number of concurrent requests. */
+  readonly slots: number;
+  /** Number of requests in flight. */
+  readonly inFlight: number;
+  /** Loaded version of the item's model; undefined if not reported. */
+  readonly version: number | undefined;
+  /** Expected time per event of a run alone at the target, in milliseconds. */
+  readonly paceMs: number;
+  /** Whether the target is far slower now than it is in the long run. */
+  readonly isSick: boolean;
+  /** Whether the target accepts no work: after failures or while loading. */
+  readonly isAvoided: boolean;
+  /** Whether it has just started and takes few requests a second. */
+  readonly isCold: boolean;
+}
+
+/** Expected run of an item, in times per event. */
+export interface ExpectedRun {
+  /** Number of events that the output still needs. */
+  readonly remainingEvents: number;
+  /** Time to the first event at a target without the prompt. */
+  readonly uncachedPromptEvents: number;
+  /** Time to the first event at a target with the prompt in its cache. */
+  readonly cachedPromptEvents: number;
+  /** Mean length of a run, which determines when a used slot becomes free. */
+  readonly meanRunEvents: number;
+}
+
+/** Input of {@link rankTargets}. */
+export interface RankingInput {
+  readonly targets: readonly PlacementTarget[];
+  /** Minimum weight version; 0 for any. */
+  readonly minVersion: number;
+  /** Who wrote the output so far; undefined if there is none. */
+  readonly written: OutputWriter | undefined;
+  /** Weight versions that generated the output so far. */
+  readonly versions: readonly number[];
+  /** Whether one weight version must generate the complete output. */
+  readonly isSingleVersion: boolean;
+  /** Targets to use only if no other is eligible, as after a failed run. */
+  readonly excluded: ReadonlySet<string>;
+  /** Targets that have the prompt of the item's group in their cache. */
+  readonly cachingTargets: ReadonlySet<string>;
+  /** Local data centre. */
+  readonly dataCentre: string;
+  readonly run: ExpectedRun;
+}
+
 /** The best of some targets, by expected end. */
 export interface Best {
   target: PlacementTarget | undefined;
@@ -37,7 +93,7 @@
 
 /** Finds the best targets among those that are excluded, or are not. */
 export function rankTargets(
-  input: PlacementInput,
+  input: RankingInput,
   isExcluded: boolean,
 ): Ranking {
   const ranking: Ranking = {
@@ -74,7 +130,7 @@
 }
 
 /** Gets the share by which a target must end an item earlier than others. */
-function penaltyOf(target: PlacementTarget, input: PlacementInput): number {
+function penaltyOf(target: PlacementTarget, input: RankingInput): number {
   const isScarce = target.isScarce && input.written === undefined;
   return (isScarce ? SCARCE_PENALTY : 0) + (target.isCold ? COLD_PENALTY : 0);
 }
@@ -97,7 +153,7 @@
 
 function isEligible(
   target: PlacementTarget,
-  input: PlacementInput,
+  input: RankingInput,
 ): boolean {
   const { version } = target;
   if (target.isAvoided || target.slots === 0) return false;
