cold_time.ts no longer imports the registry

reportAt reads the report and the cold time of a registered target only, so its parameter names these two and the circular import with target_registry.ts ends.

--- a/src/core/registry/cold_time.ts
+++ b/src/core/registry/cold_time.ts
@@ -1,5 +1,4 @@
 /** Time until which a target is cold, on the local clock. */
-import type { RegisteredTarget } from "./target_registry.ts";
 import type { TargetReport } from "./target_report.ts";
 
 /**
@@ -94,7 +93,7 @@
  * receive it later than this one has.
  */
 export function reportAt(
-  { report, coldUntil }: RegisteredTarget,
+  { report, coldUntil }: ColdTime & { readonly report: TargetReport },
   now: number,
 ): TargetReport {
   if (coldUntil === undefined || report.coldMs === undefined) return report;
