--- a/src/core/fleet/fleet_member.ts
+++ b/src/core/fleet/fleet_member.ts
@@ -3,8 +3,6 @@
  * addresses.
  */
 
-import type { ChangeSequence } from "./fleet_notice.ts";
-
 /** Roles of an instance. */
 export const FleetRole = {
   Entry: "entry",
@@ -15,6 +13,16 @@
 /** One of the values of {@link FleetRole}. */
 export type FleetRole = typeof FleetRole[keyof typeof FleetRole];
 
+/**
+ * Sequence number of a change, valid within one incarnation of its publisher.
+ */
+export interface ChangeSequence {
+  /** Incarnation of the publisher. */
+  readonly life: string;
+  /** Sequence number of the change. */
+  readonly change: number;
+}
+
 /** Status that an instance publishes about itself once a second. */
 export interface FleetMember {
   /** Name of the machine, as known to operators. */
--- a/src/core/fleet/fleet_notice.ts
+++ b/src/core/fleet/fleet_notice.ts
@@ -3,17 +3,7 @@
 import type { SuspicionChange } from "../quarantine/mod.ts";
 import type { TargetReport } from "../registry/mod.ts";
 import type { EvacuationUpdate } from "./evacuations.ts";
-import type { RosterEntry } from "./fleet_member.ts";
-
-/**
- * Sequence number of a change, valid within one incarnation of its publisher.
- */
-export interface ChangeSequence {
-  /** Incarnation of the publisher. */
-  readonly life: string;
-  /** Sequence number of the change. */
-  readonly change: number;
-}
+import type { ChangeSequence, RosterEntry } from "./fleet_member.ts";
 
 /** Fingerprints under suspicion, in one version of the control log's state. */
 export interface SuspicionUpdate {
