Targets far slower than in the long run are called degraded, not sick

Plain rename of isSick, isLastinglySick, sickSince and PlacementReason.Sick, with the comments, log and help texts beside them; onHeldUp is onStalled. The value `sick` in log lines and the metric items.moved.sick stay, as they are interfaces.

--- a/soak/output_simulation.ts
+++ b/soak/output_simulation.ts
@@ -297,7 +297,7 @@
         inFlight: Math.floor(this.#scheduler.random() * 3),
         version: 1,
         paceMs: 1,
-        isSick: false,
+        isDegraded: false,
         isAvoided: this.#scheduler.random() < 0.2,
         isCold: false,
       })),
--- a/src/core/batches/item_placement.ts
+++ b/src/core/batches/item_placement.ts
@@ -33,8 +33,11 @@
   CachedPrompt: "cachedPrompt",
   /** It is in the local data centre, and others end hardly earlier. */
   Local: "local",
-  /** It is sick, and no other target ends the item earlier. */
-  Sick: "sick",
+  /**
+   * It is degraded, and no other target ends the item earlier; `sick` in log
+   * lines.
+   */
+  Degraded: "sick",
 } as const;
 
 /** One of the values of {@link PlacementReason}. */
@@ -69,8 +72,8 @@
 /**
  * Selects the target at which an item ends first. A target in the local data
  * centre is preferred if little time is lost by it. An item waits for a used
- * slot if it then ends earlier, and is late at all free targets, finds only sick
- * ones, or finds none that has read its prompt.
+ * slot if it then ends earlier, and is late at all free targets, finds only
+ * degraded ones, or finds none that has read its prompt.
  *
  * @example
  * ```ts
@@ -99,8 +102,8 @@
   if (target === undefined) return NOT_PLACED;
   const isCached = usual === PlacementReason.Earliest &&
     cachingTargets.has(target.id);
-  const reason = target.isSick
-    ? PlacementReason.Sick
+  const reason = target.isDegraded
+    ? PlacementReason.Degraded
     : isCached
     ? PlacementReason.CachedPrompt
     : usual;
@@ -117,7 +120,7 @@
   if (heldItems === undefined) return false;
   const latestMs = HOLD_SHARE * free.ms;
   const isLate = free.ms * SAFETY_FACTOR > dueInMs;
-  if (isLate || free.target?.isSick === true) {
+  if (isLate || free.target?.isDegraded === true) {
     if (endAfterWaitMs(used, usedSlots, heldItems, run) < latestMs) return true;
   }
   if (heldForPrompt === undefined) return false;
@@ -144,7 +147,7 @@
   if (freeLocal.target === undefined || freeLocal.target === free.target) {
     return false;
   }
-  if (freeLocal.target.isSick || freeLocal.ms * SAFETY_FACTOR > dueInMs) {
+  if (freeLocal.target.isDegraded || freeLocal.ms * SAFETY_FACTOR > dueInMs) {
     return false;
   }
   return freeLocal.cost - free.cost <= LOCAL_SHARE * dueInMs;
--- a/src/core/batches/item_placement_test.ts
+++ b/src/core/batches/item_placement_test.ts
@@ -20,7 +20,7 @@
     inFlight: 0,
     version: 5,
     paceMs: 40,
-    isSick: false,
+    isDegraded: false,
     isAvoided: false,
     isCold: false,
     ...fields,
@@ -133,12 +133,12 @@
     doTest(targets, { dueInMs: 3_000, heldItems: undefined }, "y");
   });
 
-  it("uses a sick target only if no other ends the item earlier", () => {
-    const sick = target("x", { paceMs: 200, isSick: true });
-    doTest([sick, target("y", { inFlight: 3 })], {}, "y");
-    doTest([sick, target("y", { inFlight: 4 })], {}, undefined);
-    const { placement } = place([sick], {});
-    expect(placement?.reason).toBe(PlacementReason.Sick);
+  it("uses a degraded target only if no other ends the item earlier", () => {
+    const degraded = target("x", { paceMs: 200, isDegraded: true });
+    doTest([degraded, target("y", { inFlight: 3 })], {}, "y");
+    doTest([degraded, target("y", { inFlight: 4 })], {}, undefined);
+    const { placement } = place([degraded], {});
+    expect(placement?.reason).toBe(PlacementReason.Degraded);
   });
 
   it("prefers the local data centre if little time is lost", () => {
--- a/src/core/batches/pace_stats.ts
+++ b/src/core/batches/pace_stats.ts
@@ -18,10 +18,10 @@
   /** Time since which the recent pace has been far from the long-run pace. */
   changedSince: number | undefined;
   /**
-   * Time since which the target was sick at each sample; undefined if it was
+   * Time since which the target was degraded at each sample; undefined if it was
    * not at the last sample that could tell.
    */
-  sickSince: number | undefined;
+  degradedSince: number | undefined;
   avoidedUntil: number;
   failures: number;
 }
@@ -46,7 +46,7 @@
 const MAX_GAP_RATIO = 4;
 /**
  * As {@link MAX_GAP_RATIO}, in the recent pace: one late event, as after a lost
- * packet, does not make a target sick.
+ * packet, does not make a target degraded.
  */
 const MAX_RECENT_GAP_RATIO = 10;
 /** Time without an event after which a recent pace expires. */
@@ -72,7 +72,7 @@
     lateGaps: 0,
     lastSampleAt: -Infinity,
     changedSince: undefined,
-    sickSince: undefined,
+    degradedSince: undefined,
     avoidedUntil: -Infinity,
     failures: 0,
   };
--- a/src/core/batches/run_move.ts
+++ b/src/core/batches/run_move.ts
@@ -20,7 +20,7 @@
   readonly inherentMs: number;
 }
 
-/** Time in which a target that is sick is expected to recover. */
+/** Time in which a degraded target is expected to recover. */
 const RECOVERY_MS = 5_000;
 /** Share of the time of a run that a move must save. */
 const MIN_SAVED_SHARE = 0.3;
@@ -28,9 +28,9 @@
 const MIN_SAVED_MS = 200;
 
 /**
- * Gets the expected time to the end of a run that stays at a sick target, in
+ * Gets the expected time to the end of a run that stays at a degraded target, in
  * milliseconds. The target recovers after a while, so a long run is not at the
- * pace of now for all its rest.
+ * current pace for all of its remainder.
  *
  * @example
  * ```ts
--- a/src/core/batches/target_pace.ts
+++ b/src/core/batches/target_pace.ts
@@ -27,17 +27,17 @@
 }
 
 const DEFAULT_PACE_MS = 60;
-/** Ratio of recent to long-run pace above which a target is sick. */
+/** Ratio of recent to long-run pace above which a target is degraded. */
 const SICK_RATIO = 3;
-/** Time for which a target is sick before its runs are moved. */
+/** Time for which a target is degraded before its runs are moved. */
 const LASTING_MS = 200;
-/** Ratio to the slow end of its service above which a new target is sick. */
+/** Ratio to the slow end of its service above which a new target is degraded. */
 const SICK_SERVICE_RATIO = 3.5;
 /** Ratio to the long-run pace from which the recent pace is expected to last. */
 const CHANGED_RATIO = 1.5;
 /** Time after which a changed pace becomes the long-run pace. */
 const ADOPTION_MS = 15_000;
-/** As {@link ADOPTION_MS}, for a target that was never seen sound. */
+/** As {@link ADOPTION_MS}, for a target that was never seen healthy. */
 const NEW_ADOPTION_MS = 5_000;
 /** Share by which a run takes longer at a target whose slots are all in use. */
 const LOAD_SLOWDOWN = 0.2;
@@ -63,7 +63,7 @@
  * @example
  * ```ts
  * pace.onEventGap(target, { gapMs: 20, load: 0.5, runs: 5, now });
- * pace.isSick(target, now); // false
+ * pace.isDegraded(target, now); // false
  * ```
  */
 export class TargetPace {
@@ -77,9 +77,9 @@
     const gapMs = sample.gapMs / loadFactorOf(sample.load);
     addRecent(stats, gapMs, sample);
     const isConfirmed = stats.recentSamples >= MIN_RECENT_SAMPLES;
-    if (stats.sickSince !== undefined && !isConfirmed) return this;
-    stats.sickSince = this.#isSick(stats, now)
-      ? stats.sickSince ?? now
+    if (stats.degradedSince !== undefined && !isConfirmed) return this;
+    stats.degradedSince = this.#isDegraded(stats, now)
+      ? stats.degradedSince ?? now
       : undefined;
     if (this.#isChanged(stats, now)) return this.#onChanged(stats, now);
     stats.changedSince = undefined;
@@ -92,7 +92,7 @@
 
   /** Gets whether the recent pace says nothing of the long-run pace. */
   #isChanged(stats: PaceStats, now: number): boolean {
-    if (!hasInherent(stats)) return stats.sickSince !== undefined;
+    if (!hasInherent(stats)) return stats.degradedSince !== undefined;
     const { medianRatio } = this.#table.summaryOf(stats.service, now);
     const usualMs = medianRatio * stats.inherentMs;
     return recentMsOf(stats, now) > CHANGED_RATIO * usualMs;
@@ -107,18 +107,18 @@
     stats.inherentSamples = MIN_INHERENT_SAMPLES;
     stats.inherentAt = now;
     stats.changedSince = undefined;
-    stats.sickSince = undefined;
+    stats.degradedSince = undefined;
     this.#table.forgetSummary(stats.service);
     return this;
   }
 
   /**
-   * Records that this process was held up: a target that is sick must show
-   * anew that it lasts, as no event was measured meanwhile.
+   * Records that this process stalled: no event was measured meanwhile, so a
+   * degraded target must remain degraded for the full time again.
    */
-  onHeldUp(now: number): this {
+  onStalled(now: number): this {
     for (const stats of this.#table.all) {
-      if (stats.sickSince !== undefined) stats.sickSince = now;
+      if (stats.degradedSince !== undefined) stats.degradedSince = now;
     }
     return this;
   }
@@ -170,7 +170,7 @@
     const stats = this.#table.get(target);
     if (stats !== undefined && hasInherent(stats)) return stats.inherentMs;
     const isMeasured = stats !== undefined && isCurrent(stats, now);
-    if (!isMeasured || this.#isSick(stats, now)) {
+    if (!isMeasured || this.#isDegraded(stats, now)) {
       return this.#medianMs(target.service, now);
     }
     return stats.recentMs;
@@ -183,29 +183,29 @@
   }
 
   /** Gets whether a target is far slower now than it is in the long run. */
-  isSick(target: PacedTarget, now: number): boolean {
+  isDegraded(target: PacedTarget, now: number): boolean {
     const stats = this.#table.get(target);
-    return stats !== undefined && this.#isSick(stats, now);
+    return stats !== undefined && this.#isDegraded(stats, now);
   }
 
   /**
-   * Gets whether a target is sick, was at each event for a while, and is so by
+   * Gets whether a target is degraded, was at each event for a while, and is so by
    * most of its events: a few late ones, as after lost packets, raise the mean
    * of a target with few runs as much.
    */
-  isLastinglySick(target: PacedTarget, now: number): boolean {
+  isPersistentlyDegraded(target: PacedTarget, now: number): boolean {
     const stats = this.#table.get(target);
-    const since = stats?.sickSince;
+    const since = stats?.degradedSince;
     if (stats === undefined || since === undefined) return false;
     if (now - since < LASTING_MS) return false;
     if (hasInherent(stats) && !areMostLate(stats)) return false;
-    return this.#isSick(stats, now);
+    return this.#isDegraded(stats, now);
   }
 
-  /** Gets whether a target was sick, and no events show that it recovered. */
+  /** Gets whether a target was degraded, and no events show that it recovered. */
   isRecovering(target: PacedTarget, now: number): boolean {
     const stats = this.#table.get(target);
-    return stats?.sickSince !== undefined && !this.#isSick(stats, now);
+    return stats?.degradedSince !== undefined && !this.#isDegraded(stats, now);
   }
 
   /** Gets all known long-run paces. */
@@ -228,7 +228,7 @@
     return this;
   }
 
-  #isSick(stats: PaceStats, now: number): boolean {
+  #isDegraded(stats: PaceStats, now: number): boolean {
     if (stats.recentSamples < MIN_RECENT_SAMPLES) return false;
     const { slowEndMs, medianRatio } = this.#table.summaryOf(
       stats.service,
--- a/src/core/batches/target_pace_test.ts
+++ b/src/core/batches/target_pace_test.ts
@@ -42,17 +42,19 @@
     expected: readonly string[],
   ) {
     const pace = record(gaps);
-    const sick = Object.keys(gaps).filter((id) => pace.isSick(target(id), now));
-    expect(sick).toEqual(expected);
+    const degraded = Object.keys(gaps).filter((id) =>
+      pace.isDegraded(target(id), now)
+    );
+    expect(degraded).toEqual(expected);
   }
 
   it("detects a new target that is far slower than the others", () =>
     doTest({ x: 40, y: 45, z: 160 }, 1_100, ["z"]));
 
-  it("detects no sick target among similar ones", () =>
+  it("detects no degraded target among similar ones", () =>
     doTest({ x: 40, y: 60, z: 70 }, 1_100, []));
 
-  it("detects no sick target where a part of them is inherently slow", () =>
+  it("detects no degraded target where a part of them is inherently slow", () =>
     doTest({ x: 28, y: 28, z: 68 }, 1_100, []));
 
   it("expires a pace that is no longer measured", () =>
@@ -64,8 +66,8 @@
     play(pace, fast, { from: 0, to: 1_000, gapMs: 14 });
     play(pace, slow, { from: 0, to: 1_000, gapMs: 34 });
     play(pace, fast, { from: 1_000, to: 4_000, gapMs: 140 });
-    expect(pace.isSick(fast, 4_000)).toBe(true);
-    expect(pace.isSick(slow, 1_100)).toBe(false);
+    expect(pace.isDegraded(fast, 4_000)).toBe(true);
+    expect(pace.isDegraded(slow, 1_100)).toBe(false);
     expect(pace.paceMs(fast, 4_000)).toBeGreaterThan(100);
     expect(pace.inherentPaceMs(fast, 4_000)).toBeLessThan(30);
   });
@@ -77,7 +79,7 @@
       play(pace, target(id), { from: 0, to: 1_000, gapMs: 10 });
     }
     play(pace, slow, { from: 0, to: 1_000, gapMs: 100 });
-    expect(pace.isSick(slow, 1_000)).toBe(false);
+    expect(pace.isDegraded(slow, 1_000)).toBe(false);
     expect(pace.inherentPaceMs(target("new"), 1_000)).toBeCloseTo(10);
   });
 
@@ -102,7 +104,7 @@
     expect(pace.paceMs(restarted, 3_500)).toBeCloseTo(14);
   });
 
-  it("holds no target sick when events of all are delayed alike", () => {
+  it("holds no target degraded when events of all are delayed alike", () => {
     const pace = new TargetPace();
     const targets = ["x", "y", "z"].map((id) => target(id));
     for (const each of targets) {
@@ -113,21 +115,21 @@
         pace.onEventGap(each, { gapMs: 400, load: 0, runs: 1, now: 1_400 + i });
       }
     }
-    expect(targets.filter((each) => pace.isSick(each, 1_600))).toEqual([]);
+    expect(targets.filter((each) => pace.isDegraded(each, 1_600))).toEqual([]);
   });
 
-  it("holds no target sick for one late event, or moves runs for a few", () => {
+  it("holds no target degraded for one late event, or moves runs for a few", () => {
     const pace = new TargetPace();
     const at = target("x");
     play(pace, at, { from: 0, to: 1_000, gapMs: 14 });
     const late = { gapMs: 300, load: 0, runs: 8, now: 1_300 };
     pace.onEventGap(at, late);
-    expect(pace.isSick(at, 1_300)).toBe(false);
+    expect(pace.isDegraded(at, 1_300)).toBe(false);
     for (let i = 0; i < 7; i += 1) pace.onEventGap(at, late);
-    expect(pace.isSick(at, 1_300)).toBe(true);
-    expect(pace.isLastinglySick(at, 1_350)).toBe(false);
+    expect(pace.isDegraded(at, 1_300)).toBe(true);
+    expect(pace.isPersistentlyDegraded(at, 1_350)).toBe(false);
     play(pace, at, { from: 1_301, to: 1_600, gapMs: 14 });
-    expect(pace.isSick(at, 1_600)).toBe(false);
+    expect(pace.isDegraded(at, 1_600)).toBe(false);
   });
 
   // Failure: two lost packets of a lone run raise its mean for over 200 ms.
@@ -138,23 +140,23 @@
     for (const now of [1_270, 1_540]) {
       pace.onEventGap(at, { gapMs: 270, load: 0, runs: 1, now });
     }
-    expect(pace.isSick(at, 1_540)).toBe(true);
-    expect(pace.isLastinglySick(at, 1_540)).toBe(false);
+    expect(pace.isDegraded(at, 1_540)).toBe(true);
+    expect(pace.isPersistentlyDegraded(at, 1_540)).toBe(false);
     play(pace, at, { from: 1_554, to: 1_700, gapMs: 14 });
     play(pace, at, { from: 2_100, to: 2_700, gapMs: 150 });
-    expect(pace.isLastinglySick(at, 2_700)).toBe(true);
+    expect(pace.isPersistentlyDegraded(at, 2_700)).toBe(true);
   });
 
-  // Failure: a stall of this process counts as time in which a target was sick.
-  it("requires a sick target to last anew once this process was held up", () => {
+  // Failure: a stall of this process counts as time in which a target was degraded.
+  it("requires a degraded target to remain so for the full time after this process stalled", () => {
     const pace = new TargetPace();
     const at = target("x");
     play(pace, at, { from: 0, to: 1_000, gapMs: 14 });
     play(pace, at, { from: 1_150, to: 1_600, gapMs: 150 });
-    expect(pace.isLastinglySick(at, 1_900)).toBe(true);
-    pace.onHeldUp(1_900);
-    expect(pace.isLastinglySick(at, 1_950)).toBe(false);
-    expect(pace.isLastinglySick(at, 2_150)).toBe(true);
+    expect(pace.isPersistentlyDegraded(at, 1_900)).toBe(true);
+    pace.onStalled(1_900);
+    expect(pace.isPersistentlyDegraded(at, 1_950)).toBe(false);
+    expect(pace.isPersistentlyDegraded(at, 2_150)).toBe(true);
   });
 
   describe("with the paces of an earlier leader", () => {
@@ -203,12 +205,12 @@
     });
   });
 
-  it("awaits events before it counts a sick target as recovered", () => {
+  it("awaits events before it counts a degraded target as recovered", () => {
     const pace = new TargetPace();
     const at = target("x");
     play(pace, at, { from: 0, to: 1_000, gapMs: 20 });
     play(pace, at, { from: 1_000, to: 3_000, gapMs: 200 });
-    expect(pace.isSick(at, 10_000)).toBe(false);
+    expect(pace.isDegraded(at, 10_000)).toBe(false);
     expect(pace.isRecovering(at, 10_000)).toBe(true);
     play(pace, at, { from: 10_000, to: 10_400, gapMs: 20 });
     expect(pace.isRecovering(at, 10_400)).toBe(false);
@@ -219,7 +221,7 @@
     const at = target("x");
     play(pace, at, { from: 0, to: 1_000, gapMs: 20 });
     play(pace, at, { from: 1_000, to: 20_000, gapMs: 100 });
-    expect(pace.isSick(at, 20_000)).toBe(false);
+    expect(pace.isDegraded(at, 20_000)).toBe(false);
     expect(pace.inherentPaceMs(at, 20_000)).toBeCloseTo(100, 0);
   });
 
--- a/src/core/batches/target_ranking.ts
+++ b/src/core/batches/target_ranking.ts
@@ -31,7 +31,7 @@
   /** Expected time per event of a run alone at the target, in milliseconds. */
   readonly paceMs: number;
   /** Whether the target is far slower now than it is in the long run. */
-  readonly isSick: boolean;
+  readonly isDegraded: boolean;
   /** Whether the target accepts no work: after failures or while loading. */
   readonly isAvoided: boolean;
   /** Whether it has just started and takes few requests a second. */
@@ -118,7 +118,7 @@
       if (target.dataCentre === input.dataCentre) {
         improve(ranking.freeLocal, target, ms, cost);
       }
-    } else if (!target.isSick) {
+    } else if (!target.isDegraded) {
       improve(ranking.used, target, ms, cost);
       ranking.usedSlots += target.slots;
       if (!isCached) continue;
--- a/src/logging/fleet_events.ts
+++ b/src/logging/fleet_events.ts
@@ -123,7 +123,7 @@
   }),
   itemMoved: defineEvent(2214, "info", {
     text:
-      "Run of an item cancelled at a sick, slow or silent target; the item continues at another one",
+      "Run of an item cancelled at a degraded, slow or silent target; the item continues at another one",
   }),
   recordsUnstored: defineEvent(2215, "warn", {
     text: "Results of items could not be stored; the items run again",
--- a/src/metrics/metric_catalogue.ts
+++ b/src/metrics/metric_catalogue.ts
@@ -188,7 +188,7 @@
   },
   "items.moved": {
     kind: "counter",
-    text: "Runs of items moved away from sick, slow or silent targets",
+    text: "Runs of items moved away from degraded, slow or silent targets",
   },
   "items.moved.misplaced": {
     kind: "counter",
--- a/src/tasks/batches/item_placer.ts
+++ b/src/tasks/batches/item_placer.ts
@@ -187,7 +187,7 @@
       inFlight: this.#runCounts.get(report.id) ?? 0,
       version: report.versions[model],
       paceMs: targetPace.paceMs(report, now),
-      isSick: targetPace.isSick(report, now) ||
+      isDegraded: targetPace.isDegraded(report, now) ||
         targetPace.isRecovering(report, now),
       isAvoided: targetPace.isAvoided(report, now) ||
         loads.isLoading(report, model, now) ||
--- a/src/tasks/batches/run_learner.ts
+++ b/src/tasks/batches/run_learner.ts
@@ -38,7 +38,7 @@
     const now = this.#options.now();
     if (lag.onTick(now).isMeasured(now, now)) return;
     metrics.count("items.ticksLate");
-    targetPace.onHeldUp(now);
+    targetPace.onStalled(now);
   }
 
   /** Records the time in which a target has read a prompt. */
--- a/src/tasks/batches/run_learner_test.ts
+++ b/src/tasks/batches/run_learner_test.ts
@@ -58,8 +58,8 @@
   // Failure: a stall of this process makes its only target look degraded.
   it("holds no target sick while its own process stalls", () =>
     void doTest(20_000, (pace) => {
-      expect(pace.isLastinglySick(at, 20_000)).toBe(false);
-      expect(pace.isSick(at, 0)).toBe(false);
+      expect(pace.isPersistentlyDegraded(at, 20_000)).toBe(false);
+      expect(pace.isDegraded(at, 0)).toBe(false);
     }));
 
   // Failure: stalls raise the long-run pace, which is sent to other instances.
--- a/src/tasks/batches/run_mover.ts
+++ b/src/tasks/batches/run_mover.ts
@@ -136,7 +136,7 @@
   /** Gets why a run may move; undefined if it stays in any case. */
   #reasonToMove(run: ItemRun, now: number): SlowReason | undefined {
     const { targetPace, itemTracker } = this.#options;
-    if (targetPace.isLastinglySick(run.target, now)) return "sick";
+    if (targetPace.isPersistentlyDegraded(run.target, now)) return "sick";
     if (run.wasPaceKnown || !targetPace.isPaceKnown(run.target)) {
       return undefined;
     }
