What the targets of a service can do is called its capacity, not its room

Plain rename of ServiceRoom, RoomLimits, RoomTarget, RoomInput, roomOf, roomTokens, hasRoom and what is named after them, with the comments. The log field roomTokens stays, as it is an interface.

--- a/src/core/batches/batch_admission.ts
+++ b/src/core/batches/batch_admission.ts
@@ -16,11 +16,13 @@
   readonly placeTokensPerMs: number;
 }
 
-/** Room at the targets of a service at which a batch may run. */
-export interface ServiceRoom {
+/** Capacity of the targets of a service at which a batch may run. */
+export interface ServiceCapacity {
   /** Slots of targets that are present or may return in time. */
   readonly slots: number;
-  /** Their rate with full slots at long-run paces, in tokens per millisecond. */
+  /**
+   * Their rate with full slots at long-run paces, in tokens per millisecond.
+   */
   readonly tokensPerMs: number;
   /** Rate of the targets that may yet start, in tokens per millisecond. */
   readonly startableTokensPerMs: number;
@@ -41,7 +43,7 @@
   /** Number of open items of the service. */
   readonly openItems: number;
   /** Undefined if the paces of the targets or lengths are not known. */
-  readonly room: ServiceRoom | undefined;
+  readonly capacity: ServiceCapacity | undefined;
   /** Measured drain rate in tokens per millisecond; undefined if not known. */
   readonly drainTokensPerMs: number | undefined;
   /** Time for which this replica has led, in milliseconds. */
@@ -75,7 +77,7 @@
   /** Work that precedes the batch, in tokens. */
   readonly precedingTokens: number;
   /** Work that the targets can do in time, in tokens. */
-  readonly roomTokens: number;
+  readonly capacityTokens: number;
   /** Fair share of the workspace in it, in tokens. */
   readonly shareTokens: number;
   /** Open work of the workspace, in tokens. */
@@ -85,23 +87,23 @@
 }
 
 /**
- * Factor on what the targets can do: only a batch that cannot fit is refused, and
- * paces and lengths are estimates.
+ * Factor on what the targets can do: only a batch that cannot fit is refused,
+ * and paces and lengths are estimates.
  */
-const ROOM_MARGIN = 1.25;
+const CAPACITY_MARGIN = 1.25;
 /**
- * Time for which a new leader refuses nothing, in milliseconds: it does not know
- * yet how the queue drains.
+ * Time for which a new leader refuses nothing, in milliseconds: it does not
+ * know yet how the queue drains.
  */
 const MIN_LEADING_MS = 5_000;
 /**
- * Part of the room up to which the own length counts: estimates are often off by
- * a factor of two, so a batch is refused only for the work of others.
+ * Part of the capacity up to which the own length counts: estimates are often
+ * off by a factor of two, so a batch is refused only for the work of others.
  */
-const MAX_OWN_ROOM_SHARE = 0.5;
+const MAX_OWN_CAPACITY_SHARE = 0.5;
 /**
- * Part of the room that urgent work leaves to less urgent batches; the order of
- * items gives them as much (`batch_shares.ts`).
+ * Part of the capacity that urgent work leaves to less urgent batches; the
+ * order of items gives them as much (`batch_shares.ts`).
  */
 const LESS_URGENT_SHARE = 0.25;
 
@@ -116,28 +118,28 @@
  * ```
  */
 export function decideAdmission(input: AdmissionInput): AdmissionDecision {
-  const { room, drainTokensPerMs, leadingMs, preceding } = input;
+  const { capacity, drainTokensPerMs, leadingMs, preceding } = input;
   if (
     leadingMs < MIN_LEADING_MS || drainTokensPerMs === undefined ||
-    room === undefined
+    capacity === undefined
   ) {
     return admit(AdmissionReason.Unknown);
   }
-  const hasSlots = input.openItems + input.items <= room.slots;
+  const hasSlots = input.openItems + input.items <= capacity.slots;
   if (hasSlots || preceding.every(({ tokens }) => tokens <= 0)) {
     return admit(AdmissionReason.Idle);
   }
-  const roomTokens = roomTokensOf(input, room, drainTokensPerMs);
+  const capacityTokens = capacityTokensOf(input, capacity, drainTokensPerMs);
   const work = boundByPlace(preceding, input.giveUpInMs);
   const urgentTokens = Math.min(
     tokensOf(work.filter(({ isMoreUrgent }) => isMoreUrgent)),
-    roomTokens * (1 - LESS_URGENT_SHARE),
+    capacityTokens * (1 - LESS_URGENT_SHARE),
   );
   const used = usedByWorkspace(work);
   return decideByShares(input, {
-    roomTokens,
+    capacityTokens,
     precedingTokens: tokensOf(work),
-    leftTokens: roomTokens - urgentTokens,
+    leftTokens: capacityTokens - urgentTokens,
     hasUrgent: urgentTokens > 0,
     used,
     drainTokensPerMs,
@@ -145,9 +147,9 @@
 }
 
 interface KnownWork {
-  readonly roomTokens: number;
+  readonly capacityTokens: number;
   readonly precedingTokens: number;
-  /** What more urgent work leaves of the room. */
+  /** What more urgent work leaves of the capacity. */
   readonly leftTokens: number;
   readonly hasUrgent: boolean;
   /** Work of the same urgency, by workspace. */
@@ -160,16 +162,16 @@
   known: KnownWork,
 ): AdmissionDecision {
   const { workspace, batch } = input;
-  const { roomTokens, precedingTokens, leftTokens, used } = known;
+  const { capacityTokens, precedingTokens, leftTokens, used } = known;
   const usedTokens = used.get(workspace) ?? 0;
   const ownTokens = Math.min(
     input.tokens,
-    roomTokens * MAX_OWN_ROOM_SHARE,
+    capacityTokens * MAX_OWN_CAPACITY_SHARE,
   );
   const wanted = new Map(used).set(workspace, usedTokens + ownTokens);
   const shares = shareFairly(wanted, leftTokens);
   const shareTokens = shares.get(workspace) ?? 0;
-  const figures = { precedingTokens, roomTokens, shareTokens, usedTokens };
+  const figures = { precedingTokens, capacityTokens, shareTokens, usedTokens };
   const excessTokens = usedTokens + ownTokens - shareTokens;
   if (excessTokens <= 0) return admit(AdmissionReason.Fits, figures);
   const isOtherAbove = [...used].some(([name, tokens]) =>
@@ -179,10 +181,10 @@
     return admit(AdmissionReason.BelowShare, figures);
   }
   const isUrgentWork = known.hasUrgent &&
-    sumOf([...wanted.values()]) <= roomTokens;
-  const shareOfRoom = shareTokens / Math.max(1, leftTokens);
+    sumOf([...wanted.values()]) <= capacityTokens;
+  const shareOfCapacity = shareTokens / Math.max(1, leftTokens);
   const waitMs = excessTokens /
-    Math.max(Number.MIN_VALUE, known.drainTokensPerMs * shareOfRoom);
+    Math.max(Number.MIN_VALUE, known.drainTokensPerMs * shareOfCapacity);
   return {
     isAdmitted: false,
     reason: isUrgentWork
@@ -199,7 +201,7 @@
 ): AdmissionDecision {
   return {
     precedingTokens: 0,
-    roomTokens: 0,
+    capacityTokens: 0,
     shareTokens: 0,
     usedTokens: 0,
     ...figures,
@@ -210,22 +212,22 @@
 }
 
 /** Gets the work that the targets can do until the caller gives up. */
-function roomTokensOf(
+function capacityTokensOf(
   { giveUpInMs }: AdmissionInput,
-  room: ServiceRoom,
+  capacity: ServiceCapacity,
   drainTokensPerMs: number,
 ): number {
   // What the queue does is possible, whatever the paces say.
-  const tokensPerMs = Math.max(room.tokensPerMs, drainTokensPerMs);
-  const startedMs = Math.max(0, giveUpInMs - room.bootMs);
-  return ROOM_MARGIN * (tokensPerMs * Math.max(0, giveUpInMs) +
-    room.startableTokensPerMs * startedMs);
+  const tokensPerMs = Math.max(capacity.tokensPerMs, drainTokensPerMs);
+  const startedMs = Math.max(0, giveUpInMs - capacity.bootMs);
+  return CAPACITY_MARGIN * (tokensPerMs * Math.max(0, giveUpInMs) +
+    capacity.startableTokensPerMs * startedMs);
 }
 
 /**
  * Limits work to what its targets can do before it is abandoned, or before the
- * submitted batch is. A batch that may run at few targets takes nothing from the
- * others.
+ * submitted batch is. A batch that may run at few targets takes nothing from
+ * the others.
  */
 function boundByPlace(
   preceding: readonly PrecedingWork[],
@@ -236,9 +238,12 @@
     (work) => {
       const { place, placeTokensPerMs, giveUpInMs } = work;
       const before = taken.get(place) ?? 0;
-      const roomTokens = ROOM_MARGIN * placeTokensPerMs *
+      const capacityTokens = CAPACITY_MARGIN * placeTokensPerMs *
         Math.min(giveUpInMs, horizonMs);
-      const tokens = Math.max(0, Math.min(work.tokens, roomTokens - before));
+      const tokens = Math.max(
+        0,
+        Math.min(work.tokens, capacityTokens - before),
+      );
       taken.set(place, before + tokens);
       return { ...work, tokens };
     },
@@ -257,15 +262,15 @@
 }
 
 /**
- * Divides room so that no workspace gets more than it wants, and what some leave
- * goes to the others in equal parts.
+ * Divides capacity so that no workspace gets more than it wants, and what some
+ * leave goes to the others in equal parts.
  */
 function shareFairly(
   wanted: ReadonlyMap<string, number>,
-  roomTokens: number,
+  capacityTokens: number,
 ): Map<string, number> {
   const shares = new Map<string, number>();
-  let left = roomTokens;
+  let left = capacityTokens;
   const ascending = [...wanted].sort(([, a], [, b]) => a - b);
   for (const [index, [workspace, tokens]] of ascending.entries()) {
     const share = Math.min(tokens, left / (ascending.length - index));
--- a/src/core/batches/batch_admission_test.ts
+++ b/src/core/batches/batch_admission_test.ts
@@ -114,7 +114,7 @@
       placeTokensPerMs: 1,
     }],
     openItems: 100,
-    room: { slots: 10, tokensPerMs: 1, startableTokensPerMs: 0, bootMs: 0 },
+    capacity: { slots: 10, tokensPerMs: 1, startableTokensPerMs: 0, bootMs: 0 },
     drainTokensPerMs: 1,
     leadingMs: 6_000,
   };
@@ -140,7 +140,7 @@
     doTest({ drainTokensPerMs: undefined }, "unknown"));
 
   it("refuses nothing without known targets", () =>
-    doTest({ room: undefined }, "unknown"));
+    doTest({ capacity: undefined }, "unknown"));
 
   it("refuses no batch for which slots are free", () =>
     doTest({ openItems: 2 }, "idle"));
@@ -157,11 +157,14 @@
     doTest({ drainTokensPerMs: 1.3 }, "fits"));
 
   it("counts targets that can start in time, and no others", () => {
-    const room = { slots: 10, tokensPerMs: 0, startableTokensPerMs: 4 };
+    const capacity = { slots: 10, tokensPerMs: 0, startableTokensPerMs: 4 };
     const drainTokensPerMs = 0.001;
-    doTest({ room: { ...room, bootMs: 4_000 }, drainTokensPerMs }, "fits");
     doTest(
-      { room: { ...room, bootMs: 9_000 }, drainTokensPerMs },
+      { capacity: { ...capacity, bootMs: 4_000 }, drainTokensPerMs },
+      "fits",
+    );
+    doTest(
+      { capacity: { ...capacity, bootMs: 9_000 }, drainTokensPerMs },
       "aboveShare",
     );
   });
--- a/src/core/batches/item_order.ts
+++ b/src/core/batches/item_order.ts
@@ -35,21 +35,21 @@
 export const DEFAULT_EXPECTED_TOKENS = 1_000;
 /** Difference of due times up to which batches share the slots. */
 export const CLOSE_MS = 1_000;
-/** Share of overdue items among those waiting from which room is short. */
-const SHORT_ROOM_SHARE = 0.1;
+/** Share of overdue items among those waiting from which capacity is short. */
+const SHORT_CAPACITY_SHARE = 0.1;
 
 /**
  * Gets the waiting items in the order in which they should run.
  *
  * Overdue batches come last, more urgent priorities first, then earlier due
  * times. Batches whose due times are close share the slots by expected tokens,
- * and so do all of a priority if room is short: the one due first would
+ * and so do all of a priority if capacity is short: the one due first would
  * otherwise take all of it, until the others can be in time no more. A caller
- * waits for a number of complete groups, so within a batch the groups expected to
- * complete first are preferred: resubmitted groups, then groups in progress,
+ * waits for a number of complete groups, so within a batch the groups expected
+ * to complete first are preferred: resubmitted groups, then groups in progress,
  * then the shortest. Of the preferred items the longest start first, because
- * the last one to finish determines when the caller can continue. If room is
- * short, groups follow one another, so that some are complete in time.
+ * the last one to finish determines when the caller can continue. If capacity
+ * is short, groups follow one another, so that some are complete in time.
  *
  * @example
  * ```ts
@@ -72,7 +72,7 @@
   open: readonly BatchRecord[],
   input: OrderInput,
 ): WaitingItem[] {
-  const isShort = isRoomShort(open, input.now);
+  const isShort = isCapacityShort(open, input.now);
   const batches = open
     .map((record) => createBatch(record, input, isShort))
     .sort((a, b) => compareUrgency(a, b) || a.dueAt - b.dueAt);
@@ -100,7 +100,7 @@
 }
 
 /** Gets whether a considerable share of the unfinished items is overdue. */
-function isRoomShort(open: readonly BatchRecord[], now: number): boolean {
+function isCapacityShort(open: readonly BatchRecord[], now: number): boolean {
   let unfinished = 0;
   let late = 0;
   for (const record of open) {
@@ -108,7 +108,7 @@
     unfinished += count;
     if (now > dueAtOf(record)) late += count;
   }
-  return late > SHORT_ROOM_SHARE * unfinished;
+  return late > SHORT_CAPACITY_SHARE * unfinished;
 }
 
 function dueAtOf({ spec }: BatchRecord): number {
--- a/src/core/batches/service_targets.ts
+++ b/src/core/batches/service_targets.ts
@@ -1,9 +1,9 @@
 /** Remembers the targets of each service, with their long-run paces. */
-import type { ServiceRoom } from "./batch_admission.ts";
+import type { ServiceCapacity } from "./batch_admission.ts";
 import { loadFactorOf } from "./target_pace.ts";
 
 /** A target and what it does in the long run. */
-export interface RoomTarget {
+export interface CapacityTarget {
   readonly id: string;
   readonly service: string;
   readonly dataCentre: string;
@@ -15,24 +15,24 @@
 }
 
 /** Targets that a service may have at most, by its policy. */
-export interface RoomLimits {
+export interface CapacityLimits {
   /** Maximum number of targets, over all data centres allowed to a batch. */
   readonly maxTargets: number;
   /** Time from ordering a target until it serves, in milliseconds. */
   readonly bootMs: number;
 }
 
-/** Input of {@link ServiceTargets.roomOf}. */
-export interface RoomInput {
+/** Input of {@link ServiceTargets.capacityOf}. */
+export interface CapacityInput {
   readonly tokensPerEvent: number;
   /** Gets whether a batch may run in a data centre. */
   readonly isAllowed: (dataCentre: string) => boolean;
   /** Undefined if no targets of the service are ordered. */
-  readonly limits: RoomLimits | undefined;
+  readonly limits: CapacityLimits | undefined;
   readonly now: number;
 }
 
-interface SeenTarget extends RoomTarget {
+interface SeenTarget extends CapacityTarget {
   readonly seenAt: number;
 }
 
@@ -49,14 +49,14 @@
  *
  * @example
  * ```ts
- * const room = targets.onSeen(seen, now).roomOf("engines", input);
+ * const capacity = targets.onSeen(seen, now).capacityOf("engines", input);
  * ```
  */
 export class ServiceTargets {
   readonly #seen = new Map<string, SeenTarget>();
 
   /** Records the targets that are present. */
-  onSeen(targets: readonly RoomTarget[], now: number): this {
+  onSeen(targets: readonly CapacityTarget[], now: number): this {
     for (const target of targets) {
       this.#seen.set(target.id, { ...target, seenAt: now });
     }
@@ -67,18 +67,21 @@
   }
 
   /**
-   * Gets the room of a service with full slots; undefined if no target with a
-   * measured pace was seen. A default pace may be several times too slow.
+   * Gets the capacity of a service with full slots; undefined if no target with
+   * a measured pace was seen. A default pace may be several times too slow.
    */
-  roomOf(service: string, input: RoomInput): ServiceRoom | undefined {
+  capacityOf(
+    service: string,
+    input: CapacityInput,
+  ): ServiceCapacity | undefined {
     const { isAllowed, limits, now, tokensPerEvent } = input;
     const all = [...this.#seen.values()]
       .filter((target) => target.service === service && target.slots > 0);
     if (!all.some(({ isPaceKnown }) => isPaceKnown)) return undefined;
     const lastSeenAt = Math.max(...all.map(({ seenAt }) => seenAt));
-    const isGone = now - lastSeenAt > ALL_LOST_MS;
+    const areAllLost = now - lastSeenAt > ALL_LOST_MS;
     const allowed = all.filter(({ dataCentre }) => isAllowed(dataCentre));
-    const present = isGone ? [] : allowed;
+    const present = areAllLost ? [] : allowed;
     const rates = present.map((target) => eventsPerMsOf(target));
     // A target that starts is assumed to be as fast as the fastest one known.
     const fastest = Math.max(0, ...all.map((target) => eventsPerMsOf(target)));
@@ -100,7 +103,7 @@
  * eventsPerMsOf({ ...target, slots: 12, paceMs: 10 }); // 1
  * ```
  */
-export function eventsPerMsOf({ slots, paceMs }: RoomTarget): number {
+export function eventsPerMsOf({ slots, paceMs }: CapacityTarget): number {
   return slots / (paceMs * loadFactorOf(1));
 }
 
--- a/src/core/batches/service_targets_test.ts
+++ b/src/core/batches/service_targets_test.ts
@@ -1,8 +1,8 @@
 import { describe, expect, it } from "vitest";
-import { type RoomTarget, ServiceTargets } from "./service_targets.ts";
+import { type CapacityTarget, ServiceTargets } from "./service_targets.ts";
 
 /** A target of one token per event and millisecond with full slots. */
-const target: RoomTarget = {
+const target: CapacityTarget = {
   id: "a1",
   service: "s",
   dataCentre: "a",
@@ -20,20 +20,20 @@
       .onSeen([target, { ...target, id: "b1", dataCentre: "b" }], 0);
     const { isOtherLeft, now, homes } = options;
     if (isOtherLeft) targets.onSeen([target], now);
-    const room = targets.roomOf("s", {
+    const capacity = targets.capacityOf("s", {
       tokensPerEvent: 1,
       isAllowed: (dataCentre) => homes === undefined || dataCentre === homes,
       limits: { maxTargets: 3, bootMs: 2_000 },
       now,
     });
     expect(
-      room && {
-        slots: room.slots,
-        startable: Math.round(room.startableTokensPerMs),
+      capacity && {
+        slots: capacity.slots,
+        startable: Math.round(capacity.startableTokensPerMs),
       },
     ).toEqual(expected);
-    if (room === undefined) return;
-    expect(room.tokensPerMs).toBeCloseTo(room.slots / 12, 6);
+    if (capacity === undefined) return;
+    expect(capacity.tokensPerMs).toBeCloseTo(capacity.slots / 12, 6);
   }
 
   it("counts targets that are lost while others are left", () =>
@@ -50,7 +50,7 @@
   it("tells nothing from targets whose paces are not measured", () => {
     const targets = new ServiceTargets()
       .onSeen([{ ...target, isPaceKnown: false }], 0);
-    expect(targets.roomOf("s", {
+    expect(targets.capacityOf("s", {
       tokensPerEvent: 1,
       isAllowed: () => true,
       limits: undefined,
--- a/src/core/calls/latency_tracker.ts
+++ b/src/core/calls/latency_tracker.ts
@@ -84,7 +84,7 @@
 
   /**
    * Gets whether a target failed recently, the longer the more often it did so
-   * in a row. Refusals do not count: a full target has room again soon.
+   * in a row. Refusals do not count: a full target soon has free slots again.
    */
   isFailing(target: string, now: number): boolean {
     return now < (this.#stats.get(target)?.failingUntil ?? -Infinity);
--- a/src/core/dispatch/dispatcher.ts
+++ b/src/core/dispatch/dispatcher.ts
@@ -28,7 +28,7 @@
 
 /** Options of {@link Dispatcher}. */
 export interface DispatcherOptions {
-  /** Policy that picks among targets with room. */
+  /** Policy that picks among targets with free capacity. */
   readonly picker: Picker;
   /** Returns a random number from 0 to 1; sets the jitter of retries. */
   readonly random: () => number;
@@ -317,10 +317,10 @@
     const pool = this.getPool(poolId);
     const effects: DispatchEffect[] = [];
     while (pool.queue.size > 0) {
-      const withRoom = [...this.targets.inPool(poolId)]
-        .filter((target) => target.hasRoom(now));
-      if (withRoom.length === 0 && !this.#placement.hasReservations) break;
-      const effect = this.#placeNext(pool, withRoom, now);
+      const available = [...this.targets.inPool(poolId)]
+        .filter((target) => target.hasCapacity(now));
+      if (available.length === 0 && !this.#placement.hasReservations) break;
+      const effect = this.#placeNext(pool, available, now);
       if (effect === undefined) break;
       effects.push(effect);
     }
@@ -330,17 +330,17 @@
 
   #placeNext(
     pool: Pool,
-    withRoom: readonly Target[],
+    available: readonly Target[],
     now: number,
   ): DispatchEffect | undefined {
     const item = pool.dequeue((entry) => {
       const request = this.#requests.get(entry.id);
       return request !== undefined &&
-        this.#placement.candidates(request, withRoom).length > 0;
+        this.#placement.candidates(request, available).length > 0;
     }, now);
     const request = this.#requests.get(item?.id ?? "");
     if (item === undefined || request === undefined) return undefined;
-    const target = this.#placement.pick(request, withRoom, now);
+    const target = this.#placement.pick(request, available, now);
     const wait = { waitMs: pool.drainMs, now };
     const isPlaced = target !== undefined &&
       !this.#placement.shouldWaitForFaster(request, target, wait);
--- a/src/core/dispatch/placement.ts
+++ b/src/core/dispatch/placement.ts
@@ -18,7 +18,7 @@
   readonly targets: TargetTable;
   /** Fingerprints suspected or proven to crash targets. */
   readonly quarantine: Quarantine;
-  /** Policy that picks among targets with room. */
+  /** Policy that picks among targets with free capacity. */
   readonly picker: Picker;
   /**
    * Gets whether a target's zone is lasting; targets in spot zones get only
@@ -57,24 +57,24 @@
   }
 
   /** Gets the targets that may run a request now. */
-  candidates(request: ActiveRequest, withRoom: readonly Target[]): Target[] {
+  candidates(request: ActiveRequest, available: readonly Target[]): Target[] {
     const { item } = request;
     if (!this.#isSuspect(item)) {
-      return withRoom.filter((target) => this.#mayRun(request, target));
+      return available.filter((target) => this.#mayRun(request, target));
     }
     if (this.#limiter.isRunning(item.fingerprint)) return [];
-    return this.#idleTargetsFor(request, withRoom);
+    return this.#idleTargetsFor(request, available);
   }
 
   /** Gets the best of the targets that may run a request now. */
   pick(
     request: ActiveRequest,
-    withRoom: readonly Target[],
+    available: readonly Target[],
     now: number,
   ): Target | undefined {
     const { tokens, prefixTokens, prefix, preferredVersion } = request.item;
     return this.#options.picker.pick({
-      candidates: this.candidates(request, withRoom),
+      candidates: this.candidates(request, available),
       tokens,
       prefixTokens,
       prefix,
@@ -181,11 +181,11 @@
 
   #idleTargetsFor(
     request: ActiveRequest,
-    withRoom: readonly Target[],
+    available: readonly Target[],
   ): Target[] {
     const reservedId = this.#reservations.get(request.item.id) ?? "";
     const reserved = this.#options.targets.get(reservedId);
-    const all = reserved === undefined ? withRoom : [...withRoom, reserved];
+    const all = reserved === undefined ? available : [...available, reserved];
     return all.filter((target) =>
       target.inFlight === 0 && target.othersRunning === 0 &&
       this.#mayRun(request, target)
--- a/src/core/dispatch/work_item.ts
+++ b/src/core/dispatch/work_item.ts
@@ -5,7 +5,7 @@
 export const WorkKind = {
   /** Request of a caller; refused early if its deadline cannot be met. */
   Call: "call",
-  /** Sample of a step; waits until a target has room. */
+  /** Sample of a step; waits until a target has free capacity. */
   Sample: "sample",
 } as const;
 
--- a/src/core/routing/picker.ts
+++ b/src/core/routing/picker.ts
@@ -6,7 +6,7 @@
 
 /** Input of {@link Picker.pick}. */
 export interface PickInput {
-  /** Targets that may run the request and have room. */
+  /** Targets that may run the request and have free capacity. */
   readonly candidates: readonly Target[];
   /** Estimated number of tokens to generate. */
   readonly tokens: number;
@@ -20,7 +20,7 @@
   readonly now: number;
 }
 
-/** A policy that picks among targets with room. */
+/** A policy that picks among targets with free capacity. */
 export interface Picker {
   /** Gets the best target, or undefined without candidates. */
   pick(input: PickInput): Target | undefined;
--- a/src/core/routing/target.ts
+++ b/src/core/routing/target.ts
@@ -131,8 +131,10 @@
     return this;
   }
 
-  /** Gets whether the target accepts work, is unreserved and has room. */
-  hasRoom(now: number): boolean {
+  /**
+   * Gets whether the target accepts work, is unreserved and has free capacity.
+   */
+  hasCapacity(now: number): boolean {
     this.#endEjectionIfDue(now);
     const acceptsWork = this.phase === TargetPhase.Serving ||
       this.phase === TargetPhase.Probing;
--- a/src/core/verdict/refusal_reason.ts
+++ b/src/core/verdict/refusal_reason.ts
@@ -26,7 +26,9 @@
   /** It is not known who began the stream that the caller takes up. */
   StreamUnknown: "streamUnknown",
   Quarantined: "quarantined",
-  /** A target ended under the request, which waits for room to be tried in. */
+  /**
+   * A target ended under the request, which waits until it may be tried again.
+   */
   Suspected: "suspected",
   TargetFailed: "targetFailed",
   TargetTimeout: "targetTimeout",
--- a/src/tasks/batches/admission_gate.ts
+++ b/src/tasks/batches/admission_gate.ts
@@ -9,14 +9,14 @@
   type BatchRecord,
   type BatchSpec,
   type BatchState,
+  type CapacityLimits,
+  type CapacityTarget,
   decideAdmission,
   eventsPerMsOf,
   expectedLengthOf,
   findPrecedingWork,
-  type RoomLimits,
-  type RoomTarget,
   type RunEstimator,
-  type ServiceRoom,
+  type ServiceCapacity,
   ServiceTargets,
   type TargetPace,
   wantedTokensOf,
@@ -108,19 +108,19 @@
     const now = this.#options.now();
     const { service, items } = spec;
     this.#recordTargets(now);
-    const room = this.#roomOf(spec, now);
+    const capacity = this.#capacityOf(spec, now);
     const drainTokensPerMs = this.drain.tokensPerMs(service, now);
     const openItems = this.drain.openItems(service);
     // The work is looked through only where the batch may be refused.
-    const mayWait = room !== undefined && drainTokensPerMs !== undefined &&
-      openItems + items.length > room.slots;
+    const mayWait = capacity !== undefined && drainTokensPerMs !== undefined &&
+      openItems + items.length > capacity.slots;
     return decideAdmission({
       batch: spec.id,
       workspace: spec.workspace,
       items: items.length,
       giveUpInMs: spec.giveUpMs,
       openItems,
-      room,
+      capacity,
       drainTokensPerMs,
       leadingMs: this.drain.elapsedMs(now),
       ...(mayWait ? this.#findWork(spec, now) : { tokens: 0, preceding: [] }),
@@ -144,11 +144,11 @@
       reason,
       items: spec.items.length,
       precedingTokens: Math.round(decision.precedingTokens),
-      roomTokens: Math.round(decision.roomTokens),
+      roomTokens: Math.round(decision.capacityTokens),
       shareTokens: Math.round(decision.shareTokens),
       usedTokens: Math.round(decision.usedTokens),
       drainTokensPerS: Math.round(rate * MS_PER_S),
-      slots: this.#roomOf(spec, now())?.slots ?? 0,
+      slots: this.#capacityOf(spec, now())?.slots ?? 0,
       giveUpMs: spec.giveUpMs,
       retryAfterMs,
     });
@@ -157,20 +157,25 @@
   #recordTargets(now: number): void {
     this.#targets.onSeen(
       this.#options.registry.presentReports
-        .map((report) => this.#roomTargetOf(report, now)),
+        .map((report) => this.#capacityTargetOf(report, now)),
       now,
     );
   }
 
-  #roomTargetOf(report: TargetReport, now: number): RoomTarget {
+  #capacityTargetOf(report: TargetReport, now: number): CapacityTarget {
     const { id, service, dataCentre, slots } = report;
     const paceMs = this.#options.targetPace.inherentPaceMs(report, now);
     const isPaceKnown = this.#options.targetPace.isPaceKnown(report);
     return { id, service, dataCentre, slots, paceMs, isPaceKnown };
   }
 
-  /** Gets the room for a batch; undefined if too little is known to tell. */
-  #roomOf({ service, homes }: BatchSpec, now: number): ServiceRoom | undefined {
+  /**
+   * Gets the capacity for a batch; undefined if too little is known to tell.
+   */
+  #capacityOf(
+    { service, homes }: BatchSpec,
+    now: number,
+  ): ServiceCapacity | undefined {
     const { registry, estimator, policy } = this.#options;
     const tokensPerEvent = estimator.tokensPerEvent(service);
     const known = policy()?.getService(service);
@@ -178,7 +183,7 @@
     const isAllowed = (dataCentre: string) =>
       registry.isWithin(dataCentre, homes);
     const { scaling } = known;
-    const limits: RoomLimits | undefined = scaling && {
+    const limits: CapacityLimits | undefined = scaling && {
       // Which targets are ordered is known to control alone. It orders as many
       // as the demand needs, so all that it may order count as ordered.
       maxTargets: scaling.max *
@@ -186,7 +191,7 @@
       bootMs: scaling.bootMs,
     };
     return this.#targets
-      .roomOf(service, { tokensPerEvent, isAllowed, limits, now });
+      .capacityOf(service, { tokensPerEvent, isAllowed, limits, now });
   }
 
   /** Gets the work that precedes a batch, and its own in tokens. */
@@ -256,7 +261,8 @@
         minVersion === 0 || (versions[model] ?? 0) >= minVersion
       )
       .reduce(
-        (sum, report) => sum + eventsPerMsOf(this.#roomTargetOf(report, now)),
+        (sum, report) =>
+          sum + eventsPerMsOf(this.#capacityTargetOf(report, now)),
         0,
       ) * tokensPerEvent;
     return { place, placeTokensPerMs };
--- a/src/tasks/batches/batch_intake_test.ts
+++ b/src/tasks/batches/batch_intake_test.ts
@@ -7,7 +7,7 @@
 const spec = createSpec();
 const FIGURES = {
   precedingTokens: 9,
-  roomTokens: 5,
+  capacityTokens: 5,
   shareTokens: 5,
   usedTokens: 9,
 };
--- a/tests/support/admission_simulation.ts
+++ b/tests/support/admission_simulation.ts
@@ -154,7 +154,7 @@
       const done = run === undefined ? 0 : (now - run.startedAt) / MS_PER_TOKEN;
       return Math.max(0, expectedLengthOf(item) - done);
     };
-    const room = targets.roomOf(SERVICE, {
+    const capacity = targets.capacityOf(SERVICE, {
       tokensPerEvent: 1,
       isAllowed: () => true,
       limits: undefined,
@@ -177,7 +177,7 @@
         placeOf: () => ({ place: "", placeTokensPerMs: slots / MS_PER_TOKEN }),
       }),
       openItems: open.reduce((sum, r) => sum + r.pendingItems.length, 0),
-      room,
+      capacity,
       drainTokensPerMs: drain.tokensPerMs(SERVICE, now),
       leadingMs: drain.elapsedMs(now),
     });
