--- a/bench/leader/engines.ts
+++ b/bench/leader/engines.ts
@@ -1,4 +1,4 @@
-/** Program that plays engines at loopback ports, for `bench/leader`. */
+/** Program that emulates engines at loopback ports, for `bench/leader`. */
 import {
   createServer,
   type IncomingMessage,
--- a/bench/leader/player.ts
+++ b/bench/leader/leader_process.ts
@@ -1,4 +1,4 @@
-/** Program that plays the leader of a ledger, for `bench/leader`. */
+/** Program that emulates the leader of a ledger, for `bench/leader`. */
 import {
   type BatchCommand,
   type BatchItem,
@@ -28,8 +28,8 @@
 import { RUNS, SLOTS } from "./load.ts";
 import { type PartProfile, Profiler } from "./profiler.ts";
 
-/** Assignment of a player, in its first message. */
-export interface PlayerOptions {
+/** Assignment of the process, in its first message. */
+export interface LeaderProcessOptions {
   /** Addresses of the engines. */
   readonly addresses: readonly string[];
   /** Number of rounds, of which the first is that of a cold process. */
@@ -155,14 +155,14 @@
     }));
 }
 
-/** Plays rounds of runs, one after the other. */
-class Player {
+/** Executes rounds of runs, one after the other. */
+class LeaderRounds {
   readonly #engines = new CountingEngines();
   readonly #state = new BatchState();
   readonly #runner: BatchRunner;
   readonly #profiler: Profiler | undefined;
 
-  constructor({ addresses, isProfiled, sourceMap }: PlayerOptions) {
+  constructor({ addresses, isProfiled, sourceMap }: LeaderProcessOptions) {
     this.#profiler = isProfiled ? new Profiler(sourceMap) : undefined;
     const log = new EncodingLog(this.#state);
     const registry = createRegistry(addresses);
@@ -200,7 +200,7 @@
     });
   }
 
-  async play(round: number): Promise<RoundCost> {
+  async run(round: number): Promise<RoundCost> {
     const engines = this.#engines;
     const cpuBeforeMs = cpuMicros() / 1_000;
     const eventsBefore = engines.events;
@@ -270,11 +270,11 @@
 }
 
 process.on("disconnect", () => process.exit(1));
-process.once("message", async (options: PlayerOptions) => {
-  const player = new Player(options);
+process.once("message", async (options: LeaderProcessOptions) => {
+  const rounds = new LeaderRounds(options);
   const costs: RoundCost[] = [];
   for (let round = 0; round < options.rounds; round += 1) {
-    costs.push(await player.play(round));
+    costs.push(await rounds.run(round));
   }
   process.send?.(costs, () => process.exit(0));
 });
--- a/bench/leader/main.ts
+++ b/bench/leader/main.ts
@@ -6,7 +6,7 @@
 import { OPTIONAL_MODULES, REQUIRE_BANNER } from "../../scripts/bundle.ts";
 import { percentileOf } from "../../src/core/statistics/mod.ts";
 import type { EnginesMessage } from "./engines.ts";
-import type { PlayerOptions, RoundCost } from "./player.ts";
+import type { LeaderProcessOptions, RoundCost } from "./leader_process.ts";
 import type { PartProfile } from "./profiler.ts";
 
 /** Number of rounds of each process; the first is that of a cold one. */
@@ -19,7 +19,7 @@
 
 async function bundle(): Promise<void> {
   await build({
-    entryPoints: ["bench/leader/player.ts", "bench/leader/engines.ts"],
+    entryPoints: ["bench/leader/leader_process.ts", "bench/leader/engines.ts"],
     outdir: FOLDER,
     outExtension: { ".js": ".mjs" },
     bundle: true,
@@ -42,10 +42,10 @@
   });
 }
 
-async function playOnce(options: PlayerOptions): Promise<RoundCost[]> {
-  const player = start("player");
-  player.send(options);
-  const [costs] = await once(player, "message");
+async function runOnce(options: LeaderProcessOptions): Promise<RoundCost[]> {
+  const leader = start("leader_process");
+  leader.send(options);
+  const [costs] = await once(leader, "message");
   return costs as RoundCost[];
 }
 
@@ -100,15 +100,15 @@
     await bundle();
     const engines = start("engines");
     const [{ addresses }] = await once(engines, "message") as [EnginesMessage];
-    const options: PlayerOptions = {
+    const options: LeaderProcessOptions = {
       addresses,
       rounds: ROUNDS,
       isProfiled: args.profile,
-      sourceMap: `${FOLDER}/player.mjs.map`,
+      sourceMap: `${FOLDER}/leader_process.mjs.map`,
     };
     const processes: RoundCost[][] = [];
     const count = args.profile ? 1 : Number(args.processes);
-    for (let i = 0; i < count; i += 1) processes.push(await playOnce(options));
+    for (let i = 0; i < count; i += 1) processes.push(await runOnce(options));
     printRounds(processes);
     if (args.profile) {
       const rounds = processes[0];
