--- a/src/core/quarantine/quarantine.ts
+++ b/src/core/quarantine/quarantine.ts
@@ -63,7 +63,7 @@
  * Tracks the suspicion against fingerprints.
  *
  * A fingerprint is proven by a death while it ran alone, if a target has died
- * running it before, or by {@link MAX_DEATHS} deaths, alone or not. Since sound
+ * running it before, or by {@link MAX_DEATHS} deaths, alone or not. Since harmless
  * requests may run on targets that die for another reason, a proven fingerprint
  * gets trial runs at growing intervals.
  *
--- a/src/core/quarantine/trial_limiter.ts
+++ b/src/core/quarantine/trial_limiter.ts
@@ -16,9 +16,9 @@
 export type EndedTrial = Pick<TrialRequest, "fingerprint" | "service">;
 
 /** Targets of a service, as they are now. */
-export interface ServiceStrength {
+export interface ServiceTargetCounts {
   /** Number of targets that serve. */
-  readonly sound: number;
+  readonly healthy: number;
   /** Greatest number of targets that served at the same time lately. */
   readonly known: number;
 }
@@ -41,13 +41,13 @@
 
 /**
  * Grants trials of suspect requests, as many at a time as leave the service a
- * target whatever happens. Each death asks for one sound target more, so a
+ * target whatever happens. Each death requires one more healthy target, so a
  * service that has lost several recovers first.
  *
  * @example
  * ```ts
  * limiter.take({ fingerprint: "f", service: "app", deaths: 1 },
- *   { sound: 2, known: 3 }, now); // granted
+ *   { healthy: 2, known: 3 }, now); // granted
  * ```
  */
 export class TrialLimiter {
@@ -60,15 +60,15 @@
    */
   take(
     { fingerprint, service, deaths }: Omit<TrialRequest, "targets">,
-    { sound, known }: ServiceStrength,
+    { healthy, known }: ServiceTargetCounts,
     now: number,
   ): TrialReply {
     const needed = Math.max(1, Math.min(deaths + 1, known));
-    if (sound < needed) {
+    if (healthy < needed) {
       return { isGranted: false, retryAfterMs: WEAK_RETRY_MS };
     }
     const others = this.#runningBeside({ fingerprint, service }, now);
-    if (others > 0 && sound < deaths + 1 + others) {
+    if (others > 0 && healthy < deaths + 1 + others) {
       return { isGranted: false, retryAfterMs: BUSY_RETRY_MS };
     }
     this.#trialsOf(service).set(fingerprint, now + TRIAL_MS);
@@ -121,8 +121,8 @@
   );
 }
 
-/** Options of {@link strengthOf}. */
-export interface StrengthOptions {
+/** Options of {@link countTargets}. */
+export interface TargetCountOptions {
   readonly targets: readonly RegisteredTarget[];
   /** Targets that ended under a request, each named with its incarnation. */
   readonly dead: ReadonlySet<string>;
@@ -145,26 +145,26 @@
  *
  * @example
  * ```ts
- * strengthOf("app", options); // { sound: 2, known: 3 }
+ * countTargets("app", options); // { healthy: 2, known: 3 }
  * ```
  */
-export function strengthOf(
+export function countTargets(
   service: string,
-  { targets, dead, reportIntervalMs, now, wallNow }: StrengthOptions,
-): ServiceStrength {
+  { targets, dead, reportIntervalMs, now, wallNow }: TargetCountOptions,
+): ServiceTargetCounts {
   const known = targets.filter(({ report, reportedAt }) =>
     report.service === service && report.state === TargetState.Ready &&
     now - reportedAt < KNOWN_MS
   );
-  const sound = known.filter(({ report, reportedAt }) =>
+  const healthy = known.filter(({ report, reportedAt }) =>
     now - reportedAt < reportIntervalMs * MISSED_INTERVALS &&
     !dead.has(targetNameOf(report))
   );
-  const lives = known.map(({ report, reportedAt }) => ({
+  const uptimes = known.map(({ report, reportedAt }) => ({
     from: report.incarnation,
     to: wallNow - (now - reportedAt),
   }));
-  return { sound: sound.length, known: countAtOnce(lives) };
+  return { healthy: healthy.length, known: countAtOnce(uptimes) };
 }
 
 /** Gets the greatest number of intervals that overlap. */
--- a/src/core/quarantine/trial_limiter_test.ts
+++ b/src/core/quarantine/trial_limiter_test.ts
@@ -2,64 +2,66 @@
 import { createReport } from "../../../tests/support/target_report.ts";
 import { Suspicion } from "./quarantine.ts";
 import { type TargetReport, TargetState } from "../registry/mod.ts";
-import { ranBeside, strengthOf, TrialLimiter } from "./trial_limiter.ts";
+import { countTargets, ranBeside, TrialLimiter } from "./trial_limiter.ts";
 
 describe(TrialLimiter.name, () => {
   function doTest(
     deaths: number,
-    strength: { sound: number; known: number },
+    counts: { healthy: number; known: number },
     expected: boolean,
   ) {
     const request = { fingerprint: "f", service: "s", deaths };
     const { isGranted, retryAfterMs } = new TrialLimiter()
-      .take(request, strength, 0);
+      .take(request, counts, 0);
     expect(isGranted).toBe(expected);
     expect(retryAfterMs > 0).toBe(!expected);
   }
 
   it("grants a trial that leaves a target whatever happens", () =>
-    doTest(1, { sound: 2, known: 3 }, true));
+    doTest(1, { healthy: 2, known: 3 }, true));
 
-  it("grants none at the last sound target of several", () =>
-    doTest(1, { sound: 1, known: 2 }, false));
+  it("grants none at the last healthy target of several", () =>
+    doTest(1, { healthy: 1, known: 2 }, false));
 
   it("asks for one more target after each death", () => {
-    doTest(2, { sound: 2, known: 3 }, false);
-    doTest(2, { sound: 3, known: 3 }, true);
+    doTest(2, { healthy: 2, known: 3 }, false);
+    doTest(2, { healthy: 3, known: 3 }, true);
   });
 
   it("asks for all targets of a service that has few", () => {
-    doTest(2, { sound: 2, known: 2 }, true);
-    doTest(1, { sound: 1, known: 1 }, true);
-    doTest(1, { sound: 0, known: 1 }, false);
-    doTest(1, { sound: 0, known: 0 }, false);
+    doTest(2, { healthy: 2, known: 2 }, true);
+    doTest(1, { healthy: 1, known: 1 }, true);
+    doTest(1, { healthy: 0, known: 1 }, false);
+    doTest(1, { healthy: 0, known: 0 }, false);
   });
 
   it("tries as many requests at a time as leave a target", () => {
     const limiter = new TrialLimiter();
-    const strength = { sound: 2, known: 3 };
+    const counts = { healthy: 2, known: 3 };
     const first = { fingerprint: "f", service: "s", deaths: 1 };
     const second = { ...first, fingerprint: "g" };
-    expect(limiter.take(first, strength, 0).isGranted).toBe(true);
-    expect(limiter.take(second, strength, 1).isGranted).toBe(false);
+    expect(limiter.take(first, counts, 0).isGranted).toBe(true);
+    expect(limiter.take(second, counts, 1).isGranted).toBe(false);
     const elsewhere = { ...second, service: "other" };
-    expect(limiter.take(elsewhere, strength, 1).isGranted).toBe(true);
+    expect(limiter.take(elsewhere, counts, 1).isGranted).toBe(true);
     limiter.end(second);
-    expect(limiter.take(second, strength, 1).isGranted).toBe(false);
+    expect(limiter.take(second, counts, 1).isGranted).toBe(false);
     limiter.end(first);
-    expect(limiter.take(second, strength, 1).isGranted).toBe(true);
+    expect(limiter.take(second, counts, 1).isGranted).toBe(true);
     const third = { ...first, fingerprint: "h" };
-    expect(limiter.take(third, strength, 1).isGranted).toBe(false);
-    expect(limiter.take(third, { sound: 3, known: 3 }, 1).isGranted).toBe(true);
+    expect(limiter.take(third, counts, 1).isGranted).toBe(false);
+    expect(limiter.take(third, { healthy: 3, known: 3 }, 1).isGranted).toBe(
+      true,
+    );
   });
 
   it("waits for no trial whose end is not told", () => {
     const limiter = new TrialLimiter();
-    const strength = { sound: 3, known: 3 };
+    const counts = { healthy: 3, known: 3 };
     const first = { fingerprint: "f", service: "s", deaths: 1 };
-    limiter.take(first, strength, 0);
+    limiter.take(first, counts, 0);
     const second = { ...first, fingerprint: "g" };
-    expect(limiter.take(second, strength, 1_000).isGranted).toBe(true);
+    expect(limiter.take(second, counts, 1_000).isGranted).toBe(true);
   });
 });
 
@@ -87,15 +89,15 @@
   });
 });
 
-describe(strengthOf.name, () => {
+describe(countTargets.name, () => {
   /** Time at which the tests count, on both clocks. */
   const NOW = 20_000;
 
   function doTest(
     targets: readonly (Partial<TargetReport> & { reportedAt: number })[],
-    expected: { sound: number; known: number },
+    expected: { healthy: number; known: number },
   ) {
-    const strength = strengthOf("s", {
+    const counts = countTargets("s", {
       targets: targets.map(({ reportedAt, ...report }) => ({
         report: createReport(report),
         reportedAt,
@@ -105,33 +107,33 @@
       now: NOW,
       wallNow: NOW,
     });
-    expect(strength).toEqual(expected);
+    expect(counts).toEqual(expected);
   }
 
   it("counts ready targets that report", () => {
     const reportedAt = 19_000;
     const draining = TargetState.Draining;
-    doTest([{ reportedAt }], { sound: 1, known: 1 });
-    doTest([{ reportedAt, service: "other" }], { sound: 0, known: 0 });
-    doTest([{ reportedAt, state: draining }], { sound: 0, known: 0 });
+    doTest([{ reportedAt }], { healthy: 1, known: 1 });
+    doTest([{ reportedAt, service: "other" }], { healthy: 0, known: 0 });
+    doTest([{ reportedAt, state: draining }], { healthy: 0, known: 0 });
   });
 
   it("takes a target that ended or no longer reports for known only", () => {
-    doTest([{ id: "dead", reportedAt: 19_900 }], { sound: 0, known: 1 });
-    doTest([{ reportedAt: 17_000 }], { sound: 0, known: 1 });
-    doTest([{ reportedAt: 4_000 }], { sound: 0, known: 0 });
+    doTest([{ id: "dead", reportedAt: 19_900 }], { healthy: 0, known: 1 });
+    doTest([{ reportedAt: 17_000 }], { healthy: 0, known: 1 });
+    doTest([{ reportedAt: 4_000 }], { healthy: 0, known: 0 });
   });
 
   it("counts a target that has started again once", () =>
     doTest([
       { id: "dead", reportedAt: 17_000 },
       { id: "t2", incarnation: 17_500, reportedAt: 19_900 },
-    ], { sound: 1, known: 1 }));
+    ], { healthy: 1, known: 1 }));
 
   it("counts the most targets that served at the same time", () =>
     doTest([
       { id: "dead", reportedAt: 18_000 },
       { id: "t2", incarnation: 5_000, reportedAt: 19_900 },
       { id: "t3", incarnation: 18_500, reportedAt: 19_900 },
-    ], { sound: 2, known: 2 }));
+    ], { healthy: 2, known: 2 }));
 });
--- a/src/tasks/fleet/trial_service.ts
+++ b/src/tasks/fleet/trial_service.ts
@@ -1,10 +1,10 @@
 /** Grants trials of requests under which targets ended, on the control leader. */
 import type { FleetState } from "../../core/fleet/mod.ts";
 import {
+  countTargets,
   type EndedTrial,
   GRANTED_TRIAL,
   ranBeside,
-  strengthOf,
   TrialLimiter,
   type TrialReply,
   type TrialRequest,
@@ -57,7 +57,7 @@
     }
     const { suspicions, deadTargets } = state();
     if (ranBeside(request, suspicions.changes)) return GRANTED_TRIAL;
-    const strength = strengthOf(request.service, {
+    const counts = countTargets(request.service, {
       targets: registry.all
         .filter(({ report }) => !registry.isEvacuated(report.dataCentre)),
       dead: new Set([...deadTargets, ...request.targets]),
@@ -65,6 +65,6 @@
       now: now(),
       wallNow: Date.now(),
     });
-    return this.#limiter.take(request, strength, now());
+    return this.#limiter.take(request, counts, now());
   }
 }
