--- a/src/core/continuation/event_framer.ts
+++ b/src/core/continuation/event_framer.ts
@@ -73,7 +73,7 @@
   }
 
   /** Removes and gets the bytes after the last whole event. */
-  takeRest(): Uint8Array {
+  takeRemainder(): Uint8Array {
     const rest = Buffer.concat(this.#pending);
     this.#reset();
     this.#line = [];
--- a/src/core/continuation/event_framer_test.ts
+++ b/src/core/continuation/event_framer_test.ts
@@ -11,7 +11,7 @@
   ) {
     const framer = new EventFramer();
     const frames = parts.flatMap((part) => framer.push(Buffer.from(part)));
-    const rest = Buffer.from(framer.takeRest()).toString();
+    const rest = Buffer.from(framer.takeRemainder()).toString();
     expect(frames.map(({ bytes, id }) => [Buffer.from(bytes).toString(), id]))
       .toEqual(expected);
     expect(rest).toBe(expectedRest);
@@ -61,7 +61,10 @@
       const framer = new EventFramer();
       const frames = edges.slice(1)
         .flatMap((edge, i) => framer.push(bytes.subarray(edges[i], edge)));
-      const all = [...frames.map((frame) => frame.bytes), framer.takeRest()];
+      const all = [
+        ...frames.map((frame) => frame.bytes),
+        framer.takeRemainder(),
+      ];
       expect(Buffer.concat(all).toString()).toBe(text);
       expect(frames.map(({ id }) => id)).toEqual(events.map(({ id }) => id));
     }));
--- a/src/tasks/calls/resumable_stream.ts
+++ b/src/tasks/calls/resumable_stream.ts
@@ -66,7 +66,7 @@
 
   /** Drops what the last target sent of an event that it did not complete. */
   beginAttempt(): this {
-    this.#framer.takeRest();
+    this.#framer.takeRemainder();
     this.#held = undefined;
     this.#hasProgressed = false;
     return this;
@@ -114,7 +114,7 @@
 
   /** Passes on what a target sent after its last event, as it is complete. */
   end(): void {
-    const rest = this.#framer.takeRest();
+    const rest = this.#framer.takeRemainder();
     if (rest.length > 0) this.#options.sink.onData(rest);
   }
 
