--- a/fakes/fleet_replica.ts
+++ b/fakes/fleet_replica.ts
@@ -93,7 +93,7 @@
   /** Times at which requests arrived, other than for its state and orders. */
   readonly arrivals: number[] = [];
   /** Whether the target sends no heartbeats, as if cut off from control. */
-  isUnheard = false;
+  withholdsHeartbeats = false;
   /** Software version from the next start on, stamped into all events. */
   software = FIRST_SOFTWARE;
   /** Selects the plain requests that the target runs and fails. */
@@ -122,8 +122,8 @@
   }
 
   /** Gets whether control instances hear of the running process. */
-  get isHeard(): boolean {
-    return !this.isUnheard && !this.isSilent;
+  get sendsHeartbeats(): boolean {
+    return !this.withholdsHeartbeats && !this.isSilent;
   }
 
   /** Gets the loaded version of a model; 0 where it is unknown. */
@@ -371,7 +371,7 @@
 
   /** Sends a heartbeat to control instances in turn until one accepts it. */
   async #sendHeartbeat(): Promise<boolean> {
-    if (this.isUnheard) return false;
+    if (this.withholdsHeartbeats) return false;
     this.#sequence += 1;
     const controls = this.#options.controls();
     const first = this.#sequence % Math.max(1, controls.length);
--- a/soak/fleet/fleet_checks.ts
+++ b/soak/fleet/fleet_checks.ts
@@ -18,8 +18,8 @@
   readonly at: number;
 }
 
-/** Number of retakes from which their rate is checked. */
-const MIN_RETAKES = 12;
+/** Number of resume attempts from which their rate is checked. */
+const MIN_RESUME_ATTEMPTS = 12;
 
 /** Error for a violated invariant. */
 export class InvariantViolationError extends Error {
@@ -116,19 +116,19 @@
    * Checks that streams are taken up at half the rate of new ones or better.
    * @throws {InvariantViolationError}
    */
-  checkRetakes(
-    { asked, begun, retakes, resumed }: {
+  checkResumptions(
+    { asked, begun, resumeAttempts, resumed }: {
       readonly asked: number;
       readonly begun: number;
-      readonly retakes: number;
+      readonly resumeAttempts: number;
       readonly resumed: number;
     },
   ): void {
-    if (retakes < MIN_RETAKES) return;
-    if (resumed / retakes >= begun / asked / 2) return;
+    if (resumeAttempts < MIN_RESUME_ATTEMPTS) return;
+    if (resumed / resumeAttempts >= begun / asked / 2) return;
     throw new InvariantViolationError(
       "streams are taken up at half the rate of new ones",
-      `${resumed} of ${retakes}, ${begun} of ${asked} begun`,
+      `${resumed} of ${resumeAttempts}, ${begun} of ${asked} begun`,
     );
   }
 
--- a/soak/fleet/fleet_clients.ts
+++ b/soak/fleet/fleet_clients.ts
@@ -40,7 +40,7 @@
   /** Streams read to their end. */
   streams: number;
   /** Streams that were taken up with events held, by counted requests. */
-  retakes: number;
+  resumeAttempts: number;
   /** Those of them that went on; like new streams, after as many requests. */
   resumed: number;
 }
@@ -63,7 +63,7 @@
     asked: 0,
     begun: 0,
     streams: 0,
-    retakes: 0,
+    resumeAttempts: 0,
     resumed: 0,
   };
   #weightVersion = 1;
@@ -178,7 +178,7 @@
       this.#counts.asked += 1;
       this.#check(() => this.#options.checks.onStream(held));
       this.#counts.streams += held.isComplete ? 1 : 0;
-      this.#counts.retakes += held.retakes > 0 ? 1 : 0;
+      this.#counts.resumeAttempts += held.resumeAttempts > 0 ? 1 : 0;
       this.#counts.resumed += held.resumed > 0 ? 1 : 0;
     }
   }
--- a/soak/fleet/fleet_faults.ts
+++ b/soak/fleet/fleet_faults.ts
@@ -193,10 +193,10 @@
         const isJoined = this.#options.oldProgram !== undefined;
         replica.software = `v${isJoined ? 1 : 1 + release % SOFTWARE_VERSIONS}`;
         const isSameTarget = this.#random() < 0.5;
-        replica.isUnheard = isSameTarget && this.#random() < 0.5;
+        replica.withholdsHeartbeats = isSameTarget && this.#random() < 0.5;
         await (isSameTarget ? replica.restart() : replica.start());
-        if (replica.isUnheard) await this.#pause();
-        replica.isUnheard = false;
+        if (replica.withholdsHeartbeats) await this.#pause();
+        replica.withholdsHeartbeats = false;
       });
       this.#count("release");
     }
--- a/soak/fleet/fleet_soak.ts
+++ b/soak/fleet/fleet_soak.ts
@@ -143,7 +143,7 @@
     await clients;
     if (this.#violation !== undefined) return;
     this.#checks.checkAll(this.#receiver);
-    this.#checks.checkRetakes(this.#clients.counts);
+    this.#checks.checkResumptions(this.#clients.counts);
     if (!this.#options.areFencesChecked) {
       this.#checks.checkTurns(this.#receiver);
     }
@@ -203,7 +203,7 @@
     // Instances of an earlier program neither record nor find streams.
     if (this.#options.oldProgram !== undefined) return false;
     const serving = this.#replicas.slice(0, ENGINE_COUNT).filter((replica) =>
-      replica.software === software && replica.isHeard &&
+      replica.software === software && replica.sendsHeartbeats &&
       !this.#faults.isStopped(replica)
     );
     return serving.length >= MIN_SERVING_ENGINES;
--- a/soak/fleet/main.ts
+++ b/soak/fleet/main.ts
@@ -69,8 +69,8 @@
       add(totals, "batches", result.batches);
       add(totals, "calls", result.calls);
       add(totals, "streams", result.streams);
-      add(totals, "retakes", result.retakes);
-      add(totals, "retakes that went on", result.resumed);
+      add(totals, "resume attempts", result.resumeAttempts);
+      add(totals, "resumed streams", result.resumed);
       add(totals, "policies", result.policies);
       if (result.violation === undefined) continue;
       violations.push(seed);
--- a/soak/output_simulation.ts
+++ b/soak/output_simulation.ts
@@ -23,7 +23,7 @@
   readonly version: boolean;
   /** Whether a target must name its incarnation first. */
   readonly incarnation: boolean;
-  /** Whether a stream is refused if nobody knows who wrote it. */
+  /** Whether a stream is refused if it is not known who wrote it. */
   readonly record: boolean;
 }
 
@@ -71,7 +71,7 @@
 const SERVICE = "s";
 const KEEP_MS = 1_000;
 
-/** Plays one schedule of releases, deaths, moves, new leaders and retakes. */
+/** Runs one schedule of releases, deaths, moves, new leaders and resumptions. */
 export class OutputSimulation {
   readonly #scheduler: Scheduler;
   readonly #guards: OutputGuards;
@@ -106,7 +106,7 @@
     });
   }
 
-  /** Plays the schedule up to its end or the first violation. */
+  /** Runs the schedule up to its end or the first violation. */
   run(): RunResult {
     for (let i = 0; i < TARGETS; i += 1) this.#release(`t${i}`);
     this.#deliverAll();
@@ -444,7 +444,7 @@
   }
 }
 
-/** Plays several schedules; the counts of all are added up. */
+/** Runs several schedules; the counts of all are added up. */
 export function runOutputSchedules(
   { seed, guards }: OutputSimulationOptions,
 ): RunResult {
--- a/tests/software_versions_test.ts
+++ b/tests/software_versions_test.ts
@@ -150,7 +150,7 @@
       const caller = fixture.createStreamCaller();
       const held = await readUntilCrash(caller);
       replicas[0].software = "v2";
-      replicas[0].isUnheard = true;
+      replicas[0].withholdsHeartbeats = true;
       await replicas[0].restart();
       await caller.request("s2", held);
       expect(softwareOf(held.events.join("\n"))).toEqual(["v1"]);
--- a/tests/streams_after_entry_loss_test.ts
+++ b/tests/streams_after_entry_loss_test.ts
@@ -127,7 +127,7 @@
     const held = await doTest(async () => {
       replicas[0].crash();
       replicas[0].software = "v2";
-      replicas[0].isUnheard = true;
+      replicas[0].withholdsHeartbeats = true;
       await replicas[0].restart();
       await loseAll(FleetRole.Entry);
     });
--- a/tests/support/stream_caller.ts
+++ b/tests/support/stream_caller.ts
@@ -29,7 +29,7 @@
   /** Statuses of the requests, in order; 0 where none came. */
   readonly statuses: number[];
   /** Number of counted requests that took the stream up with events held. */
-  retakes: number;
+  resumeAttempts: number;
   /** Number of those that went on. */
   resumed: number;
   /** Number of requests that brought events and broke off before the end. */
@@ -48,7 +48,7 @@
     first: undefined,
     events: [],
     statuses: [],
-    retakes: 0,
+    resumeAttempts: 0,
     resumed: 0,
     breaks: 0,
     isComplete: false,
@@ -104,8 +104,8 @@
     const address = addresses[this.#requestCount % addresses.length];
     const client = new Client(`http://${address}`);
     const heldBefore = held.events.length;
-    const isRetake = heldBefore > 0 && this.#isServed(held);
-    if (isRetake) held.retakes += 1;
+    const isResumeAttempt = heldBefore > 0 && this.#isServed(held);
+    if (isResumeAttempt) held.resumeAttempts += 1;
     try {
       const response = await client.request({
         method: "POST",
@@ -134,7 +134,7 @@
       held.statuses.push(0);
     } finally {
       const hasEvents = held.events.length > heldBefore;
-      if (isRetake && hasEvents) held.resumed += 1;
+      if (isResumeAttempt && hasEvents) held.resumed += 1;
       if (hasEvents && !held.isComplete) held.breaks += 1;
       client.destroy().catch(() => {});
     }
