Targets and their phases are removed, not gone

Plain rename of TargetState.Gone and TargetPhase.Gone. Their values stay `gone`: they are sent between instances and shown in the status of an instance.

--- a/src/core/dispatch/dispatcher.ts
+++ b/src/core/dispatch/dispatcher.ts
@@ -248,7 +248,7 @@
    */
   targetDied(targetId: string, now: number): DispatchEffect[] {
     const target = this.targets.get(targetId);
-    if (target === undefined || target.phase === TargetPhase.Gone) return [];
+    if (target === undefined || target.phase === TargetPhase.Removed) return [];
     const isExpected = target.phase === TargetPhase.Leaving;
     target.send(TargetEvent.Lose);
     this.#options.picker.forget(targetId);
--- a/src/core/dispatch/placement.ts
+++ b/src/core/dispatch/placement.ts
@@ -227,7 +227,8 @@
     `Item ${item.id} may have run and is not idempotent`,
   );
   assertInvariant(
-    target.phase !== TargetPhase.Leaving && target.phase !== TargetPhase.Gone,
+    target.phase !== TargetPhase.Leaving &&
+      target.phase !== TargetPhase.Removed,
     Invariant.LeavingTargetIdle,
     `Target ${target.id} is ${target.phase}`,
   );
--- a/src/core/registry/report_comparison.ts
+++ b/src/core/registry/report_comparison.ts
@@ -6,8 +6,8 @@
   if (report.incarnation !== current.incarnation) {
     return report.incarnation > current.incarnation;
   }
-  if (current.state === TargetState.Gone) return false;
-  if (report.state === TargetState.Gone) return true;
+  if (current.state === TargetState.Removed) return false;
+  if (report.state === TargetState.Removed) return true;
   if (report.sequence !== current.sequence) {
     return report.sequence > current.sequence;
   }
--- a/src/core/registry/target_registry.ts
+++ b/src/core/registry/target_registry.ts
@@ -42,8 +42,8 @@
 /** One of the values of {@link RegistryChange}. */
 export type RegistryChange = typeof RegistryChange[keyof typeof RegistryChange];
 
-/** Time for which targets in state gone are retained. */
-const GONE_RETENTION_MS = 120_000;
+/** Time for which removed targets are retained. */
+const REMOVED_RETENTION_MS = 120_000;
 
 /**
  * Merges target reports, which may be delayed, duplicated or out of order.
@@ -126,20 +126,20 @@
   }
 
   /**
-   * Marks a target as gone, after it has deregistered.
+   * Marks a target as removed, after it has deregistered.
    * @param incarnation - Incarnation that ends; undefined for any.
    * @param now - Time in milliseconds.
-   * @returns False if the target is unknown, gone or already restarted.
+   * @returns False if the target is unknown, removed or already restarted.
    */
   remove(id: string, incarnation: number | undefined, now: number): boolean {
     const current = this.#targets.get(id)?.report;
-    if (current === undefined || current.state === TargetState.Gone) {
+    if (current === undefined || current.state === TargetState.Removed) {
       return false;
     }
     if (incarnation !== undefined && incarnation < current.incarnation) {
       return false;
     }
-    this.#markGone(current, now);
+    this.#markRemoved(current, now);
     return true;
   }
 
@@ -211,15 +211,15 @@
     return target.report;
   }
 
-  /** Gets all targets, including those in state gone. */
+  /** Gets all targets, including those in state removed. */
   get all(): readonly RegisteredTarget[] {
     return [...this.#targets.values()];
   }
 
-  /** Gets the reports of the targets that are not gone. */
+  /** Gets the reports of the targets that are not removed. */
   get presentReports(): TargetReport[] {
     return this.all.map(({ report }) => report)
-      .filter(({ state }) => state !== TargetState.Gone);
+      .filter(({ state }) => state !== TargetState.Removed);
   }
 
   /**
@@ -260,11 +260,13 @@
     return this.#evacuated?.has(dataCentre) ?? true;
   }
 
-  /** Removes targets that have been gone for the retention time. */
+  /** Deletes targets whose removal is longer ago than the retention time. */
   prune(now: number): this {
     for (const [id, { report, reportedAt }] of this.#targets) {
-      const isOld = now - reportedAt > GONE_RETENTION_MS;
-      if (isOld && report.state === TargetState.Gone) this.#targets.delete(id);
+      const isOld = now - reportedAt > REMOVED_RETENTION_MS;
+      if (isOld && report.state === TargetState.Removed) {
+        this.#targets.delete(id);
+      }
     }
     return this;
   }
@@ -277,20 +279,20 @@
 
   /** Lets the target that started last keep an address that two report. */
   #resolveAddressConflict(report: TargetReport, now: number): TargetReport {
-    if (report.state === TargetState.Gone) return report;
+    if (report.state === TargetState.Removed) return report;
     for (const { report: other } of this.#targets.values()) {
       if (other.id === report.id || other.address !== report.address) continue;
-      if (other.state === TargetState.Gone) continue;
+      if (other.state === TargetState.Removed) continue;
       if (other.incarnation > report.incarnation) {
-        return { ...report, state: TargetState.Gone };
+        return { ...report, state: TargetState.Removed };
       }
-      this.#markGone(other, now);
+      this.#markRemoved(other, now);
     }
     return report;
   }
 
-  #markGone(report: TargetReport, now: number): void {
-    const goneReport = { ...report, state: TargetState.Gone };
-    this.#targets.set(report.id, { report: goneReport, reportedAt: now });
+  #markRemoved(report: TargetReport, now: number): void {
+    const removed = { ...report, state: TargetState.Removed };
+    this.#targets.set(report.id, { report: removed, reportedAt: now });
   }
 }
--- a/src/core/registry/target_registry_test.ts
+++ b/src/core/registry/target_registry_test.ts
@@ -40,7 +40,7 @@
   it("assigns an address to the target that started last", () => {
     doTest(
       [{}, { id: "i-2", incarnation: 5 }, { sequence: 2 }],
-      { "i-1": TargetState.Gone, "i-2": TargetState.Ready },
+      { "i-1": TargetState.Removed, "i-2": TargetState.Ready },
     );
   });
 
--- a/src/core/registry/target_report.ts
+++ b/src/core/registry/target_report.ts
@@ -8,8 +8,11 @@
   Ready: "ready",
   /** The target leaves, by its own report or by one of its responses. */
   Draining: "draining",
-  /** The target has deregistered, or a newer one has its address. */
-  Gone: "gone",
+  /**
+   * The target has deregistered, or a newer one has its address; `gone` between
+   * instances.
+   */
+  Removed: "gone",
 } as const;
 
 /** One of the values of {@link TargetState}. */
--- a/src/core/routing/target.ts
+++ b/src/core/routing/target.ts
@@ -155,7 +155,7 @@
    */
   mayServe(): boolean {
     return this.phase !== TargetPhase.Leaving &&
-      this.phase !== TargetPhase.Gone;
+      this.phase !== TargetPhase.Removed;
   }
 
   /** Gets the expected duration of a request placed now, in milliseconds. */
--- a/src/core/routing/target_lifecycle.ts
+++ b/src/core/routing/target_lifecycle.ts
@@ -13,8 +13,8 @@
   Probing: "probing",
   /** Drains: finishes its work and accepts no more. */
   Leaving: "leaving",
-  /** Has terminated or was removed. */
-  Gone: "gone",
+  /** Has terminated or was removed; `gone` in the status of an instance. */
+  Removed: "gone",
 } as const;
 
 /** One of the values of {@link TargetPhase}. */
@@ -34,7 +34,7 @@
 /** One of the values of {@link TargetEvent}. */
 export type TargetEvent = typeof TargetEvent[keyof typeof TargetEvent];
 
-const { Serving, Swapping, Ejected, Probing, Leaving, Gone } = TargetPhase;
+const { Serving, Swapping, Ejected, Probing, Leaving, Removed } = TargetPhase;
 const { Eject, Probe, Recover, SwapStart, SwapEnd, Leave, Lose } = TargetEvent;
 
 const machine = createMachine(Serving, {
@@ -42,28 +42,28 @@
     transition(Eject, Ejected),
     transition(SwapStart, Swapping),
     transition(Leave, Leaving),
-    transition(Lose, Gone),
+    transition(Lose, Removed),
   ),
   [Swapping]: state(
     transition(SwapEnd, Serving),
     transition(Eject, Ejected),
     transition(Leave, Leaving),
-    transition(Lose, Gone),
+    transition(Lose, Removed),
   ),
   [Ejected]: state(
     transition(Probe, Probing),
     transition(Leave, Leaving),
-    transition(Lose, Gone),
+    transition(Lose, Removed),
   ),
   [Probing]: state(
     transition(Recover, Serving),
     transition(Eject, Ejected),
     transition(SwapStart, Swapping),
     transition(Leave, Leaving),
-    transition(Lose, Gone),
+    transition(Lose, Removed),
   ),
-  [Leaving]: state(transition(Lose, Gone)),
-  [Gone]: state(),
+  [Leaving]: state(transition(Lose, Removed)),
+  [Removed]: state(),
 });
 
 /**
--- a/src/core/routing/target_table.ts
+++ b/src/core/routing/target_table.ts
@@ -44,7 +44,7 @@
   announce(announcement: TargetAnnouncement): Target {
     const existing = this.#targets.get(announcement.id);
     const isSame = existing !== undefined &&
-      existing.phase !== TargetPhase.Gone &&
+      existing.phase !== TargetPhase.Removed &&
       existing.announcement.incarnation === announcement.incarnation;
     const target = isSame
       ? existing.update(announcement)
--- a/src/tasks/fleet/weights_rollout.ts
+++ b/src/tasks/fleet/weights_rollout.ts
@@ -214,7 +214,7 @@
     while (now() < endsAt && this.#timer !== undefined) {
       await new Promise((resolve) => setTimeout(resolve, POLL_MS));
       const report = registry.get(load.target.id)?.report;
-      if (report === undefined || report.state === TargetState.Gone) return;
+      if (report === undefined || report.state === TargetState.Removed) return;
       if ((report.versions[load.model] ?? 0) >= load.version) return;
       const status = await orders.status(load.target, STATUS_TIMEOUT_MS);
       if ((status?.versions[load.model] ?? 0) >= load.version) {
--- a/src/tasks/targets/dispatch_task.ts
+++ b/src/tasks/targets/dispatch_task.ts
@@ -209,7 +209,7 @@
 
   #onTargetDied(targetId: string): void {
     const target = this.#dispatcher.targets.get(targetId);
-    if (target === undefined || target.phase === TargetPhase.Gone) return;
+    if (target === undefined || target.phase === TargetPhase.Removed) return;
     this.#recorder.died(targetId);
     const now = this.#options.now();
     this.#applyEffects(this.#dispatcher.targetDied(targetId, now));
