Comments of src/core/batches use the usual terms

Told, learnt, forgets, remembers, gives way, begins anew and rest become acknowledged, measured, clears, tracks, precedes, restarts and remainder. Reasons and numbers are kept; no code is changed.

--- a/src/core/batches/batch_admission.ts
+++ b/src/core/batches/batch_admission.ts
@@ -1,7 +1,7 @@
 /** Decides whether a batch may be accepted, by the work that precedes it. */
 import { spreadRetryAfterMs } from "../retry/mod.ts";
 
-/** Work of an open batch that does not give way to the submitted one. */
+/** Work of an open batch that is ordered before the submitted one. */
 export interface PrecedingWork {
   readonly workspace: string;
   /** Whether its priority is higher; else both have the same. */
@@ -70,7 +70,7 @@
 export type AdmissionReason =
   typeof AdmissionReason[keyof typeof AdmissionReason];
 
-/** Decision on a batch, with what it rests on. */
+/** Decision on a batch, with the figures that it is based on. */
 export interface AdmissionDecision {
   readonly isAdmitted: boolean;
   readonly reason: AdmissionReason;
@@ -97,20 +97,21 @@
  */
 const MIN_LEADING_MS = 5_000;
 /**
- * Part of the capacity up to which the own length counts: estimates are often
- * off by a factor of two, so a batch is refused only for the work of others.
+ * Part of the capacity up to which a batch's own length counts: estimates are
+ * often off by a factor of two, so a batch is refused only for the work of
+ * others.
  */
 const MAX_OWN_CAPACITY_SHARE = 0.5;
 /**
- * Part of the capacity that urgent work leaves to less urgent batches; the
- * order of items gives them as much (`batch_shares.ts`).
+ * Part of the capacity reserved for less urgent batches; the order of items
+ * reserves as much (`batch_shares.ts`).
  */
 const LESS_URGENT_SHARE = 0.25;
 
 /**
  * Decides whether a submitted batch is accepted. It is refused only if it could
  * not be complete before its caller gives up, if its workspace uses its fair
- * share, and if enough is known to tell.
+ * share, and if enough is known to decide.
  *
  * @example
  * ```ts
@@ -217,7 +218,7 @@
   capacity: ServiceCapacity,
   drainTokensPerMs: number,
 ): number {
-  // What the queue does is possible, whatever the paces say.
+  // A measured drain rate is achievable, whatever the paces suggest.
   const tokensPerMs = Math.max(capacity.tokensPerMs, drainTokensPerMs);
   const startedMs = Math.max(0, giveUpInMs - capacity.bootMs);
   return CAPACITY_MARGIN * (tokensPerMs * Math.max(0, giveUpInMs) +
@@ -262,8 +263,8 @@
 }
 
 /**
- * Divides capacity so that no workspace gets more than it wants, and what some
- * leave goes to the others in equal parts.
+ * Divides capacity by max-min fairness: no workspace gets more than it
+ * requests, and the remainder goes to the others in equal parts.
  */
 function shareFairly(
   wanted: ReadonlyMap<string, number>,
--- a/src/core/batches/batch_drain.ts
+++ b/src/core/batches/batch_drain.ts
@@ -35,7 +35,7 @@
     return this;
   }
 
-  /** Forgets all batches and rates. */
+  /** Clears all batches and rates. */
   stop(): this {
     this.#meters.clear();
     this.#batches.clear();
@@ -91,7 +91,7 @@
     return this;
   }
 
-  /** Records that a batch has ended or is forgotten. */
+  /** Records that a batch has ended or is deleted. */
   onEnded(batch: string, now: number): this {
     const open = this.#batches.get(batch);
     if (open === undefined) return this;
--- a/src/core/batches/data_centre_reach.ts
+++ b/src/core/batches/data_centre_reach.ts
@@ -1,4 +1,4 @@
-/** Tells which data centres do not answer, as during a network partition. */
+/** Tracks which data centres do not answer, as during a network partition. */
 
 /** A target in a data centre. */
 export interface LocatedTarget {
@@ -6,7 +6,10 @@
   readonly dataCentre: string;
 }
 
-/** Number of targets without an answer from which their data centre has none. */
+/**
+ * Number of targets without an answer from which their data centre counts as
+ * not answering.
+ */
 const MIN_UNANSWERED_TARGETS = 2;
 /** Time for which a target without an answer counts, in milliseconds. */
 const UNANSWERED_WINDOW_MS = 2_000;
@@ -57,7 +60,7 @@
     return recent.length >= MIN_UNANSWERED_TARGETS;
   }
 
-  /** Forgets all timeouts. */
+  /** Clears all timeouts. */
   clear(): this {
     this.#unanswered.clear();
     return this;
--- a/src/core/batches/item_order.ts
+++ b/src/core/batches/item_order.ts
@@ -44,7 +44,7 @@
  * Overdue batches come last, more urgent priorities first, then earlier due
  * times. Batches whose due times are close share the slots by expected tokens,
  * and so do all of a priority if capacity is short: the one due first would
- * otherwise take all of it, until the others can be in time no more. A caller
+ * otherwise take all of it, until the others can no longer be in time. A caller
  * waits for a number of complete groups, so within a batch the groups expected
  * to complete first are preferred: resubmitted groups, then groups in progress,
  * then the shortest. Of the preferred items the longest start first, because
--- a/src/core/batches/item_placement.ts
+++ b/src/core/batches/item_placement.ts
@@ -31,7 +31,7 @@
   Earliest: "earliest",
   /** As {@link PlacementReason.Earliest}, with the prompt in its cache. */
   CachedPrompt: "cachedPrompt",
-  /** It is in the local data centre, and others end hardly earlier. */
+  /** It is in the local data centre, and others end only slightly earlier. */
   Local: "local",
   /**
    * It is degraded, and no other target ends the item earlier; `sick` in log
--- a/src/core/batches/item_tracker.ts
+++ b/src/core/batches/item_tracker.ts
@@ -14,15 +14,19 @@
   failedRuns: number;
   /** Runs that ended early for another reason; they determine the backoff. */
   interruptedRuns: number;
-  /** Runs moved for their silence; later runs are allowed more of it. */
+  /**
+   * Runs moved because they were silent; later runs may be silent for longer.
+   */
   silentRuns: number;
-  /** Whether a run was moved as its target's pace had not been known. */
+  /** Whether a run was moved because its target's pace was unknown. */
   isPaceCorrected: boolean;
-  /** Runs that no target of the partial output's version would go on with. */
+  /** Runs that no target of the partial output's version would continue. */
   unverifiedRuns: number;
   /** Time before which the item is not run again, in milliseconds. */
   notBefore: number;
-  /** Time since which only the partial output keeps the item from a target. */
+  /**
+   * Time since which only the partial output prevents the item from running.
+   */
   strandedAt: number | undefined;
   /** Time since which the item waits although slots are free. */
   heldAt: number | undefined;
@@ -34,9 +38,9 @@
 export interface KnownOutput {
   /** The complete output, if there is one. */
   readonly complete: RunText | undefined;
-  /** Partial outputs that a run may go on with, the longest first. */
+  /** Partial outputs that a run may continue, the longest first. */
   readonly partial: readonly RunText[];
-  /** Number of events of the longest output, also if no run may go on with it. */
+  /** Number of events of the longest output, also if no run may continue it. */
   readonly receivedEvents: number;
 }
 
@@ -44,7 +48,7 @@
 const MAX_BACKOFF_MS = 2_000;
 /** Number of items from which those of deleted batches are pruned. */
 const PRUNE_THRESHOLD_ITEMS = 20_000;
-/** Unverified runs after which an item begins anew. */
+/** Unverified runs after which an item restarts from its first event. */
 const MAX_UNVERIFIED_RUNS = 2;
 const NO_TARGETS: ReadonlySet<string> = new Set();
 
@@ -93,7 +97,7 @@
     return now < (this.#progress.get(item.id)?.notBefore ?? -Infinity);
   }
 
-  /** Saves the output of a run, so that a later run can go on with it. */
+  /** Saves the output of a run, so that a later run can continue it. */
   savePartialText({ record, item }: WaitingItem, text: RunText): this {
     if (text.size === 0) return this;
     const progress = this.progressOf(item);
@@ -113,8 +117,8 @@
   }
 
   /**
-   * Records that a target could run an item but for its partial output.
-   * @returns The time since that was first so, in milliseconds.
+   * Records that only its partial output prevents an item from running.
+   * @returns The time since that was first the case, in milliseconds.
    */
   trackStranded(item: BatchItem, now: number): number {
     const progress = this.progressOf(item);
@@ -133,7 +137,7 @@
     return now - (this.#progress.get(item.id)?.heldAt ?? now);
   }
 
-  /** Records that an item runs, whether it goes on or begins anew. */
+  /** Records that an item runs, whether it continues or restarts. */
   onRunStarted(item: BatchItem, isResumed: boolean): this {
     const known = this.#progress.get(item.id);
     if (known === undefined) return this;
@@ -145,8 +149,8 @@
 
   /**
    * Gets the output of an item's earlier runs, as far as the batch allows the
-   * weight versions that generated it. Nothing goes on with a text whose writer
-   * is not known.
+   * weight versions that generated it. A text whose writer is not known is not
+   * continued.
    */
   outputOf(
     { record, item }: WaitingItem,
--- a/src/core/batches/known_paces.ts
+++ b/src/core/batches/known_paces.ts
@@ -1,4 +1,6 @@
-/** What a leader has learnt of targets and services, for the next leader. */
+/**
+ * Measurements of targets and services that a leader passes to the next one.
+ */
 
 /** Long-run pace of a target's incarnation. */
 export interface TargetPaceRecord {
@@ -38,7 +40,7 @@
 /** Age from which a pace or an estimate is ignored. */
 export const MAX_PACE_AGE_MS = 300_000;
 
-/** All that is known. */
+/** All known measurements. */
 export interface KnownPaces {
   readonly targets: readonly TargetPaceRecord[];
   readonly services: readonly EstimateRecord[];
@@ -47,8 +49,8 @@
 type EstimateCounts = Pick<EstimateRecord, "completed" | "prompts">;
 
 /**
- * Gets whether one estimate is based on more runs than another; counts go on
- * from leader to leader.
+ * Gets whether one estimate is based on more runs than another; counts carry
+ * over between leaders.
  *
  * @example
  * ```ts
--- a/src/core/batches/pace_memory.ts
+++ b/src/core/batches/pace_memory.ts
@@ -1,4 +1,4 @@
-/** Keeps the paces and estimates that leaders have learnt. */
+/** Stores the paces and estimates that leaders have measured. */
 import {
   type EstimateRecord,
   isBetterEstimate,
@@ -7,7 +7,7 @@
   type TargetPaceRecord,
 } from "./known_paces.ts";
 
-/** Time by two clocks: either may stand still or be set. */
+/** Time by two clocks, as the one may stop and the other may be set. */
 export interface PaceClock {
   /** Local monotonic time, in milliseconds. */
   readonly now: number;
@@ -49,7 +49,7 @@
 const MAX_NOTICED_RUNS = 50;
 
 /**
- * Keeps the newest long-run pace of each target and the estimates of each
+ * Stores the newest long-run pace of each target and the estimates of each
  * service. A revision counts their noticeable changes.
  *
  * @example
@@ -70,12 +70,12 @@
     return this.#revision;
   }
 
-  /** Keeps what the local replica has learnt while it leads in a term. */
+  /** Stores what the local replica has measured while it leads in a term. */
   update(message: PaceMessage, clock: PaceClock): this {
     this.#prune(clock);
     if (!this.#acceptTerm(message.term, clock)) return this;
     for (const record of message.targets) {
-      // Events that always come together show no pace.
+      // Events that always arrive together give no pace.
       if (!(record.paceMs > 0)) continue;
       const kept = this.#targets.get(record.id);
       const isChanged = isChangedPace(record, kept?.record);
@@ -94,7 +94,7 @@
   }
 
   /**
-   * Keeps those records of another instance's message that are newer.
+   * Stores the records of another instance's message that are newer.
    * @returns Whether it was accepted; that of an earlier term is not.
    */
   merge(message: PaceMessage, clock: PaceClock): boolean {
@@ -103,10 +103,10 @@
     return true;
   }
 
-  /** Keeps those records of a file that are newer, by wall time alone. */
+  /** Stores the records of a file that are newer, by wall time alone. */
   load(stored: StoredPaces, clock: PaceClock): this {
     const sinceMs = clock.wallNow - stored.savedAt;
-    // A clock that was set back by more says nothing of the age.
+    // If a clock was set back by more, the age cannot be determined.
     if (sinceMs < -MAX_PACE_AGE_MS) return this;
     const aged = <T extends { readonly ageMs: number }>(record: T) => ({
       ...record,
@@ -135,8 +135,8 @@
   }
 
   /**
-   * Accepts the latest term. A log that was formed anew begins with low terms,
-   * so a term is forgotten with what it brought.
+   * Accepts the latest term. A newly formed log begins with low terms, so a
+   * term expires with the records that it brought.
    */
   #acceptTerm(term: number, { now }: PaceClock): boolean {
     if (term < this.#term && now - this.#termAt <= MAX_PACE_AGE_MS) {
@@ -227,7 +227,7 @@
   return ratiosOf(record).some((ratio, i) => isNoticeable(ratio, before[i]));
 }
 
-/** Gets the numbers that an estimate stands for. */
+/** Gets the figures of an estimate. */
 function ratiosOf(record: EstimateRecord): number[] {
   const { completed, runs, events, estimatedEvents, estimatedTokens } = record;
   const { uncached, cached } = record.prompts;
--- a/src/core/batches/pace_recipients.ts
+++ b/src/core/batches/pace_recipients.ts
@@ -22,7 +22,7 @@
 
 /**
  * Tracks up to which revision each instance has acknowledged changes, so that
- * the next message makes up for a lost one.
+ * the next message repeats the changes of a lost one.
  *
  * @example
  * ```ts
@@ -33,7 +33,7 @@
 export class PaceRecipients {
   readonly #states = new Map<string, RecipientState>();
 
-  /** Forgets all, as for a new leader. */
+  /** Clears all state, as for a new leader. */
   clear(): this {
     this.#states.clear();
     return this;
@@ -76,7 +76,7 @@
     return this;
   }
 
-  /** Forgets instances that are not linked any more. */
+  /** Removes instances that are no longer linked. */
   keepOnly(ids: ReadonlySet<string>): this {
     for (const id of this.#states.keys()) {
       if (!ids.has(id)) this.#states.delete(id);
--- a/src/core/batches/pace_stats.ts
+++ b/src/core/batches/pace_stats.ts
@@ -18,8 +18,8 @@
   /** Time since which the recent pace has been far from the long-run pace. */
   changedSince: number | undefined;
   /**
-   * Time since which the target was degraded at each sample; undefined if it was
-   * not at the last sample that could tell.
+   * Time since which the target was degraded at each sample; undefined if it
+   * was not at the last conclusive sample.
    */
   degradedSince: number | undefined;
   avoidedUntil: number;
@@ -28,7 +28,7 @@
 
 /** Lower bound of the weight of an event in the recent pace. */
 const RECENT_WEIGHT = 0.1;
-/** Time constant of the recent pace; a longer gap says more. */
+/** Time constant of the recent pace; a longer gap has more weight. */
 const RECENT_MS = 500;
 /** Number of last gaps of which most must be late for runs to be moved. */
 const LATE_GAPS = 5;
@@ -51,9 +51,9 @@
 const MAX_RECENT_GAP_RATIO = 10;
 /** Time without an event after which a recent pace expires. */
 const STALE_MS = 3_000;
-/** Time without an event after which a recent pace is gradually forgotten. */
+/** Time without an event after which a recent pace gradually decays. */
 const FORGET_AFTER_MS = 500;
-/** Time constant with which it is forgotten. */
+/** Time constant of that decay. */
 const FORGET_MS = 2_000;
 
 /** Creates the measurements of a target without events. */
--- a/src/core/batches/pace_summary.ts
+++ b/src/core/batches/pace_summary.ts
@@ -1,4 +1,4 @@
-/** What the paces of all targets of a service show. */
+/** Summary of the paces of all targets of a service. */
 import {
   hasInherent,
   isCurrent,
@@ -7,7 +7,7 @@
 } from "./pace_stats.ts";
 import { percentileOf } from "../statistics/mod.ts";
 
-/** What the targets of one service show. */
+/** Summary of the paces of the targets of one service. */
 export interface ServiceSummary {
   readonly at: number;
   /** Median long-run pace, in milliseconds; undefined if none is known. */
--- a/src/core/batches/pace_table.ts
+++ b/src/core/batches/pace_table.ts
@@ -1,4 +1,4 @@
-/** The paces of all targets, with those that an earlier leader has learnt. */
+/** The paces of all targets, with those that an earlier leader has measured. */
 import { MAX_PACE_AGE_MS, type TargetPaceRecord } from "./known_paces.ts";
 import {
   createPaceStats,
@@ -30,7 +30,7 @@
 export class PaceTable {
   readonly #stats = new Map<string, PaceStats>();
   readonly #summaries = new Map<string, ServiceSummary>();
-  /** Loaded paces of targets that have not been asked for yet. */
+  /** Loaded paces of targets that have not been requested yet. */
   readonly #loaded = new Map<string, PaceStats>();
 
   /** Gets the measurements of all targets. */
@@ -38,7 +38,7 @@
     return this.#stats.values();
   }
 
-  /** Gets what is known of a target, of whatever incarnation. */
+  /** Gets the measurements of a target, of any incarnation. */
   getAny(id: string): PaceStats | undefined {
     return this.#stats.get(id);
   }
@@ -51,8 +51,8 @@
   }
 
   /**
-   * Gets the measurements of a target or creates them. The paces of a new
-   * incarnation begin anew; the backoff after failures lasts.
+   * Gets the measurements of a target or creates them. A new incarnation starts
+   * without paces; the backoff after failures is kept.
    */
   getOrCreate({ id, service, incarnation }: PacedTarget): PaceStats {
     const known = this.#stats.get(id);
@@ -115,7 +115,7 @@
     return summary;
   }
 
-  /** Forgets the summary of a service, as a pace has become known. */
+  /** Discards the summary of a service, as a pace has become known. */
   forgetSummary(service: string): void {
     this.#summaries.delete(service);
   }
--- a/src/core/batches/preceding_work.ts
+++ b/src/core/batches/preceding_work.ts
@@ -20,10 +20,10 @@
 }
 
 /**
- * Gets the work of the open batches that do not give way to a submitted one by
- * the order of items: those of a higher priority, and those of the same that are
- * due no later. Overdue batches count: their callers still wait, and were told
- * that the batch was accepted.
+ * Gets the work of the open batches that precede a submitted one in the order
+ * of items: those of a higher priority, and those of the same that are due no
+ * later. Overdue batches count: their callers still wait, and acceptance was
+ * acknowledged to them.
  *
  * @example
  * ```ts
@@ -57,7 +57,7 @@
 
 /**
  * Gets the expected output of the groups that the caller of a batch still waits
- * for, in tokens; the shortest ones if it waits for some alone.
+ * for, in tokens; the shortest ones if it waits for only some.
  *
  * @example
  * ```ts
--- a/src/core/batches/process_lag.ts
+++ b/src/core/batches/process_lag.ts
@@ -1,7 +1,7 @@
-/** Tells whether this process kept up while it measured the times of others. */
+/** Detects stalls of this process, during which it cannot measure targets. */
 
 /**
- * Delay of a tick from which the times of events say nothing of targets, in
+ * Delay of a tick from which the times of events do not reflect targets, in
  * milliseconds; between two events there are 15 to 50 ms.
  */
 const MAX_LAG_MS = 30;
@@ -12,9 +12,9 @@
 const SETTLE_MS = 50;
 
 /**
- * Tracks the ticks of this process. A gap between events is measured only if the
- * process kept up from its begin to its end: while it is held up, events wait
- * unread, and then come together.
+ * Tracks the ticks of this process. A gap between events is measured only if
+ * the process did not stall from its begin to its end: during a stall, events
+ * wait unread, and then arrive together.
  *
  * @example
  * ```ts
@@ -35,7 +35,7 @@
     this.#tickMs = tickMs;
   }
 
-  /** Forgets the ticks, as they stopped. */
+  /** Resets the ticks after they have stopped. */
   reset(): this {
     this.#tickedAt = undefined;
     this.#keptUpFrom = -Infinity;
@@ -49,7 +49,7 @@
     return this;
   }
 
-  /** Gets whether the process kept up for all of a time that ends now. */
+  /** Gets whether the process did not stall within a time that ends now. */
   isMeasured(from: number, now: number): boolean {
     return from >= this.#keptUpFrom && !this.#isOverdue(now);
   }
--- a/src/core/batches/prompt_locations.ts
+++ b/src/core/batches/prompt_locations.ts
@@ -3,15 +3,16 @@
 import type { BatchItem } from "./batch.ts";
 import type { BatchRecord } from "./batch_record.ts";
 
-/** Number of groups that are remembered. */
+/** Maximum number of tracked groups. */
 const MAX_GROUPS = 4_096;
 /** Time after a run in which its target is expected to hold the prompt. */
 const RETENTION_MS = 20_000;
 const NO_TARGETS: ReadonlySet<string> = new Set();
 
 /**
- * Remembers which targets have read the prompts of groups, since a prompt that
- * is cached need not be read again. A wrong entry costs a prompt only.
+ * Tracks which targets have read the prompts of groups, since a prompt that is
+ * cached need not be read again. A wrong entry only costs reading a prompt
+ * again.
  */
 export class PromptLocations {
   readonly #targets = new LRUCache<string, Map<string, number>>({
@@ -43,7 +44,7 @@
     return new Set(targets.keys());
   }
 
-  /** Forgets all prompts. */
+  /** Clears all prompts. */
   clear(): this {
     this.#targets.clear();
     return this;
--- a/src/core/batches/result_cache.ts
+++ b/src/core/batches/result_cache.ts
@@ -1,4 +1,4 @@
-/** Cache of batch results; valid for ever, as positions never change. */
+/** Cache of batch results; entries never expire, as positions never change. */
 import { LRUCache } from "lru-cache";
 import type { BatchResult, ResultPage } from "./batch.ts";
 
--- a/src/core/batches/run_estimator.ts
+++ b/src/core/batches/run_estimator.ts
@@ -32,15 +32,17 @@
 const DEFAULT_UNCACHED_EVENTS = 5;
 const DEFAULT_CACHED_EVENTS = 1;
 const PROMPT_WEIGHT = 0.05;
-/** Expected rest of an output that is longer than estimated, as a share. */
+/**
+ * Expected remainder of an output that is longer than estimated, as a share.
+ */
 const OVERRUN_SHARE = 0.3;
 /** Time to read an event of earlier output, in times to generate it. */
 const REREAD_SHARE = 0.05;
 
 /**
- * Learns from completed runs how many events the callers' estimates stand for,
- * and from first events how long targets read prompts. Both are by service, as
- * an event may hold any number of tokens.
+ * Measures by completed runs how many events the callers' estimates represent,
+ * and by first events how long targets read prompts. Both are by service, as an
+ * event may hold any number of tokens.
  *
  * @example
  * ```ts
@@ -73,7 +75,7 @@
   }
 
   /**
-   * Records the time to the first event of a run that began anew.
+   * Records the time to the first event of a run without earlier output.
    * @param events - The time, in times per event at the target.
    */
   onFirstEvent(
@@ -126,7 +128,7 @@
   }
 
   /**
-   * Gets the number of estimated tokens that an event stands for; undefined
+   * Gets the number of estimated tokens that an event represents; undefined
    * until enough outputs are complete.
    */
   tokensPerEvent(service: string): number | undefined {
--- a/src/core/batches/service_targets.ts
+++ b/src/core/batches/service_targets.ts
@@ -1,8 +1,8 @@
-/** Remembers the targets of each service, with their long-run paces. */
+/** Tracks the targets of each service, with their long-run paces. */
 import type { ServiceCapacity } from "./batch_admission.ts";
 import { loadFactorOf } from "./target_pace.ts";
 
-/** A target and what it does in the long run. */
+/** A target and its long-run pace. */
 export interface CapacityTarget {
   readonly id: string;
   readonly service: string;
@@ -45,7 +45,7 @@
 const ALL_LOST_MS = 10_000;
 
 /**
- * Remembers targets, as lost ones count as present for a while.
+ * Tracks targets, as lost ones count as present for a while.
  *
  * @example
  * ```ts
--- a/src/core/batches/start_pacer.ts
+++ b/src/core/batches/start_pacer.ts
@@ -42,7 +42,7 @@
     return this.#left;
   }
 
-  /** Forgets the speed of the process, as for a new leader. */
+  /** Resets the speed of the process, as for a new leader. */
   reset(): this {
     this.#limit = FIRST_STARTS;
     this.#left = FIRST_STARTS;
--- a/src/core/batches/target_pace.ts
+++ b/src/core/batches/target_pace.ts
@@ -90,7 +90,7 @@
     return this;
   }
 
-  /** Gets whether the recent pace says nothing of the long-run pace. */
+  /** Gets whether the recent pace does not reflect the long-run pace. */
   #isChanged(stats: PaceStats, now: number): boolean {
     if (!hasInherent(stats)) return stats.degradedSince !== undefined;
     const { medianRatio } = this.#table.summaryOf(stats.service, now);
--- a/src/core/batches/target_ranking.ts
+++ b/src/core/batches/target_ranking.ts
@@ -9,7 +9,7 @@
 const SCARCE_PENALTY = 0.5;
 /**
  * Share by which a cold target must end an item earlier: its few requests are
- * left to items that find no slot elsewhere.
+ * reserved for items that find no slot elsewhere.
  */
 const COLD_PENALTY = 0.1;
 
