Comments of the other folders of src/core use the usual terms

Takes up a stream, goes on, left to, told apart, keeps to and ways become resumes, continues, reserved for, distinguished, stays within and paths. No code is changed.

--- a/src/core/calls/call.ts
+++ b/src/core/calls/call.ts
@@ -18,11 +18,11 @@
   readonly key: string | undefined;
   /** Time from arrival that the caller waits; undefined if not specified. */
   readonly timeoutMs: number | undefined;
-  /** What the caller holds of a stream that it takes up; undefined if none. */
+  /** Received part of the stream that the caller resumes; undefined if none. */
   readonly resumption?: Resumption | undefined;
 }
 
-/** What a caller holds of a stream that it takes up again. */
+/** What a caller has received of a stream that it resumes. */
 export interface Resumption {
   /** Request that brought the first event; undefined if it is not named. */
   readonly first: string | undefined;
--- a/src/core/calls/call_placement.ts
+++ b/src/core/calls/call_placement.ts
@@ -12,7 +12,7 @@
   readonly isSuspect: boolean;
   /** Whether the target limits the requests of all instances. */
   readonly isLimited: boolean;
-  /** Whether it is left to streams that can go on at its version only. */
+  /** Whether it is reserved for streams that only its version can continue. */
   readonly isScarce: boolean;
 }
 
@@ -29,9 +29,14 @@
 const DISTANCE_FACTOR = 1.3;
 /** Cost factor of a target that failed recently. */
 const SUSPECT_FACTOR = 20;
-/** Cost factor of a target that limits its requests: it is short of something. */
+/**
+ * Cost factor of a target that limits its requests: it is short of some
+ * resource.
+ */
 const LIMITED_FACTOR = 4;
-/** Cost factor of a target that is left to streams that need its version. */
+/**
+ * Cost factor of a target that is reserved for streams that need its version.
+ */
 const SCARCE_FACTOR = 1.5;
 
 /**
--- a/src/core/capacity/capacity_planner.ts
+++ b/src/core/capacity/capacity_planner.ts
@@ -83,7 +83,7 @@
 
 /**
  * Plans targets by zone: spot targets first, in a share that falls with each
- * recent reclaim, and targets in lasting zones for the rest.
+ * recent reclaim, and targets in lasting zones for the remainder.
  *
  * Scale-up is immediate; scale-down is delayed until the need has been lower
  * for a while. A zone without available targets is skipped with exponential
--- a/src/core/consensus/membership_repair.ts
+++ b/src/core/consensus/membership_repair.ts
@@ -23,7 +23,7 @@
    */
   readonly isPermanentlyDown?: (replica: ReplicaId) => boolean;
   /**
-   * Gets whether a replica runs and is to be taken away. Defaults to none; a
+   * Gets whether a replica runs and is to be removed. Defaults to none; a
    * retiring replica is not among {@link RepairInput.present}.
    */
   readonly isRetiring?: (replica: ReplicaId) => boolean;
--- a/src/core/continuation/event_framer.ts
+++ b/src/core/continuation/event_framer.ts
@@ -1,4 +1,4 @@
-/** Divides the bytes of an event stream into whole events. */
+/** Divides the bytes of an event stream into complete events. */
 
 /** Bytes of an event stream up to the end of an event. */
 export interface EventFrame {
@@ -22,8 +22,8 @@
 }
 
 /**
- * Collects bytes until an event is whole. All bytes are kept as they are, so the
- * frames and the rest add up to the stream.
+ * Collects bytes until an event is complete. Bytes are never changed, so the
+ * frames and the remainder add up to the stream.
  *
  * @example
  * ```ts
@@ -72,7 +72,7 @@
     return frames;
   }
 
-  /** Removes and gets the bytes after the last whole event. */
+  /** Removes and gets the bytes after the last complete event. */
   takeRemainder(): Uint8Array {
     const rest = Buffer.concat(this.#pending);
     this.#reset();
--- a/src/core/continuation/output_writer.ts
+++ b/src/core/continuation/output_writer.ts
@@ -1,9 +1,9 @@
-/** The rule by which an output goes on at another target. */
+/** The rule by which another target may continue an output. */
 import type { TargetReport } from "../registry/mod.ts";
 
 /**
  * The targets that wrote the events of an output. Software versions are opaque;
- * what two versions write does not fit together.
+ * outputs of two versions must not be joined.
  */
 export interface OutputWriter {
   readonly service: string;
@@ -15,7 +15,7 @@
 }
 
 /**
- * Gets whether a target may go on with an output: its software version is known
+ * Gets whether a target may continue an output: its software version is known
  * and the one that wrote the events so far. Unknown versions never match.
  * @param written - Who wrote the events; undefined if there are none.
  *
@@ -37,7 +37,7 @@
 
 /**
  * Gets the software versions of a service that have fewer targets than another
- * one: what they wrote can go on at few targets, so work that any target could
+ * one: few targets can continue what they wrote, so work that any target could
  * do goes to others first.
  *
  * @example
--- a/src/core/continuation/stream_directory.ts
+++ b/src/core/continuation/stream_directory.ts
@@ -1,4 +1,4 @@
-/** Streams that callers may take up again, and who wrote their events. */
+/** Streams that callers may resume, and the writers of their events. */
 import { LRUCache } from "lru-cache";
 import type { OutputWriter } from "./output_writer.ts";
 
@@ -29,12 +29,12 @@
   readonly writer: OutputWriter;
 }
 
-/** Maximum number of streams; the oldest one is forgotten. */
+/** Maximum number of streams; the oldest one is evicted. */
 const MAX_STREAMS = 50_000;
 
 /**
- * Remembers streams for as long as their callers may return. Callers find only
- * streams of their own workspace.
+ * Stores streams for as long as their callers may resume them. Callers find
+ * only streams of their own workspace.
  *
  * @example
  * ```ts
@@ -58,22 +58,22 @@
     return this.#streams.size;
   }
 
-  /** Gets whether no stream is remembered any more. */
+  /** Gets whether no stream is stored. */
   get isEmpty(): boolean {
     this.#streams.purgeStale();
     return this.#streams.size === 0;
   }
 
-  /** Gets the streams that are remembered, the latest ones first. */
+  /** Gets the stored streams, the latest ones first. */
   get keys(): StreamKey[] {
     this.#streams.purgeStale();
     return [...this.#streams.values()].map(({ key }) => key);
   }
 
   /**
-   * Adds a stream, to be remembered for its time from now on. If another
-   * version is known to have written it, as after a request that came twice,
-   * its events may be of either: its version is unknown from then on.
+   * Adds a stream, stored for its retention time from now on. If another
+   * version is known to have written it, as after a duplicate request, its
+   * events may be of either: its version is unknown from then on.
    */
   add({ writer, keepMs, workspace, request }: StreamRecord): this {
     const key = { workspace, request };
@@ -93,7 +93,9 @@
     return this.#streams.get(encodeKey(key))?.writer;
   }
 
-  /** Gets what another instance needs to remember a stream for as long. */
+  /**
+   * Gets the record with which another instance stores a stream for as long.
+   */
   getRecord(key: StreamKey): StreamRecord | undefined {
     const writer = this.get(key);
     if (writer === undefined) return undefined;
--- a/src/core/fleet/change_counter.ts
+++ b/src/core/fleet/change_counter.ts
@@ -27,7 +27,7 @@
 
   /**
    * Creates a counter without changes.
-   * @param retentionMs - Greatest age that {@link countUntil} tells apart.
+   * @param retentionMs - Greatest age that {@link countUntil} can distinguish.
    */
   constructor(retentionMs: number) {
     this.#retentionMs = retentionMs;
--- a/src/core/fleet/control_contact.ts
+++ b/src/core/fleet/control_contact.ts
@@ -1,11 +1,11 @@
-/** Times at which an instance knew what the control instances know. */
+/** Time up to which an instance has the state of the control instances. */
 
-/** Time after which an instance that has a link again has been sent all. */
+/** Time after a reconnect until an instance has received all state. */
 const SYNC_MS = 2_000;
 
 /**
- * Tracks the links of an instance to control instances. While there is none, and
- * for some time afterwards, what is known of targets dates from the loss.
+ * Tracks the links of an instance to control instances. While there is none,
+ * and for some time afterwards, the known state of targets is that at the loss.
  *
  * @example
  * ```ts
@@ -23,7 +23,7 @@
     return this;
   }
 
-  /** Gets the time of which this instance's knowledge is. */
+  /** Gets the time up to which this instance's state is current. */
   knownAt(now: number): number {
     const isSynced = this.#linkedSince !== undefined &&
       now - this.#linkedSince >= SYNC_MS;
--- a/src/core/fleet/replica_choice.ts
+++ b/src/core/fleet/replica_choice.ts
@@ -15,8 +15,8 @@
 
 /**
  * Chooses a replica with a vote in the reader's data centre other than the
- * leader; undefined if there is none. It has nearly all results, spares the
- * leader the work and the links between data centres the bytes.
+ * leader; undefined if there is none. It has nearly all results, and reading
+ * from it unloads the leader and the links between data centres.
  *
  * @example
  * ```ts
--- a/src/core/fleet/sender_list.ts
+++ b/src/core/fleet/sender_list.ts
@@ -13,8 +13,8 @@
 
 /**
  * Merges the lists of the control instances, each of which has links to some of
- * the senders. An instance that hears from none keeps what it knows: its number
- * of senders must not shrink while it is cut off.
+ * the senders. An instance without updates keeps its last list: its number of
+ * senders must not shrink while it is cut off.
  *
  * @example
  * ```ts
--- a/src/core/limits/permit_issuer.ts
+++ b/src/core/limits/permit_issuer.ts
@@ -50,8 +50,9 @@
 }
 
 /**
- * Grants permits at the rates that targets name. One issuer serves all instances,
- * so that their sum keeps to the rate however the callers are spread.
+ * Grants permits at the rates that targets name. One issuer serves all
+ * instances, so that their sum stays within the rate however the callers are
+ * distributed.
  *
  * @example
  * ```ts
--- a/src/core/limits/slow_start.ts
+++ b/src/core/limits/slow_start.ts
@@ -4,15 +4,16 @@
  * In any second a target of rate `r` gets at most `1.5 r + 5` requests. They
  * are divided as follows:
  *
- * - The control leader's issuer grants at most `burst + r t` permits in any time
- *   `t`, also across a change of leader: a replica grants only during its
- *   lease, leases do not overlap, and a new issuer starts empty. A permit is void
- *   {@link PERMIT_MAX_AGE_MS} after the instance asked for it, and the request
- *   arrives at most {@link TRANSIT_MS} later. The arrivals of one second are
- *   thus granted in 1.3 s: at most `2 + 1.3 r`.
- * - The rest, `3 + 0.2 r`, is left to instances that reach no leader. Each
- *   target is assigned to as many of them as fit, by a hash that all compute
- *   alike, and each of these sends a fixed number of requests in a second.
+ * - The control leader's issuer grants at most `burst + r t` permits in any
+ *   time `t`, also across a change of leader: a replica grants only during its
+ *   lease, leases do not overlap, and a new issuer starts empty. A permit is
+ *   void {@link PERMIT_MAX_AGE_MS} after the instance asked for it, and the
+ *   request arrives at most {@link TRANSIT_MS} later. The arrivals of one
+ *   second are thus granted in 1.3 s: at most `2 + 1.3 r`.
+ * - The remainder, `3 + 0.2 r`, is reserved for instances that reach no leader.
+ *   Each target is assigned to as many of them as fit, by a hash that all
+ *   compute alike, and each of these sends a fixed number of requests in a
+ *   second.
  */
 import { createHash } from "node:crypto";
 
@@ -41,7 +42,7 @@
   return requestsPerS * TOLERANCE_FACTOR + TOLERANCE;
 }
 
-/** Gets the requests in any second that are left to instances without a leader. */
+/** Gets the requests in any second reserved for instances without a leader. */
 export function reservedPerSecond(requestsPerS: number): number {
   const granted = COLD_BURST + requestsPerS * SPREAD_S;
   return Math.floor(toleratedPerSecond(requestsPerS) - granted);
--- a/src/core/paths/path.ts
+++ b/src/core/paths/path.ts
@@ -1,4 +1,4 @@
-/** Ways by which an instance reaches a target. */
+/** Paths by which an instance reaches a target. */
 export const Path = {
   /** A connection of the instance itself. */
   Direct: "direct",
--- a/src/core/paths/path_table.ts
+++ b/src/core/paths/path_table.ts
@@ -1,4 +1,4 @@
-/** Which targets an instance has lost and others still reach. */
+/** Targets that an instance has lost while others still reach them. */
 import { Path } from "./path.ts";
 
 /** Interval between trials of a lost path, in milliseconds. */
@@ -7,11 +7,11 @@
 const MIN_LOST_TARGETS = 2;
 
 /**
- * Remembers the direct paths that were lost.
+ * Tracks the direct paths that were lost.
  *
  * A path is lost if the target answers through another instance only: a target
- * that nobody reaches says nothing about this instance. An instance that has lost
- * several in a row has probably lost all of them.
+ * that no instance reaches is no evidence about this instance. An instance that
+ * has lost several in a row has probably lost all of them.
  *
  * @example
  * ```ts
@@ -35,9 +35,9 @@
   }
 
   /**
-   * Gets whether a connection attempt is worth its time. While the instance is cut
-   * off and other instances did not lead to several targets in a row either, one
-   * attempt an interval is allowed.
+   * Gets whether a connection should be attempted. While the instance is cut
+   * off and other instances did not lead to several targets in a row either,
+   * one attempt an interval is allowed.
    */
   allowAttempt(now: number): boolean {
     const isFutile = this.isCutOff &&
@@ -111,7 +111,7 @@
     return true;
   }
 
-  /** Forgets all addresses except the given ones. */
+  /** Removes all addresses except the given ones. */
   keepOnly(addresses: ReadonlySet<string>): this {
     for (const address of this.#lost.keys()) {
       if (addresses.has(address)) continue;
--- a/src/core/paths/relay_choice.ts
+++ b/src/core/paths/relay_choice.ts
@@ -20,8 +20,8 @@
 }
 
 /**
- * Chooses instances in random order, those of the own data centre and others by
- * turns: bytes stay in the data centre unless all of it is cut off.
+ * Chooses instances in random order, alternating between the own data centre
+ * and others: bytes stay in the data centre unless all of it is cut off.
  *
  * @example
  * ```ts
--- a/src/core/policy/policy_difference.ts
+++ b/src/core/policy/policy_difference.ts
@@ -91,7 +91,7 @@
   };
 }
 
-/** Names need not be unique, so that entries are told apart by number too. */
+/** Names need not be unique, so entries are distinguished by number too. */
 function indexByName<T extends Named>(entries: readonly T[]): Map<string, T> {
   const counts = new Map<string, number>();
   return new Map(entries.map((entry) => {
--- a/src/core/quarantine/open_deaths.ts
+++ b/src/core/quarantine/open_deaths.ts
@@ -1,12 +1,12 @@
-/** Targets of which it is not known yet whether they ended under a request. */
+/** Targets that may have ended under a request, until that is known. */
 import type { RegisteredTarget, TargetReport } from "../registry/mod.ts";
 import type { SuspicionChange } from "./quarantine.ts";
 import { targetNameOf, type TrialRequest } from "./trial_limiter.ts";
 
 /**
- * Tracks broken connections while it is being found out whether their target has
- * ended. Until then each counts as a death if one target is left to the service,
- * which the request may end, too.
+ * Tracks broken connections until it is known whether their target has ended.
+ * Until then each counts as a death if the service has one target left, which
+ * the request may end, too.
  *
  * @example
  * ```ts
--- a/src/core/quarantine/trial_limiter.ts
+++ b/src/core/quarantine/trial_limiter.ts
@@ -30,7 +30,7 @@
   readonly retryAfterMs: number;
 }
 
-/** Longest time for which a trial keeps others of its service waiting, in ms. */
+/** Longest time for which a trial delays others of its service, in ms. */
 const TRIAL_MS = 1_000;
 /** Retry delay while other requests of the service are tried. */
 const BUSY_RETRY_MS = 30;
@@ -41,8 +41,8 @@
 
 /**
  * Grants trials of suspect requests, as many at a time as leave the service a
- * target whatever happens. Each death requires one more healthy target, so a
- * service that has lost several recovers first.
+ * target even if all of them crash theirs. Each death requires one more healthy
+ * target, so a service that has lost several recovers first.
  *
  * @example
  * ```ts
@@ -81,7 +81,7 @@
     return this;
   }
 
-  /** Counts the trials of other requests, and forgets those that are over. */
+  /** Counts the trials of other requests, and removes those that have ended. */
   #runningBeside({ fingerprint, service }: EndedTrial, now: number): number {
     const trials = this.#trialsOf(service);
     for (const [other, endsAt] of trials) {
--- a/src/core/scoring/scoring_queue.ts
+++ b/src/core/scoring/scoring_queue.ts
@@ -1,4 +1,4 @@
-/** Decides when texts are scored, tried again and given up. */
+/** Decides when texts are scored, retried and abandoned. */
 
 /** A complete text that waits for its score. */
 export interface ScoringTask {
@@ -18,8 +18,8 @@
   /** Gets the number of calls that a route may have in flight. */
   readonly limitOf: (route: string) => number;
   /**
-   * Gets the number of items that the group of a text lacks. A caller waits for
-   * complete groups, so texts that complete one come first.
+   * Gets the number of items that the group of a text is missing. A caller
+   * waits for complete groups, so texts that complete one come first.
    */
   readonly missingOf: (key: string) => number;
 }
@@ -30,7 +30,7 @@
   readonly failures: number;
 }
 
-/** What becomes of a text after a call without a score. */
+/** Decision on a text after a call without a score. */
 export const ScoringDecision = {
   Retry: "retry",
   GiveUp: "giveUp",
@@ -53,9 +53,9 @@
 const MAX_BACKOFF_MS = 1_000;
 
 /**
- * Holds the texts that wait for a score. Answers bursts of texts that complete
- * together before a service with few places: the calls are bounded by route, so
- * that one that fails or is full delays no other.
+ * Holds the texts that wait for a score. Texts complete in bursts, and a
+ * scoring service may have few slots, so calls are bounded by route: one that
+ * fails or is full delays no other.
  *
  * @example
  * ```ts
@@ -80,7 +80,7 @@
     return this;
   }
 
-  /** Removes a text that is scored, given up or no longer needed. */
+  /** Removes a text that is scored, abandoned or no longer needed. */
   remove(key: string): this {
     const state = this.#states.get(key);
     if (state?.isCalled) this.#countInFlight(state, -1);
@@ -96,8 +96,8 @@
   }
 
   /**
-   * Takes the texts to call for now: those whose group lacks the fewest items
-   * first, then by due time.
+   * Takes the texts to call for now: those whose group is missing the fewest
+   * items first, then by due time.
    */
   takeDue({ now, limitOf, missingOf }: TakeInput): ScoringTask[] {
     const due = [...this.#states.values()]
@@ -122,7 +122,7 @@
 
   /**
    * Records that a call ended without a score. Only responses of targets that
-   * ran it count towards giving up; refusals and lost connections do not.
+   * ran it count towards abandoning it; refusals and lost connections do not.
    */
   onUnscored(
     key: string,
--- a/src/core/verdict/refusal_reason.ts
+++ b/src/core/verdict/refusal_reason.ts
@@ -19,11 +19,14 @@
   DeadlineUnreachable: "deadlineUnreachable",
   DeadlinePassed: "deadlinePassed",
   NoTarget: "noTarget",
-  /** Nothing that may run or keep the request is in a region allowed to. */
+  /**
+   * No target or instance that may run or store the request is in an allowed
+   * region.
+   */
   HomeUnavailable: "homeUnavailable",
-  /** No target can go on with the stream that the caller takes up. */
+  /** No target can continue the stream that the caller resumes. */
   StreamStranded: "streamStranded",
-  /** It is not known who began the stream that the caller takes up. */
+  /** The writer of the stream that the caller resumes is not known. */
   StreamUnknown: "streamUnknown",
   Quarantined: "quarantined",
   /**
