Comments and messages of the soak use the usual terms

Machines are upgraded rather than go over to the program of today, and streams are resumed rather than taken up. The text of one violation changes with them.

--- a/soak/fleet/fleet_checks.ts
+++ b/soak/fleet/fleet_checks.ts
@@ -113,7 +113,7 @@
   }
 
   /**
-   * Checks that streams are taken up at half the rate of new ones or better.
+   * Checks that streams are resumed at half the rate of new ones or better.
    * @throws {InvariantViolationError}
    */
   checkResumptions(
@@ -127,7 +127,7 @@
     if (resumeAttempts < MIN_RESUME_ATTEMPTS) return;
     if (resumed / resumeAttempts >= begun / asked / 2) return;
     throw new InvariantViolationError(
-      "streams are taken up at half the rate of new ones",
+      "streams are resumed at half the rate of new ones",
       `${resumed} of ${resumeAttempts}, ${begun} of ${asked} begun`,
     );
   }
@@ -167,7 +167,7 @@
 
   /**
    * Checks what recipients that do not check fencing tokens have received: no
-   * token falls, and no holder returns within the order lease.
+   * token decreases, and no holder returns within the order lease.
    * @throws {InvariantViolationError}
    */
   checkTurns(receiver: FleetReceiver): void {
--- a/soak/fleet/fleet_clients.ts
+++ b/soak/fleet/fleet_clients.ts
@@ -18,7 +18,9 @@
   /** Time within which each piece of work must complete, in milliseconds. */
   readonly timeoutMs: number;
   readonly random: () => number;
-  /** Gets whether enough engines of a software version serve for a retake. */
+  /**
+   * Gets whether enough engines of a software version serve to resume a stream.
+   */
   readonly isServed: (software: string) => boolean;
   /** Called with an error that ends the run. */
   readonly onError: (err: unknown) => void;
@@ -39,9 +41,11 @@
   begun: number;
   /** Streams read to their end. */
   streams: number;
-  /** Streams that were taken up with events held, by counted requests. */
+  /** Streams with events for which a counted request to resume was sent. */
   resumeAttempts: number;
-  /** Those of them that went on; like new streams, after as many requests. */
+  /**
+   * Those of them that were resumed; like new streams, after as many requests.
+   */
   resumed: number;
 }
 
@@ -49,7 +53,7 @@
 const ITEMS_PER_BATCH = 12;
 /** Number of callers that read streams at the same time. */
 const STREAM_CALLERS = 6;
-/** Time after which a caller gives a stream up. */
+/** Time after which a caller abandons a stream. */
 const STREAM_TIMEOUT_MS = 5_000;
 const READ_TIMEOUT_MS = 900;
 
@@ -78,7 +82,7 @@
     return this.#counts;
   }
 
-  /** Lets the clients end after the work in progress. */
+  /** Stops the clients after the work in progress. */
   stop(): this {
     this.#isStopping = true;
     return this;
@@ -161,7 +165,7 @@
     }
   }
 
-  /** Reads streams, and takes them up again after each broken connection. */
+  /** Reads streams, and resumes them after each broken connection. */
   async #runStreamCaller(name: string): Promise<void> {
     const caller = new StreamCaller({
       entries: () => this.#options.fleet.entries,
--- a/soak/fleet/fleet_faults.ts
+++ b/soak/fleet/fleet_faults.ts
@@ -16,7 +16,7 @@
   readonly proxies: ReadonlyMap<FleetMachine, FaultProxy>;
   readonly seed: number;
   readonly random: () => number;
-  /** Program from which the machines go over to the one of today. */
+  /** Program from which the machines are upgraded to the current one. */
   readonly oldProgram: string | undefined;
   /** Gets whether the run is about to end. */
   readonly isStopping: () => boolean;
@@ -183,13 +183,14 @@
 
   /**
    * Replaces targets by ones of newer software versions, one after the other:
-   * at other addresses, or at the same one, of which control may hear late.
+   * at other addresses, or at the same one, of which the control instances may
+   * receive late reports.
    */
   async #runReleases(endsAt: number): Promise<void> {
     for (let release = 2; Date.now() < endsAt; release += 1) {
       await sleep(this.#random() * RELEASE_INTERVAL_MS);
       await this.#stopReplica(async (replica) => {
-        // Earlier programs join what two versions wrote.
+        // Earlier programs join the outputs of two versions.
         const isJoined = this.#options.oldProgram !== undefined;
         replica.software = `v${isJoined ? 1 : 1 + release % SOFTWARE_VERSIONS}`;
         const isSameTarget = this.#random() < 0.5;
@@ -202,7 +203,7 @@
     }
   }
 
-  /** Moves the machines from the earlier program to the one of today. */
+  /** Upgrades the machines from the earlier program to the current one. */
   async #runUpgrade(): Promise<void> {
     const { oldProgram, seed } = this.#options;
     if (oldProgram === undefined) return;
--- a/soak/fleet/fleet_soak.ts
+++ b/soak/fleet/fleet_soak.ts
@@ -31,8 +31,8 @@
   /** Whether the recipients of orders check fencing tokens. */
   readonly areFencesChecked: boolean;
   /**
-   * Earlier program that all machines run first. They go over to the one of
-   * today one after the other, half of the runs after going back once.
+   * Earlier program that all machines run first. They are upgraded to the
+   * current one one after the other, in half of the runs after one downgrade.
    */
   readonly oldProgram?: string | undefined;
   /** Writes lines on faults and errors, and the fleet's log on a violation. */
@@ -50,7 +50,7 @@
 const { engines, apps, model } = FLEET_NAMES;
 const KEY = "key-of-the-park";
 const ENGINE_COUNT = 4;
-/** Engines of a software version with which a stream must be taken up. */
+/** Engines of a software version with which a stream must be resumed. */
 const MIN_SERVING_ENGINES = 2;
 /** Time after the last fault within which all pending work must complete. */
 const RECOVERY_TIMEOUT_MS = 25_000;
@@ -198,7 +198,9 @@
     });
   }
 
-  /** Gets whether enough engines of a software version serve for a retake. */
+  /**
+   * Gets whether enough engines of a software version serve to resume a stream.
+   */
   #isServed(software: string): boolean {
     // Instances of an earlier program neither record nor find streams.
     if (this.#options.oldProgram !== undefined) return false;
--- a/soak/fleet/main.ts
+++ b/soak/fleet/main.ts
@@ -38,7 +38,7 @@
     old: {
       type: "string",
       description:
-        "Commit whose build all machines run first; they go over one by one",
+        "Commit whose build all machines run first; they are upgraded one by one",
     },
     log: {
       type: "string",
--- a/soak/output_simulation.ts
+++ b/soak/output_simulation.ts
@@ -17,9 +17,9 @@
 import type { RunResult } from "./schedule.ts";
 import { StreamMemory } from "./stream_memory.ts";
 
-/** Parts of the rule that a simulation can do without. */
+/** Parts of the rule that a simulation can disable. */
 export interface OutputGuards {
-  /** Whether an output goes on only at the version that wrote it. */
+  /** Whether only the version that wrote an output may continue it. */
   readonly version: boolean;
   /** Whether a target must name its incarnation first. */
   readonly incarnation: boolean;
@@ -35,7 +35,7 @@
   readonly guards?: Partial<OutputGuards>;
 }
 
-/** A process of a target, as it is. */
+/** Actual state of a target's process. */
 interface TargetProcess {
   readonly id: string;
   readonly incarnation: number;
@@ -167,16 +167,16 @@
     },
     takeUpStream: () => {
       const stream = this.#pickStream();
-      if (stream !== undefined) this.#takeUp(stream);
+      if (stream !== undefined) this.#resume(stream);
     },
     loseAllEntries: () => {
       this.#memory.loseAllEntries();
       const broken = this.#streams.filter(({ run }) => run !== undefined);
       for (const stream of broken) stream.run = undefined;
-      // Callers return at once, and again as the instances find links.
-      for (const stream of broken) this.#takeUp(stream);
+      // Callers retry at once, and again once the instances have links.
+      for (const stream of broken) this.#resume(stream);
       this.#memory.linkEntries();
-      for (const stream of broken) this.#takeUp(stream);
+      for (const stream of broken) this.#resume(stream);
     },
     linkEntries: () => this.#memory.linkEntries(),
     loseControl: () => this.#memory.loseControl(),
@@ -420,7 +420,7 @@
     this.#memory.record({ workspace: "w", request, writer, keepMs: KEEP_MS });
   }
 
-  #takeUp(stream: CallerStream): void {
+  #resume(stream: CallerStream): void {
     if (stream.run !== undefined || stream.events.length === EVENTS) return;
     if (stream.events.length === 0) return this.#startStream(stream, undefined);
     const key = { workspace: "w", request: stream.request };
--- a/soak/runs.ts
+++ b/soak/runs.ts
@@ -20,7 +20,7 @@
   readonly orders?: Partial<OrderGuards>;
   /** Checks of the ledger. */
   readonly ledger?: Partial<LedgerGuards>;
-  /** Parts of the rule by which outputs go on. */
+  /** Parts of the rule by which outputs are continued. */
   readonly outputs?: Partial<OutputGuards>;
 }
 
--- a/soak/stream_memory.ts
+++ b/soak/stream_memory.ts
@@ -1,4 +1,4 @@
-/** Instances that remember who writes streams, in a simulation. */
+/** Simulated instances that store the writers of streams. */
 import type { Scheduler } from "../sim/scheduler.ts";
 import {
   type OutputWriter,
@@ -12,7 +12,7 @@
   readonly scheduler: Scheduler;
   /** Gets the time of the simulation. */
   readonly now: () => number;
-  /** Maximum number of streams that an instance remembers. */
+  /** Maximum number of streams that an instance stores. */
   readonly maxStreams: number;
 }
 
@@ -33,8 +33,9 @@
 const SILENT_SHARE = 0.3;
 
 /**
- * Entry instances with links to some control instances, which know each other
- * in part. Records are lost or come late; any instance may forget all.
+ * Entry instances with links to some control instances, which are partly linked
+ * to each other. Records are lost or delayed; any instance may lose all of
+ * them.
  */
 export class StreamMemory {
   readonly #options: StreamMemoryOptions;
@@ -67,7 +68,7 @@
     return this;
   }
 
-  /** Finds who wrote a stream, as a random entry instance knows it. */
+  /** Finds the writer of a stream at a random entry instance. */
   find(key: StreamKey): OutputWriter | undefined {
     const { own, links } = this.#options.scheduler.pick(this.#entries);
     const known = own.get(key);
@@ -79,7 +80,7 @@
       .find((writer) => writer !== undefined);
   }
 
-  /** Kills all entry instances; the next ones know nothing and have no link. */
+  /** Kills all entry instances; the new ones have no records and no links. */
   loseAllEntries(): void {
     this.#entries = this.#createEntries();
   }
@@ -91,13 +92,13 @@
     }
   }
 
-  /** Starts a control instance again, which forgets all streams. */
+  /** Restarts a control instance, which loses all streams. */
   loseControl(): void {
     const lost = Math.floor(this.#random() * CONTROLS);
     this.#controls[lost] = this.#createDirectory();
   }
 
-  /** Delivers the record that has been late for longest. */
+  /** Delivers the record that has been delayed for longest. */
   deliverLate(): void {
     const first = this.#late.shift();
     if (first !== undefined) this.#controls[first.control].add(first.record);
