--- a/bench/capacity/estimates.ts
+++ b/bench/capacity/estimates.ts
@@ -93,7 +93,7 @@
       limit: LIMITS.controlCoreShare * PERCENT,
       from:
         "`neighbours.entryCore` at 30 + `targets.core` slope x 5.5 probes/s",
-      mechanism: "one prober a target; signs of life to the view's members",
+      mechanism: "one prober a target; heartbeats to the view's members",
     },
     {
       role: "entry",
@@ -102,7 +102,7 @@
       limit: LIMITS.controlBytesPerSecond,
       from: "`neighbours.entryBytesPerSecond` at 30 + 5.5 targets x 1/3 " +
         "report/s x 29 neighbours x 110 B",
-      mechanism: "health is told on change only",
+      mechanism: "health is published on change only",
     },
     {
       role: "entry",
@@ -175,7 +175,7 @@
       value: valueAt(bytes, instances),
       limit: LIMITS.controlBytesPerSecond,
       from: "`neighbours.leaderBytesPerSecond` at 30",
-      mechanism: "the feed's leases and signs of life to 29 neighbours",
+      mechanism: "the feed's leases and heartbeats to 29 neighbours",
     },
     {
       role: "ledger backup",
