--- a/src/commands/outputs.ts
+++ b/src/commands/outputs.ts
@@ -4,12 +4,12 @@
 import { defineCommand } from "citty";
 import { summarizeOutputs } from "../explain/mod.ts";
 
-/** Summarizes outputs of batches and streams that went on. */
+/** Summarizes outputs of batches and streams that were continued. */
 export const outputs = defineCommand({
   meta: {
     name: "outputs",
-    description: "Count outputs that went on at another target, and those " +
-      "that began anew or were refused, in the logs of all instances. " +
+    description: "Count outputs that another target continued, and those " +
+      "that restarted or were refused, in the logs of all instances. " +
       "Example: nutmegreel outputs entry-1.log ledger-1.log",
   },
   async run({ args }) {
--- a/src/explain/output_summary.ts
+++ b/src/explain/output_summary.ts
@@ -1,22 +1,22 @@
-/** Summary of the outputs that went on at another target. */
+/** Summary of the outputs that another target continued. */
 import type { EventName } from "../logging/mod.ts";
 import { eventOf, type LogLine, parseLine } from "./log_line.ts";
 
-/** Counts of outputs in the logs of a time. */
+/** Counts of outputs in the logs of a period. */
 export interface OutputSummary {
-  /** Runs of items that went on with the output of earlier runs. */
+  /** Runs of items that continued the output of earlier runs. */
   resumedItems: number;
-  /** Attempts of calls that went on with a stream. */
+  /** Attempts of calls that continued a stream. */
   resumedStreams: number;
   /** Of both, those at another software version than wrote the output. */
   otherVersion: number;
-  /** Runs of items that began anew although events were received. */
+  /** Runs of items that restarted although events were received. */
   begunAnew: number;
-  /** Events that these items had received, and that were made in vain. */
+  /** Events that these items had received and discarded. */
   droppedEvents: number;
-  /** Streams that could not be taken up, as no target has their version. */
+  /** Streams that could not be resumed, as no target has their version. */
   strandedStreams: number;
-  /** Streams that could not be taken up, as nobody remembers them. */
+  /** Streams that could not be resumed, as no instance has their record. */
   unknownStreams: number;
 }
 
@@ -47,7 +47,7 @@
 };
 
 /**
- * Counts the outputs that went on, and those that began anew or were refused.
+ * Counts the outputs that were continued, restarted or refused.
  * @param rawLines - Lines of the logs of all instances, in any order.
  *
  * @example
--- a/src/explain/output_summary_test.ts
+++ b/src/explain/output_summary_test.ts
@@ -30,7 +30,7 @@
   it("takes no unknown version for the same", () =>
     doTest([["itemPlaced", { resumeAfter: 3 }]], { otherVersion: 1 }));
 
-  it("counts what began anew, and what it cost", () =>
+  it("counts what restarted, and what it cost", () =>
     doTest(
       [["itemBegunAnew", { droppedEvents: 4 }], ["itemBegunAnew", {
         droppedEvents: 5,
@@ -38,7 +38,7 @@
       { begunAnew: 2, droppedEvents: 9 },
     ));
 
-  it("counts streams that could not be taken up", () =>
+  it("counts streams that could not be resumed", () =>
     doTest([
       ["callRefused", { reason: "streamStranded" }],
       ["callRefused", { reason: "streamUnknown" }],
