Log and help texts: items restart, instances stay within a share

EVENTS.md and METRICS.md are written by npm run catalogues; names of events, fields and metrics stay.

--- a/src/logging/fleet_events.ts
+++ b/src/logging/fleet_events.ts
@@ -67,7 +67,7 @@
   }),
   permitsUnanswered: defineEvent(2107, "info", {
     text:
-      "The control leader granted no permits in time; this instance keeps to a share of its targets' limits",
+      "The control leader granted no permits in time; this instance stays within a share of its targets' limits",
   }),
   pathLost: defineEvent(2108, "warn", {
     text:
@@ -138,7 +138,7 @@
   }),
   itemBegunAnew: defineEvent(2218, "info", {
     text:
-      "Item begins anew, as its writer is unknown or no target has the versions that wrote its partial output",
+      "Item restarts from its first event, as its writer is unknown or no target has the versions that wrote its partial output",
   }),
   dataCentreUnanswered: defineEvent(2222, "warn", {
     text:
--- a/src/metrics/metric_catalogue.ts
+++ b/src/metrics/metric_catalogue.ts
@@ -156,7 +156,7 @@
   },
   "items.begunAnew": {
     kind: "counter",
-    text: "Runs of items that begin anew although events were received",
+    text: "Runs of items that restart although events were received",
   },
   "items.dataCentreUnanswered": {
     kind: "counter",
