--- a/bench/leader/leader_process.ts
+++ b/bench/leader/leader_process.ts
@@ -67,7 +67,7 @@
 /** Time until a command counts as committed. */
 const COMMIT_MS = 2;
 
-/** Counts what passes between the runner and its client. */
+/** Counts the runs and events between the runner and its client. */
 class CountingEngines implements EnginePort {
   readonly #client = new EngineClient();
   started = 0;
--- a/src/tasks/cluster_paths.ts
+++ b/src/tasks/cluster_paths.ts
@@ -1,4 +1,4 @@
-/** Ways to targets of an instance that has settings for its peers. */
+/** Paths to targets of an instance that has settings for its peers. */
 import { chooseRelays } from "../core/paths/mod.ts";
 import type { Logger } from "../logging/mod.ts";
 import type { Metrics } from "../metrics/mod.ts";
--- a/src/tasks/log/log_driver.ts
+++ b/src/tasks/log/log_driver.ts
@@ -57,7 +57,7 @@
   readonly wantedLearners?: number;
   /** Checks whether a replica is lost for good; by default, none is. */
   readonly isLost?: (replica: ReplicaId) => boolean;
-  /** Gets whether a running replica is to be taken away. Defaults to none. */
+  /** Gets whether a running replica is to be removed. Defaults to none. */
   readonly isRetiring?: (replica: ReplicaId) => boolean;
   /** Called for each applied entry, with the result if it is a command. */
   readonly onApplied: (
--- a/src/tasks/peers/peer_envelope.ts
+++ b/src/tasks/peers/peer_envelope.ts
@@ -100,7 +100,9 @@
 
 const packr = new Packr({ useRecords: false });
 
-/** First byte of a message, which tells whether the rest is compressed. */
+/**
+ * First byte of a message, which indicates whether the remainder is compressed.
+ */
 const Encoding = { Plain: 0, Compressed: 1 } as const;
 
 /** Minimum size of a message for compression, in bytes. */
--- a/src/tasks/peers/peer_link.ts
+++ b/src/tasks/peers/peer_link.ts
@@ -37,7 +37,7 @@
 /** Size of a link's send buffer above which messages are dropped, in bytes. */
 const MAX_BUFFERED_BYTES = 33_554_432;
 
-/** Keeps up a connection to an instance, redialling it with back-off. */
+/** Maintains a connection to an instance, redialling it with back-off. */
 export class PeerLink {
   readonly #options: PeerLinkOptions;
   #socket: WebSocket | undefined;
--- a/src/tasks/steps/sample_waiters.ts
+++ b/src/tasks/steps/sample_waiters.ts
@@ -1,6 +1,6 @@
 /** Reads of a step that wait for its next sample. */
 
-/** Lets reads wait until they are woken or their time is over. */
+/** Makes reads wait until they are woken or time out. */
 export class SampleWaiters {
   readonly #waiters = new Set<() => void>();
 
