The consensus node is split into elections, leadership and receipt of the log

What belongs to one term as leader is created with the term, so nothing of it is reset at a change of role.

--- a/src/core/consensus/consensus_message.ts
+++ b/src/core/consensus/consensus_message.ts
@@ -95,3 +95,18 @@
   | AppendReply
   | SnapshotRequest<S>
   | TransferRequest;
+
+/**
+ * Gets whether a message raises the recipient's term. Pre-vote requests and
+ * granted pre-votes carry no new term; a rejected pre-vote reports a higher
+ * one.
+ *
+ * @example
+ * ```ts
+ * if (message.term > term && raisesTerm(message)) becomeFollower();
+ * ```
+ */
+export function raisesTerm<C, S>(message: ConsensusMessage<C, S>): boolean {
+  if (message.type === "preVoteRequest") return false;
+  return message.type !== "preVoteReply" || !message.isGranted;
+}
--- /dev/null
+++ b/src/core/consensus/leadership.ts
@@ -0,0 +1,257 @@
+/** Leadership of a replica in one term: commits, lease and members. */
+import type { AppendReply } from "./consensus_message.ts";
+import type { ConsensusTiming } from "./consensus_options.ts";
+import type { LeaderDelay } from "./leader_delay.ts";
+import type { EntryContent, LogEntry } from "./log_entry.ts";
+import { LogSender } from "./log_sender.ts";
+import { allMembers, isSingleChange, type Members } from "./members.ts";
+import type { ReplicaId } from "./replica_id.ts";
+import type { ReplicaState } from "./replica_state.ts";
+import type { LogPosition } from "./replicated_log.ts";
+import { ReplicationTracker } from "./replication_tracker.ts";
+import { Role } from "./role.ts";
+
+/** Options of {@link Leadership}. */
+export interface LeadershipOptions<C, S> {
+  readonly state: ReplicaState<C, S>;
+  readonly times: ConsensusTiming;
+  /** Measures how late the ticks of this process come, in all terms. */
+  readonly delay: LeaderDelay;
+  /** Estimates the size of a command in bytes; not limited without it. */
+  readonly sizeOf?: (command: C) => number;
+  /** Time of the election, in milliseconds of the local clock. */
+  readonly now: number;
+  /** Called when a committed entry has removed this replica from the voters. */
+  readonly stepDown: () => void;
+}
+
+/**
+ * Election timeouts without an answer of a quorum after which a leader steps
+ * down even if its ticks come late, or one that is always late would stay.
+ */
+const MAX_SILENCE_FACTOR = 4;
+
+/**
+ * Replicates entries, commits them and keeps the leader lease. Its methods may
+ * be called only while the replica leads.
+ *
+ * @example
+ * ```ts
+ * const position = leadership.propose({ type: "noop" }, now);
+ * ```
+ */
+export class Leadership<C, S> {
+  readonly #options: LeadershipOptions<C, S>;
+  readonly #state: ReplicaState<C, S>;
+  readonly #tracker: ReplicationTracker;
+  readonly #sender: LogSender<C, S>;
+  #heartbeatDueAt: number;
+  /** Time of the last tick that came late. */
+  #lateTickAt = -Infinity;
+  /** Time at which a transfer was started; undefined if there is none. */
+  #transferStartedAt: number | undefined;
+
+  /** Creates the leadership of a replica that has just been elected. */
+  constructor(options: LeadershipOptions<C, S>) {
+    const { state, times, delay, sizeOf, now } = options;
+    this.#options = options;
+    this.#state = state;
+    this.#tracker = new ReplicationTracker({
+      self: state.self,
+      next: state.last.index + 1,
+      now,
+    });
+    this.#sender = new LogSender({
+      self: state.self,
+      term: state.term,
+      log: state.log,
+      tracker: this.#tracker,
+      heartbeatMs: times.heartbeatMs,
+      sizeOf,
+      electionDelayMs: (at) => delay.get(at),
+      send: (message) => state.send(message),
+    });
+    this.#heartbeatDueAt = now;
+  }
+
+  /** Gets the time at which the next heartbeat is due. */
+  get heartbeatDueAt(): number {
+    return this.#heartbeatDueAt;
+  }
+
+  /**
+   * Gets the end of the leader lease, in milliseconds of the local clock.
+   *
+   * After a contact from the leader, voters reject vote requests for
+   * `electionMs` of their own clocks. They receive a message after it was sent,
+   * so the lease counts from the send time, shortened by the clock rate error.
+   *
+   * @returns -Infinity if this replica holds no lease.
+   */
+  leaseEnd(now: number): number {
+    if (!this.#state.hasCommittedOwnTerm) return -Infinity;
+    const { electionMs, clockRateError } = this.#options.times;
+    return this.quorumContactAt(now) + electionMs / (1 + clockRateError);
+  }
+
+  /**
+   * Gets the latest time at which a quorum was known to follow this leader, or
+   * -Infinity if it is transferring leadership.
+   */
+  quorumContactAt(now: number): number {
+    if (this.#isTransferring) return -Infinity;
+    return this.#tracker.quorumContactAt(this.#state.members, now);
+  }
+
+  /** Gets whether a replica holds all committed entries and answers. */
+  isCaughtUp(replica: ReplicaId, now: number): boolean {
+    const { state, times } = this.#options;
+    if (!state.hasCommittedOwnTerm) return false;
+    const progress = this.#tracker.progressOf(replica);
+    if (!state.guards.learnerCaughtUp) return progress.answeredAt > -Infinity;
+    return progress.match >= state.log.committed &&
+      now - progress.answeredAt < times.electionMs;
+  }
+
+  /**
+   * Appends an entry to the log.
+   * @returns Undefined if this leader is transferring leadership.
+   */
+  propose(content: EntryContent<C>, now: number): LogPosition | undefined {
+    if (this.#isTransferring) return undefined;
+    return this.#append(content, now);
+  }
+
+  /**
+   * Proposes a membership; see `ConsensusNode.proposeMembers`.
+   * @returns Undefined if the change is not allowed.
+   */
+  proposeMembers(members: Members, now: number): LogPosition | undefined {
+    const state = this.#state;
+    if (!state.hasCommittedOwnTerm || this.#isTransferring) return undefined;
+    if (state.log.hasPendingMembersChange) return undefined;
+    if (!isSingleChange(state.members, members)) return undefined;
+    const added = members.voters
+      .filter((id) => !state.members.voters.includes(id));
+    if (!added.every((id) => this.isCaughtUp(id, now))) return undefined;
+    return this.#append({ type: "members", members }, now);
+  }
+
+  /**
+   * Transfers leadership to a voter that holds the complete log.
+   * @returns Whether a transfer was started.
+   */
+  transfer(now: number): boolean {
+    const state = this.#state;
+    const tracker = this.#tracker;
+    const successors = state.members.voters
+      .filter((id) => id !== state.self)
+      .filter((id) => tracker.progressOf(id).match === state.last.index)
+      .sort((a, b) =>
+        tracker.progressOf(b).answeredAt - tracker.progressOf(a).answeredAt
+      );
+    if (successors.length === 0) return false;
+    this.#transferStartedAt = now;
+    state.send({ type: "transferRequest", ...state.envelope(successors[0]) });
+    return true;
+  }
+
+  /** Sends heartbeats at once. */
+  sendHeartbeats(now: number): void {
+    this.#heartbeatDueAt = now + this.#options.times.heartbeatMs;
+    this.#sender.broadcast(this.#state.members, now, { isHeartbeat: true });
+  }
+
+  /** Records how late a tick comes. */
+  onTick(now: number): this {
+    const { delay, times } = this.#options;
+    const lagMs = now - this.#heartbeatDueAt;
+    delay.onTick(now, lagMs);
+    if (lagMs > times.heartbeatMs) this.#lateTickAt = now;
+    return this;
+  }
+
+  /** Gets whether the quorum is lost, or no voter took over in a transfer. */
+  mustStepDown(now: number): boolean {
+    const startedAt = this.#transferStartedAt ?? Infinity;
+    return this.#hasLostQuorum(now) ||
+      now - startedAt > this.#options.times.electionMs;
+  }
+
+  /** Handles the completion of a synced write of this term. */
+  onWritten(lastIndex: number, now: number): void {
+    this.#tracker.onSelfStored(lastIndex);
+    this.#advanceCommit(now);
+  }
+
+  /** Updates the progress of a member, commits and sends what follows. */
+  onAppendReply(message: AppendReply, now: number): void {
+    const state = this.#state;
+    if (message.term !== state.term) return;
+    if (!allMembers(state.members).includes(message.from)) return;
+    const progress = this.#tracker.progressOf(message.from);
+    progress.answeredAt = Math.max(progress.answeredAt, message.sentAt);
+    if (!message.isAccepted) {
+      progress.next = Math.max(
+        1,
+        Math.min(progress.next, message.matchIndex + 1),
+      );
+      progress.next = Math.max(progress.next, progress.match + 1);
+      progress.pendingSince = undefined;
+      this.#sender.replicate(message.from, now, { isHeartbeat: true });
+      return;
+    }
+    const isPendingAnswered = progress.pendingSince !== undefined &&
+      message.sentAt >= progress.pendingSince;
+    if (isPendingAnswered) progress.pendingSince = undefined;
+    progress.match = Math.max(progress.match, message.matchIndex);
+    progress.next = Math.max(progress.next, progress.match + 1);
+    this.#advanceCommit(now);
+    if (state.role !== Role.Leader) return;
+    const knownCommit = Math.min(state.log.committed, progress.match);
+    const isHeartbeat = progress.sentCommit < knownCommit;
+    this.#sender.replicate(message.from, now, { isHeartbeat });
+  }
+
+  get #isTransferring(): boolean {
+    return this.#transferStartedAt !== undefined;
+  }
+
+  #append(content: EntryContent<C>, now: number): LogPosition {
+    const state = this.#state;
+    const position = { index: state.last.index + 1, term: state.term };
+    const entry: LogEntry<C> = { ...position, content };
+    state.append(entry);
+    if (content.type === "members") {
+      this.#tracker.retainMembers(content.members);
+    }
+    this.#sender.broadcast(state.members, now, { isHeartbeat: false });
+    return position;
+  }
+
+  /**
+   * Gets whether no quorum has answered for too long. After a late tick, replies
+   * may wait to be read, so the time counts from that tick.
+   */
+  #hasLostQuorum(now: number): boolean {
+    const { electionMs } = this.#options.times;
+    const contactAt = Math.max(
+      this.#tracker.quorumContactAt(this.#state.members, now),
+      this.#tracker.startedAt,
+    );
+    const silentMs = now - Math.max(contactAt, this.#lateTickAt);
+    return silentMs > electionMs ||
+      now - contactAt > MAX_SILENCE_FACTOR * electionMs;
+  }
+
+  #advanceCommit(now: number): void {
+    const state = this.#state;
+    const index = this.#tracker.storedByQuorum(state.members);
+    if (index <= state.log.committed) return;
+    const isOwnTerm = state.log.termAt(index) === state.term;
+    if (!isOwnTerm && state.guards.commitOwnTermOnly) return;
+    state.commitTo(index);
+    this.#sender.sendCommitIndex(state.members, now);
+    if (!state.isVoter) this.#options.stepDown();
+  }
+}
