--- a/soak/control_process.ts
+++ b/soak/control_process.ts
@@ -20,6 +20,7 @@
 } from "../src/core/control/mod.ts";
 import { type OrderGuards, OrderSender } from "../src/core/orders/mod.ts";
 import type { Scheduler } from "../sim/scheduler.ts";
+import { ProcessSteps } from "./process_steps.ts";
 
 type Effect = ConsensusEffect<ControlCommand, ControlSnapshot>;
 type Message = ConsensusMessage<ControlCommand, ControlSnapshot>;
@@ -91,14 +92,8 @@
   readonly #options: ControlProcessOptions;
   #disk: Disk;
   #node: ConsensusNode<ControlCommand, ControlSnapshot> | undefined;
-  /** Incremented at each start and crash; older scheduled work is dropped. */
-  #generation = 0;
   #incarnationCount = 1;
-  #effects: Effect[] = [];
-  #isWriting = false;
-  #isPaused = false;
-  /** Steps that arrived during a pause. */
-  #deferred: (() => void)[] = [];
+  readonly #steps: ProcessSteps<Effect>;
   /** Replicated state machine. */
   state = new ControlState();
   /** Sends orders to the platform while this process leads. */
@@ -110,6 +105,12 @@
   constructor(options: ControlProcessOptions) {
     this.#options = options;
     this.#disk = createEmptyDisk("first", options.members);
+    this.#steps = new ProcessSteps({
+      scheduler: options.scheduler,
+      takeEffects: () => this.#node?.takeEffects() ?? [],
+      runEffect: (effect) => this.#runEffect(effect),
+      onError: (err) => options.callbacks.violation(`${this.replica}: ${err}`),
+    });
     this.sender = this.#createSender();
     this.start();
   }
@@ -131,7 +132,7 @@
 
   /** Gets whether it is running and not paused. */
   get isActive(): boolean {
-    return this.#node !== undefined && !this.#isPaused;
+    return this.#steps.isActive;
   }
 
   /** Gets the time of the local clock, in milliseconds. */
@@ -141,8 +142,7 @@
 
   /** Starts from the content of the disk, unless running. */
   start(): void {
-    if (this.#node !== undefined) return;
-    this.#generation += 1;
+    if (this.#steps.isRunning) return;
     const stored: StoredLog<ControlCommand, ControlSnapshot> = {
       hardState: this.#disk.hardState,
       snapshot: this.#disk.snapshot,
@@ -160,17 +160,14 @@
       now: this.now,
       guards,
     });
-    this.#scheduleTick(this.#generation);
+    this.#steps.start()
+      .repeat(TICK_INTERVAL_MS, () => this.#node?.tick(this.now));
   }
 
   /** Crashes; writes that are not synced are lost. */
   crash(): void {
     this.#node = undefined;
-    this.#generation += 1;
-    this.#effects = [];
-    this.#isWriting = false;
-    this.#isPaused = false;
-    this.#deferred = [];
+    this.#steps.crash();
   }
 
   /** Crashes and loses the disk; the next start is as a new replica. */
@@ -187,7 +184,7 @@
 
   /** Pauses the process as SIGSTOP does; its clock runs on. */
   pause(): void {
-    this.#isPaused = true;
+    this.#steps.pause();
   }
 
   /**
@@ -197,39 +194,20 @@
    * process acts before it has handled messages that arrived during the pause.
    */
   resume(): void {
-    if (!this.#isPaused) return;
-    this.#isPaused = false;
-    const deferred = this.#deferred;
-    this.#deferred = [];
     const { callbacks, scheduler } = this.#options;
-    if (scheduler.random() < 0.5) callbacks.resuming(this);
-    for (const run of deferred) run();
-    this.#runEffects();
+    this.#steps.resume(() => {
+      if (scheduler.random() < 0.5) callbacks.resuming(this);
+    });
   }
 
   /** Handles a message from the network. */
   receive(message: Message): void {
-    const generation = this.#generation;
-    this.run(() => {
-      if (generation === this.#generation) {
-        this.#node?.receive(message, this.now);
-      }
-    });
+    this.run(() => this.#node?.receive(message, this.now));
   }
 
   /** Runs a step of the process, or defers it until the end of a pause. */
   run(step: () => void): void {
-    if (this.#node === undefined) return;
-    if (this.#isPaused) {
-      this.#deferred.push(() => this.run(step));
-      return;
-    }
-    try {
-      step();
-    } catch (err) {
-      this.#options.callbacks.violation(`${this.replica}: ${err}`);
-    }
-    this.#runEffects();
+    this.#steps.run(step);
   }
 
   #createSender(): OrderSender {
@@ -243,24 +221,6 @@
     });
   }
 
-  #scheduleTick(generation: number): void {
-    this.#options.scheduler.after(TICK_INTERVAL_MS, () => {
-      if (generation !== this.#generation) return;
-      if (!this.#isPaused) this.run(() => this.#node?.tick(this.now));
-      this.#scheduleTick(generation);
-    });
-  }
-
-  #runEffects(): void {
-    const effects = this.#node?.takeEffects() ?? [];
-    this.#effects.push(...effects);
-    while (!this.#isWriting && !this.#isPaused) {
-      const effect = this.#effects.shift();
-      if (effect === undefined) return;
-      this.#runEffect(effect);
-    }
-  }
-
   #runEffect(effect: Effect): void {
     const { callbacks } = this.#options;
     if (effect.type === "write") this.#write(effect);
@@ -287,14 +247,9 @@
   }
 
   #write(effect: Extract<Effect, { type: "write" }>): void {
-    this.#isWriting = true;
-    const generation = this.#generation;
-    const { scheduler } = this.#options;
-    scheduler.after(scheduler.between(0.2, 8), () => {
-      if (generation !== this.#generation) return;
-      this.#isWriting = false;
-      this.#store(effect);
-      this.run(() => this.#node?.onWritten(effect, this.now));
+    this.#steps.write(() => this.#store(effect), {
+      ms: this.#options.scheduler.between(0.2, 8),
+      onWritten: () => this.#node?.onWritten(effect, this.now),
     });
   }
 
--- a/soak/ledger_process.ts
+++ b/soak/ledger_process.ts
@@ -11,6 +11,7 @@
   type StoredLedger,
 } from "../src/core/ledger/mod.ts";
 import type { Scheduler } from "../sim/scheduler.ts";
+import { ProcessSteps } from "./process_steps.ts";
 
 /** Callbacks from a process to its simulation. */
 export interface LedgerProcessCallbacks {
@@ -52,17 +53,18 @@
   readonly #options: LedgerProcessOptions;
   #disk: Disk = createEmptyDisk(1);
   #replica: LedgerReplica | undefined;
-  /** Incremented at each start and crash; older scheduled work is dropped. */
-  #generation = 0;
-  #effects: LedgerEffect[] = [];
-  #isWriting = false;
-  #isPaused = false;
-  /** Steps that arrived during a pause. */
-  #deferred: (() => void)[] = [];
+  #startCount = 0;
+  readonly #steps: ProcessSteps<LedgerEffect>;
 
   /** Creates and starts a process. */
   constructor(options: LedgerProcessOptions) {
     this.#options = options;
+    this.#steps = new ProcessSteps({
+      scheduler: options.scheduler,
+      takeEffects: () => this.#replica?.takeEffects() ?? [],
+      runEffect: (effect) => this.#runEffect(effect),
+      onError: (err) => options.callbacks.violation(`${this.name}: ${err}`),
+    });
     this.start();
   }
 
@@ -88,15 +90,15 @@
 
   /** Gets whether it is running and not paused. */
   get isActive(): boolean {
-    return this.#replica !== undefined && !this.#isPaused;
+    return this.#steps.isActive;
   }
 
   /** Starts unless running; without a disk as a new, empty replica. */
   start(): void {
-    if (this.#replica !== undefined) return;
-    this.#generation += 1;
+    if (this.#steps.isRunning) return;
+    this.#startCount += 1;
     const { hasDisk, guards } = this.#options;
-    if (!hasDisk && this.#generation > 1) {
+    if (!hasDisk && this.#startCount > 1) {
       this.#disk = createEmptyDisk(this.#disk.incarnation + 1);
     }
     this.#replica = new LedgerReplica({
@@ -105,17 +107,16 @@
       wantedBackups: this.#options.wantedBackups,
       guards,
     });
-    this.#scheduleHello(this.#generation);
+    this.#steps.start().repeat(HELLO_INTERVAL_MS, () => {
+      this.#replica?.hello();
+      this.#replica?.retryProposedView();
+    });
   }
 
   /** Crashes; writes that are not synced are lost. */
   crash(): void {
     this.#replica = undefined;
-    this.#generation += 1;
-    this.#effects = [];
-    this.#isWriting = false;
-    this.#isPaused = false;
-    this.#deferred = [];
+    this.#steps.crash();
   }
 
   /** Crashes and loses the disk; the next start is as a new replica. */
@@ -126,35 +127,19 @@
 
   /** Pauses the process as SIGSTOP does. */
   pause(): void {
-    this.#isPaused = true;
+    this.#steps.pause();
   }
 
   /** Resumes a paused process and runs its deferred steps. */
   resume(): void {
-    if (!this.#isPaused) return;
-    this.#isPaused = false;
-    const deferred = this.#deferred;
-    this.#deferred = [];
-    for (const run of deferred) run();
-    this.#runEffects();
+    this.#steps.resume();
   }
 
   /** Runs a step of the process, or defers it until the end of a pause. */
   run(step: (replica: LedgerReplica) => void): void {
-    if (this.#replica === undefined) return;
-    if (this.#isPaused) {
-      const generation = this.#generation;
-      this.#deferred.push(() => {
-        if (generation === this.#generation) this.run(step);
-      });
-      return;
-    }
-    try {
-      step(this.#replica);
-    } catch (err) {
-      this.#options.callbacks.violation(`${this.name}: ${err}`);
-    }
-    this.#runEffects();
+    this.#steps.run(() => {
+      if (this.#replica !== undefined) step(this.#replica);
+    });
   }
 
   /** Appends a record; the process must be primary. */
@@ -162,28 +147,6 @@
     this.run((replica) => replica.append(record));
   }
 
-  #scheduleHello(generation: number): void {
-    this.#options.scheduler.after(HELLO_INTERVAL_MS, () => {
-      if (generation !== this.#generation) return;
-      if (!this.#isPaused) {
-        this.run((replica) => {
-          replica.hello();
-          replica.retryProposedView();
-        });
-      }
-      this.#scheduleHello(generation);
-    });
-  }
-
-  #runEffects(): void {
-    this.#effects.push(...this.#replica?.takeEffects() ?? []);
-    while (!this.#isWriting && !this.#isPaused) {
-      const effect = this.#effects.shift();
-      if (effect === undefined) return;
-      this.#runEffect(effect);
-    }
-  }
-
   #runEffect(effect: LedgerEffect): void {
     const { callbacks } = this.#options;
     if (effect.type === "write") this.#write(effect);
@@ -196,14 +159,10 @@
   }
 
   #write(effect: Extract<LedgerEffect, { type: "write" }>): void {
-    this.#isWriting = true;
-    const generation = this.#generation;
     const { scheduler, hasDisk } = this.#options;
-    scheduler.after(hasDisk ? scheduler.between(0.2, 6) : 0, () => {
-      if (generation !== this.#generation) return;
-      this.#isWriting = false;
-      this.#store(effect);
-      this.run((replica) => replica.onWritten(effect.index));
+    this.#steps.write(() => this.#store(effect), {
+      ms: hasDisk ? scheduler.between(0.2, 6) : 0,
+      onWritten: () => this.#replica?.onWritten(effect.index),
     });
   }
 
