Both simulations use one run: time, network, faults and the first violation

The schedule of faults, their counts, the message faults, isolation and the result stood in control_simulation.ts and ledger_simulation.ts; simulated_run.ts has them once.

--- a/soak/control_simulation.ts
+++ b/soak/control_simulation.ts
@@ -13,9 +13,10 @@
   OrderSend,
 } from "../src/core/orders/mod.ts";
 import { ControlProcess, MAX_SEND_MS } from "./control_process.ts";
-import { countFault, type FaultCounts, Network } from "./network.ts";
 import { FaultKind, type RunResult, type ScheduledFault } from "./schedule.ts";
-import { Scheduler } from "../sim/scheduler.ts";
+import { type Heal, SimulatedRun } from "./simulated_run.ts";
+import type { Scheduler } from "../sim/scheduler.ts";
+import type { Network } from "./network.ts";
 
 /** Options of {@link ControlSimulation}. */
 export interface ControlSimulationOptions {
@@ -56,8 +57,8 @@
 /** Simulates control processes, operators, and a platform without fencing. */
 export class ControlSimulation {
   readonly #options: ControlSimulationOptions;
+  readonly #run: SimulatedRun;
   readonly #scheduler: Scheduler;
-  readonly #faultCounts: FaultCounts = new Map();
   readonly #network: Network;
   readonly #processes: ControlProcess[];
   /** Digest of each committed entry and its result, by index. */
@@ -68,22 +69,19 @@
   readonly #resultsByRequest = new Map<string, string>();
   readonly #receivedOrders: ReceivedOrder[] = [];
   readonly #figuresByWindow = new Map<string, string>();
-  #violation: string | undefined;
   #requestCount = 0;
   #acknowledgedCount = 0;
   /** Virtual time of the last proposal that adds a voter. */
   #voterAddedAt = -Infinity;
   /** Schedules the end of a pending election crash. */
-  #healElectionCrash: ((run: () => void) => void) | undefined;
+  #healElectionCrash: Heal | undefined;
 
   /** Creates and starts the processes. */
   constructor(options: ControlSimulationOptions) {
     this.#options = options;
-    this.#scheduler = new Scheduler(options.seed);
-    this.#network = new Network(this.#scheduler, {
-      faults: { loss: 0.02, duplication: 0.02, maxDelayMs: 25 },
-      counts: this.#faultCounts,
-    });
+    this.#run = new SimulatedRun({ seed: options.seed, maxDelayMs: 25 });
+    this.#scheduler = this.#run.scheduler;
+    this.#network = this.#run.network;
     const ids = Array.from({ length: options.size }, (_, i) => `c${i}`);
     const voters = ids.map((id) => formatReplicaId(id, "first"));
     this.#processes = ids.map((id) =>
@@ -105,7 +103,7 @@
           restored: () => {},
           role: (process) => this.#onRole(process),
           resuming: (process) => this.#sendOrdersOf(process),
-          violation: (text) => this.#reportViolation(text),
+          violation: (text) => this.#run.report(text),
         },
       })
     );
@@ -113,38 +111,24 @@
 
   /** Runs until the end or the first violation of an invariant. */
   run(): RunResult {
-    for (const fault of this.#options.faults) {
-      this.#scheduler.after(fault.at, () => this.#injectFault(fault));
-    }
-    this.#scheduler.repeatWithJitter(
-      COMMAND_INTERVAL_MS,
-      () => this.#proposeCommand(),
-    );
-    this.#scheduler.repeatWithJitter(
-      REPAIR_INTERVAL_MS,
-      () => this.#repairMembership(),
-    );
-    this.#scheduler.repeatWithJitter(
-      ORDER_INTERVAL_MS,
-      () => this.#sendOrders(),
-    );
-    const { lengthMs } = this.#options;
-    this.#scheduler.runWhile(() => this.#violation === undefined, lengthMs);
-    return {
-      violation: this.#violation,
-      steps: this.#scheduler.steps,
-      faults: this.#faultCounts,
-      work: {
-        committed: this.#committedEntries.size,
-        acknowledged: this.#acknowledgedCount,
-        orders: this.#receivedOrders.length,
-        leaders: this.#leadersByTerm.size,
-      },
+    const { faults, lengthMs } = this.#options;
+    const result = this.#run.run({
+      faults,
+      inject: (fault, heal) => this.#injectFault(fault, heal),
+      repeated: [
+        [COMMAND_INTERVAL_MS, () => this.#proposeCommand()],
+        [REPAIR_INTERVAL_MS, () => this.#repairMembership()],
+        [ORDER_INTERVAL_MS, () => this.#sendOrders()],
+      ],
+      lengthMs,
+    });
+    const work = {
+      committed: this.#committedEntries.size,
+      acknowledged: this.#acknowledgedCount,
+      orders: this.#receivedOrders.length,
+      leaders: this.#leadersByTerm.size,
     };
-  }
-
-  #reportViolation(text: string): void {
-    this.#violation ??= `${Math.round(this.#scheduler.now)} ms: ${text}`;
+    return { ...result, work };
   }
 
   #processOf(replica: string): ControlProcess | undefined {
@@ -165,7 +149,7 @@
     if (node === undefined || !process.isLeader) return;
     const existing = this.#leadersByTerm.get(node.term);
     if (existing !== undefined && existing !== process.replica) {
-      this.#reportViolation(
+      this.#run.report(
         `${existing} and ${process.replica} both lead term ${node.term}`,
       );
     }
@@ -199,12 +183,12 @@
     const existing = this.#committedEntries.get(entry.index);
     if (existing === undefined) this.#committedEntries.set(entry.index, digest);
     else if (existing !== digest) {
-      this.#reportViolation(
+      this.#run.report(
         `Entry ${entry.index} differs at ${process.replica}`,
       );
     }
     if (answer?.type === "rejected") {
-      this.#reportViolation(
+      this.#run.report(
         `Entry ${entry.index} violates the invariant ${answer.invariant}`,
       );
     }
@@ -222,7 +206,7 @@
     const text = JSON.stringify(result);
     const existing = this.#resultsByRequest.get(requestId);
     if (existing !== undefined && existing !== text) {
-      this.#reportViolation(
+      this.#run.report(
         `Request ${requestId} was answered with ${existing}, then with ${text}`,
       );
     }
@@ -295,7 +279,7 @@
     const text = JSON.stringify(figures);
     const windowId = `nl-1/${window}`;
     if ((this.#figuresByWindow.get(windowId) ?? text) !== text) {
-      this.#reportViolation(`Figures of window ${windowId} changed`);
+      this.#run.report(`Figures of window ${windowId} changed`);
     }
     this.#figuresByWindow.set(windowId, text);
     return {
@@ -355,7 +339,7 @@
       .filter((p) => p.node?.hasLease(p.now) ?? false)
       .map((p) => p.replica);
     if (holders.length > 1) {
-      this.#reportViolation(`${holders.join(" and ")} hold leases at once`);
+      this.#run.report(`${holders.join(" and ")} hold leases at once`);
     }
   }
 
@@ -386,7 +370,7 @@
     const { now } = this.#scheduler;
     const latest = this.#receivedOrders.at(-1);
     if (latest !== undefined && term < latest.term) {
-      this.#reportViolation(
+      this.#run.report(
         `The platform got an order from ${process.replica} in term ${term} ` +
           `after one from ${latest.process} in term ${latest.term}`,
       );
@@ -398,18 +382,16 @@
         leadership.term > term && other.now >= other.sender.sendsFrom &&
         other.now < leadership.leaseEnd;
       if (!isInCharge) continue;
-      this.#reportViolation(
+      this.#run.report(
         `${other.replica} is in charge while ${process.replica} sends orders`,
       );
     }
     this.#receivedOrders.push({ process: process.replica, term, at: now });
   }
 
-  #injectFault(fault: ScheduledFault): void {
+  #injectFault(fault: ScheduledFault, heal: Heal): void {
     const index = Math.floor(fault.pick * this.#processes.length);
     const victim = this.#processes[index];
-    countFault(this.#faultCounts, fault.kind);
-    const heal = (run: () => void) => this.#scheduler.after(fault.forMs, run);
     const handlers: Readonly<Record<FaultKind, () => void>> = {
       crash: () => {
         victim.crash();
@@ -454,7 +436,7 @@
   #partitionPair(
     from: ControlProcess,
     to: ControlProcess,
-    heal: (run: () => void) => void,
+    heal: Heal,
   ): void {
     this.#network.cut(from.id, to.id);
     this.#network.cut(to.id, from.id);
@@ -466,14 +448,14 @@
 
   #isolate(
     victim: ControlProcess,
-    options: { isBoth: boolean; heal: (run: () => void) => void },
+    options: { isBoth: boolean; heal: Heal },
   ): void {
-    const others = this.#processes.filter((p) => p !== victim).map((p) => p.id);
-    options.heal(this.#network.isolate(victim.id, others, options));
+    const ids = this.#processes.map(({ id }) => id);
+    this.#run.isolate(victim.id, ids, options);
   }
 
   /** Removes a disk, unless too few voters for a quorum keep theirs. */
-  #loseDisk(victim: ControlProcess, heal: (run: () => void) => void): void {
+  #loseDisk(victim: ControlProcess, heal: Heal): void {
     const settled = this.#processes.find((p) => p.node?.hasCommittedOwnTerm);
     const node = settled?.node;
     if (node === undefined || settled === undefined) return;
@@ -484,7 +466,7 @@
     const isVoter = voters.includes(victim.replica);
     const quorum = Math.floor(voters.length / 2) + 1;
     if (isVoter && intactVoters.length < quorum) return;
-    countFault(this.#faultCounts, "disk lost");
+    this.#run.countFault("disk lost");
     victim.loseDisk();
     heal(() => victim.start());
   }
@@ -492,7 +474,7 @@
   /** Removes a disk, and another one as soon as a voter has been added. */
   #loseSecondDisk(
     victim: ControlProcess,
-    heal: (run: () => void) => void,
+    heal: Heal,
   ): void {
     this.#loseDisk(victim, (run) => this.#scheduler.after(50, run));
     const loseOnceRepaired = (attempts: number) => {
--- a/soak/ledger_simulation.ts
+++ b/soak/ledger_simulation.ts
@@ -8,9 +8,9 @@
   type LedgerRecord,
 } from "../src/core/ledger/mod.ts";
 import { LedgerProcess } from "./ledger_process.ts";
-import { countFault, type FaultCounts, Network } from "./network.ts";
 import { FaultKind, type RunResult, type ScheduledFault } from "./schedule.ts";
-import { Scheduler } from "../sim/scheduler.ts";
+import { type Heal, SimulatedRun } from "./simulated_run.ts";
+import type { Scheduler } from "../sim/scheduler.ts";
 
 /** Options of {@link LedgerSimulation}. */
 export interface LedgerSimulationOptions {
@@ -35,9 +35,8 @@
 /** Simulates ledger processes, and the control log that commits views. */
 export class LedgerSimulation {
   readonly #options: LedgerSimulationOptions;
+  readonly #run: SimulatedRun;
   readonly #scheduler: Scheduler;
-  readonly #faultCounts: FaultCounts = new Map();
-  readonly #network: Network;
   readonly #processes: LedgerProcess[];
   /** Digest of each acknowledged record, by epoch and index. */
   readonly #acknowledgedRecords = new Map<string, string>();
@@ -46,18 +45,14 @@
   /** Idempotency key and record of each started call, as `key@epoch/index`. */
   readonly #startedCalls = new Set<string>();
   #view: LedgerView | undefined;
-  #violation: string | undefined;
   #recordCount = 0;
   #viewCount = 0;
 
   /** Creates and starts the processes. */
   constructor(options: LedgerSimulationOptions) {
     this.#options = options;
-    this.#scheduler = new Scheduler(options.seed);
-    this.#network = new Network(this.#scheduler, {
-      faults: { loss: 0.02, duplication: 0.02, maxDelayMs: 8 },
-      counts: this.#faultCounts,
-    });
+    this.#run = new SimulatedRun({ seed: options.seed, maxDelayMs: 8 });
+    this.#scheduler = this.#run.scheduler;
     this.#processes = Array.from(
       { length: options.size },
       (_, i) =>
@@ -72,7 +67,7 @@
             applied: (process, entry, error) =>
               this.#onApplied(process, entry, error),
             proposeView: (view) => this.#commitView(view),
-            violation: (text) => this.#reportViolation(text),
+            violation: (text) => this.#run.report(text),
           },
         }),
     );
@@ -80,32 +75,21 @@
 
   /** Runs until the end or the first violation of an invariant. */
   run(): RunResult {
-    for (const fault of this.#options.faults) {
-      this.#scheduler.after(fault.at, () => this.#injectFault(fault));
-    }
-    this.#scheduler.repeatWithJitter(
-      APPEND_INTERVAL_MS,
-      () => this.#appendRecord(),
-    );
-    this.#scheduler.repeatWithJitter(
-      DETECTION_INTERVAL_MS,
-      () => this.#detectFailures(),
-    );
-    const { lengthMs } = this.#options;
-    this.#scheduler.runWhile(() => this.#violation === undefined, lengthMs);
-    return {
-      violation: this.#violation,
-      steps: this.#scheduler.steps,
-      faults: this.#faultCounts,
-      work: {
-        answered: this.#acknowledgedRecords.size,
-        views: this.#viewCount,
-      },
+    const { faults, lengthMs } = this.#options;
+    const result = this.#run.run({
+      faults,
+      inject: (fault, heal) => this.#injectFault(fault, heal),
+      repeated: [
+        [APPEND_INTERVAL_MS, () => this.#appendRecord()],
+        [DETECTION_INTERVAL_MS, () => this.#detectFailures()],
+      ],
+      lengthMs,
+    });
+    const work = {
+      answered: this.#acknowledgedRecords.size,
+      views: this.#viewCount,
     };
-  }
-
-  #reportViolation(text: string): void {
-    this.#violation ??= `${Math.round(this.#scheduler.now)} ms: ${text}`;
+    return { ...result, work };
   }
 
   #findByName(name: string): LedgerProcess | undefined {
@@ -116,7 +100,7 @@
     const instance = (name: string) => name.split("#")[0];
     const from = instance(message.from);
     const to = instance(message.to);
-    this.#network.send({ from, to }, () => {
+    this.#run.network.send({ from, to }, () => {
       const recipient = this.#processes.find((p) => p.id === to);
       recipient?.run((replica) => replica.receive(message));
     });
@@ -129,7 +113,7 @@
     const digest = JSON.stringify(entry.record);
     const existing = this.#acknowledgedRecords.get(recordId);
     if (existing !== undefined && existing !== digest) {
-      this.#reportViolation(`Record ${recordId} differs at ${process.name}`);
+      this.#run.report(`Record ${recordId} differs at ${process.name}`);
     }
     if (!(process.replica?.isPrimary ?? false)) return;
     if (existing === undefined) this.#acknowledgedRecords.set(recordId, digest);
@@ -150,7 +134,7 @@
         s.startsWith(`${record.key}@`)
       );
       if (isNew && others.length > 0) {
-        this.#reportViolation(
+        this.#run.report(
           `Call ${record.key} started at ${others} and ${recordId}`,
         );
       }
@@ -163,7 +147,7 @@
       const text = JSON.stringify(sample);
       const existing = this.#samplesByNumber.get(id);
       if (existing !== undefined && existing !== text) {
-        this.#reportViolation(`Sample ${id} differs at ${process.name}`);
+        this.#run.report(`Sample ${id} differs at ${process.name}`);
       }
       this.#samplesByNumber.set(id, text);
     }
@@ -259,11 +243,9 @@
     }
   }
 
-  #injectFault(fault: ScheduledFault): void {
+  #injectFault(fault: ScheduledFault, heal: Heal): void {
     const index = Math.floor(fault.pick * this.#processes.length);
     const victim = this.#processes[index];
-    countFault(this.#faultCounts, fault.kind);
-    const heal = (run: () => void) => this.#scheduler.after(fault.forMs, run);
     const handlers: Readonly<Record<FaultKind, () => void>> = {
       crash: () => this.#crash(victim, { losesDisk: false, heal }),
       pause: () => {
@@ -296,7 +278,7 @@
   /** Crashes a process, unless that loses the view's last copy of the state. */
   #crash(
     victim: LedgerProcess,
-    options: { losesDisk: boolean; heal: (run: () => void) => void },
+    options: { losesDisk: boolean; heal: Heal },
   ): void {
     if (victim.replica === undefined) return;
     const members = this.#view === undefined
@@ -311,7 +293,7 @@
     const isMember = members.includes(victim.name);
     if (losesState && isMember && stateHolders.length === 0) return;
     if (losesState) {
-      countFault(this.#faultCounts, "state lost");
+      this.#run.countFault("state lost");
       victim.loseDisk();
     } else victim.crash();
     options.heal(() => victim.start());
@@ -329,10 +311,10 @@
 
   #isolate(
     victim: LedgerProcess,
-    options: { isBoth: boolean; heal: (run: () => void) => void },
+    options: { isBoth: boolean; heal: Heal },
   ): void {
-    const others = this.#processes.filter((p) => p !== victim).map((p) => p.id);
-    options.heal(this.#network.isolate(victim.id, others, options));
+    const ids = this.#processes.map(({ id }) => id);
+    this.#run.isolate(victim.id, ids, options);
   }
 }
 
