--- a/src/core/batches/batch_admission.ts
+++ b/src/core/batches/batch_admission.ts
@@ -1,5 +1,6 @@
 /** Decides whether a batch may be accepted, by the work that precedes it. */
 import { spreadRetryAfterMs } from "../retry/mod.ts";
+import { sumOf } from "../statistics/mod.ts";
 
 /** Work of an open batch that is ordered before the submitted one. */
 export interface PrecedingWork {
@@ -182,7 +183,7 @@
     return admit(AdmissionReason.BelowShare, figures);
   }
   const isUrgentWork = known.hasUrgent &&
-    sumOf([...wanted.values()]) <= capacityTokens;
+    sumOf([...wanted], ([, tokens]) => tokens) <= capacityTokens;
   const shareOfCapacity = shareTokens / Math.max(1, leftTokens);
   const waitMs = excessTokens /
     Math.max(Number.MIN_VALUE, known.drainTokensPerMs * shareOfCapacity);
@@ -282,9 +283,5 @@
 }
 
 function tokensOf(work: readonly PrecedingWork[]): number {
-  return sumOf(work.map(({ tokens }) => tokens));
-}
-
-function sumOf(values: readonly number[]): number {
-  return values.reduce((sum, value) => sum + value, 0);
+  return sumOf(work, ({ tokens }) => tokens);
 }
--- a/src/core/batches/batch_command.ts
+++ b/src/core/batches/batch_command.ts
@@ -1,4 +1,5 @@
 /** Commands of the ledger log and their results. */
+import { sumOf } from "../statistics/mod.ts";
 import type { BatchResult, BatchSpec } from "./batch.ts";
 
 /** A result together with the identifier of its batch. */
@@ -62,10 +63,6 @@
   return text.length;
 }
 
-function sumOf<T>(values: readonly T[], sizeOf: (value: T) => number): number {
-  return values.reduce((sum, value) => sum + sizeOf(value), 0);
-}
-
 /** Result of applying a command. */
 export interface BatchCommandResult {
   /** Whether the command is in effect, now or since an earlier application. */
--- a/src/core/batches/batch_shares.ts
+++ b/src/core/batches/batch_shares.ts
@@ -1,4 +1,5 @@
 /** Fair shares of the slots for batches that compete for them. */
+import { sumOf } from "../statistics/mod.ts";
 import type { WaitingItem } from "./batch_record.ts";
 
 /** The waiting items of a batch, and what it uses already. */
@@ -135,10 +136,3 @@
 function hasNext({ queue, next }: Turn): boolean {
   return next < queue.waiting.length;
 }
-
-function sumOf(
-  turns: readonly Turn[],
-  valueOf: (turn: Turn) => number,
-): number {
-  return turns.reduce((sum, turn) => sum + valueOf(turn), 0);
-}
--- a/src/core/batches/service_targets.ts
+++ b/src/core/batches/service_targets.ts
@@ -1,4 +1,5 @@
 /** Tracks the targets of each service, with their long-run paces. */
+import { sumOf } from "../statistics/mod.ts";
 import type { ServiceCapacity } from "./batch_admission.ts";
 import { loadFactorOf } from "./target_pace.ts";
 
@@ -82,13 +83,12 @@
     const areAllLost = now - lastSeenAt > ALL_LOST_MS;
     const allowed = all.filter(({ dataCentre }) => isAllowed(dataCentre));
     const present = areAllLost ? [] : allowed;
-    const rates = present.map((target) => eventsPerMsOf(target));
     // A target that starts is assumed to be as fast as the fastest one known.
     const fastest = Math.max(0, ...all.map((target) => eventsPerMsOf(target)));
     const startable = Math.max(0, (limits?.maxTargets ?? 0) - present.length);
     return {
-      slots: sumOf(present.map(({ slots }) => slots)),
-      tokensPerMs: tokensPerEvent * sumOf(rates),
+      slots: sumOf(present, ({ slots }) => slots),
+      tokensPerMs: tokensPerEvent * sumOf(present, eventsPerMsOf),
       startableTokensPerMs: tokensPerEvent * startable * fastest,
       bootMs: limits?.bootMs ?? 0,
     };
@@ -106,7 +106,3 @@
 export function eventsPerMsOf({ slots, paceMs }: CapacityTarget): number {
   return slots / (paceMs * loadFactorOf(1));
 }
-
-function sumOf(values: readonly number[]): number {
-  return values.reduce((total, value) => total + value, 0);
-}
--- a/src/core/statistics/mod.ts
+++ b/src/core/statistics/mod.ts
@@ -1,2 +1,3 @@
 /** Statistics of measured values. */
 export * from "./percentile.ts";
+export * from "./sum.ts";
