--- a/src/core/ledger/ledger_record.ts
+++ b/src/core/ledger/ledger_record.ts
@@ -11,6 +11,18 @@
   readonly step: string;
 }
 
+/**
+ * Formats the key of a step as text.
+ *
+ * @example
+ * ```ts
+ * formatStepKey({ workspace: "artis", step: "s1" }); // "artis/s1"
+ * ```
+ */
+export function formatStepKey({ workspace, step }: StepKey): string {
+  return `${workspace}/${step}`;
+}
+
 /** Identifies a non-idempotent call. */
 export interface CallKey {
   /** Workspace of the caller. */
--- a/src/core/ledger/ledger_state.ts
+++ b/src/core/ledger/ledger_state.ts
@@ -2,7 +2,11 @@
 import { InvariantError } from "../invariants/mod.ts";
 import { Quarantine, type SuspicionChange } from "../quarantine/mod.ts";
 import { CallLedger, type CallLedgerState } from "./call_ledger.ts";
-import type { LedgerRecord, StepKey } from "./ledger_record.ts";
+import {
+  formatStepKey,
+  type LedgerRecord,
+  type StepKey,
+} from "./ledger_record.ts";
 import { StepLedger, type StepLedgerState, StepStatus } from "./step_ledger.ts";
 import { UsageLedger, type UsageLedgerState } from "./usage_ledger.ts";
 
@@ -147,7 +151,3 @@
     }
   }
 }
-
-function formatStepKey(key: StepKey): string {
-  return `${key.workspace}/${key.step}`;
-}
--- a/src/tasks/steps/step_runs.ts
+++ b/src/tasks/steps/step_runs.ts
@@ -1,7 +1,11 @@
 /** The running steps of a data centre: their items, samples and deliveries. */
 import { createHash } from "node:crypto";
 import { InvariantError } from "../../core/invariants/mod.ts";
-import type { StepKey, StepLedger } from "../../core/ledger/mod.ts";
+import {
+  formatStepKey,
+  type StepKey,
+  type StepLedger,
+} from "../../core/ledger/mod.ts";
 import {
   type CompletedSample,
   StalenessGate,
@@ -78,7 +82,7 @@
   start(step: StepLedger): void {
     const { spec } = step;
     const key = { workspace: spec.workspace, step: spec.id };
-    if (this.#active.has(toKeyString(key))) return;
+    if (this.#active.has(formatStepKey(key))) return;
     const runner = new StepRunner(spec, {
       gate: this.#getGate(spec.model),
       delivered: step.deliveredSlots,
@@ -93,15 +97,15 @@
       delivery: Promise.resolve(),
       waiters: new SampleWaiters(),
     };
-    this.#active.set(toKeyString(key), active);
+    this.#active.set(formatStepKey(key), active);
     this.#applyEffects(active, runner.start(this.#options.now()));
   }
 
   /** Stops a step and its items, without cancelling it in the ledger. */
   stop(key: StepKey): void {
-    const active = this.#active.get(toKeyString(key));
+    const active = this.#active.get(formatStepKey(key));
     if (active === undefined) return;
-    this.#active.delete(toKeyString(key));
+    this.#active.delete(formatStepKey(key));
     for (const id of active.runner.openItemIds()) {
       this.#options.dispatch.cancel(id);
     }
@@ -136,7 +140,7 @@
 
   /** Writes the ready samples of a step to the ledger, if it is running. */
   deliver(key: StepKey): Promise<void> {
-    const active = this.#active.get(toKeyString(key));
+    const active = this.#active.get(formatStepKey(key));
     if (active === undefined) return Promise.resolve();
     active.delivery = active.delivery.then(() => this.#deliverReady(active));
     return active.delivery;
@@ -144,7 +148,7 @@
 
   /** Waits until a step has a sample or has ended, at most for a time. */
   async waitForSample(key: StepKey, waitMs: number): Promise<void> {
-    await this.#active.get(toKeyString(key))?.waiters.wait(waitMs);
+    await this.#active.get(formatStepKey(key))?.waiters.wait(waitMs);
   }
 
   #getGate(model: string): StalenessGate {
@@ -247,7 +251,7 @@
   }
 
   #isActive(active: ActiveStep): boolean {
-    return this.#active.get(toKeyString(active.key)) === active;
+    return this.#active.get(formatStepKey(active.key)) === active;
   }
 
   async #deliverReady(active: ActiveStep): Promise<void> {
@@ -269,10 +273,6 @@
   }
 }
 
-function toKeyString(key: StepKey): string {
-  return `${key.workspace}/${key.step}`;
-}
-
 function hashText(text: string): string {
   return createHash("sha256").update(text).digest("base64url");
 }
