--- a/soak/output_simulation.ts
+++ b/soak/output_simulation.ts
@@ -17,13 +17,13 @@
 import type { RunResult } from "./schedule.ts";
 import { StreamMemory } from "./stream_memory.ts";
 
-/** Parts of the rule that a simulation can do without. */
+/** Parts of the rule that a simulation can disable. */
 export interface OutputGuards {
-  /** Whether an output goes on only at the version that wrote it. */
+  /** Whether only the version that wrote an output may continue it. */
   readonly version: boolean;
   /** Whether a target must name its incarnation first. */
   readonly incarnation: boolean;
-  /** Whether a stream is refused if nobody knows who wrote it. */
+  /** Whether a stream is refused if it is not known who wrote it. */
   readonly record: boolean;
 }
 
@@ -35,7 +35,7 @@
   readonly guards?: Partial<OutputGuards>;
 }
 
-/** A process of a target, as it is. */
+/** Actual state of a target's process. */
 interface TargetProcess {
   readonly id: string;
   readonly incarnation: number;
@@ -71,7 +71,7 @@
 const SERVICE = "s";
 const KEEP_MS = 1_000;
 
-/** Plays one schedule of releases, deaths, moves, new leaders and retakes. */
+/** Runs one schedule of releases, deaths, moves, new leaders and resumptions. */
 export class OutputSimulation {
   readonly #scheduler: Scheduler;
   readonly #guards: OutputGuards;
@@ -106,7 +106,7 @@
     });
   }
 
-  /** Plays the schedule up to its end or the first violation. */
+  /** Runs the schedule up to its end or the first violation. */
   run(): RunResult {
     for (let i = 0; i < TARGETS; i += 1) this.#release(`t${i}`);
     this.#deliverAll();
@@ -167,16 +167,16 @@
     },
     takeUpStream: () => {
       const stream = this.#pickStream();
-      if (stream !== undefined) this.#takeUp(stream);
+      if (stream !== undefined) this.#resume(stream);
     },
     loseAllEntries: () => {
       this.#memory.loseAllEntries();
       const broken = this.#streams.filter(({ run }) => run !== undefined);
       for (const stream of broken) stream.run = undefined;
-      // Callers return at once, and again as the instances find links.
-      for (const stream of broken) this.#takeUp(stream);
+      // Callers retry at once, and again once the instances have links.
+      for (const stream of broken) this.#resume(stream);
       this.#memory.linkEntries();
-      for (const stream of broken) this.#takeUp(stream);
+      for (const stream of broken) this.#resume(stream);
     },
     linkEntries: () => this.#memory.linkEntries(),
     loseControl: () => this.#memory.loseControl(),
@@ -297,7 +297,7 @@
         inFlight: Math.floor(this.#scheduler.random() * 3),
         version: 1,
         paceMs: 1,
-        isSick: false,
+        isDegraded: false,
         isAvoided: this.#scheduler.random() < 0.2,
         isCold: false,
       })),
@@ -420,7 +420,7 @@
     this.#memory.record({ workspace: "w", request, writer, keepMs: KEEP_MS });
   }
 
-  #takeUp(stream: CallerStream): void {
+  #resume(stream: CallerStream): void {
     if (stream.run !== undefined || stream.events.length === EVENTS) return;
     if (stream.events.length === 0) return this.#startStream(stream, undefined);
     const key = { workspace: "w", request: stream.request };
@@ -444,7 +444,7 @@
   }
 }
 
-/** Plays several schedules; the counts of all are added up. */
+/** Runs several schedules; the counts of all are added up. */
 export function runOutputSchedules(
   { seed, guards }: OutputSimulationOptions,
 ): RunResult {
--- a/src/core/batches/batch_shares.ts
+++ b/src/core/batches/batch_shares.ts
@@ -1,5 +1,6 @@
 /** Fair shares of the slots for batches that compete for them. */
-import type { WaitingItem } from "./item_order.ts";
+import { sumOf } from "../statistics/mod.ts";
+import type { WaitingItem } from "./batch_record.ts";
 
 /** The waiting items of a batch, and what it uses already. */
 export interface BatchQueue {
@@ -135,10 +136,3 @@
 function hasNext({ queue, next }: Turn): boolean {
   return next < queue.waiting.length;
 }
-
-function sumOf(
-  turns: readonly Turn[],
-  valueOf: (turn: Turn) => number,
-): number {
-  return turns.reduce((sum, turn) => sum + valueOf(turn), 0);
-}
--- a/src/core/routing/target.ts
+++ b/src/core/routing/target.ts
@@ -131,8 +131,10 @@
     return this;
   }
 
-  /** Gets whether the target accepts work, is unreserved and has room. */
-  hasRoom(now: number): boolean {
+  /**
+   * Gets whether the target accepts work, is unreserved and has free capacity.
+   */
+  hasCapacity(now: number): boolean {
     this.#endEjectionIfDue(now);
     const acceptsWork = this.phase === TargetPhase.Serving ||
       this.phase === TargetPhase.Probing;
@@ -153,7 +155,7 @@
    */
   mayServe(): boolean {
     return this.phase !== TargetPhase.Leaving &&
-      this.phase !== TargetPhase.Gone;
+      this.phase !== TargetPhase.Removed;
   }
 
   /** Gets the expected duration of a request placed now, in milliseconds. */
--- a/src/logging/fleet_events.ts
+++ b/src/logging/fleet_events.ts
@@ -67,7 +67,7 @@
   }),
   permitsUnanswered: defineEvent(2107, "info", {
     text:
-      "The control leader granted no permits in time; this instance keeps to a share of its targets' limits",
+      "The control leader granted no permits in time; this instance stays within a share of its targets' limits",
   }),
   pathLost: defineEvent(2108, "warn", {
     text:
@@ -132,7 +132,7 @@
   }),
   itemMoved: defineEvent(2214, "info", {
     text:
-      "Run of an item cancelled at a sick, slow or silent target; the item continues at another one",
+      "Run of an item cancelled at a degraded, slow or silent target; the item continues at another one",
   }),
   recordsUnstored: defineEvent(2215, "warn", {
     text: "Results of items could not be stored; the items run again",
@@ -147,7 +147,7 @@
   }),
   itemBegunAnew: defineEvent(2218, "info", {
     text:
-      "Item begins anew, as its writer is unknown or no target has the versions that wrote its partial output",
+      "Item restarts from its first event, as its writer is unknown or no target has the versions that wrote its partial output",
   }),
   itemWithheld: defineEvent(2223, "info", {
     text:
--- a/src/metrics/metric_catalogue.ts
+++ b/src/metrics/metric_catalogue.ts
@@ -156,7 +156,7 @@
   },
   "items.begunAnew": {
     kind: "counter",
-    text: "Runs of items that begin anew although events were received",
+    text: "Runs of items that restart although events were received",
   },
   "items.dataCentreUnanswered": {
     kind: "counter",
@@ -200,7 +200,7 @@
   },
   "items.moved": {
     kind: "counter",
-    text: "Runs of items moved away from sick, slow or silent targets",
+    text: "Runs of items moved away from degraded, slow or silent targets",
   },
   "items.moved.misplaced": {
     kind: "counter",
