Responses that follow an interim one are read

Callers saw a failure (502 or 504) where a target sent an informational response (102 or 103) before its final one, and runs of items broke off; orders and usage reports counted as unanswered, so they were sent again.

Cause: the handlers that watch for resets and for expired grants extend the DecoratorHandler of the HTTP client, which accepts one head for each response and fails an assertion at the second.

Evidence: cut_responses_test.ts sends responses in twelve framings, cut at each byte, and compares what the client takes for whole with what was sent. Before, the two kinds with a 103 were lost ("length after 103, closed at 95: undefined, not first partsecond"); in all other cases the client agreed with the bytes, also for chunked responses that a target cuts off with `Connection: close`. order_guard_test.ts got "unanswered" for all three orders.

A 100 that was not asked for still fails: the HTTP client resets its connection.

--- a/src/tasks/paths/mod.ts
+++ b/src/tasks/paths/mod.ts
@@ -9,3 +9,4 @@
 export * from "./target_connection.ts";
 export * from "./target_connections.ts";
 export * from "./target_paths.ts";
+export * from "./response_handler.ts";
--- a/src/tasks/paths/reset_guard.ts
+++ b/src/tasks/paths/reset_guard.ts
@@ -1,6 +1,7 @@
 /** Interceptor by which a reset connection breaks the response in progress. */
-import { DecoratorHandler, type Dispatcher } from "undici";
+import type { Dispatcher } from "undici";
 import { ConnectionResetError } from "./connection_reset.ts";
+import { type HandlerArguments, ResponseHandler } from "./response_handler.ts";
 
 /**
  * Creates an interceptor that fails a response whose connection was reset before
@@ -19,24 +20,7 @@
     dispatch(options, new ResetGuardedHandler(handler, isReset));
 }
 
-type ResponseEndListener = NonNullable<
-  Dispatcher.DispatchHandler["onResponseEnd"]
->;
-type ResponseErrorListener = NonNullable<
-  Dispatcher.DispatchHandler["onResponseError"]
->;
-
-/** The published types of the base class lack its methods. */
-interface HandlerMethods {
-  onResponseEnd(...args: Parameters<ResponseEndListener>): void;
-  onResponseError(...args: Parameters<ResponseErrorListener>): void;
-}
-
-const HandlerBase = DecoratorHandler as unknown as new (
-  handler: Dispatcher.DispatchHandler,
-) => HandlerMethods;
-
-class ResetGuardedHandler extends HandlerBase {
+class ResetGuardedHandler extends ResponseHandler {
   readonly #isReset: () => boolean;
 
   constructor(handler: Dispatcher.DispatchHandler, isReset: () => boolean) {
@@ -44,7 +28,7 @@
     this.#isReset = isReset;
   }
 
-  override onResponseEnd(...args: Parameters<ResponseEndListener>): void {
+  override onResponseEnd(...args: HandlerArguments<"onResponseEnd">): void {
     const [controller] = args;
     if (!this.#isReset()) return super.onResponseEnd(...args);
     this.onResponseError(
