--- /dev/null
+++ b/tests/support/garbage_collection.ts
@@ -0,0 +1,8 @@
+/** Garbage collection on request. */
+import { setFlagsFromString } from "node:v8";
+import { runInNewContext } from "node:vm";
+
+setFlagsFromString("--expose-gc");
+
+/** Collects all that nothing refers to. */
+export const collectGarbage: () => void = runInNewContext("gc");
