A reset behind a relay does not look like the end of a response

Callers got part of a response as complete (or an item's run ended too early) where the target was reached by way of another instance, gave no length and reset the connection just after some bytes.

Cause: if a reset arrives together with the last bytes, the socket ends without an error. Connections to targets report it before that end, yet the relaying instance looked only at how its socket closed, and had passed the end on to the other instance by then: a regular close of the tunnel.

Evidence: cut_responses_test.ts now sends half of its resets with the last bytes, and all responses by a relay, too. Before, 29 of the relayed ones were taken for whole ("first part" in place of broken); on direct paths none.

Fix: the relaying instance resets the tunnel at the error, and passes an end on only if there was none.

--- a/src/tasks/paths/relay_server.ts
+++ b/src/tasks/paths/relay_server.ts
@@ -151,9 +151,14 @@
       if (!tunnel.destroyed && !target.write(chunk)) tunnel.pause();
     });
     target.on("drain", () => tunnel.resume());
-    target.on("end", () => tunnel.end());
-    target.on("close", (hadError) => {
-      if (hadError) tunnel.resetAndDestroy();
+    let isReset = false;
+    target.on("error", () => {
+      isReset = true;
+      tunnel.resetAndDestroy();
+    });
+    target.on("end", () => {
+      // A reset is reported before the end that it looks like.
+      if (!isReset) tunnel.end();
     });
     tunnel.on("end", () => target.end());
     tunnel.on("close", () => {
