A stream that breaks off does not look complete to callers of HTTP/1.0

Callers of HTTP/1.0 got a stream that its target had cut off as a complete one.

Cause: without chunks, such a response ends with its connection, and the entry closed that in the same way in which it ends a complete response.

Fix: the connection of such a response is reset, also by the dispatcher's refusals. There an event says that the stream failed; that is not shown by a test yet.

--- a/src/tasks/entry/http_response.ts
+++ b/src/tasks/entry/http_response.ts
@@ -6,6 +6,7 @@
   RefusalReason,
   Verdict,
 } from "../../core/verdict/mod.ts";
+import { breakOff } from "../broken_response.ts";
 
 /** Header that carries the verdict of a failed request. */
 export const VERDICT_HEADER = "x-nutmegreel-verdict";
@@ -38,7 +39,7 @@
   if (res.destroyed || res.writableEnded) return;
   if (res.headersSent) {
     const event = `event: error\ndata: ${JSON.stringify(refusal.toBody())}\n\n`;
-    res.write(event, () => res.destroy());
+    res.write(event, () => breakOff(res));
     return;
   }
   const headers: Record<string, string> = {
