--- a/tests/stranded_instances_test.ts
+++ b/tests/stranded_instances_test.ts
@@ -67,6 +67,7 @@
         return;
       }
       res.setHeader("content-type", "text/event-stream");
+      res.setHeader("server-stamp", "t1");
       res.write(EVENTS[0]);
       setTimeout(() => res.end(EVENTS[1]), 10);
     };
