--- a/src/tasks/ledger/ledger_store.ts
+++ b/src/tasks/ledger/ledger_store.ts
@@ -1,13 +1,12 @@
 /** Storage of one replica of the ledger, in a folder of its own. */
 import { randomBytes } from "node:crypto";
-import { rename } from "node:fs/promises";
 import { join } from "node:path";
 import type {
   LedgerEffect,
   LedgerEntry,
   StoredLedger,
 } from "../../core/ledger/mod.ts";
-import { DamagedFileError, FrameStore } from "../storage/mod.ts";
+import { FrameStore, openOrReplace } from "../storage/mod.ts";
 
 type WriteEffect = Extract<LedgerEffect, { type: "write" }>;
 
@@ -55,14 +54,11 @@
   /** Opens the store; a damaged one is renamed and replaced by an empty one. */
   static async open(options: LedgerStoreOptions): Promise<LedgerStore> {
     const folder = join(options.dataFolder, FOLDER);
-    try {
-      return await LedgerStore.#openFolder(folder);
-    } catch (err) {
-      if (!(err instanceof DamagedFileError)) throw err;
-      await rename(folder, `${folder}.damaged-${Date.now()}`);
-      options.onDamaged?.(err.message);
-      return await LedgerStore.#openFolder(folder);
-    }
+    return await openOrReplace({
+      folder,
+      open: () => LedgerStore.#openFolder(folder),
+      onDamaged: options.onDamaged,
+    });
   }
 
   /**
--- a/src/tasks/log/log_store.ts
+++ b/src/tasks/log/log_store.ts
@@ -1,6 +1,5 @@
 /** Storage of one replica of a replicated log, in a folder of its own. */
 import { randomBytes } from "node:crypto";
-import { rename } from "node:fs/promises";
 import { join } from "node:path";
 import {
   type ConsensusEffect,
@@ -8,7 +7,7 @@
   type Members,
   type StoredLog,
 } from "../../core/consensus/mod.ts";
-import { DamagedFileError, FrameStore } from "../storage/mod.ts";
+import { FrameStore, openOrReplace } from "../storage/mod.ts";
 
 type WriteEffect<C, S> = Extract<ConsensusEffect<C, S>, { type: "write" }>;
 
@@ -85,14 +84,11 @@
     options: LogStoreOptions<S>,
   ): Promise<LogStore<C, S>> {
     const folder = join(options.dataFolder, options.name);
-    try {
-      return await LogStore.#openFolder(folder, options.emptyState);
-    } catch (err) {
-      if (!(err instanceof DamagedFileError)) throw err;
-      await rename(folder, `${folder}.damaged-${Date.now()}`);
-      options.onDamaged?.(err.message);
-      return await LogStore.#openFolder(folder, options.emptyState);
-    }
+    return await openOrReplace<LogStore<C, S>>({
+      folder,
+      open: () => LogStore.#openFolder(folder, options.emptyState),
+      onDamaged: options.onDamaged,
+    });
   }
 
   /**
--- a/src/tasks/storage/mod.ts
+++ b/src/tasks/storage/mod.ts
@@ -1,3 +1,4 @@
 /** Durable storage of frames in files. */
+export * from "./damaged_folder.ts";
 export * from "./frame_codec.ts";
 export * from "./frame_store.ts";
