--- a/soak/fleet/main.ts
+++ b/soak/fleet/main.ts
@@ -2,6 +2,7 @@
 import { appendFileSync } from "node:fs";
 import { defineCommand, runMain } from "citty";
 import { bundleFleetAt, bundlePrograms } from "../../scripts/bundle.ts";
+import { Totals } from "../totals.ts";
 import { FleetSoak } from "./fleet_soak.ts";
 
 const MS_PER_S = 1_000;
@@ -49,7 +50,7 @@
     await bundlePrograms();
     const oldProgram = args.old && await bundleFleetAt(args.old);
     const first = Number(args.seed);
-    const totals = new Map<string, number>();
+    const totals = new Totals();
     const violations: number[] = [];
     for (let i = 0; i < Number(args.runs); i += 1) {
       const seed = first + i;
@@ -65,27 +66,21 @@
           if (args.log) appendFileSync(`${args.log}.${seed}`, `${line}\n`);
         },
       });
-      for (const [name, count] of result.faults) add(totals, name, count);
-      add(totals, "batches", result.batches);
-      add(totals, "calls", result.calls);
-      add(totals, "streams", result.streams);
-      add(totals, "resume attempts", result.resumeAttempts);
-      add(totals, "resumed streams", result.resumed);
-      add(totals, "policies", result.policies);
+      for (const [name, count] of result.faults) totals.add(name, count);
+      totals.add("batches", result.batches);
+      totals.add("calls", result.calls);
+      totals.add("streams", result.streams);
+      totals.add("resume attempts", result.resumeAttempts);
+      totals.add("resumed streams", result.resumed);
+      totals.add("policies", result.policies);
       if (result.violation === undefined) continue;
       violations.push(seed);
       console.log(`seed ${seed}: ${result.violation}`);
     }
-    for (const [name, count] of [...totals].sort()) {
-      console.log(`${name}: ${count}`);
-    }
+    totals.print();
     console.log(`violations: ${violations.length}`);
     process.exit(violations.length > 0 ? 1 : 0);
   },
 });
 
-function add(totals: Map<string, number>, name: string, by: number): void {
-  totals.set(name, (totals.get(name) ?? 0) + by);
-}
-
 runMain(main);
--- a/soak/main.ts
+++ b/soak/main.ts
@@ -2,6 +2,7 @@
 import { defineCommand, runMain } from "citty";
 import { getFaults, RunKind, runOnce } from "./runs.ts";
 import { shrink } from "./schedule.ts";
+import { Totals } from "./totals.ts";
 
 const MS_PER_MINUTE = 60_000;
 const MAX_SHRINK_TRIALS = 200;
@@ -32,15 +33,13 @@
       .filter((kind) => args.kind === undefined || kind === args.kind);
     const endsAt = Date.now() + Number(args.minutes) * MS_PER_MINUTE;
     const maxRuns = args.runs === undefined ? Infinity : Number(args.runs);
-    const totals = new Map<string, number>();
+    const totals = new Totals();
     const first = Number(args.seed);
     for (let i = 0; i < maxRuns; i += 1) {
       if (args.runs === undefined && Date.now() >= endsAt) break;
       for (const kind of kinds) runAndCount(kind, first + i, totals);
     }
-    for (const [name, count] of [...totals].sort()) {
-      console.log(`${name}: ${count}`);
-    }
+    totals.print();
     console.log("violations: 0");
   },
 });
@@ -48,16 +47,16 @@
 function runAndCount(
   kind: RunKind,
   seed: number,
-  totals: Map<string, number>,
+  totals: Totals,
 ): void {
   const result = runOnce(kind, { seed });
-  add(totals, `${kind} schedules`, 1);
-  add(totals, `${kind} steps`, result.steps);
+  totals.add(`${kind} schedules`, 1);
+  totals.add(`${kind} steps`, result.steps);
   for (const [name, count] of result.faults) {
-    add(totals, `${kind} fault ${name}`, count);
+    totals.add(`${kind} fault ${name}`, count);
   }
   for (const [name, count] of Object.entries(result.work)) {
-    add(totals, `${kind} work ${name}`, count);
+    totals.add(`${kind} work ${name}`, count);
   }
   if (result.violation === undefined) return;
   console.log(`violation: ${result.violation}`);
@@ -70,8 +69,4 @@
   process.exit(1);
 }
 
-function add(totals: Map<string, number>, name: string, count: number): void {
-  totals.set(name, (totals.get(name) ?? 0) + count);
-}
-
 runMain(main);
