--- a/bench/slopes/cluster_series.ts
+++ b/bench/slopes/cluster_series.ts
@@ -1,4 +1,5 @@
 /** Series that measure a cluster: idle cost, changes, restarts. */
+import { setTimeout as sleep } from "node:timers/promises";
 import {
   type ClusterMember,
   TestCluster,
@@ -33,10 +34,6 @@
   readonly mebibytes: number;
 }
 
-function sleep(ms: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, ms));
-}
-
 async function readUsage(
   cluster: TestCluster,
   id: string,
--- a/bench/slopes/instance_series.ts
+++ b/bench/slopes/instance_series.ts
@@ -1,4 +1,5 @@
 /** Series that measure one instance under load from callers and trainers. */
+import { setTimeout as sleep } from "node:timers/promises";
 import { Agent, request } from "undici";
 import { FakeTrainer } from "../../fakes/trainer.ts";
 import {
@@ -18,10 +19,6 @@
 /** Duration of the load before a measurement, so that the code is compiled. */
 const WARM_UP_MS = 4_000;
 
-function sleep(ms: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, ms));
-}
-
 interface MeasuredInstance {
   readonly instance: StartedInstance;
   readonly engine: LightEngine;
