--- a/src/tasks/storage/damaged_folder_test.ts
+++ b/src/tasks/storage/damaged_folder_test.ts
@@ -24,10 +24,8 @@
     const details: string[] = [];
     const opened = openOrReplace({
       folder,
-      open: async () => {
-        if (existsSync(folder)) throw error;
-        return "new";
-      },
+      open: () =>
+        existsSync(folder) ? Promise.reject(error) : Promise.resolve("new"),
       onDamaged: (detail) => details.push(detail),
     });
     return { result: await opened.catch((err: Error) => err), details };
