--- a/soak/fleet/fleet_checks.ts
+++ b/soak/fleet/fleet_checks.ts
@@ -1,4 +1,6 @@
 /** Invariants of a fleet, checked on what callers and targets observe. */
+import { InvariantViolationError } from "./invariant_violation_error.ts";
+import { EndedBatches } from "./ended_batches.ts";
 import { eventDataOf, outputOf, softwareOf } from "../../fakes/fleet_text.ts";
 import type { FleetReceiver } from "../../fakes/fleet_receiver.ts";
 import type { FleetReplica, ReplicaRun } from "../../fakes/fleet_replica.ts";
@@ -21,28 +23,19 @@
 /** Number of resume attempts from which their rate is checked. */
 const MIN_RESUME_ATTEMPTS = 12;
 
-/** Error for a violated invariant. */
-export class InvariantViolationError extends Error {
-  /**
-   * @param invariant - Invariant in words.
-   * @param detail - Identifier or values that violate it.
-   */
-  constructor(invariant: string, detail: string) {
-    super(`${invariant}: ${detail}`);
-    this.name = "InvariantViolationError";
-  }
-}
-
 /** Records observations of a run and checks the invariants on them. */
 export class FleetChecks {
   readonly #replicas: readonly FleetReplica[];
   readonly #resultsByBatch = new Map<string, string[]>();
   readonly #refusedCalls = new Set<string>();
   #highestAcked = 0;
+  /** Batches that their callers have ended early. */
+  readonly endedBatches: EndedBatches;
 
   /** Creates checks that read the runs and orders of the given targets. */
   constructor(replicas: readonly FleetReplica[]) {
     this.#replicas = replicas;
+    this.endedBatches = new EndedBatches(replicas);
   }
 
   /**
@@ -163,6 +156,7 @@
     this.#checkNonIdempotentCalls();
     this.#checkUsage(receiver);
     this.#checkHolders(receiver);
+    this.endedBatches.check();
   }
 
   /**
--- a/soak/fleet/fleet_clients.ts
+++ b/soak/fleet/fleet_clients.ts
@@ -31,6 +31,8 @@
 export interface ClientCounts {
   /** Completed batches. */
   batches: number;
+  /** Batches that were ended early. */
+  ended: number;
   /** Plain calls with a response. */
   calls: number;
   /** Last acknowledged revision of the policy. */
@@ -51,6 +53,9 @@
 
 const { host, plain, once, rollout, stream, model } = FLEET_NAMES;
 const ITEMS_PER_BATCH = 12;
+const ITEMS_PER_ENDED_BATCH = 24;
+/** Longest time from the acceptance of a batch to an early end. */
+const MAX_PATIENCE_MS = 600;
 /** Number of callers that read streams at the same time. */
 const STREAM_CALLERS = 6;
 /** Time after which a caller abandons a stream. */
@@ -62,6 +67,7 @@
   readonly #options: FleetClientsOptions;
   readonly #counts: ClientCounts = {
     batches: 0,
+    ended: 0,
     calls: 0,
     policies: 1,
     asked: 0,
@@ -93,6 +99,7 @@
     await Promise.all([
       this.#runTrainer("t1", undefined),
       this.#runTrainer("t2", plain),
+      this.#runImpatientTrainer("t3"),
       this.#runCaller(),
       ...Array.from(
         { length: STREAM_CALLERS },
@@ -120,16 +127,8 @@
     const trainer = this.#createTrainer();
     const timeoutMs = this.#options.timeoutMs;
     for (let step = 0; !this.#isStopping; step += 1) {
-      const plan: BatchPlan = {
-        id: `${name}s${step}`,
-        model,
-        minVersion: Math.max(0, this.#weightVersion - 1),
-        items: Array.from(
-          { length: ITEMS_PER_BATCH },
-          (_, i) => `${name}s${step}g${Math.floor(i / 4)}-${i}`,
-        ),
-        scoringPrefix,
-      };
+      const id = `${name}s${step}`;
+      const plan = this.#createPlan(id, ITEMS_PER_BATCH, scoringPrefix);
       await this.#runChecked(`batch ${plan.id}`, async () => {
         await trainer.submit(plan, timeoutMs);
         const check = (
@@ -144,6 +143,35 @@
     }
   }
 
+  /** Submits batches and ends them early, while their items run. */
+  async #runImpatientTrainer(name: string): Promise<void> {
+    const trainer = this.#createTrainer();
+    const { timeoutMs, random, checks } = this.#options;
+    for (let step = 0; !this.#isStopping; step += 1) {
+      const plan = this.#createPlan(`${name}s${step}`, ITEMS_PER_ENDED_BATCH);
+      await this.#runChecked(`batch ${plan.id}`, async () => {
+        await trainer.submit(plan, timeoutMs);
+        await sleep(random() * MAX_PATIENCE_MS);
+        await trainer.end(plan.id, timeoutMs);
+        checks.endedBatches.onEnded(plan);
+        this.#counts.ended += 1;
+      });
+    }
+  }
+
+  #createPlan(id: string, size: number, scoringPrefix?: string): BatchPlan {
+    return {
+      id,
+      model,
+      minVersion: Math.max(0, this.#weightVersion - 1),
+      items: Array.from(
+        { length: size },
+        (_, i) => `${id}g${Math.floor(i / 4)}-${i}`,
+      ),
+      scoringPrefix,
+    };
+  }
+
   /** Sends plain calls, alternately non-idempotent and idempotent ones. */
   async #runCaller(): Promise<void> {
     const trainer = this.#createTrainer();
--- a/soak/fleet/fleet_soak.ts
+++ b/soak/fleet/fleet_soak.ts
@@ -12,7 +12,8 @@
 import { FLEET_NAMES, fleetPolicy } from "../../tests/support/fleet_policy.ts";
 import { LoopbackNet } from "../../tests/support/loopback_net.ts";
 import { FaultProxy } from "./fault_proxy.ts";
-import { FleetChecks, InvariantViolationError } from "./fleet_checks.ts";
+import { FleetChecks } from "./fleet_checks.ts";
+import { InvariantViolationError } from "./invariant_violation_error.ts";
 import { type ClientCounts, FleetClients } from "./fleet_clients.ts";
 import { FleetFaults } from "./fleet_faults.ts";
 
--- a/soak/fleet/main.ts
+++ b/soak/fleet/main.ts
@@ -68,6 +68,7 @@
       });
       for (const [name, count] of result.faults) totals.add(name, count);
       totals.add("batches", result.batches);
+      totals.add("ended", result.ended);
       totals.add("calls", result.calls);
       totals.add("streams", result.streams);
       totals.add("resume attempts", result.resumeAttempts);
