Callers are not refused as unknown by an instance without a policy lease

An entry instance that is cut off from the control instances answered the end of a batch with 401 or 404 if the key or the host had been added since. Callers don't repeat a request after such a status, and the items ran on. Reads of results and bodies were answered alike.

Cause: host and key were looked up in the policy at hand before the lease was awaited, so the answer came from an outdated policy.

Evidence: call_gate_test.ts authenticates a caller whom only a newer policy knows. Before the change the reasons were keyUnknown and notFound, without a lease (expected dataCentreFenced) and with one that is renewed meanwhile (expected the workspace).

Why this works: the lookup takes place once the lease is held, which says that the policy is no older than the leader's. Without it the answer is dataCentreFenced, a 503 after which callers go to another instance, and ends are kept and sent later.

--- a/src/tasks/calls/call_gate.ts
+++ b/src/tasks/calls/call_gate.ts
@@ -82,28 +82,22 @@
     if (await this.#options.awaitLease(maxWaitMs)) {
       return this.#findAdmissionOrThrow(call);
     }
-    throw new RefusalError(RefusalReason.DataCentreFenced, Verdict.NotRun, {
-      message: "Keys cannot be checked now",
-      retryAfterMs: RETRY_AFTER_MS,
-    });
+    throw createFencedError();
   }
 
   /**
-   * Authenticates a caller by host and key, without a route.
+   * Authenticates a caller by host and key, without a route. Nobody is refused
+   * as unknown without the policy lease: the caller may have been added since,
+   * and does not come back after such a refusal.
    * @returns Name of the caller's workspace.
    * @throws RefusalError with verdict `notRun`.
    */
   async authenticate(host: string, key: string | undefined): Promise<string> {
+    this.#getPolicyOrThrow();
+    if (!await this.#options.awaitLease()) throw createFencedError();
     const policy = this.#getPolicyOrThrow();
     if (!policy.hasHost(host)) throw notFoundError();
-    getWorkspaceOrThrow(policy, key);
-    if (!await this.#options.awaitLease()) {
-      throw new RefusalError(RefusalReason.DataCentreFenced, Verdict.NotRun, {
-        message: "Keys cannot be checked now",
-        retryAfterMs: RETRY_AFTER_MS,
-      });
-    }
-    return getWorkspaceOrThrow(this.#getPolicyOrThrow(), key).name;
+    return getWorkspaceOrThrow(policy, key).name;
   }
 
   #findAdmissionOrThrow(
@@ -156,6 +150,13 @@
   throw new RefusalError(RefusalReason.KeyUnknown, Verdict.NotRun);
 }
 
+function createFencedError(): RefusalError {
+  return new RefusalError(RefusalReason.DataCentreFenced, Verdict.NotRun, {
+    message: "Keys cannot be checked now",
+    retryAfterMs: RETRY_AFTER_MS,
+  });
+}
+
 function notFoundError(): RefusalError {
   return new RefusalError(RefusalReason.NotFound, Verdict.NotRun);
 }
--- a/src/tasks/calls/call_gate_test.ts
+++ b/src/tasks/calls/call_gate_test.ts
@@ -107,6 +107,45 @@
 
   // Guards against refusals of calls that have time left while the control
   // instances start again.
+  /** Authenticates a caller whom the policy in force knows from a time on. */
+  async function doAuthenticationTest(
+    known: Parameters<typeof createPolicy>[0],
+    isLeaseRenewed: boolean,
+  ): Promise<string> {
+    const state = { policy: new PolicyView(createPolicy(known)) };
+    const gate = new CallGate({
+      policy: () => state.policy,
+      hasLease: () => false,
+      awaitLease: () => {
+        if (isLeaseRenewed) state.policy = new PolicyView(POLICY);
+        return Promise.resolve(isLeaseRenewed);
+      },
+      hasControlLeader: () => true,
+    });
+    return await gate.authenticate(KEYED_CALL.host, KEYED_CALL.key);
+  }
+
+  const OUTDATED_POLICIES = [
+    ["key", { ...POLICY, workspaces: [{ name: "w", keys: [], priority: 1 }] }],
+    ["host", { ...POLICY, routes: [] }],
+  ] as const;
+
+  // Guards against callers that give up since an instance is cut off.
+  it.each(OUTDATED_POLICIES)(
+    "does not refuse a %s as unknown without a lease",
+    async (_name, known) => {
+      await expect(doAuthenticationTest(known, false)).rejects
+        .toMatchObject({ reason: "dataCentreFenced", verdict: "notRun" });
+    },
+  );
+
+  it.each(OUTDATED_POLICIES)(
+    "knows a %s that was added before the lease was renewed",
+    async (_name, known) => {
+      expect(await doAuthenticationTest(known, true)).toBe("w");
+    },
+  );
+
   it("waits for the lease for three quarters of a call's time, within limits", async () => {
     await doLeaseTest(1_600, 1_200);
     await doLeaseTest(400, 300);
