An end that is sent again is not dropped as its caller's key is replaced

What callers saw: nothing known. The end of a batch that the ledger had not confirmed was given up if the key that came with it was withdrawn, or the host removed, while it was sent again. Its caller was told that it is not confirmed yet, and the items ran on.

Cause: the caller was authenticated in each round, under the policy of that moment. A withdrawn key ends no batch by itself, but it must not undo a request either that was valid when it arrived.

Evidence: batch_ender_test.ts lets the caller become unknown after the first round. Before the change the ledger was asked in that round alone (expected a confirmation in the next one).

Why this works: the workspace that the first successful check gives is kept with the end. An end whose key could not be checked yet is still dropped if the key is unknown once it can be, as the test of before shows.

--- a/src/tasks/fleet/batch_ender.ts
+++ b/src/tasks/fleet/batch_ender.ts
@@ -18,6 +18,18 @@
   readonly batch: string;
 }
 
+/** End of a batch with what earlier rounds have found out. */
+interface PendingEnd extends EndRequest {
+  /** Workspace of the caller; undefined until it is authenticated. */
+  workspace: string | undefined;
+}
+
+/** An end that is sent again, until its retries have settled. */
+interface UnconfirmedEnd {
+  readonly pending: PendingEnd;
+  readonly retries: Promise<void>;
+}
+
 /** Options of {@link BatchEnder}. */
 export interface BatchEnderOptions {
   readonly node: Pick<FleetNode, "requestLeader" | "logger" | "metrics">;
@@ -56,7 +68,7 @@
 export class BatchEnder {
   readonly #options: BatchEnderOptions;
   /** Ends that are sent again, by host, key and batch. */
-  readonly #unconfirmed = new Map<string, Promise<void>>();
+  readonly #unconfirmed = new Map<string, UnconfirmedEnd>();
 
   constructor(options: BatchEnderOptions) {
     this.#options = options;
@@ -70,10 +82,11 @@
    * await ender.end({ host: "park.example", key, batch: "7c41e0" });
    */
   async end(request: EndRequest): Promise<void> {
+    const pending: PendingEnd = { ...request, workspace: undefined };
     try {
-      await this.#send(request);
+      await this.#send(pending);
     } catch (err) {
-      if (!isTemporary(err) || !this.#retry(request)) throw err;
+      if (!isTemporary(err) || !this.#retry(pending)) throw err;
       throw new RefusalError(
         RefusalReason.LedgerUnavailable,
         Verdict.MayHaveRun,
@@ -84,26 +97,34 @@
 
   /** Waits until no end is sent again, or until a time has passed. */
   async settle(timeoutMs: number): Promise<void> {
-    await settleWithin(Promise.all(this.#unconfirmed.values()), timeoutMs);
+    const ends = [...this.#unconfirmed.values()];
+    await settleWithin(
+      Promise.all(ends.map(({ retries }) => retries)),
+      timeoutMs,
+    );
   }
 
   /** Sends an end again; returns whether it does. */
-  #retry(request: EndRequest): boolean {
-    const key = JSON.stringify([request.host, request.key, request.batch]);
-    if (this.#unconfirmed.has(key)) return true;
+  #retry(pending: PendingEnd): boolean {
+    const key = JSON.stringify([pending.host, pending.key, pending.batch]);
+    const known = this.#unconfirmed.get(key);
+    if (known !== undefined) {
+      known.pending.workspace ??= pending.workspace;
+      return true;
+    }
     if (this.#unconfirmed.size >= MAX_UNCONFIRMED) return false;
-    const retries = this.#sendUntilConfirmed(request)
+    const retries = this.#sendUntilConfirmed(pending)
       .finally(() => this.#unconfirmed.delete(key));
-    this.#unconfirmed.set(key, retries);
+    this.#unconfirmed.set(key, { pending, retries });
     return true;
   }
 
-  async #sendUntilConfirmed(request: EndRequest): Promise<void> {
+  async #sendUntilConfirmed(pending: PendingEnd): Promise<void> {
     const endsAt = performance.now() + RETRY_PERIOD_MS;
     while (performance.now() < endsAt) {
       await sleep(ROUND_PAUSE_MS);
       try {
-        return await this.#send(request);
+        return await this.#send(pending);
       } catch (err) {
         // Each failed round is logged.
         if (!isTemporary(err)) return;
@@ -111,9 +132,13 @@
     }
   }
 
-  /** Sends an end in one round of attempts, and logs the outcome. */
-  async #send({ host, key, batch }: EndRequest): Promise<void> {
+  /**
+   * Sends an end in one round of attempts, and logs the outcome. Its caller is
+   * authenticated once: a later change of the policy does not undo the request.
+   */
+  async #send(pending: PendingEnd): Promise<void> {
     const { node, authenticate } = this.#options;
+    const { host, key, batch } = pending;
     const attempts: string[] = [];
     const startedAt = performance.now();
     const describe = () => ({
@@ -122,8 +147,8 @@
       attempts,
     });
     try {
-      const workspace = await authenticate(host, key);
-      const params: BatchParams = { workspace, batch };
+      pending.workspace ??= await authenticate(host, key);
+      const params: BatchParams = { workspace: pending.workspace, batch };
       await node.requestLeader(FleetRole.Ledger, BatchMethod.End, {
         params,
         timeoutMs: ROUND_TIMEOUT_MS,
--- a/src/tasks/fleet/batch_ender_test.ts
+++ b/src/tasks/fleet/batch_ender_test.ts
@@ -136,6 +136,37 @@
     expect(ended).toEqual([]);
   });
 
+  /** Ends a batch whose caller is known only at the first round. */
+  async function endWithoutCaller(reason: RefusalReason): Promise<unknown[]> {
+    const authenticate = vi.fn()
+      .mockResolvedValueOnce("park")
+      .mockRejectedValue(new RefusalError(reason, Verdict.NotRun));
+    const requestLeader = vi.fn()
+      .mockRejectedValueOnce(noLeaderError())
+      .mockRejectedValueOnce(noLeaderError())
+      .mockResolvedValue(true);
+    const ender = new BatchEnder({
+      node: { requestLeader, ...NO_REPORTS },
+      authenticate,
+    });
+    const outcome = ender.end(REQUEST).catch((err) => err.verdict);
+    expect(await outcome).toBe(Verdict.MayHaveRun);
+    await vi.advanceTimersByTimeAsync(DUE_MS);
+    return await Promise.all(
+      requestLeader.mock.results.map(({ value }) =>
+        Promise.resolve(value).catch(() => false)
+      ),
+    );
+  }
+
+  // Guards against batches that run on since their caller's key was replaced.
+  it.each([RefusalReason.KeyUnknown, RefusalReason.NotFound])(
+    "ends a batch whose caller was authenticated before it became unknown (%s)",
+    async (reason) => {
+      expect(await endWithoutCaller(reason)).toEqual([false, false, true]);
+    },
+  );
+
   it("sends the end of an unknown batch once", async () => {
     const notFound = new RefusalError(RefusalReason.NotFound, Verdict.NotRun);
     const { confirmed, outcome } = await doTest(10_000, notFound);
