The end of an ended batch is acknowledged without another write

What callers saw: nothing known. An entry instance gives each member 450 ms for an end. A ledger that takes longer for a write never acknowledged one, though it carried out the first: each attempt waited for a write of its own, and added one to the log.

Cause: an end was proposed whether or not its batch had ended, and the attempt became shorter than slow writes with the retries of ends.

Evidence: batch_intake_test.ts ends an ended batch. Before the change a second entry was proposed (expected none).

Why this works: an end cannot be undone, so the leader's own state answers the attempts after the write. Another replica does not: the leader may still have to apply the end.

--- a/src/tasks/batches/batch_intake.ts
+++ b/src/tasks/batches/batch_intake.ts
@@ -135,24 +135,22 @@
   }
 
   /**
-   * Ends a batch.
+   * Ends a batch; one that has ended needs no further write.
    * @throws RefusalError if the workspace has no such batch.
    */
   async end({ workspace, batch }: BatchParams): Promise<true> {
-    const record = this.#options.service.state.getForWorkspace(
-      workspace,
-      batch,
-    );
+    const { service } = this.#options;
+    const record = service.state.getForWorkspace(workspace, batch);
+    // The leader may not have applied what another replica has.
+    const isLeader = service.leadsTerm !== undefined;
+    if (isLeader && record?.isEnded === true) return true;
     if (record === undefined) {
-      await this.#options.service.confirmLeadership(CONFIRM_TIMEOUT_MS);
-      if (
-        this.#options.service.state.getForWorkspace(workspace, batch) ===
-          undefined
-      ) {
+      await service.confirmLeadership(CONFIRM_TIMEOUT_MS);
+      if (service.state.getForWorkspace(workspace, batch) === undefined) {
         throw createNotFoundError();
       }
     }
-    await this.#options.service.propose({ type: "end", batch });
+    await service.propose({ type: "end", batch });
     return true;
   }
 }
--- a/src/tasks/batches/batch_intake_test.ts
+++ b/src/tasks/batches/batch_intake_test.ts
@@ -139,3 +139,42 @@
       },
     }, true));
 });
+
+describe(`${BatchIntake.name} with ends`, () => {
+  const params = { workspace: spec.workspace, batch: spec.id };
+
+  it("proposes the end of an open batch", async () => {
+    const { intake, state, proposed } = createIntake({ decisions: [] });
+    state.apply({ type: "accept", spec });
+    expect(await intake.end(params)).toBe(true);
+    expect(proposed).toEqual(["end"]);
+    expect(state.get(spec.id)?.isEnded).toBe(true);
+  });
+
+  // Guards against ends without an answer while writes take longer than an attempt.
+  it("acknowledges the end of an ended batch without another write", async () => {
+    const { intake, state, proposed } = createIntake({ decisions: [] });
+    state.apply({ type: "accept", spec });
+    state.apply({ type: "end", batch: spec.id });
+    expect(await intake.end(params)).toBe(true);
+    expect(proposed).toEqual([]);
+  });
+
+  // Guards against items that run on at a leader that has not applied the end.
+  it("leaves an ended batch to the leader if this replica does not lead", async () => {
+    const { intake, state, proposed } = createIntake({
+      decisions: [],
+      isLeader: false,
+    });
+    state.apply({ type: "accept", spec });
+    state.apply({ type: "end", batch: spec.id });
+    await intake.end(params);
+    expect(proposed).toEqual(["end"]);
+  });
+
+  it("refuses the end of an unknown batch", async () => {
+    const { intake } = createIntake({ decisions: [] });
+    await expect(intake.end(params)).rejects
+      .toMatchObject({ reason: "notFound" });
+  });
+});
