An incarnation is asked again after its connection has ended

A call or an item that went on with an output lost an attempt, and the target ran it in vain, where the last response had ended with its connection: the request was sent, and its response dropped as "The connection was opened again".

Cause: a connection object stays in the pool without its socket, and kept the incarnation that the process behind the last one had named. So the check before the send passed, and the one after the new connection failed.

Fix: a connection without an open socket is reserved without an incarnation.

--- a/src/tasks/paths/target_connection.ts
+++ b/src/tasks/paths/target_connection.ts
@@ -96,9 +96,10 @@
     this.#stopListening = () => signal.removeEventListener("abort", onAbort);
   }
 
-  /** Reserves the connection for a request. */
+  /** Reserves the connection for a request, for which it may be opened again. */
   reserve(): this {
     this.#isIdle = false;
+    if (this.#socket?.destroyed !== false) this.#incarnation = undefined;
     return this;
   }
 
