Nothing but the next events is joined to a stream that goes on

Callers found the text of an error in the middle of their stream, or the stream ended as complete with a part of an event, where it had broken off and the next target answered 200 with something else: a JSON error, a body without events, the first events again. A target without a length that closed inside an event ended the stream as complete, too.

Cause: of a later head only the status was compared with 200; events without a number passed wherever they came; and what followed the last whole event of a response was passed on at its end, as part of a complete stream.

Fix: a later head must have the status and media type of the first; the first event of a later target must be the next one; and an attempt whose response ends inside an event has failed. A response without a length that ends between two events still counts as complete.

--- a/src/core/continuation/event_framer.ts
+++ b/src/core/continuation/event_framer.ts
@@ -13,6 +13,9 @@
 const CARRIAGE_RETURN = 13;
 const ID_LINE = /^id: ?(\d+)$/;
 
+/** A line that is neither empty nor a comment. */
+const FIELD_LINE = /^[^:\r\n]/m;
+
 /** Thrown for an event without an end. */
 export class EventTooLargeError extends Error {
   constructor() {
@@ -72,6 +75,11 @@
     return frames;
   }
 
+  /** Gets whether an event has begun that is not whole; comments are none. */
+  get isInEvent(): boolean {
+    return hasField(Buffer.concat(this.#pending));
+  }
+
   /** Removes and gets the bytes after the last whole event. */
   takeRest(): Uint8Array {
     const rest = Buffer.concat(this.#pending);
@@ -120,3 +128,15 @@
     this.#id = undefined;
   }
 }
+
+/**
+ * Gets whether bytes of an event stream hold more than comments.
+ *
+ * @example
+ * ```ts
+ * hasField(Buffer.from(": ping\n\n")); // false
+ * ```
+ */
+export function hasField(bytes: Uint8Array): boolean {
+  return FIELD_LINE.test(Buffer.from(bytes).toString("latin1"));
+}
--- a/src/tasks/calls/call_output.ts
+++ b/src/tasks/calls/call_output.ts
@@ -4,6 +4,7 @@
 import type { CallRunOptions } from "./call_run_options.ts";
 import { ResumableStream } from "./resumable_stream.ts";
 import {
+  type AttemptOutcome,
   type CallAttempt,
   type ResponseStream,
   Verification,
@@ -20,6 +21,13 @@
   readonly onProgress: () => void;
 }
 
+const CUT_IN_EVENT: AttemptOutcome = {
+  type: "failed",
+  mayHaveRun: true,
+  isBroken: false,
+  detail: "The stream ended inside an event",
+};
+
 /** Binds the output of a call to the software version that began it. */
 export class CallOutput {
   readonly #options: CallOutputOptions;
@@ -69,6 +77,17 @@
     return this.#resumable?.beginAttempt() ?? this.#options.stream;
   }
 
+  /**
+   * Checks how an attempt ended: one whose response ends inside an event has
+   * failed, also if its framing says that it is complete.
+   */
+  checkEnd(outcome: AttemptOutcome): AttemptOutcome {
+    if (outcome.type === "failed" || !this.#resumable?.isCutInEvent) {
+      return outcome;
+    }
+    return CUT_IN_EVENT;
+  }
+
   /** Passes on the rest of a complete response. */
   end(): void {
     this.#resumable?.end();
--- a/src/tasks/calls/call_run.ts
+++ b/src/tasks/calls/call_run.ts
@@ -226,9 +226,11 @@
       ...this.#output.attemptAt(report),
     };
     const sink = this.#output.beginAttempt();
-    const outcome = sink === undefined
-      ? await this.#dependencies.targets.send(attempt)
-      : await this.#dependencies.targets.stream(attempt, sink);
+    const outcome = this.#output.checkEnd(
+      sink === undefined
+        ? await this.#dependencies.targets.send(attempt)
+        : await this.#dependencies.targets.stream(attempt, sink),
+    );
     const now = performance.now();
     latencies.onEnded(report.id, {
       latencyMs: now - startedAt,
--- a/src/tasks/calls/resumable_stream.ts
+++ b/src/tasks/calls/resumable_stream.ts
@@ -1,6 +1,10 @@
 /** The response of a stream that goes on at other targets. */
 import type { HeaderList } from "../../core/calls/mod.ts";
-import { type EventFrame, EventFramer } from "../../core/continuation/mod.ts";
+import {
+  type EventFrame,
+  EventFramer,
+  hasField,
+} from "../../core/continuation/mod.ts";
 import { NutmegreelError } from "../../core/errors/mod.ts";
 import type { ResponseStream } from "./target_port.ts";
 
@@ -16,7 +20,14 @@
   readonly onProgress?: () => void;
 }
 
-const OK_STATUS = 200;
+const EVENT_STREAM = "text/event-stream";
+
+/** What all heads of one response have in common. */
+interface StreamKind {
+  readonly status: number;
+  /** Media type, without parameters; undefined if none is named. */
+  readonly type: string | undefined;
+}
 
 /** Thrown if a target does not go on where the last one ended. */
 export class StreamMismatchError extends NutmegreelError {
@@ -33,8 +44,11 @@
   readonly #options: ResumableStreamOptions;
   readonly #framer = new EventFramer();
   #lastEventId: number | undefined;
-  #hasHead = false;
+  /** Kind of the first head; undefined before that. */
+  #kind: StreamKind | undefined;
   #hasEvents = false;
+  /** Whether the target of the attempt must still send the next event. */
+  #isNextDue = false;
   /** Whether the target of the attempt has sent an event. */
   #hasProgressed = false;
   /** Events that wait until the first one may be passed on. */
@@ -48,7 +62,7 @@
 
   /** Gets whether any part of the response has been passed on. */
   get hasHead(): boolean {
-    return this.#hasHead;
+    return this.#kind !== undefined;
   }
 
   /** Gets whether any event of this response has been passed on. */
@@ -69,6 +83,7 @@
     this.#framer.takeRest();
     this.#held = undefined;
     this.#hasProgressed = false;
+    this.#isNextDue = this.#hasEvents && this.#lastEventId !== undefined;
     return this;
   }
 
@@ -77,13 +92,16 @@
    * @throws StreamMismatchError if a later target does not go on.
    */
   onHead(status: number, headers: HeaderList): void {
-    if (!this.#hasHead) {
-      this.#hasHead = true;
+    const kind = { status, type: mediaTypeOf(headers) };
+    if (this.#kind === undefined) {
+      this.#kind = kind;
       this.#options.sink.onHead(status, headers);
       return;
     }
-    if (status === OK_STATUS) return;
-    throw new StreamMismatchError(`Status ${status} where a stream goes on`);
+    if (status === this.#kind.status && kind.type === this.#kind.type) return;
+    throw new StreamMismatchError(
+      `Status ${status}, type ${kind.type} where a stream goes on`,
+    );
   }
 
   /**
@@ -112,6 +130,13 @@
     await this.#options.sink.drained();
   }
 
+  /** Gets whether a target that sends no more has not completed an event. */
+  get isCutInEvent(): boolean {
+    const hasNumbers = this.#hasEvents && this.#lastEventId !== undefined;
+    return (hasNumbers || this.#kind?.type === EVENT_STREAM) &&
+      this.#framer.isInEvent;
+  }
+
   /** Passes on what a target sent after its last event, as it is complete. */
   end(): void {
     const rest = this.#framer.takeRest();
@@ -134,6 +159,7 @@
     let takesMore = true;
     for (const { bytes, id } of frames) {
       if (id !== undefined) this.#advanceTo(id);
+      else this.#throwIfDue(bytes);
       takesMore = this.#options.sink.onData(bytes);
     }
     return takesMore;
@@ -145,5 +171,20 @@
       throw new StreamMismatchError(`Event ${id} after event ${last}`);
     }
     this.#lastEventId = id;
+    this.#isNextDue = false;
   }
+
+  /** Refuses an event without a number in place of the next one. */
+  #throwIfDue(bytes: Uint8Array): void {
+    if (!this.#isNextDue || !hasField(bytes)) return;
+    throw new StreamMismatchError(
+      `Event without a number after event ${this.#lastEventId}`,
+    );
+  }
+}
+
+function mediaTypeOf(headers: HeaderList): string | undefined {
+  const value = headers.find(([name]) => name.toLowerCase() === "content-type")
+    ?.[1];
+  return value?.split(";")[0].trim().toLowerCase();
 }
--- a/src/tasks/calls/resumable_stream_test.ts
+++ b/src/tasks/calls/resumable_stream_test.ts
@@ -89,5 +89,35 @@
     await rejects([[eventOf(1)], [eventOf(3)]]);
     await rejects([[eventOf(1)], [eventOf(1)]]);
     await rejects([[eventOf(1)]], 4);
+    await rejects([[eventOf(1)], ["event: error\ndata: failed\n\n"]]);
+  });
+
+  it("passes on comments where the next event is due", () =>
+    doTest(
+      [[eventOf(1)], [": ping\n\n", eventOf(2)]],
+      [
+        eventOf(1),
+        ": ping\n\n",
+        eventOf(2),
+      ].join(""),
+    ));
+
+  it("takes a later head only if it is of the same kind", () => {
+    const stream = new ResumableStream({
+      sink: {
+        onHead: () => {},
+        onData: () => true,
+        drained: () => Promise.resolve(),
+      },
+      after: undefined,
+      onFirstEvent: () => Promise.resolve(),
+    });
+    const type = "text/event-stream";
+    const onHead = (status: number, value: string) =>
+      stream.beginAttempt().onHead(status, [["Content-Type", value]]);
+    onHead(200, type);
+    onHead(200, `${type}; charset=utf-8`);
+    expect(() => onHead(200, "application/json")).toThrow(StreamMismatchError);
+    expect(() => onHead(404, type)).toThrow(StreamMismatchError);
   });
 });
--- a/tests/support/cut_responses.ts
+++ b/tests/support/cut_responses.ts
@@ -78,13 +78,15 @@
 ): NamedCut[] {
   return Array.from({ length: bytes.length + 1 - from }, (_, i) => {
     const at = from + i;
-    const part = bytes.subarray(0, at);
-    const isError = way === "error";
-    return {
-      name: `${name}, ${way} at ${at}`,
-      bytes: isError ? Buffer.concat([part, Buffer.from(ERROR)]) : part,
-      end: isError ? "closed" : way,
-    };
+    const part = at === bytes.length ? bytes : bytes.subarray(0, at);
+    const label = `${name}, ${way} at ${at}`;
+    if (way === "error") {
+      const all = Buffer.concat([part, Buffer.from(ERROR)]);
+      return { name: label, bytes: all, end: "closed" };
+    }
+    // The connection of a whole response may carry the request of another case.
+    const end = keepsConnection(bytes) && part === bytes ? "open" : way;
+    return { name: label, bytes: part, end };
   });
 }
 
@@ -105,3 +107,11 @@
     ? bytes.indexOf(HEAD_END, end + 1)
     : end;
 }
+
+/** Gets whether a whole response leaves its connection open. */
+function keepsConnection(bytes: Buffer): boolean {
+  const head = bytes.subarray(0, headEndOf(bytes)).toString("latin1");
+  const hasEnd = /Content-Length|Transfer-Encoding/.test(head);
+  return hasEnd && !head.includes("HTTP/1.0 ") && !head.includes(": close") ||
+    head.includes(": keep-alive");
+}
