--- a/soak/output_simulation.ts
+++ b/soak/output_simulation.ts
@@ -328,9 +328,9 @@
   ): TargetProcess | undefined {
     const process = this.#processes.get(report.id);
     if (process?.isRunning !== true) return undefined;
-    const isMeant = process.incarnation === report.incarnation;
+    const isSameIncarnation = process.incarnation === report.incarnation;
     const isRequired = needsIncarnation && this.#guards.incarnation;
-    return isRequired && !isMeant ? undefined : process;
+    return isRequired && !isSameIncarnation ? undefined : process;
   }
 
   /** Sets the version that a target reports, if it names its incarnation. */
--- a/soak/stream_memory.ts
+++ b/soak/stream_memory.ts
@@ -60,9 +60,9 @@
     const { own, links } = this.#options.scheduler.pick(this.#entries);
     own.add(record);
     for (const control of links) {
-      const fate = this.#random();
-      if (fate < LOST_SHARE) continue;
-      if (fate < LOST_SHARE + LATE_SHARE) this.#late.push({ control, record });
+      const draw = this.#random();
+      if (draw < LOST_SHARE) continue;
+      if (draw < LOST_SHARE + LATE_SHARE) this.#late.push({ control, record });
       else this.#controls[control].add(record);
     }
     return this;
--- a/src/core/batches/batch_shares.ts
+++ b/src/core/batches/batch_shares.ts
@@ -23,7 +23,7 @@
 }
 
 /** Use of the slots by a batch as the order grows. */
-interface Turn {
+interface BatchCursor {
   readonly queue: BatchQueue;
   readonly workspace: WorkspaceUse;
   next: number;
@@ -56,38 +56,38 @@
  * ```
  */
 export function mergeByShares(input: BatchSharesInput): WaitingItem[] {
-  const turns = createTurns(input.queues);
+  const cursors = createCursors(input.queues);
   const order: WaitingItem[] = [];
-  let total = sumOf(turns, ({ tokens }) => tokens);
-  let items = sumOf(turns, (turn) => turn.items);
-  let open = turns.filter(hasNext);
+  let total = sumOf(cursors, ({ tokens }) => tokens);
+  let items = sumOf(cursors, (cursor) => cursor.items);
+  let open = cursors.filter(hasNext);
   while (open.length > 0) {
     const urgent = findUrgent(open);
-    const turn = findStarved(open, urgent.queue.rank) ?? urgent;
-    const waiting = nextOf(turn);
+    const cursor = findStarved(open, urgent.queue.rank) ?? urgent;
+    const waiting = nextOf(cursor);
     const tokens = input.tokensOf(waiting);
     order.push(waiting);
-    turn.next += 1;
-    turn.tokens += tokens;
-    turn.items += 1;
-    turn.workspace.tokens += tokens;
+    cursor.next += 1;
+    cursor.tokens += tokens;
+    cursor.items += 1;
+    cursor.workspace.tokens += tokens;
     total += tokens;
     items += 1;
-    if (!hasNext(turn)) open = open.filter(hasNext);
+    if (!hasNext(cursor)) open = open.filter(hasNext);
   }
   return order;
 
   /** Gets the less urgent batch that is furthest from its least share. */
   function findStarved(
-    candidates: readonly Turn[],
+    candidates: readonly BatchCursor[],
     rank: number,
-  ): Turn | undefined {
-    let least: Turn | undefined;
+  ): BatchCursor | undefined {
+    let least: BatchCursor | undefined;
     let granted = 1;
-    for (const turn of candidates) {
-      if (turn.queue.rank === rank) continue;
-      granted += turn.items;
-      if (least === undefined || turn.tokens < least.tokens) least = turn;
+    for (const cursor of candidates) {
+      if (cursor.queue.rank === rank) continue;
+      granted += cursor.items;
+      if (least === undefined || cursor.tokens < least.tokens) least = cursor;
     }
     if (least === undefined || granted > MAX_LEAST_SHARES * items) {
       return undefined;
@@ -98,23 +98,23 @@
   }
 }
 
-function nextOf({ queue, next }: Turn): WaitingItem {
+function nextOf({ queue, next }: BatchCursor): WaitingItem {
   return queue.waiting[next];
 }
 
 /** Gets the batch that uses least, of the workspace that uses least. */
-function findUrgent(open: readonly Turn[]): Turn {
+function findUrgent(open: readonly BatchCursor[]): BatchCursor {
   let best = open[0];
-  for (const turn of open) {
-    const difference = turn.queue.rank - best.queue.rank ||
-      turn.workspace.tokens - best.workspace.tokens ||
-      turn.tokens - best.tokens;
-    if (difference < 0) best = turn;
+  for (const cursor of open) {
+    const difference = cursor.queue.rank - best.queue.rank ||
+      cursor.workspace.tokens - best.workspace.tokens ||
+      cursor.tokens - best.tokens;
+    if (difference < 0) best = cursor;
   }
   return best;
 }
 
-function createTurns(queues: readonly BatchQueue[]): Turn[] {
+function createCursors(queues: readonly BatchQueue[]): BatchCursor[] {
   const workspaces = new Map<string, WorkspaceUse>();
   return queues.map((queue) => {
     let workspace = workspaces.get(queue.workspace);
@@ -133,6 +133,6 @@
   });
 }
 
-function hasNext({ queue, next }: Turn): boolean {
+function hasNext({ queue, next }: BatchCursor): boolean {
   return next < queue.waiting.length;
 }
--- a/src/core/batches/item_tracker.ts
+++ b/src/core/batches/item_tracker.ts
@@ -162,10 +162,10 @@
     const known = texts.filter(({ software }) => software !== undefined)
       .sort((a, b) => b.lastId - a.lastId);
     const unverified = this.#progress.get(item.id)?.unverifiedRuns ?? 0;
-    const mayGoOn = unverified < MAX_UNVERIFIED_RUNS;
+    const isResumable = unverified < MAX_UNVERIFIED_RUNS;
     return {
       complete: complete && new RunText(complete),
-      partial: mayGoOn ? known.map((text) => new RunText(text)) : [],
+      partial: isResumable ? known.map((text) => new RunText(text)) : [],
       receivedEvents: Math.max(0, ...texts.map(({ lastId }) => lastId)),
     };
   }
--- a/src/core/batches/pace_stats.ts
+++ b/src/core/batches/pace_stats.ts
@@ -52,9 +52,9 @@
 /** Time without an event after which a recent pace expires. */
 const STALE_MS = 3_000;
 /** Time without an event after which a recent pace gradually decays. */
-const FORGET_AFTER_MS = 500;
+const DECAY_DELAY_MS = 500;
 /** Time constant of that decay. */
-const FORGET_MS = 2_000;
+const DECAY_MS = 2_000;
 
 /** Creates the measurements of a target without events. */
 export function createPaceStats(
@@ -140,9 +140,9 @@
 /** Gets the recent pace, which tends to the long-run pace without events. */
 export function recentMsOf(stats: PaceStats, now: number): number {
   if (!hasInherent(stats)) return stats.recentMs;
-  const ageMs = Math.max(0, now - stats.lastSampleAt - FORGET_AFTER_MS);
+  const ageMs = Math.max(0, now - stats.lastSampleAt - DECAY_DELAY_MS);
   const excessMs = stats.recentMs - stats.inherentMs;
-  return stats.inherentMs + excessMs * Math.exp(-ageMs / FORGET_MS);
+  return stats.inherentMs + excessMs * Math.exp(-ageMs / DECAY_MS);
 }
 
 /** Gets whether the long-run pace is known. */
--- a/src/core/batches/process_lag.ts
+++ b/src/core/batches/process_lag.ts
@@ -25,7 +25,7 @@
 export class ProcessLag {
   readonly #tickMs: number;
   #tickedAt: number | undefined;
-  #keptUpFrom = -Infinity;
+  #measurableFrom = -Infinity;
 
   /**
    * Creates the state of a process without ticks.
@@ -38,20 +38,20 @@
   /** Resets the ticks after they have stopped. */
   reset(): this {
     this.#tickedAt = undefined;
-    this.#keptUpFrom = -Infinity;
+    this.#measurableFrom = -Infinity;
     return this;
   }
 
   /** Records a tick. */
   onTick(now: number): this {
-    if (this.#isOverdue(now)) this.#keptUpFrom = now + SETTLE_MS;
+    if (this.#isOverdue(now)) this.#measurableFrom = now + SETTLE_MS;
     this.#tickedAt = now;
     return this;
   }
 
   /** Gets whether the process did not stall within a time that ends now. */
   isMeasured(from: number, now: number): boolean {
-    return from >= this.#keptUpFrom && !this.#isOverdue(now);
+    return from >= this.#measurableFrom && !this.#isOverdue(now);
   }
 
   #isOverdue(now: number): boolean {
--- a/src/core/batches/target_pace.ts
+++ b/src/core/batches/target_pace.ts
@@ -28,11 +28,11 @@
 
 const DEFAULT_PACE_MS = 60;
 /** Ratio of recent to long-run pace above which a target is degraded. */
-const SICK_RATIO = 3;
+const DEGRADED_RATIO = 3;
 /** Time for which a target is degraded before its runs are moved. */
-const LASTING_MS = 200;
+const PERSISTENCE_MS = 200;
 /** Ratio to the slow end of its service above which a new target is degraded. */
-const SICK_SERVICE_RATIO = 3.5;
+const DEGRADED_SERVICE_RATIO = 3.5;
 /** Ratio to the long-run pace from which the recent pace is expected to last. */
 const CHANGED_RATIO = 1.5;
 /** Time after which a changed pace becomes the long-run pace. */
@@ -197,7 +197,7 @@
     const stats = this.#table.get(target);
     const since = stats?.degradedSince;
     if (stats === undefined || since === undefined) return false;
-    if (now - since < LASTING_MS) return false;
+    if (now - since < PERSISTENCE_MS) return false;
     if (hasInherent(stats) && !areMostLate(stats)) return false;
     return this.#isDegraded(stats, now);
   }
@@ -237,10 +237,10 @@
     const recentMs = recentMsOf(stats, now);
     // A delay of this process shows at all targets; their median cancels it.
     if (hasInherent(stats)) {
-      return recentMs > SICK_RATIO * medianRatio * stats.inherentMs;
+      return recentMs > DEGRADED_RATIO * medianRatio * stats.inherentMs;
     }
     if (slowEndMs === undefined || !isCurrent(stats, now)) return false;
-    return recentMs > SICK_SERVICE_RATIO * medianRatio * slowEndMs;
+    return recentMs > DEGRADED_SERVICE_RATIO * medianRatio * slowEndMs;
   }
 
   #medianMs(service: string, now: number): number {
--- a/src/core/consensus/membership_repair.ts
+++ b/src/core/consensus/membership_repair.ts
@@ -57,7 +57,7 @@
 function removeDownLearner(input: RepairInput): Members | undefined {
   const { members, isRetiring } = input;
   const down = members.learners
-    .find((id) => isLostForGood(id, input) || isRetiring?.(id) === true);
+    .find((id) => isPermanentlyLost(id, input) || isRetiring?.(id) === true);
   if (down === undefined) return undefined;
   const learners = members.learners.filter((id) => id !== down);
   return { voters: members.voters, learners };
@@ -95,7 +95,7 @@
 function removeLostVoter(input: RepairInput): Members | undefined {
   const { members, present, isCaughtUp } = input;
   if (members.voters.length <= 1) return undefined;
-  const lost = members.voters.find((id) => isLostForGood(id, input));
+  const lost = members.voters.find((id) => isPermanentlyLost(id, input));
   const hasReplacement = members.learners
     .some((id) => present.includes(id) && isCaughtUp(id));
   if (lost === undefined || !hasReplacement) return undefined;
@@ -131,11 +131,11 @@
 function stayingVoters(input: RepairInput): ReplicaId[] {
   const { members, isRetiring } = input;
   return members.voters
-    .filter((id) => !isLostForGood(id, input) && isRetiring?.(id) !== true);
+    .filter((id) => !isPermanentlyLost(id, input) && isRetiring?.(id) !== true);
 }
 
 /** Gets whether a replica is down for good, or its disk was lost. */
-function isLostForGood(
+function isPermanentlyLost(
   id: ReplicaId,
   { present, isPermanentlyDown }: RepairInput,
 ): boolean {
--- a/src/core/quarantine/trial_limiter.ts
+++ b/src/core/quarantine/trial_limiter.ts
@@ -35,7 +35,7 @@
 /** Retry delay while other requests of the service are tried. */
 const BUSY_RETRY_MS = 30;
 /** Retry delay until targets that have ended may be back. */
-const WEAK_RETRY_MS = 1_000;
+const UNHEALTHY_RETRY_MS = 1_000;
 /** Reply that grants a trial. */
 export const GRANTED_TRIAL: TrialReply = { isGranted: true, retryAfterMs: 0 };
 
@@ -65,7 +65,7 @@
   ): TrialReply {
     const needed = Math.max(1, Math.min(deaths + 1, known));
     if (healthy < needed) {
-      return { isGranted: false, retryAfterMs: WEAK_RETRY_MS };
+      return { isGranted: false, retryAfterMs: UNHEALTHY_RETRY_MS };
     }
     const others = this.#runningBeside({ fingerprint, service }, now);
     if (others > 0 && healthy < deaths + 1 + others) {
