--- a/soak/output_simulation.ts
+++ b/soak/output_simulation.ts
@@ -15,7 +15,7 @@
 import { createItem, createSpec } from "../tests/support/batch_spec.ts";
 import { createReport } from "../tests/support/target_report.ts";
 import type { RunResult } from "./schedule.ts";
-import { StreamMemory } from "./stream_memory.ts";
+import { StreamInstances } from "./stream_instances.ts";
 
 /** Parts of the rule that a simulation can disable. */
 export interface OutputGuards {
@@ -79,7 +79,7 @@
   /** Reports known to the leader and to entry instances, some outdated. */
   readonly #reports = new Map<string, TargetReport>();
   readonly #undelivered: TargetReport[] = [];
-  readonly #memory: StreamMemory;
+  readonly #instances: StreamInstances;
   readonly #counts: Record<string, number> = {};
   #state = new BatchState();
   #tracker = new ItemTracker();
@@ -99,7 +99,7 @@
       record: true,
       ...guards,
     };
-    this.#memory = new StreamMemory({
+    this.#instances = new StreamInstances({
       scheduler: this.#scheduler,
       now: () => this.#time,
       maxStreams: STEPS,
@@ -170,17 +170,17 @@
       if (stream !== undefined) this.#resume(stream);
     },
     loseAllEntries: () => {
-      this.#memory.loseAllEntries();
+      this.#instances.loseAllEntries();
       const broken = this.#streams.filter(({ run }) => run !== undefined);
       for (const stream of broken) stream.run = undefined;
       // Callers retry at once, and again once the instances have links.
       for (const stream of broken) this.#resume(stream);
-      this.#memory.linkEntries();
+      this.#instances.linkEntries();
       for (const stream of broken) this.#resume(stream);
     },
-    linkEntries: () => this.#memory.linkEntries(),
-    loseControl: () => this.#memory.loseControl(),
-    deliverLate: () => this.#memory.deliverLate(),
+    linkEntries: () => this.#instances.linkEntries(),
+    loseControl: () => this.#instances.loseControl(),
+    deliverLate: () => this.#instances.deliverLate(),
   };
 
   #pickTarget(): string {
@@ -417,14 +417,19 @@
 
   #record({ request }: CallerStream, software: string | undefined): void {
     const writer = { service: SERVICE, software };
-    this.#memory.record({ workspace: "w", request, writer, keepMs: KEEP_MS });
+    this.#instances.record({
+      workspace: "w",
+      request,
+      writer,
+      keepMs: KEEP_MS,
+    });
   }
 
   #resume(stream: CallerStream): void {
     if (stream.run !== undefined || stream.events.length === EVENTS) return;
     if (stream.events.length === 0) return this.#startStream(stream, undefined);
     const key = { workspace: "w", request: stream.request };
-    const writer = this.#memory.find(key);
+    const writer = this.#instances.find(key);
     if (writer !== undefined) return this.#startStream(stream, writer);
     if (!this.#guards.version || !this.#guards.record) {
       return this.#startStream(stream, undefined);
--- a/soak/stream_memory.ts
+++ b/soak/stream_instances.ts
@@ -7,8 +7,8 @@
   type StreamRecord,
 } from "../src/core/continuation/mod.ts";
 
-/** Options of {@link StreamMemory}. */
-export interface StreamMemoryOptions {
+/** Options of {@link StreamInstances}. */
+export interface StreamInstancesOptions {
   readonly scheduler: Scheduler;
   /** Gets the time of the simulation. */
   readonly now: () => number;
@@ -37,13 +37,13 @@
  * to each other. Records are lost or delayed; any instance may lose all of
  * them.
  */
-export class StreamMemory {
-  readonly #options: StreamMemoryOptions;
+export class StreamInstances {
+  readonly #options: StreamInstancesOptions;
   readonly #controls: StreamDirectory[];
   #entries: Entry[];
   readonly #late: { control: number; record: StreamRecord }[] = [];
 
-  constructor(options: StreamMemoryOptions) {
+  constructor(options: StreamInstancesOptions) {
     this.#options = options;
     this.#controls = Array.from(
       { length: CONTROLS },
