--- a/src/core/batches/mod.ts
+++ b/src/core/batches/mod.ts
@@ -7,7 +7,7 @@
 export * from "./item_placement.ts";
 export type { ExpectedRun, PlacementTarget } from "./target_ranking.ts";
 export * from "./known_paces.ts";
-export * from "./pace_memory.ts";
+export * from "./pace_store.ts";
 export * from "./pace_recipients.ts";
 export * from "./process_lag.ts";
 export * from "./run_text.ts";
--- a/src/core/batches/pace_memory.ts
+++ b/src/core/batches/pace_store.ts
@@ -58,7 +58,7 @@
  * memory.changesSince(0, clock).targets;
  * ```
  */
-export class PaceMemory {
+export class PaceStore {
   readonly #targets = new Map<string, Kept<TargetPaceRecord>>();
   readonly #services = new Map<string, Kept<EstimateRecord>>();
   #revision = 0;
--- a/src/tasks/batches/pace_keeper.ts
+++ b/src/tasks/batches/pace_keeper.ts
@@ -2,8 +2,8 @@
 import {
   type KnownPaces,
   type PaceClock,
-  PaceMemory,
   PaceRecipients,
+  PaceStore,
 } from "../../core/batches/mod.ts";
 import { FleetRole } from "../../core/fleet/mod.ts";
 import type { FleetNode } from "../fleet/fleet_node.ts";
@@ -40,7 +40,7 @@
  */
 export class PaceKeeper {
   readonly #options: PaceKeeperOptions;
-  readonly #memory = new PaceMemory();
+  readonly #memory = new PaceStore();
   readonly #recipients = new PaceRecipients();
   readonly #file: PaceFile;
   readonly #writing: PeriodicTask;
