--- a/src/core/batches/batch_shares_test.ts
+++ b/src/core/batches/batch_shares_test.ts
@@ -69,7 +69,7 @@
       expect(longestWaitOf(shares)).toBeLessThan(5_000);
     }));
 
-  it("completes all in time where there is room for all", () =>
+  it("completes all in time where there is capacity for all", () =>
     doTest(UNEVEN, 1.2, (shares) => {
       expect(shares.every(({ inTime }) => inTime === 1)).toBe(true);
     }));
--- a/src/core/batches/pace_store_test.ts
+++ b/src/core/batches/pace_store_test.ts
@@ -50,7 +50,7 @@
     expect(paces(store)).toEqual([20]);
   });
 
-  // Failure: a log that was formed anew begins with low terms.
+  // Failure: a newly formed log begins with low terms.
   it("accepts an earlier term once the later one is silent for long", () => {
     const store = new PaceStore();
     store.merge(message(20, { term: 5 }), clock(0));
@@ -68,7 +68,7 @@
     expect(paces(store)).toEqual(expected);
   });
 
-  // Failure: either clock stands still or is set back, so old paces seem new.
+  // Failure: either clock stops or is set back, so old paces seem new.
   it.each([
     clock(FIVE_MINUTES_MS + 1, WALL_MS),
     clock(0, WALL_MS + FIVE_MINUTES_MS + 1),
--- a/src/core/batches/prompt_locations_test.ts
+++ b/src/core/batches/prompt_locations_test.ts
@@ -19,19 +19,19 @@
     expect([...targets]).toEqual(expected);
   }
 
-  it("remembers the targets of a group for a while after its runs", () => {
+  it("tracks the targets of a group for a while after its runs", () => {
     const prompts = new PromptLocations().add(memberOf("g"), "x", 0);
     doTest(prompts, { group: "g", now: 10_000 }, ["x"]);
     doTest(prompts, { group: "h", now: 10_000 }, []);
     doTest(prompts, { group: "g", now: 30_000 }, []);
   });
 
-  it("forgets a target that has refused the prompt", () => {
+  it("removes a target that has refused the prompt", () => {
     const prompts = new PromptLocations().add(memberOf("g"), "x", 0);
     doTest(prompts.remove(memberOf("g"), "x"), { group: "g", now: 1 }, []);
   });
 
-  it("forgets the oldest of many groups", () => {
+  it("evicts the oldest of many groups", () => {
     const prompts = new PromptLocations();
     for (let i = 0; i < 5_000; i += 1) prompts.add(memberOf(`g${i}`), "x", 0);
     doTest(prompts, { group: "g0", now: 1 }, []);
--- a/src/core/batches/service_targets_test.ts
+++ b/src/core/batches/service_targets_test.ts
@@ -39,7 +39,7 @@
   it("counts targets that are lost while others are left", () =>
     doTest({ now: 50_000, isOtherLeft: true }, { slots: 24, startable: 1 }));
 
-  it("forgets targets that stay lost", () =>
+  it("removes targets that stay lost", () =>
     doTest({ now: 61_000, isOtherLeft: true }, { slots: 12, startable: 2 }));
 
   it("counts those that can start once all are lost for long", () => {
@@ -47,7 +47,7 @@
     doTest({ now: 11_000 }, { slots: 0, startable: 3 });
   });
 
-  it("tells nothing from targets whose paces are not measured", () => {
+  it("infers no capacity from targets whose paces are not measured", () => {
     const targets = new ServiceTargets()
       .onSeen([{ ...target, isPaceKnown: false }], 0);
     expect(targets.capacityOf("s", {
--- a/src/core/batches/start_pacer_test.ts
+++ b/src/core/batches/start_pacer_test.ts
@@ -56,7 +56,7 @@
     expect(pacer.onTick(TICK_MS).left).toBe(56);
   });
 
-  it("begins anew with each lead", () => {
+  it("restarts with each leadership", () => {
     const pacer = new StartPacer(TICK_MS);
     for (let now = 0; now < 5_000; now += TICK_MS) pacer.onTick(now);
     expect(pacer.left).toBe(256);
--- a/src/core/batches/target_pace_test.ts
+++ b/src/core/batches/target_pace_test.ts
@@ -7,7 +7,7 @@
 }
 
 /** Records events at a constant pace until a time. */
-function play(
+function recordEvents(
   pace: TargetPace,
   at: PacedTarget,
   events: { from: number; to: number; gapMs: number; load?: number },
@@ -63,9 +63,9 @@
   it("detects a target that is far beyond its own pace", () => {
     const [fast, slow] = [target("x"), target("y")];
     const pace = new TargetPace();
-    play(pace, fast, { from: 0, to: 1_000, gapMs: 14 });
-    play(pace, slow, { from: 0, to: 1_000, gapMs: 34 });
-    play(pace, fast, { from: 1_000, to: 4_000, gapMs: 140 });
+    recordEvents(pace, fast, { from: 0, to: 1_000, gapMs: 14 });
+    recordEvents(pace, slow, { from: 0, to: 1_000, gapMs: 34 });
+    recordEvents(pace, fast, { from: 1_000, to: 4_000, gapMs: 140 });
     expect(pace.isDegraded(fast, 4_000)).toBe(true);
     expect(pace.isDegraded(slow, 1_100)).toBe(false);
     expect(pace.paceMs(fast, 4_000)).toBeGreaterThan(100);
@@ -76,15 +76,15 @@
     const pace = new TargetPace();
     const slow = target("z", { service: "t" });
     for (const id of ["x", "y"]) {
-      play(pace, target(id), { from: 0, to: 1_000, gapMs: 10 });
+      recordEvents(pace, target(id), { from: 0, to: 1_000, gapMs: 10 });
     }
-    play(pace, slow, { from: 0, to: 1_000, gapMs: 100 });
+    recordEvents(pace, slow, { from: 0, to: 1_000, gapMs: 100 });
     expect(pace.isDegraded(slow, 1_000)).toBe(false);
     expect(pace.inherentPaceMs(target("new"), 1_000)).toBeCloseTo(10);
   });
 
   it("keeps the long-run pace of a target without events", () => {
-    const pace = play(new TargetPace(), target("x"), {
+    const pace = recordEvents(new TargetPace(), target("x"), {
       from: 0,
       to: 2_000,
       gapMs: 34,
@@ -92,15 +92,15 @@
     expect(pace.paceMs(target("x"), 60_000)).toBeCloseTo(34);
   });
 
-  it("begins anew with a new incarnation and ignores the earlier one", () => {
-    const pace = play(new TargetPace(), target("x"), {
+  it("starts again with a new incarnation and ignores the earlier one", () => {
+    const pace = recordEvents(new TargetPace(), target("x"), {
       from: 0,
       to: 2_000,
       gapMs: 34,
     });
     const restarted = target("x", { incarnation: 2 });
-    play(pace, restarted, { from: 2_000, to: 3_000, gapMs: 14 });
-    play(pace, target("x"), { from: 3_000, to: 3_500, gapMs: 34 });
+    recordEvents(pace, restarted, { from: 2_000, to: 3_000, gapMs: 14 });
+    recordEvents(pace, target("x"), { from: 3_000, to: 3_500, gapMs: 34 });
     expect(pace.paceMs(restarted, 3_500)).toBeCloseTo(14);
   });
 
@@ -108,7 +108,7 @@
     const pace = new TargetPace();
     const targets = ["x", "y", "z"].map((id) => target(id));
     for (const each of targets) {
-      play(pace, each, { from: 0, to: 1_000, gapMs: 20 });
+      recordEvents(pace, each, { from: 0, to: 1_000, gapMs: 20 });
     }
     for (let i = 0; i < 6; i += 1) {
       for (const each of targets) {
@@ -121,14 +121,14 @@
   it("holds no target degraded for one late event, or moves runs for a few", () => {
     const pace = new TargetPace();
     const at = target("x");
-    play(pace, at, { from: 0, to: 1_000, gapMs: 14 });
+    recordEvents(pace, at, { from: 0, to: 1_000, gapMs: 14 });
     const late = { gapMs: 300, load: 0, runs: 8, now: 1_300 };
     pace.onEventGap(at, late);
     expect(pace.isDegraded(at, 1_300)).toBe(false);
     for (let i = 0; i < 7; i += 1) pace.onEventGap(at, late);
     expect(pace.isDegraded(at, 1_300)).toBe(true);
     expect(pace.isPersistentlyDegraded(at, 1_350)).toBe(false);
-    play(pace, at, { from: 1_301, to: 1_600, gapMs: 14 });
+    recordEvents(pace, at, { from: 1_301, to: 1_600, gapMs: 14 });
     expect(pace.isDegraded(at, 1_600)).toBe(false);
   });
 
@@ -136,14 +136,14 @@
   it("moves no run for late events among others in time", () => {
     const pace = new TargetPace();
     const at = target("x");
-    play(pace, at, { from: 0, to: 1_000, gapMs: 14 });
+    recordEvents(pace, at, { from: 0, to: 1_000, gapMs: 14 });
     for (const now of [1_270, 1_540]) {
       pace.onEventGap(at, { gapMs: 270, load: 0, runs: 1, now });
     }
     expect(pace.isDegraded(at, 1_540)).toBe(true);
     expect(pace.isPersistentlyDegraded(at, 1_540)).toBe(false);
-    play(pace, at, { from: 1_554, to: 1_700, gapMs: 14 });
-    play(pace, at, { from: 2_100, to: 2_700, gapMs: 150 });
+    recordEvents(pace, at, { from: 1_554, to: 1_700, gapMs: 14 });
+    recordEvents(pace, at, { from: 2_100, to: 2_700, gapMs: 150 });
     expect(pace.isPersistentlyDegraded(at, 2_700)).toBe(true);
   });
 
@@ -151,8 +151,8 @@
   it("requires a degraded target to remain so for the full time after this process stalled", () => {
     const pace = new TargetPace();
     const at = target("x");
-    play(pace, at, { from: 0, to: 1_000, gapMs: 14 });
-    play(pace, at, { from: 1_150, to: 1_600, gapMs: 150 });
+    recordEvents(pace, at, { from: 0, to: 1_000, gapMs: 14 });
+    recordEvents(pace, at, { from: 1_150, to: 1_600, gapMs: 150 });
     expect(pace.isPersistentlyDegraded(at, 1_900)).toBe(true);
     pace.onStalled(1_900);
     expect(pace.isPersistentlyDegraded(at, 1_950)).toBe(false);
@@ -178,7 +178,7 @@
       const pace = new TargetPace().load([saved({ incarnation })], 0);
       const at = target("x", { incarnation: 2 });
       expect(pace.isPaceKnown(at)).toBe(false);
-      play(pace, at, { from: 0, to: 1_000, gapMs: 14 });
+      recordEvents(pace, at, { from: 0, to: 1_000, gapMs: 14 });
       expect(pace.inherentPaceMs(at, 1_000)).toBeCloseTo(14);
     });
 
@@ -191,9 +191,9 @@
       expect(pace.isPaceKnown(target("y"))).toBe(true);
     });
 
-    // Failure: a leader that leads again goes by what it learnt long before.
+    // Failure: a leader that leads again uses what it measured long before.
     it("takes over those that are newer than its own", () => {
-      const pace = play(new TargetPace(), target("x"), {
+      const pace = recordEvents(new TargetPace(), target("x"), {
         from: 0,
         to: 1_000,
         gapMs: 14,
@@ -208,26 +208,26 @@
   it("awaits events before it counts a degraded target as recovered", () => {
     const pace = new TargetPace();
     const at = target("x");
-    play(pace, at, { from: 0, to: 1_000, gapMs: 20 });
-    play(pace, at, { from: 1_000, to: 3_000, gapMs: 200 });
+    recordEvents(pace, at, { from: 0, to: 1_000, gapMs: 20 });
+    recordEvents(pace, at, { from: 1_000, to: 3_000, gapMs: 200 });
     expect(pace.isDegraded(at, 10_000)).toBe(false);
     expect(pace.isRecovering(at, 10_000)).toBe(true);
-    play(pace, at, { from: 10_000, to: 10_400, gapMs: 20 });
+    recordEvents(pace, at, { from: 10_000, to: 10_400, gapMs: 20 });
     expect(pace.isRecovering(at, 10_400)).toBe(false);
   });
 
   it("adopts a slower pace that lasts", () => {
     const pace = new TargetPace();
     const at = target("x");
-    play(pace, at, { from: 0, to: 1_000, gapMs: 20 });
-    play(pace, at, { from: 1_000, to: 20_000, gapMs: 100 });
+    recordEvents(pace, at, { from: 0, to: 1_000, gapMs: 20 });
+    recordEvents(pace, at, { from: 1_000, to: 20_000, gapMs: 100 });
     expect(pace.isDegraded(at, 20_000)).toBe(false);
     expect(pace.inherentPaceMs(at, 20_000)).toBeCloseTo(100, 0);
   });
 
   it("allows for the load at which a pace was seen", () => {
     const pace = new TargetPace();
-    play(pace, target("x"), { from: 0, to: 1_000, gapMs: 24, load: 1 });
+    recordEvents(pace, target("x"), { from: 0, to: 1_000, gapMs: 24, load: 1 });
     expect(pace.paceMs(target("x"), 1_000)).toBeCloseTo(20);
   });
 
--- a/src/core/calls/even_load_test.ts
+++ b/src/core/calls/even_load_test.ts
@@ -38,7 +38,7 @@
   return costs.indexOf(Math.min(...costs));
 }
 
-/** Ways to choose, of which only the first two are available to an instance. */
+/** Policies, of which only the first two are available to an instance. */
 const CHOOSERS = {
   spread: (view) => {
     const targets = statesOf(view, true);
@@ -60,7 +60,7 @@
     })),
 } satisfies Record<string, Chooser>;
 
-function play(
+function simulate(
   chooser: keyof typeof CHOOSERS,
   options: Partial<CallLoadOptions>,
 ): CallLoadFigures {
@@ -81,17 +81,17 @@
     for (const ageMs of [0, 500]) {
       it(`reports the load of ${choosers} choosers, ${ageMs} ms old`, () => {
         const names = Object.keys(CHOOSERS) as (keyof typeof CHOOSERS)[];
-        const played = new Map(
-          names.map((name) => [name, play(name, { choosers, ageMs })]),
+        const results = new Map(
+          names.map((name) => [name, simulate(name, { choosers, ageMs })]),
         );
-        const rows = [...played].map(([name, figures]) => {
+        const rows = [...results].map(([name, figures]) => {
           const { excess, idle, waitMs, swing } = figures;
           return [name, excess, idle, waitMs, swing].map((value) =>
             typeof value === "number" ? Number(value.toPrecision(3)) : value
           );
         });
         console.info(rows.map((row) => `| ${row.join(" | ")} |`).join("\n"));
-        const spread = played.get("spread")!;
+        const spread = results.get("spread")!;
         expect(spread.waitMs).toBeLessThan(2_000);
         expect(spread.idle).toBeLessThan(0.1);
       });
@@ -104,8 +104,8 @@
   ) {
     for (const seed of [7, 11, 13]) {
       check(
-        play("spread", { ...options, seed }),
-        play("latency", { ...options, seed }),
+        simulate("spread", { ...options, seed }),
+        simulate("latency", { ...options, seed }),
       );
     }
   }
--- a/src/core/consensus/leader_delay_test.ts
+++ b/src/core/consensus/leader_delay_test.ts
@@ -32,7 +32,7 @@
     doTest({ now: WARM_MS + 1_000, ticks }, 600);
   });
 
-  it("forgets a lag", () => {
+  it("no longer counts an old lag", () => {
     doTest({ now: WARM_MS + 6_000, ticks: [[WARM_MS, 300]] }, 0);
   });
 
--- a/src/core/continuation/event_framer_test.ts
+++ b/src/core/continuation/event_framer_test.ts
@@ -17,7 +17,7 @@
     expect(rest).toBe(expectedRest);
   }
 
-  it("gets whole events with their numbers", () =>
+  it("gets complete events with their numbers", () =>
     doTest(
       ["id: 1\ndata: a\n\nid:2\ndata: b\n\n"],
       [["id: 1\ndata: a\n\n", 1], ["id:2\ndata: b\n\n", 2]],
--- a/src/core/continuation/stream_directory_test.ts
+++ b/src/core/continuation/stream_directory_test.ts
@@ -22,12 +22,12 @@
     doTest({ ...key, workspace: undefined }, 0, false);
   });
 
-  it("forgets a stream to which its caller can no longer return", () => {
+  it("evicts a stream that its caller can no longer resume", () => {
     doTest(key, 99, true);
     doTest(key, 101, false);
   });
 
-  it("remembers a stream longer if it is added again", () => {
+  it("stores a stream longer if it is added again", () => {
     let time = 1;
     const directory = new StreamDirectory({ now: () => time });
     const record = { ...key, writer: WRITER, keepMs: 100 };
@@ -60,7 +60,7 @@
     expect(directory.getRecord(key)).toBeUndefined();
   });
 
-  it("is bounded; it forgets the oldest streams first", () => {
+  it("is bounded; it evicts the oldest streams first", () => {
     const directory = new StreamDirectory({ now: () => 1 });
     for (let i = 0; i < 50_001; i += 1) {
       const request = `r${i}`;
--- a/src/core/dispatch/dispatcher_test.ts
+++ b/src/core/dispatch/dispatcher_test.ts
@@ -227,7 +227,7 @@
     const sibling = { ...sample, id: "sibling" };
     let now = 0;
     let started: string[] = [];
-    const play = (effects: DispatchEffect[]) => {
+    const execute = (effects: DispatchEffect[]) => {
       for (const effect of effects) {
         expect(["start", "retry"]).toContain(effect.type);
         if (effect.type === "start") started.push(effect.item.id);
@@ -236,23 +236,23 @@
     for (let burst = 1; burst <= 4; burst += 1) {
       const incarnation = `${burst}`;
       for (const id of ["a", "b"]) {
-        play(dispatcher.announce(target(id, { incarnation }), now));
+        execute(dispatcher.announce(target(id, { incarnation }), now));
       }
-      if (burst === 1) play(dispatcher.submit(sample, now));
+      if (burst === 1) execute(dispatcher.submit(sample, now));
       for (let i = 0; i < 20; i += 1, now += 1_000) {
-        play(dispatcher.tick(now));
+        execute(dispatcher.tick(now));
       }
       const runsOn = dispatcher.getTargetOf(sample.id);
       expect(runsOn).toBeDefined();
-      for (const id of ["a", "b"]) play(dispatcher.targetDied(id, now));
-      play(dispatcher.finish(sample.id, failed(), now));
+      for (const id of ["a", "b"]) execute(dispatcher.targetDied(id, now));
+      execute(dispatcher.finish(sample.id, failed(), now));
     }
     started = [];
     for (const id of ["a", "b"]) {
-      play(dispatcher.announce(target(id, { incarnation: "9" }), now));
+      execute(dispatcher.announce(target(id, { incarnation: "9" }), now));
     }
-    play(dispatcher.submit(sibling, now));
-    for (let i = 0; i < 20; i += 1, now += 1_000) play(dispatcher.tick(now));
+    execute(dispatcher.submit(sibling, now));
+    for (let i = 0; i < 20; i += 1, now += 1_000) execute(dispatcher.tick(now));
     expect(started.sort()).toEqual([sample.id, "sibling"].sort());
   });
 
--- a/src/core/fleet/sender_list_test.ts
+++ b/src/core/fleet/sender_list_test.ts
@@ -21,7 +21,7 @@
 });
 
 describe(ControlContact.name, () => {
-  it("dates knowledge from the loss of the last link until it is renewed", () => {
+  it("dates the known state from the loss of the last link until it is renewed", () => {
     const contact = new ControlContact().update(true, 0);
     expect(contact.knownAt(100)).toBe(-Infinity);
     expect(contact.knownAt(3_000)).toBe(3_000);
--- a/src/core/limits/permit_issuer_test.ts
+++ b/src/core/limits/permit_issuer_test.ts
@@ -5,7 +5,7 @@
 
 describe(PermitIssuer.name, () => {
   /** Asks at a constant rate; gets the times at which requests are sent. */
-  function play(
+  function simulate(
     issuer: PermitIssuer,
     options: { perSecond: number; asksPerS: number; maxWaitMs: number },
   ): number[] {
@@ -20,7 +20,11 @@
   }
 
   function doTest(perSecond: number, asksPerS: number, maxWaitMs: number) {
-    const sent = play(new PermitIssuer(), { perSecond, asksPerS, maxWaitMs });
+    const sent = simulate(new PermitIssuer(), {
+      perSecond,
+      asksPerS,
+      maxWaitMs,
+    });
     const counts = sent.map((start) =>
       sent.filter((at) => at >= start && at < start + WINDOW_MS).length
     );
--- a/src/core/paths/path_table_test.ts
+++ b/src/core/paths/path_table_test.ts
@@ -5,14 +5,14 @@
 const LATER_MS = 500;
 
 describe(PathTable.name, () => {
-  /** Plays events and compares the paths to some addresses afterwards. */
+  /** Applies events and compares the paths to some addresses afterwards. */
   function doTest(
-    play: (table: PathTable) => void,
+    steps: (table: PathTable) => void,
     expected: Readonly<Record<string, Path>> & { isCutOff?: never },
     isCutOff = false,
   ) {
     const table = new PathTable();
-    play(table);
+    steps(table);
     const paths = Object.fromEntries(
       Object.keys(expected).map((address) => [address, table.pathTo(address)]),
     );
@@ -52,7 +52,7 @@
       table.onDirect("a");
     }, { a: Path.Direct, b: Path.Relayed, c: Path.Direct }));
 
-  it("forgets targets that are gone", () =>
+  it("removes targets that no longer exist", () =>
     doTest((table) => {
       table.onLost("a", 0);
       table.onLost("b", 0);
@@ -91,13 +91,13 @@
 
   describe("attempts that others cannot serve either", () => {
     function doTest(
-      play: (table: PathTable) => void,
+      steps: (table: PathTable) => void,
       expected: readonly boolean[],
     ) {
       const table = new PathTable();
       table.onLost("a", 0);
       table.onLost("b", 0);
-      play(table);
+      steps(table);
       const times = [0, 1, LATER_MS, LATER_MS + 1];
       expect(times.map((now) => table.allowAttempt(now))).toEqual(expected);
     }
--- a/src/core/policy/policy_difference_test.ts
+++ b/src/core/policy/policy_difference_test.ts
@@ -67,7 +67,7 @@
     });
   });
 
-  it("tells apart routes of the same name", () =>
+  it("distinguishes routes of the same name", () =>
     doTest({ routes: [ROUTE, { ...ROUTE, prefix: "/b/" }] }, {
       routes: { ...SAME, added: ["plans"] },
     }));
--- a/src/core/quarantine/quarantine_test.ts
+++ b/src/core/quarantine/quarantine_test.ts
@@ -31,7 +31,7 @@
     expect(quarantine.suspicionOf("bad")).toBe("proven");
   });
 
-  it("adds up deaths that instances saw before they heard of each other's", () => {
+  it("adds up deaths that instances saw before they received each other's", () => {
     const instances = [new Quarantine(), new Quarantine(), new Quarantine()];
     const changes = instances.flatMap((instance, i) =>
       instance.onTargetDied(["bad", `n${i}`], `t${i}/1`)
--- a/src/core/quarantine/trial_limiter_test.ts
+++ b/src/core/quarantine/trial_limiter_test.ts
@@ -55,7 +55,7 @@
     );
   });
 
-  it("waits for no trial whose end is not told", () => {
+  it("waits for no trial whose end is not reported", () => {
     const limiter = new TrialLimiter();
     const counts = { healthy: 3, known: 3 };
     const first = { fingerprint: "f", service: "s", deaths: 1 };
--- a/src/core/registry/cold_time_test.ts
+++ b/src/core/registry/cold_time_test.ts
@@ -91,7 +91,7 @@
     }
   });
 
-  it("begins anew with an incarnation, and at any later time", () => {
+  it("restarts with an incarnation, and at any later time", () => {
     doTest([
       { ...first, report: { coldMs: 0 }, end: undefined },
       {
--- a/src/tasks/steps/sample_waiters_test.ts
+++ b/src/tasks/steps/sample_waiters_test.ts
@@ -20,6 +20,6 @@
   it("ends all waits, which leave no timer", () =>
     doTest((waiters) => waiters.wake()));
 
-  it("ends a wait that nobody wakes in its time", () =>
+  it("ends a wait that is not woken in time", () =>
     doTest(() => vi.advanceTimersByTime(WAIT_MS)));
 });
