Comments of the other folders and of the test support use the usual terms

src/commands, src/tasks/entry and storage, fakes, scripts and tests/support: continued, resumed, paths, remainder, simulates, capacity. One local name of a test support changes with its test; no behaviour.

--- a/fakes/fleet_replica.ts
+++ b/fakes/fleet_replica.ts
@@ -121,7 +121,7 @@
     return this.#address;
   }
 
-  /** Gets whether control instances hear of the running process. */
+  /** Gets whether the running process sends heartbeats to control instances. */
   get sendsHeartbeats(): boolean {
     return !this.withholdsHeartbeats && !this.isSilent;
   }
--- a/scripts/bundle.ts
+++ b/scripts/bundle.ts
@@ -54,7 +54,7 @@
 
 /**
  * Bundles the program of a fleet as it was at a commit of this repository, with
- * the libraries of today.
+ * the current libraries.
  * @returns Name of the program in `dist/`.
  * @throws Error if git does not know the commit.
  */
--- a/scripts/known_failures.ts
+++ b/scripts/known_failures.ts
@@ -4,7 +4,9 @@
 export type KnownFailures = ReadonlySet<string>;
 
 const SEPARATOR = " > ";
-/** Matches the line that names a test; the rest of an entry is free text. */
+/**
+ * Matches the line that names a test; the remainder of an entry is free text.
+ */
 const TEST_LINE = /^ {2}Test: (\S.*\S)$/;
 /** Matches lines that must be test lines, so that misspellings are errors. */
 const LOOKS_LIKE_TEST_LINE = /^[\s-]*tests?\s*:/i;
--- a/src/commands/outputs.ts
+++ b/src/commands/outputs.ts
@@ -1,4 +1,4 @@
-/** Command that counts the outputs that went on at another target. */
+/** Command that counts the outputs that another target continued. */
 import { createReadStream } from "node:fs";
 import { createInterface } from "node:readline";
 import { defineCommand } from "citty";
--- a/src/core/batches/batch_shares_test.ts
+++ b/src/core/batches/batch_shares_test.ts
@@ -39,17 +39,22 @@
 describe(mergeByShares.name, () => {
   function doTest(
     workspaces: readonly SimulatedWorkspace[],
-    room: number,
+    capacity: number,
     check: (shares: BatchFigures[], dueTime: BatchFigures[]) => void,
   ) {
     for (const seed of [3, 5]) {
       const [dueTime, shares] = Object.entries(ORDERS).map(([name, order]) => {
-        const figures = simulateBatchOrder({ workspaces, room, order, seed });
+        const figures = simulateBatchOrder({
+          workspaces,
+          capacity,
+          order,
+          seed,
+        });
         for (const workspace of workspaces) {
           const batches = figures
             .filter((batch) => batch.workspace === workspace.name);
           console.info(
-            `| ${room} | ${seed} | ${name} | ${workspace.name} | ` +
+            `| ${capacity} | ${seed} | ${name} | ${workspace.name} | ` +
               `${meanOf(figures, workspace.name).toFixed(2)} | ` +
               `${batches.map((b) => b.inTime.toFixed(2)).join(" ")} | ` +
               `${Math.max(...batches.map((b) => b.firstRunMs))} |`,
--- a/src/tasks/cluster_paths.ts
+++ b/src/tasks/cluster_paths.ts
@@ -23,7 +23,9 @@
   readonly metrics: Metrics;
 }
 
-/** Creates the ways to targets: its own connections, and relays by its peers. */
+/**
+ * Creates the paths to targets: its own connections, and relays by its peers.
+ */
 export function createClusterPaths(options: ClusterPathsOptions): TargetPaths {
   const { cluster, dataCentre, logger, metrics } = options;
   const connectTimeoutMs = CONNECT_TIMEOUT_MS;
--- a/src/tasks/entry/caller.ts
+++ b/src/tasks/entry/caller.ts
@@ -89,8 +89,8 @@
 }
 
 /**
- * Refuses to go on with a stream that another request began: these targets
- * report no software version, and unknown ones do not match.
+ * Refuses to continue a stream that another request began: these targets report
+ * no software version, and unknown ones do not match.
  * @throws RefusalError with verdict notRun.
  */
 export function throwIfResumed(req: IncomingMessage): void {
--- a/src/tasks/entry/http_body.ts
+++ b/src/tasks/entry/http_body.ts
@@ -62,7 +62,7 @@
       return value as Record<string, unknown>;
     }
   } catch {
-    // Invalid JSON is refused in the same way as a value that is not an object.
+    // Invalid JSON is refused like a value that is not an object.
   }
   throw malformedRequest("Expected a JSON object");
 }
--- a/src/tasks/storage/frame_codec.ts
+++ b/src/tasks/storage/frame_codec.ts
@@ -22,7 +22,7 @@
 export interface DecodedFrames<F> {
   /** Frames in order. */
   readonly frames: readonly F[];
-  /** Length of the complete frames, in bytes; the rest is a torn write. */
+  /** Length of the complete frames, in bytes; the remainder is a torn write. */
   readonly length: number;
 }
 
--- a/tests/support/admission_simulation.ts
+++ b/tests/support/admission_simulation.ts
@@ -1,4 +1,6 @@
-/** Plays, in virtual time, workspaces whose batches are admitted or refused. */
+/**
+ * Simulates, in virtual time, workspaces whose batches are admitted or refused.
+ */
 import { uniformFloat64 } from "pure-rand/distribution/uniformFloat64";
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
 import {
@@ -65,7 +67,7 @@
   firstRunMs: number | undefined;
 }
 
-/** Plays the batches; equal options give equal figures. */
+/** Simulates the batches; equal options give equal figures. */
 export function simulateAdmission(
   options: AdmissionSimulationOptions,
 ): ReadonlyMap<string, WorkspaceFigures> {
--- a/tests/support/batch_order_simulation.ts
+++ b/tests/support/batch_order_simulation.ts
@@ -1,4 +1,4 @@
-/** Plays, in virtual time, batches that compete for a number of slots. */
+/** Simulates, in virtual time, batches that compete for a number of slots. */
 import { uniformFloat64 } from "pure-rand/distribution/uniformFloat64";
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
 import {
@@ -21,8 +21,8 @@
 /** Options of {@link simulateBatchOrder}. */
 export interface BatchOrderOptions {
   readonly workspaces: readonly SimulatedWorkspace[];
-  /** Room as a share of the demand. */
-  readonly room: number;
+  /** Capacity as a share of the demand. */
+  readonly capacity: number;
   readonly order: (input: OrderInput) => readonly WaitingItem[];
   readonly seed: number;
 }
@@ -51,15 +51,15 @@
   firstRunMs: number;
 }
 
-/** Plays the batches; equal options give equal figures. */
+/** Simulates the batches; equal options give equal figures. */
 export function simulateBatchOrder(options: BatchOrderOptions): BatchFigures[] {
-  const { workspaces, room, order } = options;
+  const { workspaces, capacity, order } = options;
   const random = xoroshiro128plus(options.seed);
   const draw = () => 0.5 + uniformFloat64(random);
   const items = workspaces.reduce((sum, { groups }) => sum + groups, 0) *
     GROUP_SIZE;
   const slots = Math.round(
-    room * items * MEAN_TOKENS * MS_PER_TOKEN / INTERVAL_MS,
+    capacity * items * MEAN_TOKENS * MS_PER_TOKEN / INTERVAL_MS,
   );
   const played = new Map<BatchRecord, Played>();
   const running = new Map<BatchItem, { played: Played; endsAt: number }>();
--- a/tests/support/batch_runner_fixture.ts
+++ b/tests/support/batch_runner_fixture.ts
@@ -1,4 +1,4 @@
-/** A batch runner whose engines are played by a test, on fake timers. */
+/** A batch runner whose engines are simulated by a test, on fake timers. */
 import { vi } from "vitest";
 import {
   type BatchSpec,
--- a/tests/support/call_load_simulation.ts
+++ b/tests/support/call_load_simulation.ts
@@ -1,4 +1,6 @@
-/** Plays, in virtual time, many instances that send calls to a few targets. */
+/**
+ * Simulates, in virtual time, many instances that send calls to a few targets.
+ */
 import { uniformFloat64 } from "pure-rand/distribution/uniformFloat64";
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
 import { quantileSorted, sampleCorrelation } from "simple-statistics";
@@ -75,7 +77,7 @@
   readonly run: () => void;
 }
 
-/** Plays a load; equal options give equal figures. */
+/** Simulates a load; equal options give equal figures. */
 export function simulateCallLoad(options: CallLoadOptions): CallLoadFigures {
   const { targets, ageMs, durationMs } = options;
   const generator = xoroshiro128plus(options.seed);
--- a/tests/support/cut_links.ts
+++ b/tests/support/cut_links.ts
@@ -9,7 +9,7 @@
   Hang: "hang",
   /** Open connections are reset, and new ones refused. */
   Reset: "reset",
-  /** Open connections live on, and new ones are refused. */
+  /** Open connections stay open, and new ones are refused. */
   RefuseNew: "refuseNew",
   /** Nothing passes on open connections, and new ones are established. */
   HangOpen: "hangOpen",
--- a/tests/support/relaying_instances.ts
+++ b/tests/support/relaying_instances.ts
@@ -18,7 +18,7 @@
 /** Long enough that a busy machine establishes a connection in it. */
 const CONNECT_TIMEOUT_MS = 2_000;
 
-/** An instance with its ways to targets. */
+/** An instance with its paths to targets. */
 export interface RelayingInstance {
   readonly id: string;
   readonly links: CutLinks;
--- a/tests/support/simulated_schedule.ts
+++ b/tests/support/simulated_schedule.ts
@@ -40,7 +40,7 @@
     return this;
   }
 
-  /** Says that the current event lets asynchronous code go on. */
+  /** Marks the current event as one that lets asynchronous code continue. */
   settle(): this {
     this.#mayContinue = true;
     return this;
--- a/tests/support/simulated_sender.ts
+++ b/tests/support/simulated_sender.ts
@@ -86,7 +86,7 @@
     return now >= from && now < until;
   }
 
-  /** Sends it what a control instance knows, after a cut if there is one. */
+  /** Sends it the state of a control instance, after a cut if there is one. */
   notify(registry: TargetRegistry): void {
     const { schedule, cut } = this.#options;
     const delayMs = schedule.random() * MAX_NOTICE_DELAY_MS;
@@ -143,7 +143,7 @@
   }
 }
 
-/** Draws the time for which a process stands still; 0 in most cases. */
+/** Draws the time for which a process stalls; 0 in most cases. */
 export function drawPauseMs(schedule: SimulatedSchedule): number {
   const isPaused = schedule.random() < PAUSE_SHARE;
   return isPaused ? schedule.random() * MAX_PAUSE_MS : 0;
--- a/tests/support/slow_start_simulation.ts
+++ b/tests/support/slow_start_simulation.ts
@@ -50,7 +50,7 @@
 const MAX_HEARTBEAT_DELAY_MS = 250;
 const REPEATED_SHARE = 0.2;
 const MAX_REPEAT_DELAY_MS = 2_000;
-/** Time until all instances have heard of the target. */
+/** Time until all instances have received a report of the target. */
 const FIRST_KNOWN_MS = MAX_HEARTBEAT_DELAY_MS + 2 * MAX_NOTICE_DELAY_MS;
 const MAX_TRANSIT_MS = 45;
 const LATE_SHARE = 0.1;
@@ -61,7 +61,7 @@
 const UNDISTURBED_SHARE = 0.1;
 const EXTENDED_SHARE = 0.3;
 
-/** Plays one schedule of messages, cuts and a change of leader. */
+/** Simulates one schedule of messages, cuts and a change of leader. */
 export class SlowStartSimulation {
   readonly #faults: SlowStartFaults;
   readonly #schedule: SimulatedSchedule;
--- a/tests/support/stream_caller.ts
+++ b/tests/support/stream_caller.ts
@@ -28,9 +28,9 @@
   readonly events: string[];
   /** Statuses of the requests, in order; 0 where none came. */
   readonly statuses: number[];
-  /** Number of counted requests that took the stream up with events held. */
+  /** Number of counted requests that resumed the stream with events held. */
   resumeAttempts: number;
-  /** Number of those that went on. */
+  /** Number of those that were resumed. */
   resumed: number;
   /** Number of requests that brought events and broke off before the end. */
   breaks: number;
@@ -70,8 +70,7 @@
   }
 
   /**
-   * Reads a stream until it is complete, taking it up again as long as there is
-   * time.
+   * Reads a stream until it is complete, resuming it as long as there is time.
    * @param onEvent - Called after each event, with the events held so far and
    *   the instance that brought it.
    */
@@ -92,7 +91,7 @@
     return held;
   }
 
-  /** Sends one request, which takes the stream up if any events are held. */
+  /** Sends one request, which resumes the stream if any events are held. */
   async request(
     id: string,
     held: HeldStream,
--- a/tests/support/uneven_engines.ts
+++ b/tests/support/uneven_engines.ts
@@ -56,7 +56,7 @@
 export class UnevenEngines implements EnginePort {
   readonly #options: UnevenEnginesOptions;
   #runs: EngineRun[] = [];
-  /** Calls that wait while the reader is held up; undefined if it is not. */
+  /** Calls that wait while the reader is stalled; undefined if it is not. */
   #unread: (() => void)[] | undefined;
   started = 0;
   /** Items of the runs that were cancelled. */
--- a/tests/support/uneven_load.ts
+++ b/tests/support/uneven_load.ts
@@ -1,4 +1,4 @@
-/** Plays batches through a batch runner whose engines are uneven. */
+/** Runs batches through a batch runner whose engines are uneven. */
 import { vi } from "vitest";
 import { uniformFloat64 } from "pure-rand/distribution/uniformFloat64";
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
@@ -11,7 +11,7 @@
 /** Options of {@link playUnevenLoad}. */
 export interface UnevenLoadOptions {
   readonly seed: number;
-  /** Share of the engines' room that the batches need. */
+  /** Share of the engines' capacity that the batches need. */
   readonly load: number;
   /** Factor on all estimates of output lengths. */
   readonly estimateFactor?: number;
@@ -76,7 +76,7 @@
   readonly ends: Map<string, number>;
 }
 
-/** Plays batches in virtual time; needs fake timers. */
+/** Runs batches in virtual time; needs fake timers. */
 export function playUnevenLoad(options: UnevenLoadOptions): UnevenLoadReport {
   const { seed, load, onStep, playedMs = PLAYED_MS } = options;
   const generator = xoroshiro128plus(seed);
