A report of another writer takes no target out of service

What callers saw: after one odd report among those of a target, the target got no more requests, or got all of them.

Cause: the schema of reports accepted ports above 65535 and of 0, octets above 255, slots of 1e15, a `seq` of 1e300, a `born` of 2^53 - 1 and cold times of 1e300. A report with such a `born` or `seq` is newer than all that the target reports afterwards, so the registry ignored the target for good. A deregistration with such a `born` removed it.

Evidence: report_decoder_test.ts merges a sound report, an odd one and a later sound one.

Why the fix works: src/schemas has one schema each for addresses, counts, times and versions, with bounds that follow from their meaning, and a parser of JSON that bounds the nesting. Reports and deregistrations are decoded by them, so that what names no target is refused before the registry sees it. Sequence numbers may be times in milliseconds; starts may be ten minutes ahead, as clocks differ. What is refused is counted, and logged once for each target with its reason.

--- a/src/logging/fleet_events.ts
+++ b/src/logging/fleet_events.ts
@@ -42,7 +42,7 @@
   }),
   targetReportRefused: defineEvent(2022, "warn", {
     text:
-      "Heartbeat of a target is invalid and names no target; it was rejected",
+      "Heartbeat of a target is invalid and names no target; it was rejected, and is logged once for each target",
     action: "Check the sender of the heartbeat",
   }),
   callAnswered: defineEvent(2101, "info", {
--- a/src/logging/instance_events.ts
+++ b/src/logging/instance_events.ts
@@ -170,6 +170,11 @@
     text: "Connection or message on the peer port rejected",
     action: "Compare the peer secrets and certificates of both instances",
   }),
+  peerInputRefused: defineEvent(1704, "warn", {
+    text:
+      "Message of another instance, or entries of it, malformed and left out; logged once for each sender",
+    action: "Check the build of the sender",
+  }),
   orderSent: defineEvent(1801, "info", {
     text: "Order sent to the receiver",
   }),
--- a/src/metrics/metric_catalogue.ts
+++ b/src/metrics/metric_catalogue.ts
@@ -55,6 +55,10 @@
     text: "Samples discarded because their slot was already filled",
   },
   "targets.serving": { kind: "gauge", text: "Targets that accept requests" },
+  "targets.refusedReports": {
+    kind: "counter",
+    text: "Reports of targets that were refused as malformed",
+  },
   "targets.evacuatedDataCentres": {
     kind: "gauge",
     text: "Data centres to whose targets this instance sends nothing",
@@ -77,6 +81,11 @@
     kind: "counter",
     text: "Bytes received from other instances",
   },
+  "peers.refusedInputs": {
+    kind: "counter",
+    text:
+      "Messages of other instances, and entries of them, left out as malformed",
+  },
   "orders.sent": { kind: "counter", text: "Orders sent to the receiver" },
   "invariants.refused": {
     kind: "counter",
--- /dev/null
+++ b/src/schemas/mod.ts
@@ -0,0 +1,7 @@
+/** Schemas of what other writers say: targets, operators and instances. */
+export * from "./fleet_notice_schema.ts";
+export * from "./nesting.ts";
+export * from "./presence_schema.ts";
+export * from "./refusal_text.ts";
+export * from "./scalar_schemas.ts";
+export * from "./target_report_schema.ts";
--- /dev/null
+++ b/src/schemas/target_report_schema.ts
@@ -0,0 +1,29 @@
+/** Schema of a target's report, as instances pass it on. */
+import * as z from "zod";
+import { type TargetReport, TargetState } from "../core/registry/mod.ts";
+import {
+  addressSchema,
+  coldMsSchema,
+  incarnationSchema,
+  nameSchema,
+  sequenceSchema,
+  slotsSchema,
+  targetIdSchema,
+  weightVersionSchema,
+} from "./scalar_schemas.ts";
+
+/** Schema of a {@link TargetReport}; unknown fields are dropped. */
+export const targetReportSchema = z.object({
+  id: targetIdSchema,
+  service: nameSchema,
+  address: addressSchema,
+  dataCentre: z.string(),
+  incarnation: incarnationSchema,
+  sequence: sequenceSchema,
+  state: z.enum(Object.values(TargetState)),
+  slots: slotsSchema,
+  software: nameSchema.optional(),
+  versions: z.record(z.string(), weightVersionSchema),
+  isSpot: z.boolean(),
+  coldMs: coldMsSchema.optional(),
+}) satisfies z.ZodType<TargetReport>;
--- a/src/tasks/fleet/control_task.ts
+++ b/src/tasks/fleet/control_task.ts
@@ -17,6 +17,7 @@
 import type { FleetNode } from "./fleet_node.ts";
 import type { OrderPort, ReceiverPort } from "./order_port.ts";
 import { RetirementService } from "./retirement_service.ts";
+import { RefusedInputs } from "../refused_inputs.ts";
 import { UsageReporter } from "./usage_reporter.ts";
 import { WeightsRollout } from "./weights_rollout.ts";
 
@@ -45,11 +46,18 @@
   readonly #scaler: CapacityScaler | undefined;
   readonly #formation: LedgerFormation;
   readonly #retirements: RetirementService;
+  readonly #refusedReports: RefusedInputs;
   #formTimer: NodeJS.Timeout | undefined;
 
   constructor(options: ControlTaskOptions) {
     this.#options = options;
     const { node, dataFolder, clock } = options;
+    this.#refusedReports = new RefusedInputs({
+      logger: node.logger,
+      metrics: node.metrics,
+      event: "targetReportRefused",
+      metric: "targets.refusedReports",
+    });
     this.#control = new FleetControl({
       node,
       dataFolder,
@@ -109,6 +117,11 @@
     await this.#control.stop();
   }
 
+  /** Counts a target's report that is malformed, and logs it once. */
+  refuseReport(id: string, reason: string): void {
+    this.#refusedReports.record(id, reason);
+  }
+
   /** Merges a target's report into the registry and forwards it. */
   reportTarget(report: TargetReport): void {
     this.#control.targets.merge(report);
