A malformed message of another instance ends no process

What callers saw: all control instances ended at the same time, and again after each start, while a peer sent a presence or notice that this build does not send.

Cause: presences and notices were stored as they came. The timers that publish rosters, targets and policies read them later, outside of any handler of errors: a member without `targetsSeen` (TypeError in FleetPublisher.resendMissing), a term above 2^53, decoded as a BigInt (JSON.stringify in RosterPublisher.send), a name or list of senders nested 2,000 deep (JSON.stringify and the encoder recurse, and the stack holds the decoding of more levels than the encoding), a roster entry that is no address (Invalid URL in PeerLinks.getOrDial), a target in a list with any of these.

Why the fix works: presences and notices are decoded by schemas with the shared scalars, which drop unknown fields; a single malformed entry of a list is left out and the others hold. Identifiers that are no addresses are not dialled. Large integers are decoded as numbers. Other messages are bounded in their nesting before a handler sees them. What is left out is counted, and logged once for each sender with its reason.

--- a/src/tasks/fleet/fleet_node.ts
+++ b/src/tasks/fleet/fleet_node.ts
@@ -10,6 +10,7 @@
 } from "../../core/fleet/mod.ts";
 import type { Logger } from "../../logging/mod.ts";
 import type { Metrics } from "../../metrics/mod.ts";
+import { decodeNotice, instanceIdSchema } from "../../schemas/mod.ts";
 import type { FleetSettings, PeerSettings } from "../../settings/mod.ts";
 import { type LogEnvelope, PeerHub } from "../peers/mod.ts";
 import { LeaderClient, type LeaderRequestOptions } from "./leader_client.ts";
@@ -82,7 +83,7 @@
       membersOf: (role) =>
         this.roster.membersOf(role, this.now).map((entry) => entry.id),
     });
-    this.hub.on("notice", (from, notice) => this.#onNotice(notice, from));
+    this.hub.on("notice", (from, body) => this.#receiveNotice(body, from));
   }
 
   /** Replaces the control instances that are dialled first. */
@@ -221,11 +222,19 @@
     return { name, dataCentre, role, ...this.#options.describe() };
   }
 
-  #resolvePeer(id: string): PeerSettings {
+  /** Gets how to dial an instance; undefined if its identifier is no address. */
+  #resolvePeer(id: string): PeerSettings | undefined {
+    if (!instanceIdSchema.safeParse(id).success) return undefined;
     const address = { host: id, port: this.settings.peerPort };
     return { id, dataCentre: "", address, control: false };
   }
 
+  #receiveNotice(body: unknown, from: string): void {
+    const { notice, faults } = decodeNotice(body);
+    for (const fault of faults) this.hub.refuse(from, `notice: ${fault}`);
+    if (notice !== undefined) this.#onNotice(notice, from);
+  }
+
   #onNotice(notice: FleetNotice, from: string): void {
     if (notice.type === "roster") {
       this.roster.mergeEntries(notice.members, this.now);
--- a/src/tasks/peers/peer_envelope.ts
+++ b/src/tasks/peers/peer_envelope.ts
@@ -98,7 +98,8 @@
   readonly at: number;
 }
 
-const packr = new Packr({ useRecords: false });
+/** Large integers are decoded as numbers, since JSON knows no others. */
+const packr = new Packr({ useRecords: false, int64AsType: "number" });
 
 /** First byte of a message, which tells whether the rest is compressed. */
 const Encoding = { Plain: 0, Compressed: 1 } as const;
--- a/src/tasks/peers/peer_hub.ts
+++ b/src/tasks/peers/peer_hub.ts
@@ -2,7 +2,14 @@
 import { Verdict } from "../../core/verdict/mod.ts";
 import type { Logger } from "../../logging/mod.ts";
 import type { Metrics } from "../../metrics/mod.ts";
+import {
+  isNestedDeeper,
+  MAX_MESSAGE_DEPTH,
+  presenceSchema,
+  refusalTextOf,
+} from "../../schemas/mod.ts";
 import type { PeerSettings, Settings } from "../../settings/mod.ts";
+import { RefusedInputs } from "../refused_inputs.ts";
 import type { DialledPeer, LinkSecurity } from "./peer_dialer.ts";
 import type {
   BodyOf,
@@ -51,6 +58,7 @@
   readonly #presences = new PresenceTable(() => Date.now());
   readonly #pending = new PendingRequests();
   readonly #handlers = new RequestHandlers();
+  readonly #refused: RefusedInputs;
   readonly #listeners = new Map<
     TaskChannel,
     (from: string, body: never) => void
@@ -66,6 +74,12 @@
   constructor(options: PeerHubOptions) {
     this.#options = options;
     const { settings, metrics, logger } = options;
+    this.#refused = new RefusedInputs({
+      logger,
+      metrics,
+      event: "peerInputRefused",
+      metric: "peers.refusedInputs",
+    });
     this.#links = new PeerLinks({
       settings,
       logger,
@@ -130,6 +144,12 @@
     return await this.#handlers.run(method, params, from);
   }
 
+  /** Records that input of another instance was left out. */
+  refuse(from: string, reason: string): this {
+    this.#refused.record(from, reason);
+    return this;
+  }
+
   /** Sends the presence of this instance immediately. */
   announce(): this {
     this.#sendHeartbeat();
@@ -281,7 +301,12 @@
     const { logger } = this.#options;
     try {
       if (envelope.channel === "presence") {
-        this.#presences.record(from, envelope.body);
+        this.#recordPresence(from, envelope.body);
+      } else if (isTooDeep(envelope)) {
+        this.refuse(
+          from,
+          `${envelope.channel}: nested over ${MAX_MESSAGE_DEPTH}`,
+        );
       } else if (envelope.channel === "request") {
         const send = (body: PeerReply) => link.send({ channel: "reply", body });
         this.#handlers.answer(envelope.body, from, send)
@@ -295,4 +320,15 @@
       logger.error(err, { peer: from, channel: envelope.channel });
     }
   }
+
+  #recordPresence(from: string, body: unknown): void {
+    const { success, data, error } = presenceSchema.safeParse(body);
+    if (success) this.#presences.record(from, data);
+    else this.refuse(from, `presence: ${refusalTextOf(error)}`);
+  }
+}
+
+/** Notices are lists, of which the receiver leaves out single entries. */
+function isTooDeep(envelope: PeerEnvelope): boolean {
+  return envelope.channel !== "notice" && isNestedDeeper(envelope.body);
 }
