A policy with times or counts out of bounds is refused

What callers saw: a policy with a time of 1e300 ms, or a count of 2^53 - 1, came into force and was stored and sent to all instances.

Cause: its numbers had no upper bounds, and negative times and prices were accepted. Unknown fields were decoded at any depth, and the text is kept and sent on as it came.

Why the fix works: the numbers are decoded by the shared schemas: durations that a timer can hold, counts up to 2^31 - 1, prices, weights and rates up to 1e9.

--- a/src/schemas/scalar_schemas.ts
+++ b/src/schemas/scalar_schemas.ts
@@ -13,7 +13,7 @@
 const MAX_COLD_MS = 86_400_000;
 /** Clocks of machines differ by less. */
 const MAX_CLOCK_DIFFERENCE_MS = 600_000;
-const MAX_RATE_PER_S = 1e9;
+const MAX_QUANTITY = 1e9;
 /** A limit below it would stop a target for hours. */
 const MIN_LIMIT_PER_S = 1e-4;
 
@@ -75,11 +75,14 @@
 export const coldMsSchema = z.number().max(MAX_COLD_MS)
   .transform((ms) => Math.max(0, ms));
 
-/** Schema of a rate, per second. */
-export const rateSchema = z.number().min(0).max(MAX_RATE_PER_S);
+/** Schema of a priority; 0 is the most urgent. */
+export const prioritySchema = z.number().min(-MAX_QUANTITY).max(MAX_QUANTITY);
+
+/** Schema of a weight, price or rate. */
+export const quantitySchema = z.number().min(0).max(MAX_QUANTITY);
 
 /** Schema of the requests a second that a target names as its limit. */
-export const limitPerSSchema = rateSchema.min(MIN_LIMIT_PER_S);
+export const limitPerSSchema = quantitySchema.min(MIN_LIMIT_PER_S);
 
 /**
  * Schema of the time at which a target started, in milliseconds since the Unix
