--- a/src/schemas/fleet_notice_schema.ts
+++ b/src/schemas/fleet_notice_schema.ts
@@ -9,12 +9,12 @@
 import {
   coldMsSchema,
   countSchema,
+  identifierSchema,
   incarnationSchema,
   instanceIdSchema,
   limitPerSSchema,
   nameSchema,
   revisionSchema,
-  targetIdSchema,
   weightVersionSchema,
 } from "./scalar_schemas.ts";
 import { targetReportSchema } from "./target_report_schema.ts";
@@ -46,7 +46,7 @@
 });
 
 const incarnationOfTarget = {
-  target: targetIdSchema,
+  target: identifierSchema,
   incarnation: incarnationSchema,
 };
 const load = {
--- a/src/schemas/scalar_schemas.ts
+++ b/src/schemas/scalar_schemas.ts
@@ -46,10 +46,20 @@
 /** Schema of the name of a service, data centre, model or workspace. */
 export const nameSchema = z.string().min(1).max(MAX_NAME_LENGTH);
 
-/** Schema of the identifier of a target, which is sent in headers. */
-export const targetIdSchema = nameSchema
+/** Schema of an identifier that is sent in headers. */
+export const identifierSchema = nameSchema
   .regex(/^[\x21-\x7e]+$/, "Expected visible ASCII characters");
 
+/** Schema of the path of a request. */
+export const pathSchema = z.string()
+  .regex(/^\/[\x21-\xff]*$/, "Expected a path without spaces");
+
+/** Schema of the headers of a request, by name. */
+export const headersSchema = z.record(
+  z.string().regex(/^[!#$%&'*+.^_`|~0-9A-Za-z-]+$/, "Expected a header name"),
+  z.string().regex(/^[\t\x20-\x7e\x80-\xff]*$/, "Expected one header value"),
+);
+
 /** Schema of a number of things. */
 export const countSchema = z.int().min(0).max(MAX_COUNT);
 
@@ -62,6 +72,11 @@
 /** Schema of the version of a model's weights; each is one above the last. */
 export const weightVersionSchema = countSchema;
 
+/** Schema of the oldest version that is wanted; any if it is below 0. */
+export const minVersionSchema = weightVersionSchema.or(
+  z.int().max(0).transform(() => 0),
+);
+
 /** Schema of the revision of a configuration. */
 export const revisionSchema = z.int();
 
--- a/src/schemas/scalar_schemas_test.ts
+++ b/src/schemas/scalar_schemas_test.ts
@@ -3,11 +3,11 @@
 import {
   addressSchema,
   coldMsSchema,
+  identifierSchema,
   incarnationSchema,
   instanceIdSchema,
   sequenceSchema,
   slotsSchema,
-  targetIdSchema,
   weightVersionSchema,
 } from "./scalar_schemas.ts";
 
@@ -45,7 +45,7 @@
     doTest(instanceIdSchema, ["10.1.2.3"], ["bad id", "10.1.2.3:80", 7, ""]));
 
   it("refuse identifiers that a header cannot hold", () =>
-    doTest(targetIdSchema, ["i-7f3a"], ["", "a b", "a\r\nb", "é", 7]));
+    doTest(identifierSchema, ["i-7f3a"], ["", "a b", "a\r\nb", "é", 7]));
 
   it("refuse counts that are too large for their meaning", () => {
     doTest(slotsSchema, [1, 65_535], [0, 1.5, 65_536, 1e15, NaN, "4"]);
--- a/src/schemas/target_report_schema.ts
+++ b/src/schemas/target_report_schema.ts
@@ -4,17 +4,17 @@
 import {
   addressSchema,
   coldMsSchema,
+  identifierSchema,
   incarnationSchema,
   nameSchema,
   sequenceSchema,
   slotsSchema,
-  targetIdSchema,
   weightVersionSchema,
 } from "./scalar_schemas.ts";
 
 /** Schema of a {@link TargetReport}; unknown fields are dropped. */
 export const targetReportSchema = z.object({
-  id: targetIdSchema,
+  id: identifierSchema,
   service: nameSchema,
   address: addressSchema,
   dataCentre: z.string(),
