A body that is nested deeply is refused before it is encoded again

What callers saw: a request whose body was nested some thousand levels deep was answered as an internal error that may have run; the body of a step went into the log.

Cause: the parser of JSON isn't recursive, but JSON.stringify and the encoder of messages are, and bodies are encoded again for targets, other instances and the log.

Why the fix works: the nesting of a body is bounded before it is parsed, and the request is refused as malformed, not run.

--- a/src/tasks/entry/http_body.ts
+++ b/src/tasks/entry/http_body.ts
@@ -2,6 +2,7 @@
 import type { IncomingMessage } from "node:http";
 import type * as z from "zod";
 import { toFaults } from "../../core/configuration/mod.ts";
+import { parseBoundedJson } from "../../schemas/mod.ts";
 import {
   RefusalError,
   RefusalReason,
@@ -57,7 +58,7 @@
  */
 export function parseJsonOrThrow(body: Buffer): Record<string, unknown> {
   try {
-    const value: unknown = JSON.parse(body.toString("utf8"));
+    const value: unknown = parseBoundedJson(body.toString("utf8"));
     if (value !== null && typeof value === "object" && !Array.isArray(value)) {
       return value as Record<string, unknown>;
     }
