An instance relays to no address that no target can have

Cause: the first message of a tunnel named any text of up to 300 characters, which was logged, and its JSON was parsed at any depth.

Why the fix works: requests are decoded by the shared schema of endpoints; what is none is refused as an unknown target.

--- a/src/schemas/scalar_schemas.ts
+++ b/src/schemas/scalar_schemas.ts
@@ -43,6 +43,21 @@
     instanceIdSchema.safeParse(host).success;
 }
 
+/** Schema of an endpoint: an IP address or host name, and a port. */
+export const endpointSchema = z.string().max(MAX_NAME_LENGTH).refine(
+  isEndpoint,
+  "Expected a host with a port from 1 to 65535",
+);
+
+function isEndpoint(text: string): boolean {
+  const [, host, port] = /^(.+):([1-9]\d*)$/.exec(text) ?? [];
+  if (!portSchema.safeParse(Number(port)).success) return false;
+  if (/^[\d.]+$/.test(host)) return instanceIdSchema.safeParse(host).success;
+  const [, inBrackets] = /^\[(.*)\]$/.exec(host) ?? [];
+  if (inBrackets !== undefined) return z.ipv6().safeParse(inBrackets).success;
+  return z.hostname().safeParse(host).success;
+}
+
 /** Schema of the name of a service, data centre, model or workspace. */
 export const nameSchema = z.string().min(1).max(MAX_NAME_LENGTH);
 
--- a/src/tasks/paths/relay_message.ts
+++ b/src/tasks/paths/relay_message.ts
@@ -1,5 +1,6 @@
 /** What two instances say to each other of a tunnel, in its text messages. */
 import * as z from "zod";
+import { endpointSchema, parseBoundedJson } from "../../schemas/mod.ts";
 
 /** Why an instance does not relay to a target. */
 export const RelayRefusal = {
@@ -30,7 +31,7 @@
   /** The instance drains: the tunnel must carry no further request. */
   | { readonly type: "draining" };
 
-const requestSchema = z.object({ address: z.string().max(300) });
+const requestSchema = z.object({ address: endpointSchema });
 
 const replySchema = z.discriminatedUnion("type", [
   z.object({ type: z.literal("opened") }),
@@ -53,7 +54,7 @@
 
 function decode<T>(schema: z.ZodType<T>, text: string): T | undefined {
   try {
-    return schema.safeParse(JSON.parse(text)).data;
+    return schema.safeParse(parseBoundedJson(text)).data;
   } catch {
     // The caller closes the tunnel.
     return undefined;
