A malformed request of another instance enters neither log nor counts

What callers saw: after a command that this build does not know, no replica of the control log applied anything any more: each one stopped at the command and started again, without end. Malformed counts of usage were kept, and a request for very many permits occupied the leader.

Cause: the handlers cast the parameters of requests to their types. A proposed command was stored as it came; applying one of an unknown type threw, and the log starts again from its store, where the command stands.

Why the fix works: proposals, confirmations, demands and requests for permits are decoded by schemas with the shared scalars. What a handler cannot decode is refused as malformed, not run, counted, and logged once for each sender. A command of another build that stands in a log already changes nothing.

--- a/src/core/batches/batch_state.ts
+++ b/src/core/batches/batch_state.ts
@@ -81,12 +81,12 @@
     return [...this.#batches.values()];
   }
 
-  /** Applies a command. */
+  /** Applies a command; one of another build changes nothing. */
   apply(command: BatchCommand): BatchCommandResult {
-    const handler = this.#handlers[command.type] as (
-      command: BatchCommand,
-    ) => boolean;
-    return { isHeld: handler(command) };
+    const handler = this.#handlers[command.type] as
+      | ((command: BatchCommand) => boolean)
+      | undefined;
+    return { isHeld: handler?.(command) ?? false };
   }
 
   /** Creates a snapshot of the state. */
--- a/src/core/fleet/fleet_state.ts
+++ b/src/core/fleet/fleet_state.ts
@@ -171,12 +171,12 @@
     return { version: this.#suspicionVersion, changes };
   }
 
-  /** Applies a command. */
+  /** Applies a command; one of another build changes nothing. */
   apply(command: FleetCommand): FleetCommandResult {
-    const handler = this.#handlers[command.type] as (
-      command: FleetCommand,
-    ) => boolean | FleetCommandResult;
-    const result = handler(command);
+    const handler = this.#handlers[command.type] as
+      | ((command: FleetCommand) => boolean | FleetCommandResult)
+      | undefined;
+    const result = handler?.(command) ?? false;
     if (typeof result !== "boolean") return result;
     return { type: result ? "done" : "unchanged" };
   }
--- a/src/schemas/fleet_notice_schema.ts
+++ b/src/schemas/fleet_notice_schema.ts
@@ -1,9 +1,8 @@
 /** Decodes the notices that instances push to each other. */
 import * as z from "zod";
 import type { FleetNotice } from "../core/fleet/mod.ts";
-import type { PolicyDocument } from "../core/policy/mod.ts";
 import { Suspicion } from "../core/quarantine/mod.ts";
-import { isNestedDeeper } from "./nesting.ts";
+import { policyDocumentSchema } from "./policy_document_schema.ts";
 import { changeSequenceSchema, rosterEntrySchema } from "./presence_schema.ts";
 import { refusalTextOf } from "./refusal_text.ts";
 import {
@@ -14,7 +13,6 @@
   instanceIdSchema,
   limitPerSSchema,
   nameSchema,
-  revisionSchema,
   weightVersionSchema,
 } from "./scalar_schemas.ts";
 import { targetReportSchema } from "./target_report_schema.ts";
@@ -28,14 +26,6 @@
 
 const MAX_DEAD_TARGETS = 1_000;
 
-const documentSchema = z.looseObject({
-  revision: revisionSchema,
-  routes: z.array(z.looseObject({ host: z.string(), prefix: z.string() })),
-  services: z.array(z.looseObject({ name: z.string() })),
-  workspaces: z.array(z.looseObject({ keys: z.array(z.string()) })),
-}).refine((document) => !isNestedDeeper(document), "Expected less nesting")
-  .transform((document) => document as unknown as PolicyDocument);
-
 const suspicionSchema = z.object({
   fingerprint: nameSchema,
   suspicion: z.enum(Object.values(Suspicion)),
@@ -58,7 +48,7 @@
 const entries = z.array(z.unknown());
 
 const noticeSchema = z.discriminatedUnion("type", [
-  z.object({ type: z.literal("policy"), document: documentSchema }),
+  z.object({ type: z.literal("policy"), document: policyDocumentSchema }),
   z.object({
     type: z.literal("targets"),
     mark: changeSequenceSchema.nullish(),
--- a/src/tasks/fleet/control_requests.ts
+++ b/src/tasks/fleet/control_requests.ts
@@ -14,6 +14,7 @@
   RefusalReason,
   Verdict,
 } from "../../core/verdict/mod.ts";
+import { confirmRequestSchema, fleetCommandSchema } from "../../schemas/mod.ts";
 import type { PeerHub } from "../peers/mod.ts";
 import { settleWithin } from "../settle.ts";
 import type { FleetLogService } from "./fleet_log_service.ts";
@@ -54,11 +55,11 @@
     node.hub
       .handle(
         FleetMethod.Propose,
-        (params) => service.propose(params as FleetCommand),
+        (params) => service.propose(fleetCommandSchema.parse(params)),
       )
       .handle(
         FleetMethod.Confirm,
-        (params) => this.#confirm(params as ConfirmPolicyRequest),
+        (params) => this.#confirm(confirmRequestSchema.parse(params)),
       )
       .handle(FleetMethod.Read, () => this.#read());
   }
--- a/src/tasks/fleet/control_task.ts
+++ b/src/tasks/fleet/control_task.ts
@@ -1,5 +1,4 @@
 /** A control instance: policy, target registry and the leader's tasks. */
-import type { ServiceDemand } from "../../core/batches/mod.ts";
 import type { ElapsedClock } from "../../core/clock/mod.ts";
 import { type PolicyDocument, RegionMap } from "../../core/policy/mod.ts";
 import type { TargetReport } from "../../core/registry/mod.ts";
@@ -8,6 +7,7 @@
   RefusalReason,
   Verdict,
 } from "../../core/verdict/mod.ts";
+import { serviceDemandSchema } from "../../schemas/mod.ts";
 import { DEMAND_METHOD } from "../batches/mod.ts";
 import { CapacityScaler } from "./capacity_scaler.ts";
 import { OrderLease } from "./order_lease.ts";
@@ -76,7 +76,7 @@
     this.#usageReporter = this.#createReporter(lease);
     this.#scaler = this.#createScaler(lease);
     node.hub.handle(DEMAND_METHOD, (params) => {
-      this.#scaler?.observe(params as ServiceDemand);
+      this.#scaler?.observe(serviceDemandSchema.parse(params));
       return true;
     });
   }
--- a/src/tasks/fleet/permit_service.ts
+++ b/src/tasks/fleet/permit_service.ts
@@ -13,6 +13,7 @@
   RefusalReason,
   Verdict,
 } from "../../core/verdict/mod.ts";
+import { permitRequestSchema } from "../../schemas/mod.ts";
 import type { PeerHub } from "../peers/mod.ts";
 import { ColdTargets } from "./cold_targets.ts";
 import { FleetMethod } from "./fleet_method.ts";
@@ -59,7 +60,7 @@
     });
     node.hub.handle(
       FleetMethod.Permits,
-      (params) => this.#grant(params as PermitRequest),
+      (params) => this.#grant(permitRequestSchema.parse(params)),
     );
   }
 
--- a/src/tasks/peers/peer_hub.ts
+++ b/src/tasks/peers/peer_hub.ts
@@ -57,7 +57,9 @@
   readonly #links: PeerLinks;
   readonly #presences = new PresenceTable(() => Date.now());
   readonly #pending = new PendingRequests();
-  readonly #handlers = new RequestHandlers();
+  readonly #handlers = new RequestHandlers((from, reason) =>
+    this.refuse(from, reason)
+  );
   readonly #refused: RefusedInputs;
   readonly #listeners = new Map<
     TaskChannel,
--- a/src/tasks/peers/request_handlers.ts
+++ b/src/tasks/peers/request_handlers.ts
@@ -1,5 +1,7 @@
 /** Handlers of the requests from other instances. */
+import { ZodError } from "zod";
 import { Verdict } from "../../core/verdict/mod.ts";
+import { refusalTextOf } from "../../schemas/mod.ts";
 import type { PeerReply, PeerRequest } from "./peer_envelope.ts";
 import { createUnansweredError, encodeRefusal } from "./peer_refusal.ts";
 
@@ -12,6 +14,12 @@
 /** Finds the handler of each request by its method. */
 export class RequestHandlers {
   readonly #handlers = new Map<string, RequestHandler>();
+  readonly #onMalformed: (from: string, reason: string) => void;
+
+  /** @param onMalformed - Called if a handler cannot decode a request. */
+  constructor(onMalformed: (from: string, reason: string) => void) {
+    this.#onMalformed = onMalformed;
+  }
 
   /**
    * Sets the handler of a method, replacing the previous one.
@@ -46,6 +54,9 @@
       const result = await this.run(method, params, from);
       send({ id, result });
     } catch (err) {
+      if (err instanceof ZodError) {
+        this.#onMalformed(from, `${method}: ${refusalTextOf(err)}`);
+      }
       send({ id, refusal: encodeRefusal(err) });
     }
   }
