A stored frame that cannot be decoded counts as damage

What callers saw: none known. An instance whose file holds a frame with a valid checksum that cannot be decoded ended at each start.

Cause: the decoder checked lengths and checksums, and let the errors of the library pass, which the log does not take for damage.

Why the fix works: the folder of a damaged log is kept aside, and a new replica takes its place, as for a wrong checksum.

--- a/src/tasks/storage/frame_codec.ts
+++ b/src/tasks/storage/frame_codec.ts
@@ -44,7 +44,8 @@
    * A truncated frame at the end is a torn write and is ignored, and so is a
    * last frame with a wrong checksum, because any part of a write that was not
    * synced may be missing. A wrong checksum before a valid frame is damage.
-   * @throws DamagedFileError if a frame that was synced is damaged.
+   * @throws DamagedFileError if a frame that was synced is damaged, or holds what
+   *     cannot be decoded.
    */
   decode(bytes: Buffer, file: string): DecodedFrames<F> {
     const frames: F[] = [];
@@ -60,11 +61,22 @@
         }
         break;
       }
-      frames.push(this.#packr.unpack(content) as F);
+      const frame = this.#tryUnpack(content);
+      if (frame === undefined) throw new DamagedFileError(file, offset);
+      frames.push(frame);
       offset = end;
     }
     return { frames, length: offset };
   }
+
+  /** Gets a frame; undefined for content that {@link encode} does not make. */
+  #tryUnpack(content: Buffer): F | undefined {
+    try {
+      return this.#packr.unpack(content) as F;
+    } catch {
+      return undefined;
+    }
+  }
 }
 
 /** Reads the content of a frame; undefined if the file ends before it does. */
