Paces out of bounds are not taken over

Cause: paces of messages and files could be any finite number, so that sums and estimates of a service could be spoilt by one, also after a restart.

Why the fix works: paces and starts are decoded by the shared schemas, and counts are at most the largest safe integer.

--- a/src/tasks/batches/pace_format.ts
+++ b/src/tasks/batches/pace_format.ts
@@ -1,5 +1,6 @@
 /** Decoding of paces from messages and files, which other builds may write. */
 import * as z from "zod";
+import { durationMsSchema, incarnationSchema } from "../../schemas/mod.ts";
 import type { PaceMessage, StoredPaces } from "../../core/batches/mod.ts";
 
 /** Number of the file's format; files of other formats count as empty. */
@@ -8,14 +9,14 @@
 /** Maximum number of records that are decoded from a message or file. */
 const MAX_RECORDS = 100_000;
 
-const count = z.number().nonnegative();
+const count = z.number().nonnegative().max(Number.MAX_SAFE_INTEGER);
 const promptMean = z.object({ events: count, samples: count });
 const knownPaces = {
   targets: z.array(z.object({
     id: z.string(),
     service: z.string(),
-    incarnation: z.number(),
-    paceMs: z.number().positive(),
+    incarnation: incarnationSchema,
+    paceMs: durationMsSchema.positive(),
     ageMs: count,
   })).max(MAX_RECORDS),
   services: z.array(z.object({
