A report of a service that no policy names displaces no target

What callers saw: after a report that named the address or the identifier of a target, but a service that the policy doesn't have, the target got no more requests.

Cause: a target that started later keeps an address that two report, whatever its service, and the earlier one counts as gone for good. A report with the same identifier replaced the target's own.

Why the fix works: the registry knows the services of the policy in force. Beside a target of one of them, a report of another service is ignored if it has the target's identifier, and gives up the address. Once a policy names the service, the target that started last keeps the address again, so that addresses that are assigned anew work as before.

--- a/src/core/registry/target_registry.ts
+++ b/src/core/registry/target_registry.ts
@@ -6,6 +6,7 @@
   type ColdTime,
   mergeColdUntil,
 } from "./cold_time.ts";
+import { NamedServices } from "./named_services.ts";
 import { isNewer, isSameReport, keepLeaving } from "./report_comparison.ts";
 import { type TargetReport, TargetState } from "./target_report.ts";
 
@@ -57,6 +58,7 @@
   readonly #targets = new Map<string, RegisteredTarget>();
   readonly #regions: RegionMap;
   #evacuated: ReadonlySet<string> | undefined = new Set();
+  readonly #services = new NamedServices();
 
   /** @param regions - Regions of the data centres; none known by default. */
   constructor(regions: RegionMap = new RegionMap(undefined)) {
@@ -73,6 +75,9 @@
     if (current !== undefined && !isNewer(report, current)) {
       return RegistryChange.None;
     }
+    if (current !== undefined && this.#services.isForeign(report, current)) {
+      return RegistryChange.None;
+    }
     const same = current?.incarnation === report.incarnation
       ? known
       : undefined;
@@ -255,6 +260,21 @@
     return this;
   }
 
+  /**
+   * Replaces the names of the services that the policy has; before, any is taken
+   * for one. Reports of other services displace no target.
+   */
+  setServices(names: Iterable<string>, now: number): this {
+    const added = this.#services.replace(names);
+    for (const id of [...this.#targets.keys()]) {
+      const target = this.#targets.get(id)!;
+      if (!added.has(target.report.service)) continue;
+      const report = this.#resolveAddressConflict(target.report, now);
+      this.#targets.set(report.id, { ...target, report });
+    }
+    return this;
+  }
+
   /** Gets whether a data centre is evacuated, or may be. */
   isEvacuated(dataCentre: string): boolean {
     return this.#evacuated?.has(dataCentre) ?? true;
@@ -281,6 +301,12 @@
     for (const { report: other } of this.#targets.values()) {
       if (other.id === report.id || other.address !== report.address) continue;
       if (other.state === TargetState.Gone) continue;
+      if (
+        this.#services.isForeign(report, other) ||
+        this.#services.isForeign(other, report)
+      ) {
+        continue;
+      }
       if (other.incarnation > report.incarnation) {
         return { ...report, state: TargetState.Gone };
       }
--- a/src/core/registry/target_registry_test.ts
+++ b/src/core/registry/target_registry_test.ts
@@ -107,4 +107,48 @@
     expect(registry.merge(report({ sequence: 3, versions: { m: 2 } }), 2))
       .toBe(RegistryChange.Changed);
   });
+
+  describe("beside reports of a service that no policy names", () => {
+    const OTHER = { id: "i-2", service: "other", incarnation: 5 };
+
+    /** Merges reports, of which those of the service `planner` are named. */
+    function doServiceTest(
+      reports: readonly Partial<TargetReport>[],
+      named: readonly string[],
+      expected: readonly (readonly string[])[],
+    ) {
+      const registry = new TargetRegistry().setServices(["planner"], 0);
+      reports.forEach((fields, i) => registry.merge(report(fields), i));
+      const ready = (service: string) =>
+        registry.readyOf(service).map(({ report: { id } }) => id);
+      const seen = [ready("planner")];
+      registry.setServices(named, reports.length);
+      seen.push(ready("planner"), ready("other"));
+      expect(seen).toEqual(expected);
+    }
+
+    it("keeps a target at the address that such a report names", () =>
+      doServiceTest([{}, OTHER, { sequence: 2 }], ["planner"], [
+        ["i-1"],
+        ["i-1"],
+        ["i-2"],
+      ]));
+
+    it("keeps a target's report if such a one has its identifier", () =>
+      doServiceTest(
+        [{}, { ...OTHER, id: "i-1", address: "other" }, { sequence: 2 }],
+        ["planner"],
+        [["i-1"], ["i-1"], []],
+      ));
+
+    it("gives up the address once a policy names the service", () =>
+      doServiceTest([{}, OTHER], ["planner", "other"], [
+        ["i-1"],
+        [],
+        ["i-2"],
+      ]));
+
+    it("takes the first report of a target, whatever its service", () =>
+      doServiceTest([OTHER], ["other"], [[], [], ["i-2"]]));
+  });
 });
--- a/src/tasks/fleet/fleet_control.ts
+++ b/src/tasks/fleet/fleet_control.ts
@@ -53,6 +53,8 @@
   readonly #requests: ControlRequests;
   readonly #publisher: FleetPublisher;
   readonly #permits: PermitService;
+  /** Policy whose services the registry has. */
+  #servicesOf: PolicyDocument | undefined;
   #timer: NodeJS.Timeout | undefined;
 
   constructor(options: FleetControlOptions) {
@@ -217,10 +219,19 @@
   }
 
   #onStateChanged(): void {
+    this.#updateServices();
     this.evacuations.onStateChanged();
     this.#options.onChanged();
   }
 
+  #updateServices(): void {
+    const { policy } = this.state;
+    if (policy === undefined || policy === this.#servicesOf) return;
+    this.#servicesOf = policy;
+    const names = policy.services.map(({ name }) => name);
+    this.targets.registry.setServices(names, this.#options.now());
+  }
+
   #maintain(): void {
     const { node, now } = this.#options;
     this.targets.registry.prune(now());
--- a/src/tasks/fleet/fleet_follower.ts
+++ b/src/tasks/fleet/fleet_follower.ts
@@ -222,7 +222,8 @@
   #applyPolicy(document: PolicyDocument): void {
     if (document.revision <= this.policyRevision) return;
     this.#policy = new PolicyView(document);
-    const { node } = this.#options;
+    const { node, registry, clock } = this.#options;
+    registry.setServices(document.services.map((s) => s.name), clock.now());
     node.logger.event("policyInForce", { revision: document.revision });
     node.hub.announce();
   }
