Fuzz the decoders of messages, requests and answers with odd values

Copies of valid reports, notices, presences, commands, requests, states and messages of tunnels have odd, missing and added members, some nested 1,000 deep. They are decoded or refused without an error, what is decoded can be encoded and stored, and what the decoder of reports accepts, other instances accept, too.

--- a/soak/fuzz/properties.ts
+++ b/soak/fuzz/properties.ts
@@ -20,6 +20,7 @@
   encodeEnvelope,
 } from "../../src/tasks/peers/peer_envelope.ts";
 import { DamagedFileError, FrameCodec } from "../../src/tasks/storage/mod.ts";
+import { getMessageProperties } from "./message_properties.ts";
 import { fleetPolicy } from "../../tests/support/fleet_policy.ts";
 
 /** A property and the input that it is about. */
@@ -97,6 +98,7 @@
 /** Gets the properties of all decoders. */
 export function getFuzzProperties(): NamedProperty[] {
   return [
+    ...getMessageProperties(),
     {
       name: "policies",
       property: fc.property(
