A report's number is one that its target can have reached

What callers saw: after one report with a number of, say, 2^32, the target's later reports counted as outdated, also the one that says that it leaves.

Cause: the number of a report had the same bound whatever the target's start. Numbers are counted from the start on, so that a plausible one has far fewer than a report in each millisecond.

--- a/src/schemas/fleet_notice_schema_test.ts
+++ b/src/schemas/fleet_notice_schema_test.ts
@@ -47,6 +47,7 @@
       { ...sound, address: "10.1.2.3:0" },
       { ...sound, slots: 1e15 },
       { ...sound, sequence: 1e300 },
+      { ...sound, incarnation: Date.now(), sequence: 2 ** 32 },
       { ...sound, incarnation: Date.now() + FAR_MS },
       { ...sound, coldMs: 1e300 },
       { ...sound, versions: { m: 2 ** 53 - 1 } },
--- a/src/schemas/scalar_schemas.ts
+++ b/src/schemas/scalar_schemas.ts
@@ -6,8 +6,7 @@
 const MAX_COUNT = 2_147_483_647;
 /** A target serves each slot on a connection, which has a port of its own. */
 const MAX_SLOTS = MAX_PORT;
-/** Writers may number their reports by the time in milliseconds. */
-const MAX_SEQUENCE = 1e13;
+const MAX_SEQUENCE = Number.MAX_SAFE_INTEGER;
 /** Longest delay of a timer. */
 const MAX_DURATION_MS = 2_147_483_647;
 const MAX_COLD_MS = 86_400_000;
@@ -84,6 +83,22 @@
 /** Schema of the number of a report. */
 export const sequenceSchema = z.number().min(0).max(MAX_SEQUENCE);
 
+/**
+ * Gets whether a target can have numbered a report so since its start: it sends
+ * at most one in a millisecond.
+ *
+ * @example
+ * ```ts
+ * isSequenceReached(1e9, Date.now()); // false
+ * ```
+ */
+export function isSequenceReached(
+  sequence: number,
+  incarnation: number,
+): boolean {
+  return sequence <= Date.now() + MAX_CLOCK_DIFFERENCE_MS - incarnation;
+}
+
 /** Schema of the version of a model's weights; each is one above the last. */
 export const weightVersionSchema = countSchema;
 
--- a/src/schemas/target_report_schema.ts
+++ b/src/schemas/target_report_schema.ts
@@ -6,6 +6,7 @@
   coldMsSchema,
   identifierSchema,
   incarnationSchema,
+  isSequenceReached,
   nameSchema,
   sequenceSchema,
   slotsSchema,
@@ -26,4 +27,7 @@
   versions: z.record(z.string(), weightVersionSchema),
   isSpot: z.boolean(),
   coldMs: coldMsSchema.optional(),
-}) satisfies z.ZodType<TargetReport>;
+}).refine(
+  ({ sequence, incarnation }) => isSequenceReached(sequence, incarnation),
+  { path: ["sequence"], message: "Expected one reached since the start" },
+) satisfies z.ZodType<TargetReport>;
