A malformed message of a log does not stop the replica

What callers saw: a control replica stopped and started again from its store, without end, while a peer sent it a message of a type that it does not know.

Cause: messages of logs were passed to the replica as they came; an error there counts as one of the replica, which is started again from its store.

Why the fix works: an instance checks the messages of its log by a schema with the shared scalars before the replica sees them.

--- a/src/schemas/scalar_schemas.ts
+++ b/src/schemas/scalar_schemas.ts
@@ -16,6 +16,9 @@
 /** A limit below it would stop a target for hours. */
 const MIN_LIMIT_PER_S = 1e-4;
 
+const OCTET = "(?:25[0-5]|2[0-4]\\d|1\\d\\d|[1-9]?\\d)";
+const ADDRESS = new RegExp(`^(?:${OCTET}\\.){3}${OCTET}:([1-9]\\d{0,4})$`);
+
 /** Schema of the identifier of an instance: its IPv4 address. */
 export const instanceIdSchema = z.ipv4();
 
@@ -36,10 +39,8 @@
 );
 
 function isAddress(text: string): boolean {
-  const [host, port, ...rest] = text.split(":");
-  return rest.length === 0 && /^[1-9]\d*$/.test(port ?? "") &&
-    portSchema.safeParse(Number(port)).success &&
-    instanceIdSchema.safeParse(host).success;
+  const port = ADDRESS.exec(text)?.[1];
+  return port !== undefined && Number(port) <= MAX_PORT;
 }
 
 /** Schema of an endpoint: an IP address or host name, and a port. */
--- a/src/tasks/fleet/fleet_node.ts
+++ b/src/tasks/fleet/fleet_node.ts
@@ -10,7 +10,12 @@
 } from "../../core/fleet/mod.ts";
 import type { Logger } from "../../logging/mod.ts";
 import type { Metrics } from "../../metrics/mod.ts";
-import { decodeNotice, instanceIdSchema } from "../../schemas/mod.ts";
+import {
+  decodeNotice,
+  instanceIdSchema,
+  logEnvelopeSchema,
+  refusalTextOf,
+} from "../../schemas/mod.ts";
 import type { FleetSettings, PeerSettings } from "../../settings/mod.ts";
 import { type LogEnvelope, PeerHub } from "../peers/mod.ts";
 import { LeaderClient, type LeaderRequestOptions } from "./leader_client.ts";
@@ -193,8 +198,10 @@
 
   /** Subscribes to the messages of a log. */
   onLog(name: string, listener: (message: LogEnvelope["message"]) => void) {
-    this.hub.on("log", (_from, { log, message }) => {
-      if (log === name) listener(message);
+    this.hub.on("log", (from, body) => {
+      const { success, error } = logEnvelopeSchema.safeParse(body);
+      if (!success) this.hub.refuse(from, `log: ${refusalTextOf(error)}`);
+      else if (body.log === name) listener(body.message);
     });
     return this;
   }
--- a/tests/odd_entries_test.ts
+++ b/tests/odd_entries_test.ts
@@ -1,4 +1,8 @@
 import { afterAll, afterEach, beforeAll, describe, expect, it } from "vitest";
+import { formatReplicaId } from "../src/core/consensus/mod.ts";
+import { FleetRole } from "../src/core/fleet/mod.ts";
+import { EVENT_CATALOGUE } from "../src/logging/mod.ts";
+import { FLEET_LOG } from "../src/tasks/fleet/fleet_log_service.ts";
 import { createReport } from "./support/target_report.ts";
 import { sleep } from "./support/fleet_deployment.ts";
 import { FleetFixture } from "./support/fleet_fixture.ts";
@@ -14,6 +18,11 @@
 /** The stack holds the decoding of it, but not its encoding. */
 const NEAR_DEPTH = 2_000;
 
+/** Gets whether a line says that a replica of a log has started again. */
+function isLogStopped(line: string): boolean {
+  return line.includes(`"event":${EVENT_CATALOGUE.controlStopped.number},`);
+}
+
 describe("odd entries of another writer", () => {
   let fixture: FleetFixture;
   let writer: PeerWriter | undefined;
@@ -46,6 +55,7 @@
       .filter((_, i) => processes[i]?.child.exitCode !== null)
       .map(({ name }) => name);
     expect(ended).toEqual([]);
+    expect(fleet.logLines.filter(isLogStopped)).toEqual([]);
     await expectAnswers("both");
     await known.drain();
     await sleep(ROUNDS_MS);
@@ -123,6 +133,14 @@
       })
     ));
 
+  it("stop no log if a message of one is malformed", () =>
+    doTest(() => {
+      const [control] = fixture.fleet.machinesWithRole(FleetRole.Control);
+      const to = formatReplicaId(control.id, "first");
+      const message = { to, from: "other", term: 1, type: "other" };
+      return write("log", { log: FLEET_LOG, message });
+    }));
+
   it("end no instance if a list of targets has some", () =>
     doTest(() => {
       const report = createReport({ service: apps });
