A leader takes commands while a committed one waits for a write

What callers saw: ends of batches, submissions and orders refused with 'The log has no leader here' by an instance that led, for as long as its disk was slow or busy. Others were then asked in vain, and an end that is refused so is not acknowledged.

Cause: a leader counted as ready only while all committed entries were applied. An entry waits for the write in progress before it is applied, so under load this is false for most of each write. leadsTerm was undefined meanwhile, so that the instance also announced that it did not lead.

Why this works: what a leader must have applied before it decides are the entries of earlier leaders (hasAppliedEarlierTerms). Its own entries take effect in the order of the log, and reads confirm leadership with an index.

--- a/src/tasks/log/log_service.ts
+++ b/src/tasks/log/log_service.ts
@@ -51,9 +51,13 @@
     return this.driver.state;
   }
 
-  /** Gets the term that this replica leads; undefined unless it leads. */
+  /**
+   * Gets the term that this replica leads; undefined unless it leads and has
+   * applied what earlier leaders committed.
+   */
   get leadsTerm(): number | undefined {
-    return this.driver.isReady ? this.driver.node?.term : undefined;
+    const { driver } = this;
+    return driver.hasAppliedEarlierTerms ? driver.node?.term : undefined;
   }
 
   /** Processes a message from another replica. */
@@ -67,7 +71,7 @@
    *     `mayHaveRun` if it may still be.
    */
   propose(command: C): Promise<A> {
-    const position = this.driver.isReady
+    const position = this.driver.hasAppliedEarlierTerms
       ? this.driver.propose(command)
       : undefined;
     if (position === undefined) {
