Calls are not refused as unknown by an outdated policy

What callers saw: an entry instance without a policy lease answered 401 or 404 to a call or a submission whose key or route had been added since. Callers do not repeat a request after such a status.

Cause: the call was matched with the policy at hand before the lease was awaited; only calls that matched waited for it.

Evidence: call_gate_test.ts admits a call whose key only a newer policy has. Before: keyUnknown (expected dataCentreFenced without a lease, and the route with one).

Why this works: as for callers of batches, the refusal waits for the lease, which says that the policy is no older than the leader's; without one the answer is a 503.

--- a/src/tasks/calls/call_gate.ts
+++ b/src/tasks/calls/call_gate.ts
@@ -22,6 +22,12 @@
   readonly guard?: SendGuard;
 }
 
+/** Refusals that may be due to an outdated policy. */
+const UNKNOWN_REASONS: ReadonlySet<RefusalReason> = new Set([
+  RefusalReason.NotFound,
+  RefusalReason.KeyUnknown,
+]);
+
 /** Options of {@link CallGate}. */
 export interface CallGateOptions {
   readonly policy: () => PolicyView | undefined;
@@ -66,7 +72,8 @@
   /**
    * Admits a call by its host, path and key.
    * The call is matched again after the wait for the policy lease, since its
-   * key may have been withdrawn in the meantime.
+   * key may have been withdrawn in the meantime. Nobody is refused as unknown
+   * without the lease: the route or key may have been added since.
    * @throws RefusalError with verdict `notRun`.
    */
   async admit(
@@ -74,7 +81,13 @@
       & Pick<CallRequest, "host" | "path" | "key">
       & Partial<Pick<CallRequest, "timeoutMs">>,
   ): Promise<Admission> {
-    const admission = this.#findAdmissionOrThrow(call);
+    const admission = this.#findAdmission(call);
+    if (admission === undefined) {
+      if (await this.#options.awaitLease()) {
+        return this.#findAdmissionOrThrow(call);
+      }
+      throw createFencedError();
+    }
     if (admission.workspace === undefined) return admission;
     const { timeoutMs = Infinity } = call;
     const timeMs = Math.min(timeoutMs, admission.route.timeoutMs);
@@ -100,6 +113,20 @@
     return getWorkspaceOrThrow(policy, key).name;
   }
 
+  /** Gets the admission of a call; undefined if its route or key is unknown. */
+  #findAdmission(
+    call: Pick<CallRequest, "host" | "path" | "key">,
+  ): Admission | undefined {
+    try {
+      return this.#findAdmissionOrThrow(call);
+    } catch (err) {
+      if (err instanceof RefusalError && UNKNOWN_REASONS.has(err.reason)) {
+        return undefined;
+      }
+      throw err;
+    }
+  }
+
   #findAdmissionOrThrow(
     call: Pick<CallRequest, "host" | "path" | "key">,
   ): Admission {
--- a/src/tasks/calls/call_gate_test.ts
+++ b/src/tasks/calls/call_gate_test.ts
@@ -12,6 +12,13 @@
   routes: [createRoute({ timeoutMs: 30_000 })],
   workspaces: [{ name: "w", keys: ["k"], priority: 1 }],
 });
+/** Lacks the key. */
+const OUTDATED = new PolicyView(
+  createPolicy({
+    routes: [createRoute({ timeoutMs: 30_000 })],
+    workspaces: [{ name: "w", keys: ["old"], priority: 1 }],
+  }),
+);
 
 describe(CallGate.name, () => {
   async function doTest(hasControlLeader: boolean, retryAfterMs: number) {
@@ -35,6 +42,35 @@
   it("calls back after an election if there is no leader", () =>
     doTest(false, 1_000));
 
+  /** Admits a call that only a newer policy than the known one serves. */
+  async function admitUnknown(
+    call: typeof KEYED_CALL,
+    isRenewed: boolean,
+  ): Promise<string> {
+    let isKnown = false;
+    const gate = new CallGate({
+      policy: () => isKnown ? new PolicyView(POLICY) : OUTDATED,
+      awaitLease: () => {
+        isKnown = isRenewed;
+        return Promise.resolve(isRenewed);
+      },
+      hasLease: () => false,
+      hasControlLeader: () => true,
+    });
+    return await gate.admit(call).then(
+      ({ route }) => route.name,
+      (err) => err.reason,
+    );
+  }
+
+  // Guards against callers that give up, as they are refused as unknown.
+  it("refuses nobody as unknown by an outdated policy", async () => {
+    expect(await admitUnknown(KEYED_CALL, false)).toBe("dataCentreFenced");
+    expect(await admitUnknown(KEYED_CALL, true)).toBe(
+      POLICY.routes[0].name,
+    );
+  });
+
   async function doLeaseTest(timeoutMs: number | undefined, waitMs: number) {
     const waits: (number | undefined)[] = [];
     const gate = new CallGate({
