The end of a batch that may still be accepted is not refused as unknown

What callers saw: nothing known. A caller that ends a batch whose submission it has no answer to, while the ledger still writes it, got 404. Callers don't repeat that, and an entry instance does not send the end again: the batch was then accepted, and ran until its time to live was over.

Cause: a batch was looked up among those that are applied. The leader knows of proposals that may still take effect, but asked for them at submissions alone.

Evidence: batch_intake_test.ts ends a batch whose proposal failed without a known effect. Before the change the reason was notFound (expected ledgerUnavailable).

Why this works: such an end is refused for the moment, so it is sent again until the batch is known or the retries are over.

--- a/src/tasks/batches/batch_intake.ts
+++ b/src/tasks/batches/batch_intake.ts
@@ -136,7 +136,8 @@
 
   /**
    * Ends a batch; one that has ended needs no further write.
-   * @throws RefusalError if the workspace has no such batch.
+   * @throws RefusalError if the workspace has no such batch, or if it is not known
+   * yet whether the batch is accepted.
    */
   async end({ workspace, batch }: BatchParams): Promise<true> {
     const { service } = this.#options;
@@ -147,10 +148,25 @@
     if (record === undefined) {
       await service.confirmLeadership(CONFIRM_TIMEOUT_MS);
       if (service.state.getForWorkspace(workspace, batch) === undefined) {
-        throw createNotFoundError();
+        throw this.#mayBeAccepted(batch)
+          ? createUnsettledError()
+          : createNotFoundError();
       }
     }
     await service.propose({ type: "end", batch });
     return true;
   }
+
+  /** Gets whether a proposal may accept a batch that is not known yet. */
+  #mayBeAccepted(batch: string): boolean {
+    const { state } = this.#options.service;
+    return state.get(batch) === undefined && this.#unsettled.has(batch);
+  }
+}
+
+/** Creates the refusal of an end that must be sent again. */
+function createUnsettledError(): RefusalError {
+  return new RefusalError(RefusalReason.LedgerUnavailable, Verdict.NotRun, {
+    message: "The batch may still be accepted",
+  });
 }
--- a/src/tasks/batches/batch_intake_test.ts
+++ b/src/tasks/batches/batch_intake_test.ts
@@ -172,6 +172,18 @@
     expect(proposed).toEqual(["end"]);
   });
 
+  // Guards against a batch that is accepted after its end was refused for good.
+  it("does not refuse the end of a batch whose acceptance is unsettled", async () => {
+    const { intake, proposed } = createIntake({
+      decisions: [ADMITTED],
+      failures: [new RefusalError("controlUnavailable", Verdict.MayHaveRun)],
+    });
+    await expect(intake.submit({ spec })).rejects.toThrow();
+    await expect(intake.end(params)).rejects
+      .toMatchObject({ reason: "ledgerUnavailable", verdict: Verdict.NotRun });
+    expect(proposed).toEqual(["accept"]);
+  });
+
   it("refuses the end of an unknown batch", async () => {
     const { intake } = createIntake({ decisions: [] });
     await expect(intake.end(params)).rejects
