A leader takes commands while it writes to its disk

What callers saw: nothing known. The leader of the ledger refused submissions and ends with 503, and dropped results, whenever one of its own entries was committed and waited for the write in progress. A caller whose attempts all fell into such moments gave up.

Cause: a proposal asked whether all committed entries are applied. An entry that the other replicas have committed is applied after the leader's own write, so under load this is false for most of each write.

Why this works: a command is decided when it is applied, in the order of the log. A proposal needs a leader that has applied what earlier ones have committed, which `hasAppliedEarlierTerms` says, and no more.

--- a/src/tasks/log/log_service.ts
+++ b/src/tasks/log/log_service.ts
@@ -67,7 +67,7 @@
    *     `mayHaveRun` if it may still be.
    */
   propose(command: C): Promise<A> {
-    const position = this.driver.isReady
+    const position = this.driver.hasAppliedEarlierTerms
       ? this.driver.propose(command)
       : undefined;
     if (position === undefined) {
