A deregistration that has no effect is not acknowledged

What callers saw: nothing known. A target that deregistered at a control instance that did not know it, as after a restart of that instance, got its acknowledgement, and all other instances went on sending it requests.

Cause: removing an unknown target is ignored, and the answer did not depend on it. A deregistration names no more than the target, so it cannot be passed on as a report.

Evidence: target_directory_test.ts deregisters an unknown target. Before the change it was acknowledged (expected function to throw an error, but it didn't).

Why this works: the target gets a 503 and goes to another control instance, as after any failure. One that is known to have left is acknowledged again.

--- a/src/tasks/fleet/control_task.ts
+++ b/src/tasks/fleet/control_task.ts
@@ -117,6 +117,7 @@
   /**
    * Removes a target that has deregistered.
    * @param incarnation - Incarnation that leaves; undefined for any.
+   * @throws RefusalError if the target is not known here.
    */
   removeTarget(id: string, incarnation: number | undefined): void {
     this.#control.targets.remove(id, incarnation);
--- a/src/tasks/fleet/target_directory.ts
+++ b/src/tasks/fleet/target_directory.ts
@@ -7,6 +7,11 @@
   type TargetRegistry,
   type TargetReport,
 } from "../../core/registry/mod.ts";
+import {
+  RefusalError,
+  RefusalReason,
+  Verdict,
+} from "../../core/verdict/mod.ts";
 import type { FleetNode } from "./fleet_node.ts";
 import type { FleetPublisher } from "./fleet_publisher.ts";
 import { logTargetChanged } from "./target_log.ts";
@@ -39,10 +44,15 @@
     this.#options.publisher.forwardReport(report);
   }
 
-  /** Removes a target and informs the other instances. */
+  /**
+   * Removes a target and informs the other instances.
+   * @throws RefusalError with verdict `notRun` if the target is not known here, as
+   * after a restart: another control instance may know it.
+   */
   remove(id: string, incarnation: number | undefined): void {
     const { now } = this.#options;
     const previous = this.registry.get(id);
+    if (previous === undefined) throw createUnknownTargetError();
     if (!this.registry.remove(id, incarnation, now())) return;
     const removed = this.registry.get(id)?.report;
     if (removed === undefined) return;
@@ -126,3 +136,10 @@
     onChanged();
   }
 }
+
+/** Creates the refusal of a deregistration that would have no effect. */
+function createUnknownTargetError(): RefusalError {
+  return new RefusalError(RefusalReason.ControlUnavailable, Verdict.NotRun, {
+    message: "The target is not known here",
+  });
+}
--- a/src/tasks/fleet/target_directory_test.ts
+++ b/src/tasks/fleet/target_directory_test.ts
@@ -85,6 +85,24 @@
     expect(setup.coldTimesTo(FleetRole.Entry)).toEqual([2_000]);
   });
 
+  // Guards against calls to a target whose deregistration had no effect.
+  it("does not acknowledge that a target leaves which it does not know", () => {
+    const { directory, sent } = new Setup();
+    expect(() => directory.remove("t1", 1)).toThrow(
+      expect.objectContaining({ reason: "controlUnavailable", status: 503 }),
+    );
+    expect(sent).toEqual([]);
+  });
+
+  it("acknowledges again that a target has left", () => {
+    const { directory, sent } = new Setup().report(0, {});
+    directory.remove("t1", 1);
+    expect(sent.length).toBeGreaterThan(0);
+    sent.length = 0;
+    directory.remove("t1", 1);
+    expect(sent).toEqual([]);
+  });
+
   const cold = {
     type: "cold",
     target: "t1",
