An ended batch is acknowledged also while its leader writes

What callers saw: nothing known. While a leader with slow writes is under load, a repeated end still waited for a write of its own.

Cause: the shortcut of asked `leadsTerm`, which is undefined while a committed entry of the leader waits for its write, the very case that it is for.

Evidence: batch_intake_test.ts, with `isWriting`. Before the change the end was proposed again (expected none).

Why this works: `takesCommands` says that this replica leads and has applied what earlier leaders committed. With the end applied here, its own runs of the batch are cancelled, and any later leader applies the end before it holds its lease.

--- a/src/tasks/batches/batch_intake.ts
+++ b/src/tasks/batches/batch_intake.ts
@@ -143,8 +143,7 @@
     const { service } = this.#options;
     const record = service.state.getForWorkspace(workspace, batch);
     // The leader may not have applied what another replica has.
-    const isLeader = service.leadsTerm !== undefined;
-    if (isLeader && record?.isEnded === true) return true;
+    if (service.takesCommands && record?.isEnded === true) return true;
     if (record === undefined) {
       await service.confirmLeadership(CONFIRM_TIMEOUT_MS);
       if (service.state.getForWorkspace(workspace, batch) === undefined) {
--- a/src/tasks/batches/batch_intake_test.ts
+++ b/src/tasks/batches/batch_intake_test.ts
@@ -27,6 +27,8 @@
 interface Scenario {
   readonly decisions: readonly AdmissionDecision[];
   readonly isLeader?: boolean;
+  /** Whether committed entries of the leader wait for its write. */
+  readonly isWriting?: boolean;
   /** Happens while leadership is confirmed. */
   readonly onConfirm?: (state: BatchState) => void;
   /** Happens before the batch is submitted. */
@@ -35,7 +37,9 @@
   readonly failures?: readonly RefusalError[];
 }
 
-function createIntake({ decisions, isLeader = true, ...options }: Scenario) {
+function createIntake(
+  { decisions, isLeader = true, isWriting = false, ...options }: Scenario,
+) {
   const state = new BatchState();
   const proposed: string[] = [];
   const logged: string[] = [];
@@ -43,7 +47,8 @@
   const left = [...decisions];
   const service = {
     state,
-    leadsTerm: isLeader ? 1 : undefined,
+    leadsTerm: isLeader && !isWriting ? 1 : undefined,
+    takesCommands: isLeader,
     confirmLeadership: () => {
       options.onConfirm?.(state);
       return Promise.resolve();
@@ -152,13 +157,19 @@
   });
 
   // Guards against ends without an answer while writes take longer than an attempt.
-  it("acknowledges the end of an ended batch without another write", async () => {
-    const { intake, state, proposed } = createIntake({ decisions: [] });
-    state.apply({ type: "accept", spec });
-    state.apply({ type: "end", batch: spec.id });
-    expect(await intake.end(params)).toBe(true);
-    expect(proposed).toEqual([]);
-  });
+  it.each([false, true])(
+    "acknowledges the end of an ended batch without another write (writing: %s)",
+    async (isWriting) => {
+      const { intake, state, proposed } = createIntake({
+        decisions: [],
+        isWriting,
+      });
+      state.apply({ type: "accept", spec });
+      state.apply({ type: "end", batch: spec.id });
+      expect(await intake.end(params)).toBe(true);
+      expect(proposed).toEqual([]);
+    },
+  );
 
   // Guards against items that run on at a leader that has not applied the end.
   it("leaves an ended batch to the leader if this replica does not lead", async () => {
--- a/src/tasks/log/log_service.ts
+++ b/src/tasks/log/log_service.ts
@@ -56,6 +56,14 @@
     return this.driver.isReady ? this.driver.node?.term : undefined;
   }
 
+  /**
+   * Gets whether this replica leads and takes commands, also while committed
+   * entries of its own wait for a write.
+   */
+  get takesCommands(): boolean {
+    return this.driver.hasAppliedEarlierTerms;
+  }
+
   /** Processes a message from another replica. */
   receive(message: ConsensusMessage<C, S>): void {
     this.driver.receive(message);
@@ -67,7 +75,7 @@
    *     `mayHaveRun` if it may still be.
    */
   propose(command: C): Promise<A> {
-    const position = this.driver.hasAppliedEarlierTerms
+    const position = this.takesCommands
       ? this.driver.propose(command)
       : undefined;
     if (position === undefined) {
