The control leader takes orders and reads at its own instance while it writes

What callers saw: nothing known. An order, or a read of the policy, that reached the control instance that leads was refused with 503 after 900 ms if an entry of its log was committed and waited for the local write.

Cause: whether this instance leads was asked by `leadsTerm`, which is undefined meanwhile. The request then went to the other members, none of which leads.

Evidence: control_requests_test.ts, with `isWriting`. Before the change the order and the read were sent on (expected the own log, and no request).

Why this works: `takesCommands` stays true during the write. An order is decided when it is applied; a read confirms the leadership and waits until all that was committed before it is applied.

--- a/src/tasks/fleet/control_requests.ts
+++ b/src/tasks/fleet/control_requests.ts
@@ -32,7 +32,7 @@
   };
   readonly service: Pick<
     FleetLogService,
-    "state" | "leadsTerm" | "propose" | "confirmLeadership"
+    "state" | "takesCommands" | "propose" | "confirmLeadership"
   >;
 }
 
@@ -84,7 +84,7 @@
   /** Reads the committed policy's source text; undefined if there is none. */
   async readPolicy(): Promise<string | undefined> {
     const { node, service } = this.#options;
-    if (service.leadsTerm !== undefined) return (await this.#read()).source;
+    if (service.takesCommands) return (await this.#read()).source;
     const reply = await node.requestLeader(
       FleetRole.Control,
       FleetMethod.Read,
@@ -99,7 +99,7 @@
    */
   async propose(command: FleetCommand): Promise<FleetCommandResult> {
     const { node, service } = this.#options;
-    if (service.leadsTerm !== undefined) {
+    if (service.takesCommands) {
       return await this.#proposeAsLeader(command);
     }
     return await node.requestLeader(
--- a/src/tasks/fleet/control_requests_test.ts
+++ b/src/tasks/fleet/control_requests_test.ts
@@ -23,11 +23,28 @@
 
   /** Sends a request; gets its end and where its command went. */
   async function doTest(
-    options: { readonly leadsTerm?: number; readonly isStored?: boolean },
+    options: {
+      readonly leadsTerm?: number;
+      /** Whether committed entries of the leader wait for its write. */
+      readonly isWriting?: boolean;
+      readonly isStored?: boolean;
+    },
     send: (requests: ControlRequests) => Promise<unknown>,
     expected: { readonly ended: unknown; readonly sentTo: readonly string[] },
   ): Promise<void> {
     const sentTo: string[] = [];
+    const service = {
+      state: new FleetState(),
+      leadsTerm: options.isWriting ? undefined : options.leadsTerm,
+      takesCommands: options.leadsTerm !== undefined,
+      propose: (): Promise<typeof DONE> => {
+        sentTo.push("log");
+        return options.isStored === false
+          ? new Promise(() => {})
+          : Promise.resolve(DONE);
+      },
+      confirmLeadership: () => Promise.resolve(),
+    };
     const requests = new ControlRequests({
       node: {
         logger: new Logger({ instance: "c1", level: "error" }),
@@ -41,17 +58,7 @@
           return Promise.resolve(DONE);
         },
       },
-      service: {
-        state: new FleetState(),
-        leadsTerm: options.leadsTerm,
-        propose: () => {
-          sentTo.push("log");
-          return options.isStored === false
-            ? new Promise(() => {})
-            : Promise.resolve(DONE);
-        },
-        confirmLeadership: () => Promise.resolve(),
-      },
+      service,
     });
     const ended = send(requests).catch((err) => {
       if (!(err instanceof RefusalError)) throw err;
@@ -67,6 +74,21 @@
       sentTo: ["log"],
     }));
 
+  // Guards against commands that a leader refuses, as no other instance leads.
+  it("proposes to its own log while it leads and writes", () =>
+    doTest(
+      { leadsTerm: 3, isWriting: true },
+      (requests) => requests.propose(COMMAND),
+      { ended: DONE, sentTo: ["log"] },
+    ));
+
+  it("reads the policy of its own log while it leads and writes", () =>
+    doTest(
+      { leadsTerm: 3, isWriting: true },
+      (requests) => requests.readPolicy(),
+      { ended: undefined, sentTo: [] },
+    ));
+
   // Guards against commands that a follower proposes and that are lost.
   it("proposes through the leader otherwise", () =>
     doTest({}, (requests) => requests.propose(COMMAND), {
