--- a/src/tasks/batches/batch_intake.ts
+++ b/src/tasks/batches/batch_intake.ts
@@ -136,21 +136,36 @@
 
   /**
    * Ends a batch; one that has ended needs no further write.
-   * @throws RefusalError if the workspace has no such batch.
+   * @throws RefusalError if the workspace has no such batch, or if it is not known
+   * yet whether the batch is accepted.
    */
   async end({ workspace, batch }: BatchParams): Promise<true> {
     const { service } = this.#options;
     const record = service.state.getForWorkspace(workspace, batch);
     // The leader may not have applied what another replica has.
-    const isLeader = service.leadsTerm !== undefined;
-    if (isLeader && record?.isEnded === true) return true;
+    if (service.takesCommands && record?.isEnded === true) return true;
     if (record === undefined) {
       await service.confirmLeadership(CONFIRM_TIMEOUT_MS);
       if (service.state.getForWorkspace(workspace, batch) === undefined) {
-        throw createNotFoundError();
+        throw this.#mayBeAccepted(batch)
+          ? createUnsettledError()
+          : createNotFoundError();
       }
     }
     await service.propose({ type: "end", batch });
     return true;
   }
+
+  /** Gets whether a proposal may accept a batch that is not known yet. */
+  #mayBeAccepted(batch: string): boolean {
+    const { state } = this.#options.service;
+    return state.get(batch) === undefined && this.#unsettled.has(batch);
+  }
+}
+
+/** Creates the refusal of an end that must be sent again. */
+function createUnsettledError(): RefusalError {
+  return new RefusalError(RefusalReason.LedgerUnavailable, Verdict.NotRun, {
+    message: "The batch may still be accepted",
+  });
 }
