--- a/src/core/continuation/mod.ts
+++ b/src/core/continuation/mod.ts
@@ -2,3 +2,4 @@
 export * from "./output_writer.ts";
 export * from "./stream_directory.ts";
 export * from "./event_framer.ts";
+export * from "./event_tail.ts";
