The refusal of a stream follows whole events only

Callers of a model got the text of an error within an event of their stream (`data: {"aevent: error`) where the target broke off inside that event.

Cause: streams were passed on as they arrived, and the event by which a stream says that it failed was appended to whatever had been sent.

Fix: the sink of a caller holds back what is not a whole event, as resumable streams do; the rest follows at the end of a complete stream.

--- a/src/tasks/targets/caller_sink.ts
+++ b/src/tasks/targets/caller_sink.ts
@@ -3,6 +3,7 @@
 import type { EventSourceParser } from "eventsource-parser";
 import { completionChunkSchema, STREAM_END } from "../../protocol/mod.ts";
 import type { StoredResponse } from "../../core/ledger/mod.ts";
+import { type EventFrame, EventFramer } from "../../core/continuation/mod.ts";
 import { drained } from "../drained.ts";
 import { createEventParser } from "../response_limits.ts";
 import type { ResponseHead, ResponseSink } from "./exchange.ts";
@@ -43,6 +44,8 @@
   readonly #buffersStreams: boolean;
   readonly #buffered: Buffer[] = [];
   readonly #decoder = new TextDecoder();
+  /** Holds back what is not a whole event: a refusal may follow. */
+  readonly #framer = new EventFramer();
   #parser: EventSourceParser | undefined;
   #head: ResponseHead | undefined;
   #bufferedBytes = 0;
@@ -92,17 +95,9 @@
       return true;
     }
     this.#parser.feed(this.#decoder.decode(chunk, { stream: true }));
-    if (!this.hasResponded) {
-      this.#buffer(chunk);
-      if (this.#countedTokens === 0) return false;
-      if (this.#buffersStreams) return true;
-      this.#writeHead();
-      await this.#write(Buffer.concat(this.#buffered));
-      this.#buffered.length = 0;
-      return true;
-    }
-    await this.#write(chunk);
-    return true;
+    if (this.#buffersStreams) this.#buffer(chunk);
+    else await this.#passOn(this.#framer.push(chunk));
+    return this.#countedTokens > 0;
   }
 
   /** Gets whether the response is complete. */
@@ -115,7 +110,7 @@
   /** Sends the buffered rest and ends the response. */
   end(): void {
     if (!this.hasResponded) this.#writeHead();
-    this.#res.end(Buffer.concat(this.#buffered));
+    this.#res.end(Buffer.concat([...this.#buffered, this.#framer.takeRest()]));
   }
 
   /** Gets the response to store, for replay if the caller repeats the call. */
@@ -127,6 +122,21 @@
     };
   }
 
+  /** Passes on events, from the first one with a token on. */
+  async #passOn(frames: readonly EventFrame[]): Promise<void> {
+    const bytes = Buffer.concat(frames.map((frame) => frame.bytes));
+    if (this.hasResponded) {
+      await this.#write(bytes);
+      return;
+    }
+    this.#buffer(bytes);
+    if (this.#countedTokens === 0) return;
+    this.#writeHead();
+    const begun = Buffer.concat(this.#buffered);
+    this.#buffered.length = 0;
+    await this.#write(begun);
+  }
+
   #buffer(chunk: Buffer): void {
     this.#bufferedBytes += chunk.length;
     if (this.#bufferedBytes > this.#maxBytes) {
@@ -151,6 +161,7 @@
   }
 
   async #write(chunk: Buffer): Promise<void> {
+    if (chunk.length === 0) return;
     if (this.#res.destroyed || this.#res.write(chunk)) return;
     await drained(this.#res);
   }
--- a/tests/support/cutting_target.ts
+++ b/tests/support/cutting_target.ts
@@ -12,12 +12,13 @@
 
 /** Time after which bytes on a loopback connection have been read. */
 const READ_MS = 5;
-const ID_HEADER = /\r\n(?:x-)?case: (\S+)\r\n/i;
+/** Callers of the dispatcher may name the case as a trace. */
+const ID_HEADER = /\r\n(?:case|traceparent): (\S+)\r\n/i;
 const HEAD_END = "\r\n\r\n";
 
 /**
- * Answers each request with the next response of its case, which the header
- * `Case` names, and requests for its state with the state.
+ * Answers each request with the next response of its case, which a header
+ * names, and requests for its state with the state.
  */
 export class CuttingTarget {
   readonly #servers: Server[] = [];
