A target that closes inside its last response counts as broken

Targets that ended under a call were not asked whether they had ended, so a request that ends targets was not counted, where the response that broke off said `Connection: close` or came by HTTP/1.0.

Cause: for these, the HTTP client reports a malformed or mismatched response, not an error of the connection, and attempts count as broken by the error's code.

Fix: such an error is that of the connection if the target has closed it.

--- a/src/tasks/paths/reset_guard.ts
+++ b/src/tasks/paths/reset_guard.ts
@@ -1,39 +1,65 @@
-/** Interceptor by which a reset connection breaks the response in progress. */
-import type { Dispatcher } from "undici";
+/** Interceptor by which a connection that ends breaks the response in progress. */
+import { type Dispatcher, errors } from "undici";
 import { ConnectionResetError } from "./connection_reset.ts";
 import { type HandlerArguments, ResponseHandler } from "./response_handler.ts";
 
+/** How a connection has ended. */
+export interface ConnectionEnds {
+  readonly isReset: () => boolean;
+  /** Gets whether the target has closed it. */
+  readonly isClosed: () => boolean;
+}
+
 /**
  * Creates an interceptor that fails a response whose connection was reset before
  * its end. The HTTP client takes the end of the data for the end of a response
- * without a length, also after an error of the connection.
+ * without a length, also after an error of the connection. For a response that
+ * the target cut short by closing, the client names no error of the connection.
  *
  * @example
  * ```ts
- * const guarded = client.compose(guardAgainstResets(() => isReset));
+ * const ends = { isReset: () => isReset, isClosed: () => isClosed };
+ * const guarded = client.compose(guardAgainstResets(ends));
  * ```
  */
 export function guardAgainstResets(
-  isReset: () => boolean,
+  ends: ConnectionEnds,
 ): Dispatcher.DispatcherComposeInterceptor {
   return (dispatch) => (options, handler) =>
-    dispatch(options, new ResetGuardedHandler(handler, isReset));
+    dispatch(options, new ResetGuardedHandler(handler, ends));
 }
 
 class ResetGuardedHandler extends ResponseHandler {
-  readonly #isReset: () => boolean;
+  readonly #ends: ConnectionEnds;
 
-  constructor(handler: Dispatcher.DispatchHandler, isReset: () => boolean) {
+  constructor(handler: Dispatcher.DispatchHandler, ends: ConnectionEnds) {
     super(handler);
-    this.#isReset = isReset;
+    this.#ends = ends;
   }
 
   override onResponseEnd(...args: HandlerArguments<"onResponseEnd">): void {
     const [controller] = args;
-    if (!this.#isReset()) return super.onResponseEnd(...args);
-    this.onResponseError(
+    if (!this.#ends.isReset()) return super.onResponseEnd(...args);
+    super.onResponseError(
       controller,
       new ConnectionResetError("The connection was reset by the target"),
     );
   }
+
+  override onResponseError(...args: HandlerArguments<"onResponseError">): void {
+    const [controller, err] = args;
+    if (!isCutShort(err) || !this.#ends.isClosed()) {
+      return super.onResponseError(...args);
+    }
+    super.onResponseError(
+      controller,
+      new ConnectionResetError("The connection was closed by the target"),
+    );
+  }
+}
+
+/** Gets whether a response may have ended before it was whole. */
+function isCutShort(err: Error): boolean {
+  return err instanceof errors.HTTPParserError ||
+    err instanceof errors.ResponseContentLengthMismatchError;
 }
--- a/src/tasks/paths/target_connection.ts
+++ b/src/tasks/paths/target_connection.ts
@@ -38,6 +38,8 @@
   #incarnation: number | undefined;
   #isKept = false;
   #isReset = false;
+  /** Whether the target has closed its side of the connection. */
+  #isClosed = false;
   #isComplete = false;
   #completedAt = -Infinity;
   #isIdle = true;
@@ -56,7 +58,10 @@
       keepAliveTimeout: idleTimeoutMs,
     });
     this.client = this.#client
-      .compose(guardAgainstResets(() => this.#isReset));
+      .compose(guardAgainstResets({
+        isReset: () => this.#isReset,
+        isClosed: () => this.#isClosed,
+      }));
   }
 
   /** Gets how far the connection has come. */
@@ -172,6 +177,10 @@
     this.#incarnation = undefined;
     this.#isKept = false;
     this.#isReset = false;
+    this.#isClosed = false;
+    socket.prependOnceListener("end", () => {
+      if (this.#socket === socket) this.#isClosed = true;
+    });
     socket.on("error", () => {
       if (this.#socket === socket) this.#isReset = true;
     });
