--- a/src/tasks/fleet/odd_requests_test.ts
+++ b/src/tasks/fleet/odd_requests_test.ts
@@ -31,7 +31,7 @@
     node,
     service: {
       state: new FleetState(),
-      leadsTerm: 1,
+      takesCommands: true,
       propose: (command) => {
         proposed.push(command);
         return Promise.resolve({ type: "done" });
