A request counts as not run only if its handler could not decode it

Any error of a schema in a handler was answered as not run, also one thrown later in it. No handler threw such an error then, as a search for parse calls showed; the error now has a class of its own, thrown by the one function that decodes parameters.

--- a/src/tasks/fleet/control_requests.ts
+++ b/src/tasks/fleet/control_requests.ts
@@ -15,7 +15,7 @@
   Verdict,
 } from "../../core/verdict/mod.ts";
 import { confirmRequestSchema, fleetCommandSchema } from "../../schemas/mod.ts";
-import type { PeerHub } from "../peers/mod.ts";
+import { decodeRequest, type PeerHub } from "../peers/mod.ts";
 import { settleWithin } from "../settle.ts";
 import type { FleetLogService } from "./fleet_log_service.ts";
 import {
@@ -55,11 +55,11 @@
     node.hub
       .handle(
         FleetMethod.Propose,
-        (params) => service.propose(fleetCommandSchema.parse(params)),
+        (params) => service.propose(decodeRequest(fleetCommandSchema, params)),
       )
       .handle(
         FleetMethod.Confirm,
-        (params) => this.#confirm(confirmRequestSchema.parse(params)),
+        (params) => this.#confirm(decodeRequest(confirmRequestSchema, params)),
       )
       .handle(FleetMethod.Read, () => this.#read());
   }
--- a/src/tasks/fleet/control_task.ts
+++ b/src/tasks/fleet/control_task.ts
@@ -9,6 +9,7 @@
 } from "../../core/verdict/mod.ts";
 import { serviceDemandSchema } from "../../schemas/mod.ts";
 import { DEMAND_METHOD } from "../batches/mod.ts";
+import { decodeRequest } from "../peers/mod.ts";
 import { CapacityScaler } from "./capacity_scaler.ts";
 import { OrderLease } from "./order_lease.ts";
 import type { EvacuationService } from "./evacuation_service.ts";
@@ -76,7 +77,7 @@
     this.#usageReporter = this.#createReporter(lease);
     this.#scaler = this.#createScaler(lease);
     node.hub.handle(DEMAND_METHOD, (params) => {
-      this.#scaler?.observe(serviceDemandSchema.parse(params));
+      this.#scaler?.observe(decodeRequest(serviceDemandSchema, params));
       return true;
     });
   }
--- a/src/tasks/fleet/odd_requests_test.ts
+++ b/src/tasks/fleet/odd_requests_test.ts
@@ -4,7 +4,7 @@
 import { TargetRegistry } from "../../core/registry/mod.ts";
 import { Logger } from "../../logging/mod.ts";
 import { Metrics } from "../../metrics/mod.ts";
-import type { RequestHandler } from "../peers/mod.ts";
+import { MalformedRequestError, type RequestHandler } from "../peers/mod.ts";
 import { ControlRequests } from "./control_requests.ts";
 import { FleetMethod } from "./fleet_method.ts";
 import { PermitService } from "./permit_service.ts";
@@ -54,13 +54,14 @@
   /** Handles a request; gets whether it was refused. */
   async function doTest(method: string, params: unknown, isRefused: boolean) {
     const leader = createLeader();
-    let wasRefused = false;
+    let error: unknown;
     try {
       await leader.handlers.get(method)?.(params, "e1");
-    } catch {
-      wasRefused = true;
+    } catch (err) {
+      error = err;
     }
-    expect(wasRefused).toBe(isRefused);
+    if (isRefused) expect(error).toBeInstanceOf(MalformedRequestError);
+    else expect(error).toBeUndefined();
     return leader;
   }
 
--- a/src/tasks/fleet/permit_service.ts
+++ b/src/tasks/fleet/permit_service.ts
@@ -14,7 +14,7 @@
   Verdict,
 } from "../../core/verdict/mod.ts";
 import { permitRequestSchema } from "../../schemas/mod.ts";
-import type { PeerHub } from "../peers/mod.ts";
+import { decodeRequest, type PeerHub } from "../peers/mod.ts";
 import { ColdTargets } from "./cold_targets.ts";
 import { FleetMethod } from "./fleet_method.ts";
 import type { FleetNode } from "./fleet_node.ts";
@@ -60,7 +60,7 @@
     });
     node.hub.handle(
       FleetMethod.Permits,
-      (params) => this.#grant(permitRequestSchema.parse(params)),
+      (params) => this.#grant(decodeRequest(permitRequestSchema, params)),
     );
   }
 
--- a/src/tasks/peers/peer_refusal.ts
+++ b/src/tasks/peers/peer_refusal.ts
@@ -1,11 +1,9 @@
 /** Errors of requests between instances, and their form in replies. */
-import { ZodError } from "zod";
 import {
   RefusalError,
   RefusalReason,
   Verdict,
 } from "../../core/verdict/mod.ts";
-import { refusalTextOf } from "../../schemas/mod.ts";
 import type { PeerReply } from "./peer_envelope.ts";
 
 /** Refusal in a reply. */
@@ -27,19 +25,11 @@
 }
 
 /**
- * Encodes an error of a handler; one that is no refusal may have run, but for
- * that of a request that the handler could not decode.
+ * Encodes an error of a handler; one that is no refusal may have run.
  * @example
  * respond({ channel: "reply", body: { id, refusal: encodeRefusal(err) } });
  */
 export function encodeRefusal(err: unknown): PeerRefusal {
-  if (err instanceof ZodError) {
-    return {
-      reason: RefusalReason.MalformedRequest,
-      verdict: Verdict.NotRun,
-      message: refusalTextOf(err),
-    };
-  }
   if (!(err instanceof RefusalError)) {
     return {
       reason: RefusalReason.Internal,
--- a/src/tasks/peers/request_handlers.ts
+++ b/src/tasks/peers/request_handlers.ts
@@ -1,7 +1,6 @@
 /** Handlers of the requests from other instances. */
-import { ZodError } from "zod";
 import { Verdict } from "../../core/verdict/mod.ts";
-import { refusalTextOf } from "../../schemas/mod.ts";
+import { MalformedRequestError } from "./malformed_request_error.ts";
 import type { PeerReply, PeerRequest } from "./peer_envelope.ts";
 import { createUnansweredError, encodeRefusal } from "./peer_refusal.ts";
 
@@ -54,8 +53,8 @@
       const result = await this.run(method, params, from);
       send({ id, result });
     } catch (err) {
-      if (err instanceof ZodError) {
-        this.#onMalformed(from, `${method}: ${refusalTextOf(err)}`);
+      if (err instanceof MalformedRequestError) {
+        this.#onMalformed(from, `${method}: ${err.message}`);
       }
       send({ id, refusal: encodeRefusal(err) });
     }
