A leader that writes to a slow disk is not taken for one without a lease

Evidence: log_driver_test.ts holds the write of a second entry; the first one is committed and `isReady` is false meanwhile. Before the change lost_lease_test.ts found the run of such a leader cancelled (expected true to be false).

Why this works: what matters for a send is whether another leader may have seen the batch end. None has while the lease holds and all entries of earlier terms are applied, which `hasAppliedEarlierTerms` says; the leader's own entries are not acknowledged before it has applied them. Placement asks `canRunItems` as before.

--- a/bench/leader/player.ts
+++ b/bench/leader/player.ts
@@ -191,6 +191,7 @@
       dataCentre: "a",
       now: () => performance.now(),
       canRunItems: () => true,
+      holdsLease: () => true,
       scoring: NO_SCORING,
       onSigns: () => {},
       limiter: createLimiter(registry),
--- a/bench/slopes/placement_series.ts
+++ b/bench/slopes/placement_series.ts
@@ -99,6 +99,7 @@
     dataCentre: "a",
     now: () => performance.now(),
     canRunItems: () => true,
+    holdsLease: () => true,
     scoring: NO_SCORING,
     onSigns: () => {},
     limiter: createLimiter(registry),
--- a/src/core/consensus/consensus_node.ts
+++ b/src/core/consensus/consensus_node.ts
@@ -175,8 +175,12 @@
 
   /** Gets whether this leader has committed an entry of its own term. */
   get hasCommittedOwnTerm(): boolean {
-    if (this.role !== Role.Leader) return false;
-    return this.#log.termAt(this.committed) === this.#term;
+    return this.isOfOwnTerm(this.committed);
+  }
+
+  /** Gets whether this replica leads, and an entry is of its own term. */
+  isOfOwnTerm(index: number): boolean {
+    return this.role === Role.Leader && this.#log.termAt(index) === this.#term;
   }
 
   /** Returns the queued effects and clears the queue. */
--- a/src/tasks/batches/batch_check.ts
+++ b/src/tasks/batches/batch_check.ts
@@ -4,16 +4,16 @@
 
 /**
  * Gets why nothing of a batch may be sent; undefined if it may.
- * @param canRunItems - Gets whether this replica may run items.
+ * @param holdsLease - Gets whether this replica leads under its lease.
  * @example
  * ```ts
- * const guard = () => checkBatch(record, canRunItems);
+ * const guard = () => checkBatch(record, holdsLease);
  * ```
  */
 export function checkBatch(
   { isOpen }: Pick<BatchRecord, "isOpen">,
-  canRunItems: () => boolean,
+  holdsLease: () => boolean,
 ): WithheldReason | undefined {
-  if (!canRunItems()) return WithheldReason.NotLeading;
+  if (!holdsLease()) return WithheldReason.NotLeading;
   return isOpen ? undefined : WithheldReason.BatchEnded;
 }
--- a/src/tasks/batches/batch_runner.ts
+++ b/src/tasks/batches/batch_runner.ts
@@ -50,6 +50,11 @@
    * committed entries.
    */
   readonly canRunItems: () => boolean;
+  /**
+   * Gets whether this replica leads, holds its lease and has applied all entries
+   * of earlier leaders, so that no other one can have ended a batch.
+   */
+  readonly holdsLease: () => boolean;
   /** Sends scoring calls. */
   readonly scoring: ScoringPort;
   /** Called with what a target says of itself. */
@@ -268,9 +273,8 @@
     const { canRunItems, now } = this.#options;
     this.#pacer.onTick(now());
     this.#learner.onTick();
-    const mayRun = canRunItems();
-    this.#unanswered.onTick(mayRun);
-    if (!mayRun) return;
+    this.#unanswered.onTick();
+    if (!canRunItems()) return;
     this.#sampleDemand();
     this.admission.sample();
     this.#mover.moveSilentRuns();
--- a/src/tasks/batches/batch_task.ts
+++ b/src/tasks/batches/batch_task.ts
@@ -229,10 +229,8 @@
         now,
       }),
       now: () => performance.now(),
-      canRunItems: () => {
-        const { driver } = this.#service;
-        return driver.isReady && driver.node?.hasLease(now()) === true;
-      },
+      canRunItems: () => this.#service.driver.isReady && this.#holdsLease,
+      holdsLease: () => this.#holdsLease,
       scoring,
       onSigns,
       storeCompleteText: (record) => this.#results.storeCompleteText(record),
@@ -241,6 +239,12 @@
     });
   }
 
+  get #holdsLease(): boolean {
+    const { driver } = this.#service;
+    return driver.hasAppliedEarlierTerms &&
+      driver.node?.hasLease(this.#options.now()) === true;
+  }
+
   /** Transfers leadership if this instance is retiring. */
   #transferIfRetiring(): void {
     if (this.leadsTerm === undefined) return;
--- a/src/tasks/batches/item_scorer.ts
+++ b/src/tasks/batches/item_scorer.ts
@@ -50,6 +50,8 @@
   readonly rates: RateGuard;
   /** Gets whether this replica may run items. */
   readonly canRunItems: () => boolean;
+  /** Gets whether this replica leads under its lease. */
+  readonly holdsLease: () => boolean;
   /** Gets whether a result of an item is being written to the ledger. */
   readonly isBeingStored: (key: string) => boolean;
   readonly onSigns: (target: TargetReport, signs: TargetSigns) => void;
@@ -200,7 +202,7 @@
     scoring: ScoringCall,
     signal: AbortSignal,
   ): Promise<CallEnd> {
-    const { port, canRunItems } = this.#options;
+    const { port, holdsLease } = this.#options;
     const { spec } = record;
     const policy = port.policy();
     const route = this.#findRoute(scoring);
@@ -219,7 +221,7 @@
         route,
         workspace: undefined,
         policy,
-        guard: () => checkBatch(record, canRunItems),
+        guard: () => checkBatch(record, holdsLease),
       },
       homes: homesOf(route, policy.getWorkspace(spec.workspace)),
       signal,
--- a/src/tasks/batches/item_scorer_test.ts
+++ b/src/tasks/batches/item_scorer_test.ts
@@ -126,6 +126,7 @@
       dataCentre: "a",
       now: () => Date.now(),
       canRunItems,
+      holdsLease: canRunItems,
       onSigns: () => {},
       limiter: createLimiter(registry),
       storeResult: (record) => {
--- a/src/tasks/batches/item_starter.ts
+++ b/src/tasks/batches/item_starter.ts
@@ -38,8 +38,8 @@
   readonly metrics: Metrics;
   /** Gets the local monotonic time, in milliseconds. */
   readonly now: () => number;
-  /** Gets whether this replica may run items. */
-  readonly canRunItems: () => boolean;
+  /** Gets whether this replica leads under its lease. */
+  readonly holdsLease: () => boolean;
 }
 
 /**
@@ -76,7 +76,7 @@
     if (placer.isExhausted(waiting)) return false;
     const { registry, engines, limiter, itemTracker, results, runs, prompts } =
       this.#options;
-    const { canRunItems } = this.#options;
+    const { holdsLease } = this.#options;
     const { record, item } = waiting;
     const output = itemTracker.outputOf(waiting, records);
     if (output.complete !== undefined) {
@@ -108,7 +108,7 @@
       listener: this.#options.listener,
       now: this.#options.now,
       guard: () =>
-        checkBatch(record, canRunItems) ?? checkTarget(registry, target) ??
+        checkBatch(record, holdsLease) ?? checkTarget(registry, target) ??
           checkPermit(permit),
       onSent: () => this.#logSent(waiting, target, startedAt),
     });
--- a/src/tasks/batches/lost_lease_test.ts
+++ b/src/tasks/batches/lost_lease_test.ts
@@ -36,7 +36,7 @@
       [spec(["x1"])],
       undefined,
       undefined,
-      { canRunItems: () => hasLease },
+      { canRunItems: () => hasLease, holdsLease: () => hasLease },
     );
     const { runs } = engines;
     hasLease = false;
@@ -65,6 +65,26 @@
     run.sink.onEnd();
   });
 
+  // Guards against lost work while the leader writes to a slow disk.
+  it("keeps a run while a leader under its lease starts no others", () => {
+    const engines = new ScriptedEngines();
+    engines.areAnswered = false;
+    let canRunItems = true;
+    const { step } = startRunnerWith(
+      engines,
+      [target("t1")],
+      [spec(["x1"])],
+      undefined,
+      undefined,
+      { canRunItems: () => canRunItems, holdsLease: () => true },
+    );
+    canRunItems = false;
+    step(10 * TICK_MS);
+    const [run] = engines.runs;
+    expect(run.isCancelled).toBe(false);
+    expect(run.request.guard?.()).toBeUndefined();
+  });
+
   // Guards against lost work where responses of the quorum wait to be read.
   it("keeps a run if the lease is back at the next tick", () =>
     void doTest(
--- a/src/tasks/batches/unanswered_requests.ts
+++ b/src/tasks/batches/unanswered_requests.ts
@@ -1,4 +1,4 @@
-/** Cancels what might be delivered late once this replica may not run items. */
+/** Cancels what might be delivered late once the lease is lost. */
 import type { ItemTracker } from "../../core/batches/mod.ts";
 import type { Logger } from "../../logging/mod.ts";
 import type { Metrics } from "../../metrics/mod.ts";
@@ -15,6 +15,8 @@
   readonly metrics: Metrics;
   /** Gets the local monotonic time, in milliseconds. */
   readonly now: () => number;
+  /** Gets whether this replica leads under its lease. */
+  readonly holdsLease: () => boolean;
 }
 
 /**
@@ -24,9 +26,9 @@
 const LOST_TICKS = 2;
 
 /**
- * Cancels the requests without a response while this replica may not run items:
- * the network may hold them up and deliver them when the next leader has seen
- * their batch end. A response shows that its request was delivered, so its run
+ * Cancels the requests without a response while the lease is lost: the network
+ * may hold them up and deliver them when the next leader has seen their batch
+ * end. A response shows that its request was delivered, so its run
  * goes on: the lease may come back, and the next leader begins at its events.
  */
 export class UnansweredRequests {
@@ -37,11 +39,11 @@
     this.#options = options;
   }
 
-  /** Records at each tick whether this replica may run items. */
-  onTick(canRunItems: boolean): void {
-    this.#lostTicks = canRunItems ? 0 : this.#lostTicks + 1;
+  /** Looks at each tick whether the lease is held. */
+  onTick(): void {
+    const { runs, scorer, holdsLease } = this.#options;
+    this.#lostTicks = holdsLease() ? 0 : this.#lostTicks + 1;
     if (this.#lostTicks < LOST_TICKS) return;
-    const { runs, scorer } = this.#options;
     for (const run of runs.all) {
       if (!run.isAnswered) this.#cancel(run);
     }
--- a/src/tasks/log/log_driver.ts
+++ b/src/tasks/log/log_driver.ts
@@ -138,6 +138,14 @@
       this.#applied >= node.committed;
   }
 
+  /**
+   * Gets whether this replica leads and has applied all entries that earlier
+   * leaders committed. Committed entries of its own may wait for a write.
+   */
+  get hasAppliedEarlierTerms(): boolean {
+    return this.#node?.isOfOwnTerm(this.#applied) === true;
+  }
+
   /** Gets the instance of the leader; undefined if none is known. */
   get leaderInstance(): string | undefined {
     const leader = this.#node?.leader;
--- a/src/tasks/log/log_driver_test.ts
+++ b/src/tasks/log/log_driver_test.ts
@@ -59,6 +59,68 @@
     ));
 });
 
+describe("a leader that writes to its disk", () => {
+  let dataFolder: string;
+
+  beforeEach(async () => {
+    dataFolder = await mkdtemp(join(tmpdir(), "log-driver-"));
+  });
+  afterEach(async () => {
+    vi.restoreAllMocks();
+    await rm(dataFolder, { recursive: true, force: true });
+  });
+
+  // Guards against a leader on a slow disk that is taken for one without a lease.
+  it("has applied what earlier leaders committed, if not all of its own", async () => {
+    const id = "127.0.0.1";
+    await LogStore.create({
+      dataFolder,
+      name: "log",
+      emptyState: [],
+      instances: [id],
+    });
+    const driver: Driver = new LogDriver({
+      id,
+      dataFolder,
+      name: "log",
+      createState: () => new CommandList(),
+      wantedVoters: () => 1,
+      times: { heartbeatMs: 20, electionMs: 60, clockRateError: 0.02 },
+      logger: new Logger({ instance: "test", level: "error" }),
+      now: () => performance.now(),
+      send: () => {},
+      keepLink: () => {},
+      presentReplicas: () => [],
+      onApplied: () => {},
+      onRestored: () => {},
+      onRole: () => {},
+    });
+    expect(driver.hasAppliedEarlierTerms).toBe(false);
+    await driver.start();
+    const options = { timeout: TIMEOUT_MS, interval: 5 };
+    await vi.waitFor(() => expect(driver.isReady).toBe(true), options);
+    const write = LogStore.prototype.write;
+    let endWrite = () => {};
+    let writes = 0;
+    vi.spyOn(LogStore.prototype, "write").mockImplementation(async function (
+      this: LogStore<unknown, unknown>,
+      ...args
+    ) {
+      await write.apply(this, args);
+      writes += 1;
+      if (writes === 2) await new Promise<void>((end) => endWrite = end);
+    });
+    driver.propose("a");
+    driver.propose("b");
+    await vi.waitFor(() => expect(writes).toBe(2), options);
+    expect(driver.isReady).toBe(false);
+    expect(driver.hasAppliedEarlierTerms).toBe(true);
+    endWrite();
+    await vi.waitFor(() => expect(driver.isReady).toBe(true), options);
+    await driver.stop();
+  });
+});
+
 /** Remembers all commands. */
 class CommandList implements StateMachine<string, string[], number> {
   #commands: string[] = [];
--- a/tests/support/batch_runner_fixture.ts
+++ b/tests/support/batch_runner_fixture.ts
@@ -124,6 +124,7 @@
     dataCentre: "a",
     now: () => Date.now(),
     canRunItems: () => true,
+    holdsLease: () => true,
     scoring: NO_SCORING,
     storeCompleteText: (record) => {
       state.apply({ type: "keep", records: [record] });
