--- a/src/tasks/targets/caller_sink.ts
+++ b/src/tasks/targets/caller_sink.ts
@@ -110,7 +110,9 @@
   /** Sends the buffered rest and ends the response. */
   end(): void {
     if (!this.hasResponded) this.#writeHead();
-    this.#res.end(Buffer.concat([...this.#buffered, this.#framer.takeRest()]));
+    this.#res.end(
+      Buffer.concat([...this.#buffered, this.#framer.takeRemainder()]),
+    );
   }
 
   /** Gets the response to store, for replay if the caller repeats the call. */
