--- a/soak/fleet/fleet_checks.ts
+++ b/soak/fleet/fleet_checks.ts
@@ -1,4 +1,6 @@
 /** Invariants of a fleet, checked on what callers and targets observe. */
+import { InvariantViolationError } from "./invariant_violation_error.ts";
+import { EndedBatches } from "./ended_batches.ts";
 import { eventDataOf, outputOf, softwareOf } from "../../fakes/fleet_text.ts";
 import type { FleetReceiver } from "../../fakes/fleet_receiver.ts";
 import type { FleetReplica, ReplicaRun } from "../../fakes/fleet_replica.ts";
@@ -18,20 +20,8 @@
   readonly at: number;
 }
 
-/** Number of retakes from which their rate is checked. */
-const MIN_RETAKES = 12;
-
-/** Error for a violated invariant. */
-export class InvariantViolationError extends Error {
-  /**
-   * @param invariant - Invariant in words.
-   * @param detail - Identifier or values that violate it.
-   */
-  constructor(invariant: string, detail: string) {
-    super(`${invariant}: ${detail}`);
-    this.name = "InvariantViolationError";
-  }
-}
+/** Number of resume attempts from which their rate is checked. */
+const MIN_RESUME_ATTEMPTS = 12;
 
 /** Records observations of a run and checks the invariants on them. */
 export class FleetChecks {
@@ -39,10 +29,13 @@
   readonly #resultsByBatch = new Map<string, string[]>();
   readonly #refusedCalls = new Set<string>();
   #highestAcked = 0;
+  /** Batches that their callers have ended early. */
+  readonly endedBatches: EndedBatches;
 
   /** Creates checks that read the runs and orders of the given targets. */
   constructor(replicas: readonly FleetReplica[]) {
     this.#replicas = replicas;
+    this.endedBatches = new EndedBatches(replicas);
   }
 
   /**
@@ -113,22 +106,22 @@
   }
 
   /**
-   * Checks that streams are taken up at half the rate of new ones or better.
+   * Checks that streams are resumed at half the rate of new ones or better.
    * @throws {InvariantViolationError}
    */
-  checkRetakes(
-    { asked, begun, retakes, resumed }: {
+  checkResumptions(
+    { asked, begun, resumeAttempts, resumed }: {
       readonly asked: number;
       readonly begun: number;
-      readonly retakes: number;
+      readonly resumeAttempts: number;
       readonly resumed: number;
     },
   ): void {
-    if (retakes < MIN_RETAKES) return;
-    if (resumed / retakes >= begun / asked / 2) return;
+    if (resumeAttempts < MIN_RESUME_ATTEMPTS) return;
+    if (resumed / resumeAttempts >= begun / asked / 2) return;
     throw new InvariantViolationError(
-      "streams are taken up at half the rate of new ones",
-      `${resumed} of ${retakes}, ${begun} of ${asked} begun`,
+      "streams are resumed at half the rate of new ones",
+      `${resumed} of ${resumeAttempts}, ${begun} of ${asked} begun`,
     );
   }
 
@@ -163,11 +156,12 @@
     this.#checkNonIdempotentCalls();
     this.#checkUsage(receiver);
     this.#checkHolders(receiver);
+    this.endedBatches.check();
   }
 
   /**
    * Checks what recipients that do not check fencing tokens have received: no
-   * token falls, and no holder returns within the order lease.
+   * token decreases, and no holder returns within the order lease.
    * @throws {InvariantViolationError}
    */
   checkTurns(receiver: FleetReceiver): void {
--- a/soak/fleet/fleet_clients.ts
+++ b/soak/fleet/fleet_clients.ts
@@ -18,7 +18,9 @@
   /** Time within which each piece of work must complete, in milliseconds. */
   readonly timeoutMs: number;
   readonly random: () => number;
-  /** Gets whether enough engines of a software version serve for a retake. */
+  /**
+   * Gets whether enough engines of a software version serve to resume a stream.
+   */
   readonly isServed: (software: string) => boolean;
   /** Called with an error that ends the run. */
   readonly onError: (err: unknown) => void;
@@ -29,6 +31,8 @@
 export interface ClientCounts {
   /** Completed batches. */
   batches: number;
+  /** Batches that were ended early. */
+  ended: number;
   /** Plain calls with a response. */
   calls: number;
   /** Last acknowledged revision of the policy. */
@@ -39,17 +43,22 @@
   begun: number;
   /** Streams read to their end. */
   streams: number;
-  /** Streams that were taken up with events held, by counted requests. */
-  retakes: number;
-  /** Those of them that went on; like new streams, after as many requests. */
+  /** Streams with events for which a counted request to resume was sent. */
+  resumeAttempts: number;
+  /**
+   * Those of them that were resumed; like new streams, after as many requests.
+   */
   resumed: number;
 }
 
 const { host, plain, once, rollout, stream, model } = FLEET_NAMES;
 const ITEMS_PER_BATCH = 12;
+const ITEMS_PER_ENDED_BATCH = 24;
+/** Longest time from the acceptance of a batch to an early end. */
+const MAX_PATIENCE_MS = 600;
 /** Number of callers that read streams at the same time. */
 const STREAM_CALLERS = 6;
-/** Time after which a caller gives a stream up. */
+/** Time after which a caller abandons a stream. */
 const STREAM_TIMEOUT_MS = 5_000;
 const READ_TIMEOUT_MS = 900;
 
@@ -58,12 +67,13 @@
   readonly #options: FleetClientsOptions;
   readonly #counts: ClientCounts = {
     batches: 0,
+    ended: 0,
     calls: 0,
     policies: 1,
     asked: 0,
     begun: 0,
     streams: 0,
-    retakes: 0,
+    resumeAttempts: 0,
     resumed: 0,
   };
   #weightVersion = 1;
@@ -78,7 +88,7 @@
     return this.#counts;
   }
 
-  /** Lets the clients end after the work in progress. */
+  /** Stops the clients after the work in progress. */
   stop(): this {
     this.#isStopping = true;
     return this;
@@ -89,6 +99,7 @@
     await Promise.all([
       this.#runTrainer("t1", undefined),
       this.#runTrainer("t2", plain),
+      this.#runImpatientTrainer("t3"),
       this.#runCaller(),
       ...Array.from(
         { length: STREAM_CALLERS },
@@ -116,16 +127,8 @@
     const trainer = this.#createTrainer();
     const timeoutMs = this.#options.timeoutMs;
     for (let step = 0; !this.#isStopping; step += 1) {
-      const plan: BatchPlan = {
-        id: `${name}s${step}`,
-        model,
-        minVersion: Math.max(0, this.#weightVersion - 1),
-        items: Array.from(
-          { length: ITEMS_PER_BATCH },
-          (_, i) => `${name}s${step}g${Math.floor(i / 4)}-${i}`,
-        ),
-        scoringPrefix,
-      };
+      const id = `${name}s${step}`;
+      const plan = this.#createPlan(id, ITEMS_PER_BATCH, scoringPrefix);
       await this.#runChecked(`batch ${plan.id}`, async () => {
         await trainer.submit(plan, timeoutMs);
         const check = (
@@ -140,6 +143,35 @@
     }
   }
 
+  /** Submits batches and ends them early, while their items run. */
+  async #runImpatientTrainer(name: string): Promise<void> {
+    const trainer = this.#createTrainer();
+    const { timeoutMs, random, checks } = this.#options;
+    for (let step = 0; !this.#isStopping; step += 1) {
+      const plan = this.#createPlan(`${name}s${step}`, ITEMS_PER_ENDED_BATCH);
+      await this.#runChecked(`batch ${plan.id}`, async () => {
+        await trainer.submit(plan, timeoutMs);
+        await sleep(random() * MAX_PATIENCE_MS);
+        await trainer.end(plan.id, timeoutMs);
+        checks.endedBatches.onEnded(plan);
+        this.#counts.ended += 1;
+      });
+    }
+  }
+
+  #createPlan(id: string, size: number, scoringPrefix?: string): BatchPlan {
+    return {
+      id,
+      model,
+      minVersion: Math.max(0, this.#weightVersion - 1),
+      items: Array.from(
+        { length: size },
+        (_, i) => `${id}g${Math.floor(i / 4)}-${i}`,
+      ),
+      scoringPrefix,
+    };
+  }
+
   /** Sends plain calls, alternately non-idempotent and idempotent ones. */
   async #runCaller(): Promise<void> {
     const trainer = this.#createTrainer();
@@ -161,7 +193,7 @@
     }
   }
 
-  /** Reads streams, and takes them up again after each broken connection. */
+  /** Reads streams, and resumes them after each broken connection. */
   async #runStreamCaller(name: string): Promise<void> {
     const caller = new StreamCaller({
       entries: () => this.#options.fleet.entries,
@@ -178,7 +210,7 @@
       this.#counts.asked += 1;
       this.#check(() => this.#options.checks.onStream(held));
       this.#counts.streams += held.isComplete ? 1 : 0;
-      this.#counts.retakes += held.retakes > 0 ? 1 : 0;
+      this.#counts.resumeAttempts += held.resumeAttempts > 0 ? 1 : 0;
       this.#counts.resumed += held.resumed > 0 ? 1 : 0;
     }
   }
--- a/soak/fleet/fleet_soak.ts
+++ b/soak/fleet/fleet_soak.ts
@@ -12,7 +12,8 @@
 import { FLEET_NAMES, fleetPolicy } from "../../tests/support/fleet_policy.ts";
 import { LoopbackNet } from "../../tests/support/loopback_net.ts";
 import { FaultProxy } from "./fault_proxy.ts";
-import { FleetChecks, InvariantViolationError } from "./fleet_checks.ts";
+import { FleetChecks } from "./fleet_checks.ts";
+import { InvariantViolationError } from "./invariant_violation_error.ts";
 import { type ClientCounts, FleetClients } from "./fleet_clients.ts";
 import { FleetFaults } from "./fleet_faults.ts";
 
@@ -31,8 +32,8 @@
   /** Whether the recipients of orders check fencing tokens. */
   readonly areFencesChecked: boolean;
   /**
-   * Earlier program that all machines run first. They go over to the one of
-   * today one after the other, half of the runs after going back once.
+   * Earlier program that all machines run first. They are upgraded to the
+   * current one one after the other, in half of the runs after one downgrade.
    */
   readonly oldProgram?: string | undefined;
   /** Writes lines on faults and errors, and the fleet's log on a violation. */
@@ -50,7 +51,7 @@
 const { engines, apps, model } = FLEET_NAMES;
 const KEY = "key-of-the-park";
 const ENGINE_COUNT = 4;
-/** Engines of a software version with which a stream must be taken up. */
+/** Engines of a software version with which a stream must be resumed. */
 const MIN_SERVING_ENGINES = 2;
 /** Time after the last fault within which all pending work must complete. */
 const RECOVERY_TIMEOUT_MS = 25_000;
@@ -143,7 +144,7 @@
     await clients;
     if (this.#violation !== undefined) return;
     this.#checks.checkAll(this.#receiver);
-    this.#checks.checkRetakes(this.#clients.counts);
+    this.#checks.checkResumptions(this.#clients.counts);
     if (!this.#options.areFencesChecked) {
       this.#checks.checkTurns(this.#receiver);
     }
@@ -198,12 +199,14 @@
     });
   }
 
-  /** Gets whether enough engines of a software version serve for a retake. */
+  /**
+   * Gets whether enough engines of a software version serve to resume a stream.
+   */
   #isServed(software: string): boolean {
     // Instances of an earlier program neither record nor find streams.
     if (this.#options.oldProgram !== undefined) return false;
     const serving = this.#replicas.slice(0, ENGINE_COUNT).filter((replica) =>
-      replica.software === software && replica.isHeard &&
+      replica.software === software && replica.sendsHeartbeats &&
       !this.#faults.isStopped(replica)
     );
     return serving.length >= MIN_SERVING_ENGINES;
--- a/soak/output_simulation.ts
+++ b/soak/output_simulation.ts
@@ -15,15 +15,15 @@
 import { createItem, createSpec } from "../tests/support/batch_spec.ts";
 import { createReport } from "../tests/support/target_report.ts";
 import type { RunResult } from "./schedule.ts";
-import { StreamMemory } from "./stream_memory.ts";
+import { StreamInstances } from "./stream_instances.ts";
 
-/** Parts of the rule that a simulation can do without. */
+/** Parts of the rule that a simulation can disable. */
 export interface OutputGuards {
-  /** Whether an output goes on only at the version that wrote it. */
+  /** Whether only the version that wrote an output may continue it. */
   readonly version: boolean;
   /** Whether a target must name its incarnation first. */
   readonly incarnation: boolean;
-  /** Whether a stream is refused if nobody knows who wrote it. */
+  /** Whether a stream is refused if it is not known who wrote it. */
   readonly record: boolean;
 }
 
@@ -35,7 +35,7 @@
   readonly guards?: Partial<OutputGuards>;
 }
 
-/** A process of a target, as it is. */
+/** Actual state of a target's process. */
 interface TargetProcess {
   readonly id: string;
   readonly incarnation: number;
@@ -71,7 +71,7 @@
 const SERVICE = "s";
 const KEEP_MS = 1_000;
 
-/** Plays one schedule of releases, deaths, moves, new leaders and retakes. */
+/** Runs one schedule of releases, deaths, moves, new leaders and resumptions. */
 export class OutputSimulation {
   readonly #scheduler: Scheduler;
   readonly #guards: OutputGuards;
@@ -79,7 +79,7 @@
   /** Reports known to the leader and to entry instances, some outdated. */
   readonly #reports = new Map<string, TargetReport>();
   readonly #undelivered: TargetReport[] = [];
-  readonly #memory: StreamMemory;
+  readonly #instances: StreamInstances;
   readonly #counts: Record<string, number> = {};
   #state = new BatchState();
   #tracker = new ItemTracker();
@@ -99,14 +99,14 @@
       record: true,
       ...guards,
     };
-    this.#memory = new StreamMemory({
+    this.#instances = new StreamInstances({
       scheduler: this.#scheduler,
       now: () => this.#time,
       maxStreams: STEPS,
     });
   }
 
-  /** Plays the schedule up to its end or the first violation. */
+  /** Runs the schedule up to its end or the first violation. */
   run(): RunResult {
     for (let i = 0; i < TARGETS; i += 1) this.#release(`t${i}`);
     this.#deliverAll();
@@ -167,20 +167,20 @@
     },
     takeUpStream: () => {
       const stream = this.#pickStream();
-      if (stream !== undefined) this.#takeUp(stream);
+      if (stream !== undefined) this.#resume(stream);
     },
     loseAllEntries: () => {
-      this.#memory.loseAllEntries();
+      this.#instances.loseAllEntries();
       const broken = this.#streams.filter(({ run }) => run !== undefined);
       for (const stream of broken) stream.run = undefined;
-      // Callers return at once, and again as the instances find links.
-      for (const stream of broken) this.#takeUp(stream);
-      this.#memory.linkEntries();
-      for (const stream of broken) this.#takeUp(stream);
+      // Callers retry at once, and again once the instances have links.
+      for (const stream of broken) this.#resume(stream);
+      this.#instances.linkEntries();
+      for (const stream of broken) this.#resume(stream);
     },
-    linkEntries: () => this.#memory.linkEntries(),
-    loseControl: () => this.#memory.loseControl(),
-    deliverLate: () => this.#memory.deliverLate(),
+    linkEntries: () => this.#instances.linkEntries(),
+    loseControl: () => this.#instances.loseControl(),
+    deliverLate: () => this.#instances.deliverLate(),
   };
 
   #pickTarget(): string {
@@ -297,7 +297,7 @@
         inFlight: Math.floor(this.#scheduler.random() * 3),
         version: 1,
         paceMs: 1,
-        isSick: false,
+        isDegraded: false,
         isAvoided: this.#scheduler.random() < 0.2,
         isCold: false,
       })),
@@ -328,9 +328,9 @@
   ): TargetProcess | undefined {
     const process = this.#processes.get(report.id);
     if (process?.isRunning !== true) return undefined;
-    const isMeant = process.incarnation === report.incarnation;
+    const isSameIncarnation = process.incarnation === report.incarnation;
     const isRequired = needsIncarnation && this.#guards.incarnation;
-    return isRequired && !isMeant ? undefined : process;
+    return isRequired && !isSameIncarnation ? undefined : process;
   }
 
   /** Sets the version that a target reports, if it names its incarnation. */
@@ -417,14 +417,19 @@
 
   #record({ request }: CallerStream, software: string | undefined): void {
     const writer = { service: SERVICE, software };
-    this.#memory.record({ workspace: "w", request, writer, keepMs: KEEP_MS });
+    this.#instances.record({
+      workspace: "w",
+      request,
+      writer,
+      keepMs: KEEP_MS,
+    });
   }
 
-  #takeUp(stream: CallerStream): void {
+  #resume(stream: CallerStream): void {
     if (stream.run !== undefined || stream.events.length === EVENTS) return;
     if (stream.events.length === 0) return this.#startStream(stream, undefined);
     const key = { workspace: "w", request: stream.request };
-    const writer = this.#memory.find(key);
+    const writer = this.#instances.find(key);
     if (writer !== undefined) return this.#startStream(stream, writer);
     if (!this.#guards.version || !this.#guards.record) {
       return this.#startStream(stream, undefined);
@@ -444,7 +449,7 @@
   }
 }
 
-/** Plays several schedules; the counts of all are added up. */
+/** Runs several schedules; the counts of all are added up. */
 export function runOutputSchedules(
   { seed, guards }: OutputSimulationOptions,
 ): RunResult {
--- a/soak/stream_memory.ts
+++ b/soak/stream_instances.ts
@@ -1,4 +1,4 @@
-/** Instances that remember who writes streams, in a simulation. */
+/** Simulated instances that store the writers of streams. */
 import type { Scheduler } from "../sim/scheduler.ts";
 import {
   type OutputWriter,
@@ -7,12 +7,12 @@
   type StreamRecord,
 } from "../src/core/continuation/mod.ts";
 
-/** Options of {@link StreamMemory}. */
-export interface StreamMemoryOptions {
+/** Options of {@link StreamInstances}. */
+export interface StreamInstancesOptions {
   readonly scheduler: Scheduler;
   /** Gets the time of the simulation. */
   readonly now: () => number;
-  /** Maximum number of streams that an instance remembers. */
+  /** Maximum number of streams that an instance stores. */
   readonly maxStreams: number;
 }
 
@@ -33,16 +33,17 @@
 const SILENT_SHARE = 0.3;
 
 /**
- * Entry instances with links to some control instances, which know each other
- * in part. Records are lost or come late; any instance may forget all.
+ * Entry instances with links to some control instances, which are partly linked
+ * to each other. Records are lost or delayed; any instance may lose all of
+ * them.
  */
-export class StreamMemory {
-  readonly #options: StreamMemoryOptions;
+export class StreamInstances {
+  readonly #options: StreamInstancesOptions;
   readonly #controls: StreamDirectory[];
   #entries: Entry[];
   readonly #late: { control: number; record: StreamRecord }[] = [];
 
-  constructor(options: StreamMemoryOptions) {
+  constructor(options: StreamInstancesOptions) {
     this.#options = options;
     this.#controls = Array.from(
       { length: CONTROLS },
@@ -59,15 +60,15 @@
     const { own, links } = this.#options.scheduler.pick(this.#entries);
     own.add(record);
     for (const control of links) {
-      const fate = this.#random();
-      if (fate < LOST_SHARE) continue;
-      if (fate < LOST_SHARE + LATE_SHARE) this.#late.push({ control, record });
+      const draw = this.#random();
+      if (draw < LOST_SHARE) continue;
+      if (draw < LOST_SHARE + LATE_SHARE) this.#late.push({ control, record });
       else this.#controls[control].add(record);
     }
     return this;
   }
 
-  /** Finds who wrote a stream, as a random entry instance knows it. */
+  /** Finds the writer of a stream at a random entry instance. */
   find(key: StreamKey): OutputWriter | undefined {
     const { own, links } = this.#options.scheduler.pick(this.#entries);
     const known = own.get(key);
@@ -79,7 +80,7 @@
       .find((writer) => writer !== undefined);
   }
 
-  /** Kills all entry instances; the next ones know nothing and have no link. */
+  /** Kills all entry instances; the new ones have no records and no links. */
   loseAllEntries(): void {
     this.#entries = this.#createEntries();
   }
@@ -91,13 +92,13 @@
     }
   }
 
-  /** Starts a control instance again, which forgets all streams. */
+  /** Restarts a control instance, which loses all streams. */
   loseControl(): void {
     const lost = Math.floor(this.#random() * CONTROLS);
     this.#controls[lost] = this.#createDirectory();
   }
 
-  /** Delivers the record that has been late for longest. */
+  /** Delivers the record that has been delayed for longest. */
   deliverLate(): void {
     const first = this.#late.shift();
     if (first !== undefined) this.#controls[first.control].add(first.record);
--- a/src/core/batches/item_placement.ts
+++ b/src/core/batches/item_placement.ts
@@ -1,67 +1,16 @@
 /** Selects the target at which an item is expected to end first. */
-import type { OutputWriter } from "../continuation/mod.ts";
 import {
   type Best,
   eventMsOf,
+  type ExpectedRun,
+  type PlacementTarget,
   type Ranking,
+  type RankingInput,
   rankTargets,
 } from "./target_ranking.ts";
 
-/** State of a target that placement depends on. */
-export interface PlacementTarget {
-  readonly id: string;
-  readonly service: string;
-  /** Software version; undefined if it is unknown. */
-  readonly software: string | undefined;
-  /** Whether other software versions of the service have more targets. */
-  readonly isScarce: boolean;
-  readonly dataCentre: string;
-  /** Maximum number of concurrent requests. */
-  readonly slots: number;
-  /** Number of requests in flight. */
-  readonly inFlight: number;
-  /** Loaded version of the item's model; undefined if not reported. */
-  readonly version: number | undefined;
-  /** Expected time per event of a run alone at the target, in milliseconds. */
-  readonly paceMs: number;
-  /** Whether the target is far slower now than it is in the long run. */
-  readonly isSick: boolean;
-  /** Whether the target accepts no work: after failures or while loading. */
-  readonly isAvoided: boolean;
-  /** Whether it has just started and takes few requests a second. */
-  readonly isCold: boolean;
-}
-
-/** Expected run of an item, in times per event. */
-export interface ExpectedRun {
-  /** Number of events that the output still needs. */
-  readonly remainingEvents: number;
-  /** Time to the first event at a target without the prompt. */
-  readonly uncachedPromptEvents: number;
-  /** Time to the first event at a target with the prompt in its cache. */
-  readonly cachedPromptEvents: number;
-  /** Mean length of a run, which determines when a used slot becomes free. */
-  readonly meanRunEvents: number;
-}
-
 /** Input of {@link placeItem}. */
-export interface PlacementInput {
-  readonly targets: readonly PlacementTarget[];
-  /** Minimum weight version; 0 for any. */
-  readonly minVersion: number;
-  /** Who wrote the output so far; undefined if there is none. */
-  readonly written: OutputWriter | undefined;
-  /** Weight versions that generated the output so far. */
-  readonly versions: readonly number[];
-  /** Whether one weight version must generate the complete output. */
-  readonly isSingleVersion: boolean;
-  /** Targets to use only if no other is eligible, as after a failed run. */
-  readonly excluded: ReadonlySet<string>;
-  /** Targets that have the prompt of the item's group in their cache. */
-  readonly cachingTargets: ReadonlySet<string>;
-  /** Local data centre. */
-  readonly dataCentre: string;
-  readonly run: ExpectedRun;
+export interface PlacementInput extends RankingInput {
   /** Time until the item is due, in milliseconds; negative if overdue. */
   readonly dueInMs: number;
   /**
@@ -82,10 +31,13 @@
   Earliest: "earliest",
   /** As {@link PlacementReason.Earliest}, with the prompt in its cache. */
   CachedPrompt: "cachedPrompt",
-  /** It is in the local data centre, and others end hardly earlier. */
+  /** It is in the local data centre, and others end only slightly earlier. */
   Local: "local",
-  /** It is sick, and no other target ends the item earlier. */
-  Sick: "sick",
+  /**
+   * It is degraded, and no other target ends the item earlier; `sick` in log
+   * lines.
+   */
+  Degraded: "sick",
 } as const;
 
 /** One of the values of {@link PlacementReason}. */
@@ -120,8 +72,8 @@
 /**
  * Selects the target at which an item ends first. A target in the local data
  * centre is preferred if little time is lost by it. An item waits for a used
- * slot if it then ends earlier, and is late at all free targets, finds only sick
- * ones, or finds none that has read its prompt.
+ * slot if it then ends earlier, and is late at all free targets, finds only
+ * degraded ones, or finds none that has read its prompt.
  *
  * @example
  * ```ts
@@ -150,8 +102,8 @@
   if (target === undefined) return NOT_PLACED;
   const isCached = usual === PlacementReason.Earliest &&
     cachingTargets.has(target.id);
-  const reason = target.isSick
-    ? PlacementReason.Sick
+  const reason = target.isDegraded
+    ? PlacementReason.Degraded
     : isCached
     ? PlacementReason.CachedPrompt
     : usual;
@@ -168,7 +120,7 @@
   if (heldItems === undefined) return false;
   const latestMs = HOLD_SHARE * free.ms;
   const isLate = free.ms * SAFETY_FACTOR > dueInMs;
-  if (isLate || free.target?.isSick === true) {
+  if (isLate || free.target?.isDegraded === true) {
     if (endAfterWaitMs(used, usedSlots, heldItems, run) < latestMs) return true;
   }
   if (heldForPrompt === undefined) return false;
@@ -195,7 +147,7 @@
   if (freeLocal.target === undefined || freeLocal.target === free.target) {
     return false;
   }
-  if (freeLocal.target.isSick || freeLocal.ms * SAFETY_FACTOR > dueInMs) {
+  if (freeLocal.target.isDegraded || freeLocal.ms * SAFETY_FACTOR > dueInMs) {
     return false;
   }
   return freeLocal.cost - free.cost <= LOCAL_SHARE * dueInMs;
--- a/src/core/batches/pace_stats.ts
+++ b/src/core/batches/pace_stats.ts
@@ -18,17 +18,17 @@
   /** Time since which the recent pace has been far from the long-run pace. */
   changedSince: number | undefined;
   /**
-   * Time since which the target was sick at each sample; undefined if it was
-   * not at the last sample that could tell.
+   * Time since which the target was degraded at each sample; undefined if it
+   * was not at the last conclusive sample.
    */
-  sickSince: number | undefined;
+  degradedSince: number | undefined;
   avoidedUntil: number;
   failures: number;
 }
 
 /** Lower bound of the weight of an event in the recent pace. */
 const RECENT_WEIGHT = 0.1;
-/** Time constant of the recent pace; a longer gap says more. */
+/** Time constant of the recent pace; a longer gap has more weight. */
 const RECENT_MS = 500;
 /** Number of last gaps of which most must be late for runs to be moved. */
 const LATE_GAPS = 5;
@@ -46,15 +46,15 @@
 const MAX_GAP_RATIO = 4;
 /**
  * As {@link MAX_GAP_RATIO}, in the recent pace: one late event, as after a lost
- * packet, does not make a target sick.
+ * packet, does not make a target degraded.
  */
 const MAX_RECENT_GAP_RATIO = 10;
 /** Time without an event after which a recent pace expires. */
 const STALE_MS = 3_000;
-/** Time without an event after which a recent pace is gradually forgotten. */
-const FORGET_AFTER_MS = 500;
-/** Time constant with which it is forgotten. */
-const FORGET_MS = 2_000;
+/** Time without an event after which a recent pace gradually decays. */
+const DECAY_DELAY_MS = 500;
+/** Time constant of that decay. */
+const DECAY_MS = 2_000;
 
 /** Creates the measurements of a target without events. */
 export function createPaceStats(
@@ -72,7 +72,7 @@
     lateGaps: 0,
     lastSampleAt: -Infinity,
     changedSince: undefined,
-    sickSince: undefined,
+    degradedSince: undefined,
     avoidedUntil: -Infinity,
     failures: 0,
   };
@@ -140,9 +140,9 @@
 /** Gets the recent pace, which tends to the long-run pace without events. */
 export function recentMsOf(stats: PaceStats, now: number): number {
   if (!hasInherent(stats)) return stats.recentMs;
-  const ageMs = Math.max(0, now - stats.lastSampleAt - FORGET_AFTER_MS);
+  const ageMs = Math.max(0, now - stats.lastSampleAt - DECAY_DELAY_MS);
   const excessMs = stats.recentMs - stats.inherentMs;
-  return stats.inherentMs + excessMs * Math.exp(-ageMs / FORGET_MS);
+  return stats.inherentMs + excessMs * Math.exp(-ageMs / DECAY_MS);
 }
 
 /** Gets whether the long-run pace is known. */
--- a/src/core/continuation/event_framer.ts
+++ b/src/core/continuation/event_framer.ts
@@ -1,4 +1,4 @@
-/** Divides the bytes of an event stream into whole events. */
+/** Divides the bytes of an event stream into complete events. */
 
 /** Bytes of an event stream up to the end of an event. */
 export interface EventFrame {
@@ -13,6 +13,9 @@
 const CARRIAGE_RETURN = 13;
 const ID_LINE = /^id: ?(\d+)$/;
 
+/** A line that is neither empty nor a comment. */
+const FIELD_LINE = /^[^:\r\n]/m;
+
 /** Thrown for an event without an end. */
 export class EventTooLargeError extends Error {
   constructor() {
@@ -22,8 +25,8 @@
 }
 
 /**
- * Collects bytes until an event is whole. All bytes are kept as they are, so the
- * frames and the rest add up to the stream.
+ * Collects bytes until an event is complete. Bytes are never changed, so the
+ * frames and the remainder add up to the stream.
  *
  * @example
  * ```ts
@@ -72,8 +75,13 @@
     return frames;
   }
 
-  /** Removes and gets the bytes after the last whole event. */
-  takeRest(): Uint8Array {
+  /** Gets whether an event has begun that is not complete; comments are none. */
+  get isInEvent(): boolean {
+    return hasField(Buffer.concat(this.#pending));
+  }
+
+  /** Removes and gets the bytes after the last complete event. */
+  takeRemainder(): Uint8Array {
     const rest = Buffer.concat(this.#pending);
     this.#reset();
     this.#line = [];
@@ -120,3 +128,15 @@
     this.#id = undefined;
   }
 }
+
+/**
+ * Gets whether bytes of an event stream hold more than comments.
+ *
+ * @example
+ * ```ts
+ * hasField(Buffer.from(": ping\n\n")); // false
+ * ```
+ */
+export function hasField(bytes: Uint8Array): boolean {
+  return FIELD_LINE.test(Buffer.from(bytes).toString("latin1"));
+}
--- a/src/core/registry/target_registry.ts
+++ b/src/core/registry/target_registry.ts
@@ -6,6 +6,7 @@
   type ColdTime,
   mergeColdUntil,
 } from "./cold_time.ts";
+import { NamedServices } from "./named_services.ts";
 import { isNewer, isSameReport, keepLeaving } from "./report_comparison.ts";
 import { type TargetReport, TargetState } from "./target_report.ts";
 
@@ -42,8 +43,8 @@
 /** One of the values of {@link RegistryChange}. */
 export type RegistryChange = typeof RegistryChange[keyof typeof RegistryChange];
 
-/** Time for which targets in state gone are retained. */
-const GONE_RETENTION_MS = 120_000;
+/** Time for which removed targets are retained. */
+const REMOVED_RETENTION_MS = 120_000;
 
 /**
  * Merges target reports, which may be delayed, duplicated or out of order.
@@ -57,6 +58,7 @@
   readonly #targets = new Map<string, RegisteredTarget>();
   readonly #regions: RegionMap;
   #evacuated: ReadonlySet<string> | undefined = new Set();
+  readonly #services = new NamedServices();
 
   /** @param regions - Regions of the data centres; none known by default. */
   constructor(regions: RegionMap = new RegionMap(undefined)) {
@@ -73,6 +75,9 @@
     if (current !== undefined && !isNewer(report, current)) {
       return RegistryChange.None;
     }
+    if (current !== undefined && this.#services.isForeign(report, current)) {
+      return RegistryChange.None;
+    }
     const same = current?.incarnation === report.incarnation
       ? known
       : undefined;
@@ -126,20 +131,20 @@
   }
 
   /**
-   * Marks a target as gone, after it has deregistered.
+   * Marks a target as removed, after it has deregistered.
    * @param incarnation - Incarnation that ends; undefined for any.
    * @param now - Time in milliseconds.
-   * @returns False if the target is unknown, gone or already restarted.
+   * @returns False if the target is unknown, removed or already restarted.
    */
   remove(id: string, incarnation: number | undefined, now: number): boolean {
     const current = this.#targets.get(id)?.report;
-    if (current === undefined || current.state === TargetState.Gone) {
+    if (current === undefined || current.state === TargetState.Removed) {
       return false;
     }
     if (incarnation !== undefined && incarnation < current.incarnation) {
       return false;
     }
-    this.#markGone(current, now);
+    this.#markRemoved(current, now);
     return true;
   }
 
@@ -211,15 +216,15 @@
     return target.report;
   }
 
-  /** Gets all targets, including those in state gone. */
+  /** Gets all targets, including those in state removed. */
   get all(): readonly RegisteredTarget[] {
     return [...this.#targets.values()];
   }
 
-  /** Gets the reports of the targets that are not gone. */
+  /** Gets the reports of the targets that are not removed. */
   get presentReports(): TargetReport[] {
     return this.all.map(({ report }) => report)
-      .filter(({ state }) => state !== TargetState.Gone);
+      .filter(({ state }) => state !== TargetState.Removed);
   }
 
   /**
@@ -255,16 +260,33 @@
     return this;
   }
 
+  /**
+   * Replaces the names of the services that the policy has; before, any is taken
+   * for one. Reports of other services displace no target.
+   */
+  setServices(names: Iterable<string>, now: number): this {
+    const added = this.#services.replace(names);
+    for (const id of [...this.#targets.keys()]) {
+      const target = this.#targets.get(id)!;
+      if (!added.has(target.report.service)) continue;
+      const report = this.#resolveAddressConflict(target.report, now);
+      this.#targets.set(report.id, { ...target, report });
+    }
+    return this;
+  }
+
   /** Gets whether a data centre is evacuated, or may be. */
   isEvacuated(dataCentre: string): boolean {
     return this.#evacuated?.has(dataCentre) ?? true;
   }
 
-  /** Removes targets that have been gone for the retention time. */
+  /** Deletes targets whose removal is longer ago than the retention time. */
   prune(now: number): this {
     for (const [id, { report, reportedAt }] of this.#targets) {
-      const isOld = now - reportedAt > GONE_RETENTION_MS;
-      if (isOld && report.state === TargetState.Gone) this.#targets.delete(id);
+      const isOld = now - reportedAt > REMOVED_RETENTION_MS;
+      if (isOld && report.state === TargetState.Removed) {
+        this.#targets.delete(id);
+      }
     }
     return this;
   }
@@ -277,20 +299,26 @@
 
   /** Lets the target that started last keep an address that two report. */
   #resolveAddressConflict(report: TargetReport, now: number): TargetReport {
-    if (report.state === TargetState.Gone) return report;
+    if (report.state === TargetState.Removed) return report;
     for (const { report: other } of this.#targets.values()) {
       if (other.id === report.id || other.address !== report.address) continue;
-      if (other.state === TargetState.Gone) continue;
+      if (other.state === TargetState.Removed) continue;
+      if (
+        this.#services.isForeign(report, other) ||
+        this.#services.isForeign(other, report)
+      ) {
+        continue;
+      }
       if (other.incarnation > report.incarnation) {
-        return { ...report, state: TargetState.Gone };
+        return { ...report, state: TargetState.Removed };
       }
-      this.#markGone(other, now);
+      this.#markRemoved(other, now);
     }
     return report;
   }
 
-  #markGone(report: TargetReport, now: number): void {
-    const goneReport = { ...report, state: TargetState.Gone };
-    this.#targets.set(report.id, { report: goneReport, reportedAt: now });
+  #markRemoved(report: TargetReport, now: number): void {
+    const removed = { ...report, state: TargetState.Removed };
+    this.#targets.set(report.id, { report: removed, reportedAt: now });
   }
 }
--- a/src/tasks/batches/batch_intake_test.ts
+++ b/src/tasks/batches/batch_intake_test.ts
@@ -7,7 +7,7 @@
 const spec = createSpec();
 const FIGURES = {
   precedingTokens: 9,
-  roomTokens: 5,
+  capacityTokens: 5,
   shareTokens: 5,
   usedTokens: 9,
 };
@@ -27,6 +27,8 @@
 interface Scenario {
   readonly decisions: readonly AdmissionDecision[];
   readonly isLeader?: boolean;
+  /** Whether committed entries of the leader wait for its write. */
+  readonly isWriting?: boolean;
   /** Happens while leadership is confirmed. */
   readonly onConfirm?: (state: BatchState) => void;
   /** Happens before the batch is submitted. */
@@ -35,7 +37,9 @@
   readonly failures?: readonly RefusalError[];
 }
 
-function createIntake({ decisions, isLeader = true, ...options }: Scenario) {
+function createIntake(
+  { decisions, isLeader = true, isWriting = false, ...options }: Scenario,
+) {
   const state = new BatchState();
   const proposed: string[] = [];
   const logged: string[] = [];
@@ -43,7 +47,8 @@
   const left = [...decisions];
   const service = {
     state,
-    leadsTerm: isLeader ? 1 : undefined,
+    leadsTerm: isLeader && !isWriting ? 1 : undefined,
+    takesCommands: isLeader,
     confirmLeadership: () => {
       options.onConfirm?.(state);
       return Promise.resolve();
@@ -139,3 +144,60 @@
       },
     }, true));
 });
+
+describe(`${BatchIntake.name} with ends`, () => {
+  const params = { workspace: spec.workspace, batch: spec.id };
+
+  it("proposes the end of an open batch", async () => {
+    const { intake, state, proposed } = createIntake({ decisions: [] });
+    state.apply({ type: "accept", spec });
+    expect(await intake.end(params)).toBe(true);
+    expect(proposed).toEqual(["end"]);
+    expect(state.get(spec.id)?.isEnded).toBe(true);
+  });
+
+  // Guards against ends without an answer while writes take longer than an attempt.
+  it.each([false, true])(
+    "acknowledges the end of an ended batch without another write (writing: %s)",
+    async (isWriting) => {
+      const { intake, state, proposed } = createIntake({
+        decisions: [],
+        isWriting,
+      });
+      state.apply({ type: "accept", spec });
+      state.apply({ type: "end", batch: spec.id });
+      expect(await intake.end(params)).toBe(true);
+      expect(proposed).toEqual([]);
+    },
+  );
+
+  // Guards against items that run on at a leader that has not applied the end.
+  it("leaves an ended batch to the leader if this replica does not lead", async () => {
+    const { intake, state, proposed } = createIntake({
+      decisions: [],
+      isLeader: false,
+    });
+    state.apply({ type: "accept", spec });
+    state.apply({ type: "end", batch: spec.id });
+    await intake.end(params);
+    expect(proposed).toEqual(["end"]);
+  });
+
+  // Guards against a batch that is accepted after its end was refused for good.
+  it("does not refuse the end of a batch whose acceptance is unsettled", async () => {
+    const { intake, proposed } = createIntake({
+      decisions: [ADMITTED],
+      failures: [new RefusalError("controlUnavailable", Verdict.MayHaveRun)],
+    });
+    await expect(intake.submit({ spec })).rejects.toThrow();
+    await expect(intake.end(params)).rejects
+      .toMatchObject({ reason: "ledgerUnavailable", verdict: Verdict.NotRun });
+    expect(proposed).toEqual(["accept"]);
+  });
+
+  it("refuses the end of an unknown batch", async () => {
+    const { intake } = createIntake({ decisions: [] });
+    await expect(intake.end(params)).rejects
+      .toMatchObject({ reason: "notFound" });
+  });
+});
--- a/src/tasks/batches/unanswered_requests.ts
+++ b/src/tasks/batches/unanswered_requests.ts
@@ -26,8 +26,9 @@
 const LOST_TICKS = 2;
 
 /**
- * Cancels the requests without a response while the lease is lost: the network may hold them up and deliver them when the next leader has seen
- * their batch end. A response shows that its request was delivered, so its run
+ * Cancels the requests without a response while the lease is lost: the network
+ * may hold them up and deliver them when the next leader has seen their batch
+ * end. A response shows that its request was delivered, so its run
  * goes on: the lease may come back, and the next leader begins at its events.
  */
 export class UnansweredRequests {
--- a/src/tasks/calls/call_gate.ts
+++ b/src/tasks/calls/call_gate.ts
@@ -22,6 +22,12 @@
   readonly guard?: SendGuard;
 }
 
+/** Refusals that may be due to an outdated policy. */
+const UNKNOWN_REASONS: ReadonlySet<RefusalReason> = new Set([
+  RefusalReason.NotFound,
+  RefusalReason.KeyUnknown,
+]);
+
 /** Options of {@link CallGate}. */
 export interface CallGateOptions {
   readonly policy: () => PolicyView | undefined;
@@ -66,7 +72,8 @@
   /**
    * Admits a call by its host, path and key.
    * The call is matched again after the wait for the policy lease, since its
-   * key may have been withdrawn in the meantime.
+   * key may have been withdrawn in the meantime. Nobody is refused as unknown
+   * without the lease: the route or key may have been added since.
    * @throws RefusalError with verdict `notRun`.
    */
   async admit(
@@ -74,7 +81,13 @@
       & Pick<CallRequest, "host" | "path" | "key">
       & Partial<Pick<CallRequest, "timeoutMs">>,
   ): Promise<Admission> {
-    const admission = this.#findAdmissionOrThrow(call);
+    const admission = this.#findAdmission(call);
+    if (admission === undefined) {
+      if (await this.#options.awaitLease()) {
+        return this.#findAdmissionOrThrow(call);
+      }
+      throw createFencedError();
+    }
     if (admission.workspace === undefined) return admission;
     const { timeoutMs = Infinity } = call;
     const timeMs = Math.min(timeoutMs, admission.route.timeoutMs);
@@ -82,28 +95,36 @@
     if (await this.#options.awaitLease(maxWaitMs)) {
       return this.#findAdmissionOrThrow(call);
     }
-    throw new RefusalError(RefusalReason.DataCentreFenced, Verdict.NotRun, {
-      message: "Keys cannot be checked now",
-      retryAfterMs: RETRY_AFTER_MS,
-    });
+    throw createFencedError();
   }
 
   /**
-   * Authenticates a caller by host and key, without a route.
+   * Authenticates a caller by host and key, without a route. Nobody is refused
+   * as unknown without the policy lease: the caller may have been added since,
+   * and does not come back after such a refusal.
    * @returns Name of the caller's workspace.
    * @throws RefusalError with verdict `notRun`.
    */
   async authenticate(host: string, key: string | undefined): Promise<string> {
+    this.#getPolicyOrThrow();
+    if (!await this.#options.awaitLease()) throw createFencedError();
     const policy = this.#getPolicyOrThrow();
     if (!policy.hasHost(host)) throw notFoundError();
-    getWorkspaceOrThrow(policy, key);
-    if (!await this.#options.awaitLease()) {
-      throw new RefusalError(RefusalReason.DataCentreFenced, Verdict.NotRun, {
-        message: "Keys cannot be checked now",
-        retryAfterMs: RETRY_AFTER_MS,
-      });
+    return getWorkspaceOrThrow(policy, key).name;
+  }
+
+  /** Gets the admission of a call; undefined if its route or key is unknown. */
+  #findAdmission(
+    call: Pick<CallRequest, "host" | "path" | "key">,
+  ): Admission | undefined {
+    try {
+      return this.#findAdmissionOrThrow(call);
+    } catch (err) {
+      if (err instanceof RefusalError && UNKNOWN_REASONS.has(err.reason)) {
+        return undefined;
+      }
+      throw err;
     }
-    return getWorkspaceOrThrow(this.#getPolicyOrThrow(), key).name;
   }
 
   #findAdmissionOrThrow(
@@ -156,6 +177,13 @@
   throw new RefusalError(RefusalReason.KeyUnknown, Verdict.NotRun);
 }
 
+function createFencedError(): RefusalError {
+  return new RefusalError(RefusalReason.DataCentreFenced, Verdict.NotRun, {
+    message: "Keys cannot be checked now",
+    retryAfterMs: RETRY_AFTER_MS,
+  });
+}
+
 function notFoundError(): RefusalError {
   return new RefusalError(RefusalReason.NotFound, Verdict.NotRun);
 }
--- a/src/tasks/calls/call_gate_test.ts
+++ b/src/tasks/calls/call_gate_test.ts
@@ -12,6 +12,13 @@
   routes: [createRoute({ timeoutMs: 30_000 })],
   workspaces: [{ name: "w", keys: ["k"], priority: 1 }],
 });
+/** Lacks the key. */
+const OUTDATED = new PolicyView(
+  createPolicy({
+    routes: [createRoute({ timeoutMs: 30_000 })],
+    workspaces: [{ name: "w", keys: ["old"], priority: 1 }],
+  }),
+);
 
 describe(CallGate.name, () => {
   async function doTest(hasControlLeader: boolean, retryAfterMs: number) {
@@ -35,6 +42,35 @@
   it("calls back after an election if there is no leader", () =>
     doTest(false, 1_000));
 
+  /** Admits a call that only a newer policy than the known one serves. */
+  async function admitUnknown(
+    call: typeof KEYED_CALL,
+    isRenewed: boolean,
+  ): Promise<string> {
+    let isKnown = false;
+    const gate = new CallGate({
+      policy: () => isKnown ? new PolicyView(POLICY) : OUTDATED,
+      awaitLease: () => {
+        isKnown = isRenewed;
+        return Promise.resolve(isRenewed);
+      },
+      hasLease: () => false,
+      hasControlLeader: () => true,
+    });
+    return await gate.admit(call).then(
+      ({ route }) => route.name,
+      (err) => err.reason,
+    );
+  }
+
+  // Guards against callers that give up, as they are refused as unknown.
+  it("refuses nobody as unknown by an outdated policy", async () => {
+    expect(await admitUnknown(KEYED_CALL, false)).toBe("dataCentreFenced");
+    expect(await admitUnknown(KEYED_CALL, true)).toBe(
+      POLICY.routes[0].name,
+    );
+  });
+
   async function doLeaseTest(timeoutMs: number | undefined, waitMs: number) {
     const waits: (number | undefined)[] = [];
     const gate = new CallGate({
@@ -107,6 +143,45 @@
 
   // Guards against refusals of calls that have time left while the control
   // instances start again.
+  /** Authenticates a caller whom the policy in force knows from a time on. */
+  async function doAuthenticationTest(
+    known: Parameters<typeof createPolicy>[0],
+    isLeaseRenewed: boolean,
+  ): Promise<string> {
+    const state = { policy: new PolicyView(createPolicy(known)) };
+    const gate = new CallGate({
+      policy: () => state.policy,
+      hasLease: () => false,
+      awaitLease: () => {
+        if (isLeaseRenewed) state.policy = new PolicyView(POLICY);
+        return Promise.resolve(isLeaseRenewed);
+      },
+      hasControlLeader: () => true,
+    });
+    return await gate.authenticate(KEYED_CALL.host, KEYED_CALL.key);
+  }
+
+  const OUTDATED_POLICIES = [
+    ["key", { ...POLICY, workspaces: [{ name: "w", keys: [], priority: 1 }] }],
+    ["host", { ...POLICY, routes: [] }],
+  ] as const;
+
+  // Guards against callers that give up since an instance is cut off.
+  it.each(OUTDATED_POLICIES)(
+    "does not refuse a %s as unknown without a lease",
+    async (_name, known) => {
+      await expect(doAuthenticationTest(known, false)).rejects
+        .toMatchObject({ reason: "dataCentreFenced", verdict: "notRun" });
+    },
+  );
+
+  it.each(OUTDATED_POLICIES)(
+    "knows a %s that was added before the lease was renewed",
+    async (_name, known) => {
+      expect(await doAuthenticationTest(known, true)).toBe("w");
+    },
+  );
+
   it("waits for the lease for three quarters of a call's time, within limits", async () => {
     await doLeaseTest(1_600, 1_200);
     await doLeaseTest(400, 300);
--- a/src/tasks/fleet/control_requests.ts
+++ b/src/tasks/fleet/control_requests.ts
@@ -14,7 +14,8 @@
   RefusalReason,
   Verdict,
 } from "../../core/verdict/mod.ts";
-import type { PeerHub } from "../peers/mod.ts";
+import { confirmRequestSchema, fleetCommandSchema } from "../../schemas/mod.ts";
+import { decodeRequest, type PeerHub } from "../peers/mod.ts";
 import { settleWithin } from "../settle.ts";
 import type { FleetLogService } from "./fleet_log_service.ts";
 import {
@@ -32,7 +33,7 @@
   };
   readonly service: Pick<
     FleetLogService,
-    "state" | "leadsTerm" | "propose" | "confirmLeadership"
+    "state" | "takesCommands" | "propose" | "confirmLeadership"
   >;
 }
 
@@ -54,11 +55,11 @@
     node.hub
       .handle(
         FleetMethod.Propose,
-        (params) => service.propose(params as FleetCommand),
+        (params) => service.propose(decodeRequest(fleetCommandSchema, params)),
       )
       .handle(
         FleetMethod.Confirm,
-        (params) => this.#confirm(params as ConfirmPolicyRequest),
+        (params) => this.#confirm(decodeRequest(confirmRequestSchema, params)),
       )
       .handle(FleetMethod.Read, () => this.#read());
   }
@@ -84,7 +85,7 @@
   /** Reads the committed policy's source text; undefined if there is none. */
   async readPolicy(): Promise<string | undefined> {
     const { node, service } = this.#options;
-    if (service.leadsTerm !== undefined) return (await this.#read()).source;
+    if (service.takesCommands) return (await this.#read()).source;
     const reply = await node.requestLeader(
       FleetRole.Control,
       FleetMethod.Read,
@@ -99,7 +100,7 @@
    */
   async propose(command: FleetCommand): Promise<FleetCommandResult> {
     const { node, service } = this.#options;
-    if (service.leadsTerm !== undefined) {
+    if (service.takesCommands) {
       return await this.#proposeAsLeader(command);
     }
     return await node.requestLeader(
--- a/src/tasks/fleet/control_task.ts
+++ b/src/tasks/fleet/control_task.ts
@@ -1,5 +1,4 @@
 /** A control instance: policy, target registry and the leader's tasks. */
-import type { ServiceDemand } from "../../core/batches/mod.ts";
 import type { ElapsedClock } from "../../core/clock/mod.ts";
 import { type PolicyDocument, RegionMap } from "../../core/policy/mod.ts";
 import type { TargetReport } from "../../core/registry/mod.ts";
@@ -8,7 +7,9 @@
   RefusalReason,
   Verdict,
 } from "../../core/verdict/mod.ts";
+import { serviceDemandSchema } from "../../schemas/mod.ts";
 import { DEMAND_METHOD } from "../batches/mod.ts";
+import { decodeRequest } from "../peers/mod.ts";
 import { CapacityScaler } from "./capacity_scaler.ts";
 import { OrderLease } from "./order_lease.ts";
 import type { EvacuationService } from "./evacuation_service.ts";
@@ -17,6 +18,7 @@
 import type { FleetNode } from "./fleet_node.ts";
 import type { OrderPort, ReceiverPort } from "./order_port.ts";
 import { RetirementService } from "./retirement_service.ts";
+import { RefusedInputs } from "../refused_inputs.ts";
 import { UsageReporter } from "./usage_reporter.ts";
 import { WeightsRollout } from "./weights_rollout.ts";
 
@@ -45,11 +47,18 @@
   readonly #scaler: CapacityScaler | undefined;
   readonly #formation: LedgerFormation;
   readonly #retirements: RetirementService;
+  readonly #refusedReports: RefusedInputs;
   #formTimer: NodeJS.Timeout | undefined;
 
   constructor(options: ControlTaskOptions) {
     this.#options = options;
     const { node, dataFolder, clock } = options;
+    this.#refusedReports = new RefusedInputs({
+      logger: node.logger,
+      metrics: node.metrics,
+      event: "targetReportRefused",
+      metric: "targets.refusedReports",
+    });
     this.#control = new FleetControl({
       node,
       dataFolder,
@@ -68,7 +77,7 @@
     this.#usageReporter = this.#createReporter(lease);
     this.#scaler = this.#createScaler(lease);
     node.hub.handle(DEMAND_METHOD, (params) => {
-      this.#scaler?.observe(params as ServiceDemand);
+      this.#scaler?.observe(decodeRequest(serviceDemandSchema, params));
       return true;
     });
   }
@@ -109,6 +118,11 @@
     await this.#control.stop();
   }
 
+  /** Counts a target's report that is malformed, and logs it once. */
+  refuseReport(id: string, reason: string): void {
+    this.#refusedReports.record(id, reason);
+  }
+
   /** Merges a target's report into the registry and forwards it. */
   reportTarget(report: TargetReport): void {
     this.#control.targets.merge(report);
@@ -117,6 +131,7 @@
   /**
    * Removes a target that has deregistered.
    * @param incarnation - Incarnation that leaves; undefined for any.
+   * @throws RefusalError if the target is not known here.
    */
   removeTarget(id: string, incarnation: number | undefined): void {
     this.#control.targets.remove(id, incarnation);
--- a/src/tasks/fleet/permit_service.ts
+++ b/src/tasks/fleet/permit_service.ts
@@ -13,7 +13,8 @@
   RefusalReason,
   Verdict,
 } from "../../core/verdict/mod.ts";
-import type { PeerHub } from "../peers/mod.ts";
+import { permitRequestSchema } from "../../schemas/mod.ts";
+import { decodeRequest, type PeerHub } from "../peers/mod.ts";
 import { ColdTargets } from "./cold_targets.ts";
 import { FleetMethod } from "./fleet_method.ts";
 import type { FleetNode } from "./fleet_node.ts";
@@ -59,7 +60,7 @@
     });
     node.hub.handle(
       FleetMethod.Permits,
-      (params) => this.#grant(params as PermitRequest),
+      (params) => this.#grant(decodeRequest(permitRequestSchema, params)),
     );
   }
 
--- a/src/tasks/log/log_service.ts
+++ b/src/tasks/log/log_service.ts
@@ -51,9 +51,17 @@
     return this.driver.state;
   }
 
-  /** Gets the term that this replica leads; undefined unless it leads. */
+  /** Gets the term that this replica leads; undefined if it takes no commands. */
   get leadsTerm(): number | undefined {
-    return this.driver.isReady ? this.driver.node?.term : undefined;
+    return this.takesCommands ? this.driver.node?.term : undefined;
+  }
+
+  /**
+   * Gets whether this replica leads and takes commands, also while committed
+   * entries of its own wait for a write.
+   */
+  get takesCommands(): boolean {
+    return this.driver.hasAppliedEarlierTerms;
   }
 
   /** Processes a message from another replica. */
@@ -67,7 +75,7 @@
    *     `mayHaveRun` if it may still be.
    */
   propose(command: C): Promise<A> {
-    const position = this.driver.isReady
+    const position = this.takesCommands
       ? this.driver.propose(command)
       : undefined;
     if (position === undefined) {
--- a/src/tasks/peers/peer_envelope.ts
+++ b/src/tasks/peers/peer_envelope.ts
@@ -98,9 +98,12 @@
   readonly at: number;
 }
 
-const packr = new Packr({ useRecords: false });
+/** Large integers are decoded as numbers, since JSON knows no others. */
+const packr = new Packr({ useRecords: false, int64AsType: "number" });
 
-/** First byte of a message, which tells whether the rest is compressed. */
+/**
+ * First byte of a message, which indicates whether the remainder is compressed.
+ */
 const Encoding = { Plain: 0, Compressed: 1 } as const;
 
 /** Minimum size of a message for compression, in bytes. */
--- a/src/tasks/peers/request_handlers.ts
+++ b/src/tasks/peers/request_handlers.ts
@@ -1,5 +1,6 @@
 /** Handlers of the requests from other instances. */
 import { Verdict } from "../../core/verdict/mod.ts";
+import { MalformedRequestError } from "./malformed_request_error.ts";
 import type { PeerReply, PeerRequest } from "./peer_envelope.ts";
 import { createUnansweredError, encodeRefusal } from "./peer_refusal.ts";
 
@@ -12,6 +13,12 @@
 /** Finds the handler of each request by its method. */
 export class RequestHandlers {
   readonly #handlers = new Map<string, RequestHandler>();
+  readonly #onMalformed: (from: string, reason: string) => void;
+
+  /** @param onMalformed - Called if a handler cannot decode a request. */
+  constructor(onMalformed: (from: string, reason: string) => void) {
+    this.#onMalformed = onMalformed;
+  }
 
   /**
    * Sets the handler of a method, replacing the previous one.
@@ -46,6 +53,9 @@
       const result = await this.run(method, params, from);
       send({ id, result });
     } catch (err) {
+      if (err instanceof MalformedRequestError) {
+        this.#onMalformed(from, `${method}: ${err.message}`);
+      }
       send({ id, refusal: encodeRefusal(err) });
     }
   }
--- a/tests/support/admission_simulation.ts
+++ b/tests/support/admission_simulation.ts
@@ -1,4 +1,6 @@
-/** Plays, in virtual time, workspaces whose batches are admitted or refused. */
+/**
+ * Simulates, in virtual time, workspaces whose batches are admitted or refused.
+ */
 import { uniformFloat64 } from "pure-rand/distribution/uniformFloat64";
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
 import {
@@ -65,7 +67,7 @@
   firstRunMs: number | undefined;
 }
 
-/** Plays the batches; equal options give equal figures. */
+/** Simulates the batches; equal options give equal figures. */
 export function simulateAdmission(
   options: AdmissionSimulationOptions,
 ): ReadonlyMap<string, WorkspaceFigures> {
@@ -154,7 +156,7 @@
       const done = run === undefined ? 0 : (now - run.startedAt) / MS_PER_TOKEN;
       return Math.max(0, expectedLengthOf(item) - done);
     };
-    const room = targets.roomOf(SERVICE, {
+    const capacity = targets.capacityOf(SERVICE, {
       tokensPerEvent: 1,
       isAllowed: () => true,
       limits: undefined,
@@ -177,7 +179,7 @@
         placeOf: () => ({ place: "", placeTokensPerMs: slots / MS_PER_TOKEN }),
       }),
       openItems: open.reduce((sum, r) => sum + r.pendingItems.length, 0),
-      room,
+      capacity,
       drainTokensPerMs: drain.tokensPerMs(SERVICE, now),
       leadingMs: drain.elapsedMs(now),
     });
--- a/tests/support/stream_caller.ts
+++ b/tests/support/stream_caller.ts
@@ -28,9 +28,9 @@
   readonly events: string[];
   /** Statuses of the requests, in order; 0 where none came. */
   readonly statuses: number[];
-  /** Number of counted requests that took the stream up with events held. */
-  retakes: number;
-  /** Number of those that went on. */
+  /** Number of counted requests that resumed the stream with events held. */
+  resumeAttempts: number;
+  /** Number of those that were resumed. */
   resumed: number;
   /** Number of requests that brought events and broke off before the end. */
   breaks: number;
@@ -48,7 +48,7 @@
     first: undefined,
     events: [],
     statuses: [],
-    retakes: 0,
+    resumeAttempts: 0,
     resumed: 0,
     breaks: 0,
     isComplete: false,
@@ -70,8 +70,7 @@
   }
 
   /**
-   * Reads a stream until it is complete, taking it up again as long as there is
-   * time.
+   * Reads a stream until it is complete, resuming it as long as there is time.
    * @param onEvent - Called after each event, with the events held so far and
    *   the instance that brought it.
    */
@@ -92,7 +91,7 @@
     return held;
   }
 
-  /** Sends one request, which takes the stream up if any events are held. */
+  /** Sends one request, which resumes the stream if any events are held. */
   async request(
     id: string,
     held: HeldStream,
@@ -104,8 +103,8 @@
     const address = addresses[this.#requestCount % addresses.length];
     const client = new Client(`http://${address}`);
     const heldBefore = held.events.length;
-    const isRetake = heldBefore > 0 && this.#isServed(held);
-    if (isRetake) held.retakes += 1;
+    const isResumeAttempt = heldBefore > 0 && this.#isServed(held);
+    if (isResumeAttempt) held.resumeAttempts += 1;
     try {
       const response = await client.request({
         method: "POST",
@@ -134,7 +133,7 @@
       held.statuses.push(0);
     } finally {
       const hasEvents = held.events.length > heldBefore;
-      if (isRetake && hasEvents) held.resumed += 1;
+      if (isResumeAttempt && hasEvents) held.resumed += 1;
       if (hasEvents && !held.isComplete) held.breaks += 1;
       client.destroy().catch(() => {});
     }
