A second attempt waits for the policy lease as long as the first

Cause: the wait before a second attempt was 600 ms whatever the time left; calls wait for up to 3/4 of their time at admission since.

Evidence: call_run_test.ts renews the lease after 1,200 ms of 2,000. With the wait of 600 ms the call is refused (noTarget); now it is answered.

Why this works: both waits come from one function.

--- a/src/tasks/calls/call_gate.ts
+++ b/src/tasks/calls/call_gate.ts
@@ -10,6 +10,7 @@
   RefusalReason,
   Verdict,
 } from "../../core/verdict/mod.ts";
+import { leaseWaitMs } from "./lease_wait.ts";
 import { type SendGuard, WithheldReason } from "../send_guard.ts";
 
 /** The policy under which a call was admitted. */
@@ -46,16 +47,6 @@
 }
 
 const RETRY_AFTER_MS = 1_000;
-/**
- * Fraction of a call's time for which it waits for the policy lease. The rest is
- * for the targets, or for the caller to come back.
- */
-const LEASE_WAIT_FRACTION = 3 / 4;
-/**
- * Longest wait of a call for the policy lease, in milliseconds: that of the start
- * of all control instances and an election, on a busy machine.
- */
-const MAX_LEASE_WAIT_MS = 2_000;
 /** Retry delay while a known leader has not yet sent the policy. */
 const POLICY_RETRY_AFTER_MS = 300;
 /** Retry delay while all instances start and no leader is elected. */
@@ -91,8 +82,7 @@
     if (admission.workspace === undefined) return admission;
     const { timeoutMs = Infinity } = call;
     const timeMs = Math.min(timeoutMs, admission.route.timeoutMs);
-    const maxWaitMs = Math.min(timeMs * LEASE_WAIT_FRACTION, MAX_LEASE_WAIT_MS);
-    if (await this.#options.awaitLease(maxWaitMs)) {
+    if (await this.#options.awaitLease(leaseWaitMs(timeMs))) {
       return this.#findAdmissionOrThrow(call);
     }
     throw createFencedError();
--- a/src/tasks/calls/call_run.ts
+++ b/src/tasks/calls/call_run.ts
@@ -14,6 +14,7 @@
 import { CallOutput } from "./call_output.ts";
 import { createCallRefusal } from "./call_refusal.ts";
 import { CallTargets } from "./call_targets.ts";
+import { leaseWaitMs } from "./lease_wait.ts";
 import { isFinalReason, type WithheldReason } from "../send_guard.ts";
 import { firstDefined, settleWithin } from "../settle.ts";
 import type {
@@ -154,7 +155,7 @@
    */
   async #hasLease(): Promise<boolean> {
     if (this.#options.admission.workspace === undefined) return true;
-    return await this.#dependencies.awaitLease();
+    return await this.#dependencies.awaitLease(leaseWaitMs(this.#remainingMs));
   }
 
   /**
--- a/src/tasks/calls/call_run_options.ts
+++ b/src/tasks/calls/call_run_options.ts
@@ -39,10 +39,10 @@
   /** Called with what a target says of itself in a response. */
   readonly onSigns: (target: TargetReport, signs: TargetSigns) => void;
   /**
-   * Waits briefly for a valid policy lease, for example after the process was
-   * suspended; false if there is none in time.
+   * Waits for a valid policy lease, for example after the process was suspended;
+   * false if there is none in time.
    */
-  readonly awaitLease: () => Promise<boolean>;
+  readonly awaitLease: (maxWaitMs: number) => Promise<boolean>;
 }
 
 /** Options of {@link CallRun}. */
--- a/src/tasks/calls/call_run_test.ts
+++ b/src/tasks/calls/call_run_test.ts
@@ -120,6 +120,8 @@
     maxAttempts?: number;
     timeoutMs?: number;
     hasLease?: boolean;
+    /** Shortest wait in which the lease is renewed, in milliseconds. */
+    leaseAfterMs?: number;
     crashes?: Partial<CrashGuard>;
     rates?: Partial<RateGuard>;
     spread?: CallSpread;
@@ -169,7 +171,11 @@
       if (isLeaving) registry.markLeaving(id, incarnation);
     },
     rates: { ...NO_LIMITS, ...options.rates },
-    awaitLease: () => Promise.resolve(options.hasLease ?? true),
+    awaitLease: (maxWaitMs) =>
+      Promise.resolve(
+        (options.hasLease ?? true) &&
+          maxWaitMs >= (options.leaseAfterMs ?? 0),
+      ),
   }, {
     call: CALL,
     admission: {
@@ -234,6 +240,14 @@
       { status: 200, attempts: 2 },
     ));
 
+  // Guards against refused calls while all control instances start again.
+  it("waits for the lease for most of the time left before a second attempt", () =>
+    doTest(
+      [failed(false), answered(200)],
+      { timeoutMs: 2_000, leaseAfterMs: 1_200 },
+      { status: 200, attempts: 2 },
+    ));
+
   it("tries another target after one that may not be sent anything", () =>
     doTest(
       [withheld(WithheldReason.Evacuated), answered(200)],
--- a/src/tasks/fleet/entry_task.ts
+++ b/src/tasks/fleet/entry_task.ts
@@ -205,7 +205,7 @@
       metrics: node.metrics,
       dataCentre: node.settings.dataCentre,
       spread: this.#spread,
-      awaitLease: () => follower.awaitLease(),
+      awaitLease: (maxWaitMs) => follower.awaitLease(maxWaitMs),
       onSigns: (target, signs) => follower.onSigns(target, signs),
       onFirstRun: (workspace) => {
         if (workspace !== undefined) this.#usage.count(workspace, Date.now());
