--- a/src/tasks/calls/call_gate.ts
+++ b/src/tasks/calls/call_gate.ts
@@ -74,18 +74,14 @@
   ): Promise<Admission> {
     const admission = this.#findAdmission(call);
     if (admission === undefined) {
-      if (await this.#options.awaitLease()) {
-        return this.#findAdmissionOrThrow(call);
-      }
-      throw createFencedError();
+      await this.#awaitLeaseOrThrow();
+      return this.#findAdmissionOrThrow(call);
     }
     if (admission.workspace === undefined) return admission;
     const { timeoutMs = Infinity } = call;
     const timeMs = Math.min(timeoutMs, admission.route.timeoutMs);
-    if (await this.#options.awaitLease(leaseWaitMs(timeMs))) {
-      return this.#findAdmissionOrThrow(call);
-    }
-    throw createFencedError();
+    await this.#awaitLeaseOrThrow(leaseWaitMs(timeMs));
+    return this.#findAdmissionOrThrow(call);
   }
 
   /**
@@ -97,12 +93,20 @@
    */
   async authenticate(host: string, key: string | undefined): Promise<string> {
     this.#getPolicyOrThrow();
-    if (!await this.#options.awaitLease()) throw createFencedError();
+    await this.#awaitLeaseOrThrow();
     const policy = this.#getPolicyOrThrow();
     if (!policy.hasHost(host)) throw notFoundError();
     return getWorkspaceOrThrow(policy, key).name;
   }
 
+  async #awaitLeaseOrThrow(maxWaitMs?: number): Promise<void> {
+    if (await this.#options.awaitLease(maxWaitMs)) return;
+    throw new RefusalError(RefusalReason.DataCentreFenced, Verdict.NotRun, {
+      message: "Keys cannot be checked now",
+      retryAfterMs: RETRY_AFTER_MS,
+    });
+  }
+
   /** Gets the admission of a call; undefined if its route or key is unknown. */
   #findAdmission(
     call: Pick<CallRequest, "host" | "path" | "key">,
@@ -167,13 +171,6 @@
   throw new RefusalError(RefusalReason.KeyUnknown, Verdict.NotRun);
 }
 
-function createFencedError(): RefusalError {
-  return new RefusalError(RefusalReason.DataCentreFenced, Verdict.NotRun, {
-    message: "Keys cannot be checked now",
-    retryAfterMs: RETRY_AFTER_MS,
-  });
-}
-
 function notFoundError(): RefusalError {
   return new RefusalError(RefusalReason.NotFound, Verdict.NotRun);
 }
