The intake of batches asks one predicate for whether it leads

leadsTerm and takesCommands say the same since a leader leads through its own writes; batch_intake.ts used both.

--- a/src/tasks/batches/batch_intake.ts
+++ b/src/tasks/batches/batch_intake.ts
@@ -105,7 +105,7 @@
 
   #findRefusal(spec: BatchSpec): AdmissionDecision | undefined {
     const { service, admission } = this.#options;
-    if (service.leadsTerm === undefined) return undefined;
+    if (!service.takesCommands) return undefined;
     if (this.#unsettled.has(spec.id)) return undefined;
     if (service.state.get(spec.id) !== undefined) return undefined;
     const decision = admission().decide(spec);
