--- a/src/tasks/fleet/batch_ender.ts
+++ b/src/tasks/fleet/batch_ender.ts
@@ -6,6 +6,7 @@
   Verdict,
 } from "../../core/verdict/mod.ts";
 import { BatchMethod, type BatchParams } from "../batches/mod.ts";
+import { delay } from "../delay.ts";
 import { settleWithin } from "../settle.ts";
 import type { FleetNode } from "./fleet_node.ts";
 import type { FailedAttempt } from "./leader_client.ts";
@@ -122,7 +123,7 @@
   async #sendUntilConfirmed(pending: PendingEnd): Promise<void> {
     const endsAt = performance.now() + RETRY_PERIOD_MS;
     while (performance.now() < endsAt) {
-      await sleep(ROUND_PAUSE_MS);
+      await delay(ROUND_PAUSE_MS);
       try {
         return await this.#send(pending);
       } catch (err) {
@@ -174,7 +175,3 @@
 ): string {
   return `${member} ${reason} ${verdict} ${tookMs} ms`;
 }
-
-function sleep(ms: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, ms));
-}
--- a/src/tasks/fleet/leader_client.ts
+++ b/src/tasks/fleet/leader_client.ts
@@ -5,6 +5,7 @@
   RefusalReason,
   Verdict,
 } from "../../core/verdict/mod.ts";
+import { delay } from "../delay.ts";
 import type { PeerHub } from "../peers/mod.ts";
 
 /** Options of {@link LeaderClient}. */
@@ -108,10 +109,6 @@
   }
 }
 
-function delay(ms: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, ms));
-}
-
 function describeAttempt(
   member: string,
   err: unknown,
