Review case 3: the control processes run out of memory and never come back

Seen: after the config has grown by some hundred routes and then changed some hundred times, the control processes end with "Reached heap limit", read the whole log back at each start and end again. An acknowledged config can't be read back (CONFIG), and no change is acknowledged any more.

Cause: the control log is compacted by its number of entries (512), not by their size, and each entry holds the whole config twice.

--- /dev/null
+++ b/review/3/run.sh
@@ -0,0 +1,2 @@
+#!/bin/sh
+cd "$(dirname "$0")" && exec node run.mjs
--- a/review/harness.mjs
+++ b/review/harness.mjs
@@ -130,18 +130,18 @@
     });
     machine.process = child;
     machine.starts += 1;
-    machine.isOrdered = false;
     const keep = (chunk) => {
       machine.log.push(chunk.toString());
       if (machine.log.length > 4_000) machine.log.splice(0, 1_000);
     };
     child.stdout.on("data", keep);
     child.stderr.on("data", keep);
-    child.on("exit", (code, signal) => {
+    child.on("close", (code, signal) => {
       if (machine.process === child) machine.process = undefined;
-      if (machine.isOrdered || this.#isStopping) return;
+      if (child.isOrdered || this.#isStopping) return;
       this.ownEnds.push({ machine: machine.name, at: Date.now(), code, signal });
-      this.#record(`${machine.name} ended by itself: code ${code}, signal ${signal}`);
+      const reason = /FATAL ERROR: .*/.exec(machine.log.slice(-40).join(""))?.[0] ?? "";
+      this.#record(`${machine.name} ended by itself: code ${code}, signal ${signal} ${reason}`.trimEnd());
       if (isKept) setTimeout(() => { if (!this.#isStopping) this.start(machine); }, 500);
     });
     return child;
@@ -151,7 +151,7 @@
   async kill(machine, signal = "SIGKILL") {
     const child = machine.process;
     if (child === undefined) return;
-    machine.isOrdered = true;
+    child.isOrdered = true;
     const ended = new Promise((resolve) => child.once("exit", resolve));
     child.kill(signal);
     await ended;
