--- a/review/3/run.mjs
+++ b/review/3/run.mjs
@@ -5,8 +5,8 @@
 
 const FOLDER = dirname(fileURLToPath(import.meta.url));
 const IS_TROUBLE = process.env.TROUBLE !== "0";
-/** The two growths of the config, each by 350 routes. */
-const GROWTHS = IS_TROUBLE ? 2 : 0;
+/** The three growths of the config, each by 350 routes. */
+const GROWTHS = IS_TROUBLE ? 3 : 0;
 const ROUTES_PER_GROWTH = 350;
 const FIRST_ROUTES = 8;
 /** Storms as in the site file: a change each 0.33 s for 4 s, one after the other. */
