The driver of a log is parted: options and confirmations are modules of their own

Moved as they were: LogDriverOptions, and the waits for a confirmed leadership with their probe. No change of behaviour; npm run check and the tests of src/tasks/log pass.

--- a/src/tasks/log/log_driver.ts
+++ b/src/tasks/log/log_driver.ts
@@ -4,87 +4,26 @@
   type ConsensusEffect,
   type ConsensusMessage,
   ConsensusNode,
-  type ConsensusTiming,
   formatReplicaId,
   instanceOf,
   type LogEntry,
   type LogPosition,
-  type LogSnapshot,
   nextMembers,
   type ReplicaId,
   Role,
 } from "../../core/consensus/mod.ts";
-import type { Logger } from "../../logging/mod.ts";
+import { LeadershipWaiters } from "./leadership_waiters.ts";
+import type { LogDriverOptions } from "./log_driver_options.ts";
 import { LogStore } from "./log_store.ts";
 import type { StateMachine } from "./state_machine.ts";
 
 type Write<C, S> = Extract<ConsensusEffect<C, S>, { type: "write" }>;
 
-/** Options of {@link LogDriver}. */
-export interface LogDriverOptions<C, S, A, M extends StateMachine<C, S, A>> {
-  /** ID of this instance. */
-  readonly id: string;
-  /** Data folder of the instance. */
-  readonly dataFolder: string;
-  /** Gets the desired number of voters. */
-  readonly wantedVoters: () => number;
-  /** Name of the log, which is also the name of its folder. */
-  readonly name: string;
-  /** Creates the state machine in its initial state. */
-  readonly createState: () => M;
-  /** Number of entries above which the log is compacted. */
-  readonly compactEntries?: number;
-  /** Estimates a command's size in bytes; by default, size is not counted. */
-  readonly sizeOf?: (command: C) => number;
-  /** Heartbeat and election times. */
-  readonly times: ConsensusTiming;
-  readonly logger: Logger;
-  /** Gets monotonic time in milliseconds. */
-  readonly now: () => number;
-  /** Sends a message to an instance; it may be lost. */
-  readonly send: (
-    to: string,
-    message: ConsensusMessage<C, S>,
-  ) => void;
-  /** Called to keep a link to a member's instance; by default, none is kept. */
-  readonly keepLink?: (instance: string) => void;
-  /** Gets the replicas that are reachable now. */
-  readonly presentReplicas: () => readonly string[];
-  /**
-   * Desired number of learners in addition to those that replace a voter;
-   * unlimited by default.
-   */
-  readonly wantedLearners?: number;
-  /** Checks whether a replica is lost for good; by default, none is. */
-  readonly isLost?: (replica: ReplicaId) => boolean;
-  /** Gets whether a running replica is to be removed. Defaults to none. */
-  readonly isRetiring?: (replica: ReplicaId) => boolean;
-  /** Called for each applied entry, with the result if it is a command. */
-  readonly onApplied: (
-    entry: LogEntry<C>,
-    result: A | undefined,
-  ) => void;
-  /** Called when the state has been loaded from a snapshot, also at start. */
-  readonly onRestored: (snapshot: LogSnapshot<S>) => void;
-  /** Called when this replica becomes leader or ceases to be. */
-  readonly onRole: (isLeader: boolean) => void;
-}
-
 /** Default of {@link LogDriverOptions.compactEntries}. */
 const COMPACT_ENTRIES = 512;
 const REPAIR_INTERVAL_MS = 300;
 const RESTART_DELAY_MS = 2_000;
 const MIN_TICK_MS = 5;
-/** Time in which confirmations of leadership are combined into one probe. */
-const PROBE_DELAY_MS = 4;
-
-interface LeadershipWaiter {
-  readonly since: number;
-  readonly index: number;
-  readonly term: number;
-  readonly resolve: (isConfirmed: boolean) => void;
-}
-
 /**
  * Owns the store and the consensus node of one replica, and executes the node's
  * effects. After a failure it reopens the store and starts again.
@@ -101,12 +40,16 @@
   #tickTimer: NodeJS.Timeout | undefined;
   #repairTimer: NodeJS.Timeout | undefined;
   #leaderSince = Infinity;
-  #probeTimer: NodeJS.Timeout | undefined;
-  readonly #leadershipWaiters = new Set<LeadershipWaiter>();
+  readonly #leadershipWaiters: LeadershipWaiters;
 
   constructor(options: LogDriverOptions<C, S, A, M>) {
     this.#options = options;
     this.#state = options.createState();
+    const { now } = options;
+    this.#leadershipWaiters = new LeadershipWaiters({
+      now,
+      probe: () => this.#step((node) => node.probeQuorum(now())),
+    });
   }
 
   /** Gets the state after the last applied entry. */
@@ -261,34 +204,7 @@
    * @returns Whether it leads; false also if no quorum answers in time.
    */
   confirmLeadership(timeoutMs: number): Promise<boolean> {
-    const { now } = this.#options;
-    const node = this.#node;
-    if (node === undefined || !node.hasCommittedOwnTerm) {
-      return Promise.resolve(false);
-    }
-    const barrier = { since: now(), index: node.committed, term: node.term };
-    return new Promise((resolve) => {
-      const waiter: LeadershipWaiter = {
-        ...barrier,
-        resolve: (isConfirmed) => {
-          clearTimeout(timer);
-          this.#leadershipWaiters.delete(waiter);
-          resolve(isConfirmed);
-        },
-      };
-      const timer = setTimeout(() => waiter.resolve(false), timeoutMs);
-      this.#leadershipWaiters.add(waiter);
-      this.#scheduleProbe();
-    });
-  }
-
-  /** Schedules one probe of the quorum for all calls within a short time. */
-  #scheduleProbe(): void {
-    if (this.#probeTimer !== undefined) return;
-    this.#probeTimer = setTimeout(() => {
-      this.#probeTimer = undefined;
-      this.#step((n) => n.probeQuorum(this.#options.now()));
-    }, PROBE_DELAY_MS);
+    return this.#leadershipWaiters.wait(this.#node, timeoutMs);
   }
 
   /** Transfers leadership to another voter, for example before a shutdown. */
@@ -310,9 +226,7 @@
   #stopNode(): void {
     clearTimeout(this.#tickTimer);
     clearInterval(this.#repairTimer);
-    clearTimeout(this.#probeTimer);
-    this.#probeTimer = undefined;
-    for (const waiter of [...this.#leadershipWaiters]) waiter.resolve(false);
+    this.#leadershipWaiters.rejectAll();
     this.#node = undefined;
     this.#effects = [];
     if (this.#leaderSince === Infinity) return;
@@ -334,17 +248,7 @@
     this.#effects.push(...node.takeEffects());
     this.#scheduleTick();
     this.#drainEffects();
-    if (this.#leadershipWaiters.size > 0) this.#settleLeadershipWaiters(node);
-  }
-
-  #settleLeadershipWaiters(node: ConsensusNode<C, S>): void {
-    const contactAt = node.quorumContactAt(this.#options.now());
-    for (const waiter of [...this.#leadershipWaiters]) {
-      const isLost = !node.hasCommittedOwnTerm || node.term !== waiter.term;
-      if (isLost) waiter.resolve(false);
-      const isApplied = this.#applied >= waiter.index;
-      if (contactAt >= waiter.since && isApplied) waiter.resolve(true);
-    }
+    this.#leadershipWaiters.settle(node, this.#applied);
   }
 
   #scheduleTick(): void {
--- /dev/null
+++ b/src/tasks/log/log_driver_options.ts
@@ -0,0 +1,60 @@
+/** Options of the driver of a replicated log. */
+import type {
+  ConsensusMessage,
+  ConsensusTiming,
+  LogEntry,
+  LogSnapshot,
+  ReplicaId,
+} from "../../core/consensus/mod.ts";
+import type { Logger } from "../../logging/mod.ts";
+import type { StateMachine } from "./state_machine.ts";
+
+/** Options of `LogDriver`. */
+export interface LogDriverOptions<C, S, A, M extends StateMachine<C, S, A>> {
+  /** ID of this instance. */
+  readonly id: string;
+  /** Data folder of the instance. */
+  readonly dataFolder: string;
+  /** Gets the desired number of voters. */
+  readonly wantedVoters: () => number;
+  /** Name of the log, which is also the name of its folder. */
+  readonly name: string;
+  /** Creates the state machine in its initial state. */
+  readonly createState: () => M;
+  /** Number of entries above which the log is compacted. */
+  readonly compactEntries?: number;
+  /** Estimates a command's size in bytes; by default, size is not counted. */
+  readonly sizeOf?: (command: C) => number;
+  /** Heartbeat and election times. */
+  readonly times: ConsensusTiming;
+  readonly logger: Logger;
+  /** Gets monotonic time in milliseconds. */
+  readonly now: () => number;
+  /** Sends a message to an instance; it may be lost. */
+  readonly send: (
+    to: string,
+    message: ConsensusMessage<C, S>,
+  ) => void;
+  /** Called to keep a link to a member's instance; by default, none is kept. */
+  readonly keepLink?: (instance: string) => void;
+  /** Gets the replicas that are reachable now. */
+  readonly presentReplicas: () => readonly string[];
+  /**
+   * Desired number of learners in addition to those that replace a voter;
+   * unlimited by default.
+   */
+  readonly wantedLearners?: number;
+  /** Checks whether a replica is lost for good; by default, none is. */
+  readonly isLost?: (replica: ReplicaId) => boolean;
+  /** Gets whether a running replica is to be removed. Defaults to none. */
+  readonly isRetiring?: (replica: ReplicaId) => boolean;
+  /** Called for each applied entry, with the result if it is a command. */
+  readonly onApplied: (
+    entry: LogEntry<C>,
+    result: A | undefined,
+  ) => void;
+  /** Called when the state has been loaded from a snapshot, also at start. */
+  readonly onRestored: (snapshot: LogSnapshot<S>) => void;
+  /** Called when this replica becomes leader or ceases to be. */
+  readonly onRole: (isLeader: boolean) => void;
+}
--- a/src/tasks/log/log_service.ts
+++ b/src/tasks/log/log_service.ts
@@ -6,7 +6,8 @@
   Verdict,
 } from "../../core/verdict/mod.ts";
 import type { Metrics } from "../../metrics/mod.ts";
-import { LogDriver, type LogDriverOptions } from "./log_driver.ts";
+import { LogDriver } from "./log_driver.ts";
+import type { LogDriverOptions } from "./log_driver_options.ts";
 import { ProposalWaiters } from "./proposal_waiters.ts";
 import type { StateMachine } from "./state_machine.ts";
 
