--- a/src/core/consensus/consensus_node.ts
+++ b/src/core/consensus/consensus_node.ts
@@ -169,6 +169,14 @@
     return this.#leadership?.isCaughtUp(replica, now) ?? false;
   }
 
+  /**
+   * Gets the highest index that a member is known to hold; 0 if it is not known
+   * or this replica does not lead.
+   */
+  heldBy(replica: ReplicaId): number {
+    return this.#leadership?.heldBy(replica) ?? 0;
+  }
+
   /**
    * Appends a command to the log.
    *
--- a/src/core/consensus/leadership.ts
+++ b/src/core/consensus/leadership.ts
@@ -113,6 +113,11 @@
       now - progress.answeredAt < times.electionMs;
   }
 
+  /** Gets the highest index that a member is known to hold. */
+  heldBy(replica: ReplicaId): number {
+    return this.#tracker.progressOf(replica).match;
+  }
+
   /**
    * Appends an entry to the log.
    * @returns Undefined if this leader is transferring leadership.
--- a/src/logging/instance_events.ts
+++ b/src/logging/instance_events.ts
@@ -140,6 +140,10 @@
   leaseHeld: defineEvent(1509, "info", {
     text: "Lease of the control log is held",
   }),
+  learnerBehind: defineEvent(1510, "info", {
+    text:
+      "Learner of a replicated log does not hold all entries yet; logged each second by the leader",
+  }),
   ledgerPrimary: defineEvent(1601, "info", {
     text: "This instance became primary of the data centre's ledger",
   }),
--- a/src/tasks/log/log_driver.ts
+++ b/src/tasks/log/log_driver.ts
@@ -13,6 +13,7 @@
   Role,
 } from "../../core/consensus/mod.ts";
 import { LeadershipWaiters } from "./leadership_waiters.ts";
+import { LearnerMonitor } from "./learner_monitor.ts";
 import type { LogDriverOptions } from "./log_driver_options.ts";
 import { LogStore } from "./log_store.ts";
 import type { StateMachine } from "./state_machine.ts";
@@ -41,11 +42,13 @@
   #repairTimer: NodeJS.Timeout | undefined;
   #leaderSince = Infinity;
   readonly #leadershipWaiters: LeadershipWaiters;
+  readonly #learners: LearnerMonitor;
 
   constructor(options: LogDriverOptions<C, S, A, M>) {
     this.#options = options;
     this.#state = options.createState();
-    const { now } = options;
+    const { now, logger, name } = options;
+    this.#learners = new LearnerMonitor({ log: name, logger, now });
     this.#leadershipWaiters = new LeadershipWaiters({
       now,
       probe: () => this.#step((node) => node.probeQuorum(now())),
@@ -351,6 +354,7 @@
     const node = this.#node;
     if (node === undefined || !node.hasCommittedOwnTerm) return;
     const { now, presentReplicas, wantedVoters, logger } = this.#options;
+    this.#learners.check(node as ConsensusNode<unknown, unknown>);
     const next = nextMembers({
       members: node.members,
       present: presentReplicas(),
