--- a/soak/control_process.ts
+++ b/soak/control_process.ts
@@ -242,7 +242,9 @@
       : undefined;
     this.#options.callbacks.applied(this, entry, result);
     if (this.#node !== undefined && this.#node.logSize > MAX_LOG_ENTRIES) {
-      this.#node.compact(this.state.save(), this.applied);
+      const state = this.state.save();
+      const snapshot = this.#node.createSnapshot(state, this.applied);
+      if (snapshot !== undefined) this.#node.compact(snapshot);
     }
   }
 
--- a/src/core/batches/batch_state.ts
+++ b/src/core/batches/batch_state.ts
@@ -1,21 +1,7 @@
 /** State machine of the ledger log: all batches. */
-import type { BatchResult, BatchSpec } from "./batch.ts";
 import type { BatchCommand, BatchCommandResult } from "./batch_command.ts";
 import { BatchRecord } from "./batch_record.ts";
-import type { PartialText } from "./run_text.ts";
-
-/** Snapshot of one batch. */
-export interface BatchSnapshot {
-  readonly spec: BatchSpec;
-  readonly results: readonly BatchResult[];
-  readonly kept: readonly (readonly [string, PartialText])[];
-  readonly isEnded: boolean;
-}
-
-/** Snapshot of the complete ledger state. */
-export interface LedgerSnapshot {
-  readonly batches: readonly BatchSnapshot[];
-}
+import type { LedgerSnapshot } from "./ledger_snapshot.ts";
 
 type Handlers = {
   readonly [T in BatchCommand["type"]]: (
--- a/src/core/batches/mod.ts
+++ b/src/core/batches/mod.ts
@@ -3,6 +3,7 @@
 export * from "./batch_command.ts";
 export * from "./batch_record.ts";
 export * from "./batch_state.ts";
+export * from "./ledger_snapshot.ts";
 export * from "./item_order.ts";
 export * from "./item_placement.ts";
 export type { ExpectedRun, PlacementTarget } from "./target_ranking.ts";
--- /dev/null
+++ b/src/core/consensus/catch_up_test.ts
@@ -0,0 +1,205 @@
+import { describe, expect, it } from "vitest";
+import type { ConsensusEffect } from "./consensus_effect.ts";
+import type { ConsensusMessage } from "./consensus_message.ts";
+import { ConsensusNode } from "./consensus_node.ts";
+import type { StoredLog } from "./consensus_options.ts";
+import type { SnapshotDivider } from "./snapshot_parts.ts";
+
+type Message = ConsensusMessage<string, string>;
+type Node = ConsensusNode<string, string>;
+
+const TIMES = { heartbeatMs: 100, electionMs: 1_000, clockRateError: 0.02 };
+/** Time that a message takes, in milliseconds, with the sync at its end. */
+const DELAY_MS = 25;
+/** Time in which a replica with an empty disk must hold all, in milliseconds. */
+const CATCH_UP_MS = 4_900;
+const COMMAND = "x".repeat(50_000);
+const COMMANDS = 700;
+const PART_LENGTH = 20_000;
+
+const DIVIDER: SnapshotDivider<string> = {
+  split: (state) =>
+    Array.from(
+      { length: Math.ceil(state.length / PART_LENGTH) },
+      (_, i) => state.slice(i * PART_LENGTH, (i + 1) * PART_LENGTH),
+    ),
+  join: (parts) => parts.join(""),
+};
+
+/** A leader `a` and a replica `b` with an empty disk, with delayed messages. */
+class Pair {
+  readonly nodes = new Map<string, Node>();
+  readonly #inTransit: { message: Message; dueAt: number }[] = [];
+  /** Rewrites a message, or drops it by returning undefined. */
+  rewrite: (message: Message) => Message | undefined = (m) => m;
+  /** Last state that `b` has restored. */
+  restored = "";
+  now = 0;
+
+  constructor() {
+    this.#start("a", ["a"]);
+    this.#start("b", []);
+    this.leader.tick(this.advance(2_000).now);
+    this.advance(100);
+  }
+
+  get leader(): Node {
+    return this.nodes.get("a")!;
+  }
+
+  #start(id: string, voters: string[]): void {
+    const stored: StoredLog<string, string> = {
+      hardState: { term: 0, votedFor: undefined },
+      snapshot: {
+        index: 0,
+        term: 0,
+        members: { voters, learners: [] },
+        state: "",
+      },
+      entries: [],
+    };
+    const node: Node = new ConsensusNode({
+      self: id,
+      stored,
+      times: TIMES,
+      random: () => 0,
+      now: this.now,
+      sizeOf: (command) => command.length,
+      divider: DIVIDER,
+    });
+    this.nodes.set(id, node);
+  }
+
+  /** Fills the leader's log, and adds `b` as a learner. */
+  fill(): this {
+    for (let i = 0; i < COMMANDS; i += 1) {
+      this.leader.propose(COMMAND, this.now);
+      this.#carryOut();
+    }
+    this.advance(100);
+    return this;
+  }
+
+  addLearner(): this {
+    this.leader
+      .proposeMembers({ voters: ["a"], learners: ["b"] }, this.now);
+    return this;
+  }
+
+  advance(ms: number): this {
+    const end = this.now + ms;
+    for (; this.now < end; this.now += 1) {
+      if (this.leader?.leader === "a" && this.now >= this.leader.nextTickAt) {
+        this.leader.tick(this.now);
+      }
+      this.#deliver();
+      this.#carryOut();
+    }
+    return this;
+  }
+
+  /** Gets the time until `b` holds all, in milliseconds. */
+  measureCatchUp(limitMs: number): number {
+    const startedAt = this.now;
+    while (!this.leader.isCaughtUp("b", this.now)) {
+      if (this.now - startedAt > limitMs) return Infinity;
+      this.advance(1);
+    }
+    return this.now - startedAt;
+  }
+
+  #deliver(): void {
+    while ((this.#inTransit[0]?.dueAt ?? Infinity) <= this.now) {
+      const { message } = this.#inTransit.shift()!;
+      this.nodes.get(message.to)?.receive(message, this.now);
+    }
+  }
+
+  #carryOut(): void {
+    for (const node of this.nodes.values()) {
+      let effects: ConsensusEffect<string, string>[];
+      while ((effects = node.takeEffects()).length > 0) {
+        for (const effect of effects) this.#carryOutOne(node, effect);
+      }
+    }
+  }
+
+  #carryOutOne(node: Node, effect: ConsensusEffect<string, string>): void {
+    if (effect.type === "write") node.onWritten(effect, this.now);
+    if (effect.type === "restore") this.restored = effect.snapshot.state;
+    if (effect.type !== "send") return;
+    const message = this.rewrite(effect.message);
+    if (message === undefined) return;
+    this.#inTransit.push({ message, dueAt: this.now + DELAY_MS });
+  }
+}
+
+describe("a replica with an empty disk", () => {
+  // Guards against a repair that outlasts the time until the next lost disk.
+  it("holds a log of tens of MB within the time to catch up", () => {
+    const pair = new Pair().fill().addLearner();
+    expect(pair.measureCatchUp(CATCH_UP_MS)).toBeLessThan(CATCH_UP_MS);
+    expect(pair.nodes.get("b")?.last.index).toBe(COMMANDS + 2);
+  });
+
+  it("gets lost entries again, and each no more often than needed", () => {
+    const pair = new Pair().fill().addLearner();
+    let sent = 0;
+    pair.rewrite = (message) => {
+      if (message.type !== "appendRequest") return message;
+      if (message.entries.length === 0) return message;
+      sent += 1;
+      return sent === 20 ? undefined : message;
+    };
+    expect(pair.measureCatchUp(CATCH_UP_MS)).toBeLessThan(CATCH_UP_MS);
+    expect(sent).toBeLessThan(COMMANDS / 5 + 30);
+  });
+
+  describe("that needs a snapshot", () => {
+    const STATE = "abcdefghij".repeat(300_000);
+
+    function createPair(): Pair {
+      const pair = new Pair().fill();
+      const snapshot = pair.leader.createSnapshot(STATE, COMMANDS);
+      pair.leader.compact(snapshot!);
+      return pair.addLearner();
+    }
+
+    function doTest(rewrite: (message: Message) => Message | undefined) {
+      const pair = createPair();
+      const types = new Set<string>();
+      pair.rewrite = (message) => {
+        types.add(message.type);
+        return rewrite(message);
+      };
+      expect(pair.measureCatchUp(2 * CATCH_UP_MS)).toBeLessThan(CATCH_UP_MS);
+      expect(pair.restored).toBe(STATE);
+      return types;
+    }
+
+    // Guards against one message of the whole state, which outlasts its link.
+    it("gets it in parts", () => {
+      const types = doTest((message) => message);
+      expect(types.has("snapshotRequest")).toBe(false);
+    });
+
+    it("goes on after a lost part", () => {
+      let parts = 0;
+      doTest((message) => {
+        if (message.type !== "snapshotPartRequest") return message;
+        parts += 1;
+        return parts === 3 ? undefined : message;
+      });
+    });
+
+    it("gets it as a whole if it is of an earlier build", () => {
+      const types = doTest((message) => {
+        if (message.type === "snapshotPartRequest") return undefined;
+        if (message.type !== "appendReply") return message;
+        const { takesParts: _, ...reply } = message;
+        return reply;
+      });
+      expect(types.has("snapshotPartRequest")).toBe(false);
+    });
+  });
+});
--- a/src/core/consensus/consensus_message.ts
+++ b/src/core/consensus/consensus_message.ts
@@ -68,6 +68,11 @@
    * retry.
    */
   readonly matchIndex: number;
+  /**
+   * Whether the sender takes a snapshot in parts. An earlier build sends no such
+   * field.
+   */
+  readonly takesParts?: boolean;
   /** Send time of the request, by the leader's clock, in milliseconds. */
   readonly sentAt: number;
 }
@@ -80,6 +85,32 @@
   readonly sentAt: number;
 }
 
+/** Sends parts of the state to a replica whose next entries were compacted. */
+export interface SnapshotPartRequest extends MessageBase {
+  readonly type: "snapshotPartRequest";
+  readonly snapshot: Omit<LogSnapshot<unknown>, "state">;
+  /** Number of parts that precede those of the message. */
+  readonly first: number;
+  /** Number of parts of the snapshot. */
+  readonly total: number;
+  readonly parts: readonly unknown[];
+  /** Send time by the leader's clock, in milliseconds. Echoed in the reply. */
+  readonly sentAt: number;
+}
+
+/** Reply to {@link SnapshotPartRequest} before the last part. */
+export interface SnapshotPartReply extends MessageBase {
+  readonly type: "snapshotPartReply";
+  /** Index of the last entry in the snapshot. */
+  readonly index: number;
+  /** Whether the parts of the request follow those held. */
+  readonly isAccepted: boolean;
+  /** Number of parts held, from the first on. */
+  readonly received: number;
+  /** Send time of the request, by the leader's clock, in milliseconds. */
+  readonly sentAt: number;
+}
+
 /** Asks a voter to start an election at once (leadership transfer). */
 export interface TransferRequest extends MessageBase {
   readonly type: "transferRequest";
@@ -94,6 +125,8 @@
   | AppendRequest<C>
   | AppendReply
   | SnapshotRequest<S>
+  | SnapshotPartRequest
+  | SnapshotPartReply
   | TransferRequest;
 
 /**
--- a/src/core/consensus/consensus_node.ts
+++ b/src/core/consensus/consensus_node.ts
@@ -7,11 +7,13 @@
 import { LeaderDelay } from "./leader_delay.ts";
 import { Leadership } from "./leadership.ts";
 import { LogReceiver } from "./log_receiver.ts";
+import type { LogSnapshot } from "./log_entry.ts";
 import type { Members } from "./members.ts";
 import type { ReplicaId } from "./replica_id.ts";
 import type { LogPosition } from "./replicated_log.ts";
 import { ReplicaState } from "./replica_state.ts";
 import { Role, RoleEvent } from "./role.ts";
+import { getUndivided, type SnapshotDivider } from "./snapshot_parts.ts";
 
 type Handlers<C, S> = {
   readonly [T in ConsensusMessage<C, S>["type"]]: (
@@ -40,6 +42,7 @@
   readonly #elections: Elections<C, S>;
   readonly #receiver: LogReceiver<C, S>;
   readonly #leaderDelay: LeaderDelay;
+  readonly #divider: SnapshotDivider<S>;
   /** Undefined unless this replica leads. */
   #leadership: Leadership<C, S> | undefined;
 
@@ -59,8 +62,10 @@
       hasLease: (at) => this.hasLease(at),
       onElected: (at) => this.#onElected(at),
     });
+    this.#divider = options.divider ?? getUndivided();
     this.#receiver = new LogReceiver({
       state: this.#state,
+      divider: this.#divider,
       timer: this.#timer,
       follow: (leader) => this.#becomeFollower(this.term, leader),
     });
@@ -117,6 +122,16 @@
     return this.#state.log.size;
   }
 
+  /** Gets the size of the entries held in memory, in bytes. */
+  get logBytes(): number {
+    return this.#state.log.bytes;
+  }
+
+  /** Gets whether this leader is sending a snapshot in parts. */
+  get isSendingSnapshot(): boolean {
+    return this.#leadership?.isSendingSnapshot ?? false;
+  }
+
   /** Gets whether this leader has committed an entry of its own term. */
   get hasCommittedOwnTerm(): boolean {
     return this.#state.hasCommittedOwnTerm;
@@ -222,7 +237,8 @@
     if (message.to !== this.self) return;
     if (message.term > this.term && raisesTerm(message)) {
       const isLeader = message.type === "appendRequest" ||
-        message.type === "snapshotRequest";
+        message.type === "snapshotRequest" ||
+        message.type === "snapshotPartRequest";
       const isIgnored = message.type === "voteRequest" &&
         this.#elections.ignores(message, now);
       if (isIgnored) return;
@@ -254,9 +270,18 @@
     return this.#state.isVoter ? this.#timer.dueAt : Infinity;
   }
 
-  /** Replaces applied entries with a snapshot of the application state. */
-  compact(state: S, index: number): void {
-    this.#state.compact(state, index);
+  /**
+   * Creates a snapshot of the application state after an entry, for
+   * {@link ConsensusNode.compact}.
+   * @returns Undefined if the entry is not held, or has not been applied.
+   */
+  createSnapshot(state: S, index: number): LogSnapshot<S> | undefined {
+    return this.#state.createSnapshot(state, index);
+  }
+
+  /** Replaces the entries of a snapshot of this replica by it. */
+  compact(snapshot: LogSnapshot<S>): void {
+    this.#state.compact(snapshot);
   }
 
   #createHandlers(): Handlers<C, S> {
@@ -269,6 +294,9 @@
       appendRequest: (m, now) => receiver.onAppendRequest(m, now),
       appendReply: (m, now) => this.#leadership?.onAppendReply(m, now),
       snapshotRequest: (m, now) => receiver.onSnapshotRequest(m, now),
+      snapshotPartRequest: (m, now) => receiver.onSnapshotPartRequest(m, now),
+      snapshotPartReply: (m, now) =>
+        this.#leadership?.onSnapshotPartReply(m, now),
       transferRequest: (m, now) => elections.onTransferRequest(m, now),
     };
   }
@@ -283,12 +311,12 @@
   }
 
   #onElected(now: number): void {
-    const { times, sizeOf } = this.#options;
+    const { times } = this.#options;
     this.#leadership = new Leadership({
       state: this.#state,
       times,
       delay: this.#leaderDelay,
-      sizeOf,
+      divider: this.#divider,
       now,
       stepDown: () => this.#becomeFollower(this.term, undefined),
     });
--- a/src/core/consensus/consensus_node_test.ts
+++ b/src/core/consensus/consensus_node_test.ts
@@ -346,7 +346,8 @@
     const leader = cluster.elect("a");
     cluster.isolated.add("c");
     for (let i = 0; i < 10; i += 1) cluster.propose("a", `${i}`);
-    leader.compact("state at 10", 10);
+    const snapshot = leader.createSnapshot("state at 10", 10);
+    if (snapshot !== undefined) leader.compact(snapshot);
     cluster.settle();
     expect(leader.logSize).toBe(1);
     cluster.isolated.clear();
--- a/src/core/consensus/consensus_options.ts
+++ b/src/core/consensus/consensus_options.ts
@@ -1,5 +1,6 @@
 /** Options of a replica of a replicated log. */
 import type { HardState, LogEntry, LogSnapshot } from "./log_entry.ts";
+import type { SnapshotDivider } from "./snapshot_parts.ts";
 import type { ReplicaId } from "./replica_id.ts";
 
 /** Timing of the protocol, in milliseconds of the local clock. */
@@ -70,9 +71,8 @@
   readonly now: number;
   /** Enabled safety checks. Defaults to all. */
   readonly guards?: ConsensusGuards;
-  /**
-   * Estimates the size of a command in bytes. Without it, messages are not
-   * limited in bytes.
-   */
+  /** Estimates the size of a command in bytes; by default, of any value. */
   readonly sizeOf?: (command: C) => number;
+  /** Divides snapshots for sending; by default, into one part. */
+  readonly divider?: SnapshotDivider<S>;
 }
--- a/src/core/consensus/leadership.ts
+++ b/src/core/consensus/leadership.ts
@@ -1,5 +1,5 @@
 /** Leadership of a replica in one term: commits, lease and members. */
-import type { AppendReply } from "./consensus_message.ts";
+import type { AppendReply, SnapshotPartReply } from "./consensus_message.ts";
 import type { ConsensusTiming } from "./consensus_options.ts";
 import type { LeaderDelay } from "./leader_delay.ts";
 import type { EntryContent, LogEntry } from "./log_entry.ts";
@@ -10,6 +10,7 @@
 import type { LogPosition } from "./replicated_log.ts";
 import { ReplicationTracker } from "./replication_tracker.ts";
 import { Role } from "./role.ts";
+import type { SnapshotDivider } from "./snapshot_parts.ts";
 
 /** Options of {@link Leadership}. */
 export interface LeadershipOptions<C, S> {
@@ -17,8 +18,7 @@
   readonly times: ConsensusTiming;
   /** Measures how late the ticks of this process come, in all terms. */
   readonly delay: LeaderDelay;
-  /** Estimates the size of a command in bytes; not limited without it. */
-  readonly sizeOf?: (command: C) => number;
+  readonly divider: SnapshotDivider<S>;
   /** Time of the election, in milliseconds of the local clock. */
   readonly now: number;
   /** Called when a committed entry has removed this replica from the voters. */
@@ -53,7 +53,7 @@
 
   /** Creates the leadership of a replica that has just been elected. */
   constructor(options: LeadershipOptions<C, S>) {
-    const { state, times, delay, sizeOf, now } = options;
+    const { state, times, delay, divider, now } = options;
     this.#options = options;
     this.#state = state;
     this.#tracker = new ReplicationTracker({
@@ -67,7 +67,7 @@
       log: state.log,
       tracker: this.#tracker,
       heartbeatMs: times.heartbeatMs,
-      sizeOf,
+      divider,
       electionDelayMs: (at) => delay.get(at),
       send: (message) => state.send(message),
     });
@@ -118,6 +118,11 @@
     return this.#tracker.progressOf(replica).match;
   }
 
+  /** Gets whether a snapshot is being sent in parts. */
+  get isSendingSnapshot(): boolean {
+    return this.#tracker.isSendingSnapshot;
+  }
+
   /**
    * Appends an entry to the log.
    * @returns Undefined if this leader is transferring leadership.
@@ -196,21 +201,15 @@
     if (!allMembers(state.members).includes(message.from)) return;
     const progress = this.#tracker.progressOf(message.from);
     progress.answeredAt = Math.max(progress.answeredAt, message.sentAt);
+    progress.takesParts = message.takesParts === true;
     if (!message.isAccepted) {
-      progress.next = Math.max(
-        1,
-        Math.min(progress.next, message.matchIndex + 1),
-      );
-      progress.next = Math.max(progress.next, progress.match + 1);
-      progress.pendingSince = undefined;
-      this.#sender.replicate(message.from, now, { isHeartbeat: true });
+      this.#onRejected(message, now);
       return;
     }
-    const isPendingAnswered = progress.pendingSince !== undefined &&
-      message.sentAt >= progress.pendingSince;
-    if (isPendingAnswered) progress.pendingSince = undefined;
+    progress.isProbing = false;
     progress.match = Math.max(progress.match, message.matchIndex);
     progress.next = Math.max(progress.next, progress.match + 1);
+    progress.window.acknowledge(progress.match);
     this.#advanceCommit(now);
     if (state.role !== Role.Leader) return;
     const knownCommit = Math.min(state.log.committed, progress.match);
@@ -218,6 +217,36 @@
     this.#sender.replicate(message.from, now, { isHeartbeat });
   }
 
+  /** Sends what follows the parts of a snapshot that a member holds. */
+  onSnapshotPartReply(message: SnapshotPartReply, now: number): void {
+    const state = this.#state;
+    if (message.term !== state.term) return;
+    if (!allMembers(state.members).includes(message.from)) return;
+    const progress = this.#tracker.progressOf(message.from);
+    progress.answeredAt = Math.max(progress.answeredAt, message.sentAt);
+    const { transfer } = progress;
+    if (transfer?.index !== message.index) return;
+    const { received, sentAt } = message;
+    if (message.isAccepted) transfer.acknowledge(received);
+    else transfer.continueAfter(received, sentAt);
+    this.#sender.replicate(message.from, now, { isHeartbeat: false });
+  }
+
+  /** Goes back to where the member's log may match. */
+  #onRejected(message: AppendReply, now: number): void {
+    const progress = this.#tracker.progressOf(message.from);
+    // Messages sent before the last step back are rejected as well.
+    const isOld = !progress.window.isEmpty &&
+      message.sentAt < progress.window.oldestAt;
+    if (isOld) return;
+    const { match } = progress;
+    const next = Math.min(progress.next, message.matchIndex + 1);
+    progress.next = Math.max(1, match + 1, next);
+    progress.isProbing = true;
+    progress.window.clear();
+    this.#sender.replicate(message.from, now, { isHeartbeat: true });
+  }
+
   get #isTransferring(): boolean {
     return this.#transferStartedAt !== undefined;
   }
--- a/src/core/consensus/log_receiver.ts
+++ b/src/core/consensus/log_receiver.ts
@@ -1,15 +1,22 @@
 /** Receives the log of a leader: entries and snapshots. */
 import { assertInvariant, Invariant } from "../invariants/mod.ts";
-import type { AppendRequest, SnapshotRequest } from "./consensus_message.ts";
+import type {
+  AppendRequest,
+  SnapshotPartRequest,
+  SnapshotRequest,
+} from "./consensus_message.ts";
 import type { ElectionTimer } from "./election_timer.ts";
 import type { ReplicaId } from "./replica_id.ts";
 import type { ReplicaState } from "./replica_state.ts";
 import { Role } from "./role.ts";
+import type { SnapshotDivider } from "./snapshot_parts.ts";
+import { SnapshotReceiver } from "./snapshot_receiver.ts";
 
 /** Options of {@link LogReceiver}. */
 export interface LogReceiverOptions<C, S> {
   readonly state: ReplicaState<C, S>;
   readonly timer: ElectionTimer;
+  readonly divider: SnapshotDivider<S>;
   /** Makes this replica a follower of the leader of the current term. */
   readonly follow: (leader: ReplicaId) => void;
 }
@@ -25,6 +32,7 @@
 export class LogReceiver<C, S> {
   readonly #options: LogReceiverOptions<C, S>;
   readonly #state: ReplicaState<C, S>;
+  readonly #parts = new SnapshotReceiver();
 
   /** Creates the receiver of a replica, for all terms. */
   constructor(options: LogReceiverOptions<C, S>) {
@@ -66,6 +74,36 @@
     this.#reply(message, { isAccepted: true, matchIndex: snapshot.index });
   }
 
+  /** Collects the parts of a snapshot, and restores it with the last one. */
+  onSnapshotPartRequest(message: SnapshotPartRequest, now: number): void {
+    const state = this.#state;
+    const { snapshot, sentAt } = message;
+    if (message.term < state.term) {
+      this.#reply(message, { isAccepted: false, matchIndex: 0 });
+      return;
+    }
+    this.#onLeaderContact(message, now);
+    if (snapshot.index > state.log.committed) {
+      const isAccepted = this.#parts.add(message);
+      const parts = this.#parts.getComplete(message);
+      if (parts === undefined) {
+        const { received } = this.#parts;
+        state.send({
+          type: "snapshotPartReply",
+          ...state.envelope(message.from),
+          index: snapshot.index,
+          isAccepted,
+          received,
+          sentAt,
+        });
+        return;
+      }
+      state.restore({ ...snapshot, state: this.#options.divider.join(parts) });
+    }
+    this.#parts.clear();
+    this.#reply(message, { isAccepted: true, matchIndex: snapshot.index });
+  }
+
   #onLeaderContact(
     { from, electionDelayMs = 0 }: {
       readonly from: ReplicaId;
@@ -97,6 +135,7 @@
       type: "appendReply",
       ...this.#state.envelope(message.from),
       ...reply,
+      takesParts: true,
       sentAt: message.sentAt,
     });
   }
--- a/src/core/consensus/log_sender.ts
+++ b/src/core/consensus/log_sender.ts
@@ -4,7 +4,12 @@
 import { allMembers, type Members } from "./members.ts";
 import type { ReplicaId } from "./replica_id.ts";
 import type { ReplicatedLog } from "./replicated_log.ts";
-import type { ReplicationTracker } from "./replication_tracker.ts";
+import type {
+  ReplicaProgress,
+  ReplicationTracker,
+} from "./replication_tracker.ts";
+import type { SnapshotDivider } from "./snapshot_parts.ts";
+import { SnapshotTransfer } from "./snapshot_transfer.ts";
 
 /** Options of {@link LogSender}. */
 export interface LogSenderOptions<C, S> {
@@ -16,11 +21,7 @@
   readonly tracker: ReplicationTracker;
   /** Interval between heartbeats, in milliseconds. */
   readonly heartbeatMs: number;
-  /**
-   * Estimates the size of a command in bytes. Without it, messages are not
-   * limited in bytes.
-   */
-  readonly sizeOf?: (command: C) => number;
+  readonly divider: SnapshotDivider<S>;
   /** Gets the time that followers add to their election timeouts. */
   readonly electionDelayMs: (now: number) => number;
   readonly send: (message: ConsensusMessage<C, S>) => void;
@@ -32,13 +33,8 @@
   readonly isHeartbeat: boolean;
 }
 
-/** Maximum number of entries in one message. */
-const MAX_ENTRIES = 256;
-/**
- * Maximum bytes of commands in one message; a single larger command is sent
- * alone.
- */
-const MAX_BYTES = 262_144;
+/** Limits of the entries, or of the parts of a snapshot, in one message. */
+const LIMITS = { maxEntries: 256, maxBytes: 262_144 };
 /**
  * Number of heartbeat intervals after which an unanswered message with entries
  * is sent again.
@@ -68,45 +64,123 @@
 
   /**
    * Sends a replica its missing entries, or a snapshot if they are compacted.
+   *
+   * A message that is not full waits until all others are answered, so that
+   * entries are combined; full ones follow each other without waiting.
    */
   replicate(
     replica: ReplicaId,
     now: number,
     { isHeartbeat }: SendOptions,
   ): void {
-    const { log, tracker, heartbeatMs } = this.#options;
+    const { log, tracker } = this.#options;
     const progress = tracker.progressOf(replica);
-    const resendMs = heartbeatMs * RESEND_HEARTBEATS;
-    const isPending = progress.pendingSince !== undefined &&
-      now - progress.pendingSince < resendMs;
-    if (isPending && !isHeartbeat) return;
-    const prevIndex = progress.next - 1;
-    const prevTerm = log.termAt(prevIndex);
-    if (prevTerm === undefined) {
-      if (!isPending) this.#sendSnapshot(replica, now);
-      else this.#sendHeartbeat(replica, now);
+    const overdueBefore = now -
+      this.#options.heartbeatMs * RESEND_HEARTBEATS;
+    progress.next = progress.window.takeOverdue(overdueBefore) ?? progress.next;
+    if (log.termAt(progress.next - 1) === undefined) {
+      progress.transfer?.resendBefore(overdueBefore);
+      const isSent = this.#replicateSnapshot(replica, now);
+      if (!isSent && isHeartbeat) this.#sendHeartbeat(replica, now);
       return;
     }
-    const entries = isPending ? [] : this.#takeBatch(progress.next);
-    if (entries.length === 0 && !isHeartbeat) return;
-    if (entries.length > 0) progress.pendingSince = now;
-    const lastSent = prevIndex + entries.length;
+    progress.transfer = undefined;
+    const isSent = this.#replicateEntries(replica, now);
+    if (!isSent && isHeartbeat) this.#sendEntries(replica, [], now);
+  }
+
+  /** Sends the entries that may be sent; returns whether there are any. */
+  #replicateEntries(replica: ReplicaId, now: number): boolean {
+    const { log, tracker } = this.#options;
+    const progress = tracker.progressOf(replica);
+    let isSent = false;
+    for (;;) {
+      const { entries, isFull } = log.batchFrom(progress.next, LIMITS);
+      const isNext = progress.window.isEmpty ||
+        (isFull && !progress.isProbing && !progress.window.isFull);
+      if (entries.length === 0 || !isNext) return isSent;
+      this.#sendEntries(replica, entries, now);
+      isSent = true;
+    }
+  }
+
+  #sendEntries(
+    replica: ReplicaId,
+    entries: readonly LogEntry<C>[],
+    now: number,
+  ): void {
+    const { log, tracker } = this.#options;
+    const progress = tracker.progressOf(replica);
+    const first = progress.next;
+    const last = first + entries.length - 1;
+    const message = {
+      ...this.#envelope(replica),
+      prevIndex: first - 1,
+      prevTerm: log.termAt(first - 1) ?? 0,
+      entries,
+      committed: log.committed,
+    };
+    if (entries.length > 0) progress.window.add({ first, last, sentAt: now });
+    progress.next = last + 1;
     progress.sentCommit = Math.max(
       progress.sentCommit,
-      Math.min(log.committed, lastSent),
+      Math.min(log.committed, last),
     );
     this.#options.send({
       type: "appendRequest",
-      ...this.#envelope(replica),
-      prevIndex,
-      prevTerm,
-      entries,
-      committed: log.committed,
+      ...message,
       ...this.#electionDelay(now),
       sentAt: now,
     });
   }
 
+  /** Sends what may be sent of the snapshot; returns whether that is any. */
+  #replicateSnapshot(replica: ReplicaId, now: number): boolean {
+    const progress = this.#options.tracker.progressOf(replica);
+    // Its answer to a heartbeat says whether it takes parts.
+    if (progress.answeredAt === -Infinity) return false;
+    if (progress.takesParts) return this.#sendParts(replica, now);
+    if (!progress.window.isEmpty) return false;
+    this.#sendSnapshot(replica, now);
+    return true;
+  }
+
+  #sendParts(replica: ReplicaId, now: number): boolean {
+    const { snapshot } = this.#options.log;
+    const transfer = this.#getTransfer(
+      this.#options.tracker.progressOf(replica),
+    );
+    const { index, term, members } = snapshot;
+    let isSent = false;
+    for (;;) {
+      const range = transfer.take(now);
+      if (range === undefined) return isSent;
+      this.#options.send({
+        type: "snapshotPartRequest",
+        ...this.#envelope(replica),
+        snapshot: { index, term, members },
+        ...range,
+        total: transfer.total,
+        sentAt: now,
+      });
+      isSent = true;
+    }
+  }
+
+  /** Gets the transfer of the current snapshot to a replica. */
+  #getTransfer(progress: ReplicaProgress): SnapshotTransfer {
+    const { log, divider } = this.#options;
+    const { index, state } = log.snapshot;
+    if (progress.transfer?.index !== index) {
+      progress.transfer = new SnapshotTransfer({
+        index,
+        parts: divider.split(state),
+        maxBytes: LIMITS.maxBytes,
+      });
+    }
+    return progress.transfer;
+  }
+
   /**
    * Sends the commit index to the replicas known to hold the committed entries.
    */
@@ -124,21 +198,6 @@
     return { from: self, to, term };
   }
 
-  /**
-   * Gets entries from an index on, limited in count and size to bound the send
-   * time.
-   */
-  #takeBatch(index: number): LogEntry<C>[] {
-    const { log, sizeOf } = this.#options;
-    const entries = log.entriesFrom(index, MAX_ENTRIES);
-    let bytes = 0;
-    const end = entries.findIndex(({ content }) => {
-      if (content.type === "command") bytes += sizeOf?.(content.command) ?? 0;
-      return bytes > MAX_BYTES;
-    });
-    return end < 0 ? entries : entries.slice(0, Math.max(1, end));
-  }
-
   #sendHeartbeat(replica: ReplicaId, now: number): void {
     this.#options.send({
       type: "appendRequest",
@@ -159,7 +218,9 @@
 
   #sendSnapshot(replica: ReplicaId, now: number): void {
     const { log, tracker } = this.#options;
-    tracker.progressOf(replica).pendingSince = now;
+    const { index } = log.snapshot;
+    tracker.progressOf(replica).window
+      .add({ first: index, last: index, sentAt: now });
     this.#options.send({
       type: "snapshotRequest",
       ...this.#envelope(replica),
--- a/src/core/consensus/membership_repair.ts
+++ b/src/core/consensus/membership_repair.ts
@@ -64,9 +64,8 @@
 }
 
 function addLearner(input: RepairInput): Members | undefined {
-  const { members, present } = input;
-  const memberIds = [...members.voters, ...members.learners];
-  const newReplica = present.find((id) => !memberIds.includes(id));
+  const { members } = input;
+  const newReplica = findNewReplica(input);
   if (newReplica === undefined || !needsLearner(input)) return undefined;
   return {
     voters: members.voters,
@@ -74,6 +73,19 @@
   };
 }
 
+/**
+ * Finds a replica to add, first of all that of an instance whose disk was lost:
+ * another instance may lose its disk next, and the learner with it.
+ */
+function findNewReplica(
+  { members, present }: RepairInput,
+): ReplicaId | undefined {
+  const memberIds = [...members.voters, ...members.learners];
+  const candidates = present.filter((id) => !memberIds.includes(id));
+  const voters = new Set(members.voters.map(instanceOf));
+  return candidates.find((id) => voters.has(instanceOf(id))) ?? candidates[0];
+}
+
 /**
  * Gets whether a learner is needed. A voter that is down needs a replacement,
  * regardless of the wanted number of learners.
--- a/src/core/consensus/membership_repair_test.ts
+++ b/src/core/consensus/membership_repair_test.ts
@@ -60,6 +60,13 @@
       isCaughtUp: () => false,
     }, undefined));
 
+  // Guards against a repair by a replica whose own disk is lost next.
+  it("adds the replica of the instance that lost its disk first", () =>
+    doTest({
+      present: ["d#1", "a#1", "b#2", "c#1"],
+      wantedLearners: 0,
+    }, { voters: ["a#1", "b#1", "c#1"], learners: ["b#2"] }));
+
   it("repairs every loss of one disk after another", () => {
     const lost = new Map<string, number>();
     const replicaOf = (name: string) => `${name}#${lost.get(name) ?? 1}`;
--- a/src/core/consensus/mod.ts
+++ b/src/core/consensus/mod.ts
@@ -1,5 +1,6 @@
 /** Consensus (Raft) for replicated logs. */
 export * from "./consensus_effect.ts";
+export * from "./estimate_bytes.ts";
 export * from "./consensus_message.ts";
 export * from "./consensus_node.ts";
 export * from "./consensus_options.ts";
@@ -8,4 +9,5 @@
 export * from "./replica_id.ts";
 export * from "./replicated_log.ts";
 export * from "./role.ts";
+export * from "./snapshot_parts.ts";
 export * from "./membership_repair.ts";
--- a/src/core/consensus/replica_state.ts
+++ b/src/core/consensus/replica_state.ts
@@ -36,10 +36,10 @@
   #effects: ConsensusEffect<C, S>[] = [];
 
   /** Creates the state of a follower from what is stored. */
-  constructor({ self, stored, guards }: ConsensusNodeOptions<C, S>) {
+  constructor({ self, stored, guards, sizeOf }: ConsensusNodeOptions<C, S>) {
     this.self = self;
     this.guards = guards ?? ALL_GUARDS;
-    this.log = new ReplicatedLog(stored.snapshot, stored.entries);
+    this.log = new ReplicatedLog(stored.snapshot, stored.entries, sizeOf);
     this.#term = stored.hardState.term;
     this.#votedFor = stored.hardState.votedFor;
     this.#applied = stored.snapshot.index;
@@ -199,13 +199,20 @@
     return this;
   }
 
-  /** Replaces applied entries with a snapshot of the application state. */
-  compact(state: S, index: number): this {
+  /**
+   * Creates a snapshot of the application state after an entry.
+   * @returns Undefined if the entry is not held, or has not been applied.
+   */
+  createSnapshot(state: S, index: number): LogSnapshot<S> | undefined {
     const term = this.log.termAt(index);
     const isApplied = index > this.log.snapshot.index && index <= this.#applied;
-    if (term === undefined || !isApplied) return this;
-    const members = this.log.membersAt(index);
-    const snapshot: LogSnapshot<S> = { index, term, members, state };
+    if (term === undefined || !isApplied) return undefined;
+    return { index, term, members: this.log.membersAt(index), state };
+  }
+
+  /** Replaces the entries of a snapshot of this replica by it. */
+  compact(snapshot: LogSnapshot<S>): this {
+    if (snapshot.index <= this.log.snapshot.index) return this;
     this.log.compact(snapshot);
     return this.#write({ snapshot });
   }
--- a/src/core/consensus/replicated_log.ts
+++ b/src/core/consensus/replicated_log.ts
@@ -1,5 +1,7 @@
 /** In-memory part of a replicated log. */
 import { assertInvariant, Invariant } from "../invariants/mod.ts";
+import { sumOf } from "../statistics/mod.ts";
+import { estimateBytes } from "./estimate_bytes.ts";
 import type { LogEntry, LogSnapshot } from "./log_entry.ts";
 import type { Members } from "./members.ts";
 
@@ -11,19 +13,45 @@
   readonly term: number;
 }
 
+/** Limits of {@link ReplicatedLog.batchFrom}. */
+export interface BatchLimits {
+  readonly maxEntries: number;
+  /** Maximum size of the commands; a single larger one is taken alone. */
+  readonly maxBytes: number;
+}
+
+/** Entries that follow each other. */
+export interface EntryBatch<C> {
+  readonly entries: readonly LogEntry<C>[];
+  /** Whether more entries follow, which a limit has left out. */
+  readonly isFull: boolean;
+}
+
+/** Size of an entry without its command, in bytes. */
+const ENTRY_OVERHEAD_BYTES = 64;
+
 /** Holds the latest snapshot and the entries after it. */
 export class ReplicatedLog<C, S> {
+  readonly #sizeOf: (command: C) => number;
   #snapshot: LogSnapshot<S>;
-  #entries: LogEntry<C>[];
+  #entries: LogEntry<C>[] = [];
+  /** Sizes of the entries, in bytes. */
+  #sizes: number[] = [];
+  #bytes = 0;
   #committed: number;
   /** Cached members as of the last entry; undefined if the cache is stale. */
   #members: Members | undefined;
 
   /** Creates a log from a stored snapshot and entries. */
-  constructor(snapshot: LogSnapshot<S>, entries: readonly LogEntry<C>[]) {
+  constructor(
+    snapshot: LogSnapshot<S>,
+    entries: readonly LogEntry<C>[],
+    sizeOf: (command: C) => number = estimateBytes,
+  ) {
+    this.#sizeOf = sizeOf;
     this.#snapshot = snapshot;
-    this.#entries = entries.filter((entry) => entry.index > snapshot.index);
     this.#committed = snapshot.index;
+    this.append(entries.filter((entry) => entry.index > snapshot.index));
   }
 
   /** Gets the snapshot that precedes the held entries. */
@@ -46,6 +74,11 @@
     return this.#entries.length;
   }
 
+  /** Gets the size of the entries held after the snapshot, in bytes. */
+  get bytes(): number {
+    return this.#bytes;
+  }
+
   /** Gets the term of an entry, or undefined if the entry is not held. */
   termAt(index: number): number | undefined {
     if (index === this.#snapshot.index) return this.#snapshot.term;
@@ -78,6 +111,25 @@
     return this.#entries.slice(start, start + max);
   }
 
+  /** Gets entries from an index on, limited in number and size. */
+  batchFrom(
+    index: number,
+    { maxEntries, maxBytes }: BatchLimits,
+  ): EntryBatch<C> {
+    const start = index - this.#snapshot.index - 1;
+    let end = start;
+    let bytes = 0;
+    while (end < this.#entries.length && end < start + maxEntries) {
+      bytes += this.#sizes[end];
+      if (bytes > maxBytes && end > start) break;
+      end += 1;
+    }
+    return {
+      entries: this.#entries.slice(start, end),
+      isFull: end < this.#entries.length,
+    };
+  }
+
   /** Gets the members as of the last entry, committed or not. */
   get members(): Members {
     this.#members ??= this.membersAt(this.last.index);
@@ -109,7 +161,12 @@
 
   /** Appends entries. */
   append(entries: readonly LogEntry<C>[]): this {
-    this.#entries.push(...entries);
+    for (const entry of entries) {
+      const bytes = this.#sizeOfEntry(entry);
+      this.#entries.push(entry);
+      this.#sizes.push(bytes);
+      this.#bytes += bytes;
+    }
     if (entries.some((e) => e.content.type === "members")) {
       this.#members = undefined;
     }
@@ -127,7 +184,8 @@
       Invariant.CommittedStays,
       `Cannot remove entry ${index}: committed up to ${this.#committed}`,
     );
-    this.#entries.length = Math.max(0, index - this.#snapshot.index - 1);
+    const count = Math.max(0, index - this.#snapshot.index - 1);
+    this.#keep(0, count);
     this.#members = undefined;
     return this;
   }
@@ -141,7 +199,7 @@
   /** Replaces the entries up to a committed index with a snapshot. */
   compact(snapshot: LogSnapshot<S>): this {
     const droppedCount = snapshot.index - this.#snapshot.index;
-    this.#entries = this.#entries.slice(Math.max(0, droppedCount));
+    this.#keep(Math.max(0, droppedCount), this.#entries.length);
     this.#snapshot = snapshot;
     return this;
   }
@@ -161,9 +219,21 @@
     if (hasSnapshotEntry) this.compact(snapshot);
     else {
       this.#snapshot = snapshot;
-      this.#entries = [];
+      this.#keep(0, 0);
       this.#members = undefined;
     }
     return this.commit(snapshot.index);
   }
+
+  /** Keeps the entries of a range of positions, and removes all others. */
+  #keep(start: number, end: number): void {
+    this.#entries = this.#entries.slice(start, end);
+    this.#sizes = this.#sizes.slice(start, end);
+    this.#bytes = sumOf(this.#sizes, (bytes) => bytes);
+  }
+
+  #sizeOfEntry({ content }: LogEntry<C>): number {
+    if (content.type !== "command") return ENTRY_OVERHEAD_BYTES;
+    return ENTRY_OVERHEAD_BYTES + this.#sizeOf(content.command);
+  }
 }
--- a/src/core/consensus/replication_tracker.ts
+++ b/src/core/consensus/replication_tracker.ts
@@ -1,6 +1,8 @@
 /** A leader's view of the replication progress of the other replicas. */
 import { allMembers, type Members, quorumValue } from "./members.ts";
 import type { ReplicaId } from "./replica_id.ts";
+import { SendWindow } from "./send_window.ts";
+import type { SnapshotTransfer } from "./snapshot_transfer.ts";
 
 /** Replication progress of one replica. */
 export interface ReplicaProgress {
@@ -12,8 +14,17 @@
   answeredAt: number;
   /** Highest commit index sent to the replica. */
   sentCommit: number;
-  /** Send time of the unanswered message with entries or a snapshot, if any. */
-  pendingSince: number | undefined;
+  /** Unanswered messages with entries, or with a snapshot as a whole. */
+  readonly window: SendWindow;
+  /**
+   * Whether the next index is not yet known to match; then one message at a
+   * time is sent.
+   */
+  isProbing: boolean;
+  /** Snapshot that is sent in parts; undefined if none is. */
+  transfer: SnapshotTransfer | undefined;
+  /** Whether the replica takes a snapshot in parts. */
+  takesParts: boolean;
 }
 
 /** Options of {@link ReplicationTracker}. */
@@ -50,7 +61,10 @@
       next: this.#initialNext,
       answeredAt: -Infinity,
       sentCommit: 0,
-      pendingSince: undefined,
+      window: new SendWindow(),
+      isProbing: true,
+      transfer: undefined,
+      takesParts: false,
     };
     this.#progress.set(replica, progress);
     return progress;
@@ -65,6 +79,11 @@
     return this;
   }
 
+  /** Gets whether a snapshot is being sent in parts to a replica. */
+  get isSendingSnapshot(): boolean {
+    return [...this.#progress.values()].some(({ transfer }) => transfer);
+  }
+
   /** Updates the last index that the leader itself has stored. */
   onSelfStored(index: number): this {
     const progress = this.progressOf(this.#self);
--- /dev/null
+++ b/src/core/consensus/snapshot_parts.ts
@@ -0,0 +1,17 @@
+/** Parts in which a snapshot is sent. */
+
+/** Divides the state of a snapshot into parts of limited size. */
+export interface SnapshotDivider<S> {
+  /** Divides a state; the order of the parts counts. */
+  split(state: S): readonly unknown[];
+  /** Makes a state of all its parts, in order. */
+  join(parts: readonly unknown[]): S;
+}
+
+/** Gets the divider of a state that is sent as one part. */
+export function getUndivided<S>(): SnapshotDivider<S> {
+  return {
+    split: (state) => [state],
+    join: ([state]) => state as S,
+  };
+}
--- /dev/null
+++ b/src/core/consensus/snapshot_transfer.ts
@@ -0,0 +1,88 @@
+/** Progress of sending a snapshot to one replica. */
+import { estimateBytes } from "./estimate_bytes.ts";
+import { SendWindow } from "./send_window.ts";
+
+/** Options of {@link SnapshotTransfer}. */
+export interface SnapshotTransferOptions {
+  /** Index of the last entry in the snapshot. */
+  readonly index: number;
+  readonly parts: readonly unknown[];
+  /** Maximum size of the parts of one message; one part is always taken. */
+  readonly maxBytes: number;
+}
+
+/** Parts that follow each other. */
+export interface PartRange {
+  /** Number of parts that precede them. */
+  readonly first: number;
+  readonly parts: readonly unknown[];
+}
+
+/**
+ * Decides which parts of a snapshot to send next.
+ *
+ * @example
+ * ```ts
+ * const range = transfer.take(now); // undefined until replies arrive
+ * ```
+ */
+export class SnapshotTransfer {
+  readonly #options: SnapshotTransferOptions;
+  readonly #window = new SendWindow();
+  #next = 0;
+
+  constructor(options: SnapshotTransferOptions) {
+    this.#options = options;
+  }
+
+  /** Gets the index of the last entry in the snapshot. */
+  get index(): number {
+    return this.#options.index;
+  }
+
+  /** Gets the number of parts. */
+  get total(): number {
+    return this.#options.parts.length;
+  }
+
+  /** Gets the parts of the next message; undefined if none may be sent now. */
+  take(now: number): PartRange | undefined {
+    const { parts, maxBytes } = this.#options;
+    const first = this.#next;
+    if (this.#window.isFull || first >= parts.length) return undefined;
+    let end = first + 1;
+    let bytes = estimateBytes(parts[first]);
+    while (end < parts.length) {
+      bytes += estimateBytes(parts[end]);
+      if (bytes > maxBytes) break;
+      end += 1;
+    }
+    this.#next = end;
+    this.#window.add({ first, last: end, sentAt: now });
+    return { first, parts: parts.slice(first, end) };
+  }
+
+  /** Sends parts again whose messages were sent before a time. */
+  resendBefore(time: number): this {
+    this.#next = this.#window.takeOverdue(time) ?? this.#next;
+    return this;
+  }
+
+  /** Records that the replica holds the first parts. */
+  acknowledge(received: number): this {
+    this.#window.acknowledge(received);
+    this.#next = Math.max(this.#next, received);
+    return this;
+  }
+
+  /**
+   * Continues after the parts that the replica holds, as it has refused others.
+   * @param sentAt - Send time of the refused message.
+   */
+  continueAfter(received: number, sentAt: number): this {
+    if (sentAt < this.#window.oldestAt) return this;
+    this.#window.clear();
+    this.#next = received;
+    return this;
+  }
+}
--- a/src/schemas/log_message_schema.ts
+++ b/src/schemas/log_message_schema.ts
@@ -42,6 +42,7 @@
     ...base,
     isAccepted: z.boolean(),
     matchIndex: indexSchema,
+    takesParts: z.boolean().optional(),
     sentAt,
   }),
   z.object({
@@ -54,6 +55,23 @@
     }),
     sentAt,
   }),
+  z.object({
+    type: z.literal("snapshotPartRequest"),
+    ...base,
+    snapshot: z.object({ ...position, members: membersSchema }),
+    first: indexSchema,
+    total: countSchema,
+    parts: z.array(z.unknown()),
+    sentAt,
+  }),
+  z.object({
+    type: z.literal("snapshotPartReply"),
+    ...base,
+    index: indexSchema,
+    isAccepted: z.boolean(),
+    received: indexSchema,
+    sentAt,
+  }),
   z.object({ type: z.literal("transferRequest"), ...base }),
 ]);
 
--- a/src/tasks/batches/batch_task.ts
+++ b/src/tasks/batches/batch_task.ts
@@ -3,6 +3,7 @@
   type BatchRecord,
   BatchState,
   estimateCommandBytes,
+  LEDGER_SNAPSHOT_DIVIDER,
 } from "../../core/batches/mod.ts";
 import { instanceOf, type ReplicaId } from "../../core/consensus/mod.ts";
 import { RegionMap } from "../../core/policy/mod.ts";
@@ -201,6 +202,7 @@
       createState: () => new BatchState(),
       compactEntries: COMPACT_ENTRIES,
       sizeOf: estimateCommandBytes,
+      divider: LEDGER_SNAPSHOT_DIVIDER,
       wantedVoters: () => this.#membership.wantedVoters,
       wantedLearners: 0,
       now,
--- a/src/tasks/log/log_driver.ts
+++ b/src/tasks/log/log_driver.ts
@@ -128,6 +128,7 @@
       random: Math.random,
       now: now(),
       sizeOf: this.#options.sizeOf,
+      divider: this.#options.divider,
     });
     logger.event("controlRestored", {
       log: this.#options.name,
@@ -308,6 +309,9 @@
     } else if (effect.type === "apply") {
       for (const entry of effect.entries) this.#apply(entry);
       this.#compact();
+      const isRepairing = effect.entries
+        .some(({ content }) => content.type === "members");
+      if (isRepairing) setImmediate(() => this.#repairMembers());
     } else if (effect.type === "restore") {
       this.#state = this.#options.createState().load(effect.snapshot.state);
       this.#applied = effect.snapshot.index;
@@ -332,7 +336,8 @@
       node === undefined ||
       node.logSize <= (this.#options.compactEntries ?? COMPACT_ENTRIES)
     ) return;
-    node.compact(this.#state.save(), this.#applied);
+    const snapshot = node.createSnapshot(this.#state.save(), this.#applied);
+    if (snapshot !== undefined) node.compact(snapshot);
     this.#effects.push(...node.takeEffects());
   }
 
--- a/src/tasks/log/log_driver_options.ts
+++ b/src/tasks/log/log_driver_options.ts
@@ -5,6 +5,7 @@
   LogEntry,
   LogSnapshot,
   ReplicaId,
+  SnapshotDivider,
 } from "../../core/consensus/mod.ts";
 import type { Logger } from "../../logging/mod.ts";
 import type { StateMachine } from "./state_machine.ts";
@@ -23,8 +24,10 @@
   readonly createState: () => M;
   /** Number of entries above which the log is compacted. */
   readonly compactEntries?: number;
-  /** Estimates a command's size in bytes; by default, size is not counted. */
+  /** Estimates the size of a command in bytes; by default, of any value. */
   readonly sizeOf?: (command: C) => number;
+  /** Divides snapshots for sending; by default, into one part. */
+  readonly divider?: SnapshotDivider<S>;
   /** Heartbeat and election times. */
   readonly times: ConsensusTiming;
   readonly logger: Logger;
