Logs are compacted by their bytes, not by their number of entries alone

Cause: 512 entries, each with the configuration twice (0.5 MB), are 270 MB in a heap of 160 MB; a start reads them all back.

On the same way: frames of the file are released once they are read, entries are replayed without copies, texts of results are joined once, unfinished files are removed at the start. Gauge log.bytes, events 1511 and 1512. The format on disk is as before.

--- a/bench/capacity/estimates.ts
+++ b/bench/capacity/estimates.ts
@@ -228,7 +228,7 @@
         value: valueAt(memory, dataCentres),
         limit: LIMITS.controlMebibytes,
         from: `\`dataCentres.${role}Mebibytes\` at 14`,
-        mechanism: "snapshots every 512 entries",
+        mechanism: "snapshots every 512 entries or 8 MiB",
       },
     );
   }
--- a/src/core/batches/batch_record.ts
+++ b/src/core/batches/batch_record.ts
@@ -1,23 +1,8 @@
 /** State of one batch in the ledger: results and partial outputs. */
-import {
-  type BatchItem,
-  type BatchResult,
-  type BatchSpec,
-  type ResultPage,
-  ResultState,
-} from "./batch.ts";
+import type { BatchItem, BatchResult, BatchSpec, ResultPage } from "./batch.ts";
 import type { PartialTextRecord } from "./batch_command.ts";
 import type { PartialText } from "./run_text.ts";
 
-/** A stored result; shares its text pieces with the log. */
-interface StoredResult {
-  readonly id: string;
-  readonly state: ResultState;
-  readonly pieces: readonly string[];
-  readonly versions: readonly number[];
-  readonly score: string | undefined;
-}
-
 /** An item that waits to be run. */
 export interface WaitingItem {
   readonly record: BatchRecord;
@@ -28,8 +13,8 @@
 export class BatchRecord {
   readonly spec: BatchSpec;
   readonly #items: ReadonlyMap<string, BatchItem>;
-  readonly #results: StoredResult[] = [];
-  readonly #resultsById = new Map<string, StoredResult>();
+  readonly #results: BatchResult[] = [];
+  readonly #resultsById = new Map<string, BatchResult>();
   readonly #partialTexts = new Map<string, PartialText>();
   #isEnded = false;
 
@@ -55,7 +40,7 @@
 
   /** Gets the results in the order of their positions. */
   get results(): readonly BatchResult[] {
-    return this.#results.map(toResult);
+    return this.#results;
   }
 
   /** Gets an item by its identifier. */
@@ -65,8 +50,7 @@
 
   /** Gets the result of an item, or undefined if there is none yet. */
   getResult(id: string): BatchResult | undefined {
-    const stored = this.#resultsById.get(id);
-    return stored === undefined ? undefined : toResult(stored);
+    return this.#resultsById.get(id);
   }
 
   /** Gets whether an item has a result. */
@@ -110,14 +94,13 @@
   #joinPartialText(
     result: BatchResult,
     after: number,
-  ): StoredResult | undefined {
-    const { id, state, text, versions, score } = result;
-    if (after === 0) return { id, state, pieces: [text], versions, score };
-    const stored = this.#partialTexts.get(id);
+  ): BatchResult | undefined {
+    if (after === 0) return result;
+    const stored = this.#partialTexts.get(result.id);
     if (stored === undefined || stored.lastId < after) return undefined;
     const pieces = stored.pieces.slice(0, after);
-    if (text.length > 0) pieces.push(text);
-    return { id, state, pieces, versions, score };
+    if (result.text.length > 0) pieces.push(result.text);
+    return { ...result, text: pieces.join("\n") };
   }
 
   /** Gets the partial output of an item that has no result yet. */
@@ -174,8 +157,7 @@
   getPage(after: number, maxBytes: number): ResultPage {
     const results: BatchResult[] = [];
     let bytes = 0;
-    for (const stored of this.#results.slice(after)) {
-      const result = toResult(stored);
+    for (const result of this.#results.slice(after)) {
       bytes += Buffer.byteLength(result.text);
       if (results.length > 0 && bytes > maxBytes) break;
       results.push(result);
@@ -184,9 +166,3 @@
     return { total: this.#items.size, next, results };
   }
 }
-
-function toResult(stored: StoredResult): BatchResult {
-  const { id, state, pieces, versions, score } = stored;
-  const result = { id, state, text: pieces.join("\n"), versions };
-  return score === undefined ? result : { ...result, score };
-}
--- a/src/logging/instance_events.ts
+++ b/src/logging/instance_events.ts
@@ -144,6 +144,15 @@
     text:
       "Learner of a replicated log does not hold all entries yet; logged each second by the leader",
   }),
+  compactionFailed: defineEvent(1511, "warn", {
+    text:
+      "Snapshot of a replicated log could not be written; the entries are kept and it is tried again",
+    action: "Free disk space or replace the disk",
+  }),
+  logCompacted: defineEvent(1512, "info", {
+    text:
+      "Applied entries of a replicated log replaced by a snapshot; sizes in bytes",
+  }),
   ledgerPrimary: defineEvent(1601, "info", {
     text: "This instance became primary of the data centre's ledger",
   }),
--- a/src/metrics/metric_catalogue.ts
+++ b/src/metrics/metric_catalogue.ts
@@ -243,6 +243,10 @@
     kind: "gauge",
     text: "Index of the last log entry that this replica has applied",
   },
+  "log.bytes": {
+    kind: "gauge",
+    text: "Size of the log entries that this replica holds in memory, in bytes",
+  },
   "log.leads": {
     kind: "gauge",
     text: "Term in which this replica leads its log; 0 if it is not leader",
--- a/src/tasks/batches/batch_task.ts
+++ b/src/tasks/batches/batch_task.ts
@@ -60,6 +60,7 @@
 export const FORM_METHOD = "batches.form";
 
 const COMPACT_ENTRIES = 8_192;
+const COMPACT_BYTES = 25_165_824;
 const MAINTENANCE_INTERVAL_MS = 1_000;
 /** Time added to the retention period before results are deleted. */
 const EXPIRY_SLACK_MS = 30_000;
@@ -201,6 +202,7 @@
       dataFolder,
       createState: () => new BatchState(),
       compactEntries: COMPACT_ENTRIES,
+      compactBytes: COMPACT_BYTES,
       sizeOf: estimateCommandBytes,
       divider: LEDGER_SNAPSHOT_DIVIDER,
       wantedVoters: () => this.#membership.wantedVoters,
--- a/src/tasks/ledger/ledger_store.ts
+++ b/src/tasks/ledger/ledger_store.ts
@@ -92,7 +92,7 @@
   }
 
   static async #openFolder(folder: string): Promise<LedgerStore> {
-    const frames = await FrameStore.open<LedgerFrame>(folder);
+    const { store, frames } = await FrameStore.open<LedgerFrame>(folder);
     let incarnation: string | undefined;
     let stored: StoredLedger = {
       epoch: 0,
@@ -100,7 +100,7 @@
       base: { index: 0, view: 0 },
       entries: [],
     };
-    for (const frame of frames.frames) {
+    for (const frame of frames) {
       if (frame.type === "identity") {
         incarnation = frame.incarnation;
       } else {
@@ -111,9 +111,9 @@
     }
     if (incarnation === undefined) {
       incarnation = randomBytes(INCARNATION_BYTES).toString("hex");
-      await frames.append([{ type: "identity", incarnation }]);
+      await store.append([{ type: "identity", incarnation }]);
     }
-    return new LedgerStore(frames, { incarnation, stored });
+    return new LedgerStore(store, { incarnation, stored });
   }
 }
 
--- a/src/tasks/log/log_driver.ts
+++ b/src/tasks/log/log_driver.ts
@@ -14,14 +14,16 @@
 } from "../../core/consensus/mod.ts";
 import { LeadershipWaiters } from "./leadership_waiters.ts";
 import { LearnerMonitor } from "./learner_monitor.ts";
+import { LogCompactor } from "./log_compactor.ts";
 import type { LogDriverOptions } from "./log_driver_options.ts";
 import { LogStore } from "./log_store.ts";
 import type { StateMachine } from "./state_machine.ts";
 
 type Write<C, S> = Extract<ConsensusEffect<C, S>, { type: "write" }>;
 
-/** Default of {@link LogDriverOptions.compactEntries}. */
+/** Defaults of {@link LogDriverOptions}. */
 const COMPACT_ENTRIES = 512;
+const COMPACT_BYTES = 8_388_608;
 const REPAIR_INTERVAL_MS = 300;
 const RESTART_DELAY_MS = 2_000;
 const MIN_TICK_MS = 5;
@@ -43,12 +45,20 @@
   #leaderSince = Infinity;
   readonly #leadershipWaiters: LeadershipWaiters;
   readonly #learners: LearnerMonitor;
+  readonly #compactor: LogCompactor<C, S>;
 
   constructor(options: LogDriverOptions<C, S, A, M>) {
     this.#options = options;
     this.#state = options.createState();
     const { now, logger, name } = options;
     this.#learners = new LearnerMonitor({ log: name, logger, now });
+    this.#compactor = new LogCompactor<C, S>({
+      log: name,
+      logger,
+      maxEntries: options.compactEntries ?? COMPACT_ENTRIES,
+      minBytes: options.compactBytes ?? COMPACT_BYTES,
+      step: (step) => this.#step(step),
+    });
     this.#leadershipWaiters = new LeadershipWaiters({
       now,
       probe: () => this.#step((node) => node.probeQuorum(now())),
@@ -116,7 +126,7 @@
           detail,
         }),
     });
-    const { stored } = this.#store;
+    const stored = this.#store.takeStored();
     this.#state = this.#options.createState().load(stored.snapshot.state);
     this.#applied = stored.snapshot.index;
     this.#effects = [];
@@ -130,6 +140,7 @@
       sizeOf: this.#options.sizeOf,
       divider: this.#options.divider,
     });
+    this.#compactor.onSnapshot(stored.snapshot);
     logger.event("controlRestored", {
       log: this.#options.name,
       index: stored.snapshot.index,
@@ -315,6 +326,7 @@
     } else if (effect.type === "restore") {
       this.#state = this.#options.createState().load(effect.snapshot.state);
       this.#applied = effect.snapshot.index;
+      this.#compactor.onSnapshot(effect.snapshot);
       this.#options.onRestored(effect.snapshot);
     } else if (effect.type === "role") {
       this.#onRole(effect.role === Role.Leader, effect.term);
@@ -331,14 +343,11 @@
   }
 
   #compact(): void {
-    const node = this.#node;
-    if (
-      node === undefined ||
-      node.logSize <= (this.#options.compactEntries ?? COMPACT_ENTRIES)
-    ) return;
-    const snapshot = node.createSnapshot(this.#state.save(), this.#applied);
-    if (snapshot !== undefined) node.compact(snapshot);
-    this.#effects.push(...node.takeEffects());
+    const [node, store] = [this.#node, this.#store];
+    if (node === undefined || store === undefined) return;
+    const state = this.#state;
+    const applied = this.#applied;
+    this.#compactor.check({ node, store, applied, save: () => state.save() });
   }
 
   #onRole(isLeader: boolean, term: number): void {
--- a/src/tasks/log/log_driver_options.ts
+++ b/src/tasks/log/log_driver_options.ts
@@ -24,6 +24,8 @@
   readonly createState: () => M;
   /** Number of entries above which the log is compacted. */
   readonly compactEntries?: number;
+  /** Size of the entries above which the log is compacted, in bytes. */
+  readonly compactBytes?: number;
   /** Estimates the size of a command in bytes; by default, of any value. */
   readonly sizeOf?: (command: C) => number;
   /** Divides snapshots for sending; by default, into one part. */
--- a/src/tasks/log/log_service.ts
+++ b/src/tasks/log/log_service.ts
@@ -114,6 +114,7 @@
   updateGauges(): void {
     const { metrics } = this.#options;
     metrics.gauge("log.applied", this.driver.applied);
+    metrics.gauge("log.bytes", this.driver.node?.logBytes ?? 0);
     metrics.gauge("log.leads", this.leadsTerm ?? 0);
   }
 
--- a/src/tasks/log/log_store.ts
+++ b/src/tasks/log/log_store.ts
@@ -4,25 +4,22 @@
 import {
   type ConsensusEffect,
   formatReplicaId,
+  type LogSnapshot,
   type Members,
   type StoredLog,
 } from "../../core/consensus/mod.ts";
-import { FrameStore, openOrReplace } from "../storage/mod.ts";
+import {
+  FrameStore,
+  openOrReplace,
+  type PreparedFile,
+} from "../storage/mod.ts";
+import { LogReplay, type LogWrite } from "./log_replay.ts";
 
 type WriteEffect<C, S> = Extract<ConsensusEffect<C, S>, { type: "write" }>;
 
-/** A change of the log, stored as one frame. */
-interface WriteFrame<C, S> {
-  readonly type: "write";
-  readonly hardState?: WriteEffect<C, S>["hardState"];
-  readonly truncateFrom?: number;
-  readonly entries?: WriteEffect<C, S>["entries"];
-  readonly snapshot?: WriteEffect<C, S>["snapshot"];
-}
-
 type LogFrame<C, S> =
   | { readonly type: "identity"; readonly incarnation: string }
-  | WriteFrame<C, S>;
+  | ({ readonly type: "write" } & LogWrite<C, S>);
 
 const INCARNATION_BYTES = 4;
 const NO_MEMBERS: Members = { voters: [], learners: [] };
@@ -45,12 +42,20 @@
   readonly instances: readonly string[];
 }
 
+/** A file with a snapshot that is not in force yet. */
+interface PreparedSnapshot {
+  readonly index: number;
+  readonly file: PreparedFile;
+}
+
 /** Stores the entries, the hard state and the snapshot of one replica. */
 export class LogStore<C, S> {
   readonly #frames: FrameStore<LogFrame<C, S>>;
   readonly #incarnation: string;
-  /** Contents of the store when it was opened. */
-  readonly stored: StoredLog<C, S>;
+  /** Contents of the file when it was opened, until they are taken. */
+  #stored: StoredLog<C, S> | undefined;
+  #prepared: PreparedSnapshot | undefined;
+  #isClosed = false;
 
   private constructor(
     frames: FrameStore<LogFrame<C, S>>,
@@ -58,7 +63,7 @@
   ) {
     this.#frames = frames;
     this.#incarnation = options.incarnation;
-    this.stored = options.stored;
+    this.#stored = options.stored;
   }
 
   /**
@@ -74,6 +79,17 @@
     return this.#frames.length;
   }
 
+  /**
+   * Gets what was stored when the store was opened, and releases it.
+   * @throws Error if it has been taken before.
+   */
+  takeStored(): StoredLog<C, S> {
+    const stored = this.#stored;
+    if (stored === undefined) throw new Error("The log was taken before");
+    this.#stored = undefined;
+    return stored;
+  }
+
   /**
    * Opens the store; an empty folder becomes a new replica without members.
    *
@@ -96,11 +112,11 @@
    * @returns Whether it was created; an existing store is left unchanged.
    */
   static async create<C, S>(options: LogInitOptions<S>): Promise<boolean> {
-    const frames = await FrameStore.open<LogFrame<C, S>>(
+    const { store, frames } = await FrameStore.open<LogFrame<C, S>>(
       join(options.dataFolder, options.name),
     );
     try {
-      if (frames.frames.length > 0) return false;
+      if (frames.length > 0) return false;
       const incarnation = "first";
       const voters = options.instances
         .map((id) => formatReplicaId(id, incarnation));
@@ -108,13 +124,13 @@
         { voters, learners: [] },
         options.emptyState,
       ).snapshot;
-      await frames.append([
+      await store.append([
         { type: "identity", incarnation },
         { type: "write", snapshot },
       ]);
       return true;
     } finally {
-      await frames.close();
+      await store.close();
     }
   }
 
@@ -139,34 +155,63 @@
     })));
   }
 
+  /**
+   * Writes a snapshot to a file that a later write with that snapshot puts in
+   * force. Other writes may go on meanwhile.
+   */
+  async prepare(snapshot: LogSnapshot<S>): Promise<void> {
+    await this.#discardPrepared();
+    const file = await this.#frames.prepare([
+      { type: "identity", incarnation: this.#incarnation },
+      { type: "write", snapshot },
+    ]);
+    this.#prepared = { index: snapshot.index, file };
+    if (this.#isClosed) await this.#discardPrepared();
+  }
+
   async close(): Promise<void> {
+    this.#isClosed = true;
+    await this.#discardPrepared();
     await this.#frames.close();
   }
 
   async #replace(stored: StoredLog<C, S>): Promise<void> {
     const { hardState, snapshot, entries } = stored;
+    const prepared = this.#prepared;
+    if (prepared?.index === snapshot.index) {
+      this.#prepared = undefined;
+      const write = { type: "write", hardState, entries } as const;
+      await this.#frames.commit(prepared.file, [write]);
+      return;
+    }
     await this.#frames.replace([
       { type: "identity", incarnation: this.#incarnation },
       { type: "write", hardState, snapshot, entries },
     ]);
   }
 
+  async #discardPrepared(): Promise<void> {
+    const prepared = this.#prepared;
+    this.#prepared = undefined;
+    if (prepared !== undefined) await this.#frames.discard(prepared.file);
+  }
+
   static async #openFolder<C, S>(
     folder: string,
     emptyState: S,
   ): Promise<LogStore<C, S>> {
-    const frames = await FrameStore.open<LogFrame<C, S>>(folder);
+    const { store, frames } = await FrameStore.open<LogFrame<C, S>>(folder);
     let incarnation: string | undefined;
-    let stored = createEmptyLog<C, S>(NO_MEMBERS, emptyState);
-    for (const frame of frames.frames) {
+    const replay = new LogReplay(createEmptyLog<C, S>(NO_MEMBERS, emptyState));
+    for (const frame of frames) {
       if (frame.type === "identity") incarnation = frame.incarnation;
-      else stored = applyFrame(stored, frame);
+      else replay.add(frame);
     }
     if (incarnation === undefined) {
       incarnation = randomBytes(INCARNATION_BYTES).toString("hex");
-      await frames.append([{ type: "identity", incarnation }]);
+      await store.append([{ type: "identity", incarnation }]);
     }
-    return new LogStore(frames, { incarnation, stored });
+    return new LogStore(store, { incarnation, stored: replay.stored });
   }
 }
 
@@ -182,18 +227,3 @@
     entries: [],
   };
 }
-
-function applyFrame<C, S>(
-  stored: StoredLog<C, S>,
-  frame: WriteFrame<C, S>,
-): StoredLog<C, S> {
-  const snapshot = frame.snapshot ?? stored.snapshot;
-  const added = frame.entries ?? [];
-  const from = Math.min(
-    frame.truncateFrom ?? Infinity,
-    added[0]?.index ?? Infinity,
-  );
-  const entries = [...stored.entries.filter((e) => e.index < from), ...added]
-    .filter((entry) => entry.index > snapshot.index);
-  return { hardState: frame.hardState ?? stored.hardState, snapshot, entries };
-}
--- a/src/tasks/storage/frame_store.ts
+++ b/src/tasks/storage/frame_store.ts
@@ -12,8 +12,24 @@
 import { FrameCodec } from "./frame_codec.ts";
 
 const FILE_PATTERN = /^log-(\d{10})$/;
+/** Ending of files that are not yet in force. */
+const NEW_SUFFIX = ".new";
 const GENERATION_DIGITS = 10;
 
+/** A file that is to replace the current one. */
+export interface PreparedFile {
+  readonly path: string;
+  readonly handle: FileHandle;
+  /** Length of the file, in bytes. */
+  readonly length: number;
+}
+
+/** A store and the frames that were in its file when it was opened. */
+export interface OpenedFrames<F> {
+  readonly store: FrameStore<F>;
+  readonly frames: readonly F[];
+}
+
 /**
  * Appends frames durably, and replaces all frames atomically.
  *
@@ -26,14 +42,14 @@
  *
  * @example
  * ```ts
- * const store = await FrameStore.open<Frame>("data/control");
+ * const { store, frames } = await FrameStore.open<Frame>("data/control");
  * await store.append([frame]);
  * ```
  */
 export class FrameStore<F> {
   readonly #folder: string;
   readonly #codec: FrameCodec<readonly F[]>;
-  readonly #frames: readonly F[];
+  #preparedCount = 0;
   #generation: number;
   #handle: FileHandle;
   #length: number;
@@ -41,24 +57,17 @@
   private constructor(parts: {
     folder: string;
     codec: FrameCodec<readonly F[]>;
-    frames: readonly F[];
     generation: number;
     handle: FileHandle;
     length: number;
   }) {
     this.#folder = parts.folder;
     this.#codec = parts.codec;
-    this.#frames = parts.frames;
     this.#generation = parts.generation;
     this.#handle = parts.handle;
     this.#length = parts.length;
   }
 
-  /** Gets the frames that were in the file when the store was opened. */
-  get frames(): readonly F[] {
-    return this.#frames;
-  }
-
   /** Gets the length of the current file, in bytes. */
   get length(): number {
     return this.#length;
@@ -68,7 +77,7 @@
    * Opens a folder, creating it if necessary. A torn last write is truncated.
    * @throws DamagedFileError if the file is damaged in another way.
    */
-  static async open<F>(folder: string): Promise<FrameStore<F>> {
+  static async open<F>(folder: string): Promise<OpenedFrames<F>> {
     await mkdir(folder, { recursive: true });
     const generations = await listGenerations(folder);
     const generation = generations.at(-1) ?? 1;
@@ -85,14 +94,15 @@
     await handle.sync();
     await syncFolder(folder);
     await removeOlderGenerations(folder, generation);
-    return new FrameStore({
+    await removeUnfinished(folder);
+    const store = new FrameStore<F>({
       folder,
       codec,
-      frames,
       generation,
       handle,
       length,
     });
+    return { store, frames };
   }
 
   /** Appends frames with one checksum; resolves once they are synced. */
@@ -105,21 +115,51 @@
 
   /** Replaces all frames atomically; resolves once the new ones are synced. */
   async replace(frames: readonly F[]): Promise<void> {
-    const generation = this.#generation + 1;
-    const file = getFilePath(this.#folder, generation);
+    await this.commit(await this.prepare(frames), []);
+  }
+
+  /**
+   * Writes frames to a new file, which comes into force by
+   * {@link FrameStore.commit}. Frames can be appended to the current one
+   * meanwhile.
+   */
+  async prepare(frames: readonly F[]): Promise<PreparedFile> {
+    this.#preparedCount += 1;
+    const name = `prepared-${this.#preparedCount}${NEW_SUFFIX}`;
+    const path = join(this.#folder, name);
     const bytes = this.#codec.encode(frames);
-    const handle = await open(`${file}.new`, "w");
+    const handle = await open(path, "w");
     await handle.write(bytes, 0, bytes.length, 0);
+    return { path, handle, length: bytes.length };
+  }
+
+  /**
+   * Appends frames to a prepared file, and replaces the current one by it;
+   * resolves once that is synced.
+   */
+  async commit(prepared: PreparedFile, frames: readonly F[]): Promise<void> {
+    const { path, handle, length } = prepared;
+    const bytes = frames.length === 0
+      ? Buffer.alloc(0)
+      : this.#codec.encode(frames);
+    await handle.write(bytes, 0, bytes.length, length);
     await handle.sync();
-    await rename(`${file}.new`, file);
+    const generation = this.#generation + 1;
+    await rename(path, getFilePath(this.#folder, generation));
     await syncFolder(this.#folder);
     await this.#handle.close();
     this.#handle = handle;
     this.#generation = generation;
-    this.#length = bytes.length;
+    this.#length = length + bytes.length;
     await removeOlderGenerations(this.#folder, generation);
   }
 
+  /** Removes a prepared file. */
+  async discard({ path, handle }: PreparedFile): Promise<void> {
+    await handle.close();
+    await rm(path, { force: true });
+  }
+
   async close(): Promise<void> {
     await this.#handle.close();
   }
@@ -148,6 +188,13 @@
   }
 }
 
+/** Removes files that were not renamed into place. */
+async function removeUnfinished(folder: string): Promise<void> {
+  for (const name of await readdir(folder)) {
+    if (name.endsWith(NEW_SUFFIX)) await rm(join(folder, name));
+  }
+}
+
 async function syncFolder(folder: string): Promise<void> {
   const handle = await open(folder, "r");
   try {
--- a/src/tasks/storage/frame_store_test.ts
+++ b/src/tasks/storage/frame_store_test.ts
@@ -16,15 +16,15 @@
   const fileIn = () => join(folder, readdirSync(folder)[0]);
 
   async function write(...frames: number[]) {
-    const store = await FrameStore.open<number>(folder);
+    const { store } = await FrameStore.open<number>(folder);
     for (const frame of frames) await store.append([frame]);
     await store.close();
   }
 
   async function read() {
-    const store = await FrameStore.open<number>(folder);
+    const { store, frames } = await FrameStore.open<number>(folder);
     await store.close();
-    return store.frames;
+    return frames;
   }
 
   it("keeps frames in order", async () => {
@@ -64,7 +64,7 @@
   });
 
   it("discards a last write of which any part is missing", async () => {
-    const store = await FrameStore.open<number>(folder);
+    const { store } = await FrameStore.open<number>(folder);
     await store.append([1, 2]);
     const lengthBefore = store.length;
     await store.append([3, 4, 5, 6]);
@@ -83,7 +83,7 @@
   });
 
   it("replaces all frames and keeps only one file", async () => {
-    const store = await FrameStore.open<number>(folder);
+    const { store } = await FrameStore.open<number>(folder);
     await store.append([1, 2]);
     await store.replace([9]);
     await store.append([10]);
