Streams at an instance that stood still during a release: a test, and what it relies on

By reading, each way ends at a version that is recorded and verified on the connection, or in a refusal; 'no record' and 'no certain answer' both refuse.

--- a/tests/software_versions_test.ts
+++ b/tests/software_versions_test.ts
@@ -21,6 +21,9 @@
 const CERTAIN_MS = 1_000;
 const STREAMS = 16;
 const ENTRIES = 2;
+/** Rounds in which open streams are taken up, and the pause between them. */
+const ROUNDS = 12;
+const ROUND_MS = 250;
 
 describe("outputs while targets run two software versions", () => {
   let fixture: FleetFixture;
@@ -158,6 +161,50 @@
     60_000,
   );
 
+  // Guards against an instance that takes outdated knowledge for certain.
+  it(
+    "streams go on at one version at an instance that stood still meanwhile",
+    async () => {
+      await startTargets("v1", "v1");
+      const { fleet } = fixture;
+      const [serving, still] = fleet.machinesWithRole(FleetRole.Entry);
+      const addressOf = ({ id }: { id: string }) =>
+        fleet.entries.filter((address) => address.startsWith(`${id}:`));
+      still.process?.child.kill("SIGSTOP");
+      replicas[1].crash();
+      replicas[1].software = "v2";
+      await replicas[1].restart();
+      const newer = await fixture.startEngines(40, ["v2", "v2"]);
+      const caller = fixture.createStreamCaller(
+        FLEET_KEY,
+        () => addressOf(serving),
+      );
+      const held = Array.from({ length: STREAMS }, emptyStream);
+      const begun = held.map((one, i) => caller.request(`a${i}`, one));
+      const isBegun = () => held.every(({ events }) => events.length > 0);
+      await vi.waitUntil(isBegun, { timeout: TIMEOUT_MS, interval: 5 });
+      await fleet.kill(serving);
+      newer[0].crash();
+      still.process?.child.kill("SIGCONT");
+      await Promise.all(begun);
+      const other = fixture.createStreamCaller(
+        FLEET_KEY,
+        () => addressOf(still),
+      );
+      for (let round = 0; round < ROUNDS; round += 1) {
+        const open = held.filter(({ isComplete }) => !isComplete);
+        const id = (one: HeldStream) => `b${round}-${held.indexOf(one)}`;
+        await Promise.all(open.map((one) => other.request(id(one), one)));
+        await sleep(ROUND_MS);
+      }
+      for (const { events } of held) {
+        expect(softwareOf(events.join("\n"))).toHaveLength(1);
+      }
+      expect(held.some(({ resumed }) => resumed > 0)).toBe(true);
+    },
+    60_000,
+  );
+
   it("no stream of another workspace is taken up", async () => {
     await startTargets("v1");
     const held = await readUntilCrash(fixture.createStreamCaller());
