Requests that come late in the grace of a planned stop are answered before its end

Cause: nothing compared a request's time with what is left of the grace; connections accepted early may bring their request at any time.

Change: calls, batches and reads are bounded by what is left; what is not expected to end in time is refused at once as not run.

--- a/src/core/calls/mod.ts
+++ b/src/core/calls/mod.ts
@@ -5,4 +5,5 @@
 export * from "./spread_ranking.ts";
 export * from "./usage_counter.ts";
 export * from "./usage_totals.ts";
+export * from "./drain_limit.ts";
 export * from "./drain_time.ts";
--- a/src/tasks/fleet/entry_task.ts
+++ b/src/tasks/fleet/entry_task.ts
@@ -32,6 +32,7 @@
 import { BatchEnder, type EndRequest } from "./batch_ender.ts";
 import { BatchHomes } from "./batch_homes.ts";
 import { BatchReader } from "./batch_reader.ts";
+import { DrainClock } from "./drain_clock.ts";
 import type { FleetFollower } from "./fleet_follower.ts";
 import type { FleetNode } from "./fleet_node.ts";
 import type { LeaderRequestTimes } from "./leader_client.ts";
@@ -75,6 +76,8 @@
 const BODY_TIMEOUT_MS = 1_300;
 /** Time for one member, so that a silent leader leaves time for another one. */
 const BODY_ATTEMPT_MS = 450;
+/** Time in which the ledger usually answers. */
+const LEDGER_ANSWER_MS = 300;
 
 /** Serves callers on one entry instance. */
 export class EntryTask {
@@ -87,6 +90,7 @@
   readonly #spread: CallSpread;
   readonly #batchHomes: BatchHomes;
   readonly #ender: BatchEnder;
+  readonly #drainClock = new DrainClock();
   #isDraining = false;
 
   constructor(options: EntryTaskOptions) {
@@ -142,9 +146,14 @@
     return this.#usage.save();
   }
 
-  /** Reports this instance as not ready from now on. */
-  drain(): this {
+  /**
+   * Reports this instance as not ready from now on, and bounds requests by what
+   * is left.
+   * @param timeoutMs - Time until the last answer, in milliseconds.
+   */
+  drain(timeoutMs: number): this {
     this.#isDraining = true;
+    this.#drainClock.start(timeoutMs);
     return this;
   }
 
@@ -181,10 +190,16 @@
     const { node, follower, registry, targets, crashes, rates } = this
       .#options;
     const { admission, signal, stream, arrivedAt, waitedMs } = options;
-    const written = await this.#streams.findWriter(request, admission);
     const { timeoutMs = Infinity } = request;
-    const timeMs = Math.min(timeoutMs, admission.route.timeoutMs);
+    const wantedMs = Math.min(timeoutMs, admission.route.timeoutMs);
+    const elapsedMs = performance.now() - arrivedAt;
+    const timeMs = elapsedMs +
+      this.#drainClock.limit(admission.route, wantedMs - elapsedMs);
     const leftMs = () => timeMs - (performance.now() - arrivedAt);
+    const written = await this.#streams.findWriter(
+      { ...request, timeoutMs: timeMs },
+      admission,
+    );
     if (written !== undefined) await untilTargetsKnown(follower, leftMs());
     // The search for the writer and the waits are part of the call's time.
     const call = {
@@ -257,19 +272,25 @@
       faults: findScoringFaults(spec, policy),
     };
     await this.#requestLedger(BatchMethod.Submit, params, {
-      timeoutMs: SUBMIT_TIMEOUT_MS,
+      timeoutMs: this.#drainClock.bound(SUBMIT_TIMEOUT_MS, LEDGER_ANSWER_MS),
     });
   }
 
-  /** Reads a page of batch results. */
-  readBatch(params: ReadParams): Promise<ResultPage> {
-    return this.#reader.read(params);
+  /**
+   * Reads a page of batch results.
+   * @throws RefusalError if the ledger does not answer in time.
+   */
+  async readBatch(params: ReadParams): Promise<ResultPage> {
+    const longestMs = params.waitMs + LEDGER_ANSWER_MS;
+    const boundMs = this.#drainClock.bound(longestMs, LEDGER_ANSWER_MS);
+    const waitMs = Math.min(params.waitMs, boundMs - LEDGER_ANSWER_MS);
+    return await this.#reader.read({ ...params, waitMs });
   }
 
   /** Reads the body of an item from the ledger. */
   async readItem(params: BodyParams): Promise<Uint8Array> {
     const reply = await this.#requestLedger(BatchMethod.Body, params, {
-      timeoutMs: BODY_TIMEOUT_MS,
+      timeoutMs: this.#drainClock.bound(BODY_TIMEOUT_MS, LEDGER_ANSWER_MS),
       attemptMs: BODY_ATTEMPT_MS,
     });
     return reply as Uint8Array;
