A second signal does not end an instance that drains

What callers saw: none reported; found beside the requests cut by a planned stop. The handler of SIGTERM was removed by the first signal, so that a second one ended the process with all its requests.

late_requests_test.ts 'serves on after a second signal' failed before: no answer. Applies to instances of a fleet and to nutmegreel serve.

--- a/src/commands/serve.ts
+++ b/src/commands/serve.ts
@@ -26,8 +26,8 @@
     await instance.start();
     await new Promise<void>((resolve) => {
       const stop = () => resolve();
-      process.once("SIGTERM", stop);
-      process.once("SIGINT", stop);
+      process.on("SIGTERM", stop);
+      process.on("SIGINT", stop);
     });
     await instance.drain();
   },
--- a/src/tasks/fleet/fleet_instance.ts
+++ b/src/tasks/fleet/fleet_instance.ts
@@ -56,7 +56,10 @@
     this.#role = roles[settings.role](this.#node);
   }
 
-  /** Starts the instance; on SIGTERM or SIGINT, drains and stops it. */
+  /**
+   * Starts the instance; on SIGTERM or SIGINT, drains and stops it. Further
+   * signals change nothing: without a handler they would end the process.
+   */
   async run(): Promise<void> {
     const { settings } = this.#node;
     this.#logger.event("fleetJoined", {
@@ -66,8 +69,8 @@
       isFirstStart: settings.isFirstStart,
     });
     const stopped = new Promise<void>((resolve) => {
-      process.once("SIGTERM", () => resolve());
-      process.once("SIGINT", () => resolve());
+      process.on("SIGTERM", () => resolve());
+      process.on("SIGINT", () => resolve());
     });
     process.on("SIGHUP", () => this.#reload());
     this.#watchTimer = setInterval(
--- a/tests/late_requests_test.ts
+++ b/tests/late_requests_test.ts
@@ -97,4 +97,16 @@
     const options = { workMs: 50, delayMs: LATE_MS - 2_500 };
     expect(await doTest(once, options)).toEqual({ status: 200, runs: 1 });
   }, 60_000);
+
+  // Guards against a second signal that ends the process without its drain.
+  it("serves on after a second signal", async () => {
+    await startTarget(1_000);
+    const request = beginRequest(once, "late");
+    request.send();
+    await vi.waitUntil(() => target.runs.length > 0, { timeout: TIMEOUT_MS });
+    fixture.fleet.signal(entry, "SIGTERM");
+    await sleep(100);
+    fixture.fleet.signal(entry, "SIGTERM");
+    expect(await request.untilClosed()).toMatch(/^HTTP\/1.1 200/);
+  }, 60_000);
 });
