A disk that takes a part of a write is not taken for one that took all

Cause: FrameStore did not look at how many bytes a write took. A part was synced and acknowledged, and the next frames went behind the hole. Such a replica is set aside as damaged at its next start, or holds fewer entries than its leader knows of and refuses all that follows.

--- a/src/logging/instance_events.ts
+++ b/src/logging/instance_events.ts
@@ -172,6 +172,10 @@
       "Replica of the ledger stopped on an error and does not restart by itself",
     action: "Read `detail`, then restart the instance",
   }),
+  ledgerStoreFailed: defineEvent(1606, "error", {
+    text: "Store of the ledger cannot be written; the replica tries again",
+    action: "Free disk space or replace the disk",
+  }),
   peerUp: defineEvent(1701, "info", {
     text: "Connection to another instance established",
   }),
--- a/src/tasks/ledger/ledger_task.ts
+++ b/src/tasks/ledger/ledger_task.ts
@@ -15,6 +15,8 @@
 } from "../../core/verdict/mod.ts";
 import type { Logger } from "../../logging/mod.ts";
 import type { PeerHub } from "../peers/mod.ts";
+import { delay } from "../delay.ts";
+import { isStorageError } from "../storage/mod.ts";
 import type { ControlPort } from "../control/control_port.ts";
 import type { LedgerPort, RecordListener } from "./ledger_port.ts";
 import type { LedgerStore } from "./ledger_store.ts";
@@ -51,6 +53,7 @@
  */
 const STALL_TIMEOUT_MS = 2_000;
 const RETRY_AFTER_MS = 1_000;
+const DISK_RETRY_DELAY_MS = 500;
 
 /** Runs an instance's replica of the ledger on its store and its links. */
 export class LedgerTask implements LedgerPort {
@@ -219,8 +222,8 @@
       const round = this.#effects;
       this.#effects = [];
       const writes = round.filter((e): e is Write => e.type === "write");
-      if (writes.length > 0) {
-        await store?.write(writes, () => this.#replica.save());
+      if (writes.length > 0 && store !== undefined) {
+        await this.#writeUntilStored(store, writes);
       }
       for (const effect of round) this.#execute(effect);
       for (const write of writes) this.#replica.onWritten(write.index);
@@ -228,6 +231,24 @@
     }
   }
 
+  /** Stores writes, and tries again while the disk does not take them. */
+  async #writeUntilStored(
+    store: LedgerStore,
+    writes: readonly Write[],
+  ): Promise<void> {
+    for (;;) {
+      try {
+        await store.write(writes, () => this.#replica.save());
+        return;
+      } catch (err) {
+        if (this.#isStopped || !isStorageError(err)) throw err;
+        this.#options.logger
+          .event("ledgerStoreFailed", { detail: String(err) });
+        await delay(DISK_RETRY_DELAY_MS);
+      }
+    }
+  }
+
   #execute(effect: LedgerEffect): void {
     if (effect.type === "send") {
       const { message } = effect;
@@ -277,6 +298,8 @@
   }
 
   #fail(err: unknown): void {
+    // A write that the stop has interrupted fails, too.
+    if (this.#isStopped) return;
     this.#options.logger.event("ledgerStopped", { detail: String(err) });
     this.#isStopped = true;
     clearInterval(this.#timer);
--- a/src/tasks/log/log_driver.ts
+++ b/src/tasks/log/log_driver.ts
@@ -17,6 +17,7 @@
 import { LogCompactor } from "./log_compactor.ts";
 import type { LogDriverOptions } from "./log_driver_options.ts";
 import { LogStore } from "./log_store.ts";
+import { isStorageError } from "../storage/mod.ts";
 import type { StateMachine } from "./state_machine.ts";
 
 type Write<C, S> = Extract<ConsensusEffect<C, S>, { type: "write" }>;
@@ -26,6 +27,8 @@
 const COMPACT_BYTES = 8_388_608;
 const REPAIR_INTERVAL_MS = 300;
 const RESTART_DELAY_MS = 2_000;
+/** Delay after a failure of the disk, which is often short. */
+const DISK_RETRY_DELAY_MS = 500;
 const MIN_TICK_MS = 5;
 /**
  * Owns the store and the consensus node of one replica, and executes the node's
@@ -281,9 +284,14 @@
   #drainEffects(): void {
     if (this.#isExecuting) return;
     this.#isExecuting = true;
+    const node = this.#node;
     this.#executeEffects()
-      .catch((err) => this.#restartAfter(err))
+      .catch((err) => {
+        // A write of a node that was stopped meanwhile fails as well.
+        if (node === this.#node) this.#restartAfter(err);
+      })
       .finally(() => {
+        if (node !== this.#node) return;
         this.#isExecuting = false;
         if (this.#effects.length > 0) this.#drainEffects();
       });
@@ -392,8 +400,7 @@
   /** Stops the replica after a failure, and restarts it from its store. */
   #restartAfter(err: unknown): void {
     const { logger } = this.#options;
-    const isStoreError = (err as NodeJS.ErrnoException).code !== undefined &&
-      (err as NodeJS.ErrnoException).syscall !== undefined;
+    const isStoreError = isStorageError(err);
     const name = isStoreError ? "controlStoreFailed" : "controlStopped";
     logger.event(name, { log: this.#options.name, detail: String(err) });
     this.#stopNode();
@@ -407,9 +414,9 @@
           log: this.#options.name,
           detail: String(retryErr),
         });
-        setTimeout(retry, RESTART_DELAY_MS);
+        setTimeout(retry, DISK_RETRY_DELAY_MS);
       });
     };
-    setTimeout(retry, RESTART_DELAY_MS);
+    setTimeout(retry, isStoreError ? DISK_RETRY_DELAY_MS : RESTART_DELAY_MS);
   }
 }
--- a/src/tasks/storage/damaged_folder.ts
+++ b/src/tasks/storage/damaged_folder.ts
@@ -1,7 +1,10 @@
 /** Replacement of the folders of damaged stores. */
-import { rename } from "node:fs/promises";
+import { readdir, rename, rm } from "node:fs/promises";
+import { basename, dirname, join } from "node:path";
 import { DamagedFileError } from "./frame_codec.ts";
 
+const DAMAGED_SUFFIX = ".damaged-";
+
 /** Options of {@link openOrReplace}. */
 export interface OpenOrReplaceOptions<T> {
   readonly folder: string;
@@ -13,7 +16,8 @@
 
 /**
  * Opens a store. The folder of a damaged one is renamed to `*.damaged-TIME`, and
- * a new store takes its place.
+ * a new store takes its place. One such folder is kept, so that they do not fill
+ * the disk.
  *
  * @example
  * ```ts
@@ -27,8 +31,19 @@
     return await open();
   } catch (err) {
     if (!(err instanceof DamagedFileError)) throw err;
-    await rename(folder, `${folder}.damaged-${Date.now()}`);
+    await removeDamaged(folder);
+    await rename(folder, `${folder}${DAMAGED_SUFFIX}${Date.now()}`);
     onDamaged?.(err.message);
     return await open();
   }
 }
+
+/** Removes the folders of earlier damaged stores. */
+async function removeDamaged(folder: string): Promise<void> {
+  const parent = dirname(folder);
+  const prefix = `${basename(folder)}${DAMAGED_SUFFIX}`;
+  for (const name of await readdir(parent)) {
+    if (!name.startsWith(prefix)) continue;
+    await rm(join(parent, name), { recursive: true });
+  }
+}
--- a/src/tasks/storage/frame_store.ts
+++ b/src/tasks/storage/frame_store.ts
@@ -10,6 +10,7 @@
 } from "node:fs/promises";
 import { join } from "node:path";
 import { FrameCodec } from "./frame_codec.ts";
+import { writeFully } from "./write_fully.ts";
 
 const FILE_PATTERN = /^log-(\d{10})$/;
 /** Ending of files that are not yet in force. */
@@ -53,6 +54,8 @@
   #generation: number;
   #handle: FileHandle;
   #length: number;
+  /** Whether bytes of a failed write may follow the frames. */
+  #hasRest = false;
 
   private constructor(parts: {
     folder: string;
@@ -105,11 +108,17 @@
     return { store, frames };
   }
 
-  /** Appends frames with one checksum; resolves once they are synced. */
+  /**
+   * Appends frames with one checksum; resolves once they are synced. After a
+   * failure none of them is in the store, and they can be appended again.
+   */
   async append(frames: readonly F[]): Promise<void> {
     const bytes = this.#codec.encode(frames);
-    await this.#handle.write(bytes, 0, bytes.length, this.#length);
+    if (this.#hasRest) await this.#handle.truncate(this.#length);
+    this.#hasRest = true;
+    await writeFully(this.#handle, bytes, this.#length);
     await this.#handle.datasync();
+    this.#hasRest = false;
     this.#length += bytes.length;
   }
 
@@ -129,31 +138,54 @@
     const path = join(this.#folder, name);
     const bytes = this.#codec.encode(frames);
     const handle = await open(path, "w");
-    await handle.write(bytes, 0, bytes.length, 0);
-    return { path, handle, length: bytes.length };
+    const prepared = { path, handle, length: bytes.length };
+    try {
+      await writeFully(handle, bytes, 0);
+    } catch (err) {
+      await this.discard(prepared);
+      throw err;
+    }
+    return prepared;
   }
 
   /**
    * Appends frames to a prepared file, and replaces the current one by it;
-   * resolves once that is synced.
+   * resolves once that is synced. After a failure the current file is as before,
+   * and the prepared one is gone.
    */
   async commit(prepared: PreparedFile, frames: readonly F[]): Promise<void> {
-    const { path, handle, length } = prepared;
-    const bytes = frames.length === 0
-      ? Buffer.alloc(0)
-      : this.#codec.encode(frames);
-    await handle.write(bytes, 0, bytes.length, length);
-    await handle.sync();
+    const { path, handle } = prepared;
+    let { length } = prepared;
     const generation = this.#generation + 1;
-    await rename(path, getFilePath(this.#folder, generation));
-    await syncFolder(this.#folder);
-    await this.#handle.close();
+    try {
+      length += await this.#appendTo(prepared, frames);
+      await handle.sync();
+      await rename(path, getFilePath(this.#folder, generation));
+    } catch (err) {
+      await this.discard(prepared);
+      throw err;
+    }
+    const replaced = this.#handle;
     this.#handle = handle;
     this.#generation = generation;
-    this.#length = length + bytes.length;
+    this.#length = length;
+    this.#hasRest = false;
+    await replaced.close();
+    await syncFolder(this.#folder);
     await removeOlderGenerations(this.#folder, generation);
   }
 
+  /** Appends frames to a prepared file; gets their size in bytes. */
+  async #appendTo(
+    { handle, length }: PreparedFile,
+    frames: readonly F[],
+  ): Promise<number> {
+    if (frames.length === 0) return 0;
+    const bytes = this.#codec.encode(frames);
+    await writeFully(handle, bytes, length);
+    return bytes.length;
+  }
+
   /** Removes a prepared file. */
   async discard({ path, handle }: PreparedFile): Promise<void> {
     await handle.close();
--- a/src/tasks/storage/mod.ts
+++ b/src/tasks/storage/mod.ts
@@ -2,3 +2,4 @@
 export * from "./damaged_folder.ts";
 export * from "./frame_codec.ts";
 export * from "./frame_store.ts";
+export * from "./write_fully.ts";
--- /dev/null
+++ b/src/tasks/storage/write_fully.ts
@@ -0,0 +1,42 @@
+/** Writes to files that take all bytes or fail. */
+import type { FileHandle } from "node:fs/promises";
+import { NutmegreelError } from "../../core/errors/mod.ts";
+
+/** Thrown if a file takes no more bytes and gives no error. */
+export class WriteRefusedError extends NutmegreelError {
+  constructor() {
+    super("writeRefused", "The disk took no bytes");
+  }
+}
+
+/** Gets whether an error came from a file or its disk, and may pass. */
+export function isStorageError(err: unknown): boolean {
+  const { code, syscall } = err as NodeJS.ErrnoException;
+  return err instanceof WriteRefusedError ||
+    (code !== undefined && syscall !== undefined);
+}
+
+/**
+ * Writes all bytes at a position. A disk that is nearly full takes a part of
+ * them without an error.
+ * @throws WriteRefusedError, or the error of the file, if it does not take all.
+ *
+ * @example
+ * ```ts
+ * await writeFully(handle, Buffer.from("abc"), 0);
+ * ```
+ */
+export async function writeFully(
+  handle: FileHandle,
+  bytes: Uint8Array,
+  position: number,
+): Promise<void> {
+  let written = 0;
+  while (written < bytes.length) {
+    const left = bytes.length - written;
+    const { bytesWritten } = await handle
+      .write(bytes, written, left, position + written);
+    if (bytesWritten === 0) throw new WriteRefusedError();
+    written += bytesWritten;
+  }
+}
