Parts of the instance and of the log driver in modules of their own

One refusal of an instance that ends; tests share their list of commands. No change of behaviour; npm run check, the tests of the moved parts and four cluster tests pass.

--- a/src/tasks/fleet/drain_clock.ts
+++ b/src/tasks/fleet/drain_clock.ts
@@ -1,14 +1,8 @@
 /** The time that requests have at an instance that drains. */
 import { limitToDrain } from "../../core/calls/mod.ts";
 import type { RoutePolicy } from "../../core/policy/mod.ts";
-import {
-  RefusalError,
-  RefusalReason,
-  Verdict,
-} from "../../core/verdict/mod.ts";
-
-/** Time after which another instance serves the request. */
-const RETRY_AFTER_MS = 250;
+import { Verdict } from "../../core/verdict/mod.ts";
+import { createShutdownRefusal } from "./shutdown_refusal.ts";
 
 /**
  * Bounds requests by what is left of the drain, so that each is answered before
@@ -35,7 +29,7 @@
    */
   limit(route: RoutePolicy, timeMs: number): number {
     const limit = limitToDrain({ route, timeMs, leftMs: this.leftMs });
-    if (limit === undefined) throw createRefusal();
+    if (limit === undefined) throw createShutdownRefusal(Verdict.NotRun);
     return limit;
   }
 
@@ -46,14 +40,7 @@
    */
   bound(timeMs: number, necessaryMs: number): number {
     const { leftMs } = this;
-    if (leftMs < necessaryMs) throw createRefusal();
+    if (leftMs < necessaryMs) throw createShutdownRefusal(Verdict.NotRun);
     return Math.min(timeMs, leftMs);
   }
 }
-
-function createRefusal(): RefusalError {
-  return new RefusalError(RefusalReason.ShuttingDown, Verdict.NotRun, {
-    message: "This instance ends before the request would",
-    retryAfterMs: RETRY_AFTER_MS,
-  });
-}
--- a/src/tasks/instance.ts
+++ b/src/tasks/instance.ts
@@ -6,7 +6,7 @@
 import { ElapsedClock } from "../core/clock/mod.ts";
 import { ConfigurationView } from "../core/configuration/mod.ts";
 import type { CommandResult, ControlCommand } from "../core/control/mod.ts";
-import type { LedgerRecord, UsageEntry } from "../core/ledger/mod.ts";
+import type { LedgerRecord } from "../core/ledger/mod.ts";
 import type { SuspicionChange } from "../core/quarantine/mod.ts";
 import {
   ExpectedTimePicker,
@@ -41,12 +41,15 @@
 import type { LedgerPort } from "./ledger/ledger_port.ts";
 import { LocalLedger } from "./ledger/local_ledger.ts";
 import { RelayServer, type TargetPaths } from "./paths/mod.ts";
-import { PrimaryClient } from "./ledger/primary_client.ts";
+import { describeInstance } from "./instance_status.ts";
+import { PrimaryLedger } from "./ledger/primary_ledger.ts";
+import { LocalPeers } from "./local_peers.ts";
 import {
   StepForwarder,
   type StepPort,
   StepTask,
   UsageMeter,
+  UsageWriter,
 } from "./steps/mod.ts";
 import { createRandom } from "./random.ts";
 import { DispatchTask, ProbeTask, type SharedHealth } from "./targets/mod.ts";
@@ -64,9 +67,6 @@
  */
 const OWNER_TIMEOUT_MS = 60_000;
 const BOOTSTRAP_POLL_INTERVAL_MS = 300;
-const PEER_REQUEST_TIMEOUT_MS = 2_000;
-/** Interval at which unchanged announcements are forwarded again. */
-const FORWARD_INTERVAL_MS = 5_000;
 
 /**
  * Runs an instance of the service.
@@ -87,6 +87,9 @@
   readonly #control: ControlPort;
   readonly #ledger: LedgerPort;
   readonly #usage = new UsageMeter();
+  readonly #primaryLedger: PrimaryLedger;
+  readonly #usageWriter: UsageWriter;
+  readonly #localPeers: LocalPeers;
   readonly #paths: TargetPaths;
   readonly #relays: RelayServer | undefined;
   readonly #dispatch: DispatchTask;
@@ -101,7 +104,6 @@
   readonly #orderDelivery: OrderDeliveryTask | undefined;
   readonly #timers: NodeJS.Timeout[] = [];
   readonly #watchers: CertificateWatcher[] = [];
-  readonly #forwardedAt = new Map<string, number>();
   #isStopped = false;
 
   private constructor(parts: {
@@ -125,12 +127,26 @@
       logger: this.#logger,
       metrics: this.#metrics,
     });
+    this.#primaryLedger = new PrimaryLedger({
+      ledger: this.#ledger,
+      hub: cluster?.hub,
+    });
+    this.#usageWriter = new UsageWriter({
+      meter: this.#usage,
+      ledger: this.#primaryLedger,
+      logger: this.#logger,
+    });
+    this.#localPeers = new LocalPeers({
+      hub: cluster?.hub,
+      getAnnounced: (id) =>
+        this.#dispatch.dispatcher.targets.get(id)?.announcement,
+    });
     this.#relays = this.#createRelays();
     this.#dispatch = this.#createDispatch();
     this.#probeTask = new ProbeTask({
       id: settings.id,
       probers: () => this.#getProbers(),
-      publish: (found) => this.#notifyLocalPeers("targets.health", found),
+      publish: (found) => this.#localPeers.notify("targets.health", found),
       dispatch: this.#dispatch,
       logger: this.#logger,
       now: Date.now,
@@ -435,17 +451,20 @@
         ledger: this.#ledger,
         dispatch: this.#dispatch,
         onAnnounced: (announcement) => {
-          if (this.#shouldForward(announcement)) {
-            this.#notifyLocalPeers("targets.announce", announcement);
-          }
+          this.#localPeers.forward(announcement);
           this.#onAnnounced(announcement);
         },
         onLeaving: (targetId) => {
           this.#dispatch.markLeaving(targetId);
-          this.#notifyLocalPeers("targets.leave", targetId);
+          this.#localPeers.notify("targets.leave", targetId);
         },
         metrics: this.#metrics,
-        status: () => this.#getStatus(),
+        status: () =>
+          describeInstance({
+            settings,
+            incarnation: this.#incarnation,
+            cluster: this.#cluster,
+          }),
       }),
       logger: this.#logger,
       metrics: this.#metrics,
@@ -455,37 +474,6 @@
     });
   }
 
-  #getStatus(): Record<string, unknown> {
-    const incarnation = this.#incarnation;
-    const cluster = this.#cluster;
-    if (cluster === undefined) return { incarnation };
-    const { control, hub, ledger } = cluster;
-    const { node } = control.driver ?? {};
-    return {
-      incarnation,
-      hasLease: control.feed.hasLease,
-      hasHomeLease: control.feed.hasHomeLease,
-      applied: control.feed.node.applied,
-      log: node === undefined ? undefined : {
-        role: node.role,
-        term: node.term,
-        leader: node.leader,
-        committed: node.committed,
-        members: node.committedMembers,
-      },
-      view: control.view,
-      ledger: {
-        committed: ledger.replica.committed,
-        last: ledger.replica.last.index,
-      },
-      instances: this.#settings.peers.map(({ id, dataCentre }) => ({
-        id,
-        dataCentre,
-        isPresent: id === this.#settings.id || hub.isPresent(id),
-      })),
-    };
-  }
-
   #getConfiguration(): ConfigurationView {
     const { document, revision } = this.#control.state.configuration;
     return new ConfigurationView(document, revision);
@@ -528,9 +516,9 @@
   }
 
   #publishSuspicion(change: SuspicionChange): void {
-    this.#appendAtPrimary({ type: "suspicion", change })
+    this.#primaryLedger.append({ type: "suspicion", change })
       .catch((err) => this.#logger.error(err));
-    this.#notifyLocalPeers("suspicion", change);
+    this.#localPeers.notify("suspicion", change);
   }
 
   /**
@@ -543,77 +531,16 @@
     return [id, ...localPeers.map((peer) => peer.id)];
   }
 
-  /**
-   * Gets whether to forward an announcement to the other instances: at once if
-   * it has changed, or else at the forward interval.
-   */
-  #shouldForward(announcement: TargetAnnouncement): boolean {
-    const { id } = announcement;
-    const previous = this.#dispatch.dispatcher.targets.get(id)?.announcement;
-    const isUnchanged = previous?.incarnation === announcement.incarnation &&
-      previous.weightVersion === announcement.weightVersion &&
-      previous.url === announcement.url;
-    const forwardedAt = this.#forwardedAt.get(id) ?? 0;
-    if (isUnchanged && Date.now() - forwardedAt < FORWARD_INTERVAL_MS) {
-      return false;
-    }
-    this.#forwardedAt.set(id, Date.now());
-    return true;
-  }
-
   #onAnnounced(announcement: TargetAnnouncement): void {
     this.#dispatch.announce(announcement);
     this.#probeTask.onContact(announcement.id);
   }
 
-  /**
-   * Sends soft state to the other instances of the data centre. Failures are
-   * ignored, since an instance that misses a message receives the state later.
-   */
-  #notifyLocalPeers(method: string, params: unknown): void {
-    const hub = this.#cluster?.hub;
-    for (const { id } of hub?.localPeers ?? []) {
-      hub?.request(id, method, { params, timeoutMs: PEER_REQUEST_TIMEOUT_MS })
-        .catch(() => {});
-    }
-  }
-
-  /**
-   * Appends a record to the ledger, locally if this instance is primary, or
-   * else at the primary.
-   */
-  async #appendAtPrimary(record: LedgerRecord): Promise<void> {
-    const hub = this.#cluster?.hub;
-    const ledger = this.#ledger;
-    if (hub === undefined) return await ledger.append(record);
-    await new PrimaryClient({ ledger, hub }).call({
-      method: "ledger.append",
-      params: record,
-      timeoutMs: PEER_REQUEST_TIMEOUT_MS,
-      run: () => ledger.append(record),
-    });
-  }
-
   async #writeUsage(): Promise<void> {
     const targets = this.#dispatch.dispatcher.targets.list();
     const serving = targets.filter((t) => t.phase === TargetPhase.Serving);
     this.#metrics.gauge("targets.serving", serving.length);
-    const entries = this.#usage.drain();
-    if (entries.length > 0) await this.#writeUsageEntries(entries);
-  }
-
-  /**
-   * Writes usage to the ledger. If it is unknown whether a write succeeded, it
-   * is not repeated, so that no usage is counted twice.
-   */
-  async #writeUsageEntries(entries: readonly UsageEntry[]): Promise<void> {
-    try {
-      await this.#appendAtPrimary({ type: "usage", entries });
-    } catch (err) {
-      const isNotRun = (err as { verdict?: string }).verdict === "notRun";
-      if (isNotRun) this.#usage.restore(entries);
-      else this.#logger.event("usageInDoubt", { entries: entries.length });
-    }
+    await this.#usageWriter.write();
   }
 
   async #failOrphanedCalls(): Promise<void> {
--- a/src/tasks/log/full_disks_test.ts
+++ b/src/tasks/log/full_disks_test.ts
@@ -2,11 +2,11 @@
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { afterEach, beforeEach, describe, it, vi } from "vitest";
+import { CommandList } from "../../../tests/support/command_list.ts";
 import { LimitedDisk } from "../../../tests/support/limited_disk.ts";
 import { Logger } from "../../logging/mod.ts";
 import { LogDriver } from "./log_driver.ts";
 import { LogStore } from "./log_store.ts";
-import type { StateMachine } from "./state_machine.ts";
 
 const IDS = ["a", "b", "c"];
 const WAIT = { timeout: 20_000, interval: 10 };
@@ -15,24 +15,6 @@
 const COMMANDS_BETWEEN = 3;
 const ROOM_BYTES = 3_000;
 
-/** Remembers all commands. */
-class CommandList implements StateMachine<string, string[], number> {
-  #commands: string[] = [];
-
-  apply(command: string): number {
-    return this.#commands.push(command);
-  }
-
-  save(): string[] {
-    return [...this.#commands];
-  }
-
-  load(commands: string[]): this {
-    this.#commands = [...commands];
-    return this;
-  }
-}
-
 type Driver = LogDriver<string, string[], number, CommandList>;
 
 describe("a group whose disks fill one after the other", () => {
--- a/src/tasks/log/learner_monitor.ts
+++ b/src/tasks/log/learner_monitor.ts
@@ -23,7 +23,7 @@
   }
 
   /** Checks the learners of a leader's log. */
-  check(node: ConsensusNode<unknown, unknown>): void {
+  check<C, S>(node: ConsensusNode<C, S>): void {
     const { log, logger, now } = this.#options;
     if (now() - this.#loggedAt < LOG_INTERVAL_MS) return;
     for (const replica of node.members.learners) {
--- a/src/tasks/log/log_driver.ts
+++ b/src/tasks/log/log_driver.ts
@@ -8,15 +8,15 @@
   instanceOf,
   type LogEntry,
   type LogPosition,
-  nextMembers,
+  type Members,
   type ReplicaId,
   Role,
 } from "../../core/consensus/mod.ts";
 import { LeadershipWaiters } from "./leadership_waiters.ts";
-import { LearnerMonitor } from "./learner_monitor.ts";
 import { LogCompactor } from "./log_compactor.ts";
 import type { LogDriverOptions } from "./log_driver_options.ts";
 import { LogStore } from "./log_store.ts";
+import { MemberRepair } from "./member_repair.ts";
 import { isStorageError } from "../storage/mod.ts";
 import type { StateMachine } from "./state_machine.ts";
 
@@ -47,14 +47,17 @@
   #repairTimer: NodeJS.Timeout | undefined;
   #leaderSince = Infinity;
   readonly #leadershipWaiters: LeadershipWaiters;
-  readonly #learners: LearnerMonitor;
+  readonly #repair: MemberRepair;
   readonly #compactor: LogCompactor<C, S>;
 
   constructor(options: LogDriverOptions<C, S, A, M>) {
     this.#options = options;
     this.#state = options.createState();
     const { now, logger, name } = options;
-    this.#learners = new LearnerMonitor({ log: name, logger, now });
+    this.#repair = new MemberRepair({
+      ...options,
+      propose: (members) => this.#proposeMembers(members),
+    });
     this.#compactor = new LogCompactor<C, S>({
       log: name,
       logger,
@@ -154,7 +157,7 @@
     this.#linkMembers(this.#node);
     this.#scheduleTick();
     this.#repairTimer = setInterval(
-      () => this.#repairMembers(),
+      () => this.#repair.run(this.#node),
       REPAIR_INTERVAL_MS,
     );
   }
@@ -330,7 +333,7 @@
       this.#compact();
       const isRepairing = effect.entries
         .some(({ content }) => content.type === "members");
-      if (isRepairing) setImmediate(() => this.#repairMembers());
+      if (isRepairing) setImmediate(() => this.#repair.run(this.#node));
     } else if (effect.type === "restore") {
       this.#state = this.#options.createState().load(effect.snapshot.state);
       this.#applied = effect.snapshot.index;
@@ -372,28 +375,12 @@
     onRole(isLeader);
   }
 
-  #repairMembers(): void {
-    const node = this.#node;
-    if (node === undefined || !node.hasCommittedOwnTerm) return;
-    const { now, presentReplicas, wantedVoters, logger } = this.#options;
-    this.#learners.check(node as ConsensusNode<unknown, unknown>);
-    const next = nextMembers({
-      members: node.members,
-      present: presentReplicas(),
-      wantedVoters: wantedVoters(),
-      wantedLearners: this.#options.wantedLearners,
-      isPermanentlyDown: this.#options.isLost,
-      isRetiring: this.#options.isRetiring,
-      isCaughtUp: (replica) => node.isCaughtUp(replica, now()),
-    });
-    if (next === undefined) return;
-    this.#step((n) => {
-      if (n.proposeMembers(next, now()) === undefined) return;
-      logger.event("controlMembers", {
-        log: this.#options.name,
-        voters: next.voters,
-        learners: next.learners,
-      });
+  #proposeMembers(members: Members): void {
+    const { logger, now, name } = this.#options;
+    this.#step((node) => {
+      if (node.proposeMembers(members, now()) === undefined) return;
+      const { voters, learners } = members;
+      logger.event("controlMembers", { log: name, voters, learners });
     });
   }
 
--- a/src/tasks/log/log_driver_test.ts
+++ b/src/tasks/log/log_driver_test.ts
@@ -4,6 +4,7 @@
 import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
 import { BatchState } from "../../core/batches/mod.ts";
 import { Logger } from "../../logging/mod.ts";
+import { CommandList } from "../../../tests/support/command_list.ts";
 import {
   losePower,
   type SyncedSizes,
@@ -11,7 +12,6 @@
 } from "../../../tests/support/sync_recorder.ts";
 import { LogDriver } from "./log_driver.ts";
 import { LogStore } from "./log_store.ts";
-import type { StateMachine } from "./state_machine.ts";
 
 const TIMEOUT_MS = 20_000;
 
@@ -121,24 +121,6 @@
   });
 });
 
-/** Remembers all commands. */
-class CommandList implements StateMachine<string, string[], number> {
-  #commands: string[] = [];
-
-  apply(command: string): number {
-    return this.#commands.push(command);
-  }
-
-  save(): string[] {
-    return [...this.#commands];
-  }
-
-  load(commands: string[]): this {
-    this.#commands = [...commands];
-    return this;
-  }
-}
-
 type Driver = LogDriver<string, string[], number, CommandList>;
 
 describe("a command that was acknowledged", () => {
