Items are told apart by their workspace and content, not by their identifiers alone

Cause: ItemTracker found progress, stored texts, failures and backoff by the item's identifier alone.

Change: one identity of an item: workspace, identifier, host, path, model and body. An item that comes again in its workspace keeps it; texts of an earlier build are found.

--- a/soak/output_simulation.ts
+++ b/soak/output_simulation.ts
@@ -277,12 +277,12 @@
       if (report === undefined) continue;
       const process = this.#connect(report, text.size > 0);
       if (process === undefined) {
-        this.#tracker.progressOf(waiting.item).unverifiedRuns += 1;
+        this.#tracker.progressOf(waiting).unverifiedRuns += 1;
         return;
       }
       if (text.size > 0) this.#count("resumed");
       this.#setWriter(text, report, process);
-      this.#tracker.onRunStarted(waiting.item, text.size > 0);
+      this.#tracker.onRunStarted(waiting, text.size > 0);
       this.#itemRuns.push({ waiting, process, text: text.setVersion(1) });
       return;
     }
--- a/src/core/batches/item_tracker.ts
+++ b/src/core/batches/item_tracker.ts
@@ -1,7 +1,7 @@
 /** Progress of items between their runs. */
-import type { BatchItem } from "./batch.ts";
 import type { BatchRecord } from "./batch_record.ts";
 import type { WaitingItem } from "./batch_record.ts";
+import { identityOf } from "./item_identity.ts";
 import { type PartialText, RunText } from "./run_text.ts";
 
 /** Progress of one item. */
@@ -52,7 +52,10 @@
 const MAX_UNVERIFIED_RUNS = 2;
 const NO_TARGETS: ReadonlySet<string> = new Set();
 
-/** Tracks the progress of items and the batch that first contained each. */
+/**
+ * Tracks the progress of items and the batch that first contained each, by
+ * {@link identityOf}.
+ */
 export class ItemTracker {
   readonly #progress = new Map<string, ItemProgress>();
   readonly #firstBatch = new Map<string, string>();
@@ -67,8 +70,9 @@
   }
 
   /** Gets the mutable progress of an item; creates it if necessary. */
-  progressOf(item: BatchItem): ItemProgress {
-    let progress = this.#progress.get(item.id);
+  progressOf(waiting: WaitingItem): ItemProgress {
+    const identity = keyOf(waiting);
+    let progress = this.#progress.get(identity);
     if (progress !== undefined) return progress;
     progress = {
       partialText: undefined,
@@ -83,32 +87,32 @@
       heldAt: undefined,
       excludedTargets: new Set(),
     };
-    this.#progress.set(item.id, progress);
+    this.#progress.set(identity, progress);
     return progress;
   }
 
   /** Gets the targets to avoid for an item while others are eligible. */
-  excludedTargetsOf(item: BatchItem): ReadonlySet<string> {
-    return this.#progress.get(item.id)?.excludedTargets ?? NO_TARGETS;
+  excludedTargetsOf(waiting: WaitingItem): ReadonlySet<string> {
+    return this.#progress.get(keyOf(waiting))?.excludedTargets ?? NO_TARGETS;
   }
 
   /** Gets whether an item is in backoff after a run that ended early. */
-  isBackingOff(item: BatchItem, now: number): boolean {
-    return now < (this.#progress.get(item.id)?.notBefore ?? -Infinity);
+  isBackingOff(waiting: WaitingItem, now: number): boolean {
+    return now < (this.#progress.get(keyOf(waiting))?.notBefore ?? -Infinity);
   }
 
   /** Saves the output of a run, so that a later run can continue it. */
-  savePartialText({ record, item }: WaitingItem, text: RunText): this {
+  savePartialText(waiting: WaitingItem, text: RunText): this {
     if (text.size === 0) return this;
-    const progress = this.progressOf(item);
+    const progress = this.progressOf(waiting);
     progress.partialText = text.partialText;
-    progress.service = record.spec.service;
+    progress.service = waiting.record.spec.service;
     return this;
   }
 
   /** Delays the next run of an item, with exponential backoff. */
-  backOff(item: BatchItem, now: number): this {
-    const progress = this.progressOf(item);
+  backOff(waiting: WaitingItem, now: number): this {
+    const progress = this.progressOf(waiting);
     const backoffMs = FIRST_BACKOFF_MS *
       2 ** Math.min(progress.interruptedRuns, 8);
     progress.interruptedRuns += 1;
@@ -120,26 +124,26 @@
    * Records that only its partial output prevents an item from running.
    * @returns The time since that was first the case, in milliseconds.
    */
-  trackStranded(item: BatchItem, now: number): number {
-    const progress = this.progressOf(item);
+  trackStranded(waiting: WaitingItem, now: number): number {
+    const progress = this.progressOf(waiting);
     progress.strandedAt ??= now;
     return now - progress.strandedAt;
   }
 
   /** Records that an item waits although slots are free. */
-  onHeld(item: BatchItem, now: number): this {
-    this.progressOf(item).heldAt ??= now;
+  onHeld(waiting: WaitingItem, now: number): this {
+    this.progressOf(waiting).heldAt ??= now;
     return this;
   }
 
   /** Gets how long an item has waited although slots are free. */
-  heldMs(item: BatchItem, now: number): number {
-    return now - (this.#progress.get(item.id)?.heldAt ?? now);
+  heldMs(waiting: WaitingItem, now: number): number {
+    return now - (this.#progress.get(keyOf(waiting))?.heldAt ?? now);
   }
 
   /** Records that an item runs, whether it continues or restarts. */
-  onRunStarted(item: BatchItem, isResumed: boolean): this {
-    const known = this.#progress.get(item.id);
+  onRunStarted(waiting: WaitingItem, isResumed: boolean): this {
+    const known = this.#progress.get(keyOf(waiting));
     if (known === undefined) return this;
     known.strandedAt = undefined;
     known.heldAt = undefined;
@@ -153,15 +157,15 @@
    * continued.
    */
   outputOf(
-    { record, item }: WaitingItem,
+    waiting: WaitingItem,
     records: readonly BatchRecord[],
   ): KnownOutput {
-    const texts = this.#textsOf({ record, item }, records)
-      .filter((text) => fitsBatch(text, record));
+    const texts = this.#textsOf(waiting, records)
+      .filter((text) => fitsBatch(text, waiting.record));
     const complete = texts.find(({ isComplete }) => isComplete);
     const known = texts.filter(({ software }) => software !== undefined)
       .sort((a, b) => b.lastId - a.lastId);
-    const unverified = this.#progress.get(item.id)?.unverifiedRuns ?? 0;
+    const unverified = this.#progress.get(keyOf(waiting))?.unverifiedRuns ?? 0;
     const isResumable = unverified < MAX_UNVERIFIED_RUNS;
     return {
       complete: complete && new RunText(complete),
@@ -172,20 +176,19 @@
 
   /** Gets the texts that targets of the batch's service wrote for an item. */
   #textsOf(
-    { record, item }: WaitingItem,
+    waiting: WaitingItem,
     records: readonly BatchRecord[],
   ): PartialText[] {
-    const { service } = record.spec;
-    const progress = this.#progress.get(item.id);
+    const { service } = waiting.record.spec;
+    const progress = this.#progress.get(keyOf(waiting));
     const own = progress?.service === service
       ? progress.partialText
       : undefined;
     const texts = own === undefined ? [] : [own];
     for (const other of records) {
-      const text = other.getPartialText(item.id);
-      if (text !== undefined && other.spec.service === service) {
-        texts.push(text);
-      }
+      if (other.spec.service !== service) continue;
+      const text = other.getPartialText(waiting.item.id);
+      if (text !== undefined && isSameItem(waiting, other)) texts.push(text);
     }
     return texts;
   }
@@ -194,8 +197,10 @@
   indexFirstBatches(records: readonly BatchRecord[]): this {
     for (let i = this.#indexedBatches; i < records.length; i += 1) {
       const { spec } = records[i];
-      for (const { id } of spec.items) {
-        if (!this.#firstBatch.has(id)) this.#firstBatch.set(id, spec.id);
+      for (const item of spec.items) {
+        const identity = identityOf(spec, item);
+        if (this.#firstBatch.has(identity)) continue;
+        this.#firstBatch.set(identity, spec.id);
       }
     }
     this.#indexedBatches = records.length;
@@ -203,16 +208,16 @@
   }
 
   /** Gets whether an earlier batch contained the item. */
-  isResubmitted(record: BatchRecord, item: BatchItem): boolean {
-    return this.#firstBatch.get(item.id) !== record.spec.id;
+  isResubmitted(waiting: WaitingItem): boolean {
+    return this.#firstBatch.get(keyOf(waiting)) !== waiting.record.spec.id;
   }
 
   /** Removes the items of deleted batches once many items are tracked. */
   forget(records: readonly BatchRecord[]): this {
     if (this.#firstBatch.size < PRUNE_THRESHOLD_ITEMS) return this;
     const live = new Set<string>();
-    for (const record of records) {
-      for (const item of record.spec.items) live.add(item.id);
+    for (const { spec } of records) {
+      for (const item of spec.items) live.add(identityOf(spec, item));
     }
     for (const id of this.#progress.keys()) {
       if (!live.has(id)) this.#progress.delete(id);
@@ -223,6 +228,17 @@
   }
 }
 
+function keyOf({ record, item }: WaitingItem): string {
+  return identityOf(record.spec, item);
+}
+
+/** Gets whether another batch has the same item, not only its identifier. */
+export function isSameItem(waiting: WaitingItem, other: BatchRecord): boolean {
+  const item = other.getItem(waiting.item.id);
+  return item !== undefined &&
+    identityOf(other.spec, item) === keyOf(waiting);
+}
+
 function fitsBatch({ versions }: PartialText, { spec }: BatchRecord): boolean {
   const isFresh = versions.every((version) => version >= spec.minVersion);
   return isFresh && (!spec.isSingleVersion || versions.length <= 1);
--- a/src/core/batches/item_tracker_test.ts
+++ b/src/core/batches/item_tracker_test.ts
@@ -25,7 +25,9 @@
     const second = record("b2", ids);
     const tracker = new ItemTracker().indexFirstBatches([first, second]);
     const resubmitted = ids
-      .filter((id) => tracker.isResubmitted(second, itemOf(second, id)));
+      .filter((id) =>
+        tracker.isResubmitted({ record: second, item: itemOf(second, id) })
+      );
     expect(resubmitted).toEqual(expected);
   }
 
@@ -34,10 +36,10 @@
 
   it("doubles the backoff of an item with each interrupted run", () => {
     const batch = record("b1", ["i1"]);
-    const item = itemOf(batch, "i1");
-    const tracker = new ItemTracker().backOff(item, 0).backOff(item, 0);
-    expect(tracker.isBackingOff(item, 30)).toBe(true);
-    expect(tracker.isBackingOff(item, 41)).toBe(false);
+    const waiting = { record: batch, item: itemOf(batch, "i1") };
+    const tracker = new ItemTracker().backOff(waiting, 0).backOff(waiting, 0);
+    expect(tracker.isBackingOff(waiting, 30)).toBe(true);
+    expect(tracker.isBackingOff(waiting, 41)).toBe(false);
   });
 
   it("resumes only from output of a sufficiently new weight version", () => {
--- a/src/core/batches/mod.ts
+++ b/src/core/batches/mod.ts
@@ -17,6 +17,7 @@
 export * from "./result_cache.ts";
 export * from "./data_centre_reach.ts";
 export * from "./demand_meter.ts";
+export * from "./item_identity.ts";
 export * from "./item_tracker.ts";
 export * from "./prompt_locations.ts";
 export * from "./run_estimator.ts";
--- a/src/tasks/batches/item_placer.ts
+++ b/src/tasks/batches/item_placer.ts
@@ -99,7 +99,7 @@
    */
   choose(waiting: WaitingItem, text: RunText): PlacementResult {
     if (this.isExhausted(waiting)) return NOT_PLACED;
-    const { record, item } = waiting;
+    const { record } = waiting;
     const { itemTracker, prompts, dataCentre, now, wallNow } = this.#options;
     const { minVersion, isSingleVersion, service } = record.spec;
     const result = placeItem({
@@ -110,7 +110,7 @@
         : { service, software: text.software },
       versions: text.versions,
       isSingleVersion,
-      excluded: itemTracker.excludedTargetsOf(item),
+      excluded: itemTracker.excludedTargetsOf(waiting),
       cachingTargets: prompts.targetsOf(waiting, now),
       dataCentre,
       run: this.#expectRun(waiting, text.lastId),
@@ -118,7 +118,7 @@
       heldItems: this.#heldItems < MAX_HELD_PER_ROUND
         ? this.#heldItems
         : undefined,
-      heldForPrompt: itemTracker.heldMs(item, now) < MAX_PROMPT_WAIT_MS
+      heldForPrompt: itemTracker.heldMs(waiting, now) < MAX_PROMPT_WAIT_MS
         ? this.#heldByGroup.get(groupKeyOf(waiting)) ?? 0
         : undefined,
     });
@@ -134,7 +134,7 @@
     const key = groupKeyOf(waiting);
     this.#heldItems += 1;
     this.#heldByGroup.set(key, (this.#heldByGroup.get(key) ?? 0) + 1);
-    itemTracker.onHeld(waiting.item, now);
+    itemTracker.onHeld(waiting, now);
   }
 
   #expectRun(waiting: WaitingItem, received: number): ExpectedRun {
--- a/src/tasks/batches/item_starter.ts
+++ b/src/tasks/batches/item_starter.ts
@@ -92,7 +92,7 @@
     const permit = limiter.isLimited(target)
       ? limiter.useStored(target)
       : undefined;
-    itemTracker.onRunStarted(item, text.size > 0);
+    itemTracker.onRunStarted(waiting, text.size > 0);
     this.#logPlaced(waiting, { target, placement, text, output });
     const startedAt = this.#options.now();
     const isPromptCached = prompts.targetsOf(waiting, startedAt).has(target.id);
@@ -135,7 +135,7 @@
     if (placement === undefined) return undefined;
     if (partial.length === 0) return { placement, text };
     const { itemTracker, now } = this.#options;
-    const strandedMs = itemTracker.trackStranded(waiting.item, now());
+    const strandedMs = itemTracker.trackStranded(waiting, now());
     return strandedMs < STRANDED_WAIT_MS ? undefined : { placement, text };
   }
 
--- a/src/tasks/batches/placement_scheduler.ts
+++ b/src/tasks/batches/placement_scheduler.ts
@@ -75,15 +75,15 @@
       records,
       now: Date.now(),
       isWaiting: (record, item) => this.#isWaiting(record, item, now),
-      isResubmitted: (record, item) => itemTracker.isResubmitted(record, item),
+      isResubmitted: (record, item) =>
+        itemTracker.isResubmitted({ record, item }),
     });
     const placer = this.#options.createPlacer(now);
     const maxPlaced = Math.min(MAX_PLACED_PER_ROUND, pacer.left);
     let placed = 0;
     for (const waiting of order) {
       if (placed >= maxPlaced) break;
-      const { record, item } = waiting;
-      const isResubmitted = itemTracker.isResubmitted(record, item);
+      const isResubmitted = itemTracker.isResubmitted(waiting);
       if (isResubmitted && results.reuseResult(waiting, all)) continue;
       if (starter.start(waiting, placer, all)) placed += 1;
     }
@@ -107,6 +107,6 @@
     }
     const isRunning = runs.has(record.spec.id, item.id);
     if (isRunning || results.isPending(key)) return false;
-    return !itemTracker.isBackingOff(item, now);
+    return !itemTracker.isBackingOff({ record, item }, now);
   }
 }
--- a/src/tasks/batches/result_writer.ts
+++ b/src/tasks/batches/result_writer.ts
@@ -3,6 +3,7 @@
   type BatchItem,
   type BatchRecord,
   type BatchResult,
+  isSameItem,
   type PartialTextRecord,
   type ResultRecord,
   ResultState,
@@ -104,10 +105,10 @@
     { record, item }: WaitingItem,
     records: readonly BatchRecord[],
   ): boolean {
-    const { minVersion, isSingleVersion, workspace } = record.spec;
+    const { minVersion, isSingleVersion } = record.spec;
     for (const other of records) {
-      if (other === record || other.spec.workspace !== workspace) continue;
-      if (!other.hasResult(item.id)) continue;
+      if (other === record || !other.hasResult(item.id)) continue;
+      if (!isSameItem({ record, item }, other)) continue;
       const result = other.getResult(item.id);
       if (result?.state !== ResultState.Completed) continue;
       const isFresh = result.versions.every((v) => v >= minVersion);
--- a/src/tasks/batches/run_failure_handler.ts
+++ b/src/tasks/batches/run_failure_handler.ts
@@ -49,7 +49,7 @@
     const { itemTracker, limiter } = this.#options;
     if (LOST_FAILURES.has(failure)) limiter.onLost(run.target);
     itemTracker.savePartialText(run, run.text);
-    const progress = itemTracker.progressOf(run.item);
+    const progress = itemTracker.progressOf(run);
     if (failure === RunFailure.Withheld) this.#logWithheld(run, detail);
     else this.#logBroken(run, failure, detail);
     this.#handlers[failure](run, progress);
@@ -130,8 +130,8 @@
     targetPace.onFailure(target, now());
   }
 
-  #backOffItem({ item }: ItemRun): void {
+  #backOffItem(run: ItemRun): void {
     const { itemTracker, now } = this.#options;
-    itemTracker.backOff(item, now());
+    itemTracker.backOff(run, now());
   }
 }
--- a/src/tasks/batches/run_mover.ts
+++ b/src/tasks/batches/run_mover.ts
@@ -96,7 +96,7 @@
         reason: "silent",
         detail: `No event for ${Math.round(run.silenceMs)} ms`,
       });
-      itemTracker.progressOf(run.item).silentRuns += 1;
+      itemTracker.progressOf(run).silentRuns += 1;
       targetPace.onFailure(run.target, now);
       reach.onUnanswered(run.target);
     }
@@ -140,7 +140,7 @@
     if (run.wasPaceKnown || !targetPace.isPaceKnown(run.target)) {
       return undefined;
     }
-    const { isPaceCorrected } = itemTracker.progressOf(run.item);
+    const { isPaceCorrected } = itemTracker.progressOf(run);
     return isPaceCorrected ? undefined : "misplaced";
   }
 
@@ -160,7 +160,7 @@
     const moveMs = placement.expectedMs;
     if (!mayMoveRun({ stayMs, moveMs })) return false;
     if (reason === "misplaced") {
-      itemTracker.progressOf(run.item).isPaceCorrected = true;
+      itemTracker.progressOf(run).isPaceCorrected = true;
     }
     const paceMs = targetPace.paceMs(run.target, now);
     this.#cancelRun(run, {
@@ -200,7 +200,7 @@
    * item that was too silent, so that a slow but sound target completes it.
    */
   #silenceTimeoutMs(run: ItemRun, now: number): number {
-    const { silentRuns } = this.#options.itemTracker.progressOf(run.item);
+    const { silentRuns } = this.#options.itemTracker.progressOf(run);
     const doublings = Math.min(silentRuns, MAX_TIMEOUT_DOUBLINGS);
     return this.#usualSilenceMs(run, now) * 2 ** doublings;
   }
@@ -233,7 +233,7 @@
     run.cancel();
     runs.remove(run);
     itemTracker.savePartialText(run, run.text);
-    itemTracker.progressOf(run.item).excludedTargets.add(run.target.id);
+    itemTracker.progressOf(run).excludedTargets.add(run.target.id);
     metrics.count("items.moved");
     metrics.count(MOVE_METRICS[reason]);
     logger.event("itemMoved", {
