--- a/src/core/ledger/ledger_log.ts
+++ b/src/core/ledger/ledger_log.ts
@@ -1,4 +1,5 @@
 /** In-memory log of a ledger replica. */
+import { estimateBytes } from "../consensus/mod.ts";
 import type { LedgerRecord } from "./ledger_record.ts";
 
 /** A record with its position in the log. */
@@ -18,15 +19,24 @@
   readonly view: number;
 }
 
+/** Limits of the entries that a log retains. */
+export interface RetentionLimits {
+  readonly maxEntries: number;
+  /** Maximum size of the records, in bytes. */
+  readonly maxBytes: number;
+}
+
 /** Holds the entries after a base position. */
 export class LedgerLog {
   #base: LedgerPosition;
   #entries: LedgerEntry[] = [];
+  /** Sizes of the records, in bytes. */
+  #sizes: number[] = [];
 
   /** Creates a log from a stored base position and entries. */
   constructor(base: LedgerPosition, entries: readonly LedgerEntry[] = []) {
     this.#base = base;
-    this.#entries = entries.filter((entry) => entry.index > base.index);
+    this.append(entries.filter((entry) => entry.index > base.index));
   }
 
   /** Gets the index and view of the last entry. */
@@ -62,13 +72,18 @@
 
   /** Appends entries. */
   append(entries: readonly LedgerEntry[]): this {
-    this.#entries.push(...entries);
+    for (const entry of entries) {
+      this.#entries.push(entry);
+      this.#sizes.push(estimateBytes(entry.record));
+    }
     return this;
   }
 
   /** Removes the entries after an index. */
   truncateAfter(index: number): this {
-    this.#entries.length = Math.max(0, index - this.#base.index);
+    const count = Math.max(0, index - this.#base.index);
+    this.#entries = this.#entries.slice(0, count);
+    this.#sizes = this.#sizes.slice(0, count);
     return this;
   }
 
@@ -79,15 +94,29 @@
   dropUpTo(index: number): this {
     const view = this.viewAt(index);
     if (view === undefined) return this;
+    this.#sizes = this.#sizes.slice(index - this.#base.index);
     this.#entries = this.after(index);
     this.#base = { index, view };
     return this;
   }
 
+  /** Gets the last index up to which entries exceed limits. */
+  excessIndex({ maxEntries, maxBytes }: RetentionLimits): number {
+    let start = this.#entries.length;
+    let bytes = 0;
+    while (start > 0 && this.#entries.length - start < maxEntries) {
+      bytes += this.#sizes[start - 1];
+      if (bytes > maxBytes) break;
+      start -= 1;
+    }
+    return this.#base.index + start;
+  }
+
   /** Drops all entries and sets a new base. */
   reset(base: LedgerPosition): this {
     this.#base = base;
     this.#entries = [];
+    this.#sizes = [];
     return this;
   }
 }
--- a/src/core/ledger/ledger_replica.ts
+++ b/src/core/ledger/ledger_replica.ts
@@ -15,89 +15,15 @@
   LedgerTransfer,
 } from "./ledger_message.ts";
 import type { LedgerRecord } from "./ledger_record.ts";
+import {
+  ALL_LEDGER_GUARDS,
+  type LedgerGuards,
+  type LedgerReplicaOptions,
+  type StoredLedger,
+} from "./ledger_options.ts";
+import type { LedgerEffect } from "./ledger_effect.ts";
 import { type LedgerSnapshot, LedgerState } from "./ledger_state.ts";
 
-/** Persistent state of a ledger replica. */
-export interface StoredLedger {
-  /** Epoch of the ledger state; see {@link LedgerView}. */
-  readonly epoch: number;
-  /** Highest view number seen. */
-  readonly view: number;
-  /** State up to and including `base`. */
-  readonly snapshot?: LedgerSnapshot;
-  /** Last position included in the snapshot. */
-  readonly base: LedgerPosition;
-  /** Entries after `base`. */
-  readonly entries: readonly LedgerEntry[];
-}
-
-/**
- * A side effect requested by the replica. Effects must be carried out in order.
- *
- * A `write` must be synced (if there is a disk) before any later effect is
- * carried out; then `onWritten` must be called with the effect's `index`.
- */
-export type LedgerEffect =
-  | {
-    readonly type: "write";
-    readonly epoch: number;
-    readonly view: number;
-    /** State that replaces all stored data. */
-    readonly snapshot?: LedgerSnapshot;
-    readonly base?: LedgerPosition;
-    /**
-     * Index after which stored entries are deleted before `entries` are added.
-     */
-    readonly truncateAfter?: number;
-    readonly entries: readonly LedgerEntry[];
-    /** Last index in the log after the write. */
-    readonly index: number;
-  }
-  | { readonly type: "send"; readonly message: LedgerMessage }
-  | {
-    readonly type: "applied";
-    readonly entry: LedgerEntry;
-    /** Invariant violation for which the record was rejected, if any. */
-    readonly error: Error | undefined;
-  }
-  | { readonly type: "role"; readonly isPrimary: boolean }
-  | { readonly type: "proposeView"; readonly view: LedgerView };
-
-/**
- * Safety checks. A test may disable one to show that the soak test detects its
- * absence.
- */
-export interface LedgerGuards {
-  /** The primary commits a record only after all backups have stored it. */
-  readonly waitsForBackups: boolean;
-  /** A member of a newer view refuses the primary of an older view. */
-  readonly refusesOldView: boolean;
-  /** A joining replica becomes a backup only once it holds all records. */
-  readonly joinerCaughtUp: boolean;
-}
-
-/** Enables all safety checks. */
-export const ALL_LEDGER_GUARDS: LedgerGuards = {
-  waitsForBackups: true,
-  refusesOldView: true,
-  joinerCaughtUp: true,
-};
-
-/** Options of {@link LedgerReplica}. */
-export interface LedgerReplicaOptions {
-  /**
-   * This process, with the incarnation of its disk or, without one, of its
-   * start.
-   */
-  readonly self: string;
-  /** State loaded from disk, if any. */
-  readonly stored?: StoredLedger;
-  /** Wanted number of backups besides the primary. */
-  readonly wantedBackups: number;
-  /** Enabled safety checks. Defaults to all. */
-  readonly guards?: LedgerGuards;
-}
-
 type Handlers = {
   readonly [T in LedgerMessage["type"]]: (
     message: Extract<LedgerMessage, { type: T }>,
@@ -106,8 +32,8 @@
 
 /** Maximum number of entries in one message. */
 const MAX_ENTRIES = 128;
-/** Number of applied entries retained for lagging replicas. */
-const RETAINED_ENTRIES = 4_096;
+/** Limits of the applied entries retained for lagging replicas. */
+const RETENTION = { maxEntries: 4_096, maxBytes: 16_777_216 };
 
 /**
  * Implements primary-backup replication of the ledger.
@@ -275,7 +201,7 @@
 
   /** Drops old applied entries, except those retained for lagging replicas. */
   compact(): void {
-    const upTo = this.#applied - RETAINED_ENTRIES;
+    const upTo = Math.min(this.#applied, this.#log.excessIndex(RETENTION));
     if (upTo <= this.#log.base.index) return;
     this.#log.dropUpTo(upTo);
   }
