--- a/src/core/dispatch/dispatcher.ts
+++ b/src/core/dispatch/dispatcher.ts
@@ -170,7 +170,10 @@
     return isRunning;
   }
 
-  /** Adds or updates a target; a new incarnation implies that the old died. */
+  /**
+   * Adds or updates a target; a new incarnation implies that the old one has
+   * crashed.
+   */
   announce(announcement: TargetAnnouncement, now: number): DispatchEffect[] {
     const existing = this.targets.get(announcement.id);
     const isRestarted = existing !== undefined &&
@@ -240,7 +243,7 @@
   }
 
   /**
-   * Records that the process of a target has died.
+   * Records that the process of a target has crashed.
    *
    * Must be called before `finish` for the interrupted attempts, so that none
    * of them is retried before it is under suspicion. The exit of a leaving
--- a/src/core/fleet/fleet_command.ts
+++ b/src/core/fleet/fleet_command.ts
@@ -33,7 +33,7 @@
   }
   | { readonly type: "usageReported"; readonly window: number }
   | {
-    /** Reports which requests targets died under, and which completed. */
+    /** Reports which requests targets crashed under, and which completed. */
     readonly type: "reportRuns";
     readonly deaths: readonly TargetDeath[];
     /** Fingerprints under suspicion that have completed. */
--- a/src/core/quarantine/quarantine.ts
+++ b/src/core/quarantine/quarantine.ts
@@ -4,9 +4,9 @@
 export const Suspicion = {
   /** No crash of a target is attributed to it. */
   Clear: "clear",
-  /** A target died while running it; too little evidence to refuse it. */
+  /** A target crashed while running it; too little evidence to refuse it. */
   Suspect: "suspect",
-  /** Enough targets died while running it: requests are refused. */
+  /** Enough targets crashed while running it: requests are refused. */
   Proven: "proven",
 } as const;
 
@@ -19,7 +19,7 @@
   readonly fingerprint: string;
   /** New level of suspicion. */
   readonly suspicion: Suspicion;
-  /** Number of targets that died while running it. */
+  /** Number of targets that crashed while running it. */
   readonly deaths: number;
   /** The last of these targets, each named with its incarnation. */
   readonly targets?: readonly string[];
@@ -62,10 +62,10 @@
 /**
  * Tracks the suspicion against fingerprints.
  *
- * A fingerprint is proven by a death while it ran alone, if a target has died
- * running it before, or by {@link MAX_DEATHS} deaths, alone or not. Since harmless
- * requests may run on targets that die for another reason, a proven fingerprint
- * gets trial runs at growing intervals.
+ * A fingerprint is proven by a crash while it ran alone, if a target has
+ * crashed running it before, or by {@link MAX_DEATHS} deaths, alone or not.
+ * Since harmless requests may run on targets that crash for another reason, a
+ * proven fingerprint gets trial runs at growing intervals.
  *
  * @example
  * ```ts
@@ -84,7 +84,7 @@
   }
 
   /**
-   * Records that a target died.
+   * Records that a target crashed.
    * @param fingerprints - Fingerprints of all requests that it was running.
    * @param target - The target, named with its incarnation.
    */
@@ -100,7 +100,7 @@
   }
 
   /**
-   * Records that a target died under a request whose neighbours are unknown.
+   * Records that a target crashed under a request whose neighbours are unknown.
    * @returns Undefined if the death is already counted, or proves nothing more.
    */
   recordDeath({ fingerprint, target, at }: TargetDeath):
@@ -176,7 +176,7 @@
   }
 
   /**
-   * Merges a change from another instance: the targets that died add up. A
+   * Merges a change from another instance: the targets that crashed add up. A
    * proven suspicion is final.
    */
   merge(change: SuspicionChange): this {
--- a/src/tasks/batches/item_placer.ts
+++ b/src/tasks/batches/item_placer.ts
@@ -45,7 +45,7 @@
  * work of a round.
  */
 const MAX_HELD_PER_ROUND = 32;
-/** Number of runs that show whether a target that was sick has recovered. */
+/** Number of runs that show whether a degraded target has recovered. */
 const MAX_RECOVERING_RUNS = 1;
 /** Time for which an item waits for a target that has read its prompt. */
 const MAX_PROMPT_WAIT_MS = 300;
--- a/src/tasks/batches/run_mover.ts
+++ b/src/tasks/batches/run_mover.ts
@@ -1,4 +1,4 @@
-/** Moves runs off silent, sick and slow targets. */
+/** Moves runs off silent, degraded and slow targets. */
 import {
   expectedStayMs,
   type ItemTracker,
@@ -66,7 +66,7 @@
  * that events may wait to be read.
  */
 const HELD_UP_MS = 200;
-/** Maximum number of runs moved off sick and slow targets in one round. */
+/** Maximum number of runs moved off degraded and slow targets in one round. */
 const MAX_MOVED_PER_ROUND = 12;
 /** Number of events of a run from which its pace is taken into account. */
 const MIN_EVENTS_FOR_PACE = 3;
@@ -114,8 +114,8 @@
   }
 
   /**
-   * Moves runs off sick targets, and off slow ones whose pace was unknown when
-   * the runs started, if they then end clearly earlier. None is moved while
+   * Moves runs off degraded targets, and off slow ones whose pace was unknown
+   * when the runs started, if they then end clearly earlier. None is moved while
    * this process is late: events that show a recovery may wait to be read.
    */
   moveSlowRuns(): void {
--- a/src/tasks/fleet/cold_targets.ts
+++ b/src/tasks/fleet/cold_targets.ts
@@ -17,8 +17,8 @@
   /** Gets the local monotonic time, in milliseconds. */
   readonly now: () => number;
   /**
-   * Gets the time for which this instance has not heard of targets, in
-   * milliseconds; 0 by default.
+   * Gets the time for which this instance has received no reports of targets,
+   * in milliseconds; 0 by default.
    */
   readonly outdatedMs?: () => number;
   /** Gets the wall-clock time, in milliseconds; by default, of this machine. */
@@ -86,7 +86,7 @@
 
   /**
    * Records that a target's process seems to have ended. Until a restart is
-   * heard of, a process under the same identifier would pass for warm.
+   * reported, a process under the same identifier would pass for warm.
    */
   onLost({ id, incarnation }: TargetReport): void {
     const target = this.#options.registry.get(id);
@@ -107,8 +107,8 @@
   }
 
   /**
-   * A target that was cold when the control instances were last heard may stay
-   * so for longer than it said then.
+   * A target that was cold when the control instances last sent reports may
+   * stay so for longer than it said then.
    */
   get #knownAt(): number {
     const { now, outdatedMs } = this.#options;
@@ -185,7 +185,7 @@
     const { slowStart } = this.#options.getService(report.service) ?? {};
     if (slowStart === undefined) return undefined;
     const { now, wallNow = Date.now } = this.#options;
-    // An instance that has just started hears of old targets, too.
+    // An instance that has just started receives reports of old targets, too.
     const ageMs = wallNow() - report.incarnation - (now() - joinedAt);
     if (ageMs > slowStart.durationMs + CLOCK_SKEW_MS) return undefined;
     const until = joinedAt + slowStart.durationMs;
--- a/src/tasks/fleet/permit_service.ts
+++ b/src/tasks/fleet/permit_service.ts
@@ -80,9 +80,9 @@
   }
 
   /**
-   * Applies what this replica knows to a target: an instance may not have heard
-   * yet that it is cold. Without a lease another replica may grant permits for
-   * a cold target by now.
+   * Applies what this replica knows to a target: an instance may not have been
+   * told yet that it is cold. Without a lease another replica may grant permits
+   * for a cold target by now.
    */
   #limit(limited: LimitedTarget): LimitedTarget[] {
     const { leaseEnd, now, registry } = this.#options;
--- a/src/tasks/targets/exchange.ts
+++ b/src/tasks/targets/exchange.ts
@@ -53,7 +53,7 @@
     readonly type: "failed";
     readonly reason: RefusalReason;
     readonly verdict: Verdict;
-    /** Whether the connection broke, which may mean that the target died. */
+    /** Whether the connection broke, which may mean that the target crashed. */
     readonly isBroken: boolean;
     /** HTTP status, if the target sent one. */
     readonly status?: number;
