--- a/src/tasks/calls/call_run_test.ts
+++ b/src/tasks/calls/call_run_test.ts
@@ -1,4 +1,4 @@
-import { describe, expect, it } from "vitest";
+import { describe, expect, it, vi } from "vitest";
 import { createCall } from "../../../tests/support/call_request.ts";
 import {
   createPolicy,
@@ -25,6 +25,7 @@
 
 const CALL = createCall({ key: "k", timeoutMs: 2_000 });
 
+const ROUTE_TIMEOUT_MS = 1_000;
 const FIRST_EVENT = "id: 1\ndata: x\n\n";
 
 const NO_LIMITS: RateGuard = {
@@ -140,7 +141,7 @@
   const route = createRoute({
     kind: options.kind ?? RouteKind.Idempotent,
     isResumable: options.stream !== undefined,
-    timeoutMs: options.timeoutMs ?? 1_000,
+    timeoutMs: options.timeoutMs ?? ROUTE_TIMEOUT_MS,
     objectiveMs: 60,
     maxAttempts: options.maxAttempts ?? 3,
   });
@@ -534,9 +535,16 @@
       }));
 
     it("asks full targets no more when its time is up", async () => {
-      const { reason, ids } = await play(["begun", full], options);
-      expect({ reason, ids: ids.slice(0, 3) })
-        .toEqual({ reason: "targetFailed", ids: ["t0", "t1", "t1"] });
+      vi.useFakeTimers();
+      try {
+        const played = play(["begun", full], options);
+        await vi.advanceTimersByTimeAsync(ROUTE_TIMEOUT_MS);
+        const { reason, ids } = await played;
+        expect({ reason, ids: ids.slice(0, 3) })
+          .toEqual({ reason: "targetFailed", ids: ["t0", "t1", "t1"] });
+      } finally {
+        vi.useRealTimers();
+      }
     });
 
     it("asks a full target once before its first event", () =>
--- a/src/tasks/calls/call_targets.ts
+++ b/src/tasks/calls/call_targets.ts
@@ -1,5 +1,4 @@
 /** Choice of the targets of a single call. */
-import { setTimeout as sleep } from "node:timers/promises";
 import {
   type CallPlacementInput,
   drainMsOf,
@@ -18,6 +17,7 @@
   type TargetReport,
 } from "../../core/registry/mod.ts";
 import type { Metrics } from "../../metrics/mod.ts";
+import { delay } from "../delay.ts";
 import { checkPermit, checkTarget, type SendGuard } from "../send_guard.ts";
 import type { CallSpread } from "./call_run_options.ts";
 import type { HeldPermit, RateGuard } from "./rate_guard.ts";
@@ -199,7 +199,7 @@
     this.#permitAfterMs = permit === undefined ? retryAfterMs : undefined;
     if (permit === undefined) return undefined;
     const { target, afterMs } = permit;
-    if (afterMs > 0) await sleep(afterMs);
+    if (afterMs > 0) await delay(afterMs);
     this.#permit = permit;
     const isValid = checkPermit(permit) === undefined;
     return registry.maySendTo(target.id) && isValid ? target : undefined;
@@ -211,7 +211,7 @@
     const mayWait = this.#full.size > 0 && this.#options.hasHead() &&
       leftMs > FULL_RETRY_MS;
     if (ranked.length > 0 || !mayWait) return ranked;
-    await sleep(FULL_RETRY_MS);
+    await delay(FULL_RETRY_MS);
     for (const id of this.#full) this.#tried.delete(id);
     this.#full.clear();
     return this.#rank();
