Results list their fields in one order whatever build stored them

The cause was hidden: the client's check 'a listed result never changes' compares the text, and a result that another build's replica gave had its fields in another order, since results are kept as the log brings them. Same content, but a caller that compares bytes sees a change during an upgrade.

The client of the tests names the last cause of its retries.

--- a/src/core/batches/batch_record.ts
+++ b/src/core/batches/batch_record.ts
@@ -95,12 +95,12 @@
     result: BatchResult,
     after: number,
   ): BatchResult | undefined {
-    if (after === 0) return result;
+    if (after === 0) return createResult(result, result.text);
     const stored = this.#partialTexts.get(result.id);
     if (stored === undefined || stored.lastId < after) return undefined;
     const pieces = stored.pieces.slice(0, after);
     if (result.text.length > 0) pieces.push(result.text);
-    return { ...result, text: pieces.join("\n") };
+    return createResult(result, pieces.join("\n"));
   }
 
   /** Gets the partial output of an item that has no result yet. */
@@ -166,3 +166,12 @@
     return { total: this.#items.size, next, results };
   }
 }
+
+/** Creates a result whose fields have the order in which all builds list them. */
+function createResult(
+  { id, state, versions, score }: BatchResult,
+  text: string,
+): BatchResult {
+  const result = { id, state, text, versions };
+  return score === undefined ? result : { ...result, score };
+}
--- a/src/core/batches/batch_record_test.ts
+++ b/src/core/batches/batch_record_test.ts
@@ -37,6 +37,24 @@
     expect(record.results).toEqual([completed("i1", "first")]);
   });
 
+  // Guards against results that read differently from replicas of two builds.
+  it("lists the fields of each result in one order", () => {
+    const record = new BatchRecord(SPEC);
+    const [text, versions, state] = ["b", [1], ResultState.Completed];
+    record.addResult({ versions, text, state, id: "i1" });
+    record.appendPartialText({
+      batch: "b",
+      item: "i2",
+      after: 0,
+      pieces: ["a"],
+      versions,
+    });
+    record.addResult({ state, versions, text, id: "i2", score: "9" }, 1);
+    const fields = record.results.map((result) => Object.keys(result));
+    expect(fields[0]).toEqual(["id", "state", "text", "versions"]);
+    expect(fields[1]).toEqual(["id", "state", "text", "versions", "score"]);
+  });
+
   it("limits a page by size but returns at least one result", () => {
     doTest(["i1", "i2"], { after: 0, maxBytes: 1 }, ["i1"]);
   });
--- a/tests/support/fleet_trainer.ts
+++ b/tests/support/fleet_trainer.ts
@@ -149,7 +149,7 @@
     attempt: () => Promise<T | undefined>,
   ): Promise<T> {
     const endsAt = Date.now() + timeoutMs;
-    let lastError: unknown = new Error("No attempt was made");
+    let lastError = new Error("No attempt was made");
     while (Date.now() < endsAt) {
       try {
         const value = await attempt();
@@ -158,11 +158,13 @@
           "The last attempt succeeded without the expected result",
         );
       } catch (err) {
-        lastError = err;
+        lastError = err as Error;
       }
       await sleep(RETRY_DELAY_MS);
     }
-    throw new Error("Retries timed out", { cause: lastError });
+    throw new Error(`Retries timed out: ${lastError.message}`, {
+      cause: lastError,
+    });
   }
 
   async #send(
