--- a/src/core/batches/batch_record.ts
+++ b/src/core/batches/batch_record.ts
@@ -1,8 +1,23 @@
 /** State of one batch in the ledger: results and partial outputs. */
-import type { BatchItem, BatchResult, BatchSpec, ResultPage } from "./batch.ts";
+import type {
+  BatchItem,
+  BatchResult,
+  BatchSpec,
+  ResultPage,
+  ResultState,
+} from "./batch.ts";
 import type { PartialTextRecord } from "./batch_command.ts";
 import type { PartialText } from "./run_text.ts";
 
+/** A stored result; shares its text pieces with the log. */
+interface StoredResult {
+  readonly id: string;
+  readonly state: ResultState;
+  readonly pieces: readonly string[];
+  readonly versions: readonly number[];
+  readonly score: string | undefined;
+}
+
 /** An item that waits to be run. */
 export interface WaitingItem {
   readonly record: BatchRecord;
@@ -13,8 +28,8 @@
 export class BatchRecord {
   readonly spec: BatchSpec;
   readonly #items: ReadonlyMap<string, BatchItem>;
-  readonly #results: BatchResult[] = [];
-  readonly #resultsById = new Map<string, BatchResult>();
+  readonly #results: StoredResult[] = [];
+  readonly #resultsById = new Map<string, StoredResult>();
   readonly #partialTexts = new Map<string, PartialText>();
   #isEnded = false;
 
@@ -40,7 +55,7 @@
 
   /** Gets the results in the order of their positions. */
   get results(): readonly BatchResult[] {
-    return this.#results;
+    return this.#results.map(toResult);
   }
 
   /** Gets an item by its identifier. */
@@ -50,7 +65,8 @@
 
   /** Gets the result of an item, or undefined if there is none yet. */
   getResult(id: string): BatchResult | undefined {
-    return this.#resultsById.get(id);
+    const stored = this.#resultsById.get(id);
+    return stored === undefined ? undefined : toResult(stored);
   }
 
   /** Gets whether an item has a result. */
@@ -94,13 +110,14 @@
   #joinPartialText(
     result: BatchResult,
     after: number,
-  ): BatchResult | undefined {
-    if (after === 0) return createResult(result, result.text);
-    const stored = this.#partialTexts.get(result.id);
+  ): StoredResult | undefined {
+    const { id, state, text, versions, score } = result;
+    if (after === 0) return { id, state, pieces: [text], versions, score };
+    const stored = this.#partialTexts.get(id);
     if (stored === undefined || stored.lastId < after) return undefined;
     const pieces = stored.pieces.slice(0, after);
-    if (result.text.length > 0) pieces.push(result.text);
-    return createResult(result, pieces.join("\n"));
+    if (text.length > 0) pieces.push(text);
+    return { id, state, pieces, versions, score };
   }
 
   /** Gets the partial output of an item that has no result yet. */
@@ -157,7 +174,8 @@
   getPage(after: number, maxBytes: number): ResultPage {
     const results: BatchResult[] = [];
     let bytes = 0;
-    for (const result of this.#results.slice(after)) {
+    for (const stored of this.#results.slice(after)) {
+      const result = toResult(stored);
       bytes += Buffer.byteLength(result.text);
       if (results.length > 0 && bytes > maxBytes) break;
       results.push(result);
@@ -167,11 +185,9 @@
   }
 }
 
-/** Creates a result whose fields have the order in which all builds list them. */
-function createResult(
-  { id, state, versions, score }: BatchResult,
-  text: string,
-): BatchResult {
-  const result = { id, state, text, versions };
+/** Gets a result whose fields have the order in which all builds list them. */
+function toResult(stored: StoredResult): BatchResult {
+  const { id, state, pieces, versions, score } = stored;
+  const result = { id, state, text: pieces.join("\n"), versions };
   return score === undefined ? result : { ...result, score };
 }
--- a/src/tasks/batches/batch_task.ts
+++ b/src/tasks/batches/batch_task.ts
@@ -60,7 +60,8 @@
 export const FORM_METHOD = "batches.form";
 
 const COMPACT_ENTRIES = 8_192;
-const COMPACT_BYTES = 25_165_824;
+/** A smaller log would be compacted while most of its entries are in the state. */
+const COMPACT_BYTES = 134_217_728;
 const MAINTENANCE_INTERVAL_MS = 1_000;
 /** Time added to the retention period before results are deleted. */
 const EXPIRY_SLACK_MS = 30_000;
