An item's identity is looked up without encoding it again

identityOf stands on the path of each placement round and encoded workspace and identifier at every look-up only to check what it had cached. The cache holds the workspace now. Same identities: equal exactly when workspace, identifier, host, path, model and body are.

--- a/src/core/batches/item_identity.ts
+++ b/src/core/batches/item_identity.ts
@@ -2,8 +2,13 @@
 import { createHash } from "node:crypto";
 import type { BatchItem, BatchSpec } from "./batch.ts";
 
+interface KnownIdentity {
+  readonly workspace: string;
+  readonly identity: string;
+}
+
 /** Identities of items, which are computed once. */
-const identities = new WeakMap<BatchItem, string>();
+const identities = new WeakMap<BatchItem, KnownIdentity>();
 
 /**
  * Gets the identity of an item: its identifier, its workspace and what decides
@@ -21,14 +26,13 @@
   item: BatchItem,
 ): string {
   const known = identities.get(item);
-  const prefix = JSON.stringify([workspace, item.id]);
-  if (known?.startsWith(prefix) === true) return known;
-  const { path, model, body } = item;
+  if (known?.workspace === workspace) return known.identity;
+  const { id, path, model, body } = item;
   const hash = createHash("sha256")
     .update(JSON.stringify([host, path, model]))
     .update(body)
     .digest("base64");
-  const identity = prefix + hash;
-  identities.set(item, identity);
+  const identity = JSON.stringify([workspace, id, hash]);
+  identities.set(item, { workspace, identity });
   return identity;
 }
--- a/src/tasks/log/log_driver.ts
+++ b/src/tasks/log/log_driver.ts
@@ -12,12 +12,12 @@
   type ReplicaId,
   Role,
 } from "../../core/consensus/mod.ts";
+import { isStorageError } from "../storage/mod.ts";
 import { LeadershipWaiters } from "./leadership_waiters.ts";
 import { LogCompactor } from "./log_compactor.ts";
 import type { LogDriverOptions } from "./log_driver_options.ts";
 import { LogStore } from "./log_store.ts";
 import { MemberRepair } from "./member_repair.ts";
-import { isStorageError } from "../storage/mod.ts";
 import type { StateMachine } from "./state_machine.ts";
 
 type Write<C, S> = Extract<ConsensusEffect<C, S>, { type: "write" }>;
@@ -30,6 +30,7 @@
 /** Delay after a failure of the disk, which is often short. */
 const DISK_RETRY_DELAY_MS = 500;
 const MIN_TICK_MS = 5;
+
 /**
  * Owns the store and the consensus node of one replica, and executes the node's
  * effects. After a failure it reopens the store and starts again.
--- a/src/tasks/targets/caller_sink.ts
+++ b/src/tasks/targets/caller_sink.ts
@@ -44,7 +44,7 @@
   readonly #buffersStreams: boolean;
   readonly #buffered: Buffer[] = [];
   readonly #decoder = new TextDecoder();
-  /** Holds back what is not a complete event: a refusal may follow. */
+  /** Keeps what is not a complete event: a refusal may follow. */
   readonly #framer = new EventFramer();
   #parser: EventSourceParser | undefined;
   #head: ResponseHead | undefined;
