A signal in the first moments of a process is received

What was seen: a process that got SIGTERM, SIGINT, SIGHUP or SIGUSR2 before its settings were read ended at once by the signal's default action. SIGHUP is sent when the settings file is replaced, so that a replacement during a restart ended the new process, and a planned stop counted as a crash.

Cause: the handlers were set by FleetInstance.run, after all modules had been loaded and the settings read; SIGUSR2 had none at any time.

Left: signals before Node.js has loaded the program at all keep the default action. A stop signal during the start of a role still waits for that start.

--- a/src/tasks/fleet/fleet_instance.ts
+++ b/src/tasks/fleet/fleet_instance.ts
@@ -6,6 +6,7 @@
 import { type FleetSettings, loadFleetSettings } from "../../settings/mod.ts";
 import { MetricsServer } from "../metrics_server.ts";
 import { FleetNode } from "./fleet_node.ts";
+import type { ProcessSignals } from "./process_signals.ts";
 
 /** Work of an instance that is specific to its role. */
 export interface RoleTask {
@@ -18,6 +19,14 @@
 /** Creates the task of an instance's role. */
 export type RoleFactory = (node: FleetNode) => RoleTask;
 
+/** Options of {@link FleetInstance}. */
+export interface FleetInstanceOptions {
+  /** Factories of the roles. */
+  readonly roles: Readonly<Record<string, RoleFactory>>;
+  /** Signals of the process. */
+  readonly signals: ProcessSignals;
+}
+
 /** Rate limit of log lines per event; a step with many items logs in bursts. */
 const LOG_RATE_LIMIT = { linesPerS: 200, burst: 1_000 } as const;
 const WATCH_INTERVAL_MS = 2_000;
@@ -25,6 +34,7 @@
 /** Runs one instance until the process is asked to stop. */
 export class FleetInstance {
   readonly #file: string;
+  readonly #signals: ProcessSignals;
   readonly #node: FleetNode;
   readonly #role: RoleTask;
   readonly #logger: Logger;
@@ -36,8 +46,9 @@
    * Creates an instance from its settings file.
    * @throws if the file cannot be read or is invalid.
    */
-  constructor(file: string, roles: Readonly<Record<string, RoleFactory>>) {
+  constructor(file: string, options: FleetInstanceOptions) {
     this.#file = file;
+    this.#signals = options.signals;
     const settings = loadFleetSettings(file);
     this.#loadedModifiedMs = getModifiedMs(file);
     const metrics = new Metrics({ tags: { instance: settings.name } });
@@ -53,12 +64,11 @@
       metrics,
       describe: () => this.#role.describe(),
     });
-    this.#role = roles[settings.role](this.#node);
+    this.#role = options.roles[settings.role](this.#node);
   }
 
   /**
-   * Starts the instance; on SIGTERM or SIGINT, drains and stops it. Further
-   * signals change nothing: without a handler they would end the process.
+   * Starts the instance; drains and stops it when a signal asks for that.
    */
   async run(): Promise<void> {
     const { settings } = this.#node;
@@ -68,11 +78,7 @@
       seeds: settings.seeds,
       isFirstStart: settings.isFirstStart,
     });
-    const stopped = new Promise<void>((resolve) => {
-      process.on("SIGTERM", () => resolve());
-      process.on("SIGINT", () => resolve());
-    });
-    process.on("SIGHUP", () => this.#reload());
+    this.#signals.onReload(() => this.#reload());
     this.#watchTimer = setInterval(
       () => this.#reloadIfChanged(),
       WATCH_INTERVAL_MS,
@@ -80,7 +86,7 @@
     await this.#node.start();
     if (settings.metrics) await this.#metricsServer.listen(settings.metrics);
     await this.#role.start();
-    await stopped;
+    await this.#signals.stopped;
     this.#logger.event("instanceDraining");
     clearInterval(this.#watchTimer);
     this.#node.drain();
