Each end that a process chooses has a line with its reason

What was seen: processes ended by themselves and no log told why. A failed start, an uncaught exception and a rejected promise that no code awaited left a stack on standard error at most, not in the log of events, and a planned stop did not name its signal.

Cause: no handler of uncaught errors, and the entry point printed the error of a failed start itself.

Ruled out: writing the line asynchronously for uncaught errors, since timers would run on in an inconsistent state meanwhile.

--- a/src/logging/instance_events.ts
+++ b/src/logging/instance_events.ts
@@ -30,6 +30,16 @@
     action:
       "Correct the certificate files; they are read again when they change",
   }),
+  processStopped: defineEvent(1021, "info", {
+    text:
+      "Process ends as planned, with code 0; `reason` is the signal that asked for it",
+  }),
+  processFailed: defineEvent(1022, "error", {
+    text:
+      "Process ends on an error, with code 1; `reason` tells what it interrupts",
+    action:
+      "startFailed: correct what `message` names; otherwise report it as a bug with all fields of the event",
+  }),
   requestRefused: defineEvent(1101, "debug", {
     text: "Request refused",
   }),
--- a/src/tasks/fleet/fleet_instance.ts
+++ b/src/tasks/fleet/fleet_instance.ts
@@ -67,6 +67,11 @@
     this.#role = options.roles[settings.role](this.#node);
   }
 
+  /** Gets the name of the instance. */
+  get name(): string {
+    return this.#node.settings.name;
+  }
+
   /**
    * Starts the instance; drains and stops it when a signal asks for that.
    */
