A process reports that the one before ended without a last line

What was seen: a process that was killed, ran out of heap or lost its power left no line, so that its end could not be told from a planned one.

A process now keeps a small file while it runs, in its data folder or, without one, in the folder for temporary files, and removes it when its last line is written. Where the next process finds it, it logs event 1023 with the start and the build (the program's hash) of the process before. The file is replaced by a rename and never synced; one that is missing, empty or of another user tells nothing, and a failure to write it is logged (1024) and ends nothing. A process that still runs, as during a restart, is told by its start time and not reported; it leaves the file of the later one.

Evidence: the tests "by SIGKILL" and "by a full heap" of tests/process_ends_test.ts over real processes: killed and out-of-heap processes are reported by the next one, and a planned stop is not.

The test of a full output now throws only when the pipe takes no more: it had failed once, as its reader still took a first part and the line fitted.

--- a/src/logging/instance_events.ts
+++ b/src/logging/instance_events.ts
@@ -40,6 +40,17 @@
     action:
       "startFailed: correct what `message` names; otherwise report it as a bug with all fields of the event",
   }),
+  endUnlogged: defineEvent(1023, "warn", {
+    text:
+      "The process before ended without a last line; the fields tell its start and build",
+    action:
+      "Check whether it was killed, whether its last lines hold event 1025 (heap), and whether the machine lost power",
+  }),
+  processMarkerFailed: defineEvent(1024, "warn", {
+    text:
+      "File that tells the next process of an end without a last line cannot be written or removed",
+    action: "Check the data folder or the folder for temporary files",
+  }),
   requestRefused: defineEvent(1101, "debug", {
     text: "Request refused",
   }),
--- a/src/tasks/fleet/fleet_instance.ts
+++ b/src/tasks/fleet/fleet_instance.ts
@@ -6,7 +6,10 @@
 import { type FleetSettings, loadFleetSettings } from "../../settings/mod.ts";
 import { MetricsServer } from "../metrics_server.ts";
 import { FleetNode } from "./fleet_node.ts";
+import type { ProcessEnd } from "./process_end.ts";
+import { ProcessMarker } from "./process_marker.ts";
 import type { ProcessSignals } from "./process_signals.ts";
+import { readProgramBuild } from "./program_build.ts";
 
 /** Work of an instance that is specific to its role. */
 export interface RoleTask {
@@ -67,9 +70,13 @@
     this.#role = options.roles[settings.role](this.#node);
   }
 
-  /** Gets the name of the instance. */
-  get name(): string {
-    return this.#node.settings.name;
+  /** Sets what the line of the process's end names, and what it leaves. */
+  prepareEnd(end: ProcessEnd): this {
+    const { settings, logger } = this.#node;
+    const build = readProgramBuild();
+    const marker = new ProcessMarker({ settings, logger, build }).begin();
+    end.setInstance(settings.name).onLogged(() => marker.end());
+    return this;
   }
 
   /**
--- a/tests/process_ends_test.ts
+++ b/tests/process_ends_test.ts
@@ -219,9 +219,14 @@
   it("has a line on standard error if nobody reads the output", async () => {
     const instance = await createInstance();
     const child = instance.start({
+      // Throws once the pipe takes no more.
       before: `setTimeout(() => {
         process.stdout.write("x".repeat(4_000_000));
-        throw new Error("odd");
+        let length = 0;
+        setInterval(() => {
+          if (process.stdout.writableLength === length) throw new Error("odd");
+          length = process.stdout.writableLength;
+        }, 300);
       }, 1_500);`,
       settings: {},
     });
@@ -275,3 +280,46 @@
     expect(parseLines(errors).at(-1)).toMatchObject({ event: 1021 });
   });
 });
+
+describe("an end without a line", () => {
+  async function doTest(
+    options: ProcessOptions,
+    endProcess: (child: ChildProcess) => void,
+  ) {
+    const instance = await createInstance();
+    const { settings } = options;
+    const first = instance.start(options);
+    await waitForEvent(first, 2001);
+    endProcess(first);
+    await once(first, "exit");
+    const second = instance.start({ settings });
+    await waitForEvent(second, 1023);
+    second.kill("SIGTERM");
+    await waitForEnd(second);
+    const third = instance.start({ settings });
+    const output = waitForEnd(third);
+    await new Promise((resolve) => setTimeout(resolve, 2_000));
+    third.kill("SIGTERM");
+    const events = (await output).lines.map(({ event }) => event);
+    expect(events).toContain(2001);
+    expect(events).not.toContain(1023);
+  }
+
+  it("by SIGKILL is reported by the next process", async () => {
+    await doTest({ settings: {} }, (child) => child.kill("SIGKILL"));
+    const folder = mkdtempSync(join(tmpdir(), "process-ends-data-"));
+    const settings = { role: "control", dataFolder: join(folder, "data") };
+    await doTest({ settings }, (child) => child.kill("SIGKILL"));
+    rmSync(folder, { recursive: true });
+  });
+
+  it("by a full heap is reported by the next process", () =>
+    doTest({
+      settings: {},
+      nodeOptions: ["--max-old-space-size=40"],
+      before: `setTimeout(() => {
+        const kept = [];
+        for (;;) kept.push(new Array(1_000).fill(kept.length));
+      }, 1_500);`,
+    }, () => {}));
+});
--- a/tests/support/fleet_deployment.ts
+++ b/tests/support/fleet_deployment.ts
@@ -143,6 +143,7 @@
     );
     machine.process = this.#group.start(machine.program, [], {
       NUTMEGREEL_SETTINGS: file,
+      TMPDIR: machine.folder,
     });
   }
 
