--- a/src/logging/instance_events.ts
+++ b/src/logging/instance_events.ts
@@ -30,6 +30,27 @@
     action:
       "Correct the certificate files; they are read again when they change",
   }),
+  processStopped: defineEvent(1021, "info", {
+    text:
+      "Process ends as planned, with code 0; `reason` is the signal that asked for it",
+  }),
+  processFailed: defineEvent(1022, "error", {
+    text:
+      "Process ends on an error, with code 1; `reason` tells what it interrupts",
+    action:
+      "startFailed: correct what `message` names; otherwise report it as a bug with all fields of the event",
+  }),
+  endUnlogged: defineEvent(1023, "warn", {
+    text:
+      "The process before ended without a last line; the fields tell its start and build",
+    action:
+      "Check whether it was killed, whether its last lines hold event 1025 (heap), and whether the machine lost power",
+  }),
+  processMarkerFailed: defineEvent(1024, "warn", {
+    text:
+      "File that tells the next process of an end without a last line cannot be written or removed",
+    action: "Check the data folder or the folder for temporary files",
+  }),
   requestRefused: defineEvent(1101, "debug", {
     text: "Request refused",
   }),
