Listeners wait for their address; no error of a server ends the process

What operators saw: "the system didn't start, or its processes ended by themselves", on machines where several processes run one after the other.

Cause: a process whose address was in use, or not up yet, ended at once with code 1, at each start, whichever of its addresses it was: also that of metrics, without which it can serve. On a machine a restart overlaps the process before, a port is in use by something else or was handed out to an outgoing connection, and an address may come up later than the process. The server for other instances ended it by an uncaught error: the WebSocket server emits the errors of its HTTP server again, and had no listener for them. The same held for errors of servers that already listen, such as those of accept.

One event (2004) tells that it waits, one each 30 s for how long, one (2005) that it listens. What no wait makes right (EACCES, an invalid address) is a ListenError and ends the process as before. Errors of an open listener are logged (2006), one line in 30 s, and end nothing. Metrics delay and end nothing. A stop during the start stops at once.

Weighed: what an instance may do without its port for other instances. Control and ledger instances wait for it before they open their logs. An earlier process of the same instance closes its log before it gives up that port, so that two processes never write one log or vote with one identity; and a leader that nobody can dial would hold up its log. Entry instances store nothing. They wait no longer than an earlier process may live (graceS), so that two do not take part under one identifier, and then dial the others and serve without it.

Ruled out: ending so that a supervisor starts the process again; each start ends the same way until the port is free, and counts as an end.

--- a/src/logging/fleet_events.ts
+++ b/src/logging/fleet_events.ts
@@ -14,6 +14,20 @@
   fleetSettingsRead: defineEvent(2003, "info", {
     text: "Settings file changed; the new seeds are in use",
   }),
+  listenerWaits: defineEvent(2004, "warn", {
+    text:
+      "Address to listen on is in use or not there yet; the instance tries again until it is free, and does meanwhile what it can without",
+    action:
+      "End the process that holds the port, or bring up the address; nothing needs to be started again",
+  }),
+  listenerOpened: defineEvent(2005, "info", {
+    text: "Instance listens at an address that it has waited for",
+  }),
+  listenerFailed: defineEvent(2006, "error", {
+    text:
+      "Listener cannot accept connections at the moment, or metrics cannot be served; the instance goes on",
+    action: "Read `detail`; check descriptors, memory and the address",
+  }),
   policyInForce: defineEvent(2011, "info", {
     text: "New policy revision in force on this instance",
   }),
--- a/src/tasks/entry/http_server.ts
+++ b/src/tasks/entry/http_server.ts
@@ -13,7 +13,8 @@
 import type { Logger } from "../../logging/mod.ts";
 import type { Metrics } from "../../metrics/mod.ts";
 import type { Settings } from "../../settings/mod.ts";
-import { listenOn, stopAccepting } from "../http_listener.ts";
+import { stopAccepting } from "../http_listener.ts";
+import { Listener } from "../listener.ts";
 import { sendRefusal, toRefusal } from "./http_response.ts";
 import type { OperatorHandlers } from "./operator_handlers.ts";
 import type { HttpContext } from "./http_context.ts";
@@ -42,6 +43,7 @@
 export class HttpServer {
   readonly #options: HttpServerOptions;
   readonly #server: Server | TlsServer;
+  readonly #listener: Listener;
   #openRequests = 0;
   #isDraining = false;
 
@@ -60,6 +62,12 @@
       ? createServer(serverOptions)
       : createTlsServer({ ...serverOptions, ...options.secure });
     this.#server.maxConnections = http.maxConnections;
+    this.#listener = new Listener({
+      server: this.#server as Server,
+      address: options.settings.listen,
+      use: "callers",
+      logger: options.logger,
+    });
     this.#server.on("clientError", (err, socket) => {
       options.metrics.count("refusals.malformedRequest");
       if (!socket.writable) return;
@@ -74,12 +82,12 @@
   }
 
   /**
-   * Starts listening.
+   * Starts listening, once the address is free.
    * @returns The port.
-   * @throws Error of the socket if it cannot listen at the address.
+   * @throws ListenError if it cannot listen at the address.
    */
   async listen(): Promise<number> {
-    await listenOn(this.#server as Server, this.#options.settings.listen);
+    await this.#listener.open();
     return (this.#server.address() as AddressInfo).port;
   }
 
@@ -99,6 +107,7 @@
    */
   async drain(): Promise<void> {
     this.#isDraining = true;
+    this.#listener.stop();
     const deadline = Date.now() + this.#options.settings.http.drainTimeoutMs;
     await stopAccepting(this.#server as Server, () => {});
     this.#server.closeIdleConnections();
@@ -112,6 +121,7 @@
 
   /** Closes the server and all connections. */
   stop(): void {
+    this.#listener.stop();
     this.#server.close();
     this.#server.closeAllConnections();
   }
--- a/src/tasks/fleet/fleet_instance.ts
+++ b/src/tasks/fleet/fleet_instance.ts
@@ -10,7 +10,12 @@
 /** Work of an instance that is specific to its role. */
 export interface RoleTask {
   describe(): Omit<FleetMember, "name" | "dataCentre" | "role">;
-  start(): Promise<void>;
+  /**
+   * Starts the role's tasks and listeners; resolves once all listen.
+   * @param linked - Resolves once the instance listens for the others.
+   * @throws ListenError if an address cannot be used.
+   */
+  start(linked: Promise<void>): Promise<void>;
   /** Completes work in progress, within the drain timeout at most. */
   drain(): Promise<void>;
 }
@@ -77,10 +82,11 @@
       () => this.#reloadIfChanged(),
       WATCH_INTERVAL_MS,
     );
-    await this.#node.start();
-    if (settings.metrics) await this.#metricsServer.listen(settings.metrics);
-    await this.#role.start();
-    await stopped;
+    if (settings.metrics) {
+      this.#metricsServer.listen(settings.metrics, this.#logger);
+    }
+    const started = this.#role.start(this.#node.start());
+    await Promise.race([stopped, started.then(() => stopped)]);
     this.#logger.event("instanceDraining");
     clearInterval(this.#watchTimer);
     this.#node.drain();
--- a/src/tasks/fleet/fleet_node.ts
+++ b/src/tasks/fleet/fleet_node.ts
@@ -1,5 +1,6 @@
 /** Links of an instance to others, with membership and leader lookup. */
 import { randomBytes } from "node:crypto";
+import { setTimeout as sleep } from "node:timers/promises";
 import {
   ControlContact,
   type FleetMember,
@@ -44,6 +45,7 @@
   readonly #leaders: LeaderClient;
   readonly #options: FleetNodeOptions;
   #isDraining = false;
+  #isStopped = false;
   #isCutOff = false;
   #seeds: readonly string[];
   readonly #senders = new SenderList();
@@ -125,9 +127,34 @@
     return performance.now();
   }
 
-  /** Starts listening, dials the seeds and maintains the links. */
+  /**
+   * Starts listening, dials the seeds and maintains the links.
+   *
+   * An earlier process of this instance may still hold the address, the stored
+   * data and the links. Entry instances, which store nothing, dial without
+   * their address after the time in which that process ends.
+   * @returns Once it listens.
+   * @throws ListenError if the address cannot be used.
+   */
   async start(): Promise<void> {
-    await this.hub.start();
+    const { role, times } = this.settings;
+    const listening = this.hub.listen();
+    const timeout = new AbortController();
+    const { signal } = timeout;
+    const earlierEnded = role === FleetRole.Entry
+      ? sleep(times.graceMs, undefined, { signal })
+      : listening;
+    try {
+      await Promise.race([listening, earlierEnded]);
+    } finally {
+      timeout.abort();
+    }
+    if (!this.#isStopped) this.#connect();
+    await listening;
+  }
+
+  #connect(): void {
+    this.hub.connect();
     this.#maintainLinks();
     this.#timer = setInterval(
       () => this.#maintainLinks(),
@@ -151,6 +178,7 @@
 
   /** Closes all links. */
   stop(): void {
+    this.#isStopped = true;
     clearInterval(this.#timer);
     this.hub.stop();
   }
--- a/src/tasks/http_listener.ts
+++ b/src/tasks/http_listener.ts
@@ -13,7 +13,7 @@
 const IDLE_CLOSE_INTERVAL_MS = 50;
 
 /**
- * Starts listening.
+ * Starts listening; a server that could not can be tried again.
  * @throws Error of the socket if it cannot listen at the address.
  */
 export function listenOn(
@@ -21,11 +21,17 @@
   address: { readonly host: string; readonly port: number },
 ): Promise<void> {
   return new Promise((resolve, reject) => {
-    server.once("error", reject);
-    server.listen(address.port, address.host, () => {
-      server.off("error", reject);
+    const onListening = () => {
+      server.off("error", onError);
       resolve();
-    });
+    };
+    const onError = (err: Error) => {
+      server.off("listening", onListening);
+      reject(err);
+    };
+    server.once("error", onError);
+    server.once("listening", onListening);
+    server.listen(address.port, address.host);
   });
 }
 
--- a/src/tasks/metrics_server.ts
+++ b/src/tasks/metrics_server.ts
@@ -1,12 +1,15 @@
 /** The HTTP server for the metrics of an instance. */
 import { createServer, type Server } from "node:http";
 import polka from "polka";
-import { listenOn } from "./http_listener.ts";
+import type { Logger } from "../logging/mod.ts";
 import { type Metrics, renderMetrics } from "../metrics/mod.ts";
+import type { Address } from "../settings/mod.ts";
+import { Listener } from "./listener.ts";
 
 /** Serves metrics in the text format of Prometheus. */
 export class MetricsServer {
   readonly #server: Server = createServer();
+  #listener: Listener | undefined;
 
   /** Creates the server; call {@link listen} to accept connections. */
   constructor(metrics: Metrics) {
@@ -18,13 +21,24 @@
     this.#server.on("request", app.handler as never);
   }
 
-  /** Starts listening. */
-  listen(address: { host: string; port: number }): Promise<void> {
-    return listenOn(this.#server, address);
+  /** Starts listening once the address is free; logs if it cannot be used. */
+  listen(address: Address, logger: Pick<Logger, "event">): void {
+    const listener = new Listener({
+      server: this.#server,
+      address,
+      use: "metrics",
+      logger,
+    });
+    this.#listener = listener;
+    listener.open().catch((err: Error) => {
+      if (listener.isStopped) return;
+      logger.event("listenerFailed", { use: "metrics", detail: err.message });
+    });
   }
 
   /** Closes the server and all connections. */
   close(): void {
+    this.#listener?.stop();
     this.#server.close();
     this.#server.closeAllConnections();
   }
--- a/src/tasks/peers/peer_hub.ts
+++ b/src/tasks/peers/peer_hub.ts
@@ -112,7 +112,20 @@
 
   /** Starts listening, and dials the local and the control instances. */
   async start(): Promise<void> {
+    await this.listen();
+    this.connect();
+  }
+
+  /**
+   * Starts listening; resolves once the address is free.
+   * @throws ListenError if the address cannot be used.
+   */
+  async listen(): Promise<void> {
     await this.#links.listen();
+  }
+
+  /** Dials the local and the control instances, and keeps the links up. */
+  connect(): void {
     for (const { id } of [...this.localPeers, ...this.controlPeers]) {
       this.#links.getOrDial(id);
     }
--- a/src/tasks/peers/peer_links.ts
+++ b/src/tasks/peers/peer_links.ts
@@ -69,7 +69,7 @@
     this.#listener = this.#createListener();
   }
 
-  /** Starts listening, if the settings have an address for it. */
+  /** Starts listening once the address is free, if there is one. */
   async listen(): Promise<void> {
     await this.#listener?.listen();
   }
@@ -199,6 +199,7 @@
       ...this.#traffic,
       self: settings.id,
       address: settings.peerListen,
+      logger,
       secret: this.#secret,
       security: this.#security,
       isKnown: (id) => getPeer(id) !== undefined,
--- a/src/tasks/peers/peer_listener.ts
+++ b/src/tasks/peers/peer_listener.ts
@@ -3,7 +3,9 @@
 import { createServer as createTlsServer } from "node:https";
 import type { Server as TlsServer } from "node:https";
 import { type ServerOptions, type WebSocket, WebSocketServer } from "ws";
+import type { Logger } from "../../logging/mod.ts";
 import type { Address } from "../../settings/mod.ts";
+import { Listener } from "../listener.ts";
 import { AcceptedLink } from "./accepted_link.ts";
 import { createNonce, createProof, isValidProof } from "./peer_handshake.ts";
 import { decodeEnvelope, type PeerEnvelope } from "./peer_envelope.ts";
@@ -20,6 +22,7 @@
   readonly self: string;
   /** Address to listen on. */
   readonly address: Address;
+  readonly logger: Pick<Logger, "event">;
   /** Secret shared by all instances; empty if certificates are used instead. */
   readonly secret: string;
   /** Certificates; connections are not encrypted by default. */
@@ -53,13 +56,14 @@
   readonly #options: PeerListenerOptions;
   readonly #httpServer: Server | TlsServer;
   readonly #socketServer: WebSocketServer;
+  readonly #listener: Listener;
   /** Newest connection of each instance. */
   readonly #links = new Map<string, AcceptedLink>();
   #silenceTimer: NodeJS.Timeout | undefined;
 
   constructor(options: PeerListenerOptions) {
     this.#options = options;
-    const { security } = options;
+    const { address, logger, security } = options;
     this.#httpServer = security === undefined
       ? createServer()
       : createTlsServer({ ...security, requestCert: true });
@@ -69,6 +73,11 @@
       perMessageDeflate: false,
       closeTimeout: CLOSE_TIMEOUT_MS,
     } as ServerOptions);
+    const server = this.#httpServer as Server;
+    this.#listener = new Listener({ server, address, use: "peers", logger });
+    this.#socketServer.on("error", () => {
+      // An error of the HTTP server, which its listener handles.
+    });
     this.#socketServer.on(
       "connection",
       (socket, req) => this.#authenticate(socket, req),
@@ -76,21 +85,14 @@
   }
 
   /**
-   * Starts listening.
-   * @throws if the address cannot be used.
+   * Starts listening, once the address is free.
+   * @throws ListenError if the address cannot be used.
    */
   listen(): Promise<void> {
-    const { host, port } = this.#options.address;
     this.#silenceTimer = setInterval(() => {
       for (const link of this.#links.values()) link.closeIfSilent();
     }, SILENCE_CHECK_INTERVAL_MS);
-    return new Promise((resolve, reject) => {
-      this.#httpServer.once("error", reject);
-      this.#httpServer.listen(port, host, () => {
-        this.#httpServer.off("error", reject);
-        resolve();
-      });
-    });
+    return this.#listener.open();
   }
 
   /** Gets the instances with a connection to this one. */
@@ -115,6 +117,7 @@
   /** Closes all connections and stops listening. */
   stop(): void {
     clearInterval(this.#silenceTimer);
+    this.#listener.stop();
     for (const socket of this.#socketServer.clients) socket.terminate();
     this.#socketServer.close();
     this.#httpServer.close();
--- a/tests/support/entry_fixture.ts
+++ b/tests/support/entry_fixture.ts
@@ -50,8 +50,9 @@
   for (const [i, address] of targets.entries()) {
     registry.merge(createReport({ id: `t${i}`, address }), 0);
   }
+  const node = createNode();
   const entry = new EntryTask({
-    node: createNode(),
+    node,
     follower: createFollower(),
     registry,
     targets: new TargetClient(),
@@ -63,7 +64,7 @@
   });
   const server = new EntryServer(entry);
   const port = await findFreePort();
-  await server.listen({ host: HOST, port });
+  await server.listen({ host: HOST, port }, node.logger);
   return { address: `${HOST}:${port}`, server };
 }
 
--- a/tests/support/fleet_deployment.ts
+++ b/tests/support/fleet_deployment.ts
@@ -53,6 +53,7 @@
 const CALLERS_PORT = 17_001;
 const READINESS_PORT = 17_002;
 const CONTROL_PORT = 17_003;
+const METRICS_PORT = 17_004;
 const ZONES = ["a", "b", "c"];
 /** Time within which two holders must not take turns. */
 export const ORDER_LEASE_MS = 3_000;
@@ -270,6 +271,7 @@
       tolerance: 1,
       ...(role === FleetRole.Entry ? {} : { dataFolder: join(folder, "data") }),
       orders: { leaseMs: ORDER_LEASE_MS, areFencesChecked },
+      metrics: `${id}:${METRICS_PORT}`,
       listen: {
         callers: role === FleetRole.Entry ? `${id}:${CALLERS_PORT}` : "",
         readiness: role === FleetRole.Entry ? `${id}:${READINESS_PORT}` : "",
@@ -291,6 +293,15 @@
   }
 }
 
+/** Ports on which instances listen. */
+export const FLEET_PORTS = {
+  peers: PEER_PORT,
+  callers: CALLERS_PORT,
+  readiness: READINESS_PORT,
+  control: CONTROL_PORT,
+  metrics: METRICS_PORT,
+} as const;
+
 /** Peer port that others dial, and the one on which instances listen. */
 export const PROXIED_PORTS = {
   dialled: PEER_PORT,
