What a stream holds after its last event is followed in constant memory

What callers saw: a target that answered a run with comment lines, or with lines of `event`, `id` or `retry` and no empty line, without end took the memory of the process that had called it: 200 MB in 3 s, 750 MB in 12 s, where the roles have 110 and 160 MB. The process ended, and the requests of all other callers with it.

Cause: EventTail kept every part of the stream since the last end of an event, only to tell at the end whether an event had begun, and joined them for it. The parser's bound on its buffer counts neither whole lines nor comments, so nothing ended such a stream.

Fix: EventTail keeps what decides: whether a field has begun since the last end of an event, the last character, and a length. The parser of all streams counts by it what came without an end of an event, and breaks the response beyond the bound of one event (1 Mi code units). Comments may come between events for as long as a target likes if an empty line follows, and 100,000 of them if none does, so streams that are kept alive by comments aren't cut.

Ruled out: the framer of callers' streams and the parser's own buffer, which have bounds of 1 MiB that hold for these lines.

--- a/src/core/continuation/event_tail.ts
+++ b/src/core/continuation/event_tail.ts
@@ -1,12 +1,13 @@
 /** What an event stream holds after its last whole event. */
-import { hasField } from "./event_framer.ts";
 
 /** Ends of a line and of the empty one after it, but for a last line feed. */
 const EVENT_ENDS: readonly string[] = ["\n\n", "\n\r", "\r\r"];
 const END_LENGTH = 2;
+/** End of a line, and the first character of a field; comments are none. */
+const FIELD_START = /[\r\n][^:\r\n]/;
 
 /**
- * Follows a stream whose events are read elsewhere.
+ * Follows a stream whose events are read elsewhere, in constant memory.
  *
  * @example
  * ```ts
@@ -14,24 +15,34 @@
  * ```
  */
 export class EventTail {
-  /** Text since the last end of an event. */
-  #parts: string[] = [];
-  /** Last character of the text, which may begin the end of an event. */
-  #last = "";
+  #length = 0;
+  #isInEvent = false;
+  /** Last character of the text, which may end a line. */
+  #last = "\n";
 
   /** Adds the next part of the stream. */
   push(text: string): this {
     const joined = this.#last + text;
     const end = endOfLastEvent(joined);
-    if (end < 0) this.#parts.push(text);
-    else this.#parts = [joined.slice(end)];
+    if (end < 0) this.#length += text.length;
+    else this.#length = joined.length - end;
+    const hasField = FIELD_START.test(end < 0 ? joined : joined.slice(end - 1));
+    this.#isInEvent = hasField || (end < 0 && this.#isInEvent);
     this.#last = joined.slice(-1);
     return this;
   }
 
   /** Gets whether an event has begun that is not whole; comments are none. */
   get isInEvent(): boolean {
-    return hasField(Buffer.from(this.#parts.join("")));
+    return this.#isInEvent;
+  }
+
+  /**
+   * Gets the length since the last end of an event, in UTF-16 code units;
+   * comments count.
+   */
+  get length(): number {
+    return this.#length;
   }
 }
 
--- a/src/core/continuation/event_tail_test.ts
+++ b/src/core/continuation/event_tail_test.ts
@@ -24,6 +24,15 @@
 
   it("is in no event within a comment", () => doTest([": ping"], false));
 
+  it("counts what came since the last end of an event", () => {
+    const tail = new EventTail();
+    expect(tail.length).toBe(0);
+    expect(tail.push("data: a\n\n").length).toBe(0);
+    expect(tail.push(": a\n").length).toBe(4);
+    expect(tail.push(": b\n").length).toBe(8);
+    expect(tail.push("\n:").length).toBe(1);
+  });
+
   it("agrees with the framer, however the stream is divided", () => {
     const piece = fc.constantFrom("a", ":", "\n", "\r", "id: 1");
     fc.assert(fc.property(fc.array(piece, { maxLength: 12 }), (parts) => {
--- a/src/tasks/response_limits.ts
+++ b/src/tasks/response_limits.ts
@@ -1,12 +1,12 @@
 /** Bounds of the memory that responses of targets may take. */
-import {
-  createParser,
-  type EventSourceParser,
-  type ParseError,
-} from "eventsource-parser";
+import { createParser, type ParseError } from "eventsource-parser";
+import { EventTail } from "../core/continuation/mod.ts";
 import { NutmegreelError } from "../core/errors/mod.ts";
 
-/** Longest event of a stream, in UTF-16 code units. */
+/**
+ * Longest event of a stream, with the comments before it, in UTF-16 code units:
+ * many thousands of comments by which a target that waits shows that it is alive.
+ */
 const MAX_EVENT_LENGTH = 1_048_576;
 /** Error of the parser if an event exceeds its buffer. */
 const BUFFER_EXCEEDED = "max-buffer-size-exceeded";
@@ -26,9 +26,20 @@
   readonly onError?: (err: ParseError) => void;
 }
 
+/** Reads an event stream as it arrives. */
+export interface EventParser {
+  /**
+   * Reads the next part of the stream.
+   * @throws ResponseTooLargeError if no event ends within the bound.
+   */
+  feed(text: string): void;
+  /** Whether an event has begun that is not whole. */
+  readonly isInEvent: boolean;
+}
+
 /**
- * Creates a parser of event streams whose `feed` throws
- * {@link ResponseTooLargeError} for an event without end.
+ * Creates a parser of event streams that bounds what comes without the end of an
+ * event: its own buffer holds neither whole lines nor comments.
  *
  * @example
  * ```ts
@@ -38,8 +49,9 @@
  */
 export function createEventParser(
   { onEvent, onError }: EventParserOptions,
-): EventSourceParser {
-  return createParser({
+): EventParser {
+  const tail = new EventTail();
+  const parser = createParser({
     onEvent,
     maxBufferSize: MAX_EVENT_LENGTH,
     onError: (err) => {
@@ -49,6 +61,16 @@
       onError?.(err);
     },
   });
+  return {
+    feed: (text) => {
+      parser.feed(text);
+      if (tail.push(text).length <= MAX_EVENT_LENGTH) return;
+      throw new ResponseTooLargeError(MAX_EVENT_LENGTH);
+    },
+    get isInEvent() {
+      return tail.isInEvent;
+    },
+  };
 }
 
 /**
--- a/src/tasks/targets/caller_sink.ts
+++ b/src/tasks/targets/caller_sink.ts
@@ -1,11 +1,10 @@
 /** Forwards the response of a target to a caller. */
 import type { ServerResponse } from "node:http";
-import type { EventSourceParser } from "eventsource-parser";
 import { completionChunkSchema, STREAM_END } from "../../protocol/mod.ts";
 import type { StoredResponse } from "../../core/ledger/mod.ts";
 import { type EventFrame, EventFramer } from "../../core/continuation/mod.ts";
 import { drained } from "../drained.ts";
-import { createEventParser } from "../response_limits.ts";
+import { createEventParser, type EventParser } from "../response_limits.ts";
 import type { ResponseHead, ResponseSink } from "./exchange.ts";
 
 /** Response headers that are forwarded to the caller. */
@@ -46,7 +45,7 @@
   readonly #decoder = new TextDecoder();
   /** Keeps what is not a complete event: a refusal may follow. */
   readonly #framer = new EventFramer();
-  #parser: EventSourceParser | undefined;
+  #parser: EventParser | undefined;
   #head: ResponseHead | undefined;
   #bufferedBytes = 0;
   #countedTokens = 0;
--- a/src/tasks/targets/sample_sink.ts
+++ b/src/tasks/targets/sample_sink.ts
@@ -1,8 +1,7 @@
 /** Collects the event stream of an engine into a sample. */
-import type { EventSourceParser } from "eventsource-parser";
 import type { CompletedSample } from "../../core/samples/mod.ts";
 import { completionChunkSchema, STREAM_END } from "../../protocol/mod.ts";
-import { createEventParser } from "../response_limits.ts";
+import { createEventParser, type EventParser } from "../response_limits.ts";
 import type { ResponseHead, ResponseSink } from "./exchange.ts";
 
 /** Options of {@link SampleSink}. */
@@ -24,7 +23,7 @@
  */
 export class SampleSink implements ResponseSink {
   readonly #options: SampleSinkOptions;
-  readonly #parser: EventSourceParser;
+  readonly #parser: EventParser;
   readonly #decoder = new TextDecoder();
   readonly #versions = new Set<number>();
   #status = 0;
