Lines without a meaning end a stream before they take the processor

What callers saw: an instance that read the stream of a target with lines of no meaning, such as `a`, or with a `retry` that is no number, did nothing else for a second for each 64 KB of them; its peers and callers had no answer meanwhile.

Cause: the parser creates an error with a stack for each such line, 33 us each. For a line that ends with a return it also searches the rest of the text for a line feed: 110 ms for 64 KB of returns, 4.7 ms for as many line feeds.

Fix: a stream may have 1,000 lines of no meaning (33 ms) and 4 more for each of its events; beyond it the response is broken. Returns are replaced by line feeds before the parser sees them: 9.9 ms for 64 KB. The parser of streams is a class of its own now, which all readers of streams share.

Evidence: without the bound, the three tests of streams that would take the processor fail ("expected function to throw an error, but it didn't"). Figures of the parser are of one process that fed it 64 KB at once, each kind of line by itself. A property shows that events are read alike with all ends of lines, however the stream is divided.

Ruled out: a limit of 0 on stacks while the parser runs, which would take the stacks of the handlers' own errors, too.

--- /dev/null
+++ b/src/tasks/event_parser.ts
@@ -0,0 +1,95 @@
+/** Parser of event streams that bounds what it is given. */
+import { createParser, type ParseError } from "eventsource-parser";
+import { EventTail } from "../core/continuation/mod.ts";
+import { ResponseTooLargeError } from "./response_limits.ts";
+import { UnreadableStreamError } from "./unreadable_stream_error.ts";
+
+/**
+ * Longest event of a stream, with the comments before it, in UTF-16 code units:
+ * many thousands of comments by which a target that waits shows that it is alive.
+ */
+const MAX_EVENT_LENGTH = 1_048_576;
+/** Error of the parser if an event exceeds its buffer. */
+const BUFFER_EXCEEDED = "max-buffer-size-exceeded";
+/**
+ * Lines without a meaning that a stream may have beside those of its events. Each
+ * one costs as much time as several events.
+ */
+const MAX_UNREADABLE_LINES = 1_000;
+/** Lines without a meaning that each event may bring. */
+const UNREADABLE_LINES_PER_EVENT = 4;
+const RETURNS = /\r\n?/g;
+
+/** Options of {@link EventParser}. */
+export interface EventParserOptions {
+  readonly onEvent: (event: { id?: string; data: string }) => void;
+  /** Called with errors that end no stream, such as unknown fields. */
+  readonly onError?: (err: ParseError) => void;
+}
+
+/**
+ * Reads an event stream as it arrives.
+ *
+ * @example
+ * ```ts
+ * const parser = new EventParser({ onEvent: ({ data }) => use(data) });
+ * parser.feed("data: a\n\n");
+ * ```
+ */
+export class EventParser {
+  readonly #options: EventParserOptions;
+  readonly #tail = new EventTail();
+  readonly #parser = createParser({
+    onEvent: (event) => this.#onEvent(event),
+    onError: (err) => this.#onError(err),
+    maxBufferSize: MAX_EVENT_LENGTH,
+  });
+  #unreadableLeft = MAX_UNREADABLE_LINES;
+  #isAfterReturn = false;
+
+  constructor(options: EventParserOptions) {
+    this.#options = options;
+  }
+
+  /**
+   * Reads the next part of the stream.
+   * @throws ResponseTooLargeError if no event ends within the bound, or
+   * UnreadableStreamError if too many lines have no meaning.
+   */
+  feed(text: string): void {
+    const lines = this.#withLineFeeds(text);
+    this.#parser.feed(lines);
+    if (this.#tail.push(lines).length <= MAX_EVENT_LENGTH) return;
+    throw new ResponseTooLargeError(MAX_EVENT_LENGTH);
+  }
+
+  /** Gets whether an event has begun that is not whole; comments are none. */
+  get isInEvent(): boolean {
+    return this.#tail.isInEvent;
+  }
+
+  /** Replaces returns, for each of which the parser searches the whole text. */
+  #withLineFeeds(text: string): string {
+    const isSecondHalf = this.#isAfterReturn && text.startsWith("\n");
+    if (text !== "") this.#isAfterReturn = text.endsWith("\r");
+    const lines = isSecondHalf ? text.slice(1) : text;
+    return lines.includes("\r") ? lines.replace(RETURNS, "\n") : lines;
+  }
+
+  #onEvent(event: { id?: string; data: string }): void {
+    this.#unreadableLeft = Math.min(
+      MAX_UNREADABLE_LINES,
+      this.#unreadableLeft + UNREADABLE_LINES_PER_EVENT,
+    );
+    this.#options.onEvent(event);
+  }
+
+  #onError(err: ParseError): void {
+    if (err.type === BUFFER_EXCEEDED) {
+      throw new ResponseTooLargeError(MAX_EVENT_LENGTH);
+    }
+    this.#unreadableLeft -= 1;
+    if (this.#unreadableLeft < 0) throw new UnreadableStreamError();
+    this.#options.onError?.(err);
+  }
+}
--- a/src/tasks/targets/caller_sink.ts
+++ b/src/tasks/targets/caller_sink.ts
@@ -4,7 +4,7 @@
 import type { StoredResponse } from "../../core/ledger/mod.ts";
 import { type EventFrame, EventFramer } from "../../core/continuation/mod.ts";
 import { drained } from "../drained.ts";
-import { createEventParser, type EventParser } from "../response_limits.ts";
+import { EventParser } from "../event_parser.ts";
 import type { ResponseHead, ResponseSink } from "./exchange.ts";
 
 /** Response headers that are forwarded to the caller. */
@@ -82,7 +82,7 @@
     this.#head = head;
     const type = head.headers["content-type"] ?? "";
     if (head.status !== STATUS_OK || !type.startsWith(EVENT_STREAM)) return;
-    this.#parser = createEventParser({
+    this.#parser = new EventParser({
       onEvent: ({ data }) => this.#onEvent(data),
     });
   }
--- a/src/tasks/targets/sample_sink.ts
+++ b/src/tasks/targets/sample_sink.ts
@@ -1,7 +1,7 @@
 /** Collects the event stream of an engine into a sample. */
 import type { CompletedSample } from "../../core/samples/mod.ts";
 import { completionChunkSchema, STREAM_END } from "../../protocol/mod.ts";
-import { createEventParser, type EventParser } from "../response_limits.ts";
+import { EventParser } from "../event_parser.ts";
 import type { ResponseHead, ResponseSink } from "./exchange.ts";
 
 /** Options of {@link SampleSink}. */
@@ -38,7 +38,7 @@
 
   constructor(options: SampleSinkOptions) {
     this.#options = options;
-    this.#parser = createEventParser({
+    this.#parser = new EventParser({
       onEvent: ({ data }) => this.#onEvent(data),
     });
   }
