What a target sends in small parts takes no more memory than its bytes

What callers saw: a body or an event that a target sent in chunks of a byte each took more than 200 bytes of memory for each, within all bounds: 217 MB for a body of 1 MB (of 32 MiB that may be read at once), 226 MB for an event of 1 MB. The roles have 110 and 160 MB.

Cause: BodyReader and EventFramer kept each part as a buffer of its own, and counted its bytes only. Besides, a part is a view of all that was read with it, 64 KB. A stream of empty lines became as many writes to the caller, each of which waits in the response if the caller is slow.

Fix: ByteCollector copies parts into few blocks, whose size follows what they hold; both readers use it. Events of one chunk are passed on in one write.

Ruled out: the parser of runs, which joins its parts with each line, keeps parts of a line without end as strings; one of a character is shared.

--- /dev/null
+++ b/src/core/bytes/mod.ts
@@ -0,0 +1,1 @@
+export { ByteCollector } from "./byte_collector.ts";
--- a/src/core/continuation/event_framer.ts
+++ b/src/core/continuation/event_framer.ts
@@ -1,4 +1,5 @@
 /** Divides the bytes of an event stream into complete events. */
+import { ByteCollector } from "../bytes/mod.ts";
 
 /** Bytes of an event stream up to the end of an event. */
 export interface EventFrame {
@@ -34,10 +35,8 @@
  * ```
  */
 export class EventFramer {
-  #pending: Buffer[] = [];
-  #pendingBytes = 0;
-  #line: Buffer[] = [];
-  #lineBytes = 0;
+  readonly #pending = new ByteCollector();
+  readonly #line = new ByteCollector();
   #id: number | undefined;
   #isAfterReturn = false;
 
@@ -64,68 +63,48 @@
         lineStart = i + 1;
         continue;
       }
-      this.#addToLine(bytes.subarray(lineStart, i));
+      this.#line.add(bytes.subarray(lineStart, i));
       lineStart = i + 1;
       if (!this.#endLine()) continue;
       frames.push(this.#endFrame(bytes.subarray(frameStart, i + 1)));
       frameStart = i + 1;
     }
-    this.#addToLine(bytes.subarray(lineStart));
+    this.#line.add(bytes.subarray(lineStart));
     this.#addPending(bytes.subarray(frameStart));
     return frames;
   }
 
   /** Gets whether an event has begun that is not complete; comments are none. */
   get isInEvent(): boolean {
-    return hasField(Buffer.concat(this.#pending));
+    return hasField(this.#pending.bytes);
   }
 
   /** Removes and gets the bytes after the last complete event. */
   takeRemainder(): Uint8Array {
-    const rest = Buffer.concat(this.#pending);
-    this.#reset();
-    this.#line = [];
-    this.#lineBytes = 0;
+    const rest = this.#pending.take();
+    this.#id = undefined;
+    this.#line.clear();
     this.#isAfterReturn = false;
     return rest;
   }
 
-  #addToLine(bytes: Buffer): void {
-    if (bytes.length === 0) return;
-    this.#line.push(bytes);
-    this.#lineBytes += bytes.length;
-  }
-
   /** Reads a line; an empty one ends the event. */
   #endLine(): boolean {
-    if (this.#lineBytes === 0) return true;
-    const id = ID_LINE.exec(Buffer.concat(this.#line).toString());
+    if (this.#line.length === 0) return true;
+    const id = ID_LINE.exec(this.#line.take().toString());
     if (id !== null) this.#id = Number(id[1]);
-    this.#line = [];
-    this.#lineBytes = 0;
     return false;
   }
 
   #endFrame(bytes: Buffer): EventFrame {
-    const frame = {
-      bytes: Buffer.concat([...this.#pending, bytes]),
-      id: this.#id,
-    };
-    this.#reset();
+    const frame = { bytes: this.#pending.add(bytes).take(), id: this.#id };
+    this.#id = undefined;
     return frame;
   }
 
   #addPending(bytes: Buffer): void {
-    if (bytes.length === 0) return;
-    this.#pending.push(bytes);
-    this.#pendingBytes += bytes.length;
-    if (this.#pendingBytes > MAX_EVENT_BYTES) throw new EventTooLargeError();
-  }
-
-  #reset(): void {
-    this.#pending = [];
-    this.#pendingBytes = 0;
-    this.#id = undefined;
+    this.#pending.add(bytes);
+    if (this.#pending.length > MAX_EVENT_BYTES) throw new EventTooLargeError();
   }
 }
 
--- a/src/core/continuation/event_framer_test.ts
+++ b/src/core/continuation/event_framer_test.ts
@@ -1,4 +1,5 @@
 import fc from "fast-check";
+import { usedBytes } from "../../../tests/support/garbage_collection.ts";
 import { describe, expect, it } from "vitest";
 import { EventFramer, EventTooLargeError } from "./event_framer.ts";
 
@@ -76,4 +77,13 @@
     push();
     expect(push).toThrow(EventTooLargeError);
   });
+
+  it("takes little more memory than an event, however small its parts", () => {
+    const bytes = 1_000_000;
+    const framer = new EventFramer();
+    const before = usedBytes();
+    for (let i = 0; i < bytes; i += 1) framer.push(Buffer.from("a"));
+    expect(usedBytes() - before).toBeLessThan(16 * bytes);
+    expect(framer.takeRemainder()).toHaveLength(bytes);
+  });
 });
--- a/src/tasks/calls/resumable_stream.ts
+++ b/src/tasks/calls/resumable_stream.ts
@@ -112,7 +112,7 @@
     const frames = this.#framer.push(chunk);
     if (frames.length > 0) this.#onFrames();
     if (this.#held !== undefined) {
-      this.#held.push(...frames);
+      for (const frame of frames) this.#held.push(frame);
       return false;
     }
     if (frames.length === 0) return true;
@@ -154,15 +154,26 @@
     this.#released = this.#options.onFirstEvent();
   }
 
+  /** Passes on events at once: each part costs the sink more than its bytes. */
   #passOn(frames: readonly EventFrame[]): boolean {
     this.#hasEvents = true;
-    let takesMore = true;
-    for (const { bytes, id } of frames) {
-      if (id !== undefined) this.#advanceTo(id);
-      else this.#throwIfDue(bytes);
-      takesMore = this.#options.sink.onData(bytes);
+    const passed: Uint8Array[] = [];
+    try {
+      for (const { bytes, id } of frames) {
+        if (id !== undefined) this.#advanceTo(id);
+        else this.#throwIfDue(bytes);
+        passed.push(bytes);
+      }
+    } catch (err) {
+      this.#write(passed);
+      throw err;
     }
-    return takesMore;
+    return this.#write(passed);
+  }
+
+  #write(parts: readonly Uint8Array[]): boolean {
+    if (parts.length === 0) return true;
+    return this.#options.sink.onData(Buffer.concat(parts));
   }
 
   #advanceTo(id: number): void {
--- a/src/tasks/calls/resumable_stream_test.ts
+++ b/src/tasks/calls/resumable_stream_test.ts
@@ -1,4 +1,4 @@
-import { describe, expect, it } from "vitest";
+import { describe, expect, it, vi } from "vitest";
 import { ResumableStream, StreamMismatchError } from "./resumable_stream.ts";
 
 function eventOf(id: number): string {
@@ -120,4 +120,19 @@
     expect(() => onHead(200, "application/json")).toThrow(StreamMismatchError);
     expect(() => onHead(404, type)).toThrow(StreamMismatchError);
   });
+
+  it("passes on many small events at once", async () => {
+    const onData = vi.fn(() => true);
+    const stream = new ResumableStream({
+      sink: { onHead: () => {}, onData, drained: () => Promise.resolve() },
+      after: undefined,
+      onFirstEvent: () => Promise.resolve(),
+    });
+    stream.beginAttempt().onHead(200, []);
+    stream.onData(Buffer.from(eventOf(1)));
+    await stream.drained();
+    stream.onData(Buffer.from("\n".repeat(65_536)));
+    expect(onData).toHaveBeenCalledTimes(2);
+    expect(onData).toHaveBeenLastCalledWith(Buffer.from("\n".repeat(65_536)));
+  });
 });
--- a/src/tasks/response_limits.ts
+++ b/src/tasks/response_limits.ts
@@ -1,4 +1,5 @@
 /** Bounds of the memory that responses of targets may take. */
+import { ByteCollector } from "../core/bytes/mod.ts";
 import { NutmegreelError } from "../core/errors/mod.ts";
 
 /** Thrown for a response that exceeds a bound; it may have no end. */
@@ -32,20 +33,18 @@
    * @throws ResponseTooLargeError if the bound is exceeded.
    */
   async read(body: AsyncIterable<Uint8Array>): Promise<Uint8Array> {
-    const chunks: Uint8Array[] = [];
-    let size = 0;
+    const collector = new ByteCollector();
     try {
       for await (const chunk of body) {
-        size += chunk.length;
+        collector.add(chunk);
         this.#heldBytes += chunk.length;
         if (this.#heldBytes > this.#maxBytes) {
           throw new ResponseTooLargeError(this.#maxBytes);
         }
-        chunks.push(chunk);
       }
-      return Buffer.concat(chunks);
+      return collector.bytes;
     } finally {
-      this.#heldBytes -= size;
+      this.#heldBytes -= collector.length;
     }
   }
 }
--- a/tests/support/garbage_collection.ts
+++ b/tests/support/garbage_collection.ts
@@ -6,3 +6,10 @@
 
 /** Collects all that nothing refers to. */
 export const collectGarbage: () => void = runInNewContext("gc");
+
+/** Gets the memory of what something refers to, in bytes. */
+export function usedBytes(): number {
+  collectGarbage();
+  const { heapUsed, external } = process.memoryUsage();
+  return heapUsed + external;
+}
