Bytes that belong to no body end a connection beyond a bound

What callers saw: a target that sent a status line, empty lines before its head, the digits of a chunk's size, the extension of a chunk, or interim responses without end kept a call until its time limit, having read gigabytes, and a run until it was moved as silent; the processor of the instance was with it, and the requests of others waited.

Cause: the HTTP client skips these bytes without telling anyone. Its bounds cover header lines and trailers, and bodies have those of their readers.

Fix: each connection compares the bytes that were read from it since a request began with those that were handed on as bodies. Beyond that the connection is reset and the request fails at once with the bound's name. Idle connections are bounded alike, and connections through other instances, which count what has arrived.

Trailers without end were bounded before.

Ruled out: a time limit of runs, since sound runs may take long.

--- a/src/tasks/event_parser.ts
+++ b/src/tasks/event_parser.ts
@@ -1,6 +1,7 @@
 /** Parser of event streams that bounds what it is given. */
 import { createParser, type ParseError } from "eventsource-parser";
 import { EventTail } from "../core/continuation/mod.ts";
+import { ResponseBound } from "./response_bound.ts";
 import { ResponseTooLargeError } from "./response_limits.ts";
 import { UnreadableStreamError } from "./unreadable_stream_error.ts";
 
@@ -60,7 +61,7 @@
     const lines = this.#withLineFeeds(text);
     this.#parser.feed(lines);
     if (this.#tail.push(lines).length <= MAX_EVENT_LENGTH) return;
-    throw new ResponseTooLargeError(MAX_EVENT_LENGTH);
+    throw new ResponseTooLargeError(ResponseBound.Event, MAX_EVENT_LENGTH);
   }
 
   /** Gets whether an event has begun that is not whole; comments are none. */
@@ -86,7 +87,7 @@
 
   #onError(err: ParseError): void {
     if (err.type === BUFFER_EXCEEDED) {
-      throw new ResponseTooLargeError(MAX_EVENT_LENGTH);
+      throw new ResponseTooLargeError(ResponseBound.Event, MAX_EVENT_LENGTH);
     }
     this.#unreadableLeft -= 1;
     if (this.#unreadableLeft < 0) throw new UnreadableStreamError();
--- a/src/tasks/paths/connection_reset.ts
+++ b/src/tasks/paths/connection_reset.ts
@@ -59,12 +59,15 @@
 /**
  * Resets a connection. The client is told by an error: without one it looks for
  * the end of a response, and fails an assertion if it has paused the reading.
+ * @param err - Why the connection is reset.
  */
-export function resetConnection(socket: ResettableSocket): void {
+export function resetConnection(
+  socket: ResettableSocket,
+  err: Error = new ConnectionResetError(
+    "The connection was reset by this instance",
+  ),
+): void {
   if (socket.destroyed) return;
-  socket.emit(
-    "error",
-    new ConnectionResetError("The connection was reset by this instance"),
-  );
+  socket.emit("error", err);
   socket.resetAndDestroy();
 }
--- a/src/tasks/paths/relay_server_test.ts
+++ b/src/tasks/paths/relay_server_test.ts
@@ -113,6 +113,15 @@
       { code: "UND_ERR_SOCKET" },
     ));
 
+  it("is ended if the target sends empty lines without end", () =>
+    doTest(({ socket }) => {
+      const sendOn = () => {
+        while (!socket.destroyed && socket.write("\r\n".repeat(32_768)));
+        socket.once("drain", sendOn);
+      };
+      sendOn();
+    }, { code: "responseTooLarge" }));
+
   it("is no end of a response if it is lost", () =>
     doTest(
       (_req, res) => {
--- a/src/tasks/paths/target_connection.ts
+++ b/src/tasks/paths/target_connection.ts
@@ -6,6 +6,7 @@
 import { ConnectionState } from "./connection_state.ts";
 import type { OpenedConnection } from "./path_race.ts";
 import { guardAgainstResets } from "./reset_guard.ts";
+import { ResponseMeter } from "./response_meter.ts";
 
 /** Options of {@link TargetConnection}. */
 export interface TargetConnectionOptions {
@@ -33,6 +34,7 @@
   readonly client: Dispatcher.ComposedDispatcher;
   readonly #client: Client;
   readonly #options: TargetConnectionOptions;
+  readonly #meter = new ResponseMeter((err) => this.#reset(err));
   #socket: ResettableSocket | undefined;
   #path: Path = Path.Direct;
   #incarnation: number | undefined;
@@ -58,6 +60,7 @@
       keepAliveTimeout: idleTimeoutMs,
     });
     this.client = this.#client
+      .compose(this.#meter.interceptor)
       .compose(guardAgainstResets({
         isReset: () => this.#isReset,
         isClosed: () => this.#isClosed,
@@ -104,6 +107,7 @@
   /** Reserves the connection for a request, for which it may be opened again. */
   reserve(): this {
     this.#isIdle = false;
+    this.#meter.restart();
     if (this.#socket?.destroyed !== false) this.#incarnation = undefined;
     return this;
   }
@@ -136,6 +140,7 @@
   release(): boolean {
     this.#stopListening();
     this.#isIdle = true;
+    this.#meter.restart();
     const isReusable = this.#isComplete && this.isReusable;
     this.#isComplete = false;
     this.#isKept = this.#socket !== undefined;
@@ -164,13 +169,25 @@
         // The client uses no more of a socket than a duplex stream has.
         const httpSocket = socket as Duplex as NonNullable<ClientSocket>;
         if (this.#options.isSecure) {
-          startTls({ ...target, httpSocket }, callback);
-        } else callback(null, httpSocket);
+          startTls(
+            { ...target, httpSocket },
+            (...result) => this.#onConnected(callback, result),
+          );
+        } else this.#onConnected(callback, [null, httpSocket]);
       },
       (err) => callback(err, null),
     );
   }
 
+  #onConnected(
+    callback: ConnectCallback,
+    result: Parameters<ConnectCallback>,
+  ): void {
+    const [, socket] = result;
+    if (socket !== null) this.#meter.watch(socket);
+    callback(...result);
+  }
+
   #setSocket(socket: ResettableSocket, path: Path): void {
     this.#socket = socket;
     this.#path = path;
@@ -192,7 +209,7 @@
     });
   }
 
-  #reset(): void {
-    if (this.#socket !== undefined) resetConnection(this.#socket);
+  #reset(err?: Error): void {
+    if (this.#socket !== undefined) resetConnection(this.#socket, err);
   }
 }
--- a/src/tasks/paths/tunnel_socket.ts
+++ b/src/tasks/paths/tunnel_socket.ts
@@ -23,6 +23,7 @@
 export class TunnelSocket extends Duplex {
   readonly #socket: WebSocket;
   readonly #connection: Pick<Socket, "resetAndDestroy">;
+  #bytesRead = 0;
 
   constructor({ socket, connection }: TunnelSocketOptions) {
     super({ allowHalfOpen: false });
@@ -34,6 +35,11 @@
     socket.on("close", (code) => this.#onClose(code));
   }
 
+  /** Gets the number of bytes that have arrived. */
+  get bytesRead(): number {
+    return this.#bytesRead;
+  }
+
   /** Called with each text message of the other instance. */
   onText: (text: string) => void = () => {};
 
@@ -81,7 +87,9 @@
       this.onText(data.toString());
       return;
     }
-    if (!this.push(data)) this.#socket.pause();
+    const bytes = data as Buffer;
+    this.#bytesRead += bytes.length;
+    if (!this.push(bytes)) this.#socket.pause();
   }
 
   #onClose(code: number): void {
--- a/src/tasks/response_limits.ts
+++ b/src/tasks/response_limits.ts
@@ -1,12 +1,19 @@
 /** Bounds of the memory that responses of targets may take. */
 import { ByteCollector } from "../core/bytes/mod.ts";
 import { NutmegreelError } from "../core/errors/mod.ts";
+import { ResponseBound } from "./response_bound.ts";
 
 /** Thrown for a response that exceeds a bound; it may have no end. */
 export class ResponseTooLargeError extends NutmegreelError {
+  readonly bound: ResponseBound;
+
   /** @param limit - The bound, in bytes or UTF-16 code units. */
-  constructor(limit: number) {
-    super("responseTooLarge", `Response is too large: over ${limit}`);
+  constructor(bound: ResponseBound, limit: number) {
+    super(
+      "responseTooLarge",
+      `Response is too large (${bound}): over ${limit}`,
+    );
+    this.bound = bound;
   }
 }
 
@@ -39,7 +46,7 @@
         collector.add(chunk);
         this.#heldBytes += chunk.length;
         if (this.#heldBytes > this.#maxBytes) {
-          throw new ResponseTooLargeError(this.#maxBytes);
+          throw new ResponseTooLargeError(ResponseBound.Bodies, this.#maxBytes);
         }
       }
       return collector.bytes;
