--- a/src/tasks/response_limits.ts
+++ b/src/tasks/response_limits.ts
@@ -1,56 +1,22 @@
 /** Bounds of the memory that responses of targets may take. */
-import {
-  createParser,
-  type EventSourceParser,
-  type ParseError,
-} from "eventsource-parser";
+import { ByteCollector } from "../core/bytes/mod.ts";
 import { NutmegreelError } from "../core/errors/mod.ts";
-
-/** Longest event of a stream, in UTF-16 code units. */
-const MAX_EVENT_LENGTH = 1_048_576;
-/** Error of the parser if an event exceeds its buffer. */
-const BUFFER_EXCEEDED = "max-buffer-size-exceeded";
+import { ResponseBound } from "./response_bound.ts";
 
 /** Thrown for a response that exceeds a bound; it may have no end. */
 export class ResponseTooLargeError extends NutmegreelError {
+  readonly bound: ResponseBound;
+
   /** @param limit - The bound, in bytes or UTF-16 code units. */
-  constructor(limit: number) {
-    super("responseTooLarge", `Response is too large: over ${limit}`);
+  constructor(bound: ResponseBound, limit: number) {
+    super(
+      "responseTooLarge",
+      `Response is too large (${bound}): over ${limit}`,
+    );
+    this.bound = bound;
   }
 }
 
-/** Options of {@link createEventParser}. */
-export interface EventParserOptions {
-  readonly onEvent: (event: { id?: string; data: string }) => void;
-  /** Called with errors that end no stream, such as unknown fields. */
-  readonly onError?: (err: ParseError) => void;
-}
-
-/**
- * Creates a parser of event streams whose `feed` throws
- * {@link ResponseTooLargeError} for an event without end.
- *
- * @example
- * ```ts
- * const parser = createEventParser({ onEvent: ({ data }) => use(data) });
- * parser.feed("data: a\n\n");
- * ```
- */
-export function createEventParser(
-  { onEvent, onError }: EventParserOptions,
-): EventSourceParser {
-  return createParser({
-    onEvent,
-    maxBufferSize: MAX_EVENT_LENGTH,
-    onError: (err) => {
-      if (err.type === BUFFER_EXCEEDED) {
-        throw new ResponseTooLargeError(MAX_EVENT_LENGTH);
-      }
-      onError?.(err);
-    },
-  });
-}
-
 /**
  * Reads bodies completely, within a bound for all that are being read.
  *
@@ -74,20 +40,18 @@
    * @throws ResponseTooLargeError if the bound is exceeded.
    */
   async read(body: AsyncIterable<Uint8Array>): Promise<Uint8Array> {
-    const chunks: Uint8Array[] = [];
-    let size = 0;
+    const collector = new ByteCollector();
     try {
       for await (const chunk of body) {
-        size += chunk.length;
+        collector.add(chunk);
         this.#heldBytes += chunk.length;
         if (this.#heldBytes > this.#maxBytes) {
-          throw new ResponseTooLargeError(this.#maxBytes);
+          throw new ResponseTooLargeError(ResponseBound.Bodies, this.#maxBytes);
         }
-        chunks.push(chunk);
       }
-      return Buffer.concat(chunks);
+      return collector.bytes;
     } finally {
-      this.#heldBytes -= size;
+      this.#heldBytes -= collector.length;
     }
   }
 }
