What a process uses is shown beside its limits

What was seen: processes ended by themselves, and neither logs nor metrics told whether by the heap, the memory, the descriptors or the event loop.

Gauges show the heap and its limit, memory outside the heap, resident memory and the memory of the machine (settings, control group or system), open descriptors and their limit, and the longest delay of the event loop beside the time after which peers count the instance as lost. A process near the limit of its heap can log nothing at its end: event 1025 comes when four fifths are used, event 1026 when the event loop was late by half of that time; each every 10 s at most.

The delay is observed by a timer of 100 ms.

--- a/src/logging/instance_events.ts
+++ b/src/logging/instance_events.ts
@@ -51,6 +51,18 @@
       "File that tells the next process of an end without a last line cannot be written or removed",
     action: "Check the data folder or the folder for temporary files",
   }),
+  heapNearLimit: defineEvent(1025, "warn", {
+    text:
+      "Heap in use is near its limit, at which the process ends without a last line; logged every 10 s at most",
+    action:
+      "Look in the lines before for what this instance keeps; compare process.heapUsedBytes with its limit",
+  }),
+  loopDelayed: defineEvent(1026, "warn", {
+    text:
+      "Event loop came round late, beyond half of the time after which peers count the instance as lost; logged every 10 s at most",
+    action:
+      "Look in the lines before for long work, and check the load of the machine",
+  }),
   requestRefused: defineEvent(1101, "debug", {
     text: "Request refused",
   }),
--- a/src/metrics/metric_catalogue.ts
+++ b/src/metrics/metric_catalogue.ts
@@ -1,5 +1,6 @@
 /** Catalogue of the metrics, with texts for operators. */
 import { RefusalReason } from "../core/verdict/mod.ts";
+import { PROCESS_METRICS } from "./process_metrics.ts";
 import { RetryDecision } from "../core/retry/mod.ts";
 
 /** Kind of a metric. */
@@ -272,6 +273,7 @@
     kind: "counter",
     text: "Orders to load weights that failed or had no effect",
   },
+  ...PROCESS_METRICS,
   "log.linesDropped": { kind: "counter", text: "Log lines that were dropped" },
 } as const satisfies Readonly<Record<string, MetricDescription>>;
 
--- a/src/tasks/fleet/fleet_instance.ts
+++ b/src/tasks/fleet/fleet_instance.ts
@@ -9,7 +9,9 @@
 import type { ProcessEnd } from "./process_end.ts";
 import { ProcessMarker } from "./process_marker.ts";
 import type { ProcessSignals } from "./process_signals.ts";
+import { ProcessUsage } from "./process_usage.ts";
 import { readProgramBuild } from "./program_build.ts";
+import { RuntimeGauges } from "./runtime_gauges.ts";
 
 /** Work of an instance that is specific to its role. */
 export interface RoleTask {
@@ -42,6 +44,7 @@
   readonly #role: RoleTask;
   readonly #logger: Logger;
   readonly #metricsServer: MetricsServer;
+  readonly #gauges: RuntimeGauges;
   #loadedModifiedMs: number;
   #watchTimer: NodeJS.Timeout | undefined;
 
@@ -61,6 +64,14 @@
       level: settings.logLevel,
       budget: LOG_RATE_LIMIT,
     });
+    this.#gauges = new RuntimeGauges({
+      usage: new ProcessUsage(),
+      metrics,
+      logger: this.#logger,
+      memoryMb: settings.limits.memoryMb,
+      contactMs: settings.times.contactMs,
+      now: () => performance.now(),
+    });
     this.#node = new FleetNode({
       settings,
       logger: this.#logger,
@@ -90,6 +101,7 @@
       seeds: settings.seeds,
       isFirstStart: settings.isFirstStart,
     });
+    this.#gauges.start();
     this.#signals.onReload(() => this.#reload());
     this.#watchTimer = setInterval(
       () => this.#reloadIfChanged(),
@@ -104,6 +116,7 @@
     this.#node.drain();
     await this.#role.drain();
     this.#node.stop();
+    this.#gauges.stop();
     this.#metricsServer.close();
     this.#logger.event("instanceStopped");
   }
--- a/tests/process_ends_test.ts
+++ b/tests/process_ends_test.ts
@@ -321,4 +321,40 @@
         for (;;) kept.push(new Array(1_000).fill(kept.length));
       }, 1_500);`,
     }, () => {}));
+
+  it("by a heap that fills has a line before", async () => {
+    const instance = await createInstance();
+    const child = instance.start({
+      settings: {},
+      nodeOptions: ["--max-semi-space-size=2", "--max-old-space-size=110"],
+      before: `const kept = [];
+        setInterval(() => {
+          for (let i = 0; i < 750; i += 1) {
+            kept.push(new Array(1_000).fill(kept.length));
+          }
+        }, 100);`,
+    });
+    const { lines } = await waitForEnd(child);
+    expect(child.exitCode).not.toBe(0);
+    expect(lines.map(({ event }) => event)).toContain(1025);
+  });
+});
+
+it("metrics show resources with their limits", async () => {
+  const instance = await createInstance();
+  const child = instance.start({ settings: { limits: { memoryMb: 346 } } });
+  await waitForEvent(child, 2001);
+  const read = async () => {
+    for (;;) {
+      await new Promise((resolve) => setTimeout(resolve, 200));
+      const page = await fetch(`http://${instance.metrics}/metrics`)
+        .then((response) => response.text(), () => "");
+      if (page.includes("loopDelayMs")) return page;
+    }
+  };
+  const page = await read();
+  expect(page).toContain("nutmegreel_process_memoryLimitBytes 362807296");
+  expect(page).toContain("nutmegreel_process_loopDelayLimitMs 3000");
+  expect(page).toMatch(/nutmegreel_process_heapUsedBytes [1-9]/);
+  expect(page).toMatch(/nutmegreel_process_residentBytes [1-9]/);
 });
