A log waits for its disk at the first start as at a later one

What operators saw: control and ledger instances that ended at each start while their disk was full, read-only or failed.

Cause: a replica that fails later opens its store again every 500 ms, but the first start rejected, and the process ended with code 1. A store that could not be opened whole also kept its file open, so that each try would cost a descriptor.

Change: the creation and the opening of a log are repeated until the disk can be used, with event 1505 at the first failure and each 30 s. Meanwhile the instance is linked to the others and serves metrics, but has no replica: it does not vote, lead, publish or listen for operators and targets, who turn to other control instances. A file in the folder's place, and other names that waiting does not correct, end the process with an error as before. A stop while it waits starts no log afterwards.

--- a/src/tasks/fleet/fleet_control.ts
+++ b/src/tasks/fleet/fleet_control.ts
@@ -137,15 +137,18 @@
   async start(): Promise<void> {
     const { node, dataFolder } = this.#options;
     const { id, seeds, isFirstStart } = node.settings;
+    const { driver } = this.#service;
     if (isFirstStart && seeds.includes(id)) {
-      await LogStore.create<FleetCommand, FleetSnapshot>({
-        dataFolder,
-        name: FLEET_LOG,
-        emptyState: new FleetState().save(),
-        instances: seeds,
-      });
+      await driver.retryStore(() =>
+        LogStore.create<FleetCommand, FleetSnapshot>({
+          dataFolder,
+          name: FLEET_LOG,
+          emptyState: new FleetState().save(),
+          instances: seeds,
+        })
+      );
     }
-    await this.#service.driver.start();
+    await driver.start();
     this.#timer = setInterval(() => this.#maintain(), MAINTENANCE_INTERVAL_MS);
   }
 
--- a/src/tasks/log/log_driver.ts
+++ b/src/tasks/log/log_driver.ts
@@ -16,9 +16,11 @@
 import { LeadershipWaiters } from "./leadership_waiters.ts";
 import { LogCompactor } from "./log_compactor.ts";
 import type { LogDriverOptions } from "./log_driver_options.ts";
+import { LogStoppedError } from "./log_stopped_error.ts";
 import { LogStore } from "./log_store.ts";
 import { MemberRepair } from "./member_repair.ts";
 import type { StateMachine } from "./state_machine.ts";
+import { DISK_RETRY_DELAY_MS, untilStored } from "./store_retry.ts";
 
 type Write<C, S> = Extract<ConsensusEffect<C, S>, { type: "write" }>;
 
@@ -27,8 +29,6 @@
 const COMPACT_BYTES = 8_388_608;
 const REPAIR_INTERVAL_MS = 300;
 const RESTART_DELAY_MS = 2_000;
-/** Delay after a failure of the disk, which is often short. */
-const DISK_RETRY_DELAY_MS = 500;
 const MIN_TICK_MS = 5;
 
 /**
@@ -120,20 +120,49 @@
     return this.#leaderSince;
   }
 
-  /** Opens the store, restores the state and starts the consensus node. */
+  /**
+   * Opens the store, once its disk can be used, restores the state and starts
+   * the consensus node. Until then this replica neither votes nor answers.
+   * @throws Error if the store cannot be opened, or was stopped meanwhile.
+   */
   async start(): Promise<void> {
-    const { dataFolder, logger, now } = this.#options;
-    this.#store = await LogStore.open<C, S>({
+    const store = await this.retryStore(() => this.#openStore());
+    try {
+      if (this.#isStopped) throw new LogStoppedError(this.#options.name);
+      this.#startOn(store);
+    } catch (err) {
+      this.#store = undefined;
+      await store.close().catch(() => {});
+      throw err;
+    }
+  }
+
+  /** Repeats work on the store while its disk cannot be used. */
+  retryStore<T>(work: () => Promise<T>): Promise<T> {
+    const { logger, name: log } = this.#options;
+    return untilStored({
+      work,
+      isStopped: () => this.#isStopped,
+      onFailing: (detail, failedMs) =>
+        logger.event("controlStoreFailed", { log, detail, failedMs }),
+    });
+  }
+
+  #openStore(): Promise<LogStore<C, S>> {
+    const { createState, dataFolder, logger, name } = this.#options;
+    return LogStore.open<C, S>({
       dataFolder,
-      name: this.#options.name,
-      emptyState: this.#options.createState().save(),
+      name,
+      emptyState: createState().save(),
       onDamaged: (detail) =>
-        logger.event("controlStoreDamaged", {
-          log: this.#options.name,
-          detail,
-        }),
+        logger.event("controlStoreDamaged", { log: name, detail }),
     });
-    const stored = this.#store.takeStored();
+  }
+
+  #startOn(store: LogStore<C, S>): void {
+    const { logger, now } = this.#options;
+    this.#store = store;
+    const stored = store.takeStored();
     this.#state = this.#options.createState().load(stored.snapshot.state);
     this.#applied = stored.snapshot.index;
     this.#effects = [];
@@ -398,6 +427,7 @@
     const retry = () => {
       if (this.#isStopped) return;
       this.start().catch((retryErr) => {
+        if (this.#isStopped) return;
         logger.event("controlStoreFailed", {
           log: this.#options.name,
           detail: String(retryErr),
--- a/src/tasks/log/log_store.ts
+++ b/src/tasks/log/log_store.ts
@@ -9,6 +9,7 @@
   type StoredLog,
 } from "../../core/consensus/mod.ts";
 import {
+  closeOnError,
   FrameStore,
   openOrReplace,
   type PreparedFile,
@@ -209,7 +210,8 @@
     }
     if (incarnation === undefined) {
       incarnation = randomBytes(INCARNATION_BYTES).toString("hex");
-      await store.append([{ type: "identity", incarnation }]);
+      const identity = { type: "identity", incarnation } as const;
+      await closeOnError(store, () => store.append([identity]));
     }
     return new LogStore(store, { incarnation, stored: replay.stored });
   }
--- a/src/tasks/storage/frame_store.ts
+++ b/src/tasks/storage/frame_store.ts
@@ -9,6 +9,7 @@
   rm,
 } from "node:fs/promises";
 import { join } from "node:path";
+import { closeOnError } from "./close_on_error.ts";
 import { FrameCodec } from "./frame_codec.ts";
 import { writeFully } from "./write_fully.ts";
 
@@ -93,11 +94,13 @@
     const { length } = decoded;
     const frames = decoded.frames.flat() as F[];
     const handle = await open(file, generations.length === 0 ? "w" : "r+");
-    await handle.truncate(length);
-    await handle.sync();
-    await syncFolder(folder);
-    await removeOlderGenerations(folder, generation);
-    await removeUnfinished(folder);
+    await closeOnError(handle, async () => {
+      await handle.truncate(length);
+      await handle.sync();
+      await syncFolder(folder);
+      await removeOlderGenerations(folder, generation);
+      await removeUnfinished(folder);
+    });
     const store = new FrameStore<F>({
       folder,
       codec,
--- a/src/tasks/storage/write_fully.ts
+++ b/src/tasks/storage/write_fully.ts
@@ -16,6 +16,25 @@
     (code !== undefined && syscall !== undefined);
 }
 
+/** Errors that name a wrong folder or file, which waiting does not correct. */
+const LASTING_CODES: ReadonlySet<string | undefined> = new Set([
+  "EEXIST",
+  "EINVAL",
+  "EISDIR",
+  "ELOOP",
+  "ENAMETOOLONG",
+  "ENOTDIR",
+]);
+
+/**
+ * Gets whether an error came from a disk that may be usable later: it is full,
+ * read-only, not mounted yet, of another owner, or fails.
+ */
+export function isPassingStorageError(err: unknown): boolean {
+  return isStorageError(err) &&
+    !LASTING_CODES.has((err as NodeJS.ErrnoException).code);
+}
+
 /**
  * Writes all bytes at a position. A disk that is nearly full takes a part of
  * them without an error.
