A damaged log does not end a control instance at its first start

Cause: while all instances start for the first time, a seed creates its log unless there is one. A start that was repeated, with a log that was damaged meanwhile, rejected with DamagedFileError before the code that replaces damaged logs, so that the process ended with code 1 at each start.

Evidence: the test, on the code before: "promise rejected DamagedFileError: File .../log/log- is damaged at byte 0 instead of resolving".

Change: a damaged log counts as an existing one, which is not created. It is then renamed and the replica joins as a new one, as at other starts: it must not count as the voter that it was, since that one had stored votes and entries.

--- a/src/tasks/log/log_store.ts
+++ b/src/tasks/log/log_store.ts
@@ -10,7 +10,9 @@
 } from "../../core/consensus/mod.ts";
 import {
   closeOnError,
+  DamagedFileError,
   FrameStore,
+  type OpenedFrames,
   openOrReplace,
   type PreparedFile,
 } from "../storage/mod.ts";
@@ -110,12 +112,15 @@
 
   /**
    * Creates the store of an initial voter.
-   * @returns Whether it was created; an existing store is left unchanged.
+   * @returns Whether it was created; an existing store is left unchanged, also
+   * a damaged one.
    */
   static async create<C, S>(options: LogInitOptions<S>): Promise<boolean> {
-    const { store, frames } = await FrameStore.open<LogFrame<C, S>>(
+    const opened = await openUndamaged<LogFrame<C, S>>(
       join(options.dataFolder, options.name),
     );
+    if (opened === undefined) return false;
+    const { store, frames } = opened;
     try {
       if (frames.length > 0) return false;
       const incarnation = "first";
@@ -217,6 +222,18 @@
   }
 }
 
+/** Opens frames; undefined if their file is damaged. */
+async function openUndamaged<F>(
+  folder: string,
+): Promise<OpenedFrames<F> | undefined> {
+  try {
+    return await FrameStore.open<F>(folder);
+  } catch (err) {
+    if (err instanceof DamagedFileError) return undefined;
+    throw err;
+  }
+}
+
 function createEmptyLog<C, S>(members: Members, state: S): StoredLog<C, S> {
   return {
     hardState: { term: 0, votedFor: undefined },
--- a/src/tasks/log/store_start_test.ts
+++ b/src/tasks/log/store_start_test.ts
@@ -1,5 +1,5 @@
-import { mkdir, mkdtemp, rm, writeFile } from "node:fs/promises";
-import { readdirSync } from "node:fs";
+import { mkdir, mkdtemp, readdir, rm, writeFile } from "node:fs/promises";
+import { readdirSync, readFileSync, writeFileSync } from "node:fs";
 import { tmpdir } from "node:os";
 import { dirname, join } from "node:path";
 import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
@@ -109,4 +109,19 @@
     await expect(starting).rejects.toThrow();
     expect(driver.node).toBeUndefined();
   });
+
+  it("takes a damaged log for no reason to end at a first start", async () => {
+    await create();
+    await driver.start();
+    await vi.waitUntil(() => driver.isReady, WAIT);
+    driver.propose("a");
+    await vi.waitUntil(() => driver.applied > 1, WAIT);
+    await driver.stop();
+    const folder = join(dataFolder, "log");
+    const file = join(folder, (await readdir(folder))[0]);
+    const bytes = readFileSync(file);
+    bytes[10] ^= 1;
+    writeFileSync(file, bytes);
+    await expect(create()).resolves.toBe(false);
+  });
 });
