A ledger replica whose disk was full as it became a voter starts again

Cause: a replica stops its consensus node before it stores the first voters. If that write failed, nothing started the node again: the replica stayed without it until the process was restarted, and refused each further notice of its voters.

Evidence: the test, on the code before, times out after "ENOSPC: write": the replica never forms, although its disk has room again.

Change: the failure restarts the replica from its store, as other failures of a write do; the leader of the control log repeats its notice.

--- a/src/tasks/log/log_driver.ts
+++ b/src/tasks/log/log_driver.ts
@@ -227,8 +227,13 @@
       lastIndex: 0,
       term: 0,
     };
-    await store.write([write], () => ({ ...stored, snapshot }));
-    await store.close();
+    try {
+      await store.write([write], () => ({ ...stored, snapshot }));
+      await store.close();
+    } catch (err) {
+      this.#restartAfter(err);
+      throw err;
+    }
     await this.start();
     return true;
   }
--- a/src/tasks/log/store_start_test.ts
+++ b/src/tasks/log/store_start_test.ts
@@ -124,4 +124,17 @@
     writeFileSync(file, bytes);
     await expect(create()).resolves.toBe(false);
   });
+
+  it("forms after a disk was full as it became a voter", async () => {
+    await driver.start();
+    const voters = [driver.replica!];
+    disk.fill(dataFolder, ROOM_BYTES);
+    await expect(driver.bootstrapMembers(voters)).rejects.toThrow();
+    disk.free(dataFolder);
+    await vi.waitUntil(
+      () => driver.bootstrapMembers(voters).catch(() => false),
+      WAIT,
+    );
+    await vi.waitUntil(() => driver.isReady, WAIT);
+  });
 });
