An instance starts while its settings file is being replaced

Cause: the settings file was read once. A start in the moment in which the file was missing, empty or half-written, because it was being replaced, ended the process with code 1. A change of a file in use was already read again.

Evidence: the test writes the whole file a second after the start. On the code before, the process ends with "FaultyFileError: Faults in .../settings.json" before it joins.

Change: a file that cannot be read or is invalid is read again every 100 ms, for 2 s, the interval in which a changed file is noticed; one that stays so ends the process with its faults as before. The time of the file's last change is taken before it is read, so that a change between the two is noticed later.

--- a/src/tasks/fleet/fleet_instance.ts
+++ b/src/tasks/fleet/fleet_instance.ts
@@ -1,9 +1,14 @@
 /** Start, reload and shutdown of an instance of any role. */
 import { statSync } from "node:fs";
+import { setTimeout as sleep } from "node:timers/promises";
 import type { FleetMember } from "../../core/fleet/mod.ts";
 import { Logger } from "../../logging/mod.ts";
 import { Metrics } from "../../metrics/mod.ts";
-import { type FleetSettings, loadFleetSettings } from "../../settings/mod.ts";
+import {
+  FaultyFileError,
+  type FleetSettings,
+  loadFleetSettings,
+} from "../../settings/mod.ts";
 import { MetricsServer } from "../metrics_server.ts";
 import { FleetNode } from "./fleet_node.ts";
 import type { ProcessSignals } from "./process_signals.ts";
@@ -32,9 +37,20 @@
   readonly signals: ProcessSignals;
 }
 
+/** Settings and the file that they were read from. */
+interface LoadedSettings {
+  readonly file: string;
+  readonly settings: FleetSettings;
+  /** Time of the file's last change before it was read. */
+  readonly modifiedMs: number;
+}
+
 /** Rate limit of log lines per event; a step with many items logs in bursts. */
 const LOG_RATE_LIMIT = { linesPerS: 200, burst: 1_000 } as const;
 const WATCH_INTERVAL_MS = 2_000;
+/** Time in which another program replaces the settings file. */
+const REPLACEMENT_MS = 2_000;
+const REREAD_INTERVAL_MS = 100;
 
 /** Runs one instance until the process is asked to stop. */
 export class FleetInstance {
@@ -48,14 +64,35 @@
   #watchTimer: NodeJS.Timeout | undefined;
 
   /**
-   * Creates an instance from its settings file.
-   * @throws if the file cannot be read or is invalid.
+   * Creates an instance from its settings file. A file that is missing or
+   * invalid may be one that is being replaced, and is read again.
+   * @throws FaultyFileError if it stays so for 2 s.
    */
-  constructor(file: string, options: FleetInstanceOptions) {
+  static async create(
+    file: string,
+    options: FleetInstanceOptions,
+  ): Promise<FleetInstance> {
+    const endsAt = performance.now() + REPLACEMENT_MS;
+    for (;;) {
+      const modifiedMs = getModifiedMs(file);
+      try {
+        const settings = loadFleetSettings(file);
+        return new FleetInstance({ file, settings, modifiedMs }, options);
+      } catch (err) {
+        const isLast = performance.now() >= endsAt;
+        if (isLast || !(err instanceof FaultyFileError)) throw err;
+      }
+      await sleep(REREAD_INTERVAL_MS);
+    }
+  }
+
+  private constructor(
+    { file, settings, modifiedMs }: LoadedSettings,
+    options: FleetInstanceOptions,
+  ) {
     this.#file = file;
     this.#signals = options.signals;
-    const settings = loadFleetSettings(file);
-    this.#loadedModifiedMs = getModifiedMs(file);
+    this.#loadedModifiedMs = modifiedMs;
     const metrics = new Metrics({ tags: { instance: settings.name } });
     this.#metricsServer = new MetricsServer(metrics);
     this.#logger = new Logger({
--- a/tests/start_test.ts
+++ b/tests/start_test.ts
@@ -1,6 +1,10 @@
 import { once } from "node:events";
+import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
 import { createServer, type Server } from "node:net";
-import { afterEach, beforeEach, describe, expect, it } from "vitest";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { setTimeout } from "node:timers/promises";
+import { afterEach, beforeEach, describe, expect, it, test } from "vitest";
 import { FleetRole } from "../src/core/fleet/mod.ts";
 import { EVENT_CATALOGUE } from "../src/logging/mod.ts";
 import {
@@ -11,6 +15,7 @@
 import { FLEET_KEY } from "./support/fleet_fixture.ts";
 import { fleetPolicy } from "./support/fleet_policy.ts";
 import { LoopbackNet } from "./support/loopback_net.ts";
+import { ProcessGroup } from "./support/process_group.ts";
 
 type PortUse = keyof typeof FLEET_PORTS;
 
@@ -24,6 +29,53 @@
 const LATER_USES: ReadonlySet<PortUse> = new Set(["control"]);
 const POLICY = fleetPolicy({ version: 1, keys: [FLEET_KEY] });
 const POLICY_TIMEOUT_MS = 20_000;
+/** After the program has been loaded, and before it gives the file up. */
+const REPLACED_AFTER_MS = 1_000;
+
+test("an instance starts while its settings file is being replaced", async () => {
+  const folder = mkdtempSync(join(tmpdir(), "start-"));
+  const file = join(folder, "settings.json");
+  const group = new ProcessGroup();
+  const net = await LoopbackNet.claim();
+  try {
+    const whole = JSON.stringify({
+      id: net.addressOf(2),
+      name: "entry-1",
+      dataCentre: "a",
+      role: FleetRole.Entry,
+      peerPort: FLEET_PORTS.peers,
+      seeds: [],
+      isFirstStart: false,
+      tolerance: 1,
+      listen: {},
+      times: {
+        revokeMs: 5_000,
+        reportIntervalMs: 300,
+        graceS: 8,
+        usageWindowS: 2,
+        usageDueS: 4,
+        keepResultsS: 120,
+        contactMs: 3_000,
+      },
+    });
+    const half = whole.slice(0, whole.length / 2);
+    for (const before of [undefined, "", half]) {
+      rmSync(file, { force: true });
+      if (before !== undefined) writeFileSync(file, before);
+      const started = group.start("fleet", [], { NUTMEGREEL_SETTINGS: file });
+      await setTimeout(REPLACED_AFTER_MS);
+      writeFileSync(file, whole);
+      const { number } = EVENT_CATALOGUE.fleetJoined;
+      await started.waitForLine((line) => JSON.parse(line).event === number);
+      started.child.kill("SIGTERM");
+      expect(await started.waitForExit()).toBe(0);
+    }
+  } finally {
+    await group.stop();
+    net.release();
+    rmSync(folder, { recursive: true });
+  }
+});
 
 describe("instances whose ports are held as they start", () => {
   let fleet: FleetDeployment;
