Settings that an instance can do without may be null

Cause: optional fields of the settings were optional only where they were absent, and the table of regions where it was null. A value that a machine does not have is rendered as null, and the process ended at each start.

Evidence: the test, on the code before: "Invalid input: expected number, received null".

Change: null counts as absent for the port for other instances behind a proxy, the data folder, addresses, the receiver, the lease and fences of orders and the level of the log, as it does for regions and limits. Fields without a sensible default (identity, role, seeds, times, tolerance) stay required.

--- a/src/settings/fleet_settings.ts
+++ b/src/settings/fleet_settings.ts
@@ -26,11 +26,11 @@
   .transform((table) =>
     Object.keys(table ?? {}).length === 0 ? undefined : table ?? undefined
   );
-/** Schema of an optional address; an empty string means none. */
+/** Schema of an optional address; null or an empty string means none. */
 const optionalAddress = z.union([
   z.literal("").transform(() => undefined),
   address,
-]).optional();
+]).nullish().transform(dropNull);
 
 /** Schema of the settings; unknown fields are ignored. */
 export const fleetSettingsSchema = z.object({
@@ -45,7 +45,7 @@
   /** Port on which instances connect to each other. */
   peerPort: port,
   /** Port on which this instance listens if `peerPort` is forwarded to it. */
-  peerListenPort: port.optional(),
+  peerListenPort: port.nullish().transform(dropNull),
   /** Addresses of some control instances; their ports are ignored. */
   seeds: z.array(address.transform(({ host }) => host)),
   /** Whether all instances of the fleet start for the first time. */
@@ -53,7 +53,7 @@
   /** Number of machines with a disk that may fail at the same time. */
   tolerance: z.number().int().min(0),
   /** Folder for persistent state; absent on machines without a disk. */
-  dataFolder: z.string().min(1).optional(),
+  dataFolder: z.string().nullish().transform((folder) => folder || undefined),
   listen: z.object({
     /** Address for callers. */
     callers: optionalAddress,
@@ -76,13 +76,17 @@
     callsPerS: z.number().positive(),
     /** Requests sent to it: `usage` for reports, `autoscale` for orders. */
     duties: z.array(z.string()),
-  }).optional(),
+  }).nullish().transform(dropNull),
   /** Orders that the control leader sends to targets and the receiver. */
   orders: z.object({
     /** Time within which two leaders must not take turns, in ms. */
-    leaseMs: milliseconds.default(DEFAULT_ORDER_LEASE_MS),
+    leaseMs: milliseconds.nullish().transform((ms) =>
+      ms ?? DEFAULT_ORDER_LEASE_MS
+    ),
     /** Whether recipients reject orders with an outdated fencing token. */
-    areFencesChecked: z.boolean().default(true),
+    areFencesChecked: z.boolean().nullish().transform((areChecked) =>
+      areChecked ?? true
+    ),
   }).prefault({}),
   times: z.object({
     /** Time within which a withdrawn key must stop working, in ms. */
@@ -109,8 +113,14 @@
     keepResultsMs: times.keepResultsS,
     contactMs: times.contactMs,
   })),
-  logLevel: z.enum(["debug", "info", "warn", "error"]).default("info"),
+  logLevel: z.enum(["debug", "info", "warn", "error"]).nullish().transform((
+    level,
+  ) => level ?? "info"),
 });
 
 /** Validated settings of an instance of a fleet. */
 export type FleetSettings = z.output<typeof fleetSettingsSchema>;
+
+function dropNull<T>(value: T | null | undefined): T | undefined {
+  return value ?? undefined;
+}
--- a/src/settings/fleet_settings_test.ts
+++ b/src/settings/fleet_settings_test.ts
@@ -46,3 +46,35 @@
     expect(() => doTest({ memoryMb: -1 }, undefined)).toThrow();
   });
 });
+
+describe("optional fleet settings", () => {
+  const { shape } = fleetSettingsSchema;
+
+  function doTest(name: keyof typeof shape, expected: unknown) {
+    for (const none of [undefined, null]) {
+      expect(shape[name].parse(none)).toBe(expected);
+    }
+  }
+
+  // Guards against a process that ends over a value it could do without.
+  it("may be absent, null or empty", () => {
+    doTest("peerListenPort", undefined);
+    doTest("dataFolder", undefined);
+    doTest("metrics", undefined);
+    doTest("receiver", undefined);
+    doTest("logLevel", "info");
+    expect(shape.dataFolder.parse("")).toBeUndefined();
+    expect(
+      shape.listen.parse({ callers: null, readiness: "", control: undefined }),
+    ).toEqual({});
+    expect(shape.orders.parse({ leaseMs: null, areFencesChecked: null }))
+      .toEqual({ leaseMs: 3_000, areFencesChecked: true });
+  });
+
+  it("are refused in another form", () => {
+    for (const odd of ["127.0.0.1", 9_464, {}]) {
+      expect(() => shape.metrics.parse(odd)).toThrow();
+    }
+    expect(() => shape.logLevel.parse("loud")).toThrow();
+  });
+});
