An output longer than its item can have ends its run

What callers saw: a target that sent numbered events without end to a run kept it for ever, since each event counts as progress. The ledger kept all of them: in the run, in its log, and on all replicas, until a process ran out of memory.

Cause: neither runs nor the texts of items had a bound.

Beyond that the run ends, its target is avoided as after any failure, and the item begins anew at another target: no part of the output is resumed, also not what the ledger stored of it. An item that ends so as often as it may fail is abandoned, without the text.

Ruled out: the silence timeout and the mover of slow runs, which such a run never meets; a bound on the number of events, since events may hold parts of tokens.

--- a/src/core/batches/item_tracker.ts
+++ b/src/core/batches/item_tracker.ts
@@ -22,6 +22,8 @@
   isPaceCorrected: boolean;
   /** Runs that no target of the partial output's version would continue. */
   unverifiedRuns: number;
+  /** Whether a run wrote more than the item can have; then none is resumed. */
+  isOverlong: boolean;
   /** Time before which the item is not run again, in milliseconds. */
   notBefore: number;
   /**
@@ -82,6 +84,7 @@
       silentRuns: 0,
       isPaceCorrected: false,
       unverifiedRuns: 0,
+      isOverlong: false,
       notBefore: -Infinity,
       strandedAt: undefined,
       heldAt: undefined,
@@ -165,8 +168,9 @@
     const complete = texts.find(({ isComplete }) => isComplete);
     const known = texts.filter(({ software }) => software !== undefined)
       .sort((a, b) => b.lastId - a.lastId);
-    const unverified = this.#progress.get(keyOf(waiting))?.unverifiedRuns ?? 0;
-    const isResumable = unverified < MAX_UNVERIFIED_RUNS;
+    const progress = this.#progress.get(keyOf(waiting));
+    const isResumable = progress?.isOverlong !== true &&
+      (progress?.unverifiedRuns ?? 0) < MAX_UNVERIFIED_RUNS;
     return {
       complete: complete && new RunText(complete),
       partial: isResumable ? known.map((text) => new RunText(text)) : [],
--- a/src/core/batches/mod.ts
+++ b/src/core/batches/mod.ts
@@ -10,6 +10,7 @@
 export * from "./known_paces.ts";
 export * from "./pace_store.ts";
 export * from "./pace_recipients.ts";
+export * from "./output_limit.ts";
 export * from "./process_lag.ts";
 export * from "./run_text.ts";
 export * from "./start_pacer.ts";
--- a/src/core/batches/run_text.ts
+++ b/src/core/batches/run_text.ts
@@ -18,6 +18,9 @@
   readonly isComplete?: boolean;
 }
 
+/** Length for which an event counts beside its data, in UTF-16 code units. */
+const EVENT_LENGTH = 16;
+
 /**
  * Collects the events of an output in order, and their weight versions.
  *
@@ -34,12 +37,13 @@
   #version: number | undefined;
   #software: string | undefined;
   #lastId = 0;
+  #length = 0;
 
   /** Creates an empty text, or one that resumes from a partial output. */
   constructor(partial?: PartialText) {
     this.#isComplete = partial?.isComplete ?? false;
     if (partial === undefined) return;
-    this.#pieces.push(...partial.pieces);
+    for (const piece of partial.pieces) this.#push(piece);
     for (const version of partial.versions) this.#versions.add(version);
     this.#lastId = partial.lastId;
     this.#software = partial.software;
@@ -60,6 +64,11 @@
     return this.#pieces.length;
   }
 
+  /** Gets the length of all events as they are kept, in UTF-16 code units. */
+  get length(): number {
+    return this.#length;
+  }
+
   /** Gets the weight versions of the events so far, ascending. */
   get versions(): number[] {
     return [...this.#versions].sort((a, b) => a - b);
@@ -109,8 +118,13 @@
     if (event.id !== this.#lastId + 1) return false;
     if (this.#version === undefined) return false;
     this.#versions.add(this.#version);
-    this.#pieces.push(event.data);
+    this.#push(event.data);
     this.#lastId = event.id;
     return true;
   }
+
+  #push(piece: string): void {
+    this.#pieces.push(piece);
+    this.#length += piece.length + EVENT_LENGTH;
+  }
 }
--- a/src/tasks/batches/batch_runner_test.ts
+++ b/src/tasks/batches/batch_runner_test.ts
@@ -419,6 +419,52 @@
     expect(engines.runs[0].request.resumeAfter).toBe(4);
   });
 
+  /** Sends events until they would exceed any bound. */
+  function sendWithoutEnd({ sink }: OpenedRun, data: string) {
+    for (let id = 1; id <= 100_000; id += 1) sink.onEvent({ id, data });
+  }
+
+  it("begins an item anew whose output has no end, at another target", () => {
+    const { state, engines, step, storedTexts } = startRunner(
+      [target("t1"), target("t2")],
+      [spec(["x1"], { maxAttempts: 3 })],
+    );
+    const [first] = engines.runs;
+    play(first, { from: 1, to: 20, gapMs: 50 }, step);
+    expect(storedTexts).not.toEqual([]);
+    for (let id = 21; !first.isCancelled && id < 10_000; id += 1) {
+      first.sink.onEvent({ id, data: "x".repeat(1_000) });
+    }
+    expect(first.isCancelled).toBe(true);
+    step(500);
+    const [, second] = engines.runs;
+    expect(second.request.target.id).not.toBe(first.request.target.id);
+    expect(second.request.resumeAfter).toBe(0);
+    second.sink.onEvent({ id: 1, data: "a" });
+    second.sink.onEnd();
+    expect(state.get("b1")?.getResult("x1")).toMatchObject({
+      state: ResultState.Completed,
+      text: "a",
+    });
+  });
+
+  for (const [name, data] of [["empty", ""], ["long", "x".repeat(60_000)]]) {
+    it(`abandons an item whose output is ${name} events without end everywhere`, () => {
+      const { state, engines, step } = startRunner(
+        [target("t1"), target("t2")],
+        [spec(["x1"], { maxAttempts: 2 })],
+      );
+      sendWithoutEnd(engines.runs[0], data);
+      step(500);
+      expect(state.get("b1")?.getResult("x1")).toBeUndefined();
+      sendWithoutEnd(engines.runs[1], data);
+      expect(state.get("b1")?.getResult("x1")).toMatchObject({
+        state: ResultState.Abandoned,
+        text: "",
+      });
+    });
+  }
+
   it("abandons an item after the maximum number of failed attempts", () => {
     const { state, engines, step } = startRunner(
       [target("t1"), target("t2")],
--- a/src/tasks/batches/engine_port.ts
+++ b/src/tasks/batches/engine_port.ts
@@ -49,6 +49,8 @@
   Unreachable: "unreachable",
   /** The run was not sent; the detail is the reason that its guard gave. */
   Withheld: "withheld",
+  /** The output is longer than that of the item can be; it may have no end. */
+  Overlong: "overlong",
   /** The connection broke, or the response could not be parsed. */
   Broken: "broken",
 } as const;
--- a/src/tasks/batches/item_run.ts
+++ b/src/tasks/batches/item_run.ts
@@ -2,6 +2,7 @@
 import {
   type BatchItem,
   type BatchRecord,
+  outputLimitOf,
   type RunEvent,
   RunText,
 } from "../../core/batches/mod.ts";
@@ -161,6 +162,11 @@
       );
       return;
     }
+    const limit = outputLimitOf(this.item);
+    if (this.text.length > limit) {
+      this.#fail(RunFailure.Overlong, `Output is longer than ${limit}`);
+      return;
+    }
     this.#eventCount += 1;
     const gapMs = now - this.#lastEventAt;
     this.#lastEventAt = now;
--- a/src/tasks/batches/run_failure_handler.ts
+++ b/src/tasks/batches/run_failure_handler.ts
@@ -3,6 +3,7 @@
   ItemProgress,
   ItemTracker,
   PromptLocations,
+  RunText,
   TargetPace,
 } from "../../core/batches/mod.ts";
 import type { Logger } from "../../logging/mod.ts";
@@ -48,8 +49,9 @@
   onFailed(run: ItemRun, failure: RunFailure, detail: string): void {
     const { itemTracker, limiter } = this.#options;
     if (LOST_FAILURES.has(failure)) limiter.onLost(run.target);
-    itemTracker.savePartialText(run, run.text);
     const progress = itemTracker.progressOf(run);
+    if (failure === RunFailure.Overlong) progress.partialText = undefined;
+    else itemTracker.savePartialText(run, run.text);
     if (failure === RunFailure.Withheld) this.#logWithheld(run, detail);
     else this.#logBroken(run, failure, detail);
     this.#handlers[failure](run, progress);
@@ -103,12 +105,11 @@
       progress.excludedTargets.add(run.target.id);
       this.#backOffItem(run);
     },
-    failed: (run, progress) => {
-      progress.failedRuns += 1;
-      progress.excludedTargets.add(run.target.id);
-      if (progress.failedRuns >= run.record.spec.maxAttempts) {
-        this.#options.results.abandon(run.record, run.item, run.text);
-      }
+    failed: (run, progress) => this.#onFailedRun(run, progress, run.text),
+    overlong: (run, progress) => {
+      progress.isOverlong = true;
+      this.#backOffTarget(run);
+      this.#onFailedRun(run, progress);
     },
     impossible: ({ record, item, text }) =>
       this.#options.results.abandon(record, item, text),
@@ -119,6 +120,15 @@
     broken: (run, progress) => this.#onBroken(run, progress),
   };
 
+  /** @param text - What an abandoned item keeps of its output. */
+  #onFailedRun(run: ItemRun, progress: ItemProgress, text?: RunText): void {
+    const { record, item, target } = run;
+    progress.failedRuns += 1;
+    progress.excludedTargets.add(target.id);
+    if (progress.failedRuns < record.spec.maxAttempts) return;
+    this.#options.results.abandon(record, item, text);
+  }
+
   #onBroken(run: ItemRun, progress: ItemProgress): void {
     progress.excludedTargets.add(run.target.id);
     this.#backOffTarget(run);
