Operators see which target exceeded which bound of a response

What operators saw: the detail of a retry or a broken run at most, and nothing of requests for the state of a target, so that a target that sends without end could not be told from one whose connection broke.

Fix: event 2024 names the target, its address and the bound, and `responses.tooLarge` counts; the bounds stand in its text. Events are limited in their rate as all are. `items.overlong` counts runs whose output was too long, which `itemBroken` names with their target.

--- a/src/logging/fleet_events.ts
+++ b/src/logging/fleet_events.ts
@@ -45,6 +45,11 @@
       "Heartbeat of a target is invalid and names no target; it was rejected, and is logged once for each target",
     action: "Check the sender of the heartbeat",
   }),
+  responseTooLarge: defineEvent(2024, "warn", {
+    text:
+      "Response of a target ended, as it exceeded the bound that is named and may have no end",
+    action: "Check the target, which sends more than an answer has",
+  }),
   callAnswered: defineEvent(2101, "info", {
     text: "Request completed",
   }),
--- a/src/metrics/metric_catalogue.ts
+++ b/src/metrics/metric_catalogue.ts
@@ -103,6 +103,11 @@
     kind: "gauge",
     text: "Targets that this instance reaches through others only",
   },
+  "responses.tooLarge": {
+    kind: "counter",
+    text:
+      "Responses of targets ended at a bound: 1 MiB without the end of an event, 1,000 lines without a meaning, 32 MiB of bodies that are read completely, or 128 KiB and 20 times its body of framing",
+  },
   "relays.opened": {
     kind: "counter",
     text: "Connections to targets opened for other instances",
@@ -199,6 +204,10 @@
     kind: "counter",
     text: "Runs of items that ended without their complete output",
   },
+  "items.overlong": {
+    kind: "counter",
+    text: "Runs of items ended as their output was longer than the item allows",
+  },
   "items.cancelled": {
     kind: "counter",
     text: "Runs of items without a response when the lease was lost, cancelled",
--- a/src/tasks/batches/run_failure_handler.ts
+++ b/src/tasks/batches/run_failure_handler.ts
@@ -108,6 +108,7 @@
     failed: (run, progress) => this.#onFailedRun(run, progress, run.text),
     overlong: (run, progress) => {
       progress.isOverlong = true;
+      this.#options.metrics.count("items.overlong");
       this.#backOffTarget(run);
       this.#onFailedRun(run, progress);
     },
--- a/src/tasks/event_parser.ts
+++ b/src/tasks/event_parser.ts
@@ -90,7 +90,9 @@
       throw new ResponseTooLargeError(ResponseBound.Event, MAX_EVENT_LENGTH);
     }
     this.#unreadableLeft -= 1;
-    if (this.#unreadableLeft < 0) throw new UnreadableStreamError();
+    if (this.#unreadableLeft < 0) {
+      throw new UnreadableStreamError(MAX_UNREADABLE_LINES);
+    }
     this.#options.onError?.(err);
   }
 }
--- a/src/tasks/response_bound.ts
+++ b/src/tasks/response_bound.ts
@@ -2,6 +2,8 @@
 export const ResponseBound = {
   /** What comes without the end of an event. */
   Event: "event",
+  /** Lines of a stream that have no meaning. */
+  UnreadableLines: "unreadableLines",
   /** Bodies that are read completely, all together. */
   Bodies: "bodies",
   /** Bytes of a connection that belong to no body: heads, framing, trailers. */
