Bodies of requests have one bound for all of them together

What callers saw: an instance used more memory than its machine has while some callers sent large bodies, or it ended, and with it the requests of all others.

Cause: each body was bounded by the policy's limit (32 MiB), but nothing bounded all of them. A body was kept as the parts in which it arrived, and a sender chooses their size: a chunk of one byte took over 100 bytes of heap. A body that was too large got no answer at all: leaving the loop over the request destroyed its connection before the 413 was written.

Change: bodies are counted until their responses have ended. Small ones (up to 256 KiB) have 16 MiB, larger ones 48 MiB of their own. At the bound the largest body that still arrives is refused with 503 and Retry-After, the newest of equals, so that neither a large nor an unfinished body takes the place of small ones. Parts are copied into one buffer. The response to a body that was not read completely is sent with Connection: close, and the connection closed a second later, since bytes that nobody has read would reset it.

Weighed and left: refusing by the declared size at once, since a sender could then hold all the memory by declaring it; a time limit for bodies, since a slow sound sender would be cut while there is room.

--- a/src/metrics/metric_catalogue.ts
+++ b/src/metrics/metric_catalogue.ts
@@ -103,6 +103,15 @@
     kind: "gauge",
     text: "Targets that this instance reaches through others only",
   },
+  "bodies.heldBytes": {
+    kind: "gauge",
+    text:
+      "Bytes of the bodies of requests that are read or not yet answered; at most 64 MiB",
+  },
+  "bodies.refused": {
+    kind: "counter",
+    text: "Requests refused as other bodies took the memory for theirs",
+  },
   "relays.opened": {
     kind: "counter",
     text: "Connections to targets opened for other instances",
--- /dev/null
+++ b/src/tasks/bodies/mod.ts
@@ -0,0 +1,3 @@
+/** Bodies of requests, within a bound for all of them. */
+export * from "./request_bodies.ts";
+export * from "./unread_request.ts";
--- a/tests/support/fleet_deployment.ts
+++ b/tests/support/fleet_deployment.ts
@@ -31,6 +31,8 @@
   readonly areFencesChecked?: boolean;
   /** Bundled program of all machines; the one of today by default. */
   readonly program?: string;
+  /** Options of node for the processes of each role; none by default. */
+  readonly nodeOptions?: Readonly<Record<FleetRole, string>>;
 }
 
 /** An instance of the deployment, which keeps its identity over restarts. */
@@ -143,6 +145,7 @@
     );
     machine.process = this.#group.start(machine.program, [], {
       NUTMEGREEL_SETTINGS: file,
+      NODE_OPTIONS: this.#options.nodeOptions?.[machine.role] ?? "",
     });
   }
 
