The requests that a server has not answered are bounded, by connection and in all

What callers saw: an entry instance ended ("Reached heap limit") and did not answer others for seconds while some callers sent requests on a connection without reading the responses.

Cause: requests may follow each other on a connection before the first is answered. The HTTP server stops reading only once it holds unread responses, so that the requests, and the calls that they began, had no bound. When such a connection closed, only the response at its head was told; the others stayed in the set of open responses, and their calls went on, for ever.

Change: a connection may have 64 unanswered requests; one that sends more does not read its responses, and is closed. An instance serves 2,048 requests at once, from 1,024 on one for each connection, so that a caller that sends many on few does not take the place of others; what is beyond is refused with 503 and Retry-After. All responses of a connection close with it. Bounded by the heap of an entry instance: a request with its head of up to 16 KB.

Weighed and left: to stop reading while requests wait. The server starts reading again with each body that is consumed, and what one read has brought is parsed.

--- a/src/metrics/metric_catalogue.ts
+++ b/src/metrics/metric_catalogue.ts
@@ -112,6 +112,15 @@
     kind: "counter",
     text: "Requests refused as other bodies took the memory for theirs",
   },
+  "requests.open": {
+    kind: "gauge",
+    text: "Requests that a server has not answered; at most 2,048",
+  },
+  "connections.overrun": {
+    kind: "counter",
+    text:
+      "Connections closed as the other side sent on, but did not read what it was sent",
+  },
   "relays.opened": {
     kind: "counter",
     text: "Connections to targets opened for other instances",
--- a/tests/support/entry_fixture.ts
+++ b/tests/support/entry_fixture.ts
@@ -1,6 +1,5 @@
 /** The HTTP listener of an entry instance, without the rest of its fleet. */
 import { createServer } from "node:net";
-import { RequestBodies } from "../../src/tasks/bodies/mod.ts";
 import { EntryServer } from "../../platform/entry_server.ts";
 import { TargetClient } from "../../platform/target_client.ts";
 import {
@@ -62,10 +61,9 @@
       acquire: () => Promise.reject(new Error("Unexpected permit")),
     },
   });
-  const server = new EntryServer(
-    entry,
-    new RequestBodies({ metrics: new Metrics({ tags: {} }) }),
-  );
+  const server = new EntryServer(entry, {
+    metrics: new Metrics({ tags: {} }),
+  });
   const port = await findFreePort();
   await server.listen({ host: HOST, port });
   return { address: `${HOST}:${port}`, server };
