Messages between instances have one bound for all links, and none before the proof

What was seen: an instance held over twice the memory of its machine while a party on the internal network sent messages that did not end.

Cause: a connection could send a message of 128 MiB (100 MiB to the side that dialled) before it was authenticated, and each could hold as much in part. What waited to be sent was bounded by 32 MiB for each link, not for all.

Change: a connection may send 128 KiB before it is authenticated, which holds what comes with the last part of the handshake. A message may have 64 MiB, and so may all that have arrived in part on all connections; beyond, the connection with the largest part is closed, counted and logged. Once 64 MiB wait to be sent, messages to links that do not read are dropped, as they are already at the bound of one link.

--- a/src/metrics/metric_catalogue.ts
+++ b/src/metrics/metric_catalogue.ts
@@ -121,6 +121,16 @@
     text:
       "Connections closed as the other side sent on, but did not read what it was sent",
   },
+  "peers.heldBytes": {
+    kind: "gauge",
+    text:
+      "Bytes of messages of other instances that have arrived in part; at most 64 MiB",
+  },
+  "peers.unsentBytes": {
+    kind: "gauge",
+    text:
+      "Bytes of messages that wait to be sent to other instances; about 64 MiB at most",
+  },
   "relays.opened": {
     kind: "counter",
     text: "Connections to targets opened for other instances",
--- a/src/tasks/bodies/mod.ts
+++ b/src/tasks/bodies/mod.ts
@@ -1,3 +1,4 @@
 /** Bodies of requests, within a bound for all of them. */
 export * from "./request_bodies.ts";
 export * from "./unread_request.ts";
+export * from "./body_pool.ts";
--- a/src/tasks/bodies/request_bodies.ts
+++ b/src/tasks/bodies/request_bodies.ts
@@ -91,7 +91,6 @@
         }
         body.add(part);
         pool.add(body, isMoved ? body.size : part.length);
-        this.#record();
       };
       body.refuse = () => {
         this.#metrics.count("bodies.refused");
@@ -101,6 +100,7 @@
       req.once("end", () => {
         if (body.refuse === undefined) return;
         body.refuse = undefined;
+        this.#record();
         resolve(body.take());
       });
       const onBroken = (cause?: unknown) => {
--- a/src/tasks/peers/accepted_link.ts
+++ b/src/tasks/peers/accepted_link.ts
@@ -1,5 +1,6 @@
 /** A connection dialled and authenticated by another instance. */
 import type { WebSocket } from "ws";
+import type { LinkMemory } from "./link_memory.ts";
 import { encodeEnvelope, type PeerEnvelope } from "./peer_envelope.ts";
 import { sendEncoded, SILENCE_TIMEOUT_MS } from "./peer_link.ts";
 
@@ -8,6 +9,8 @@
   /** ID of the other instance. */
   readonly peer: string;
   readonly socket: WebSocket;
+  /** Memory of all links. */
+  readonly memory: LinkMemory;
   /** Called with the size of each message sent, in bytes. */
   readonly onSent: (bytes: number) => void;
 }
@@ -41,8 +44,8 @@
 
   /** Sends a message that is encoded only if it can be sent. */
   sendBytes(encode: () => Buffer): boolean {
-    const { socket, onSent } = this.#options;
-    return this.isUp && sendEncoded(socket, { encode, onSent });
+    const { socket, onSent, memory } = this.#options;
+    return this.isUp && sendEncoded(socket, { encode, onSent, memory });
   }
 
   /** Closes the connection if nothing was received for too long. */
--- a/src/tasks/peers/peer_dialer.ts
+++ b/src/tasks/peers/peer_dialer.ts
@@ -3,6 +3,7 @@
 import { connect as connectTls } from "node:tls";
 import { type ClientOptions, WebSocket } from "ws";
 import type { PeerSettings } from "../../settings/mod.ts";
+import { type LinkMemory, MAX_MESSAGE_BYTES } from "./link_memory.ts";
 import { createNonce, createProof, isValidProof } from "./peer_handshake.ts";
 
 /** TLS certificate, key and authority of a link. */
@@ -34,6 +35,8 @@
   /** Gets the certificates; undefined for a plain connection. */
   readonly security: () => LinkSecurity | undefined;
   readonly path: PeerPath;
+  /** Memory of all links; what arrives is not counted without it. */
+  readonly memory?: LinkMemory;
   /** Called once both sides are authenticated. */
   readonly onAuthenticated: () => void;
 }
@@ -71,6 +74,7 @@
   const clientOptions: ClientOptions & { readonly closeTimeout: number } = {
     closeTimeout: CLOSE_TIMEOUT_MS,
     perMessageDeflate: false,
+    maxPayload: MAX_MESSAGE_BYTES,
     createConnection: () => connection,
   };
   const url = `${scheme}://${urlHost}:${port}${path}`;
@@ -78,7 +82,11 @@
   const timer = setTimeout(() => socket.terminate(), HANDSHAKE_TIMEOUT_MS);
   socket.once("close", () => clearTimeout(timer));
   const nonce = createNonce();
-  socket.on("open", () => socket.send(JSON.stringify({ id: self, nonce })));
+  let trust: (() => void) | undefined;
+  socket.on("open", () => {
+    trust = options.memory?.watch(socket, connection, peer.id);
+    socket.send(JSON.stringify({ id: self, nonce }));
+  });
   socket.once("message", (data: Buffer) => {
     const reply = parseHandshakeReply(data);
     const proof = { secret, id: peer.id, to: self, nonce };
@@ -89,6 +97,7 @@
     const ownProof = { secret, id: self, to: peer.id, nonce: reply.nonce };
     socket.send(JSON.stringify({ proof: createProof(ownProof) }));
     clearTimeout(timer);
+    trust?.();
     options.onAuthenticated();
   });
   socket.on("error", () => {});
--- a/src/tasks/peers/peer_hub_test.ts
+++ b/src/tasks/peers/peer_hub_test.ts
@@ -16,6 +16,7 @@
 import { Metrics } from "../../metrics/mod.ts";
 import { dialPeer, PeerPath } from "./peer_dialer.ts";
 import { PeerHub } from "./peer_hub.ts";
+import { LinkMemory } from "./link_memory.ts";
 import { PeerLink } from "./peer_link.ts";
 
 /** Ports above this one are used; below the range of ephemeral ports. */
@@ -142,6 +143,10 @@
       peer: { id: "b", dataCentre: "a", address, control: false },
       secret: "",
       security: () => undefined,
+      memory: new LinkMemory({
+        metrics: new Metrics({ tags: {} }),
+        onOverrun: () => {},
+      }),
       onChange: () => {},
       onSent: () => {},
       onReceived: () => {},
--- a/src/tasks/peers/peer_link.ts
+++ b/src/tasks/peers/peer_link.ts
@@ -1,6 +1,7 @@
 /** Outgoing connection to another instance. */
 import type { WebSocket } from "ws";
 import type { PeerSettings } from "../../settings/mod.ts";
+import type { LinkMemory } from "./link_memory.ts";
 import { dialPeer, type LinkSecurity, PeerPath } from "./peer_dialer.ts";
 import {
   decodeEnvelope,
@@ -22,6 +23,8 @@
   readonly onChange: (isUp: boolean) => void;
   /** Called with the size of each message sent, in bytes. */
   readonly onSent: (bytes: number) => void;
+  /** Memory of all links. */
+  readonly memory: LinkMemory;
   /** Called with each message received. */
   readonly onMessage: (envelope: PeerEnvelope) => void;
   /** Called with the size of each message received, in bytes. */
@@ -68,7 +71,8 @@
   sendBytes(encode: () => Buffer): boolean {
     const socket = this.#socket;
     if (!this.#isUp || socket === undefined) return false;
-    return sendEncoded(socket, { encode, onSent: this.#options.onSent });
+    const { onSent, memory } = this.#options;
+    return sendEncoded(socket, { encode, onSent, memory });
   }
 
   /**
@@ -113,13 +117,14 @@
   }
 
   #dial(): void {
-    const { self, peer, secret, security } = this.#options;
+    const { self, peer, secret, security, memory } = this.#options;
     const { socket } = dialPeer({
       self,
       peer,
       secret,
       security,
       path: PeerPath.Link,
+      memory,
       onAuthenticated: () => this.#onAuthenticated(socket),
     });
     this.#socket = socket;
@@ -168,11 +173,14 @@
   options: {
     readonly encode: () => Buffer;
     readonly onSent: (bytes: number) => void;
+    readonly memory: LinkMemory;
   },
 ): boolean {
+  const { encode, onSent, memory } = options;
   if (socket.bufferedAmount > MAX_BUFFERED_BYTES) return false;
-  const bytes = options.encode();
-  options.onSent(bytes.length);
-  socket.send(bytes);
+  if (!memory.hasRoomToSend && socket.bufferedAmount > 0) return false;
+  const bytes = encode();
+  onSent(bytes.length);
+  memory.send(socket, bytes);
   return true;
 }
--- a/src/tasks/peers/peer_links.ts
+++ b/src/tasks/peers/peer_links.ts
@@ -15,6 +15,7 @@
   PeerPath,
 } from "./peer_dialer.ts";
 import { encodeEnvelope, type PeerEnvelope } from "./peer_envelope.ts";
+import { LinkMemory } from "./link_memory.ts";
 import { PeerLink } from "./peer_link.ts";
 import { PeerListener } from "./peer_listener.ts";
 
@@ -48,6 +49,7 @@
 export class PeerLinks {
   readonly #options: PeerLinksOptions;
   readonly #secret: string;
+  readonly #memory: LinkMemory;
   #security: LinkSecurity | undefined;
   readonly #listener: PeerListener | undefined;
   readonly #dialled = new Map<string, PeerLink>();
@@ -59,6 +61,11 @@
    */
   constructor(options: PeerLinksOptions) {
     this.#options = options;
+    const { metrics, logger } = options;
+    this.#memory = new LinkMemory({
+      metrics,
+      onOverrun: (detail) => logger.event("peerRefused", { detail }),
+    });
     const { peerSecretFile, tls } = options.settings;
     this.#secret = peerSecretFile === undefined
       ? ""
@@ -171,6 +178,7 @@
       secret: this.#secret,
       security: () => this.#security,
       path: PeerPath.Tunnel,
+      memory: this.#memory,
       onAuthenticated,
     });
   }
@@ -184,6 +192,7 @@
   /** Checks whether each dialled link is alive. */
   check(): void {
     for (const link of this.#dialled.values()) link.check();
+    this.#memory.record();
   }
 
   /** Closes all links and stops listening. */
@@ -212,6 +221,7 @@
   get #traffic() {
     const { metrics } = this.#options;
     return {
+      memory: this.#memory,
       onReceived: (bytes: number) =>
         metrics.count("peers.receivedBytes", bytes),
       onSent: (bytes: number) => metrics.count("peers.sentBytes", bytes),
--- a/src/tasks/peers/peer_listener.ts
+++ b/src/tasks/peers/peer_listener.ts
@@ -5,6 +5,7 @@
 import { type ServerOptions, type WebSocket, WebSocketServer } from "ws";
 import type { Address } from "../../settings/mod.ts";
 import { AcceptedLink } from "./accepted_link.ts";
+import { type LinkMemory, MAX_MESSAGE_BYTES } from "./link_memory.ts";
 import { createNonce, createProof, isValidProof } from "./peer_handshake.ts";
 import { decodeEnvelope, type PeerEnvelope } from "./peer_envelope.ts";
 import {
@@ -26,6 +27,8 @@
   readonly security?: LinkSecurity;
   /** Checks whether an instance may connect. */
   readonly isKnown: (id: string) => boolean;
+  /** Memory of all links. */
+  readonly memory: LinkMemory;
   /** Called with each message received, and the link to reply on. */
   readonly onMessage: (link: AcceptedLink, envelope: PeerEnvelope) => void;
   /** Called when the newest connection of an instance is up or has closed. */
@@ -43,7 +46,6 @@
   readonly onRefused: (detail: string) => void;
 }
 
-const MAX_MESSAGE_BYTES = 134_217_728;
 const MAX_HANDSHAKE_BYTES = 1_024;
 const HANDSHAKE_TIMEOUT_MS = 3_000;
 const SILENCE_CHECK_INTERVAL_MS = 600;
@@ -121,7 +123,9 @@
   }
 
   #authenticate(socket: WebSocket, req: IncomingMessage): void {
-    const { self, secret, isKnown, onRefused } = this.#options;
+    const { self, secret, isKnown, onRefused, memory } = this.#options;
+    const from = req.socket.remoteAddress ?? "";
+    const trust = memory.watch(socket, req.socket, from);
     const nonce = createNonce();
     let id: string | undefined;
     const refuse = (detail: string) => {
@@ -161,6 +165,7 @@
         return refuse(`handshake: invalid proof from ${id}`);
       }
       clearTimeout(timer);
+      trust();
       if (req.url === PeerPath.Tunnel) {
         this.#options.onTunnel({ socket, connection: req.socket }, id);
       } else {
@@ -171,9 +176,9 @@
   }
 
   #accept(socket: WebSocket, id: string): void {
-    const { onMessage, onChange, onReceived, onRefused, onSent } =
+    const { onMessage, onChange, onReceived, onRefused, onSent, memory } =
       this.#options;
-    const link = new AcceptedLink({ peer: id, socket, onSent });
+    const link = new AcceptedLink({ peer: id, socket, onSent, memory });
     this.#links.set(id, link);
     socket.on("message", (data: Buffer) => {
       link.recordReceived();
