--- a/src/metrics/metric_catalogue.ts
+++ b/src/metrics/metric_catalogue.ts
@@ -109,6 +109,34 @@
     text:
       "Responses of targets ended at a bound: 1 MiB without the end of an event, 1,000 lines without a meaning, 32 MiB of bodies that are read completely, or 128 KiB and 20 times its body of framing",
   },
+  "bodies.heldBytes": {
+    kind: "gauge",
+    text:
+      "Bytes of the bodies of requests that are read or not yet answered; at most 64 MiB",
+  },
+  "bodies.refused": {
+    kind: "counter",
+    text: "Requests refused as other bodies took the memory for theirs",
+  },
+  "requests.open": {
+    kind: "gauge",
+    text: "Requests that a server has not answered; at most 2,048",
+  },
+  "connections.overrun": {
+    kind: "counter",
+    text:
+      "Connections closed as the other side sent on, but did not read what it was sent",
+  },
+  "peers.heldBytes": {
+    kind: "gauge",
+    text:
+      "Bytes of messages of other instances that have arrived in part; at most 64 MiB",
+  },
+  "peers.unsentBytes": {
+    kind: "gauge",
+    text:
+      "Bytes of messages that wait to be sent to other instances; about 64 MiB at most",
+  },
   "relays.opened": {
     kind: "counter",
     text: "Connections to targets opened for other instances",
--- a/tests/support/entry_fixture.ts
+++ b/tests/support/entry_fixture.ts
@@ -62,7 +62,9 @@
       acquire: () => Promise.reject(new Error("Unexpected permit")),
     },
   });
-  const server = new EntryServer(entry);
+  const server = new EntryServer(entry, {
+    metrics: new Metrics({ tags: {} }),
+  });
   const port = await findFreePort();
   await server.listen({ host: HOST, port }, node.logger);
   return { address: `${HOST}:${port}`, server };
