Results of batches leave the heap of the ledger, and its log is bounded by them

Seen: the processes of the ledger ended with "Reached heap limit" some 190 s after the start of a site's own traffic, without any disturbance, and again at each start, as each read its log back. Accepted batches had no results.

Cause: all results are kept for as long as callers may read them, 150 s. At 0.95 MB/s that is 143 MB of strings in a heap of 160 MB, and the log kept up to 128 MiB of entries besides, of which the state shared the texts only. A start held the whole file, all of its frames and their strings at once.

Evidence: tests/ledger_heap_test.ts stores 200 MB of results in a process with the flags of the role, of which 150 MB are kept, and reads them back in another one. The same program with the code before ended with "FATAL ERROR: Reached heap limit Allocation failed" after 130 MB of its file, and so did the start on that file.

They are encoded like strings, so files and messages stay as they are: both directions against a log that holds strings are tested (ledger_log_options_test.ts).

--- a/src/core/batches/batch_command.ts
+++ b/src/core/batches/batch_command.ts
@@ -1,6 +1,8 @@
 /** Commands of the ledger log and their results. */
 import { sumOf } from "../statistics/mod.ts";
 import type { BatchResult, BatchSpec } from "./batch.ts";
+import { HeldPieces } from "./held_pieces.ts";
+import { HeldResult } from "./held_result.ts";
 
 /** A result together with the identifier of its batch. */
 export interface ResultRecord {
@@ -10,13 +12,16 @@
   readonly after?: number;
 }
 
+/** Pieces of an output, plain or as the log holds them. */
+export type Pieces = readonly string[] | HeldPieces;
+
 /** Part of the output of an item that has no result yet. */
-export interface PartialTextRecord {
+export interface PartialTextRecord<P extends Pieces = readonly string[]> {
   readonly batch: string;
   readonly item: string;
   /** Number of the event that precedes the first piece. */
   readonly after: number;
-  readonly pieces: readonly string[];
+  readonly pieces: P;
   readonly versions: readonly number[];
   /** Software version of the targets that wrote the pieces. */
   readonly software?: string | undefined;
@@ -28,7 +33,10 @@
 export type BatchCommand =
   | { readonly type: "accept"; readonly spec: BatchSpec }
   | { readonly type: "list"; readonly records: readonly ResultRecord[] }
-  | { readonly type: "keep"; readonly records: readonly PartialTextRecord[] }
+  | {
+    readonly type: "keep";
+    readonly records: readonly PartialTextRecord<Pieces>[];
+  }
   | { readonly type: "end"; readonly batch: string }
   | { readonly type: "forget"; readonly batches: readonly string[] };
 
@@ -40,16 +48,11 @@
     command: Extract<BatchCommand, { type: T }>,
   ) => number;
 } = {
-  accept: ({ spec }) =>
-    sumOf(
-      spec.items,
-      ({ body, scoring }) =>
-        OVERHEAD_BYTES + body.length + (scoring?.body.length ?? 0),
-    ),
+  accept: ({ spec }) => estimateSpecBytes(spec),
   list: ({ records }) =>
-    sumOf(records, ({ result }) => OVERHEAD_BYTES + result.text.length),
+    sumOf(records, ({ result }) => OVERHEAD_BYTES + textBytesOf(result)),
   keep: ({ records }) =>
-    sumOf(records, ({ pieces }) => OVERHEAD_BYTES + sumOf(pieces, lengthOf)),
+    sumOf(records, ({ pieces }) => OVERHEAD_BYTES + piecesBytesOf(pieces)),
   end: () => OVERHEAD_BYTES,
   forget: ({ batches }) => sumOf(batches, lengthOf),
 };
@@ -59,6 +62,26 @@
   return SIZES[command.type](command as never);
 }
 
+/** Estimates the size of a batch without results, in bytes. */
+export function estimateSpecBytes({ items }: BatchSpec): number {
+  return sumOf(
+    items,
+    ({ body, scoring }) =>
+      OVERHEAD_BYTES + body.length + (scoring?.body.length ?? 0),
+  );
+}
+
+/** Estimates the size of a result's text, in bytes. */
+export function textBytesOf(result: BatchResult): number {
+  return result instanceof HeldResult ? result.textBytes : result.text.length;
+}
+
+function piecesBytesOf(pieces: Pieces): number {
+  return pieces instanceof HeldPieces
+    ? pieces.estimatedBytes
+    : sumOf(pieces, lengthOf);
+}
+
 function lengthOf(text: string): number {
   return text.length;
 }
--- a/src/core/batches/batch_record.ts
+++ b/src/core/batches/batch_record.ts
@@ -1,23 +1,15 @@
 /** State of one batch in the ledger: results and partial outputs. */
-import type {
-  BatchItem,
-  BatchResult,
-  BatchSpec,
-  ResultPage,
-  ResultState,
-} from "./batch.ts";
-import type { PartialTextRecord } from "./batch_command.ts";
+import type { BatchItem, BatchResult, BatchSpec, ResultPage } from "./batch.ts";
+import {
+  estimateSpecBytes,
+  type PartialTextRecord,
+  type Pieces,
+} from "./batch_command.ts";
+import { HeldPartialText } from "./held_partial_text.ts";
+import { HeldPieces } from "./held_pieces.ts";
+import { HeldResult } from "./held_result.ts";
 import type { PartialText } from "./run_text.ts";
 
-/** A stored result; shares its text pieces with the log. */
-interface StoredResult {
-  readonly id: string;
-  readonly state: ResultState;
-  readonly pieces: readonly string[];
-  readonly versions: readonly number[];
-  readonly score: string | undefined;
-}
-
 /** An item that waits to be run. */
 export interface WaitingItem {
   readonly record: BatchRecord;
@@ -28,14 +20,16 @@
 export class BatchRecord {
   readonly spec: BatchSpec;
   readonly #items: ReadonlyMap<string, BatchItem>;
-  readonly #results: StoredResult[] = [];
-  readonly #resultsById = new Map<string, StoredResult>();
-  readonly #partialTexts = new Map<string, PartialText>();
+  readonly #results: HeldResult[] = [];
+  readonly #resultsById = new Map<string, HeldResult>();
+  readonly #partialTexts = new Map<string, HeldPartialText>();
+  #bytes: number;
   #isEnded = false;
 
   /** Creates the record of a batch that has no results yet. */
   constructor(spec: BatchSpec) {
     this.spec = spec;
+    this.#bytes = estimateSpecBytes(spec);
     this.#items = new Map(spec.items.map((item) => [item.id, item]));
   }
 
@@ -49,13 +43,23 @@
     return !this.#isEnded && this.#resultsById.size < this.#items.size;
   }
 
+  /** Gets the estimated size of the specification and all texts, in bytes. */
+  get bytes(): number {
+    return this.#bytes;
+  }
+
   get resultCount(): number {
     return this.#results.length;
   }
 
   /** Gets the results in the order of their positions. */
   get results(): readonly BatchResult[] {
-    return this.#results.map(toResult);
+    return this.#results.map((result) => result.toJSON());
+  }
+
+  /** Gets the results as they are held, for a snapshot. */
+  get heldResults(): readonly BatchResult[] {
+    return this.#results;
   }
 
   /** Gets an item by its identifier. */
@@ -65,8 +69,7 @@
 
   /** Gets the result of an item, or undefined if there is none yet. */
   getResult(id: string): BatchResult | undefined {
-    const stored = this.#resultsById.get(id);
-    return stored === undefined ? undefined : toResult(stored);
+    return this.#resultsById.get(id)?.toJSON();
   }
 
   /** Gets whether an item has a result. */
@@ -102,37 +105,34 @@
     if (joined === undefined) return false;
     this.#results.push(joined);
     this.#resultsById.set(result.id, joined);
+    this.#bytes += joined.estimatedBytes -
+      (this.#partialTexts.get(result.id)?.estimatedBytes ?? 0);
     this.#partialTexts.delete(result.id);
     return true;
   }
 
   /** Prepends the stored text; undefined if events of it are missing. */
-  #joinPartialText(
-    result: BatchResult,
-    after: number,
-  ): StoredResult | undefined {
-    const { id, state, text, versions, score } = result;
-    if (after === 0) return { id, state, pieces: [text], versions, score };
-    const stored = this.#partialTexts.get(id);
+  #joinPartialText(result: BatchResult, after: number): HeldResult | undefined {
+    const held = HeldResult.from(result);
+    if (after === 0) return held;
+    const stored = this.#partialTexts.get(result.id);
     if (stored === undefined || stored.lastId < after) return undefined;
-    const pieces = stored.pieces.slice(0, after);
-    if (text.length > 0) pieces.push(text);
-    return { id, state, pieces, versions, score };
+    return held.after(stored.first(after));
   }
 
   /** Gets the partial output of an item that has no result yet. */
   getPartialText(id: string): PartialText | undefined {
-    return this.#partialTexts.get(id);
+    return this.#partialTexts.get(id)?.toJSON();
   }
 
   /** Gets the partial outputs of all items without a result. */
-  get partialTexts(): ReadonlyMap<string, PartialText> {
+  get partialTexts(): ReadonlyMap<string, HeldPartialText> {
     return this.#partialTexts;
   }
 
   /** Sets the partial output of an item, when restoring a snapshot. */
-  restorePartialText(id: string, text: PartialText): this {
-    this.#partialTexts.set(id, text);
+  restorePartialText(id: string, text: PartialText | HeldPartialText): this {
+    this.#setPartialText(id, HeldPartialText.from(text));
     return this;
   }
 
@@ -141,25 +141,31 @@
    * A complete output is final.
    * @returns False if the pieces do not continue the stored output.
    */
-  appendPartialText(record: PartialTextRecord): boolean {
+  appendPartialText(record: PartialTextRecord<Pieces>): boolean {
     const { item, after, pieces, versions, isComplete } = record;
     const { software } = record;
     if (!this.#items.has(item) || this.#resultsById.has(item)) return false;
     if (this.hasCompleteText(item)) return false;
     const existing = after === 0 ? undefined : this.#partialTexts.get(item);
     if (after !== (existing?.lastId ?? 0)) return false;
-    this.#partialTexts.set(item, {
-      lastId: after + pieces.length,
-      pieces: [...existing?.pieces ?? [], ...pieces],
+    const text = new HeldPartialText({
+      parts: [...existing?.parts ?? [], HeldPieces.from(pieces)],
       versions,
       software: existing === undefined || existing.software === software
         ? software
         : undefined,
       ...(isComplete === true ? { isComplete } : {}),
     });
+    this.#setPartialText(item, text);
     return true;
   }
 
+  #setPartialText(id: string, text: HeldPartialText): void {
+    this.#bytes += text.estimatedBytes -
+      (this.#partialTexts.get(id)?.estimatedBytes ?? 0);
+    this.#partialTexts.set(id, text);
+  }
+
   /** Marks the batch as ended by its caller. */
   end(): this {
     this.#isEnded = true;
@@ -174,20 +180,13 @@
   getPage(after: number, maxBytes: number): ResultPage {
     const results: BatchResult[] = [];
     let bytes = 0;
-    for (const stored of this.#results.slice(after)) {
-      const result = toResult(stored);
-      bytes += Buffer.byteLength(result.text);
+    for (let i = after; i < this.#results.length; i += 1) {
+      const held = this.#results[i];
+      bytes += held.textBytes;
       if (results.length > 0 && bytes > maxBytes) break;
-      results.push(result);
+      results.push(held.toJSON());
     }
     const next = after + results.length;
     return { total: this.#items.size, next, results };
   }
 }
-
-/** Gets a result whose fields have the order in which all builds list them. */
-function toResult(stored: StoredResult): BatchResult {
-  const { id, state, pieces, versions, score } = stored;
-  const result = { id, state, text: pieces.join("\n"), versions };
-  return score === undefined ? result : { ...result, score };
-}
--- a/src/core/batches/batch_state.ts
+++ b/src/core/batches/batch_state.ts
@@ -67,6 +67,13 @@
     return [...this.#batches.values()];
   }
 
+  /** Gets the estimated size of all batches, in bytes. */
+  get bytes(): number {
+    let bytes = 0;
+    for (const record of this.#batches.values()) bytes += record.bytes;
+    return bytes;
+  }
+
   /** Applies a command; one of another build changes nothing. */
   apply(command: BatchCommand): BatchCommandResult {
     const handler = this.#handlers[command.type] as
@@ -78,10 +85,10 @@
   /** Creates a snapshot of the state. */
   save(): LedgerSnapshot {
     const batches = this.all.map((
-      { spec, results, partialTexts, isEnded },
+      { spec, heldResults, partialTexts, isEnded },
     ) => ({
       spec,
-      results: [...results],
+      results: [...heldResults],
       kept: [...partialTexts],
       isEnded,
     }));
--- a/src/core/batches/ledger_snapshot.ts
+++ b/src/core/batches/ledger_snapshot.ts
@@ -1,5 +1,7 @@
 /** Snapshots of the ledger, and the parts in which they are sent. */
 import { estimateBytes, type SnapshotDivider } from "../consensus/mod.ts";
+import { holdPart } from "./held_command.ts";
+import type { HeldPartialText } from "./held_partial_text.ts";
 import type { BatchResult, BatchSpec } from "./batch.ts";
 import type { PartialText } from "./run_text.ts";
 
@@ -7,7 +9,7 @@
 export interface BatchSnapshot {
   readonly spec: BatchSpec;
   readonly results: readonly BatchResult[];
-  readonly kept: readonly (readonly [string, PartialText])[];
+  readonly kept: readonly (readonly [string, PartialText | HeldPartialText])[];
   readonly isEnded: boolean;
 }
 
@@ -17,7 +19,7 @@
 }
 
 /** A batch with its first results, or further results of the same batch. */
-type LedgerPart =
+export type LedgerPart =
   | { readonly batch: BatchSnapshot }
   | { readonly results: readonly BatchResult[] };
 
@@ -36,6 +38,7 @@
     }
     return { batches };
   },
+  hold: (part) => holdPart(part as LedgerPart),
 };
 
 function splitBatch(batch: BatchSnapshot): LedgerPart[] {
--- a/src/core/consensus/consensus_options.ts
+++ b/src/core/consensus/consensus_options.ts
@@ -73,6 +73,8 @@
   readonly guards?: ConsensusGuards;
   /** Estimates the size of a command in bytes; by default, of any value. */
   readonly sizeOf?: (command: C) => number;
+  /** Gets the form in which the log holds a command; by default, as it is. */
+  readonly hold?: (command: C) => C;
   /** Divides snapshots for sending; by default, into one part. */
   readonly divider?: SnapshotDivider<S>;
 }
--- a/src/core/consensus/log_receiver.ts
+++ b/src/core/consensus/log_receiver.ts
@@ -32,12 +32,14 @@
 export class LogReceiver<C, S> {
   readonly #options: LogReceiverOptions<C, S>;
   readonly #state: ReplicaState<C, S>;
-  readonly #parts = new SnapshotReceiver();
+  readonly #parts: SnapshotReceiver;
 
   /** Creates the receiver of a replica, for all terms. */
   constructor(options: LogReceiverOptions<C, S>) {
     this.#options = options;
     this.#state = options.state;
+    const { divider } = options;
+    this.#parts = new SnapshotReceiver((part) => divider.hold?.(part) ?? part);
   }
 
   /** Stores entries that follow the local log, and rejects any others. */
--- a/src/core/consensus/replica_state.ts
+++ b/src/core/consensus/replica_state.ts
@@ -36,10 +36,11 @@
   #effects: ConsensusEffect<C, S>[] = [];
 
   /** Creates the state of a follower from what is stored. */
-  constructor({ self, stored, guards, sizeOf }: ConsensusNodeOptions<C, S>) {
+  constructor(options: ConsensusNodeOptions<C, S>) {
+    const { self, stored, guards } = options;
     this.self = self;
     this.guards = guards ?? ALL_GUARDS;
-    this.log = new ReplicatedLog(stored.snapshot, stored.entries, sizeOf);
+    this.log = new ReplicatedLog(stored.snapshot, stored.entries, options);
     this.#term = stored.hardState.term;
     this.#votedFor = stored.hardState.votedFor;
     this.#applied = stored.snapshot.index;
--- a/src/core/consensus/replicated_log.ts
+++ b/src/core/consensus/replicated_log.ts
@@ -27,12 +27,21 @@
   readonly isFull: boolean;
 }
 
+/** Options of {@link ReplicatedLog}. */
+export interface ReplicatedLogOptions<C> {
+  /** Estimates the size of a command in bytes; by default, of any value. */
+  readonly sizeOf?: (command: C) => number;
+  /** Gets the form in which a command is held; by default, as it is. */
+  readonly hold?: (command: C) => C;
+}
+
 /** Size of an entry without its command, in bytes. */
 const ENTRY_OVERHEAD_BYTES = 64;
 
 /** Holds the latest snapshot and the entries after it. */
 export class ReplicatedLog<C, S> {
   readonly #sizeOf: (command: C) => number;
+  readonly #hold: ((command: C) => C) | undefined;
   #snapshot: LogSnapshot<S>;
   #entries: LogEntry<C>[] = [];
   /** Sizes of the entries, in bytes. */
@@ -46,9 +55,10 @@
   constructor(
     snapshot: LogSnapshot<S>,
     entries: readonly LogEntry<C>[],
-    sizeOf: (command: C) => number = estimateBytes,
+    { sizeOf = estimateBytes, hold }: ReplicatedLogOptions<C> = {},
   ) {
     this.#sizeOf = sizeOf;
+    this.#hold = hold;
     this.#snapshot = snapshot;
     this.#committed = snapshot.index;
     this.append(entries.filter((entry) => entry.index > snapshot.index));
@@ -161,7 +171,8 @@
 
   /** Appends entries. */
   append(entries: readonly LogEntry<C>[]): this {
-    for (const entry of entries) {
+    for (const added of entries) {
+      const entry = this.#toHeld(added);
       const bytes = this.#sizeOfEntry(entry);
       this.#entries.push(entry);
       this.#sizes.push(bytes);
@@ -232,6 +243,13 @@
     this.#bytes = sumOf(this.#sizes, (bytes) => bytes);
   }
 
+  #toHeld(entry: LogEntry<C>): LogEntry<C> {
+    const { content } = entry;
+    if (content.type !== "command" || this.#hold === undefined) return entry;
+    const command = this.#hold(content.command);
+    return { ...entry, content: { ...content, command } };
+  }
+
   #sizeOfEntry({ content }: LogEntry<C>): number {
     if (content.type !== "command") return ENTRY_OVERHEAD_BYTES;
     return ENTRY_OVERHEAD_BYTES + this.#sizeOf(content.command);
--- a/src/core/consensus/snapshot_parts.ts
+++ b/src/core/consensus/snapshot_parts.ts
@@ -6,6 +6,8 @@
   split(state: S): readonly unknown[];
   /** Makes a state of all its parts, in order. */
   join(parts: readonly unknown[]): S;
+  /** Gets the form in which a received part is held until all have arrived. */
+  hold?(part: unknown): unknown;
 }
 
 /** Gets the divider of a state that is sent as one part. */
--- a/src/core/consensus/snapshot_receiver.ts
+++ b/src/core/consensus/snapshot_receiver.ts
@@ -3,9 +3,15 @@
 
 /** Holds the parts received so far of one snapshot of one leader. */
 export class SnapshotReceiver {
+  readonly #hold: (part: unknown) => unknown;
   #transfer = "";
   #parts: unknown[] = [];
 
+  /** @param hold - Gets the form in which a part is held. */
+  constructor(hold: (part: unknown) => unknown = (part) => part) {
+    this.#hold = hold;
+  }
+
   /** Gets the number of parts held, from the first on. */
   get received(): number {
     return this.#parts.length;
@@ -21,7 +27,8 @@
     if (transfer !== this.#transfer) this.clear();
     this.#transfer = transfer;
     if (first > this.#parts.length) return false;
-    this.#parts.push(...parts.slice(this.#parts.length - first));
+    const added = parts.slice(this.#parts.length - first);
+    this.#parts.push(...added.map((part) => this.#hold(part)));
     return true;
   }
 
--- a/src/tasks/batches/batch_task.ts
+++ b/src/tasks/batches/batch_task.ts
@@ -1,10 +1,5 @@
 /** The batch ledger of an instance with persistent storage. */
-import {
-  type BatchRecord,
-  BatchState,
-  estimateCommandBytes,
-  LEDGER_SNAPSHOT_DIVIDER,
-} from "../../core/batches/mod.ts";
+import type { BatchRecord } from "../../core/batches/mod.ts";
 import { instanceOf, type ReplicaId } from "../../core/consensus/mod.ts";
 import { RegionMap } from "../../core/policy/mod.ts";
 import {
@@ -31,6 +26,7 @@
 } from "./batch_intake.ts";
 import { BatchRunner } from "./batch_runner.ts";
 import { reportDemands } from "./demand_reporter.ts";
+import { LEDGER_LOG_OPTIONS } from "./ledger_log_options.ts";
 import { LedgerMembership } from "./ledger_membership.ts";
 import { LedgerObserver } from "./ledger_observer.ts";
 import { PaceKeeper } from "./pace_keeper.ts";
@@ -59,9 +55,6 @@
 /** Forms the initial group of the log from a list of replicas. */
 export const FORM_METHOD = "batches.form";
 
-const COMPACT_ENTRIES = 8_192;
-/** A smaller log would be compacted while most of its entries are in the state. */
-const COMPACT_BYTES = 134_217_728;
 const MAINTENANCE_INTERVAL_MS = 1_000;
 /** Time added to the retention period before results are deleted. */
 const EXPIRY_SLACK_MS = 30_000;
@@ -200,12 +193,8 @@
     const { node, dataFolder, now } = this.#options;
     return new LogService({
       ...createLogOptions(node, BATCH_LOG),
+      ...LEDGER_LOG_OPTIONS,
       dataFolder,
-      createState: () => new BatchState(),
-      compactEntries: COMPACT_ENTRIES,
-      compactBytes: COMPACT_BYTES,
-      sizeOf: estimateCommandBytes,
-      divider: LEDGER_SNAPSHOT_DIVIDER,
       wantedVoters: () => this.#membership.wantedVoters,
       wantedLearners: 0,
       now,
--- a/src/tasks/batches/ledger_observer.ts
+++ b/src/tasks/batches/ledger_observer.ts
@@ -4,6 +4,7 @@
   type BatchResult,
   type BatchState,
   ResultState,
+  textBytesOf,
 } from "../../core/batches/mod.ts";
 import type { Logger } from "../../logging/mod.ts";
 import type { Metrics } from "../../metrics/mod.ts";
@@ -91,7 +92,7 @@
       item: result.id,
       state: result.state,
       versions: result.versions.join(","),
-      bytes: result.text.length,
+      bytes: textBytesOf(result),
     });
     this.#options.reader.wake(batch);
   }
--- a/src/tasks/log/log_compactor.ts
+++ b/src/tasks/log/log_compactor.ts
@@ -26,20 +26,30 @@
   readonly store: LogStore<C, S>;
   /** Index of the last applied entry. */
   readonly applied: number;
-  /** Creates a snapshot of the state after that entry. */
-  readonly save: () => S;
+  readonly state: CompactedState<S>;
+}
+
+/** What the compactor reads of a state machine. */
+export interface CompactedState<S> {
+  /** Size in the unit of the commands, in bytes; by default not known. */
+  readonly bytes?: number;
+  /** Creates a snapshot of the state. */
+  save(): S;
 }
 
 /**
- * Share of the snapshot's size that the entries may reach, so that the cost of
- * writing snapshots stays in proportion to that of writing entries.
+ * Share of the state's size that the rest of the log may reach, so that the cost
+ * of writing snapshots stays in proportion to that of writing entries.
  */
-const MAX_SNAPSHOT_SHARE = 0.5;
+const MAX_STATE_SHARE = 0.25;
+/** Part of the limits that is added for each replica that compacts earlier. */
+const STAGGER = 0.1;
 /** Factor on the limits while a member receives the snapshot in force. */
 const TRANSFER_FACTOR = 2;
 
 /**
- * Compacts a log when its entries exceed a number or a size.
+ * Compacts a log when its entries exceed a number, or a size that the state no
+ * longer shares with them. The leader is the last of the replicas.
  *
  * The snapshot is written beside the current file, so entries can be stored
  * meanwhile; only then the entries are removed.
@@ -53,15 +63,15 @@
     this.#options = options;
   }
 
-  /** Records the snapshot that precedes the entries. */
-  onSnapshot({ state }: LogSnapshot<S>): this {
-    this.#snapshotBytes = estimateBytes(state);
+  /** Records the snapshot that precedes the entries, of which a state was made. */
+  onSnapshot({ state }: LogSnapshot<S>, { bytes }: CompactedState<S>): this {
+    this.#snapshotBytes = bytes ?? estimateBytes(state);
     return this;
   }
 
   /** Starts to compact the log of a replica, if that is due. */
   check(replica: CompactedReplica<C, S>): void {
-    if (this.#isRunning || !this.#isDue(replica.node)) return;
+    if (this.#isRunning || !this.#isDue(replica)) return;
     this.#isRunning = true;
     this.#compact(replica)
       .catch((err) => this.#onFailed(err))
@@ -70,26 +80,31 @@
       });
   }
 
-  #isDue(node: ConsensusNode<C, S>): boolean {
+  #isDue({ node, state }: CompactedReplica<C, S>): boolean {
     const { maxEntries, minBytes } = this.#options;
-    const factor = node.isSendingSnapshot ? TRANSFER_FACTOR : 1;
-    const share = MAX_SNAPSHOT_SHARE * this.#snapshotBytes;
-    const maxBytes = Math.max(minBytes, share);
-    return node.logSize > factor * maxEntries ||
-      node.logBytes > factor * maxBytes;
+    const transfer = node.isSendingSnapshot ? TRANSFER_FACTOR : 1;
+    const factor = transfer * (1 + STAGGER * countEarlier(node));
+    if (node.logSize > factor * maxEntries) return true;
+    const heldBytes = this.#snapshotBytes + node.logBytes;
+    if (heldBytes <= factor * minBytes) return false;
+    // A state of unknown size shares the snapshot's bytes with the log.
+    const stateBytes = state.bytes ?? this.#snapshotBytes;
+    const maxBytes = Math.max(minBytes, MAX_STATE_SHARE * stateBytes);
+    return heldBytes - stateBytes > factor * maxBytes;
   }
 
   async #compact(
-    { node, store, applied, save }: CompactedReplica<C, S>,
+    { node, store, applied, state }: CompactedReplica<C, S>,
   ): Promise<void> {
-    const snapshot = node.createSnapshot(save(), applied);
+    const snapshot = node.createSnapshot(state.save(), applied);
     if (snapshot === undefined) return;
-    await store.prepare(snapshot);
+    const { bytes: stateBytes } = state;
+    const fileBytes = await store.prepare(snapshot);
     this.#options.step((current) => {
       if (current !== node) return;
       const { logSize: entries, logBytes: bytes } = node;
       node.compact(snapshot);
-      this.onSnapshot(snapshot);
+      this.#snapshotBytes = stateBytes ?? fileBytes;
       const { log, logger } = this.#options;
       logger.event("logCompacted", {
         log,
@@ -106,3 +121,11 @@
     logger.event("compactionFailed", { log, detail: String(err) });
   }
 }
+
+/** Counts the voters that compact before a replica. */
+function countEarlier<C, S>(
+  { self, leader, members }: ConsensusNode<C, S>,
+): number {
+  const voters = members.voters.filter((voter) => voter !== leader).sort();
+  return self === leader ? voters.length : Math.max(0, voters.indexOf(self));
+}
--- a/src/tasks/log/log_driver.ts
+++ b/src/tasks/log/log_driver.ts
@@ -127,6 +127,7 @@
       dataFolder,
       name: this.#options.name,
       emptyState: this.#options.createState().save(),
+      forms: this.#options.forms,
       onDamaged: (detail) =>
         logger.event("controlStoreDamaged", {
           log: this.#options.name,
@@ -145,9 +146,10 @@
       random: Math.random,
       now: now(),
       sizeOf: this.#options.sizeOf,
+      hold: this.#options.hold,
       divider: this.#options.divider,
     });
-    this.#compactor.onSnapshot(stored.snapshot);
+    this.#compactor.onSnapshot(stored.snapshot, this.#state);
     logger.event("controlRestored", {
       log: this.#options.name,
       index: stored.snapshot.index,
@@ -338,7 +340,7 @@
     } else if (effect.type === "restore") {
       this.#state = this.#options.createState().load(effect.snapshot.state);
       this.#applied = effect.snapshot.index;
-      this.#compactor.onSnapshot(effect.snapshot);
+      this.#compactor.onSnapshot(effect.snapshot, this.#state);
       this.#options.onRestored(effect.snapshot);
     } else if (effect.type === "role") {
       this.#onRole(effect.role === Role.Leader, effect.term);
@@ -359,7 +361,7 @@
     if (node === undefined || store === undefined) return;
     const state = this.#state;
     const applied = this.#applied;
-    this.#compactor.check({ node, store, applied, save: () => state.save() });
+    this.#compactor.check({ node, store, applied, state });
   }
 
   #onRole(isLeader: boolean, term: number): void {
--- a/src/tasks/log/log_driver_options.ts
+++ b/src/tasks/log/log_driver_options.ts
@@ -8,6 +8,7 @@
   SnapshotDivider,
 } from "../../core/consensus/mod.ts";
 import type { Logger } from "../../logging/mod.ts";
+import type { TextForms } from "../storage/mod.ts";
 import type { StateMachine } from "./state_machine.ts";
 
 /** Options of `LogDriver`. */
@@ -28,6 +29,10 @@
   readonly compactBytes?: number;
   /** Estimates the size of a command in bytes; by default, of any value. */
   readonly sizeOf?: (command: C) => number;
+  /** Gets the form in which the log holds a command; by default, as it is. */
+  readonly hold?: (command: C) => C;
+  /** Forms of texts in what is read from the store; by default, strings. */
+  readonly forms?: TextForms;
   /** Divides snapshots for sending; by default, into one part. */
   readonly divider?: SnapshotDivider<S>;
   /** Heartbeat and election times. */
--- a/src/tasks/log/log_store.ts
+++ b/src/tasks/log/log_store.ts
@@ -12,6 +12,7 @@
   FrameStore,
   openOrReplace,
   type PreparedFile,
+  type TextForms,
 } from "../storage/mod.ts";
 import { LogReplay, type LogWrite } from "./log_replay.ts";
 
@@ -32,6 +33,8 @@
   readonly name: string;
   /** Snapshot of the state machine before the first entry. */
   readonly emptyState: S;
+  /** Forms of texts in what is read; by default, strings. */
+  readonly forms?: TextForms | undefined;
   /** Called when a damaged store has been renamed and replaced. */
   readonly onDamaged?: (detail: string) => void;
 }
@@ -102,7 +105,7 @@
     const folder = join(options.dataFolder, options.name);
     return await openOrReplace<LogStore<C, S>>({
       folder,
-      open: () => LogStore.#openFolder(folder, options.emptyState),
+      open: () => LogStore.#openFolder(folder, options),
       onDamaged: options.onDamaged,
     });
   }
@@ -158,8 +161,9 @@
   /**
    * Writes a snapshot to a file that a later write with that snapshot puts in
    * force. Other writes may go on meanwhile.
+   * @returns Size of the snapshot, in bytes.
    */
-  async prepare(snapshot: LogSnapshot<S>): Promise<void> {
+  async prepare(snapshot: LogSnapshot<S>): Promise<number> {
     await this.#discardPrepared();
     const file = await this.#frames.prepare([
       { type: "identity", incarnation: this.#incarnation },
@@ -167,6 +171,7 @@
     ]);
     this.#prepared = { index: snapshot.index, file };
     if (this.#isClosed) await this.#discardPrepared();
+    return file.length;
   }
 
   async close(): Promise<void> {
@@ -198,15 +203,17 @@
 
   static async #openFolder<C, S>(
     folder: string,
-    emptyState: S,
+    { emptyState, forms }: LogStoreOptions<S>,
   ): Promise<LogStore<C, S>> {
-    const { store, frames } = await FrameStore.open<LogFrame<C, S>>(folder);
     let incarnation: string | undefined;
     const replay = new LogReplay(createEmptyLog<C, S>(NO_MEMBERS, emptyState));
-    for (const frame of frames) {
-      if (frame.type === "identity") incarnation = frame.incarnation;
-      else replay.add(frame);
-    }
+    const { store } = await FrameStore.open<LogFrame<C, S>>(folder, {
+      forms,
+      onFrame: (frame) => {
+        if (frame.type === "identity") incarnation = frame.incarnation;
+        else replay.add(frame);
+      },
+    });
     if (incarnation === undefined) {
       incarnation = randomBytes(INCARNATION_BYTES).toString("hex");
       await store.append([{ type: "identity", incarnation }]);
--- a/src/tasks/log/state_machine.ts
+++ b/src/tasks/log/state_machine.ts
@@ -4,6 +4,8 @@
 export interface StateMachine<C, S, A> {
   /** Applies a command and returns its result. */
   apply(command: C): A;
+  /** Size in the unit of the commands, in bytes; absent if it is not known. */
+  readonly bytes?: number;
   /** Creates a snapshot of the state. */
   save(): S;
   /** Replaces the state with a snapshot. */
--- a/src/tasks/storage/frame_codec.ts
+++ b/src/tasks/storage/frame_codec.ts
@@ -2,9 +2,11 @@
 import { crc32 } from "node:zlib";
 import { Packr } from "msgpackr";
 import { NutmegreelError } from "../../core/errors/mod.ts";
+import { MessagePackReader, type TextForms } from "./message_pack_reader.ts";
+import { packInParts } from "./packed_parts.ts";
 
 /** Bytes before the content of a frame: length and checksum. */
-const HEADER_BYTES = 8;
+export const HEADER_BYTES = 8;
 const CHECKSUM_OFFSET = 4;
 
 /** Thrown for a file that is damaged other than by a torn last write. */
@@ -26,18 +28,45 @@
   readonly length: number;
 }
 
+/** Length and checksum of the content of a frame. */
+export interface FrameHeader {
+  readonly length: number;
+  readonly checksum: number;
+}
+
 /** Encodes frames as MessagePack with a length and a CRC-32 checksum. */
 export class FrameCodec<F> {
   readonly #packr = new Packr({ useRecords: false });
+  readonly #forms: TextForms | undefined;
+
+  /** @param forms - Forms of texts in decoded frames; by default, strings. */
+  constructor(forms?: TextForms) {
+    this.#forms = forms;
+  }
 
   encode(frame: F): Buffer {
     const content = this.#packr.pack(frame);
-    const header = Buffer.alloc(HEADER_BYTES);
-    header.writeUInt32LE(content.length, 0);
-    header.writeUInt32LE(crc32(content), CHECKSUM_OFFSET);
+    const { length } = content;
+    const header = encodeHeader({ length, checksum: crc32(content) });
     return Buffer.concat([header, content]);
   }
 
+  /** Encodes the content of a frame in parts that follow its header. */
+  encodeParts(frame: F): Iterable<Buffer> {
+    return packInParts(this.#packr, frame);
+  }
+
+  /** Decodes the content of a frame; undefined if it was not encoded here. */
+  decodeContent(content: Buffer): F | undefined {
+    try {
+      return this.#forms === undefined
+        ? this.#packr.unpack(content) as F
+        : new MessagePackReader(content, this.#forms).read() as F;
+    } catch {
+      return undefined;
+    }
+  }
+
   /**
    * Decodes the frames of a file.
    *
@@ -61,22 +90,29 @@
         }
         break;
       }
-      const frame = this.#tryUnpack(content);
+      const frame = this.decodeContent(content);
       if (frame === undefined) throw new DamagedFileError(file, offset);
       frames.push(frame);
       offset = end;
     }
     return { frames, length: offset };
   }
+}
 
-  /** Gets a frame; undefined for content that {@link encode} does not make. */
-  #tryUnpack(content: Buffer): F | undefined {
-    try {
-      return this.#packr.unpack(content) as F;
-    } catch {
-      return undefined;
-    }
-  }
+/** Encodes the bytes before the content of a frame. */
+export function encodeHeader({ length, checksum }: FrameHeader): Buffer {
+  const header = Buffer.alloc(HEADER_BYTES);
+  header.writeUInt32LE(length, 0);
+  header.writeUInt32LE(checksum, CHECKSUM_OFFSET);
+  return header;
+}
+
+/** Decodes the bytes before the content of a frame. */
+export function decodeHeader(header: Buffer): FrameHeader {
+  return {
+    length: header.readUInt32LE(0),
+    checksum: header.readUInt32LE(CHECKSUM_OFFSET),
+  };
 }
 
 /** Reads the content of a frame; undefined if the file ends before it does. */
--- a/src/tasks/storage/frame_store.ts
+++ b/src/tasks/storage/frame_store.ts
@@ -4,12 +4,14 @@
   mkdir,
   open,
   readdir,
-  readFile,
   rename,
   rm,
 } from "node:fs/promises";
 import { join } from "node:path";
-import { FrameCodec } from "./frame_codec.ts";
+import { crc32 } from "node:zlib";
+import { encodeHeader, FrameCodec, HEADER_BYTES } from "./frame_codec.ts";
+import { readFrames } from "./frame_file.ts";
+import type { TextForms } from "./message_pack_reader.ts";
 import { writeFully } from "./write_fully.ts";
 
 const FILE_PATTERN = /^log-(\d{10})$/;
@@ -25,6 +27,14 @@
   readonly length: number;
 }
 
+/** Options of {@link FrameStore.open}. */
+export interface FrameStoreOptions<F> {
+  /** Called with each frame; by default, the frames are collected. */
+  readonly onFrame?: (frame: F) => void;
+  /** Forms of texts in the frames; by default, strings. */
+  readonly forms?: TextForms | undefined;
+}
+
 /** A store and the frames that were in its file when it was opened. */
 export interface OpenedFrames<F> {
   readonly store: FrameStore<F>;
@@ -80,19 +90,27 @@
    * Opens a folder, creating it if necessary. A torn last write is truncated.
    * @throws DamagedFileError if the file is damaged in another way.
    */
-  static async open<F>(folder: string): Promise<OpenedFrames<F>> {
+  static async open<F>(
+    folder: string,
+    options: FrameStoreOptions<F> = {},
+  ): Promise<OpenedFrames<F>> {
     await mkdir(folder, { recursive: true });
     const generations = await listGenerations(folder);
     const generation = generations.at(-1) ?? 1;
     const file = getFilePath(folder, generation);
-    const codec = new FrameCodec<readonly F[]>();
-    const bytes = generations.length === 0
-      ? Buffer.alloc(0)
-      : await readFile(file);
-    const decoded = codec.decode(bytes, file);
-    const { length } = decoded;
-    const frames = decoded.frames.flat() as F[];
+    const codec = new FrameCodec<readonly F[]>(options.forms);
+    const frames: F[] = [];
+    const onFrame = options.onFrame ?? ((frame: F) => frames.push(frame));
     const handle = await open(file, generations.length === 0 ? "w" : "r+");
+    const length = await readFrames({
+      handle,
+      file,
+      codec,
+      onFrame: (list) => list.forEach((frame) => onFrame(frame)),
+    }).catch(async (err) => {
+      await handle.close();
+      throw err;
+    });
     await handle.truncate(length);
     await handle.sync();
     await syncFolder(folder);
@@ -130,22 +148,29 @@
   /**
    * Writes frames to a new file, which comes into force by
    * {@link FrameStore.commit}. Frames can be appended to the current one
-   * meanwhile.
+   * meanwhile, and the event loop comes round between the parts of the new ones.
    */
   async prepare(frames: readonly F[]): Promise<PreparedFile> {
     this.#preparedCount += 1;
     const name = `prepared-${this.#preparedCount}${NEW_SUFFIX}`;
     const path = join(this.#folder, name);
-    const bytes = this.#codec.encode(frames);
     const handle = await open(path, "w");
-    const prepared = { path, handle, length: bytes.length };
+    let length = HEADER_BYTES;
+    let checksum = 0;
     try {
-      await writeFully(handle, bytes, 0);
+      for (const part of this.#codec.encodeParts(frames)) {
+        await writeFully(handle, part, length);
+        length += part.length;
+        checksum = crc32(part, checksum);
+      }
+      const content = { length: length - HEADER_BYTES, checksum };
+      await writeFully(handle, encodeHeader(content), 0);
+      await handle.datasync();
     } catch (err) {
-      await this.discard(prepared);
+      await this.discard({ path, handle, length });
       throw err;
     }
-    return prepared;
+    return { path, handle, length };
   }
 
   /**
