--- a/src/settings/fleet_settings.ts
+++ b/src/settings/fleet_settings.ts
@@ -64,6 +64,11 @@
   }),
   /** Address from which metrics are scraped. */
   metrics: optionalAddress,
+  /** Limits of the machine; those that are not known are absent. */
+  limits: z.object({
+    /** Memory that the process may use, in MB; 0 or null means not known. */
+    memoryMb: z.number().min(0).nullish().transform((mb) => mb || undefined),
+  }).nullish().transform((limits) => limits ?? { memoryMb: undefined }),
   /** Service that receives capacity orders and usage reports. */
   receiver: z.object({
     address,
--- a/src/settings/fleet_settings_test.ts
+++ b/src/settings/fleet_settings_test.ts
@@ -23,3 +23,26 @@
     expect(() => doTest({ "nl-1": 1 }, undefined)).toThrow();
   });
 });
+
+describe("fleet settings of a machine's limits", () => {
+  const { limits } = fleetSettingsSchema.shape;
+
+  function doTest(value: unknown, expected: number | undefined) {
+    expect(limits.parse(value).memoryMb).toBe(expected);
+  }
+
+  it("take its memory", () => doTest({ memoryMb: 346 }, 346));
+
+  it("are valid without it", () => {
+    doTest(undefined, undefined);
+    doTest(null, undefined);
+    doTest({}, undefined);
+    doTest({ memoryMb: null }, undefined);
+    doTest({ memoryMb: 0 }, undefined);
+  });
+
+  it("refuse a memory that is no number or negative", () => {
+    expect(() => doTest({ memoryMb: "346" }, undefined)).toThrow();
+    expect(() => doTest({ memoryMb: -1 }, undefined)).toThrow();
+  });
+});
