The ledger refuses at once a batch whose results its memory could not hold

Seen: what the ledger holds had no bound.

Cause: admission counts the time of targets alone.

Ruled out: dropping or shortening what is held, since accepted results must be readable for their time; a bound on the process's memory as seen, which would depend on when the collector runs.

Why it works: the leader knows what it holds and how many items are open, and takes the mean size of a result for these. The room follows from the heap limit of the process and the memory of the machine in its settings; all replicas of the role have the same.

--- a/src/core/batches/batch_admission.ts
+++ b/src/core/batches/batch_admission.ts
@@ -65,6 +65,8 @@
   UrgentWork: "urgentWork",
   /** Work that was accepted before exceeds the share of the workspace. */
   AboveShare: "aboveShare",
+  /** The ledger has no memory for its results. */
+  Memory: "memory",
 } as const;
 
 /** One of the values of {@link AdmissionReason}. */
@@ -197,6 +199,15 @@
   };
 }
 
+/** Refuses a batch until there is memory for its results. */
+export function refuseForMemory(retryAfterMs: number): AdmissionDecision {
+  return {
+    ...admit(AdmissionReason.Memory),
+    isAdmitted: false,
+    retryAfterMs,
+  };
+}
+
 function admit(
   reason: AdmissionReason,
   figures: Partial<AdmissionDecision> = {},
--- a/src/core/batches/batch_record.ts
+++ b/src/core/batches/batch_record.ts
@@ -23,13 +23,15 @@
   readonly #results: HeldResult[] = [];
   readonly #resultsById = new Map<string, HeldResult>();
   readonly #partialTexts = new Map<string, HeldPartialText>();
+  readonly #specBytes: number;
   #bytes: number;
   #isEnded = false;
 
   /** Creates the record of a batch that has no results yet. */
   constructor(spec: BatchSpec) {
     this.spec = spec;
-    this.#bytes = estimateSpecBytes(spec);
+    this.#specBytes = estimateSpecBytes(spec);
+    this.#bytes = this.#specBytes;
     this.#items = new Map(spec.items.map((item) => [item.id, item]));
   }
 
@@ -48,6 +50,16 @@
     return this.#bytes;
   }
 
+  /** Gets the estimated size of results and partial outputs, in bytes. */
+  get outputBytes(): number {
+    return this.#bytes - this.#specBytes;
+  }
+
+  /** Gets the number of items that may yet have a result. */
+  get openCount(): number {
+    return this.isOpen ? this.#items.size - this.#results.length : 0;
+  }
+
   get resultCount(): number {
     return this.#results.length;
   }
--- a/src/core/batches/mod.ts
+++ b/src/core/batches/mod.ts
@@ -8,6 +8,8 @@
 export * from "./held_pieces.ts";
 export * from "./held_text.ts";
 export * from "./ledger_text_forms.ts";
+export * from "./batch_expiry.ts";
+export * from "./ledger_room.ts";
 export * from "./item_order.ts";
 export * from "./item_placement.ts";
 export type { ExpectedRun, PlacementTarget } from "./target_ranking.ts";
--- a/src/logging/fleet_events.ts
+++ b/src/logging/fleet_events.ts
@@ -106,7 +106,7 @@
   }),
   batchRefused: defineEvent(2202, "info", {
     text:
-      "Batch refused, as it could not be complete before its caller gives up",
+      "Batch refused, as it could not be complete before its caller gives up, or as there is no memory for its results",
   }),
   batchEnded: defineEvent(2203, "info", {
     text: "Batch ended by its caller",
--- a/src/metrics/metric_catalogue.ts
+++ b/src/metrics/metric_catalogue.ts
@@ -132,6 +132,20 @@
     kind: "counter",
     text: "Batches refused as work accepted before exceeds their share",
   },
+  "batches.refused.memory": {
+    kind: "counter",
+    text: "Batches refused as the ledger had no memory for their results",
+  },
+  "batches.bytes": {
+    kind: "gauge",
+    text:
+      "Estimated size of the batches that a ledger instance holds, in bytes",
+  },
+  "batches.roomBytes": {
+    kind: "gauge",
+    text:
+      "Size that these batches may have before others are refused, in bytes",
+  },
   "batches.openTokens.*": {
     kind: "gauge",
     text: "Expected output of the open items of a service, in tokens",
--- a/src/tasks/batches/batch_intake.ts
+++ b/src/tasks/batches/batch_intake.ts
@@ -1,11 +1,12 @@
 /** Accepts and ends batches in the ledger. */
-import type {
-  AdmissionDecision,
-  BatchCommand,
-  BatchCommandResult,
-  BatchSpec,
-  BatchState,
-  LedgerSnapshot,
+import {
+  type AdmissionDecision,
+  AdmissionReason,
+  type BatchCommand,
+  type BatchCommandResult,
+  type BatchSpec,
+  type BatchState,
+  type LedgerSnapshot,
 } from "../../core/batches/mod.ts";
 import {
   RefusalError,
@@ -97,10 +98,7 @@
     const decision = this.#findRefusal(spec);
     if (decision === undefined) return;
     this.#options.admission().onRefused(spec, decision);
-    throw new RefusalError(RefusalReason.DeadlineUnreachable, Verdict.NotRun, {
-      message: "The batch could not be complete before its time to live ends",
-      retryAfterMs: decision.retryAfterMs,
-    });
+    throw createAdmissionError(decision);
   }
 
   #findRefusal(spec: BatchSpec): AdmissionDecision | undefined {
@@ -163,6 +161,22 @@
   }
 }
 
+/** Creates the refusal of a batch that is not admitted. */
+function createAdmissionError(
+  { reason, retryAfterMs }: AdmissionDecision,
+): RefusalError {
+  if (reason === AdmissionReason.Memory) {
+    return new RefusalError(RefusalReason.QueueFull, Verdict.NotRun, {
+      message: "There is no memory for the results of the batch",
+      retryAfterMs,
+    });
+  }
+  return new RefusalError(RefusalReason.DeadlineUnreachable, Verdict.NotRun, {
+    message: "The batch could not be complete before its time to live ends",
+    retryAfterMs,
+  });
+}
+
 /** Creates the refusal of an end that must be sent again. */
 function createUnsettledError(): RefusalError {
   return new RefusalError(RefusalReason.LedgerUnavailable, Verdict.NotRun, {
--- a/src/tasks/batches/batch_task.ts
+++ b/src/tasks/batches/batch_task.ts
@@ -1,5 +1,6 @@
 /** The batch ledger of an instance with persistent storage. */
-import type { BatchRecord } from "../../core/batches/mod.ts";
+import { getHeapStatistics } from "node:v8";
+import { type BatchRecord, expiryOf, roomOf } from "../../core/batches/mod.ts";
 import { instanceOf, type ReplicaId } from "../../core/consensus/mod.ts";
 import { RegionMap } from "../../core/policy/mod.ts";
 import {
@@ -29,6 +30,7 @@
 import { LEDGER_LOG_OPTIONS } from "./ledger_log_options.ts";
 import { LedgerMembership } from "./ledger_membership.ts";
 import { LedgerObserver } from "./ledger_observer.ts";
+import { MemoryGate } from "./memory_gate.ts";
 import { PaceKeeper } from "./pace_keeper.ts";
 import { ResultQueue } from "./result_queue.ts";
 import { ResultReader } from "./result_reader.ts";
@@ -56,8 +58,7 @@
 export const FORM_METHOD = "batches.form";
 
 const MAINTENANCE_INTERVAL_MS = 1_000;
-/** Time added to the retention period before results are deleted. */
-const EXPIRY_SLACK_MS = 30_000;
+const MB_BYTES = 1_000_000;
 
 /**
  * Owns the instance's replica of the batch ledger, and runs the items while
@@ -74,6 +75,7 @@
   readonly #membership: LedgerMembership;
   readonly #results: ResultQueue;
   readonly #intake: BatchIntake;
+  readonly #memoryGate: MemoryGate;
   readonly #observer: LedgerObserver;
   #maintenanceTimer: NodeJS.Timeout | undefined;
 
@@ -92,9 +94,10 @@
       replica: () => this.replica,
       members: () => driver.node?.members,
     });
+    this.#memoryGate = this.#createMemoryGate();
     this.#intake = new BatchIntake({
       service: this.#service,
-      admission: () => this.#runner.admission,
+      admission: () => this.#memoryGate,
     });
     this.#reader = new ResultReader({
       state: () => this.#service.state,
@@ -168,6 +171,7 @@
       this.#transferIfRetiring();
       this.#reportDemand();
       this.#service.updateGauges();
+      this.#memoryGate.updateGauges();
     }, MAINTENANCE_INTERVAL_MS);
   }
 
@@ -207,6 +211,23 @@
     });
   }
 
+  #createMemoryGate(): MemoryGate {
+    const { logger, metrics, settings } = this.#options.node;
+    const { memoryMb } = settings.limits;
+    return new MemoryGate({
+      state: () => this.#service.state,
+      admission: () => this.#runner.admission,
+      roomBytes: roomOf({
+        heapBytes: getHeapStatistics().heap_size_limit,
+        machineBytes: memoryMb === undefined ? undefined : memoryMb * MB_BYTES,
+      }),
+      keepResultsMs: settings.times.keepResultsMs,
+      logger,
+      metrics,
+      wallNow: () => Date.now(),
+    });
+  }
+
   #createRunner(): BatchRunner {
     const { node, engines, scoring, now, onSigns } = this.#options;
     return new BatchRunner({
@@ -273,10 +294,8 @@
     if (this.leadsTerm === undefined) return;
     const { keepResultsMs } = this.#options.node.settings.times;
     const wallNow = Date.now();
-    const isExpired = ({ spec, isEnded }: BatchRecord) => {
-      const ageMs = wallNow - spec.acceptedAt - EXPIRY_SLACK_MS;
-      return ageMs > keepResultsMs + (isEnded ? 0 : spec.giveUpMs);
-    };
+    const isExpired = (record: BatchRecord) =>
+      wallNow > expiryOf(record, keepResultsMs);
     const batches = this.#service.state.all
       .filter(isExpired)
       .map((record) => record.spec.id);
--- /dev/null
+++ b/src/tasks/batches/memory_gate.ts
@@ -0,0 +1,78 @@
+/** Refuses batches whose results the memory of the ledger could not hold. */
+import {
+  type AdmissionDecision,
+  AdmissionReason,
+  type BatchSpec,
+  type BatchState,
+  expectedBytesOf,
+  findRetryAfterMs,
+  refuseForMemory,
+} from "../../core/batches/mod.ts";
+import type { Logger } from "../../logging/mod.ts";
+import type { Metrics } from "../../metrics/mod.ts";
+import type { BatchAdmission } from "./batch_intake.ts";
+
+/** Options of {@link MemoryGate}. */
+export interface MemoryGateOptions {
+  readonly state: () => BatchState;
+  /** Gets what decides on batches for which there is memory. */
+  readonly admission: () => BatchAdmission;
+  /** Size that the batches may have, in bytes. */
+  readonly roomBytes: number;
+  /** Time for which results are kept, in milliseconds. */
+  readonly keepResultsMs: number;
+  readonly logger: Logger;
+  readonly metrics: Metrics;
+  /** Gets the time of the clock, in milliseconds since the Unix epoch. */
+  readonly wallNow: () => number;
+}
+
+/** Decides on batches by the memory for them, and then as another one does. */
+export class MemoryGate implements BatchAdmission {
+  readonly #options: MemoryGateOptions;
+
+  constructor(options: MemoryGateOptions) {
+    this.#options = options;
+  }
+
+  decide(spec: BatchSpec): AdmissionDecision {
+    const { state, roomBytes, keepResultsMs, wallNow } = this.#options;
+    const retryAfterMs = findRetryAfterMs({
+      spec,
+      records: state().all,
+      roomBytes,
+      keepResultsMs,
+      wallNow: wallNow(),
+    });
+    return retryAfterMs > 0
+      ? refuseForMemory(retryAfterMs)
+      : this.#options.admission().decide(spec);
+  }
+
+  onRefused(spec: BatchSpec, decision: AdmissionDecision): void {
+    const { reason, retryAfterMs } = decision;
+    if (reason !== AdmissionReason.Memory) {
+      this.#options.admission().onRefused(spec, decision);
+      return;
+    }
+    const { logger, metrics, state, roomBytes } = this.#options;
+    metrics.count("batches.refused.memory");
+    logger.event("batchRefused", {
+      batch: spec.id,
+      workspace: spec.workspace,
+      service: spec.service,
+      reason,
+      items: spec.items.length,
+      expectedBytes: Math.round(expectedBytesOf(state().all)),
+      roomBytes,
+      retryAfterMs,
+    });
+  }
+
+  /** Sets the gauges of the memory that batches take and may take. */
+  updateGauges(): void {
+    const { metrics, state, roomBytes } = this.#options;
+    metrics.gauge("batches.bytes", state().bytes);
+    metrics.gauge("batches.roomBytes", roomBytes);
+  }
+}
