--- a/src/tasks/batches/batch_task.ts
+++ b/src/tasks/batches/batch_task.ts
@@ -1,10 +1,6 @@
 /** The batch ledger of an instance with persistent storage. */
-import {
-  type BatchRecord,
-  BatchState,
-  estimateCommandBytes,
-  LEDGER_SNAPSHOT_DIVIDER,
-} from "../../core/batches/mod.ts";
+import { getHeapStatistics } from "node:v8";
+import { type BatchRecord, expiryOf, roomOf } from "../../core/batches/mod.ts";
 import { instanceOf, type ReplicaId } from "../../core/consensus/mod.ts";
 import { RegionMap } from "../../core/policy/mod.ts";
 import {
@@ -31,8 +27,10 @@
 } from "./batch_intake.ts";
 import { BatchRunner } from "./batch_runner.ts";
 import { reportDemands } from "./demand_reporter.ts";
+import { LEDGER_LOG_OPTIONS } from "./ledger_log_options.ts";
 import { LedgerMembership } from "./ledger_membership.ts";
 import { LedgerObserver } from "./ledger_observer.ts";
+import { MemoryGate } from "./memory_gate.ts";
 import { PaceKeeper } from "./pace_keeper.ts";
 import { ResultQueue } from "./result_queue.ts";
 import { ResultReader } from "./result_reader.ts";
@@ -59,12 +57,8 @@
 /** Forms the initial group of the log from a list of replicas. */
 export const FORM_METHOD = "batches.form";
 
-const COMPACT_ENTRIES = 8_192;
-/** A smaller log would be compacted while most of its entries are in the state. */
-const COMPACT_BYTES = 134_217_728;
 const MAINTENANCE_INTERVAL_MS = 1_000;
-/** Time added to the retention period before results are deleted. */
-const EXPIRY_SLACK_MS = 30_000;
+const MB_BYTES = 1_000_000;
 
 /**
  * Owns the instance's replica of the batch ledger, and runs the items while
@@ -81,6 +75,7 @@
   readonly #membership: LedgerMembership;
   readonly #results: ResultQueue;
   readonly #intake: BatchIntake;
+  readonly #memoryGate: MemoryGate;
   readonly #observer: LedgerObserver;
   #maintenanceTimer: NodeJS.Timeout | undefined;
 
@@ -99,9 +94,10 @@
       replica: () => this.replica,
       members: () => driver.node?.members,
     });
+    this.#memoryGate = this.#createMemoryGate();
     this.#intake = new BatchIntake({
       service: this.#service,
-      admission: () => this.#runner.admission,
+      admission: () => this.#memoryGate,
     });
     this.#reader = new ResultReader({
       state: () => this.#service.state,
@@ -175,6 +171,7 @@
       this.#transferIfRetiring();
       this.#reportDemand();
       this.#service.updateGauges();
+      this.#memoryGate.updateGauges();
     }, MAINTENANCE_INTERVAL_MS);
   }
 
@@ -200,12 +197,8 @@
     const { node, dataFolder, now } = this.#options;
     return new LogService({
       ...createLogOptions(node, BATCH_LOG),
+      ...LEDGER_LOG_OPTIONS,
       dataFolder,
-      createState: () => new BatchState(),
-      compactEntries: COMPACT_ENTRIES,
-      compactBytes: COMPACT_BYTES,
-      sizeOf: estimateCommandBytes,
-      divider: LEDGER_SNAPSHOT_DIVIDER,
       wantedVoters: () => this.#membership.wantedVoters,
       wantedLearners: 0,
       now,
@@ -218,6 +211,23 @@
     });
   }
 
+  #createMemoryGate(): MemoryGate {
+    const { logger, metrics, settings } = this.#options.node;
+    const { memoryMb } = settings.limits;
+    return new MemoryGate({
+      state: () => this.#service.state,
+      admission: () => this.#runner.admission,
+      roomBytes: roomOf({
+        heapBytes: getHeapStatistics().heap_size_limit,
+        machineBytes: memoryMb === undefined ? undefined : memoryMb * MB_BYTES,
+      }),
+      keepResultsMs: settings.times.keepResultsMs,
+      logger,
+      metrics,
+      wallNow: () => Date.now(),
+    });
+  }
+
   #createRunner(): BatchRunner {
     const { node, engines, scoring, now, onSigns } = this.#options;
     return new BatchRunner({
@@ -284,10 +294,8 @@
     if (this.leadsTerm === undefined) return;
     const { keepResultsMs } = this.#options.node.settings.times;
     const wallNow = Date.now();
-    const isExpired = ({ spec, isEnded }: BatchRecord) => {
-      const ageMs = wallNow - spec.acceptedAt - EXPIRY_SLACK_MS;
-      return ageMs > keepResultsMs + (isEnded ? 0 : spec.giveUpMs);
-    };
+    const isExpired = (record: BatchRecord) =>
+      wallNow > expiryOf(record, keepResultsMs);
     const batches = this.#service.state.all
       .filter(isExpired)
       .map((record) => record.spec.id);
--- a/src/tasks/storage/close_on_error.ts
+++ b/src/tasks/storage/close_on_error.ts
@@ -9,12 +9,12 @@
  * await closeOnError(handle, () => handle.sync());
  * ```
  */
-export async function closeOnError(
+export async function closeOnError<T>(
   opened: { close(): Promise<void> },
-  work: () => Promise<void>,
-): Promise<void> {
+  work: () => Promise<T>,
+): Promise<T> {
   try {
-    await work();
+    return await work();
   } catch (err) {
     await opened.close().catch(() => {});
     throw err;
