--- /dev/null
+++ b/soak/start/start_trial.ts
@@ -0,0 +1,128 @@
+/** One start of a machine in one or more states. */
+import {
+  FLEET_PROGRAM,
+  type FleetDeployment,
+  sleep,
+} from "../../tests/support/fleet_deployment.ts";
+import { FleetRole } from "../../src/core/fleet/mod.ts";
+import { waitUntilServing } from "./serving.ts";
+import type { StartLauncher } from "./start_launcher.ts";
+import {
+  type LastingState,
+  START_STATES,
+  StartOutcome,
+  type StartState,
+  type StartSubject,
+} from "./start_states.ts";
+
+/** Options of {@link StartTrial}. */
+export interface StartTrialOptions extends StartSubject {
+  /** Names of the states; none for a plain start. */
+  readonly names: readonly string[];
+  readonly fleet: FleetDeployment;
+  readonly launcher: StartLauncher;
+  /** Called with what the instance must not have done. */
+  readonly onFinding: (text: string) => void;
+}
+
+/** Time within which a returned machine must count again. */
+const START_BOUND_MS = 4_900;
+/** Time from the stop signal until the platform kills a process. */
+const GRACE_MS = 8_000;
+const MIN_HOLD_MS = 500;
+const HOLD_SPREAD_MS = 3_500;
+
+/** Ends the process of a machine, and starts the next one in the states. */
+export class StartTrial {
+  readonly #options: StartTrialOptions;
+  readonly #states: readonly StartState[];
+  readonly #active: LastingState[] = [];
+
+  constructor(options: StartTrialOptions) {
+    this.#options = options;
+    this.#states = options.names.map((name) => START_STATES[name]);
+  }
+
+  /** Performs the trial; afterwards the machine serves, or that is a finding. */
+  async run(): Promise<void> {
+    const { machine, launcher, fleet, random } = this.#options;
+    if (!this.#states.some(({ keepsPrevious }) => keepsPrevious)) {
+      await this.#endPrevious();
+    }
+    for (const state of this.#states) {
+      this.#active.push(await state.begin(this.#options));
+    }
+    launcher.alter(machine, this.#active);
+    machine.program = FLEET_PROGRAM;
+    fleet.start(machine);
+    try {
+      await this.#hold(MIN_HOLD_MS + random() * HOLD_SPREAD_MS);
+    } finally {
+      launcher.alter(machine, []);
+      for (const { pass } of this.#active) await pass?.();
+    }
+    await this.#checkServing(this.#active.length > 0 ? "afterwards" : "");
+  }
+
+  async #hold(durationMs: number): Promise<void> {
+    const { machine, fleet } = this.#options;
+    const { process } = machine;
+    if (process === undefined) return;
+    const during = this.#active.map((state) =>
+      state.during?.(process, durationMs)
+    );
+    if (this.#hasOutcome(StartOutcome.Stops)) {
+      await Promise.all(during);
+      await this.#checkStopped();
+      this.#options.launcher.alter(machine, []);
+      fleet.start(machine);
+      return;
+    }
+    const endsAt = Date.now() + durationMs;
+    if (!this.#hasOutcome(StartOutcome.Waits) && this.#isVisible) {
+      await this.#checkServing("in the state");
+    }
+    await Promise.all(during);
+    await sleep(Math.max(0, endsAt - Date.now()));
+  }
+
+  /** Ends the process before as an upgrade or as a failure does. */
+  async #endPrevious(): Promise<void> {
+    const { machine, random, onOrdered } = this.#options;
+    const { process } = machine;
+    if (process === undefined) return;
+    onOrdered(process);
+    process.child.kill(random() < 0.5 ? "SIGTERM" : "SIGKILL");
+    await process.waitForExit();
+  }
+
+  async #checkStopped(): Promise<void> {
+    const { machine: { process }, onFinding } = this.#options;
+    if (process === undefined) return;
+    const code = await Promise.race([
+      process.waitForExit(),
+      sleep(GRACE_MS).then(() => "late" as const),
+    ]);
+    const hasBegun = process.lines.length > 0;
+    if (code === 0 || code === null && !hasBegun) return;
+    process.child.kill("SIGKILL");
+    onFinding(`was asked to stop: ${code ?? process.child.signalCode}`);
+  }
+
+  async #checkServing(when: string): Promise<void> {
+    const { fleet, machine, onFinding } = this.#options;
+    if (await waitUntilServing(fleet, machine, START_BOUND_MS)) return;
+    onFinding(`did not serve ${when} within ${START_BOUND_MS} ms`);
+  }
+
+  #hasOutcome(outcome: StartOutcome): boolean {
+    return this.#states.some((state) => state.outcome === outcome);
+  }
+
+  /** Gets whether the instance can be seen to serve during the states. */
+  get #isVisible(): boolean {
+    const { names, machine } = this.#options;
+    return machine.role !== FleetRole.Ledger ||
+      !names.includes("metricsPortHeld");
+  }
+}
--- a/soak/totals.ts
+++ b/soak/totals.ts
@@ -6,10 +6,15 @@
 
   /** Adds to the count of a name. */
   add(name: string, count: number): this {
-    this.#counts.set(name, (this.#counts.get(name) ?? 0) + count);
+    this.#counts.set(name, this.get(name) + count);
     return this;
   }
 
+  /** Gets the count of a name. */
+  get(name: string): number {
+    return this.#counts.get(name) ?? 0;
+  }
+
   /** Prints the counts, ordered by name. */
   print(): void {
     for (const [name, count] of [...this.#counts].sort()) {
--- a/tests/support/fleet_deployment.ts
+++ b/tests/support/fleet_deployment.ts
@@ -8,6 +8,7 @@
   type FleetReplicaOptions,
 } from "../../fakes/fleet_replica.ts";
 import { FleetRole } from "../../src/core/fleet/mod.ts";
+import type { FleetLauncher, FleetPorts } from "./fleet_launcher.ts";
 import type { LoopbackNet } from "./loopback_net.ts";
 import { ProcessGroup, type StartedProcess } from "./process_group.ts";
 
@@ -31,6 +32,8 @@
   readonly areFencesChecked?: boolean;
   /** Bundled program of all machines; the one of today by default. */
   readonly program?: string;
+  /** Starts the processes; by default, with settings of the product's form. */
+  readonly launcher?: FleetLauncher;
 }
 
 /** An instance of the deployment, which keeps its identity over restarts. */
@@ -48,12 +51,15 @@
 
 /** Bundled program of today. */
 export const FLEET_PROGRAM = "fleet";
-const PEER_PORT = 17_000;
+const PORTS: FleetPorts = {
+  peer: 17_000,
+  callers: 17_001,
+  readiness: 17_002,
+  control: 17_003,
+};
 const PEER_LISTEN_PORT = 17_010;
-const CALLERS_PORT = 17_001;
-const READINESS_PORT = 17_002;
-const CONTROL_PORT = 17_003;
 const ZONES = ["a", "b", "c"];
+const SEED_COUNT = 3;
 /** Time within which two holders must not take turns. */
 export const ORDER_LEASE_MS = 3_000;
 const ATTEMPT_TIMEOUT_MS = 1_000;
@@ -90,17 +96,21 @@
     return this.machines.filter((machine) => machine.role === role);
   }
 
+  get #ports(): FleetPorts {
+    return this.#options.launcher?.ports ?? PORTS;
+  }
+
   /** Gets the addresses of control instances for operators and targets. */
   get controlAddresses(): string[] {
     return this.machinesWithRole(FleetRole.Control).map(({ id }) =>
-      `${id}:${CONTROL_PORT}`
+      `${id}:${this.#ports.control}`
     );
   }
 
   /** Gets the addresses of entry instances for callers. */
   get entries(): string[] {
     return this.machinesWithRole(FleetRole.Entry).map(({ id }) =>
-      `${id}:${CALLERS_PORT}`
+      `${id}:${this.#ports.callers}`
     );
   }
 
@@ -137,6 +147,18 @@
   start(machine: FleetMachine, isFirstStart = false): void {
     const file = join(machine.folder, "settings.json");
     mkdirSync(machine.folder, { recursive: true });
+    const { launcher, receiver } = this.#options;
+    if (launcher !== undefined) {
+      machine.process = launcher.launch({
+        machine,
+        file,
+        seeds: this.controlAddresses.slice(0, SEED_COUNT),
+        isFirstStart,
+        receiver,
+        group: this.#group,
+      });
+      return;
+    }
     writeFileSync(
       file,
       JSON.stringify(this.#createSettings(machine, isFirstStart)),
@@ -172,7 +194,9 @@
   async waitUntilReady(): Promise<void> {
     const endsAt = Date.now() + READY_TIMEOUT_MS;
     for (const { id, name } of this.machinesWithRole(FleetRole.Entry)) {
-      while (!await isReady(`http://${id}:${READINESS_PORT}/-/readiness`)) {
+      while (
+        !await isReady(`http://${id}:${this.#ports.readiness}/-/readiness`)
+      ) {
         if (Date.now() > endsAt) throw new Error(`${name} is not ready`);
         await sleep(RETRY_DELAY_MS);
       }
@@ -263,17 +287,17 @@
       dataCentre: zone,
       regions,
       role,
-      peerPort: PEER_PORT,
+      peerPort: PORTS.peer,
       ...(hasPeerProxies ? { peerListenPort: PEER_LISTEN_PORT } : {}),
-      seeds: this.controlAddresses.slice(0, 3),
+      seeds: this.controlAddresses.slice(0, SEED_COUNT),
       isFirstStart,
       tolerance: 1,
       ...(role === FleetRole.Entry ? {} : { dataFolder: join(folder, "data") }),
       orders: { leaseMs: ORDER_LEASE_MS, areFencesChecked },
       listen: {
-        callers: role === FleetRole.Entry ? `${id}:${CALLERS_PORT}` : "",
-        readiness: role === FleetRole.Entry ? `${id}:${READINESS_PORT}` : "",
-        control: role === FleetRole.Control ? `${id}:${CONTROL_PORT}` : "",
+        callers: role === FleetRole.Entry ? `${id}:${PORTS.callers}` : "",
+        readiness: role === FleetRole.Entry ? `${id}:${PORTS.readiness}` : "",
+        control: role === FleetRole.Control ? `${id}:${PORTS.control}` : "",
       },
       ...(receiver === undefined ? {} : {
         receiver: { address: receiver, callsPerS: 50, duties: ["usage"] },
@@ -293,7 +317,7 @@
 
 /** Peer port that others dial, and the one on which instances listen. */
 export const PROXIED_PORTS = {
-  dialled: PEER_PORT,
+  dialled: PORTS.peer,
   listened: PEER_LISTEN_PORT,
 } as const;
 
--- a/tests/support/process_group.ts
+++ b/tests/support/process_group.ts
@@ -1,6 +1,11 @@
 /** Child processes of a test or of the demo. */
-import { type ChildProcess, spawn } from "node:child_process";
+import {
+  type ChildProcess,
+  type ChildProcessByStdio,
+  spawn,
+} from "node:child_process";
 import { createInterface } from "node:readline";
+import type { Readable } from "node:stream";
 
 /** A started process and the lines of its standard output. */
 export interface StartedProcess {
@@ -28,17 +33,38 @@
     args: readonly string[],
     env: Readonly<Record<string, string>> = {},
   ): StartedProcess {
-    const child = spawn(process.execPath, [`dist/${program}.mjs`, ...args], {
-      stdio: ["ignore", "pipe", "inherit"],
-      env: { ...process.env, ...env },
-    });
+    return this.#track(
+      spawn(process.execPath, [`dist/${program}.mjs`, ...args], {
+        stdio: ["ignore", "pipe", "inherit"],
+        env: { ...process.env, ...env },
+      }),
+    );
+  }
+
+  /** Starts a command; its lines hold its standard error, too. */
+  startCommand(
+    [file, ...args]: readonly string[],
+    env: Readonly<Record<string, string | undefined>>,
+  ): StartedProcess {
+    return this.#track(
+      spawn(file, args, { stdio: ["ignore", "pipe", "pipe"], env }),
+    );
+  }
+
+  #track(
+    child: ChildProcessByStdio<null, Readable, Readable | null>,
+  ): StartedProcess {
     this.#children.add(child);
     const lines: string[] = [];
     const listeners = new Set<(line: string) => void>();
-    createInterface({ input: child.stdout }).on("line", (line) => {
+    const onLine = (line: string) => {
       lines.push(line);
       for (const listener of [...listeners]) listener(line);
-    });
+    };
+    createInterface({ input: child.stdout }).on("line", onLine);
+    if (child.stderr) {
+      createInterface({ input: child.stderr }).on("line", onLine);
+    }
     const ended = new Promise<number | null>((resolve) => {
       child.once("close", (code) => {
         this.#children.delete(child);
