--- a/soak/start/start_states.ts
+++ b/soak/start/start_states.ts
@@ -107,7 +107,7 @@
   dataMissing: {
     kind: "data",
     roles: WITH_DISK,
-    outcome: StartOutcome.Serves,
+    outcome: StartOutcome.Waits,
     begin: ({ machine }) => {
       rmSync(join(machine.folder, "data"), { recursive: true, force: true });
       return {};
--- a/soak/start/start_trial.ts
+++ b/soak/start/start_trial.ts
@@ -27,6 +27,10 @@
 
 /** Time within which a returned machine must count again. */
 const START_BOUND_MS = 4_900;
+/** Time until a voter without its data is replaced. */
+const CONTACT_MS = 3_000;
+/** Time for which other machines with a disk stay as they are. */
+const RETURN_TIMEOUT_MS = 20_000;
 /** Time from the stop signal until the platform kills a process. */
 const GRACE_MS = 8_000;
 const MIN_HOLD_MS = 500;
@@ -71,6 +75,10 @@
     const during = this.#active.map((state) =>
       state.during?.(process, durationMs)
     );
+    await Promise.race([
+      process.waitForLine(() => true).catch(() => {}),
+      process.waitForExit(),
+    ]);
     if (this.#hasOutcome(StartOutcome.Stops)) {
       await Promise.all(during);
       await this.#checkStopped();
@@ -111,8 +119,16 @@
 
   async #checkServing(when: string): Promise<void> {
     const { fleet, machine, onFinding } = this.#options;
-    if (await waitUntilServing(fleet, machine, START_BOUND_MS)) return;
-    onFinding(`did not serve ${when} within ${START_BOUND_MS} ms`);
+    const boundMs = this.#boundMs;
+    if (await waitUntilServing(fleet, machine, boundMs)) return;
+    onFinding(`did not serve ${when} within ${boundMs} ms`);
+    await waitUntilServing(fleet, machine, RETURN_TIMEOUT_MS);
+  }
+
+  /** Gets the time in which the instance must serve. */
+  get #boundMs(): number {
+    const isNew = this.#options.names.includes("dataMissing");
+    return START_BOUND_MS + (isNew ? CONTACT_MS : 0);
   }
 
   #hasOutcome(outcome: StartOutcome): boolean {
