--- a/soak/start/serving.ts
+++ b/soak/start/serving.ts
@@ -6,7 +6,7 @@
   type FleetMachine,
   sleep,
 } from "../../tests/support/fleet_deployment.ts";
-import { DEPLOYED_PORTS, METRICS_PORT } from "./start_launcher.ts";
+import { DEPLOYED_PORTS } from "./start_launcher.ts";
 
 const ATTEMPT_TIMEOUT_MS = 1_000;
 const ATTEMPT_INTERVAL_MS = 50;
@@ -53,7 +53,7 @@
 
 /** Gets the number of applied log entries; -1 where it is not known. */
 async function getApplied({ id }: FleetMachine): Promise<number> {
-  const text = await read(`http://${id}:${METRICS_PORT}/metrics`);
+  const text = await read(`http://${id}:${DEPLOYED_PORTS.metrics}/metrics`);
   if (text !== undefined) return Number(APPLIED_LINE.exec(text)?.[1] ?? -1);
   return -1;
 }
--- a/soak/start/start_launcher.ts
+++ b/soak/start/start_launcher.ts
@@ -23,14 +23,13 @@
   readonly command?: (command: readonly string[]) => readonly string[];
 }
 
-/** Port of the metrics in the template of the settings. */
-export const METRICS_PORT = 9464;
 /** Ports of the platform's machines. */
 export const DEPLOYED_PORTS = {
-  peer: 7660,
+  peers: 7660,
   callers: 8405,
   readiness: 8406,
   control: 8407,
+  metrics: 9464,
 } as const;
 
 /** Starts the commands of the deploy file, and tells of each end. */
@@ -110,7 +109,7 @@
     zone,
     zones: { a: "region", b: "region", c: "region" },
     role,
-    internalPorts: [DEPLOYED_PORTS.peer, DEPLOYED_PORTS.peer + 1],
+    internalPorts: [DEPLOYED_PORTS.peers, DEPLOYED_PORTS.peers + 1],
     seeds,
     firstStart: isFirstStart,
     faultTolerance: { machines: 1 },
--- a/soak/start/start_states.ts
+++ b/soak/start/start_states.ts
@@ -10,11 +10,7 @@
 import type { LoopbackNet } from "../../tests/support/loopback_net.ts";
 import type { StartedProcess } from "../../tests/support/process_group.ts";
 import { PortHolder } from "./port_holder.ts";
-import {
-  DEPLOYED_PORTS,
-  METRICS_PORT,
-  type StartAlteration,
-} from "./start_launcher.ts";
+import { DEPLOYED_PORTS, type StartAlteration } from "./start_launcher.ts";
 
 /** What an instance must do in a state. */
 export const StartOutcome = {
@@ -77,15 +73,15 @@
 
 /** All states by name. */
 export const START_STATES: Readonly<Record<string, StartState>> = {
-  peerPortHeld: heldPort(DEPLOYED_PORTS.peer, ALL),
+  peerPortHeld: heldPort(DEPLOYED_PORTS.peers, ALL),
   callersPortHeld: heldPort(DEPLOYED_PORTS.callers, [Entry]),
   readinessPortHeld: heldPort(DEPLOYED_PORTS.readiness, [Entry]),
   controlPortHeld: heldPort(DEPLOYED_PORTS.control, [Control]),
-  metricsPortHeld: heldPort(METRICS_PORT, ALL, StartOutcome.Serves),
+  metricsPortHeld: heldPort(DEPLOYED_PORTS.metrics, ALL, StartOutcome.Serves),
   peerPortConnected: {
-    ...heldPort(DEPLOYED_PORTS.peer, ALL),
+    ...heldPort(DEPLOYED_PORTS.peers, ALL),
     begin: async ({ machine }) => {
-      const address = { host: machine.id, port: DEPLOYED_PORTS.peer };
+      const address = { host: machine.id, port: DEPLOYED_PORTS.peers };
       const holder = await new PortHolder().connectFrom(address);
       return { pass: () => holder.release() };
     },
@@ -311,7 +307,7 @@
 
 async function listenOrShare(host: string): Promise<PortHolder | undefined> {
   try {
-    return await new PortHolder().listen({ host, port: DEPLOYED_PORTS.peer });
+    return await new PortHolder().listen({ host, port: DEPLOYED_PORTS.peers });
   } catch {
     // Another machine's state holds it already.
     return undefined;
--- a/tests/support/fleet_deployment.ts
+++ b/tests/support/fleet_deployment.ts
@@ -51,11 +51,13 @@
 
 /** Bundled program of today. */
 export const FLEET_PROGRAM = "fleet";
-const PORTS: FleetPorts = {
-  peer: 17_000,
+/** Ports on which instances listen. */
+export const FLEET_PORTS: FleetPorts = {
+  peers: 17_000,
   callers: 17_001,
   readiness: 17_002,
   control: 17_003,
+  metrics: 17_004,
 };
 const PEER_LISTEN_PORT = 17_010;
 const ZONES = ["a", "b", "c"];
@@ -97,7 +99,7 @@
   }
 
   get #ports(): FleetPorts {
-    return this.#options.launcher?.ports ?? PORTS;
+    return this.#options.launcher?.ports ?? FLEET_PORTS;
   }
 
   /** Gets the addresses of control instances for operators and targets. */
@@ -287,17 +289,22 @@
       dataCentre: zone,
       regions,
       role,
-      peerPort: PORTS.peer,
+      peerPort: FLEET_PORTS.peers,
       ...(hasPeerProxies ? { peerListenPort: PEER_LISTEN_PORT } : {}),
       seeds: this.controlAddresses.slice(0, SEED_COUNT),
       isFirstStart,
       tolerance: 1,
       ...(role === FleetRole.Entry ? {} : { dataFolder: join(folder, "data") }),
       orders: { leaseMs: ORDER_LEASE_MS, areFencesChecked },
+      metrics: `${id}:${FLEET_PORTS.metrics}`,
       listen: {
-        callers: role === FleetRole.Entry ? `${id}:${PORTS.callers}` : "",
-        readiness: role === FleetRole.Entry ? `${id}:${PORTS.readiness}` : "",
-        control: role === FleetRole.Control ? `${id}:${PORTS.control}` : "",
+        callers: role === FleetRole.Entry ? `${id}:${FLEET_PORTS.callers}` : "",
+        readiness: role === FleetRole.Entry
+          ? `${id}:${FLEET_PORTS.readiness}`
+          : "",
+        control: role === FleetRole.Control
+          ? `${id}:${FLEET_PORTS.control}`
+          : "",
       },
       ...(receiver === undefined ? {} : {
         receiver: { address: receiver, callsPerS: 50, duties: ["usage"] },
@@ -317,7 +324,7 @@
 
 /** Peer port that others dial, and the one on which instances listen. */
 export const PROXIED_PORTS = {
-  dialled: PORTS.peer,
+  dialled: FLEET_PORTS.peers,
   listened: PEER_LISTEN_PORT,
 } as const;
 
--- a/tests/support/fleet_launcher.ts
+++ b/tests/support/fleet_launcher.ts
@@ -4,10 +4,11 @@
 
 /** Ports of all machines. */
 export interface FleetPorts {
-  readonly peer: number;
+  readonly peers: number;
   readonly callers: number;
   readonly readiness: number;
   readonly control: number;
+  readonly metrics: number;
 }
 
 /** A process to start. */
