--- a/soak/start/start_soak.ts
+++ b/soak/start/start_soak.ts
@@ -44,6 +44,8 @@
 
 const KEY = "key-of-the-park";
 const { engines, apps, model } = FLEET_NAMES;
+/** Event of an end that an error caused. */
+const PROCESS_FAILED = '"event":1022,';
 const OVERLAP_PROBABILITY = 0.4;
 /** Time after which the platform starts an ended process again. */
 const RESTART_DELAY_MS = 500;
@@ -187,8 +189,9 @@
   #onEnd(machine: FleetMachine, process: StartedProcess): void {
     if (this.#isStopping || this.#ordered.has(process)) return;
     const { exitCode, signalCode } = process.child;
-    const line = process.lines.findLast((one) => /error|reason/i.test(one)) ??
-      process.lines.at(-1);
+    const line =
+      process.lines.findLast((one) => one.includes(PROCESS_FAILED)) ??
+        `without a last line: ${process.lines.at(-1)}`;
     this.#onFinding(
       `ended by itself: ${exitCode ?? signalCode} ${line}`,
       machine,
@@ -238,6 +241,9 @@
     this.#isStopping = true;
     this.#clients.stop();
     this.#probe.stop();
+    if (this.#findings.length > 0) {
+      for (const line of this.#fleet.logLines) this.#options.log(line);
+    }
     await this.#fleet.stop();
     for (const replica of this.#replicas) replica.crash();
   }
--- a/soak/start/start_states.ts
+++ b/soak/start/start_states.ts
@@ -52,6 +52,8 @@
   readonly kind: "address" | "data" | "settings" | "resources" | "signal";
   readonly roles: readonly FleetRole[];
   readonly outcome: StartOutcome;
+  /** Number of the event that must tell of the state; none by default. */
+  readonly event?: number | undefined;
   /** Whether the process before runs on until the state passes. */
   readonly keepsPrevious?: boolean;
   begin(subject: StartSubject): Promise<LastingState> | LastingState;
@@ -60,6 +62,8 @@
 const { Control, Ledger, Entry } = FleetRole;
 const ALL = [Control, Ledger, Entry];
 const WITH_DISK = [Control, Ledger];
+/** Event of a listener whose address is in use. */
+const LISTENER_WAITS = 2004;
 /** Last octets of addresses on which no instance runs. */
 const SILENT_OCTET = 200;
 const ABSENT_OCTET = 210;
@@ -80,6 +84,7 @@
   metricsPortHeld: heldPort(DEPLOYED_PORTS.metrics, ALL, StartOutcome.Serves),
   peerPortConnected: {
     ...heldPort(DEPLOYED_PORTS.peers, ALL),
+    event: undefined,
     begin: async ({ machine }) => {
       const address = { host: machine.id, port: DEPLOYED_PORTS.peers };
       const holder = await new PortHolder().connectFrom(address);
@@ -190,6 +195,7 @@
     kind: "address",
     roles,
     outcome,
+    event: LISTENER_WAITS,
     begin: async ({ machine }) => {
       const holder = await new PortHolder().listen({ host: machine.id, port });
       return { pass: () => holder.release() };
