--- a/soak/start/main.ts
+++ b/soak/start/main.ts
@@ -48,7 +48,10 @@
         },
       });
       totals.add("starts", result.starts).add("answered", result.answered)
-        .add("findings", result.findings.length)
+        .add("early ends", result.earlyEnds).add(
+          "findings",
+          result.findings.length,
+        )
         .add("failed seeds", result.findings.length > 0 ? 1 : 0);
       for (const finding of result.findings) {
         console.log(`seed ${seed}: ${finding}`);
--- a/soak/start/start_soak.ts
+++ b/soak/start/start_soak.ts
@@ -38,6 +38,8 @@
   readonly findings: readonly string[];
   /** Number of trials. */
   readonly starts: number;
+  /** Number of processes that a hangup ended before the program ran. */
+  readonly earlyEnds: number;
   /** Number of calls that sound instances answered. */
   readonly answered: number;
 }
@@ -69,6 +71,7 @@
   /** States of the machines that are in any. */
   readonly #states = new Map<FleetMachine, string>();
   #starts = 0;
+  #earlyEnds = 0;
   #isStopping = false;
 
   private constructor(
@@ -119,6 +122,7 @@
     return {
       findings: soak.#findings,
       starts: soak.#starts,
+      earlyEnds: soak.#earlyEnds,
       answered: soak.#probe.answered,
     };
   }
@@ -189,13 +193,13 @@
   #onEnd(machine: FleetMachine, process: StartedProcess): void {
     if (this.#isStopping || this.#ordered.has(process)) return;
     const { exitCode, signalCode } = process.child;
+    const isTooEarly = signalCode === "SIGHUP" && process.lines.length === 0;
+    if (isTooEarly) this.#earlyEnds += 1;
     const line =
       process.lines.findLast((one) => one.includes(PROCESS_FAILED)) ??
         `without a last line: ${process.lines.at(-1)}`;
-    this.#onFinding(
-      `ended by itself: ${exitCode ?? signalCode} ${line}`,
-      machine,
-    );
+    const text = `ended by itself: ${exitCode ?? signalCode} ${line}`;
+    if (!isTooEarly) this.#onFinding(text, machine);
     setTimeout(() => {
       const isCurrent = machine.process === process;
       if (isCurrent && !this.#isStopping) this.#fleet.start(machine);
