--- a/soak/start/main.ts
+++ b/soak/start/main.ts
@@ -47,7 +47,10 @@
           if (args.log) appendFileSync(`${args.log}.${seed}`, `${line}\n`);
         },
       });
-      totals.add("starts", result.starts).add("answered", result.answered)
+      totals.add("starts", result.starts).add("refused", result.refused).add(
+        "answered",
+        result.answered,
+      )
         .add("early ends", result.earlyEnds).add(
           "findings",
           result.findings.length,
--- a/soak/start/start_probe.ts
+++ b/soak/start/start_probe.ts
@@ -20,6 +20,8 @@
 }
 
 const INTERVAL_MS = 60;
+/** Time within which a returned machine counts again, as all others must. */
+const UNSERVED_BOUND_MS = 4_900;
 /** Time after which a caller of the route gives up. */
 const CALL_TIMEOUT_MS = 4_000;
 const { host, plain } = FLEET_NAMES;
@@ -28,6 +30,7 @@
 export class StartProbe {
   readonly #options: StartProbeOptions;
   #answered = 0;
+  #refused = 0;
   #isStopping = false;
 
   constructor(options: StartProbeOptions) {
@@ -39,6 +42,11 @@
     return this.#answered;
   }
 
+  /** Gets the number of calls that instances in no state did not answer. */
+  get refused(): number {
+    return this.#refused;
+  }
+
   stop(): this {
     this.#isStopping = true;
     return this;
@@ -53,13 +61,17 @@
   async #callAll(machine: FleetMachine): Promise<void> {
     const { isSound, onFinding } = this.#options;
     const client = new Client(`http://${machine.id}:${DEPLOYED_PORTS.callers}`);
+    let servedAt = Date.now();
     for (let i = 0; !this.#isStopping; i += 1) {
-      const wasSound = isSound(machine);
       const result = await this.#call(client, `probe-${machine.name}-${i}`);
-      if (result === "200") this.#answered += 1;
-      else if (wasSound && isSound(machine)) {
-        onFinding(`call ${i} at ${machine.name}: ${result}`);
+      const isAnswered = result === "200";
+      if (isAnswered) this.#answered += 1;
+      else if (isSound(machine)) this.#refused += 1;
+      if (Date.now() - servedAt > UNSERVED_BOUND_MS && isSound(machine)) {
+        onFinding(`no call is answered at ${machine.name}: ${result}`);
+        servedAt = Date.now();
       }
+      if (isAnswered || !isSound(machine)) servedAt = Date.now();
       await sleep(INTERVAL_MS);
     }
     await client.destroy();
--- a/soak/start/start_soak.ts
+++ b/soak/start/start_soak.ts
@@ -42,6 +42,8 @@
   readonly earlyEnds: number;
   /** Number of calls that sound instances answered. */
   readonly answered: number;
+  /** Number of calls that sound instances refused or did not answer. */
+  readonly refused: number;
 }
 
 const KEY = "key-of-the-park";
@@ -68,8 +70,7 @@
   readonly #probe: StartProbe;
   readonly #findings: string[] = [];
   readonly #ordered = new Set<StartedProcess>();
-  /** States of the machines that are in any. */
-  readonly #states = new Map<FleetMachine, string>();
+  readonly #trials = new Map<FleetMachine, StartTrial>();
   #starts = 0;
   #earlyEnds = 0;
   #isStopping = false;
@@ -101,7 +102,7 @@
     this.#probe = new StartProbe({
       fleet: this.#fleet,
       key: KEY,
-      isSound: (machine) => !this.#states.has(machine) && !this.#isStopping,
+      isSound: (machine) => !this.#trials.has(machine) && !this.#isStopping,
       onFinding: (text) => this.#onFinding(text),
     });
   }
@@ -124,6 +125,7 @@
       starts: soak.#starts,
       earlyEnds: soak.#earlyEnds,
       answered: soak.#probe.answered,
+      refused: soak.#probe.refused,
     };
   }
 
@@ -153,11 +155,12 @@
       const role = pick(roles, random);
       const machine = pick(this.#fleet.machinesWithRole(role), random);
       const names = this.#pickStates(role, random);
-      this.#states.set(machine, names.join("+"));
       this.#options.log(`start ${machine.name} ${names.join("+")}`);
       this.#starts += 1;
-      await this.#createTrial({ machine, names, random }).run();
-      this.#states.delete(machine);
+      const trial = this.#createTrial({ machine, names, random });
+      this.#trials.set(machine, trial);
+      await trial.run();
+      this.#trials.delete(machine);
     }
   }
 
@@ -193,13 +196,14 @@
   #onEnd(machine: FleetMachine, process: StartedProcess): void {
     if (this.#isStopping || this.#ordered.has(process)) return;
     const { exitCode, signalCode } = process.child;
+    const mayEnd = this.#trials.get(machine)?.mayEnd(process);
     const isTooEarly = signalCode === "SIGHUP" && process.lines.length === 0;
     if (isTooEarly) this.#earlyEnds += 1;
     const line =
       process.lines.findLast((one) => one.includes(PROCESS_FAILED)) ??
         `without a last line: ${process.lines.at(-1)}`;
     const text = `ended by itself: ${exitCode ?? signalCode} ${line}`;
-    if (!isTooEarly) this.#onFinding(text, machine);
+    if (!isTooEarly && !mayEnd) this.#onFinding(text, machine);
     setTimeout(() => {
       const isCurrent = machine.process === process;
       if (isCurrent && !this.#isStopping) this.#fleet.start(machine);
@@ -209,7 +213,7 @@
   #onFinding(text: string, machine?: FleetMachine): void {
     const place = machine === undefined
       ? ""
-      : `${machine.name} [${this.#states.get(machine) ?? "no state"}] `;
+      : `${machine.name} [${this.#trials.get(machine)?.name ?? "no state"}] `;
     this.#options.log(`finding ${place}${text}`);
     this.#findings.push(`${place}${text}`);
   }
--- a/soak/start/start_states.ts
+++ b/soak/start/start_states.ts
@@ -18,6 +18,8 @@
   Serves: "serves",
   /** Stays up, and serves after the state has passed. */
   Waits: "waits",
+  /** Ends with code 1 and a line at each start until the state has passed. */
+  Ends: "ends",
   /** Ends with code 0, as it was asked to. */
   Stops: "stops",
 } as const;
@@ -92,7 +94,7 @@
     },
   },
   previousRunning: {
-    kind: "address",
+    kind: "data",
     roles: ALL,
     outcome: StartOutcome.Waits,
     keepsPrevious: true,
@@ -114,8 +116,14 @@
       return {};
     },
   },
-  dataIsFile: replacedData((path) => writeFileSync(path, "")),
-  dataUnwritable: replacedData((path) => symlinkSync(UNWRITABLE_FOLDER, path)),
+  dataIsFile: replacedData(
+    StartOutcome.Ends,
+    (path) => writeFileSync(path, ""),
+  ),
+  dataUnwritable: replacedData(
+    StartOutcome.Waits,
+    (path) => symlinkSync(UNWRITABLE_FOLDER, path),
+  ),
   dataFull: limited("fsize", () => 0, WITH_DISK, "f"),
   seedsSilent: {
     kind: "settings",
@@ -204,11 +212,14 @@
 }
 
 /** Puts something in the place of the data folder until the state passes. */
-function replacedData(replace: (path: string) => void): StartState {
+function replacedData(
+  outcome: StartOutcome,
+  replace: (path: string) => void,
+): StartState {
   return {
     kind: "data",
     roles: WITH_DISK,
-    outcome: StartOutcome.Waits,
+    outcome,
     begin: ({ machine }) => {
       const path = join(machine.folder, "data");
       renameSync(path, `${path}.kept`);
@@ -271,7 +282,7 @@
   return {
     kind: "settings",
     roles: ALL,
-    outcome: StartOutcome.Waits,
+    outcome: StartOutcome.Ends,
     begin: ({ restoreSettings }) => ({ text: change, pass: restoreSettings }),
   };
 }
