--- a/fakes/fleet_replica.ts
+++ b/fakes/fleet_replica.ts
@@ -56,6 +56,9 @@
 const HEARTBEAT_INTERVAL_MS = 300;
 const HEARTBEAT_TIMEOUT_MS = 700;
 const FIRST_VERSION = 1;
+/** Comments of which a flooding target sends 13 MB a second to each request. */
+const FLOOD = ": c\n".repeat(16_384);
+const FLOOD_INTERVAL_MS = 5;
 
 /** Serves requests, sends heartbeats and carries out orders to load weights. */
 export class FleetReplica {
@@ -81,6 +84,10 @@
   slowdownFactor = 1;
   /** Whether requests stay without a response. */
   isSilent = false;
+  /** Whether each response is a stream of comments without end. */
+  floods = false;
+  /** Whether connections are closed in place of responses. */
+  closes = false;
   /** Whether responses say that the target leaves; its heartbeats do not. */
   saysLeaving = false;
   /** Requests a second that responses name as the limit; none by default. */
@@ -231,6 +238,8 @@
       );
     }
     this.arrivals.push(Date.now());
+    if (this.closes) return void res.destroy();
+    if (this.floods) return await this.#flood(req, res);
     if (this.isCold) this.coldArrivals.push(Date.now());
     if (this.#activeRequestCount >= this.#options.slots) {
       res.writeHead(503, { "not-executed": "1" }).end();
@@ -245,6 +254,19 @@
     }
   }
 
+  async #flood(req: IncomingMessage, res: ServerResponse): Promise<void> {
+    this.#recordRun(req);
+    res.writeHead(200, {
+      "request-id": String(req.headers["request-id"]),
+      "server-stamp": this.#id,
+      "content-type": "text/event-stream",
+    });
+    while (!res.destroyed) {
+      res.write(FLOOD);
+      await sleep(FLOOD_INTERVAL_MS);
+    }
+  }
+
   async #respondPlain(
     req: IncomingMessage,
     res: ServerResponse,
--- a/soak/start/main.ts
+++ b/soak/start/main.ts
@@ -3,7 +3,7 @@
 import { defineCommand, runMain } from "citty";
 import { bundleFleet, bundleFleetAt } from "../../scripts/bundle.ts";
 import { Totals } from "../totals.ts";
-import { StartSoak } from "./start_soak.ts";
+import { StartSoak, type StartSoakOptions } from "./start_soak.ts";
 
 const MS_PER_S = 1_000;
 
@@ -22,6 +22,11 @@
       description: "Duration of the starts of a run, in seconds",
     },
     states: { type: "string", description: "States, separated by commas" },
+    target: {
+      type: "enum",
+      options: ["closes", "floods"],
+      description: "How one of the engines answers requests",
+    },
     old: {
       type: "string",
       description:
@@ -43,6 +48,7 @@
         lengthMs: Number(args.seconds) * MS_PER_S,
         states: args.states?.split(","),
         oldProgram,
+        faultyTarget: args.target as StartSoakOptions["faultyTarget"],
         log: (line) => {
           if (args.log) appendFileSync(`${args.log}.${seed}`, `${line}\n`);
         },
--- a/soak/start/start_soak.ts
+++ b/soak/start/start_soak.ts
@@ -29,6 +29,8 @@
   readonly states?: readonly string[] | undefined;
   /** Program of the build before, which all machines run at first. */
   readonly oldProgram?: string | undefined;
+  /** How one of the engines answers requests; as the others by default. */
+  readonly faultyTarget?: "closes" | "floods" | undefined;
   readonly log: (line: string) => void;
 }
 
@@ -133,6 +135,9 @@
     await this.#fleet.startAll(fleetPolicy({ version: 1, keys: [KEY] }));
     this.#checks.onAcked(1);
     for (const replica of this.#replicas) await replica.start();
+    const [faulty] = this.#replicas;
+    const { faultyTarget } = this.#options;
+    if (faultyTarget !== undefined) faulty[faultyTarget] = true;
     await sleep(CERTAIN_MS);
     const work = [this.#clients.run(), this.#probe.run()];
     const endsAt = Date.now() + this.#options.lengthMs;
--- a/soak/start/start_trial.ts
+++ b/soak/start/start_trial.ts
@@ -10,11 +10,11 @@
 import type { StartLauncher } from "./start_launcher.ts";
 import {
   type LastingState,
-  START_STATES,
   StartOutcome,
   type StartState,
   type StartSubject,
-} from "./start_states.ts";
+} from "./start_state.ts";
+import { START_STATES } from "./start_states.ts";
 
 /** Options of {@link StartTrial}. */
 export interface StartTrialOptions extends StartSubject {
