--- a/fakes/fleet_replica.ts
+++ b/fakes/fleet_replica.ts
@@ -262,7 +262,7 @@
       "content-type": "text/event-stream",
     });
     while (!res.destroyed) {
-      res.write(FLOOD);
+      if (!res.writableNeedDrain) res.write(FLOOD);
       await sleep(FLOOD_INTERVAL_MS);
     }
   }
