--- a/src/tasks/log/log_store.ts
+++ b/src/tasks/log/log_store.ts
@@ -9,7 +9,10 @@
   type StoredLog,
 } from "../../core/consensus/mod.ts";
 import {
+  closeOnError,
+  DamagedFileError,
   FrameStore,
+  type OpenedFrames,
   openOrReplace,
   type PreparedFile,
 } from "../storage/mod.ts";
@@ -109,12 +112,15 @@
 
   /**
    * Creates the store of an initial voter.
-   * @returns Whether it was created; an existing store is left unchanged.
+   * @returns Whether it was created; an existing store is left unchanged, also
+   * a damaged one.
    */
   static async create<C, S>(options: LogInitOptions<S>): Promise<boolean> {
-    const { store, frames } = await FrameStore.open<LogFrame<C, S>>(
+    const opened = await openUndamaged<LogFrame<C, S>>(
       join(options.dataFolder, options.name),
     );
+    if (opened === undefined) return false;
+    const { store, frames } = opened;
     try {
       if (frames.length > 0) return false;
       const incarnation = "first";
@@ -209,12 +215,25 @@
     }
     if (incarnation === undefined) {
       incarnation = randomBytes(INCARNATION_BYTES).toString("hex");
-      await store.append([{ type: "identity", incarnation }]);
+      const identity = { type: "identity", incarnation } as const;
+      await closeOnError(store, () => store.append([identity]));
     }
     return new LogStore(store, { incarnation, stored: replay.stored });
   }
 }
 
+/** Opens frames; undefined if their file is damaged. */
+async function openUndamaged<F>(
+  folder: string,
+): Promise<OpenedFrames<F> | undefined> {
+  try {
+    return await FrameStore.open<F>(folder);
+  } catch (err) {
+    if (err instanceof DamagedFileError) return undefined;
+    throw err;
+  }
+}
+
 function createEmptyLog<C, S>(members: Members, state: S): StoredLog<C, S> {
   return {
     hardState: { term: 0, votedFor: undefined },
