--- a/soak/start/start_states.ts
+++ b/soak/start/start_states.ts
@@ -15,6 +15,8 @@
 const WITH_DISK = [Control, Ledger];
 /** Event of a listener whose address is in use. */
 const LISTENER_WAITS = 2004;
+/** Event of a log whose disk cannot be used. */
+const STORE_FAILED = 1505;
 /** Last octets of addresses on which no instance runs. */
 const SILENT_OCTET = 200;
 const ABSENT_OCTET = 210;
@@ -69,10 +71,13 @@
     StartOutcome.Ends,
     (path) => writeFileSync(path, ""),
   ),
-  dataUnwritable: replacedData(
-    StartOutcome.Waits,
-    (path) => symlinkSync(UNWRITABLE_FOLDER, path),
-  ),
+  dataUnwritable: {
+    ...replacedData(
+      StartOutcome.Waits,
+      (path) => symlinkSync(UNWRITABLE_FOLDER, path),
+    ),
+    event: STORE_FAILED,
+  },
   dataFull: limited("fsize", () => 0, WITH_DISK, "f"),
   seedsSilent: {
     kind: "settings",
