A refusal of another build does not end the process that receives it

What callers saw: the connection broke without an answer, and all other requests of the instance with it: the process ended by itself with code 1.

Cause: a refusal in the reply of another instance was taken as it was. A reason that this build does not know, as during an upgrade, has no status; writing the response threw ERR_HTTP_INVALID_STATUS_CODE in the path that handles errors, which nothing catches there, and Node.js ends a process on a rejected promise that no code awaits. A refusal that is null threw after its request had been removed from the pending ones, timer included: that request was never settled, and what waits for one reply before it sends the next, such as the confirmation of the policy, stopped for good.

The refusal is now decoded where it arrives: an unknown reason becomes controlUnavailable with verdict, message and delay kept, an unknown verdict means that the request may have run, and a malformed refusal counts as a lost reply.

--- a/src/tasks/peers/peer_refusal.ts
+++ b/src/tasks/peers/peer_refusal.ts
@@ -1,4 +1,5 @@
 /** Errors of requests between instances, and their form in replies. */
+import * as z from "zod";
 import {
   RefusalError,
   RefusalReason,
@@ -41,15 +42,22 @@
   return { reason, verdict, message, retryAfterMs };
 }
 
+/** Schema of a refusal; another build may have other reasons and verdicts. */
+const refusalSchema = z.object({
+  reason: z.enum(RefusalReason).catch(RefusalReason.ControlUnavailable),
+  verdict: z.enum(Verdict).catch(Verdict.MayHaveRun),
+  message: z.string().optional().catch(undefined),
+  retryAfterMs: z.number().min(0).optional().catch(undefined),
+});
+
 /**
- * Decodes the refusal of a reply.
+ * Decodes the refusal of a reply; a malformed one counts as a lost reply.
  * @example
  * reject(decodeRefusal(reply.refusal));
  */
-export function decodeRefusal(refusal: PeerRefusal): RefusalError {
-  const { reason, verdict, message, retryAfterMs } = refusal;
-  return new RefusalError(reason as RefusalReason, verdict as Verdict, {
-    message,
-    retryAfterMs,
-  });
+export function decodeRefusal(refusal: unknown): RefusalError {
+  const { data } = refusalSchema.safeParse(refusal);
+  if (data === undefined) return createUnansweredError(Verdict.MayHaveRun);
+  const { reason, verdict, message, retryAfterMs } = data;
+  return new RefusalError(reason, verdict, { message, retryAfterMs });
 }
--- a/src/tasks/peers/pending_requests_test.ts
+++ b/src/tasks/peers/pending_requests_test.ts
@@ -46,6 +46,17 @@
     expect(pending.isPendingOn(link)).toBe(false);
   }
 
+  // Guards against a request that waits for ever, after a malformed refusal.
+  it("settles a request whose refusal is malformed", () =>
+    doTest((pending, link) => {
+      const reply = { id: link.ids[0], refusal: null } as never;
+      try {
+        pending.onReply(reply);
+      } catch {
+        // The hub logs it.
+      }
+    }, [RefusalReason.ControlUnavailable, Verdict.MayHaveRun]));
+
   // Guards against replies that settle the request of another number.
   it("settles a request by the reply with its number", () =>
     doTest((pending, link, other) => {
