--- a/soak/start/start_soak.ts
+++ b/soak/start/start_soak.ts
@@ -148,6 +148,9 @@
     this.#clients.stop();
     this.#probe.stop();
     await Promise.all(work);
+    this.#options.log(
+      `requests at the faulty target: ${faulty.arrivals.length}`,
+    );
   }
 
   /** Starts machines with some roles, one after the other. */
