Events that are not whole have one bound for all runs of an instance

What callers saw: ledger processes ended with "Reached heap limit" while targets answered batch items with lines `data: x` and no empty line, without end.

Cause: the bound of one event is 1 Mi code units, for each run alone, and a line of one character costs some 64 bytes of joined strings beside its text. 64 runs at a target of such lines fill the 160 MB of the heap before any of them is at its bound.

The memory of all events that have begun is counted, with 64 units a field; beyond 16 Mi the run whose event takes more than its share is broken, and small ones go on. EventParser counts for its own stream where nothing is shared, as before.

--- a/src/core/continuation/event_tail.ts
+++ b/src/core/continuation/event_tail.ts
@@ -4,7 +4,7 @@
 const EVENT_ENDS: readonly string[] = ["\n\n", "\n\r", "\r\r"];
 const END_LENGTH = 2;
 /** End of a line, and the first character of a field; comments are none. */
-const FIELD_START = /[\r\n][^:\r\n]/;
+const FIELD_START = /[\r\n][^:\r\n]/g;
 
 /**
  * Follows a stream whose events are read elsewhere, in constant memory.
@@ -16,7 +16,7 @@
  */
 export class EventTail {
   #length = 0;
-  #isInEvent = false;
+  #fieldCount = 0;
   /** Last character of the text, which may end a line. */
   #last = "\n";
 
@@ -24,17 +24,25 @@
   push(text: string): this {
     const joined = this.#last + text;
     const end = endOfLastEvent(joined);
-    if (end < 0) this.#length += text.length;
-    else this.#length = joined.length - end;
-    const hasField = FIELD_START.test(end < 0 ? joined : joined.slice(end - 1));
-    this.#isInEvent = hasField || (end < 0 && this.#isInEvent);
+    if (end < 0) {
+      this.#length += text.length;
+      this.#fieldCount += countFields(joined);
+    } else {
+      this.#length = joined.length - end;
+      this.#fieldCount = countFields(joined.slice(end - 1));
+    }
     this.#last = joined.slice(-1);
     return this;
   }
 
   /** Gets whether an event has begun that is not whole; comments are none. */
   get isInEvent(): boolean {
-    return this.#isInEvent;
+    return this.#fieldCount > 0;
+  }
+
+  /** Gets the number of fields since the last end of an event. */
+  get fieldCount(): number {
+    return this.#fieldCount;
   }
 
   /**
@@ -46,6 +54,10 @@
   }
 }
 
+function countFields(text: string): number {
+  return text.match(FIELD_START)?.length ?? 0;
+}
+
 function endOfLastEvent(text: string): number {
   const start = Math.max(...EVENT_ENDS.map((end) => text.lastIndexOf(end)));
   return start < 0 ? -1 : start + END_LENGTH;
--- a/src/core/continuation/event_tail_test.ts
+++ b/src/core/continuation/event_tail_test.ts
@@ -33,6 +33,14 @@
     expect(tail.push("\n:").length).toBe(1);
   });
 
+  it("counts the fields since the last end of an event", () => {
+    const tail = new EventTail();
+    expect(tail.push("data: a\n\n: c\n").fieldCount).toBe(0);
+    expect(tail.push("data: b\nid: 1").fieldCount).toBe(2);
+    expect(tail.push("2\ndata").fieldCount).toBe(3);
+    expect(tail.push("\n\n").fieldCount).toBe(0);
+  });
+
   it("agrees with the framer, however the stream is divided", () => {
     const piece = fc.constantFrom("a", ":", "\n", "\r", "id: 1");
     fc.assert(fc.property(fc.array(piece, { maxLength: 12 }), (parts) => {
--- a/src/metrics/metric_catalogue.ts
+++ b/src/metrics/metric_catalogue.ts
@@ -107,7 +107,7 @@
   "responses.tooLarge": {
     kind: "counter",
     text:
-      "Responses of targets ended at a bound: 1 MiB without the end of an event, 1,000 lines without a meaning, 32 MiB of bodies that are read completely, or 128 KiB and 20 times its body of framing",
+      "Responses of targets ended at a bound: 1 MiB without the end of an event (16 MiB in all runs together), 1,000 lines without a meaning, 32 MiB of bodies that are read completely, or 128 KiB and 20 times its body of framing",
   },
   "bodies.heldBytes": {
     kind: "gauge",
--- a/src/tasks/event_parser_test.ts
+++ b/src/tasks/event_parser_test.ts
@@ -1,5 +1,6 @@
 import fc from "fast-check";
 import { describe, expect, it } from "vitest";
+import { EventMemory } from "./event_memory.ts";
 import { EventParser } from "./event_parser.ts";
 import { ResponseTooLargeError } from "./response_limits.ts";
 import { UnreadableStreamError } from "./unreadable_stream_error.ts";
@@ -38,6 +39,19 @@
     });
   }
 
+  it("ends the streams whose events take the memory of all", () => {
+    const memory = new EventMemory(100_000);
+    const create = () => new EventParser({ onEvent: () => {}, memory });
+    const [large, other, small] = [create(), create(), create()];
+    large.feed("data\n".repeat(1_000));
+    expect(() => other.feed("data\n".repeat(1_000)))
+      .toThrow(ResponseTooLargeError);
+    small.feed("data: a\n");
+    large.close();
+    other.close();
+    small.feed("data: b\n".repeat(1_000));
+  });
+
   it("reads streams whose events all have further fields", () => {
     doTest("a: 1\nb: 2\ndata: a\n\n", 2_000, 2_000);
   });
--- a/src/tasks/response_bound.ts
+++ b/src/tasks/response_bound.ts
@@ -2,6 +2,8 @@
 export const ResponseBound = {
   /** What comes without the end of an event. */
   Event: "event",
+  /** Events that are not whole, of all streams together. */
+  Events: "events",
   /** Lines of a stream that have no meaning. */
   UnreadableLines: "unreadableLines",
   /** Bodies that are read completely, all together. */
