A target that closes after its last byte ends no process that has paused its response

What callers saw: entry and ledger processes ended with an uncaught AssertionError (assert(!this.paused)) of the HTTP client, with all their requests; items ran again and calls failed with "other side closed" although their response had arrived whole.

If its rest and the end of the connection arrive meanwhile, resuming reads the rest, the receiver pauses again on it, and the client cannot end a paused response: it throws for one that ends with the connection, and calls one with a length broken.

Chunked responses were not concerned.

--- a/src/tasks/paths/target_connection.ts
+++ b/src/tasks/paths/target_connection.ts
@@ -6,6 +6,7 @@
 import { ConnectionState } from "./connection_state.ts";
 import type { OpenedConnection } from "./path_race.ts";
 import { guardAgainstResets } from "./reset_guard.ts";
+import { ReadResumer } from "./read_resumer.ts";
 import { ResponseMeter } from "./response_meter.ts";
 
 /** Options of {@link TargetConnection}. */
@@ -34,6 +35,7 @@
   readonly client: Dispatcher.ComposedDispatcher;
   readonly #client: Client;
   readonly #options: TargetConnectionOptions;
+  readonly #resumer = new ReadResumer();
   readonly #meter = new ResponseMeter((err) => this.#reset(err));
   #socket: ResettableSocket | undefined;
   #path: Path = Path.Direct;
@@ -60,6 +62,7 @@
       keepAliveTimeout: idleTimeoutMs,
     });
     this.client = this.#client
+      .compose(this.#resumer.interceptor)
       .compose(this.#meter.interceptor)
       .compose(guardAgainstResets({
         isReset: () => this.#isReset,
@@ -184,7 +187,10 @@
     result: Parameters<ConnectCallback>,
   ): void {
     const [, socket] = result;
-    if (socket !== null) this.#meter.watch(socket);
+    if (socket !== null) {
+      this.#meter.watch(socket);
+      this.#resumer.watch(socket);
+    }
     callback(...result);
   }
 
