One set of options for logs with a single replica in tests

Three tests wrote the same twelve options of a log driver without peers: the ledger's log options, its heap program and the bytes of logs. They stand in tests/support/single_log.ts now; the assertions are as they were.

--- a/src/tasks/batches/ledger_log_options_test.ts
+++ b/src/tasks/batches/ledger_log_options_test.ts
@@ -11,12 +11,14 @@
   type LedgerSnapshot,
   ResultState,
 } from "../../core/batches/mod.ts";
-import { Logger } from "../../logging/mod.ts";
 import { LogDriver } from "../log/log_driver.ts";
 import { LogStore } from "../log/log_store.ts";
 import { LEDGER_LOG_OPTIONS } from "./ledger_log_options.ts";
+import {
+  createSingleLogOptions,
+  SINGLE_LOG_ID,
+} from "../../../tests/support/single_log.ts";
 
-const ID = "127.0.0.1";
 const WAIT = { timeout: 20_000, interval: 5 };
 const ITEMS = 30;
 const TEXT = "text é ".repeat(200);
@@ -33,7 +35,7 @@
       dataFolder,
       name: "log",
       emptyState: new BatchState().save(),
-      instances: [ID],
+      instances: [SINGLE_LOG_ID],
     });
   });
   afterEach(() => rm(dataFolder, { recursive: true, force: true }));
@@ -47,18 +49,7 @@
     >({
       ...PLAIN,
       ...options,
-      id: ID,
-      dataFolder,
-      name: "log",
-      wantedVoters: () => 1,
-      times: { heartbeatMs: 20, electionMs: 60, clockRateError: 0.02 },
-      logger: new Logger({ instance: "test", level: "error" }),
-      now: () => performance.now(),
-      send: () => {},
-      presentReplicas: () => [],
-      onApplied: () => {},
-      onRestored: () => {},
-      onRole: () => {},
+      ...createSingleLogOptions(dataFolder),
     });
     await driver.start();
     await vi.waitFor(() => expect(driver.isReady).toBe(true), WAIT);
--- a/src/tasks/log/log_bytes_test.ts
+++ b/src/tasks/log/log_bytes_test.ts
@@ -6,12 +6,14 @@
 import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
 import { BatchState } from "../../core/batches/mod.ts";
 import { type FleetCommand, FleetState } from "../../core/fleet/mod.ts";
-import { Logger } from "../../logging/mod.ts";
 import { LogDriver } from "./log_driver.ts";
 import { LogStore } from "./log_store.ts";
 import type { StateMachine } from "./state_machine.ts";
+import {
+  createSingleLogOptions,
+  SINGLE_LOG_ID,
+} from "../../../tests/support/single_log.ts";
 
-const ID = "127.0.0.1";
 const WAIT = { timeout: 20_000, interval: 5 };
 const MIB = 1_048_576;
 /** Room of one log in the heap of a process of 160 MiB, in bytes. */
@@ -34,19 +36,8 @@
     createState: () => M,
   ) {
     return new LogDriver<C, S, A, M>({
-      id: ID,
-      dataFolder,
-      name: "log",
+      ...createSingleLogOptions(dataFolder),
       createState,
-      wantedVoters: () => 1,
-      times: { heartbeatMs: 20, electionMs: 60, clockRateError: 0.02 },
-      logger: new Logger({ instance: "test", level: "error" }),
-      now: () => performance.now(),
-      send: () => {},
-      presentReplicas: () => [],
-      onApplied: () => {},
-      onRestored: () => {},
-      onRole: () => {},
     });
   }
 
@@ -57,7 +48,7 @@
       dataFolder,
       name: "log",
       emptyState: createState().save(),
-      instances: [ID],
+      instances: [SINGLE_LOG_ID],
     });
     const driver = createDriver<C, S, A, M>(createState);
     await driver.start();
--- a/src/tasks/paths/read_resumer.ts
+++ b/src/tasks/paths/read_resumer.ts
@@ -4,8 +4,8 @@
 import { type HandlerArguments, ResponseHandler } from "./response_handler.ts";
 
 /**
- * Resumes a response that its receiver has paused once the target has closed its
- * end: the HTTP client cannot end a response that is paused, and throws.
+ * Reads on in a paused response once the target has closed its end: the HTTP
+ * client cannot end a response that is paused, and throws.
  *
  * @example
  * ```ts
--- a/tests/support/ledger_heap_program.ts
+++ b/tests/support/ledger_heap_program.ts
@@ -2,12 +2,11 @@
 import { createHash } from "node:crypto";
 import { BatchState } from "../../src/core/batches/mod.ts";
 import type { BatchCommand, BatchResult } from "../../src/core/batches/mod.ts";
-import { Logger } from "../../src/logging/mod.ts";
 import { LEDGER_LOG_OPTIONS } from "../../src/tasks/batches/ledger_log_options.ts";
 import { LogDriver } from "../../src/tasks/log/log_driver.ts";
 import { LogStore } from "../../src/tasks/log/log_store.ts";
+import { createSingleLogOptions, SINGLE_LOG_ID } from "./single_log.ts";
 
-const ID = "127.0.0.1";
 const LOG = "batches";
 const ITEMS = 64;
 const PIECE_BYTES = 390;
@@ -79,19 +78,9 @@
 async function open() {
   const driver = new LogDriver<BatchCommand, never, unknown, never>({
     ...LEDGER_LOG_OPTIONS as object,
-    id: ID,
-    dataFolder,
+    ...createSingleLogOptions(dataFolder),
     name: LOG,
     createState: () => new BatchState() as never,
-    wantedVoters: () => 1,
-    times: { heartbeatMs: 20, electionMs: 60, clockRateError: 0.02 },
-    logger: new Logger({ instance: "test", level: "error" }),
-    now: () => performance.now(),
-    send: () => {},
-    presentReplicas: () => [],
-    onApplied: () => {},
-    onRestored: () => {},
-    onRole: () => {},
   });
   await driver.start();
   while (!driver.isReady) await sleep();
@@ -104,7 +93,7 @@
 
 async function fill(): Promise<void> {
   const emptyState = new BatchState().save();
-  const instances = [ID];
+  const instances = [SINGLE_LOG_ID];
   await LogStore.create({ dataFolder, name: LOG, emptyState, instances });
   const driver = await open();
   const apply = async (command: BatchCommand) => {
