Lines and metrics tell what processor time a process uses, and on which messages

Each process logs its processor time and the messages received by what they hold (1027, every 10 s), with gauges and counters of the same. A heap is read each 500 ms, each 100 ms from half of its limit on, and the event loop is watched each 500 ms: both woke each process ten times a second. A delay of the loop is logged from 2 s on, so the coarser watch finds it.

--- a/src/logging/fleet_events.ts
+++ b/src/logging/fleet_events.ts
@@ -54,6 +54,10 @@
   targetChanged: defineEvent(2021, "info", {
     text: "Target registered, or its address, state or incarnation changed",
   }),
+  targetsChanged: defineEvent(2023, "info", {
+    text:
+      "Targets registered or changed together; `targets` lists identifier, service, address, state, incarnation, sequence, software and versions",
+  }),
   targetReportRefused: defineEvent(2022, "warn", {
     text:
       "Heartbeat of a target is invalid and names no target; it was rejected, and is logged once for each target",
@@ -180,6 +184,11 @@
     text:
       "Request of an item written to the connection; `waitedMs` counts from the placement",
   }),
+  resultUnreadable: defineEvent(2226, "error", {
+    text: "Text of a result cannot be read from its file on this instance",
+    action:
+      "Check the disk; the results are read from the other ledger instances",
+  }),
   dataCentreUnanswered: defineEvent(2222, "warn", {
     text:
       "Several targets of a data centre time out and none there answers; items go to other data centres meanwhile",
--- a/src/logging/instance_events.ts
+++ b/src/logging/instance_events.ts
@@ -63,6 +63,10 @@
     action:
       "Look in the lines before for long work, and check the load of the machine",
   }),
+  processUsage: defineEvent(1027, "info", {
+    text:
+      "Processor time that the process has used since its start, and messages received from other instances by what they hold; logged every 10 s",
+  }),
   requestRefused: defineEvent(1101, "debug", {
     text: "Request refused",
   }),
@@ -186,6 +190,11 @@
     text:
       "Applied entries of a replicated log replaced by a snapshot; sizes in bytes",
   }),
+  snapshotPartLost: defineEvent(1513, "warn", {
+    text:
+      "Part of a snapshot dropped, as a file of its texts could not be read or written; the leader sends it again",
+    action: "Free disk space or replace the disk",
+  }),
   ledgerPrimary: defineEvent(1601, "info", {
     text: "This instance became primary of the data centre's ledger",
   }),
--- a/src/metrics/metric_catalogue.ts
+++ b/src/metrics/metric_catalogue.ts
@@ -78,6 +78,10 @@
     kind: "counter",
     text: "Bytes sent to other instances",
   },
+  "peers.received.*": {
+    kind: "counter",
+    text: "Messages received from other instances, by what they hold",
+  },
   "peers.receivedBytes": {
     kind: "counter",
     text: "Bytes received from other instances",
@@ -173,7 +177,12 @@
   "batches.bytes": {
     kind: "gauge",
     text:
-      "Estimated size of the batches that a ledger instance holds, in bytes",
+      "Estimated size of the batches that a ledger instance holds in memory, in bytes",
+  },
+  "batches.movedBytes": {
+    kind: "gauge",
+    text:
+      "Size of the texts of results that a ledger instance holds in files, in bytes",
   },
   "batches.roomBytes": {
     kind: "gauge",
@@ -336,11 +345,14 @@
 export type ServiceMetric =
   | `batches.openTokens.${string}`
   | `batches.drainMs.${string}`;
+/** Name of a counter of the messages that hold something. */
+export type ReceivedMetric = `peers.received.${string}`;
 /** Name of a metric. */
 export type MetricName =
   | keyof typeof FIXED_METRICS
   | RefusalMetric
   | ServiceMetric
+  | ReceivedMetric
   | RetryMetric;
 
 /** Gets all metrics: the fixed ones and the counters of each refusal reason. */
--- a/src/metrics/process_metrics.ts
+++ b/src/metrics/process_metrics.ts
@@ -2,6 +2,14 @@
 
 /** Descriptions by name. */
 export const PROCESS_METRICS = {
+  "process.userMs": {
+    kind: "gauge",
+    text: "Processor time of the process outside the kernel, in milliseconds",
+  },
+  "process.systemMs": {
+    kind: "gauge",
+    text: "Processor time of the kernel for the process, in milliseconds",
+  },
   "process.heapUsedBytes": {
     kind: "gauge",
     text: "Heap in use, in bytes; the process ends at process.heapLimitBytes",
--- a/src/tasks/fleet/process_usage.ts
+++ b/src/tasks/fleet/process_usage.ts
@@ -4,8 +4,10 @@
 import { type IntervalHistogram, monitorEventLoopDelay } from "node:perf_hooks";
 import { getHeapStatistics } from "node:v8";
 
-const RESOLUTION_MS = 100;
+/** Interval of the checks by which delays are found; each wakes the process. */
+const RESOLUTION_MS = 500;
 const NS_PER_MS = 1e6;
+const US_PER_MS = 1e3;
 const DESCRIPTOR_LIMIT = /^Max open files\s+(\d+)/m;
 
 /**
@@ -17,9 +19,14 @@
  * ```
  */
 export class ProcessUsage {
-  readonly #delays: IntervalHistogram = monitorEventLoopDelay({
-    resolution: RESOLUTION_MS,
-  });
+  readonly #resolutionMs: number;
+  readonly #delays: IntervalHistogram;
+
+  /** @param resolutionMs - Delays of the event loop up to it may be missed. */
+  constructor(resolutionMs = RESOLUTION_MS) {
+    this.#resolutionMs = resolutionMs;
+    this.#delays = monitorEventLoopDelay({ resolution: resolutionMs });
+  }
 
   /** Starts to observe the delay of the event loop. */
   start(): this {
@@ -41,6 +48,15 @@
     };
   }
 
+  /** Gets the processor time used since the start, in milliseconds. */
+  readProcessorTime(): { userMs: number; systemMs: number } {
+    const { user, system } = process.cpuUsage();
+    return {
+      userMs: Math.round(user / US_PER_MS),
+      systemMs: Math.round(system / US_PER_MS),
+    };
+  }
+
   /** Gets the resident memory and that outside the heap, in bytes. */
   readMemory(): NodeJS.MemoryUsage {
     return process.memoryUsage();
@@ -77,6 +93,6 @@
   takeLoopDelayMs(): number {
     const longestMs = this.#delays.max / NS_PER_MS;
     this.#delays.reset();
-    return Math.max(0, Math.round(longestMs - RESOLUTION_MS));
+    return Math.max(0, Math.round(longestMs - this.#resolutionMs));
   }
 }
--- a/src/tasks/fleet/runtime_gauges.ts
+++ b/src/tasks/fleet/runtime_gauges.ts
@@ -4,14 +4,22 @@
 import type { ProcessUsage } from "./process_usage.ts";
 
 const MB_BYTES = 1_048_576;
-/** Interval at which the heap is read: it may fill within a second. */
-const HEAP_INTERVAL_MS = 100;
+/** Interval at which the heap is read; each reading wakes the process. */
+const HEAP_INTERVAL_MS = 500;
+/** Interval at which a heap is read that may be full within a second. */
+const FULL_HEAP_INTERVAL_MS = 100;
+/** Share of the heap's limit from which it is read at the shorter interval. */
+const FULL_HEAP_SHARE = 0.5;
 const INTERVAL_MS = 5_000;
 /** Share of the heap's limit from which an event is logged. */
 const HEAP_WARNING_SHARE = 0.8;
 /** Share of the time until an instance counts as lost that is logged. */
 const DELAY_WARNING_SHARE = 0.5;
 const WARNING_INTERVAL_MS = 10_000;
+const USAGE_LOG_INTERVAL_MS = 10_000;
+
+/** Prefix of the counters of messages by what they hold. */
+const RECEIVED_PREFIX = "peers.received.";
 
 /** Options of {@link RuntimeGauges}. */
 export interface RuntimeGaugesOptions {
@@ -39,24 +47,37 @@
   readonly #options: RuntimeGaugesOptions;
   readonly #warnedAt = new Map<string, number>();
   #sampledAt = -Infinity;
+  #usageLoggedAt: number;
+  #isHeapFilling = false;
   #timer: NodeJS.Timeout | undefined;
 
   /** Creates the gauges. */
   constructor(options: RuntimeGaugesOptions) {
     this.#options = options;
+    this.#usageLoggedAt = options.now();
   }
 
   /** Starts to sample. */
   start(): this {
     this.#options.usage.start();
     this.#setLimits();
-    this.#timer = setInterval(() => this.sample(), HEAP_INTERVAL_MS).unref();
+    this.#scheduleSample();
     return this;
   }
 
+  #scheduleSample(): void {
+    const delayMs = this.#isHeapFilling
+      ? FULL_HEAP_INTERVAL_MS
+      : HEAP_INTERVAL_MS;
+    this.#timer = setTimeout(() => {
+      this.sample();
+      this.#scheduleSample();
+    }, delayMs).unref();
+  }
+
   /** Ends the sampling. */
   stop(): void {
-    clearInterval(this.#timer);
+    clearTimeout(this.#timer);
     this.#options.usage.stop();
   }
 
@@ -72,9 +93,24 @@
       this.#options.usage.readDescriptors(),
     );
     this.#sampleLoopDelay();
+    this.#logUsage(now);
     return this;
   }
 
+  /** Logs what the process has used and received, every 10 s. */
+  #logUsage(now: number): void {
+    const { usage, metrics, logger } = this.#options;
+    const time = usage.readProcessorTime();
+    metrics.gauge("process.userMs", time.userMs);
+    metrics.gauge("process.systemMs", time.systemMs);
+    if (now - this.#usageLoggedAt < USAGE_LOG_INTERVAL_MS) return;
+    this.#usageLoggedAt = now;
+    const received = Object.entries(metrics.values())
+      .filter(([name]) => name.startsWith(RECEIVED_PREFIX))
+      .map(([name, count]) => `${name.slice(RECEIVED_PREFIX.length)}=${count}`);
+    logger.event("processUsage", { ...time, received });
+  }
+
   #setLimits(): void {
     const { usage, memoryMb, contactMs } = this.#options;
     const memoryBytes = memoryMb === undefined
@@ -87,6 +123,7 @@
 
   #sampleHeap(): void {
     const { usedBytes, limitBytes } = this.#options.usage.readHeap();
+    this.#isHeapFilling = usedBytes >= FULL_HEAP_SHARE * limitBytes;
     this.#gauge("process.heapUsedBytes", usedBytes);
     this.#gauge("process.heapLimitBytes", limitBytes);
     if (usedBytes < HEAP_WARNING_SHARE * limitBytes) return;
--- a/src/tasks/fleet/runtime_gauges_test.ts
+++ b/src/tasks/fleet/runtime_gauges_test.ts
@@ -19,7 +19,7 @@
   }
 }
 
-function create(memoryMb?: number) {
+function create(memoryMb?: number, level: "info" | "warn" = "info") {
   const stream = new PassThrough();
   const usage = new SetUsage();
   const metrics = new Metrics({ tags: {} });
@@ -27,7 +27,7 @@
   const gauges = new RuntimeGauges({
     usage,
     metrics,
-    logger: new Logger({ instance: "a", level: "info", stream }),
+    logger: new Logger({ instance: "a", level, stream }),
     memoryMb,
     contactMs: 3_000,
     now: () => clock.ms,
@@ -35,7 +35,7 @@
   const events = () =>
     String(stream.read() ?? "").split("\n").filter((line) => line !== "")
       .map((line) => JSON.parse(line).event);
-  return { gauges, usage, metrics, clock, events };
+  return { gauges, usage, metrics, clock, events, stream };
 }
 
 describe(RuntimeGauges.name, () => {
@@ -64,7 +64,7 @@
     steps: readonly { ms: number; heapBytes?: number; delayMs?: number }[],
     expected: readonly number[],
   ) {
-    const { gauges, usage, clock, events } = create();
+    const { gauges, usage, clock, events } = create(undefined, "warn");
     for (const { ms, heapBytes = 10, delayMs = 0 } of steps) {
       clock.ms = ms;
       Object.assign(usage, { heapBytes, delayMs });
@@ -89,6 +89,21 @@
     ], [1026]));
 });
 
+describe("the use of the processor", () => {
+  it("is logged with the messages received, every 10 s", () => {
+    const { gauges, metrics, clock, stream } = create();
+    metrics.count("peers.received.roster", 3);
+    for (clock.ms = 0; clock.ms <= 20_000; clock.ms += 5_000) gauges.sample();
+    const lines = String(stream.read()).trim().split("\n")
+      .map((line) => JSON.parse(line));
+    expect(lines).toHaveLength(2);
+    for (const line of lines) {
+      expect(line).toMatchObject({ event: 1027, received: ["roster=3"] });
+      expect(line.userMs + line.systemMs).toBeGreaterThan(0);
+    }
+  });
+});
+
 describe(ProcessUsage.name, () => {
   it("reads the descriptors where the system lists them", () => {
     const usage = new ProcessUsage();
@@ -99,7 +114,7 @@
   });
 
   it("reads the longest delay since the last call", async () => {
-    const usage = new ProcessUsage().start();
+    const usage = new ProcessUsage(100).start();
     const pause = () => new Promise((resolve) => setTimeout(resolve, 250));
     await pause();
     const endsAt = performance.now() + 500;
--- a/src/tasks/peers/peer_hub.ts
+++ b/src/tasks/peers/peer_hub.ts
@@ -1,4 +1,5 @@
 /** All links of an instance: messages, requests and heartbeats. */
+import type { FleetNotice } from "../../core/fleet/mod.ts";
 import { Verdict } from "../../core/verdict/mod.ts";
 import type { Logger } from "../../logging/mod.ts";
 import type { Metrics } from "../../metrics/mod.ts";
@@ -43,6 +44,15 @@
 
 /** Maximum time that a request waits for its link to come up. */
 const LINK_WAIT_MS = 700;
+/** Types of notices that are counted by themselves. */
+const NOTICE_TYPES: ReadonlySet<FleetNotice["type"]> = new Set([
+  "evacuations",
+  "loaded",
+  "loading",
+  "policy",
+  "roster",
+  "targets",
+]);
 /** Number of checks of the links per heartbeat. */
 const CHECKS_PER_HEARTBEAT = 2;
 
@@ -313,7 +323,8 @@
     link: AnyLink,
     envelope: PeerEnvelope,
   ): void {
-    const { logger } = this.#options;
+    const { logger, metrics } = this.#options;
+    metrics.count(`peers.received.${kindOf(envelope)}`);
     try {
       if (envelope.channel === "presence") {
         this.#recordPresence(from, envelope.body);
@@ -343,6 +354,19 @@
   }
 }
 
+/** Gets what a message holds: its channel, or the type of a known notice. */
+function kindOf({ channel, body }: PeerEnvelope): string {
+  if (channel !== "notice") return channel;
+  const { type, isWhole } = (body ?? {}) as {
+    readonly type?: unknown;
+    readonly isWhole?: unknown;
+  };
+  if (type === "targets" && isWhole === true) return "allTargets";
+  return NOTICE_TYPES.has(type as FleetNotice["type"])
+    ? type as string
+    : channel;
+}
+
 /** Notices are lists, of which the receiver leaves out single entries. */
 function isTooDeep(envelope: PeerEnvelope): boolean {
   return envelope.channel !== "notice" && isNestedDeeper(envelope.body);
