--- a/src/core/batches/batch_record.ts
+++ b/src/core/batches/batch_record.ts
@@ -25,6 +25,9 @@
   readonly #partialTexts = new Map<string, HeldPartialText>();
   readonly #specBytes: number;
   #bytes: number;
+  /** Size of the results' texts in memory, and of those in files. */
+  #heldTextBytes = 0;
+  #locatedTextBytes = 0;
   #isEnded = false;
 
   /** Creates the record of a batch that has no results yet. */
@@ -45,14 +48,30 @@
     return !this.#isEnded && this.#resultsById.size < this.#items.size;
   }
 
-  /** Gets the estimated size of the specification and all texts, in bytes. */
+  /**
+   * Gets the estimated size in memory of the specification and all texts, in
+   * bytes.
+   */
   get bytes(): number {
     return this.#bytes;
   }
 
-  /** Gets the estimated size of results and partial outputs, in bytes. */
+  /**
+   * Gets the estimated size of results and partial outputs, in memory or files,
+   * in bytes.
+   */
   get outputBytes(): number {
-    return this.#bytes - this.#specBytes;
+    return this.#bytes - this.#specBytes + this.#locatedTextBytes;
+  }
+
+  /** Gets the size of the results' texts in memory, in bytes. */
+  get heldTextBytes(): number {
+    return this.#heldTextBytes;
+  }
+
+  /** Gets the size of the results' texts in files, in bytes. */
+  get locatedTextBytes(): number {
+    return this.#locatedTextBytes;
   }
 
   /** Gets the number of items that may yet have a result. */
@@ -66,11 +85,11 @@
 
   /** Gets the results in the order of their positions. */
   get results(): readonly BatchResult[] {
-    return this.#results.map((result) => result.toJSON());
+    return this.#results.map(plainOf);
   }
 
   /** Gets the results as they are held, for a snapshot. */
-  get heldResults(): readonly BatchResult[] {
+  get heldResults(): readonly HeldResult[] {
     return this.#results;
   }
 
@@ -79,9 +98,13 @@
     return this.#items.get(id);
   }
 
-  /** Gets the result of an item, or undefined if there is none yet. */
+  /**
+   * Gets the result of an item, or undefined if there is none yet. A text in a
+   * file must be read before it is used.
+   */
   getResult(id: string): BatchResult | undefined {
-    return this.#resultsById.get(id)?.toJSON();
+    const held = this.#resultsById.get(id);
+    return held === undefined ? undefined : plainOf(held);
   }
 
   /** Gets whether an item has a result. */
@@ -117,12 +140,31 @@
     if (joined === undefined) return false;
     this.#results.push(joined);
     this.#resultsById.set(result.id, joined);
-    this.#bytes += joined.estimatedBytes -
+    this.#bytes += joined.heldBytes -
       (this.#partialTexts.get(result.id)?.estimatedBytes ?? 0);
+    this.#heldTextBytes += joined.heldTextBytes;
+    this.#locatedTextBytes += joined.location?.length ?? 0;
     this.#partialTexts.delete(result.id);
     return true;
   }
 
+  /** Forgets the texts of results that have a place in a file. */
+  adoptLocations(results: readonly BatchResult[]): this {
+    for (const [i, result] of results.entries()) {
+      const held = this.#results[i];
+      if (!(result instanceof HeldResult) || held?.id !== result.id) continue;
+      if (result.location === undefined || held.location !== undefined) {
+        continue;
+      }
+      this.#results[i] = result;
+      this.#resultsById.set(result.id, result);
+      this.#bytes -= held.textBytes;
+      this.#heldTextBytes -= held.textBytes;
+      this.#locatedTextBytes += held.textBytes;
+    }
+    return this;
+  }
+
   /** Prepends the stored text; undefined if events of it are missing. */
   #joinPartialText(result: BatchResult, after: number): HeldResult | undefined {
     const held = HeldResult.from(result);
@@ -185,7 +227,8 @@
   }
 
   /**
-   * Gets a page of results that starts at a position.
+   * Gets a page of results that starts at a position. Texts in files must be
+   * read before they are used.
    * @param after - Number of results to skip.
    * @param maxBytes - Maximum size of the texts; one result is always returned.
    */
@@ -196,9 +239,14 @@
       const held = this.#results[i];
       bytes += held.textBytes;
       if (results.length > 0 && bytes > maxBytes) break;
-      results.push(held.toJSON());
+      results.push(plainOf(held));
     }
     const next = after + results.length;
     return { total: this.#items.size, next, results };
   }
 }
+
+/** Gets a plain result; one whose text is in a file stays as it is held. */
+function plainOf(held: HeldResult): BatchResult {
+  return held.location === undefined ? held.toPlain() : held;
+}
--- a/src/core/batches/batch_state.ts
+++ b/src/core/batches/batch_state.ts
@@ -1,4 +1,5 @@
 /** State machine of the ledger log: all batches. */
+import { sumOf } from "../statistics/mod.ts";
 import type { BatchCommand, BatchCommandResult } from "./batch_command.ts";
 import { BatchRecord } from "./batch_record.ts";
 import type { LedgerSnapshot } from "./ledger_snapshot.ts";
@@ -67,11 +68,19 @@
     return [...this.#batches.values()];
   }
 
-  /** Gets the estimated size of all batches, in bytes. */
+  /** Gets the estimated size of all batches in memory, in bytes. */
   get bytes(): number {
-    let bytes = 0;
-    for (const record of this.#batches.values()) bytes += record.bytes;
-    return bytes;
+    return sumOf(this.all, ({ bytes }) => bytes);
+  }
+
+  /** Gets the size of the texts that can be moved to files, in bytes. */
+  get movableBytes(): number {
+    return sumOf(this.all, ({ heldTextBytes }) => heldTextBytes);
+  }
+
+  /** Gets the size of the texts in files, in bytes. */
+  get movedBytes(): number {
+    return sumOf(this.all, ({ locatedTextBytes }) => locatedTextBytes);
   }
 
   /** Applies a command; one of another build changes nothing. */
@@ -82,6 +91,14 @@
     return { isHeld: handler?.(command) ?? false };
   }
 
+  /** Forgets the texts that a snapshot of this state has in files. */
+  adoptMoved({ batches }: LedgerSnapshot): this {
+    for (const { spec, results } of batches) {
+      this.#batches.get(spec.id)?.adoptLocations(results);
+    }
+    return this;
+  }
+
   /** Creates a snapshot of the state. */
   save(): LedgerSnapshot {
     const batches = this.all.map((
--- a/src/core/batches/held_text.ts
+++ b/src/core/batches/held_text.ts
@@ -40,6 +40,12 @@
     return this.byteLength;
   }
 
+  /** Gets the text in UTF-8. */
+  get utf8(): Uint8Array {
+    const content = this.#content;
+    return typeof content === "string" ? Buffer.from(content) : content;
+  }
+
   toString(): string {
     const content = this.#content;
     return typeof content === "string" ? content : decodeText(content);
--- a/src/core/batches/ledger_room.ts
+++ b/src/core/batches/ledger_room.ts
@@ -13,30 +13,55 @@
   readonly machineBytes: number | undefined;
 }
 
+/** What the batches of a ledger may take, in bytes. */
+export interface LedgerRoom {
+  readonly memoryBytes: number;
+  /** Disk of the machine; Infinity if it is not known. */
+  readonly diskBytes: number;
+  /** Texts of results that memory holds before they are moved to files. */
+  readonly maxUnmovedBytes: number;
+}
+
 /** Input of {@link findRetryAfterMs}. */
 export interface LedgerRoomInput {
   readonly spec: BatchSpec;
   readonly records: readonly BatchRecord[];
-  readonly roomBytes: number;
+  readonly room: LedgerRoom;
   readonly keepResultsMs: number;
   /** Time of the clock, in milliseconds since the Unix epoch. */
   readonly wallNow: number;
 }
 
+/** Sizes of what batches take, in bytes. */
+interface BatchSizes {
+  /** What stays in memory as long as the batch, and is in each snapshot. */
+  readonly lastingBytes: number;
+  /** Texts in memory that can be moved to files. */
+  readonly heldTextBytes: number;
+  /** Texts that are expected. */
+  readonly openTextBytes: number;
+  /** Texts in files. */
+  readonly movedTextBytes: number;
+}
+
 /** Memory of a process besides its heap and the texts, in bytes. */
 const NATIVE_BYTES = 67_108_864;
 /** Part of the heap that is in use beside the texts. */
 const HEAP_SHARE = 0.5;
-/** Part of the machine's memory that is left to others. */
+/** Part of the machine's memory and disk that is left to others. */
 const FREE_SHARE = 0.05;
 /** Memory for a batch, of which the log keeps a part once it is forgotten. */
 const LOG_FACTOR = 1.3;
+/** Files of texts for each text, as those of expired batches are freed later. */
+const FILE_FACTOR = 1.2;
+/** Files of the log while one replaces another. */
+const LOG_FILES = 2;
 /** Room that any process has, in bytes. */
 const MIN_ROOM_BYTES = 16_777_216;
 
 /**
- * Gets the size that the batches of a ledger may have. Without a known machine
- * they may take as much as the heap.
+ * Gets the size in memory that the batches of a ledger may have. Without a known
+ * machine they may take as much as the heap.
  *
  * @example
  * ```ts
@@ -50,7 +75,14 @@
   return Math.max(MIN_ROOM_BYTES, Math.round(leftBytes / LOG_FACTOR));
 }
 
-/** Gets the size of batches with the outputs that open ones will have. */
+/** Gets the part of a disk that batches may take; Infinity if it is not known. */
+export function diskRoomOf(diskBytes: number | undefined): number {
+  return diskBytes === undefined ? Infinity : diskBytes * (1 - FREE_SHARE);
+}
+
+/**
+ * Gets the size in memory of batches with the outputs that open ones will have.
+ */
 export function expectedBytesOf(records: readonly BatchRecord[]): number {
   const meanBytes = meanTextBytesOf(records);
   return sumOf(
@@ -64,24 +96,64 @@
  * results expire.
  */
 export function findRetryAfterMs(
-  { spec, records, roomBytes, keepResultsMs, wallNow }: LedgerRoomInput,
+  { spec, records, room, keepResultsMs, wallNow }: LedgerRoomInput,
 ): number {
   const meanBytes = meanTextBytesOf(records);
-  const ownBytes = estimateSpecBytes(spec) + spec.items.length * meanBytes;
-  let excessBytes = expectedBytesOf(records) + ownBytes - roomBytes;
-  if (excessBytes <= 0 || records.length === 0) return 0;
+  let sizes: BatchSizes = {
+    lastingBytes: estimateSpecBytes(spec),
+    heldTextBytes: 0,
+    openTextBytes: spec.items.length * meanBytes,
+    movedTextBytes: 0,
+  };
+  for (const record of records) {
+    sizes = addSizes(sizes, sizesOf(record, meanBytes), 1);
+  }
+  if (hasRoom(sizes, room) || records.length === 0) return 0;
   const byExpiry = records
     .map((record) => ({ record, at: expiryOf(record, keepResultsMs) }))
     .sort((a, b) => a.at - b.at);
   let waitMs = 0;
   for (const { record, at } of byExpiry) {
-    if (excessBytes <= 0) break;
-    excessBytes -= record.bytes + record.openCount * meanBytes;
+    if (hasRoom(sizes, room)) break;
+    sizes = addSizes(sizes, sizesOf(record, meanBytes), -1);
     waitMs = at - wallNow;
   }
   return spreadRetryAfterMs(waitMs, spec.id);
 }
 
+function sizesOf(record: BatchRecord, meanBytes: number): BatchSizes {
+  const { bytes, heldTextBytes, locatedTextBytes, openCount } = record;
+  return {
+    lastingBytes: bytes - heldTextBytes,
+    heldTextBytes,
+    openTextBytes: openCount * meanBytes,
+    movedTextBytes: locatedTextBytes,
+  };
+}
+
+function addSizes(a: BatchSizes, b: BatchSizes, factor: 1 | -1): BatchSizes {
+  return {
+    lastingBytes: a.lastingBytes + factor * b.lastingBytes,
+    heldTextBytes: a.heldTextBytes + factor * b.heldTextBytes,
+    openTextBytes: a.openTextBytes + factor * b.openTextBytes,
+    movedTextBytes: a.movedTextBytes + factor * b.movedTextBytes,
+  };
+}
+
+function hasRoom(
+  { lastingBytes, heldTextBytes, openTextBytes, movedTextBytes }: BatchSizes,
+  { memoryBytes, diskBytes, maxUnmovedBytes }: LedgerRoom,
+): boolean {
+  const textBytes = heldTextBytes + openTextBytes;
+  const unmovedBytes = Math.max(
+    heldTextBytes,
+    Math.min(textBytes, maxUnmovedBytes),
+  );
+  const neededBytes = FILE_FACTOR * (textBytes + movedTextBytes) +
+    LOG_FILES * (lastingBytes + unmovedBytes);
+  return lastingBytes + unmovedBytes <= memoryBytes && neededBytes <= diskBytes;
+}
+
 /** Gets the mean size of a result's text; 0 if there is none. */
 function meanTextBytesOf(records: readonly BatchRecord[]): number {
   const results = sumOf(records, ({ resultCount }) => resultCount);
--- a/src/core/batches/ledger_room_test.ts
+++ b/src/core/batches/ledger_room_test.ts
@@ -72,7 +72,11 @@
     return findRetryAfterMs({
       spec: createSpec({ id: "new", items: records[0]?.spec.items ?? [] }),
       records,
-      roomBytes: roomBatches * batchBytes,
+      room: {
+        memoryBytes: roomBatches * batchBytes,
+        diskBytes: Infinity,
+        maxUnmovedBytes: Infinity,
+      },
       keepResultsMs: KEEP_MS,
       wallNow,
     });
--- a/src/core/bytes/mod.ts
+++ b/src/core/bytes/mod.ts
@@ -1,1 +1,2 @@
 export { ByteCollector } from "./byte_collector.ts";
+export * from "./text_location.ts";
--- a/src/settings/fleet_settings.ts
+++ b/src/settings/fleet_settings.ts
@@ -21,6 +21,9 @@
     const [host, port] = text.split(":");
     return { host, port: Number(port) };
   });
+/** Schema of a limit of the machine in MB; 0 or null means not known. */
+const limitMb = z.number().min(0).nullish()
+  .transform((mb) => mb || undefined);
 /** Schema of an optional table of regions; null or an empty one means none. */
 const regions = z.record(name, name).nullable()
   .transform((table) =>
@@ -66,9 +69,11 @@
   metrics: optionalAddress,
   /** Limits of the machine; those that are not known are absent. */
   limits: z.object({
-    /** Memory that the process may use, in MB; 0 or null means not known. */
-    memoryMb: z.number().min(0).nullish().transform((mb) => mb || undefined),
+    /** Memory that the process may use. */
+    memoryMb: limitMb,
   }).nullish().transform((limits) => limits ?? { memoryMb: undefined }),
+  /** Size of the disk that holds the data folder. */
+  diskMb: limitMb,
   /** Service that receives capacity orders and usage reports. */
   receiver: z.object({
     address,
--- a/src/tasks/batches/batch_task.ts
+++ b/src/tasks/batches/batch_task.ts
@@ -1,6 +1,12 @@
 /** The batch ledger of an instance with persistent storage. */
 import { getHeapStatistics } from "node:v8";
-import { type BatchRecord, expiryOf, roomOf } from "../../core/batches/mod.ts";
+import {
+  type BatchRecord,
+  type BatchResult,
+  diskRoomOf,
+  expiryOf,
+  roomOf,
+} from "../../core/batches/mod.ts";
 import { instanceOf, type ReplicaId } from "../../core/consensus/mod.ts";
 import { RegionMap } from "../../core/policy/mod.ts";
 import {
@@ -27,11 +33,12 @@
 } from "./batch_intake.ts";
 import { BatchRunner } from "./batch_runner.ts";
 import { reportDemands } from "./demand_reporter.ts";
-import { LEDGER_LOG_OPTIONS } from "./ledger_log_options.ts";
+import { LEDGER_LOG_OPTIONS, MAX_UNMOVED_BYTES } from "./ledger_log_options.ts";
 import { LedgerMembership } from "./ledger_membership.ts";
 import { LedgerObserver } from "./ledger_observer.ts";
 import { MemoryGate } from "./memory_gate.ts";
 import { PaceKeeper } from "./pace_keeper.ts";
+import { ResultFiles } from "./result_files.ts";
 import { ResultQueue } from "./result_queue.ts";
 import { ResultReader } from "./result_reader.ts";
 import type { EnginePort } from "./engine_port.ts";
@@ -77,6 +84,7 @@
   readonly #intake: BatchIntake;
   readonly #memoryGate: MemoryGate;
   readonly #observer: LedgerObserver;
+  #files: ResultFiles | undefined;
   #maintenanceTimer: NodeJS.Timeout | undefined;
 
   /**
@@ -101,6 +109,7 @@
     });
     this.#reader = new ResultReader({
       state: () => this.#service.state,
+      readTexts: (results) => this.#readTexts(results),
       confirmLeadership: () => this.#confirmLeadership(),
     });
     const { logger, metrics } = options.node;
@@ -199,6 +208,10 @@
       ...createLogOptions(node, BATCH_LOG),
       ...LEDGER_LOG_OPTIONS,
       dataFolder,
+      openFiles: async (folder, state) => {
+        this.#files = await ResultFiles.open(folder, state);
+        return this.#files;
+      },
       wantedVoters: () => this.#membership.wantedVoters,
       wantedLearners: 0,
       now,
@@ -211,16 +224,31 @@
     });
   }
 
+  /** Gets results with the texts that are in files. */
+  async #readTexts(results: readonly BatchResult[]): Promise<BatchResult[]> {
+    try {
+      return await this.#files?.read(results) ?? [...results];
+    } catch (err) {
+      const detail = (err as Error).message;
+      this.#options.node.logger.event("resultUnreadable", { detail });
+      throw err;
+    }
+  }
+
   #createMemoryGate(): MemoryGate {
     const { logger, metrics, settings } = this.#options.node;
-    const { memoryMb } = settings.limits;
+    const { diskMb, limits: { memoryMb } } = settings;
     return new MemoryGate({
       state: () => this.#service.state,
       admission: () => this.#runner.admission,
-      roomBytes: roomOf({
-        heapBytes: getHeapStatistics().heap_size_limit,
-        machineBytes: memoryMb === undefined ? undefined : memoryMb * MB_BYTES,
-      }),
+      room: {
+        memoryBytes: roomOf({
+          heapBytes: getHeapStatistics().heap_size_limit,
+          machineBytes: toBytes(memoryMb),
+        }),
+        diskBytes: diskRoomOf(toBytes(diskMb)),
+        maxUnmovedBytes: MAX_UNMOVED_BYTES,
+      },
       keepResultsMs: settings.times.keepResultsMs,
       logger,
       metrics,
@@ -248,6 +276,7 @@
       holdsLease: () => this.#holdsLease,
       scoring,
       onSigns,
+      readTexts: (results) => this.#readTexts(results),
       storeCompleteText: (record) => this.#results.storeCompleteText(record),
       storeResult: (record) => this.#results.add(record),
       storePartialTexts: (records) => this.#results.storePartialTexts(records),
@@ -304,3 +333,7 @@
       .catch((err) => this.#options.node.logger.error(err));
   }
 }
+
+function toBytes(mb: number | undefined): number | undefined {
+  return mb === undefined ? undefined : mb * MB_BYTES;
+}
--- a/src/tasks/batches/memory_gate.ts
+++ b/src/tasks/batches/memory_gate.ts
@@ -1,4 +1,4 @@
-/** Refuses batches whose results the memory of the ledger could not hold. */
+/** Refuses batches whose results the ledger's memory or disk could not hold. */
 import {
   type AdmissionDecision,
   AdmissionReason,
@@ -6,6 +6,7 @@
   type BatchState,
   expectedBytesOf,
   findRetryAfterMs,
+  type LedgerRoom,
   refuseForMemory,
 } from "../../core/batches/mod.ts";
 import type { Logger } from "../../logging/mod.ts";
@@ -17,8 +18,8 @@
   readonly state: () => BatchState;
   /** Gets what decides on batches for which there is memory. */
   readonly admission: () => BatchAdmission;
-  /** Size that the batches may have, in bytes. */
-  readonly roomBytes: number;
+  /** What the batches may take. */
+  readonly room: LedgerRoom;
   /** Time for which results are kept, in milliseconds. */
   readonly keepResultsMs: number;
   readonly logger: Logger;
@@ -27,7 +28,7 @@
   readonly wallNow: () => number;
 }
 
-/** Decides on batches by the memory for them, and then as another one does. */
+/** Decides on batches by the room for them, and then as another one does. */
 export class MemoryGate implements BatchAdmission {
   readonly #options: MemoryGateOptions;
 
@@ -36,11 +37,11 @@
   }
 
   decide(spec: BatchSpec): AdmissionDecision {
-    const { state, roomBytes, keepResultsMs, wallNow } = this.#options;
+    const { state, room, keepResultsMs, wallNow } = this.#options;
     const retryAfterMs = findRetryAfterMs({
       spec,
       records: state().all,
-      roomBytes,
+      room,
       keepResultsMs,
       wallNow: wallNow(),
     });
@@ -55,7 +56,7 @@
       this.#options.admission().onRefused(spec, decision);
       return;
     }
-    const { logger, metrics, state, roomBytes } = this.#options;
+    const { logger, metrics, state, room } = this.#options;
     metrics.count("batches.refused.memory");
     logger.event("batchRefused", {
       batch: spec.id,
@@ -64,15 +65,18 @@
       reason,
       items: spec.items.length,
       expectedBytes: Math.round(expectedBytesOf(state().all)),
-      roomBytes,
+      movedBytes: state().movedBytes,
+      roomBytes: room.memoryBytes,
+      diskBytes: room.diskBytes,
       retryAfterMs,
     });
   }
 
   /** Sets the gauges of the memory that batches take and may take. */
   updateGauges(): void {
-    const { metrics, state, roomBytes } = this.#options;
+    const { metrics, state, room } = this.#options;
     metrics.gauge("batches.bytes", state().bytes);
-    metrics.gauge("batches.roomBytes", roomBytes);
+    metrics.gauge("batches.movedBytes", state().movedBytes);
+    metrics.gauge("batches.roomBytes", room.memoryBytes);
   }
 }
--- a/src/tasks/batches/memory_gate_test.ts
+++ b/src/tasks/batches/memory_gate_test.ts
@@ -41,7 +41,11 @@
         decide: () => ({ ...REFUSED_BY_OTHER, isAdmitted: !isOtherRefusing }),
         onRefused: (spec) => void other.push(spec),
       }),
-      roomBytes: ROOM_BYTES,
+      room: {
+        memoryBytes: ROOM_BYTES,
+        diskBytes: Infinity,
+        maxUnmovedBytes: Infinity,
+      },
       keepResultsMs: KEEP_MS,
       logger: new Logger({ instance: "test", level: "error" }),
       metrics: {
--- a/src/tasks/batches/result_reader.ts
+++ b/src/tasks/batches/result_reader.ts
@@ -1,5 +1,10 @@
 /** Reads of batch results and bodies from a replica of the ledger. */
-import type { BatchState, ResultPage } from "../../core/batches/mod.ts";
+import type {
+  BatchRecord,
+  BatchResult,
+  BatchState,
+  ResultPage,
+} from "../../core/batches/mod.ts";
 import {
   RefusalError,
   RefusalReason,
@@ -11,10 +16,27 @@
   type ReadParams,
 } from "./batch_port.ts";
 
+/**
+ * Gets results with the texts that are in files.
+ * @throws Error if a file cannot be read.
+ */
+export type ReadTexts = (
+  results: readonly BatchResult[],
+) => Promise<BatchResult[]>;
+
+/** Gets results whose texts are all in memory. */
+export function readFromMemory(
+  results: readonly BatchResult[],
+): Promise<BatchResult[]> {
+  return Promise.resolve([...results]);
+}
+
 /** Options of {@link ResultReader}. */
 export interface ResultReaderOptions {
   /** Gets the replicated state of the ledger. */
   readonly state: () => BatchState;
+  /** Gets results with the texts that are in files; by default, none is. */
+  readonly readTexts?: ReadTexts;
   /**
    * Waits until a quorum confirms that this replica still leads.
    * @throws RefusalError if it does not.
@@ -51,7 +73,7 @@
       await this.#waitForResult(batch, waitMs);
       await confirmLeadership();
     }
-    return (find() ?? record).getPage(after, MAX_PAGE_BYTES);
+    return await this.#readPage(find() ?? record, after);
   }
 
   /**
@@ -69,7 +91,7 @@
     }
     const latest = find() ?? record;
     return latest.resultCount > after
-      ? latest.getPage(after, MAX_PAGE_BYTES)
+      ? await this.#readPage(latest, after)
       : undefined;
   }
 
@@ -86,6 +108,18 @@
     return body;
   }
 
+  async #readPage(record: BatchRecord, after: number): Promise<ResultPage> {
+    const { readTexts = readFromMemory } = this.#options;
+    const page = record.getPage(after, MAX_PAGE_BYTES);
+    try {
+      return { ...page, results: await readTexts(page.results) };
+    } catch (err) {
+      throw new RefusalError(RefusalReason.LedgerUnavailable, Verdict.NotRun, {
+        message: `The results cannot be read here: ${(err as Error).message}`,
+      });
+    }
+  }
+
   /** Wakes the reads that wait for a result of a batch. */
   wake(batch: string): void {
     for (const settle of this.#waiters.get(batch) ?? []) settle();
--- a/src/tasks/batches/result_writer.ts
+++ b/src/tasks/batches/result_writer.ts
@@ -3,6 +3,7 @@
   type BatchItem,
   type BatchRecord,
   type BatchResult,
+  HeldResult,
   isSameItem,
   type PartialTextRecord,
   type ResultRecord,
@@ -11,10 +12,13 @@
 } from "../../core/batches/mod.ts";
 import type { ItemRun } from "./item_run.ts";
 import type { ScoredItem } from "./item_scorer.ts";
+import { readFromMemory, type ReadTexts } from "./result_reader.ts";
 import { itemKeyOf } from "./run_table.ts";
 
 /** Options of {@link ResultWriter}. */
 export interface ResultWriterOptions {
+  /** Gets results with the texts that are in files; by default, none is. */
+  readonly readTexts?: ReadTexts;
   /** Writes a result to the ledger. */
   readonly storeResult: (record: ResultRecord) => void;
   /** Writes the end of a complete text, which still needs its score. */
@@ -28,6 +32,8 @@
 export class ResultWriter {
   readonly #options: ResultWriterOptions;
   readonly #pending = new Set<string>();
+  /** Items whose earlier text could not be read from its file. */
+  readonly #unreadable = new Set<string>();
 
   constructor(options: ResultWriterOptions) {
     this.#options = options;
@@ -47,6 +53,7 @@
   /** Forgets the writes in progress. */
   clear(): this {
     this.#pending.clear();
+    this.#unreadable.clear();
     return this;
   }
 
@@ -115,13 +122,46 @@
       const isSingle = !isSingleVersion || result.versions.length === 1;
       if (!isFresh || !isSingle || result.versions.length === 0) continue;
       const scoringId = other.getItem(item.id)?.scoring?.id;
-      if (scoringId === item.scoring?.id) this.#storeResult(record, result);
-      else this.reuseText(record, item, result);
-      return true;
+      return this.#reuse({ record, item }, result, {
+        withScore: scoringId === item.scoring?.id,
+      });
     }
     return false;
   }
 
+  /**
+   * Stores a result of another batch, once its text is in memory.
+   * @returns Whether it is or will be stored; false if its text was unreadable.
+   */
+  #reuse(
+    { record, item }: WaitingItem,
+    result: BatchResult,
+    { withScore }: { readonly withScore: boolean },
+  ): boolean {
+    const store = (read: BatchResult) => {
+      if (withScore) this.#storeResult(record, read);
+      else this.reuseText(record, item, read);
+    };
+    if (!(result instanceof HeldResult) || result.location === undefined) {
+      store(result);
+      return true;
+    }
+    const key = itemKeyOf(record.spec.id, item.id);
+    if (this.#unreadable.has(key)) return false;
+    this.#pending.add(key);
+    const { readTexts = readFromMemory } = this.#options;
+    readTexts([result])
+      .then(([read]) => this.#pending.has(key) && store(read))
+      .catch(() => this.#onUnreadable(key));
+    return true;
+  }
+
+  /** Lets an item run anew whose earlier text cannot be read. */
+  #onUnreadable(key: string): void {
+    this.#unreadable.add(key);
+    this.#pending.delete(key);
+  }
+
   /** Reuses a complete text whose score, if it has one, is of another call. */
   reuseText(
     record: BatchRecord,
--- a/src/tasks/log/log_compactor.ts
+++ b/src/tasks/log/log_compactor.ts
@@ -6,6 +6,7 @@
 } from "../../core/consensus/mod.ts";
 import type { Logger } from "../../logging/mod.ts";
 import type { LogStore } from "./log_store.ts";
+import type { StateMachine } from "./state_machine.ts";
 
 /** Options of {@link LogCompactor}. */
 export interface LogCompactorOptions<C, S> {
@@ -16,6 +17,8 @@
   readonly maxEntries: number;
   /** Size of the entries above which the log is compacted, in bytes. */
   readonly minBytes: number;
+  /** Whether parts of the state are moved to files of the store. */
+  readonly movesState: boolean;
   /** Called to run a step of the node, once the snapshot has been written. */
   readonly step: (step: (node: ConsensusNode<C, S>) => void) => void;
 }
@@ -29,13 +32,11 @@
   readonly state: CompactedState<S>;
 }
 
-/** What the compactor reads of a state machine. */
-export interface CompactedState<S> {
-  /** Size in the unit of the commands, in bytes; by default not known. */
-  readonly bytes?: number;
-  /** Creates a snapshot of the state. */
-  save(): S;
-}
+/** What the compactor uses of a state machine. */
+export type CompactedState<S> = Pick<
+  StateMachine<never, S, unknown>,
+  "bytes" | "movableBytes" | "save" | "adoptMoved"
+>;
 
 /**
  * Share of the state's size that the rest of the log may reach, so that the cost
@@ -64,11 +65,17 @@
   }
 
   /** Records the snapshot that precedes the entries, of which a state was made. */
-  onSnapshot({ state }: LogSnapshot<S>, { bytes }: CompactedState<S>): this {
-    this.#snapshotBytes = bytes ?? estimateBytes(state);
+  onSnapshot({ state }: LogSnapshot<S>, machine: CompactedState<S>): this {
+    this.#snapshotBytes = this.#bytesOf(machine) ?? estimateBytes(state);
     return this;
   }
 
+  /** Gets the size that a snapshot of a state has; undefined if not known. */
+  #bytesOf({ bytes, movableBytes = 0 }: CompactedState<S>): number | undefined {
+    if (bytes === undefined || !this.#options.movesState) return bytes;
+    return bytes - movableBytes;
+  }
+
   /** Starts to compact the log of a replica, if that is due. */
   check(replica: CompactedReplica<C, S>): void {
     if (this.#isRunning || !this.#isDue(replica)) return;
@@ -88,7 +95,7 @@
     const heldBytes = this.#snapshotBytes + node.logBytes;
     if (heldBytes <= factor * minBytes) return false;
     // A state of unknown size shares the snapshot's bytes with the log.
-    const stateBytes = state.bytes ?? this.#snapshotBytes;
+    const stateBytes = this.#bytesOf(state) ?? this.#snapshotBytes;
     const maxBytes = Math.max(minBytes, MAX_STATE_SHARE * stateBytes);
     return heldBytes - stateBytes > factor * maxBytes;
   }
@@ -96,12 +103,15 @@
   async #compact(
     { node, store, applied, state }: CompactedReplica<C, S>,
   ): Promise<void> {
-    const snapshot = node.createSnapshot(state.save(), applied);
+    const stateBytes = this.#bytesOf(state);
+    const saved = state.save();
+    const moved = await store.files?.moveState(saved) ?? saved;
+    const snapshot = node.createSnapshot(moved, applied);
     if (snapshot === undefined) return;
-    const { bytes: stateBytes } = state;
     const fileBytes = await store.prepare(snapshot);
     this.#options.step((current) => {
       if (current !== node) return;
+      if (moved !== saved) state.adoptMoved?.(moved);
       const { logSize: entries, logBytes: bytes } = node;
       node.compact(snapshot);
       this.#snapshotBytes = stateBytes ?? fileBytes;
--- a/src/tasks/log/log_driver.ts
+++ b/src/tasks/log/log_driver.ts
@@ -5,6 +5,7 @@
   type ConsensusMessage,
   ConsensusNode,
   formatReplicaId,
+  getUndivided,
   instanceOf,
   type LogEntry,
   type LogPosition,
@@ -19,6 +20,7 @@
 import { LogStoppedError } from "./log_stopped_error.ts";
 import { LogStore } from "./log_store.ts";
 import { MemberRepair } from "./member_repair.ts";
+import { SnapshotPartFiles } from "./snapshot_part_files.ts";
 import type { StateMachine } from "./state_machine.ts";
 import { DISK_RETRY_DELAY_MS, untilStored } from "./store_retry.ts";
 
@@ -50,6 +52,7 @@
   readonly #leadershipWaiters: LeadershipWaiters;
   readonly #repair: MemberRepair;
   readonly #compactor: LogCompactor<C, S>;
+  readonly #parts: SnapshotPartFiles<C, S>;
 
   constructor(options: LogDriverOptions<C, S, A, M>) {
     this.#options = options;
@@ -62,10 +65,16 @@
     this.#compactor = new LogCompactor<C, S>({
       log: name,
       logger,
+      movesState: options.openFiles !== undefined,
       maxEntries: options.compactEntries ?? COMPACT_ENTRIES,
       minBytes: options.compactBytes ?? COMPACT_BYTES,
       step: (step) => this.#step(step),
     });
+    this.#parts = new SnapshotPartFiles<C, S>({
+      divider: options.divider ?? getUndivided(),
+      onFailed: (err) =>
+        logger.event("snapshotPartLost", { log: name, detail: String(err) }),
+    });
     this.#leadershipWaiters = new LeadershipWaiters({
       now,
       probe: () => this.#step((node) => node.probeQuorum(now())),
@@ -149,12 +158,14 @@
   }
 
   #openStore(): Promise<LogStore<C, S>> {
-    const { createState, dataFolder, forms, logger, name } = this.#options;
+    const { createState, dataFolder, forms, openFiles, logger, name } = this
+      .#options;
     return LogStore.open<C, S>({
       dataFolder,
       name,
       emptyState: createState().save(),
       forms,
+      openFiles,
       onDamaged: (detail) =>
         logger.event("controlStoreDamaged", { log: name, detail }),
     });
@@ -242,6 +253,17 @@
 
   /** Processes a message from another replica. */
   receive(message: ConsensusMessage<C, S>): void {
+    const store = this.#store;
+    if (message.type !== "snapshotPartRequest" || store?.files === undefined) {
+      this.#receive(message);
+      return;
+    }
+    this.#parts.receive(store.files, message, (received) => {
+      if (this.#store === store) this.#receive(received);
+    });
+  }
+
+  #receive(message: ConsensusMessage<C, S>): void {
     this.#step((node) => node.receive(message, this.#options.now()));
   }
 
@@ -363,9 +385,8 @@
   }
 
   #execute(effect: ConsensusEffect<C, S>): void {
-    if (effect.type === "send") {
-      this.#options.send(instanceOf(effect.message.to), effect.message);
-    } else if (effect.type === "apply") {
+    if (effect.type === "send") this.#send(effect.message);
+    else if (effect.type === "apply") {
       for (const entry of effect.entries) this.#apply(entry);
       this.#compact();
       const isRepairing = effect.entries
@@ -381,6 +402,14 @@
     }
   }
 
+  #send(message: ConsensusMessage<C, S>): void {
+    const send = (sent: ConsensusMessage<C, S>) =>
+      this.#options.send(instanceOf(sent.to), sent);
+    const files = this.#store?.files;
+    if (files === undefined) send(message);
+    else this.#parts.send(files, message, send);
+  }
+
   #apply(entry: LogEntry<C>): void {
     const { content } = entry;
     const result = content.type === "command"
--- a/src/tasks/log/log_driver_options.ts
+++ b/src/tasks/log/log_driver_options.ts
@@ -9,6 +9,7 @@
 } from "../../core/consensus/mod.ts";
 import type { Logger } from "../../logging/mod.ts";
 import type { TextForms } from "../storage/mod.ts";
+import type { StateFilesOpener } from "./state_files.ts";
 import type { StateMachine } from "./state_machine.ts";
 
 /** Options of `LogDriver`. */
@@ -35,6 +36,8 @@
   readonly forms?: TextForms;
   /** Divides snapshots for sending; by default, into one part. */
   readonly divider?: SnapshotDivider<S>;
+  /** Opens files for parts of the state; by default, memory holds all of it. */
+  readonly openFiles?: StateFilesOpener<S>;
   /** Heartbeat and election times. */
   readonly times: ConsensusTiming;
   readonly logger: Logger;
--- a/src/tasks/log/log_store.ts
+++ b/src/tasks/log/log_store.ts
@@ -18,6 +18,7 @@
   type TextForms,
 } from "../storage/mod.ts";
 import { LogReplay, type LogWrite } from "./log_replay.ts";
+import type { StateFiles, StateFilesOpener } from "./state_files.ts";
 
 type WriteEffect<C, S> = Extract<ConsensusEffect<C, S>, { type: "write" }>;
 
@@ -38,6 +39,8 @@
   readonly emptyState: S;
   /** Forms of texts in what is read; by default, strings. */
   readonly forms?: TextForms | undefined;
+  /** Opens files for parts of the state; by default, snapshots hold all of it. */
+  readonly openFiles?: StateFilesOpener<S> | undefined;
   /** Called when a damaged store has been renamed and replaced. */
   readonly onDamaged?: (detail: string) => void;
 }
@@ -58,6 +61,7 @@
 export class LogStore<C, S> {
   readonly #frames: FrameStore<LogFrame<C, S>>;
   readonly #incarnation: string;
+  readonly #files: StateFiles<S> | undefined;
   /** Contents of the file when it was opened, until they are taken. */
   #stored: StoredLog<C, S> | undefined;
   #prepared: PreparedSnapshot | undefined;
@@ -65,11 +69,16 @@
 
   private constructor(
     frames: FrameStore<LogFrame<C, S>>,
-    options: { incarnation: string; stored: StoredLog<C, S> },
+    options: {
+      readonly incarnation: string;
+      readonly stored: StoredLog<C, S>;
+      readonly files: StateFiles<S> | undefined;
+    },
   ) {
     this.#frames = frames;
     this.#incarnation = options.incarnation;
     this.#stored = options.stored;
+    this.#files = options.files;
   }
 
   /**
@@ -80,6 +89,11 @@
     return this.#incarnation;
   }
 
+  /** Gets the files for parts of the state; undefined if there are none. */
+  get files(): StateFiles<S> | undefined {
+    return this.#files;
+  }
+
   /** Gets the length of the file, in bytes. */
   get length(): number {
     return this.#frames.length;
@@ -171,6 +185,7 @@
    */
   async prepare(snapshot: LogSnapshot<S>): Promise<number> {
     await this.#discardPrepared();
+    await this.#files?.sync();
     const file = await this.#frames.prepare([
       { type: "identity", incarnation: this.#incarnation },
       { type: "write", snapshot },
@@ -183,11 +198,20 @@
   async close(): Promise<void> {
     this.#isClosed = true;
     await this.#discardPrepared();
+    await this.#files?.close();
     await this.#frames.close();
   }
 
+  /** Replaces the whole file, once the files that it names are durable. */
   async #replace(stored: StoredLog<C, S>): Promise<void> {
-    const { hardState, snapshot, entries } = stored;
+    await this.#files?.sync();
+    await this.#replaceFrames(stored);
+    await this.#files?.onStored(stored.snapshot.state);
+  }
+
+  async #replaceFrames(
+    { hardState, snapshot, entries }: StoredLog<C, S>,
+  ): Promise<void> {
     const prepared = this.#prepared;
     if (prepared?.index === snapshot.index) {
       this.#prepared = undefined;
@@ -209,7 +233,7 @@
 
   static async #openFolder<C, S>(
     folder: string,
-    { emptyState, forms }: LogStoreOptions<S>,
+    { emptyState, forms, openFiles }: LogStoreOptions<S>,
   ): Promise<LogStore<C, S>> {
     let incarnation: string | undefined;
     const replay = new LogReplay(createEmptyLog<C, S>(NO_MEMBERS, emptyState));
@@ -225,7 +249,12 @@
       const identity = { type: "identity", incarnation } as const;
       await closeOnError(store, () => store.append([identity]));
     }
-    return new LogStore(store, { incarnation, stored: replay.stored });
+    const { stored } = replay;
+    const files = await closeOnError(
+      store,
+      async () => await openFiles?.(folder, stored.snapshot.state),
+    );
+    return new LogStore(store, { incarnation, stored, files });
   }
 }
 
--- a/src/tasks/log/state_machine.ts
+++ b/src/tasks/log/state_machine.ts
@@ -6,8 +6,12 @@
   apply(command: C): A;
   /** Size in the unit of the commands, in bytes; absent if it is not known. */
   readonly bytes?: number;
+  /** Part of the size that can be moved to files, in bytes; absent if none. */
+  readonly movableBytes?: number;
   /** Creates a snapshot of the state. */
   save(): S;
+  /** Forgets what a snapshot of this state has in files. */
+  adoptMoved?(snapshot: S): this;
   /** Replaces the state with a snapshot. */
   load(snapshot: S): this;
 }
--- a/src/tasks/storage/frame_file.ts
+++ b/src/tasks/storage/frame_file.ts
@@ -7,6 +7,7 @@
   type FrameCodec,
   HEADER_BYTES,
 } from "./frame_codec.ts";
+import { readFully } from "./read_fully.ts";
 
 /** Options of {@link readFrames}. */
 export interface ReadFramesOptions<F> {
@@ -72,20 +73,3 @@
   const isValid = crc32(content) === checksum;
   return { content, isValid, end: start + length };
 }
-
-/** Reads bytes into memory of their own; undefined if there are fewer. */
-async function readFully(
-  handle: FileHandle,
-  position: number,
-  length: number,
-): Promise<Buffer | undefined> {
-  const bytes = Buffer.allocUnsafeSlow(length);
-  let read = 0;
-  while (read < length) {
-    const { bytesRead } = await handle
-      .read(bytes, read, length - read, position + read);
-    if (bytesRead === 0) return undefined;
-    read += bytesRead;
-  }
-  return bytes;
-}
--- a/src/tasks/storage/frame_store.ts
+++ b/src/tasks/storage/frame_store.ts
@@ -13,6 +13,7 @@
 import { encodeHeader, FrameCodec, HEADER_BYTES } from "./frame_codec.ts";
 import { readFrames } from "./frame_file.ts";
 import type { TextForms } from "./message_pack_reader.ts";
+import { syncFolder } from "./sync_folder.ts";
 import { writeFully } from "./write_fully.ts";
 
 const FILE_PATTERN = /^log-(\d{10})$/;
@@ -252,12 +253,3 @@
     if (name.endsWith(NEW_SUFFIX)) await rm(join(folder, name));
   }
 }
-
-async function syncFolder(folder: string): Promise<void> {
-  const handle = await open(folder, "r");
-  try {
-    await handle.sync();
-  } finally {
-    await handle.close();
-  }
-}
