Control instances forward reports that change nothing together; relays wake nothing

Each report of a target was forwarded to each other control instance by a message of its own, though nearly all of them repeat what is known: with 12 targets and 4 instances, 30 messages a second at each instance of a quiet fleet. An entry instance without a forwarded connection watches for none: five wake-ups a second.

--- a/src/tasks/fleet/target_directory.ts
+++ b/src/tasks/fleet/target_directory.ts
@@ -38,10 +38,14 @@
     this.registry = options.registry;
   }
 
-  /** Merges a target's report and forwards it to other control instances. */
+  /**
+   * Merges a target's report and forwards it to other control instances: at once
+   * if it changes what is known, else with the next ones.
+   */
   merge(report: TargetReport): void {
-    this.#applyReport(report);
-    this.#options.publisher.forwardReport(report);
+    const { publisher } = this.#options;
+    if (this.#applyReport(report)) publisher.forwardReport(report);
+    else publisher.forwardLater(report);
   }
 
   /**
@@ -119,11 +123,13 @@
     node.notifyRole(FleetRole.Ledger, forwarded);
   }
 
-  #applyReport(report: TargetReport): void {
+  /** Merges a report; returns whether it changes what is known. */
+  #applyReport(report: TargetReport): boolean {
     const previous = this.registry.get(report.id);
     const change = this.registry.merge(report, this.#options.now());
-    if (change !== RegistryChange.Changed) return;
+    if (change !== RegistryChange.Changed) return false;
     this.#onTargetChanged(this.registry.getReportOrThrow(report.id), previous);
+    return true;
   }
 
   #onTargetChanged(
--- a/src/tasks/paths/relay_server.ts
+++ b/src/tasks/paths/relay_server.ts
@@ -43,15 +43,14 @@
 export class RelayServer {
   readonly #options: RelayServerOptions;
   readonly #tunnels = new Set<TunnelSocket>();
-  readonly #timer: NodeJS.Timeout;
-  #watchedAt: number;
+  /** Runs while connections are forwarded. */
+  #timer: NodeJS.Timeout | undefined;
+  #watchedAt = 0;
   #isDraining = false;
 
   /** Creates the server, and forwards the tunnels of the hub from now on. */
   constructor(options: RelayServerOptions) {
     this.#options = options;
-    this.#watchedAt = options.clock.now();
-    this.#timer = setInterval(() => this.#watch(), WATCH_INTERVAL_MS);
     options.hub.onTunnel((dialled, from) => this.#onTunnel(dialled, from));
   }
 
@@ -77,14 +76,26 @@
 
   /** Resets all forwarded connections, and forwards no more. */
   stop(): void {
-    clearInterval(this.#timer);
+    this.#stopWatch();
     this.#isDraining = true;
     this.#resetAll();
   }
 
+  #startWatch(): void {
+    if (this.#timer !== undefined) return;
+    this.#watchedAt = this.#options.clock.now();
+    this.#timer = setInterval(() => this.#watch(), WATCH_INTERVAL_MS);
+  }
+
+  #stopWatch(): void {
+    clearInterval(this.#timer);
+    this.#timer = undefined;
+  }
+
   #onTunnel(dialled: DialledPeer, from: string): void {
     const tunnel = new TunnelSocket(dialled);
     this.#tunnels.add(tunnel);
+    this.#startWatch();
     const timer = setTimeout(
       () => tunnel.resetAndDestroy(),
       REQUEST_TIMEOUT_MS,
@@ -92,6 +103,7 @@
     tunnel.once("close", () => {
       clearTimeout(timer);
       this.#tunnels.delete(tunnel);
+      if (this.size === 0) this.#stopWatch();
     });
     tunnel.onText = (text) => {
       clearTimeout(timer);
