A new policy comes from one control instance, and known ones are not decoded

The control instance that an instance is told by first is worked out from the ones it has heard of; the others tell it if it still lacks the policy after 400 ms. A revision that is known is dropped before it is decoded. All targets are confirmed at once, not with the next heartbeat: they were sent again each 300 ms until then.

--- a/src/core/fleet/mod.ts
+++ b/src/core/fleet/mod.ts
@@ -2,6 +2,7 @@
 export * from "./change_counter.ts";
 export * from "./evacuations.ts";
 export * from "./control_contact.ts";
+export * from "./first_publisher.ts";
 export * from "./fleet_command.ts";
 export * from "./fleet_member.ts";
 export * from "./fleet_notice.ts";
--- a/src/tasks/fleet/fleet_follower.ts
+++ b/src/tasks/fleet/fleet_follower.ts
@@ -24,7 +24,7 @@
 import { EvacuationWatch } from "./evacuation_watch.ts";
 import type { FleetNode } from "./fleet_node.ts";
 import { PolicyLease } from "./policy_lease.ts";
-import { logTargetChanged } from "./target_log.ts";
+import { logTargetsChanged } from "./target_log.ts";
 import { type NoticeOf, TargetSignsRecorder } from "./target_signs_recorder.ts";
 
 /** Options of {@link FleetFollower}. */
@@ -84,6 +84,7 @@
       onChanged: () => this.#onEvacuationsChanged(),
     });
     options.node.onNotice = (notice, from) => this.#onNotice(notice, from);
+    options.node.isKnownNotice = (body) => this.#isKnownPolicy(body);
   }
 
   /** Gets the policy that this instance applies; undefined before the first. */
@@ -218,6 +219,13 @@
     this.#signs.repeatLeaving(notice, from);
   }
 
+  /** Checks whether a message holds a policy that is not newer than this one's. */
+  #isKnownPolicy(body: unknown): boolean {
+    const { type, document } = (body ?? {}) as Partial<NoticeOf<"policy">>;
+    return type === "policy" && typeof document?.revision === "number" &&
+      document.revision <= this.policyRevision;
+  }
+
   /** Applies a policy if its revision is newer than the current one. */
   #applyPolicy(document: PolicyDocument): void {
     if (document.revision <= this.policyRevision) return;
@@ -231,7 +239,8 @@
   /**
    * Records a change as applied if it directly follows the last one, or if all
    * targets came with it. After a missed change nothing is recorded, so that
-   * the control instance resends all targets.
+   * the control instance resends all targets. The first ones of an instance are
+   * confirmed at once.
    */
   #recordChange(
     from: string,
@@ -241,19 +250,20 @@
     const lastChange = this.#targetsSeen[from];
     const isNext = lastChange?.life === mark.life &&
       lastChange.change + 1 === mark.change;
-    if (isWhole || isNext) this.#targetsSeen[from] = mark;
+    if (!isWhole && !isNext) return;
+    this.#targetsSeen[from] = mark;
+    // Else all targets are sent again until the next heartbeat confirms them.
+    if (lastChange?.life !== mark.life) this.#options.node.hub.announce();
   }
 
   #mergeReports(notice: NoticeOf<"targets">): void {
     const { registry, clock, onTargetsChanged, node } = this.#options;
-    let isChanged = false;
-    for (const report of notice.reports) {
-      if (registry.merge(report, clock.now()) !== RegistryChange.Changed) {
-        continue;
-      }
-      isChanged = true;
-      logTargetChanged(node.logger, registry.getReportOrThrow(report.id));
-    }
-    if (isChanged) onTargetsChanged();
+    const changed = notice.reports
+      .filter((report) =>
+        registry.merge(report, clock.now()) === RegistryChange.Changed
+      )
+      .map(({ id }) => registry.getReportOrThrow(id));
+    logTargetsChanged(node.logger, changed);
+    if (changed.length > 0) onTargetsChanged();
   }
 }
--- a/src/tasks/fleet/fleet_node.ts
+++ b/src/tasks/fleet/fleet_node.ts
@@ -249,6 +249,9 @@
     this.notify(this.linkedMembers(role).map(({ id }) => id), notice);
   }
 
+  /** Checks whether a notice that is not decoded yet says nothing new. */
+  isKnownNotice: (body: unknown) => boolean = () => false;
+
   /** Called with each notice received, after the roster has been updated. */
   onNotice: (notice: FleetNotice, from: string) => void = () => {};
 
@@ -265,6 +268,7 @@
   }
 
   #receiveNotice(body: unknown, from: string): void {
+    if (this.isKnownNotice(body)) return;
     const { notice, faults } = decodeNotice(body);
     for (const fault of faults) this.hub.refuse(from, `notice: ${fault}`);
     if (notice !== undefined) this.#onNotice(notice, from);
--- a/src/tasks/fleet/fleet_publisher.ts
+++ b/src/tasks/fleet/fleet_publisher.ts
@@ -8,6 +8,7 @@
   type FleetNotice,
   FleetRole,
   type FleetState,
+  isFirstPublisher,
 } from "../../core/fleet/mod.ts";
 import type { PolicyDocument } from "../../core/policy/mod.ts";
 import {
@@ -43,6 +44,13 @@
 const INCARNATION_BYTES = 4;
 /** Interval at which an instance is sent all targets until it confirms them. */
 const TARGETS_RESEND_NEW_MS = 300;
+/**
+ * Time after which an instance that lacks the policy is told by all control
+ * instances that it is linked to, and not by the first of them alone.
+ */
+const OTHER_PUBLISHER_MS = 400;
+/** Interval at which reports that change nothing are forwarded. */
+const FORWARD_INTERVAL_MS = 500;
 /** Interval at which the same state is resent to an instance without it. */
 const STATE_RESEND_MS = 500;
 /** Interval at which all targets are resent to an instance that missed a change. */
@@ -67,12 +75,17 @@
   readonly #targetsSentAt = new Map<string, number>();
   readonly #sentPolicies = new Map<string, SentVersion>();
   readonly #sentEvacuations = new Map<string, SentVersion>();
+  /** Time since which instances lack the policy, as far as seen here. */
+  #lackPolicySince = new Map<string, number>();
   /**
    * Published changes, by role. The roles differ because entry instances are
    * not sent changes of weight versions.
    */
   readonly #changes = new Map<FleetRole, ChangeCounter>();
   #isPolicyScheduled = false;
+  /** Latest reports that are still to be forwarded, by target. */
+  readonly #unforwarded = new Map<string, TargetReport>();
+  #forwardedAt = -Infinity;
 
   constructor(options: FleetPublisherOptions) {
     this.#options = options;
@@ -110,14 +123,32 @@
 
   /** Forwards a target's report to the other control instances. */
   forwardReport(report: TargetReport): void {
-    const { node } = this.#options;
+    this.#unforwarded.delete(report.id);
+    this.#forward([report]);
+  }
+
+  /** Forwards a report that changes nothing together with others. */
+  forwardLater(report: TargetReport): void {
+    this.#unforwarded.set(report.id, report);
+  }
+
+  #forwardCollected(): void {
+    const { now } = this.#options;
+    if (this.#unforwarded.size === 0) return;
+    if (now() - this.#forwardedAt < FORWARD_INTERVAL_MS) return;
+    this.#forwardedAt = now();
+    this.#forward([...this.#unforwarded.values()]);
+    this.#unforwarded.clear();
+  }
+
+  #forward(reports: readonly TargetReport[]): void {
     const notice: FleetNotice = {
       type: "targets",
       mark: undefined,
       isWhole: false,
-      reports: [report],
+      reports,
     };
-    node.notifyRole(FleetRole.Control, notice);
+    this.#options.node.notifyRole(FleetRole.Control, notice);
   }
 
   /** Publishes the suspicions that a command changed to the entry instances. */
@@ -157,13 +188,15 @@
 
   /**
    * Resends policy, evacuations and targets to every instance whose presence
-   * shows that it lacks them, for example after a lost message. Sends the roster to all
-   * instances if it has changed, and also at intervals.
+   * shows that it lacks them, for example after a lost message. Forwards the
+   * collected reports. Sends the roster to all instances if it has changed, and
+   * also at intervals.
    */
   resendMissing(): void {
     const { node, state, now } = this.#options;
     this.#sendPolicy(state().policy);
     this.publishEvacuations();
+    this.#forwardCollected();
     const confirmableAt = now() - CONFIRMATION_DELAY_MS;
     for (const role of FOLLOWER_ROLES) {
       const confirmable = this.#changesOf(role).countUntil(confirmableAt);
@@ -212,8 +245,26 @@
     const { node } = this.#options;
     const notice: FleetNotice = { type: "policy", document };
     const version = document.revision;
-    const outdated = this.#followers
-      .filter(({ member }) => member.policyRevision < version)
+    const behind = this.#followers
+      .filter(({ member }) => member.policyRevision < version);
+    const since = this.#lackPolicySince;
+    const at = this.#options.now();
+    this.#lackPolicySince = new Map(
+      behind.map(({ id }) => [id, since.get(id) ?? at]),
+    );
+    const controls = new Set(
+      node.linkedMembers(FleetRole.Control).map(({ id }) => id),
+    );
+    const outdated = behind
+      .filter(({ id, member }) =>
+        at - this.#lackPolicySince.get(id)! >= OTHER_PUBLISHER_MS ||
+        isFirstPublisher({
+          self: node.settings.id,
+          follower: id,
+          heard: Object.keys(member.targetsSeen),
+          isLinked: (control) => controls.has(control),
+        })
+      )
       .filter(({ id }) => this.#isDue(this.#sentPolicies, id, { version }));
     node.notify(outdated.map(({ id }) => id), notice);
   }
--- a/src/tasks/fleet/roster_publisher.ts
+++ b/src/tasks/fleet/roster_publisher.ts
@@ -19,6 +19,8 @@
  * unchanged roster is sent again.
  */
 const ROSTER_RESEND_ROUNDS = 15;
+/** Number of calls between rosters that differ in their senders alone. */
+const SENDERS_ROUNDS = 5;
 /** Roles that receive policy and targets. */
 export const FOLLOWER_ROLES: readonly FleetRole[] = [
   FleetRole.Entry,
@@ -34,13 +36,18 @@
 export class RosterPublisher {
   readonly #options: RosterPublisherOptions;
   #sent = "";
+  #sentMembers = "";
+  #sentRound = 0;
   #round = 0;
 
   constructor(options: RosterPublisherOptions) {
     this.#options = options;
   }
 
-  /** Sends the roster if it has changed, and at intervals of calls. */
+  /**
+   * Sends the roster if it has changed, and at intervals of calls. Senders come
+   * and go with each restart, so changes of them are sent together.
+   */
   send(): void {
     const { node, state } = this.#options;
     const members = this.#members();
@@ -49,13 +56,19 @@
     const linked = this.#linkedSenders();
     const senders = [...new Set([...linked, ...node.senders])].sort();
     const roster = JSON.stringify({ members, retiring, senders });
-    const isDue = this.#round % ROSTER_RESEND_ROUNDS === 0;
-    if (roster === this.#sent && !isDue) return;
+    const listed = JSON.stringify({ members, retiring });
+    const rounds = this.#round - this.#sentRound;
+    const isUrgent = listed !== this.#sentMembers;
+    const isDue = rounds >= ROSTER_RESEND_ROUNDS ||
+      (roster !== this.#sent && rounds >= SENDERS_ROUNDS);
+    if (!isUrgent && !isDue) return;
     this.#sent = roster;
+    this.#sentMembers = listed;
+    this.#sentRound = this.#round;
     for (const role of Object.values(FleetRole)) {
-      const listed = role === FleetRole.Control ? linked : senders;
+      const known = role === FleetRole.Control ? linked : senders;
       const notice = { type: "roster", members, retiring } as const;
-      node.notifyRole(role, { ...notice, senders: listed });
+      node.notifyRole(role, { ...notice, senders: known });
     }
   }
 
