--- a/src/explain/explain.ts
+++ b/src/explain/explain.ts
@@ -56,6 +56,7 @@
   "recordsUnstored",
   "loadOrdered",
   "targetChanged",
+  "targetsChanged",
   "dataCentreEvacuated",
   "dataCentreReadmitted",
 ]);
--- a/src/tasks/batches/ledger_observer.ts
+++ b/src/tasks/batches/ledger_observer.ts
@@ -47,6 +47,7 @@
         workspace: spec.workspace,
         items: spec.items.length,
         minVersion: spec.minVersion,
+        objectiveMs: spec.objectiveMs,
       });
       const { runner } = this.#options;
       runner.admission.drain.onAccepted(spec, performance.now());
