--- a/src/tasks/batches/result_files.ts
+++ b/src/tasks/batches/result_files.ts
@@ -24,6 +24,8 @@
 /** Moves the texts of results, which never change, to files. */
 export class ResultFiles implements StateFiles<LedgerSnapshot> {
   readonly #texts: TextFiles;
+  /** Places of texts that are in files, though no snapshot names them yet. */
+  readonly #places = new WeakMap<HeldResult, TextLocation>();
   /** Files with texts of a snapshot that has not been stored yet. */
   readonly #received = new Set<number>();
 
@@ -105,13 +107,18 @@
     await this.#texts.close();
   }
 
-  /** Gets results whose longer texts are in files. */
+  /**
+   * Gets results whose longer texts are in files. A text is written once, also
+   * if the snapshot that was to name it could not be stored.
+   */
   async #move(results: readonly BatchResult[]): Promise<HeldResult[]> {
+    const places = this.#places;
     const held = results.map(HeldResult.from);
-    const movable = held
-      .filter(({ heldTextBytes }) => heldTextBytes >= MIN_TEXT_BYTES);
+    const movable = held.filter((result) =>
+      result.heldTextBytes >= MIN_TEXT_BYTES && !places.has(result)
+    );
     const locations = await this.#texts.append(movable.map(({ utf8 }) => utf8));
-    const places = new Map(movable.map((result, i) => [result, locations[i]]));
+    movable.forEach((result, i) => places.set(result, locations[i]));
     return held.map((result) => {
       const location = places.get(result);
       return location === undefined ? result : result.at(location);
--- a/src/tasks/batches/result_files_test.ts
+++ b/src/tasks/batches/result_files_test.ts
@@ -1,4 +1,4 @@
-import { mkdirSync, readdirSync } from "node:fs";
+import { mkdirSync, readdirSync, statSync } from "node:fs";
 import { mkdtemp, rm } from "node:fs/promises";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
@@ -149,6 +149,14 @@
     }
   }
 
+  /** Gets the size of all files of texts of a replica. */
+  function fileBytes(id: string): number {
+    const folder = join(folderOf(id), LOG);
+    return readdirSync(folder)
+      .filter((name) => name.startsWith("texts-"))
+      .reduce((sum, name) => sum + statSync(join(folder, name)).size, 0);
+  }
+
   const untilMoved = (id: string) =>
     vi.waitFor(() => {
       const { state } = drivers.get(id)!;
@@ -245,20 +253,36 @@
   it("leave texts in memory while the disk is full", async () => {
     const disk = await LimitedDisk.start();
     try {
-      await fill();
-      const state = () => drivers.get("a")!.state;
-      const { movedBytes } = state();
+      const state = new BatchState();
+      for (const command of commandsOf("b-0")) state.apply(command);
       const opened = files.get("a")!;
-      disk.fill(join(folderOf("a"), LOG), 0);
-      await expect(opened.moveState(state().save())).rejects.toThrow("ENOSPC");
-      expect(state().movedBytes).toBe(movedBytes);
-      disk.free(join(folderOf("a"), LOG));
-      await check("a", BATCHES);
+      const folder = join(folderOf("a"), LOG);
+      disk.fill(folder, 0);
+      await expect(opened.moveState(state.save())).rejects.toThrow("ENOSPC");
+      expect(state.movedBytes).toBe(0);
+      expect(state.get("b-0")!.results[0].text).toBe(textOf("b-0", "i-0"));
+      disk.free(folder);
+      state.adoptMoved(await opened.moveState(state.save()));
+      expect(state.movableBytes).toBe(0);
+      const [first] = await opened.read(state.get("b-0")!.results);
+      expect(first.text).toBe(textOf("b-0", "i-0"));
     } finally {
       disk.stop();
     }
   });
 
+  it("hold each text once, however often a snapshot fails", async () => {
+    await fill();
+    const opened = files.get("a")!;
+    const saved = drivers.get("a")!.state.save();
+    const first = await opened.moveState(saved);
+    const bytes = fileBytes("a");
+    for (let i = 0; i < 5; i += 1) {
+      expect(await opened.moveState(saved)).toEqual(first);
+    }
+    expect(fileBytes("a")).toBe(bytes);
+  });
+
   it("refuse a part that names files of another replica", async () => {
     const location = { file: 1, offset: 0, length: 300, checksum: 0 };
     const result = { id: "i", state: "completed", versions: [1], location };
--- a/src/tasks/storage/text_files.ts
+++ b/src/tasks/storage/text_files.ts
@@ -26,6 +26,13 @@
   }
 }
 
+/** Thrown for a read after the files have been closed. */
+export class TextFilesClosedError extends NutmegreelError {
+  constructor() {
+    super("textFilesClosed", "The files of texts are closed");
+  }
+}
+
 /** The file that takes texts. */
 interface CurrentFile {
   readonly number: number;
@@ -52,6 +59,7 @@
   #nextNumber: number;
   #current: CurrentFile | undefined;
   #hasNewFile = false;
+  #isClosed = false;
   /** Settles once the appends and syncs that were begun have ended. */
   #writes: Promise<unknown> = Promise.resolve();
 
@@ -127,6 +135,7 @@
   }
 
   async close(): Promise<void> {
+    this.#isClosed = true;
     await this.#writes;
     const handles = [...this.#handles.values()];
     this.#handles.clear();
@@ -190,6 +199,7 @@
   }
 
   async #getHandle(number: number): Promise<FileHandle> {
+    if (this.#isClosed) throw new TextFilesClosedError();
     const known = this.#handles.get(number);
     if (known !== undefined) return known;
     const handle = await open(this.#getPath(number), "r");
--- a/src/tasks/storage/text_files_test.ts
+++ b/src/tasks/storage/text_files_test.ts
@@ -5,7 +5,11 @@
 import { afterEach, beforeEach, describe, expect, it } from "vitest";
 import { LimitedDisk } from "../../../tests/support/limited_disk.ts";
 import { DamagedFileError } from "./frame_codec.ts";
-import { DamagedTextError, TextFiles } from "./text_files.ts";
+import {
+  DamagedTextError,
+  TextFiles,
+  TextFilesClosedError,
+} from "./text_files.ts";
 
 const TEXTS = ["first", "é second", "third"].map((text) => Buffer.from(text));
 
@@ -35,6 +39,7 @@
     const expected = ["third", "first", "é second"];
     expect(await read(files, order)).toEqual(expected);
     await files.close();
+    await expect(files.read(order)).rejects.toThrow(TextFilesClosedError);
     const reopened = await TextFiles.open(folder);
     expect(await read(reopened, order)).toEqual(expected);
     await reopened.append(TEXTS);
