--- a/src/tasks/fleet/fleet_publisher.ts
+++ b/src/tasks/fleet/fleet_publisher.ts
@@ -8,9 +8,7 @@
   type FleetNotice,
   FleetRole,
   type FleetState,
-  isFirstPublisher,
 } from "../../core/fleet/mod.ts";
-import type { PolicyDocument } from "../../core/policy/mod.ts";
 import {
   isSameExceptVersions,
   type LoadedVersion,
@@ -20,11 +18,13 @@
   type TargetReport,
 } from "../../core/registry/mod.ts";
 import type { FleetNode } from "./fleet_node.ts";
+import { PolicyPublisher } from "./policy_publisher.ts";
 import {
   FOLLOWER_ROLES,
   LOG_ROLES,
   RosterPublisher,
 } from "./roster_publisher.ts";
+import { SentVersions } from "./sent_versions.ts";
 
 /** Options of {@link FleetPublisher}. */
 export interface FleetPublisherOptions {
@@ -36,23 +36,11 @@
   readonly now: () => number;
 }
 
-interface SentVersion {
-  readonly version: number;
-  readonly at: number;
-}
-
 const INCARNATION_BYTES = 4;
 /** Interval at which an instance is sent all targets until it confirms them. */
 const TARGETS_RESEND_NEW_MS = 300;
-/**
- * Time after which an instance that lacks the policy is told by all control
- * instances that it is linked to, and not by the first of them alone.
- */
-const OTHER_PUBLISHER_MS = 400;
 /** Interval at which reports that change nothing are forwarded. */
 const FORWARD_INTERVAL_MS = 500;
-/** Interval at which the same state is resent to an instance without it. */
-const STATE_RESEND_MS = 500;
 /** Interval at which all targets are resent to an instance that missed a change. */
 const TARGETS_RESEND_MS = 1_500;
 /**
@@ -73,16 +61,13 @@
   readonly #startedAt: number;
   readonly #roster: RosterPublisher;
   readonly #targetsSentAt = new Map<string, number>();
-  readonly #sentPolicies = new Map<string, SentVersion>();
-  readonly #sentEvacuations = new Map<string, SentVersion>();
-  /** Time since which instances lack the policy, as far as seen here. */
-  #lackPolicySince = new Map<string, number>();
+  readonly #policy: PolicyPublisher;
+  readonly #sentEvacuations = new SentVersions();
   /**
    * Published changes, by role. The roles differ because entry instances are
    * not sent changes of weight versions.
    */
   readonly #changes = new Map<FleetRole, ChangeCounter>();
-  #isPolicyScheduled = false;
   /** Latest reports that are still to be forwarded, by target. */
   readonly #unforwarded = new Map<string, TargetReport>();
   #forwardedAt = -Infinity;
@@ -91,18 +76,14 @@
     this.#options = options;
     this.#startedAt = options.now();
     this.#roster = new RosterPublisher(options);
+    this.#policy = new PolicyPublisher(options);
   }
 
   /**
    * Schedules sending the policy; of several applied at once, only the last.
    */
   schedulePolicy(): void {
-    if (this.#isPolicyScheduled) return;
-    this.#isPolicyScheduled = true;
-    setImmediate(() => {
-      this.#isPolicyScheduled = false;
-      this.#sendPolicy(this.#options.state().policy);
-    });
+    this.#policy.schedule();
   }
 
   /**
@@ -165,7 +146,7 @@
    * know of no state yet.
    */
   publishEvacuations(): void {
-    const { node, state } = this.#options;
+    const { node, state, now } = this.#options;
     const update = state().evacuations.save();
     // An instance that knows nothing yet would take this state for the latest.
     const unknown = this.#mayTellFirst ? -1 : Infinity;
@@ -173,7 +154,9 @@
       .filter(({ member: { evacuationVersion = unknown } }) =>
         evacuationVersion < update.version
       )
-      .filter(({ id }) => this.#isDue(this.#sentEvacuations, id, update));
+      .filter(({ id }) =>
+        this.#sentEvacuations.take(id, update.version, now())
+      );
     node.notify(outdated.map(({ id }) => id), {
       type: "evacuations",
       ...update,
@@ -193,8 +176,8 @@
    * also at intervals.
    */
   resendMissing(): void {
-    const { node, state, now } = this.#options;
-    this.#sendPolicy(state().policy);
+    const { node, now } = this.#options;
+    this.#policy.send();
     this.publishEvacuations();
     this.#forwardCollected();
     const confirmableAt = now() - CONFIRMATION_DELAY_MS;
@@ -240,54 +223,11 @@
     return changes;
   }
 
-  #sendPolicy(document: PolicyDocument | undefined): void {
-    if (document === undefined) return;
-    const { node } = this.#options;
-    const notice: FleetNotice = { type: "policy", document };
-    const version = document.revision;
-    const behind = this.#followers
-      .filter(({ member }) => member.policyRevision < version);
-    const since = this.#lackPolicySince;
-    const at = this.#options.now();
-    this.#lackPolicySince = new Map(
-      behind.map(({ id }) => [id, since.get(id) ?? at]),
-    );
-    const controls = new Set(
-      node.linkedMembers(FleetRole.Control).map(({ id }) => id),
-    );
-    const outdated = behind
-      .filter(({ id, member }) =>
-        at - this.#lackPolicySince.get(id)! >= OTHER_PUBLISHER_MS ||
-        isFirstPublisher({
-          self: node.settings.id,
-          follower: id,
-          heard: Object.keys(member.targetsSeen),
-          isLinked: (control) => controls.has(control),
-        })
-      )
-      .filter(({ id }) => this.#isDue(this.#sentPolicies, id, { version }));
-    node.notify(outdated.map(({ id }) => id), notice);
-  }
-
   get #followers() {
     const { node } = this.#options;
     return FOLLOWER_ROLES.flatMap((role) => [...node.linkedMembers(role)]);
   }
 
-  /** Records a send, unless the same version was sent a short time ago. */
-  #isDue(
-    sent: Map<string, SentVersion>,
-    id: string,
-    { version }: { readonly version: number },
-  ): boolean {
-    const at = this.#options.now();
-    const last = sent.get(id);
-    const isRecent = last !== undefined && at - last.at < STATE_RESEND_MS;
-    if (isRecent && last.version >= version) return false;
-    sent.set(id, { version, at });
-    return true;
-  }
-
   /** Sends all targets, at most once per interval and instance. */
   #sendAllTargets(id: string, role: FleetRole, isNew: boolean): void {
     const { node, registry, now } = this.#options;
