--- a/src/tasks/peers/peer_hub.ts
+++ b/src/tasks/peers/peer_hub.ts
@@ -44,15 +44,22 @@
 
 /** Maximum time that a request waits for its link to come up. */
 const LINK_WAIT_MS = 700;
-/** Types of notices that are counted by themselves. */
-const NOTICE_TYPES: ReadonlySet<FleetNotice["type"]> = new Set([
+/** Channels and types of notices that are counted by themselves. */
+const COUNTED_KINDS: ReadonlySet<unknown> = new Set<
+  PeerEnvelope["channel"] | FleetNotice["type"]
+>([
   "evacuations",
   "loaded",
   "loading",
+  "log",
   "policy",
+  "presence",
+  "reply",
+  "request",
   "roster",
   "targets",
 ]);
+const OTHER_KIND = "other";
 /** Number of checks of the links per heartbeat. */
 const CHECKS_PER_HEARTBEAT = 2;
 
@@ -354,17 +361,17 @@
   }
 }
 
-/** Gets what a message holds: its channel, or the type of a known notice. */
+/** Gets what a message holds, by a few names, whatever its sender writes. */
 function kindOf({ channel, body }: PeerEnvelope): string {
-  if (channel !== "notice") return channel;
+  if (channel !== "notice") {
+    return COUNTED_KINDS.has(channel) ? channel : OTHER_KIND;
+  }
   const { type, isWhole } = (body ?? {}) as {
     readonly type?: unknown;
     readonly isWhole?: unknown;
   };
   if (type === "targets" && isWhole === true) return "allTargets";
-  return NOTICE_TYPES.has(type as FleetNotice["type"])
-    ? type as string
-    : channel;
+  return COUNTED_KINDS.has(type) ? type as string : OTHER_KIND;
 }
 
 /** Notices are lists, of which the receiver leaves out single entries. */
