Collected reports of targets take no loaded version back

Cause: a report that changed nothing when it came is forwarded up to 0.7 s later. A version that its target loaded meanwhile is known everywhere by a notice of its own; the older report then took it back at each other control instance, and these told all ledgers, until the next heartbeat. Now what is known of the target at that time is forwarded. published_messages_test.ts has the order of events; it fails on the code before.

--- a/src/tasks/fleet/fleet_publisher.ts
+++ b/src/tasks/fleet/fleet_publisher.ts
@@ -16,6 +16,7 @@
   reportAt,
   type TargetRegistry,
   type TargetReport,
+  TargetState,
 } from "../../core/registry/mod.ts";
 import type { FleetNode } from "./fleet_node.ts";
 import { PolicyPublisher } from "./policy_publisher.ts";
@@ -68,8 +69,8 @@
    * not sent changes of weight versions.
    */
   readonly #changes = new Map<FleetRole, ChangeCounter>();
-  /** Latest reports that are still to be forwarded, by target. */
-  readonly #unforwarded = new Map<string, TargetReport>();
+  /** Targets whose latest reports are still to be forwarded. */
+  readonly #unforwarded = new Set<string>();
   #forwardedAt = -Infinity;
 
   constructor(options: FleetPublisherOptions) {
@@ -109,17 +110,22 @@
   }
 
   /** Forwards a report that changes nothing together with others. */
-  forwardLater(report: TargetReport): void {
-    this.#unforwarded.set(report.id, report);
+  forwardLater({ id }: TargetReport): void {
+    this.#unforwarded.add(id);
   }
 
   #forwardCollected(): void {
-    const { now } = this.#options;
+    const { registry, now } = this.#options;
     if (this.#unforwarded.size === 0) return;
     if (now() - this.#forwardedAt < FORWARD_INTERVAL_MS) return;
     this.#forwardedAt = now();
-    this.#forward([...this.#unforwarded.values()]);
+    // What is known by now: a version may have been loaded since the report.
+    const reports = [...this.#unforwarded]
+      .map((id) => registry.get(id)?.report)
+      .filter((report) => report !== undefined)
+      .filter(({ state }) => state !== TargetState.Removed);
     this.#unforwarded.clear();
+    if (reports.length > 0) this.#forward(reports);
   }
 
   #forward(reports: readonly TargetReport[]): void {
--- a/src/tasks/fleet/published_messages_test.ts
+++ b/src/tasks/fleet/published_messages_test.ts
@@ -172,6 +172,28 @@
 });
 
 describe("reports of targets at a control instance", () => {
+  // Guards against targets that seem to lose the version that they just loaded.
+  it("take no version back that was loaded before they are forwarded", async () => {
+    const controls = new Controls(0);
+    const directory = controls.directories.get("c1")!;
+    const merge = (sequence: number) =>
+      directory.merge(createReport({ sequence, versions: { m: 4 } }));
+    merge(1);
+    merge(2);
+    const { id, incarnation } = createReport();
+    const loaded = { target: id, incarnation, model: "m", version: 5 };
+    for (const other of controls.directories.values()) {
+      other.onNotice({ type: "loaded", ...loaded });
+    }
+    controls.received.length = 0;
+    await controls.advance(1_000);
+    const sent = controls.noticesOf("targets").filter(({ to }) => to === "c2");
+    expect(sent).toHaveLength(1);
+    const { notice } = sent[0];
+    const reports = notice.type === "targets" ? notice.reports : [];
+    expect(reports.map(({ versions }) => versions)).toEqual([{ m: 5 }]);
+  });
+
   it("go to the others at once if they change what is known, else together", async () => {
     const controls = new Controls(0);
     const directory = controls.directories.get("c1")!;
