One name for the argument by which the build compiles the program

The loader and the build each had the literal; it stands beside the code that it is for. A blank line that a moved export had left is gone.

--- a/scripts/bundle.ts
+++ b/scripts/bundle.ts
@@ -3,7 +3,7 @@
 import { existsSync, mkdirSync, readFileSync, rmSync } from "node:fs";
 import { join, resolve } from "node:path";
 import { build, type BuildOptions, type Plugin } from "esbuild";
-import { getCachePath } from "../platform/code_cache.ts";
+import { COMPILE_ARGUMENT, getCachePath } from "../platform/code_cache.ts";
 
 const MAX_ARCHIVE_BYTES = 67_108_864;
 
@@ -137,7 +137,7 @@
   spawnSync(process.execPath, [
     ...nodeOptions,
     `${program}.mjs`,
-    "--compile",
+    COMPILE_ARGUMENT,
   ], { env, stdio: "ignore" });
   if (!existsSync(cache)) throw new Error(`No compiled code in ${cache}`);
 }
--- a/src/core/batches/mod.ts
+++ b/src/core/batches/mod.ts
@@ -8,7 +8,6 @@
 export * from "./held_pieces.ts";
 export * from "./held_result.ts";
 export * from "./held_text.ts";
-
 export * from "./ledger_text_forms.ts";
 export * from "./batch_expiry.ts";
 export * from "./ledger_room.ts";
