Review case 9: no stream can be taken up after the loss of all processes

Seen: 18 streams broke off as all processes were killed and came back; 6 s later none of 18 take-ups goes on, of new streams 18 of 18 begin (LOST). Run: review/9/run.sh, five times: exit 1 in all five; TROUBLE=0: exit 0, 18 of 18 go on.

--- a/review/harness-2.mjs
+++ b/review/harness-2.mjs
@@ -214,6 +214,15 @@
     });
   }
 
+  /** Kills the process of a machine, whose disk stays as it is. */
+  async kill(machine) {
+    const { process: child } = machine;
+    if (child === undefined) return;
+    const ended = new Promise((done) => child.once("exit", done));
+    child.kill("SIGKILL");
+    await ended;
+  }
+
   /** Sends a request of the operator to each control machine until one answers. */
   async operate(method, path, body, timeoutMs = 20_000) {
     const endsAt = Date.now() + timeoutMs;
@@ -322,9 +331,9 @@
   #fence = 0;
   #loading = false;
 
-  constructor(deployment, { service, zone = ZONES[0], models = [], slots = 12, eventMs = 15, name }) {
+  constructor(deployment, { service, zone = ZONES[0], models = [], slots = 12, eventMs = 15, countOf = eventCountOf, name }) {
     this.#deployment = deployment;
-    this.#options = { service, zone, models, slots, eventMs };
+    this.#options = { service, zone, models, slots, eventMs, countOf };
     this.id = `i-${randomBytes(4).toString("hex")}`;
     this.name = name ?? `${service}/${this.id}`;
     for (const model of models) this.versions[model] = 1;
@@ -408,11 +417,14 @@
     const version = this.versions[req.headers.model];
     res.writeHead(200, { "request-id": run.id, "server-stamp": `${this.id}.${run.id}`,
       "content-type": "text/event-stream", "weight-versions": String(version) });
-    for (let n = run.after + 1; n <= eventCountOf(run.id); n += 1) {
+    // A consumer that takes a stream up names the request of its first event.
+    const output = req.headers.resumes ?? run.id;
+    for (let n = run.after + 1; n <= this.#options.countOf(output); n += 1) {
       await sleep(this.#options.eventMs);
       if (res.destroyed) return;
-      res.write(`id: ${n}\ndata: ${eventOf(run.id, n)}\n\n`);
+      res.write(`id: ${n}\ndata: ${eventOf(output, n)}\n\n`);
     }
+    run.isComplete = true;
     res.end();
   }
 }
@@ -465,6 +477,42 @@
   }
 }
 
+/**
+ * Reads a stream until it ends, breaks off or is left.
+ * @returns The status, the events by number and whether the answer is whole.
+ */
+export function readStream({ address, path, headers, body, timeoutMs, signal }) {
+  const [host, port] = address.split(":");
+  const events = new Map();
+  return new Promise((done) => {
+    let status = 0;
+    let retryAfterMs = 0;
+    const finish = (isWhole) => {
+      clearTimeout(timer);
+      done({ status, events, isWhole, retryAfterMs });
+    };
+    const req = httpRequest({ host, port, method: "POST", path, headers, signal, agent: new Agent({ keepAlive: false }) }, (res) => {
+      let text = "";
+      status = res.statusCode;
+      retryAfterMs = 1000 * Number(res.headers["retry-after"] ?? 0);
+      res.on("data", (chunk) => {
+        text += chunk;
+        for (let end = text.indexOf("\n\n"); end >= 0; end = text.indexOf("\n\n")) {
+          const [, id, data] = /id: (\d+)\ndata: (.*)$/s.exec(text.slice(0, end)) ?? [];
+          if (id !== undefined) events.set(Number(id), data);
+          text = text.slice(end + 2);
+        }
+      });
+      res.on("error", () => finish(false));
+      res.on("aborted", () => finish(false));
+      res.on("end", () => finish(true));
+    });
+    const timer = setTimeout(() => req.destroy(), timeoutMs);
+    req.on("error", () => finish(false));
+    req.end(body);
+  });
+}
+
 /** Runs a case, and ends this process with its exit status. */
 export async function runCase(folder, run, sizes) {
   const record = new Record(folder);
