Review case 10: a replica that has left is used again after the loss of all processes

Seen: a replica deregisters and is acknowledged, all processes are killed and come back, a status report from before arrives 5 s late; from 7 s after the ack on the replica gets requests (DRAIN).

--- /dev/null
+++ b/review/10/run.sh
@@ -0,0 +1,2 @@
+#!/bin/bash
+cd "$(dirname "$0")" && exec node case.mjs
--- a/review/harness-2.mjs
+++ b/review/harness-2.mjs
@@ -359,27 +359,47 @@
     return Object.entries(this.versions).map(([name, version]) => ({ name, version, adapters: [] }));
   }
 
-  /** Sends a status report to the next control machine that acknowledges it. */
-  async beat() {
+  /** Creates the next status report. */
+  createBeat() {
     const { service, zone, slots } = this.#options;
     this.#sequence += 1;
-    const body = JSON.stringify({
+    return JSON.stringify({
       service, address: this.address, zone, version: "v1", slots, state: "ready", coldLeftMs: 0, phase: "dual",
       models: this.#models(), seq: this.#sequence, born: this.born,
     });
+  }
+
+  /** Sends a status report to the next control machine that acknowledges it. */
+  beat(body = this.createBeat()) {
+    return this.#tell("Heartbeat", body);
+  }
+
+  /**
+   * Deregisters, and serves on: its answers say that it leaves.
+   * @returns The control machine that acknowledged it.
+   */
+  deregister() {
+    clearInterval(this.#timer);
+    this.isLeaving = true;
+    return this.#tell("Deregister", JSON.stringify({ born: this.born }));
+  }
+
+  async #tell(call, body) {
     for (const address of this.#deployment.controls) {
       try {
-        const path = `/-/Instances.Heartbeat/${this.id}`;
+        const path = `/-/Instances.${call}/${this.id}`;
         const answer = await send({ address, method: "POST", path, body, timeoutMs: 1000 });
-        if (answer.status === 200) return;
+        if (answer.status === 200) return address;
       } catch {
         // The next control machine is called.
       }
     }
+    return undefined;
   }
 
   async #handle(req, res) {
     const body = await readBody(req);
+    if (this.isLeaving) res.setHeader("server-leaving", "1");
     const expected = req.headers["expect-instance"];
     if (expected !== undefined && expected !== this.id) return void res.writeHead(421).end();
     if (req.url === "/-/report") return void json(res, 200, this.#report());
