Accepted batches do not depend on the routes in force

A submission that was sent again got 404 as soon as its own route had gone.

Cause: CallGate.authenticate asked whether the request's host has a route, and whose the key is, in one step; all calls of accepted batches pass it.

Why it works: a caller of an accepted batch is authenticated by its key alone.

--- a/src/core/policy/policy_view.ts
+++ b/src/core/policy/policy_view.ts
@@ -48,11 +48,6 @@
     return this.document.workspaces.length > 0;
   }
 
-  /** Gets whether a host has any routes. The host is case-insensitive. */
-  hasHost(host: string): boolean {
-    return this.#hosts.has(host.toLowerCase());
-  }
-
   /**
    * Gets the route with the longest prefix that matches the path. The query
    * string is ignored.
--- a/src/tasks/calls/call_gate.ts
+++ b/src/tasks/calls/call_gate.ts
@@ -26,9 +26,22 @@
 /** Refusals that may be due to an outdated policy. */
 const UNKNOWN_REASONS: ReadonlySet<RefusalReason> = new Set([
   RefusalReason.NotFound,
+  RefusalReason.KeyMissing,
   RefusalReason.KeyUnknown,
 ]);
 
+/**
+ * Gets whether a caller is refused because its route, key or batch is unknown.
+ *
+ * @example
+ * ```ts
+ * isUnknown(new RefusalError(RefusalReason.NotFound, Verdict.NotRun)); // true
+ * ```
+ */
+export function isUnknown(err: unknown): err is RefusalError {
+  return err instanceof RefusalError && UNKNOWN_REASONS.has(err.reason);
+}
+
 /** Options of {@link CallGate}. */
 export interface CallGateOptions {
   readonly policy: () => PolicyView | undefined;
@@ -85,18 +98,17 @@
   }
 
   /**
-   * Authenticates a caller by host and key, without a route. Nobody is refused
-   * as unknown without the policy lease: the caller may have been added since,
-   * and does not come back after such a refusal.
+   * Authenticates a caller of a batch that was accepted before, whatever routes
+   * there are by now. Nobody is refused as unknown without the policy lease: the
+   * caller may have been added since, and does not come back after such a
+   * refusal.
    * @returns Name of the caller's workspace.
    * @throws RefusalError with verdict `notRun`.
    */
-  async authenticate(host: string, key: string | undefined): Promise<string> {
+  async authenticate(key: string | undefined): Promise<string> {
     this.#getPolicyOrThrow();
     await this.#awaitLeaseOrThrow();
-    const policy = this.#getPolicyOrThrow();
-    if (!policy.hasHost(host)) throw notFoundError();
-    return getWorkspaceOrThrow(policy, key).name;
+    return getWorkspaceOrThrow(this.#getPolicyOrThrow(), key).name;
   }
 
   async #awaitLeaseOrThrow(maxWaitMs?: number): Promise<void> {
@@ -114,9 +126,7 @@
     try {
       return this.#findAdmissionOrThrow(call);
     } catch (err) {
-      if (err instanceof RefusalError && UNKNOWN_REASONS.has(err.reason)) {
-        return undefined;
-      }
+      if (isUnknown(err)) return undefined;
       throw err;
     }
   }
--- a/src/tasks/calls/call_gate_test.ts
+++ b/src/tasks/calls/call_gate_test.ts
@@ -158,7 +158,7 @@
       },
       hasControlLeader: () => true,
     });
-    return await gate.authenticate(KEYED_CALL.host, KEYED_CALL.key);
+    return await gate.authenticate(KEYED_CALL.key);
   }
 
   const OUTDATED_POLICIES = [
--- a/src/tasks/fleet/batch_ender.ts
+++ b/src/tasks/fleet/batch_ender.ts
@@ -13,7 +13,6 @@
 
 /** Request of a caller to end a batch. */
 export interface EndRequest {
-  readonly host: string;
   /** API key of the caller; undefined if it sent none. */
   readonly key: string | undefined;
   readonly batch: string;
@@ -38,10 +37,7 @@
    * Gets the workspace of a caller.
    * @throws RefusalError if the key is unknown or cannot be checked now.
    */
-  readonly authenticate: (
-    host: string,
-    key: string | undefined,
-  ) => Promise<string>;
+  readonly authenticate: (key: string | undefined) => Promise<string>;
 }
 
 /** Time for all members that are asked in one round. */
@@ -68,7 +64,7 @@
  */
 export class BatchEnder {
   readonly #options: BatchEnderOptions;
-  /** Ends that are sent again, by host, key and batch. */
+  /** Ends that are sent again, by key and batch. */
   readonly #unconfirmed = new Map<string, UnconfirmedEnd>();
 
   constructor(options: BatchEnderOptions) {
@@ -80,7 +76,7 @@
    * @throws RefusalError if the caller is not known or has no such batch, or,
    * with verdict `mayHaveRun`, if the end is not confirmed yet.
    * @example
-   * await ender.end({ host: "park.example", key, batch: "7c41e0" });
+   * await ender.end({ key, batch: "7c41e0" });
    */
   async end(request: EndRequest): Promise<void> {
     const pending: PendingEnd = { ...request, workspace: undefined };
@@ -107,7 +103,7 @@
 
   /** Sends an end again; returns whether it does. */
   #retry(pending: PendingEnd): boolean {
-    const key = JSON.stringify([pending.host, pending.key, pending.batch]);
+    const key = JSON.stringify([pending.key, pending.batch]);
     const known = this.#unconfirmed.get(key);
     if (known !== undefined) {
       known.pending.workspace ??= pending.workspace;
@@ -139,7 +135,7 @@
    */
   async #send(pending: PendingEnd): Promise<void> {
     const { node, authenticate } = this.#options;
-    const { host, key, batch } = pending;
+    const { key, batch } = pending;
     const attempts: string[] = [];
     const startedAt = performance.now();
     const describe = () => ({
@@ -148,7 +144,7 @@
       attempts,
     });
     try {
-      pending.workspace ??= await authenticate(host, key);
+      pending.workspace ??= await authenticate(key);
       const params: BatchParams = { workspace: pending.workspace, batch };
       await node.requestLeader(FleetRole.Ledger, BatchMethod.End, {
         params,
--- a/src/tasks/fleet/batch_ender_test.ts
+++ b/src/tasks/fleet/batch_ender_test.ts
@@ -7,7 +7,7 @@
 import { BatchEnder } from "./batch_ender.ts";
 import { LeaderClient, type LeaderRequestOptions } from "./leader_client.ts";
 
-const REQUEST = { host: "park.example", key: "key", batch: "b1" };
+const REQUEST = { key: "key", batch: "b1" };
 const ANSWERED_MS = 1_300;
 const NO_REPORTS = {
   logger: { event: vi.fn() } as never,
--- a/src/tasks/fleet/entry_task.ts
+++ b/src/tasks/fleet/entry_task.ts
@@ -24,6 +24,7 @@
   CallRun,
   type CallSpread,
   type CrashGuard,
+  isUnknown,
   type RateGuard,
   type ResponseStream,
   type TargetPort,
@@ -118,7 +119,7 @@
     });
     this.#ender = new BatchEnder({
       node,
-      authenticate: (host, key) => this.#gate.authenticate(host, key),
+      authenticate: (key) => this.#gate.authenticate(key),
     });
   }
 
@@ -174,8 +175,8 @@
    * Admits a caller by its API key.
    * @returns The caller's workspace.
    */
-  admitKey(host: string, key: string | undefined): Promise<string> {
-    return this.#gate.authenticate(host, key);
+  admitKey(key: string | undefined): Promise<string> {
+    return this.#gate.authenticate(key);
   }
 
   /**
@@ -287,6 +288,30 @@
     return await this.#reader.read({ ...params, waitMs });
   }
 
+  /**
+   * Gets whether a batch has been accepted, for a caller who submits it again
+   * where no route takes it any more.
+   * @throws RefusalError if that is not certain.
+   */
+  async hasBatch(
+    { key, batch }: {
+      readonly key: string | undefined;
+      readonly batch: string;
+    },
+  ): Promise<boolean> {
+    try {
+      const workspace = await this.#gate.authenticate(key);
+      const params: ReadParams = { workspace, batch, after: 0, waitMs: 0 };
+      await this.#requestLedger(BatchMethod.Read, params, {
+        timeoutMs: this.#drainClock.bound(SUBMIT_TIMEOUT_MS, LEDGER_ANSWER_MS),
+      });
+      return true;
+    } catch (err) {
+      if (isUnknown(err)) return false;
+      throw err;
+    }
+  }
+
   /** Reads the body of an item from the ledger. */
   async readItem(params: BodyParams): Promise<Uint8Array> {
     const reply = await this.#requestLedger(BatchMethod.Body, params, {
--- a/tests/support/fleet_trainer.ts
+++ b/tests/support/fleet_trainer.ts
@@ -17,7 +17,8 @@
   /** Addresses of entry instances, used in turn. */
   readonly entries: readonly string[];
   readonly host: string;
-  readonly key: string;
+  /** API key; undefined to send none. */
+  readonly key: string | undefined;
   /** Path prefix of the route for batches. */
   readonly prefix: string;
 }
@@ -62,6 +63,14 @@
 
   /** Resubmits a batch until it is accepted. */
   async submit(plan: BatchPlan, timeoutMs: number): Promise<void> {
+    await this.#retryUntil(timeoutMs, async () => {
+      const response = await this.sendBatch(plan);
+      return response.status === 202 ? true : undefined;
+    });
+  }
+
+  /** Submits a batch, without a retry. */
+  async sendBatch(plan: BatchPlan): Promise<ClientResponse> {
     const body = JSON.stringify({
       step: 0,
       model: plan.model,
@@ -78,10 +87,7 @@
       })),
     });
     const path = `${this.#options.prefix}${plan.id}`;
-    await this.#retryUntil(timeoutMs, async () => {
-      const response = await this.#send("POST", path, { id: plan.id, body });
-      return response.status === 202 ? true : undefined;
-    });
+    return await this.send("POST", path, { id: plan.id, body });
   }
 
   #createScorer({ scoringPrefix }: BatchPlan, item: string): object {
@@ -97,7 +103,7 @@
     batch: string,
     after: number,
   ): Promise<{ next: number; results: ReadResult[] } | undefined> {
-    const response = await this.#send(
+    const response = await this.send(
       "GET",
       `/-/lots/${batch}?after=${after}`,
       {
@@ -131,7 +137,7 @@
   /** Resends the end of a batch until it is acknowledged. */
   async end(batch: string, timeoutMs: number): Promise<void> {
     await this.#retryUntil(timeoutMs, async () => {
-      const response = await this.#send("DELETE", `/-/lots/${batch}`, {});
+      const response = await this.send("DELETE", `/-/lots/${batch}`, {});
       return response.status === 200 ? true : undefined;
     });
   }
@@ -141,7 +147,7 @@
     path: string,
     options: { id: string; key?: string; deadlineMs?: number },
   ): Promise<ClientResponse> {
-    return await this.#send("POST", path, { ...options, body: "call" });
+    return await this.send("POST", path, { ...options, body: "call" });
   }
 
   async #retryUntil<T>(
@@ -167,7 +173,11 @@
     });
   }
 
-  async #send(
+  /**
+   * Sends a request, without a retry.
+   * @throws Error if there is no response within 4 s.
+   */
+  async send(
     method: "GET" | "POST" | "DELETE",
     path: string,
     options: {
@@ -178,7 +188,8 @@
       deadlineMs?: number;
     },
   ): Promise<ClientResponse> {
-    const { entries, host, key } = this.#options;
+    const { entries, host } = this.#options;
+    const key = options.key ?? this.#options.key;
     this.#requestCount += 1;
     const client = new Client(
       `http://${entries[this.#requestCount % entries.length]}`,
@@ -189,7 +200,7 @@
         path,
         headers: {
           host,
-          authorization: `Bearer ${options.key ?? key}`,
+          ...(key === undefined ? {} : { authorization: `Bearer ${key}` }),
           ...(options.id === undefined ? {} : { "request-id": options.id }),
           ...(options.waitMs === undefined
             ? {}
