One rule for whose a batch is, and who may open it

Cause: the owner was decided by whether the route asked for a key, the reader by the key that it brought. A batch of an anonymous route was kept under "", which no key belongs to.

Why it works: a known key names its holder on each route, and batch_access.ts alone decides who may open a batch. A batch without an owner is open to its identifier. What is stored is as before: batches under "" are without an owner.

--- a/src/core/batches/batch.ts
+++ b/src/core/batches/batch.ts
@@ -39,6 +39,7 @@
 /** Specification of an accepted batch. */
 export interface BatchSpec {
   readonly id: string;
+  /** Workspace that owns the batch; `NO_WORKSPACE` for none. */
   readonly workspace: string;
   readonly route: string;
   readonly host: string;
--- a/src/core/batches/batch_state.ts
+++ b/src/core/batches/batch_state.ts
@@ -1,5 +1,6 @@
 /** State machine of the ledger log: all batches. */
 import { sumOf } from "../statistics/mod.ts";
+import { mayOpen } from "./batch_access.ts";
 import type { BatchCommand, BatchCommandResult } from "./batch_command.ts";
 import { BatchRecord } from "./batch_record.ts";
 import type { LedgerSnapshot } from "./ledger_snapshot.ts";
@@ -24,7 +25,7 @@
     accept: ({ spec }) => {
       const existing = this.#batches.get(spec.id);
       if (existing !== undefined) {
-        return existing.spec.workspace === spec.workspace;
+        return mayOpen(existing.spec.workspace, spec.workspace);
       }
       this.#batches.set(spec.id, new BatchRecord(spec));
       return true;
@@ -57,10 +58,11 @@
     return this.#batches.get(id);
   }
 
-  /** Gets a batch, or undefined if it belongs to another workspace. */
-  getForWorkspace(workspace: string, id: string): BatchRecord | undefined {
+  /** Gets a batch, or undefined if a caller of the workspace may not open it. */
+  getForCaller(workspace: string, id: string): BatchRecord | undefined {
     const record = this.#batches.get(id);
-    return record?.spec.workspace === workspace ? record : undefined;
+    if (record === undefined) return undefined;
+    return mayOpen(record.spec.workspace, workspace) ? record : undefined;
   }
 
   /** Gets all batches, in order of acceptance. */
--- a/src/core/batches/mod.ts
+++ b/src/core/batches/mod.ts
@@ -31,6 +31,7 @@
 export * from "./run_estimator.ts";
 export * from "./run_move.ts";
 export * from "./pending_loads.ts";
+export * from "./batch_access.ts";
 export * from "./batch_admission.ts";
 export * from "./batch_drain.ts";
 export * from "./preceding_work.ts";
--- a/src/core/continuation/stream_directory.ts
+++ b/src/core/continuation/stream_directory.ts
@@ -34,7 +34,7 @@
 
 /**
  * Stores streams for as long as their callers may resume them. Callers find
- * only streams of their own workspace.
+ * streams of their own workspace, and those without a workspace.
  *
  * @example
  * ```ts
@@ -77,7 +77,7 @@
    */
   add({ writer, keepMs, workspace, request }: StreamRecord): this {
     const key = { workspace, request };
-    const known = this.get(key);
+    const known = this.#streams.get(encodeKey(key))?.writer;
     const isSame = known === undefined ||
       (known.service === writer.service && known.software === writer.software);
     const { service } = writer;
@@ -88,16 +88,21 @@
     return this;
   }
 
-  /** Gets who wrote the events of a stream. */
-  get(key: StreamKey): OutputWriter | undefined {
-    return this.#streams.get(encodeKey(key))?.writer;
+  /**
+   * Gets who wrote the events of a stream. A caller who began it without a key
+   * may bring one by now, as its route needs one.
+   */
+  get({ workspace, request }: StreamKey): OutputWriter | undefined {
+    const known = this.#streams.get(encodeKey({ workspace, request })) ??
+      this.#streams.get(encodeKey({ workspace: undefined, request }));
+    return known?.writer;
   }
 
   /**
    * Gets the record with which another instance stores a stream for as long.
    */
   getRecord(key: StreamKey): StreamRecord | undefined {
-    const writer = this.get(key);
+    const writer = this.#streams.get(encodeKey(key))?.writer;
     if (writer === undefined) return undefined;
     const keepMs = this.#streams.getRemainingTTL(encodeKey(key));
     return { ...key, writer, keepMs };
--- a/src/core/continuation/stream_directory_test.ts
+++ b/src/core/continuation/stream_directory_test.ts
@@ -22,6 +22,13 @@
     doTest({ ...key, workspace: undefined }, 0, false);
   });
 
+  it("finds a stream without a workspace for each caller", () => {
+    const directory = new StreamDirectory({ now: () => 1 })
+      .add({ ...key, workspace: undefined, writer: WRITER, keepMs: 100 });
+    expect(directory.get(key)).toEqual(WRITER);
+    expect(directory.getRecord(key)).toBeUndefined();
+  });
+
   it("evicts a stream that its caller can no longer resume", () => {
     doTest(key, 99, true);
     doTest(key, 101, false);
--- a/src/core/policy/policy_document.ts
+++ b/src/core/policy/policy_document.ts
@@ -104,6 +104,12 @@
   readonly idleTimeoutMs: number;
 }
 
+/**
+ * Stands for the workspace of callers who bring no known key. No workspace has
+ * this name.
+ */
+export const NO_WORKSPACE = "";
+
 /** A workspace with its API keys. */
 export interface WorkspacePolicy {
   readonly name: string;
--- a/src/core/verdict/mod.ts
+++ b/src/core/verdict/mod.ts
@@ -2,3 +2,4 @@
 export * from "./verdict.ts";
 export * from "./refusal_reason.ts";
 export * from "./refusal_error.ts";
+export * from "./unknown_refusal.ts";
--- a/src/tasks/batches/batch_intake.ts
+++ b/src/tasks/batches/batch_intake.ts
@@ -15,7 +15,7 @@
 } from "../../core/verdict/mod.ts";
 import type { LogService } from "../log/mod.ts";
 import type { BatchParams, SubmitParams } from "./batch_port.ts";
-import { createNotFoundError } from "./result_reader.ts";
+import { createClosedError } from "./result_reader.ts";
 
 /** The replicated log of the ledger. */
 export type LedgerService = LogService<
@@ -79,7 +79,8 @@
       return await this.#propose(spec);
     }
     await this.#confirmSubmission();
-    if (existing.spec.workspace !== spec.workspace) throw createNotFoundError();
+    const caller = { workspace: spec.workspace, batch: spec.id };
+    this.#throwUnlessOpen(caller);
     return true;
   }
 
@@ -119,7 +120,12 @@
     const result = await this.#options.service
       .propose({ type: "accept", spec });
     this.#unsettled.delete(spec.id);
-    if (!result.isHeld) throw createNotFoundError();
+    if (!result.isHeld) {
+      throw createClosedError(this.#options.service.state, {
+        workspace: spec.workspace,
+        batch: spec.id,
+      });
+    }
     return true;
   }
 
@@ -139,21 +145,24 @@
    */
   async end({ workspace, batch }: BatchParams): Promise<true> {
     const { service } = this.#options;
-    const record = service.state.getForWorkspace(workspace, batch);
+    const record = service.state.getForCaller(workspace, batch);
     // The leader may not have applied what another replica has.
     if (service.takesCommands && record?.isEnded === true) return true;
     if (record === undefined) {
       await service.confirmLeadership(CONFIRM_TIMEOUT_MS);
-      if (service.state.getForWorkspace(workspace, batch) === undefined) {
-        throw this.#mayBeAccepted(batch)
-          ? createUnsettledError()
-          : createNotFoundError();
-      }
+      if (this.#mayBeAccepted(batch)) throw createUnsettledError();
+      this.#throwUnlessOpen({ workspace, batch });
     }
     await service.propose({ type: "end", batch });
     return true;
   }
 
+  #throwUnlessOpen({ workspace, batch }: BatchParams): void {
+    const { state } = this.#options.service;
+    if (state.getForCaller(workspace, batch) !== undefined) return;
+    throw createClosedError(state, { workspace, batch });
+  }
+
   /** Gets whether a proposal may accept a batch that is not known yet. */
   #mayBeAccepted(batch: string): boolean {
     const { state } = this.#options.service;
--- a/src/tasks/batches/batch_port.ts
+++ b/src/tasks/batches/batch_port.ts
@@ -28,8 +28,9 @@
   readonly faults?: readonly string[];
 }
 
-/** Identifies a batch of a workspace. */
+/** Identifies a batch, for a caller. */
 export interface BatchParams {
+  /** Workspace of the caller; `NO_WORKSPACE` if it brought no known key. */
   readonly workspace: string;
   readonly batch: string;
 }
--- a/src/tasks/batches/result_reader.ts
+++ b/src/tasks/batches/result_reader.ts
@@ -5,12 +5,14 @@
   BatchState,
   ResultPage,
 } from "../../core/batches/mod.ts";
+import { NO_WORKSPACE } from "../../core/policy/mod.ts";
 import {
   RefusalError,
   RefusalReason,
   Verdict,
 } from "../../core/verdict/mod.ts";
 import {
+  type BatchParams,
   type BodyParams,
   MAX_PAGE_BYTES,
   type ReadParams,
@@ -66,9 +68,9 @@
     const { workspace, batch, after, waitMs } = params;
     const { state, confirmLeadership } = this.#options;
     await confirmLeadership();
-    const find = () => state().getForWorkspace(workspace, batch);
+    const find = () => state().getForCaller(workspace, batch);
     const record = find();
-    if (record === undefined) throw createNotFoundError();
+    if (record === undefined) throw createClosedError(state(), params);
     if (record.resultCount <= after && waitMs > 0 && record.isOpen) {
       await this.#waitForResult(batch, waitMs);
       await confirmLeadership();
@@ -83,7 +85,7 @@
    */
   async readStored(params: ReadParams): Promise<ResultPage | undefined> {
     const { workspace, batch, after, waitMs } = params;
-    const find = () => this.#options.state().getForWorkspace(workspace, batch);
+    const find = () => this.#options.state().getForCaller(workspace, batch);
     const record = find();
     if (record === undefined) return undefined;
     if (record.resultCount <= after && waitMs > 0 && record.isOpen) {
@@ -99,11 +101,13 @@
    * Reads the body of an item as the leader.
    * @throws RefusalError if this replica does not lead, or the item is unknown.
    */
-  async readBody({ workspace, batch, item }: BodyParams): Promise<Uint8Array> {
+  async readBody(params: BodyParams): Promise<Uint8Array> {
+    const { workspace, batch, item } = params;
     const { state, confirmLeadership } = this.#options;
     await confirmLeadership();
-    const record = state().getForWorkspace(workspace, batch);
-    const body = record?.getItem(item)?.body;
+    const record = state().getForCaller(workspace, batch);
+    if (record === undefined) throw createClosedError(state(), params);
+    const body = record.getItem(item)?.body;
     if (body === undefined) throw createNotFoundError();
     return body;
   }
@@ -146,8 +150,23 @@
   }
 }
 
+/**
+ * Creates the refusal of a caller who may not open a batch. A workspace learns
+ * nothing of the batches of others; a caller without one lacks a key.
+ */
+export function createClosedError(
+  state: BatchState,
+  { workspace, batch }: BatchParams,
+): RefusalError {
+  const needsKey = workspace === NO_WORKSPACE && state.get(batch) !== undefined;
+  if (!needsKey) return createNotFoundError();
+  return new RefusalError(RefusalReason.KeyMissing, Verdict.NotRun, {
+    message: "The batch belongs to a workspace",
+  });
+}
+
 /** Creates the refusal for a batch or item that does not exist. */
-export function createNotFoundError(): RefusalError {
+function createNotFoundError(): RefusalError {
   return new RefusalError(RefusalReason.NotFound, Verdict.NotRun, {
     message: "No such batch or item",
   });
--- a/src/tasks/calls/call_gate.ts
+++ b/src/tasks/calls/call_gate.ts
@@ -1,47 +1,38 @@
 /** Admission of calls: finds the route and authenticates the caller. */
 import type { CallRequest } from "../../core/calls/mod.ts";
-import type {
-  PolicyView,
-  RoutePolicy,
-  WorkspacePolicy,
+import {
+  NO_WORKSPACE,
+  type PolicyView,
+  RouteKind,
+  type RoutePolicy,
+  type WorkspacePolicy,
 } from "../../core/policy/mod.ts";
 import {
+  isUnknown,
   RefusalError,
   RefusalReason,
   Verdict,
 } from "../../core/verdict/mod.ts";
+import type { CallerIdentity } from "./caller_identity.ts";
 import { leaseWaitMs } from "./lease_wait.ts";
 import { type SendGuard, WithheldReason } from "../send_guard.ts";
 
 /** The policy under which a call was admitted. */
 export interface Admission {
   readonly route: RoutePolicy;
-  /** Workspace of the caller's key; undefined on routes that need no key. */
+  /**
+   * Workspace of the caller's key; undefined without a known one, on a route
+   * that needs none.
+   */
   readonly workspace: WorkspacePolicy | undefined;
   readonly policy: PolicyView;
-  /** Asked when the call is written to a target. */
+  /**
+   * Asked when the call is written to a target; undefined if its route needs no
+   * key.
+   */
   readonly guard?: SendGuard;
 }
 
-/** Refusals that may be due to an outdated policy. */
-const UNKNOWN_REASONS: ReadonlySet<RefusalReason> = new Set([
-  RefusalReason.NotFound,
-  RefusalReason.KeyMissing,
-  RefusalReason.KeyUnknown,
-]);
-
-/**
- * Gets whether a caller is refused because its route, key or batch is unknown.
- *
- * @example
- * ```ts
- * isUnknown(new RefusalError(RefusalReason.NotFound, Verdict.NotRun)); // true
- * ```
- */
-export function isUnknown(err: unknown): err is RefusalError {
-  return err instanceof RefusalError && UNKNOWN_REASONS.has(err.reason);
-}
-
 /** Options of {@link CallGate}. */
 export interface CallGateOptions {
   readonly policy: () => PolicyView | undefined;
@@ -90,7 +81,7 @@
       await this.#awaitLeaseOrThrow();
       return this.#findAdmissionOrThrow(call);
     }
-    if (admission.workspace === undefined) return admission;
+    if (!needsLease(admission, call)) return admission;
     const { timeoutMs = Infinity } = call;
     const timeMs = Math.min(timeoutMs, admission.route.timeoutMs);
     await this.#awaitLeaseOrThrow(leaseWaitMs(timeMs));
@@ -98,17 +89,24 @@
   }
 
   /**
-   * Authenticates a caller of a batch that was accepted before, whatever routes
-   * there are by now. Nobody is refused as unknown without the policy lease: the
-   * caller may have been added since, and does not come back after such a
-   * refusal.
-   * @returns Name of the caller's workspace.
-   * @throws RefusalError with verdict `notRun`.
+   * Identifies a caller of a batch that was accepted before, whatever routes
+   * there are by now. Nobody is unknown without the policy lease: the caller may
+   * have been added since, and does not come back after such a refusal.
+   * @throws RefusalError with verdict `notRun` if keys cannot be checked now.
    */
-  async authenticate(key: string | undefined): Promise<string> {
+  async identify(key: string | undefined): Promise<CallerIdentity> {
     this.#getPolicyOrThrow();
     await this.#awaitLeaseOrThrow();
-    return getWorkspaceOrThrow(this.#getPolicyOrThrow(), key).name;
+    const policy = this.#getPolicyOrThrow();
+    const none = { workspace: NO_WORKSPACE, refusal: undefined };
+    if (!policy.needsKeys) return none;
+    try {
+      const { name } = getWorkspaceOrThrow(policy, key);
+      return { workspace: name, refusal: undefined };
+    } catch (err) {
+      if (!isUnknown(err)) throw err;
+      return { ...none, refusal: err };
+    }
   }
 
   async #awaitLeaseOrThrow(maxWaitMs?: number): Promise<void> {
@@ -138,13 +136,25 @@
     const route = policy.findRoute(call.host, call.path);
     if (route === undefined) throw notFoundError();
     if (route.isAnonymous || !policy.needsKeys) {
-      return { route, workspace: undefined, policy };
+      return { route, workspace: this.#findHolder(policy, call.key), policy };
     }
     const workspace = getWorkspaceOrThrow(policy, call.key);
     const guard = () => this.#checkKey(call.key, workspace.name);
     return { route, workspace, policy, guard };
   }
 
+  /**
+   * Gets the workspace of a key where none is needed; undefined if there is none
+   * or if that cannot be checked now.
+   */
+  #findHolder(
+    policy: PolicyView,
+    key: string | undefined,
+  ): WorkspacePolicy | undefined {
+    if (key === undefined || !this.#options.hasLease()) return undefined;
+    return policy.findWorkspace(key);
+  }
+
   /** Gets why a call with a key may not be sent; undefined if it may. */
   #checkKey(
     key: string | undefined,
@@ -169,6 +179,19 @@
   }
 }
 
+/**
+ * Gets whether a call is admitted under the policy lease alone. It is where its
+ * route needs a key, and where a batch gets an owner.
+ */
+function needsLease(
+  { guard, route, policy }: Admission,
+  { key }: Pick<CallRequest, "key">,
+): boolean {
+  if (guard !== undefined) return true;
+  return route.kind === RouteKind.Rollout && policy.needsKeys &&
+    key !== undefined;
+}
+
 function getWorkspaceOrThrow(
   policy: PolicyView,
   key: string | undefined,
--- a/src/tasks/calls/call_run.ts
+++ b/src/tasks/calls/call_run.ts
@@ -154,7 +154,8 @@
    * have been withdrawn in the meantime.
    */
   async #hasLease(): Promise<boolean> {
-    if (this.#options.admission.workspace === undefined) return true;
+    const { route, workspace } = this.#options.admission;
+    if (workspace === undefined || route.isAnonymous) return true;
     return await this.#dependencies.awaitLease(leaseWaitMs(this.#remainingMs));
   }
 
--- a/src/tasks/fleet/batch_ender.ts
+++ b/src/tasks/fleet/batch_ender.ts
@@ -6,22 +6,23 @@
   Verdict,
 } from "../../core/verdict/mod.ts";
 import { BatchMethod, type BatchParams } from "../batches/mod.ts";
+import { type CallerIdentity, requestAs } from "../calls/mod.ts";
 import { delay } from "../delay.ts";
 import { settleWithin } from "../settle.ts";
 import type { FleetNode } from "./fleet_node.ts";
 import type { FailedAttempt } from "./leader_client.ts";
 
-/** Request of a caller to end a batch. */
-export interface EndRequest {
+/** Request of a caller for a batch. */
+export interface BatchRequest {
   /** API key of the caller; undefined if it sent none. */
   readonly key: string | undefined;
   readonly batch: string;
 }
 
 /** End of a batch with what earlier rounds have found out. */
-interface PendingEnd extends EndRequest {
-  /** Workspace of the caller; undefined until it is authenticated. */
-  workspace: string | undefined;
+interface PendingEnd extends BatchRequest {
+  /** Undefined until the caller is identified. */
+  caller: CallerIdentity | undefined;
 }
 
 /** An end that is sent again, until its retries have settled. */
@@ -34,10 +35,10 @@
 export interface BatchEnderOptions {
   readonly node: Pick<FleetNode, "requestLeader" | "logger" | "metrics">;
   /**
-   * Gets the workspace of a caller.
-   * @throws RefusalError if the key is unknown or cannot be checked now.
+   * Identifies a caller.
+   * @throws RefusalError if keys cannot be checked now.
    */
-  readonly authenticate: (key: string | undefined) => Promise<string>;
+  readonly identify: (key: string | undefined) => Promise<CallerIdentity>;
 }
 
 /** Time for all members that are asked in one round. */
@@ -78,8 +79,8 @@
    * @example
    * await ender.end({ key, batch: "7c41e0" });
    */
-  async end(request: EndRequest): Promise<void> {
-    const pending: PendingEnd = { ...request, workspace: undefined };
+  async end(request: BatchRequest): Promise<void> {
+    const pending: PendingEnd = { ...request, caller: undefined };
     try {
       await this.#send(pending);
     } catch (err) {
@@ -106,7 +107,7 @@
     const key = JSON.stringify([pending.key, pending.batch]);
     const known = this.#unconfirmed.get(key);
     if (known !== undefined) {
-      known.pending.workspace ??= pending.workspace;
+      known.pending.caller ??= pending.caller;
       return true;
     }
     if (this.#unconfirmed.size >= MAX_UNCONFIRMED) return false;
@@ -131,10 +132,10 @@
 
   /**
    * Sends an end in one round of attempts, and logs the outcome. Its caller is
-   * authenticated once: a later change of the policy does not undo the request.
+   * identified once: a later change of the policy does not undo the request.
    */
   async #send(pending: PendingEnd): Promise<void> {
-    const { node, authenticate } = this.#options;
+    const { node, identify } = this.#options;
     const { key, batch } = pending;
     const attempts: string[] = [];
     const startedAt = performance.now();
@@ -144,13 +145,15 @@
       attempts,
     });
     try {
-      pending.workspace ??= await authenticate(key);
-      const params: BatchParams = { workspace: pending.workspace, batch };
-      await node.requestLeader(FleetRole.Ledger, BatchMethod.End, {
-        params,
-        timeoutMs: ROUND_TIMEOUT_MS,
-        attemptMs: ATTEMPT_TIMEOUT_MS,
-        onFailed: (attempt) => attempts.push(formatAttempt(attempt)),
+      pending.caller ??= await identify(key);
+      await requestAs(pending.caller, (workspace) => {
+        const params: BatchParams = { workspace, batch };
+        return node.requestLeader(FleetRole.Ledger, BatchMethod.End, {
+          params,
+          timeoutMs: ROUND_TIMEOUT_MS,
+          attemptMs: ATTEMPT_TIMEOUT_MS,
+          onFailed: (attempt) => attempts.push(formatAttempt(attempt)),
+        });
       });
     } catch (err) {
       const { reason } = err as Partial<RefusalError>;
--- a/src/tasks/fleet/entry_task.ts
+++ b/src/tasks/fleet/entry_task.ts
@@ -11,7 +11,7 @@
 import type { CallerLimits } from "../../core/policy/mod.ts";
 import type { TargetRegistry } from "../../core/registry/mod.ts";
 import { findScoringFaults } from "../../core/scoring/mod.ts";
-import type { RefusalError } from "../../core/verdict/mod.ts";
+import { isUnknown, type RefusalError } from "../../core/verdict/mod.ts";
 import {
   BatchMethod,
   type BodyParams,
@@ -24,13 +24,13 @@
   CallRun,
   type CallSpread,
   type CrashGuard,
-  isUnknown,
   type RateGuard,
+  requestAs,
   type ResponseStream,
   type TargetPort,
 } from "../calls/mod.ts";
 import { createRandom } from "../random.ts";
-import { BatchEnder, type EndRequest } from "./batch_ender.ts";
+import { BatchEnder, type BatchRequest } from "./batch_ender.ts";
 import { BatchHomes } from "./batch_homes.ts";
 import { BatchReader } from "./batch_reader.ts";
 import { DrainClock } from "./drain_clock.ts";
@@ -50,6 +50,14 @@
   readonly rates: RateGuard;
 }
 
+/** Request of a caller for results. */
+export interface ReadRequest
+  extends BatchRequest, Omit<ReadParams, "workspace"> {}
+
+/** Request of a caller for the body of an item. */
+export interface BodyRequest
+  extends BatchRequest, Omit<BodyParams, "workspace"> {}
+
 /** Options of {@link EntryTask.forward}. */
 export interface ForwardOptions {
   readonly admission: Admission;
@@ -119,7 +127,7 @@
     });
     this.#ender = new BatchEnder({
       node,
-      authenticate: (key) => this.#gate.authenticate(key),
+      identify: (key) => this.#gate.identify(key),
     });
   }
 
@@ -171,14 +179,6 @@
     return this.#gate.admit(call);
   }
 
-  /**
-   * Admits a caller by its API key.
-   * @returns The caller's workspace.
-   */
-  admitKey(key: string | undefined): Promise<string> {
-    return this.#gate.authenticate(key);
-  }
-
   /**
    * Forwards a call to targets. Once the head of a streamed response has been
    * sent, a failure is logged and returned as an incomplete response.
@@ -279,13 +279,18 @@
 
   /**
    * Reads a page of batch results.
-   * @throws RefusalError if the ledger does not answer in time.
+   * @throws RefusalError if the batch is not open to the caller, or the ledger
+   * does not answer in time.
    */
-  async readBatch(params: ReadParams): Promise<ResultPage> {
-    const longestMs = params.waitMs + LEDGER_ANSWER_MS;
+  async readBatch({ key, ...request }: ReadRequest): Promise<ResultPage> {
+    const caller = await this.#gate.identify(key);
+    const longestMs = request.waitMs + LEDGER_ANSWER_MS;
     const boundMs = this.#drainClock.bound(longestMs, LEDGER_ANSWER_MS);
-    const waitMs = Math.min(params.waitMs, boundMs - LEDGER_ANSWER_MS);
-    return await this.#reader.read({ ...params, waitMs });
+    const waitMs = Math.min(request.waitMs, boundMs - LEDGER_ANSWER_MS);
+    return await requestAs(
+      caller,
+      (workspace) => this.#reader.read({ ...request, workspace, waitMs }),
+    );
   }
 
   /**
@@ -293,14 +298,9 @@
    * where no route takes it any more.
    * @throws RefusalError if that is not certain.
    */
-  async hasBatch(
-    { key, batch }: {
-      readonly key: string | undefined;
-      readonly batch: string;
-    },
-  ): Promise<boolean> {
+  async hasBatch({ key, batch }: BatchRequest): Promise<boolean> {
+    const { workspace } = await this.#gate.identify(key);
     try {
-      const workspace = await this.#gate.authenticate(key);
       const params: ReadParams = { workspace, batch, after: 0, waitMs: 0 };
       await this.#requestLedger(BatchMethod.Read, params, {
         timeoutMs: this.#drainClock.bound(SUBMIT_TIMEOUT_MS, LEDGER_ANSWER_MS),
@@ -312,21 +312,30 @@
     }
   }
 
-  /** Reads the body of an item from the ledger. */
-  async readItem(params: BodyParams): Promise<Uint8Array> {
-    const reply = await this.#requestLedger(BatchMethod.Body, params, {
+  /**
+   * Reads the body of an item from the ledger.
+   * @throws RefusalError if the batch is not open to the caller, or the ledger
+   * does not answer in time.
+   */
+  async readItem({ key, ...request }: BodyRequest): Promise<Uint8Array> {
+    const caller = await this.#gate.identify(key);
+    const times = {
       timeoutMs: this.#drainClock.bound(BODY_TIMEOUT_MS, LEDGER_ANSWER_MS),
       attemptMs: BODY_ATTEMPT_MS,
+    };
+    const reply = await requestAs(caller, (workspace) => {
+      const params: BodyParams = { ...request, workspace };
+      return this.#requestLedger(BatchMethod.Body, params, times);
     });
     return reply as Uint8Array;
   }
 
   /**
    * Ends a batch at the ledger, also if that takes longer than the answer.
-   * @throws RefusalError if the caller is not known or has no such batch, or,
+   * @throws RefusalError if the batch is not open to the caller, or,
    * with verdict `mayHaveRun`, if the end is not confirmed yet.
    */
-  async endBatch(request: EndRequest): Promise<void> {
+  async endBatch(request: BatchRequest): Promise<void> {
     await this.#ender.end(request);
   }
 
