Departures of targets outlive the loss of all processes

Cause: that a target has left was in the memory of the control instances alone. The same holds for a report with the state draining, and for followers that had not been told when all control instances were lost.

Why it works: the control log has a departure before it is acknowledged, several in one entry. After a start a control instance uses no report until it has applied what the leader had, and ignores those of incarnations that have left.

Ruled out as designs: a note on the disk of who acknowledged (lost with that disk), and a check of every target after a start (says nothing if the target serves on).

--- a/fakes/fleet_replica.ts
+++ b/fakes/fleet_replica.ts
@@ -394,7 +394,7 @@
   /** Sends a heartbeat to control instances in turn until one accepts it. */
   async #sendHeartbeat(): Promise<boolean> {
     if (this.withholdsHeartbeats) return false;
-    this.#sequence += 1;
+    const body = JSON.stringify(this.createHeartbeat());
     const controls = this.#options.controls();
     const first = this.#sequence % Math.max(1, controls.length);
     for (let i = 0; i < controls.length; i += 1) {
@@ -404,7 +404,7 @@
           `http://${control}/-/Instances.Heartbeat/${this.#id}`,
           {
             method: "POST",
-            body: JSON.stringify(this.#createHeartbeat()),
+            body,
             signal: AbortSignal.timeout(HEARTBEAT_TIMEOUT_MS),
           },
         );
@@ -421,14 +421,21 @@
     return Math.max(0, this.#coldUntil - Date.now());
   }
 
-  #createHeartbeat(): unknown {
+  /** Gets the time of the last start, in milliseconds since the Unix epoch. */
+  get bornAt(): number {
+    return this.#bornAt;
+  }
+
+  /** Creates the next heartbeat, by default with the state of the target. */
+  createHeartbeat(state = this.#state): unknown {
+    this.#sequence += 1;
     return {
       service: this.#options.service,
       address: this.#address,
       zone: this.#options.zone,
       version: this.#runningSoftware,
       slots: this.#options.slots,
-      state: this.#state,
+      state,
       coldLeftMs: this.#coldLeftMs,
       models: this.#modelList(),
       seq: this.#sequence,
--- a/src/core/fleet/fleet_command.ts
+++ b/src/core/fleet/fleet_command.ts
@@ -1,5 +1,6 @@
 /** Commands of the fleet's control log and their results. */
 import type { PolicyDocument } from "../policy/mod.ts";
+import type { Departure } from "./departures.ts";
 import type { TargetDeath } from "../quarantine/mod.ts";
 
 /** Number of requests started in a window, by workspace. */
@@ -60,6 +61,11 @@
     /** Version of the evacuations that the order is based on. */
     readonly after: number;
   }
+  | {
+    /** Records targets that leave; their late reports change nothing. */
+    readonly type: "depart";
+    readonly departures: readonly Departure[];
+  }
   /** Starts to drain an instance. */
   | { readonly type: "retire"; readonly name: string }
   /** Records that an instance has been drained. */
--- a/src/core/fleet/fleet_notice.ts
+++ b/src/core/fleet/fleet_notice.ts
@@ -2,6 +2,7 @@
 import type { PolicyDocument } from "../policy/mod.ts";
 import type { SuspicionChange } from "../quarantine/mod.ts";
 import type { TargetReport } from "../registry/mod.ts";
+import type { Departure } from "./departures.ts";
 import type { EvacuationUpdate } from "./evacuations.ts";
 import type { ChangeSequence, RosterEntry } from "./fleet_member.ts";
 
@@ -12,6 +13,9 @@
   readonly changes: readonly SuspicionChange[];
 }
 
+/** An incarnation of a target that leaves or has left. */
+export type DepartedTarget = Pick<Departure, "target" | "incarnation">;
+
 /** A pushed message. */
 export type FleetNotice =
   | { readonly type: "policy"; readonly document: PolicyDocument }
@@ -25,6 +29,11 @@
     /** Whether the reports include all targets known to the publisher. */
     readonly isWhole: boolean;
     readonly reports: readonly TargetReport[];
+    /**
+     * Targets that have left of late, with all targets; absent from an earlier
+     * build.
+     */
+    readonly departed?: readonly DepartedTarget[] | undefined;
   }
   | {
     /**
--- a/src/core/fleet/fleet_state.ts
+++ b/src/core/fleet/fleet_state.ts
@@ -1,6 +1,7 @@
 /** Replicated state of the fleet's control log. */
 import type { PolicyDocument } from "../policy/mod.ts";
 import { Quarantine } from "../quarantine/mod.ts";
+import { type Departure, Departures } from "./departures.ts";
 import { Evacuations, type EvacuationUpdate } from "./evacuations.ts";
 import type {
   FleetCommand,
@@ -19,6 +20,7 @@
   readonly retiring: readonly (readonly [string, boolean])[];
   readonly suspicions?: SuspicionUpdate;
   readonly evacuations?: EvacuationUpdate;
+  readonly departures?: readonly Departure[];
 }
 
 type Handlers = {
@@ -48,6 +50,7 @@
   readonly #quarantine = new Quarantine();
   #suspicionVersion = 0;
   readonly #evacuations = new Evacuations();
+  readonly #departures = new Departures();
   readonly #handlers: Handlers = {
     replacePolicy: ({ document, source }) => {
       if (document.revision <= this.policyRevision) return false;
@@ -89,6 +92,7 @@
       this.#countSuspicionChange(this.#quarantine.takeTrial(fingerprint, at)),
     evacuate: (command) => this.#evacuations.apply(command),
     readmit: (command) => this.#evacuations.apply(command),
+    depart: ({ departures }) => this.#departures.record(departures),
     retire: ({ name }) => {
       if (this.#retiring.has(name)) return false;
       this.#retiring.set(name, false);
@@ -158,6 +162,11 @@
     return this.#evacuations;
   }
 
+  /** Gets the targets that have left of late. */
+  get departures(): Pick<Departures, "has" | "all"> {
+    return this.#departures;
+  }
+
   /** Gets the last targets that ended under each request under suspicion. */
   get deadTargets(): ReadonlySet<string> {
     const { changes } = this.suspicions;
@@ -191,6 +200,7 @@
       retiring: [...this.#retiring],
       suspicions: this.suspicions,
       evacuations: this.#evacuations.save(),
+      departures: this.#departures.all,
     };
   }
 
@@ -205,6 +215,7 @@
     this.#quarantine.load(snapshot.suspicions?.changes ?? []);
     this.#suspicionVersion = snapshot.suspicions?.version ?? 0;
     this.#evacuations.load(snapshot.evacuations);
+    this.#departures.load(snapshot.departures ?? []);
     return this;
   }
 
--- a/src/core/fleet/mod.ts
+++ b/src/core/fleet/mod.ts
@@ -1,5 +1,6 @@
 /** Fleet whose instances discover each other through seed addresses. */
 export * from "./change_counter.ts";
+export * from "./departures.ts";
 export * from "./evacuations.ts";
 export * from "./control_contact.ts";
 export * from "./first_publisher.ts";
--- a/src/core/registry/target_registry.ts
+++ b/src/core/registry/target_registry.ts
@@ -59,6 +59,7 @@
   readonly #regions: RegionMap;
   #evacuated: ReadonlySet<string> | undefined = new Set();
   readonly #services = new NamedServices();
+  #hasLeft: (id: string, incarnation: number) => boolean = () => false;
 
   /** @param regions - Regions of the data centres; none known by default. */
   constructor(regions: RegionMap = new RegionMap(undefined)) {
@@ -67,11 +68,13 @@
 
   /**
    * Merges a report; ignored if it is not newer than the known one. A target
-   * that leaves stays leaving until it starts again.
+   * that leaves stays leaving until it starts again, and one that has left is
+   * not added by a late report.
    */
   merge(report: TargetReport, now: number): RegistryChange {
     const known = this.#targets.get(report.id);
     const current = known?.report;
+    if (this.#isOfLeftTarget(report, current)) return RegistryChange.None;
     if (current !== undefined && !isNewer(report, current)) {
       return RegistryChange.None;
     }
@@ -149,7 +152,8 @@
   }
 
   /**
-   * Records that an incarnation of a target leaves, before it reports it.
+   * Records that an incarnation of a target leaves, before it reports it. One
+   * before it has ended.
    * @returns False if it is unknown, has restarted or was known to leave.
    */
   markLeaving(id: string, incarnation: number): boolean {
@@ -157,7 +161,7 @@
     if (current === undefined) return false;
     const { report } = current;
     const isReady = report.state === TargetState.Ready;
-    if (!isReady || report.incarnation !== incarnation) return false;
+    if (!isReady || report.incarnation > incarnation) return false;
     this.#targets.set(id, {
       ...current,
       report: { ...report, state: TargetState.Draining },
@@ -275,6 +279,15 @@
     return this;
   }
 
+  /**
+   * Sets what tells whether an incarnation of a target has left; by default,
+   * none has that is not known here.
+   */
+  setDepartures(hasLeft: (id: string, incarnation: number) => boolean): this {
+    this.#hasLeft = hasLeft;
+    return this;
+  }
+
   /** Gets whether a data centre is evacuated, or may be. */
   isEvacuated(dataCentre: string): boolean {
     return this.#evacuated?.has(dataCentre) ?? true;
@@ -291,6 +304,17 @@
     return this;
   }
 
+  /** Gets whether a report was made before its target left, and arrives late. */
+  #isOfLeftTarget(
+    { id, incarnation, state }: TargetReport,
+    current: TargetReport | undefined,
+  ): boolean {
+    if (state !== TargetState.Ready) return false;
+    const isKnown = current?.incarnation === incarnation &&
+      current.state !== TargetState.Ready;
+    return !isKnown && this.#hasLeft(id, incarnation);
+  }
+
   #joinTimeOf({ id, service }: TargetReport, now: number): number | undefined {
     const isJoining = this.readyOf(service)
       .some(({ report }) => report.id !== id);
--- a/src/core/registry/target_registry_test.ts
+++ b/src/core/registry/target_registry_test.ts
@@ -71,6 +71,20 @@
     expect(registry.readyOf("planner")).toHaveLength(1);
   });
 
+  it("is not changed by a late report of a target that has left", () => {
+    const registry = new TargetRegistry()
+      .setDepartures((id, incarnation) => id === "i-1" && incarnation <= 2);
+    const { None, Changed } = RegistryChange;
+    expect(registry.merge(report({ incarnation: 2 }), 0)).toBe(None);
+    expect(registry.merge(report({ incarnation: 1 }), 0)).toBe(None);
+    expect(registry.all).toEqual([]);
+    const draining = { incarnation: 2, state: TargetState.Draining };
+    expect(registry.merge(report(draining), 1)).toBe(Changed);
+    expect(registry.readyOf("planner")).toEqual([]);
+    expect(registry.merge(report({ incarnation: 3 }), 2)).toBe(Changed);
+    expect(registry.readyOf("planner")).toHaveLength(1);
+  });
+
   // Guards against requests to an evacuated data centre.
   it("offers no target of an evacuated data centre", () => {
     const registry = new TargetRegistry();
--- a/src/logging/fleet_events.ts
+++ b/src/logging/fleet_events.ts
@@ -248,6 +248,11 @@
     text:
       "Evacuation of a data centre withdrawn on this instance; its targets get requests again",
   }),
+  departureUnrecorded: defineEvent(2361, "warn", {
+    text:
+      "Target leaves, and the control leader is of an earlier build that keeps no departures: a late report may bring the target back after all control instances have started again",
+    action: "Complete the upgrade of the control instances",
+  }),
   linesDropped: defineEvent(2901, "warn", {
     text:
       "Log lines dropped: events exceeded their rate limit, or the log reader is too slow",
--- a/src/schemas/fleet_notice_schema.ts
+++ b/src/schemas/fleet_notice_schema.ts
@@ -54,6 +54,7 @@
     mark: changeSequenceSchema.nullish(),
     isWhole: z.boolean(),
     reports: entries,
+    departed: entries.optional(),
   }),
   z.object({ type: z.literal("loading"), ...load }),
   z.object({ type: z.literal("loaded"), ...load }),
@@ -90,6 +91,7 @@
 /** Schema of the entries of each list. */
 const ENTRY_SCHEMAS: Readonly<Record<string, z.ZodType>> = {
   reports: targetReportSchema,
+  departed: z.object(incarnationOfTarget),
   changes: suspicionSchema,
   members: rosterEntrySchema,
   retiring: nameSchema,
--- a/src/schemas/fleet_request_schemas.ts
+++ b/src/schemas/fleet_request_schemas.ts
@@ -1,11 +1,13 @@
 /** Schemas of the requests that control instances serve. */
 import * as z from "zod";
 import type { ServiceDemand } from "../core/batches/mod.ts";
-import type { FleetCommand } from "../core/fleet/mod.ts";
+import type { Departure, FleetCommand } from "../core/fleet/mod.ts";
 import type { PermitRequest } from "../core/limits/mod.ts";
 import { policyDocumentSchema } from "./policy_document_schema.ts";
 import {
   countSchema,
+  identifierSchema,
+  incarnationSchema,
   nameSchema,
   quantitySchema,
   revisionSchema,
@@ -19,6 +21,12 @@
 const windowSchema = z.int().min(0);
 const countsSchema = z.record(z.string(), countSchema);
 
+const departureSchema = z.object({
+  target: identifierSchema,
+  incarnation: incarnationSchema,
+  at: z.number(),
+}) satisfies z.ZodType<Departure>;
+
 /** Schema of a command of the control log. */
 export const fleetCommandSchema = z.discriminatedUnion("type", [
   z.object({
@@ -62,6 +70,10 @@
     dataCentre: nameSchema,
     after: countSchema,
   }),
+  z.object({
+    type: z.literal("depart"),
+    departures: z.array(departureSchema),
+  }),
   z.object({ type: z.literal("retire"), name: nameSchema }),
   z.object({ type: z.literal("retired"), name: nameSchema }),
 ]) satisfies z.ZodType<FleetCommand>;
@@ -79,6 +91,11 @@
   suspicionVersion: request.suspicionVersion,
 }));
 
+/** Schema of a request to read the policy, or what the leader has applied. */
+export const readRequestSchema = z.object({
+  isPositionOnly: z.boolean().default(false),
+});
+
 /** Schema of a request for permits. */
 export const permitRequestSchema = z.object({
   targets: z.array(z.object({
--- a/src/tasks/fleet/control_requests.ts
+++ b/src/tasks/fleet/control_requests.ts
@@ -14,7 +14,11 @@
   RefusalReason,
   Verdict,
 } from "../../core/verdict/mod.ts";
-import { confirmRequestSchema, fleetCommandSchema } from "../../schemas/mod.ts";
+import {
+  confirmRequestSchema,
+  fleetCommandSchema,
+  readRequestSchema,
+} from "../../schemas/mod.ts";
 import { decodeRequest, type PeerHub } from "../peers/mod.ts";
 import { settleWithin } from "../settle.ts";
 import type { FleetLogService } from "./fleet_log_service.ts";
@@ -23,6 +27,8 @@
   type ConfirmPolicyRequest,
   createConfirmReply,
   FleetMethod,
+  type ReadReply,
+  type ReadRequest,
 } from "./fleet_method.ts";
 import type { FleetNode } from "./fleet_node.ts";
 
@@ -33,7 +39,7 @@
   };
   readonly service: Pick<
     FleetLogService,
-    "state" | "takesCommands" | "propose" | "confirmLeadership"
+    "state" | "applied" | "takesCommands" | "propose" | "confirmLeadership"
   >;
 }
 
@@ -61,7 +67,10 @@
         FleetMethod.Confirm,
         (params) => this.#confirm(decodeRequest(confirmRequestSchema, params)),
       )
-      .handle(FleetMethod.Read, () => this.#read());
+      .handle(
+        FleetMethod.Read,
+        (params) => this.#read(decodeRequest(readRequestSchema, params)),
+      );
   }
 
   /**
@@ -84,14 +93,31 @@
 
   /** Reads the committed policy's source text; undefined if there is none. */
   async readPolicy(): Promise<string | undefined> {
-    const { node, service } = this.#options;
+    const { service } = this.#options;
     if (service.takesCommands) return (await this.#read()).source;
-    const reply = await node.requestLeader(
+    return (await this.#readLeader()).source;
+  }
+
+  /**
+   * Gets the position up to which the leader has applied the log, which includes
+   * all that was acknowledged before the call.
+   * @returns Undefined if the leader is of an earlier build.
+   * @throws RefusalError if no leader is confirmed in time.
+   */
+  async readPosition(): Promise<number | undefined> {
+    const request = { isPositionOnly: true };
+    const { applied } = this.#options.service.takesCommands
+      ? await this.#read(request)
+      : await this.#readLeader(request);
+    return applied;
+  }
+
+  async #readLeader(request: Partial<ReadRequest> = {}): Promise<ReadReply> {
+    return await this.#options.node.requestLeader(
       FleetRole.Control,
       FleetMethod.Read,
-      { params: {}, timeoutMs: REQUEST_TIMEOUT_MS },
-    );
-    return (reply as { source: string | undefined }).source;
+      { params: request, timeoutMs: REQUEST_TIMEOUT_MS },
+    ) as ReadReply;
   }
 
   /**
@@ -132,9 +158,11 @@
     return createConfirmReply(service.state, request);
   }
 
-  async #read(): Promise<{ source: string | undefined }> {
+  async #read(request: Partial<ReadRequest> = {}): Promise<ReadReply> {
     const { service } = this.#options;
     await service.confirmLeadership(CONFIRM_TIMEOUT_MS);
-    return { source: service.state.policySource };
+    const { applied, state } = service;
+    const source = request.isPositionOnly ? undefined : state.policySource;
+    return { source, applied };
   }
 }
--- a/src/tasks/fleet/control_requests_test.ts
+++ b/src/tasks/fleet/control_requests_test.ts
@@ -35,6 +35,7 @@
     const sentTo: string[] = [];
     const service = {
       state: new FleetState(),
+      applied: 0,
       leadsTerm: options.isWriting ? undefined : options.leadsTerm,
       takesCommands: options.leadsTerm !== undefined,
       propose: (): Promise<typeof DONE> => {
--- a/src/tasks/fleet/control_task.ts
+++ b/src/tasks/fleet/control_task.ts
@@ -123,18 +123,22 @@
     this.#refusedReports.record(id, reason);
   }
 
-  /** Merges a target's report into the registry and forwards it. */
-  reportTarget(report: TargetReport): void {
-    this.#control.targets.merge(report);
+  /**
+   * Merges a target's report into the registry and forwards it.
+   * @throws RefusalError if the target leaves and that is not recorded in time.
+   */
+  reportTarget(report: TargetReport): Promise<void> {
+    return this.#control.reports.report(report);
   }
 
   /**
    * Removes a target that has deregistered.
    * @param incarnation - Incarnation that leaves; undefined for any.
-   * @throws RefusalError if the target is not known here.
+   * @throws RefusalError if the target is not known here and names no
+   *     incarnation, or if its departure is not recorded in time.
    */
-  removeTarget(id: string, incarnation: number | undefined): void {
-    this.#control.targets.remove(id, incarnation);
+  removeTarget(id: string, incarnation: number | undefined): Promise<void> {
+    return this.#control.reports.remove(id, incarnation);
   }
 
   /**
--- a/src/tasks/fleet/fleet_control.ts
+++ b/src/tasks/fleet/fleet_control.ts
@@ -23,6 +23,7 @@
 import { PermitService } from "./permit_service.ts";
 import { StreamService } from "./stream_service.ts";
 import { TargetDirectory } from "./target_directory.ts";
+import { TargetReports } from "./target_reports.ts";
 import { TrialService } from "./trial_service.ts";
 
 /** Options of {@link FleetControl}. */
@@ -46,6 +47,8 @@
 export class FleetControl {
   /** Targets that have registered with this or another control instance. */
   readonly targets: TargetDirectory;
+  /** Receives what targets say of themselves. */
+  readonly reports: TargetReports;
   /** Receives the operators' orders to evacuate data centres. */
   readonly evacuations: EvacuationService;
   readonly #options: FleetControlOptions;
@@ -101,6 +104,16 @@
       now: options.now,
       onChanged: options.onChanged,
     });
+    this.reports = new TargetReports({
+      directory: this.targets,
+      publisher: this.#publisher,
+      logger: node.logger,
+      state: () => this.state,
+      applied: () => this.#service.applied,
+      readPosition: () => this.#requests.readPosition(),
+      propose: (command) => this.propose(command),
+      wallNow: () => Date.now(),
+    });
     node.onNotice = (notice) => this.targets.onNotice(notice);
   }
 
@@ -149,12 +162,14 @@
       );
     }
     await driver.start();
+    this.reports.start();
     this.#timer = setInterval(() => this.#maintain(), MAINTENANCE_INTERVAL_MS);
   }
 
   /** Transfers leadership and closes the log. */
   async stop(): Promise<void> {
     clearInterval(this.#timer);
+    this.reports.stop();
     await this.#service.stop();
   }
 
@@ -192,7 +207,10 @@
       now,
       presentReplicas: () => this.#presentReplicas(),
       onApplied: (command, result) => this.#onApplied(command, result),
-      onRestored: () => this.#onStateChanged(),
+      onRestored: () => {
+        this.reports.onRestored();
+        this.#onStateChanged();
+      },
       onRole: (isLeader) => {
         this.#options.onRole(isLeader);
         node.hub.announce();
@@ -218,6 +236,7 @@
       this.#options.node.logger.event("weightsNamed", { model, version });
     }
     if (result.type === "done") this.#publisher.publishSuspicions(command);
+    this.reports.onApplied(command);
     this.#onStateChanged();
   }
 
--- a/src/tasks/fleet/fleet_follower.ts
+++ b/src/tasks/fleet/fleet_follower.ts
@@ -258,11 +258,16 @@
 
   #mergeReports(notice: NoticeOf<"targets">): void {
     const { registry, clock, onTargetsChanged, node } = this.#options;
-    const changed = notice.reports
+    const merged = notice.reports
       .filter((report) =>
         registry.merge(report, clock.now()) === RegistryChange.Changed
       )
-      .map(({ id }) => registry.getReportOrThrow(id));
+      .map(({ id }) => id);
+    const left = (notice.departed ?? [])
+      .filter((k) => registry.markLeaving(k.target, k.incarnation))
+      .map(({ target }) => target);
+    const changed = [...new Set([...merged, ...left])]
+      .map((id) => registry.getReportOrThrow(id));
     logTargetsChanged(node.logger, changed);
     if (changed.length > 0) onTargetsChanged();
   }
--- a/src/tasks/fleet/fleet_follower_test.ts
+++ b/src/tasks/fleet/fleet_follower_test.ts
@@ -82,6 +82,23 @@
     expect(seen).toEqual(expected);
   }
 
+  // Guards against an instance that was not told before control was lost.
+  it("offers no target that control says has left", () => {
+    const departed = [{ target: "a", incarnation: 1 }];
+    const mark = undefined;
+    return doTest({
+      needsLease: true,
+      notices: [{
+        type: "targets",
+        mark,
+        isWhole: true,
+        reports: [],
+        departed,
+      }],
+      replies: [{ version: 0, dataCentres: [] }],
+    }, [[], ["b"]]);
+  });
+
   // Guards against requests of an instance that has a policy and targets, but
   // has not heard of an order given while it was down.
   it("offers no targets until the control leader has replied", async () => {
--- a/src/tasks/fleet/fleet_method.ts
+++ b/src/tasks/fleet/fleet_method.ts
@@ -49,6 +49,20 @@
   readonly evacuations?: EvacuationUpdate | undefined;
 }
 
+/** Request to read what a confirmed leader has. */
+export interface ReadRequest {
+  /** Whether the policy is left out. */
+  readonly isPositionOnly: boolean;
+}
+
+/** Reply to a {@link ReadRequest}. */
+export interface ReadReply {
+  /** Policy as sent by the operator; undefined if there is none. */
+  readonly source: string | undefined;
+  /** Last entry that the leader has applied; absent from an earlier build. */
+  readonly applied?: number | undefined;
+}
+
 /** Creates the reply from the state that a confirmed leader has applied. */
 export function createConfirmReply(
   state: FleetState,
--- a/src/tasks/fleet/fleet_publisher.ts
+++ b/src/tasks/fleet/fleet_publisher.ts
@@ -199,6 +199,18 @@
     this.#roster.send();
   }
 
+  /** Sends all targets, and those that have left, to all followers again. */
+  resendTargets(): void {
+    const { node, now } = this.#options;
+    for (const role of FOLLOWER_ROLES) {
+      this.#changesOf(role).add(now());
+      for (const { id } of node.linkedMembers(role)) {
+        this.#targetsSentAt.delete(id);
+        this.#sendAllTargets(id, role, true);
+      }
+    }
+  }
+
   #sendTarget(role: FleetRole, report: TargetReport): void {
     const { node } = this.#options;
     this.#changesOf(role).add(this.#options.now());
@@ -236,7 +248,7 @@
 
   /** Sends all targets, at most once per interval and instance. */
   #sendAllTargets(id: string, role: FleetRole, isNew: boolean): void {
-    const { node, registry, now } = this.#options;
+    const { node, registry, state, now } = this.#options;
     const at = now();
     const intervalMs = isNew ? TARGETS_RESEND_NEW_MS : TARGETS_RESEND_MS;
     if (at - (this.#targetsSentAt.get(id) ?? -Infinity) < intervalMs) return;
@@ -246,6 +258,8 @@
       mark: this.#lastChangeOf(role),
       isWhole: true,
       reports: registry.all.map((target) => reportAt(target, at)),
+      departed: state().departures.all
+        .map(({ target, incarnation }) => ({ target, incarnation })),
     });
   }
 
--- a/src/tasks/fleet/odd_requests_test.ts
+++ b/src/tasks/fleet/odd_requests_test.ts
@@ -31,6 +31,7 @@
     node,
     service: {
       state: new FleetState(),
+      applied: 0,
       takesCommands: true,
       propose: (command) => {
         proposed.push(command);
--- a/src/tasks/fleet/published_messages_test.ts
+++ b/src/tasks/fleet/published_messages_test.ts
@@ -2,6 +2,7 @@
 import { createPolicy } from "../../../tests/support/policy_document.ts";
 import { createReport } from "../../../tests/support/target_report.ts";
 import {
+  Departures,
   type FleetMember,
   type FleetNotice,
   FleetRole,
@@ -49,6 +50,7 @@
           policy: this.policy,
           retiring: new Map(),
           evacuations: { save: () => ({ version: 0, dataCentres: [] }) },
+          departures: new Departures(),
         }) as unknown as FleetState,
       leadsTerm: () => undefined,
       now,
--- a/src/tasks/log/log_service.ts
+++ b/src/tasks/log/log_service.ts
@@ -57,6 +57,11 @@
     return this.takesCommands ? this.driver.node?.term : undefined;
   }
 
+  /** Gets the index of the last entry applied by this replica. */
+  get applied(): number {
+    return this.driver.applied;
+  }
+
   /**
    * Gets whether this replica leads and takes commands, also while committed
    * entries of its own wait for a write.
