Batches choose their service by weight, as calls do

Cause: decodeSubmission took the first share of the route. The rule by which calls choose was out of its reach, in tasks/calls. That rule itself ended at the last share, also one of weight 0, where the sum of the weights is rounded.

Why it works: one function, in core/policy, picks the service by the identifier of a call or a batch, among the shares above 0.

--- a/src/core/policy/mod.ts
+++ b/src/core/policy/mod.ts
@@ -8,3 +8,4 @@
 export * from "./policy_review.ts";
 export * from "./policy_view.ts";
 export * from "./region_map.ts";
+export * from "./service_shares.ts";
--- a/src/tasks/batches/item_scorer.ts
+++ b/src/tasks/batches/item_scorer.ts
@@ -10,6 +10,7 @@
   homesOf,
   type PolicyView,
   type RoutePolicy,
+  sendableSharesOf,
 } from "../../core/policy/mod.ts";
 import type {
   TargetRegistry,
@@ -173,7 +174,8 @@
     const { registry, port } = this.#options;
     const route = port.policy()?.document.routes
       .find(({ name }) => name === routeName);
-    const slots = (route?.shares ?? [])
+    if (route === undefined) return 0;
+    const slots = sendableSharesOf(route)
       .flatMap(({ service }) => registry.readyOf(service))
       .map(({ report }) => Math.max(1, report.slots * SLOTS_SHARE));
     return Math.floor(slots.reduce((sum, count) => sum + count, 0));
--- a/src/tasks/calls/call_targets.ts
+++ b/src/tasks/calls/call_targets.ts
@@ -11,7 +11,11 @@
   type OutputWriter,
   scarceVersionsOf,
 } from "../../core/continuation/mod.ts";
-import type { Homes, RoutePolicy } from "../../core/policy/mod.ts";
+import {
+  type Homes,
+  pickService,
+  type RoutePolicy,
+} from "../../core/policy/mod.ts";
 import {
   type TargetRegistry,
   type TargetReport,
@@ -21,7 +25,6 @@
 import { checkPermit, checkTarget, type SendGuard } from "../send_guard.ts";
 import type { CallSpread } from "./call_run_options.ts";
 import type { HeldPermit, RateGuard } from "./rate_guard.ts";
-import { pickService } from "./service_choice.ts";
 
 /** Options of {@link CallTargets}. */
 export interface CallTargetsOptions {
--- a/src/tasks/fleet/stream_records.ts
+++ b/src/tasks/fleet/stream_records.ts
@@ -7,7 +7,7 @@
   type StreamRecord,
 } from "../../core/continuation/mod.ts";
 import { FleetRole } from "../../core/fleet/mod.ts";
-import { RouteKind } from "../../core/policy/mod.ts";
+import { namesService, RouteKind } from "../../core/policy/mod.ts";
 import {
   RefusalError,
   RefusalReason,
@@ -85,10 +85,9 @@
         { workspace: workspace?.name, request: first },
         Math.min(MAX_FIND_MS, leftMs * FIND_FRACTION),
       );
-    const isAllowed = route.shares.some(({ service }) =>
-      service === writer?.service
-    );
-    if (writer !== undefined && isAllowed) return writer;
+    if (writer !== undefined && namesService(route, writer.service)) {
+      return writer;
+    }
     throw new RefusalError(RefusalReason.StreamUnknown, Verdict.NotRun, {
       message: isCertain
         ? "It is not known which target began the stream"
--- a/src/tasks/fleet/weights_rollout.ts
+++ b/src/tasks/fleet/weights_rollout.ts
@@ -6,7 +6,11 @@
   TargetState,
 } from "../../core/registry/mod.ts";
 import type { LoadedVersion } from "../../core/registry/mod.ts";
-import type { PolicyDocument, ServicePolicy } from "../../core/policy/mod.ts";
+import {
+  namesService,
+  type PolicyDocument,
+  type ServicePolicy,
+} from "../../core/policy/mod.ts";
 import {
   assignModels,
   dueLoads,
@@ -264,8 +268,7 @@
  */
 function loadModeOf(service: ServicePolicy, policy: PolicyDocument): LoadMode {
   const isSingleVersion = policy.routes.some((route) =>
-    route.isSingleVersion &&
-    route.shares.some((share) => share.service === service.name)
+    route.isSingleVersion && namesService(route, service.name)
   );
   return isSingleVersion ? LoadMode.Finish : LoadMode.Continue;
 }
