The start of a log on a full disk is tested between attempts

Cause: the log tries again each 500 ms, and an attempt has its file open for a moment. The test counted the open files once, 1,200 ms after the first failure; beside load the third attempt was under way then.

--- a/src/tasks/log/store_start_test.ts
+++ b/src/tasks/log/store_start_test.ts
@@ -75,7 +75,8 @@
       .then(() => isStarted = true);
     await vi.waitUntil(() => events.includes("controlStoreFailed"), WAIT);
     await new Promise((resolve) => setTimeout(resolve, 1_200));
-    expect(countOpenFiles()).toBe(openBefore);
+    // An attempt that is under way has the file open.
+    await vi.waitUntil(() => countOpenFiles() === openBefore, WAIT);
     expect(events.filter((name) => name === "controlStoreFailed"))
       .toHaveLength(1);
     expect([isStarted, driver.node, driver.replica])
