--- a/src/tasks/fleet/batch_ender.ts
+++ b/src/tasks/fleet/batch_ender.ts
@@ -6,23 +6,23 @@
   Verdict,
 } from "../../core/verdict/mod.ts";
 import { BatchMethod, type BatchParams } from "../batches/mod.ts";
+import { type CallerIdentity, requestAs } from "../calls/mod.ts";
 import { delay } from "../delay.ts";
 import { settleWithin } from "../settle.ts";
 import type { FleetNode } from "./fleet_node.ts";
 import type { FailedAttempt } from "./leader_client.ts";
 
-/** Request of a caller to end a batch. */
-export interface EndRequest {
-  readonly host: string;
+/** Request of a caller for a batch. */
+export interface BatchRequest {
   /** API key of the caller; undefined if it sent none. */
   readonly key: string | undefined;
   readonly batch: string;
 }
 
 /** End of a batch with what earlier rounds have found out. */
-interface PendingEnd extends EndRequest {
-  /** Workspace of the caller; undefined until it is authenticated. */
-  workspace: string | undefined;
+interface PendingEnd extends BatchRequest {
+  /** Undefined until the caller is identified. */
+  caller: CallerIdentity | undefined;
 }
 
 /** An end that is sent again, until its retries have settled. */
@@ -35,13 +35,10 @@
 export interface BatchEnderOptions {
   readonly node: Pick<FleetNode, "requestLeader" | "logger" | "metrics">;
   /**
-   * Gets the workspace of a caller.
-   * @throws RefusalError if the key is unknown or cannot be checked now.
+   * Identifies a caller.
+   * @throws RefusalError if keys cannot be checked now.
    */
-  readonly authenticate: (
-    host: string,
-    key: string | undefined,
-  ) => Promise<string>;
+  readonly identify: (key: string | undefined) => Promise<CallerIdentity>;
 }
 
 /** Time for all members that are asked in one round. */
@@ -68,7 +65,7 @@
  */
 export class BatchEnder {
   readonly #options: BatchEnderOptions;
-  /** Ends that are sent again, by host, key and batch. */
+  /** Ends that are sent again, by key and batch. */
   readonly #unconfirmed = new Map<string, UnconfirmedEnd>();
 
   constructor(options: BatchEnderOptions) {
@@ -80,10 +77,10 @@
    * @throws RefusalError if the caller is not known or has no such batch, or,
    * with verdict `mayHaveRun`, if the end is not confirmed yet.
    * @example
-   * await ender.end({ host: "park.example", key, batch: "7c41e0" });
+   * await ender.end({ key, batch: "7c41e0" });
    */
-  async end(request: EndRequest): Promise<void> {
-    const pending: PendingEnd = { ...request, workspace: undefined };
+  async end(request: BatchRequest): Promise<void> {
+    const pending: PendingEnd = { ...request, caller: undefined };
     try {
       await this.#send(pending);
     } catch (err) {
@@ -107,10 +104,10 @@
 
   /** Sends an end again; returns whether it does. */
   #retry(pending: PendingEnd): boolean {
-    const key = JSON.stringify([pending.host, pending.key, pending.batch]);
+    const key = JSON.stringify([pending.key, pending.batch]);
     const known = this.#unconfirmed.get(key);
     if (known !== undefined) {
-      known.pending.workspace ??= pending.workspace;
+      known.pending.caller ??= pending.caller;
       return true;
     }
     if (this.#unconfirmed.size >= MAX_UNCONFIRMED) return false;
@@ -135,11 +132,11 @@
 
   /**
    * Sends an end in one round of attempts, and logs the outcome. Its caller is
-   * authenticated once: a later change of the policy does not undo the request.
+   * identified once: a later change of the policy does not undo the request.
    */
   async #send(pending: PendingEnd): Promise<void> {
-    const { node, authenticate } = this.#options;
-    const { host, key, batch } = pending;
+    const { node, identify } = this.#options;
+    const { key, batch } = pending;
     const attempts: string[] = [];
     const startedAt = performance.now();
     const describe = () => ({
@@ -148,13 +145,15 @@
       attempts,
     });
     try {
-      pending.workspace ??= await authenticate(host, key);
-      const params: BatchParams = { workspace: pending.workspace, batch };
-      await node.requestLeader(FleetRole.Ledger, BatchMethod.End, {
-        params,
-        timeoutMs: ROUND_TIMEOUT_MS,
-        attemptMs: ATTEMPT_TIMEOUT_MS,
-        onFailed: (attempt) => attempts.push(formatAttempt(attempt)),
+      pending.caller ??= await identify(key);
+      await requestAs(pending.caller, (workspace) => {
+        const params: BatchParams = { workspace, batch };
+        return node.requestLeader(FleetRole.Ledger, BatchMethod.End, {
+          params,
+          timeoutMs: ROUND_TIMEOUT_MS,
+          attemptMs: ATTEMPT_TIMEOUT_MS,
+          onFailed: (attempt) => attempts.push(formatAttempt(attempt)),
+        });
       });
     } catch (err) {
       const { reason } = err as Partial<RefusalError>;
