--- a/src/tasks/fleet/batch_access_test.ts
+++ b/src/tasks/fleet/batch_access_test.ts
@@ -180,12 +180,12 @@
 
   async #send({ type, batch, key }: Call): Promise<number> {
     if (type === "submit") return await this.#submit(batch, key);
-    if (type === "end") await this.#entry.endBatch({ key, batch });
+    if (type === "end") await this.#entry.batches.end({ key, batch });
     if (type === "readBody") {
-      await this.#entry.readItem({ key, batch, item: "i" });
+      await this.#entry.batches.readItem({ key, batch, item: "i" });
     }
     if (type === "read") {
-      await this.#entry.readBatch({ key, batch, after: 0, waitMs: 0 });
+      await this.#entry.batches.read({ key, batch, after: 0, waitMs: 0 });
     }
     return OK;
   }
@@ -197,10 +197,10 @@
       const workspace = admission.workspace?.name ?? NO_WORKSPACE;
       const items = [{ id: "i", body: new Uint8Array() }] as never;
       const spec = createSpec({ id: batch, workspace, items });
-      await this.#entry.submit(spec, admission);
+      await this.#entry.batches.submit(spec, admission);
     } catch (err) {
       const isAccepted = isUnknown(err) &&
-        await this.#entry.hasBatch({ key, batch });
+        await this.#entry.batches.has({ key, batch });
       if (!isAccepted) throw err;
     }
     return ACCEPTED;
--- a/src/tasks/fleet/entry_task.ts
+++ b/src/tasks/fleet/entry_task.ts
@@ -1,5 +1,4 @@
-/** An entry instance: admits and forwards calls, and relays batches. */
-import type { BatchSpec, ResultPage } from "../../core/batches/mod.ts";
+/** An entry instance: admits and forwards calls. */
 import {
   type CallRequest,
   type CallResponse,
@@ -10,14 +9,7 @@
 import { FleetRole } from "../../core/fleet/mod.ts";
 import type { CallerLimits } from "../../core/policy/mod.ts";
 import type { TargetRegistry } from "../../core/registry/mod.ts";
-import { findScoringFaults } from "../../core/scoring/mod.ts";
-import { isUnknown, type RefusalError } from "../../core/verdict/mod.ts";
-import {
-  BatchMethod,
-  type BodyParams,
-  type ReadParams,
-  type SubmitParams,
-} from "../batches/mod.ts";
+import type { RefusalError } from "../../core/verdict/mod.ts";
 import {
   type Admission,
   CallGate,
@@ -25,18 +17,14 @@
   type CallSpread,
   type CrashGuard,
   type RateGuard,
-  requestAs,
   type ResponseStream,
   type TargetPort,
 } from "../calls/mod.ts";
 import { createRandom } from "../random.ts";
-import { BatchEnder, type BatchRequest } from "./batch_ender.ts";
-import { BatchHomes } from "./batch_homes.ts";
-import { BatchReader } from "./batch_reader.ts";
+import { BatchCalls } from "./batch_calls.ts";
 import { DrainClock } from "./drain_clock.ts";
 import type { FleetFollower } from "./fleet_follower.ts";
 import type { FleetNode } from "./fleet_node.ts";
-import type { LeaderRequestTimes } from "./leader_client.ts";
 import { StreamRecords } from "./stream_records.ts";
 import { untilTargetsKnown } from "./targets_wait.ts";
 
@@ -50,14 +38,6 @@
   readonly rates: RateGuard;
 }
 
-/** Request of a caller for results. */
-export interface ReadRequest
-  extends BatchRequest, Omit<ReadParams, "workspace"> {}
-
-/** Request of a caller for the body of an item. */
-export interface BodyRequest
-  extends BatchRequest, Omit<BodyParams, "workspace"> {}
-
 /** Options of {@link EntryTask.forward}. */
 export interface ForwardOptions {
   readonly admission: Admission;
@@ -81,24 +61,17 @@
   headerTimeoutMs: 3_000,
   idleTimeoutMs: 15_000,
 };
-const SUBMIT_TIMEOUT_MS = 3_000;
-const BODY_TIMEOUT_MS = 1_300;
-/** Time for one member, so that a silent leader leaves time for another one. */
-const BODY_ATTEMPT_MS = 450;
-/** Time in which the ledger usually answers. */
-const LEDGER_ANSWER_MS = 300;
 
 /** Serves callers on one entry instance. */
 export class EntryTask {
+  /** Serves the calls of batches. */
+  readonly batches: BatchCalls;
   readonly #options: EntryTaskOptions;
   readonly #gate: CallGate;
   readonly #latencies = new LatencyTracker();
-  readonly #reader: BatchReader;
   readonly #usage: UsageCounter;
   readonly #streams: StreamRecords;
   readonly #spread: CallSpread;
-  readonly #batchHomes: BatchHomes;
-  readonly #ender: BatchEnder;
   readonly #drainClock = new DrainClock();
   #isDraining = false;
 
@@ -106,18 +79,12 @@
     this.#options = options;
     const { node, follower } = options;
     this.#streams = new StreamRecords(node);
-    this.#reader = new BatchReader({
-      node,
-      readLeader: (params, timeoutMs) =>
-        this.#requestLedger(BatchMethod.Read, params, { timeoutMs }),
-    });
     this.#spread = {
       instances: () =>
         node.senders.length -
         node.roster.membersOf(FleetRole.Ledger, node.now).length,
       random: createRandom(),
     };
-    this.#batchHomes = new BatchHomes(options);
     this.#usage = new UsageCounter(node.settings.times.usageWindowMs);
     this.#gate = new CallGate({
       policy: () => follower.policy,
@@ -125,9 +92,10 @@
       hasLease: () => follower.hasLease,
       hasControlLeader: () => node.leaderOf(FleetRole.Control) !== undefined,
     });
-    this.#ender = new BatchEnder({
-      node,
+    this.batches = new BatchCalls({
+      ...options,
       identify: (key) => this.#gate.identify(key),
+      drainClock: this.#drainClock,
     });
   }
 
@@ -261,89 +229,6 @@
     }
   }
 
-  /**
-   * Submits a batch to the ledger.
-   * @throws RefusalError if no route matches a scoring call of its items, if it
-   * would leave its homes, or if the ledger does not accept it in time.
-   */
-  async submit(spec: BatchSpec, { policy }: Admission): Promise<void> {
-    this.#batchHomes.throwIfOutside(spec);
-    const params: SubmitParams = {
-      spec,
-      faults: findScoringFaults(spec, policy),
-    };
-    await this.#requestLedger(BatchMethod.Submit, params, {
-      timeoutMs: this.#drainClock.bound(SUBMIT_TIMEOUT_MS, LEDGER_ANSWER_MS),
-    });
-  }
-
-  /**
-   * Reads a page of batch results.
-   * @throws RefusalError if the batch is not open to the caller, or the ledger
-   * does not answer in time.
-   */
-  async readBatch({ key, ...request }: ReadRequest): Promise<ResultPage> {
-    const caller = await this.#gate.identify(key);
-    const longestMs = request.waitMs + LEDGER_ANSWER_MS;
-    const boundMs = this.#drainClock.bound(longestMs, LEDGER_ANSWER_MS);
-    const waitMs = Math.min(request.waitMs, boundMs - LEDGER_ANSWER_MS);
-    return await requestAs(
-      caller,
-      (workspace) => this.#reader.read({ ...request, workspace, waitMs }),
-    );
-  }
-
-  /**
-   * Gets whether a batch has been accepted, for a caller who submits it again
-   * where no route takes it any more.
-   * @throws RefusalError if that is not certain.
-   */
-  async hasBatch({ key, batch }: BatchRequest): Promise<boolean> {
-    const { workspace } = await this.#gate.identify(key);
-    try {
-      const params: ReadParams = { workspace, batch, after: 0, waitMs: 0 };
-      await this.#requestLedger(BatchMethod.Read, params, {
-        timeoutMs: this.#drainClock.bound(SUBMIT_TIMEOUT_MS, LEDGER_ANSWER_MS),
-      });
-      return true;
-    } catch (err) {
-      if (isUnknown(err)) return false;
-      throw err;
-    }
-  }
-
-  /**
-   * Reads the body of an item from the ledger.
-   * @throws RefusalError if the batch is not open to the caller, or the ledger
-   * does not answer in time.
-   */
-  async readItem({ key, ...request }: BodyRequest): Promise<Uint8Array> {
-    const caller = await this.#gate.identify(key);
-    const times = {
-      timeoutMs: this.#drainClock.bound(BODY_TIMEOUT_MS, LEDGER_ANSWER_MS),
-      attemptMs: BODY_ATTEMPT_MS,
-    };
-    const reply = await requestAs(caller, (workspace) => {
-      const params: BodyParams = { ...request, workspace };
-      return this.#requestLedger(BatchMethod.Body, params, times);
-    });
-    return reply as Uint8Array;
-  }
-
-  /**
-   * Ends a batch at the ledger, also if that takes longer than the answer.
-   * @throws RefusalError if the batch is not open to the caller, or,
-   * with verdict `mayHaveRun`, if the end is not confirmed yet.
-   */
-  async endBatch(request: BatchRequest): Promise<void> {
-    await this.#ender.end(request);
-  }
-
-  /** Waits for some time until the ends of batches are confirmed. */
-  async settleEnds(timeoutMs: number): Promise<void> {
-    await this.#ender.settle(timeoutMs);
-  }
-
   /** Counts and logs the refusal of a request. */
   logRefusal(id: string, refusal: RefusalError): void {
     this.#options.node.metrics.count(`refusals.${refusal.reason}`);
@@ -356,18 +241,6 @@
       hasLease: this.#options.follower.hasLease,
     });
   }
-
-  #requestLedger(
-    method: string,
-    params: unknown,
-    { timeoutMs, attemptMs = timeoutMs }: LeaderRequestTimes,
-  ): Promise<unknown> {
-    return this.#options.node.requestLeader(FleetRole.Ledger, method, {
-      params,
-      timeoutMs,
-      attemptMs,
-    });
-  }
 }
 
 const EMPTY_BODY = new Uint8Array();
