A control instance that knows no leader uses what targets report, after 3 s

After its start a control instance waited without end for a leader before it used reports of targets, so that a minority that had started again kept its targets from callers who need no key.

By reading; no run showed the wait.

Besides: one lookup of streams in place of three.

--- a/src/core/continuation/stream_directory.ts
+++ b/src/core/continuation/stream_directory.ts
@@ -77,7 +77,7 @@
    */
   add({ writer, keepMs, workspace, request }: StreamRecord): this {
     const key = { workspace, request };
-    const known = this.#streams.get(encodeKey(key))?.writer;
+    const known = this.#find(key);
     const isSame = known === undefined ||
       (known.service === writer.service && known.software === writer.software);
     const { service } = writer;
@@ -93,20 +93,23 @@
    * may bring one by now, as its route needs one.
    */
   get({ workspace, request }: StreamKey): OutputWriter | undefined {
-    const known = this.#streams.get(encodeKey({ workspace, request })) ??
-      this.#streams.get(encodeKey({ workspace: undefined, request }));
-    return known?.writer;
+    return this.#find({ workspace, request }) ??
+      this.#find({ workspace: undefined, request });
   }
 
   /**
    * Gets the record with which another instance stores a stream for as long.
    */
   getRecord(key: StreamKey): StreamRecord | undefined {
-    const writer = this.#streams.get(encodeKey(key))?.writer;
+    const writer = this.#find(key);
     if (writer === undefined) return undefined;
     const keepMs = this.#streams.getRemainingTTL(encodeKey(key));
     return { ...key, writer, keepMs };
   }
+
+  #find(key: StreamKey): OutputWriter | undefined {
+    return this.#streams.get(encodeKey(key))?.writer;
+  }
 }
 
 function encodeKey({ workspace, request }: StreamKey): string {
--- a/src/tasks/batches/batch_intake.ts
+++ b/src/tasks/batches/batch_intake.ts
@@ -79,8 +79,7 @@
       return await this.#propose(spec);
     }
     await this.#confirmSubmission();
-    const caller = { workspace: spec.workspace, batch: spec.id };
-    this.#throwUnlessOpen(caller);
+    this.#throwUnlessOpen({ workspace: spec.workspace, batch: spec.id });
     return true;
   }
 
--- a/src/tasks/fleet/fleet_control.ts
+++ b/src/tasks/fleet/fleet_control.ts
@@ -111,6 +111,7 @@
       state: () => this.state,
       applied: () => this.#service.applied,
       readPosition: () => this.#requests.readPosition(),
+      hasLeader: () => node.leaderOf(FleetRole.Control) !== undefined,
       propose: (command) => this.propose(command),
       wallNow: () => Date.now(),
     });
--- a/src/tasks/fleet/fleet_publisher.ts
+++ b/src/tasks/fleet/fleet_publisher.ts
@@ -19,6 +19,7 @@
   TargetState,
 } from "../../core/registry/mod.ts";
 import type { FleetNode } from "./fleet_node.ts";
+import { LEADER_WAIT_MS } from "./fleet_timing.ts";
 import { PolicyPublisher } from "./policy_publisher.ts";
 import {
   FOLLOWER_ROLES,
@@ -49,12 +50,6 @@
  * it confirms changes by its heartbeat, once a second.
  */
 const CONFIRMATION_DELAY_MS = 1_300;
-/**
- * Time after its start from which an instance without a leader tells instances
- * that have just started what it has restored; before, a leader may know of a
- * later order.
- */
-const LEADER_WAIT_MS = 3_000;
 /** Sends changes at once, and resends them to instances that lack them. */
 export class FleetPublisher {
   readonly #options: FleetPublisherOptions;
--- a/src/tasks/fleet/log_catch_up.ts
+++ b/src/tasks/fleet/log_catch_up.ts
@@ -1,5 +1,6 @@
 /** Start of a replica: the time until it knows what was acknowledged before. */
 import { delay } from "../delay.ts";
+import { LEADER_WAIT_MS } from "./fleet_timing.ts";
 
 /** Options of {@link LogCatchUp}. */
 export interface LogCatchUpOptions {
@@ -11,6 +12,8 @@
   readonly readPosition: () => Promise<number | undefined>;
   /** Gets the last entry that this replica has applied. */
   readonly applied: () => number;
+  /** Gets whether a leader is known. */
+  readonly hasLeader: () => boolean;
   /** Called once this replica has caught up. */
   readonly onDone: () => void;
 }
@@ -20,7 +23,8 @@
 
 /**
  * Waits after a start until this replica has applied all that any replica had
- * acknowledged before.
+ * acknowledged before. Where no leader is known, it waits for some time only: a
+ * minority must not keep its targets from callers.
  *
  * @example
  * ```ts
@@ -63,11 +67,14 @@
   }
 
   async #findPosition(): Promise<number> {
+    const startedAt = performance.now();
     while (!this.#isStopped) {
       try {
         return await this.#options.readPosition() ?? 0;
       } catch {
-        // There is no leader yet.
+        const waitedMs = performance.now() - startedAt;
+        const isLost = waitedMs > LEADER_WAIT_MS && !this.#options.hasLeader();
+        if (isLost) break;
         await delay(RETRY_DELAY_MS);
       }
     }
--- a/src/tasks/fleet/target_reports.ts
+++ b/src/tasks/fleet/target_reports.ts
@@ -22,6 +22,8 @@
   readonly applied: () => number;
   /** Gets the leader's position; see {@link LogCatchUp}. */
   readonly readPosition: () => Promise<number | undefined>;
+  /** Gets whether a leader of the control log is known. */
+  readonly hasLeader: () => boolean;
   readonly propose: (command: FleetCommand) => Promise<unknown>;
   /** Gets the time, in milliseconds since the Unix epoch. */
   readonly wallNow: () => number;
@@ -31,7 +33,7 @@
  * Receives heartbeats and deregistrations. That a target leaves is acknowledged
  * once the control log has it: a report that was made before may arrive after
  * all instances have started again. Until a replica has caught up after its
- * start, it keeps what targets report.
+ * start, it keeps what targets report, and does not use it.
  */
 export class TargetReports {
   readonly #options: TargetReportsOptions;
--- a/src/tasks/fleet/target_reports_test.ts
+++ b/src/tasks/fleet/target_reports_test.ts
@@ -50,6 +50,7 @@
       state: () => this.state,
       applied: () => log.length,
       readPosition: () => log.readPosition(),
+      hasLeader: () => true,
       propose: (command) => log.propose(command),
       wallNow: () => 1_000,
     }).start();
