--- a/src/tasks/fleet/batch_access_test.ts
+++ b/src/tasks/fleet/batch_access_test.ts
@@ -1,6 +1,7 @@
 import fc from "fast-check";
 import { describe, expect, it } from "vitest";
 import { createSpec } from "../../../tests/support/batch_spec.ts";
+import { createEntryNode } from "../../../tests/support/entry_fixture.ts";
 import {
   createPolicy,
   createRoute,
@@ -9,8 +10,6 @@
 import { NO_WORKSPACE, PolicyView, RouteKind } from "../../core/policy/mod.ts";
 import { TargetRegistry } from "../../core/registry/mod.ts";
 import { isUnknown, type RefusalError } from "../../core/verdict/mod.ts";
-import { Logger } from "../../logging/mod.ts";
-import { Metrics } from "../../metrics/mod.ts";
 import { BatchIntake, type LedgerService } from "../batches/batch_intake.ts";
 import { BatchMethod } from "../batches/mod.ts";
 import { ResultReader } from "../batches/result_reader.ts";
@@ -209,24 +208,9 @@
   #createEntry(
     request: (method: string, params: unknown) => Promise<unknown>,
   ): EntryTask {
-    const node = {
-      settings: {
-        id: "entry",
-        dataCentre: "a",
-        times: { usageWindowMs: 1_000 },
-      },
-      logger: new Logger({ instance: "entry", level: "error" }),
-      metrics: new Metrics({ tags: {} }),
-      now: 0,
-      senders: [],
-      roster: { membersOf: () => [] },
-      linkedMembers: () => [],
-      requestLeader: (
-        _role: string,
-        method: string,
-        { params }: { params: unknown },
-      ) => request(method, params),
-    };
+    const node = createEntryNode({
+      requestLeader: (_role, method, { params }) => request(method, params),
+    });
     const policy = () => this.#policy;
     const follower = {
       get policy() {
--- a/tests/support/entry_fixture.ts
+++ b/tests/support/entry_fixture.ts
@@ -50,7 +50,7 @@
   for (const [i, address] of targets.entries()) {
     registry.merge(createReport({ id: `t${i}`, address }), 0);
   }
-  const node = createNode();
+  const node = createEntryNode();
   const entry = new EntryTask({
     node,
     follower: createFollower(),
@@ -70,7 +70,10 @@
   return { address: `${HOST}:${port}`, server };
 }
 
-function createNode(): EntryTaskOptions["node"] {
+/** Creates the node of an entry instance that knows no other instance. */
+export function createEntryNode(
+  fields: Partial<EntryTaskOptions["node"]> = {},
+): EntryTaskOptions["node"] {
   return {
     id: "entry",
     settings: {
@@ -84,6 +87,7 @@
     senders: [],
     roster: { membersOf: () => [] },
     linkedMembers: () => [],
+    ...fields,
   } as unknown as EntryTaskOptions["node"];
 }
 
