--- a/src/tasks/fleet/batch_calls.ts
+++ b/src/tasks/fleet/batch_calls.ts
@@ -89,10 +89,7 @@
       faults: findScoringFaults(spec, policy),
     };
     await this.#requestLedger(BatchMethod.Submit, params, {
-      timeoutMs: this.#options.drainClock.bound(
-        SUBMIT_TIMEOUT_MS,
-        LEDGER_ANSWER_MS,
-      ),
+      timeoutMs: this.#bound(SUBMIT_TIMEOUT_MS),
     });
   }
 
@@ -104,7 +101,7 @@
   async read({ key, ...request }: ReadRequest): Promise<ResultPage> {
     const caller = await this.#options.identify(key);
     const longestMs = request.waitMs + LEDGER_ANSWER_MS;
-    const boundMs = this.#options.drainClock.bound(longestMs, LEDGER_ANSWER_MS);
+    const boundMs = this.#bound(longestMs);
     const waitMs = Math.min(request.waitMs, boundMs - LEDGER_ANSWER_MS);
     return await requestAs(
       caller,
@@ -127,10 +124,7 @@
         waitMs: 0,
       };
       await this.#requestLedger(BatchMethod.Read, params, {
-        timeoutMs: this.#options.drainClock.bound(
-          SUBMIT_TIMEOUT_MS,
-          LEDGER_ANSWER_MS,
-        ),
+        timeoutMs: this.#bound(SUBMIT_TIMEOUT_MS),
       });
       return true;
     } catch (err) {
@@ -147,10 +141,7 @@
   async readItem({ key, ...request }: BodyRequest): Promise<Uint8Array> {
     const caller = await this.#options.identify(key);
     const times = {
-      timeoutMs: this.#options.drainClock.bound(
-        BODY_TIMEOUT_MS,
-        LEDGER_ANSWER_MS,
-      ),
+      timeoutMs: this.#bound(BODY_TIMEOUT_MS),
       attemptMs: BODY_ATTEMPT_MS,
     };
     const reply = await requestAs(caller, (workspace) => {
@@ -174,6 +165,11 @@
     await this.#ender.settle(timeoutMs);
   }
 
+  /** Bounds the time of a request by what is left while this instance drains. */
+  #bound(timeoutMs: number): number {
+    return this.#options.drainClock.bound(timeoutMs, LEDGER_ANSWER_MS);
+  }
+
   #requestLedger(
     method: string,
     params: unknown,
--- a/src/tasks/fleet/target_reports.ts
+++ b/src/tasks/fleet/target_reports.ts
@@ -1,5 +1,9 @@
 /** What targets say of themselves, at a control instance. */
-import type { FleetCommand, FleetState } from "../../core/fleet/mod.ts";
+import type {
+  Departure,
+  FleetCommand,
+  FleetState,
+} from "../../core/fleet/mod.ts";
 import {
   isNewer,
   type TargetReport,
@@ -45,13 +49,12 @@
   constructor(options: TargetReportsOptions) {
     this.#options = options;
     const { directory, state, logger } = options;
-    directory.registry.setDepartures((target, incarnation) =>
-      state().departures.has(target, incarnation)
-    );
+    const hasLeft = (target: string, incarnation: number) =>
+      state().departures.has(target, incarnation);
+    directory.registry.setDepartures(hasLeft);
     this.#recorder = new DepartureRecorder({
       ...options,
-      isRecorded: (target, incarnation) =>
-        state().departures.has(target, incarnation),
+      isRecorded: hasLeft,
       onUnsupported: () => logger.event("departureUnrecorded"),
     });
     this.#catchUp = new LogCatchUp({
@@ -100,17 +103,16 @@
 
   /** Applies a command to the known targets that it says have left. */
   onApplied(command: FleetCommand): void {
-    if (command.type !== "depart") return;
-    for (const { target, incarnation } of command.departures) {
-      this.#options.directory.markLeaving(target, incarnation);
-    }
+    if (command.type === "depart") this.#markLeaving(command.departures);
   }
 
   /** Applies a restored state to the known targets that it says have left. */
   onRestored(): void {
-    for (
-      const { target, incarnation } of this.#options.state().departures.all
-    ) {
+    this.#markLeaving(this.#options.state().departures.all);
+  }
+
+  #markLeaving(departures: readonly Departure[]): void {
+    for (const { target, incarnation } of departures) {
       this.#options.directory.markLeaving(target, incarnation);
     }
   }
