A redundant link is closed once the other side has read what it carries

Only a pending request of its own kept it.

Now nothing new is given to such a link, a ping follows its last message, and it is closed when the ping is answered: the other side reads in order, so it has all by then. Requests of the other side that are being answered keep it, too. A link that does not answer within 5 s is ended as before.

Ruled out: a flush of the own buffer as the sign (what the kernel still holds is lost if the close times out).

Test: five messages of 5 MB on a link that is replaced; on the code before none of them arrived (`expected [] to have a length of 5`).

--- a/src/tasks/peers/peer_hub.ts
+++ b/src/tasks/peers/peer_hub.ts
@@ -16,7 +16,6 @@
 import type {
   BodyOf,
   PeerEnvelope,
-  PeerReply,
   Presence,
   TaskChannel,
 } from "./peer_envelope.ts";
@@ -212,12 +211,18 @@
 
   /**
    * Closes the link dialled to an instance if that instance has dialled one
-   * too, and if no request is pending on it.
+   * too, and if no request of either side is pending on it. What was sent on it
+   * arrives before.
    */
   dropRedundantLink(id: string): this {
-    const isRedundant = this.#links.getAccepted(id) !== undefined &&
-      !this.#pending.isPendingOn(this.#links.getDialled(id));
-    return isRedundant ? this.dropLink(id) : this;
+    const dialled = this.#links.getDialled(id);
+    if (dialled === undefined || this.#links.getAccepted(id) === undefined) {
+      return this;
+    }
+    const isInUse = this.#pending.isPendingOn(dialled) ||
+      this.#handlers.isAnsweringOn(dialled);
+    if (!isInUse) this.#links.replace(id);
+    return this;
   }
 
   /** Gets the instances that are present. */
@@ -345,8 +350,7 @@
           `${envelope.channel}: nested over ${MAX_MESSAGE_DEPTH}`,
         );
       } else if (envelope.channel === "request") {
-        const send = (body: PeerReply) => link.send({ channel: "reply", body });
-        this.#handlers.answer(envelope.body, from, send)
+        this.#handlers.answer(envelope.body, from, link)
           .catch((err) => logger.error(err));
       } else if (envelope.channel === "reply") {
         this.#pending.onReply(envelope.body);
--- a/src/tasks/peers/peer_hub_test.ts
+++ b/src/tasks/peers/peer_hub_test.ts
@@ -23,6 +23,8 @@
 const FIRST_PORT = 20_000;
 /** Fourth number of the address on which the hubs listen. */
 const HOST_NUMBER = 2;
+/** Size of a message that is not compressed, and waits in the send buffer. */
+const UNCOMPRESSED_BYTES = 5_000_000;
 
 describe(PeerHub.name, () => {
   const stops: (() => void)[] = [];
@@ -126,6 +128,38 @@
     expect(await second.request("a", "echo", options)).toBe(1);
   });
 
+  // Guards against messages that are lost with a link that is replaced.
+  it("delivers what was sent on a redundant link before it is closed", async () => {
+    const [a, b] = [nextPort(), nextPort()];
+    const first = await start("a", a, { b });
+    const second = await start("b", b, { a });
+    const received: unknown[] = [];
+    first.on("notice", (_, notice) => received.push(notice));
+    const events = vi.spyOn(Logger.prototype, "event");
+    stops.push(() => events.mockRestore());
+    first.keepLink("b");
+    await vi.waitFor(() => expect(second.isLinked("a")).toBe(true), 5_000);
+    second.keepLink("a");
+    await vi.waitFor(
+      () => expect(events).toHaveBeenCalledWith("peerUp", { peer: "a" }),
+      5_000,
+    );
+    const text = "x".repeat(UNCOMPRESSED_BYTES);
+    const body = { type: "roster", members: [], retiring: [text] } as const;
+    const sent = Array.from(
+      { length: 5 },
+      () => second.send("a", { channel: "notice", body }),
+    );
+    second.dropRedundantLink("a");
+    expect(sent).toEqual(Array(5).fill(true));
+    await vi.waitFor(() => expect(received).toHaveLength(5), 5_000);
+    await vi.waitFor(
+      () => expect(events).toHaveBeenCalledWith("peerDown", { peer: "a" }),
+      5_000,
+    );
+    expect(second.isLinked("a")).toBe(true);
+  });
+
   it("reports not run if the other instance is unreachable", async () => {
     const [a, b] = [nextPort(), nextPort()];
     const requester = await start("a", a, { b });
--- a/src/tasks/peers/peer_link.ts
+++ b/src/tasks/peers/peer_link.ts
@@ -37,6 +37,10 @@
 export const SILENCE_TIMEOUT_MS = 1_800;
 const MIN_REDIAL_DELAY_MS = 100;
 const MAX_REDIAL_DELAY_MS = 1_000;
+/** Time in which the other instance must have read a link that is replaced. */
+const REPLACE_TIMEOUT_MS = 5_000;
+/** Content of the ping that follows the last message of a replaced link. */
+const LAST_PING = Buffer.from("last");
 /** Size of a link's send buffer above which messages are dropped, in bytes. */
 const MAX_BUFFERED_BYTES = 33_554_432;
 
@@ -71,6 +75,7 @@
   sendBytes(encode: () => Buffer): boolean {
     const socket = this.#socket;
     if (!this.#isUp || socket === undefined) return false;
+    if (socket.readyState !== socket.OPEN) return false;
     const { onSent, memory } = this.#options;
     return sendEncoded(socket, { encode, onSent, memory });
   }
@@ -99,6 +104,25 @@
     this.#socket?.terminate();
   }
 
+  /**
+   * Closes the link for good once the other instance has read all that was sent.
+   * Until it closes its side as well, its messages are received.
+   */
+  closeWhenRead(): void {
+    const socket = this.#socket;
+    if (!this.#isUp || socket === undefined) {
+      this.stop();
+      return;
+    }
+    this.#isStopped = true;
+    const timer = setTimeout(() => socket.terminate(), REPLACE_TIMEOUT_MS);
+    socket.on("close", () => clearTimeout(timer));
+    socket.on("pong", (data) => {
+      if (data.equals(LAST_PING)) socket.close();
+    });
+    socket.ping(LAST_PING);
+  }
+
   /**
    * Pings the other instance after silence, and closes an unanswered link.
    *
--- a/src/tasks/peers/peer_links.ts
+++ b/src/tasks/peers/peer_links.ts
@@ -56,6 +56,8 @@
   #security: LinkSecurity | undefined;
   readonly #listener: PeerListener | undefined;
   readonly #dialled = new Map<string, PeerLink>();
+  /** Dialled links that the other instance still reads. */
+  readonly #replaced = new Set<PeerLink>();
   #onTunnel: TunnelListener = ({ socket }) => socket.terminate();
 
   /**
@@ -128,6 +130,7 @@
       security: () => this.#security,
       onChange: (isUp) => {
         logger.event(isUp ? "peerUp" : "peerDown", { peer: id });
+        if (!isUp) this.#replaced.delete(dialled);
         onChange(id, dialled, isUp);
       },
       onMessage: (envelope) => onMessage(id, dialled, envelope),
@@ -145,6 +148,18 @@
     return link;
   }
 
+  /**
+   * Replaces the link dialled to an instance by the one that the instance has
+   * dialled. No message that was given to it is lost.
+   */
+  replace(id: string): void {
+    const link = this.#dialled.get(id);
+    if (link === undefined) return;
+    this.#dialled.delete(id);
+    if (link.isUp) this.#replaced.add(link);
+    link.closeWhenRead();
+  }
+
   /** Sends a message, which may be lost; returns false if it was not sent. */
   send(to: string, envelope: PeerEnvelope): boolean {
     const link = this.getOpen(to) ?? this.getOrDial(to);
@@ -202,7 +217,8 @@
 
   /** Closes all links and stops listening. */
   stop(): void {
-    for (const link of this.#dialled.values()) link.stop();
+    const links = [...this.#dialled.values(), ...this.#replaced];
+    for (const link of links) link.stop();
     this.#listener?.stop();
   }
 
--- a/src/tasks/peers/request_handlers.ts
+++ b/src/tasks/peers/request_handlers.ts
@@ -2,6 +2,7 @@
 import { Verdict } from "../../core/verdict/mod.ts";
 import { MalformedRequestError } from "./malformed_request_error.ts";
 import type { PeerReply, PeerRequest } from "./peer_envelope.ts";
+import type { RequestLink } from "./pending_requests.ts";
 import { createUnansweredError, encodeRefusal } from "./peer_refusal.ts";
 
 /** Handles a request from another instance. */
@@ -13,6 +14,8 @@
 /** Finds the handler of each request by its method. */
 export class RequestHandlers {
   readonly #handlers = new Map<string, RequestHandler>();
+  /** Number of requests that are being answered, by link. */
+  readonly #answering = new Map<RequestLink, number>();
   readonly #onMalformed: (from: string, reason: string) => void;
 
   /** @param onMalformed - Called if a handler cannot decode a request. */
@@ -39,16 +42,24 @@
     return await handler(params, from);
   }
 
+  /** Gets whether a request that came on a link waits for its reply. */
+  isAnsweringOn(link: RequestLink): boolean {
+    return this.#answering.has(link);
+  }
+
   /**
-   * Runs the handler of a request and sends its reply. A result that cannot be
-   * sent is replied to with a refusal, so that the sender need not wait.
+   * Runs the handler of a request and sends its reply on the same link. A result
+   * that cannot be sent is replied to with a refusal, so that the sender need not
+   * wait.
    */
   async answer(
     request: PeerRequest,
     from: string,
-    send: (reply: PeerReply) => void,
+    link: RequestLink,
   ): Promise<void> {
     const { id, method, params } = request;
+    const send = (body: PeerReply) => link.send({ channel: "reply", body });
+    this.#countAnswers(link, 1);
     try {
       const result = await this.run(method, params, from);
       send({ id, result });
@@ -57,6 +68,14 @@
         this.#onMalformed(from, `${method}: ${err.message}`);
       }
       send({ id, refusal: encodeRefusal(err) });
+    } finally {
+      this.#countAnswers(link, -1);
     }
   }
+
+  #countAnswers(link: RequestLink, change: number): void {
+    const count = (this.#answering.get(link) ?? 0) + change;
+    if (count === 0) this.#answering.delete(link);
+    else this.#answering.set(link, count);
+  }
 }
