--- a/src/core/consensus/catch_up_test.ts
+++ b/src/core/consensus/catch_up_test.ts
@@ -16,6 +16,8 @@
 const COMMAND = "x".repeat(50_000);
 const COMMANDS = 700;
 const PART_LENGTH = 20_000;
+/** Messages that the leader sends a replica without an answer. */
+const MAX_UNANSWERED = 8;
 
 const DIVIDER: SnapshotDivider<string> = {
   split: (state) =>
@@ -108,6 +110,11 @@
     return this.now - startedAt;
   }
 
+  /** Loses all messages on their way, as their link is exchanged. */
+  loseInTransit(): void {
+    this.#inTransit.length = 0;
+  }
+
   #deliver(): void {
     while ((this.#inTransit[0]?.dueAt ?? Infinity) <= this.now) {
       const { message } = this.#inTransit.shift()!;
@@ -192,6 +199,24 @@
       });
     });
 
+    // Guards against a transfer that stands still until a timer ends.
+    it("goes on each time that a link was exchanged", () => {
+      const pair = createPair();
+      const startedAt = pair.now;
+      let parts = 0;
+      pair.rewrite = (message) => {
+        if (message.type === "snapshotPartRequest") parts += 1;
+        return message;
+      };
+      for (let links = 1; links <= 3; links += 1) {
+        while (parts < links * MAX_UNANSWERED) pair.advance(1);
+        pair.loseInTransit();
+      }
+      pair.measureCatchUp(2 * CATCH_UP_MS);
+      expect(pair.restored).toBe(STATE);
+      expect(pair.now - startedAt).toBeLessThan(CATCH_UP_MS);
+    });
+
     it("gets it as a whole if it is of an earlier build", () => {
       const types = doTest((message) => {
         if (message.type === "snapshotPartRequest") return undefined;
--- a/src/core/consensus/consensus_message.ts
+++ b/src/core/consensus/consensus_message.ts
@@ -85,7 +85,10 @@
   readonly sentAt: number;
 }
 
-/** Sends parts of the state to a replica whose next entries were compacted. */
+/**
+ * Sends parts of the state to a replica whose next entries were compacted;
+ * without parts it asks which the replica holds.
+ */
 export interface SnapshotPartRequest extends MessageBase {
   readonly type: "snapshotPartRequest";
   readonly snapshot: Omit<LogSnapshot<unknown>, "state">;
--- a/src/core/consensus/log_sender.ts
+++ b/src/core/consensus/log_sender.ts
@@ -9,7 +9,7 @@
   ReplicationTracker,
 } from "./replication_tracker.ts";
 import type { SnapshotDivider } from "./snapshot_parts.ts";
-import { SnapshotTransfer } from "./snapshot_transfer.ts";
+import { type PartRange, SnapshotTransfer } from "./snapshot_transfer.ts";
 
 /** Options of {@link LogSender}. */
 export interface LogSenderOptions<C, S> {
@@ -36,11 +36,10 @@
 /** Limits of the entries, or of the parts of a snapshot, in one message. */
 const LIMITS = { maxEntries: 256, maxBytes: 262_144 };
 /**
- * Number of heartbeat intervals after which an unanswered message with entries
- * is sent again.
+ * Number of heartbeat intervals after which an unanswered message is sent again.
  *
  * Losses on a broken connection are detected earlier, by the reply to a
- * heartbeat.
+ * heartbeat, or to a question for the parts of a snapshot.
  */
 const RESEND_HEARTBEATS = 20;
 
@@ -81,7 +80,9 @@
     if (log.termAt(progress.next - 1) === undefined) {
       progress.transfer?.resendBefore(overdueBefore);
       const isSent = this.#replicateSnapshot(replica, now);
-      if (!isSent && isHeartbeat) this.#sendHeartbeat(replica, now);
+      if (isSent || !isHeartbeat) return;
+      this.#sendHeartbeat(replica, now);
+      this.#askForParts(replica, now);
       return;
     }
     progress.transfer = undefined;
@@ -146,27 +147,43 @@
   }
 
   #sendParts(replica: ReplicaId, now: number): boolean {
-    const { snapshot } = this.#options.log;
     const transfer = this.#getTransfer(
       this.#options.tracker.progressOf(replica),
     );
-    const { index, term, members } = snapshot;
     let isSent = false;
     for (;;) {
       const range = transfer.take(now);
       if (range === undefined) return isSent;
-      this.#options.send({
-        type: "snapshotPartRequest",
-        ...this.#envelope(replica),
-        snapshot: { index, term, members },
-        ...range,
-        total: transfer.total,
-        sentAt: now,
-      });
+      this.#sendPartRange(replica, range, now);
       isSent = true;
     }
   }
 
+  /**
+   * Asks a replica which parts it holds while some are not answered. The question
+   * follows them, so a refusal says that some were lost.
+   */
+  #askForParts(replica: ReplicaId, now: number): void {
+    const { transfer } = this.#options.tracker.progressOf(replica);
+    const range = transfer?.getQuestion();
+    if (range !== undefined) this.#sendPartRange(replica, range, now);
+  }
+
+  #sendPartRange(replica: ReplicaId, range: PartRange, now: number): void {
+    const { index, term, members } = this.#options.log.snapshot;
+    const transfer = this.#getTransfer(
+      this.#options.tracker.progressOf(replica),
+    );
+    this.#options.send({
+      type: "snapshotPartRequest",
+      ...this.#envelope(replica),
+      snapshot: { index, term, members },
+      ...range,
+      total: transfer.total,
+      sentAt: now,
+    });
+  }
+
   /** Gets the transfer of the current snapshot to a replica. */
   #getTransfer(progress: ReplicaProgress): SnapshotTransfer {
     const { log, divider } = this.#options;
--- a/src/core/consensus/snapshot_transfer.ts
+++ b/src/core/consensus/snapshot_transfer.ts
@@ -62,6 +62,15 @@
     return { first, parts: parts.slice(first, end) };
   }
 
+  /**
+   * Gets an empty range after all parts that were sent; undefined if all are
+   * answered.
+   */
+  getQuestion(): PartRange | undefined {
+    if (this.#window.isEmpty) return undefined;
+    return { first: this.#next, parts: [] };
+  }
+
   /** Sends parts again whose messages were sent before a time. */
   resendBefore(time: number): this {
     this.#next = this.#window.takeOverdue(time) ?? this.#next;
