A member that catches up keeps the entries that it still needs

All entries together take at most twice the limits, as with the log that waited.

Ruled out: a compaction that waits longer. It would have to wait for each member that lags, at the cost of memory in ordinary traffic.

--- a/soak/control_process.ts
+++ b/soak/control_process.ts
@@ -37,6 +37,8 @@
 export const MAX_SEND_MS = 400;
 /** Log size above which the log is compacted, in entries. */
 const MAX_LOG_ENTRIES = 60;
+/** Size of the entries up to which those stay that members need, in bytes. */
+const MAX_HELD_BYTES = 65_536;
 const TICK_INTERVAL_MS = 20;
 
 /** Callbacks from a process to its simulation. */
@@ -244,7 +246,9 @@
     if (this.#node !== undefined && this.#node.logSize > MAX_LOG_ENTRIES) {
       const state = this.state.save();
       const snapshot = this.#node.createSnapshot(state, this.applied);
-      if (snapshot !== undefined) this.#node.compact(snapshot);
+      if (snapshot === undefined) return;
+      const options = { now: this.now, maxBytes: MAX_HELD_BYTES };
+      this.#node.compact(snapshot, options);
     }
   }
 
--- a/src/core/consensus/catch_up_test.ts
+++ b/src/core/consensus/catch_up_test.ts
@@ -16,6 +16,12 @@
 const COMMAND = "x".repeat(50_000);
 const COMMANDS = 700;
 const PART_LENGTH = 20_000;
+const LATER_STATE = "jihgfedcba".repeat(1_000_000);
+/** Size of all entries up to which those stay that `b` needs, in bytes. */
+const MAX_HELD_BYTES = 16_000_000;
+const SNAPSHOT_INTERVAL_MS = 100;
+/** Time in which a new learner has been sent parts of the snapshot. */
+const TRANSFER_BEGUN_MS = 60;
 /** Messages that the leader sends a replica without an answer. */
 const MAX_UNANSWERED = 8;
 
@@ -100,6 +106,16 @@
     return this;
   }
 
+  /** Replaces the leader's snapshot by one after a further entry. */
+  replaceSnapshot(maxBytes = MAX_HELD_BYTES): this {
+    this.leader.propose(COMMAND, this.now);
+    this.#carryOut();
+    const { committed } = this.leader;
+    const snapshot = this.leader.createSnapshot(LATER_STATE, committed);
+    this.leader.compact(snapshot!, { now: this.now, maxBytes });
+    return this;
+  }
+
   /** Gets the time until `b` holds all, in milliseconds. */
   measureCatchUp(limitMs: number): number {
     const startedAt = this.now;
@@ -163,7 +179,7 @@
   });
 
   describe("that needs a snapshot", () => {
-    const STATE = "abcdefghij".repeat(300_000);
+    const STATE = "abcdefghij".repeat(1_000_000);
 
     function createPair(): Pair {
       const pair = new Pair().fill();
@@ -217,6 +233,37 @@
       expect(pair.now - startedAt).toBeLessThan(CATCH_UP_MS);
     });
 
+    // Guards against a transfer that begins anew with each snapshot.
+    it("holds all although the leader's snapshot is replaced meanwhile", () => {
+      const pair = createPair();
+      const startedAt = pair.now;
+      while (!pair.leader.isCaughtUp("b", pair.now)) {
+        if (pair.now - startedAt > 2 * CATCH_UP_MS) break;
+        pair.replaceSnapshot().advance(SNAPSHOT_INTERVAL_MS);
+      }
+      expect(pair.now - startedAt).toBeLessThan(CATCH_UP_MS);
+      expect(pair.nodes.get("b")?.last).toEqual(pair.leader.last);
+    });
+
+    it("gets a later one if the entries that follow need too much room", () => {
+      const pair = createPair().advance(TRANSFER_BEGUN_MS).replaceSnapshot(0);
+      expect(pair.measureCatchUp(CATCH_UP_MS)).toBeLessThan(CATCH_UP_MS);
+      expect(pair.restored).toBe(LATER_STATE);
+    });
+
+    it("gets a later one if a part of it can no longer be read", () => {
+      const pair = createPair().advance(TRANSFER_BEGUN_MS).replaceSnapshot();
+      pair.rewrite = (message) => {
+        if (message.type !== "snapshotPartRequest") return message;
+        const { index } = message.snapshot;
+        if (index > COMMANDS) return message;
+        pair.leader.abandonTransfer("b", index);
+        return undefined;
+      };
+      expect(pair.measureCatchUp(CATCH_UP_MS)).toBeLessThan(CATCH_UP_MS);
+      expect(pair.restored).toBe(LATER_STATE);
+    });
+
     it("gets it as a whole if it is of an earlier build", () => {
       const types = doTest((message) => {
         if (message.type === "snapshotPartRequest") return undefined;
--- a/src/core/consensus/consensus_node.ts
+++ b/src/core/consensus/consensus_node.ts
@@ -15,6 +15,17 @@
 import { Role, RoleEvent } from "./role.ts";
 import { getUndivided, type SnapshotDivider } from "./snapshot_parts.ts";
 
+/** Options of {@link ConsensusNode.compact}. */
+export interface CompactionOptions {
+  /** Current time, in milliseconds of the local clock. */
+  readonly now: number;
+  /**
+   * Size of all entries up to which those that members of a leader still need
+   * stay, in bytes.
+   */
+  readonly maxBytes: number;
+}
+
 type Handlers<C, S> = {
   readonly [T in ConsensusMessage<C, S>["type"]]: (
     message: Extract<ConsensusMessage<C, S>, { type: T }>,
@@ -127,6 +138,14 @@
     return this.#state.log.bytes;
   }
 
+  /**
+   * Gets the size of the entries that a snapshot replaces and members of this
+   * leader still need, in bytes.
+   */
+  get keptBytes(): number {
+    return this.#state.log.keptBytes;
+  }
+
   /** Gets whether this leader is sending a snapshot in parts. */
   get isSendingSnapshot(): boolean {
     return this.#leadership?.isSendingSnapshot ?? false;
@@ -279,9 +298,25 @@
     return this.#state.createSnapshot(state, index);
   }
 
-  /** Replaces the entries of a snapshot of this replica by it. */
-  compact(snapshot: LogSnapshot<S>): void {
-    this.#state.compact(snapshot);
+  /**
+   * Replaces the entries of a snapshot of this replica by it.
+   * @param options - Which entries stay nevertheless; by default, none.
+   */
+  compact(snapshot: LogSnapshot<S>, options?: CompactionOptions): void {
+    const leadership = this.#leadership;
+    const kept = options && leadership && {
+      after: leadership.getNeededAfter(options.now),
+      maxBytes: options.maxBytes,
+    };
+    this.#state.compact(snapshot, kept);
+  }
+
+  /**
+   * Makes a leader send a replica the latest snapshot, as a part of an earlier
+   * one can no longer be read.
+   */
+  abandonTransfer(replica: ReplicaId, index: number): void {
+    this.#leadership?.abandonTransfer(replica, index);
   }
 
   #createHandlers(): Handlers<C, S> {
@@ -305,6 +340,7 @@
     const wasFollower = this.role === Role.Follower;
     this.#state.raiseTerm(term).setLeader(leader);
     this.#leadership = undefined;
+    this.#state.log.keepAfter();
     this.#elections.clearVotes();
     if (wasFollower) return;
     this.#state.transition(RoleEvent.StepDown).announceRole();
--- a/src/core/consensus/leadership.ts
+++ b/src/core/consensus/leadership.ts
@@ -30,6 +30,8 @@
  * down even if its ticks come late, or one that is always late would stay.
  */
 const MAX_SILENCE_FACTOR = 4;
+/** Time without an answer after which no entries are kept for a member. */
+const KEEP_SILENCE_MS = 2_000;
 
 /**
  * Replicates entries, commits them and keeps the leader lease. Its methods may
@@ -123,6 +125,33 @@
     return this.#tracker.isSendingSnapshot;
   }
 
+  /**
+   * Gets the last index before the entries that members still need. Silent
+   * members, and those that need a snapshot, need none.
+   */
+  getNeededAfter(now: number): number {
+    const { log, members, self } = this.#state;
+    const needed = allMembers(members)
+      .filter((id) => id !== self)
+      .map((id) => this.#tracker.progressOf(id))
+      .filter((progress) => now - progress.answeredAt < KEEP_SILENCE_MS)
+      .map(({ transfer, match }) => transfer?.snapshot.index ?? match)
+      .filter((index) => log.holdsAfter(index));
+    return Math.min(log.snapshot.index, ...needed);
+  }
+
+  /**
+   * Sends a replica the latest snapshot in place of an earlier one, whose parts
+   * can no longer be read.
+   */
+  abandonTransfer(replica: ReplicaId, index: number): void {
+    if (index === this.#state.log.snapshot.index) return;
+    const progress = this.#tracker.progressOf(replica);
+    if (progress.transfer?.snapshot.index === index) {
+      progress.transfer = undefined;
+    }
+  }
+
   /**
    * Appends an entry to the log.
    * @returns Undefined if this leader is transferring leadership.
@@ -169,6 +198,7 @@
   /** Sends heartbeats at once. */
   sendHeartbeats(now: number): void {
     this.#heartbeatDueAt = now + this.#options.times.heartbeatMs;
+    this.#state.log.keepAfter(this.getNeededAfter(now));
     this.#sender.broadcast(this.#state.members, now, { isHeartbeat: true });
   }
 
@@ -225,7 +255,7 @@
     const progress = this.#tracker.progressOf(message.from);
     progress.answeredAt = Math.max(progress.answeredAt, message.sentAt);
     const { transfer } = progress;
-    if (transfer?.index !== message.index) return;
+    if (transfer?.snapshot.index !== message.index) return;
     const { received, sentAt } = message;
     if (message.isAccepted) transfer.acknowledge(received);
     else transfer.continueAfter(received, sentAt);
--- a/src/core/consensus/log_sender.ts
+++ b/src/core/consensus/log_sender.ts
@@ -77,7 +77,7 @@
     const overdueBefore = now -
       this.#options.heartbeatMs * RESEND_HEARTBEATS;
     progress.next = progress.window.takeOverdue(overdueBefore) ?? progress.next;
-    if (log.termAt(progress.next - 1) === undefined) {
+    if (!log.holdsAfter(progress.next - 1)) {
       progress.transfer?.resendBefore(overdueBefore);
       const isSent = this.#replicateSnapshot(replica, now);
       if (isSent || !isHeartbeat) return;
@@ -170,31 +170,35 @@
   }
 
   #sendPartRange(replica: ReplicaId, range: PartRange, now: number): void {
-    const { index, term, members } = this.#options.log.snapshot;
-    const transfer = this.#getTransfer(
+    const { snapshot, total } = this.#getTransfer(
       this.#options.tracker.progressOf(replica),
     );
     this.#options.send({
       type: "snapshotPartRequest",
       ...this.#envelope(replica),
-      snapshot: { index, term, members },
+      snapshot,
       ...range,
-      total: transfer.total,
+      total,
       sentAt: now,
     });
   }
 
-  /** Gets the transfer of the current snapshot to a replica. */
+  /**
+   * Gets the transfer of a snapshot to a replica. It goes on with the snapshot
+   * that it began with while the log holds the entries that follow.
+   */
   #getTransfer(progress: ReplicaProgress): SnapshotTransfer {
     const { log, divider } = this.#options;
-    const { index, state } = log.snapshot;
-    if (progress.transfer?.index !== index) {
-      progress.transfer = new SnapshotTransfer({
-        index,
-        parts: divider.split(state),
-        maxBytes: LIMITS.maxBytes,
-      });
+    const { transfer } = progress;
+    if (transfer !== undefined && log.holdsAfter(transfer.snapshot.index)) {
+      return transfer;
     }
+    const { state, ...snapshot } = log.snapshot;
+    progress.transfer = new SnapshotTransfer({
+      snapshot,
+      parts: divider.split(state),
+      maxBytes: LIMITS.maxBytes,
+    });
     return progress.transfer;
   }
 
--- a/src/core/consensus/replica_state.ts
+++ b/src/core/consensus/replica_state.ts
@@ -10,7 +10,11 @@
 import type { LogEntry, LogSnapshot } from "./log_entry.ts";
 import type { Members } from "./members.ts";
 import type { ReplicaId } from "./replica_id.ts";
-import { type LogPosition, ReplicatedLog } from "./replicated_log.ts";
+import {
+  type KeptEntries,
+  type LogPosition,
+  ReplicatedLog,
+} from "./replicated_log.ts";
 import { Role, type RoleEvent, RoleStateMachine } from "./role.ts";
 
 type WriteEffect<C, S> = Extract<ConsensusEffect<C, S>, { type: "write" }>;
@@ -212,9 +216,9 @@
   }
 
   /** Replaces the entries of a snapshot of this replica by it. */
-  compact(snapshot: LogSnapshot<S>): this {
+  compact(snapshot: LogSnapshot<S>, kept?: KeptEntries): this {
     if (snapshot.index <= this.log.snapshot.index) return this;
-    this.log.compact(snapshot);
+    this.log.compact(snapshot, kept);
     return this.#write({ snapshot });
   }
 
--- a/src/core/consensus/replicated_log.ts
+++ b/src/core/consensus/replicated_log.ts
@@ -35,18 +35,35 @@
   readonly hold?: (command: C) => C;
 }
 
+/** Entries that stay although a snapshot replaces them. */
+export interface KeptEntries {
+  /** Index of the last entry that is not needed. */
+  readonly after: number;
+  /** Size of all entries above which none is kept, in bytes. */
+  readonly maxBytes: number;
+}
+
 /** Size of an entry without its command, in bytes. */
 const ENTRY_OVERHEAD_BYTES = 64;
 
-/** Holds the latest snapshot and the entries after it. */
+/**
+ * Holds the latest snapshot, the entries after it, and those before its end that
+ * members of a leader still need.
+ */
 export class ReplicatedLog<C, S> {
   readonly #sizeOf: (command: C) => number;
   readonly #hold: ((command: C) => C) | undefined;
   #snapshot: LogSnapshot<S>;
+  /** Position before the first held entry. */
+  #base: LogPosition;
   #entries: LogEntry<C>[] = [];
   /** Sizes of the entries, in bytes. */
   #sizes: number[] = [];
+  /** Size of the entries after the snapshot, in bytes. */
   #bytes = 0;
+  /** Size of the entries that the snapshot replaces, in bytes. */
+  #keptBytes = 0;
+  #maxHeldBytes = Infinity;
   #committed: number;
   /** Cached members as of the last entry; undefined if the cache is stale. */
   #members: Members | undefined;
@@ -60,11 +77,12 @@
     this.#sizeOf = sizeOf;
     this.#hold = hold;
     this.#snapshot = snapshot;
+    this.#base = toPosition(snapshot);
     this.#committed = snapshot.index;
     this.append(entries.filter((entry) => entry.index > snapshot.index));
   }
 
-  /** Gets the snapshot that precedes the held entries. */
+  /** Gets the latest snapshot. */
   get snapshot(): LogSnapshot<S> {
     return this.#snapshot;
   }
@@ -81,7 +99,7 @@
 
   /** Gets the number of entries held after the snapshot. */
   get size(): number {
-    return this.#entries.length;
+    return this.last.index - this.#snapshot.index;
   }
 
   /** Gets the size of the entries held after the snapshot, in bytes. */
@@ -89,12 +107,23 @@
     return this.#bytes;
   }
 
+  /** Gets the size of the entries that the snapshot replaces, in bytes. */
+  get keptBytes(): number {
+    return this.#keptBytes;
+  }
+
   /** Gets the term of an entry, or undefined if the entry is not held. */
   termAt(index: number): number | undefined {
     if (index === this.#snapshot.index) return this.#snapshot.term;
+    if (index === this.#base.index) return this.#base.term;
     return this.entryAt(index)?.term;
   }
 
+  /** Gets whether all entries after an index are held. */
+  holdsAfter(index: number): boolean {
+    return this.termAt(index) !== undefined;
+  }
+
   /**
    * Gets the index before the first uncommitted entry of the term at an index.
    *
@@ -112,12 +141,12 @@
 
   /** Gets an entry, or undefined if it is not held. */
   entryAt(index: number): LogEntry<C> | undefined {
-    return this.#entries[index - this.#snapshot.index - 1];
+    return this.#entries[index - this.#base.index - 1];
   }
 
   /** Gets up to `max` entries, starting at an index. */
   entriesFrom(index: number, max: number): LogEntry<C>[] {
-    const start = index - this.#snapshot.index - 1;
+    const start = index - this.#base.index - 1;
     return this.#entries.slice(start, start + max);
   }
 
@@ -126,7 +155,7 @@
     index: number,
     { maxEntries, maxBytes }: BatchLimits,
   ): EntryBatch<C> {
-    const start = index - this.#snapshot.index - 1;
+    const start = index - this.#base.index - 1;
     let end = start;
     let bytes = 0;
     while (end < this.#entries.length && end < start + maxEntries) {
@@ -181,6 +210,7 @@
     if (entries.some((e) => e.content.type === "members")) {
       this.#members = undefined;
     }
+    if (this.#keptBytes + this.#bytes > this.#maxHeldBytes) this.keepAfter();
     return this;
   }
 
@@ -195,8 +225,7 @@
       Invariant.CommittedStays,
       `Cannot remove entry ${index}: committed up to ${this.#committed}`,
     );
-    const count = Math.max(0, index - this.#snapshot.index - 1);
-    this.#keep(0, count);
+    this.#slice(this.#base.index, index - 1);
     this.#members = undefined;
     return this;
   }
@@ -207,11 +236,27 @@
     return this;
   }
 
-  /** Replaces the entries up to a committed index with a snapshot. */
-  compact(snapshot: LogSnapshot<S>): this {
-    const droppedCount = snapshot.index - this.#snapshot.index;
-    this.#keep(Math.max(0, droppedCount), this.#entries.length);
+  /**
+   * Replaces the entries up to a committed index with a snapshot.
+   * @param kept - Entries that stay nevertheless; by default, none.
+   */
+  compact(snapshot: LogSnapshot<S>, kept?: KeptEntries): this {
+    const after = Math.min(snapshot.index, kept?.after ?? snapshot.index);
+    this.#slice(after, this.last.index);
     this.#snapshot = snapshot;
+    this.#maxHeldBytes = kept?.maxBytes ?? Infinity;
+    this.#countBytes();
+    if (this.#keptBytes + this.#bytes > this.#maxHeldBytes) this.keepAfter();
+    return this;
+  }
+
+  /**
+   * Removes entries that the snapshot replaces.
+   * @param index - Last of them to be removed; by default, all are.
+   */
+  keepAfter(index = Infinity): this {
+    if (this.#keptBytes === 0 || index <= this.#base.index) return this;
+    this.#slice(Math.min(index, this.#snapshot.index), this.last.index);
     return this;
   }
 
@@ -230,17 +275,28 @@
     if (hasSnapshotEntry) this.compact(snapshot);
     else {
       this.#snapshot = snapshot;
-      this.#keep(0, 0);
+      this.#base = toPosition(snapshot);
+      this.#slice(snapshot.index, snapshot.index);
       this.#members = undefined;
     }
     return this.commit(snapshot.index);
   }
 
-  /** Keeps the entries of a range of positions, and removes all others. */
-  #keep(start: number, end: number): void {
+  /** Removes all entries but those after one index and up to another. */
+  #slice(after: number, upTo: number): void {
+    const start = Math.max(0, after - this.#base.index);
+    const end = Math.max(start, upTo - this.#base.index);
+    const index = Math.max(after, this.#base.index);
+    this.#base = { index, term: this.termAt(index) ?? 0 };
     this.#entries = this.#entries.slice(start, end);
     this.#sizes = this.#sizes.slice(start, end);
-    this.#bytes = sumOf(this.#sizes, (bytes) => bytes);
+    this.#countBytes();
+  }
+
+  #countBytes(): void {
+    const keptCount = this.#snapshot.index - this.#base.index;
+    this.#keptBytes = sumOf(this.#sizes.slice(0, keptCount), (b) => b);
+    this.#bytes = sumOf(this.#sizes.slice(keptCount), (b) => b);
   }
 
   #toHeld(entry: LogEntry<C>): LogEntry<C> {
@@ -255,3 +311,7 @@
     return ENTRY_OVERHEAD_BYTES + this.#sizeOf(content.command);
   }
 }
+
+function toPosition({ index, term }: LogPosition): LogPosition {
+  return { index, term };
+}
--- a/src/core/consensus/snapshot_transfer.ts
+++ b/src/core/consensus/snapshot_transfer.ts
@@ -1,11 +1,14 @@
 /** Progress of sending a snapshot to one replica. */
 import { estimateBytes } from "./estimate_bytes.ts";
+import type { LogSnapshot } from "./log_entry.ts";
 import { SendWindow } from "./send_window.ts";
 
+/** A snapshot without its state. */
+export type SnapshotHead = Omit<LogSnapshot<unknown>, "state">;
+
 /** Options of {@link SnapshotTransfer}. */
 export interface SnapshotTransferOptions {
-  /** Index of the last entry in the snapshot. */
-  readonly index: number;
+  readonly snapshot: SnapshotHead;
   readonly parts: readonly unknown[];
   /** Maximum size of the parts of one message; one part is always taken. */
   readonly maxBytes: number;
@@ -35,9 +38,9 @@
     this.#options = options;
   }
 
-  /** Gets the index of the last entry in the snapshot. */
-  get index(): number {
-    return this.#options.index;
+  /** Gets the snapshot that is sent, which a later one may have replaced. */
+  get snapshot(): SnapshotHead {
+    return this.#options.snapshot;
   }
 
   /** Gets the number of parts. */
--- a/src/tasks/log/log_compactor.ts
+++ b/src/tasks/log/log_compactor.ts
@@ -19,6 +19,8 @@
   readonly minBytes: number;
   /** Whether parts of the state are moved to files of the store. */
   readonly movesState: boolean;
+  /** Gets monotonic time in milliseconds. */
+  readonly now: () => number;
   /** Called to run a step of the node, once the snapshot has been written. */
   readonly step: (step: (node: ConsensusNode<C, S>) => void) => void;
 }
@@ -45,7 +47,10 @@
 const MAX_STATE_SHARE = 0.25;
 /** Part of the limits that is added for each replica that compacts earlier. */
 const STAGGER = 0.1;
-/** Factor on the limits while a member receives the snapshot in force. */
+/**
+ * Factor on the limits while a member receives the snapshot in force, and for
+ * entries that members still need.
+ */
 const TRANSFER_FACTOR = 2;
 
 /**
@@ -96,10 +101,15 @@
     if (heldBytes <= factor * minBytes) return false;
     // A state of unknown size shares the snapshot's bytes with the log.
     const stateBytes = this.#bytesOf(state) ?? this.#snapshotBytes;
-    const maxBytes = Math.max(minBytes, MAX_STATE_SHARE * stateBytes);
+    const maxBytes = this.#maxBytesFor(stateBytes);
     return heldBytes - stateBytes > factor * maxBytes;
   }
 
+  /** Gets the size that the entries may exceed that of the state by. */
+  #maxBytesFor(stateBytes: number): number {
+    return Math.max(this.#options.minBytes, MAX_STATE_SHARE * stateBytes);
+  }
+
   async #compact(
     { node, store, applied, state }: CompactedReplica<C, S>,
   ): Promise<void> {
@@ -109,11 +119,14 @@
     const snapshot = node.createSnapshot(moved, applied);
     if (snapshot === undefined) return;
     const fileBytes = await store.prepare(snapshot);
-    this.#options.step((current) => {
+    const { now, step } = this.#options;
+    step((current) => {
       if (current !== node) return;
       if (moved !== saved) state.adoptMoved?.(moved);
       const { logSize: entries, logBytes: bytes } = node;
-      node.compact(snapshot);
+      const maxBytes = TRANSFER_FACTOR *
+        this.#maxBytesFor(stateBytes ?? fileBytes);
+      node.compact(snapshot, { now: now(), maxBytes });
       this.#snapshotBytes = stateBytes ?? fileBytes;
       const { log, logger } = this.#options;
       logger.event("logCompacted", {
--- a/src/tasks/log/log_driver.ts
+++ b/src/tasks/log/log_driver.ts
@@ -68,12 +68,15 @@
       movesState: options.openFiles !== undefined,
       maxEntries: options.compactEntries ?? COMPACT_ENTRIES,
       minBytes: options.compactBytes ?? COMPACT_BYTES,
+      now,
       step: (step) => this.#step(step),
     });
     this.#parts = new SnapshotPartFiles<C, S>({
       divider: options.divider ?? getUndivided(),
       onFailed: (err) =>
         logger.event("snapshotPartLost", { log: name, detail: String(err) }),
+      onUnreadable: ({ to, snapshot }) =>
+        this.#step((node) => node.abandonTransfer(to, snapshot.index)),
     });
     this.#leadershipWaiters = new LeadershipWaiters({
       now,
--- a/src/tasks/log/log_service.ts
+++ b/src/tasks/log/log_service.ts
@@ -119,7 +119,8 @@
   updateGauges(): void {
     const { metrics } = this.#options;
     metrics.gauge("log.applied", this.driver.applied);
-    metrics.gauge("log.bytes", this.driver.node?.logBytes ?? 0);
+    const { logBytes = 0, keptBytes = 0 } = this.driver.node ?? {};
+    metrics.gauge("log.bytes", logBytes + keptBytes);
     metrics.gauge("log.leads", this.leadsTerm ?? 0);
   }
 
--- a/src/tasks/log/snapshot_part_files.ts
+++ b/src/tasks/log/snapshot_part_files.ts
@@ -11,6 +11,8 @@
   readonly divider: SnapshotDivider<S>;
   /** Called if a message is dropped, as a file could not be used. */
   readonly onFailed: (err: unknown) => void;
+  /** Called if a part that is to be sent could not be read. */
+  readonly onUnreadable: (message: SnapshotPartRequest) => void;
 }
 
 /**
@@ -35,7 +37,7 @@
   ): void {
     if (message.type === "snapshotPartRequest") {
       this.#sending = this.#next(this.#sending, async () => {
-        const parts = await readParts(files, message.parts);
+        const parts = await this.#readParts(files, message);
         send({ ...message, parts });
       });
     } else if (message.type === "snapshotRequest") {
@@ -65,6 +67,18 @@
     });
   }
 
+  async #readParts(
+    files: StateFiles<S>,
+    message: SnapshotPartRequest,
+  ): Promise<unknown[]> {
+    try {
+      return await readParts(files, message.parts);
+    } catch (err) {
+      this.#options.onUnreadable(message);
+      throw err;
+    }
+  }
+
   /** Runs work after what precedes it. */
   #next(previous: Promise<void>, work: () => Promise<void>): Promise<void> {
     return previous
