--- a/src/core/consensus/consensus_node.ts
+++ b/src/core/consensus/consensus_node.ts
@@ -12,6 +12,7 @@
 import type { ReplicaId } from "./replica_id.ts";
 import type { LogPosition } from "./replicated_log.ts";
 import { ReplicaState } from "./replica_state.ts";
+import type { SentAmount } from "./replication_tracker.ts";
 import { Role, RoleEvent } from "./role.ts";
 import { getUndivided, type SnapshotDivider } from "./snapshot_parts.ts";
 
@@ -211,6 +212,14 @@
     return this.#leadership?.heldBy(replica) ?? 0;
   }
 
+  /**
+   * Gets what this leader has sent a member in its term; undefined if this
+   * replica does not lead.
+   */
+  sentTo(replica: ReplicaId): Readonly<SentAmount> | undefined {
+    return this.#leadership?.sentTo(replica);
+  }
+
   /**
    * Appends a command to the log.
    *
--- a/src/core/consensus/leadership.ts
+++ b/src/core/consensus/leadership.ts
@@ -8,7 +8,7 @@
 import type { ReplicaId } from "./replica_id.ts";
 import type { ReplicaState } from "./replica_state.ts";
 import type { LogPosition } from "./replicated_log.ts";
-import { ReplicationTracker } from "./replication_tracker.ts";
+import { ReplicationTracker, type SentAmount } from "./replication_tracker.ts";
 import { Role } from "./role.ts";
 import type { SnapshotDivider } from "./snapshot_parts.ts";
 
@@ -120,6 +120,11 @@
     return this.#tracker.progressOf(replica).match;
   }
 
+  /** Gets what was sent to a member in this term. */
+  sentTo(replica: ReplicaId): Readonly<SentAmount> {
+    return this.#tracker.progressOf(replica).sent;
+  }
+
   /** Gets whether a snapshot is being sent in parts. */
   get isSendingSnapshot(): boolean {
     return this.#tracker.isSendingSnapshot;
--- a/src/core/consensus/log_sender.ts
+++ b/src/core/consensus/log_sender.ts
@@ -96,11 +96,12 @@
     const progress = tracker.progressOf(replica);
     let isSent = false;
     for (;;) {
-      const { entries, isFull } = log.batchFrom(progress.next, LIMITS);
+      const { entries, isFull, bytes } = log.batchFrom(progress.next, LIMITS);
       const isNext = progress.window.isEmpty ||
         (isFull && !progress.isProbing && !progress.window.isFull);
       if (entries.length === 0 || !isNext) return isSent;
       this.#sendEntries(replica, entries, now);
+      progress.sent.bytes += bytes;
       isSent = true;
     }
   }
@@ -147,14 +148,15 @@
   }
 
   #sendParts(replica: ReplicaId, now: number): boolean {
-    const transfer = this.#getTransfer(
-      this.#options.tracker.progressOf(replica),
-    );
+    const progress = this.#options.tracker.progressOf(replica);
+    const transfer = this.#getTransfer(progress);
     let isSent = false;
     for (;;) {
       const range = transfer.take(now);
       if (range === undefined) return isSent;
-      this.#sendPartRange(replica, range, now);
+      const { first, parts, bytes } = range;
+      this.#sendPartRange(replica, { first, parts }, now);
+      progress.sent.bytes += bytes;
       isSent = true;
     }
   }
@@ -199,6 +201,7 @@
       parts: divider.split(state),
       maxBytes: LIMITS.maxBytes,
     });
+    progress.sent.snapshots += 1;
     return progress.transfer;
   }
 
@@ -240,8 +243,9 @@
   #sendSnapshot(replica: ReplicaId, now: number): void {
     const { log, tracker } = this.#options;
     const { index } = log.snapshot;
-    tracker.progressOf(replica).window
-      .add({ first: index, last: index, sentAt: now });
+    const { window, sent } = tracker.progressOf(replica);
+    window.add({ first: index, last: index, sentAt: now });
+    sent.snapshots += 1;
     this.#options.send({
       type: "snapshotRequest",
       ...this.#envelope(replica),
--- a/src/core/consensus/replicated_log.ts
+++ b/src/core/consensus/replicated_log.ts
@@ -25,6 +25,8 @@
   readonly entries: readonly LogEntry<C>[];
   /** Whether more entries follow, which a limit has left out. */
   readonly isFull: boolean;
+  /** Size of the entries, in bytes. */
+  readonly bytes: number;
 }
 
 /** Options of {@link ReplicatedLog}. */
@@ -159,13 +161,14 @@
     let end = start;
     let bytes = 0;
     while (end < this.#entries.length && end < start + maxEntries) {
+      if (bytes + this.#sizes[end] > maxBytes && end > start) break;
       bytes += this.#sizes[end];
-      if (bytes > maxBytes && end > start) break;
       end += 1;
     }
     return {
       entries: this.#entries.slice(start, end),
       isFull: end < this.#entries.length,
+      bytes,
     };
   }
 
--- a/src/core/consensus/replication_tracker.ts
+++ b/src/core/consensus/replication_tracker.ts
@@ -25,6 +25,16 @@
   transfer: SnapshotTransfer | undefined;
   /** Whether the replica takes a snapshot in parts. */
   takesParts: boolean;
+  /** What was sent to the replica in this term. */
+  readonly sent: SentAmount;
+}
+
+/** What a leader has sent a replica. */
+export interface SentAmount {
+  /** Size of entries and parts of snapshots, repeated ones included, in bytes. */
+  bytes: number;
+  /** Number of snapshots that were begun. */
+  snapshots: number;
 }
 
 /** Options of {@link ReplicationTracker}. */
@@ -65,6 +75,7 @@
       isProbing: true,
       transfer: undefined,
       takesParts: false,
+      sent: { bytes: 0, snapshots: 0 },
     };
     this.#progress.set(replica, progress);
     return progress;
--- a/src/core/consensus/snapshot_transfer.ts
+++ b/src/core/consensus/snapshot_transfer.ts
@@ -21,6 +21,12 @@
   readonly parts: readonly unknown[];
 }
 
+/** Parts that are to be sent. */
+export interface SizedPartRange extends PartRange {
+  /** Estimated size of the parts, in bytes. */
+  readonly bytes: number;
+}
+
 /**
  * Decides which parts of a snapshot to send next.
  *
@@ -49,20 +55,21 @@
   }
 
   /** Gets the parts of the next message; undefined if none may be sent now. */
-  take(now: number): PartRange | undefined {
+  take(now: number): SizedPartRange | undefined {
     const { parts, maxBytes } = this.#options;
     const first = this.#next;
     if (this.#window.isFull || first >= parts.length) return undefined;
     let end = first + 1;
     let bytes = estimateBytes(parts[first]);
     while (end < parts.length) {
-      bytes += estimateBytes(parts[end]);
-      if (bytes > maxBytes) break;
+      const nextBytes = estimateBytes(parts[end]);
+      if (bytes + nextBytes > maxBytes) break;
+      bytes += nextBytes;
       end += 1;
     }
     this.#next = end;
     this.#window.add({ first, last: end, sentAt: now });
-    return { first, parts: parts.slice(first, end) };
+    return { first, parts: parts.slice(first, end), bytes };
   }
 
   /**
--- a/src/logging/instance_events.ts
+++ b/src/logging/instance_events.ts
@@ -201,6 +201,10 @@
       "Part of a snapshot dropped, as a file of its texts could not be read or written; the leader sends it again",
     action: "Free disk space or replace the disk",
   }),
+  learnerCaughtUp: defineEvent(1514, "info", {
+    text:
+      "Learner of a replicated log holds all entries; with the time since it was added, the bytes sent to it, and how often a snapshot was begun",
+  }),
   ledgerPrimary: defineEvent(1601, "info", {
     text: "This instance became primary of the data centre's ledger",
   }),
--- a/src/tasks/log/member_repair.ts
+++ b/src/tasks/log/member_repair.ts
@@ -37,7 +37,10 @@
 
   /** Proposes the change that is due, if there is one. */
   run<C, S>(node: ConsensusNode<C, S> | undefined): void {
-    if (node === undefined || !node.hasCommittedOwnTerm) return;
+    if (node === undefined || !node.hasCommittedOwnTerm) {
+      this.#learners.clear();
+      return;
+    }
     const { now, presentReplicas, wantedVoters } = this.#options;
     this.#learners.check(node);
     const next = nextMembers({
