Changes of members follow what they wait for, not a timer

The check that follows an applied change of members comes too early for the next one: the learner has not yet answered for the entry of the change, so it does not hold all. A replica that has just opened its store was announced with the next heartbeat, up to 1 s later.

Now the members are checked as soon as a learner's answer makes it hold all, and as soon as a heartbeat names a replica that was not present; an instance announces its replica when it is open. The interval stays for what has no message, a lost instance.

--- a/src/tasks/batches/batch_task.ts
+++ b/src/tasks/batches/batch_task.ts
@@ -138,6 +138,7 @@
     options.node
       .onLog(BATCH_LOG, (message) => this.#service.receive(message as never));
     options.node.hub
+      .onReplicaPresent(() => this.#service.checkMembers())
       .handle(
         FORM_METHOD,
         (params) =>
@@ -175,6 +176,7 @@
   async start(): Promise<void> {
     this.#paces.start();
     await this.#service.driver.start();
+    this.#options.node.hub.announce();
     this.#maintenanceTimer = setInterval(() => {
       this.#removeExpired();
       this.#transferIfRetiring();
--- a/src/tasks/fleet/fleet_control.ts
+++ b/src/tasks/fleet/fleet_control.ts
@@ -116,6 +116,7 @@
       wallNow: () => Date.now(),
     });
     node.onNotice = (notice) => this.targets.onNotice(notice);
+    node.hub.onReplicaPresent(() => this.#service.checkMembers());
   }
 
   /** Gets the state that this replica has applied; it may lag the leader's. */
@@ -163,6 +164,7 @@
       );
     }
     await driver.start();
+    node.hub.announce();
     this.reports.start();
     this.#timer = setInterval(() => this.#maintain(), MAINTENANCE_INTERVAL_MS);
   }
--- a/src/tasks/log/log_driver.ts
+++ b/src/tasks/log/log_driver.ts
@@ -203,7 +203,7 @@
     this.#linkMembers(this.#node);
     this.#scheduleTick();
     this.#repairTimer = setInterval(
-      () => this.#repair.run(this.#node),
+      () => this.checkMembers(),
       REPAIR_INTERVAL_MS,
     );
   }
@@ -266,8 +266,27 @@
     });
   }
 
+  /** Proposes the change of members that is due, if this replica leads. */
+  checkMembers(): void {
+    this.#repair.run(this.#node);
+  }
+
   #receive(message: ConsensusMessage<C, S>): void {
+    const isBehind = this.#isBehind(message.from);
     this.#step((node) => node.receive(message, this.#options.now()));
+    if (isBehind && !this.#isBehind(message.from)) this.#checkMembersSoon();
+  }
+
+  /** Gets whether a replica is a learner that does not hold all entries. */
+  #isBehind(replica: ReplicaId): boolean {
+    const node = this.#node;
+    return node !== undefined && node.members.learners.includes(replica) &&
+      !node.isCaughtUp(replica, this.#options.now());
+  }
+
+  /** Checks the members once the current step has been carried out. */
+  #checkMembersSoon(): void {
+    setImmediate(() => this.checkMembers());
   }
 
   /** Appends a command; returns undefined if this replica does not lead. */
@@ -394,7 +413,7 @@
       this.#compact();
       const isRepairing = effect.entries
         .some(({ content }) => content.type === "members");
-      if (isRepairing) setImmediate(() => this.#repair.run(this.#node));
+      if (isRepairing) this.#checkMembersSoon();
     } else if (effect.type === "restore") {
       this.#state = this.#options.createState().load(effect.snapshot.state);
       this.#applied = effect.snapshot.index;
--- a/src/tasks/peers/peer_hub.ts
+++ b/src/tasks/peers/peer_hub.ts
@@ -86,6 +86,7 @@
   >();
   #timer: NodeJS.Timeout | undefined;
   #checkCount = 0;
+  #onReplicaPresent: () => void = () => {};
 
   /**
    * Reads the secret and the certificates; {@link PeerHub.start} opens the
@@ -240,6 +241,12 @@
     this.#links.sendAll(to, envelope);
   }
 
+  /** Sets the listener of replicas that have just become present. */
+  onReplicaPresent(listener: () => void): this {
+    this.#onReplicaPresent = listener;
+    return this;
+  }
+
   /** Sets the listener of tunnels, which are closed at once without one. */
   onTunnel(listener: TunnelListener): this {
     this.#links.onTunnel(listener);
@@ -364,8 +371,12 @@
 
   #recordPresence(from: string, body: unknown): void {
     const { success, data, error } = presenceSchema.safeParse(body);
-    if (success) this.#presences.record(from, data);
-    else this.refuse(from, `presence: ${refusalTextOf(error)}`);
+    if (!success) {
+      this.refuse(from, `presence: ${refusalTextOf(error)}`);
+      return;
+    }
+    const isNewReplica = this.#presences.record(from, data);
+    if (isNewReplica) this.#onReplicaPresent();
   }
 }
 
--- a/src/tasks/peers/presence_table.ts
+++ b/src/tasks/peers/presence_table.ts
@@ -21,9 +21,15 @@
     this.#createdAt = now();
   }
 
-  /** Records a heartbeat that has arrived now. */
-  record(id: string, presence: Presence): void {
+  /**
+   * Records a heartbeat that has arrived now.
+   * @returns Whether the instance has a replica that was not present before.
+   */
+  record(id: string, presence: Presence): boolean {
+    const replica = presence.member?.replica;
+    const isNew = replica !== this.get(id)?.member?.replica;
     this.#received.set(id, { presence, at: this.#now() });
+    return isNew && replica !== undefined;
   }
 
   /** Checks whether a heartbeat has arrived within {@link ABSENT_AFTER_MS}. */
--- a/src/tasks/peers/presence_table_test.ts
+++ b/src/tasks/peers/presence_table_test.ts
@@ -1,7 +1,16 @@
 import { describe, expect, it } from "vitest";
+import { FleetRole } from "../../core/fleet/mod.ts";
 import { PresenceTable } from "./presence_table.ts";
 
 const PRESENCE = { ledger: "l1", incarnation: "i1", isDraining: false };
+const MEMBER = {
+  name: "a",
+  dataCentre: "a",
+  role: FleetRole.Ledger,
+  leadsTerm: undefined,
+  policyRevision: 0,
+  targetsSeen: {},
+};
 
 describe(PresenceTable.name, () => {
   function doTest(
@@ -34,4 +43,17 @@
       { sinceCreation: 9_000, sinceHeartbeat: 3_500 },
       { isPresent: false, absentMs: 3_500 },
     ));
+
+  // Guards against a lost replica whose successor is noticed late.
+  it("tells which heartbeat is the first of a replica", () => {
+    const table = new PresenceTable(() => 0);
+    const doRecord = (replica: string | undefined) =>
+      table.record("a", {
+        ...PRESENCE,
+        member: { ...MEMBER, replica },
+      });
+    const replicas = [undefined, "a#1", "a#1", "a#2", undefined, "a#2"];
+    expect(replicas.map(doRecord))
+      .toEqual([false, true, false, true, false, true]);
+  });
 });
