--- a/src/core/consensus/catch_up_test.ts
+++ b/src/core/consensus/catch_up_test.ts
@@ -23,7 +23,7 @@
 /** Time in which a new learner has been sent parts of the snapshot. */
 const TRANSFER_BEGUN_MS = 60;
 /** Messages that the leader sends a replica without an answer. */
-const MAX_UNANSWERED = 8;
+const MAX_UNANSWERED = 16;
 
 const DIVIDER: SnapshotDivider<string> = {
   split: (state) =>
--- a/src/core/consensus/consensus_message.ts
+++ b/src/core/consensus/consensus_message.ts
@@ -106,9 +106,9 @@
   readonly type: "snapshotPartReply";
   /** Index of the last entry in the snapshot. */
   readonly index: number;
-  /** Whether the parts of the request follow those held. */
+  /** Whether the parts of the request follow those held without a gap. */
   readonly isAccepted: boolean;
-  /** Number of parts held, from the first on. */
+  /** Number of parts held without a gap, from the first on. */
   readonly received: number;
   /** Send time of the request, by the leader's clock, in milliseconds. */
   readonly sentAt: number;
--- a/src/core/consensus/leadership.ts
+++ b/src/core/consensus/leadership.ts
@@ -261,9 +261,7 @@
     progress.answeredAt = Math.max(progress.answeredAt, message.sentAt);
     const { transfer } = progress;
     if (transfer?.snapshot.index !== message.index) return;
-    const { received, sentAt } = message;
-    if (message.isAccepted) transfer.acknowledge(received);
-    else transfer.continueAfter(received, sentAt);
+    transfer.onReply(message.received, message.sentAt);
     this.#sender.replicate(message.from, now, { isHeartbeat: false });
   }
 
--- a/src/core/consensus/log_receiver.ts
+++ b/src/core/consensus/log_receiver.ts
@@ -87,8 +87,8 @@
     this.#onLeaderContact(message, now);
     if (snapshot.index > state.log.committed) {
       const isAccepted = this.#parts.add(message);
-      const parts = this.#parts.getComplete(message);
-      if (parts === undefined) {
+      const complete = this.#parts.getComplete();
+      if (complete === undefined) {
         const { received } = this.#parts;
         state.send({
           type: "snapshotPartReply",
@@ -100,7 +100,8 @@
         });
         return;
       }
-      state.restore({ ...snapshot, state: this.#options.divider.join(parts) });
+      const joined = this.#options.divider.join(complete.parts);
+      state.restore({ ...complete.snapshot, state: joined });
     }
     this.#parts.clear();
     this.#reply(message, { isAccepted: true, matchIndex: snapshot.index });
--- a/src/core/consensus/send_window.ts
+++ b/src/core/consensus/send_window.ts
@@ -1,7 +1,7 @@
 /** Messages to a replica that have not been answered. */
 
 /** A message on its way, by the positions that it carries. */
-interface SentMessage {
+export interface SentMessage {
   /** First position of the message. */
   readonly first: number;
   /** Last position of the message. */
@@ -10,7 +10,7 @@
   readonly sentAt: number;
 }
 
-/** Number of unanswered messages to a replica at the same time. */
+/** Default number of unanswered messages to a replica at the same time. */
 const MAX_MESSAGES = 8;
 
 /**
@@ -24,8 +24,14 @@
  * ```
  */
 export class SendWindow {
+  readonly #maxMessages: number;
   #messages: SentMessage[] = [];
 
+  /** @param maxMessages - Number of unanswered messages at the same time. */
+  constructor(maxMessages = MAX_MESSAGES) {
+    this.#maxMessages = maxMessages;
+  }
+
   /** Gets whether all messages have been answered. */
   get isEmpty(): boolean {
     return this.#messages.length === 0;
@@ -33,7 +39,7 @@
 
   /** Gets whether no further message may be sent. */
   get isFull(): boolean {
-    return this.#messages.length >= MAX_MESSAGES;
+    return this.#messages.length >= this.#maxMessages;
   }
 
   /** Gets the send time of the oldest message; Infinity if there is none. */
@@ -53,6 +59,18 @@
     return this;
   }
 
+  /** Finds the message that carries what follows a number of positions. */
+  findAt(position: number): SentMessage | undefined {
+    return this.#messages
+      .find(({ first, last }) => first <= position && position < last);
+  }
+
+  /** Removes a message. */
+  remove(message: SentMessage): this {
+    this.#messages = this.#messages.filter((other) => other !== message);
+    return this;
+  }
+
   /** Removes all messages. */
   clear(): this {
     this.#messages = [];
--- a/src/core/consensus/snapshot_transfer.ts
+++ b/src/core/consensus/snapshot_transfer.ts
@@ -1,7 +1,16 @@
 /** Progress of sending a snapshot to one replica. */
 import { estimateBytes } from "./estimate_bytes.ts";
 import type { LogSnapshot } from "./log_entry.ts";
-import { SendWindow } from "./send_window.ts";
+import { sumOf } from "../statistics/mod.ts";
+import { SendWindow, type SentMessage } from "./send_window.ts";
+
+/**
+ * Time by which a message may overtake an earlier one on another connection, in
+ * milliseconds.
+ */
+const MAX_REORDER_MS = 50;
+/** Unanswered messages, which travel on several connections. */
+const MAX_MESSAGES = 16;
 
 /** A snapshot without its state. */
 export type SnapshotHead = Omit<LogSnapshot<unknown>, "state">;
@@ -37,8 +46,10 @@
  */
 export class SnapshotTransfer {
   readonly #options: SnapshotTransferOptions;
-  readonly #window = new SendWindow();
+  readonly #window = new SendWindow(MAX_MESSAGES);
   #next = 0;
+  /** Message that is sent before others, as it was lost. */
+  #repeated: SentMessage | undefined;
 
   constructor(options: SnapshotTransferOptions) {
     this.#options = options;
@@ -56,20 +67,23 @@
 
   /** Gets the parts of the next message; undefined if none may be sent now. */
   take(now: number): SizedPartRange | undefined {
+    const repeated = this.#repeated;
+    this.#repeated = undefined;
+    if (repeated !== undefined) {
+      return this.#send(repeated.first, repeated.last, now);
+    }
     const { parts, maxBytes } = this.#options;
     const first = this.#next;
     if (this.#window.isFull || first >= parts.length) return undefined;
     let end = first + 1;
     let bytes = estimateBytes(parts[first]);
     while (end < parts.length) {
-      const nextBytes = estimateBytes(parts[end]);
-      if (bytes + nextBytes > maxBytes) break;
-      bytes += nextBytes;
+      bytes += estimateBytes(parts[end]);
+      if (bytes > maxBytes) break;
       end += 1;
     }
     this.#next = end;
-    this.#window.add({ first, last: end, sentAt: now });
-    return { first, parts: parts.slice(first, end), bytes };
+    return this.#send(first, end, now);
   }
 
   /**
@@ -81,27 +95,35 @@
     return { first: this.#next, parts: [] };
   }
 
-  /** Sends parts again whose messages were sent before a time. */
-  resendBefore(time: number): this {
-    this.#next = this.#window.takeOverdue(time) ?? this.#next;
-    return this;
+  #send(first: number, end: number, now: number): SizedPartRange {
+    const parts = this.#options.parts.slice(first, end);
+    const bytes = sumOf(parts, estimateBytes);
+    this.#window.add({ first, last: end, sentAt: now });
+    return { first, parts, bytes };
   }
 
-  /** Records that the replica holds the first parts. */
-  acknowledge(received: number): this {
-    this.#window.acknowledge(received);
-    this.#next = Math.max(this.#next, received);
+  /** Sends parts again whose messages were sent before a time. */
+  resendBefore(time: number): this {
+    const next = this.#window.takeOverdue(time);
+    if (next === undefined) return this;
+    this.#next = next;
+    this.#repeated = undefined;
     return this;
   }
 
   /**
-   * Continues after the parts that the replica holds, as it has refused others.
-   * @param sentAt - Send time of the refused message.
+   * Records that the replica holds the first parts. The message with those that
+   * follow is sent again if the replica has answered a much later one.
+   * @param sentAt - Send time of the answered message.
    */
-  continueAfter(received: number, sentAt: number): this {
-    if (sentAt < this.#window.oldestAt) return this;
-    this.#window.clear();
-    this.#next = received;
+  onReply(received: number, sentAt: number): this {
+    this.#window.acknowledge(received);
+    this.#next = Math.max(this.#next, received);
+    const missing = this.#window.findAt(received);
+    if (missing === undefined) return this;
+    if (sentAt - missing.sentAt < MAX_REORDER_MS) return this;
+    this.#window.remove(missing);
+    this.#repeated = missing;
     return this;
   }
 }
--- a/src/schemas/presence_schema.ts
+++ b/src/schemas/presence_schema.ts
@@ -55,5 +55,6 @@
   incarnation: nameSchema,
   isDraining: z.boolean(),
   isCutOff: z.boolean().optional(),
+  takesBulk: z.boolean().optional(),
   member: memberSchema.optional(),
 });
--- a/src/tasks/fleet/fleet_node.ts
+++ b/src/tasks/fleet/fleet_node.ts
@@ -94,6 +94,7 @@
         incarnation,
         isDraining: this.#isDraining,
         isCutOff: this.#isCutOff,
+        takesBulk: true,
         member: this.#describe(),
       }),
       presenceRecipients: () => undefined,
@@ -248,9 +249,12 @@
     return this;
   }
 
-  /** Sends a message of a log to an instance. */
-  sendLog(to: string, envelope: LogEnvelope): void {
-    this.hub.send(to, { channel: "log", body: envelope });
+  /** Sends a message of a log to an instance; parts of snapshots are large. */
+  sendLog(to: string, body: LogEnvelope): void {
+    const envelope = { channel: "log", body } as const;
+    if (body.message.type === "snapshotPartRequest") {
+      this.hub.sendBulk(to, envelope);
+    } else this.hub.send(to, envelope);
   }
 
   /** Sends a notice to instances. */
--- a/src/tasks/peers/peer_dialer.ts
+++ b/src/tasks/peers/peer_dialer.ts
@@ -17,6 +17,8 @@
 export const PeerPath = {
   /** Messages, requests and heartbeats. */
   Link: "/peer",
+  /** Large messages, beside a link. */
+  Bulk: "/bulk",
   /** The bytes of one connection to a target. */
   Tunnel: "/tunnel",
 } as const;
--- a/src/tasks/peers/peer_envelope.ts
+++ b/src/tasks/peers/peer_envelope.ts
@@ -45,6 +45,11 @@
   readonly isDraining: boolean;
   /** Whether the instance has lost all targets, so that it cannot relay. */
   readonly isCutOff?: boolean;
+  /**
+   * Whether the instance takes large messages on connections of their own, in
+   * any order. An earlier build sends no such field.
+   */
+  readonly takesBulk?: boolean;
   /** Membership of an instance that joined a fleet through seeds. */
   readonly member?: FleetMember;
 }
--- a/src/tasks/peers/peer_hub.ts
+++ b/src/tasks/peers/peer_hub.ts
@@ -236,6 +236,16 @@
     return this.#links.send(to, envelope);
   }
 
+  /**
+   * Sends a large message beside the link, if the other instance takes it so. It
+   * may be lost, and may overtake others.
+   */
+  sendBulk(to: string, envelope: PeerEnvelope): boolean {
+    return this.getPresence(to)?.takesBulk === true
+      ? this.#links.sendBulk(to, envelope)
+      : this.send(to, envelope);
+  }
+
   /** Sends a message, encoded once, to several instances; it may be lost. */
   sendAll(to: Iterable<string>, envelope: PeerEnvelope): void {
     this.#links.sendAll(to, envelope);
--- a/src/tasks/peers/peer_hub_test.ts
+++ b/src/tasks/peers/peer_hub_test.ts
@@ -14,6 +14,7 @@
 import { RefusalError } from "../../core/verdict/mod.ts";
 import { Logger } from "../../logging/mod.ts";
 import { Metrics } from "../../metrics/mod.ts";
+import { BulkLinks } from "./bulk_links.ts";
 import { dialPeer, PeerPath } from "./peer_dialer.ts";
 import { PeerHub } from "./peer_hub.ts";
 import { LinkMemory } from "./link_memory.ts";
@@ -49,6 +50,7 @@
     id: string,
     port: number,
     others: Readonly<Record<string, number>>,
+    takesBulk?: boolean,
   ): Promise<PeerHub> {
     const hub = new PeerHub({
       settings: {
@@ -66,7 +68,12 @@
       }),
       logger: new Logger({ instance: id, level: "error" }),
       metrics: new Metrics({ tags: {} }),
-      presence: () => ({ ledger: id, incarnation: id, isDraining: false }),
+      presence: () => ({
+        ledger: id,
+        incarnation: id,
+        isDraining: false,
+        takesBulk,
+      }),
       presenceRecipients: () => undefined,
     });
     stops.push(() => hub.stop());
@@ -160,6 +167,30 @@
     expect(second.isLinked("a")).toBe(true);
   });
 
+  async function doTestBulk(takesBulk: boolean, expectedSends: number) {
+    const [a, b] = [nextPort(), nextPort()];
+    const sender = await start("a", a, { b });
+    const receiver = await start("b", b, { a }, takesBulk);
+    const received: unknown[] = [];
+    receiver.on("notice", (_, notice) => received.push(notice));
+    sender.keepLink("b");
+    await vi.waitFor(() => expect(sender.isPresent("b")).toBe(true), 5_000);
+    const body = { type: "roster", members: [], retiring: [] } as const;
+    const sent = vi.spyOn(BulkLinks.prototype, "send");
+    stops.push(() => sent.mockRestore());
+    for (let i = 0; i < 20; i += 1) {
+      sender.sendBulk("b", { channel: "notice", body });
+    }
+    await vi.waitFor(() => expect(received).toHaveLength(20), 5_000);
+    expect(sent.mock.calls.length).toBe(expectedSends);
+    expect(sender.isLinked("b")).toBe(true);
+  }
+
+  it("sends large messages beside the link", () => doTestBulk(true, 20));
+
+  it("sends them on the link to an instance that takes no others", () =>
+    doTestBulk(false, 0));
+
   it("reports not run if the other instance is unreachable", async () => {
     const [a, b] = [nextPort(), nextPort()];
     const requester = await start("a", a, { b });
--- a/src/tasks/peers/peer_link.ts
+++ b/src/tasks/peers/peer_link.ts
@@ -19,6 +19,8 @@
   readonly secret: string;
   /** Gets the certificates; undefined for a plain connection. */
   readonly security: () => LinkSecurity | undefined;
+  /** What the link is for; by default, for all messages. */
+  readonly path?: PeerPath;
   /** Called when the link comes up or goes down. */
   readonly onChange: (isUp: boolean) => void;
   /** Called with the size of each message sent, in bytes. */
@@ -66,6 +68,11 @@
     return this.#isUp;
   }
 
+  /** Gets the size of what waits to be sent, in bytes. */
+  get bufferedBytes(): number {
+    return this.#socket?.bufferedAmount ?? 0;
+  }
+
   /** Sends a message; drops it if the link is down or its buffer is full. */
   send(envelope: PeerEnvelope): boolean {
     return this.sendBytes(() => encodeEnvelope(envelope));
@@ -141,13 +148,13 @@
   }
 
   #dial(): void {
-    const { self, peer, secret, security, memory } = this.#options;
+    const { self, peer, secret, security, memory, path } = this.#options;
     const { socket } = dialPeer({
       self,
       peer,
       secret,
       security,
-      path: PeerPath.Link,
+      path: path ?? PeerPath.Link,
       memory,
       onAuthenticated: () => this.#onAuthenticated(socket),
     });
--- a/src/tasks/peers/peer_links.ts
+++ b/src/tasks/peers/peer_links.ts
@@ -9,6 +9,7 @@
 } from "../../settings/mod.ts";
 import { readCertificatesOrThrow } from "../certificates.ts";
 import type { AcceptedLink } from "./accepted_link.ts";
+import { BulkLinks } from "./bulk_links.ts";
 import {
   type DialledPeer,
   dialPeer,
@@ -58,6 +59,7 @@
   readonly #dialled = new Map<string, PeerLink>();
   /** Dialled links that the other instance still reads. */
   readonly #replaced = new Set<PeerLink>();
+  readonly #bulk: BulkLinks;
   #onTunnel: TunnelListener = ({ socket }) => socket.terminate();
 
   /**
@@ -81,6 +83,10 @@
       ? undefined
       : readCertificatesOrThrow(tls.peers);
     this.#listener = this.#createListener();
+    this.#bulk = new BulkLinks({
+      dial: (id) => this.#dial(id, { path: PeerPath.Bulk, onChange: () => {} }),
+      now: () => performance.now(),
+    });
   }
 
   /** Starts listening once the address is free, if there is one. */
@@ -119,23 +125,40 @@
   getOrDial(id: string): PeerLink | undefined {
     const link = this.#dialled.get(id);
     if (link !== undefined) return link;
-    const { settings, logger, getPeer, onChange, onMessage } = this.#options;
+    const { logger, onChange } = this.#options;
+    const dialled = this.#dial(id, {
+      path: PeerPath.Link,
+      onChange: (changed, isUp) => {
+        logger.event(isUp ? "peerUp" : "peerDown", { peer: id });
+        if (!isUp) this.#replaced.delete(changed);
+        onChange(id, changed, isUp);
+      },
+    });
+    if (dialled !== undefined) this.#dialled.set(id, dialled);
+    return dialled;
+  }
+
+  /** Dials an instance; undefined for an unknown one and for this one. */
+  #dial(
+    id: string,
+    options: {
+      readonly path: PeerPath;
+      readonly onChange: (link: PeerLink, isUp: boolean) => void;
+    },
+  ): PeerLink | undefined {
+    const { settings, getPeer, onMessage } = this.#options;
     const peer = getPeer(id);
     if (peer === undefined || id === settings.id) return undefined;
-    const dialled = new PeerLink({
+    const dialled: PeerLink = new PeerLink({
       ...this.#traffic,
       self: settings.id,
       peer,
       secret: this.#secret,
       security: () => this.#security,
-      onChange: (isUp) => {
-        logger.event(isUp ? "peerUp" : "peerDown", { peer: id });
-        if (!isUp) this.#replaced.delete(dialled);
-        onChange(id, dialled, isUp);
-      },
+      path: options.path,
+      onChange: (isUp) => options.onChange(dialled, isUp),
       onMessage: (envelope) => onMessage(id, dialled, envelope),
     });
-    this.#dialled.set(id, dialled);
     return dialled;
   }
 
@@ -145,6 +168,7 @@
     if (link === undefined) return undefined;
     link.stop();
     this.#dialled.delete(id);
+    this.#bulk.close(id);
     return link;
   }
 
@@ -166,6 +190,14 @@
     return link?.send(envelope) ?? false;
   }
 
+  /**
+   * Sends a large message beside the link, or on it while no other connection is
+   * open. It may be lost, and may overtake others.
+   */
+  sendBulk(to: string, envelope: PeerEnvelope): boolean {
+    return this.#bulk.send(to, envelope) || this.send(to, envelope);
+  }
+
   /** Sends a message, encoded once, to several instances; it may be lost. */
   sendAll(to: Iterable<string>, envelope: PeerEnvelope): void {
     let bytes: Buffer | undefined;
@@ -212,6 +244,7 @@
   /** Checks whether each dialled link is alive. */
   check(): void {
     for (const link of this.#dialled.values()) link.check();
+    this.#bulk.check();
     this.#memory.record();
   }
 
@@ -219,6 +252,7 @@
   stop(): void {
     const links = [...this.#dialled.values(), ...this.#replaced];
     for (const link of links) link.stop();
+    this.#bulk.stop();
     this.#listener?.stop();
   }
 
--- a/src/tasks/peers/peer_listener.ts
+++ b/src/tasks/peers/peer_listener.ts
@@ -61,6 +61,8 @@
   readonly #listener: Listener;
   /** Newest connection of each instance. */
   readonly #links = new Map<string, AcceptedLink>();
+  /** Connections for large messages, beside those. */
+  readonly #bulkLinks = new Set<AcceptedLink>();
   #silenceTimer: NodeJS.Timeout | undefined;
 
   constructor(options: PeerListenerOptions) {
@@ -92,7 +94,8 @@
    */
   listen(): Promise<void> {
     this.#silenceTimer = setInterval(() => {
-      for (const link of this.#links.values()) link.closeIfSilent();
+      const links = [...this.#links.values(), ...this.#bulkLinks];
+      for (const link of links) link.closeIfSilent();
     }, SILENCE_CHECK_INTERVAL_MS);
     return this.#listener.open();
   }
@@ -171,6 +174,8 @@
       trust();
       if (req.url === PeerPath.Tunnel) {
         this.#options.onTunnel({ socket, connection: req.socket }, id);
+      } else if (req.url === PeerPath.Bulk) {
+        this.#acceptBulk(socket, id);
       } else {
         this.#accept(socket, id);
       }
@@ -179,10 +184,27 @@
   }
 
   #accept(socket: WebSocket, id: string): void {
-    const { onMessage, onChange, onReceived, onRefused, onSent, memory } =
-      this.#options;
-    const link = new AcceptedLink({ peer: id, socket, onSent, memory });
+    const { onChange } = this.#options;
+    const link = this.#createLink(socket, id);
     this.#links.set(id, link);
+    socket.on("close", () => {
+      if (this.#links.get(id) !== link) return;
+      this.#links.delete(id);
+      onChange(link, false);
+    });
+    onChange(link, true);
+  }
+
+  #acceptBulk(socket: WebSocket, id: string): void {
+    const link = this.#createLink(socket, id);
+    this.#bulkLinks.add(link);
+    socket.on("close", () => this.#bulkLinks.delete(link));
+  }
+
+  /** Creates the link of a connection, and forwards its messages. */
+  #createLink(socket: WebSocket, id: string): AcceptedLink {
+    const { onMessage, onReceived, onRefused, onSent, memory } = this.#options;
+    const link = new AcceptedLink({ peer: id, socket, onSent, memory });
     socket.on("message", (data: Buffer) => {
       link.recordReceived();
       onReceived(data.length);
@@ -194,12 +216,7 @@
       }
       onMessage(link, envelope);
     });
-    socket.on("close", () => {
-      if (this.#links.get(id) !== link) return;
-      this.#links.delete(id);
-      onChange(link, false);
-    });
-    onChange(link, true);
+    return link;
   }
 }
 
