A transfer begins anew if its receiver holds less than before

A learner whose process starts again during a transfer holds none, and says so, but the leader went on after the last acknowledged part, for good: the timer repeats only what was not answered.

Now a later answer with fewer parts sets the transfer back to them; a late answer does not. Parts that come in any order are all protected from the removal of files, and late ones of an earlier transfer are not written.

Tests: `snapshot_transfer_test.ts`; the simulation restarts the learner.

--- a/src/core/consensus/log_sender.ts
+++ b/src/core/consensus/log_sender.ts
@@ -155,7 +155,7 @@
       const range = transfer.take(now);
       if (range === undefined) return isSent;
       const { first, parts, bytes } = range;
-      this.#sendPartRange(replica, { first, parts }, now);
+      this.#sendPartRange(replica, transfer, { first, parts, now });
       progress.sent.bytes += bytes;
       isSent = true;
     }
@@ -168,19 +168,22 @@
   #askForParts(replica: ReplicaId, now: number): void {
     const { transfer } = this.#options.tracker.progressOf(replica);
     const range = transfer?.getQuestion();
-    if (range !== undefined) this.#sendPartRange(replica, range, now);
+    if (transfer === undefined || range === undefined) return;
+    this.#sendPartRange(replica, transfer, { ...range, now });
   }
 
-  #sendPartRange(replica: ReplicaId, range: PartRange, now: number): void {
-    const { snapshot, total } = this.#getTransfer(
-      this.#options.tracker.progressOf(replica),
-    );
+  #sendPartRange(
+    replica: ReplicaId,
+    { snapshot, total }: SnapshotTransfer,
+    { first, parts, now }: PartRange & { readonly now: number },
+  ): void {
     this.#options.send({
       type: "snapshotPartRequest",
       ...this.#envelope(replica),
       snapshot,
-      ...range,
+      first,
       total,
+      parts,
       sentAt: now,
     });
   }
--- a/src/core/consensus/snapshot_receiver.ts
+++ b/src/core/consensus/snapshot_receiver.ts
@@ -31,10 +31,12 @@
    * @returns Whether they follow those held without a gap.
    */
   add(message: SnapshotPartRequest): boolean {
-    if (this.#transfer !== undefined && isLater(this.#transfer, message)) {
-      return false;
-    }
-    if (this.#transfer === undefined || isLater(message, this.#transfer)) {
+    const isOutdated = this.#transfer !== undefined &&
+      isLaterTransfer(this.#transfer, message);
+    if (isOutdated) return false;
+    const isNew = this.#transfer === undefined ||
+      isLaterTransfer(message, this.#transfer);
+    if (isNew) {
       this.clear();
       this.#transfer = message;
     }
@@ -65,8 +67,15 @@
   }
 }
 
-/** Gets whether a message is of a later transfer than another one. */
-function isLater(
+/**
+ * Gets whether a message is of a later transfer than another one.
+ *
+ * @example
+ * ```ts
+ * if (isLaterTransfer(message, this.#transfer)) this.clear();
+ * ```
+ */
+export function isLaterTransfer(
   { term, snapshot }: SnapshotPartRequest,
   other: SnapshotPartRequest,
 ): boolean {
--- a/src/core/consensus/snapshot_transfer.ts
+++ b/src/core/consensus/snapshot_transfer.ts
@@ -48,6 +48,10 @@
   readonly #options: SnapshotTransferOptions;
   readonly #window = new SendWindow(MAX_MESSAGES);
   #next = 0;
+  /** Number of parts that the replica holds without a gap. */
+  #received = 0;
+  /** Send time of the latest message that was answered. */
+  #answeredAt = -Infinity;
   /** Message that is sent before others, as it was lost. */
   #repeated: SentMessage | undefined;
 
@@ -113,10 +117,17 @@
 
   /**
    * Records that the replica holds the first parts. The message with those that
-   * follow is sent again if the replica has answered a much later one.
+   * follow is sent again if the replica has answered a much later one, and all
+   * of them if it holds less than before.
    * @param sentAt - Send time of the answered message.
    */
   onReply(received: number, sentAt: number): this {
+    if (received < this.#received) {
+      if (sentAt > this.#answeredAt) this.#restartAt(received);
+      return this;
+    }
+    this.#received = received;
+    this.#answeredAt = Math.max(this.#answeredAt, sentAt);
     this.#window.acknowledge(received);
     this.#next = Math.max(this.#next, received);
     const missing = this.#window.findAt(received);
@@ -126,4 +137,12 @@
     this.#repeated = missing;
     return this;
   }
+
+  /** Sends the parts from a position on, as the replica has lost its own. */
+  #restartAt(received: number): void {
+    this.#window.clear();
+    this.#repeated = undefined;
+    this.#received = received;
+    this.#next = received;
+  }
 }
--- a/src/core/consensus/snapshot_transfer_test.ts
+++ b/src/core/consensus/snapshot_transfer_test.ts
@@ -62,7 +62,28 @@
     expect(transfer.getQuestion()).toBeUndefined();
   });
 
-  it("sends all again in turn if the replica has lost them", () => {
+  // Guards against a transfer that never ends as its receiver has restarted.
+  it("begins anew if the replica holds less than before", () => {
+    const transfer = create();
+    takeAll(transfer, 0);
+    transfer.onReply(10, 0);
+    takeAll(transfer, 10);
+    transfer.onReply(0, 100);
+    expect(takeAll(transfer, 101)).toEqual(
+      Array.from({ length: 16 }, (_, i) => i),
+    );
+  });
+
+  it("ignores a late answer", () => {
+    const transfer = create();
+    takeAll(transfer, 0);
+    transfer.onReply(10, 5);
+    takeAll(transfer, 10);
+    transfer.onReply(4, 5);
+    expect(takeAll(transfer, 11)).toEqual([]);
+  });
+
+  it("sends all again in turn if the replica got none", () => {
     const transfer = create();
     takeAll(transfer, 0);
     const sent: number[] = [];
--- a/src/tasks/log/snapshot_part_files.ts
+++ b/src/tasks/log/snapshot_part_files.ts
@@ -1,8 +1,9 @@
 /** Parts of snapshots between the files of replicas. */
-import type {
-  ConsensusMessage,
-  SnapshotDivider,
-  SnapshotPartRequest,
+import {
+  type ConsensusMessage,
+  isLaterTransfer,
+  type SnapshotDivider,
+  type SnapshotPartRequest,
 } from "../../core/consensus/mod.ts";
 import type { StateFiles } from "./state_files.ts";
 
@@ -24,6 +25,8 @@
   readonly #options: SnapshotPartFilesOptions<S>;
   #sending: Promise<void> = Promise.resolve();
   #receiving: Promise<void> = Promise.resolve();
+  /** Last message whose parts were moved to files. */
+  #received: SnapshotPartRequest | undefined;
 
   constructor(options: SnapshotPartFilesOptions<S>) {
     this.#options = options;
@@ -59,14 +62,27 @@
   ): void {
     this.#receiving = this.#next(this.#receiving, async () => {
       const parts: unknown[] = [];
-      for (const [i, part] of message.parts.entries()) {
-        const isFirst = message.first + i === 0;
+      for (const part of this.#isOutdated(message) ? [] : message.parts) {
+        const isFirst = this.#isNew(message);
+        this.#received = message;
         parts.push(await files.movePart(part, isFirst));
       }
       receive({ ...message, parts });
     });
   }
 
+  /** Gets whether a message is of another transfer than the last parts. */
+  #isNew(message: SnapshotPartRequest): boolean {
+    return this.#received === undefined ||
+      isLaterTransfer(message, this.#received);
+  }
+
+  /** Gets whether a message is of an earlier transfer than the last parts. */
+  #isOutdated(message: SnapshotPartRequest): boolean {
+    return this.#received !== undefined &&
+      isLaterTransfer(this.#received, message);
+  }
+
   async #readParts(
     files: StateFiles<S>,
     message: SnapshotPartRequest,
--- a/src/tasks/log/state_files.ts
+++ b/src/tasks/log/state_files.ts
@@ -12,7 +12,8 @@
   /**
    * Writes to the files what they can hold of a part of another replica's
    * snapshot; gets the part that names it.
-   * @param isFirst - Whether the part begins a snapshot.
+   * @param isFirst - Whether no part of the snapshot was moved before. They come
+   *     in any order.
    */
   movePart(part: unknown, isFirst: boolean): Promise<unknown>;
   /** Gets a part of a snapshot with all that it names, as others receive it. */
--- a/tests/support/repair_simulation.ts
+++ b/tests/support/repair_simulation.ts
@@ -25,6 +25,8 @@
   LeaderChanged: "leaderChanged",
   /** The leader stands still for a time. */
   LeaderStalled: "leaderStalled",
+  /** The process of the learner starts again before it holds the state. */
+  LearnerRestarted: "learnerRestarted",
   /** The leader replaces its snapshot. */
   SnapshotReplaced: "snapshotReplaced",
   /** All disks take three times as long. */
@@ -220,6 +222,7 @@
         at(() => this.#leader?.transferLeadership()),
       [Disturbance.LeaderStalled]: () =>
         at(() => this.#leader?.stall(STALL_MS)),
+      [Disturbance.LearnerRestarted]: () => at(() => this.#restart(instance)),
       [Disturbance.SnapshotReplaced]: () => {
         for (let i = 0; i < EXCHANGES; i += 1) {
           at(() => this.#leader?.compact());
@@ -231,6 +234,14 @@
     handlers[this.#options.disturbance]?.();
   }
 
+  /** Starts the process of an instance again whose disk is still empty. */
+  #restart(instance: string): void {
+    const replica = this.#replicas.get(instance);
+    if (replica === undefined || replica.node.committed > 0) return;
+    replica.stop();
+    this.#start(instance);
+  }
+
   #setFactors(disk: number, processor: number): void {
     for (const replica of this.#replicas.values()) {
       replica.diskFactor = disk;
