Texts of results are checked once a replica has applied them

Cause: the test looks at a follower as soon as its first texts are in files; it may not have applied the last batches, whose results are then missing.

--- a/src/tasks/batches/result_files_test.ts
+++ b/src/tasks/batches/result_files_test.ts
@@ -61,12 +61,15 @@
   let drivers: Map<string, Driver>;
   let files: Map<string, ResultFiles>;
   let onSent: (message: Message) => void;
+  /** Index of the last entry that the leader has applied. */
+  let acknowledged: number;
 
   beforeEach(async () => {
     dataFolder = await mkdtemp(join(tmpdir(), "result-files-"));
     drivers = new Map();
     files = new Map();
     onSent = () => {};
+    acknowledged = 0;
     for (const id of IDS) await create(id);
     await Promise.all(IDS.map((id) => start(id)));
   });
@@ -141,6 +144,7 @@
     const index = leader.propose(command)?.index ?? Infinity;
     const applied = () => expect(leader.applied).toBeGreaterThanOrEqual(index);
     await vi.waitFor(applied, WAIT);
+    acknowledged = index;
   }
 
   async function fill(first = 0): Promise<void> {
@@ -163,8 +167,14 @@
       expect(state.movedBytes).toBeGreaterThan(state.movableBytes);
     }, WAIT);
 
-  /** Checks that a replica holds the results of some batches in full. */
+  /**
+   * Checks that a replica that has applied all that was acknowledged holds the
+   * results of some batches in full.
+   */
   async function check(id: string, batches: number): Promise<void> {
+    const hasApplied = () =>
+      expect(drivers.get(id)!.applied).toBeGreaterThanOrEqual(acknowledged);
+    await vi.waitFor(hasApplied, WAIT);
     const { state } = drivers.get(id)!;
     for (let i = 0; i < batches; i += 1) {
       const batch = `b-${i}`;
