--- a/src/core/fleet/roster.ts
+++ b/src/core/fleet/roster.ts
@@ -39,6 +39,11 @@
     return this;
   }
 
+  /** Gets whether a member was reported and has not been removed since. */
+  isKnown(id: string): boolean {
+    return this.#members.has(id);
+  }
+
   /** Gets the members of a role that were reported recently. */
   membersOf(role: FleetRole, now: number): RosterEntry[] {
     return [...this.#members.values()]
--- a/src/tasks/fleet/fleet_node.ts
+++ b/src/tasks/fleet/fleet_node.ts
@@ -294,7 +294,10 @@
 
   #onNotice(notice: FleetNotice, from: string): void {
     if (notice.type === "roster") {
+      const hasNew = notice.members.some(({ id }) => !this.roster.isKnown(id));
       this.roster.mergeEntries(notice.members, this.now);
+      const isConnected = this.#timer !== undefined;
+      if (hasNew && isConnected) this.#maintainLinks();
       this.#retiring = new Set(notice.retiring);
       this.#senders.update(from, notice.senders ?? [], this.now);
     }
