--- a/src/core/consensus/log_sender.ts
+++ b/src/core/consensus/log_sender.ts
@@ -9,7 +9,7 @@
   ReplicationTracker,
 } from "./replication_tracker.ts";
 import type { SnapshotDivider } from "./snapshot_parts.ts";
-import { SnapshotTransfer } from "./snapshot_transfer.ts";
+import { type PartRange, SnapshotTransfer } from "./snapshot_transfer.ts";
 
 /** Options of {@link LogSender}. */
 export interface LogSenderOptions<C, S> {
@@ -36,11 +36,10 @@
 /** Limits of the entries, or of the parts of a snapshot, in one message. */
 const LIMITS = { maxEntries: 256, maxBytes: 262_144 };
 /**
- * Number of heartbeat intervals after which an unanswered message with entries
- * is sent again.
+ * Number of heartbeat intervals after which an unanswered message is sent again.
  *
  * Losses on a broken connection are detected earlier, by the reply to a
- * heartbeat.
+ * heartbeat, or to a question for the parts of a snapshot.
  */
 const RESEND_HEARTBEATS = 20;
 
@@ -78,10 +77,12 @@
     const overdueBefore = now -
       this.#options.heartbeatMs * RESEND_HEARTBEATS;
     progress.next = progress.window.takeOverdue(overdueBefore) ?? progress.next;
-    if (log.termAt(progress.next - 1) === undefined) {
+    if (!log.holdsAfter(progress.next - 1)) {
       progress.transfer?.resendBefore(overdueBefore);
       const isSent = this.#replicateSnapshot(replica, now);
-      if (!isSent && isHeartbeat) this.#sendHeartbeat(replica, now);
+      if (isSent || !isHeartbeat) return;
+      this.#sendHeartbeat(replica, now);
+      this.#askForParts(replica, now);
       return;
     }
     progress.transfer = undefined;
@@ -95,11 +96,12 @@
     const progress = tracker.progressOf(replica);
     let isSent = false;
     for (;;) {
-      const { entries, isFull } = log.batchFrom(progress.next, LIMITS);
+      const { entries, isFull, bytes } = log.batchFrom(progress.next, LIMITS);
       const isNext = progress.window.isEmpty ||
         (isFull && !progress.isProbing && !progress.window.isFull);
       if (entries.length === 0 || !isNext) return isSent;
       this.#sendEntries(replica, entries, now);
+      progress.sent.bytes += bytes;
       isSent = true;
     }
   }
@@ -146,38 +148,63 @@
   }
 
   #sendParts(replica: ReplicaId, now: number): boolean {
-    const { snapshot } = this.#options.log;
-    const transfer = this.#getTransfer(
-      this.#options.tracker.progressOf(replica),
-    );
-    const { index, term, members } = snapshot;
+    const progress = this.#options.tracker.progressOf(replica);
+    const transfer = this.#getTransfer(progress);
     let isSent = false;
     for (;;) {
       const range = transfer.take(now);
       if (range === undefined) return isSent;
-      this.#options.send({
-        type: "snapshotPartRequest",
-        ...this.#envelope(replica),
-        snapshot: { index, term, members },
-        ...range,
-        total: transfer.total,
-        sentAt: now,
-      });
+      const { first, parts, bytes } = range;
+      this.#sendPartRange(replica, transfer, { first, parts, now });
+      progress.sent.bytes += bytes;
       isSent = true;
     }
   }
 
-  /** Gets the transfer of the current snapshot to a replica. */
+  /**
+   * Asks a replica which parts it holds while some are not answered. The question
+   * follows them, so a refusal says that some were lost.
+   */
+  #askForParts(replica: ReplicaId, now: number): void {
+    const { transfer } = this.#options.tracker.progressOf(replica);
+    const range = transfer?.getQuestion();
+    if (transfer === undefined || range === undefined) return;
+    this.#sendPartRange(replica, transfer, { ...range, now });
+  }
+
+  #sendPartRange(
+    replica: ReplicaId,
+    { snapshot, total }: SnapshotTransfer,
+    { first, parts, now }: PartRange & { readonly now: number },
+  ): void {
+    this.#options.send({
+      type: "snapshotPartRequest",
+      ...this.#envelope(replica),
+      snapshot,
+      first,
+      total,
+      parts,
+      sentAt: now,
+    });
+  }
+
+  /**
+   * Gets the transfer of a snapshot to a replica. It goes on with the snapshot
+   * that it began with while the log holds the entries that follow.
+   */
   #getTransfer(progress: ReplicaProgress): SnapshotTransfer {
     const { log, divider } = this.#options;
-    const { index, state } = log.snapshot;
-    if (progress.transfer?.index !== index) {
-      progress.transfer = new SnapshotTransfer({
-        index,
-        parts: divider.split(state),
-        maxBytes: LIMITS.maxBytes,
-      });
+    const { transfer } = progress;
+    if (transfer !== undefined && log.holdsAfter(transfer.snapshot.index)) {
+      return transfer;
     }
+    const { state, ...snapshot } = log.snapshot;
+    progress.transfer = new SnapshotTransfer({
+      snapshot,
+      parts: divider.split(state),
+      maxBytes: LIMITS.maxBytes,
+    });
+    progress.sent.snapshots += 1;
     return progress.transfer;
   }
 
@@ -219,8 +246,9 @@
   #sendSnapshot(replica: ReplicaId, now: number): void {
     const { log, tracker } = this.#options;
     const { index } = log.snapshot;
-    tracker.progressOf(replica).window
-      .add({ first: index, last: index, sentAt: now });
+    const { window, sent } = tracker.progressOf(replica);
+    window.add({ first: index, last: index, sentAt: now });
+    sent.snapshots += 1;
     this.#options.send({
       type: "snapshotRequest",
       ...this.#envelope(replica),
--- a/src/tasks/log/log_service.ts
+++ b/src/tasks/log/log_service.ts
@@ -75,6 +75,11 @@
     this.driver.receive(message);
   }
 
+  /** Proposes the change of members that is due, if this replica leads. */
+  checkMembers(): void {
+    this.driver.checkMembers();
+  }
+
   /**
    * Proposes a command and waits until it is applied.
    * @throws RefusalError with verdict `notRun` if it will never be applied, or
@@ -119,7 +124,8 @@
   updateGauges(): void {
     const { metrics } = this.#options;
     metrics.gauge("log.applied", this.driver.applied);
-    metrics.gauge("log.bytes", this.driver.node?.logBytes ?? 0);
+    const { logBytes = 0, keptBytes = 0 } = this.driver.node ?? {};
+    metrics.gauge("log.bytes", logBytes + keptBytes);
     metrics.gauge("log.leads", this.leadsTerm ?? 0);
   }
 
--- a/src/tasks/peers/peer_hub.ts
+++ b/src/tasks/peers/peer_hub.ts
@@ -16,7 +16,6 @@
 import type {
   BodyOf,
   PeerEnvelope,
-  PeerReply,
   Presence,
   TaskChannel,
 } from "./peer_envelope.ts";
@@ -87,6 +86,7 @@
   >();
   #timer: NodeJS.Timeout | undefined;
   #checkCount = 0;
+  #onReplicaPresent: () => void = () => {};
 
   /**
    * Reads the secret and the certificates; {@link PeerHub.start} opens the
@@ -212,12 +212,18 @@
 
   /**
    * Closes the link dialled to an instance if that instance has dialled one
-   * too, and if no request is pending on it.
+   * too, and if no request of either side is pending on it. What was sent on it
+   * arrives before.
    */
   dropRedundantLink(id: string): this {
-    const isRedundant = this.#links.getAccepted(id) !== undefined &&
-      !this.#pending.isPendingOn(this.#links.getDialled(id));
-    return isRedundant ? this.dropLink(id) : this;
+    const dialled = this.#links.getDialled(id);
+    if (dialled === undefined || this.#links.getAccepted(id) === undefined) {
+      return this;
+    }
+    const isInUse = this.#pending.isPendingOn(dialled) ||
+      this.#handlers.isAnsweringOn(dialled);
+    if (!isInUse) this.#links.replace(id);
+    return this;
   }
 
   /** Gets the instances that are present. */
@@ -230,11 +236,27 @@
     return this.#links.send(to, envelope);
   }
 
+  /**
+   * Sends a large message beside the link, if the other instance takes it so. It
+   * may be lost, and may overtake others.
+   */
+  sendBulk(to: string, envelope: PeerEnvelope): boolean {
+    return this.getPresence(to)?.takesBulk === true
+      ? this.#links.sendBulk(to, envelope)
+      : this.send(to, envelope);
+  }
+
   /** Sends a message, encoded once, to several instances; it may be lost. */
   sendAll(to: Iterable<string>, envelope: PeerEnvelope): void {
     this.#links.sendAll(to, envelope);
   }
 
+  /** Sets the listener of replicas that have just become present. */
+  onReplicaPresent(listener: () => void): this {
+    this.#onReplicaPresent = listener;
+    return this;
+  }
+
   /** Sets the listener of tunnels, which are closed at once without one. */
   onTunnel(listener: TunnelListener): this {
     this.#links.onTunnel(listener);
@@ -345,8 +367,7 @@
           `${envelope.channel}: nested over ${MAX_MESSAGE_DEPTH}`,
         );
       } else if (envelope.channel === "request") {
-        const send = (body: PeerReply) => link.send({ channel: "reply", body });
-        this.#handlers.answer(envelope.body, from, send)
+        this.#handlers.answer(envelope.body, from, link)
           .catch((err) => logger.error(err));
       } else if (envelope.channel === "reply") {
         this.#pending.onReply(envelope.body);
@@ -360,8 +381,12 @@
 
   #recordPresence(from: string, body: unknown): void {
     const { success, data, error } = presenceSchema.safeParse(body);
-    if (success) this.#presences.record(from, data);
-    else this.refuse(from, `presence: ${refusalTextOf(error)}`);
+    if (!success) {
+      this.refuse(from, `presence: ${refusalTextOf(error)}`);
+      return;
+    }
+    const isNewReplica = this.#presences.record(from, data);
+    if (isNewReplica) this.#onReplicaPresent();
   }
 }
 
--- a/src/tasks/peers/peer_link.ts
+++ b/src/tasks/peers/peer_link.ts
@@ -19,6 +19,8 @@
   readonly secret: string;
   /** Gets the certificates; undefined for a plain connection. */
   readonly security: () => LinkSecurity | undefined;
+  /** What the link is for; by default, for all messages. */
+  readonly path?: PeerPath;
   /** Called when the link comes up or goes down. */
   readonly onChange: (isUp: boolean) => void;
   /** Called with the size of each message sent, in bytes. */
@@ -37,6 +39,10 @@
 export const SILENCE_TIMEOUT_MS = 1_800;
 const MIN_REDIAL_DELAY_MS = 100;
 const MAX_REDIAL_DELAY_MS = 1_000;
+/** Time in which the other instance must have read a link that is replaced. */
+const REPLACE_TIMEOUT_MS = 5_000;
+/** Content of the ping that follows the last message of a replaced link. */
+const LAST_PING = Buffer.from("last");
 /** Size of a link's send buffer above which messages are dropped, in bytes. */
 const MAX_BUFFERED_BYTES = 33_554_432;
 
@@ -62,6 +68,11 @@
     return this.#isUp;
   }
 
+  /** Gets the size of what waits to be sent, in bytes. */
+  get bufferedBytes(): number {
+    return this.#socket?.bufferedAmount ?? 0;
+  }
+
   /** Sends a message; drops it if the link is down or its buffer is full. */
   send(envelope: PeerEnvelope): boolean {
     return this.sendBytes(() => encodeEnvelope(envelope));
@@ -71,6 +82,7 @@
   sendBytes(encode: () => Buffer): boolean {
     const socket = this.#socket;
     if (!this.#isUp || socket === undefined) return false;
+    if (socket.readyState !== socket.OPEN) return false;
     const { onSent, memory } = this.#options;
     return sendEncoded(socket, { encode, onSent, memory });
   }
@@ -99,6 +111,25 @@
     this.#socket?.terminate();
   }
 
+  /**
+   * Closes the link for good once the other instance has read all that was sent.
+   * Until it closes its side as well, its messages are received.
+   */
+  closeWhenRead(): void {
+    const socket = this.#socket;
+    if (!this.#isUp || socket === undefined) {
+      this.stop();
+      return;
+    }
+    this.#isStopped = true;
+    const timer = setTimeout(() => socket.terminate(), REPLACE_TIMEOUT_MS);
+    socket.on("close", () => clearTimeout(timer));
+    socket.on("pong", (data) => {
+      if (data.equals(LAST_PING)) socket.close();
+    });
+    socket.ping(LAST_PING);
+  }
+
   /**
    * Pings the other instance after silence, and closes an unanswered link.
    *
@@ -117,13 +148,13 @@
   }
 
   #dial(): void {
-    const { self, peer, secret, security, memory } = this.#options;
+    const { self, peer, secret, security, memory, path } = this.#options;
     const { socket } = dialPeer({
       self,
       peer,
       secret,
       security,
-      path: PeerPath.Link,
+      path: path ?? PeerPath.Link,
       memory,
       onAuthenticated: () => this.#onAuthenticated(socket),
     });
