Transfers are compared, and a log's room is checked, in one place each

- What tells a message of a later, the same or an earlier transfer stood twice, as four expressions in SnapshotReceiver and SnapshotPartFiles: compareTransfers.
- The bound on kept entries stood in two methods of ReplicatedLog, and a compaction counted all sizes twice.
- A leader without kept entries looked with each heartbeat for what members need.
- LogService.checkMembers only passed on to its driver.

--- a/src/core/consensus/consensus_message.ts
+++ b/src/core/consensus/consensus_message.ts
@@ -1,5 +1,5 @@
 /** Messages between the replicas of a replicated log. */
-import type { LogEntry, LogSnapshot } from "./log_entry.ts";
+import type { LogEntry, LogSnapshot, SnapshotHead } from "./log_entry.ts";
 import type { ReplicaId } from "./replica_id.ts";
 
 /** Fields common to all messages. */
@@ -91,7 +91,7 @@
  */
 export interface SnapshotPartRequest extends MessageBase {
   readonly type: "snapshotPartRequest";
-  readonly snapshot: Omit<LogSnapshot<unknown>, "state">;
+  readonly snapshot: SnapshotHead;
   /** Number of parts that precede those of the message. */
   readonly first: number;
   /** Number of parts of the snapshot. */
@@ -106,7 +106,10 @@
   readonly type: "snapshotPartReply";
   /** Index of the last entry in the snapshot. */
   readonly index: number;
-  /** Whether the parts of the request follow those held without a gap. */
+  /**
+   * Whether the parts of the request follow those held without a gap. Leaders of
+   * earlier builds go by it.
+   */
   readonly isAccepted: boolean;
   /** Number of parts held without a gap, from the first on. */
   readonly received: number;
--- a/src/core/consensus/leadership.ts
+++ b/src/core/consensus/leadership.ts
@@ -203,7 +203,8 @@
   /** Sends heartbeats at once. */
   sendHeartbeats(now: number): void {
     this.#heartbeatDueAt = now + this.#options.times.heartbeatMs;
-    this.#state.log.keepAfter(this.getNeededAfter(now));
+    const { log } = this.#state;
+    if (log.keptBytes > 0) log.keepAfter(this.getNeededAfter(now));
     this.#sender.broadcast(this.#state.members, now, { isHeartbeat: true });
   }
 
--- a/src/core/consensus/log_entry.ts
+++ b/src/core/consensus/log_entry.ts
@@ -37,3 +37,6 @@
   /** Candidate that received this replica's vote in that term. */
   readonly votedFor: ReplicaId | undefined;
 }
+
+/** A snapshot without its state. */
+export type SnapshotHead = Omit<LogSnapshot<unknown>, "state">;
--- a/src/core/consensus/log_sender.ts
+++ b/src/core/consensus/log_sender.ts
@@ -154,9 +154,8 @@
     for (;;) {
       const range = transfer.take(now);
       if (range === undefined) return isSent;
-      const { first, parts, bytes } = range;
-      this.#sendPartRange(replica, transfer, { first, parts, now });
-      progress.sent.bytes += bytes;
+      this.#sendPartRange(replica, transfer, { ...range, now });
+      progress.sent.bytes += range.bytes;
       isSent = true;
     }
   }
--- a/src/core/consensus/mod.ts
+++ b/src/core/consensus/mod.ts
@@ -10,5 +10,5 @@
 export * from "./replicated_log.ts";
 export * from "./role.ts";
 export * from "./snapshot_parts.ts";
-export { isLaterTransfer } from "./snapshot_receiver.ts";
+export { compareTransfers } from "./snapshot_receiver.ts";
 export * from "./membership_repair.ts";
--- a/src/core/consensus/replicated_log.ts
+++ b/src/core/consensus/replicated_log.ts
@@ -213,8 +213,7 @@
     if (entries.some((e) => e.content.type === "members")) {
       this.#members = undefined;
     }
-    if (this.#keptBytes + this.#bytes > this.#maxHeldBytes) this.keepAfter();
-    return this;
+    return this.#limitKept();
   }
 
   /**
@@ -245,12 +244,11 @@
    */
   compact(snapshot: LogSnapshot<S>, kept?: KeptEntries): this {
     const after = Math.min(snapshot.index, kept?.after ?? snapshot.index);
-    this.#slice(after, this.last.index);
+    const { index: last } = this.last;
     this.#snapshot = snapshot;
     this.#maxHeldBytes = kept?.maxBytes ?? Infinity;
-    this.#countBytes();
-    if (this.#keptBytes + this.#bytes > this.#maxHeldBytes) this.keepAfter();
-    return this;
+    this.#slice(after, last);
+    return this.#limitKept();
   }
 
   /**
@@ -285,6 +283,12 @@
     return this.commit(snapshot.index);
   }
 
+  /** Removes the entries that the snapshot replaces if all take too much. */
+  #limitKept(): this {
+    const isTooLarge = this.#keptBytes + this.#bytes > this.#maxHeldBytes;
+    return isTooLarge ? this.keepAfter() : this;
+  }
+
   /** Removes all entries but those after one index and up to another. */
   #slice(after: number, upTo: number): void {
     const start = Math.max(0, after - this.#base.index);
@@ -293,10 +297,6 @@
     this.#base = { index, term: this.termAt(index) ?? 0 };
     this.#entries = this.#entries.slice(start, end);
     this.#sizes = this.#sizes.slice(start, end);
-    this.#countBytes();
-  }
-
-  #countBytes(): void {
     const keptCount = this.#snapshot.index - this.#base.index;
     this.#keptBytes = sumOf(this.#sizes.slice(0, keptCount), (b) => b);
     this.#bytes = sumOf(this.#sizes.slice(keptCount), (b) => b);
--- a/src/core/consensus/snapshot_receiver.ts
+++ b/src/core/consensus/snapshot_receiver.ts
@@ -1,9 +1,10 @@
 /** Collects the parts of a snapshot that a leader sends. */
 import type { SnapshotPartRequest } from "./consensus_message.ts";
+import type { SnapshotHead } from "./log_entry.ts";
 
 /** A snapshot whose parts have all arrived. */
 export interface CompleteSnapshot {
-  readonly snapshot: SnapshotPartRequest["snapshot"];
+  readonly snapshot: SnapshotHead;
   readonly parts: readonly unknown[];
 }
 
@@ -31,12 +32,9 @@
    * @returns Whether they follow those held without a gap.
    */
   add(message: SnapshotPartRequest): boolean {
-    const isOutdated = this.#transfer !== undefined &&
-      isLaterTransfer(this.#transfer, message);
-    if (isOutdated) return false;
-    const isNew = this.#transfer === undefined ||
-      isLaterTransfer(message, this.#transfer);
-    if (isNew) {
+    const order = compareTransfers(message, this.#transfer);
+    if (order < 0) return false;
+    if (order > 0) {
       this.clear();
       this.#transfer = message;
     }
@@ -68,17 +66,18 @@
 }
 
 /**
- * Gets whether a message is of a later transfer than another one.
- *
+ * Compares the transfer of a message with the one that is held, if there is one.
+ * @returns Above 0 if the message begins another one, below 0 if it is of an
+ *     earlier one, and 0 if it is of the same.
  * @example
  * ```ts
- * if (isLaterTransfer(message, this.#transfer)) this.clear();
+ * if (compareTransfers(message, this.#transfer) > 0) this.clear();
  * ```
  */
-export function isLaterTransfer(
+export function compareTransfers(
   { term, snapshot }: SnapshotPartRequest,
-  other: SnapshotPartRequest,
-): boolean {
-  if (term !== other.term) return term > other.term;
-  return snapshot.index > other.snapshot.index;
+  held: SnapshotPartRequest | undefined,
+): number {
+  if (held === undefined) return 1;
+  return term - held.term || snapshot.index - held.snapshot.index;
 }
--- a/src/core/consensus/snapshot_transfer.ts
+++ b/src/core/consensus/snapshot_transfer.ts
@@ -1,6 +1,6 @@
 /** Progress of sending a snapshot to one replica. */
 import { estimateBytes } from "./estimate_bytes.ts";
-import type { LogSnapshot } from "./log_entry.ts";
+import type { SnapshotHead } from "./log_entry.ts";
 import { sumOf } from "../statistics/mod.ts";
 import { SendWindow, type SentMessage } from "./send_window.ts";
 
@@ -12,9 +12,6 @@
 /** Unanswered messages, which travel on several connections. */
 const MAX_MESSAGES = 16;
 
-/** A snapshot without its state. */
-export type SnapshotHead = Omit<LogSnapshot<unknown>, "state">;
-
 /** Options of {@link SnapshotTransfer}. */
 export interface SnapshotTransferOptions {
   readonly snapshot: SnapshotHead;
--- a/src/tasks/batches/batch_task.ts
+++ b/src/tasks/batches/batch_task.ts
@@ -138,7 +138,7 @@
     options.node
       .onLog(BATCH_LOG, (message) => this.#service.receive(message as never));
     options.node.hub
-      .onReplicaPresent(() => this.#service.checkMembers())
+      .onReplicaPresent(() => driver.checkMembers())
       .handle(
         FORM_METHOD,
         (params) =>
--- a/src/tasks/fleet/fleet_control.ts
+++ b/src/tasks/fleet/fleet_control.ts
@@ -116,7 +116,7 @@
       wallNow: () => Date.now(),
     });
     node.onNotice = (notice) => this.targets.onNotice(notice);
-    node.hub.onReplicaPresent(() => this.#service.checkMembers());
+    node.hub.onReplicaPresent(() => this.#service.driver.checkMembers());
   }
 
   /** Gets the state that this replica has applied; it may lag the leader's. */
--- a/src/tasks/log/log_service.ts
+++ b/src/tasks/log/log_service.ts
@@ -75,11 +75,6 @@
     this.driver.receive(message);
   }
 
-  /** Proposes the change of members that is due, if this replica leads. */
-  checkMembers(): void {
-    this.driver.checkMembers();
-  }
-
   /**
    * Proposes a command and waits until it is applied.
    * @throws RefusalError with verdict `notRun` if it will never be applied, or
--- a/src/tasks/log/snapshot_part_files.ts
+++ b/src/tasks/log/snapshot_part_files.ts
@@ -1,7 +1,7 @@
 /** Parts of snapshots between the files of replicas. */
 import {
+  compareTransfers,
   type ConsensusMessage,
-  isLaterTransfer,
   type SnapshotDivider,
   type SnapshotPartRequest,
 } from "../../core/consensus/mod.ts";
@@ -61,9 +61,10 @@
     receive: (message: SnapshotPartRequest) => void,
   ): void {
     this.#receiving = this.#next(this.#receiving, async () => {
+      const isOutdated = compareTransfers(message, this.#received) < 0;
       const parts: unknown[] = [];
-      for (const part of this.#isOutdated(message) ? [] : message.parts) {
-        const isFirst = this.#isNew(message);
+      for (const part of isOutdated ? [] : message.parts) {
+        const isFirst = compareTransfers(message, this.#received) > 0;
         this.#received = message;
         parts.push(await files.movePart(part, isFirst));
       }
@@ -71,18 +72,6 @@
     });
   }
 
-  /** Gets whether a message is of another transfer than the last parts. */
-  #isNew(message: SnapshotPartRequest): boolean {
-    return this.#received === undefined ||
-      isLaterTransfer(message, this.#received);
-  }
-
-  /** Gets whether a message is of an earlier transfer than the last parts. */
-  #isOutdated(message: SnapshotPartRequest): boolean {
-    return this.#received !== undefined &&
-      isLaterTransfer(this.#received, message);
-  }
-
   async #readParts(
     files: StateFiles<S>,
     message: SnapshotPartRequest,
