The simulation of repairs delivers messages twice, too

Messages were lost, late and held back in it, but never doubled; found in a second reading. Each message of a repair now arrives a second time up to 30 ms later, out of order with those after it.

--- a/tests/support/repair_simulation.ts
+++ b/tests/support/repair_simulation.ts
@@ -19,6 +19,8 @@
   LinksExchanged: "linksExchanged",
   /** One of 50 messages is lost. */
   MessagesLost: "messagesLost",
+  /** Each message arrives twice, the second time up to 30 ms late. */
+  MessagesDoubled: "messagesDoubled",
   /** Messages arrive up to 30 ms late, in order on each connection. */
   MessagesLate: "messagesLate",
   /** The leader hands its lead over. */
@@ -271,10 +273,14 @@
       ? Array.from({ length: BULK_CONNECTIONS }, (_, i) => `${from}>${to}/${i}`)
       : [`${from}>${to}`];
     const arrivesAt = this.#occupy(from, connections, { bytes, lateMs });
-    this.#scheduler.after(arrivesAt - this.#now, () => {
+    const deliver = () => {
       if (this.#links.get(link) !== exchanges) return;
       this.#replicas.get(to)?.receive(message, bytes);
-    });
+    };
+    const delayMs = arrivesAt - this.#now;
+    this.#scheduler.after(delayMs, deliver);
+    if (!is(Disturbance.MessagesDoubled)) return;
+    this.#scheduler.after(delayMs + random() * MAX_LATE_MS, deliver);
   }
 
   /**
