--- a/src/core/batches/batch.ts
+++ b/src/core/batches/batch.ts
@@ -14,7 +14,12 @@
   readonly id: string;
   readonly path: string;
   readonly headers: Readonly<Record<string, string>>;
+  /** Body of the request; empty if the item has a `bodyDigest`. */
   readonly body: Uint8Array;
+  /**
+   * SHA-256 of the body in base64, in place of a body that is no longer needed.
+   */
+  readonly bodyDigest?: string | undefined;
   /** Prompt tokens plus the maximum number of generated tokens. */
   readonly tokens: number;
   /**
--- a/src/core/batches/batch_record.ts
+++ b/src/core/batches/batch_record.ts
@@ -8,6 +8,7 @@
 import { HeldPartialText } from "./held_partial_text.ts";
 import { HeldPieces } from "./held_pieces.ts";
 import { HeldResult } from "./held_result.ts";
+import { withoutBody } from "./item_identity.ts";
 import type { PartialText } from "./run_text.ts";
 
 /** An item that waits to be run. */
@@ -18,24 +19,32 @@
 
 /** Holds the specification, results and partial outputs of one batch. */
 export class BatchRecord {
-  readonly spec: BatchSpec;
-  readonly #items: ReadonlyMap<string, BatchItem>;
+  #spec: BatchSpec;
+  #items: ReadonlyMap<string, BatchItem>;
   readonly #results: HeldResult[] = [];
-  readonly #resultsById = new Map<string, HeldResult>();
+  /** Positions of the results, by item. */
+  readonly #positions = new Map<string, number>();
   readonly #partialTexts = new Map<string, HeldPartialText>();
-  readonly #specBytes: number;
+  #specBytes: number;
   #bytes: number;
-  /** Size of the results' texts in memory, and of those in files. */
+  /** Size of the results' texts in memory, and of all others. */
   #heldTextBytes = 0;
-  #locatedTextBytes = 0;
+  #detachedTextBytes = 0;
+  /** Size of the results' texts that this replica does not have. */
+  #missingTextBytes = 0;
   #isEnded = false;
 
   /** Creates the record of a batch that has no results yet. */
   constructor(spec: BatchSpec) {
-    this.spec = spec;
+    this.#spec = spec;
     this.#specBytes = estimateSpecBytes(spec);
     this.#bytes = this.#specBytes;
-    this.#items = new Map(spec.items.map((item) => [item.id, item]));
+    this.#items = indexItems(spec);
+  }
+
+  /** Gets the specification; its items lack their bodies once the batch ended. */
+  get spec(): BatchSpec {
+    return this.#spec;
   }
 
   /** Gets whether the caller has ended the batch. */
@@ -45,7 +54,7 @@
 
   /** Gets whether the batch has not ended and has items without a result. */
   get isOpen(): boolean {
-    return !this.#isEnded && this.#resultsById.size < this.#items.size;
+    return !this.#isEnded && this.#results.length < this.#items.size;
   }
 
   /**
@@ -61,7 +70,7 @@
    * in bytes.
    */
   get outputBytes(): number {
-    return this.#bytes - this.#specBytes + this.#locatedTextBytes;
+    return this.#bytes - this.#specBytes + this.#detachedTextBytes;
   }
 
   /** Gets the size of the results' texts in memory, in bytes. */
@@ -69,9 +78,14 @@
     return this.#heldTextBytes;
   }
 
-  /** Gets the size of the results' texts in files, in bytes. */
-  get locatedTextBytes(): number {
-    return this.#locatedTextBytes;
+  /** Gets the size of the texts that files hold, or will hold, in bytes. */
+  get detachedTextBytes(): number {
+    return this.#detachedTextBytes;
+  }
+
+  /** Gets the size of the texts that this replica does not have, in bytes. */
+  get missingTextBytes(): number {
+    return this.#missingTextBytes;
   }
 
   /** Gets the number of items that may yet have a result. */
@@ -103,13 +117,19 @@
    * file must be read before it is used.
    */
   getResult(id: string): BatchResult | undefined {
-    const held = this.#resultsById.get(id);
+    const held = this.getHeldResult(id);
     return held === undefined ? undefined : plainOf(held);
   }
 
+  /** Gets the result of an item as it is held. */
+  getHeldResult(id: string): HeldResult | undefined {
+    const position = this.#positions.get(id);
+    return position === undefined ? undefined : this.#results[position];
+  }
+
   /** Gets whether an item has a result. */
   hasResult(id: string): boolean {
-    return this.#resultsById.has(id);
+    return this.#positions.has(id);
   }
 
   /** Gets whether an item's output is complete and waits for its score. */
@@ -124,7 +144,7 @@
 
   /** Gets the items without a result. */
   get pendingItems(): BatchItem[] {
-    return this.spec.items.filter((item) => !this.#resultsById.has(item.id));
+    return this.spec.items.filter((item) => !this.hasResult(item.id));
   }
 
   /**
@@ -133,38 +153,42 @@
    * @returns Whether the result was appended.
    */
   addResult(result: BatchResult, after = 0): boolean {
-    if (!this.#items.has(result.id) || this.#resultsById.has(result.id)) {
-      return false;
-    }
+    if (!this.#items.has(result.id) || this.hasResult(result.id)) return false;
     const joined = this.#joinPartialText(result, after);
     if (joined === undefined) return false;
+    this.#positions.set(result.id, this.#results.length);
     this.#results.push(joined);
-    this.#resultsById.set(result.id, joined);
     this.#bytes += joined.heldBytes -
       (this.#partialTexts.get(result.id)?.estimatedBytes ?? 0);
-    this.#heldTextBytes += joined.heldTextBytes;
-    this.#locatedTextBytes += joined.location?.length ?? 0;
+    this.#countTexts(joined, 1);
     this.#partialTexts.delete(result.id);
     return true;
   }
 
-  /** Forgets the texts of results that have a place in a file. */
+  /** Adopts the places that texts have in files, whether they were held or not. */
   adoptLocations(results: readonly BatchResult[]): this {
-    for (const [i, result] of results.entries()) {
-      const held = this.#results[i];
-      if (!(result instanceof HeldResult) || held?.id !== result.id) continue;
+    for (const result of results) {
+      const position = this.#positions.get(result.id);
+      if (position === undefined || !(result instanceof HeldResult)) continue;
+      const held = this.#results[position];
       if (result.location === undefined || held.location !== undefined) {
         continue;
       }
-      this.#results[i] = result;
-      this.#resultsById.set(result.id, result);
-      this.#bytes -= held.textBytes;
-      this.#heldTextBytes -= held.textBytes;
-      this.#locatedTextBytes += held.textBytes;
+      this.#results[position] = result;
+      this.#bytes += result.heldBytes - held.heldBytes;
+      this.#countTexts(held, -1);
+      this.#countTexts(result, 1);
     }
     return this;
   }
 
+  #countTexts(result: HeldResult, sign: 1 | -1): void {
+    const { textBytes, heldTextBytes, isMissing } = result;
+    this.#heldTextBytes += sign * heldTextBytes;
+    this.#detachedTextBytes += sign * (textBytes - heldTextBytes);
+    if (isMissing) this.#missingTextBytes += sign * textBytes;
+  }
+
   /** Prepends the stored text; undefined if events of it are missing. */
   #joinPartialText(result: BatchResult, after: number): HeldResult | undefined {
     const held = HeldResult.from(result);
@@ -198,7 +222,7 @@
   appendPartialText(record: PartialTextRecord<Pieces>): boolean {
     const { item, after, pieces, versions, isComplete } = record;
     const { software } = record;
-    if (!this.#items.has(item) || this.#resultsById.has(item)) return false;
+    if (!this.#items.has(item) || this.hasResult(item)) return false;
     if (this.hasCompleteText(item)) return false;
     const existing = after === 0 ? undefined : this.#partialTexts.get(item);
     if (after !== (existing?.lastId ?? 0)) return false;
@@ -220,9 +244,15 @@
     this.#partialTexts.set(id, text);
   }
 
-  /** Marks the batch as ended by its caller. */
+  /** Marks the batch as ended by its caller, and drops the bodies of its items. */
   end(): this {
+    if (this.#isEnded) return this;
     this.#isEnded = true;
+    this.#spec = { ...this.#spec, items: this.#spec.items.map(withoutBody) };
+    this.#items = indexItems(this.#spec);
+    const specBytes = estimateSpecBytes(this.#spec);
+    this.#bytes += specBytes - this.#specBytes;
+    this.#specBytes = specBytes;
     return this;
   }
 
@@ -246,7 +276,11 @@
   }
 }
 
-/** Gets a plain result; one whose text is in a file stays as it is held. */
+function indexItems({ items }: BatchSpec): ReadonlyMap<string, BatchItem> {
+  return new Map(items.map((item) => [item.id, item]));
+}
+
+/** Gets a plain result; one whose text is not in memory stays as it is held. */
 function plainOf(held: HeldResult): BatchResult {
-  return held.location === undefined ? held.toPlain() : held;
+  return held.hasText ? held.toPlain() : held;
 }
--- a/src/core/batches/batch_record_test.ts
+++ b/src/core/batches/batch_record_test.ts
@@ -30,6 +30,15 @@
     doTest(["i2", "i1"], { after: 1, maxBytes: 1_000 }, ["i1"]);
   });
 
+  it("holds no bodies once it has ended", () => {
+    const record = new BatchRecord(SPEC);
+    const before = record.bytes;
+    expect(record.end().getItem("i1")?.body).toHaveLength(0);
+    expect(record.bytes).toBe(
+      before - SPEC.items.reduce((sum, { body }) => sum + body.length, 0),
+    );
+  });
+
   it("stores only the first result of an item", () => {
     const record = new BatchRecord(SPEC);
     expect(record.addResult(completed("i1", "first"))).toBe(true);
--- a/src/core/batches/batch_state.ts
+++ b/src/core/batches/batch_state.ts
@@ -1,10 +1,19 @@
 /** State machine of the ledger log: all batches. */
+import { isSameText } from "../bytes/mod.ts";
 import { sumOf } from "../statistics/mod.ts";
 import { mayOpen } from "./batch_access.ts";
 import type { BatchCommand, BatchCommandResult } from "./batch_command.ts";
+import type { BatchResult } from "./batch.ts";
 import { BatchRecord } from "./batch_record.ts";
+import { HeldResult } from "./held_result.ts";
 import type { LedgerSnapshot } from "./ledger_snapshot.ts";
 
+/** A result of a batch whose text this replica does not have. */
+export interface MissingText {
+  readonly batch: string;
+  readonly result: HeldResult;
+}
+
 type Handlers = {
   readonly [T in BatchCommand["type"]]: (
     command: Extract<BatchCommand, { type: T }>,
@@ -80,9 +89,45 @@
     return sumOf(this.all, ({ heldTextBytes }) => heldTextBytes);
   }
 
-  /** Gets the size of the texts in files, in bytes. */
+  /** Gets the size of the texts that files hold, or will hold, in bytes. */
   get movedBytes(): number {
-    return sumOf(this.all, ({ locatedTextBytes }) => locatedTextBytes);
+    return sumOf(this.all, ({ detachedTextBytes }) => detachedTextBytes);
+  }
+
+  /** Gets the size of the texts that this replica does not have, in bytes. */
+  get missingBytes(): number {
+    return sumOf(this.all, ({ missingTextBytes }) => missingTextBytes);
+  }
+
+  /** Gets whether this replica lacks texts. */
+  get isPartial(): boolean {
+    return this.all.some(({ missingTextBytes }) => missingTextBytes > 0);
+  }
+
+  /**
+   * Gets results whose texts this replica does not have, those of the latest
+   * batches first.
+   * @param maxBytes - Maximum size of the texts; one is always taken.
+   * @param skipped - Results that are left out.
+   */
+  getMissing(
+    maxBytes: number,
+    skipped: ReadonlySet<HeldResult>,
+  ): MissingText[] {
+    const missing: MissingText[] = [];
+    let bytes = 0;
+    for (
+      const { spec, heldResults, missingTextBytes } of this.all.toReversed()
+    ) {
+      if (missingTextBytes === 0) continue;
+      for (const result of heldResults) {
+        if (!result.isMissing || skipped.has(result)) continue;
+        bytes += result.textBytes;
+        if (bytes > maxBytes && missing.length > 0) return missing;
+        missing.push({ batch: spec.id, result });
+      }
+    }
+    return missing;
   }
 
   /** Applies a command; one of another build changes nothing. */
@@ -101,6 +146,25 @@
     return this;
   }
 
+  /**
+   * Gets a snapshot with the texts that this replica has.
+   * @param pending - Commands that will be applied after those of this state.
+   */
+  attach(
+    { batches }: LedgerSnapshot,
+    pending: readonly BatchCommand[],
+  ): LedgerSnapshot {
+    const known = new BatchState().load(this.save());
+    for (const command of pending) known.apply(command);
+    const attached = batches.map((batch) => {
+      const record = known.get(batch.spec.id);
+      if (record === undefined) return batch;
+      const results = batch.results.map((result) => attachText(result, record));
+      return { ...batch, results };
+    });
+    return { batches: attached };
+  }
+
   /** Creates a snapshot of the state. */
   save(): LedgerSnapshot {
     const batches = this.all.map((
@@ -127,3 +191,13 @@
     return this;
   }
 }
+
+/** Gets a result with the text that a record has of it, if it lacks its own. */
+function attachText(result: BatchResult, record: BatchRecord): HeldResult {
+  const received = HeldResult.from(result);
+  const own = record.getHeldResult(result.id);
+  if (!received.isMissing || own === undefined || own.isMissing) {
+    return received;
+  }
+  return isSameText(own.digest, received.digest) ? own : received;
+}
--- a/src/core/batches/item_identity_test.ts
+++ b/src/core/batches/item_identity_test.ts
@@ -2,7 +2,7 @@
 import { createItem, createSpec } from "../../../tests/support/batch_spec.ts";
 import type { BatchItem, BatchSpec } from "./batch.ts";
 import { BatchRecord, type WaitingItem } from "./batch_record.ts";
-import { identityOf } from "./item_identity.ts";
+import { identityOf, withoutBody } from "./item_identity.ts";
 
 function createWaiting(
   spec: Partial<BatchSpec>,
@@ -33,3 +33,17 @@
   it("differs between models", () =>
     doTest(createWaiting({}, { model: "other" }), false));
 });
+
+describe(withoutBody.name, () => {
+  it("keeps the identity of an item, and nothing of its bodies", () => {
+    const body = Buffer.from("scoring");
+    const scoring = { id: "s", host: "h", path: "/", body };
+    const { record, item } = createWaiting({}, { scoring });
+    const detached = withoutBody(item);
+    expect(identityOf(record.spec, detached))
+      .toBe(identityOf(record.spec, item));
+    expect(detached.body).toHaveLength(0);
+    expect(detached.scoring?.body).toHaveLength(0);
+    expect(withoutBody(detached)).toBe(detached);
+  });
+});
--- a/src/core/batches/ledger_room.ts
+++ b/src/core/batches/ledger_room.ts
@@ -146,12 +146,12 @@
 }
 
 function sizesOf(record: BatchRecord, meanBytes: number): BatchSizes {
-  const { bytes, heldTextBytes, locatedTextBytes, openCount } = record;
+  const { bytes, heldTextBytes, detachedTextBytes, openCount } = record;
   return {
     lastingBytes: bytes - heldTextBytes,
     heldTextBytes,
     openTextBytes: openCount * meanBytes,
-    movedTextBytes: locatedTextBytes,
+    movedTextBytes: detachedTextBytes,
   };
 }
 
--- a/src/core/batches/ledger_snapshot.ts
+++ b/src/core/batches/ledger_snapshot.ts
@@ -2,6 +2,7 @@
 import { estimateBytes, type SnapshotDivider } from "../consensus/mod.ts";
 import { holdPart } from "./held_command.ts";
 import type { HeldPartialText } from "./held_partial_text.ts";
+import { HeldResult } from "./held_result.ts";
 import type { BatchResult, BatchSpec } from "./batch.ts";
 import type { PartialText } from "./run_text.ts";
 
@@ -41,6 +42,19 @@
   hold: (part) => holdPart(part as LedgerPart),
 };
 
+/**
+ * Gets a snapshot with digests in place of the longer texts of results, which
+ * replicas fetch from each other.
+ */
+export function detachTexts({ batches }: LedgerSnapshot): LedgerSnapshot {
+  return {
+    batches: batches.map((batch) => ({
+      ...batch,
+      results: batch.results.map((result) => HeldResult.from(result).detach()),
+    })),
+  };
+}
+
 function splitBatch(batch: BatchSnapshot): LedgerPart[] {
   const [first = [], ...others] = splitResults(batch.results);
   return [
--- a/src/core/consensus/catch_up_test.ts
+++ b/src/core/consensus/catch_up_test.ts
@@ -4,6 +4,7 @@
 import { ConsensusNode } from "./consensus_node.ts";
 import type { StoredLog } from "./consensus_options.ts";
 import type { SnapshotDivider } from "./snapshot_parts.ts";
+import type { StateReferences } from "./state_references.ts";
 
 type Message = ConsensusMessage<string, string>;
 type Node = ConsensusNode<string, string>;
@@ -24,6 +25,10 @@
 const TRANSFER_BEGUN_MS = 60;
 /** Messages that the leader sends a replica without an answer. */
 const MAX_UNANSWERED = 16;
+/** State of a replica that has been sent references. */
+const DETACHED_STATE = "references";
+/** State that a replica had before. */
+const OWN_STATE = "data";
 
 const DIVIDER: SnapshotDivider<string> = {
   split: (state) =>
@@ -34,8 +39,17 @@
   join: (parts) => parts.join(""),
 };
 
+/** Options of {@link Pair}. */
+interface PairOptions {
+  /** Replicas that take references; by default, none does. */
+  readonly referencing?: readonly string[];
+  /** Replicas that lack data; by default, none does. */
+  readonly partial?: readonly string[];
+}
+
 /** A leader `a` and a replica `b` with an empty disk, with delayed messages. */
 class Pair {
+  readonly #options: PairOptions;
   readonly nodes = new Map<string, Node>();
   readonly #inTransit: { message: Message; dueAt: number }[] = [];
   /** Rewrites a message, or drops it by returning undefined. */
@@ -44,7 +58,8 @@
   restored = "";
   now = 0;
 
-  constructor() {
+  constructor(options: PairOptions = {}) {
+    this.#options = options;
     this.#start("a", ["a"]);
     this.#start("b", []);
     this.leader.tick(this.advance(2_000).now);
@@ -74,10 +89,25 @@
       now: this.now,
       sizeOf: (command) => command.length,
       divider: DIVIDER,
+      references: this.#options.referencing?.includes(id) === true
+        ? this.#createReferences(id)
+        : undefined,
     });
     this.nodes.set(id, node);
   }
 
+  #createReferences(id: string): StateReferences<string, string> {
+    return {
+      isPartial: () => this.#options.partial?.includes(id) === true,
+      getApplied: () => ({
+        index: this.nodes.get(id)?.committed ?? 0,
+        state: LATER_STATE,
+      }),
+      detach: () => DETACHED_STATE,
+      attach: (state) => state === DETACHED_STATE ? OWN_STATE : state,
+    };
+  }
+
   /** Fills the leader's log, and adds `b` as a learner. */
   fill(): this {
     for (let i = 0; i < COMMANDS; i += 1) {
@@ -274,4 +304,59 @@
       expect(types.has("snapshotPartRequest")).toBe(false);
     });
   });
+
+  describe("that takes references", () => {
+    /** Size of the parts of a snapshot and the entries that `b` is sent. */
+    function doTest(options: PairOptions, limitMs = CATCH_UP_MS) {
+      const pair = new Pair(options).fill();
+      let bytes = 0;
+      pair.rewrite = (message) => {
+        if (message.type === "snapshotPartRequest") {
+          bytes += message.parts.join("").length;
+        } else if (message.type === "appendRequest") {
+          bytes += message.entries.length * COMMAND.length;
+        }
+        return message;
+      };
+      const catchUpMs = pair.addLearner().measureCatchUp(limitMs);
+      return { pair, bytes, catchUpMs };
+    }
+
+    // Guards against a vote that waits for all that was ever kept.
+    it("holds all without the data, though the log has it", () => {
+      const { pair, bytes, catchUpMs } = doTest({ referencing: ["a", "b"] });
+      expect(catchUpMs).toBeLessThan(CATCH_UP_MS / 10);
+      expect(bytes).toBeLessThan(10 * COMMAND.length);
+      expect(pair.restored).toBe(OWN_STATE);
+    });
+
+    it("is sent references by a leader that lacks data", () => {
+      const options = { referencing: ["a", "b"], partial: ["a"] };
+      expect(doTest(options).catchUpMs).toBeLessThan(CATCH_UP_MS / 10);
+    });
+
+    it("is told apart while it lacks data", () => {
+      const options = { referencing: ["a", "b"], partial: ["b"] };
+      const { leader } = doTest(options).pair;
+      expect(leader.isPartial("b")).toBe(true);
+      expect(leader.isPartial("a")).toBe(false);
+    });
+
+    it("gets all data if one of the two is of an earlier build", () => {
+      for (const id of ["a", "b"]) {
+        const { pair, bytes, catchUpMs } = doTest({ referencing: [id] });
+        expect(catchUpMs).toBeLessThan(CATCH_UP_MS);
+        expect(bytes).toBeGreaterThan(COMMANDS * COMMAND.length - 1);
+        expect(pair.restored).toBe("");
+      }
+    });
+
+    it("gets no snapshot of a leader that lacks data, if of an earlier build", () => {
+      const pair = new Pair({ referencing: ["a"], partial: ["a"] }).fill();
+      const snapshot = pair.leader.createSnapshot(DETACHED_STATE, COMMANDS);
+      pair.leader.compact(snapshot!);
+      expect(pair.addLearner().measureCatchUp(CATCH_UP_MS)).toBe(Infinity);
+      expect(pair.restored).toBe("");
+    });
+  });
 });
--- a/src/core/consensus/consensus_message.ts
+++ b/src/core/consensus/consensus_message.ts
@@ -73,6 +73,13 @@
    * field.
    */
   readonly takesParts?: boolean;
+  /**
+   * Whether the sender takes references in place of data, in parts of a
+   * snapshot. An earlier build sends no such field.
+   */
+  readonly takesReferences?: boolean;
+  /** Whether the sender lacks data that its state refers to; absent if not. */
+  readonly isPartial?: boolean;
   /** Send time of the request, by the leader's clock, in milliseconds. */
   readonly sentAt: number;
 }
--- a/src/core/consensus/consensus_node.ts
+++ b/src/core/consensus/consensus_node.ts
@@ -60,7 +60,7 @@
 
   /** Creates a follower from its stored state. */
   constructor(options: ConsensusNodeOptions<C, S>) {
-    const { times, random, now } = options;
+    const { times, random, now, references } = options;
     this.#options = options;
     this.#state = new ReplicaState(options);
     this.#timer = new ElectionTimer({ times, random, now });
@@ -78,6 +78,7 @@
     this.#receiver = new LogReceiver({
       state: this.#state,
       divider: this.#divider,
+      references,
       timer: this.#timer,
       follow: (leader) => this.#becomeFollower(this.term, leader),
     });
@@ -204,6 +205,14 @@
     return this.#leadership?.isCaughtUp(replica, now) ?? false;
   }
 
+  /**
+   * Gets whether a replica lacks data that its state refers to, as far as this
+   * leader knows.
+   */
+  isPartial(replica: ReplicaId): boolean {
+    return this.#leadership?.isPartial(replica) ?? false;
+  }
+
   /**
    * Gets the highest index that a member is known to hold; 0 if it is not known
    * or this replica does not lead.
@@ -285,7 +294,7 @@
       this.#tickLeader(this.#leadership, now);
       return;
     }
-    if (now < this.#timer.dueAt || !this.#state.isVoter) return;
+    if (now < this.#electionDueAt || !this.#state.isVoter) return;
     this.#elections.startPreVote(now);
   }
 
@@ -295,7 +304,17 @@
    */
   get nextTickAt(): number {
     if (this.#leadership !== undefined) return this.#leadership.heartbeatDueAt;
-    return this.#state.isVoter ? this.#timer.dueAt : Infinity;
+    return this.#state.isVoter ? this.#electionDueAt : Infinity;
+  }
+
+  /**
+   * Gets the time at which this replica stands for election. One that lacks data
+   * leaves the lead to others, if there are any.
+   */
+  get #electionDueAt(): number {
+    const { references, times } = this.#options;
+    const delayMs = references?.isPartial() === true ? times.electionMs : 0;
+    return this.#timer.dueAt + delayMs;
   }
 
   /**
@@ -310,14 +329,15 @@
   /**
    * Replaces the entries of a snapshot of this replica by it.
    * @param options - Which entries stay nevertheless; by default, none.
+   * @returns False if a later snapshot is in force.
    */
-  compact(snapshot: LogSnapshot<S>, options?: CompactionOptions): void {
+  compact(snapshot: LogSnapshot<S>, options?: CompactionOptions): boolean {
     const leadership = this.#leadership;
     const kept = options && leadership && {
       after: leadership.getNeededAfter(options.now),
       maxBytes: options.maxBytes,
     };
-    this.#state.compact(snapshot, kept);
+    return this.#state.compact(snapshot, kept);
   }
 
   /**
@@ -356,12 +376,13 @@
   }
 
   #onElected(now: number): void {
-    const { times } = this.#options;
+    const { times, references } = this.#options;
     this.#leadership = new Leadership({
       state: this.#state,
       times,
       delay: this.#leaderDelay,
       divider: this.#divider,
+      references,
       now,
       stepDown: () => this.#becomeFollower(this.term, undefined),
     });
--- a/src/core/consensus/consensus_options.ts
+++ b/src/core/consensus/consensus_options.ts
@@ -2,6 +2,7 @@
 import type { HardState, LogEntry, LogSnapshot } from "./log_entry.ts";
 import type { SnapshotDivider } from "./snapshot_parts.ts";
 import type { ReplicaId } from "./replica_id.ts";
+import type { StateReferences } from "./state_references.ts";
 
 /** Timing of the protocol, in milliseconds of the local clock. */
 export interface ConsensusTiming {
@@ -77,4 +78,9 @@
   readonly hold?: (command: C) => C;
   /** Divides snapshots for sending; by default, into one part. */
   readonly divider?: SnapshotDivider<S>;
+  /**
+   * References to data that replicas fetch from each other; by default, snapshots
+   * hold all data.
+   */
+  readonly references?: StateReferences<C, S>;
 }
--- a/src/core/consensus/leadership.ts
+++ b/src/core/consensus/leadership.ts
@@ -10,7 +10,9 @@
 import type { LogPosition } from "./replicated_log.ts";
 import { ReplicationTracker, type SentAmount } from "./replication_tracker.ts";
 import { Role } from "./role.ts";
+import type { LogSnapshot } from "./log_entry.ts";
 import type { SnapshotDivider } from "./snapshot_parts.ts";
+import type { StateReferences } from "./state_references.ts";
 
 /** Options of {@link Leadership}. */
 export interface LeadershipOptions<C, S> {
@@ -19,6 +21,7 @@
   /** Measures how late the ticks of this process come, in all terms. */
   readonly delay: LeaderDelay;
   readonly divider: SnapshotDivider<S>;
+  readonly references: StateReferences<C, S> | undefined;
   /** Time of the election, in milliseconds of the local clock. */
   readonly now: number;
   /** Called when a committed entry has removed this replica from the voters. */
@@ -70,6 +73,9 @@
       tracker: this.#tracker,
       heartbeatMs: times.heartbeatMs,
       divider,
+      isLearner: (id) => state.members.learners.includes(id),
+      createReferences: () => this.#createReferences(),
+      isPartial: () => this.isPartial(state.self),
       electionDelayMs: (at) => delay.get(at),
       send: (message) => state.send(message),
     });
@@ -115,6 +121,17 @@
       now - progress.answeredAt < times.electionMs;
   }
 
+  /**
+   * Gets whether a replica lacks data that its state refers to. One that has not
+   * answered in this term counts as if it did.
+   */
+  isPartial(replica: ReplicaId): boolean {
+    const { references, state } = this.#options;
+    if (references === undefined) return false;
+    if (replica === state.self) return references.isPartial();
+    return this.#tracker.progressOf(replica).isPartial;
+  }
+
   /** Gets the highest index that a member is known to hold. */
   heldBy(replica: ReplicaId): number {
     return this.#tracker.progressOf(replica).match;
@@ -192,6 +209,7 @@
       .filter((id) => id !== state.self)
       .filter((id) => tracker.progressOf(id).match === state.last.index)
       .sort((a, b) =>
+        Number(this.isPartial(a)) - Number(this.isPartial(b)) ||
         tracker.progressOf(b).answeredAt - tracker.progressOf(a).answeredAt
       );
     if (successors.length === 0) return false;
@@ -238,6 +256,9 @@
     const progress = this.#tracker.progressOf(message.from);
     progress.answeredAt = Math.max(progress.answeredAt, message.sentAt);
     progress.takesParts = message.takesParts === true;
+    progress.takesReferences = message.takesReferences === true &&
+      this.#options.references !== undefined;
+    progress.isPartial = message.isPartial === true;
     if (!message.isAccepted) {
       this.#onRejected(message, now);
       return;
@@ -281,6 +302,17 @@
     this.#sender.replicate(message.from, now, { isHeartbeat: true });
   }
 
+  /** Creates a snapshot of all that is applied, with references to its data. */
+  #createReferences(): LogSnapshot<S> {
+    const { references, state } = this.#options;
+    const { snapshot } = state.log;
+    if (references === undefined) return snapshot;
+    const applied = references.getApplied();
+    const latest = state.createSnapshot(applied.state, applied.index) ??
+      snapshot;
+    return { ...latest, state: references.detach(latest.state) };
+  }
+
   get #isTransferring(): boolean {
     return this.#transferStartedAt !== undefined;
   }
--- a/src/core/consensus/log_receiver.ts
+++ b/src/core/consensus/log_receiver.ts
@@ -1,6 +1,7 @@
 /** Receives the log of a leader: entries and snapshots. */
 import { assertInvariant, Invariant } from "../invariants/mod.ts";
 import type {
+  AppendReply,
   AppendRequest,
   SnapshotPartRequest,
   SnapshotRequest,
@@ -11,12 +12,14 @@
 import { Role } from "./role.ts";
 import type { SnapshotDivider } from "./snapshot_parts.ts";
 import { SnapshotReceiver } from "./snapshot_receiver.ts";
+import type { StateReferences } from "./state_references.ts";
 
 /** Options of {@link LogReceiver}. */
 export interface LogReceiverOptions<C, S> {
   readonly state: ReplicaState<C, S>;
   readonly timer: ElectionTimer;
   readonly divider: SnapshotDivider<S>;
+  readonly references: StateReferences<C, S> | undefined;
   /** Makes this replica a follower of the leader of the current term. */
   readonly follow: (leader: ReplicaId) => void;
 }
@@ -101,12 +104,24 @@
         return;
       }
       const joined = this.#options.divider.join(complete.parts);
-      state.restore({ ...complete.snapshot, state: joined });
+      state.restore({ ...complete.snapshot, state: this.#attach(joined) });
     }
     this.#parts.clear();
     this.#reply(message, { isAccepted: true, matchIndex: snapshot.index });
   }
 
+  /** Fills a received state with the data that this replica has. */
+  #attach(received: S): S {
+    const { references, state } = this.#options;
+    if (references === undefined) return received;
+    const pending = state.log
+      .entriesFrom(references.getApplied().index + 1, Infinity)
+      .map(({ content }) => content)
+      .filter((content) => content.type === "command")
+      .map(({ command }) => command);
+    return references.attach(received, pending);
+  }
+
   #onLeaderContact(
     { from, electionDelayMs = 0 }: {
       readonly from: ReplicaId;
@@ -139,7 +154,16 @@
       ...this.#state.envelope(message.from),
       ...reply,
       takesParts: true,
+      ...this.#describeReferences(),
       sentAt: message.sentAt,
     });
   }
+
+  #describeReferences(): Pick<AppendReply, "takesReferences" | "isPartial"> {
+    const { references } = this.#options;
+    if (references === undefined) return {};
+    return references.isPartial()
+      ? { takesReferences: true, isPartial: true }
+      : { takesReferences: true };
+  }
 }
--- a/src/core/consensus/log_sender.ts
+++ b/src/core/consensus/log_sender.ts
@@ -1,13 +1,10 @@
 /** Replicates a leader's log to the other members. */
 import type { ConsensusMessage } from "./consensus_message.ts";
-import type { LogEntry } from "./log_entry.ts";
+import type { LogEntry, LogSnapshot } from "./log_entry.ts";
 import { allMembers, type Members } from "./members.ts";
 import type { ReplicaId } from "./replica_id.ts";
 import type { ReplicatedLog } from "./replicated_log.ts";
-import type {
-  ReplicaProgress,
-  ReplicationTracker,
-} from "./replication_tracker.ts";
+import type { ReplicationTracker } from "./replication_tracker.ts";
 import type { SnapshotDivider } from "./snapshot_parts.ts";
 import { type PartRange, SnapshotTransfer } from "./snapshot_transfer.ts";
 
@@ -22,6 +19,11 @@
   /** Interval between heartbeats, in milliseconds. */
   readonly heartbeatMs: number;
   readonly divider: SnapshotDivider<S>;
+  readonly isLearner: (replica: ReplicaId) => boolean;
+  /** Creates a snapshot of the applied state, with references. */
+  readonly createReferences: () => LogSnapshot<S>;
+  /** Gets whether this leader lacks data that its state refers to. */
+  readonly isPartial: () => boolean;
   /** Gets the time that followers add to their election timeouts. */
   readonly electionDelayMs: (now: number) => number;
   readonly send: (message: ConsensusMessage<C, S>) => void;
@@ -43,6 +45,12 @@
  */
 const RESEND_HEARTBEATS = 20;
 
+/**
+ * Size of the entries above which a learner is sent the state in their place, in
+ * bytes, if it takes references.
+ */
+const MAX_ENTRIES_BYTES = 1_048_576;
+
 /** Decides what to send to each member, and when to resend it. */
 export class LogSender<C, S> {
   readonly #options: LogSenderOptions<C, S>;
@@ -62,7 +70,8 @@
   }
 
   /**
-   * Sends a replica its missing entries, or a snapshot if they are compacted.
+   * Sends a replica its missing entries, or a snapshot if they are compacted or
+   * take longer.
    *
    * A message that is not full waits until all others are answered, so that
    * entries are combined; full ones follow each other without waiting.
@@ -77,7 +86,7 @@
     const overdueBefore = now -
       this.#options.heartbeatMs * RESEND_HEARTBEATS;
     progress.next = progress.window.takeOverdue(overdueBefore) ?? progress.next;
-    if (!log.holdsAfter(progress.next - 1)) {
+    if (!log.holdsAfter(progress.next - 1) || this.#prefersState(replica)) {
       progress.transfer?.resendBefore(overdueBefore);
       const isSent = this.#replicateSnapshot(replica, now);
       if (isSent || !isHeartbeat) return;
@@ -90,6 +99,20 @@
     if (!isSent && isHeartbeat) this.#sendEntries(replica, [], now);
   }
 
+  /**
+   * Gets whether a replica is sent the state although the log has its entries: a
+   * learner that they would take too long, once in a term.
+   */
+  #prefersState(replica: ReplicaId): boolean {
+    const { log, tracker, isLearner } = this.#options;
+    const { match, next, transfer, sent } = tracker.progressOf(replica);
+    if (transfer !== undefined) return transfer.snapshot.index > match;
+    if (sent.snapshots > 0 || !isLearner(replica)) return false;
+    if (!tracker.mayReference(replica)) return false;
+    const limits = { maxEntries: Infinity, maxBytes: MAX_ENTRIES_BYTES };
+    return log.batchFrom(next, limits).isFull;
+  }
+
   /** Sends the entries that may be sent; returns whether there are any. */
   #replicateEntries(replica: ReplicaId, now: number): boolean {
     const { log, tracker } = this.#options;
@@ -138,9 +161,11 @@
 
   /** Sends what may be sent of the snapshot; returns whether that is any. */
   #replicateSnapshot(replica: ReplicaId, now: number): boolean {
-    const progress = this.#options.tracker.progressOf(replica);
-    // Its answer to a heartbeat says whether it takes parts.
+    const { tracker, isPartial } = this.#options;
+    const progress = tracker.progressOf(replica);
+    // Its answer to a heartbeat says what it takes.
     if (progress.answeredAt === -Infinity) return false;
+    if (isPartial() && !tracker.mayReference(replica)) return false;
     if (progress.takesParts) return this.#sendParts(replica, now);
     if (!progress.window.isEmpty) return false;
     this.#sendSnapshot(replica, now);
@@ -149,7 +174,7 @@
 
   #sendParts(replica: ReplicaId, now: number): boolean {
     const progress = this.#options.tracker.progressOf(replica);
-    const transfer = this.#getTransfer(progress);
+    const transfer = this.#getTransfer(replica);
     let isSent = false;
     for (;;) {
       const range = transfer.take(now);
@@ -191,13 +216,16 @@
    * Gets the transfer of a snapshot to a replica. It goes on with the snapshot
    * that it began with while the log holds the entries that follow.
    */
-  #getTransfer(progress: ReplicaProgress): SnapshotTransfer {
-    const { log, divider } = this.#options;
+  #getTransfer(replica: ReplicaId): SnapshotTransfer {
+    const { log, tracker, divider, createReferences } = this.#options;
+    const progress = tracker.progressOf(replica);
     const { transfer } = progress;
     if (transfer !== undefined && log.holdsAfter(transfer.snapshot.index)) {
       return transfer;
     }
-    const { state, ...snapshot } = log.snapshot;
+    const { state, ...snapshot } = tracker.mayReference(replica)
+      ? createReferences()
+      : log.snapshot;
     progress.transfer = new SnapshotTransfer({
       snapshot,
       parts: divider.split(state),
--- a/src/core/consensus/membership_repair.ts
+++ b/src/core/consensus/membership_repair.ts
@@ -29,6 +29,10 @@
   readonly isRetiring?: (replica: ReplicaId) => boolean;
   /** Gets whether a replica holds all committed entries. */
   readonly isCaughtUp: (replica: ReplicaId) => boolean;
+  /**
+   * Gets whether a replica lacks data that its state refers to. Defaults to none.
+   */
+  readonly isPartial?: (replica: ReplicaId) => boolean;
 }
 
 /**
@@ -40,6 +44,9 @@
  * the learner is promoted to voter. A retiring replica still votes, so its
  * successor is promoted first: the group tolerates a further loss all the while.
  *
+ * A replica that lacks data votes like any other. One that has data is not removed
+ * before others have it, unless its disk was lost.
+ *
  * @example
  * ```ts
  * const next = nextMembers(input);
@@ -107,7 +114,8 @@
 function removeLostVoter(input: RepairInput): Members | undefined {
   const { members, present, isCaughtUp } = input;
   if (members.voters.length <= 1) return undefined;
-  const lost = members.voters.find((id) => isPermanentlyLost(id, input));
+  const lost = members.voters
+    .find((id) => isPermanentlyLost(id, input) && isDispensable(id, input));
   const hasReplacement = members.learners
     .some((id) => present.includes(id) && isCaughtUp(id));
   if (lost === undefined || !hasReplacement) return undefined;
@@ -133,12 +141,23 @@
 function removeRetiringVoter(input: RepairInput): Members | undefined {
   const { members, wantedVoters, isRetiring } = input;
   const retiring = members.voters.find((id) => isRetiring?.(id) === true);
-  const hasSuccessor = stayingVoters(input).length >= wantedVoters;
+  const successors = stayingVoters(input)
+    .filter((id) => input.isPartial?.(id) !== true);
+  const hasSuccessor = successors.length >= wantedVoters;
   if (retiring === undefined || !hasSuccessor) return undefined;
   const voters = members.voters.filter((id) => id !== retiring);
   return { voters, learners: members.learners };
 }
 
+/** Gets whether no data goes with a voter that other members lack. */
+function isDispensable(id: ReplicaId, input: RepairInput): boolean {
+  const { members, present, isPartial } = input;
+  if (isReplaced(id, present) || isPartial?.(id) === true) return true;
+  return [...members.voters, ...members.learners].some((other) =>
+    other !== id && present.includes(other) && isPartial?.(other) !== true
+  );
+}
+
 /** Gets the voters that neither are lost nor retire. */
 function stayingVoters(input: RepairInput): ReplicaId[] {
   const { members, isRetiring } = input;
--- a/src/core/consensus/membership_repair_test.ts
+++ b/src/core/consensus/membership_repair_test.ts
@@ -135,6 +135,44 @@
       isCaughtUp: () => false,
     }, undefined));
 
+  it("promotes a learner that lacks data", () =>
+    doTest({
+      members: { voters: ["a#1", "b#1"], learners: ["c#2"] },
+      present: ["a#1", "b#1", "c#2"],
+      isPartial: (id) => id === "c#2",
+    }, { voters: ["a#1", "b#1", "c#2"], learners: [] }));
+
+  it("removes a voter with a lost disk, although all others lack data", () =>
+    doTest({
+      members: { voters: ["a#1", "b#1", "c#1"], learners: ["c#2"] },
+      present: ["a#1", "b#1", "c#2"],
+      isPartial: (id) => id !== "c#1",
+    }, { voters: ["a#1", "b#1"], learners: ["c#2"] }));
+
+  it("keeps a voter that is down while all others lack data", () =>
+    doTest({
+      members: { voters: ["a#1", "b#1", "c#1"], learners: ["d#1"] },
+      present: ["a#1", "b#1", "d#1"],
+      isPermanentlyDown: (id) => id === "c#1",
+      isPartial: (id) => id !== "c#1",
+    }, undefined));
+
+  it("removes a voter that is down if another has all data", () =>
+    doTest({
+      members: { voters: ["a#1", "b#1", "c#1"], learners: ["d#1"] },
+      present: ["a#1", "b#1", "d#1"],
+      isPermanentlyDown: (id) => id === "c#1",
+      isPartial: (id) => id === "a#1" || id === "d#1",
+    }, { voters: ["a#1", "b#1"], learners: ["d#1"] }));
+
+  it("keeps a retiring voter while its successor lacks data", () =>
+    doTest({
+      members: { voters: ["a#1", "b#1", "c#1", "d#1"], learners: [] },
+      present: ["a#1", "b#1", "d#1"],
+      isRetiring: (id) => id === "c#1",
+      isPartial: (id) => id === "d#1",
+    }, undefined));
+
   it("promotes a caught-up learner if voters are missing", () =>
     doTest({
       members: { voters: ["a#1", "b#1"], learners: ["d#1"] },
--- a/src/core/consensus/mod.ts
+++ b/src/core/consensus/mod.ts
@@ -12,3 +12,4 @@
 export * from "./snapshot_parts.ts";
 export { compareTransfers } from "./snapshot_receiver.ts";
 export * from "./membership_repair.ts";
+export * from "./state_references.ts";
--- a/src/core/consensus/replica_state.ts
+++ b/src/core/consensus/replica_state.ts
@@ -210,16 +210,22 @@
    */
   createSnapshot(state: S, index: number): LogSnapshot<S> | undefined {
     const term = this.log.termAt(index);
-    const isApplied = index > this.log.snapshot.index && index <= this.#applied;
+    const isApplied = index >= this.log.snapshot.index &&
+      index <= this.#applied;
     if (term === undefined || !isApplied) return undefined;
     return { index, term, members: this.log.membersAt(index), state };
   }
 
-  /** Replaces the entries of a snapshot of this replica by it. */
-  compact(snapshot: LogSnapshot<S>, kept?: KeptEntries): this {
-    if (snapshot.index <= this.log.snapshot.index) return this;
+  /**
+   * Replaces the entries of a snapshot of this replica by it. One of the same
+   * entry as the snapshot in force replaces it: it has data that was missing.
+   * @returns False if a later snapshot is in force.
+   */
+  compact(snapshot: LogSnapshot<S>, kept?: KeptEntries): boolean {
+    if (snapshot.index < this.log.snapshot.index) return false;
     this.log.compact(snapshot, kept);
-    return this.#write({ snapshot });
+    this.#write({ snapshot });
+    return true;
   }
 
   #writeHardState(): this {
--- a/src/core/consensus/replication_tracker.ts
+++ b/src/core/consensus/replication_tracker.ts
@@ -25,6 +25,10 @@
   transfer: SnapshotTransfer | undefined;
   /** Whether the replica takes a snapshot in parts. */
   takesParts: boolean;
+  /** Whether the replica takes references in place of data. */
+  takesReferences: boolean;
+  /** Whether the replica lacks data, as far as it has answered in this term. */
+  isPartial: boolean;
   /** What was sent to the replica in this term. */
   readonly sent: SentAmount;
 }
@@ -75,6 +79,8 @@
       isProbing: true,
       transfer: undefined,
       takesParts: false,
+      takesReferences: false,
+      isPartial: true,
       sent: { bytes: 0, snapshots: 0 },
     };
     this.#progress.set(replica, progress);
@@ -90,6 +96,17 @@
     return this;
   }
 
+  /**
+   * Gets whether a replica is sent references in place of data. All that answer
+   * must take them, as each may have to fetch the data from any other.
+   */
+  mayReference(replica: ReplicaId): boolean {
+    return this.progressOf(replica).takesReferences &&
+      [...this.#progress.values()].every(({ answeredAt, takesReferences }) =>
+        answeredAt === -Infinity || takesReferences
+      );
+  }
+
   /** Gets whether a snapshot is being sent in parts to a replica. */
   get isSendingSnapshot(): boolean {
     return [...this.#progress.values()].some(({ transfer }) => transfer);
--- a/src/logging/instance_events.ts
+++ b/src/logging/instance_events.ts
@@ -205,6 +205,20 @@
     text:
       "Learner of a replicated log holds all entries; with the time since it was added, the bytes sent to it, and how often a snapshot was begun",
   }),
+  textsFetched: defineEvent(1515, "info", {
+    text:
+      "This replica of the ledger has fetched texts of results that it lacked; `missingBytes` are still to come",
+  }),
+  textsNotFetched: defineEvent(1516, "warn", {
+    text:
+      "Another replica did not answer with texts of results; others are asked, and it is tried again",
+    action: "Check the network to `source`",
+  }),
+  textsNotStored: defineEvent(1517, "warn", {
+    text:
+      "Texts of results that were fetched could not be stored; it is tried again each second",
+    action: "Free disk space or replace the disk",
+  }),
   ledgerPrimary: defineEvent(1601, "info", {
     text: "This instance became primary of the data centre's ledger",
   }),
--- a/src/tasks/batches/batch_port.ts
+++ b/src/tasks/batches/batch_port.ts
@@ -8,6 +8,8 @@
   /** Reads what a replica has stored; served by all replicas. */
   ReadStored: "batches.readStored",
   Body: "batches.body",
+  /** Gets texts of results for another replica, which lacks them. */
+  Texts: "batches.texts",
   End: "batches.end",
   /** Lists the instances that hold a replica of the ledger. */
   Holders: "batches.holders",
--- a/src/tasks/batches/batch_task.ts
+++ b/src/tasks/batches/batch_task.ts
@@ -2,7 +2,6 @@
 import { getHeapStatistics } from "node:v8";
 import {
   type BatchRecord,
-  type BatchResult,
   diskRoomOf,
   expiryOf,
   roomOf,
@@ -36,13 +35,14 @@
 import { LEDGER_LOG_OPTIONS, MAX_UNMOVED_BYTES } from "./ledger_log_options.ts";
 import { LedgerMembership } from "./ledger_membership.ts";
 import { LedgerObserver } from "./ledger_observer.ts";
+import { LedgerTexts } from "./ledger_texts.ts";
 import { MemoryGate } from "./memory_gate.ts";
 import { PaceKeeper } from "./pace_keeper.ts";
-import { ResultFiles } from "./result_files.ts";
 import { ResultQueue } from "./result_queue.ts";
 import { ResultReader } from "./result_reader.ts";
 import type { EnginePort } from "./engine_port.ts";
 import type { ScoringPort } from "./item_scorer.ts";
+import type { TextName } from "./text_exchange.ts";
 
 /** Options of {@link BatchTask}. */
 export interface BatchTaskOptions {
@@ -65,6 +65,8 @@
 export const FORM_METHOD = "batches.form";
 
 const MAINTENANCE_INTERVAL_MS = 1_000;
+/** Time for another replica to answer with texts. */
+const TEXTS_TIMEOUT_MS = 1_000;
 const MB_BYTES = 1_000_000;
 
 /**
@@ -84,7 +86,7 @@
   readonly #intake: BatchIntake;
   readonly #memoryGate: MemoryGate;
   readonly #observer: LedgerObserver;
-  #files: ResultFiles | undefined;
+  readonly #texts: LedgerTexts;
   #maintenanceTimer: NodeJS.Timeout | undefined;
 
   /**
@@ -95,6 +97,7 @@
     this.#options = options;
     const { regions } = options.node.settings;
     this.registry = new TargetRegistry(new RegionMap(regions));
+    this.#texts = this.#createTexts();
     this.#service = this.#createService();
     const { driver } = this.#service;
     this.#membership = new LedgerMembership({
@@ -109,7 +112,7 @@
     });
     this.#reader = new ResultReader({
       state: () => this.#service.state,
-      readTexts: (results) => this.#readTexts(results),
+      readTexts: (batch, results) => this.#texts.read(batch, results),
       confirmLeadership: () => this.#confirmLeadership(),
     });
     const { logger, metrics } = options.node;
@@ -151,6 +154,7 @@
         (p) => this.#reader.readStored(p as ReadParams),
       )
       .handle(BatchMethod.Body, (p) => this.#reader.readBody(p as BodyParams))
+      .handle(BatchMethod.Texts, (p) => this.#texts.serve(p as TextName[]))
       .handle(BatchMethod.Holders, () => this.#holders())
       .handle(BatchMethod.End, (p) => this.#intake.end(p as BatchParams));
   }
@@ -181,6 +185,7 @@
       this.#removeExpired();
       this.#transferIfRetiring();
       this.#reportDemand();
+      if (this.isVoter) this.#texts.backfill();
       this.#service.updateGauges();
       this.#memoryGate.updateGauges();
     }, MAINTENANCE_INTERVAL_MS);
@@ -191,6 +196,7 @@
     clearInterval(this.#maintenanceTimer);
     this.#paces.stop();
     this.#runner.stop();
+    this.#texts.stop();
     await this.#service.stop();
   }
 
@@ -210,10 +216,7 @@
       ...createLogOptions(node, BATCH_LOG),
       ...LEDGER_LOG_OPTIONS,
       dataFolder,
-      openFiles: async (folder, state) => {
-        this.#files = await ResultFiles.open(folder, state);
-        return this.#files;
-      },
+      openFiles: (folder, state) => this.#texts.open(folder, state),
       wantedVoters: () => this.#membership.wantedVoters,
       wantedLearners: 0,
       now,
@@ -226,15 +229,21 @@
     });
   }
 
-  /** Gets results with the texts that are in files. */
-  async #readTexts(results: readonly BatchResult[]): Promise<BatchResult[]> {
-    try {
-      return await this.#files?.read(results) ?? [...results];
-    } catch (err) {
-      const detail = (err as Error).message;
-      this.#options.node.logger.event("resultUnreadable", { detail });
-      throw err;
-    }
+  #createTexts(): LedgerTexts {
+    const { node, now } = this.#options;
+    return new LedgerTexts({
+      state: () => this.#service.state,
+      sources: () => this.#membership.others,
+      request: (instance, names) =>
+        node.hub.request(instance, BatchMethod.Texts, {
+          params: names,
+          timeoutMs: TEXTS_TIMEOUT_MS,
+        }),
+      isPartial: () => this.#service.driver.isPartial,
+      store: () => this.#service.driver.compact(),
+      logger: node.logger,
+      now,
+    });
   }
 
   #createMemoryGate(): MemoryGate {
@@ -278,7 +287,7 @@
       holdsLease: () => this.#holdsLease,
       scoring,
       onSigns,
-      readTexts: (results) => this.#readTexts(results),
+      readTexts: (batch, results) => this.#texts.read(batch, results),
       storeCompleteText: (record) => this.#results.storeCompleteText(record),
       storeResult: (record) => this.#results.add(record),
       storePartialTexts: (records) => this.#results.storePartialTexts(records),
--- a/src/tasks/batches/ledger_log_options.ts
+++ b/src/tasks/batches/ledger_log_options.ts
@@ -1,6 +1,7 @@
 /** How the log of the ledger holds, reads, divides and compacts its entries. */
 import {
   BatchState,
+  detachTexts,
   estimateCommandBytes,
   holdCommand,
   LEDGER_SNAPSHOT_DIVIDER,
@@ -22,4 +23,5 @@
   hold: holdCommand,
   forms: LEDGER_TEXT_FORMS,
   divider: LEDGER_SNAPSHOT_DIVIDER,
+  detach: detachTexts,
 };
--- a/src/tasks/batches/ledger_membership.ts
+++ b/src/tasks/batches/ledger_membership.ts
@@ -43,6 +43,12 @@
     return [own, ...others].filter((id) => id !== undefined);
   }
 
+  /** Gets the other linked instances with a replica. */
+  get others(): string[] {
+    return this.#options.node.linkedMembers(FleetRole.Ledger)
+      .map(({ id }) => id);
+  }
+
   /** Gets the instances that hold a replica of the ledger. */
   get holders(): string[] {
     const members = this.#options.members();
--- a/src/tasks/batches/result_files.ts
+++ b/src/tasks/batches/result_files.ts
@@ -11,9 +11,6 @@
 import type { StateFiles } from "../log/mod.ts";
 import { TextFiles } from "../storage/mod.ts";
 
-/** Size below which a text stays in memory, in bytes. */
-const MIN_TEXT_BYTES = 256;
-
 /** Thrown for a part of a snapshot that names files of its sender. */
 export class ForeignLocationError extends NutmegreelError {
   constructor() {
@@ -28,6 +25,8 @@
   readonly #places = new WeakMap<HeldResult, TextLocation>();
   /** Files with texts of a snapshot that has not been stored yet. */
   readonly #received = new Set<number>();
+  /** Files with texts that were missing and that no snapshot may name yet. */
+  readonly #filled = new Set<number>();
 
   private constructor(texts: TextFiles) {
     this.#texts = texts;
@@ -49,6 +48,37 @@
     return new ResultFiles(texts);
   }
 
+  /**
+   * Writes the texts of results that lacked them.
+   * @param texts - The texts in UTF-8, by position.
+   * @returns The results with their places.
+   */
+  async fill(
+    results: readonly HeldResult[],
+    texts: readonly Uint8Array[],
+  ): Promise<HeldResult[]> {
+    const locations = await this.#texts.append(texts);
+    for (const { file } of locations) this.#filled.add(file);
+    return results.map((result, i) => result.at(locations[i]));
+  }
+
+  /**
+   * Reads the texts of results in UTF-8, wherever they are.
+   * @returns Undefined for each that this replica does not have.
+   * @throws DamagedTextError if a text is not as it was written.
+   */
+  async readBytes(
+    results: readonly HeldResult[],
+  ): Promise<(Uint8Array | undefined)[]> {
+    const locations = results.map(({ location }) => location)
+      .filter((location) => location !== undefined);
+    const texts = (await this.#texts.read(locations)).values();
+    return results.map((result) => {
+      if (result.isMissing) return undefined;
+      return result.hasText ? result.utf8 : texts.next().value;
+    });
+  }
+
   /**
    * Reads the texts of results that are in files.
    * @throws DamagedTextError if a text is not as it was written.
@@ -98,7 +128,8 @@
     if (named.size === 0) return;
     const isReceived = [...this.#received].every((file) => named.has(file));
     if (isReceived) this.#received.clear();
-    const kept = new Set([...named, ...this.#received]);
+    if (!hasMissing(state)) this.#filled.clear();
+    const kept = new Set([...named, ...this.#received, ...this.#filled]);
     // Later files may hold texts of a snapshot that is being written.
     await this.#texts.removeUpTo(Math.max(...named), kept);
   }
@@ -115,7 +146,7 @@
     const places = this.#places;
     const held = results.map(HeldResult.from);
     const movable = held.filter((result) =>
-      result.heldTextBytes >= MIN_TEXT_BYTES && !places.has(result)
+      result.hasText && result.isDetachable && !places.has(result)
     );
     const locations = await this.#texts.append(movable.map(({ utf8 }) => utf8));
     movable.forEach((result, i) => places.set(result, locations[i]));
@@ -146,6 +177,13 @@
   return "batch" in part ? { batch: { ...part.batch, results } } : { results };
 }
 
+/** Gets whether a snapshot has results without their texts. */
+function hasMissing({ batches }: LedgerSnapshot): boolean {
+  return batches.some(({ results }) =>
+    results.some((result) => HeldResult.from(result).isMissing)
+  );
+}
+
 /** Gets the position after the last text that a snapshot names, by file. */
 function endsOf({ batches }: LedgerSnapshot): ReadonlyMap<number, number> {
   const ends = new Map<number, number>();
--- a/src/tasks/batches/result_reader.ts
+++ b/src/tasks/batches/result_reader.ts
@@ -19,15 +19,17 @@
 } from "./batch_port.ts";
 
 /**
- * Gets results with the texts that are in files.
- * @throws Error if a file cannot be read.
+ * Gets results of a batch with their texts in memory.
+ * @throws Error if one cannot be read or fetched.
  */
 export type ReadTexts = (
+  batch: string,
   results: readonly BatchResult[],
 ) => Promise<BatchResult[]>;
 
 /** Gets results whose texts are all in memory. */
 export function readFromMemory(
+  _batch: string,
   results: readonly BatchResult[],
 ): Promise<BatchResult[]> {
   return Promise.resolve([...results]);
@@ -37,7 +39,7 @@
 export interface ResultReaderOptions {
   /** Gets the replicated state of the ledger. */
   readonly state: () => BatchState;
-  /** Gets results with the texts that are in files; by default, none is. */
+  /** Gets results with their texts; by default, all are in memory. */
   readonly readTexts?: ReadTexts;
   /**
    * Waits until a quorum confirms that this replica still leads.
@@ -99,7 +101,8 @@
 
   /**
    * Reads the body of an item as the leader.
-   * @throws RefusalError if this replica does not lead, or the item is unknown.
+   * @throws RefusalError if this replica does not lead, if the item is unknown, or
+   *     if its batch has ended and the body is no longer held.
    */
   async readBody(params: BodyParams): Promise<Uint8Array> {
     const { workspace, batch, item } = params;
@@ -107,16 +110,19 @@
     await confirmLeadership();
     const record = state().getForCaller(workspace, batch);
     if (record === undefined) throw createClosedError(state(), params);
-    const body = record.getItem(item)?.body;
-    if (body === undefined) throw createNotFoundError();
-    return body;
+    const found = record.getItem(item);
+    if (found === undefined || found.bodyDigest !== undefined) {
+      throw createNotFoundError();
+    }
+    return found.body;
   }
 
   async #readPage(record: BatchRecord, after: number): Promise<ResultPage> {
     const { readTexts = readFromMemory } = this.#options;
     const page = record.getPage(after, MAX_PAGE_BYTES);
     try {
-      return { ...page, results: await readTexts(page.results) };
+      const results = await readTexts(record.spec.id, page.results);
+      return { ...page, results };
     } catch (err) {
       throw new RefusalError(RefusalReason.LedgerUnavailable, Verdict.NotRun, {
         message: `The results cannot be read here: ${(err as Error).message}`,
--- a/src/tasks/batches/result_writer.ts
+++ b/src/tasks/batches/result_writer.ts
@@ -17,7 +17,7 @@
 
 /** Options of {@link ResultWriter}. */
 export interface ResultWriterOptions {
-  /** Gets results with the texts that are in files; by default, none is. */
+  /** Gets results with their texts; by default, all are in memory. */
   readonly readTexts?: ReadTexts;
   /** Writes a result to the ledger. */
   readonly storeResult: (record: ResultRecord) => void;
@@ -32,7 +32,7 @@
 export class ResultWriter {
   readonly #options: ResultWriterOptions;
   readonly #pending = new Set<string>();
-  /** Items whose earlier text could not be read from its file. */
+  /** Items whose earlier text could not be read. */
   readonly #unreadable = new Set<string>();
 
   constructor(options: ResultWriterOptions) {
@@ -123,6 +123,7 @@
       if (!isFresh || !isSingle || result.versions.length === 0) continue;
       const scoringId = other.getItem(item.id)?.scoring?.id;
       return this.#reuse({ record, item }, result, {
+        batch: other.spec.id,
         withScore: scoringId === item.scoring?.id,
       });
     }
@@ -136,13 +137,16 @@
   #reuse(
     { record, item }: WaitingItem,
     result: BatchResult,
-    { withScore }: { readonly withScore: boolean },
+    { batch, withScore }: {
+      readonly batch: string;
+      readonly withScore: boolean;
+    },
   ): boolean {
     const store = (read: BatchResult) => {
       if (withScore) this.#storeResult(record, read);
       else this.reuseText(record, item, read);
     };
-    if (!(result instanceof HeldResult) || result.location === undefined) {
+    if (!(result instanceof HeldResult) || result.hasText) {
       store(result);
       return true;
     }
@@ -150,7 +154,7 @@
     if (this.#unreadable.has(key)) return false;
     this.#pending.add(key);
     const { readTexts = readFromMemory } = this.#options;
-    readTexts([result])
+    readTexts(batch, [result])
       .then(([read]) => this.#pending.has(key) && store(read))
       .catch(() => this.#onUnreadable(key));
     return true;
--- a/src/tasks/log/learner_monitor.ts
+++ b/src/tasks/log/learner_monitor.ts
@@ -19,6 +19,7 @@
 }
 
 const LOG_INTERVAL_MS = 1_000;
+const NOTHING_SENT = { bytes: 0, snapshots: 0 };
 
 /**
  * Logs the learners that do not hold all committed entries, each second, and
@@ -57,8 +58,7 @@
     learner.hasCaughtUp = true;
     const { log, logger } = this.#options;
     const durationMs = Math.round(now - learner.since);
-    const { bytes, snapshots } = node.sentTo(replica) ??
-      { bytes: 0, snapshots: 0 };
+    const { bytes, snapshots } = node.sentTo(replica) ?? NOTHING_SENT;
     logger.event("learnerCaughtUp", {
       log,
       replica,
@@ -76,7 +76,15 @@
       if (held >= node.committed) continue;
       this.#loggedAt = now();
       const { committed } = node;
-      logger.event("learnerBehind", { log, replica, held, committed });
+      const { bytes, snapshots } = node.sentTo(replica) ?? NOTHING_SENT;
+      logger.event("learnerBehind", {
+        log,
+        replica,
+        held,
+        committed,
+        bytes,
+        snapshots,
+      });
     }
   }
 }
--- a/src/tasks/log/log_compactor.ts
+++ b/src/tasks/log/log_compactor.ts
@@ -37,7 +37,7 @@
 /** What the compactor uses of a state machine. */
 export type CompactedState<S> = Pick<
   StateMachine<never, S, unknown>,
-  "bytes" | "movableBytes" | "save" | "adoptMoved"
+  "bytes" | "movableBytes" | "isPartial" | "save" | "adoptMoved"
 >;
 
 /**
@@ -63,6 +63,9 @@
 export class LogCompactor<C, S> {
   readonly #options: LogCompactorOptions<C, S>;
   #snapshotBytes = 0;
+  #isPartial = false;
+  /** Whether the snapshot that is being stored is partial; undefined if none is. */
+  #isNextPartial: boolean | undefined;
   #isRunning = false;
 
   constructor(options: LogCompactorOptions<C, S>) {
@@ -72,9 +75,23 @@
   /** Records the snapshot that precedes the entries, of which a state was made. */
   onSnapshot({ state }: LogSnapshot<S>, machine: CompactedState<S>): this {
     this.#snapshotBytes = this.#bytesOf(machine) ?? estimateBytes(state);
+    this.#isPartial = machine.isPartial === true;
+    this.#isNextPartial = undefined;
     return this;
   }
 
+  /** Records that the snapshot made last is stored. */
+  onStored(): this {
+    this.#isPartial = this.#isNextPartial ?? this.#isPartial;
+    this.#isNextPartial = undefined;
+    return this;
+  }
+
+  /** Gets whether data is missing that the stored snapshot refers to. */
+  get isPartial(): boolean {
+    return this.#isPartial;
+  }
+
   /** Gets the size that a snapshot of a state has; undefined if not known. */
   #bytesOf({ bytes, movableBytes = 0 }: CompactedState<S>): number | undefined {
     if (bytes === undefined || !this.#options.movesState) return bytes;
@@ -83,7 +100,12 @@
 
   /** Starts to compact the log of a replica, if that is due. */
   check(replica: CompactedReplica<C, S>): void {
-    if (this.#isRunning || !this.#isDue(replica)) return;
+    if (this.#isDue(replica)) this.start(replica);
+  }
+
+  /** Starts to compact the log of a replica, unless that is going on. */
+  start(replica: CompactedReplica<C, S>): void {
+    if (this.#isRunning) return;
     this.#isRunning = true;
     this.#compact(replica)
       .catch((err) => this.#onFailed(err))
@@ -114,6 +136,7 @@
     { node, store, applied, state }: CompactedReplica<C, S>,
   ): Promise<void> {
     const stateBytes = this.#bytesOf(state);
+    const isPartial = state.isPartial === true;
     const saved = state.save();
     const moved = await store.files?.moveState(saved) ?? saved;
     const snapshot = node.createSnapshot(moved, applied);
@@ -126,8 +149,10 @@
       const { logSize: entries, logBytes: bytes } = node;
       const maxBytes = TRANSFER_FACTOR *
         this.#maxBytesFor(stateBytes ?? fileBytes);
-      node.compact(snapshot, { now: now(), maxBytes });
+      const isInForce = node.compact(snapshot, { now: now(), maxBytes });
+      if (!isInForce) return;
       this.#snapshotBytes = stateBytes ?? fileBytes;
+      this.#isNextPartial = isPartial;
       const { log, logger } = this.#options;
       logger.event("logCompacted", {
         log,
--- a/src/tasks/log/log_driver.ts
+++ b/src/tasks/log/log_driver.ts
@@ -12,11 +12,12 @@
   type Members,
   type ReplicaId,
   Role,
+  type StateReferences,
 } from "../../core/consensus/mod.ts";
 import { isStorageError } from "../storage/mod.ts";
 import { EffectQueue, type WriteEffect } from "./effect_queue.ts";
 import { LeadershipWaiters } from "./leadership_waiters.ts";
-import { LogCompactor } from "./log_compactor.ts";
+import { type CompactedReplica, LogCompactor } from "./log_compactor.ts";
 import type { LogDriverOptions } from "./log_driver_options.ts";
 import { LogStoppedError } from "./log_stopped_error.ts";
 import { LogStore } from "./log_store.ts";
@@ -119,6 +120,11 @@
     return this.#node?.isOfOwnTerm(this.#applied) === true;
   }
 
+  /** Gets whether data is missing, in memory or in the stored snapshot. */
+  get isPartial(): boolean {
+    return this.#state.isPartial === true || this.#compactor.isPartial;
+  }
+
   /** Gets the instance of the leader; undefined if none is known. */
   get leaderInstance(): string | undefined {
     const leader = this.#node?.leader;
@@ -187,6 +193,7 @@
       sizeOf: this.#options.sizeOf,
       hold: this.#options.hold,
       divider: this.#options.divider,
+      references: this.#createReferences(),
     });
     this.#effects = this.#createEffectQueue(store, this.#node);
     this.#compactor.onSnapshot(stored.snapshot, this.#state);
@@ -205,6 +212,17 @@
     );
   }
 
+  #createReferences(): StateReferences<C, S> | undefined {
+    const { detach } = this.#options;
+    if (detach === undefined) return undefined;
+    return {
+      isPartial: () => this.isPartial,
+      getApplied: () => ({ index: this.#applied, state: this.#state.save() }),
+      detach,
+      attach: (state, pending) => this.#state.attach?.(state, pending) ?? state,
+    };
+  }
+
   #createEffectQueue(
     store: LogStore<C, S>,
     node: ConsensusNode<C, S>,
@@ -212,11 +230,17 @@
     return new EffectQueue<C, S>({
       write: (writes) => store.write(writes, () => node.stored),
       execute: (effect) => this.#execute(effect),
-      onWritten: (writes) =>
-        this.#step((n) => {
-          for (const write of writes) n.onWritten(write, this.#options.now());
-        }),
+      onWritten: (writes) => this.#onWritten(writes),
       onFailed: (err) => this.#restartAfter(err),
+      now: this.#options.now,
+    });
+  }
+
+  #onWritten(writes: readonly WriteEffect<C, S>[]): void {
+    const hasSnapshot = writes.some(({ snapshot }) => snapshot !== undefined);
+    if (hasSnapshot) this.#compactor.onStored();
+    this.#step((node) => {
+      for (const write of writes) node.onWritten(write, this.#options.now());
     });
   }
 
@@ -381,7 +405,7 @@
     if (effect.type === "send") this.#send(effect.message);
     else if (effect.type === "apply") {
       for (const entry of effect.entries) this.#apply(entry);
-      this.#compact();
+      this.#compactIfDue();
       const isRepairing = effect.entries
         .some(({ content }) => content.type === "members");
       if (isRepairing) this.#checkMembersSoon();
@@ -412,12 +436,21 @@
     this.#options.onApplied(entry, result);
   }
 
-  #compact(): void {
+  /** Makes a snapshot of what is applied, unless one is being made. */
+  compact(): void {
+    const replica = this.#getCompacted();
+    if (replica !== undefined) this.#compactor.start(replica);
+  }
+
+  #compactIfDue(): void {
+    const replica = this.#getCompacted();
+    if (replica !== undefined) this.#compactor.check(replica);
+  }
+
+  #getCompacted(): CompactedReplica<C, S> | undefined {
     const [node, store] = [this.#node, this.#store];
-    if (node === undefined || store === undefined) return;
-    const state = this.#state;
-    const applied = this.#applied;
-    this.#compactor.check({ node, store, applied, state });
+    if (node === undefined || store === undefined) return undefined;
+    return { node, store, applied: this.#applied, state: this.#state };
   }
 
   #onRole(isLeader: boolean, term: number): void {
--- a/src/tasks/log/log_driver_options.ts
+++ b/src/tasks/log/log_driver_options.ts
@@ -36,6 +36,11 @@
   readonly forms?: TextForms;
   /** Divides snapshots for sending; by default, into one part. */
   readonly divider?: SnapshotDivider<S>;
+  /**
+   * Gets a snapshot with references in place of data, which replicas fetch from
+   * each other; by default, snapshots are sent with all data.
+   */
+  readonly detach?: (snapshot: S) => S;
   /** Opens files for parts of the state; by default, memory holds all of it. */
   readonly openFiles?: StateFilesOpener<S>;
   /** Heartbeat and election times. */
--- a/src/tasks/log/member_repair.ts
+++ b/src/tasks/log/member_repair.ts
@@ -51,6 +51,7 @@
       isPermanentlyDown: this.#options.isLost,
       isRetiring: this.#options.isRetiring,
       isCaughtUp: (replica) => node.isCaughtUp(replica, now()),
+      isPartial: (replica) => node.isPartial(replica),
     });
     if (next !== undefined) this.#options.propose(next);
   }
--- a/src/tasks/log/snapshot_part_files.ts
+++ b/src/tasks/log/snapshot_part_files.ts
@@ -1,4 +1,5 @@
 /** Parts of snapshots between the files of replicas. */
+import { setImmediate } from "node:timers/promises";
 import {
   compareTransfers,
   type ConsensusMessage,
@@ -18,8 +19,9 @@
 
 /**
  * Reads what a leader sends of a snapshot from its files, and writes what a
- * replica receives to its own. The order of the messages stays. One whose files
- * cannot be used is lost, and the leader sends it again.
+ * replica receives to its own. The order of the messages stays, and the event loop
+ * comes round between them. One whose files cannot be used is lost, and the leader
+ * sends it again.
  */
 export class SnapshotPartFiles<C, S> {
   readonly #options: SnapshotPartFilesOptions<S>;
@@ -42,6 +44,7 @@
       this.#sending = this.#next(this.#sending, async () => {
         const parts = await this.#readParts(files, message);
         send({ ...message, parts });
+        await setImmediate();
       });
     } else if (message.type === "snapshotRequest") {
       const { divider } = this.#options;
--- a/src/tasks/log/state_machine.ts
+++ b/src/tasks/log/state_machine.ts
@@ -14,4 +14,11 @@
   adoptMoved?(snapshot: S): this;
   /** Replaces the state with a snapshot. */
   load(snapshot: S): this;
+  /** Whether data is missing that the state refers to; absent if it never is. */
+  readonly isPartial?: boolean;
+  /**
+   * Gets a snapshot with the data that this state has in place of references.
+   * @param pending - Commands that will be applied after those of this state.
+   */
+  attach?(snapshot: S, pending: readonly C[]): S;
 }
--- a/tests/support/repair_simulation.ts
+++ b/tests/support/repair_simulation.ts
@@ -17,7 +17,7 @@
   None: "none",
   /** The links of the returned instance are exchanged, at random times. */
   LinksExchanged: "linksExchanged",
-  /** One of 50 messages is lost. */
+  /** One of 50 messages of the log is lost. */
   MessagesLost: "messagesLost",
   /** Each message arrives twice, the second time up to 30 ms late. */
   MessagesDoubled: "messagesDoubled",
@@ -35,6 +35,8 @@
   SlowDisks: "slowDisks",
   /** All processors take twice as long. */
   BusyProcessors: "busyProcessors",
+  /** All processors take three times as long, and all disks four times. */
+  SlowMachines: "slowMachines",
 } as const;
 
 /** One of the values of {@link Disturbance}. */
@@ -49,6 +51,8 @@
   /** Time from the return of a lost instance to the next loss. */
   readonly catchUpMs: number;
   readonly hasSpare: boolean;
+  /** Whether replicas take references in place of texts. */
+  readonly takesReferences: boolean;
 }
 
 /** Result of {@link simulateRepairs}. */
@@ -57,6 +61,8 @@
   readonly repairsMs: readonly number[];
   /** Commands that were acknowledged and are not there at the end. */
   readonly lost: readonly number[];
+  /** Commands whose texts no replica has, after any loss. */
+  readonly lostTexts: readonly number[];
 }
 
 const LOSSES = 3;
@@ -69,6 +75,8 @@
 const JOIN_MS = { min: 50, max: 300 };
 const COMMAND_INTERVAL_MS = 60;
 const COMMAND_BYTES = 30_000;
+/** Size of the text of each command of the first state, in bytes. */
+const INITIAL_COMMAND_BYTES = 100_000;
 const LATENCY_MS = 1.4;
 /** Rate of one connection: a window of 64 KiB in each round trip. */
 const CONNECTION_BYTES_PER_MS = 65_536 / (2 * LATENCY_MS);
@@ -103,6 +111,7 @@
   readonly #arrivals = new Map<string, number>();
   readonly #acknowledged: number[] = [];
   readonly #repairsMs: number[] = [];
+  readonly #lostTexts = new Set<number>();
   #commands = 0;
   #incarnations = 0;
   #isDisturbed = false;
@@ -117,7 +126,11 @@
     this.#proposeRegularly();
     this.#scheduler.runUntil(FORMATION_MS);
     for (let i = 0; i < LOSSES; i += 1) this.#loseDisk();
-    return { repairsMs: this.#repairsMs, lost: this.#findLost() };
+    return {
+      repairsMs: this.#repairsMs,
+      lost: this.#findLost(),
+      lostTexts: [...this.#lostTexts],
+    };
   }
 
   get #now(): number {
@@ -134,13 +147,23 @@
     const voters = VOTERS.map((id) => formatReplicaId(id, "0"));
     const initial = {
       members: { voters, learners: [] },
-      state: { ids: [], bytes: this.#options.stateBytes },
+      state: this.#createState(),
     };
     for (const instance of VOTERS) this.#start(instance, initial);
     if (this.#options.hasSpare) this.#start(SPARE);
     for (const { id } of this.#replicas.values()) this.#present.add(id);
   }
 
+  /** Creates a state of commands that no one has waited for. */
+  #createState(): SizedState {
+    const length = this.#options.stateBytes / INITIAL_COMMAND_BYTES;
+    const commands = Array.from(
+      { length },
+      (_, i) => ({ id: -1 - i, bytes: INITIAL_COMMAND_BYTES }),
+    );
+    return { commands, missing: new Set() };
+  }
+
   #start(
     instance: string,
     initial?: { readonly members: Members; readonly state: SizedState },
@@ -149,6 +172,7 @@
       scheduler: this.#scheduler,
       instance,
       incarnation: String(this.#incarnations),
+      takesReferences: this.#options.takesReferences,
       initial,
       send: (message, bytes) => this.#send(message, bytes),
       present: () => [...this.#present],
@@ -174,6 +198,7 @@
     replica.stop();
     this.#present.delete(replica.id);
     this.#replicas.delete(instance);
+    this.#findLostTexts();
     this.#scheduler.runUntil(this.#now + DOWN_MS);
     this.#return(instance);
     this.#disturb(instance);
@@ -232,6 +257,7 @@
       },
       [Disturbance.SlowDisks]: () => this.#setFactors(3, 1),
       [Disturbance.BusyProcessors]: () => this.#setFactors(1, 2),
+      [Disturbance.SlowMachines]: () => this.#setFactors(4, 3),
     };
     handlers[this.#options.disturbance]?.();
   }
@@ -263,7 +289,11 @@
     const { disturbance } = this.#options;
     const is = (kind: Disturbance) => this.#isDisturbed && disturbance === kind;
     const { random } = this.#scheduler;
-    if (is(Disturbance.MessagesLost) && random() < LOSS_SHARE) return;
+    const isText = message.type === "textsRequest" ||
+      message.type === "textsReply";
+    const isLost = is(Disturbance.MessagesLost) && !isText &&
+      random() < LOSS_SHARE;
+    if (isLost) return;
     const [from, to] = [instanceOf(message.from), instanceOf(message.to)];
     const link = linkOf(from, to);
     const exchanges = this.#links.get(link);
@@ -307,6 +337,17 @@
     return arrivesAt;
   }
 
+  /** Records the commands that were acknowledged and whose texts are gone. */
+  #findLostTexts(): void {
+    const held = new Set(
+      [...this.#replicas.values()].flatMap((replica) => replica.held),
+    );
+    const initial = this.#createState().commands.map(({ id }) => id);
+    for (const id of [...initial, ...this.#acknowledged]) {
+      if (!held.has(id)) this.#lostTexts.add(id);
+    }
+  }
+
   #findLost(): number[] {
     const applied = new Set(this.#leader?.applied);
     return this.#acknowledged.filter((id) => !applied.has(id));
--- a/tests/support/simulated_replica.ts
+++ b/tests/support/simulated_replica.ts
@@ -9,8 +9,11 @@
   nextMembers,
   type ReplicaId,
   type SnapshotDivider,
+  type StateReferences,
 } from "../../src/core/consensus/mod.ts";
+import { sumOf } from "../../src/core/statistics/mod.ts";
 import type { Scheduler } from "../../sim/scheduler.ts";
+import { SimulatedTexts, type TextMessage } from "./simulated_texts.ts";
 
 /** A command whose text is only counted. */
 export interface SizedCommand {
@@ -20,12 +23,15 @@
 
 /** State of all commands that were applied. */
 export interface SizedState {
-  readonly ids: readonly number[];
-  readonly bytes: number;
+  readonly commands: readonly SizedCommand[];
+  /** Commands whose texts are not there. */
+  readonly missing: ReadonlySet<number>;
 }
 
 /** A message between simulated replicas. */
-export type SizedMessage = ConsensusMessage<SizedCommand, SizedState>;
+export type SizedMessage =
+  | ConsensusMessage<SizedCommand, SizedState>
+  | TextMessage;
 
 type Node = ConsensusNode<SizedCommand, SizedState>;
 type Effect = ConsensusEffect<SizedCommand, SizedState>;
@@ -37,6 +43,8 @@
   readonly instance: string;
   /** Changes with each lost disk. */
   readonly incarnation: string;
+  /** Whether the replica takes references in place of texts. */
+  readonly takesReferences: boolean;
   /** State to begin with; without one, the replica has an empty disk. */
   readonly initial?: { readonly members: Members; readonly state: SizedState };
   readonly send: (message: SizedMessage, bytes: number) => void;
@@ -68,9 +76,14 @@
 /** Time in which a snapshot is written. */
 const COMPACTION_MS = 400;
 
+/** Size of a command in the state without its text, as a share of the text. */
+const DETACHED_SHARE = 0.12;
+const TEXTS_INTERVAL_MS = 1_000;
+
+const NONE: ReadonlySet<number> = new Set();
 const EMPTY = {
   members: { voters: [], learners: [] },
-  state: { ids: [], bytes: 0 },
+  state: { commands: [], missing: NONE },
 };
 
 /** A part of a state; only the first holds the commands. */
@@ -90,7 +103,7 @@
 
 const DIVIDER: SnapshotDivider<SizedState> = {
   split: (state) => {
-    const count = Math.max(1, Math.ceil(state.bytes / PART_BYTES));
+    const count = countParts(state);
     return Array.from(
       { length: count },
       (_, i) => new SizedPart(PART_BYTES, i === 0 ? state : undefined),
@@ -99,17 +112,27 @@
   join: (parts) => {
     const state = (parts[0] as SizedPart).state;
     if (state === undefined) throw new Error("The first part is missing");
-    const count = Math.max(1, Math.ceil(state.bytes / PART_BYTES));
-    if (parts.length !== count) throw new Error("Parts are missing");
+    if (parts.length !== countParts(state)) {
+      throw new Error("Parts are missing");
+    }
     return state;
   },
 };
 
+function countParts({ commands, missing }: SizedState): number {
+  let size = 0;
+  for (const { id, bytes } of commands) {
+    size += bytes * (missing.has(id) ? DETACHED_SHARE : 1 + DETACHED_SHARE);
+  }
+  return Math.max(1, Math.ceil(size / PART_BYTES));
+}
+
 /** Runs a consensus node as its driver does, until it loses its disk. */
 export class SimulatedReplica {
   readonly id: ReplicaId;
   readonly node: Node;
   readonly #options: SimulatedReplicaOptions;
+  readonly #texts: SimulatedTexts;
   #state: SizedState;
   #applied = 0;
   #effects: Effect[] = [];
@@ -125,7 +148,8 @@
 
   /** Starts the replica. */
   constructor(options: SimulatedReplicaOptions) {
-    const { scheduler, instance, incarnation, initial } = options;
+    const { scheduler, instance, incarnation, initial, takesReferences } =
+      options;
     const position = initial === undefined ? 0 : 1;
     const { members, state } = initial ?? EMPTY;
     this.#options = options;
@@ -144,14 +168,47 @@
       now: scheduler.now,
       sizeOf: ({ bytes }) => bytes,
       divider: DIVIDER,
+      references: takesReferences ? this.#createReferences() : undefined,
     });
+    this.#texts = this.#createTexts();
     this.#scheduleTick();
     this.#repairRegularly();
+    this.#fetchRegularly();
+  }
+
+  #createReferences(): StateReferences<SizedCommand, SizedState> {
+    return {
+      isPartial: () => this.#state.missing.size > 0,
+      getApplied: () => ({ index: this.#applied, state: this.#state }),
+      detach: ({ commands }) => ({
+        commands,
+        missing: new Set(commands.map(({ id }) => id)),
+      }),
+      attach: ({ commands, missing }, pending) => {
+        const held = new Set(
+          [...this.#state.commands, ...pending]
+            .map(({ id }) => id)
+            .filter((id) => !this.#state.missing.has(id)),
+        );
+        const left = [...missing].filter((id) => !held.has(id));
+        return { commands, missing: new Set(left) };
+      },
+    };
   }
 
   /** Gets the identifiers of all commands that were applied. */
   get applied(): readonly number[] {
-    return this.#state.ids;
+    return this.#state.commands.map(({ id }) => id);
+  }
+
+  /** Gets the identifiers of the commands whose texts it has, applied or not. */
+  get held(): readonly number[] {
+    const { missing } = this.#state;
+    const pending = this.node.stored.entries
+      .flatMap(({ content }) =>
+        content.type === "command" ? content.command.id : []
+      );
+    return [...this.applied.filter((id) => !missing.has(id)), ...pending];
   }
 
   get isLeader(): boolean {
@@ -180,12 +237,18 @@
   /** Handles a message once the processor is free. */
   receive(message: SizedMessage, bytes: number): void {
     this.#whenFree(this.#costOf(bytes), () => {
-      const isBehind = this.#isBehind(message.from);
-      this.#step((node) => node.receive(message, this.#now));
-      if (isBehind && !this.#isBehind(message.from)) this.checkMembers();
+      if (message.type === "textsRequest") this.#texts.serve(message);
+      else if (message.type === "textsReply") this.#texts.onReply(message);
+      else this.#receive(message as ConsensusMessage<SizedCommand, SizedState>);
     });
   }
 
+  #receive(message: ConsensusMessage<SizedCommand, SizedState>): void {
+    const isBehind = this.#isBehind(message.from);
+    this.#step((node) => node.receive(message, this.#now));
+    if (isBehind && !this.#isBehind(message.from)) this.checkMembers();
+  }
+
   /** Proposes the change of members that is due. */
   checkMembers(): void {
     if (!this.isLeader) return;
@@ -195,6 +258,7 @@
       wantedVoters: WANTED_VOTERS,
       wantedLearners: 0,
       isCaughtUp: (id) => this.node.isCaughtUp(id, this.#now),
+      isPartial: (id) => this.node.isPartial(id),
     });
     if (next === undefined) return;
     this.#step((node) => node.proposeMembers(next, this.#now));
@@ -246,6 +310,29 @@
     });
   }
 
+  #fetchRegularly(): void {
+    this.#after(TEXTS_INTERVAL_MS, () => {
+      if (this.node.members.voters.includes(this.id)) this.#texts.wake();
+      this.#fetchRegularly();
+    });
+  }
+
+  #createTexts(): SimulatedTexts {
+    return new SimulatedTexts({
+      scheduler: this.#options.scheduler,
+      id: this.id,
+      state: () => this.#state,
+      isStopped: () => this.#isStopped,
+      sources: () => this.node.members.voters.filter((id) => id !== this.id),
+      send: (message) => this.#send(message),
+      onTexts: (commands) => {
+        const missing = new Set(this.#state.missing);
+        for (const { id } of commands) missing.delete(id);
+        this.#state = { ...this.#state, missing };
+      },
+    });
+  }
+
   #scheduleTick(): void {
     this.#tickCount += 1;
     const tick = this.#tickCount;
@@ -316,12 +403,10 @@
     return this.node.isSendingSnapshot ? 2 * COMPACT_BYTES : COMPACT_BYTES;
   }
 
-  #apply({ id, bytes }: SizedCommand): void {
-    this.#state = {
-      ids: [...this.#state.ids, id],
-      bytes: this.#state.bytes + bytes,
-    };
-    if (this.isLeader) this.#options.onAcknowledged(id);
+  #apply(command: SizedCommand): void {
+    const { commands, missing } = this.#state;
+    this.#state = { commands: [...commands, command], missing };
+    if (this.isLeader) this.#options.onAcknowledged(command.id);
   }
 
   #send(message: SizedMessage): void {
@@ -337,6 +422,9 @@
   if (message.type === "snapshotPartRequest") {
     return message.parts.reduce<number>((sum, p) => sum + estimateBytes(p), 0);
   }
+  if (message.type === "textsReply") {
+    return sumOf(message.commands, ({ bytes }) => bytes);
+  }
   if (message.type !== "appendRequest") return 0;
   let bytes = 0;
   for (const { content } of message.entries) {
