--- a/src/core/consensus/leadership.ts
+++ b/src/core/consensus/leadership.ts
@@ -2,7 +2,7 @@
 import type { AppendReply, SnapshotPartReply } from "./consensus_message.ts";
 import type { ConsensusTiming } from "./consensus_options.ts";
 import type { LeaderDelay } from "./leader_delay.ts";
-import type { EntryContent, LogEntry } from "./log_entry.ts";
+import type { EntryContent, LogEntry, LogSnapshot } from "./log_entry.ts";
 import { LogSender } from "./log_sender.ts";
 import { allMembers, isSingleChange, type Members } from "./members.ts";
 import type { ReplicaId } from "./replica_id.ts";
@@ -10,7 +10,6 @@
 import type { LogPosition } from "./replicated_log.ts";
 import { ReplicationTracker, type SentAmount } from "./replication_tracker.ts";
 import { Role } from "./role.ts";
-import type { LogSnapshot } from "./log_entry.ts";
 import type { SnapshotDivider } from "./snapshot_parts.ts";
 import type { StateReferences } from "./state_references.ts";
 
