--- a/src/tasks/log/log_compactor.ts
+++ b/src/tasks/log/log_compactor.ts
@@ -100,7 +100,7 @@
 
   /** Starts to compact the log of a replica, if that is due. */
   check(replica: CompactedReplica<C, S>): void {
-    if (this.#isDue(replica)) this.start(replica);
+    if (!this.#isRunning && this.#isDue(replica)) this.start(replica);
   }
 
   /** Starts to compact the log of a replica, unless that is going on. */
