--- a/src/tasks/batches/result_files_test.ts
+++ b/src/tasks/batches/result_files_test.ts
@@ -14,9 +14,17 @@
   losePower,
   SyncRecorder,
 } from "../../../tests/support/sync_recorder.ts";
-import { type BatchResult, BatchState } from "../../core/batches/mod.ts";
+import {
+  type BatchResult,
+  BatchState,
+  detachTexts,
+  HeldResult,
+} from "../../core/batches/mod.ts";
 import { ForeignLocationError, ResultFiles } from "./result_files.ts";
 
+/** Size from which a file takes no further texts, in bytes. */
+const FULL_FILE_BYTES = 8_388_608;
+
 describe(ResultFiles.name, () => {
   let group: LedgerGroup;
 
@@ -126,6 +134,22 @@
     expect(group.fileBytes("a")).toBe(bytes);
   });
 
+  // Guards against fetched texts whose file goes before a snapshot names it.
+  it("keep fetched texts until a snapshot names them", async () => {
+    const opened = group.filesOf("a");
+    const state = new BatchState();
+    for (const command of commandsOf("b-0")) state.apply(command);
+    const saved = state.save();
+    const { batches: [partial] } = detachTexts(saved);
+    const text = Buffer.alloc(FULL_FILE_BYTES, "x");
+    const lacking = partial.results.map(HeldResult.from).slice(0, 1);
+    const filled = await opened.fill(lacking, [text]);
+    const { batches: [moved] } = await opened.moveState(saved);
+    await opened.onStored({ batches: [moved, partial] });
+    const [read] = await opened.readBytes(filled);
+    expect(read?.byteLength).toBe(FULL_FILE_BYTES);
+  });
+
   it("refuse a part that names files of another replica", async () => {
     const location = { file: 1, offset: 0, length: 300, checksum: 0 };
     const result = { id: "i", state: "completed", versions: [1], location };
